Decision logic, configuration and platform clients

Cause: the repository is empty; the path needs its parts first. Change: crates for names and counters, result codes, service files and node settings, leases, the sample ledger, engine choice, weight rollout, membership and the platform's clients. Decision logic has no I/O. Found while testing membership: a node called dead at incarnation 0 never refuted, because it only answered accusations at its own incarnation or above. The tests 'a_node_that_was_frozen_refutes_its_death' and 'losing_a_fifth_of_the_datagrams_kills_nobody_for_long' failed before; a node now always announces an incarnation above the accusation, and both pass. Measured: unit and property tests only, no running node yet.

--- /dev/null
+++ b/crates/sloetrail-balance/src/entry.rs
@@ -0,0 +1,132 @@
+//! What a node knows of one engine.
+
+use crate::ConcurrencyLimit;
+use sloetrail_types::{Timestamp, ZoneName};
+use std::time::Duration;
+
+/// Whether an engine takes new work, as an observer found it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportedState {
+    /// It does.
+    Serving,
+    /// It finishes what it has.
+    Draining,
+    /// It does not answer.
+    Unreachable,
+}
+
+/// News of an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EngineReport {
+    /// When the observer asked the engine.
+    pub observed_at: Timestamp,
+    /// Whether it takes new work.
+    pub state: ReportedState,
+    /// Requests running and waiting on the engine.
+    pub load: u32,
+    /// Requests that it can run at a time.
+    pub capacity: u32,
+}
+
+/// How an attempt at an engine ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptOutcome {
+    /// It answered.
+    Answered,
+    /// It refused before running the request: it is full or draining.
+    Refused,
+    /// It could not be reached, or was lost on the way.
+    Lost,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Entry {
+    pub(crate) zone: ZoneName,
+    pub(crate) leaving: bool,
+    pub(crate) report: Option<EngineReport>,
+    pub(crate) confirmed_at: Option<Timestamp>,
+    pub(crate) lost_at: Option<Timestamp>,
+    pub(crate) refused_at: Option<Timestamp>,
+    pub(crate) in_flight: usize,
+    pub(crate) in_flight_at_report: usize,
+    pub(crate) limit: ConcurrencyLimit,
+}
+
+impl Entry {
+    pub(crate) fn new(zone: ZoneName, leaving: bool, concurrency: usize) -> Self {
+        Self {
+            zone,
+            leaving,
+            report: None,
+            confirmed_at: None,
+            lost_at: None,
+            refused_at: None,
+            in_flight: 0,
+            in_flight_at_report: 0,
+            limit: ConcurrencyLimit::new(concurrency),
+        }
+    }
+
+    /// May it get a new request now? Only with fresh news, and not if it was
+    /// lost or refused after that news.
+    pub(crate) fn may_be_chosen(&self, now: Timestamp, freshness: Duration) -> bool {
+        let Some(confirmed_at) = self.confirmed_at else {
+            return false;
+        };
+        let fresh = now.since(confirmed_at) < freshness;
+        let newer_than = |event: Option<Timestamp>| event.is_none_or(|at| at < confirmed_at);
+        let serving = self
+            .report
+            .is_some_and(|report| report.state == ReportedState::Serving);
+        fresh && serving && !self.leaving && newer_than(self.lost_at) && newer_than(self.refused_at)
+    }
+
+    pub(crate) fn has_room(&self) -> bool {
+        self.in_flight < self.limit.current()
+    }
+
+    /// Load in parts of capacity: what others had there at the report, and what
+    /// this node has there now.
+    pub(crate) fn relative_load(&self) -> f64 {
+        let (reported, capacity) = self
+            .report
+            .map_or((0, 1), |report| (report.load as usize, report.capacity));
+        let others = reported.saturating_sub(self.in_flight_at_report);
+        (others + self.in_flight) as f64 / f64::from(capacity.max(1))
+    }
+
+    pub(crate) fn take_report(&mut self, report: EngineReport) {
+        let newer = self
+            .report
+            .is_none_or(|known| known.observed_at <= report.observed_at);
+        if !newer {
+            return;
+        }
+        if report.load > report.capacity {
+            self.limit.on_overload();
+        }
+        self.in_flight_at_report = self.in_flight;
+        self.report = Some(report);
+        if report.state != ReportedState::Unreachable {
+            self.confirmed_at = self.confirmed_at.max(Some(report.observed_at));
+        }
+    }
+
+    pub(crate) fn finish(&mut self, now: Timestamp, outcome: AttemptOutcome) {
+        match outcome {
+            AttemptOutcome::Answered => {
+                self.limit.on_success(self.in_flight);
+                self.confirmed_at = self.confirmed_at.max(Some(now));
+            }
+            AttemptOutcome::Refused => {
+                self.limit.on_overload();
+                self.refused_at = Some(now);
+            }
+            AttemptOutcome::Lost => {
+                self.limit.on_overload();
+                self.lost_at = Some(now);
+            }
+        }
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+}
--- /dev/null
+++ b/crates/sloetrail-balance/src/lib.rs
@@ -0,0 +1,20 @@
+//! Which engine gets the next request, how many it gets, and who may retry.
+//!
+//! [`Balancer`] holds one service's engines as one node sees them. It chooses by
+//! the power of two choices on load, corrected by the node's own sends since the
+//! last report, and only among engines of which there is fresh news.
+//! [`ConcurrencyLimit`] bounds what one node sends one engine, [`RetryBudget`]
+//! what a service's retries may add to its load.
+
+mod balancer;
+mod concurrency_limit;
+mod entry;
+mod retry_budget;
+
+pub use balancer::{Balancer, BalancerSettings, ListedEngine};
+pub use concurrency_limit::ConcurrencyLimit;
+pub use entry::{AttemptOutcome, EngineReport, ReportedState};
+pub use retry_budget::RetryBudget;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/sloetrail-balance/src/tests.rs
@@ -0,0 +1,141 @@
+use crate::{
+    AttemptOutcome, Balancer, BalancerSettings, ConcurrencyLimit, EngineReport, ListedEngine,
+    ReportedState, RetryBudget,
+};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use sloetrail_types::{EngineId, Timestamp, ZoneName};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+fn balancer() -> Balancer {
+    let mut balancer = Balancer::new(BalancerSettings {
+        zone: ZoneName::from("hfj"),
+        view_freshness: Duration::from_millis(1_000),
+        engine_concurrency: 4,
+    });
+    balancer.set_engines(vec![
+        listed("near-1", "hfj", false),
+        listed("near-2", "hfj", false),
+        listed("far", "rvk", false),
+    ]);
+    balancer
+}
+
+fn listed(id: &str, zone: &str, leaving: bool) -> ListedEngine {
+    ListedEngine {
+        id: EngineId::from(id),
+        zone: ZoneName::from(zone),
+        leaving,
+    }
+}
+
+fn report(at: u64, state: ReportedState, load: u32) -> EngineReport {
+    EngineReport {
+        observed_at: Timestamp(at),
+        state,
+        load,
+        capacity: 8,
+    }
+}
+
+fn choose(balancer: &mut Balancer, now: u64) -> Option<EngineId> {
+    let mut random = StdRng::seed_from_u64(3);
+    balancer.choose(Timestamp(now), &mut random, &BTreeSet::new())
+}
+
+#[test]
+fn an_engine_without_fresh_news_is_not_chosen() {
+    let mut balancer = balancer();
+    assert_eq!(choose(&mut balancer, 100), None);
+    let id = EngineId::from("near-1");
+    balancer.report(&id, report(100, ReportedState::Serving, 0));
+    assert_eq!(choose(&mut balancer, 1_099), Some(id));
+    assert_eq!(choose(&mut balancer, 1_100), None);
+}
+
+#[test]
+fn the_own_zone_goes_first_and_the_others_when_it_is_full() {
+    let mut balancer = balancer();
+    let near = EngineId::from("near-1");
+    balancer.report(&near, report(100, ReportedState::Serving, 0));
+    balancer.report(
+        &EngineId::from("far"),
+        report(100, ReportedState::Serving, 0),
+    );
+    for _ in 0..4 {
+        assert_eq!(choose(&mut balancer, 200), Some(near.clone()));
+    }
+    assert_eq!(choose(&mut balancer, 200), Some(EngineId::from("far")));
+}
+
+#[test]
+fn a_leaving_engine_stays_out_even_if_the_list_forgets() {
+    let mut balancer = balancer();
+    let id = EngineId::from("near-1");
+    balancer.set_engines(vec![listed("near-1", "hfj", true)]);
+    balancer.set_engines(vec![listed("near-1", "hfj", false)]);
+    balancer.report(&id, report(100, ReportedState::Serving, 0));
+    assert_eq!(choose(&mut balancer, 200), None);
+}
+
+#[test]
+fn a_lost_engine_stays_out_until_it_is_heard_from_again() {
+    let mut balancer = balancer();
+    let id = EngineId::from("near-1");
+    balancer.report(&id, report(100, ReportedState::Serving, 0));
+    assert!(choose(&mut balancer, 150).is_some());
+    balancer.finish(Timestamp(160), &id, AttemptOutcome::Lost);
+    assert_eq!(choose(&mut balancer, 170), None);
+    balancer.report(&id, report(155, ReportedState::Serving, 0));
+    assert_eq!(choose(&mut balancer, 170), None, "the news is older");
+    balancer.report(&id, report(180, ReportedState::Serving, 0));
+    assert_eq!(choose(&mut balancer, 190), Some(id));
+}
+
+#[test]
+fn own_sends_since_the_report_count_as_load() {
+    let mut balancer = balancer();
+    for name in ["near-1", "near-2"] {
+        balancer.report(
+            &EngineId::from(name),
+            report(100, ReportedState::Serving, 0),
+        );
+    }
+    let mut random = StdRng::seed_from_u64(9);
+    let mut counts = [0, 0];
+    for _ in 0..6 {
+        let chosen = balancer
+            .choose(Timestamp(110), &mut random, &BTreeSet::new())
+            .expect("there is room");
+        counts[usize::from(chosen == EngineId::from("near-2"))] += 1;
+    }
+    assert!(counts.iter().all(|count| *count >= 2), "{counts:?}");
+}
+
+#[test]
+fn the_limit_shrinks_on_overload_and_grows_back() {
+    let mut limit = ConcurrencyLimit::new(10);
+    limit.on_overload();
+    assert_eq!(limit.current(), 7);
+    for _ in 0..100 {
+        limit.on_success(limit.current());
+    }
+    assert_eq!(limit.current(), 10);
+    for _ in 0..100 {
+        limit.on_overload();
+    }
+    assert_eq!(limit.current(), 1);
+}
+
+#[test]
+fn retries_stay_a_share_of_first_attempts() {
+    let mut budget = RetryBudget::new(10);
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.deposit();
+        retries += usize::from(budget.withdraw());
+    }
+    assert!((100..=105).contains(&retries), "{retries}");
+    assert!(!RetryBudget::new(0).withdraw());
+}
--- /dev/null
+++ b/crates/sloetrail-lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/sloetrail-lease/src/tests.rs
@@ -0,0 +1,174 @@
+use crate::{LeaseAction, LeaseRecord, LeaseWatcher, ObservedLease};
+use proptest::prelude::*;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use sloetrail_types::{Epoch, NodeId, RowVersion, Timestamp};
+use std::time::Duration;
+
+const DURATION: Duration = Duration::from_millis(300);
+const NODES: usize = 3;
+
+/// The lease row, with the table's own conditional write.
+#[derive(Clone, Debug, Default)]
+struct LeaseRow {
+    version: u64,
+    record: Option<LeaseRecord>,
+}
+
+impl LeaseRow {
+    fn read(&self) -> Option<ObservedLease> {
+        self.record.clone().map(|record| ObservedLease {
+            version: RowVersion(self.version),
+            record,
+        })
+    }
+
+    fn write(&mut self, action: &LeaseAction) -> bool {
+        let present = self.record.as_ref().map(|_| RowVersion(self.version));
+        if present != action.expected {
+            return false;
+        }
+        self.version += 1;
+        self.record = Some(action.record.clone());
+        true
+    }
+}
+
+#[test]
+fn a_released_lease_is_taken_at_once_and_an_unrenewed_one_after_its_duration() {
+    let mut row = LeaseRow::default();
+    let mut first = LeaseWatcher::new(NodeId::from("a"), DURATION);
+    let mut second = LeaseWatcher::new(NodeId::from("b"), DURATION);
+    first.observe(Timestamp(1_000), row.read());
+    let action = first
+        .next_action(Timestamp(1_000), 0)
+        .expect("absent row is taken");
+    assert!(row.write(&action));
+    first.observe(Timestamp(1_000), row.read());
+    assert_eq!(first.held_epoch(), Some(Epoch(1)));
+
+    second.observe(Timestamp(1_000), row.read());
+    assert_eq!(second.next_action(Timestamp(1_299), 0), None);
+    let action = second.next_action(Timestamp(1_300), 0).expect("expired");
+    assert!(row.write(&action));
+    second.observe(Timestamp(1_300), row.read());
+    assert_eq!(second.held_epoch(), Some(Epoch(2)));
+
+    let late_renewal = first.next_action(Timestamp(5_000), 0).expect("unaware");
+    assert!(!row.write(&late_renewal), "the frozen holder is refused");
+
+    let release = second.release().expect("held");
+    assert!(row.write(&release));
+    first.observe(Timestamp(5_000), row.read());
+    let action = first.next_action(Timestamp(5_000), 0).expect("released");
+    assert!(row.write(&action));
+    first.observe(Timestamp(5_000), row.read());
+    assert_eq!(first.held_epoch(), Some(Epoch(3)));
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Read(usize),
+    Act(usize),
+    Release(usize),
+    Pass(u64),
+}
+
+#[derive(Clone, Debug)]
+struct Reference;
+
+impl ReferenceStateMachine for Reference {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        prop_oneof![
+            4 => (0..NODES).prop_map(Step::Read),
+            4 => (0..NODES).prop_map(Step::Act),
+            1 => (0..NODES).prop_map(Step::Release),
+            3 => (1u64..400).prop_map(Step::Pass),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+struct Leases {
+    now: u64,
+    row: LeaseRow,
+    watchers: Vec<LeaseWatcher>,
+    terms: Vec<(Epoch, NodeId)>,
+}
+
+impl StateMachineTest for Leases {
+    type SystemUnderTest = Self;
+    type Reference = Reference;
+
+    fn init_test((): &()) -> Self {
+        let watchers = (0..NODES)
+            .map(|index| LeaseWatcher::new(NodeId::new(format!("node-{index}")), DURATION))
+            .collect();
+        Self {
+            now: 1_000,
+            row: LeaseRow::default(),
+            watchers,
+            terms: Vec::new(),
+        }
+    }
+
+    fn apply(mut state: Self, (): &(), step: Step) -> Self {
+        let now = Timestamp(state.now);
+        match step {
+            Step::Pass(milliseconds) => state.now += milliseconds,
+            Step::Read(index) => state.watchers[index].observe(now, state.row.read()),
+            Step::Act(index) => {
+                if let Some(action) = state.watchers[index].next_action(now, 0) {
+                    state.write(index, &action);
+                }
+            }
+            Step::Release(index) => {
+                if let Some(action) = state.watchers[index].release() {
+                    state.write(index, &action);
+                }
+            }
+        }
+        state
+    }
+
+    fn check_invariants(state: &Self, (): &()) {
+        for pair in state.terms.windows(2) {
+            assert!(pair[0].0 < pair[1].0, "epochs grow with each holder");
+        }
+    }
+}
+
+impl Leases {
+    fn write(&mut self, index: usize, action: &LeaseAction) {
+        let holder_before = self.row.record.clone();
+        if !self.row.write(action) {
+            return;
+        }
+        self.watchers[index].observe(Timestamp(self.now), self.row.read());
+        let record = &action.record;
+        let new_term = holder_before.is_none_or(|before| before.epoch != record.epoch);
+        if let (true, Some(holder)) = (new_term, &record.holder) {
+            self.terms.push((record.epoch, holder.clone()));
+        }
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(ProptestConfig {
+        cases: 128,
+        failure_persistence: None,
+        rng_algorithm: proptest::test_runner::RngAlgorithm::ChaCha,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
+    #[test]
+    fn epochs_grow_whatever_the_order_of_steps(sequential 1..60 => Leases);
+}
--- /dev/null
+++ b/crates/sloetrail-membership/src/membership.rs
@@ -0,0 +1,502 @@
+//! Failure detection and dissemination for one node.
+
+use crate::gossip_queue::GossipQueue;
+use crate::member::{Member, MemberState, MemberUpdate};
+use crate::message::{Body, EngineNews, Envelope, View, ZoneSummary};
+use crate::zones::ZoneTable;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use sloetrail_types::{NodeId, Revision, Timestamp, ZoneName};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+const FORMAT: u8 = 1;
+const PROBE_HELPERS: usize = 2;
+const SUMMARY_SENDERS_PER_ZONE: usize = 2;
+const RUMOR_FANOUT: usize = 3;
+
+/// The periods of the failure detector.
+#[derive(Clone, Copy, Debug)]
+pub struct MembershipSettings {
+    /// Time between two probes of a node.
+    pub probe_period: Duration,
+    /// Time until a probe is repeated through helpers.
+    pub direct_timeout: Duration,
+    /// Time until a node that did not answer is suspected.
+    pub probe_timeout: Duration,
+    /// Time that a suspected node has to refute.
+    pub suspicion_timeout: Duration,
+    /// Time between two summaries to the other zones.
+    pub summary_period: Duration,
+}
+
+impl Default for MembershipSettings {
+    fn default() -> Self {
+        Self {
+            probe_period: Duration::from_millis(500),
+            direct_timeout: Duration::from_millis(150),
+            probe_timeout: Duration::from_millis(400),
+            suspicion_timeout: Duration::from_millis(1_000),
+            summary_period: Duration::from_millis(500),
+        }
+    }
+}
+
+/// A node as the machine list has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerNode {
+    /// The node.
+    pub id: NodeId,
+    /// Its zone.
+    pub zone: ZoneName,
+}
+
+/// A datagram to send.
+#[derive(Clone, Debug)]
+pub struct Outgoing {
+    /// The receiver.
+    pub to: NodeId,
+    /// The datagram.
+    pub envelope: Envelope,
+}
+
+#[derive(Debug)]
+struct Probe {
+    target: NodeId,
+    sent_at: Timestamp,
+    helped: bool,
+}
+
+#[derive(Debug)]
+struct RelayedProbe {
+    asker: NodeId,
+    asker_probe: u64,
+}
+
+/// One node's view of its zone and of the other zones.
+#[derive(Debug)]
+pub struct Membership {
+    node: NodeId,
+    zone: ZoneName,
+    settings: MembershipSettings,
+    incarnation: u64,
+    leaving: bool,
+    members: BTreeMap<NodeId, Member>,
+    remote: BTreeMap<ZoneName, Vec<NodeId>>,
+    zones: ZoneTable,
+    queue: GossipQueue,
+    round: Vec<NodeId>,
+    probes: BTreeMap<u64, Probe>,
+    relayed: BTreeMap<u64, RelayedProbe>,
+    next_probe: u64,
+    probed_at: Option<Timestamp>,
+    summary_at: Option<Timestamp>,
+    view: View,
+    random: StdRng,
+}
+
+impl Membership {
+    /// A node that knows nobody yet. `seed` drives its random choices.
+    pub fn new(node: NodeId, zone: ZoneName, settings: MembershipSettings, seed: u64) -> Self {
+        Self {
+            node,
+            zone,
+            settings,
+            incarnation: 1,
+            leaving: false,
+            members: BTreeMap::new(),
+            remote: BTreeMap::new(),
+            zones: ZoneTable::default(),
+            queue: GossipQueue::default(),
+            round: Vec::new(),
+            probes: BTreeMap::new(),
+            relayed: BTreeMap::new(),
+            next_probe: 1,
+            probed_at: None,
+            summary_at: None,
+            view: View::default(),
+            random: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes in the machine list: new nodes of the zone become candidates, nodes
+    /// that it no longer has are dropped.
+    pub fn set_candidates(&mut self, now: Timestamp, peers: &[PeerNode]) {
+        let mut own_zone = BTreeSet::new();
+        self.remote.clear();
+        for peer in peers.iter().filter(|peer| peer.id != self.node) {
+            if peer.zone == self.zone {
+                own_zone.insert(peer.id.clone());
+            } else {
+                let nodes = self.remote.entry(peer.zone.clone()).or_default();
+                nodes.push(peer.id.clone());
+            }
+        }
+        self.members.retain(|id, _| own_zone.contains(id));
+        for id in own_zone {
+            self.members.entry(id).or_insert(Member {
+                incarnation: 0,
+                state: MemberState::Alive,
+                changed_at: now,
+            });
+        }
+    }
+
+    /// Sets what this node tells of itself. News of a new revision goes to some
+    /// members at once.
+    pub fn set_view(&mut self, now: Timestamp, view: View) -> Vec<Outgoing> {
+        let news = view.revision > self.view.revision || view.list_version > self.view.list_version;
+        self.view = view;
+        if !news {
+            return Vec::new();
+        }
+        let mut receivers = self.random_members(RUMOR_FANOUT, &BTreeSet::new());
+        if self.sends_summaries() {
+            receivers.extend(self.one_node_of_each_zone());
+        }
+        let send = |to| self.news(now, to);
+        receivers.into_iter().map(send).collect()
+    }
+
+    /// The nodes of the zone that may be alive, this one included unless it leaves.
+    pub fn alive(&self) -> BTreeSet<NodeId> {
+        let others = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.state <= MemberState::Suspect)
+            .map(|(id, _)| id.clone());
+        let own = (!self.leaving).then(|| self.node.clone());
+        others.chain(own).collect()
+    }
+
+    /// The state of a member of the zone.
+    pub fn state_of(&self, node: &NodeId) -> Option<MemberState> {
+        self.members.get(node).map(|member| member.state)
+    }
+
+    /// What is known of the other zones.
+    pub fn zones(&self) -> &ZoneTable {
+        &self.zones
+    }
+
+    /// Marks this node as leaving and tells everybody in the zone.
+    pub fn leave(&mut self, now: Timestamp) -> Vec<Outgoing> {
+        self.leaving = true;
+        self.queue.push(self.own_update());
+        let members: Vec<NodeId> = self.members.keys().cloned().collect();
+        members.into_iter().map(|to| self.news(now, to)).collect()
+    }
+
+    /// Datagrams that carry news of engines to every member.
+    pub fn engine_news(&mut self, news: &[EngineNews]) -> Vec<Outgoing> {
+        let receivers: Vec<NodeId> = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.state <= MemberState::Suspect)
+            .map(|(id, _)| id.clone())
+            .collect();
+        let send = |to| Outgoing {
+            to,
+            envelope: Envelope {
+                format: FORMAT,
+                from: self.node.clone(),
+                view: self.view,
+                updates: Vec::new(),
+                zones: Vec::new(),
+                body: Body::Engines(news.to_vec()),
+            },
+        };
+        receivers.into_iter().map(send).collect()
+    }
+
+    /// Does what is due: probes, helpers, suspicions, summaries.
+    pub fn tick(&mut self, now: Timestamp) -> Vec<Outgoing> {
+        let mut outgoing = Vec::new();
+        self.expire_suspects(now);
+        self.follow_probes(now, &mut outgoing);
+        if self.is_due(self.probed_at, self.settings.probe_period, now) {
+            self.probed_at = Some(now);
+            self.probe_next(now, &mut outgoing);
+        }
+        if self.is_due(self.summary_at, self.settings.summary_period, now) {
+            self.summary_at = Some(now);
+            if self.sends_summaries() {
+                let receivers = self.one_node_of_each_zone();
+                outgoing.extend(receivers.into_iter().map(|to| self.news(now, to)));
+            }
+        }
+        outgoing
+    }
+
+    /// Takes in a datagram.
+    pub fn receive(&mut self, now: Timestamp, envelope: &Envelope) -> Vec<Outgoing> {
+        if envelope.format != FORMAT {
+            return Vec::new();
+        }
+        self.hear_from(now, &envelope.from);
+        for update in &envelope.updates {
+            self.take_update(now, update);
+        }
+        for summary in &envelope.zones {
+            if summary.zone != self.zone {
+                self.zones.observe(now, summary);
+            }
+        }
+        let mut outgoing = Vec::new();
+        match &envelope.body {
+            Body::Ping(probe) => {
+                let body = Body::Ack(*probe);
+                outgoing.push(self.outgoing(now, envelope.from.clone(), body));
+            }
+            Body::Ack(probe) => self.acknowledged(now, *probe, &mut outgoing),
+            Body::PingRequest(probe, target) => {
+                let relayed = RelayedProbe {
+                    asker: envelope.from.clone(),
+                    asker_probe: *probe,
+                };
+                let number = self.number();
+                self.relayed.insert(number, relayed);
+                outgoing.push(self.outgoing(now, target.clone(), Body::Ping(number)));
+            }
+            Body::Engines(_) | Body::News => {}
+        }
+        outgoing
+    }
+
+    fn is_due(&self, last: Option<Timestamp>, period: Duration, now: Timestamp) -> bool {
+        last.is_none_or(|at| now.since(at) >= period)
+    }
+
+    fn number(&mut self) -> u64 {
+        self.next_probe += 1;
+        self.next_probe
+    }
+
+    /// A datagram with as much news as it may carry.
+    fn outgoing(&mut self, now: Timestamp, to: NodeId, body: Body) -> Outgoing {
+        let updates = self.queue.take(self.members.len());
+        let mut zones = self.zones.summaries(now);
+        if !self.members.contains_key(&to) {
+            zones.push(self.own_summary());
+        }
+        Outgoing {
+            to,
+            envelope: Envelope {
+                format: FORMAT,
+                from: self.node.clone(),
+                view: self.view,
+                updates,
+                zones,
+                body,
+            },
+        }
+    }
+
+    fn news(&mut self, now: Timestamp, to: NodeId) -> Outgoing {
+        self.outgoing(now, to, Body::News)
+    }
+
+    fn own_summary(&self) -> ZoneSummary {
+        ZoneSummary {
+            zone: self.zone.clone(),
+            node: self.node.clone(),
+            revision: self.view.revision,
+            age_ms: 0,
+        }
+    }
+
+    fn own_update(&self) -> MemberUpdate {
+        MemberUpdate {
+            node: self.node.clone(),
+            incarnation: self.incarnation,
+            state: match self.leaving {
+                true => MemberState::Left,
+                false => MemberState::Alive,
+            },
+        }
+    }
+
+    /// The nodes with the lowest ids alive speak for the zone.
+    fn sends_summaries(&self) -> bool {
+        let alive = self.alive();
+        alive
+            .iter()
+            .take(SUMMARY_SENDERS_PER_ZONE)
+            .any(|id| *id == self.node)
+    }
+
+    fn one_node_of_each_zone(&mut self) -> Vec<NodeId> {
+        let random = &mut self.random;
+        self.remote
+            .values()
+            .filter(|nodes| !nodes.is_empty())
+            .map(|nodes| nodes[random.random_range(0..nodes.len())].clone())
+            .collect()
+    }
+
+    fn random_members(&mut self, count: usize, excluded: &BTreeSet<NodeId>) -> Vec<NodeId> {
+        let mut members: Vec<NodeId> = self
+            .members
+            .iter()
+            .filter(|(id, member)| member.state <= MemberState::Suspect && !excluded.contains(*id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        members.shuffle(&mut self.random);
+        members.truncate(count);
+        members
+    }
+
+    fn probe_next(&mut self, now: Timestamp, outgoing: &mut Vec<Outgoing>) {
+        let Some(target) = self.next_target() else {
+            return;
+        };
+        let number = self.number();
+        self.probes.insert(
+            number,
+            Probe {
+                target: target.clone(),
+                sent_at: now,
+                helped: false,
+            },
+        );
+        outgoing.push(self.outgoing(now, target, Body::Ping(number)));
+    }
+
+    fn next_target(&mut self) -> Option<NodeId> {
+        for _ in 0..2 {
+            while let Some(target) = self.round.pop() {
+                let state = self.state_of(&target);
+                if state.is_some_and(|state| state <= MemberState::Suspect) {
+                    return Some(target);
+                }
+            }
+            self.round = self.members.keys().cloned().collect();
+            self.round.shuffle(&mut self.random);
+        }
+        None
+    }
+
+    fn follow_probes(&mut self, now: Timestamp, outgoing: &mut Vec<Outgoing>) {
+        let mut need_help = Vec::new();
+        let mut failed = Vec::new();
+        for (number, probe) in &mut self.probes {
+            let age = now.since(probe.sent_at);
+            if age >= self.settings.probe_timeout {
+                failed.push(*number);
+            } else if age >= self.settings.direct_timeout && !probe.helped {
+                probe.helped = true;
+                need_help.push((*number, probe.target.clone()));
+            }
+        }
+        for (number, target) in need_help {
+            let excluded = BTreeSet::from([target.clone()]);
+            for helper in self.random_members(PROBE_HELPERS, &excluded) {
+                let body = Body::PingRequest(number, target.clone());
+                outgoing.push(self.outgoing(now, helper, body));
+            }
+        }
+        for number in failed {
+            if let Some(probe) = self.probes.remove(&number) {
+                self.suspect(now, &probe.target);
+            }
+        }
+    }
+
+    fn suspect(&mut self, now: Timestamp, node: &NodeId) {
+        let Some(member) = self.members.get_mut(node) else {
+            return;
+        };
+        if member.state != MemberState::Alive {
+            return;
+        }
+        member.state = MemberState::Suspect;
+        member.changed_at = now;
+        self.queue.push(MemberUpdate {
+            node: node.clone(),
+            incarnation: member.incarnation,
+            state: MemberState::Suspect,
+        });
+    }
+
+    fn expire_suspects(&mut self, now: Timestamp) {
+        for (id, member) in &mut self.members {
+            let age = now.since(member.changed_at);
+            if member.state == MemberState::Suspect && age >= self.settings.suspicion_timeout {
+                member.state = MemberState::Dead;
+                member.changed_at = now;
+                self.queue.push(MemberUpdate {
+                    node: id.clone(),
+                    incarnation: member.incarnation,
+                    state: MemberState::Dead,
+                });
+            }
+        }
+        self.relayed
+            .retain(|number, _| number + 64 > self.next_probe);
+    }
+
+    fn acknowledged(&mut self, now: Timestamp, number: u64, outgoing: &mut Vec<Outgoing>) {
+        self.probes.remove(&number);
+        if let Some(relayed) = self.relayed.remove(&number) {
+            let body = Body::Ack(relayed.asker_probe);
+            outgoing.push(self.outgoing(now, relayed.asker, body));
+        }
+    }
+
+    /// A datagram from a suspected node clears it. A node that was called dead
+    /// is told so, and refutes with a higher incarnation.
+    fn hear_from(&mut self, now: Timestamp, node: &NodeId) {
+        let Some(member) = self.members.get_mut(node) else {
+            return;
+        };
+        match member.state {
+            MemberState::Suspect => {
+                member.state = MemberState::Alive;
+                member.changed_at = now;
+            }
+            MemberState::Dead => self.queue.push(MemberUpdate {
+                node: node.clone(),
+                incarnation: member.incarnation,
+                state: MemberState::Dead,
+            }),
+            MemberState::Alive | MemberState::Left => {}
+        }
+    }
+
+    fn take_update(&mut self, now: Timestamp, update: &MemberUpdate) {
+        if update.node == self.node {
+            self.refute(update);
+            return;
+        }
+        let Some(member) = self.members.get_mut(&update.node) else {
+            return;
+        };
+        if !member.is_overruled_by(update) {
+            return;
+        }
+        member.incarnation = update.incarnation;
+        member.state = update.state;
+        member.changed_at = now;
+        self.queue.push(update.clone());
+    }
+
+    fn refute(&mut self, update: &MemberUpdate) {
+        let accused = matches!(update.state, MemberState::Suspect | MemberState::Dead);
+        if accused && !self.leaving {
+            self.incarnation = self.incarnation.max(update.incarnation + 1);
+            self.queue.push(self.own_update());
+        }
+    }
+
+    /// The highest revision that this node or another zone holds, by zone.
+    pub fn zone_revisions(&self) -> BTreeMap<ZoneName, Revision> {
+        let mut revisions: BTreeMap<ZoneName, Revision> = self
+            .zones
+            .news()
+            .iter()
+            .map(|(zone, news)| (zone.clone(), news.revision))
+            .collect();
+        revisions.insert(self.zone.clone(), self.view.revision);
+        revisions
+    }
+}
--- /dev/null
+++ b/crates/sloetrail-types/src/lib.rs
@@ -0,0 +1,21 @@
+//! Identifiers and value types shared by every sloetrail crate.
+//!
+//! Names are opaque strings, counters are newtypes over `u64`, so that a weight
+//! version can never be passed where a configuration revision is meant.
+
+mod counters;
+mod digest;
+mod names;
+mod segment;
+mod time;
+
+pub use counters::{Epoch, Revision, RowVersion, SequenceNumber, StepNumber, WeightVersion};
+pub use digest::{digest, rendezvous_weight};
+pub use names::{
+    ApplyId, EngineId, NodeId, RequestId, RunName, SampleId, ServiceName, TransactionId, ZoneName,
+};
+pub use segment::{Segment, oldest_version, segments_cover};
+pub use time::Timestamp;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/sloetraild/src/main.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
