The whole path in one process, with a demonstration

Cause: nothing ran yet. Change: the node (gateway, claims, leases, run and weight owners, configuration and machine list sync, gossip), the platform's stand-ins, engines, callers, a trainer, operators, history checks for I1 to I9 and 'sloetrail-lab demo'. The two product programs are still empty; the checks have no violating histories yet.

--- a/crates/sloetrail-balance/src/balancer.rs
+++ b/crates/sloetrail-balance/src/balancer.rs
@@ -1,6 +1,6 @@
 //! The choice among a service's engines.
 
-use crate::entry::{AttemptOutcome, EngineReport, Entry};
+use crate::entry::{AttemptOutcome, EngineReport, Entry, WorkClass};
 use rand::Rng;
 use sloetrail_types::{EngineId, Timestamp, ZoneName};
 use std::collections::{BTreeMap, BTreeSet};
@@ -91,11 +91,12 @@
         &mut self,
         now: Timestamp,
         random: &mut impl Rng,
+        class: WorkClass,
         excluded: &BTreeSet<EngineId>,
     ) -> Option<EngineId> {
-        let own_zone = self.candidates(now, excluded, true);
+        let own_zone = self.candidates(now, class, excluded, true);
         let candidates = match own_zone.is_empty() {
-            true => self.candidates(now, excluded, false),
+            true => self.candidates(now, class, excluded, false),
             false => own_zone,
         };
         let id = self.better_of_two(&candidates, random)?;
@@ -129,6 +130,7 @@
     fn candidates(
         &self,
         now: Timestamp,
+        class: WorkClass,
         excluded: &BTreeSet<EngineId>,
         own_zone_only: bool,
     ) -> Vec<EngineId> {
@@ -137,7 +139,7 @@
             .iter()
             .filter(|(id, entry)| {
                 entry.may_be_chosen(now, freshness)
-                    && entry.has_room()
+                    && entry.has_room(class)
                     && !excluded.contains(id)
                     && (!own_zone_only || entry.zone == self.settings.zone)
             })
--- a/crates/sloetrail-balance/src/entry.rs
+++ b/crates/sloetrail-balance/src/entry.rs
@@ -28,6 +28,15 @@
     pub capacity: u32,
 }
 
+/// Who waits for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorkClass {
+    /// A caller.
+    Live,
+    /// A trainer: a quarter of an engine's places stays free for callers.
+    Sample,
+}
+
 /// How an attempt at an engine ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptOutcome {
@@ -37,8 +46,13 @@
     Refused,
     /// It could not be reached, or was lost on the way.
     Lost,
+    /// The caller went away; it says nothing of the engine.
+    Abandoned,
 }
 
+/// One place in this many is not given to samples.
+const SHARE_KEPT_FOR_LIVE: usize = 4;
+
 #[derive(Clone, Debug)]
 pub(crate) struct Entry {
     pub(crate) zone: ZoneName,
@@ -81,8 +95,13 @@
         fresh && serving && !self.leaving && newer_than(self.lost_at) && newer_than(self.refused_at)
     }
 
-    pub(crate) fn has_room(&self) -> bool {
-        self.in_flight < self.limit.current()
+    pub(crate) fn has_room(&self, class: WorkClass) -> bool {
+        let limit = self.limit.current();
+        let places = match class {
+            WorkClass::Live => limit,
+            WorkClass::Sample => (limit - limit / SHARE_KEPT_FOR_LIVE).max(1),
+        };
+        self.in_flight < places
     }
 
     /// Load in parts of capacity: what others had there at the report, and what
@@ -122,6 +141,7 @@
                 self.limit.on_overload();
                 self.refused_at = Some(now);
             }
+            AttemptOutcome::Abandoned => {}
             AttemptOutcome::Lost => {
                 self.limit.on_overload();
                 self.lost_at = Some(now);
--- a/crates/sloetrail-balance/src/lib.rs
+++ b/crates/sloetrail-balance/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use balancer::{Balancer, BalancerSettings, ListedEngine};
 pub use concurrency_limit::ConcurrencyLimit;
-pub use entry::{AttemptOutcome, EngineReport, ReportedState};
+pub use entry::{AttemptOutcome, EngineReport, ReportedState, WorkClass};
 pub use retry_budget::RetryBudget;
 
 #[cfg(test)]
--- a/crates/sloetrail-balance/src/tests.rs
+++ b/crates/sloetrail-balance/src/tests.rs
@@ -1,6 +1,6 @@
 use crate::{
     AttemptOutcome, Balancer, BalancerSettings, ConcurrencyLimit, EngineReport, ListedEngine,
-    ReportedState, RetryBudget,
+    ReportedState, RetryBudget, WorkClass,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -41,7 +41,12 @@
 
 fn choose(balancer: &mut Balancer, now: u64) -> Option<EngineId> {
     let mut random = StdRng::seed_from_u64(3);
-    balancer.choose(Timestamp(now), &mut random, &BTreeSet::new())
+    balancer.choose(
+        Timestamp(now),
+        &mut random,
+        WorkClass::Live,
+        &BTreeSet::new(),
+    )
 }
 
 #[test]
@@ -106,7 +111,12 @@
     let mut counts = [0, 0];
     for _ in 0..6 {
         let chosen = balancer
-            .choose(Timestamp(110), &mut random, &BTreeSet::new())
+            .choose(
+                Timestamp(110),
+                &mut random,
+                WorkClass::Live,
+                &BTreeSet::new(),
+            )
             .expect("there is room");
         counts[usize::from(chosen == EngineId::from("near-2"))] += 1;
     }
@@ -139,3 +149,23 @@
     assert!((100..=105).contains(&retries), "{retries}");
     assert!(!RetryBudget::new(0).withdraw());
 }
+
+#[test]
+fn samples_leave_a_quarter_of_the_places_to_callers() {
+    let mut balancer = balancer();
+    balancer.report(
+        &EngineId::from("near-1"),
+        report(100, ReportedState::Serving, 0),
+    );
+    let mut random = StdRng::seed_from_u64(1);
+    let mut samples = 0;
+    let none = BTreeSet::new();
+    while balancer
+        .choose(Timestamp(110), &mut random, WorkClass::Sample, &none)
+        .is_some()
+    {
+        samples += 1;
+    }
+    assert_eq!(samples, 3);
+    assert!(choose(&mut balancer, 110).is_some());
+}
--- a/crates/sloetrail-cli/src/main.rs
+++ b/crates/sloetrail-cli/src/main.rs
@@ -1,2 +1,3 @@
-//! placeholder
+//! The sloetrail command line.
+
 fn main() {}
--- /dev/null
+++ b/crates/sloetrail-lab/src/fleet/platform.rs
@@ -0,0 +1,115 @@
+//! The platform's stand-ins together.
+
+use crate::standins::{
+    MachineListStandIn, MachineRewrite, ObjectStandIn, ScoringStandIn, TableStandIn,
+    WeightStoreStandIn,
+};
+use sloetrail_config::PlatformAddresses;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Any free port of the loopback address.
+pub(crate) fn any_port() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+/// Limits and times of the platform.
+#[derive(Clone)]
+pub struct PlatformSettings {
+    /// Table operations a second.
+    pub table_per_second: f64,
+    /// Object operations a second.
+    pub objects_per_second: f64,
+    /// Weight store reads a second.
+    pub weight_reads_per_second: f64,
+    /// Time of one read of the weight store.
+    pub weight_transfer: Duration,
+    /// Lag of the machine list.
+    pub list_lag: Duration,
+    /// Time of scoring one sample.
+    pub scoring: Duration,
+    /// Addresses by reader's zone.
+    pub rewrite: MachineRewrite,
+    /// Drives the faults' random choices.
+    pub seed: u64,
+}
+
+impl PlatformSettings {
+    /// The lab's assumed limits and times.
+    pub fn assumed(seed: u64) -> Self {
+        Self {
+            table_per_second: 2_000.0,
+            objects_per_second: 2_000.0,
+            weight_reads_per_second: 10.0,
+            weight_transfer: Duration::from_millis(300),
+            list_lag: Duration::from_millis(500),
+            scoring: Duration::from_millis(20),
+            rewrite: Arc::new(|_, machine| machine),
+            seed,
+        }
+    }
+}
+
+/// Where the stand-ins serve.
+#[derive(Clone, Debug)]
+pub struct PlatformAddressBook {
+    /// What nodes need.
+    pub for_nodes: PlatformAddresses,
+    /// What engines need.
+    pub weights: SocketAddr,
+}
+
+/// The running stand-ins.
+pub struct PlatformStandIns {
+    /// The table.
+    pub table: TableStandIn,
+    /// The object store.
+    pub objects: ObjectStandIn,
+    /// The machine list.
+    pub machines: MachineListStandIn,
+    /// The scoring service.
+    pub scoring: ScoringStandIn,
+    /// The weight store.
+    pub weights: WeightStoreStandIn,
+}
+
+impl PlatformStandIns {
+    /// Starts all of them on ports from the system.
+    pub async fn start(settings: PlatformSettings) -> std::io::Result<Self> {
+        let seed = settings.seed;
+        Ok(Self {
+            table: TableStandIn::start(any_port(), settings.table_per_second, seed).await?,
+            objects: ObjectStandIn::start(any_port(), settings.objects_per_second, seed + 1)
+                .await?,
+            machines: MachineListStandIn::start(
+                any_port(),
+                settings.list_lag,
+                settings.rewrite,
+                seed + 2,
+            )
+            .await?,
+            scoring: ScoringStandIn::start(any_port(), settings.scoring, seed + 3).await?,
+            weights: WeightStoreStandIn::start(
+                any_port(),
+                settings.weight_reads_per_second,
+                settings.weight_transfer,
+                seed + 4,
+            )
+            .await?,
+        })
+    }
+
+    /// Where they serve.
+    pub fn addresses(&self) -> PlatformAddressBook {
+        PlatformAddressBook {
+            for_nodes: PlatformAddresses {
+                table: self.table.address(),
+                objects: self.objects.address(),
+                machines: self.machines.address(),
+                scoring: self.scoring.address(),
+            },
+            weights: self.weights.address(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sloetrail-lab/src/standins/engine/mod.rs
@@ -0,0 +1,16 @@
+//! A model engine, or an application's back end.
+//!
+//! `batch` is the continuous batching of generations, `model` what the tokens
+//! are, `weights` the loading and switching of versions under fenced orders,
+//! `application` the answers of an ordinary back end, `server` the HTTP surface.
+
+mod application;
+mod batch;
+mod model;
+mod server;
+mod weights;
+
+pub use application::ApplicationAnswer;
+pub use batch::BatchSettings;
+pub use model::token;
+pub use server::{EngineKind, EngineSettings, EngineStandIn, MARKER_HEADER, SEND_HEADER};
--- /dev/null
+++ b/crates/sloetrail-lab/src/standins/machines.rs
@@ -0,0 +1,126 @@
+//! The machine list, which lags behind the truth.
+
+use super::fault_layer::FaultControl;
+use super::server::Served;
+use axum::extract::{Query, State};
+use axum::routing::get;
+use axum::{Json, Router};
+use serde::Deserialize;
+use sloetrail_platform::{Machine, MachineList, MachineState};
+use sloetrail_types::ZoneName;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Gives the addresses that one zone uses to reach a machine.
+pub type MachineRewrite = Arc<dyn Fn(&ZoneName, Machine) -> Machine + Send + Sync>;
+
+struct Shared {
+    /// Each list since its time; the newest one that is old enough is served.
+    lists: Mutex<Vec<(Instant, MachineList)>>,
+    lag: Duration,
+    rewrite: MachineRewrite,
+}
+
+impl Shared {
+    fn served(&self) -> MachineList {
+        let lists = self.lists.lock().expect("not poisoned");
+        let old_enough = lists.iter().rev().find(|(at, _)| at.elapsed() >= self.lag);
+        old_enough.map(|(_, list)| list.clone()).unwrap_or_default()
+    }
+}
+
+/// The machine list stand-in.
+pub struct MachineListStandIn {
+    served: Served,
+    shared: Arc<Shared>,
+    /// Its faults.
+    pub faults: FaultControl,
+}
+
+impl MachineListStandIn {
+    /// Starts an empty list that shows changes after `lag`.
+    pub async fn start(
+        address: SocketAddr,
+        lag: Duration,
+        rewrite: MachineRewrite,
+        seed: u64,
+    ) -> std::io::Result<Self> {
+        let faults = FaultControl::new(seed);
+        let shared = Arc::new(Shared {
+            lists: Mutex::default(),
+            lag,
+            rewrite,
+        });
+        let router = Router::new()
+            .route("/v1/machines", get(read))
+            .with_state(Arc::clone(&shared));
+        let served = Served::start(address, faults.wrap(router)).await?;
+        Ok(Self {
+            served,
+            shared,
+            faults,
+        })
+    }
+
+    /// Where it serves.
+    pub fn address(&self) -> SocketAddr {
+        self.served.address()
+    }
+
+    /// Adds a machine, or replaces the one with its id.
+    pub fn add(&self, machine: Machine) {
+        self.change(|machines| {
+            machines.retain(|known| known.id != machine.id);
+            machines.push(machine);
+        });
+    }
+
+    /// Adds many machines in one change.
+    pub fn add_all(&self, added: Vec<Machine>) {
+        self.change(|machines| machines.extend(added));
+    }
+
+    /// Marks a machine as leaving.
+    pub fn mark_leaving(&self, id: &str) {
+        self.change(|machines| {
+            for machine in machines.iter_mut().filter(|machine| machine.id == id) {
+                machine.state = MachineState::Leaving;
+            }
+        });
+    }
+
+    /// Removes a machine.
+    pub fn remove(&self, id: &str) {
+        self.change(|machines| machines.retain(|machine| machine.id != id));
+    }
+
+    fn change(&self, edit: impl FnOnce(&mut Vec<Machine>)) {
+        let mut lists = self.shared.lists.lock().expect("not poisoned");
+        let mut next = lists
+            .last()
+            .map(|(_, list)| list.clone())
+            .unwrap_or_default();
+        next.version += 1;
+        edit(&mut next.machines);
+        lists.push((Instant::now(), next));
+    }
+}
+
+#[derive(Deserialize)]
+struct ReadQuery {
+    zone: ZoneName,
+}
+
+async fn read(
+    State(shared): State<Arc<Shared>>,
+    Query(query): Query<ReadQuery>,
+) -> Json<MachineList> {
+    let mut list = shared.served();
+    let rewritten = list
+        .machines
+        .into_iter()
+        .map(|machine| (shared.rewrite)(&query.zone, machine));
+    list.machines = rewritten.collect();
+    Json(list)
+}
--- a/crates/sloetrail-ledger/src/record.rs
+++ b/crates/sloetrail-ledger/src/record.rs
@@ -109,3 +109,21 @@
     /// The withdrawn sequence numbers.
     pub withdrawn: Vec<(SequenceNumber, SampleId)>,
 }
+
+impl StoredRun {
+    /// Carries out one change, as the table does.
+    pub fn apply(&mut self, change: RowChange) {
+        match change {
+            RowChange::PutSample(record) => {
+                let id = record.sample.id.clone();
+                self.samples.retain(|kept| kept.sample.id != id);
+                self.samples.push(record);
+            }
+            RowChange::DeleteSample(_, id) => self.samples.retain(|kept| kept.sample.id != id),
+            RowChange::PutWithdrawn(sequence, id) => self.withdrawn.push((sequence, id)),
+            RowChange::DeleteWithdrawn(sequence) => {
+                self.withdrawn.retain(|kept| kept.0 != sequence);
+            }
+        }
+    }
+}
--- a/crates/sloetrail-ledger/src/tests.rs
+++ b/crates/sloetrail-ledger/src/tests.rs
@@ -1,6 +1,6 @@
 use crate::{
-    FinishOutcome, FinishedSample, HandOver, Ledger, Limits, NewSample, Refusal, RowChange,
-    SampleStatus, StoredRun,
+    FinishOutcome, FinishedSample, HandOver, Ledger, Limits, NewSample, Refusal, SampleStatus,
+    StoredRun,
 };
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
@@ -230,7 +230,7 @@
     fn commit(&mut self) {
         self.stored.journal = self.ledger.journal().clone();
         for change in self.ledger.take_changes() {
-            store(&mut self.stored, change);
+            self.stored.apply(change);
         }
     }
 
@@ -255,20 +255,6 @@
     }
 }
 
-fn store(stored: &mut StoredRun, change: RowChange) {
-    match change {
-        RowChange::PutSample(record) => {
-            stored
-                .samples
-                .retain(|kept| kept.sample.id != record.sample.id);
-            stored.samples.push(record);
-        }
-        RowChange::DeleteSample(_, id) => stored.samples.retain(|kept| kept.sample.id != id),
-        RowChange::PutWithdrawn(sequence, id) => stored.withdrawn.push((sequence, id)),
-        RowChange::DeleteWithdrawn(sequence) => stored.withdrawn.retain(|kept| kept.0 != sequence),
-    }
-}
-
 struct LedgerRuns;
 
 impl StateMachineTest for LedgerRuns {
--- /dev/null
+++ b/crates/sloetrail-node/src/gateway/mod.rs
@@ -0,0 +1,15 @@
+//! From a caller's request to an engine's whole answer.
+//!
+//! Flow of [`forward`]: the service is looked up, a request that may not repeat
+//! settles its claim ([`claims`]), then attempts are made ([`attempt`]) on engines
+//! that the service's pool ([`pool`]) chooses. A request that was certainly not
+//! run may go to another engine within the retry budget; one whose outcome is
+//! unknown only if it may be repeated.
+
+mod attempt;
+mod claims;
+mod forward;
+mod pool;
+
+pub(crate) use forward::{CallerRequest, forward};
+pub(crate) use pool::{ServicePool, Slot};
--- /dev/null
+++ b/crates/sloetrail-node/src/gateway/pool.rs
@@ -0,0 +1,258 @@
+//! One service's engines and queue on this node.
+
+use crate::clock::Clock;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use sloetrail_balance::{
+    AttemptOutcome, Balancer, BalancerSettings, EngineReport, ListedEngine, RetryBudget, WorkClass,
+};
+use sloetrail_config::{NodeSettings, Service};
+use sloetrail_result::{Problem, ResultCode};
+use sloetrail_types::{EngineId, ServiceName, digest};
+use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, RwLock};
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+const RECHECK_PERIOD: Duration = Duration::from_millis(50);
+const RATE_SMOOTHING: f64 = 0.05;
+
+struct Choice {
+    balancer: Balancer,
+    random: StdRng,
+}
+
+#[derive(Default)]
+struct Throughput {
+    last_finish: Option<Instant>,
+    seconds_per_finish: f64,
+}
+
+impl Throughput {
+    fn finished(&mut self, now: Instant) {
+        if let Some(last) = self.last_finish {
+            let seconds = now.duration_since(last).as_secs_f64();
+            self.seconds_per_finish =
+                self.seconds_per_finish * (1.0 - RATE_SMOOTHING) + seconds * RATE_SMOOTHING;
+        }
+        self.last_finish = Some(now);
+    }
+
+    fn expected_wait(&self, waiting: usize) -> Duration {
+        Duration::from_secs_f64(self.seconds_per_finish * waiting as f64)
+    }
+}
+
+/// A service's engines, queue and retry budget, as one node sees them.
+pub(crate) struct ServicePool {
+    clock: Clock,
+    service: RwLock<Arc<Service>>,
+    choice: Mutex<Choice>,
+    retries: Mutex<RetryBudget>,
+    throughput: Mutex<Throughput>,
+    waiting: AtomicUsize,
+    freed: Notify,
+}
+
+impl ServicePool {
+    pub(crate) fn new(service: &Service, settings: &NodeSettings, clock: Clock) -> Self {
+        let balancer = Balancer::new(BalancerSettings {
+            zone: settings.zone.clone(),
+            view_freshness: settings.bounds.engine_view_freshness,
+            engine_concurrency: service.engine_concurrency,
+        });
+        let seed = digest(format!("{}/{}", settings.node, service.name).as_bytes());
+        Self {
+            clock,
+            service: RwLock::new(Arc::new(service.clone())),
+            choice: Mutex::new(Choice {
+                balancer,
+                random: StdRng::seed_from_u64(seed),
+            }),
+            retries: Mutex::new(RetryBudget::new(service.retry_budget_percent)),
+            throughput: Mutex::default(),
+            waiting: AtomicUsize::new(0),
+            freed: Notify::new(),
+        }
+    }
+
+    pub(crate) fn service(&self) -> Arc<Service> {
+        self.service.read().expect("not poisoned").clone()
+    }
+
+    pub(crate) fn name(&self) -> ServiceName {
+        self.service().name.clone()
+    }
+
+    pub(crate) fn configure(&self, service: &Service) {
+        if *self.service() == *service {
+            return;
+        }
+        *self.service.write().expect("not poisoned") = Arc::new(service.clone());
+        self.choice()
+            .balancer
+            .set_engine_concurrency(service.engine_concurrency);
+        self.retries().set_percent(service.retry_budget_percent);
+    }
+
+    pub(crate) fn set_engines(&self, listed: Vec<ListedEngine>) {
+        self.choice().balancer.set_engines(listed);
+        self.freed.notify_waiters();
+    }
+
+    pub(crate) fn report(&self, engine: &EngineId, report: EngineReport) {
+        self.choice().balancer.report(engine, report);
+        self.freed.notify_one();
+    }
+
+    /// Notes that an engine was heard from.
+    pub(crate) fn confirm(&self, engine: &EngineId) {
+        let now = self.clock.now();
+        self.choice().balancer.confirm(engine, now);
+    }
+
+    pub(crate) fn in_flight(&self) -> usize {
+        self.choice().balancer.in_flight()
+    }
+
+    pub(crate) fn waiting(&self) -> usize {
+        self.waiting.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn available(&self) -> usize {
+        self.choice().balancer.available(self.clock.now())
+    }
+
+    pub(crate) fn earn_retry(&self) {
+        self.retries().deposit();
+    }
+
+    pub(crate) fn take_retry(&self) -> bool {
+        self.retries().withdraw()
+    }
+
+    /// A place on an engine at once, or none.
+    pub(crate) fn try_acquire(
+        self: &Arc<Self>,
+        class: WorkClass,
+        excluded: &BTreeSet<EngineId>,
+    ) -> Option<Slot> {
+        let now = self.clock.now();
+        let mut choice = self.choice();
+        let Choice { balancer, random } = &mut *choice;
+        let engine = balancer.choose(now, random, class, excluded)?;
+        drop(choice);
+        Some(Slot {
+            pool: Arc::clone(self),
+            engine,
+            ended: false,
+        })
+    }
+
+    /// A place on an engine, waiting in the queue until the deadline. It refuses
+    /// at once when the wait would be in vain.
+    pub(crate) async fn acquire(
+        self: &Arc<Self>,
+        class: WorkClass,
+        excluded: &BTreeSet<EngineId>,
+        deadline: Instant,
+    ) -> Result<Slot, Problem> {
+        let queue_is_empty = self.waiting() == 0;
+        if queue_is_empty && let Some(slot) = self.try_acquire(class, excluded) {
+            return Ok(slot);
+        }
+        let _place = self.enter_queue(deadline)?;
+        loop {
+            if let Some(slot) = self.try_acquire(class, excluded) {
+                return Ok(slot);
+            }
+            if self.available() == 0 {
+                let detail = format!("service {} has no engine that may be chosen", self.name());
+                return Err(Problem::new(ResultCode::NoEngine, detail));
+            }
+            let recheck = Instant::now() + RECHECK_PERIOD;
+            if recheck >= deadline {
+                let detail = "no engine had room before the deadline";
+                return Err(Problem::new(ResultCode::QueueDeadline, detail));
+            }
+            let freed = self.freed.notified();
+            let _ = tokio::time::timeout_at(recheck, freed).await;
+        }
+    }
+
+    fn enter_queue(&self, deadline: Instant) -> Result<QueuePlace<'_>, Problem> {
+        let waiting = self.waiting.fetch_add(1, Ordering::SeqCst);
+        let place = QueuePlace { pool: self };
+        let limit = self.service().queue_limit;
+        if waiting >= limit {
+            let detail = format!("{limit} requests are waiting");
+            return Err(Problem::new(ResultCode::QueueFull, detail));
+        }
+        let expected_wait = self
+            .throughput
+            .lock()
+            .expect("not poisoned")
+            .expected_wait(waiting);
+        if Instant::now() + expected_wait >= deadline {
+            let detail = format!("the queue is {} ms long", expected_wait.as_millis());
+            return Err(Problem::new(ResultCode::QueueDeadline, detail));
+        }
+        Ok(place)
+    }
+
+    fn choice(&self) -> MutexGuard<'_, Choice> {
+        self.choice.lock().expect("not poisoned")
+    }
+
+    fn retries(&self) -> MutexGuard<'_, RetryBudget> {
+        self.retries.lock().expect("not poisoned")
+    }
+
+    fn end(&self, engine: &EngineId, outcome: AttemptOutcome) {
+        let now = self.clock.now();
+        self.choice().balancer.finish(now, engine, outcome);
+        if outcome == AttemptOutcome::Answered {
+            let mut throughput = self.throughput.lock().expect("not poisoned");
+            throughput.finished(Instant::now());
+        }
+        self.freed.notify_one();
+    }
+}
+
+struct QueuePlace<'a> {
+    pool: &'a ServicePool,
+}
+
+impl Drop for QueuePlace<'_> {
+    fn drop(&mut self) {
+        self.pool.waiting.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// A place on an engine. Dropping it without an outcome says nothing of the engine.
+pub(crate) struct Slot {
+    pool: Arc<ServicePool>,
+    engine: EngineId,
+    ended: bool,
+}
+
+impl Slot {
+    pub(crate) fn engine(&self) -> &EngineId {
+        &self.engine
+    }
+
+    pub(crate) fn end(mut self, outcome: AttemptOutcome) {
+        self.ended = true;
+        self.pool.end(&self.engine, outcome);
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.pool.end(&self.engine, AttemptOutcome::Abandoned);
+        }
+    }
+}
--- a/crates/sloetraild/src/main.rs
+++ b/crates/sloetraild/src/main.rs
@@ -1,2 +1,3 @@
-//! placeholder
+//! The sloetrail node daemon.
+
 fn main() {}
