Go to another zone when the own one has no engine; ask engines at once

Cause: the demo's 80 refusals were all 1101 'no engine'. Counting them by time and node showed that all fell into the first half second: the pools exist as soon as the configuration does, but the observer asked engines up to 500 ms later. Ruled out: drained and crashed engines (no refusal near those events). Change: the observer is woken when pools change. Besides, a zone without an engine for a service now hands the request to a node of a zone whose summary tells of one, with the same three kinds of outcome; one hop at most.

--- a/crates/sloetrail-lab/src/commands/demo.rs
+++ b/crates/sloetrail-lab/src/commands/demo.rs
@@ -14,8 +14,9 @@
 use sloetrail_history::{CheckBounds, Verdict, check};
 use sloetrail_node::messages::ApplyRequest;
 use sloetrail_platform::HttpClient;
+use sloetrail_result::ResultCode;
 use sloetrail_types::{ApplyId, EngineId, Revision, ServiceName};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -31,6 +32,7 @@
     requests_sent: u64,
     requests_whole: u64,
     requests_refused: u64,
+    refusals_by_code: BTreeMap<u16, u64>,
     samples_submitted: u64,
     samples_delivered: u64,
     weight_versions_in_force: usize,
@@ -255,6 +257,7 @@
         requests_sent: totals.sent.load(Ordering::Relaxed),
         requests_whole: totals.whole.load(Ordering::Relaxed),
         requests_refused: totals.problems.load(Ordering::Relaxed),
+        refusals_by_code: totals.codes.lock().expect("not poisoned").clone(),
         samples_submitted: trained.submitted,
         samples_delivered: trained.taken,
         weight_versions_in_force: versions,
@@ -279,6 +282,10 @@
         "requests     sent {}, whole {}, refused {}",
         report.requests_sent, report.requests_whole, report.requests_refused
     );
+    for (code, count) in &report.refusals_by_code {
+        let title = ResultCode::from_number(*code).map_or("unknown", ResultCode::title);
+        println!("  refused    {count} x {code} {title}");
+    }
     println!(
         "samples      submitted {}, delivered {}",
         report.samples_submitted, report.samples_delivered
--- a/crates/sloetrail-lab/src/workload/callers.rs
+++ b/crates/sloetrail-lab/src/workload/callers.rs
@@ -11,8 +11,9 @@
 use sloetrail_platform::{CallError, Chunk, ENGINE_ID_HEADER, HttpClient, RawResponse};
 use sloetrail_result::{Kind, Problem, ResultCode};
 use sloetrail_types::{EngineId, Revision, ServiceName};
-use std::sync::Arc;
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
 
@@ -47,6 +48,8 @@
     pub problems: AtomicU64,
     /// Refusals that said not run.
     pub not_run: AtomicU64,
+    /// Problem documents by code.
+    pub codes: Mutex<BTreeMap<u16, u64>>,
     /// Sendings without an answer.
     pub unanswered: AtomicU64,
 }
@@ -213,7 +216,9 @@
         let totals = &self.totals;
         let counter = match outcome {
             SendOutcome::Answered { .. } => &totals.whole,
-            SendOutcome::Refused { kind, .. } => {
+            SendOutcome::Refused { kind, code } => {
+                let mut codes = totals.codes.lock().expect("not poisoned");
+                *codes.entry(*code).or_default() += 1;
                 if *kind == Kind::NotRun {
                     totals.not_run.fetch_add(1, Ordering::Relaxed);
                 }
--- a/crates/sloetrail-membership/src/lib.rs
+++ b/crates/sloetrail-membership/src/lib.rs
@@ -26,7 +26,9 @@
 pub use freshness::ConfigurationFreshness;
 pub use member::{MemberState, MemberUpdate};
 pub use membership::{Membership, MembershipSettings, Outgoing, PeerNode};
-pub use message::{Body, EngineNews, EngineNewsState, Envelope, View, ZoneSummary};
+pub use message::{
+    Body, EngineNews, EngineNewsState, Envelope, ServiceCapacity, View, ZoneSummary,
+};
 pub use zones::{ZoneNews, ZoneTable};
 
 #[cfg(test)]
--- a/crates/sloetrail-membership/src/membership.rs
+++ b/crates/sloetrail-membership/src/membership.rs
@@ -2,7 +2,7 @@
 
 use crate::gossip_queue::GossipQueue;
 use crate::member::{Member, MemberState, MemberUpdate};
-use crate::message::{Body, EngineNews, Envelope, View, ZoneSummary};
+use crate::message::{Body, EngineNews, Envelope, ServiceCapacity, View, ZoneSummary};
 use crate::zones::ZoneTable;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -92,6 +92,7 @@
     probed_at: Option<Timestamp>,
     summary_at: Option<Timestamp>,
     view: View,
+    capacity: Vec<ServiceCapacity>,
     random: StdRng,
 }
 
@@ -115,6 +116,7 @@
             probed_at: None,
             summary_at: None,
             view: View::default(),
+            capacity: Vec::new(),
             random: StdRng::seed_from_u64(seed),
         }
     }
@@ -158,6 +160,11 @@
         receivers.into_iter().map(send).collect()
     }
 
+    /// Sets what this node tells the other zones of its zone's engines.
+    pub fn set_capacity(&mut self, capacity: Vec<ServiceCapacity>) {
+        self.capacity = capacity;
+    }
+
     /// The nodes of the zone that may be alive, this one included unless it leaves.
     pub fn alive(&self) -> BTreeSet<NodeId> {
         let others = self
@@ -301,6 +308,7 @@
             zone: self.zone.clone(),
             node: self.node.clone(),
             revision: self.view.revision,
+            capacity: self.capacity.clone(),
             age_ms: 0,
         }
     }
--- a/crates/sloetrail-membership/src/message.rs
+++ b/crates/sloetrail-membership/src/message.rs
@@ -96,6 +96,17 @@
     pub age_ms: u64,
 }
 
+/// Engines of one service that may take work in a zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceCapacity {
+    /// The digest of the service's name.
+    #[serde(rename = "s")]
+    pub service: u64,
+    /// How many there are.
+    #[serde(rename = "n")]
+    pub available: u32,
+}
+
 /// What one zone tells the others.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ZoneSummary {
@@ -108,6 +119,9 @@
     /// The revision that it held.
     #[serde(rename = "r")]
     pub revision: Revision,
+    /// Engines that may take work there, by service.
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    pub capacity: Vec<ServiceCapacity>,
     /// Milliseconds since it was made.
     #[serde(rename = "a")]
     pub age_ms: u64,
--- a/crates/sloetrail-membership/src/tests.rs
+++ b/crates/sloetrail-membership/src/tests.rs
@@ -190,6 +190,7 @@
         zone: ZoneName::from(zone),
         node: NodeId::from("node"),
         revision: Revision(1),
+        capacity: Vec::new(),
         age_ms: 0,
     };
     zones.observe(Timestamp(now), &summary);
@@ -222,6 +223,7 @@
         zone: ZoneName::from("rvk"),
         node: NodeId::from("node"),
         revision: Revision(9),
+        capacity: Vec::new(),
         age_ms: 400,
     };
     assert!(!zones.observe(Timestamp(600), &old));
--- a/crates/sloetrail-membership/src/zones.rs
+++ b/crates/sloetrail-membership/src/zones.rs
@@ -1,6 +1,6 @@
 //! What is known of each zone.
 
-use crate::ZoneSummary;
+use crate::{ServiceCapacity, ZoneSummary};
 use sloetrail_types::{NodeId, Revision, Timestamp, ZoneName};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -14,6 +14,8 @@
     pub revision: Revision,
     /// When the summary was made, on this node's clock.
     pub made_at: Timestamp,
+    /// Engines that may take work there, by service.
+    pub capacity: Vec<ServiceCapacity>,
 }
 
 /// The newest news of every other zone.
@@ -35,6 +37,7 @@
             node: summary.node.clone(),
             revision: revision.max(summary.revision),
             made_at,
+            capacity: summary.capacity.clone(),
         };
         self.zones.insert(summary.zone.clone(), news);
         true
@@ -51,6 +54,7 @@
             zone: zone.clone(),
             node: news.node.clone(),
             revision: news.revision,
+            capacity: news.capacity.clone(),
             age_ms: now.since(news.made_at).as_millis() as u64,
         };
         self.zones.iter().map(summary).collect()
--- a/crates/sloetrail-node/src/api/mod.rs
+++ b/crates/sloetrail-node/src/api/mod.rs
@@ -8,4 +8,5 @@
 mod run_calls;
 mod trainers;
 
+pub(crate) use callers::refusal_of_phase;
 pub(crate) use router::build_router;
--- a/crates/sloetrail-node/src/api/peers.rs
+++ b/crates/sloetrail-node/src/api/peers.rs
@@ -1,6 +1,7 @@
 //! Calls from other nodes.
 
 use super::run_calls::owned_run;
+use crate::gateway::serve_forwarded;
 use crate::peer::{PeerRequest, PeerResponse, from_cbor, to_cbor};
 use crate::problem_response::ProblemResponse;
 use crate::state::NodeState;
@@ -23,7 +24,7 @@
     Ok(([(header::CONTENT_TYPE, "application/cbor")], bytes))
 }
 
-async fn carry_out(state: &NodeState, request: PeerRequest) -> PeerResponse {
+async fn carry_out(state: &Arc<NodeState>, request: PeerRequest) -> PeerResponse {
     match request {
         PeerRequest::Configuration { newer_than } => {
             let held = state.configuration();
@@ -52,6 +53,10 @@
             None => PeerResponse::NotOwner,
             Some(handle) => answered(handle.pull(state, request).await, PeerResponse::Pulled),
         },
+        PeerRequest::Forward { service, request } => {
+            let result = serve_forwarded(state, &service, request).await;
+            answered(result, PeerResponse::Forwarded)
+        }
         PeerRequest::EngineOrder {
             service,
             engine,
--- a/crates/sloetrail-node/src/directory.rs
+++ b/crates/sloetrail-node/src/directory.rs
@@ -34,6 +34,14 @@
             .collect()
     }
 
+    /// The nodes of a zone that the list does not mark as leaving.
+    pub(crate) fn nodes_in(&self, zone: &ZoneName) -> Vec<NodeId> {
+        self.machines(MachineRole::Node)
+            .filter(|machine| machine.zone == *zone && !is_leaving(machine))
+            .map(|machine| NodeId::new(machine.id.clone()))
+            .collect()
+    }
+
     pub(crate) fn node_http(&self, node: &NodeId) -> Option<SocketAddr> {
         self.node(node).map(|machine| machine.address)
     }
--- a/crates/sloetrail-node/src/gateway/forward.rs
+++ b/crates/sloetrail-node/src/gateway/forward.rs
@@ -2,6 +2,7 @@
 
 use super::attempt::{Answer, AttemptEnd, attempt};
 use super::claims::{Claim, ClaimOutcome, claim, release, store_answer};
+use super::other_zone::run_in_other_zone;
 use super::pool::{ServicePool, Slot};
 use crate::state::NodeState;
 use bytes::Bytes;
@@ -75,10 +76,10 @@
     let deadline = Instant::now() + settings.request_timeout;
     let key = request.key()?;
     if request.may_repeat(&settings) {
-        return run(state, &pool, &settings, &request, deadline).await;
+        return run(state, &pool, &request, deadline).await;
     }
     let Some(key) = key else {
-        return run(state, &pool, &settings, &request, deadline).await;
+        return run(state, &pool, &request, deadline).await;
     };
     // A claimed request goes on even if its caller hangs up: its outcome is kept.
     let state = Arc::clone(state);
@@ -102,7 +103,7 @@
         ClaimOutcome::Answered(answer) => return Ok(answer),
         ClaimOutcome::Claimed(claim) => claim,
     };
-    let result = run(state, pool, &settings, request, deadline).await;
+    let result = run(state, pool, request, deadline).await;
     end_claim(state, claim, &result);
     result
 }
@@ -116,14 +117,28 @@
     }
 }
 
-/// Makes attempts until one brings an answer or no further one is allowed.
+/// Runs a request in this zone or, if it has no engine for it, in another one.
 async fn run(
     state: &Arc<NodeState>,
     pool: &Arc<ServicePool>,
-    settings: &Service,
     request: &CallerRequest,
     deadline: Instant,
 ) -> Result<Answer, Problem> {
+    let refusal = match run_in_zone(state, pool, request, deadline).await {
+        Err(problem) if problem.is(ResultCode::NoEngine) => problem,
+        settled => return settled,
+    };
+    run_in_other_zone(state, &pool.name(), request, deadline, refusal).await
+}
+
+/// Makes attempts until one brings an answer or no further one is allowed.
+pub(super) async fn run_in_zone(
+    state: &Arc<NodeState>,
+    pool: &Arc<ServicePool>,
+    request: &CallerRequest,
+    deadline: Instant,
+) -> Result<Answer, Problem> {
+    let settings = &*pool.service();
     pool.earn_retry();
     let may_repeat = request.may_repeat(settings);
     let mut excluded = BTreeSet::new();
--- a/crates/sloetrail-node/src/gateway/mod.rs
+++ b/crates/sloetrail-node/src/gateway/mod.rs
@@ -4,12 +4,15 @@
 //! settles its claim ([`claims`]), then attempts are made ([`attempt`]) on engines
 //! that the service's pool ([`pool`]) chooses. A request that was certainly not
 //! run may go to another engine within the retry budget; one whose outcome is
-//! unknown only if it may be repeated.
+//! unknown only if it may be repeated. When the zone has no engine for it, the
+//! request goes to a node of another zone ([`other_zone`]).
 
 mod attempt;
 mod claims;
 mod forward;
+mod other_zone;
 mod pool;
 
 pub(crate) use forward::{CallerRequest, forward};
+pub(crate) use other_zone::serve_forwarded;
 pub(crate) use pool::{ServicePool, Slot};
--- a/crates/sloetrail-node/src/observer.rs
+++ b/crates/sloetrail-node/src/observer.rs
@@ -4,10 +4,11 @@
 //! hashing, which asks it each period. News of a changed state goes out at once,
 //! news of load on a slower period.
 
+use crate::gateway::ServicePool;
 use crate::gossip::to_report;
 use crate::state::NodeState;
 use futures_util::future::join_all;
-use sloetrail_membership::{EngineNews, EngineNewsState};
+use sloetrail_membership::{EngineNews, EngineNewsState, ServiceCapacity};
 use sloetrail_platform::{EngineLoadState, EngineStatus, Machine};
 use sloetrail_types::{EngineId, Timestamp, digest, rendezvous_weight};
 use std::collections::BTreeMap;
@@ -44,17 +45,29 @@
                 }
             }
         }
+        state.membership().set_capacity(capacity(&state));
         if !news.is_empty() {
             let outgoing = state.membership().engine_news(&news);
             state.send_all(outgoing);
         }
         tokio::select! {
             () = tokio::time::sleep(ASK_PERIOD) => {}
+            () = state.pools_changed.notified() => {}
             () = state.cancel.cancelled() => return,
         }
     }
 }
 
+/// What the zone's engines can do for other zones.
+fn capacity(state: &NodeState) -> Vec<ServiceCapacity> {
+    let pools = state.pools();
+    let of_pool = |pool: &Arc<ServicePool>| ServiceCapacity {
+        service: digest(pool.name().as_str().as_bytes()),
+        available: pool.available() as u32,
+    };
+    pools.iter().map(of_pool).collect()
+}
+
 /// The engines of the zone of which this node is the observer.
 fn observed_engines(state: &NodeState) -> Vec<Machine> {
     let alive = state.membership().alive();
--- a/crates/sloetrail-node/src/peer.rs
+++ b/crates/sloetrail-node/src/peer.rs
@@ -37,6 +37,11 @@
     },
     /// A trainer's pull, for the owner of the run.
     Pull { run: RunName, request: PullRequest },
+    /// A caller's request, for a zone that has engines for it.
+    Forward {
+        service: ServiceName,
+        request: ForwardedRequest,
+    },
     /// An operator's order, for the owner of the service.
     EngineOrder {
         service: ServiceName,
@@ -45,6 +50,32 @@
     },
 }
 
+/// A caller's request on its way to another zone.
+#[derive(Serialize, Deserialize)]
+pub(crate) struct ForwardedRequest {
+    pub(crate) method: String,
+    pub(crate) path_and_query: String,
+    pub(crate) headers: Vec<ForwardedHeader>,
+    pub(crate) body: Vec<u8>,
+    /// Time that is left until the caller's deadline, in milliseconds.
+    pub(crate) deadline_ms: u64,
+}
+
+/// An engine's answer on its way back.
+#[derive(Serialize, Deserialize)]
+pub(crate) struct ForwardedAnswer {
+    pub(crate) status: u16,
+    pub(crate) headers: Vec<ForwardedHeader>,
+    pub(crate) body: Vec<u8>,
+}
+
+/// A header of either.
+#[derive(Serialize, Deserialize)]
+pub(crate) struct ForwardedHeader {
+    pub(crate) name: String,
+    pub(crate) value: Vec<u8>,
+}
+
 /// What a node answers.
 #[derive(Serialize, Deserialize)]
 pub(crate) enum PeerResponse {
@@ -58,6 +89,8 @@
     Submitted(SubmitResponse),
     /// The answer to a pull.
     Pulled(PullResponse),
+    /// The whole answer to a caller's request.
+    Forwarded(ForwardedAnswer),
     /// The order was carried out.
     OrderDone,
     /// The node does not own what was asked for.
--- a/crates/sloetrail-node/src/state.rs
+++ b/crates/sloetrail-node/src/state.rs
@@ -72,6 +72,8 @@
     pub(crate) gossip: GossipSender,
     /// Woken when a newer configuration or machine list is known to exist.
     pub(crate) behind: Notify,
+    /// Woken when the pools' services or engines may have changed.
+    pub(crate) pools_changed: Notify,
     configuration: RwLock<ConfigurationInForce>,
     directory: RwLock<Arc<Directory>>,
     membership: Mutex<Membership>,
@@ -108,6 +110,7 @@
             cancel: CancellationToken::new(),
             gossip,
             behind: Notify::new(),
+            pools_changed: Notify::new(),
             configuration: RwLock::default(),
             directory: RwLock::default(),
             membership: Mutex::new(membership),
@@ -266,6 +269,7 @@
                 .collect();
             pool.set_engines(listed);
         }
+        self.pools_changed.notify_one();
     }
 
     pub(crate) fn runs(&self) -> MutexGuard<'_, BTreeMap<RunName, RunHandle>> {
