--- /dev/null
+++ b/crates/sloetrail-cli/src/arguments.rs
@@ -0,0 +1,139 @@
+//! The command line's shape.
+
+use clap::{Arg, Command, value_parser};
+use std::net::SocketAddr;
+
+/// The whole command line.
+pub(crate) fn command() -> Command {
+    Command::new("sloetrail")
+        .about("Operates a sloetrail deployment")
+        .version(clap::crate_version!())
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .arg(
+            Arg::new("output")
+                .long("output")
+                .global(true)
+                .value_parser(["text", "json"])
+                .default_value("text")
+                .help("How results are printed"),
+        )
+        .subcommand(
+            Command::new("validate")
+                .about("Checks a service file without asking a node")
+                .after_help("Example: sloetrail validate examples/maelir.toml")
+                .arg(file()),
+        )
+        .subcommand(
+            Command::new("plan")
+                .about("Shows what an apply would change")
+                .after_help(
+                    "Example: sloetrail plan --node 127.0.0.1:7600 examples/maelir.toml",
+                )
+                .arg(node())
+                .arg(file()),
+        )
+        .subcommand(
+            Command::new("apply")
+                .about("Applies a service file as a whole")
+                .after_help(
+                    "Example: sloetrail apply --node 127.0.0.1:7600 --base 7 examples/maelir.toml\n\
+                     Exit code 4: the outcome is unknown; read it back with `sloetrail get --apply ID`.",
+                )
+                .arg(node())
+                .arg(
+                    Arg::new("base")
+                        .long("base")
+                        .value_name("REVISION")
+                        .value_parser(value_parser!(u64))
+                        .help("Refuse unless this revision is the present one"),
+                )
+                .arg(
+                    Arg::new("id")
+                        .long("id")
+                        .value_name("ID")
+                        .help("The apply's id; made up if absent"),
+                )
+                .arg(file()),
+        )
+        .subcommand(
+            Command::new("get")
+                .about("Reads back what is in force in each zone, or one apply")
+                .after_help("Example: sloetrail get --node 127.0.0.1:7600")
+                .arg(node())
+                .arg(
+                    Arg::new("apply")
+                        .long("apply")
+                        .value_name("ID")
+                        .help("Read this apply back"),
+                ),
+        )
+        .subcommand(
+            Command::new("status")
+                .about("Shows a node, its zone and its services")
+                .after_help("Example: sloetrail status --node 127.0.0.1:7600")
+                .arg(node()),
+        )
+        .subcommand(
+            Command::new("drain")
+                .about("Has an engine take no new work and finish what it has")
+                .after_help("Example: sloetrail drain --node 127.0.0.1:7600 vision-lm-3")
+                .arg(node())
+                .arg(engine()),
+        )
+        .subcommand(
+            Command::new("resume")
+                .about("Has a drained engine take work again")
+                .after_help("Example: sloetrail resume --node 127.0.0.1:7600 vision-lm-3")
+                .arg(node())
+                .arg(engine()),
+        )
+        .subcommand(
+            Command::new("explain")
+                .about("Prints what a result code means")
+                .after_help("Example: sloetrail explain 1107")
+                .arg(
+                    Arg::new("code")
+                        .required(true)
+                        .value_name("CODE")
+                        .value_parser(value_parser!(u16)),
+                ),
+        )
+        .subcommand(
+            Command::new("check")
+                .about("Judges a recorded history, invariant by invariant")
+                .after_help("Example: sloetrail check history.jsonl --only I4,I5")
+                .arg(
+                    Arg::new("only")
+                        .long("only")
+                        .value_name("NAMES")
+                        .value_delimiter(',')
+                        .help("Judge only these invariants"),
+                )
+                .arg(file()),
+        )
+        .subcommand(
+            Command::new("replay")
+                .about("Replays a trace against its stated outcomes")
+                .after_help("Example: sloetrail replay traces/withdrawn-sample.jsonl")
+                .arg(file()),
+        )
+}
+
+fn file() -> Arg {
+    Arg::new("file").required(true).value_name("FILE")
+}
+
+fn engine() -> Arg {
+    Arg::new("engine").required(true).value_name("ENGINE")
+}
+
+fn node() -> Arg {
+    Arg::new("node")
+        .long("node")
+        .value_name("ADDRESS")
+        .value_parser(value_parser!(SocketAddr))
+        .value_delimiter(',')
+        .required(true)
+        .help("One or more nodes; the first that answers is asked")
+}
--- /dev/null
+++ b/crates/sloetrail-cli/src/client.rs
@@ -0,0 +1,100 @@
+//! Calls to nodes.
+
+use crate::failure::Failure;
+use bytes::Bytes;
+use clap::ArgMatches;
+use http::{Method, Request};
+use http_body_util::Full;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use sloetrail_platform::{CallError, HttpClient, RawResponse};
+use sloetrail_result::{Problem, ResultCode};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const TIMEOUT: Duration = Duration::from_secs(15);
+const ANSWER_LIMIT_BYTES: usize = 64 * 1024 * 1024;
+
+/// Asks the nodes that were given, in their order.
+pub(crate) struct Client {
+    http: HttpClient,
+    nodes: Vec<SocketAddr>,
+}
+
+impl Client {
+    /// A client for the `--node` addresses.
+    pub(crate) fn from_arguments(matches: &ArgMatches) -> Self {
+        let nodes = matches.get_many::<SocketAddr>("node");
+        Self {
+            http: HttpClient::new(),
+            nodes: nodes
+                .map(|nodes| nodes.copied().collect())
+                .unwrap_or_default(),
+        }
+    }
+
+    /// Gets a JSON answer.
+    pub(crate) async fn get<A: DeserializeOwned>(&self, path: &str) -> Result<A, Failure> {
+        let response = self.call(Method::GET, path, Vec::new()).await?;
+        read(&response)
+    }
+
+    /// Posts a JSON message and reads a JSON answer.
+    pub(crate) async fn post<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        path: &str,
+        message: &Q,
+    ) -> Result<A, Failure> {
+        let body = serde_json::to_vec(message)
+            .map_err(|error| Failure::usage(ResultCode::InternalError, error.to_string()))?;
+        let response = self.call(Method::POST, path, body).await?;
+        read(&response)
+    }
+
+    /// Posts without a message or an answer.
+    pub(crate) async fn post_empty(&self, path: &str) -> Result<(), Failure> {
+        self.call(Method::POST, path, Vec::new()).await.map(|_| ())
+    }
+
+    /// Asks node after node, but only as long as the call was not carried out.
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<RawResponse, Failure> {
+        let mut last = "no node was given".to_owned();
+        for node in &self.nodes {
+            let request = Request::builder()
+                .method(method.clone())
+                .uri(format!("http://{node}{path}"))
+                .header(http::header::CONTENT_TYPE, "application/json")
+                .body(Full::new(Bytes::from(body.clone())))
+                .map_err(|error| Failure::usage(ResultCode::UnknownPath, error.to_string()))?;
+            match self.http.fetch(request, TIMEOUT, ANSWER_LIMIT_BYTES).await {
+                Ok(response) if response.status.is_success() => return Ok(response),
+                Ok(response) => return Err(problem_of(&response).into()),
+                Err(CallError::NotExecuted { reason }) => last = format!("{node}: {reason}"),
+                Err(CallError::Unknown { reason }) => {
+                    let detail = format!("{node}: {reason}");
+                    return Err(Problem::new(ResultCode::OwnerLost, detail).into());
+                }
+            }
+        }
+        Err(Failure::unreachable(last))
+    }
+}
+
+fn read<A: DeserializeOwned>(response: &RawResponse) -> Result<A, Failure> {
+    response
+        .json()
+        .map_err(|error| Problem::new(ResultCode::InternalError, error.to_string()).into())
+}
+
+fn problem_of(response: &RawResponse) -> Problem {
+    let problem = response.json::<Problem>();
+    problem.unwrap_or_else(|_| {
+        let detail = format!("status {} without a problem document", response.status);
+        Problem::new(ResultCode::InternalError, detail)
+    })
+}
--- a/crates/sloetrail-cli/src/main.rs
+++ b/crates/sloetrail-cli/src/main.rs
@@ -1,3 +1,52 @@
-//! The sloetrail command line.
+//! The operators' command line.
+//!
+//! Exit codes: 0 done, 1 refused or a check failed, 2 the arguments or a file
+//! are wrong, 3 no node could be reached, 4 the outcome is unknown and can be
+//! read back. `docs/OPERATING.md` has the table.
 
-fn main() {}
+#![forbid(unsafe_code)]
+
+mod apply;
+mod arguments;
+mod check;
+mod client;
+mod explain;
+mod failure;
+mod orders;
+mod reports;
+
+use clap::ArgMatches;
+use failure::Failure;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let matches = arguments::command().get_matches();
+    let as_json = matches.get_one::<String>("output").map(String::as_str) == Some("json");
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("the runtime starts");
+    match runtime.block_on(run(&matches, as_json)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            failure.print(as_json);
+            ExitCode::from(failure.exit_code())
+        }
+    }
+}
+
+async fn run(matches: &ArgMatches, as_json: bool) -> Result<(), Failure> {
+    match matches.subcommand() {
+        Some(("validate", matches)) => apply::validate(matches, as_json),
+        Some(("plan", matches)) => apply::plan(matches, as_json).await,
+        Some(("apply", matches)) => apply::apply(matches, as_json).await,
+        Some(("get", matches)) => reports::get(matches, as_json).await,
+        Some(("status", matches)) => reports::status(matches, as_json).await,
+        Some(("drain", matches)) => orders::drain(matches).await,
+        Some(("resume", matches)) => orders::resume(matches).await,
+        Some(("explain", matches)) => explain::explain(matches, as_json),
+        Some(("check", matches)) => check::check(matches, as_json),
+        Some(("replay", matches)) => check::replay(matches, as_json),
+        _ => unreachable!("clap asks for a subcommand"),
+    }
+}
