Runs under failure with real processes, and relays that cut zones

Cause: nothing had been tried under failure. Ruled out: cutting inside the node's connector, which would put test code into the product and could not hold back bytes of open connections.

--- a/crates/sloetrail-lab/src/commands/mod.rs
+++ b/crates/sloetrail-lab/src/commands/mod.rs
@@ -1,6 +1,8 @@
 //! The lab's command line.
 
 mod demo;
+mod engine;
+mod faults;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use std::future::Future;
@@ -24,6 +26,8 @@
                 )
                 .arg(seed_argument()),
         )
+        .subcommand(engine::command())
+        .subcommand(faults::command())
 }
 
 fn seed_argument() -> Arg {
@@ -43,6 +47,8 @@
     let matches = command_line().get_matches();
     match matches.subcommand() {
         Some(("demo", matches)) => block_on(demo::run(seed_of(matches), matches.get_flag("json"))),
+        Some(("engine", matches)) => block_on(engine::run(matches)),
+        Some(("faults", matches)) => block_on(faults::run(matches)),
         _ => ExitCode::FAILURE,
     }
 }
--- a/crates/sloetrail-node/src/node.rs
+++ b/crates/sloetrail-node/src/node.rs
@@ -20,8 +20,9 @@
 use tokio::task::JoinHandle;
 
 const READY_POLL: Duration = Duration::from_millis(50);
-/// Time for the zone to learn that a node leaves before it stops answering.
-const LEAVE_NOTICE: Duration = Duration::from_millis(200);
+/// Time for which a drained node still answers, with a refusal, so that callers
+/// learn that it leaves before it is gone.
+const LEAVE_NOTICE: Duration = Duration::from_millis(1_000);
 
 /// Why a node could not start.
 #[derive(Debug, Snafu)]
--- a/crates/sloetraild/src/main.rs
+++ b/crates/sloetraild/src/main.rs
@@ -84,6 +84,12 @@
     };
     match Node::start(settings, Roles::default()).await {
         Ok(node) => {
+            // With port zero in the settings, this is how the ports become known.
+            println!(
+                "listening http={} gossip={}",
+                node.http_address(),
+                node.gossip_address()
+            );
             stop_signal(terminate, interrupt).await;
             node.stop().await;
             ExitCode::SUCCESS
