--- a/crates/sloetrail-history/src/lib.rs
+++ b/crates/sloetrail-history/src/lib.rs
@@ -18,3 +18,6 @@
 };
 pub use replay::{ReplayError, ReplayReport, Trace, replay};
 pub use verdict::{Invariant, Verdict, Violation};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/sloetraild/tests/settings.rs
@@ -0,0 +1,57 @@
+//! The daemon's settings from the outside.
+
+use std::process::{Command, Output};
+
+const EXAMPLE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/node.toml");
+
+fn daemon(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_sloetraild"))
+        .args(arguments)
+        .output()
+        .expect("the daemon is built")
+}
+
+fn error_text(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+#[test]
+fn the_example_is_sound() {
+    let output = daemon(&["--settings", EXAMPLE, "--check-settings"]);
+    assert!(output.status.success(), "{}", error_text(&output));
+}
+
+#[test]
+fn the_example_holds_every_default() {
+    let text = std::fs::read_to_string(EXAMPLE).expect("readable");
+    let overrides = sloetrail_config::SettingsOverrides::default();
+    let settings = sloetrail_config::NodeSettings::parse("node.toml", &text, &overrides);
+    let settings = settings.expect("sound");
+    assert_eq!(settings.bounds, sloetrail_config::Bounds::default());
+}
+
+#[test]
+fn a_wrong_setting_ends_with_code_2_and_names_field_and_code() {
+    let output = daemon(&["--settings", EXAMPLE, "--connection-limit", "0"]);
+    assert_eq!(output.status.code(), Some(2));
+    let text = error_text(&output);
+    assert!(text.contains("bounds.connection_limit"), "{text}");
+    assert!(text.contains("code 2004"), "{text}");
+}
+
+#[test]
+fn a_missing_setting_and_a_missing_file_are_told_apart() {
+    let output = daemon(&["--zone", "hfj"]);
+    assert!(error_text(&output).contains("node: this setting is required"));
+    let output = daemon(&["--settings", "no-such-file.toml"]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(error_text(&output).contains("code 2008"));
+}
+
+#[test]
+fn every_flag_has_help() {
+    let output = daemon(&["--help"]);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(text.contains("Example: sloetraild --settings"));
+    assert!(text.contains("--configuration-freshness-ms"));
+}
