Measure the gateway beside a bare pass-through

Cause: the cost of the node on the path was not known. Change: 'bench gateway': one back end, a pass-through written with hyper-util only, and the node, in turns at 64 connections.

--- a/crates/sloetrail-lab/src/commands/bench/mod.rs
+++ b/crates/sloetrail-lab/src/commands/bench/mod.rs
@@ -1,6 +1,7 @@
 //! Measurements.
 
 mod control;
+mod gateway;
 mod hollow_platform;
 mod process_stats;
 
@@ -14,12 +15,14 @@
         .about("Measures the system on this machine")
         .subcommand_required(true)
         .subcommand(control::command())
+        .subcommand(gateway::command())
         .subcommand(hollow_platform::command())
 }
 
 pub(super) fn run(matches: &ArgMatches) -> Pin<Box<dyn Future<Output = ExitCode> + '_>> {
     match matches.subcommand() {
         Some(("control", matches)) => Box::pin(control::run(matches)),
+        Some(("gateway", matches)) => Box::pin(gateway::run(matches)),
         Some(("hollow-platform", matches)) => Box::pin(hollow_platform::run(matches)),
         _ => Box::pin(async { ExitCode::FAILURE }),
     }
