--- a/crates/sloetrail-lab/src/commands/faults/injector.rs
+++ b/crates/sloetrail-lab/src/commands/faults/injector.rs
@@ -106,9 +106,10 @@
                 fleet.freeze_engine(&engine, true);
                 Ending::ThawEngine(engine)
             }
-            FaultKind::CutZone | FaultKind::CutZoneOneWay | FaultKind::CutPlatform => {
-                self.cut(fleet, kind)
-            }
+            FaultKind::CutZone
+            | FaultKind::CutZoneOneWay
+            | FaultKind::CutPlatform
+            | FaultKind::IsolateZone => self.cut(fleet, kind),
             FaultKind::StoreDown
             | FaultKind::StoreHang
             | FaultKind::StoreSlow
@@ -120,11 +121,14 @@
                 break_engines(fleet, kind).await;
                 Ending::HealEngines
             }
-            FaultKind::DrainEngine => {
+            FaultKind::DrainEngine | FaultKind::ListLeaving => {
                 let Some(engine) = self.any_engine(fleet) else {
                     return Ok(None);
                 };
-                fleet.announce_engine_leaving(&engine).await;
+                fleet.mark_engine_leaving(&engine);
+                if kind == FaultKind::DrainEngine {
+                    fleet.tell_engine_to_leave(&engine).await;
+                }
                 Ending::ReplaceEngine(engine)
             }
         };
@@ -165,14 +169,17 @@
             .choose(&mut self.random)
             .cloned()
             .expect("a profile has zones");
-        let others: Vec<ZoneName> = match kind {
-            FaultKind::CutPlatform => vec![ZoneName::from(PLATFORM_ZONE)],
+        let mut others: Vec<ZoneName> = match kind {
+            FaultKind::CutPlatform => Vec::new(),
             _ => zones
                 .iter()
                 .filter(|other| **other != zone)
                 .cloned()
                 .collect(),
         };
+        if matches!(kind, FaultKind::CutPlatform | FaultKind::IsolateZone) {
+            others.push(ZoneName::from(PLATFORM_ZONE));
+        }
         let outward = self.random.random_bool(0.5);
         let mut directions = Vec::new();
         for other in others {
--- a/crates/sloetrail-lab/src/commands/faults/kind.rs
+++ b/crates/sloetrail-lab/src/commands/faults/kind.rs
@@ -38,6 +38,8 @@
     CutZoneOneWay = "cut-zone-one-way",
     /// One zone is cut from the platform.
     CutPlatform = "cut-platform",
+    /// One zone is cut from everything, for longer than its configuration counts.
+    IsolateZone = "isolate-zone",
     /// The table and the object store refuse every call.
     StoreDown = "store-down",
     /// The table hangs.
@@ -56,8 +58,10 @@
     ReplaceNode = "replace-node",
     /// SIGTERM of a node.
     StopNode = "stop-node",
-    /// An engine is drained by an operator, then replaced.
+    /// An engine's machine is about to go: the list says so, and the engine is told.
     DrainEngine = "drain-engine",
+    /// An engine's machine is about to go, and only the list says so.
+    ListLeaving = "list-leaving",
 }
 
 impl ValueEnum for FaultKind {
--- a/crates/sloetrail-lab/src/commands/faults/run.rs
+++ b/crates/sloetrail-lab/src/commands/faults/run.rs
@@ -31,6 +31,7 @@
 const FAULT_SECONDS_MAX: f64 = 6.0;
 /// Longer than the bound after which a leaving engine gets no new work.
 const LEAVING_WATCHED: Duration = Duration::from_secs(4);
+const ISOLATION: Duration = Duration::from_secs(12);
 const CALM: Duration = Duration::from_millis(1_500);
 
 /// What a run does.
@@ -198,12 +199,11 @@
         previous = kinds.last().copied();
         let names: Vec<&str> = kinds.iter().map(|kind| kind.name()).collect();
         eprintln!("faults: {}", names.join(" and "));
-        for kind in kinds {
-            let begun = injector.begin(fleet, kind).await;
+        for kind in &kinds {
+            let begun = injector.begin(fleet, *kind).await;
             begun.map_err(|error| error.to_string())?;
         }
-        let seconds = random.random_range(FAULT_SECONDS_MIN..FAULT_SECONDS_MAX);
-        tokio::time::sleep(Duration::from_secs_f64(seconds)).await;
+        tokio::time::sleep(length_of(&kinds, &mut random)).await;
         let ended = injector.end_all(fleet).await;
         ended.map_err(|error| error.to_string())?;
         tokio::time::sleep(CALM).await;
@@ -211,10 +211,24 @@
     Ok(())
 }
 
+/// How long faults last. An isolated zone stays so for longer than the bound
+/// after which an accepted configuration must be in force.
+fn length_of(kinds: &[FaultKind], random: &mut StdRng) -> Duration {
+    let seconds = random.random_range(FAULT_SECONDS_MIN..FAULT_SECONDS_MAX);
+    match kinds.contains(&FaultKind::IsolateZone) {
+        true => ISOLATION,
+        false => Duration::from_secs_f64(seconds),
+    }
+}
+
 /// Every run ends with a drain and a stop under load, so that what must hold of
 /// planned departures is looked at whatever the seed chose.
 async fn leave_as_planned(fleet: &mut ProcessFleet, injector: &mut Injector) -> Result<(), String> {
-    for kind in [FaultKind::DrainEngine, FaultKind::StopNode] {
+    for kind in [
+        FaultKind::DrainEngine,
+        FaultKind::ListLeaving,
+        FaultKind::StopNode,
+    ] {
         eprintln!("faults: {} as planned", kind.name());
         let begun = injector.begin(fleet, kind).await;
         begun.map_err(|error| error.to_string())?;
--- a/crates/sloetrail-lab/src/fleet/mod.rs
+++ b/crates/sloetrail-lab/src/fleet/mod.rs
@@ -7,7 +7,7 @@
 mod profile;
 mod relay;
 
-pub use child::ListeningChild;
+pub use child::{ChildError, ListeningChild, sibling_program};
 pub use local::{FleetError, LocalFleet};
 pub use platform::{PlatformAddressBook, PlatformSettings, PlatformStandIns};
 pub use processes::{PLATFORM_ZONE, ProcessFleet, ProcessFleetError};
--- a/crates/sloetrail-lab/src/fleet/processes.rs
+++ b/crates/sloetrail-lab/src/fleet/processes.rs
@@ -336,10 +336,15 @@
         }
     }
 
-    /// Has the platform announce that an engine's machine is about to go: it is
-    /// marked on the list and told itself.
-    pub async fn announce_engine_leaving(&self, id: &EngineId) {
+    /// Has the machine list say that an engine's machine is about to go.
+    pub fn mark_engine_leaving(&self, id: &EngineId) {
+        self.history
+            .record(EventBody::EngineLeaving { engine: id.clone() });
         self.platform.machines.mark_leaving(id.as_str());
+    }
+
+    /// Tells an engine itself that it is about to go.
+    pub async fn tell_engine_to_leave(&self, id: &EngineId) {
         let engine = self.engines.iter().find(|engine| engine.id == *id);
         if let Some(engine) = engine {
             self.post(engine.address, "/lab/leave", "").await;
