Experiments in virtual time with the daemon's own decision logic

Cause: nothing measured trainer idle time and staleness. Change: 'sloetrail-lab experiment FILE' models engines and a trainer; Ledger, Balancer and RolloutPlanner decide. Pulls can be limited to a step, so that later samples do not grow old with the trainer.

--- a/crates/sloetrail-history/src/replay.rs
+++ b/crates/sloetrail-history/src/replay.rs
@@ -167,7 +167,7 @@
                 limit,
                 outcome,
             } => {
-                let result = self.ledger.pull(after, limit, trainer_version);
+                let result = self.ledger.pull(after, limit, trainer_version, None);
                 let said = result.map_or_else(
                     |refusal| format!("{refusal:?}"),
                     |entries| describe(&entries),
--- a/crates/sloetrail-lab/src/commands/mod.rs
+++ b/crates/sloetrail-lab/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod bench;
 mod demo;
 mod engine;
+mod experiment;
 mod faults;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
@@ -30,6 +31,7 @@
         .subcommand(engine::command())
         .subcommand(faults::command())
         .subcommand(bench::command())
+        .subcommand(experiment::command())
 }
 
 fn seed_argument() -> Arg {
@@ -50,6 +52,7 @@
     match matches.subcommand() {
         Some(("demo", matches)) => block_on(demo::run(seed_of(matches), matches.get_flag("json"))),
         Some(("engine", matches)) => block_on(engine::run(matches)),
+        Some(("experiment", matches)) => experiment::run(matches),
         Some(("bench", matches)) => block_on(bench::run(matches)),
         Some(("faults", matches)) => block_on(faults::run(matches)),
         _ => ExitCode::FAILURE,
--- a/crates/sloetrail-lab/src/lib.rs
+++ b/crates/sloetrail-lab/src/lib.rs
@@ -6,6 +6,7 @@
 //! the tools on the command line.
 
 mod commands;
+pub mod experiment;
 pub mod fleet;
 pub mod history_log;
 pub mod standins;
--- a/crates/sloetrail-lab/src/workload/trainer.rs
+++ b/crates/sloetrail-lab/src/workload/trainer.rs
@@ -137,11 +137,11 @@
     async fn finish(&mut self, last_wait: Duration) {
         let deadline = Instant::now() + last_wait;
         while !self.open.is_empty() && Instant::now() < deadline {
-            self.pull_once().await;
+            self.pull_once(None).await;
         }
         self.report.complete = self.open.is_empty();
         if self.report.complete {
-            self.pull_once().await;
+            self.pull_once(None).await;
         }
         self.history.record(EventBody::TrainerEnded {
             run: self.settings.run.clone(),
@@ -192,15 +192,19 @@
             if cancel.is_cancelled() {
                 return false;
             }
-            self.pull_once().await;
+            self.pull_once(Some(step)).await;
         }
         true
     }
 
-    async fn pull_once(&mut self) {
+    async fn pull_once(&mut self, through_step: Option<StepNumber>) {
+        let through = through_step.map(|step| format!("&through_step={step}"));
         let path = format!(
-            "/v1/runs/{}/samples?after={}&trainer_version={}&limit={PULL_LIMIT}",
-            self.settings.run, self.cursor, self.version
+            "/v1/runs/{}/samples?after={}&trainer_version={}&limit={PULL_LIMIT}{}",
+            self.settings.run,
+            self.cursor,
+            self.version,
+            through.unwrap_or_default()
         );
         let answer: Option<PullResponse> = self.call::<(), _>(Method::GET, &path, None).await;
         let Some(response) = answer else {
--- a/crates/sloetrail-ledger/src/ledger.rs
+++ b/crates/sloetrail-ledger/src/ledger.rs
@@ -222,13 +222,15 @@
     /// Hands samples over after `cursor`, which the call acknowledges.
     ///
     /// The same cursor gives the same entries again, and new ones behind them up
-    /// to `limit`. Entries that became too old for `trainer_version` since they
-    /// were given a place are withdrawn.
+    /// to `limit`, of steps up to `through_step` if it is given: a sample of a later
+    /// step would only grow old with the trainer. Entries that became too old for
+    /// `trainer_version` since they were given a place are withdrawn.
     pub fn pull(
         &mut self,
         cursor: SequenceNumber,
         limit: usize,
         trainer_version: WeightVersion,
+        through_step: Option<StepNumber>,
     ) -> Result<Vec<HandOver>, Refusal> {
         if cursor > self.journal.last_sequence || cursor < self.journal.acknowledged {
             return Err(Refusal::CursorInvalid);
@@ -239,7 +241,7 @@
         self.journal.trainer_version = trainer_version;
         self.acknowledge(cursor);
         self.withdraw_stale();
-        self.assign_places(limit);
+        self.assign_places(limit, through_step);
         Ok(self.entries(limit))
     }
 
@@ -365,11 +367,15 @@
     }
 
     /// Gives places to finished samples until `limit` entries are not acknowledged.
-    fn assign_places(&mut self, limit: usize) {
+    fn assign_places(&mut self, limit: usize, through_step: Option<StepNumber>) {
         while self.places.len() < limit {
-            let Some((_, id)) = self.finished.pop_first() else {
+            let Some((step, id)) = self.finished.first().cloned() else {
                 return;
             };
+            if through_step.is_some_and(|through| step > through) {
+                return;
+            }
+            self.finished.pop_first();
             let SampleStatus::Finished { result } = &self.samples[&id].status else {
                 continue;
             };
--- a/crates/sloetrail-ledger/src/tests.rs
+++ b/crates/sloetrail-ledger/src/tests.rs
@@ -57,11 +57,11 @@
         .expect("open step");
     ledger.finish(&SampleId::from("b"), 0, result(5));
     let first = ledger
-        .pull(SequenceNumber(0), 10, WeightVersion(5))
+        .pull(SequenceNumber(0), 10, WeightVersion(5), None)
         .expect("valid");
     ledger.finish(&SampleId::from("a"), 0, result(5));
     let second = ledger
-        .pull(SequenceNumber(0), 10, WeightVersion(5))
+        .pull(SequenceNumber(0), 10, WeightVersion(5), None)
         .expect("valid");
     assert_eq!(sequences(&first), vec![1]);
     assert_eq!(sequences(&second), vec![1, 2]);
@@ -75,10 +75,10 @@
         .submit(StepNumber(1), vec![sample("a")])
         .expect("open step");
     ledger.finish(&SampleId::from("a"), 0, result(5));
-    let first = ledger.pull(SequenceNumber(0), 10, WeightVersion(5));
+    let first = ledger.pull(SequenceNumber(0), 10, WeightVersion(5), None);
     assert!(matches!(first.expect("valid")[0], HandOver::Sample { .. }));
     let second = ledger
-        .pull(SequenceNumber(0), 10, WeightVersion(7))
+        .pull(SequenceNumber(0), 10, WeightVersion(7), None)
         .expect("valid");
     assert!(matches!(second[0], HandOver::Withdrawn { .. }));
     assert_eq!(
@@ -90,11 +90,34 @@
         FinishOutcome::Recorded
     );
     let third = ledger
-        .pull(SequenceNumber(1), 10, WeightVersion(7))
+        .pull(SequenceNumber(1), 10, WeightVersion(7), None)
         .expect("valid");
     assert_eq!(sequences(&third), vec![2]);
 }
 
+#[test]
+fn a_pull_through_a_step_leaves_later_steps_for_later() {
+    let mut ledger = ledger();
+    for (step, name) in [(1, "a"), (2, "b")] {
+        ledger
+            .submit(StepNumber(step), vec![sample(name)])
+            .expect("open step");
+    }
+    ledger.finish(&SampleId::from("b"), 0, result(1));
+    let through_first = Some(StepNumber(1));
+    let first = ledger.pull(SequenceNumber(0), 10, WeightVersion(1), through_first);
+    assert_eq!(first, Ok(Vec::new()));
+    ledger.finish(&SampleId::from("a"), 0, result(1));
+    let second = ledger
+        .pull(SequenceNumber(0), 10, WeightVersion(1), through_first)
+        .expect("valid");
+    assert_eq!(sequences(&second), vec![1]);
+    let all = ledger
+        .pull(SequenceNumber(1), 10, WeightVersion(1), None)
+        .expect("valid");
+    assert_eq!(sequences(&all), vec![2]);
+}
+
 #[test]
 fn refusals_change_nothing() {
     let mut ledger = ledger();
@@ -102,12 +125,12 @@
         .submit(StepNumber(1), vec![sample("a")])
         .expect("open step");
     ledger.take_changes();
-    let too_far = ledger.pull(SequenceNumber(1), 10, WeightVersion(1));
+    let too_far = ledger.pull(SequenceNumber(1), 10, WeightVersion(1), None);
     assert_eq!(too_far, Err(Refusal::CursorInvalid));
     ledger
-        .pull(SequenceNumber(0), 10, WeightVersion(3))
+        .pull(SequenceNumber(0), 10, WeightVersion(3), None)
         .expect("valid");
-    let back = ledger.pull(SequenceNumber(0), 10, WeightVersion(2));
+    let back = ledger.pull(SequenceNumber(0), 10, WeightVersion(2), None);
     assert_eq!(back, Err(Refusal::VersionWentBack));
     let many = (0..100).map(|index| sample(&format!("s{index}"))).collect();
     assert_eq!(ledger.submit(StepNumber(1), many), Err(Refusal::LedgerFull));
@@ -125,10 +148,10 @@
         .expect("open step");
     ledger.finish(&SampleId::from("a"), 0, result(1));
     ledger
-        .pull(SequenceNumber(0), 10, WeightVersion(1))
+        .pull(SequenceNumber(0), 10, WeightVersion(1), None)
         .expect("valid");
     ledger
-        .pull(SequenceNumber(1), 10, WeightVersion(1))
+        .pull(SequenceNumber(1), 10, WeightVersion(1), None)
         .expect("valid");
     assert_eq!(ledger.held(), 1);
     assert_eq!(
@@ -310,7 +333,7 @@
                 run.version.0 += u64::from(new_version);
                 let entries = run
                     .ledger
-                    .pull(run.cursor, limit, run.version)
+                    .pull(run.cursor, limit, run.version, None)
                     .expect("the trainer keeps to the rules");
                 run.commit();
                 check_entries(&mut run, &entries);
--- a/crates/sloetrail-node/src/api/messages.rs
+++ b/crates/sloetrail-node/src/api/messages.rs
@@ -35,6 +35,9 @@
     pub after: SequenceNumber,
     /// The trainer's present weight version.
     pub trainer_version: WeightVersion,
+    /// Only samples of steps up to this one; nothing for all.
+    #[serde(default)]
+    pub through_step: Option<StepNumber>,
     /// At most this many entries.
     #[serde(default = "default_pull_limit")]
     pub limit: usize,
--- a/crates/sloetrail-node/src/owner/run_actor.rs
+++ b/crates/sloetrail-node/src/owner/run_actor.rs
@@ -254,7 +254,12 @@
     reply: Reply<Vec<HandOver>>,
     answers: &mut Vec<Answer>,
 ) {
-    let result = ledger.pull(request.after, request.limit, request.trainer_version);
+    let result = ledger.pull(
+        request.after,
+        request.limit,
+        request.trainer_version,
+        request.through_step,
+    );
     answer_after_commit(result.map_err(CallFailure::Refused), reply, answers);
 }
 
