Start a sample only on weights that will not be too old when it is used

Ruled out: the order itself (with a bound of 2 it is better), the swap in the middle of samples (waiting for empty engines showed the same). Change: an engine's version rides on its news, the dispatcher passes it to the ledger, and the ledger gives a sample only if its step's distance from the first open one plus the engine's lag is within the bound. The first open step always goes on.

--- a/crates/sloetrail-balance/src/balancer.rs
+++ b/crates/sloetrail-balance/src/balancer.rs
@@ -2,7 +2,7 @@
 
 use crate::entry::{AttemptOutcome, EngineReport, Entry, WorkClass};
 use rand::Rng;
-use sloetrail_types::{EngineId, Timestamp, ZoneName};
+use sloetrail_types::{EngineId, Timestamp, WeightVersion, ZoneName};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -113,6 +113,12 @@
         }
     }
 
+    /// The weights that an engine uses, as last reported; zero if unknown.
+    pub fn version_of(&self, id: &EngineId) -> WeightVersion {
+        let report = self.engines.get(id).and_then(|entry| entry.report);
+        report.map_or(WeightVersion(0), |report| report.version)
+    }
+
     /// Engines that may be chosen now, whether or not they have room.
     pub fn available(&self, now: Timestamp) -> usize {
         let freshness = self.settings.view_freshness;
--- a/crates/sloetrail-balance/src/entry.rs
+++ b/crates/sloetrail-balance/src/entry.rs
@@ -1,7 +1,7 @@
 //! What a node knows of one engine.
 
 use crate::ConcurrencyLimit;
-use sloetrail_types::{Timestamp, ZoneName};
+use sloetrail_types::{Timestamp, WeightVersion, ZoneName};
 use std::time::Duration;
 
 /// Whether an engine takes new work, as an observer found it.
@@ -26,6 +26,8 @@
     pub load: u32,
     /// Requests that it can run at a time.
     pub capacity: u32,
+    /// The weights that it uses; zero for applications.
+    pub version: WeightVersion,
 }
 
 /// Who waits for a request.
--- a/crates/sloetrail-balance/src/tests.rs
+++ b/crates/sloetrail-balance/src/tests.rs
@@ -4,7 +4,7 @@
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use sloetrail_types::{EngineId, Timestamp, ZoneName};
+use sloetrail_types::{EngineId, Timestamp, WeightVersion, ZoneName};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -36,6 +36,7 @@
         state,
         load,
         capacity: 8,
+        version: WeightVersion(1),
     }
 }
 
--- a/crates/sloetrail-lab/src/experiment/settings.rs
+++ b/crates/sloetrail-lab/src/experiment/settings.rs
@@ -19,6 +19,8 @@
     AheadWaitingSwap,
     /// As `ahead`, but samples go out in the order of their ids.
     AheadUnordered,
+    /// As `ahead`, but a step's samples go to engines whatever weights they use.
+    AheadAnyVersion,
 }
 
 impl Policy {
@@ -37,6 +39,11 @@
         !self.is_baseline() && self != Policy::AheadWaitingSwap
     }
 
+    /// True if a sample waits for weights that will not be too old when it is used.
+    pub(crate) fn minds_versions(self) -> bool {
+        !self.is_baseline() && self != Policy::AheadAnyVersion
+    }
+
     /// True if lengths are predicted from a sample's group.
     pub(crate) fn predicts_lengths(self) -> bool {
         !self.is_baseline() && self != Policy::AheadUnordered
--- a/crates/sloetrail-lab/src/experiment/tests.rs
+++ b/crates/sloetrail-lab/src/experiment/tests.rs
@@ -29,6 +29,7 @@
         Policy::Ahead,
         Policy::AheadWaitingSwap,
         Policy::AheadUnordered,
+        Policy::AheadAnyVersion,
     ] {
         let report = simulate(&settings, policy, 1);
         assert!(
--- a/crates/sloetrail-ledger/src/dispatch.rs
+++ b/crates/sloetrail-ledger/src/dispatch.rs
@@ -20,8 +20,12 @@
         self.ordered.insert((step, Reverse(predicted), id));
     }
 
-    /// Takes the sample that goes first.
-    pub fn pop(&mut self) -> Option<SampleId> {
+    /// Takes the sample that goes first, if its step is not after `latest`.
+    pub fn pop_through(&mut self, latest: StepNumber) -> Option<SampleId> {
+        let (step, _, _) = self.ordered.first()?;
+        if *step > latest {
+            return None;
+        }
         let (_, _, id) = self.ordered.pop_first()?;
         self.places.remove(&id);
         Some(id)
--- a/crates/sloetrail-ledger/src/ledger.rs
+++ b/crates/sloetrail-ledger/src/ledger.rs
@@ -178,13 +178,31 @@
         })
     }
 
-    /// Takes the next sample to run, with its record.
-    pub fn start_next(&mut self) -> Option<SampleRecord> {
-        let id = self.queue.pop()?;
+    /// Takes the next sample to run on an engine that uses `engine_version`, with
+    /// its record; nothing if each queued sample would be too old when it is used.
+    pub fn start_next(&mut self, engine_version: WeightVersion) -> Option<SampleRecord> {
+        let latest = self.latest_useful_step(engine_version)?;
+        let id = self.queue.pop_through(latest)?;
         self.running.insert(id.clone());
         self.samples.get(&id).cloned()
     }
 
+    /// The latest step whose samples, started on `engine_version` now, are within
+    /// the bound when the trainer comes to them. It trains one step a version, so
+    /// a step's distance from the first open one adds to the engine's lag. The
+    /// first open step always goes on.
+    fn latest_useful_step(&self, engine_version: WeightVersion) -> Option<StepNumber> {
+        let mut unfinished = self.unacknowledged.iter();
+        let (first, _) = unfinished.find(|(_, count)| **count > 0)?;
+        let lag = self
+            .journal
+            .trainer_version
+            .0
+            .saturating_sub(engine_version.0);
+        let distance = self.limits.staleness_bound.saturating_sub(lag);
+        Some(StepNumber(first.0.saturating_add(distance)))
+    }
+
     /// Gives back a sample whose attempt brought nothing.
     pub fn abandon(&mut self, id: &SampleId) {
         if self.running.remove(id) {
--- a/crates/sloetrail-membership/src/message.rs
+++ b/crates/sloetrail-membership/src/message.rs
@@ -3,7 +3,7 @@
 
 use crate::MemberUpdate;
 use serde::{Deserialize, Serialize};
-use sloetrail_types::{NodeId, Revision, digest};
+use sloetrail_types::{NodeId, Revision, WeightVersion, digest};
 
 /// What a node knows of the shared documents; it rides on every datagram.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -89,12 +89,14 @@
     pub load: u32,
     /// Requests that it can run at a time.
     pub capacity: u32,
+    /// The weights that it uses.
+    pub version: WeightVersion,
     /// Milliseconds since the observer asked it.
     pub age_ms: u64,
 }
 
 #[derive(Serialize, Deserialize)]
-struct EngineNewsArray(u64, EngineNewsState, u32, u32, u64);
+struct EngineNewsArray(u64, EngineNewsState, u32, u32, WeightVersion, u64);
 
 impl From<EngineNewsArray> for EngineNews {
     fn from(array: EngineNewsArray) -> Self {
@@ -103,7 +105,8 @@
             state: array.1,
             load: array.2,
             capacity: array.3,
-            age_ms: array.4,
+            version: array.4,
+            age_ms: array.5,
         }
     }
 }
@@ -115,6 +118,7 @@
             news.state,
             news.load,
             news.capacity,
+            news.version,
             news.age_ms,
         )
     }
--- a/crates/sloetrail-node/src/gateway/pool.rs
+++ b/crates/sloetrail-node/src/gateway/pool.rs
@@ -8,7 +8,7 @@
 };
 use sloetrail_config::{NodeSettings, Service};
 use sloetrail_result::{Problem, ResultCode};
-use sloetrail_types::{EngineId, ServiceName, digest};
+use sloetrail_types::{EngineId, ServiceName, WeightVersion, digest};
 use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
@@ -113,6 +113,11 @@
         self.choice().balancer.confirm(engine, now);
     }
 
+    /// The weights that an engine uses, as last reported.
+    pub(crate) fn version_of(&self, engine: &EngineId) -> WeightVersion {
+        self.choice().balancer.version_of(engine)
+    }
+
     pub(crate) fn in_flight(&self) -> usize {
         self.choice().balancer.in_flight()
     }
--- a/crates/sloetrail-node/src/gossip.rs
+++ b/crates/sloetrail-node/src/gossip.rs
@@ -146,5 +146,6 @@
         },
         load: news.load,
         capacity: news.capacity,
+        version: news.version,
     }
 }
--- a/crates/sloetrail-node/src/observer.rs
+++ b/crates/sloetrail-node/src/observer.rs
@@ -10,7 +10,7 @@
 use futures_util::future::join_all;
 use sloetrail_membership::{EngineNews, EngineNewsState, NameDigest, ServiceCapacity};
 use sloetrail_platform::{CallError, EngineLoadState, EngineStatus, Machine};
-use sloetrail_types::{EngineId, Timestamp, digest, rendezvous_weight};
+use sloetrail_types::{EngineId, Timestamp, WeightVersion, digest, rendezvous_weight};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,6 +23,7 @@
 #[derive(Default)]
 struct Observed {
     state: Option<EngineNewsState>,
+    version: WeightVersion,
     failures: u32,
     told_at: Timestamp,
 }
@@ -121,11 +122,17 @@
             state: EngineNewsState::Unreachable,
             load: 0,
             capacity: 0,
+            version: WeightVersion(0),
             age_ms,
         });
     };
     entry.failures = 0;
-    Some(EngineNews {
+    Some(news_of_status(engine, &status, age_ms))
+}
+
+/// An engine's own status as news.
+pub(crate) fn news_of_status(engine: u64, status: &EngineStatus, age_ms: u64) -> EngineNews {
+    EngineNews {
         engine,
         state: match status.state {
             EngineLoadState::Serving => EngineNewsState::Serving,
@@ -133,8 +140,9 @@
         },
         load: status.running + status.queued,
         capacity: status.capacity,
+        version: status.version,
         age_ms,
-    })
+    }
 }
 
 fn take_in(state: &NodeState, machine: &Machine, news: &EngineNews) {
@@ -151,14 +159,15 @@
 }
 
 fn must_tell(entry: &mut Observed, news: &EngineNews, now: Timestamp) -> bool {
-    let changed = entry.state != Some(news.state);
+    let changed = entry.state != Some(news.state) || entry.version != news.version;
     if !changed && now.since(entry.told_at) < NEWS_PERIOD {
         return false;
     }
-    if changed {
+    if entry.state != Some(news.state) {
         log::info!(target: "engine", "Engine state is {:?}.", news.state);
     }
     entry.state = Some(news.state);
+    entry.version = news.version;
     entry.told_at = now;
     true
 }
--- a/crates/sloetrail-node/src/owner/dispatcher.rs
+++ b/crates/sloetrail-node/src/owner/dispatcher.rs
@@ -4,13 +4,13 @@
 use super::sample_attempt::{SampleJob, run_sample};
 use crate::gateway::{ServicePool, Slot};
 use crate::gossip::to_report;
+use crate::observer::news_of_status;
 use crate::state::NodeState;
 use futures_util::future::join_all;
 use sloetrail_balance::WorkClass;
 use sloetrail_config::Run;
 use sloetrail_ledger::Ledger;
-use sloetrail_membership::{EngineNews, EngineNewsState};
-use sloetrail_platform::{EngineLoadState, Machine};
+use sloetrail_platform::Machine;
 use sloetrail_types::{EngineId, Epoch, digest};
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -73,7 +73,8 @@
             let Some(slot) = pool.try_acquire(WorkClass::Sample, &BTreeSet::new()) else {
                 return;
             };
-            let Some(record) = ledger.start_next() else {
+            let version = pool.version_of(slot.engine());
+            let Some(record) = ledger.start_next(version) else {
                 return;
             };
             let job = SampleJob {
@@ -140,15 +141,7 @@
         return;
     }
     let now = state.now();
-    let news = EngineNews {
-        engine: digest(machine.id.as_bytes()),
-        state: match status.state {
-            EngineLoadState::Serving => EngineNewsState::Serving,
-            EngineLoadState::Draining => EngineNewsState::Draining,
-        },
-        load: status.running + status.queued,
-        capacity: status.capacity,
-        age_ms: now.since(asked_at).as_millis() as u64,
-    };
+    let age_ms = now.since(asked_at).as_millis() as u64;
+    let news = news_of_status(digest(machine.id.as_bytes()), &status, age_ms);
     pool.report(&EngineId::new(machine.id.clone()), to_report(now, &news));
 }
