Let the table's age grow between announcements; open-loop load and overload bench

A node's datagrams carried the table's age as it was when the view was last set; once the table could not be read the view was not set again, so two isolated nodes went on telling each other that the table had been read milliseconds ago, and both stayed fresh for ever. Ruled out: datagrams queued during the cut (the relay drops them), the majority rule (no other zone was heard). Change: the age is worked out when a datagram is made. The membership test 'the_age_of_the_table_grows_between_two_announcements' fails before (10 instead of 5010 ms) and passes after. Also: 'load' (open loop, latency from the intended start) and 'bench overload'.

--- a/crates/sloetrail-lab/src/commands/bench/mod.rs
+++ b/crates/sloetrail-lab/src/commands/bench/mod.rs
@@ -3,6 +3,7 @@
 mod control;
 mod gateway;
 mod hollow_platform;
+mod overload;
 mod process_stats;
 
 use clap::{ArgMatches, Command};
@@ -16,12 +17,14 @@
         .subcommand_required(true)
         .subcommand(control::command())
         .subcommand(gateway::command())
+        .subcommand(overload::command())
         .subcommand(hollow_platform::command())
 }
 
 pub(super) fn run(matches: &ArgMatches) -> Pin<Box<dyn Future<Output = ExitCode> + '_>> {
     match matches.subcommand() {
         Some(("control", matches)) => Box::pin(control::run(matches)),
+        Some(("overload", matches)) => Box::pin(overload::run(matches)),
         Some(("gateway", matches)) => Box::pin(gateway::run(matches)),
         Some(("hollow-platform", matches)) => Box::pin(hollow_platform::run(matches)),
         _ => Box::pin(async { ExitCode::FAILURE }),
--- a/crates/sloetrail-lab/src/commands/mod.rs
+++ b/crates/sloetrail-lab/src/commands/mod.rs
@@ -5,6 +5,7 @@
 mod engine;
 mod experiment;
 mod faults;
+mod load;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use std::future::Future;
@@ -32,6 +33,7 @@
         .subcommand(faults::command())
         .subcommand(bench::command())
         .subcommand(experiment::command())
+        .subcommand(load::command())
 }
 
 fn seed_argument() -> Arg {
@@ -52,6 +54,7 @@
     match matches.subcommand() {
         Some(("demo", matches)) => block_on(demo::run(seed_of(matches), matches.get_flag("json"))),
         Some(("engine", matches)) => block_on(engine::run(matches)),
+        Some(("load", matches)) => block_on(load::run(matches)),
         Some(("experiment", matches)) => experiment::run(matches),
         Some(("bench", matches)) => block_on(bench::run(matches)),
         Some(("faults", matches)) => block_on(faults::run(matches)),
--- a/crates/sloetrail-lab/src/fleet/local.rs
+++ b/crates/sloetrail-lab/src/fleet/local.rs
@@ -39,6 +39,8 @@
     pub book: NodeBook,
     /// What happened.
     pub history: HistoryLog,
+    /// Changes the settings of back ends before they start.
+    pub adjust: fn(&mut EngineSettings),
     /// The engines and back ends.
     pub engines: Vec<EngineStandIn>,
     nodes: Vec<Node>,
@@ -52,6 +54,16 @@
         profile: Profile,
         history: HistoryLog,
         seed: u64,
+    ) -> Result<Self, FleetError> {
+        Self::start_adjusted(profile, history, seed, |_| {}).await
+    }
+
+    /// As [`LocalFleet::start`], with other settings for the back ends.
+    pub async fn start_adjusted(
+        profile: Profile,
+        history: HistoryLog,
+        seed: u64,
+        adjust: fn(&mut EngineSettings),
     ) -> Result<Self, FleetError> {
         let platform = PlatformStandIns::start(PlatformSettings::assumed(seed))
             .await
@@ -60,6 +72,7 @@
             platform,
             book: NodeBook::default(),
             history,
+            adjust,
             engines: Vec::new(),
             nodes: Vec::new(),
             next_life: 0,
@@ -86,12 +99,13 @@
     ) -> Result<EngineId, FleetError> {
         let life = self.next_life();
         let id = EngineId::new(format!("{}-{zone}-{life}", shape.service));
-        let settings = EngineSettings::assumed(
+        let mut settings = EngineSettings::assumed(
             id.clone(),
             shape.service.clone(),
             shape.kind,
             self.platform.weights.address(),
         );
+        (self.adjust)(&mut settings);
         let seed = self.seed + life as u64;
         let engine = EngineStandIn::start(any_port(), settings, self.history.clone(), seed)
             .await
--- a/crates/sloetrail-membership/src/membership.rs
+++ b/crates/sloetrail-membership/src/membership.rs
@@ -92,6 +92,7 @@
     probed_at: Option<Timestamp>,
     summary_at: Option<Timestamp>,
     view: View,
+    view_set_at: Timestamp,
     capacity: Vec<ServiceCapacity>,
     random: StdRng,
 }
@@ -116,6 +117,7 @@
             probed_at: None,
             summary_at: None,
             view: View::default(),
+            view_set_at: Timestamp::default(),
             capacity: Vec::new(),
             random: StdRng::seed_from_u64(seed),
         }
@@ -149,6 +151,7 @@
     pub fn set_view(&mut self, now: Timestamp, view: View) -> Vec<Outgoing> {
         let news = view.revision > self.view.revision || view.list_version > self.view.list_version;
         self.view = view;
+        self.view_set_at = now;
         if !news {
             return Vec::new();
         }
@@ -195,7 +198,7 @@
     }
 
     /// Datagrams that carry news of engines to every member.
-    pub fn engine_news(&mut self, news: &[EngineNews]) -> Vec<Outgoing> {
+    pub fn engine_news(&mut self, now: Timestamp, news: &[EngineNews]) -> Vec<Outgoing> {
         let receivers: Vec<NodeId> = self
             .members
             .iter()
@@ -207,7 +210,7 @@
             envelope: Envelope {
                 format: FORMAT,
                 from: self.node.clone(),
-                view: self.view,
+                view: self.view_at(now),
                 updates: Vec::new(),
                 zones: Vec::new(),
                 body: Body::Engines(news.to_vec()),
@@ -286,6 +289,16 @@
         self.next_probe
     }
 
+    /// What this node tells of itself now: the table's age has grown since the
+    /// view was set.
+    fn view_at(&self, now: Timestamp) -> View {
+        let since = now.since(self.view_set_at).as_millis() as u64;
+        View {
+            table_age_ms: self.view.table_age_ms.map(|age| age + since),
+            ..self.view
+        }
+    }
+
     /// A datagram with as much news as it may carry.
     fn outgoing(&mut self, now: Timestamp, to: NodeId, body: Body) -> Outgoing {
         let updates = self.queue.take(self.members.len());
@@ -299,7 +312,7 @@
             envelope: Envelope {
                 format: FORMAT,
                 from: self.node.clone(),
-                view: self.view,
+                view: self.view_at(now),
                 updates,
                 zones,
                 body,
--- a/crates/sloetrail-membership/src/tests.rs
+++ b/crates/sloetrail-membership/src/tests.rs
@@ -301,3 +301,20 @@
         prop_assert_eq!(node.state_of(&target), Some(MemberState::Dead));
     }
 }
+
+#[test]
+fn the_age_of_the_table_grows_between_two_announcements() {
+    let mut fleet = Fleet::new(1, 2, 1);
+    let sender = NodeId::from("zone-0-node-00");
+    let node = fleet.nodes.get_mut(&sender).expect("there is one");
+    let view = View {
+        table_age_ms: Some(10),
+        ..View::default()
+    };
+    node.set_view(Timestamp(1_000), view);
+    let outgoing = node.tick(Timestamp(6_000));
+    assert!(!outgoing.is_empty());
+    for message in outgoing {
+        assert_eq!(message.envelope.view.table_age_ms, Some(5_010));
+    }
+}
--- a/crates/sloetrail-node/src/observer.rs
+++ b/crates/sloetrail-node/src/observer.rs
@@ -48,7 +48,7 @@
         }
         state.membership().set_capacity(capacity(&state));
         if !news.is_empty() {
-            let outgoing = state.membership().engine_news(&news);
+            let outgoing = state.membership().engine_news(state.now(), &news);
             state.send_all(outgoing);
         }
         tokio::select! {
