Queue in order of arrival, and refuse at once what would come too late

Cause: under twice the capacity refusals 1103 came after 1.0 s (p99 1002 ms): each waiting request looked again every 50 ms and then stood at the end of the line, so some never had their turn; and a request that got a place just before its deadline timed out on the engine (1203, outcome unknown). Ruled out: the estimate of the wait alone (it was near the truth for the queue's length, but the queue was not in order). Change: the queue's turn is a fair lock held by its first request; the estimate includes the time of an answer and refuses at once what cannot be done. A gap between answers counts at most as long as the answer, so that a quiet minute does not make the queue look slow (test).

--- a/crates/sloetrail-node/src/gateway/mod.rs
+++ b/crates/sloetrail-node/src/gateway/mod.rs
@@ -12,7 +12,11 @@
 mod forward;
 mod other_zone;
 mod pool;
+mod throughput;
 
 pub(crate) use forward::{CallerRequest, forward};
 pub(crate) use other_zone::serve_forwarded;
 pub(crate) use pool::{ServicePool, Slot};
+
+#[cfg(test)]
+mod tests;
--- a/crates/sloetrail-node/src/gateway/pool.rs
+++ b/crates/sloetrail-node/src/gateway/pool.rs
@@ -1,5 +1,6 @@
 //! One service's engines and queue on this node.
 
+use super::throughput::Throughput;
 use crate::clock::Clock;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -17,34 +18,12 @@
 use tokio::time::Instant;
 
 const RECHECK_PERIOD: Duration = Duration::from_millis(50);
-const RATE_SMOOTHING: f64 = 0.05;
 
 struct Choice {
     balancer: Balancer,
     random: StdRng,
 }
 
-#[derive(Default)]
-struct Throughput {
-    last_finish: Option<Instant>,
-    seconds_per_finish: f64,
-}
-
-impl Throughput {
-    fn finished(&mut self, now: Instant) {
-        if let Some(last) = self.last_finish {
-            let seconds = now.duration_since(last).as_secs_f64();
-            self.seconds_per_finish =
-                self.seconds_per_finish * (1.0 - RATE_SMOOTHING) + seconds * RATE_SMOOTHING;
-        }
-        self.last_finish = Some(now);
-    }
-
-    fn expected_wait(&self, waiting: usize) -> Duration {
-        Duration::from_secs_f64(self.seconds_per_finish * waiting as f64)
-    }
-}
-
 /// A service's engines, queue and retry budget, as one node sees them.
 pub(crate) struct ServicePool {
     clock: Clock,
@@ -53,6 +32,8 @@
     retries: Mutex<RetryBudget>,
     throughput: Mutex<Throughput>,
     waiting: AtomicUsize,
+    /// Held by the first request of the queue; it is given on in order of arrival.
+    turn: tokio::sync::Mutex<()>,
     freed: Notify,
 }
 
@@ -74,6 +55,7 @@
             retries: Mutex::new(RetryBudget::new(service.retry_budget_percent)),
             throughput: Mutex::default(),
             waiting: AtomicUsize::new(0),
+            turn: tokio::sync::Mutex::new(()),
             freed: Notify::new(),
         }
     }
@@ -152,6 +134,7 @@
         Some(Slot {
             pool: Arc::clone(self),
             engine,
+            started: Instant::now(),
             ended: false,
         })
     }
@@ -169,7 +152,13 @@
             return Ok(slot);
         }
         let _place = self.enter_queue(deadline)?;
+        let Ok(_turn) = tokio::time::timeout_at(deadline, self.turn.lock()).await else {
+            return Err(self.out_of_time());
+        };
         loop {
+            if self.expected_time(0) > deadline.saturating_duration_since(Instant::now()) {
+                return Err(self.out_of_time());
+            }
             if let Some(slot) = self.try_acquire(class, excluded) {
                 return Ok(slot);
             }
@@ -177,12 +166,9 @@
                 let detail = format!("service {} has no engine that may be chosen", self.name());
                 return Err(Problem::new(ResultCode::NoEngine, detail));
             }
-            let recheck = Instant::now() + RECHECK_PERIOD;
-            if recheck >= deadline {
-                let detail = "no engine had room before the deadline";
-                return Err(Problem::new(ResultCode::QueueDeadline, detail));
-            }
+            let recheck = deadline.min(Instant::now() + RECHECK_PERIOD);
             let freed = self.freed.notified();
+            // Whether woken or not, the first of the queue looks again.
             let _ = tokio::time::timeout_at(recheck, freed).await;
         }
     }
@@ -195,18 +181,23 @@
             let detail = format!("{limit} requests are waiting");
             return Err(Problem::new(ResultCode::QueueFull, detail));
         }
-        let expected_wait = self
-            .throughput
-            .lock()
-            .expect("not poisoned")
-            .expected_wait(waiting);
-        if Instant::now() + expected_wait >= deadline {
-            let detail = format!("the queue is {} ms long", expected_wait.as_millis());
-            return Err(Problem::new(ResultCode::QueueDeadline, detail));
+        if Instant::now() + self.expected_time(waiting) >= deadline {
+            return Err(self.out_of_time());
         }
         Ok(place)
     }
 
+    fn expected_time(&self, waiting: usize) -> Duration {
+        let throughput = self.throughput.lock().expect("not poisoned");
+        throughput.expected_time(waiting)
+    }
+
+    /// The answer to a request that would not be answered before its deadline.
+    fn out_of_time(&self) -> Problem {
+        let detail = format!("{} requests are waiting", self.waiting());
+        Problem::new(ResultCode::QueueDeadline, detail)
+    }
+
     fn choice(&self) -> MutexGuard<'_, Choice> {
         self.choice.lock().expect("not poisoned")
     }
@@ -215,12 +206,12 @@
         self.retries.lock().expect("not poisoned")
     }
 
-    fn end(&self, engine: &EngineId, outcome: AttemptOutcome) {
+    fn end(&self, engine: &EngineId, started: Instant, outcome: AttemptOutcome) {
         let now = self.clock.now();
         self.choice().balancer.finish(now, engine, outcome);
         if outcome == AttemptOutcome::Answered {
             let mut throughput = self.throughput.lock().expect("not poisoned");
-            throughput.finished(Instant::now());
+            throughput.finished(started.into_std(), Instant::now().into_std());
         }
         self.freed.notify_one();
     }
@@ -240,6 +231,7 @@
 pub(crate) struct Slot {
     pool: Arc<ServicePool>,
     engine: EngineId,
+    started: Instant,
     ended: bool,
 }
 
@@ -250,14 +242,15 @@
 
     pub(crate) fn end(mut self, outcome: AttemptOutcome) {
         self.ended = true;
-        self.pool.end(&self.engine, outcome);
+        self.pool.end(&self.engine, self.started, outcome);
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
         if !self.ended {
-            self.pool.end(&self.engine, AttemptOutcome::Abandoned);
+            let abandoned = AttemptOutcome::Abandoned;
+            self.pool.end(&self.engine, self.started, abandoned);
         }
     }
 }
