--- a/crates/sloetrail-rollout/src/planner.rs
+++ b/crates/sloetrail-rollout/src/planner.rs
@@ -70,6 +70,8 @@
 struct Backoff {
     failures: u32,
     until: Timestamp,
+    /// The source of a load that failed last; it may be what fails.
+    avoid: Option<WeightSource>,
 }
 
 /// The rollout of one service's weights.
@@ -77,6 +79,8 @@
 pub struct RolloutPlanner {
     limits: RolloutLimits,
     in_progress: BTreeMap<EngineId, RolloutStep>,
+    /// Loads in progress by source.
+    reads: BTreeMap<WeightSource, usize>,
     backoff: BTreeMap<EngineId, Backoff>,
 }
 
@@ -86,6 +90,7 @@
         Self {
             limits,
             in_progress: BTreeMap::new(),
+            reads: BTreeMap::new(),
             backoff: BTreeMap::new(),
         }
     }
@@ -113,6 +118,9 @@
                 false => self.load(id, target, engines),
             };
             if let Some(step) = step {
+                if let RolloutStep::Load { source, .. } = &step {
+                    *self.reads.entry(source.clone()).or_default() += 1;
+                }
                 self.in_progress.insert(id.clone(), step.clone());
                 steps.push(step);
             }
@@ -122,7 +130,12 @@
 
     /// Ends a step.
     pub fn finish(&mut self, now: Timestamp, engine: &EngineId, succeeded: bool) {
-        self.in_progress.remove(engine);
+        let step = self.in_progress.remove(engine);
+        if let Some(RolloutStep::Load { source, .. }) = &step
+            && let Some(reads) = self.reads.get_mut(source)
+        {
+            *reads = reads.saturating_sub(1);
+        }
         if succeeded {
             self.backoff.remove(engine);
             return;
@@ -130,10 +143,14 @@
         let backoff = self.backoff.entry(engine.clone()).or_insert(Backoff {
             failures: 0,
             until: now,
+            avoid: None,
         });
         let doublings = backoff.failures.min(BACKOFF_DOUBLINGS_LIMIT);
         backoff.failures += 1;
         backoff.until = now.after(BACKOFF_FIRST * 2_u32.pow(doublings));
+        if let Some(RolloutStep::Load { source, .. }) = step {
+            backoff.avoid = Some(source);
+        }
     }
 
     fn must_wait(&self, now: Timestamp, engine: &EngineId) -> bool {
@@ -185,32 +202,38 @@
         })
     }
 
-    /// A peer with a free place, else the store; the store alone after failures,
-    /// because a peer may be what fails.
+    /// A peer with a free place, else the store; not the source that failed
+    /// last, unless there is no other.
     fn free_source(
         &self,
         engine: &EngineId,
         version: WeightVersion,
         engines: &BTreeMap<EngineId, EngineWeights>,
     ) -> Option<WeightSource> {
-        let failed_before = self.backoff.contains_key(engine);
         let holders = engines
             .iter()
             .filter(|(_, weights)| weights.loaded.contains(&version));
-        for (holder, _) in holders {
-            let source = WeightSource::Peer(holder.clone());
-            if !failed_before && self.reads_of(&source) < self.limits.peer_reads {
-                return Some(source);
-            }
+        let mut sources: Vec<WeightSource> = holders
+            .map(|(holder, _)| WeightSource::Peer(holder.clone()))
+            .collect();
+        sources.push(WeightSource::Store);
+        let backoff = self.backoff.get(engine);
+        let avoid = backoff.and_then(|backoff| backoff.avoid.as_ref());
+        let has_choice = sources.len() > 1;
+        sources.into_iter().find(|source| {
+            let is_avoided = has_choice && avoid == Some(source);
+            !is_avoided && self.reads_of(source) < self.reads_allowed(source)
+        })
+    }
+
+    fn reads_allowed(&self, source: &WeightSource) -> usize {
+        match source {
+            WeightSource::Store => self.limits.store_reads,
+            WeightSource::Peer(_) => self.limits.peer_reads,
         }
-        let store_is_free = self.reads_of(&WeightSource::Store) < self.limits.store_reads;
-        store_is_free.then_some(WeightSource::Store)
     }
 
-    fn reads_of(&self, wanted: &WeightSource) -> usize {
-        self.in_progress
-            .values()
-            .filter(|step| matches!(step, RolloutStep::Load { source, .. } if source == wanted))
-            .count()
+    fn reads_of(&self, source: &WeightSource) -> usize {
+        self.reads.get(source).copied().unwrap_or(0)
     }
 }
--- a/crates/sloetrail-rollout/src/tests.rs
+++ b/crates/sloetrail-rollout/src/tests.rs
@@ -78,6 +78,31 @@
     assert_eq!(steps, vec![load(WeightSource::Store)]);
 }
 
+#[test]
+fn a_load_that_failed_from_one_peer_goes_to_another() {
+    let mut engines = engines(3);
+    for holder in ["engine-000", "engine-001"] {
+        let weights = engines.get_mut(&EngineId::from(holder)).expect("known");
+        weights.loaded.insert(NEW);
+        weights.version = NEW;
+    }
+    let mut planner = RolloutPlanner::new(LIMITS);
+    let waiting = EngineId::from("engine-002");
+    let mut sources = Vec::new();
+    let mut now = Timestamp(0);
+    for _ in 0..2 {
+        let steps = planner.next_steps(now, NEW, &engines);
+        let [RolloutStep::Load { source, .. }] = steps.as_slice() else {
+            panic!("one load is due: {steps:?}");
+        };
+        sources.push(source.clone());
+        planner.finish(now, &waiting, false);
+        now = Timestamp(now.0 + 1_000);
+    }
+    let peer = |name: &str| WeightSource::Peer(EngineId::from(name));
+    assert_eq!(sources, vec![peer("engine-000"), peer("engine-001")]);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 64,
