--- a/crates/sloetrail-balance/src/balancer.rs
+++ b/crates/sloetrail-balance/src/balancer.rs
@@ -78,13 +78,24 @@
         }
     }
 
-    /// Notes that an engine was heard from, as by a piece of a running answer.
-    pub fn confirm(&mut self, id: &EngineId, now: Timestamp) {
-        if let Some(entry) = self.engines.get_mut(id) {
-            entry.confirmed_at = entry.confirmed_at.max(Some(now));
+    /// Notes that an engine was heard from by a piece of a running answer, which
+    /// the weights of this version produced.
+    pub fn confirm(&mut self, id: &EngineId, now: Timestamp, version: WeightVersion) {
+        let Some(entry) = self.engines.get_mut(id) else {
+            return;
+        };
+        entry.confirmed_at = entry.confirmed_at.max(Some(now));
+        if let Some(report) = &mut entry.report {
+            report.version = version;
         }
     }
 
+    /// True if there was no news of an engine within `age`.
+    pub fn is_unheard(&self, id: &EngineId, now: Timestamp, age: Duration) -> bool {
+        let confirmed_at = self.engines.get(id).and_then(|entry| entry.confirmed_at);
+        confirmed_at.is_none_or(|at| now.since(at) >= age)
+    }
+
     /// Chooses an engine and counts a request on it, or finds none with room.
     /// The request must be ended with [`Balancer::finish`].
     pub fn choose(
--- a/crates/sloetrail-balance/src/tests.rs
+++ b/crates/sloetrail-balance/src/tests.rs
@@ -189,3 +189,17 @@
     }
     assert_eq!(choose(&mut balancer, 130), None);
 }
+
+#[test]
+fn a_running_answer_is_news_of_its_engine_and_its_weights() {
+    let mut balancer = balancer();
+    let id = EngineId::from("near-1");
+    let second = Duration::from_millis(1_000);
+    assert!(balancer.is_unheard(&id, Timestamp(100), second));
+    balancer.report(&id, report(100, ReportedState::Serving, 0));
+    balancer.confirm(&id, Timestamp(900), WeightVersion(2));
+    assert!(!balancer.is_unheard(&id, Timestamp(1_899), second));
+    assert!(balancer.is_unheard(&id, Timestamp(1_900), second));
+    assert_eq!(balancer.version_of(&id), WeightVersion(2));
+    assert_eq!(choose(&mut balancer, 1_800), Some(id));
+}
--- a/crates/sloetrail-node/src/gateway/pool.rs
+++ b/crates/sloetrail-node/src/gateway/pool.rs
@@ -89,10 +89,16 @@
         self.freed.notify_one();
     }
 
-    /// Notes that an engine was heard from.
-    pub(crate) fn confirm(&self, engine: &EngineId) {
+    /// Notes that an engine was heard from, with the weights that it used.
+    pub(crate) fn confirm(&self, engine: &EngineId, version: WeightVersion) {
         let now = self.clock.now();
-        self.choice().balancer.confirm(engine, now);
+        self.choice().balancer.confirm(engine, now, version);
+    }
+
+    /// True if there was no news of an engine within `age`.
+    pub(crate) fn is_unheard(&self, engine: &EngineId, age: Duration) -> bool {
+        let now = self.clock.now();
+        self.choice().balancer.is_unheard(engine, now, age)
     }
 
     /// The weights that an engine uses, as last reported.
--- a/crates/sloetrail-node/src/observer.rs
+++ b/crates/sloetrail-node/src/observer.rs
@@ -35,6 +35,8 @@
         let machines = observed_engines(&state);
         observed.retain(|id, _| machines.iter().any(|machine| machine.id == *id));
         let asked_at = state.now();
+        metrics::counter!("sloetrail_status_calls_total", "part" => "observer")
+            .increment(machines.len() as u64);
         let answers = join_all(machines.iter().map(|machine| ask(&state, machine))).await;
         let mut news = Vec::new();
         for (machine, answer) in machines.iter().zip(answers) {
--- a/crates/sloetrail-node/src/owner/dispatcher.rs
+++ b/crates/sloetrail-node/src/owner/dispatcher.rs
@@ -111,16 +111,13 @@
 }
 
 /// Engines of other zones do not report to this node, so their run's owner asks
-/// them itself.
+/// them itself, unless a running sample brings news of them.
 async fn ask_remote_engines(state: Arc<NodeState>, run: Run, cancel: CancellationToken) {
     loop {
-        let directory = state.directory();
-        let remote: Vec<Machine> = directory
-            .engines_of(&run.service)
-            .filter(|machine| machine.zone != state.settings.zone)
-            .cloned()
-            .collect();
-        join_all(remote.iter().map(|machine| ask(&state, &run, machine))).await;
+        let unheard = unheard_remote_engines(&state, &run);
+        metrics::counter!("sloetrail_status_calls_total", "part" => "ledger")
+            .increment(unheard.len() as u64);
+        join_all(unheard.iter().map(|machine| ask(&state, &run, machine))).await;
         tokio::select! {
             () = tokio::time::sleep(ASK_PERIOD) => {}
             () = cancel.cancelled() => return,
@@ -128,6 +125,19 @@
     }
 }
 
+fn unheard_remote_engines(state: &NodeState, run: &Run) -> Vec<Machine> {
+    let Some(pool) = state.pool(&run.service) else {
+        return Vec::new();
+    };
+    let unheard = |machine: &&Machine| {
+        let id = EngineId::new(machine.id.clone());
+        machine.zone != state.settings.zone && pool.is_unheard(&id, ASK_PERIOD)
+    };
+    let directory = state.directory();
+    let engines = directory.engines_of(&run.service);
+    engines.filter(unheard).cloned().collect()
+}
+
 async fn ask(state: &NodeState, run: &Run, machine: &Machine) {
     let asked_at = state.now();
     let engines = &state.clients.engines;
--- a/crates/sloetrail-node/src/owner/sample_attempt.rs
+++ b/crates/sloetrail-node/src/owner/sample_attempt.rs
@@ -156,7 +156,7 @@
                 reason: "a chunk is out of place or of another request".to_owned(),
             });
         }
-        pool.confirm(engine);
+        pool.confirm(engine, chunk.version);
         generated.append(engine, &chunk);
         if chunk.end {
             return Ok(());
--- a/crates/sloetrail-node/src/owner/weights.rs
+++ b/crates/sloetrail-node/src/owner/weights.rs
@@ -8,18 +8,21 @@
 use crate::sync::rows::value_of;
 use futures_util::future::join_all;
 use serde::{Deserialize, Serialize};
-use sloetrail_platform::{EngineStatus, Machine, Order, OrderCommand, OrderOutcome};
+use sloetrail_platform::{Machine, Order, OrderCommand, OrderOutcome};
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_rollout::{EngineWeights, RolloutLimits, RolloutPlanner, RolloutStep, WeightSource};
-use sloetrail_types::{EngineId, Epoch, ServiceName, WeightVersion};
+use sloetrail_types::{EngineId, Epoch, ServiceName, Timestamp, WeightVersion};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 const IDLE_PERIOD: Duration = Duration::from_millis(500);
 const ACTIVE_PERIOD: Duration = Duration::from_millis(100);
+/// Time until an engine is asked again whose weights are known.
+const ASK_AGAIN: Duration = Duration::from_secs(30);
 const STATUS_TIMEOUT: Duration = Duration::from_millis(400);
 const ORDER_TIMEOUT: Duration = Duration::from_millis(8_000);
 const STORE_READS: usize = 2;
@@ -75,19 +78,32 @@
     cancel: CancellationToken,
 }
 
+/// What an engine held when it was last asked.
+struct KnownEngine {
+    weights: EngineWeights,
+    asked_at: Timestamp,
+}
+
+type KnownEngines = BTreeMap<EngineId, KnownEngine>;
+
 struct StepEnd {
-    engine: EngineId,
+    step: RolloutStep,
     succeeded: bool,
 }
 
 impl WeightsOwner {
     async fn serve(self, mut orders: mpsc::Receiver<EngineOrder>) {
         let mut planner = RolloutPlanner::new(self.limits());
-        let mut target = None;
+        let mut target = self.read_target().await;
+        let mut target_read_at = Instant::now();
         let (ended, mut ends) = mpsc::unbounded_channel::<StepEnd>();
+        let mut known = KnownEngines::new();
         loop {
-            target = self.read_target().await.or(target);
-            let engines = self.read_engines().await;
+            if target_read_at.elapsed() >= IDLE_PERIOD {
+                target = self.read_target().await.or(target);
+                target_read_at = Instant::now();
+            }
+            let engines = self.read_engines(&mut known).await;
             let mut active = false;
             if let Some(target) = target {
                 planner.set_limits(self.limits());
@@ -101,11 +117,32 @@
             tokio::select! {
                 () = tokio::time::sleep(period) => {}
                 Some(order) = orders.recv() => self.carry_out(order),
-                Some(end) = ends.recv() => planner.finish(self.state.now(), &end.engine, end.succeeded),
+                Some(end) = ends.recv() => self.end_step(&mut planner, &mut known, end),
                 () = self.cancel.cancelled() => return,
             }
             while let Ok(end) = ends.try_recv() {
-                planner.finish(self.state.now(), &end.engine, end.succeeded);
+                self.end_step(&mut planner, &mut known, end);
+            }
+        }
+    }
+
+    /// An engine's word that it carried a step out is news of what it holds; after
+    /// anything else it is asked again.
+    fn end_step(&self, planner: &mut RolloutPlanner, known: &mut KnownEngines, end: StepEnd) {
+        let engine = end.step.engine();
+        planner.finish(self.state.now(), engine, end.succeeded);
+        if !end.succeeded {
+            known.remove(engine);
+            return;
+        }
+        let Some(held) = known.get_mut(engine) else {
+            return;
+        };
+        match end.step {
+            RolloutStep::Load { version, .. } => drop(held.weights.loaded.insert(version)),
+            RolloutStep::Switch { version, .. } => {
+                held.weights.version = version;
+                held.weights.loaded = BTreeSet::from([version]);
             }
         }
     }
@@ -133,9 +170,18 @@
         Some(record.published)
     }
 
-    async fn read_engines(&self) -> BTreeMap<EngineId, EngineWeights> {
+    /// What the engines hold. Those of which it is known are only asked now and
+    /// then: nobody else gives them orders.
+    async fn read_engines(&self, known: &mut KnownEngines) -> BTreeMap<EngineId, EngineWeights> {
         let directory = self.state.directory();
-        let machines: Vec<&Machine> = directory.engines_of(&self.service).collect();
+        let listed: Vec<&Machine> = directory.engines_of(&self.service).collect();
+        known.retain(|id, _| listed.iter().any(|machine| machine.id == id.as_str()));
+        let now = self.state.now();
+        let must_ask = |machine: &&Machine| {
+            let held = known.get(&EngineId::new(machine.id.clone()));
+            held.is_none_or(|held| now.since(held.asked_at) >= ASK_AGAIN)
+        };
+        let asked: Vec<&Machine> = listed.into_iter().filter(must_ask).collect();
         let ask = |machine: &Machine| {
             let address = machine.address;
             async move {
@@ -143,15 +189,22 @@
                 engines.status(address, STATUS_TIMEOUT).await.ok()
             }
         };
-        let answers = join_all(machines.into_iter().map(ask)).await;
-        let weights = |status: EngineStatus| {
+        metrics::counter!("sloetrail_status_calls_total", "part" => "weights")
+            .increment(asked.len() as u64);
+        for machine in &asked {
+            known.remove(&EngineId::new(machine.id.clone()));
+        }
+        let answers = join_all(asked.into_iter().map(ask)).await;
+        for status in answers.into_iter().flatten() {
             let weights = EngineWeights {
                 version: status.version,
                 loaded: BTreeSet::from_iter(status.loaded),
             };
-            (status.engine, weights)
-        };
-        answers.into_iter().flatten().map(weights).collect()
+            let asked_at = now;
+            known.insert(status.engine, KnownEngine { weights, asked_at });
+        }
+        let weights = |(id, held): (&EngineId, &KnownEngine)| (id.clone(), held.weights.clone());
+        known.iter().map(weights).collect()
     }
 
     fn start_step(&self, step: RolloutStep, ended: mpsc::UnboundedSender<StepEnd>) {
@@ -163,10 +216,8 @@
             if let Err(problem) = &outcome {
                 log::warn!(target: "weights", "Engine {engine}: {}.", problem.detail);
             }
-            let _ = ended.send(StepEnd {
-                engine,
-                succeeded: outcome.is_ok(),
-            });
+            let succeeded = outcome.is_ok();
+            let _ = ended.send(StepEnd { step, succeeded });
         });
     }
 
