The outage run checks departures too; a trainer's idle time is all it does not train

Cause: the run with a two minutes' outage held but left I7 unchecked and so ended as failed; and it showed 4% idle because time spent on submissions and publications that were refused did not count as idle. Change: the outage run ends with a drain, a mark and a stop like the others; the lab's trainer counts as idle all the time that it does not train.

--- a/crates/sloetrail-lab/src/commands/faults/outage.rs
+++ b/crates/sloetrail-lab/src/commands/faults/outage.rs
@@ -1,10 +1,14 @@
 //! One long outage of the store, and how soon everything has caught up after it.
 
+use super::injector::Injector;
 use super::run::{
-    RunSettings, Workload, end_and_judge, print_verdicts, print_workload, start_fleet,
+    RunSettings, Workload, end_and_judge, leave_as_planned, print_verdicts, print_workload,
+    start_fleet,
 };
 use crate::fleet::ProcessFleet;
 use crate::standins::Faults;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use sloetrail_history::EventBody;
 use sloetrail_types::Revision;
 use std::sync::Arc;
@@ -17,7 +21,7 @@
 
 /// Takes the store down once; true if everything held and caught up in time.
 pub(super) async fn run(settings: RunSettings, outage: Duration) -> Result<bool, String> {
-    let fleet = start_fleet(&settings).await?;
+    let mut fleet = start_fleet(&settings).await?;
     let workload = Workload::start(&fleet, settings.seed);
     tokio::time::sleep(WARM_UP).await;
     eprintln!("faults: the store is down for {} s", outage.as_secs());
@@ -35,6 +39,8 @@
     let back_at = Instant::now();
     let samples = until(back_at, || Progress::of(&fleet).taken > before.taken).await;
     let configuration = until(back_at, || Progress::of(&fleet).accepted > before.accepted).await;
+    let mut injector = Injector::new(StdRng::seed_from_u64(settings.seed));
+    leave_as_planned(&mut fleet, &mut injector).await?;
     let totals = Arc::clone(&workload.totals);
     let report = workload.finish().await?;
     let verdicts = end_and_judge(fleet).await?;
--- a/crates/sloetrail-lab/src/commands/faults/run.rs
+++ b/crates/sloetrail-lab/src/commands/faults/run.rs
@@ -223,7 +223,10 @@
 
 /// Every run ends with a drain and a stop under load, so that what must hold of
 /// planned departures is looked at whatever the seed chose.
-async fn leave_as_planned(fleet: &mut ProcessFleet, injector: &mut Injector) -> Result<(), String> {
+pub(super) async fn leave_as_planned(
+    fleet: &mut ProcessFleet,
+    injector: &mut Injector,
+) -> Result<(), String> {
     for kind in [
         FaultKind::DrainEngine,
         FaultKind::ListLeaving,
--- a/crates/sloetrail-lab/src/workload/trainer.rs
+++ b/crates/sloetrail-lab/src/workload/trainer.rs
@@ -55,7 +55,7 @@
     pub withdrawn: u64,
     /// Steps trained.
     pub steps: u64,
-    /// Time spent waiting for samples.
+    /// Time not spent training: waiting for samples, or for a call to be taken.
     pub idle: Duration,
     /// The whole time.
     pub total: Duration,
@@ -77,6 +77,7 @@
     version: WeightVersion,
     prompts: BTreeMap<SampleId, String>,
     open: BTreeMap<StepNumber, BTreeSet<SampleId>>,
+    trained: Duration,
     report: TrainerReport,
 }
 
@@ -99,11 +100,13 @@
         version: WeightVersion(1),
         prompts: BTreeMap::new(),
         open: BTreeMap::new(),
+        trained: Duration::ZERO,
         report: TrainerReport::default(),
     };
     let started = Instant::now();
     trainer.train(&cancel).await;
     trainer.report.total = started.elapsed();
+    trainer.report.idle = trainer.report.total.saturating_sub(trainer.trained);
     trainer.finish(last_wait).await;
     trainer.report
 }
@@ -119,13 +122,11 @@
                 }
                 next_step = next_step.next();
             }
-            let waiting = Instant::now();
-            let arrived = self.pull_step(step, cancel).await;
-            self.report.idle += waiting.elapsed();
-            if !arrived {
+            if !self.pull_step(step, cancel).await {
                 return;
             }
             tokio::time::sleep(self.settings.train_time).await;
+            self.trained += self.settings.train_time;
             self.version = self.version.next();
             self.publish(cancel).await;
             self.report.steps += 1;
