A zone's news confirms nothing if it shows a higher revision; delete bodies of closed steps

The first datagram from another zone updated the zone's time first and the highest revision heard a moment later, under another lock; a request in between saw a fresh majority and no higher revision. Ruled out: old datagrams (the relay drops them), the table (not yet read again). Change: the freshness rule looks at the revisions in the zone table itself, which are taken in together with their times; besides, a datagram's revisions are heard before it is handed to the membership. Also: the bodies of a closed step's samples are deleted from the object store after the commit that closes it, once each; a body whose deletion is missed, and one of an attempt that was made again, stays. The ledger's test holds the change; how many stay was not measured.

--- a/crates/sloetrail-lab/src/experiment/simulation.rs
+++ b/crates/sloetrail-lab/src/experiment/simulation.rs
@@ -10,9 +10,7 @@
     AttemptOutcome, Balancer, BalancerSettings, EngineReport, ListedEngine, ReportedState,
     WorkClass,
 };
-use sloetrail_ledger::{
-    FinishedSample, HandOver, Ledger, Limits, NewSample, SampleStatus, StoredRun,
-};
+use sloetrail_ledger::{FinishedSample, HandOver, Ledger, Limits, NewSample, StoredRun};
 use sloetrail_rollout::{EngineWeights, RolloutLimits, RolloutPlanner, RolloutStep};
 use sloetrail_types::{
     EngineId, Epoch, SampleId, SequenceNumber, StepNumber, Timestamp, WeightVersion, ZoneName,
@@ -390,7 +388,7 @@
                 HandOver::Withdrawn { sequence, .. } => self.cursor = sequence,
                 HandOver::Sample { sequence, record } => {
                     self.cursor = sequence;
-                    if let SampleStatus::Delivered { result, .. } = &record.status {
+                    if let Some(result) = record.status.result() {
                         self.staleness.push(result.staleness(self.version));
                         self.regenerated += u64::from(record.generation);
                         let again = u64::from(record.generation) * u64::from(result.token_count);
--- a/crates/sloetrail-lab/src/standins/objects.rs
+++ b/crates/sloetrail-lab/src/standins/objects.rs
@@ -20,6 +20,7 @@
 /// The object store stand-in.
 pub struct ObjectStandIn {
     served: Served,
+    shared: Arc<Shared>,
     /// Its faults.
     pub faults: FaultControl,
 }
@@ -33,11 +34,20 @@
             limit: RateLimit::new(per_second),
         });
         let router = Router::new()
-            .route("/v1/objects/{*key}", get(read).put(write))
+            .route("/v1/objects/{*key}", get(read).put(write).delete(delete))
             .layer(axum::extract::DefaultBodyLimit::max(64 * 1024 * 1024))
-            .with_state(shared);
+            .with_state(Arc::clone(&shared));
         let served = Served::start(address, faults.wrap(router)).await?;
-        Ok(Self { served, faults })
+        Ok(Self {
+            served,
+            shared,
+            faults,
+        })
+    }
+
+    /// Bodies that it holds.
+    pub fn count(&self) -> usize {
+        self.shared.objects.lock().expect("not poisoned").len()
     }
 
     /// Where it serves.
@@ -57,6 +67,17 @@
     objects.get(&key).cloned().ok_or(StatusCode::NOT_FOUND)
 }
 
+async fn delete(
+    State(shared): State<Arc<Shared>>,
+    Path(key): Path<String>,
+) -> Result<(), StatusCode> {
+    if !shared.limit.allow() {
+        return Err(StatusCode::TOO_MANY_REQUESTS);
+    }
+    shared.objects.lock().expect("not poisoned").remove(&key);
+    Ok(())
+}
+
 async fn write(
     State(shared): State<Arc<Shared>>,
     Path(key): Path<String>,
--- a/crates/sloetrail-ledger/src/ledger.rs
+++ b/crates/sloetrail-ledger/src/ledger.rs
@@ -351,8 +351,11 @@
             self.unacknowledged.remove(&step);
             self.journal.closed_step = step;
             for id in self.open_steps.remove(&step).unwrap_or_default() {
-                self.samples.remove(&id);
-                self.changes.push(RowChange::DeleteSample(step, id));
+                let record = self.samples.remove(&id);
+                let result = record.as_ref().and_then(|record| record.status.result());
+                let object = result.map(|result| result.object.clone());
+                let deletion = RowChange::DeleteSample { step, id, object };
+                self.changes.push(deletion);
             }
         }
     }
--- a/crates/sloetrail-ledger/src/record.rs
+++ b/crates/sloetrail-ledger/src/record.rs
@@ -73,6 +73,18 @@
     },
 }
 
+impl SampleStatus {
+    /// The result, if there is one.
+    pub fn result(&self) -> Option<&FinishedSample> {
+        match self {
+            SampleStatus::Queued => None,
+            SampleStatus::Finished { result } | SampleStatus::Delivered { result, .. } => {
+                Some(result)
+            }
+        }
+    }
+}
+
 /// A sample's row.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct SampleRecord {
@@ -91,8 +103,15 @@
 pub enum RowChange {
     /// Write a sample's row.
     PutSample(SampleRecord),
-    /// Delete the row of a sample of a closed step.
-    DeleteSample(StepNumber, SampleId),
+    /// Delete the row of a sample of a closed step. Its body is of no more use.
+    DeleteSample {
+        /// The step.
+        step: StepNumber,
+        /// The sample.
+        id: SampleId,
+        /// The key of its body in the object store.
+        object: Option<String>,
+    },
     /// Note that a sequence number was withdrawn from a sample.
     PutWithdrawn(SequenceNumber, SampleId),
     /// Delete such a note after its acknowledgement.
@@ -119,7 +138,7 @@
                 self.samples.retain(|kept| kept.sample.id != id);
                 self.samples.push(record);
             }
-            RowChange::DeleteSample(_, id) => self.samples.retain(|kept| kept.sample.id != id),
+            RowChange::DeleteSample { id, .. } => self.samples.retain(|kept| kept.sample.id != id),
             RowChange::PutWithdrawn(sequence, id) => self.withdrawn.push((sequence, id)),
             RowChange::DeleteWithdrawn(sequence) => {
                 self.withdrawn.retain(|kept| kept.0 != sequence);
--- a/crates/sloetrail-ledger/src/tests.rs
+++ b/crates/sloetrail-ledger/src/tests.rs
@@ -1,6 +1,6 @@
 use crate::{
-    FinishOutcome, FinishedSample, HandOver, Ledger, Limits, NewSample, Refusal, SampleStatus,
-    StoredRun,
+    FinishOutcome, FinishedSample, HandOver, Ledger, Limits, NewSample, Refusal, RowChange,
+    SampleStatus, StoredRun,
 };
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
@@ -176,6 +176,12 @@
         .pull(SequenceNumber(1), 10, WeightVersion(1), None)
         .expect("valid");
     assert_eq!(ledger.held(), 1);
+    let deletion = RowChange::DeleteSample {
+        step: StepNumber(1),
+        id: SampleId::from("a"),
+        object: Some("object".to_owned()),
+    };
+    assert!(ledger.take_changes().contains(&deletion));
     assert_eq!(
         ledger.submit(StepNumber(1), vec![sample("a")]),
         Err(Refusal::StepClosed)
--- a/crates/sloetrail-membership/src/freshness.rs
+++ b/crates/sloetrail-membership/src/freshness.rs
@@ -52,7 +52,9 @@
         zones: &ZoneTable,
         configured: &BTreeSet<ZoneName>,
     ) -> Option<Timestamp> {
-        if self.is_behind() {
+        // A zone's revision and the time of its news are taken in together, so they
+        // are judged together: news that shows a higher revision never confirms.
+        if self.is_behind() || zones.highest_revision() > self.own_revision {
             return None;
         }
         self.table_read_at.max(majority_heard_at(zones, configured))
--- a/crates/sloetrail-membership/src/tests.rs
+++ b/crates/sloetrail-membership/src/tests.rs
@@ -318,3 +318,22 @@
         assert_eq!(message.envelope.view.table_age_ms, Some(5_010));
     }
 }
+
+#[test]
+fn news_of_a_zone_that_is_ahead_confirms_nothing() {
+    let bound = Duration::from_millis(1_000);
+    let three = zones_named(&["hfj", "rvk", "kef"]);
+    let mut zones = ZoneTable::default();
+    let mut freshness = ConfigurationFreshness::default();
+    freshness.hold(Revision(1));
+    let ahead = ZoneSummary {
+        zone: NameDigest::of("rvk"),
+        revision: Revision(2),
+        capacity: Vec::new(),
+        age_ms: 0,
+    };
+    zones.observe(Timestamp(100), &ahead);
+    assert!(!freshness.is_fresh(Timestamp(110), &zones, &three, bound));
+    freshness.hold(Revision(2));
+    assert!(freshness.is_fresh(Timestamp(110), &zones, &three, bound));
+}
--- a/crates/sloetrail-membership/src/zones.rs
+++ b/crates/sloetrail-membership/src/zones.rs
@@ -45,6 +45,12 @@
         self.zones.get(&NameDigest::of(zone.as_str()))
     }
 
+    /// The highest revision that any zone was heard to hold.
+    pub fn highest_revision(&self) -> Revision {
+        let revisions = self.zones.values().map(|news| news.revision);
+        revisions.max().unwrap_or_default()
+    }
+
     /// The summaries as this node passes them on.
     pub fn summaries(&self, now: Timestamp) -> Vec<ZoneSummary> {
         let summary = |(zone, news): (&NameDigest, &ZoneNews)| ZoneSummary {
--- a/crates/sloetrail-node/src/gossip.rs
+++ b/crates/sloetrail-node/src/gossip.rs
@@ -85,8 +85,9 @@
     metrics::counter!("sloetrail_gossip_received_total").increment(1);
     metrics::counter!("sloetrail_gossip_received_bytes_total").increment(bytes.len() as u64);
     let now = state.now();
-    let outgoing = state.membership().receive(now, &envelope);
+    // What the sender holds is heard before its datagram can confirm anything.
     take_view(state, now, &envelope);
+    let outgoing = state.membership().receive(now, &envelope);
     if let Body::Engines(news) = &envelope.body {
         take_engine_news(state, now, news);
     }
--- a/crates/sloetrail-node/src/owner/pull.rs
+++ b/crates/sloetrail-node/src/owner/pull.rs
@@ -5,7 +5,7 @@
 use crate::state::NodeState;
 use bytes::Bytes;
 use futures_util::stream::{self, StreamExt};
-use sloetrail_ledger::{FinishedSample, HandOver, SampleRecord, SampleStatus};
+use sloetrail_ledger::{FinishedSample, HandOver, SampleRecord};
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_types::SequenceNumber;
 
@@ -45,9 +45,7 @@
             sample: id,
         })),
         HandOver::Sample { sequence, record } => {
-            let SampleStatus::Delivered { result, .. } = &record.status else {
-                return None;
-            };
+            let result = record.status.result()?;
             let body = read_body(state, cache, &result.object).await?;
             let body: SampleBody = serde_json::from_slice(&body).ok()?;
             let entry = sample_entry(sequence, &record, result, body);
--- a/crates/sloetrail-node/src/owner/run_actor.rs
+++ b/crates/sloetrail-node/src/owner/run_actor.rs
@@ -11,7 +11,7 @@
 use crate::api::messages::{PullRequest, SubmitRequest};
 use crate::state::NodeState;
 use sloetrail_config::Run;
-use sloetrail_ledger::{FinishOutcome, HandOver, Ledger, Limits, SubmitReport};
+use sloetrail_ledger::{FinishOutcome, HandOver, Ledger, Limits, RowChange, SubmitReport};
 use sloetrail_platform::Settled;
 use sloetrail_types::{Epoch, RunName};
 use std::future::Future;
@@ -83,6 +83,8 @@
     commit: Commit,
     started_at: Instant,
     answers: Vec<Answer>,
+    /// Bodies that are of no more use once the group is committed.
+    objects: Vec<String>,
 }
 
 impl RunOwner {
@@ -121,6 +123,7 @@
         loop {
             if committing.is_none() {
                 let changes = ledger.take_changes();
+                let objects = objects_of_no_use(&changes);
                 let journal = ledger.journal().clone();
                 if changes.is_empty() && journal == written {
                     answer_all(&mut answers, Ok(()));
@@ -136,6 +139,7 @@
                         commit: commit(&self.state, self.store.journal_key(), transaction),
                         started_at: Instant::now(),
                         answers: std::mem::take(&mut answers),
+                        objects,
                     });
                 }
             }
@@ -147,6 +151,7 @@
                         Settled::Committed(version) => {
                             journal_version = version;
                             answer_all(&mut done.answers, Ok(()));
+                            delete_objects(&self.state, done.objects);
                         }
                         _ => {
                             answer_all(&mut done.answers, Err(CallFailure::OwnerLost));
@@ -280,6 +285,30 @@
     }
 }
 
+fn objects_of_no_use(changes: &[RowChange]) -> Vec<String> {
+    let object = |change: &RowChange| match change {
+        RowChange::DeleteSample { object, .. } => object.clone(),
+        _ => None,
+    };
+    changes.iter().filter_map(object).collect()
+}
+
+/// Deletes bodies in the background, once each. One that is missed, as by a death
+/// here, stays in the store.
+fn delete_objects(state: &Arc<NodeState>, objects: Vec<String>) {
+    if objects.is_empty() {
+        return;
+    }
+    let state = Arc::clone(state);
+    tokio::spawn(async move {
+        for object in objects {
+            if let Err(error) = state.clients.objects.delete(&object).await {
+                log::debug!(target: "ledger", "Object {object} was not deleted: {error}.");
+            }
+        }
+    });
+}
+
 /// Commits until the outcome is known, however long the table is away.
 fn commit(
     state: &Arc<NodeState>,
--- a/crates/sloetrail-node/src/owner/run_store.rs
+++ b/crates/sloetrail-node/src/owner/run_store.rs
@@ -120,7 +120,7 @@
                 key: self.sample_key(record.step, &record.sample.id),
                 value: to_value(record),
             },
-            RowChange::DeleteSample(step, id) => Write {
+            RowChange::DeleteSample { step, id, .. } => Write {
                 key: self.sample_key(*step, id),
                 value: None,
             },
--- a/crates/sloetrail-platform/src/objects.rs
+++ b/crates/sloetrail-platform/src/objects.rs
@@ -45,6 +45,14 @@
         accepted(response).map(|response| Some(response.body))
     }
 
+    /// Deletes a body. Deleting an absent one is harmless.
+    pub async fn delete(&self, key: &str) -> Result<(), CallError> {
+        let path = format!("/v1/objects/{key}");
+        let request = json_request(Method::DELETE, self.address, &path, Vec::new())?;
+        let response = self.fetch(request).await?;
+        accepted(response).map(|_| ())
+    }
+
     async fn fetch(
         &self,
         request: http::Request<http_body_util::Full<Bytes>>,
