--- a/crates/sloetrail-membership/src/lib.rs
+++ b/crates/sloetrail-membership/src/lib.rs
@@ -20,6 +20,7 @@
 mod member;
 mod membership;
 mod message;
+mod probe;
 mod zones;
 
 pub use codec::{CodecError, decode, encode};
--- a/crates/sloetrail-membership/src/membership.rs
+++ b/crates/sloetrail-membership/src/membership.rs
@@ -3,6 +3,7 @@
 use crate::gossip_queue::GossipQueue;
 use crate::member::{Member, MemberState, MemberUpdate};
 use crate::message::{Body, EngineNews, Envelope, NameDigest, ServiceCapacity, View, ZoneSummary};
+use crate::probe::{Probe, RelayedProbe};
 use crate::zones::ZoneTable;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -11,7 +12,6 @@
 use std::time::Duration;
 
 const FORMAT: u8 = 1;
-const PROBE_HELPERS: usize = 2;
 const SUMMARY_SENDERS_PER_ZONE: usize = 2;
 const RUMOR_FANOUT: usize = 3;
 
@@ -60,41 +60,28 @@
     pub envelope: Envelope,
 }
 
-#[derive(Debug)]
-struct Probe {
-    target: NodeId,
-    sent_at: Timestamp,
-    helped: bool,
-}
-
-#[derive(Debug)]
-struct RelayedProbe {
-    asker: NodeId,
-    asker_probe: u64,
-}
-
 /// One node's view of its zone and of the other zones.
 #[derive(Debug)]
 pub struct Membership {
     node: NodeId,
     zone: ZoneName,
-    settings: MembershipSettings,
+    pub(crate) settings: MembershipSettings,
     incarnation: u64,
     leaving: bool,
-    members: BTreeMap<NodeId, Member>,
+    pub(crate) members: BTreeMap<NodeId, Member>,
     remote: BTreeMap<ZoneName, Vec<NodeId>>,
     zones: ZoneTable,
-    queue: GossipQueue,
-    round: Vec<NodeId>,
-    probes: BTreeMap<u64, Probe>,
-    relayed: BTreeMap<u64, RelayedProbe>,
-    next_probe: u64,
+    pub(crate) queue: GossipQueue,
+    pub(crate) round: Vec<NodeId>,
+    pub(crate) probes: BTreeMap<u64, Probe>,
+    pub(crate) relayed: BTreeMap<u64, RelayedProbe>,
+    pub(crate) next_probe: u64,
     probed_at: Option<Timestamp>,
     summary_at: Option<Timestamp>,
     view: View,
     view_set_at: Timestamp,
     capacity: Vec<ServiceCapacity>,
-    random: StdRng,
+    pub(crate) random: StdRng,
 }
 
 impl Membership {
@@ -284,7 +271,7 @@
         last.is_none_or(|at| now.since(at) >= period)
     }
 
-    fn number(&mut self) -> u64 {
+    pub(crate) fn number(&mut self) -> u64 {
         self.next_probe += 1;
         self.next_probe
     }
@@ -300,7 +287,7 @@
     }
 
     /// A datagram with as much news as it may carry.
-    fn outgoing(&mut self, now: Timestamp, to: NodeId, body: Body) -> Outgoing {
+    pub(crate) fn outgoing(&mut self, now: Timestamp, to: NodeId, body: Body) -> Outgoing {
         let updates = self.queue.take(self.members.len());
         // Within the zone, what is known of the others; across zones, of the own one.
         let zones = match self.members.contains_key(&to) {
@@ -362,7 +349,18 @@
             .collect()
     }
 
-    fn random_members(&mut self, count: usize, excluded: &BTreeSet<NodeId>) -> Vec<NodeId> {
+    /// Tells some members at once, each of whom does the same.
+    fn spread_rumor(&mut self, now: Timestamp) -> Vec<Outgoing> {
+        let receivers = self.random_members(RUMOR_FANOUT, &BTreeSet::new());
+        let send = |to| self.news(now, to);
+        receivers.into_iter().map(send).collect()
+    }
+
+    pub(crate) fn random_members(
+        &mut self,
+        count: usize,
+        excluded: &BTreeSet<NodeId>,
+    ) -> Vec<NodeId> {
         let mut members: Vec<NodeId> = self
             .members
             .iter()
@@ -374,114 +372,6 @@
         members
     }
 
-    fn probe_next(&mut self, now: Timestamp, outgoing: &mut Vec<Outgoing>) {
-        let Some(target) = self.next_target() else {
-            return;
-        };
-        let number = self.number();
-        self.probes.insert(
-            number,
-            Probe {
-                target: target.clone(),
-                sent_at: now,
-                helped: false,
-            },
-        );
-        outgoing.push(self.outgoing(now, target, Body::Ping(number)));
-    }
-
-    fn next_target(&mut self) -> Option<NodeId> {
-        for _ in 0..2 {
-            while let Some(target) = self.round.pop() {
-                let state = self.state_of(&target);
-                if state.is_some_and(|state| state <= MemberState::Suspect) {
-                    return Some(target);
-                }
-            }
-            self.round = self.members.keys().cloned().collect();
-            self.round.shuffle(&mut self.random);
-        }
-        None
-    }
-
-    fn follow_probes(&mut self, now: Timestamp, outgoing: &mut Vec<Outgoing>) {
-        let mut need_help = Vec::new();
-        let mut failed = Vec::new();
-        for (number, probe) in &mut self.probes {
-            let age = now.since(probe.sent_at);
-            if age >= self.settings.probe_timeout {
-                failed.push(*number);
-            } else if age >= self.settings.direct_timeout && !probe.helped {
-                probe.helped = true;
-                need_help.push((*number, probe.target.clone()));
-            }
-        }
-        for (number, target) in need_help {
-            let excluded = BTreeSet::from([target.clone()]);
-            for helper in self.random_members(PROBE_HELPERS, &excluded) {
-                let body = Body::PingRequest(number, target.clone());
-                outgoing.push(self.outgoing(now, helper, body));
-            }
-        }
-        for number in failed {
-            if let Some(probe) = self.probes.remove(&number) {
-                self.suspect(now, &probe.target);
-            }
-        }
-    }
-
-    fn suspect(&mut self, now: Timestamp, node: &NodeId) {
-        let Some(member) = self.members.get_mut(node) else {
-            return;
-        };
-        if member.state != MemberState::Alive {
-            return;
-        }
-        member.state = MemberState::Suspect;
-        member.changed_at = now;
-        self.queue.push(MemberUpdate {
-            node: node.clone(),
-            incarnation: member.incarnation,
-            state: MemberState::Suspect,
-        });
-    }
-
-    /// Tells some members at once, each of whom does the same.
-    fn spread_rumor(&mut self, now: Timestamp) -> Vec<Outgoing> {
-        let receivers = self.random_members(RUMOR_FANOUT, &BTreeSet::new());
-        let send = |to| self.news(now, to);
-        receivers.into_iter().map(send).collect()
-    }
-
-    /// Calls suspects dead whose time is over; true if there was one.
-    fn expire_suspects(&mut self, now: Timestamp) -> bool {
-        let mut expired = false;
-        for (id, member) in &mut self.members {
-            let age = now.since(member.changed_at);
-            if member.state == MemberState::Suspect && age >= self.settings.suspicion_timeout {
-                member.state = MemberState::Dead;
-                member.changed_at = now;
-                expired = true;
-                self.queue.push(MemberUpdate {
-                    node: id.clone(),
-                    incarnation: member.incarnation,
-                    state: MemberState::Dead,
-                });
-            }
-        }
-        self.relayed
-            .retain(|number, _| number + 64 > self.next_probe);
-        expired
-    }
-
-    fn acknowledged(&mut self, now: Timestamp, number: u64, outgoing: &mut Vec<Outgoing>) {
-        self.probes.remove(&number);
-        if let Some(relayed) = self.relayed.remove(&number) {
-            let body = Body::Ack(relayed.asker_probe);
-            outgoing.push(self.outgoing(now, relayed.asker, body));
-        }
-    }
-
     /// A datagram from a suspected node clears it. A node that was called dead
     /// is told so, and refutes with a higher incarnation.
     fn hear_from(&mut self, now: Timestamp, node: &NodeId) {
