Settle a conflict by the marker row always; give the group commits their own file

Cause, by reading: commit_settled read the marker row after a conflict only if an answer had been lost in the same call. A run's owner whose commit lasted over ten seconds could give its run up for the same reason. Ruled out: a version kept from the first call (it has none when the answer is lost). Change: after any conflict the marker is read; if it cannot be, the outcome counts as unknown. The test 'a_claim_left_unknown_is_settled_by_a_later_call' fails before (Conflict) and passes after, with three more of the client.

--- a/crates/sloetrail-node/src/owner/run_actor.rs
+++ b/crates/sloetrail-node/src/owner/run_actor.rs
@@ -1,26 +1,21 @@
-//! The owner of one run: the ledger, its group commits and its dispatch.
+//! The owner of one run: the ledger, its commits and its dispatch.
 //!
-//! Calls and finished attempts change the ledger in memory at once; their changes
-//! and answers gather in a group while the group before is being committed. An
-//! answer goes out only after its group was committed. A refused commit means
-//! that another owner has fenced this one: the actor ends.
+//! Calls and finished attempts change the ledger in memory at once; `group_commit`
+//! makes the changes durable and answers the calls after that. A refused commit
+//! means that another owner has fenced this one: the actor ends.
 
 use super::dispatcher::Dispatcher;
-use super::run_handle::{AttemptReport, CallFailure, Reply, RunCommand, RunHandle, RunShared};
+use super::group_commit::{Fenced, GroupCommit};
+use super::run_handle::{AttemptReport, CallFailure, RunCommand, RunHandle, RunShared};
 use super::run_store::{FenceFailure, FencedRun, RunStore};
-use crate::api::messages::{PullRequest, SubmitRequest};
 use crate::state::NodeState;
 use sloetrail_config::Run;
-use sloetrail_ledger::{FinishOutcome, HandOver, Ledger, Limits, RowChange, SubmitReport};
-use sloetrail_platform::Settled;
+use sloetrail_ledger::{FinishOutcome, Ledger, Limits};
 use sloetrail_types::{Epoch, RunName};
-use std::future::Future;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 const COMMAND_QUEUE: usize = 4_096;
@@ -29,7 +24,6 @@
 const FENCE_RETRY: Duration = Duration::from_millis(200);
 /// A commit that takes longer counts as a table outage.
 const BLOCKED_AFTER: Duration = Duration::from_millis(1_000);
-const COMMIT_ROUND: Duration = Duration::from_secs(10);
 
 /// Starts the owner of a run unless it is running under this epoch.
 pub(crate) fn start_run_owner(state: &Arc<NodeState>, run: &RunName, epoch: Epoch) {
@@ -74,19 +68,6 @@
     commands: mpsc::Sender<RunCommand>,
 }
 
-/// An answer that waits for its group's commit.
-type Answer = Box<dyn FnOnce(Result<(), CallFailure>) + Send>;
-
-type Commit = Pin<Box<dyn Future<Output = Settled> + Send>>;
-
-struct Committing {
-    commit: Commit,
-    started_at: Instant,
-    answers: Vec<Answer>,
-    /// Bodies that are of no more use once the group is committed.
-    objects: Vec<String>,
-}
-
 impl RunOwner {
     async fn start(self, receiver: mpsc::Receiver<RunCommand>) {
         loop {
@@ -104,60 +85,24 @@
 
     async fn serve(mut self, mut receiver: mpsc::Receiver<RunCommand>, fenced: FencedRun) {
         let mut ledger = Ledger::recover(self.limits(), self.epoch, fenced.stored);
-        let mut written = ledger.journal().clone();
-        let mut journal_version = fenced.journal_version;
-        let mut dispatcher = Dispatcher::new(
+        let mut commits = GroupCommit::new(
             Arc::clone(&self.state),
-            self.run.clone(),
-            self.epoch,
-            self.commands.clone(),
-            Arc::clone(&self.shared),
-            self.cancel.clone(),
+            self.store.clone(),
+            fenced.journal_version,
+            ledger.journal().clone(),
         );
+        let mut dispatcher = self.new_dispatcher();
         log::info!(target: "ledger", "Run {} recovered with {} samples.", self.run.name, ledger.held());
-        let mut answers: Vec<Answer> = Vec::new();
-        let mut committing: Option<Committing> = None;
         let mut ticker = tokio::time::interval(DISPATCH_PERIOD);
         ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut group = Vec::with_capacity(COMMANDS_PER_GROUP);
         loop {
-            if committing.is_none() {
-                let changes = ledger.take_changes();
-                let objects = objects_of_no_use(&changes);
-                let journal = ledger.journal().clone();
-                if changes.is_empty() && journal == written {
-                    answer_all(&mut answers, Ok(()));
-                } else {
-                    let transaction = self.store.transaction(
-                        &self.state,
-                        Some(journal_version),
-                        &journal,
-                        &changes,
-                    );
-                    written = journal;
-                    committing = Some(Committing {
-                        commit: commit(&self.state, self.store.journal_key(), transaction),
-                        started_at: Instant::now(),
-                        answers: std::mem::take(&mut answers),
-                        objects,
-                    });
-                }
-            }
-            self.note_blocked(committing.as_ref());
+            commits.start(&mut ledger);
+            self.note_blocked(commits.is_out_longer_than(BLOCKED_AFTER));
             tokio::select! {
-                settled = finished(&mut committing) => {
-                    let mut done = committing.take().expect("it has just finished");
-                    match settled {
-                        Settled::Committed(version) => {
-                            journal_version = version;
-                            answer_all(&mut done.answers, Ok(()));
-                            delete_objects(&self.state, done.objects);
-                        }
-                        _ => {
-                            answer_all(&mut done.answers, Err(CallFailure::OwnerLost));
-                            answer_all(&mut answers, Err(CallFailure::OwnerLost));
-                            return self.lose("its write was refused");
-                        }
+                settled = commits.settled() => {
+                    if commits.end(settled) == Err(Fenced) {
+                        return self.lose("its write was refused");
                     }
                 }
                 count = receiver.recv_many(&mut group, COMMANDS_PER_GROUP) => {
@@ -165,25 +110,44 @@
                         return;
                     }
                     for command in group.drain(..) {
-                        self.take_in(&mut ledger, command, &mut answers);
+                        self.take_in(&mut ledger, &mut commits, command);
                     }
                 }
                 _ = ticker.tick() => {
                     self.refresh(&mut ledger, &mut dispatcher);
                     dispatcher.dispatch(&mut ledger);
                 }
-                () = self.cancel.cancelled() => {
-                    answer_all(&mut answers, Err(CallFailure::OwnerLost));
-                    return;
-                }
+                () = self.cancel.cancelled() => return commits.fail_waiting(),
             }
         }
     }
 
-    fn take_in(&self, ledger: &mut Ledger, command: RunCommand, answers: &mut Vec<Answer>) {
+    fn new_dispatcher(&self) -> Dispatcher {
+        Dispatcher::new(
+            Arc::clone(&self.state),
+            self.run.clone(),
+            self.epoch,
+            self.commands.clone(),
+            Arc::clone(&self.shared),
+            self.cancel.clone(),
+        )
+    }
+
+    fn take_in(&self, ledger: &mut Ledger, commits: &mut GroupCommit, command: RunCommand) {
         match command {
-            RunCommand::Submit(request, reply) => submit(ledger, request, reply, answers),
-            RunCommand::Pull(request, reply) => pull(ledger, request, reply, answers),
+            RunCommand::Submit(request, reply) => {
+                let result = ledger.submit(request.step, request.samples);
+                commits.answer_after(result.map_err(CallFailure::Refused), reply);
+            }
+            RunCommand::Pull(request, reply) => {
+                let result = ledger.pull(
+                    request.after,
+                    request.limit,
+                    request.trainer_version,
+                    request.through_step,
+                );
+                commits.answer_after(result.map_err(CallFailure::Refused), reply);
+            }
             RunCommand::AttemptEnded(report) => self.end_attempt(ledger, report),
         }
     }
@@ -222,8 +186,7 @@
         }
     }
 
-    fn note_blocked(&self, committing: Option<&Committing>) {
-        let blocked = committing.is_some_and(|group| group.started_at.elapsed() > BLOCKED_AFTER);
+    fn note_blocked(&self, blocked: bool) {
         let was = self.shared.table_is_blocked.swap(blocked, Ordering::SeqCst);
         if blocked != was {
             log::warn!(target: "ledger", "Run {}: table blocked is {blocked}.", self.run.name);
@@ -242,96 +205,3 @@
         }
     }
 }
-
-fn submit(
-    ledger: &mut Ledger,
-    request: SubmitRequest,
-    reply: Reply<SubmitReport>,
-    answers: &mut Vec<Answer>,
-) {
-    let result = ledger.submit(request.step, request.samples);
-    answer_after_commit(result.map_err(CallFailure::Refused), reply, answers);
-}
-
-fn pull(
-    ledger: &mut Ledger,
-    request: PullRequest,
-    reply: Reply<Vec<HandOver>>,
-    answers: &mut Vec<Answer>,
-) {
-    let result = ledger.pull(
-        request.after,
-        request.limit,
-        request.trainer_version,
-        request.through_step,
-    );
-    answer_after_commit(result.map_err(CallFailure::Refused), reply, answers);
-}
-
-fn answer_after_commit<T: Send + 'static>(
-    result: Result<T, CallFailure>,
-    reply: Reply<T>,
-    answers: &mut Vec<Answer>,
-) {
-    answers.push(Box::new(move |committed| {
-        // The caller may have gone away.
-        let _ = reply.send(committed.and(result));
-    }));
-}
-
-fn answer_all(answers: &mut Vec<Answer>, outcome: Result<(), CallFailure>) {
-    for answer in answers.drain(..) {
-        answer(outcome);
-    }
-}
-
-fn objects_of_no_use(changes: &[RowChange]) -> Vec<String> {
-    let object = |change: &RowChange| match change {
-        RowChange::DeleteSample { object, .. } => object.clone(),
-        _ => None,
-    };
-    changes.iter().filter_map(object).collect()
-}
-
-/// Deletes bodies in the background, once each. One that is missed, as by a death
-/// here, stays in the store.
-fn delete_objects(state: &Arc<NodeState>, objects: Vec<String>) {
-    if objects.is_empty() {
-        return;
-    }
-    let state = Arc::clone(state);
-    tokio::spawn(async move {
-        for object in objects {
-            if let Err(error) = state.clients.objects.delete(&object).await {
-                log::debug!(target: "ledger", "Object {object} was not deleted: {error}.");
-            }
-        }
-    });
-}
-
-/// Commits until the outcome is known, however long the table is away.
-fn commit(
-    state: &Arc<NodeState>,
-    marker: String,
-    transaction: sloetrail_platform::Transaction,
-) -> Commit {
-    let state = Arc::clone(state);
-    Box::pin(async move {
-        let table = &state.clients.table;
-        loop {
-            let deadline = Instant::now() + COMMIT_ROUND;
-            let settled = table.commit_settled(&transaction, &marker, deadline).await;
-            match settled {
-                Settled::NotExecuted | Settled::Unknown => {}
-                known => return known,
-            }
-        }
-    })
-}
-
-async fn finished(committing: &mut Option<Committing>) -> Settled {
-    match committing {
-        Some(group) => (&mut group.commit).await,
-        None => std::future::pending().await,
-    }
-}
--- a/crates/sloetrail-platform/src/table.rs
+++ b/crates/sloetrail-platform/src/table.rs
@@ -174,23 +174,23 @@
         marker: &str,
         deadline: Instant,
     ) -> Settled {
-        let mut sent_without_answer = false;
+        let mut may_be_carried_out = false;
         let mut pause = SETTLE_PAUSE;
         loop {
             match self.commit(transaction).await {
                 Ok(CommitOutcome::Committed(version)) => return Settled::Committed(version),
-                Ok(CommitOutcome::Conflict(_)) if !sent_without_answer => {
-                    return Settled::Conflict;
-                }
                 Ok(CommitOutcome::Conflict(_)) => {
-                    if let Ok(row) = self.read(marker).await {
-                        return settled_by_marker(transaction, row);
+                    // An earlier sending, of this call or of one before it, may be
+                    // what stands in the way.
+                    match self.read(marker).await {
+                        Ok(row) => return settled_by_marker(transaction, row),
+                        Err(_) => may_be_carried_out = true,
                     }
                 }
-                Err(error) => sent_without_answer |= !error.is_not_executed(),
+                Err(error) => may_be_carried_out |= !error.is_not_executed(),
             }
             if Instant::now() + pause >= deadline {
-                return match sent_without_answer {
+                return match may_be_carried_out {
                     true => Settled::Unknown,
                     false => Settled::NotExecuted,
                 };
