A zone holds a revision once all of its members do; only caught-up nodes speak for it

A zone had been isolated for 12 s; as it was joined again, a node that had just started in another zone, with revision 0, was one of that zone's two speakers. Its summary counted as hearing that zone without a higher revision, which with the own zone made a majority. The rule 'two majorities share a zone' says nothing if a zone can speak with two voices. Ruled out: late datagrams, the order of locks (mended before), the table. Change: a zone counts as holding a revision only when the speaker and every member that it takes for alive hold it (held_by_all in the summary), and that is what an apply waits for; a node speaks for its zone only once it was ready and fresh, and after a pause of its process only once it is fresh again. Members tell the speakers of a new revision at once and for 3 s. An apply waits up to 6 s instead of 4. Tests: a zone with one member behind, a newcomer that must not speak; both were written with the change and need its interface.

--- a/crates/sloetrail-membership/src/member.rs
+++ b/crates/sloetrail-membership/src/member.rs
@@ -1,7 +1,7 @@
 //! The state of one member.
 
 use serde::{Deserialize, Serialize};
-use sloetrail_types::{NodeId, Timestamp};
+use sloetrail_types::{NodeId, Revision, Timestamp};
 
 /// What is known of a node of the zone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -37,6 +37,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Member {
     pub(crate) incarnation: u64,
+    /// The highest revision that the member itself was heard to hold.
+    pub(crate) revision: Revision,
     pub(crate) state: MemberState,
     pub(crate) changed_at: Timestamp,
 }
--- a/crates/sloetrail-membership/src/membership.rs
+++ b/crates/sloetrail-membership/src/membership.rs
@@ -13,6 +13,8 @@
 
 const FORMAT: u8 = 1;
 const SUMMARY_SENDERS_PER_ZONE: usize = 2;
+/// Time for which the zone's speakers are told again of a new revision.
+const ANNOUNCE_FOR: Duration = Duration::from_secs(3);
 const RUMOR_FANOUT: usize = 3;
 
 /// The periods of the failure detector.
@@ -81,6 +83,11 @@
     view: View,
     view_set_at: Timestamp,
     capacity: Vec<ServiceCapacity>,
+    vouches: bool,
+    /// Until then the zone's speakers are told again of a new revision.
+    announce_until: Timestamp,
+    /// What the other zones were last told that all members hold.
+    told_held_by_all: Revision,
     pub(crate) random: StdRng,
 }
 
@@ -106,6 +113,9 @@
             view: View::default(),
             view_set_at: Timestamp::default(),
             capacity: Vec::new(),
+            vouches: false,
+            announce_until: Timestamp::default(),
+            told_held_by_all: Revision(0),
             random: StdRng::seed_from_u64(seed),
         }
     }
@@ -127,6 +137,7 @@
         for id in own_zone {
             self.members.entry(id).or_insert(Member {
                 incarnation: 0,
+                revision: Revision(0),
                 state: MemberState::Alive,
                 changed_at: now,
             });
@@ -136,20 +147,47 @@
     /// Sets what this node tells of itself. News of a new revision goes to some
     /// members at once.
     pub fn set_view(&mut self, now: Timestamp, view: View) -> Vec<Outgoing> {
-        let news = view.revision > self.view.revision || view.list_version > self.view.list_version;
+        let new_revision = view.revision > self.view.revision;
+        let news = new_revision || view.list_version > self.view.list_version;
         self.view = view;
         self.view_set_at = now;
         if !news {
             return Vec::new();
         }
         let mut outgoing = self.spread_rumor(now);
-        if self.sends_summaries() {
-            let receivers = self.one_node_of_each_zone();
-            outgoing.extend(receivers.into_iter().map(|to| self.news(now, to)));
+        if new_revision {
+            self.announce_until = now.after(ANNOUNCE_FOR);
+            outgoing.extend(self.tell_speakers(now));
         }
+        outgoing.extend(self.tell_zones(now));
         outgoing
     }
 
+    /// Tells the zone's speakers what this node holds.
+    fn tell_speakers(&mut self, now: Timestamp) -> Vec<Outgoing> {
+        let alive = self.alive();
+        let speakers = alive.into_iter().take(SUMMARY_SENDERS_PER_ZONE);
+        let others: Vec<NodeId> = speakers.filter(|id| *id != self.node).collect();
+        others.into_iter().map(|to| self.news(now, to)).collect()
+    }
+
+    /// Tells one node of each other zone of this one, if this node speaks for it.
+    fn tell_zones(&mut self, now: Timestamp) -> Vec<Outgoing> {
+        if !self.sends_summaries() {
+            return Vec::new();
+        }
+        self.told_held_by_all = self.held_by_all();
+        let receivers = self.one_node_of_each_zone();
+        let send = |to| self.news(now, to);
+        receivers.into_iter().map(send).collect()
+    }
+
+    /// Sets whether this node speaks for its zone. It must not before it has held a
+    /// revision that was in force, nor after a pause until it does so again.
+    pub fn set_vouching(&mut self, vouches: bool) {
+        self.vouches = vouches;
+    }
+
     /// Sets what this node tells the other zones of its zone's engines.
     pub fn set_capacity(&mut self, capacity: Vec<ServiceCapacity>) {
         self.capacity = capacity;
@@ -216,13 +254,13 @@
         if self.is_due(self.probed_at, self.settings.probe_period, now) {
             self.probed_at = Some(now);
             self.probe_next(now, &mut outgoing);
+            if now < self.announce_until {
+                outgoing.extend(self.tell_speakers(now));
+            }
         }
         if self.is_due(self.summary_at, self.settings.summary_period, now) {
             self.summary_at = Some(now);
-            if self.sends_summaries() {
-                let receivers = self.one_node_of_each_zone();
-                outgoing.extend(receivers.into_iter().map(|to| self.news(now, to)));
-            }
+            outgoing.extend(self.tell_zones(now));
         }
         outgoing
     }
@@ -233,6 +271,7 @@
             return Vec::new();
         }
         self.hear_from(now, &envelope.from);
+        self.hear_revision(&envelope.from, envelope.view.revision);
         let mut departure = false;
         for update in &envelope.updates {
             let news = self.take_update(now, update);
@@ -264,6 +303,9 @@
             }
             Body::Engines(_) | Body::News => {}
         }
+        if self.held_by_all() > self.told_held_by_all {
+            outgoing.extend(self.tell_zones(now));
+        }
         outgoing
     }
 
@@ -292,7 +334,8 @@
         // Within the zone, what is known of the others; across zones, of the own one.
         let zones = match self.members.contains_key(&to) {
             true => self.zones.summaries(now),
-            false => vec![self.own_summary()],
+            false if self.vouches => vec![self.own_summary()],
+            false => Vec::new(),
         };
         Outgoing {
             to,
@@ -311,10 +354,21 @@
         self.outgoing(now, to, Body::News)
     }
 
+    /// The revision that this node and every member that it takes for alive hold.
+    fn held_by_all(&self) -> Revision {
+        let alive = self
+            .members
+            .values()
+            .filter(|member| member.state <= MemberState::Suspect);
+        let lowest = alive.map(|member| member.revision).min();
+        lowest.map_or(self.view.revision, |lowest| lowest.min(self.view.revision))
+    }
+
     fn own_summary(&self) -> ZoneSummary {
         ZoneSummary {
             zone: NameDigest::of(self.zone.as_str()),
             revision: self.view.revision,
+            held_by_all: self.held_by_all(),
             capacity: self.capacity.clone(),
             age_ms: 0,
         }
@@ -392,6 +446,12 @@
         }
     }
 
+    fn hear_revision(&mut self, node: &NodeId, revision: Revision) {
+        if let Some(member) = self.members.get_mut(node) {
+            member.revision = member.revision.max(revision);
+        }
+    }
+
     /// Takes in news of a member; true if it is news.
     fn take_update(&mut self, now: Timestamp, update: &MemberUpdate) -> bool {
         if update.node == self.node {
@@ -419,11 +479,11 @@
         }
     }
 
-    /// The highest revision that a zone was heard to hold, or this node holds.
+    /// The revision that all members of a zone were heard to hold.
     pub fn revision_of_zone(&self, zone: &ZoneName) -> Option<Revision> {
         if *zone == self.zone {
-            return Some(self.view.revision);
+            return Some(self.held_by_all());
         }
-        self.zones.news_of(zone).map(|news| news.revision)
+        self.zones.news_of(zone).map(|news| news.held_by_all)
     }
 }
--- a/crates/sloetrail-membership/src/message.rs
+++ b/crates/sloetrail-membership/src/message.rs
@@ -167,6 +167,8 @@
     pub zone: NameDigest,
     /// The revision that the node held that made the summary.
     pub revision: Revision,
+    /// The revision that every member of the zone held that it took for alive.
+    pub held_by_all: Revision,
     /// Milliseconds since it was made.
     pub age_ms: u64,
     /// Engines that may take work there, by service.
@@ -174,15 +176,16 @@
 }
 
 #[derive(Serialize, Deserialize)]
-struct ZoneSummaryArray(NameDigest, Revision, u64, Vec<ServiceCapacity>);
+struct ZoneSummaryArray(NameDigest, Revision, Revision, u64, Vec<ServiceCapacity>);
 
 impl From<ZoneSummaryArray> for ZoneSummary {
     fn from(array: ZoneSummaryArray) -> Self {
         Self {
             zone: array.0,
             revision: array.1,
-            age_ms: array.2,
-            capacity: array.3,
+            held_by_all: array.2,
+            age_ms: array.3,
+            capacity: array.4,
         }
     }
 }
@@ -192,6 +195,7 @@
         Self(
             summary.zone,
             summary.revision,
+            summary.held_by_all,
             summary.age_ms,
             summary.capacity,
         )
--- a/crates/sloetrail-membership/src/tests.rs
+++ b/crates/sloetrail-membership/src/tests.rs
@@ -41,6 +41,7 @@
                 seed + index as u64,
             );
             node.set_candidates(Timestamp(0), &peers);
+            node.set_vouching(true);
             nodes.insert(peer.id.clone(), node);
         }
         Self {
@@ -194,6 +195,7 @@
     let summary = ZoneSummary {
         zone: NameDigest::of(zone),
         revision: Revision(1),
+        held_by_all: Revision(1),
         capacity: Vec::new(),
         age_ms: 0,
     };
@@ -228,6 +230,7 @@
     let old = ZoneSummary {
         zone: NameDigest::of("rvk"),
         revision: Revision(9),
+        held_by_all: Revision(9),
         capacity: Vec::new(),
         age_ms: 400,
     };
@@ -329,6 +332,7 @@
     let ahead = ZoneSummary {
         zone: NameDigest::of("rvk"),
         revision: Revision(2),
+        held_by_all: Revision(2),
         capacity: Vec::new(),
         age_ms: 0,
     };
@@ -337,3 +341,51 @@
     freshness.hold(Revision(2));
     assert!(freshness.is_fresh(Timestamp(110), &zones, &three, bound));
 }
+
+/// Sets the revision of some nodes and lets the fleet talk.
+fn hold(fleet: &mut Fleet, nodes: &[&str], revision: u64) {
+    for node in nodes {
+        let view = View {
+            revision: Revision(revision),
+            ..View::default()
+        };
+        let now = fleet.now;
+        let id = NodeId::from(*node);
+        let outgoing = fleet
+            .nodes
+            .get_mut(&id)
+            .expect("there is one")
+            .set_view(now, view);
+        fleet.deliver(outgoing);
+    }
+    fleet.run(3_000);
+}
+
+fn zone_0_seen_from_zone_1(fleet: &Fleet) -> Option<Revision> {
+    let node = &fleet.nodes[&NodeId::from("zone-1-node-00")];
+    node.revision_of_zone(&ZoneName::from("zone-0"))
+}
+
+#[test]
+fn a_zone_holds_a_revision_once_all_of_its_members_do() {
+    let mut fleet = Fleet::new(2, 3, 9);
+    fleet.run(2_000);
+    hold(&mut fleet, &["zone-0-node-00", "zone-0-node-01"], 5);
+    assert_eq!(zone_0_seen_from_zone_1(&fleet), Some(Revision(0)));
+    hold(&mut fleet, &["zone-0-node-02"], 5);
+    assert_eq!(zone_0_seen_from_zone_1(&fleet), Some(Revision(5)));
+}
+
+#[test]
+fn a_node_that_must_not_vouch_does_not_speak_for_its_zone() {
+    let mut fleet = Fleet::new(2, 1, 10);
+    let newcomer = NodeId::from("zone-0-node-00");
+    let node = fleet.nodes.get_mut(&newcomer).expect("there is one");
+    node.set_vouching(false);
+    fleet.run(5_000);
+    assert_eq!(zone_0_seen_from_zone_1(&fleet), None);
+    let node = fleet.nodes.get_mut(&newcomer).expect("there is one");
+    node.set_vouching(true);
+    fleet.run(2_000);
+    assert_eq!(zone_0_seen_from_zone_1(&fleet), Some(Revision(0)));
+}
--- a/crates/sloetrail-membership/src/zones.rs
+++ b/crates/sloetrail-membership/src/zones.rs
@@ -8,8 +8,10 @@
 /// The newest news of a zone.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ZoneNews {
-    /// The highest revision that the zone was heard to hold.
+    /// The highest revision that a node of the zone was heard to hold.
     pub revision: Revision,
+    /// The highest revision that all of its members were heard to hold.
+    pub held_by_all: Revision,
     /// When the summary was made, on this node's clock.
     pub made_at: Timestamp,
     /// Engines that may take work there, by service.
@@ -31,8 +33,10 @@
             return false;
         }
         let revision = known.map_or(Revision(0), |news| news.revision);
+        let held_by_all = known.map_or(Revision(0), |news| news.held_by_all);
         let news = ZoneNews {
             revision: revision.max(summary.revision),
+            held_by_all: held_by_all.max(summary.held_by_all),
             made_at,
             capacity: summary.capacity.clone(),
         };
@@ -56,6 +60,7 @@
         let summary = |(zone, news): (&NameDigest, &ZoneNews)| ZoneSummary {
             zone: *zone,
             revision: news.revision,
+            held_by_all: news.held_by_all,
             age_ms: now.since(news.made_at).as_millis() as u64,
             capacity: news.capacity.clone(),
         };
--- a/crates/sloetrail-node/src/api/operators.rs
+++ b/crates/sloetrail-node/src/api/operators.rs
@@ -75,7 +75,7 @@
     let recent = heard.is_some_and(|age| age <= ZONE_HEARD_BOUND);
     ZoneReport {
         zone: zone.clone(),
-        revision: news.filter(|_| recent).map(|news| news.revision),
+        revision: news.filter(|_| recent).map(|news| news.held_by_all),
         heard_ms_ago: heard.map(|age| age.as_millis() as u64),
     }
 }
--- a/crates/sloetrail-node/src/gossip.rs
+++ b/crates/sloetrail-node/src/gossip.rs
@@ -1,5 +1,6 @@
 //! The gossip socket: datagrams in and out of the membership logic.
 
+use crate::lifecycle::Phase;
 use crate::state::NodeState;
 use sloetrail_balance::{EngineReport, ReportedState};
 use sloetrail_membership::{Body, EngineNews, EngineNewsState, Envelope, Outgoing, decode, encode};
@@ -27,11 +28,15 @@
     loop {
         let now = state.now();
         if now.since(looked_at) > PAUSE {
+            state.membership().set_vouching(false);
             drop_waiting_datagrams(&state, &socket, &mut buffer);
         }
         looked_at = now;
         tokio::select! {
             _ = ticker.tick() => {
+                if may_vouch(&state) {
+                    state.membership().set_vouching(true);
+                }
                 let outgoing = state.membership().tick(state.now());
                 send_all(&state, &socket, outgoing).await;
             }
@@ -47,6 +52,11 @@
     }
 }
 
+/// A node may speak for its zone once it has held a revision that was in force.
+fn may_vouch(state: &NodeState) -> bool {
+    state.lifecycle.phase() == Phase::Ready && state.configuration_is_fresh()
+}
+
 /// After a pause of the process, what waits on the socket is as old as the pause,
 /// although it says that it is new. It must not confirm anything.
 fn drop_waiting_datagrams(state: &NodeState, socket: &UdpSocket, buffer: &mut [u8]) {
--- a/crates/sloetrail-node/src/sync/apply.rs
+++ b/crates/sloetrail-node/src/sync/apply.rs
@@ -18,7 +18,7 @@
 use tokio::time::Instant;
 
 const SETTLE_TIMEOUT: Duration = Duration::from_millis(3_000);
-const IN_FORCE_TIMEOUT: Duration = Duration::from_millis(4_000);
+const IN_FORCE_TIMEOUT: Duration = Duration::from_millis(6_000);
 const IN_FORCE_POLL: Duration = Duration::from_millis(20);
 const ZONE_CONTACT: Duration = Duration::from_millis(2_500);
 
