--- a/crates/sloetrail-lab/src/standins/machines.rs
+++ b/crates/sloetrail-lab/src/standins/machines.rs
@@ -1,7 +1,6 @@
 //! The machine list, which lags behind the truth.
 
-use super::fault_layer::FaultControl;
-use super::server::Served;
+use super::stand_in::StandIn;
 use axum::extract::{Query, State};
 use axum::routing::{get, post};
 use axum::{Json, Router};
@@ -15,14 +14,15 @@
 /// Gives the addresses that one zone uses to reach a machine.
 pub type MachineRewrite = Arc<dyn Fn(&ZoneName, Machine) -> Machine + Send + Sync>;
 
-struct Shared {
+/// The lists and how late they are served.
+pub struct MachineListState {
     /// Each list since its time; the newest one that is old enough is served.
     lists: Mutex<Vec<(Instant, MachineList)>>,
     lag: Duration,
     rewrite: MachineRewrite,
 }
 
-impl Shared {
+impl MachineListState {
     fn served(&self) -> MachineList {
         let lists = self.lists.lock().expect("not poisoned");
         let old_enough = lists.iter().rev().find(|(at, _)| at.elapsed() >= self.lag);
@@ -42,12 +42,7 @@
 }
 
 /// The machine list stand-in.
-pub struct MachineListStandIn {
-    served: Served,
-    shared: Arc<Shared>,
-    /// Its faults.
-    pub faults: FaultControl,
-}
+pub type MachineListStandIn = StandIn<MachineListState>;
 
 impl MachineListStandIn {
     /// Starts an empty list that shows changes after `lag`.
@@ -57,27 +52,15 @@
         rewrite: MachineRewrite,
         seed: u64,
     ) -> std::io::Result<Self> {
-        let faults = FaultControl::new(seed);
-        let shared = Arc::new(Shared {
+        let state = MachineListState {
             lists: Mutex::default(),
             lag,
             rewrite,
-        });
+        };
         let router = Router::new()
             .route("/v1/machines", get(read))
-            .route("/lab/machines", post(add))
-            .with_state(Arc::clone(&shared));
-        let served = Served::start(address, faults.wrap(router)).await?;
-        Ok(Self {
-            served,
-            shared,
-            faults,
-        })
-    }
-
-    /// Where it serves.
-    pub fn address(&self) -> SocketAddr {
-        self.served.address()
+            .route("/lab/machines", post(add));
+        Self::serve(address, state, router, seed).await
     }
 
     /// Adds a machine, or replaces the one with its id.
@@ -117,7 +100,7 @@
 }
 
 async fn read(
-    State(shared): State<Arc<Shared>>,
+    State(shared): State<Arc<MachineListState>>,
     Query(query): Query<ReadQuery>,
 ) -> Json<Option<MachineList>> {
     let mut list = shared.served();
@@ -132,6 +115,6 @@
     Json(Some(list))
 }
 
-async fn add(State(shared): State<Arc<Shared>>, Json(added): Json<Vec<Machine>>) {
+async fn add(State(shared): State<Arc<MachineListState>>, Json(added): Json<Vec<Machine>>) {
     shared.change(|machines| machines.extend(added));
 }
--- a/crates/sloetrail-lab/src/standins/mod.rs
+++ b/crates/sloetrail-lab/src/standins/mod.rs
@@ -10,6 +10,7 @@
 mod rate_limit;
 mod scoring;
 mod server;
+mod stand_in;
 mod table;
 mod weights;
 
@@ -18,5 +19,6 @@
 pub use objects::ObjectStandIn;
 pub use scoring::ScoringStandIn;
 pub use server::Served;
+pub use stand_in::StandIn;
 pub use table::TableStandIn;
 pub use weights::WeightStoreStandIn;
--- a/crates/sloetrail-lab/src/standins/objects.rs
+++ b/crates/sloetrail-lab/src/standins/objects.rs
@@ -1,10 +1,9 @@
 //! The object store.
 
-use super::fault_layer::FaultControl;
 use super::rate_limit::RateLimit;
-use super::server::Served;
+use super::stand_in::StandIn;
 use axum::Router;
-use axum::extract::{Path, State};
+use axum::extract::{DefaultBodyLimit, Path, State};
 use axum::routing::get;
 use bytes::Bytes;
 use http::StatusCode;
@@ -12,52 +11,38 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
-struct Shared {
+const BODY_LIMIT_BYTES: usize = 64 * 1024 * 1024;
+
+/// The store's bodies and limits.
+pub struct ObjectState {
     objects: Mutex<BTreeMap<String, Bytes>>,
     limit: RateLimit,
 }
 
 /// The object store stand-in.
-pub struct ObjectStandIn {
-    served: Served,
-    shared: Arc<Shared>,
-    /// Its faults.
-    pub faults: FaultControl,
-}
+pub type ObjectStandIn = StandIn<ObjectState>;
 
 impl ObjectStandIn {
     /// Starts an empty store with a rate limit in operations a second.
     pub async fn start(address: SocketAddr, per_second: f64, seed: u64) -> std::io::Result<Self> {
-        let faults = FaultControl::new(seed);
-        let shared = Arc::new(Shared {
+        let state = ObjectState {
             objects: Mutex::default(),
             limit: RateLimit::new(per_second),
-        });
+        };
         let router = Router::new()
             .route("/v1/objects/{*key}", get(read).put(write).delete(delete))
-            .layer(axum::extract::DefaultBodyLimit::max(64 * 1024 * 1024))
-            .with_state(Arc::clone(&shared));
-        let served = Served::start(address, faults.wrap(router)).await?;
-        Ok(Self {
-            served,
-            shared,
-            faults,
-        })
+            .layer(DefaultBodyLimit::max(BODY_LIMIT_BYTES));
+        Self::serve(address, state, router, seed).await
     }
 
     /// Bodies that it holds.
     pub fn count(&self) -> usize {
         self.shared.objects.lock().expect("not poisoned").len()
     }
-
-    /// Where it serves.
-    pub fn address(&self) -> SocketAddr {
-        self.served.address()
-    }
 }
 
 async fn read(
-    State(shared): State<Arc<Shared>>,
+    State(shared): State<Arc<ObjectState>>,
     Path(key): Path<String>,
 ) -> Result<Bytes, StatusCode> {
     if !shared.limit.allow() {
@@ -68,7 +53,7 @@
 }
 
 async fn delete(
-    State(shared): State<Arc<Shared>>,
+    State(shared): State<Arc<ObjectState>>,
     Path(key): Path<String>,
 ) -> Result<(), StatusCode> {
     if !shared.limit.allow() {
@@ -79,7 +64,7 @@
 }
 
 async fn write(
-    State(shared): State<Arc<Shared>>,
+    State(shared): State<Arc<ObjectState>>,
     Path(key): Path<String>,
     body: Bytes,
 ) -> Result<(), StatusCode> {
--- a/crates/sloetrail-lab/src/standins/table.rs
+++ b/crates/sloetrail-lab/src/standins/table.rs
@@ -1,9 +1,8 @@
 //! The transactional table.
 
-use super::fault_layer::FaultControl;
 use super::rate_limit::RateLimit;
-use super::server::Served;
-use axum::extract::State;
+use super::stand_in::StandIn;
+use axum::extract::{DefaultBodyLimit, State};
 use axum::routing::post;
 use axum::{Json, Router};
 use http::StatusCode;
@@ -17,6 +16,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
+const BODY_LIMIT_BYTES: usize = 64 * 1024 * 1024;
+
 #[derive(Default)]
 struct Rows {
     rows: BTreeMap<String, Row>,
@@ -64,46 +65,30 @@
     }
 }
 
-struct Shared {
+/// The table's rows and limits.
+pub struct TableState {
     rows: Mutex<Rows>,
     limit: RateLimit,
     operations: AtomicU64,
 }
 
 /// The table stand-in.
-pub struct TableStandIn {
-    served: Served,
-    shared: Arc<Shared>,
-    /// Its faults.
-    pub faults: FaultControl,
-}
+pub type TableStandIn = StandIn<TableState>;
 
 impl TableStandIn {
     /// Starts an empty table with a rate limit in operations a second.
     pub async fn start(address: SocketAddr, per_second: f64, seed: u64) -> std::io::Result<Self> {
-        let faults = FaultControl::new(seed);
-        let shared = Arc::new(Shared {
+        let state = TableState {
             rows: Mutex::default(),
             limit: RateLimit::new(per_second),
             operations: AtomicU64::new(0),
-        });
+        };
         let router = Router::new()
             .route("/v1/rows/read", post(read))
             .route("/v1/rows/scan", post(scan))
             .route("/v1/transactions", post(commit))
-            .layer(axum::extract::DefaultBodyLimit::max(64 * 1024 * 1024))
-            .with_state(Arc::clone(&shared));
-        let served = Served::start(address, faults.wrap(router)).await?;
-        Ok(Self {
-            served,
-            shared,
-            faults,
-        })
-    }
-
-    /// Where it serves.
-    pub fn address(&self) -> SocketAddr {
-        self.served.address()
+            .layer(DefaultBodyLimit::max(BODY_LIMIT_BYTES));
+        Self::serve(address, state, router, seed).await
     }
 
     /// Operations that it has carried out.
@@ -112,7 +97,7 @@
     }
 }
 
-fn admit(shared: &Shared) -> Result<(), StatusCode> {
+fn admit(shared: &TableState) -> Result<(), StatusCode> {
     if !shared.limit.allow() {
         return Err(StatusCode::TOO_MANY_REQUESTS);
     }
@@ -121,7 +106,7 @@
 }
 
 async fn read(
-    State(shared): State<Arc<Shared>>,
+    State(shared): State<Arc<TableState>>,
     Json(request): Json<ReadRequest>,
 ) -> Result<Json<ReadResponse>, StatusCode> {
     admit(&shared)?;
@@ -133,7 +118,7 @@
 }
 
 async fn scan(
-    State(shared): State<Arc<Shared>>,
+    State(shared): State<Arc<TableState>>,
     Json(request): Json<ScanRequest>,
 ) -> Result<Json<ScanResponse>, StatusCode> {
     admit(&shared)?;
@@ -142,7 +127,7 @@
 }
 
 async fn commit(
-    State(shared): State<Arc<Shared>>,
+    State(shared): State<Arc<TableState>>,
     Json(transaction): Json<Transaction>,
 ) -> Result<Json<CommitOutcome>, StatusCode> {
     admit(&shared)?;
--- a/crates/sloetrail-lab/src/standins/weights.rs
+++ b/crates/sloetrail-lab/src/standins/weights.rs
@@ -1,8 +1,7 @@
 //! The rate-limited weight store.
 
-use super::fault_layer::FaultControl;
 use super::rate_limit::RateLimit;
-use super::server::Served;
+use super::stand_in::StandIn;
 use axum::Router;
 use axum::extract::State;
 use axum::routing::get;
@@ -12,19 +11,15 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-struct Shared {
+/// The store's limit and what it has served.
+pub struct WeightStoreState {
     limit: RateLimit,
     transfer: Duration,
     reads: AtomicU64,
 }
 
 /// The weight store stand-in. Engines read versions from it.
-pub struct WeightStoreStandIn {
-    served: Served,
-    shared: Arc<Shared>,
-    /// Its faults.
-    pub faults: FaultControl,
-}
+pub type WeightStoreStandIn = StandIn<WeightStoreState>;
 
 impl WeightStoreStandIn {
     /// Starts a store whose reads take `transfer` and are limited a second.
@@ -34,26 +29,13 @@
         transfer: Duration,
         seed: u64,
     ) -> std::io::Result<Self> {
-        let faults = FaultControl::new(seed);
-        let shared = Arc::new(Shared {
+        let state = WeightStoreState {
             limit: RateLimit::new(reads_per_second),
             transfer,
             reads: AtomicU64::new(0),
-        });
-        let router = Router::new()
-            .route("/v1/weights/{service}/{version}", get(read))
-            .with_state(Arc::clone(&shared));
-        let served = Served::start(address, faults.wrap(router)).await?;
-        Ok(Self {
-            served,
-            shared,
-            faults,
-        })
-    }
-
-    /// Where it serves.
-    pub fn address(&self) -> SocketAddr {
-        self.served.address()
+        };
+        let router = Router::new().route("/v1/weights/{service}/{version}", get(read));
+        Self::serve(address, state, router, seed).await
     }
 
     /// Reads that it has served.
@@ -62,7 +44,7 @@
     }
 }
 
-async fn read(State(shared): State<Arc<Shared>>) -> Result<&'static str, StatusCode> {
+async fn read(State(shared): State<Arc<WeightStoreState>>) -> Result<&'static str, StatusCode> {
     if !shared.limit.allow() {
         return Err(StatusCode::TOO_MANY_REQUESTS);
     }
