One way to write one row

Cause: six places spelled out a transaction of one condition and one write. Change: Transaction::of_one_row. Measured: the tests of the table's client and of bad input pass; nothing else was changed.

--- a/crates/sloetrail-node/src/api/trainers.rs
+++ b/crates/sloetrail-node/src/api/trainers.rs
@@ -12,7 +12,7 @@
 use axum::Json;
 use axum::extract::rejection::{JsonRejection, QueryRejection};
 use axum::extract::{Path, Query, State};
-use sloetrail_platform::{Condition, Row, Settled, Transaction, Write};
+use sloetrail_platform::{Row, Settled, Transaction};
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_types::{RunName, ServiceName};
 use std::sync::Arc;
@@ -111,17 +111,12 @@
     let record = WeightsRecord {
         published: request.version,
     };
-    Transaction {
-        id: state.new_transaction_id(),
-        conditions: vec![Condition {
-            key: key.to_owned(),
-            version: row.map(|row| row.version),
-        }],
-        writes: vec![Write {
-            key: key.to_owned(),
-            value: to_value(&record),
-        }],
-    }
+    Transaction::of_one_row(
+        state.new_transaction_id(),
+        key,
+        row.map(|row| row.version),
+        to_value(&record),
+    )
 }
 
 fn check_run(state: &NodeState, run: &RunName) -> Result<(), Problem> {
--- a/crates/sloetrail-node/src/gateway/claims.rs
+++ b/crates/sloetrail-node/src/gateway/claims.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 use serde::{Deserialize, Serialize};
-use sloetrail_platform::{Condition, Row, Settled, Transaction, Write};
+use sloetrail_platform::{Row, Settled, Transaction};
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_types::{RowVersion, ServiceName, digest};
 use std::sync::Arc;
@@ -63,17 +63,12 @@
         request_digest,
         answer: None,
     };
-    let transaction = Transaction {
-        id: state.new_transaction_id(),
-        conditions: vec![Condition {
-            key: row_key.clone(),
-            version: None,
-        }],
-        writes: vec![Write {
-            key: row_key.clone(),
-            value: to_value(&record),
-        }],
-    };
+    let transaction = Transaction::of_one_row(
+        state.new_transaction_id(),
+        &row_key,
+        None,
+        to_value(&record),
+    );
     let table = &state.clients.table;
     match table.commit_settled(&transaction, &row_key, deadline).await {
         Settled::Committed(version) => Ok(ClaimOutcome::Claimed(Claim {
@@ -114,17 +109,12 @@
             body: answer.body.to_vec(),
         }),
     };
-    let transaction = Transaction {
-        id: state.new_transaction_id(),
-        conditions: vec![Condition {
-            key: claim.key.clone(),
-            version: Some(claim.version),
-        }],
-        writes: vec![Write {
-            key: claim.key.clone(),
-            value: to_value(&record),
-        }],
-    };
+    let transaction = Transaction::of_one_row(
+        state.new_transaction_id(),
+        &claim.key,
+        Some(claim.version),
+        to_value(&record),
+    );
     let state = Arc::clone(state);
     tokio::spawn(async move {
         let deadline = Instant::now() + CLEANUP_TIMEOUT;
@@ -185,17 +175,8 @@
 }
 
 async fn delete_row(state: &NodeState, key: String, version: RowVersion) {
-    let transaction = Transaction {
-        id: state.new_transaction_id(),
-        conditions: vec![Condition {
-            key: key.clone(),
-            version: Some(version),
-        }],
-        writes: vec![Write {
-            key: key.clone(),
-            value: None,
-        }],
-    };
+    let transaction =
+        Transaction::of_one_row(state.new_transaction_id(), &key, Some(version), None);
     let deadline = Instant::now() + CLEANUP_TIMEOUT;
     // A conflict after a lost answer means that the row is gone.
     let table = &state.clients.table;
--- a/crates/sloetrail-node/src/leases.rs
+++ b/crates/sloetrail-node/src/leases.rs
@@ -9,7 +9,7 @@
 use crate::sync::rows::{to_value, value_of};
 use sloetrail_config::ServiceKind;
 use sloetrail_lease::{LeaseAction, LeaseRecord, LeaseWatcher, ObservedLease};
-use sloetrail_platform::{Condition, Row, Settled, Transaction, Write};
+use sloetrail_platform::{Row, Settled, Transaction};
 use sloetrail_types::{Epoch, NodeId, RunName, ServiceName, Timestamp, rendezvous_weight};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -154,17 +154,12 @@
 }
 
 async fn write(state: &NodeState, key: &str, entry: &mut Watched, action: LeaseAction) {
-    let transaction = Transaction {
-        id: state.new_transaction_id(),
-        conditions: vec![Condition {
-            key: key.to_owned(),
-            version: action.expected,
-        }],
-        writes: vec![Write {
-            key: key.to_owned(),
-            value: to_value(&action.record),
-        }],
-    };
+    let transaction = Transaction::of_one_row(
+        state.new_transaction_id(),
+        key,
+        action.expected,
+        to_value(&action.record),
+    );
     let deadline = Instant::now() + SETTLE_TIMEOUT;
     let table = &state.clients.table;
     // On any other outcome the next look reads the row again.
--- a/crates/sloetrail-node/src/sync/apply.rs
+++ b/crates/sloetrail-node/src/sync/apply.rs
@@ -50,17 +50,12 @@
         return confirm_in_force(state, apply, revision).await;
     }
     let key = apply_key(apply);
-    let withdrawal = Transaction {
-        id: state.new_transaction_id(),
-        conditions: vec![Condition {
-            key: key.clone(),
-            version: None,
-        }],
-        writes: vec![Write {
-            key: key.clone(),
-            value: to_value(&ApplyRecord::Withdrawn),
-        }],
-    };
+    let withdrawal = Transaction::of_one_row(
+        state.new_transaction_id(),
+        &key,
+        None,
+        to_value(&ApplyRecord::Withdrawn),
+    );
     let deadline = Instant::now() + SETTLE_TIMEOUT;
     let table = &state.clients.table;
     match table.commit_settled(&withdrawal, &key, deadline).await {
--- a/crates/sloetrail-platform/src/table.rs
+++ b/crates/sloetrail-platform/src/table.rs
@@ -59,6 +59,29 @@
     pub writes: Vec<Write>,
 }
 
+impl Transaction {
+    /// Writes one row or, without a value, deletes it, if it has the expected
+    /// version; without one, if it is absent.
+    pub fn of_one_row(
+        id: TransactionId,
+        key: &str,
+        expected: Option<RowVersion>,
+        value: Option<Value>,
+    ) -> Self {
+        Self {
+            id,
+            conditions: vec![Condition {
+                key: key.to_owned(),
+                version: expected,
+            }],
+            writes: vec![Write {
+                key: key.to_owned(),
+                value,
+            }],
+        }
+    }
+}
+
 /// The table's answer to a transaction.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
