A stop waits for keyed requests whose callers hung up; leases are looked after at once

A keyed request goes on when its caller hangs up, but did not count as in flight then, so a planned stop could cut it off. Leases were read and renewed one after the other; with a table that takes 400 ms and ten resources a round took longer than a lease lasts. They are looked after together. The service name in a metric came from the caller, so made-up names filled the node's memory; they share the label 'unknown' now. 4. A remnant in the readiness rule that was always true is gone.

--- a/crates/sloetrail-node/src/api/callers.rs
+++ b/crates/sloetrail-node/src/api/callers.rs
@@ -34,9 +34,9 @@
     request: Request,
 ) -> Response {
     let started = Instant::now();
-    let service = path.service.clone();
+    let label = service_label(&state, &path.service);
     let result = admit_and_forward(&state, path, request).await;
-    metrics::histogram!("sloetrail_request_seconds", "service" => service.to_string())
+    metrics::histogram!("sloetrail_request_seconds", "service" => label)
         .record(started.elapsed().as_secs_f64());
     let mut response =
         result.unwrap_or_else(|problem| ProblemResponse::from(problem).into_response());
@@ -44,19 +44,28 @@
     response
 }
 
+/// A service's name as a metric's label. Names that callers make up share one, or
+/// they could fill the node's memory.
+fn service_label(state: &NodeState, service: &ServiceName) -> String {
+    match state.pool(service) {
+        Some(_) => service.to_string(),
+        None => "unknown".to_owned(),
+    }
+}
+
 async fn admit_and_forward(
     state: &Arc<NodeState>,
     path: CallerPath,
     request: Request,
 ) -> Result<Response, Problem> {
-    let _in_flight = state.lifecycle.enter().map_err(refusal_of_phase)?;
+    let in_flight = state.lifecycle.enter().map_err(refusal_of_phase)?;
     let request = read_request(state, &path, request).await?;
     if !state.configuration_is_fresh() {
         let detail = "the node could not confirm its configuration";
         return Err(Problem::new(ResultCode::ConfigurationStale, detail));
     }
     let revision = state.revision();
-    let answer = forward(state, &path.service, request).await?;
+    let answer = forward(state, &path.service, request, in_flight).await?;
     let mut response = Response::new(Body::from(answer.body));
     *response.status_mut() = answer.status;
     *response.headers_mut() = answer.headers;
--- a/crates/sloetrail-node/src/gateway/forward.rs
+++ b/crates/sloetrail-node/src/gateway/forward.rs
@@ -4,6 +4,7 @@
 use super::claims::{Claim, ClaimOutcome, claim, release, store_answer};
 use super::other_zone::run_in_other_zone;
 use super::pool::{ServicePool, Slot};
+use crate::lifecycle::InFlight;
 use crate::state::NodeState;
 use bytes::Bytes;
 use http::{HeaderMap, Method};
@@ -67,6 +68,7 @@
     state: &Arc<NodeState>,
     service: &ServiceName,
     request: CallerRequest,
+    in_flight: InFlight,
 ) -> Result<Answer, Problem> {
     let Some(pool) = state.pool(service) else {
         let detail = format!("no service is named {service}");
@@ -81,10 +83,13 @@
     let Some(key) = key else {
         return run(state, &pool, &request, deadline).await;
     };
-    // A claimed request goes on even if its caller hangs up: its outcome is kept.
+    // A claimed request goes on even if its caller hangs up: its outcome is kept,
+    // and a stopping node waits for it.
     let state = Arc::clone(state);
-    let keyed =
-        tokio::spawn(async move { run_keyed(&state, &pool, &request, &key, deadline).await });
+    let keyed = tokio::spawn(async move {
+        let _in_flight = in_flight;
+        run_keyed(&state, &pool, &request, &key, deadline).await
+    });
     keyed
         .await
         .unwrap_or_else(|error| Err(Problem::new(ResultCode::InternalError, error.to_string())))
--- a/crates/sloetrail-node/src/leases.rs
+++ b/crates/sloetrail-node/src/leases.rs
@@ -4,9 +4,11 @@
 //! resource one node of each zone is a candidate, by rendezvous hashing; zones
 //! are ranked the same way, and later ones look less often and wait longer.
 
+use crate::lifecycle::Phase;
 use crate::owner::{start_run_owner, start_weights_owner};
 use crate::state::NodeState;
 use crate::sync::rows::{to_value, value_of};
+use futures_util::future::join_all;
 use sloetrail_config::ServiceKind;
 use sloetrail_lease::{LeaseAction, LeaseRecord, LeaseWatcher, ObservedLease};
 use sloetrail_platform::{Row, Settled, Transaction};
@@ -53,37 +55,44 @@
 pub(crate) async fn keep_leases(state: Arc<NodeState>) {
     let mut watched: BTreeMap<Resource, Watched> = BTreeMap::new();
     loop {
-        let resources = configured_resources(&state);
-        let gone: Vec<Resource> = watched
-            .keys()
-            .filter(|resource| !resources.contains(resource))
-            .cloned()
-            .collect();
-        for resource in gone {
-            stop_owner(&state, &resource);
-            watched.remove(&resource);
-        }
-        for resource in resources {
-            let entry = watched.entry(resource.clone()).or_insert_with(|| Watched {
-                watcher: LeaseWatcher::new(
-                    state.settings.node.clone(),
-                    state.settings.bounds.lease_duration,
-                ),
-                looked_at: None,
-            });
-            look_after(&state, &resource, entry).await;
-        }
+        follow_configuration(&state, &mut watched);
+        // All at once: with a slow table, one after the other would outlast a lease.
+        let looks = watched
+            .iter_mut()
+            .map(|(resource, entry)| look_after(&state, resource, entry));
+        join_all(looks).await;
         tokio::select! {
             () = tokio::time::sleep(LOOK_PERIOD) => {}
             () = state.cancel.cancelled() => return,
         }
-        if state.lifecycle.phase() == crate::lifecycle::Phase::Leaving {
+        if state.lifecycle.phase() == Phase::Leaving {
             hand_over(&state, &watched).await;
             return;
         }
     }
 }
 
+/// Watches what is configured, and lets go of what is not any more.
+fn follow_configuration(state: &NodeState, watched: &mut BTreeMap<Resource, Watched>) {
+    let resources = configured_resources(state);
+    watched.retain(|resource, _| {
+        let configured = resources.contains(resource);
+        if !configured {
+            stop_owner(state, resource);
+        }
+        configured
+    });
+    for resource in resources {
+        watched.entry(resource).or_insert_with(|| Watched {
+            watcher: LeaseWatcher::new(
+                state.settings.node.clone(),
+                state.settings.bounds.lease_duration,
+            ),
+            looked_at: None,
+        });
+    }
+}
+
 fn configured_resources(state: &NodeState) -> Vec<Resource> {
     let configuration = state.configuration().configuration;
     let runs = configuration.runs.keys().cloned().map(Resource::Run);
--- a/crates/sloetrail-node/src/node.rs
+++ b/crates/sloetrail-node/src/node.rs
@@ -10,7 +10,7 @@
     keep_configuration, keep_directory, read_configuration_from_table, read_directory,
 };
 use sloetrail_config::NodeSettings;
-use sloetrail_types::{NodeId, Revision, ServiceName, Timestamp};
+use sloetrail_types::{NodeId, Revision, ServiceName};
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -213,7 +213,8 @@
     }
 }
 
-/// Ready once the node holds a configuration at least as new as any it heard of.
+/// Ready once the node holds a configuration that it knows to be in force, and so
+/// one at least as new as its zone's.
 async fn become_ready(state: Arc<NodeState>) {
     if let Err(error) = read_directory(&state).await {
         log::warn!(target: "node", "The machine list was not read: {error}.");
@@ -222,9 +223,8 @@
         log::warn!(target: "node", "The configuration was not read: {error}.");
     }
     loop {
-        let heard_of_zone = state.now() > Timestamp(0);
         let holds_one = state.revision() > Revision(0);
-        if heard_of_zone && holds_one && state.configuration_is_fresh() {
+        if holds_one && state.configuration_is_fresh() {
             state.lifecycle.become_ready();
             log::info!(target: "node", "Node {} is ready.", state.settings.node);
             return;
