--- a/crates/sloetrail-lab/src/commands/mod.rs
+++ b/crates/sloetrail-lab/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod experiment;
 mod faults;
 mod load;
+mod platform;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use std::future::Future;
@@ -34,6 +35,7 @@
         .subcommand(bench::command())
         .subcommand(experiment::command())
         .subcommand(load::command())
+        .subcommand(platform::command())
 }
 
 fn seed_argument() -> Arg {
@@ -54,6 +56,7 @@
     match matches.subcommand() {
         Some(("demo", matches)) => block_on(demo::run(seed_of(matches), matches.get_flag("json"))),
         Some(("engine", matches)) => block_on(engine::run(matches)),
+        Some(("platform", matches)) => block_on(platform::run(matches)),
         Some(("load", matches)) => block_on(load::run(matches)),
         Some(("experiment", matches)) => experiment::run(matches),
         Some(("bench", matches)) => block_on(bench::run(matches)),
--- a/crates/sloetrail-lab/src/fleet/platform.rs
+++ b/crates/sloetrail-lab/src/fleet/platform.rs
@@ -29,6 +29,8 @@
     pub list_lag: Duration,
     /// Time of scoring one sample.
     pub scoring: Duration,
+    /// The first of five ports in a row; ports from the system if absent.
+    pub first_port: Option<u16>,
     /// Addresses by reader's zone.
     pub rewrite: MachineRewrite,
     /// Drives the faults' random choices.
@@ -45,6 +47,7 @@
             weight_transfer: Duration::from_millis(300),
             list_lag: Duration::from_millis(500),
             scoring: Duration::from_millis(20),
+            first_port: None,
             rewrite: Arc::new(|_, machine| machine),
             seed,
         }
@@ -75,28 +78,30 @@
 }
 
 impl PlatformStandIns {
-    /// Starts all of them on ports from the system.
+    /// Starts all of them.
     pub async fn start(settings: PlatformSettings) -> std::io::Result<Self> {
         let seed = settings.seed;
+        let address = |place: u16| match settings.first_port {
+            Some(first) => SocketAddr::from((Ipv4Addr::LOCALHOST, first + place)),
+            None => any_port(),
+        };
+        let table = TableStandIn::start(address(0), settings.table_per_second, seed);
+        let objects = ObjectStandIn::start(address(1), settings.objects_per_second, seed + 1);
+        let (lag, rewrite) = (settings.list_lag, settings.rewrite);
+        let machines = MachineListStandIn::start(address(2), lag, rewrite, seed + 2);
+        let scoring = ScoringStandIn::start(address(3), settings.scoring, seed + 3);
+        let weights = WeightStoreStandIn::start(
+            address(4),
+            settings.weight_reads_per_second,
+            settings.weight_transfer,
+            seed + 4,
+        );
         Ok(Self {
-            table: TableStandIn::start(any_port(), settings.table_per_second, seed).await?,
-            objects: ObjectStandIn::start(any_port(), settings.objects_per_second, seed + 1)
-                .await?,
-            machines: MachineListStandIn::start(
-                any_port(),
-                settings.list_lag,
-                settings.rewrite,
-                seed + 2,
-            )
-            .await?,
-            scoring: ScoringStandIn::start(any_port(), settings.scoring, seed + 3).await?,
-            weights: WeightStoreStandIn::start(
-                any_port(),
-                settings.weight_reads_per_second,
-                settings.weight_transfer,
-                seed + 4,
-            )
-            .await?,
+            table: table.await?,
+            objects: objects.await?,
+            machines: machines.await?,
+            scoring: scoring.await?,
+            weights: weights.await?,
         })
     }
 
--- a/crates/sloetrail-lab/src/standins/engine/batch.rs
+++ b/crates/sloetrail-lab/src/standins/engine/batch.rs
@@ -1,7 +1,9 @@
 //! Continuous batching: each step every running generation gets some tokens.
 
 use super::model;
+use super::prefix_cache::{CacheEvent, PrefixCache};
 use crate::history_log::HistoryLog;
+use serde::{Deserialize, Serialize};
 use sloetrail_history::EventBody;
 use sloetrail_platform::{Chunk, Priority};
 use sloetrail_types::{EngineId, RequestId, WeightVersion, digest};
@@ -13,8 +15,8 @@
 
 /// Places beyond the capacity that only live requests may take.
 const LIVE_RESERVE: usize = 4;
-const PREFIX_CACHE_ENTRIES: usize = 256;
-const PREFIX_CHARACTERS: usize = 32;
+/// Imported states that wait for their generation.
+const IMPORTS_LIMIT: usize = 64;
 const PREFILL_STEPS: u32 = 2;
 
 /// How a model engine works.
@@ -45,14 +47,40 @@
     prefill_left: u32,
 }
 
-#[derive(Default)]
 struct Queues {
+    prefixes: PrefixCache,
     waiting: BTreeMap<Priority, VecDeque<Generation>>,
     running: Vec<Running>,
-    prefixes: VecDeque<u64>,
+    imported: VecDeque<String>,
     version: WeightVersion,
 }
 
+impl Queues {
+    /// Steps until the first token: none if the generation's state was imported or
+    /// its prompt's prefix is cached.
+    fn prefill_steps(&mut self, prompt: &str) -> u32 {
+        if let Some(place) = self.imported.iter().position(|known| known == prompt) {
+            self.imported.remove(place);
+            return 0;
+        }
+        match self.prefixes.use_prefix(prompt) {
+            true => 0,
+            false => PREFILL_STEPS,
+        }
+    }
+}
+
+/// A running generation's state, as it moves between engines.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KvState {
+    /// The prompt.
+    pub prompt: String,
+    /// The place of the next token.
+    pub next_token: u32,
+    /// The weights that computed it; others cannot use it.
+    pub version: WeightVersion,
+}
+
 /// The batch of one engine.
 pub(super) struct Batch {
     engine: EngineId,
@@ -65,8 +93,11 @@
 impl Batch {
     pub(super) fn new(engine: EngineId, settings: BatchSettings, history: HistoryLog) -> Self {
         let queues = Queues {
+            prefixes: PrefixCache::new(digest(engine.as_str().as_bytes())),
+            waiting: BTreeMap::new(),
+            running: Vec::new(),
+            imported: VecDeque::new(),
             version: WeightVersion(1),
-            ..Queues::default()
         };
         Self {
             engine,
@@ -94,6 +125,37 @@
         (queues.running.len(), waiting)
     }
 
+    /// The state of a running generation.
+    pub(super) fn export(&self, request: &RequestId) -> Option<KvState> {
+        let queues = self.queues.lock().expect("not poisoned");
+        let mut running = queues.running.iter();
+        let found = running.find(|running| running.generation.request == *request)?;
+        Some(KvState {
+            prompt: found.generation.prompt.clone(),
+            next_token: found.generation.next_token,
+            version: queues.version,
+        })
+    }
+
+    /// Takes a state in; false if other weights computed it.
+    pub(super) fn import(&self, state: KvState) -> bool {
+        let mut queues = self.queues.lock().expect("not poisoned");
+        if state.version != queues.version {
+            return false;
+        }
+        queues.imported.push_back(state.prompt);
+        if queues.imported.len() > IMPORTS_LIMIT {
+            queues.imported.pop_front();
+        }
+        true
+    }
+
+    /// Events of the prefix cache after a number, late and with gaps.
+    pub(super) fn cache_events(&self, after: u64) -> Vec<CacheEvent> {
+        let queues = self.queues.lock().expect("not poisoned");
+        queues.prefixes.events_after(after)
+    }
+
     pub(super) fn version(&self) -> WeightVersion {
         self.queues.lock().expect("not poisoned").version
     }
@@ -104,6 +166,7 @@
         queues.version = version;
         // A prefix that was computed with other weights is of no use.
         queues.prefixes.clear();
+        queues.imported.clear();
     }
 
     pub(super) fn pause(&self, paused: bool) {
@@ -149,7 +212,7 @@
                 let Some(generation) = waiting.pop_front() else {
                     break;
                 };
-                let prefill_left = prefill_steps(queues, &generation.prompt);
+                let prefill_left = queues.prefill_steps(&generation.prompt);
                 queues.running.push(Running {
                     generation,
                     prefill_left,
@@ -190,19 +253,3 @@
         !has_ended
     }
 }
-
-/// Steps until the first token: none if the prompt's prefix is cached.
-fn prefill_steps(queues: &mut Queues, prompt: &str) -> u32 {
-    let prefix: String = prompt.chars().take(PREFIX_CHARACTERS).collect();
-    let prefix = digest(prefix.as_bytes());
-    if let Some(place) = queues.prefixes.iter().position(|known| *known == prefix) {
-        queues.prefixes.remove(place);
-        queues.prefixes.push_back(prefix);
-        return 0;
-    }
-    queues.prefixes.push_back(prefix);
-    if queues.prefixes.len() > PREFIX_CACHE_ENTRIES {
-        queues.prefixes.pop_front();
-    }
-    PREFILL_STEPS
-}
--- a/crates/sloetrail-lab/src/standins/engine/server.rs
+++ b/crates/sloetrail-lab/src/standins/engine/server.rs
@@ -1,14 +1,15 @@
 //! The HTTP surface of an engine or back end.
 
 use super::application::ApplicationAnswer;
-use super::batch::{Batch, BatchSettings, Generation};
+use super::batch::{Batch, BatchSettings, Generation, KvState};
 use super::model;
+use super::prefix_cache::CacheEvent;
 use super::weights::Weights;
 use crate::history_log::HistoryLog;
 use crate::standins::fault_layer::lost_answer;
 use crate::standins::{FaultControl, Served};
 use axum::body::Body;
-use axum::extract::{Path, Request, State};
+use axum::extract::{Path, Query, Request, State};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{any, get, post};
 use axum::{Json, Router};
@@ -277,7 +278,10 @@
     let router = match shared.settings.kind {
         EngineKind::Model => router
             .route("/v1/generate", post(generate))
-            .route("/v1/complete", post(complete)),
+            .route("/v1/complete", post(complete))
+            .route("/v1/kv/{*request}", get(export_kv))
+            .route("/v1/kv", post(import_kv))
+            .route("/v1/cache-events", get(cache_events)),
         EngineKind::Application => router.route("/app/{*path}", any(serve_application)),
     };
     router.with_state(Arc::clone(shared))
@@ -324,6 +328,33 @@
     shared.weights.drain();
 }
 
+async fn export_kv(
+    State(shared): State<Arc<Shared>>,
+    Path(request): Path<RequestId>,
+) -> Result<Json<KvState>, StatusCode> {
+    let state = shared.batch.export(&request);
+    state.map(Json).ok_or(StatusCode::NOT_FOUND)
+}
+
+async fn import_kv(State(shared): State<Arc<Shared>>, Json(state): Json<KvState>) -> StatusCode {
+    match shared.batch.import(state) {
+        true => StatusCode::NO_CONTENT,
+        false => StatusCode::CONFLICT,
+    }
+}
+
+#[derive(Deserialize)]
+struct CacheEventsQuery {
+    after: u64,
+}
+
+async fn cache_events(
+    State(shared): State<Arc<Shared>>,
+    Query(query): Query<CacheEventsQuery>,
+) -> Json<Vec<CacheEvent>> {
+    Json(shared.batch.cache_events(query.after))
+}
+
 async fn pass_weights_on(
     State(shared): State<Arc<Shared>>,
     Path((_, version)): Path<(ServiceName, WeightVersion)>,
