The platform's stand-ins write their calls down

Cause: only engines and back ends logged what truly happened. Measured: a test of the table's log (a lost answer, a refusal) and the lab's other tests pass; no check reads these lines yet.

--- a/crates/sloetrail-history/src/event.rs
+++ b/crates/sloetrail-history/src/event.rs
@@ -230,6 +230,17 @@
         /// The node.
         node: NodeId,
     },
+    /// A platform stand-in was called. Lost answers took effect.
+    PlatformCalled {
+        /// The stand-in.
+        stand_in: String,
+        /// Method and path.
+        call: String,
+        /// The status that it answered with, or would have.
+        status: u16,
+        /// True if the call took effect and its answer was lost.
+        answer_lost: bool,
+    },
     /// The harness brought a fault about; for the reader's orientation.
     FaultInjected {
         /// What.
--- a/crates/sloetrail-lab/src/fleet/platform.rs
+++ b/crates/sloetrail-lab/src/fleet/platform.rs
@@ -1,8 +1,9 @@
 //! The platform's stand-ins together.
 
+use crate::history_log::HistoryLog;
 use crate::standins::{
-    MachineListStandIn, MachineRewrite, ObjectStandIn, ScoringStandIn, TableStandIn,
-    WeightStoreStandIn,
+    CallLog, FaultControl, MachineListStandIn, MachineRewrite, ObjectStandIn, ScoringStandIn,
+    TableStandIn, WeightStoreStandIn,
 };
 use sloetrail_config::PlatformAddresses;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -35,6 +36,8 @@
     pub rewrite: MachineRewrite,
     /// Drives the faults' random choices.
     pub seed: u64,
+    /// Where calls are written down, if anywhere.
+    pub history: Option<HistoryLog>,
 }
 
 impl PlatformSettings {
@@ -50,6 +53,7 @@
             first_port: None,
             rewrite: Arc::new(|_, machine| machine),
             seed,
+            history: None,
         }
     }
 }
@@ -80,28 +84,29 @@
 impl PlatformStandIns {
     /// Starts all of them.
     pub async fn start(settings: PlatformSettings) -> std::io::Result<Self> {
-        let seed = settings.seed;
         let address = |place: u16| match settings.first_port {
             Some(first) => SocketAddr::from((Ipv4Addr::LOCALHOST, first + place)),
             None => any_port(),
         };
-        let table = TableStandIn::start(address(0), settings.table_per_second, seed);
-        let objects = ObjectStandIn::start(address(1), settings.objects_per_second, seed + 1);
-        let (lag, rewrite) = (settings.list_lag, settings.rewrite);
-        let machines = MachineListStandIn::start(address(2), lag, rewrite, seed + 2);
-        let scoring = ScoringStandIn::start(address(3), settings.scoring, seed + 3);
-        let weights = WeightStoreStandIn::start(
-            address(4),
-            settings.weight_reads_per_second,
-            settings.weight_transfer,
-            seed + 4,
-        );
+        let faults = |place: u64, stand_in: &'static str| {
+            let mut faults = FaultControl::new(settings.seed + place);
+            if let Some(history) = settings.history.clone() {
+                faults.log_calls(CallLog { history, stand_in });
+            }
+            faults
+        };
+        let (lag, rewrite) = (settings.list_lag, settings.rewrite.clone());
+        let (rate, transfer) = (settings.weight_reads_per_second, settings.weight_transfer);
+        let (table_rate, object_rate) = (settings.table_per_second, settings.objects_per_second);
+        let machines = faults(2, "machines");
+        let weights = faults(4, "weights");
         Ok(Self {
-            table: table.await?,
-            objects: objects.await?,
-            machines: machines.await?,
-            scoring: scoring.await?,
-            weights: weights.await?,
+            table: TableStandIn::start(address(0), table_rate, faults(0, "table")).await?,
+            objects: ObjectStandIn::start(address(1), object_rate, faults(1, "objects")).await?,
+            machines: MachineListStandIn::start(address(2), lag, rewrite, machines).await?,
+            scoring: ScoringStandIn::start(address(3), settings.scoring, faults(3, "scoring"))
+                .await?,
+            weights: WeightStoreStandIn::start(address(4), rate, transfer, weights).await?,
         })
     }
 
--- a/crates/sloetrail-lab/src/fleet/processes.rs
+++ b/crates/sloetrail-lab/src/fleet/processes.rs
@@ -108,7 +108,9 @@
         std::fs::create_dir_all(&folder).map_err(io("making the run's folder"))?;
         let relayed: RelayTable = Arc::default();
         let table = Arc::clone(&relayed);
+        let history = HistoryLog::in_memory();
         let mut settings = PlatformSettings::assumed(seed);
+        settings.history = Some(history.clone());
         settings.rewrite = Arc::new(move |zone, machine| rewrite(&table, zone, machine));
         let platform = PlatformStandIns::start(settings)
             .await
@@ -116,7 +118,7 @@
         let mut fleet = Self {
             platform,
             book: NodeBook::default(),
-            history: HistoryLog::in_memory(),
+            history,
             cuts: Cuts::default(),
             folder,
             relays: Relays::default(),
--- a/crates/sloetrail-lab/src/standins/fault_layer.rs
+++ b/crates/sloetrail-lab/src/standins/fault_layer.rs
@@ -1,5 +1,6 @@
 //! Faults that every stand-in can be told to have.
 
+use crate::history_log::HistoryLog;
 use axum::Json;
 use axum::body::Body;
 use axum::extract::{Request, State};
@@ -10,6 +11,7 @@
 use http::StatusCode;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde::{Deserialize, Serialize};
+use sloetrail_history::EventBody;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -40,6 +42,16 @@
 pub struct FaultControl {
     faults: Arc<Mutex<Faults>>,
     random: Arc<Mutex<StdRng>>,
+    log: Option<CallLog>,
+}
+
+/// Where the calls of a stand-in are written down.
+#[derive(Clone)]
+pub struct CallLog {
+    /// The history.
+    pub history: HistoryLog,
+    /// The stand-in's name.
+    pub stand_in: &'static str,
 }
 
 impl FaultControl {
@@ -48,6 +60,23 @@
         Self {
             faults: Arc::default(),
             random: Arc::new(Mutex::new(StdRng::seed_from_u64(seed))),
+            log: None,
+        }
+    }
+
+    /// Writes each call down from now on.
+    pub fn log_calls(&mut self, log: CallLog) {
+        self.log = Some(log);
+    }
+
+    fn record(&self, call: String, status: StatusCode, answer_lost: bool) {
+        if let Some(log) = &self.log {
+            log.history.record(EventBody::PlatformCalled {
+                stand_in: log.stand_in.to_owned(),
+                call,
+                status: status.as_u16(),
+                answer_lost,
+            });
         }
     }
 
@@ -91,21 +120,25 @@
 
 async fn fail(State(control): State<FaultControl>, request: Request, next: Next) -> Response {
     let faults = control.get();
-    if faults.hang {
-        tokio::time::sleep(HANG).await;
-        return StatusCode::SERVICE_UNAVAILABLE.into_response();
-    }
-    if faults.down {
-        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    let call = format!("{} {}", request.method(), request.uri());
+    if faults.hang || faults.down {
+        let refused = StatusCode::SERVICE_UNAVAILABLE;
+        control.record(call, refused, false);
+        if faults.hang {
+            tokio::time::sleep(HANG).await;
+        }
+        return refused.into_response();
     }
     if faults.delay_ms > 0 {
         tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
     }
     let response = next.run(request).await;
-    if control.strikes(faults.lost_answer_percent) {
-        return lost_answer();
+    let is_lost = control.strikes(faults.lost_answer_percent);
+    control.record(call, response.status(), is_lost);
+    match is_lost {
+        true => lost_answer(),
+        false => response,
     }
-    response
 }
 
 /// An answer whose connection breaks before its body has come.
--- a/crates/sloetrail-lab/src/standins/machines.rs
+++ b/crates/sloetrail-lab/src/standins/machines.rs
@@ -1,5 +1,6 @@
 //! The machine list, which lags behind the truth.
 
+use super::fault_layer::FaultControl;
 use super::stand_in::StandIn;
 use axum::extract::{Query, State};
 use axum::routing::{get, post};
@@ -50,7 +51,7 @@
         address: SocketAddr,
         lag: Duration,
         rewrite: MachineRewrite,
-        seed: u64,
+        faults: FaultControl,
     ) -> std::io::Result<Self> {
         let state = MachineListState {
             lists: Mutex::default(),
@@ -60,7 +61,7 @@
         let router = Router::new()
             .route("/v1/machines", get(read))
             .route("/lab/machines", post(add));
-        Self::serve(address, state, router, seed).await
+        Self::serve(address, state, router, faults).await
     }
 
     /// Adds a machine, or replaces the one with its id.
--- a/crates/sloetrail-lab/src/standins/mod.rs
+++ b/crates/sloetrail-lab/src/standins/mod.rs
@@ -14,7 +14,7 @@
 mod table;
 mod weights;
 
-pub use fault_layer::{FaultControl, Faults};
+pub use fault_layer::{CallLog, FaultControl, Faults};
 pub use machines::{MachineListStandIn, MachineRewrite};
 pub use objects::ObjectStandIn;
 pub use scoring::ScoringStandIn;
--- a/crates/sloetrail-lab/src/standins/objects.rs
+++ b/crates/sloetrail-lab/src/standins/objects.rs
@@ -1,5 +1,6 @@
 //! The object store.
 
+use super::fault_layer::FaultControl;
 use super::rate_limit::RateLimit;
 use super::stand_in::StandIn;
 use axum::Router;
@@ -24,7 +25,11 @@
 
 impl ObjectStandIn {
     /// Starts an empty store with a rate limit in operations a second.
-    pub async fn start(address: SocketAddr, per_second: f64, seed: u64) -> std::io::Result<Self> {
+    pub async fn start(
+        address: SocketAddr,
+        per_second: f64,
+        faults: FaultControl,
+    ) -> std::io::Result<Self> {
         let state = ObjectState {
             objects: Mutex::default(),
             limit: RateLimit::new(per_second),
@@ -32,7 +37,7 @@
         let router = Router::new()
             .route("/v1/objects/{*key}", get(read).put(write).delete(delete))
             .layer(DefaultBodyLimit::max(BODY_LIMIT_BYTES));
-        Self::serve(address, state, router, seed).await
+        Self::serve(address, state, router, faults).await
     }
 
     /// Bodies that it holds.
--- a/crates/sloetrail-lab/src/standins/scoring.rs
+++ b/crates/sloetrail-lab/src/standins/scoring.rs
@@ -1,5 +1,6 @@
 //! The scoring service: a score that depends only on the sample.
 
+use super::fault_layer::FaultControl;
 use super::stand_in::StandIn;
 use axum::extract::State;
 use axum::routing::post;
@@ -15,9 +16,13 @@
 
 impl ScoringStandIn {
     /// Starts scoring, taking `delay` for each sample.
-    pub async fn start(address: SocketAddr, delay: Duration, seed: u64) -> std::io::Result<Self> {
+    pub async fn start(
+        address: SocketAddr,
+        delay: Duration,
+        faults: FaultControl,
+    ) -> std::io::Result<Self> {
         let router = Router::new().route("/v1/score", post(score));
-        Self::serve(address, delay, router, seed).await
+        Self::serve(address, delay, router, faults).await
     }
 }
 
--- a/crates/sloetrail-lab/src/standins/stand_in.rs
+++ b/crates/sloetrail-lab/src/standins/stand_in.rs
@@ -20,10 +20,9 @@
         address: SocketAddr,
         shared: S,
         router: Router<Arc<S>>,
-        seed: u64,
+        faults: FaultControl,
     ) -> std::io::Result<Self> {
         let shared = Arc::new(shared);
-        let faults = FaultControl::new(seed);
         let router = faults.wrap(router.with_state(Arc::clone(&shared)));
         Ok(Self {
             served: Served::start(address, router).await?,
--- a/crates/sloetrail-lab/src/standins/table.rs
+++ b/crates/sloetrail-lab/src/standins/table.rs
@@ -1,5 +1,6 @@
 //! The transactional table.
 
+use super::fault_layer::FaultControl;
 use super::rate_limit::RateLimit;
 use super::stand_in::StandIn;
 use axum::extract::{DefaultBodyLimit, State};
@@ -77,7 +78,11 @@
 
 impl TableStandIn {
     /// Starts an empty table with a rate limit in operations a second.
-    pub async fn start(address: SocketAddr, per_second: f64, seed: u64) -> std::io::Result<Self> {
+    pub async fn start(
+        address: SocketAddr,
+        per_second: f64,
+        faults: FaultControl,
+    ) -> std::io::Result<Self> {
         let state = TableState {
             rows: Mutex::default(),
             limit: RateLimit::new(per_second),
@@ -88,7 +93,7 @@
             .route("/v1/rows/scan", post(scan))
             .route("/v1/transactions", post(commit))
             .layer(DefaultBodyLimit::max(BODY_LIMIT_BYTES));
-        Self::serve(address, state, router, seed).await
+        Self::serve(address, state, router, faults).await
     }
 
     /// Operations that it has carried out.
--- a/crates/sloetrail-lab/src/standins/weights.rs
+++ b/crates/sloetrail-lab/src/standins/weights.rs
@@ -1,5 +1,6 @@
 //! The rate-limited weight store.
 
+use super::fault_layer::FaultControl;
 use super::rate_limit::RateLimit;
 use super::stand_in::StandIn;
 use axum::Router;
@@ -27,7 +28,7 @@
         address: SocketAddr,
         reads_per_second: f64,
         transfer: Duration,
-        seed: u64,
+        faults: FaultControl,
     ) -> std::io::Result<Self> {
         let state = WeightStoreState {
             limit: RateLimit::new(reads_per_second),
@@ -35,7 +36,7 @@
             reads: AtomicU64::new(0),
         };
         let router = Router::new().route("/v1/weights/{service}/{version}", get(read));
-        Self::serve(address, state, router, seed).await
+        Self::serve(address, state, router, faults).await
     }
 
     /// Reads that it has served.
--- a/crates/sloetrail-lab/tests/table_client.rs
+++ b/crates/sloetrail-lab/tests/table_client.rs
@@ -1,6 +1,8 @@
 //! The table's client against the stand-in: lost answers are settled, not guessed.
 
-use sloetrail_lab::standins::{Faults, TableStandIn};
+use sloetrail_history::EventBody;
+use sloetrail_lab::history_log::HistoryLog;
+use sloetrail_lab::standins::{CallLog, FaultControl, Faults, TableStandIn};
 use sloetrail_platform::{Condition, HttpClient, Settled, TableClient, Transaction, Write};
 use sloetrail_types::TransactionId;
 use std::net::SocketAddr;
@@ -11,7 +13,7 @@
 
 async fn table() -> (TableStandIn, TableClient) {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let table = TableStandIn::start(any, 10_000.0, 1)
+    let table = TableStandIn::start(any, 10_000.0, FaultControl::new(1))
         .await
         .expect("the table starts");
     let timeout = Duration::from_secs(2);
@@ -88,3 +90,41 @@
     table.faults.set(Faults::default());
     assert_eq!(client.read(KEY).await.expect("readable"), None);
 }
+
+#[tokio::test]
+async fn the_table_writes_down_what_truly_happened() {
+    let history = HistoryLog::in_memory();
+    let mut faults = FaultControl::new(1);
+    faults.log_calls(CallLog {
+        history: history.clone(),
+        stand_in: "table",
+    });
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let started = TableStandIn::start(any, 10_000.0, faults).await;
+    let table = started.expect("the table starts");
+    let timeout = Duration::from_secs(2);
+    let client = TableClient::new(HttpClient::new(), table.address(), timeout);
+    table.faults.set(Faults {
+        lost_answer_percent: 100,
+        ..Faults::default()
+    });
+    assert!(client.commit(&claim("a")).await.is_err());
+    table.faults.set(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    assert!(client.commit(&claim("b")).await.is_err());
+    let calls: Vec<(u16, bool)> = history
+        .events()
+        .into_iter()
+        .filter_map(|event| match event.body {
+            EventBody::PlatformCalled {
+                status,
+                answer_lost,
+                ..
+            } => Some((status, answer_lost)),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(calls, vec![(200, true), (503, false)]);
+}
