One way to apply a profile in the tests

Cause: three tests spelled out the same apply. Change: LocalFleet::apply_profile sends it once and the tests assert that it was accepted, as before; no assertion, bound or check is loosened.

--- a/crates/sloetrail-lab/src/fleet/local.rs
+++ b/crates/sloetrail-lab/src/fleet/local.rs
@@ -4,13 +4,18 @@
 use super::profile::{Profile, ServiceShape};
 use crate::history_log::HistoryLog;
 use crate::standins::engine::{EngineSettings, EngineStandIn};
-use crate::workload::{BookEntry, NodeBook};
+use crate::workload::{BookEntry, JsonAnswer, NodeBook, send_json};
+use http::Method;
 use sloetrail_config::{Bounds, NodeSettings};
 use sloetrail_history::EventBody;
+use sloetrail_node::messages::{ApplyAccepted, ApplyRequest};
 use sloetrail_node::{Node, NodeError, NodeSockets, Roles};
-use sloetrail_platform::{Machine, MachineRole, MachineState};
-use sloetrail_types::{EngineId, NodeId, ZoneName};
+use sloetrail_platform::{HttpClient, Machine, MachineRole, MachineState};
+use sloetrail_types::{ApplyId, EngineId, NodeId, ZoneName};
 use snafu::{ResultExt, Snafu};
+use std::time::Duration;
+
+const APPLY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Why a deployment could not start.
 #[derive(Debug, Snafu)]
@@ -156,6 +161,27 @@
         Ok(id)
     }
 
+    /// Applies the profile's file once, through the first node; true if it was
+    /// accepted.
+    pub async fn apply_profile(&self) -> bool {
+        let request = ApplyRequest {
+            apply: ApplyId::from("first"),
+            file: self.profile.file.to_owned(),
+            text: self.profile.text.to_owned(),
+            base_revision: None,
+        };
+        let answer: JsonAnswer<ApplyAccepted> = send_json(
+            &HttpClient::new(),
+            Method::POST,
+            self.nodes[0].http_address(),
+            "/v1/configuration",
+            Some(&request),
+            APPLY_TIMEOUT,
+        )
+        .await;
+        answer.value().is_some()
+    }
+
     /// Ends an engine as a crash would.
     pub fn crash_engine(&mut self, id: &EngineId) {
         self.history
--- a/crates/sloetrail-lab/tests/bad_input.rs
+++ b/crates/sloetrail-lab/tests/bad_input.rs
@@ -5,11 +5,8 @@
 use sloetrail_config::Bounds;
 use sloetrail_lab::fleet::{LocalFleet, Profile, ProfileName};
 use sloetrail_lab::history_log::HistoryLog;
-use sloetrail_lab::workload::{JsonAnswer, send_json};
-use sloetrail_node::messages::{ApplyAccepted, ApplyRequest};
 use sloetrail_platform::{HttpClient, RawResponse};
 use sloetrail_result::{Problem, ResultCode};
-use sloetrail_types::ApplyId;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -47,30 +44,12 @@
             http: HttpClient::new(),
             fleet,
         };
-        deployment.apply().await;
+        let accepted = deployment.fleet.apply_profile().await;
+        assert!(accepted, "the apply is accepted");
         deployment.until_served().await;
         deployment
     }
 
-    async fn apply(&self) {
-        let request = ApplyRequest {
-            apply: ApplyId::from("first"),
-            file: "maelir.toml".to_owned(),
-            text: self.fleet.profile.text.to_owned(),
-            base_revision: None,
-        };
-        let answer: JsonAnswer<ApplyAccepted> = send_json(
-            &self.http,
-            Method::POST,
-            self.node,
-            "/v1/configuration",
-            Some(&request),
-            Duration::from_secs(10),
-        )
-        .await;
-        answer.value().expect("the apply is accepted");
-    }
-
     async fn until_served(&self) {
         let deadline = Instant::now() + READY_TIMEOUT;
         while !self.good_request().await {
--- a/crates/sloetrail-lab/tests/other_zone.rs
+++ b/crates/sloetrail-lab/tests/other_zone.rs
@@ -1,14 +1,11 @@
 //! Requests of a zone that has no engine for them.
 
-use http::{Method, Request, StatusCode};
+use http::{Request, StatusCode};
 use http_body_util::Full;
 use sloetrail_config::Bounds;
 use sloetrail_lab::fleet::{LocalFleet, Profile, ProfileName};
 use sloetrail_lab::history_log::HistoryLog;
-use sloetrail_lab::workload::{JsonAnswer, send_json};
-use sloetrail_node::messages::{ApplyAccepted, ApplyRequest};
 use sloetrail_platform::HttpClient;
-use sloetrail_types::ApplyId;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -38,22 +35,7 @@
     added.expect("the back end starts");
     let http = HttpClient::new();
     let node = fleet.nodes()[0].http_address();
-    let request = ApplyRequest {
-        apply: ApplyId::from("first"),
-        file: profile.file.to_owned(),
-        text: profile.text.to_owned(),
-        base_revision: None,
-    };
-    let answer: JsonAnswer<ApplyAccepted> = send_json(
-        &http,
-        Method::POST,
-        node,
-        "/v1/configuration",
-        Some(&request),
-        Duration::from_secs(10),
-    )
-    .await;
-    answer.value().expect("the apply is accepted");
+    assert!(fleet.apply_profile().await, "the apply is accepted");
 
     let body = bytes::Bytes::from(vec![b'x'; BODY_LIMIT_BYTES]);
     let deadline = Instant::now() + WAIT;
--- a/crates/sloetrail-lab/tests/planned_stop.rs
+++ b/crates/sloetrail-lab/tests/planned_stop.rs
@@ -1,14 +1,9 @@
 //! A stopping node and requests whose callers have gone.
 
-use http::Method;
 use sloetrail_config::Bounds;
 use sloetrail_history::EventBody;
 use sloetrail_lab::fleet::{LocalFleet, Profile, ProfileName};
 use sloetrail_lab::history_log::HistoryLog;
-use sloetrail_lab::workload::{JsonAnswer, send_json};
-use sloetrail_node::messages::{ApplyAccepted, ApplyRequest};
-use sloetrail_platform::HttpClient;
-use sloetrail_types::ApplyId;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -30,22 +25,7 @@
         let added = fleet.add_node(zone, Bounds::default()).await;
         added.expect("the node starts");
     }
-    let request = ApplyRequest {
-        apply: ApplyId::from("first"),
-        file: profile.file.to_owned(),
-        text: profile.text.to_owned(),
-        base_revision: None,
-    };
-    let answer: JsonAnswer<ApplyAccepted> = send_json(
-        &HttpClient::new(),
-        Method::POST,
-        fleet.nodes()[0].http_address(),
-        "/v1/configuration",
-        Some(&request),
-        Duration::from_secs(10),
-    )
-    .await;
-    answer.value().expect("the apply is accepted");
+    assert!(fleet.apply_profile().await, "the apply is accepted");
     fleet
 }
 
