--- /dev/null
+++ b/crates/sloetrail-batch/src/batch.rs
@@ -0,0 +1,297 @@
+//! One open batch, as the owner of its service holds it.
+
+use crate::{
+    BatchHeader, BatchId, ItemId, ListedResult, ResultState, Submission, SubmittedItem, Transcript,
+};
+use sloetrail_types::WeightVersion;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// An item's place in its submission.
+pub type ItemIndex = usize;
+
+/// Refusals of the kind "never possible" after which an item is given up.
+const IMPOSSIBLE_ANSWERS_LIMIT: usize = 1;
+
+/// Where an item stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ItemState {
+    /// It waits for an engine.
+    Waiting,
+    /// It is at an engine.
+    Running,
+    /// Its text is whole and being scored.
+    Rewarding,
+    /// Its result is being committed.
+    Committing,
+    /// Its result is in the list.
+    Listed,
+}
+
+/// Why an item is given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DeathCause {
+    /// An engine said that it can never be done.
+    Impossible,
+    /// It failed as often as its route allows.
+    RunsFailed,
+    /// Its reward call failed as often as its route allows.
+    RewardFailed,
+    /// Its time of retention is over.
+    Expired,
+}
+
+/// How a run ended without a whole text.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunFailure {
+    /// The engine answered that the run failed.
+    Failed,
+    /// The engine answered that the item can never be done.
+    Impossible,
+    /// The engine did not run it, or the answer broke off: try elsewhere.
+    Interrupted,
+}
+
+/// One item with what has become of it.
+#[derive(Clone, Debug)]
+pub struct Item {
+    /// What was submitted.
+    pub submitted: Arc<SubmittedItem>,
+    /// Where it stands.
+    pub state: ItemState,
+    /// The events kept so far.
+    pub transcript: Transcript,
+    /// The length that is expected, in the unit of the trainer's hint.
+    pub expected_length: u64,
+    failed_runs: usize,
+    impossible_answers: usize,
+}
+
+/// One open batch.
+#[derive(Clone, Debug)]
+pub struct Batch {
+    /// Its id.
+    pub id: BatchId,
+    /// Its durable head.
+    pub header: BatchHeader,
+    /// The model whose weights make the samples.
+    pub model: Option<String>,
+    /// The oldest version that may make a token.
+    pub oldest_version: WeightVersion,
+    items: Vec<Item>,
+    /// Waiting items, the next one last.
+    queue: Vec<ItemIndex>,
+    /// For each item whether its group is among those waited for.
+    wanted: Vec<bool>,
+}
+
+impl Batch {
+    /// A batch of which nothing has run. `expected_length` gives an item's length
+    /// by the trainer's hint; `carried` are items that an earlier batch left over.
+    pub fn new(
+        id: BatchId,
+        header: BatchHeader,
+        submission: Submission,
+        expected_length: impl Fn(&SubmittedItem) -> u64,
+        carried: &BTreeSet<ItemId>,
+    ) -> Self {
+        let oldest_version = submission.oldest_version();
+        let groups_wanted = submission.desired_groups;
+        let items: Vec<Item> = submission
+            .items
+            .into_iter()
+            .map(|submitted| Item {
+                expected_length: expected_length(&submitted),
+                submitted: Arc::new(submitted),
+                state: ItemState::Waiting,
+                transcript: Transcript::default(),
+                failed_runs: 0,
+                impossible_answers: 0,
+            })
+            .collect();
+        let wanted = wanted_items(&items, groups_wanted, carried);
+        let mut batch = Self {
+            id,
+            header,
+            model: submission.model,
+            oldest_version,
+            queue: (0..items.len()).collect(),
+            items,
+            wanted,
+        };
+        batch.sort_queue();
+        batch
+    }
+
+    /// The items in the order of the submission.
+    pub fn items(&self) -> &[Item] {
+        &self.items
+    }
+
+    /// One item.
+    pub fn item(&self, index: ItemIndex) -> &Item {
+        &self.items[index]
+    }
+
+    /// The index of an item.
+    pub fn index_of(&self, id: &str) -> Option<ItemIndex> {
+        self.items.iter().position(|item| item.submitted.id == id)
+    }
+
+    /// True if the item's group is among those that the trainer waits for first.
+    pub fn is_wanted(&self, index: ItemIndex) -> bool {
+        self.wanted[index]
+    }
+
+    /// The item to run next, if one waits.
+    pub fn peek(&self) -> Option<ItemIndex> {
+        self.queue.last().copied()
+    }
+
+    /// How many items wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Takes the next item out of the queue to run it.
+    pub fn start_next(&mut self) -> Option<ItemIndex> {
+        let index = self.queue.pop()?;
+        self.items[index].state = ItemState::Running;
+        Some(index)
+    }
+
+    /// Notes an event of a running item's text.
+    pub fn keep(&mut self, index: ItemIndex, transcript: Transcript) {
+        self.items[index].transcript = transcript;
+    }
+
+    /// A run ended without a whole text. Returns why the item is given up, or
+    /// nothing if it waits again.
+    pub fn run_failed(&mut self, index: ItemIndex, failure: RunFailure) -> Option<DeathCause> {
+        let item = &mut self.items[index];
+        if item.state != ItemState::Running {
+            return None;
+        }
+        match failure {
+            RunFailure::Failed => {
+                item.failed_runs += 1;
+                item.transcript = Transcript::default();
+            }
+            RunFailure::Impossible => item.impossible_answers += 1,
+            RunFailure::Interrupted => {}
+        }
+        if item.impossible_answers >= IMPOSSIBLE_ANSWERS_LIMIT {
+            return Some(DeathCause::Impossible);
+        }
+        if item.failed_runs >= self.header.max_attempts {
+            return Some(DeathCause::RunsFailed);
+        }
+        item.state = ItemState::Waiting;
+        self.queue.push(index);
+        self.sort_queue();
+        None
+    }
+
+    /// A run ended with the whole text.
+    pub fn text_is_whole(&mut self, index: ItemIndex, transcript: Transcript) {
+        let item = &mut self.items[index];
+        if item.state == ItemState::Running {
+            item.transcript = transcript;
+            item.state = ItemState::Rewarding;
+        }
+    }
+
+    /// The result of an item whose text is whole, with its score if it has a reward
+    /// call; the item then waits for the commit.
+    pub fn succeed(&mut self, index: ItemIndex, score: Option<String>) -> ListedResult {
+        let item = &mut self.items[index];
+        item.state = ItemState::Committing;
+        ListedResult {
+            id: item.submitted.id.clone(),
+            state: ResultState::Succeeded,
+            text: item.transcript.text(),
+            versions: item.transcript.versions(),
+            score,
+        }
+    }
+
+    /// The result of an item that is given up; it then waits for the commit.
+    pub fn give_up(&mut self, index: ItemIndex) -> ListedResult {
+        self.queue.retain(|waiting| *waiting != index);
+        let item = &mut self.items[index];
+        item.state = ItemState::Committing;
+        ListedResult::dead(item.submitted.id.clone())
+    }
+
+    /// An item's result is in the list.
+    pub fn listed(&mut self, index: ItemIndex) {
+        self.queue.retain(|waiting| *waiting != index);
+        let item = &mut self.items[index];
+        item.state = ItemState::Listed;
+        item.transcript = Transcript::default();
+    }
+
+    /// Items that are not listed and not being committed.
+    pub fn unfinished(&self) -> Vec<ItemIndex> {
+        let open = |state: ItemState| !matches!(state, ItemState::Committing | ItemState::Listed);
+        let indexes = 0..self.items.len();
+        indexes
+            .filter(|index| open(self.items[*index].state))
+            .collect()
+    }
+
+    /// True if every item is listed.
+    pub fn is_whole(&self) -> bool {
+        self.items
+            .iter()
+            .all(|item| item.state == ItemState::Listed)
+    }
+
+    /// Wanted items first, of these the longest first, since they decide when the
+    /// step is whole; of the others the shortest first. The next one stands last.
+    fn sort_queue(&mut self) {
+        let (items, wanted) = (&self.items, &self.wanted);
+        self.queue.sort_by_key(|index| {
+            let length = items[*index].expected_length as i64;
+            match wanted[*index] {
+                true => (1, length),
+                false => (0, -length),
+            }
+        });
+    }
+}
+
+/// Marks the items of the groups that are waited for: those carried over from an
+/// earlier batch, then those whose longest item is shortest.
+fn wanted_items(
+    items: &[Item],
+    groups_wanted: Option<usize>,
+    carried: &BTreeSet<ItemId>,
+) -> Vec<bool> {
+    let Some(groups_wanted) = groups_wanted else {
+        return vec![true; items.len()];
+    };
+    let mut groups: BTreeMap<&str, (bool, u64)> = BTreeMap::new();
+    for item in items {
+        let (is_carried, longest) = groups.entry(group_of(item)).or_insert((false, 0));
+        *is_carried |= carried.contains(&item.submitted.id);
+        *longest = (*longest).max(item.expected_length);
+    }
+    let mut ranked: Vec<(&str, (bool, u64))> = groups.into_iter().collect();
+    ranked.sort_by_key(|(_, (is_carried, longest))| (!is_carried, *longest));
+    let wanted: BTreeSet<&str> = ranked
+        .into_iter()
+        .take(groups_wanted)
+        .map(|(group, _)| group)
+        .collect();
+    items
+        .iter()
+        .map(|item| wanted.contains(group_of(item)))
+        .collect()
+}
+
+/// An item without a group is a group of its own.
+fn group_of(item: &Item) -> &str {
+    let submitted = &item.submitted;
+    submitted.group.as_deref().unwrap_or(&submitted.id)
+}
--- /dev/null
+++ b/crates/sloetrail-batch/src/header.rs
@@ -0,0 +1,36 @@
+//! The durable head of a batch.
+
+use serde::{Deserialize, Serialize};
+use sloetrail_types::ServiceName;
+
+const ID_LENGTH_LIMIT: usize = 100;
+
+/// A batch's id, chosen by the trainer.
+pub type BatchId = String;
+
+/// The row whose presence means that a batch is accepted.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct BatchHeader {
+    /// The service that runs the items.
+    pub service: ServiceName,
+    /// The `Host` of the route, which goes with each item.
+    pub host: String,
+    /// How many items there are.
+    pub total: usize,
+    /// How many rows hold the submission.
+    pub body_rows: usize,
+    /// When it was accepted, in milliseconds of the table's clock.
+    pub accepted_at_ms: u64,
+    /// Answers of failure after which an item is given up.
+    pub max_attempts: usize,
+    /// How long after acceptance an item may be given up, in milliseconds.
+    pub retention_ms: u64,
+    /// Whether a sample must come from one version of the weights.
+    pub single_version: bool,
+}
+
+/// True if an id may name a batch or an item: it becomes part of a key.
+pub fn is_usable_id(id: &str) -> bool {
+    let usable = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
+    !id.is_empty() && id.len() <= ID_LENGTH_LIMIT && id.bytes().all(usable)
+}
--- /dev/null
+++ b/crates/sloetrail-batch/src/lib.rs
@@ -0,0 +1,29 @@
+//! Batches of samples, without I/O or clocks.
+//!
+//! A [`Submission`] is what a trainer sends; [`BatchHeader`] and [`ListedResult`]
+//! are what the table keeps. The owner of a service holds one [`Batch`] for each
+//! open submission: it says which item goes to an engine next, takes in what became
+//! of it, and keeps each item's [`Transcript`] so that a broken run can go on
+//! elsewhere. Results get their positions from the owner, in the order in which
+//! they are committed.
+//!
+//! Invariants:
+//! - an item moves waiting, running, rewarding, committing, listed; a failed run
+//!   brings it back to waiting, and nothing moves it out of listed;
+//! - a transcript holds consecutive events, each with the version that made it;
+//! - an item is given up as dead only for a cause that [`DeathCause`] names.
+
+mod batch;
+mod header;
+mod result;
+mod submission;
+mod transcript;
+
+pub use batch::{Batch, DeathCause, Item, ItemIndex, ItemState, RunFailure};
+pub use header::{BatchHeader, BatchId, is_usable_id};
+pub use result::{ListedResult, ResultPage, ResultState, StoredResultError};
+pub use submission::{ItemId, RewardCall, Submission, SubmissionError, SubmittedItem};
+pub use transcript::{Transcript, TranscriptError, TranscriptEvent};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/sloetrail-batch/src/tests.rs
@@ -0,0 +1,158 @@
+use crate::{
+    Batch, BatchHeader, DeathCause, ItemState, ListedResult, RunFailure, Submission, Transcript,
+    TranscriptEvent, is_usable_id,
+};
+use serde_json::{Value, json};
+use sloetrail_types::{ServiceName, WeightVersion};
+use std::collections::BTreeSet;
+
+fn header(total: usize) -> BatchHeader {
+    BatchHeader {
+        service: ServiceName::from("models"),
+        host: "a.example".to_owned(),
+        total,
+        body_rows: 1,
+        accepted_at_ms: 0,
+        max_attempts: 2,
+        retention_ms: 40_000,
+        single_version: false,
+    }
+}
+
+fn item(id: &str, group: &str, length: u64) -> Value {
+    json!({"id": id, "path": "/r/1", "body": "q83v", "tokens": length, "group": group})
+}
+
+fn submission(items: Vec<Value>, desired: usize) -> Submission {
+    let json =
+        json!({"step": 1, "model": "m", "min_version": 2, "desired": desired, "items": items});
+    Submission::parse(json.to_string().as_bytes()).expect("sound")
+}
+
+fn batch(items: Vec<Value>, desired: usize, carried: &[&str]) -> Batch {
+    let carried: BTreeSet<String> = carried.iter().map(|id| (*id).to_owned()).collect();
+    let total = items.len();
+    let submission = submission(items, desired);
+    Batch::new(
+        "b".to_owned(),
+        header(total),
+        submission,
+        |item| item.tokens,
+        &carried,
+    )
+}
+
+fn order(batch: &mut Batch) -> Vec<String> {
+    let mut ids = Vec::new();
+    while let Some(index) = batch.start_next() {
+        ids.push(batch.item(index).submitted.id.clone());
+    }
+    ids
+}
+
+fn event(number: u64, data: &str, version: u64) -> TranscriptEvent {
+    TranscriptEvent {
+        number,
+        data: data.to_owned(),
+        version: Some(WeightVersion(version)),
+    }
+}
+
+#[test]
+fn wanted_groups_go_first_and_of_these_the_longest_items() {
+    let items = vec![
+        item("a1", "a", 50),
+        item("a2", "a", 900),
+        item("b1", "b", 70),
+        item("b2", "b", 60),
+        item("c1", "c", 400),
+        item("c2", "c", 10),
+    ];
+    let mut batch = batch(items, 2, &[]);
+    assert_eq!(order(&mut batch), ["c1", "b1", "b2", "c2", "a1", "a2"]);
+}
+
+#[test]
+fn a_group_that_is_carried_over_is_wanted_however_long() {
+    let items = vec![
+        item("a1", "a", 900),
+        item("b1", "b", 70),
+        item("c1", "c", 400),
+    ];
+    let mut batch = batch(items, 1, &["a1"]);
+    assert_eq!(order(&mut batch), ["a1", "b1", "c1"]);
+}
+
+#[test]
+fn an_interrupted_run_waits_again_with_its_text() {
+    let mut batch = batch(vec![item("a1", "a", 5)], 1, &[]);
+    let index = batch.start_next().expect("one waits");
+    let mut transcript = Transcript::default();
+    transcript.push(event(1, "x", 2)).expect("first");
+    batch.keep(index, transcript.clone());
+    assert_eq!(batch.run_failed(index, RunFailure::Interrupted), None);
+    assert_eq!(batch.item(index).state, ItemState::Waiting);
+    assert_eq!(batch.item(index).transcript, transcript);
+    assert_eq!(batch.waiting(), 1);
+}
+
+#[test]
+fn an_item_dies_only_of_its_own_failures() {
+    let mut batch = batch(vec![item("a1", "a", 5), item("a2", "a", 4)], 1, &[]);
+    let first = batch.start_next().expect("one waits");
+    for _ in 0..5 {
+        assert_eq!(batch.run_failed(first, RunFailure::Interrupted), None);
+        assert_eq!(batch.start_next(), Some(first));
+    }
+    assert_eq!(batch.run_failed(first, RunFailure::Failed), None);
+    assert_eq!(batch.start_next(), Some(first));
+    let cause = batch.run_failed(first, RunFailure::Failed);
+    assert_eq!(cause, Some(DeathCause::RunsFailed));
+    assert_eq!(batch.give_up(first), ListedResult::dead("a1".to_owned()));
+    let second = batch.start_next().expect("the other waits");
+    let cause = batch.run_failed(second, RunFailure::Impossible);
+    assert_eq!(cause, Some(DeathCause::Impossible));
+}
+
+#[test]
+fn a_result_names_the_versions_of_its_events() {
+    let mut batch = batch(vec![item("a1", "a", 5)], 1, &[]);
+    let index = batch.start_next().expect("one waits");
+    let mut transcript = Transcript::default();
+    transcript.push(event(1, "x", 2)).expect("first");
+    transcript.push(event(2, "y", 3)).expect("second");
+    assert!(transcript.push(event(4, "z", 3)).is_err());
+    assert!(transcript.is_fresh(WeightVersion(2)) && !transcript.is_fresh(WeightVersion(3)));
+    batch.text_is_whole(index, transcript);
+    let result = batch.succeed(index, Some("s".to_owned()));
+    assert_eq!(result.text, "x\ny");
+    assert_eq!(result.versions, [WeightVersion(2), WeightVersion(3)]);
+    assert_eq!(batch.unfinished(), Vec::<usize>::new());
+    batch.listed(index);
+    assert!(batch.is_whole());
+}
+
+#[test]
+fn a_large_result_is_cut_into_rows_and_joined_again() {
+    let mut result = ListedResult::dead("a1".to_owned());
+    result.text = "long ".repeat(1_000);
+    let rows = result.to_rows(700);
+    assert!(rows.len() > 7 && rows.iter().all(|row| row.len() <= 700));
+    let joined: Vec<u8> = rows.concat();
+    assert_eq!(ListedResult::from_stored(&joined).expect("sound"), result);
+    assert!(ListedResult::from_stored(&joined[..20]).is_err());
+}
+
+#[test]
+fn malformed_submissions_are_refused() {
+    let bad = [
+        "{".to_owned(),
+        json!({"items": [item("a/b", "a", 1)]}).to_string(),
+        json!({"items": [item("a", "a", 1), item("a", "a", 1)]}).to_string(),
+        json!({"items": [{"id": "a", "path": "/", "body": "?"}]}).to_string(),
+    ];
+    for text in bad {
+        assert!(Submission::parse(text.as_bytes()).is_err(), "{text}");
+    }
+    assert!(is_usable_id("7c41e0-9b_5.2") && !is_usable_id("") && !is_usable_id("a b"));
+}
--- a/crates/sloetrail-lease/src/watcher.rs
+++ b/crates/sloetrail-lease/src/watcher.rs
@@ -83,6 +83,13 @@
         self.take_over_after(now, unchanged_since, wait, rank)
     }
 
+    /// The write that takes the lease over at once, whoever holds it: for a caller
+    /// that knows the holder to be gone. Nothing before the first observation.
+    pub fn take_over(&self) -> Option<LeaseAction> {
+        self.unchanged_since?;
+        Some(self.take_over_action())
+    }
+
     /// The write that gives the lease up, if this node holds it.
     pub fn release(&self) -> Option<LeaseAction> {
         let seen = self.seen.as_ref()?;
@@ -116,10 +123,14 @@
         if now.since(unchanged_since) < wait + rank_wait {
             return None;
         }
+        Some(self.take_over_action())
+    }
+
+    fn take_over_action(&self) -> LeaseAction {
         let previous = self.seen.as_ref();
-        Some(LeaseAction {
+        LeaseAction {
             expected: previous.map(|lease| lease.version),
             record: LeaseRecord::taken_by(&self.node, previous.map(|lease| &lease.record)),
-        })
+        }
     }
 }
--- a/crates/sloetrail-result/src/code.rs
+++ b/crates/sloetrail-result/src/code.rs
@@ -67,6 +67,8 @@
     RequestTooSlow = 1005, NotRun, 408, "request too slow", "The caller did not send the whole request in time.", "Send again over a faster connection.";
     InvalidKey = 1006, NotRun, 400, "invalid key", "The Idempotency-Key header is empty, over 200 bytes or not ASCII.", "Correct the key.";
     UnknownPath = 1007, NotRun, 404, "unknown path", "The node has no such path.", "See docs/API.md.";
+    UnknownRoute = 1008, NotRun, 404, "unknown route", "No route of the configuration in force has this host and path.", "Check the host and the path.";
+    UnknownBatch = 1009, NotRun, 404, "unknown batch", "No batch of this id was accepted, or it was forgotten after its time.", "Check the id.";
     NoEngine = 1101, NotRun, 503, "no engine", "No engine of the service may take work now.", "Ask again after the time given.";
     QueueFull = 1102, NotRun, 503, "queue full", "The service's queue on this node is full.", "Ask again after the time given.";
     QueueDeadline = 1103, NotRun, 503, "queue deadline", "The request would not reach an engine before its deadline.", "Ask again after the time given.";
@@ -83,6 +85,7 @@
     AnswerNotWhole = 1204, OutcomeUnknown, 502, "answer not whole", "The engine's answer was cut short or belonged to another request.", "Look whether it took effect before repeating it.";
     WriteUnknown = 1205, OutcomeUnknown, 503, "write unknown", "The table service did not say whether a write took effect.", "Repeat the call: it is idempotent by its id.";
     OwnerLost = 1206, OutcomeUnknown, 503, "owner lost", "The owner of the run was lost while it held the call.", "Repeat the call: it is idempotent by its id or cursor.";
+    BatchUnconfirmed = 1207, OutcomeUnknown, 504, "batch unconfirmed", "The table did not say whether the batch was accepted.", "Send the same batch again: it is accepted once.";
     AnswerTooLarge = 1301, RanAndFailed, 502, "answer too large", "The engine's answer is over the configured bound.", "Ask for less, or raise `answer_limit_bytes`.";
     CursorInvalid = 1401, NotRun, 400, "cursor invalid", "The cursor is past the last sample handed over, or before what was acknowledged.", "Pull after the last sample that was taken in.";
     VersionWentBack = 1402, NotRun, 409, "version went back", "The trainer named an older weight version than before.", "Name the trainer's present version.";
--- /dev/null
+++ b/crates/sloetrail-routing/src/raw.rs
@@ -0,0 +1,106 @@
+//! The JSON form of a serving configuration. Unknown fields are ignored, so that a
+//! newer writer can be read.
+
+use serde::Deserialize;
+
+/// A whole configuration.
+#[derive(Clone, Debug, Deserialize)]
+pub struct RawConfiguration {
+    /// Grows with each configuration; steps may be uneven.
+    pub version: u64,
+    /// The routes.
+    #[serde(default)]
+    pub routes: Vec<RawRoute>,
+    /// The services.
+    #[serde(default)]
+    pub services: Vec<RawService>,
+    /// Bounds on what callers may send.
+    #[serde(default)]
+    pub limits: RawLimits,
+}
+
+/// One route.
+#[derive(Clone, Debug, Deserialize)]
+pub struct RawRoute {
+    /// Its name.
+    #[serde(default)]
+    pub name: String,
+    /// The `Host` that it serves.
+    pub host: String,
+    /// The beginning of the paths that it serves.
+    pub path_prefix: String,
+    /// `idempotent`, `non_idempotent`, `stream` or `rollout`.
+    pub kind: String,
+    /// The longest that a request may be held, in milliseconds.
+    pub timeout_ms: Option<u64>,
+    /// The time within which an answer is wanted, in milliseconds.
+    pub target_latency_ms: Option<u64>,
+    /// The rank; zero is the most urgent.
+    pub priority: Option<u8>,
+    /// The only service of the route.
+    pub service: Option<String>,
+    /// The services of the route with their shares.
+    pub weighted_backends: Option<Vec<RawWeightedService>>,
+    /// The most back ends that one request may be sent to.
+    pub max_attempts: Option<usize>,
+    /// Whether a broken answer may be taken up at another back end.
+    #[serde(default)]
+    pub resumable: bool,
+    /// Whether a sample must come from one version of the weights.
+    #[serde(default)]
+    pub single_version: bool,
+    /// How long after its submission a batch is wanted whole, in milliseconds.
+    pub run_target_ms: Option<u64>,
+    /// How long after its submission an item may be given up, in seconds.
+    pub retain_s: Option<f64>,
+}
+
+/// A service and its share of a route.
+#[derive(Clone, Debug, Deserialize)]
+pub struct RawWeightedService {
+    /// The service's name.
+    pub service: String,
+    /// Its share, relative to the others.
+    pub weight: f64,
+}
+
+/// One service.
+#[derive(Clone, Debug, Deserialize)]
+pub struct RawService {
+    /// Its name.
+    pub name: String,
+    /// The most connections that one back end accepts from all nodes together.
+    pub max_conns: Option<usize>,
+    /// Present if the back ends are model engines.
+    pub engine: Option<RawEngine>,
+}
+
+/// What the engines of a model service can do.
+#[derive(Clone, Debug, Deserialize)]
+pub struct RawEngine {
+    /// Requests that one engine runs at a time.
+    pub slots: Option<usize>,
+    /// The models that the engines hold.
+    #[serde(default)]
+    pub models: Vec<RawModel>,
+}
+
+/// A model of a service.
+#[derive(Clone, Debug, Deserialize)]
+pub struct RawModel {
+    /// Its name.
+    pub name: String,
+}
+
+/// Bounds on what callers may send.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct RawLimits {
+    /// Bytes of a request's head.
+    pub max_header_bytes: Option<usize>,
+    /// Bytes of a request's body.
+    pub max_body_bytes: Option<usize>,
+    /// How long a request's head may take, in milliseconds.
+    pub header_timeout_ms: Option<u64>,
+    /// How long a connection may rest, in milliseconds.
+    pub idle_timeout_ms: Option<u64>,
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/back_end.rs
@@ -0,0 +1,76 @@
+//! Back ends: the engines and applications that run requests.
+
+use sloetrail_types::{EngineId, ServiceName, WeightVersion, ZoneName};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// One life of a back end, as the directory lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BackEnd {
+    /// This life's id; a restart has another.
+    pub id: EngineId,
+    /// The service that it belongs to.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Requests that it runs at a time.
+    pub slots: usize,
+    /// True if it takes no new work.
+    pub draining: bool,
+    /// The version of each model's weights that it uses.
+    pub versions: BTreeMap<String, WeightVersion>,
+}
+
+/// What an engine says of itself when asked.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EngineStatus {
+    /// The version of each model's weights that it uses.
+    pub versions: BTreeMap<String, WeightVersion>,
+    /// True if an order is under way.
+    pub busy: bool,
+    /// How many orders it has taken in this life.
+    pub orders_taken: u64,
+}
+
+/// What becomes of running samples when an engine changes its weights.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VersionChange {
+    /// They go on under the new weights.
+    Continue,
+    /// The change waits until they have ended.
+    Wait,
+}
+
+/// An order to use a version of a model's weights.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VersionOrder {
+    /// The model.
+    pub model: String,
+    /// The version.
+    pub version: WeightVersion,
+    /// What becomes of running samples.
+    pub change: VersionChange,
+    /// Who gives the order: one name for each machine.
+    pub holder: String,
+    /// The epoch under which the holder gives it.
+    pub fence: u64,
+    /// How many orders the engine must have taken before this one.
+    pub orders_taken: u64,
+}
+
+/// An engine's answer to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// It is being carried out.
+    Accepted,
+    /// The engine uses that version already.
+    AlreadyInForce,
+    /// Another order is under way, or the count of orders differs.
+    Conflict,
+    /// The engine has seen a higher fence.
+    Fenced,
+    /// It is refused for another reason.
+    Refused,
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/context.rs
@@ -0,0 +1,49 @@
+//! What the parts of a node share.
+
+use crate::dialect::Dialect;
+use crate::directory::Directory;
+use crate::follow::ViewReceiver;
+use crate::http::ConnectionPool;
+use crate::operator::InForce;
+use crate::service_pools::ServicePools;
+use crate::settings::ServingSettings;
+use crate::table::Table;
+use sloetrail_routing::{RequestLimits, ServingConfiguration};
+use std::sync::Arc;
+use tokio::sync::watch;
+
+/// What the parts of a node share.
+pub(crate) struct NodeContext {
+    pub(crate) settings: ServingSettings,
+    pub(crate) table: Arc<dyn Table>,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) connections: Arc<ConnectionPool>,
+    pub(crate) pools: Arc<ServicePools>,
+    pub(crate) in_force: watch::Receiver<Arc<InForce>>,
+    pub(crate) directory: watch::Receiver<Arc<Directory>>,
+    pub(crate) leases: ViewReceiver,
+}
+
+impl NodeContext {
+    /// The configuration in force, once there is one.
+    pub(crate) fn configuration(&self) -> Option<Arc<ServingConfiguration>> {
+        self.in_force.borrow().configuration.clone()
+    }
+
+    /// The bounds on what callers may send.
+    pub(crate) fn limits(&self) -> RequestLimits {
+        let configuration = self.configuration();
+        configuration.map_or_else(RequestLimits::default, |configuration| configuration.limits)
+    }
+
+    /// The most bytes of a back end's answer that are held.
+    pub(crate) fn answer_limit(&self) -> usize {
+        self.limits().body_bytes
+    }
+
+    /// The field that begins an event at which the version of the weights changes.
+    pub(crate) fn weight_version_field(&self) -> String {
+        let name = &self.dialect.headers().weight_version;
+        name.as_str().to_owned()
+    }
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/dialect.rs
@@ -0,0 +1,128 @@
+//! How the callers, engines and operators of a deployment spell things.
+//!
+//! The product works with its own types; a [`Dialect`] says which headers carry
+//! them, where the operator's rows lie and how an engine is asked and ordered.
+//! [`NativeDialect`] is the product's own.
+
+use crate::back_end::{BackEnd, EngineStatus, OrderAnswer, VersionOrder};
+use crate::table::RowAddress;
+use bytes::Bytes;
+use http::{HeaderName, Method, StatusCode};
+use sloetrail_types::WeightVersion;
+use snafu::Snafu;
+
+/// The names of the headers that carry a request's particulars.
+#[derive(Clone, Debug)]
+pub struct HeaderNames {
+    /// The request's id, echoed in the answer.
+    pub request_id: HeaderName,
+    /// How long the caller waits, in milliseconds.
+    pub deadline_ms: HeaderName,
+    /// The back end's signature on an answer.
+    pub signature: HeaderName,
+    /// The only life of a back end that may run the request.
+    pub expected_instance: HeaderName,
+    /// The life of the back end that answers.
+    pub instance: HeaderName,
+    /// Present on an answer to a request that was not run.
+    pub not_run: HeaderName,
+    /// The only version of the weights that may run the request.
+    pub expected_version: HeaderName,
+    /// The version of the weights that makes the events from here on; in lower
+    /// case it also begins a line within an event.
+    pub weight_version: HeaderName,
+    /// The number of the last event that is held.
+    pub last_event_id: HeaderName,
+    /// The rank of a request at an engine, zero first.
+    pub priority: HeaderName,
+    /// How long a reader waits for news, in milliseconds.
+    pub wait_ms: HeaderName,
+    /// The caller's estimate of a text's length in tokens.
+    pub length_hint: HeaderName,
+}
+
+/// Paths of the calls that trainers and the platform make. A batch's id follows the
+/// path.
+#[derive(Clone, Debug)]
+pub struct CallerPaths {
+    /// Reading results (GET) and ending a batch (DELETE).
+    pub batches: String,
+    /// Reading the body of an item (GET).
+    pub batch_items: String,
+}
+
+impl Default for CallerPaths {
+    fn default() -> Self {
+        Self {
+            batches: "/v1/batches/".to_owned(),
+            batch_items: "/v1/batch-items/".to_owned(),
+        }
+    }
+}
+
+/// Where the operator's and the back ends' rows lie.
+#[derive(Clone, Debug)]
+pub struct SourceRows {
+    /// The row that holds the configuration.
+    pub configuration: RowAddress,
+    /// The table that lists the back ends, one row each, in the empty partition.
+    pub directory_table: String,
+}
+
+/// A version of a model's weights that its trainer has published.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PublishedVersion {
+    /// The model.
+    pub model: String,
+    /// The version.
+    pub version: WeightVersion,
+}
+
+/// A call to an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineCall {
+    /// The method.
+    pub method: Method,
+    /// The path.
+    pub path: String,
+    /// The JSON body, which may be empty.
+    pub body: Bytes,
+}
+
+/// A message that cannot be read.
+#[derive(Debug, Snafu)]
+#[snafu(display("cannot be read: {message}"))]
+pub struct DialectError {
+    /// What is wrong with it.
+    pub message: String,
+}
+
+/// How a deployment spells things.
+pub trait Dialect: Send + Sync {
+    /// The names of headers.
+    fn headers(&self) -> &HeaderNames;
+
+    /// The paths of batches.
+    fn paths(&self) -> &CallerPaths;
+
+    /// Where the rows lie that others write.
+    fn sources(&self) -> &SourceRows;
+
+    /// Reads a back end's row.
+    fn back_end(&self, id: &str, value: &[u8]) -> Result<BackEnd, DialectError>;
+
+    /// Reads a row of the configuration's table as a published version, if it is one.
+    fn published_version(&self, key: &str, value: &[u8]) -> Option<PublishedVersion>;
+
+    /// The call that asks an engine for its status.
+    fn status_call(&self) -> EngineCall;
+
+    /// Reads an engine's status.
+    fn status(&self, body: &[u8]) -> Result<EngineStatus, DialectError>;
+
+    /// The call that gives an order.
+    fn order_call(&self, order: &VersionOrder) -> EngineCall;
+
+    /// Reads the answer to an order.
+    fn order_answer(&self, status: StatusCode) -> OrderAnswer;
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/directory.rs
@@ -0,0 +1,118 @@
+//! The back ends as the platform's directory lists them.
+
+use crate::back_end::BackEnd;
+use crate::dialect::Dialect;
+use crate::events::{self, Event};
+use crate::follow::{TableView, ViewReceiver};
+use sloetrail_types::{EngineId, RowVersion, ServiceName};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use tokio::sync::watch;
+
+/// Every back end that is listed.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    /// The back ends by id.
+    pub back_ends: BTreeMap<EngineId, Arc<BackEnd>>,
+    /// The version up to which changes are taken in.
+    pub version: RowVersion,
+    /// The version of the row that each back end was read from.
+    row_versions: BTreeMap<EngineId, RowVersion>,
+}
+
+impl Directory {
+    /// The back ends of a service.
+    pub fn of_service(&self, service: &ServiceName) -> impl Iterator<Item = &Arc<BackEnd>> {
+        self.back_ends
+            .values()
+            .filter(move |back_end| back_end.service == *service)
+    }
+
+    /// The version of a back end's row; it grows with each sign of life.
+    pub fn row_version(&self, id: &EngineId) -> RowVersion {
+        self.row_versions.get(id).copied().unwrap_or_default()
+    }
+
+    /// The directory after a change of the table. Only rows that changed are read.
+    fn updated(&self, view: &TableView, dialect: &dyn Dialect) -> Self {
+        let mut next = Self {
+            version: view.version,
+            ..Self::default()
+        };
+        for (key, row) in &view.rows {
+            let id = EngineId::new(key.clone());
+            let known = self.back_ends.get(&id);
+            let is_unchanged = self.row_versions.get(&id) == Some(&row.version);
+            let back_end = match known.filter(|_| is_unchanged) {
+                Some(known) => Some(Arc::clone(known)),
+                None => read(dialect, key, &row.value).map(Arc::new),
+            };
+            if let Some(back_end) = back_end {
+                next.row_versions.insert(id.clone(), row.version);
+                next.back_ends.insert(id, back_end);
+            }
+        }
+        next
+    }
+}
+
+fn read(dialect: &dyn Dialect, key: &str, value: &[u8]) -> Option<BackEnd> {
+    match dialect.back_end(key, value) {
+        Ok(back_end) => Some(back_end),
+        Err(error) => {
+            events::emit(&Event::RowUnreadable {
+                table: &dialect.sources().directory_table,
+                key,
+                detail: &error.message,
+            });
+            None
+        }
+    }
+}
+
+/// Turns the directory's table into typed back ends until every receiver is gone.
+pub fn watch_directory(
+    mut view: ViewReceiver,
+    dialect: Arc<dyn Dialect>,
+) -> watch::Receiver<Arc<Directory>> {
+    let (sender, receiver) = watch::channel(Arc::new(Directory::default()));
+    tokio::spawn(async move {
+        while view.changed().await.is_ok() && !sender.is_closed() {
+            let table = view.borrow_and_update().clone();
+            let current = sender.borrow().clone();
+            if table.version == current.version {
+                continue;
+            }
+            let next = current.updated(&table, &*dialect);
+            log_differences(&current, &next);
+            sender.send_replace(Arc::new(next));
+        }
+    });
+    receiver
+}
+
+fn log_differences(before: &Directory, after: &Directory) {
+    let state = |back_end: &BackEnd| match back_end.draining {
+        true => "draining",
+        false => "ready",
+    };
+    let emit = |back_end: &BackEnd, state: &str| {
+        events::emit(&Event::BackEndChanged {
+            back_end: back_end.id.as_str(),
+            service: back_end.service.as_str(),
+            state,
+            directory_version: after.version.0,
+        });
+    };
+    for (id, back_end) in &after.back_ends {
+        let known = before.back_ends.get(id);
+        if known.is_none_or(|known| known.draining != back_end.draining) {
+            emit(back_end, state(back_end));
+        }
+    }
+    for (id, back_end) in &before.back_ends {
+        if !after.back_ends.contains_key(id) {
+            emit(back_end, "gone");
+        }
+    }
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/events.rs
@@ -0,0 +1,397 @@
+//! What a node writes down: one typed event for each decision.
+//!
+//! Each event is one JSON line. The lines go through a bounded queue to one writer
+//! thread, so that a reader of standard output that stops does not stop the node;
+//! what does not fit is counted and said in a later line. Ordinary successes are
+//! thinned by a limit a second; failures and refusals are not.
+
+mod rate_limiter;
+mod writer;
+
+pub use writer::{LoggingError, start};
+
+use rate_limiter::RateLimiter;
+use serde::Serialize;
+
+/// Lines a second of one kind of ordinary event.
+const ORDINARY_LINES_PER_SECOND: u32 = 20;
+
+/// A decision, or a change of what the node believes.
+#[derive(Debug, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum Event<'a> {
+    /// The node started.
+    NodeStarted {
+        /// Its name.
+        node: &'a str,
+        /// Its zone.
+        zone: &'a str,
+        /// This life's id.
+        instance: &'a str,
+        /// The program's version.
+        version: &'a str,
+    },
+    /// The node was told to stop.
+    NodeStopping {
+        /// Requests that are being answered.
+        requests: usize,
+        /// Connections that are open.
+        connections: usize,
+    },
+    /// The node has stopped.
+    NodeStopped {
+        /// Requests that were cut.
+        requests: usize,
+    },
+    /// The settings were read again.
+    SettingsReloaded {
+        /// Whether they could be taken in.
+        outcome: &'a str,
+        /// What was wrong with them.
+        detail: &'a str,
+    },
+    /// Something that the node relies on does not answer.
+    DependencyLost {
+        /// What.
+        dependency: &'a str,
+    },
+    /// It answers again.
+    DependencyRegained {
+        /// What.
+        dependency: &'a str,
+    },
+    /// A configuration is in force.
+    ConfigurationInForce {
+        /// Its revision.
+        revision: u64,
+        /// How many routes it has.
+        routes: usize,
+    },
+    /// A configuration cannot be put in force; the one before stays.
+    ConfigurationRefused {
+        /// The version of its row.
+        row_version: u64,
+        /// Why.
+        detail: &'a str,
+    },
+    /// A row that others write cannot be read; it is left out.
+    RowUnreadable {
+        /// Its table.
+        table: &'a str,
+        /// Its key.
+        key: &'a str,
+        /// Why.
+        detail: &'a str,
+    },
+    /// A trainer has published a version.
+    VersionPublished {
+        /// The model.
+        model: &'a str,
+        /// The version.
+        version: u64,
+    },
+    /// A back end joined, left or changed its state.
+    BackEndChanged {
+        /// The back end.
+        back_end: &'a str,
+        /// Its service.
+        service: &'a str,
+        /// `ready`, `draining` or `gone`.
+        state: &'a str,
+        /// The version of the directory.
+        directory_version: u64,
+    },
+    /// A live request has its final answer.
+    RequestAnswered {
+        /// The request.
+        request: &'a str,
+        /// Its route.
+        route: &'a str,
+        /// The status given.
+        status: u16,
+        /// The back end that answered.
+        back_end: &'a str,
+        /// Back ends that it was sent to.
+        attempts: usize,
+        /// How long it took, in milliseconds.
+        took_ms: u64,
+        /// The revision of the configuration that routed it.
+        revision: u64,
+    },
+    /// A live request was refused or failed by the node.
+    RequestFailed {
+        /// The request.
+        request: &'a str,
+        /// Its route, or its host and path.
+        route: &'a str,
+        /// The status given.
+        status: u16,
+        /// The result code.
+        code: u16,
+        /// Back ends that it was sent to.
+        attempts: usize,
+        /// How long it took, in milliseconds.
+        took_ms: u64,
+        /// How much time was left, in milliseconds.
+        left_ms: u64,
+        /// The revision of the configuration that routed it.
+        revision: u64,
+        /// A short sentence.
+        detail: &'a str,
+    },
+    /// One attempt at a back end ended without an answer to pass on.
+    AttemptFailed {
+        /// The request or item.
+        request: &'a str,
+        /// The back end.
+        back_end: &'a str,
+        /// How it ended.
+        outcome: &'a str,
+        /// How long it took, in milliseconds.
+        took_ms: u64,
+        /// The version of the directory that named the back end.
+        directory_version: u64,
+    },
+    /// A batch was accepted, or found accepted before.
+    BatchAccepted {
+        /// The batch.
+        batch: &'a str,
+        /// The service that runs it.
+        service: &'a str,
+        /// Its items.
+        items: usize,
+        /// True if it was accepted before.
+        repeated: bool,
+        /// How long it took, in milliseconds.
+        took_ms: u64,
+    },
+    /// A batch was not accepted.
+    BatchRefused {
+        /// The batch.
+        batch: &'a str,
+        /// The result code.
+        code: u16,
+        /// A short sentence.
+        detail: &'a str,
+    },
+    /// A batch was ended by its trainer.
+    BatchEnded {
+        /// The batch.
+        batch: &'a str,
+        /// Items that were not listed.
+        unfinished: usize,
+    },
+    /// The owner has taken in a batch.
+    BatchOpened {
+        /// The batch.
+        batch: &'a str,
+        /// Its items.
+        items: usize,
+        /// Results that are listed already.
+        listed: usize,
+        /// The owner's epoch.
+        epoch: u64,
+        /// Its age by the table's clock, in milliseconds.
+        age_ms: u64,
+    },
+    /// An item was sent to an engine.
+    ItemStarted {
+        /// The item.
+        item: &'a str,
+        /// Its batch.
+        batch: &'a str,
+        /// The engine.
+        back_end: &'a str,
+        /// The number of the last event that is held.
+        last_event: u64,
+        /// The version that the engine is believed to use.
+        version: u64,
+        /// Items that wait in the batch.
+        waiting: usize,
+    },
+    /// A run of an item ended without its whole text.
+    ItemInterrupted {
+        /// The item.
+        item: &'a str,
+        /// Its batch.
+        batch: &'a str,
+        /// The engine.
+        back_end: &'a str,
+        /// How it ended.
+        outcome: &'a str,
+        /// Events that are held.
+        events: usize,
+        /// How long it took, in milliseconds.
+        took_ms: u64,
+    },
+    /// An item is given up.
+    ItemDead {
+        /// The item.
+        item: &'a str,
+        /// Its batch.
+        batch: &'a str,
+        /// Why.
+        cause: &'a str,
+    },
+    /// An item's result was committed.
+    ItemListed {
+        /// The item.
+        item: &'a str,
+        /// Its batch.
+        batch: &'a str,
+        /// Its position.
+        position: usize,
+        /// The versions that made it.
+        versions: &'a [u64],
+        /// How long the commit took, in milliseconds.
+        commit_ms: u64,
+    },
+    /// A reward call did not give a score.
+    RewardFailed {
+        /// The item.
+        item: &'a str,
+        /// The call.
+        reward: &'a str,
+        /// Answers of failure so far.
+        failures: usize,
+        /// What happened.
+        outcome: &'a str,
+    },
+    /// This node has become the owner of a service.
+    LeaseTaken {
+        /// The service.
+        service: &'a str,
+        /// The epoch.
+        epoch: u64,
+        /// The owner before.
+        previous: &'a str,
+        /// How long the lease was unchanged, in milliseconds.
+        unchanged_ms: u64,
+    },
+    /// This node is no longer the owner of a service.
+    LeaseLost {
+        /// The service.
+        service: &'a str,
+        /// The epoch that it had.
+        epoch: u64,
+        /// How it found out.
+        cause: &'a str,
+    },
+    /// An engine was ordered to use a version.
+    OrderGiven {
+        /// The engine.
+        back_end: &'a str,
+        /// The model.
+        model: &'a str,
+        /// The version.
+        version: u64,
+        /// The epoch under which it was given.
+        epoch: u64,
+        /// The engine's answer.
+        outcome: &'a str,
+    },
+    /// An engine uses a version that it did not use before.
+    VersionInForce {
+        /// The engine.
+        back_end: &'a str,
+        /// The model.
+        model: &'a str,
+        /// The version.
+        version: u64,
+        /// How the node knows.
+        source: &'a str,
+    },
+    /// An engine is much slower than the others, or no longer is.
+    PaceChanged {
+        /// The engine.
+        back_end: &'a str,
+        /// True if it is slow.
+        slow: bool,
+        /// Microseconds an event.
+        pace_us: u64,
+        /// The median of all engines.
+        median_us: u64,
+    },
+    /// The process did not run for a while.
+    ProcessPaused {
+        /// How long, in milliseconds.
+        paused_ms: u64,
+    },
+    /// Lines that were not written.
+    LinesDropped {
+        /// How many did not fit into the queue.
+        overflow: u64,
+        /// How many were thinned out.
+        thinned: u64,
+    },
+}
+
+impl Event<'_> {
+    /// The part of the program that an event belongs to; it becomes the prefix.
+    pub fn part(&self) -> &'static str {
+        match self {
+            Event::NodeStarted { .. }
+            | Event::NodeStopping { .. }
+            | Event::NodeStopped { .. }
+            | Event::SettingsReloaded { .. }
+            | Event::ProcessPaused { .. }
+            | Event::LinesDropped { .. } => "node",
+            Event::DependencyLost { .. } | Event::DependencyRegained { .. } => "table",
+            Event::ConfigurationInForce { .. }
+            | Event::ConfigurationRefused { .. }
+            | Event::RowUnreadable { .. }
+            | Event::VersionPublished { .. } => "config",
+            Event::BackEndChanged { .. } | Event::PaceChanged { .. } => "engine",
+            Event::RequestAnswered { .. }
+            | Event::RequestFailed { .. }
+            | Event::AttemptFailed { .. } => "gateway",
+            Event::BatchAccepted { .. }
+            | Event::BatchRefused { .. }
+            | Event::BatchEnded { .. }
+            | Event::BatchOpened { .. }
+            | Event::ItemStarted { .. }
+            | Event::ItemInterrupted { .. }
+            | Event::ItemDead { .. }
+            | Event::ItemListed { .. }
+            | Event::RewardFailed { .. } => "batch",
+            Event::LeaseTaken { .. } | Event::LeaseLost { .. } => "lease",
+            Event::OrderGiven { .. } | Event::VersionInForce { .. } => "weights",
+        }
+    }
+
+    /// The limit that thins this event out, if it is one that happens many times a
+    /// second in the ordinary course of things.
+    fn limiter(&self) -> Option<&'static RateLimiter> {
+        match self {
+            Event::RequestAnswered { .. } => Some(&REQUESTS_ANSWERED),
+            Event::ItemStarted { .. } => Some(&ITEMS_STARTED),
+            Event::ItemListed { .. } => Some(&ITEMS_LISTED),
+            _ => None,
+        }
+    }
+}
+
+static REQUESTS_ANSWERED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
+static ITEMS_STARTED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
+static ITEMS_LISTED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
+
+/// Writes an event down, without waiting.
+pub fn emit(event: &Event<'_>) {
+    let part = event.part();
+    if !log::log_enabled!(target: part, log::Level::Info) {
+        return;
+    }
+    let admitted = event.limiter().is_none_or(RateLimiter::admit);
+    if !admitted {
+        return;
+    }
+    if let Ok(json) = serde_json::to_string(event) {
+        log::info!(target: part, "{json}");
+    }
+}
+
+/// How many lines were thinned out since the last question.
+fn take_thinned() -> u64 {
+    let limiters = [&REQUESTS_ANSWERED, &ITEMS_STARTED, &ITEMS_LISTED];
+    limiters.iter().map(|limiter| limiter.take_refused()).sum()
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/events/writer.rs
@@ -0,0 +1,123 @@
+//! One thread that writes lines to standard output, fed by a bounded queue.
+
+use super::Event;
+use super::rate_limiter::RateLimiter;
+use log::LevelFilter;
+use serde::Serialize;
+use serde_json::value::RawValue;
+use snafu::Snafu;
+use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+const QUEUE_LINES: usize = 1024;
+const PARTS: [&str; 8] = [
+    "node", "table", "config", "engine", "gateway", "batch", "lease", "weights",
+];
+
+static OVERFLOW: AtomicU64 = AtomicU64::new(0);
+/// What was dropped is said once a second at most.
+static DROP_REPORTS: RateLimiter = RateLimiter::new(1);
+
+/// Logging cannot start: it was started before, or no thread can be had.
+#[derive(Debug, Snafu)]
+#[snafu(display("logging cannot start"))]
+pub struct LoggingError;
+
+#[derive(Serialize)]
+struct Line<'a> {
+    time_ms: u64,
+    node: &'a str,
+    part: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    decision: Option<&'a RawValue>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<&'a str>,
+}
+
+/// Starts logging to standard output. `node` names the writer in each line.
+pub fn start(level: LevelFilter, node: &str) -> Result<(), LoggingError> {
+    start_with(level, node, std::io::stdout())
+}
+
+/// Starts logging to any writer.
+pub fn start_with(
+    level: LevelFilter,
+    node: &str,
+    output: impl Write + Send + 'static,
+) -> Result<(), LoggingError> {
+    let (sender, receiver) = sync_channel(QUEUE_LINES);
+    std::thread::Builder::new()
+        .name("log-writer".to_owned())
+        .stack_size(64 * 1024)
+        .spawn(move || write_lines(&receiver, output))
+        .map_err(|_| LoggingError)?;
+    let node = node.to_owned();
+    let mut dispatch = fern::Dispatch::new().level(LevelFilter::Warn);
+    for part in PARTS {
+        dispatch = dispatch.level_for(part, level);
+    }
+    dispatch
+        .chain(fern::Output::call(move |record| {
+            queue(&sender, line(&node, record));
+        }))
+        .apply()
+        .map_err(|_| LoggingError)
+}
+
+fn line(node: &str, record: &log::Record<'_>) -> String {
+    let message = record.args().to_string();
+    let is_typed = PARTS.contains(&record.target());
+    let decision = is_typed
+        .then(|| serde_json::from_str(&message).ok())
+        .flatten();
+    let line = Line {
+        time_ms: unix_milliseconds(),
+        node,
+        part: record.target(),
+        decision,
+        message: decision.is_none().then_some(&message),
+    };
+    serde_json::to_string(&line).unwrap_or_default()
+}
+
+fn queue(sender: &SyncSender<String>, line: String) {
+    if sender.try_send(line).is_err() {
+        OVERFLOW.fetch_add(1, Ordering::Relaxed);
+        return;
+    }
+    if !DROP_REPORTS.admit() {
+        return;
+    }
+    let overflow = OVERFLOW.swap(0, Ordering::Relaxed);
+    let thinned = super::take_thinned();
+    if overflow + thinned > 0 {
+        super::emit(&Event::LinesDropped { overflow, thinned });
+    }
+}
+
+fn write_lines(receiver: &Receiver<String>, mut output: impl Write) {
+    while let Ok(line) = receiver.recv() {
+        let mut text = line;
+        text.push('\n');
+        // Lines that wait already go out with one write.
+        while let Ok(next) = receiver.try_recv() {
+            text.push_str(&next);
+            text.push('\n');
+        }
+        if output
+            .write_all(text.as_bytes())
+            .and_then(|()| output.flush())
+            .is_err()
+        {
+            return;
+        }
+    }
+}
+
+fn unix_milliseconds() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/follow.rs
@@ -0,0 +1,166 @@
+//! Following a table: its rows in memory, kept up to date by its changes.
+
+use crate::events::{self, Event};
+use crate::table::{Change, Changes, KeyRange, ReadError, Row, Table, scan_all};
+use sloetrail_types::RowVersion;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// How long a question for changes may be held open. It also bounds how old the
+/// proof is that nothing has changed.
+const CHANGES_WAIT: Duration = Duration::from_millis(1_000);
+const RETRY_FIRST: Duration = Duration::from_millis(40);
+const RETRY_LIMIT: Duration = Duration::from_millis(640);
+
+/// A table's rows as of one moment.
+#[derive(Clone, Debug)]
+pub struct TableView {
+    /// The rows of the partition that is followed, by key.
+    pub rows: BTreeMap<String, Row>,
+    /// The version up to which changes are taken in.
+    pub version: RowVersion,
+    /// When the table last confirmed the view; nothing before the first time.
+    pub confirmed_at: Option<Instant>,
+    /// Grows each time that the table could not be asked.
+    pub interruptions: u64,
+}
+
+impl TableView {
+    fn empty() -> Self {
+        Self {
+            rows: BTreeMap::new(),
+            version: RowVersion(0),
+            confirmed_at: None,
+            interruptions: 0,
+        }
+    }
+
+    /// How old the view is at most; nothing if it was never confirmed.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        let confirmed_at = self.confirmed_at?;
+        Some(now.saturating_duration_since(confirmed_at))
+    }
+}
+
+/// A view that is kept up to date.
+pub type ViewReceiver = watch::Receiver<Arc<TableView>>;
+
+/// Follows one partition of a table until every receiver is dropped. `pause` is the
+/// least time between two questions, so that many small changes come together.
+pub fn follow(
+    table: Arc<dyn Table>,
+    name: impl Into<String>,
+    partition: impl Into<String>,
+    pause: Duration,
+) -> ViewReceiver {
+    let (sender, receiver) = watch::channel(Arc::new(TableView::empty()));
+    let follower = Follower {
+        table,
+        name: name.into(),
+        partition: partition.into(),
+        pause,
+        sender,
+        interrupted: false,
+    };
+    tokio::spawn(follower.run());
+    receiver
+}
+
+struct Follower {
+    table: Arc<dyn Table>,
+    name: String,
+    partition: String,
+    pause: Duration,
+    sender: watch::Sender<Arc<TableView>>,
+    interrupted: bool,
+}
+
+impl Follower {
+    async fn run(mut self) {
+        let mut must_read_all = true;
+        let mut retry = RETRY_FIRST;
+        while !self.sender.is_closed() {
+            let step = match must_read_all {
+                true => self.read_all().await,
+                false => self.read_changes().await,
+            };
+            match step {
+                Ok(()) => {
+                    must_read_all = false;
+                    retry = RETRY_FIRST;
+                    self.note_answer();
+                    tokio::time::sleep(self.pause).await;
+                }
+                Err(ReadError::HistoryLost) => must_read_all = true,
+                Err(ReadError::Unavailable) => {
+                    self.note_interruption();
+                    tokio::time::sleep(retry).await;
+                    retry = (retry * 2).min(RETRY_LIMIT);
+                }
+            }
+        }
+    }
+
+    async fn read_all(&mut self) -> Result<(), ReadError> {
+        let range = KeyRange::all(&self.name, &self.partition);
+        let page = scan_all(&*self.table, range).await?;
+        let rows = page.rows.into_iter();
+        self.publish(|view| {
+            view.rows = rows.map(|row| (row.address.key.clone(), row)).collect();
+            view.version = page.version;
+        });
+        Ok(())
+    }
+
+    async fn read_changes(&mut self) -> Result<(), ReadError> {
+        let since = self.sender.borrow().version;
+        let table = &self.table;
+        let changes = table.changes(&self.name, since, CHANGES_WAIT).await?;
+        let partition = self.partition.clone();
+        self.publish(|view| apply(view, changes, &partition));
+        Ok(())
+    }
+
+    fn publish(&self, change: impl FnOnce(&mut TableView)) {
+        self.sender.send_modify(|current| {
+            let view = Arc::make_mut(current);
+            change(view);
+            view.confirmed_at = Some(Instant::now());
+        });
+    }
+
+    fn note_answer(&mut self) {
+        if std::mem::take(&mut self.interrupted) {
+            let table = &self.name;
+            events::emit(&Event::DependencyRegained { dependency: table });
+        }
+    }
+
+    fn note_interruption(&mut self) {
+        self.sender.send_modify(|current| {
+            Arc::make_mut(current).interruptions += 1;
+        });
+        if !std::mem::replace(&mut self.interrupted, true) {
+            let table = &self.name;
+            events::emit(&Event::DependencyLost { dependency: table });
+        }
+    }
+}
+
+fn apply(view: &mut TableView, changes: Changes, partition: &str) {
+    for change in changes.changes {
+        match change {
+            Change::Written(row) if row.address.partition == partition => {
+                view.rows.insert(row.address.key.clone(), row);
+            }
+            Change::Deleted(address) if address.partition == partition => {
+                view.rows.remove(&address.key);
+            }
+            Change::Written(_) | Change::Deleted(_) => {}
+        }
+    }
+    view.version = view.version.max(changes.version);
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/gateway/attempt.rs
@@ -0,0 +1,168 @@
+//! One attempt at a back end, judged: did it run, and is the answer whole?
+
+use super::headers;
+use crate::back_end::BackEnd;
+use crate::dialect::HeaderNames;
+use crate::http::{ConnectionPool, Exchange, SendFailure, WholeAnswer, WholeBody};
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode, Uri};
+use sloetrail_balance::AttemptOutcome;
+use std::sync::Arc;
+use tokio::time::Instant;
+
+/// A request as it goes to a back end, without what an attempt adds.
+#[derive(Clone, Debug)]
+pub(crate) struct Outgoing {
+    pub(crate) request_id: String,
+    pub(crate) method: Method,
+    pub(crate) path_and_query: String,
+    /// End-to-end headers, with the `Host` and the request's id.
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// How an attempt ended, as far as the request is concerned.
+#[derive(Clone, Debug)]
+pub(crate) enum AttemptResult {
+    /// A whole answer that the caller may have: a success, or a refusal for a
+    /// reason that lies in the request.
+    Answered(WholeAnswer),
+    /// The back end ran the request and answered with a failure.
+    RanAndFailed(WholeAnswer),
+    /// The back end says that it did not run the request.
+    NotRun,
+    /// Another back end listens at the address; the request was not run.
+    WrongInstance,
+    /// The request did not leave this node.
+    NotSent,
+    /// The connection broke, or the answer was cut, unsigned or of another request.
+    Lost,
+    /// No answer came in time.
+    OutOfTime,
+    /// The answer is over the bound.
+    TooLarge,
+}
+
+impl AttemptResult {
+    /// What the result says of the back end.
+    pub(crate) fn outcome(&self) -> AttemptOutcome {
+        match self {
+            AttemptResult::Answered(_) => AttemptOutcome::Answered,
+            AttemptResult::RanAndFailed(_) | AttemptResult::TooLarge => AttemptOutcome::Failed,
+            AttemptResult::NotRun => AttemptOutcome::Refused,
+            AttemptResult::WrongInstance | AttemptResult::NotSent | AttemptResult::Lost => {
+                AttemptOutcome::Lost
+            }
+            AttemptResult::OutOfTime => AttemptOutcome::Failed,
+        }
+    }
+
+    /// True if no back end ran the request in this attempt.
+    pub(crate) fn is_proved_not_run(&self) -> bool {
+        matches!(
+            self,
+            AttemptResult::NotRun | AttemptResult::WrongInstance | AttemptResult::NotSent
+        )
+    }
+
+    /// A word for logs.
+    pub(crate) fn word(&self) -> &'static str {
+        match self {
+            AttemptResult::Answered(_) => "answered",
+            AttemptResult::RanAndFailed(_) => "ran and failed",
+            AttemptResult::NotRun => "not run",
+            AttemptResult::WrongInstance => "wrong instance",
+            AttemptResult::NotSent => "not sent",
+            AttemptResult::Lost => "lost",
+            AttemptResult::OutOfTime => "out of time",
+            AttemptResult::TooLarge => "too large",
+        }
+    }
+}
+
+/// Builds the request of one attempt: the back end's life, the time left and the
+/// rank are added.
+pub(crate) fn build_request(
+    outgoing: &Outgoing,
+    back_end: &BackEnd,
+    names: &HeaderNames,
+    deadline: Instant,
+) -> Option<Request<WholeBody>> {
+    let left = deadline.saturating_duration_since(Instant::now());
+    let mut request = Request::new(WholeBody::new(outgoing.body.clone()));
+    *request.method_mut() = outgoing.method.clone();
+    *request.uri_mut() = outgoing.path_and_query.parse::<Uri>().ok()?;
+    let mut sent = outgoing.headers.clone();
+    headers::set_text(&mut sent, &names.expected_instance, back_end.id.as_str());
+    headers::set_number(&mut sent, &names.deadline_ms, left.as_millis() as u64);
+    *request.headers_mut() = sent;
+    Some(request)
+}
+
+/// Sends one attempt and reads its whole answer.
+pub(crate) async fn attempt(
+    connections: &Arc<ConnectionPool>,
+    names: &HeaderNames,
+    outgoing: &Outgoing,
+    back_end: &BackEnd,
+    reuse: bool,
+    answer_limit: usize,
+    deadline: Instant,
+) -> AttemptResult {
+    let Some(request) = build_request(outgoing, back_end, names, deadline) else {
+        return AttemptResult::NotSent;
+    };
+    let sent = Exchange::send(connections, back_end.address, request, reuse, deadline).await;
+    let exchange = match sent {
+        Ok(exchange) => exchange,
+        Err(failure) => return judge_failure(failure),
+    };
+    if let Some(result) = judge_head(exchange.status, &exchange.headers, names, outgoing) {
+        return result;
+    }
+    match exchange.whole(answer_limit, deadline).await {
+        Ok(answer) => judge_answer(answer, names),
+        Err(failure) => judge_failure(failure),
+    }
+}
+
+/// What the head alone settles: an answer to another request, or one that says that
+/// the request was not run.
+pub(crate) fn judge_head(
+    status: StatusCode,
+    head: &HeaderMap,
+    names: &HeaderNames,
+    outgoing: &Outgoing,
+) -> Option<AttemptResult> {
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return Some(AttemptResult::WrongInstance);
+    }
+    if head.contains_key(&names.not_run) {
+        return Some(AttemptResult::NotRun);
+    }
+    let echoed = headers::text(head, &names.request_id);
+    (echoed != Some(&outgoing.request_id)).then_some(AttemptResult::Lost)
+}
+
+fn judge_answer(answer: WholeAnswer, names: &HeaderNames) -> AttemptResult {
+    let is_signed = answer.headers.contains_key(&names.signature);
+    if answer.status.is_success() && !is_signed {
+        return AttemptResult::Lost;
+    }
+    let is_failure = answer.status.is_server_error()
+        || answer.status == StatusCode::TOO_MANY_REQUESTS
+        || answer.status == StatusCode::REQUEST_TIMEOUT;
+    match is_failure {
+        true => AttemptResult::RanAndFailed(answer),
+        false => AttemptResult::Answered(answer),
+    }
+}
+
+pub(crate) fn judge_failure(failure: SendFailure) -> AttemptResult {
+    match failure {
+        SendFailure::NotSent => AttemptResult::NotSent,
+        SendFailure::Lost => AttemptResult::Lost,
+        SendFailure::OutOfTime => AttemptResult::OutOfTime,
+        SendFailure::TooLarge => AttemptResult::TooLarge,
+    }
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/gateway/live.rs
@@ -0,0 +1,292 @@
+//! A live request: attempts at back ends until there is an answer to pass on.
+//!
+//! A request that may be repeated is sent to a second back end when the first one
+//! is slow or fails, up to the route's number of attempts; the first whole answer
+//! wins and the others are closed. A request that may not be repeated is sent again
+//! only after proof that it has not run. What is given up is answered at once.
+
+use super::attempt::{AttemptResult, Outgoing, attempt};
+use crate::context::NodeContext;
+use crate::events::{self, Event};
+use crate::http::WholeAnswer;
+use crate::service_pools::Place;
+use futures_util::StreamExt;
+use futures_util::future::BoxFuture;
+use futures_util::stream::FuturesUnordered;
+use sloetrail_result::{Problem, ResultCode};
+use sloetrail_routing::{Route, RouteKind};
+use sloetrail_types::{EngineId, ServiceName};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Part of the latency target after which a second back end is asked.
+const HEDGE_SHARE: f64 = 0.35;
+const HEDGE_LEAST: Duration = Duration::from_millis(20);
+/// Part of the latency target for which a request waits for a free back end.
+const WAIT_SHARE: f64 = 0.2;
+const WAIT_STEP: Duration = Duration::from_millis(15);
+/// With less time than this an attempt is not worth beginning.
+const TIME_LEAST: Duration = Duration::from_millis(5);
+/// Attempts that were proved not to run are not counted, but they are bounded.
+const SENDS_LIMIT: usize = 8;
+const RETRY_AFTER_SHARE: f64 = 0.5;
+
+/// A live request with its route.
+pub(crate) struct LiveCall {
+    pub(crate) context: Arc<NodeContext>,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: ServiceName,
+    pub(crate) outgoing: Outgoing,
+    /// When the request was read.
+    pub(crate) received: Instant,
+    /// When its final answer is due.
+    pub(crate) deadline: Instant,
+}
+
+/// What became of a live request.
+pub(crate) struct LiveOutcome {
+    /// The answer to pass on, or why there is none.
+    pub(crate) answer: Result<WholeAnswer, Problem>,
+    /// The back end whose answer it is.
+    pub(crate) back_end: Option<EngineId>,
+    /// Back ends that may have run the request.
+    pub(crate) attempts: usize,
+    /// Whole answers of failure that came.
+    pub(crate) failed_answers: usize,
+}
+
+struct Attempted {
+    place: Place,
+    result: AttemptResult,
+    took: Duration,
+}
+
+struct Run<'a> {
+    call: &'a LiveCall,
+    pending: FuturesUnordered<BoxFuture<'static, Attempted>>,
+    tried: BTreeSet<EngineId>,
+    sends: usize,
+    may_have_run: usize,
+    failed_answers: usize,
+    last_failure: Option<(WholeAnswer, EngineId)>,
+    last_result: Option<&'static str>,
+}
+
+impl LiveCall {
+    /// Runs the request to its final answer.
+    pub(crate) async fn run(&self) -> LiveOutcome {
+        let run = Run {
+            call: self,
+            pending: FuturesUnordered::new(),
+            tried: BTreeSet::new(),
+            sends: 0,
+            may_have_run: 0,
+            failed_answers: 0,
+            last_failure: None,
+            last_result: None,
+        };
+        run.to_the_end().await
+    }
+
+    fn is_repeatable(&self) -> bool {
+        self.route.kind == RouteKind::Idempotent
+    }
+
+    fn share_of_target(&self, share: f64) -> Duration {
+        self.route.latency_target.mul_f64(share)
+    }
+}
+
+impl Run<'_> {
+    async fn to_the_end(mut self) -> LiveOutcome {
+        let hedge_after = self.call.share_of_target(HEDGE_SHARE).max(HEDGE_LEAST);
+        let mut next_hedge = Instant::now();
+        loop {
+            if self.pending.is_empty() {
+                if !self.may_try_again() {
+                    return self.give_up();
+                }
+                if !self.start_or_wait().await {
+                    return self.give_up();
+                }
+                next_hedge = Instant::now() + hedge_after;
+            }
+            let may_hedge = self.call.is_repeatable() && self.has_attempts_left();
+            tokio::select! {
+                Some(attempted) = self.pending.next() => {
+                    if let Some(outcome) = self.take(attempted) {
+                        return outcome;
+                    }
+                }
+                () = tokio::time::sleep_until(next_hedge), if may_hedge => {
+                    self.start();
+                    next_hedge = Instant::now() + hedge_after;
+                }
+                () = tokio::time::sleep_until(self.call.deadline) => return self.give_up(),
+            }
+        }
+    }
+
+    fn has_attempts_left(&self) -> bool {
+        let possible = self.may_have_run + self.pending.len();
+        possible < self.call.route.max_attempts && self.sends < SENDS_LIMIT
+    }
+
+    fn may_try_again(&self) -> bool {
+        let left = self.call.deadline.saturating_duration_since(Instant::now());
+        let is_safe = self.call.is_repeatable() || self.may_have_run == 0;
+        is_safe && self.has_attempts_left() && left > TIME_LEAST
+    }
+
+    /// Starts an attempt; if no back end has room, waits for one for a small part
+    /// of the latency target. False if there is none.
+    async fn start_or_wait(&mut self) -> bool {
+        let wait_until = self.call.received + self.call.share_of_target(WAIT_SHARE);
+        loop {
+            if self.start() {
+                return true;
+            }
+            // Those that refused without running the request may have room now.
+            self.tried.clear();
+            if self.start() {
+                return true;
+            }
+            if Instant::now() + WAIT_STEP > wait_until {
+                return false;
+            }
+            tokio::time::sleep(WAIT_STEP).await;
+        }
+    }
+
+    fn start(&mut self) -> bool {
+        let context = Arc::clone(&self.call.context);
+        let Some(place) = context.pools.acquire(&self.call.service, &self.tried) else {
+            return false;
+        };
+        self.tried.insert(place.back_end().id.clone());
+        self.sends += 1;
+        let outgoing = self.call.outgoing.clone();
+        let reuse = self.call.is_repeatable();
+        let deadline = self.call.deadline;
+        let running = async move {
+            let began = Instant::now();
+            let result = attempt(
+                &context.connections,
+                context.dialect.headers(),
+                &outgoing,
+                place.back_end(),
+                reuse,
+                context.answer_limit(),
+                deadline,
+            )
+            .await;
+            Attempted {
+                place,
+                result,
+                took: began.elapsed(),
+            }
+        };
+        self.pending.push(Box::pin(running));
+        true
+    }
+
+    /// Takes in the end of an attempt; returns the final outcome if this is it.
+    fn take(&mut self, attempted: Attempted) -> Option<LiveOutcome> {
+        let Attempted {
+            place,
+            result,
+            took,
+        } = attempted;
+        let back_end = place.back_end().id.clone();
+        self.log_attempt(&place, &result, took);
+        if matches!(result, AttemptResult::WrongInstance) {
+            self.call
+                .context
+                .connections
+                .forget(place.back_end().address);
+        }
+        place.end(result.outcome());
+        self.last_result = Some(result.word());
+        if !result.is_proved_not_run() {
+            self.may_have_run += 1;
+        }
+        match result {
+            AttemptResult::Answered(answer) => Some(self.outcome(Ok(answer), Some(back_end))),
+            AttemptResult::RanAndFailed(answer) => {
+                self.failed_answers += 1;
+                self.last_failure = Some((answer, back_end));
+                None
+            }
+            _ => None,
+        }
+    }
+
+    fn log_attempt(&self, place: &Place, result: &AttemptResult, took: Duration) {
+        if matches!(result, AttemptResult::Answered(_)) {
+            return;
+        }
+        events::emit(&Event::AttemptFailed {
+            request: &self.call.outgoing.request_id,
+            back_end: place.back_end().id.as_str(),
+            outcome: result.word(),
+            took_ms: took.as_millis() as u64,
+            directory_version: place.directory_version().0,
+        });
+    }
+
+    /// The final answer when no attempt gave one: a failure of a back end as it
+    /// is, or a problem that says whether the request may have run.
+    fn give_up(mut self) -> LiveOutcome {
+        if let Some((answer, back_end)) = self.last_failure.take()
+            && !promises_not_run(&answer)
+        {
+            return self.outcome(Ok(answer), Some(back_end));
+        }
+        let problem = self.problem();
+        self.outcome(Err(problem), None)
+    }
+
+    fn problem(&self) -> Problem {
+        let possible = self.may_have_run + self.pending.len();
+        let is_late = Instant::now() + TIME_LEAST >= self.call.deadline;
+        let service = &self.call.service;
+        let detail = match self.last_result {
+            Some(word) => format!("service {service}: the last attempt was {word}"),
+            None => format!("service {service}: no back end has room"),
+        };
+        let code = match (possible > 0, is_late) {
+            (true, true) => ResultCode::EngineTimeout,
+            (true, false) => ResultCode::EngineLost,
+            (false, true) => ResultCode::QueueDeadline,
+            (false, false) if self.sends > 0 => ResultCode::EngineRefused,
+            (false, false) => ResultCode::NoEngine,
+        };
+        let problem = Problem::new(code, detail);
+        if possible > 0 {
+            return problem;
+        }
+        let retry_after = self.call.share_of_target(RETRY_AFTER_SHARE);
+        problem.with_retry_after_ms(retry_after.as_millis() as u64)
+    }
+
+    fn outcome(
+        &self,
+        answer: Result<WholeAnswer, Problem>,
+        back_end: Option<EngineId>,
+    ) -> LiveOutcome {
+        LiveOutcome {
+            answer,
+            back_end,
+            attempts: self.sends,
+            failed_answers: self.failed_answers,
+        }
+    }
+}
+
+/// Statuses that tell a caller that its request has not run. A back end that ran it
+/// must not be quoted with one of them.
+fn promises_not_run(answer: &WholeAnswer) -> bool {
+    matches!(answer.status.as_u16(), 408 | 421 | 429 | 503)
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/gateway/message.rs
@@ -0,0 +1,76 @@
+//! Answers to callers.
+
+use crate::dialect::HeaderNames;
+use bytes::Bytes;
+use futures_util::stream::BoxStream;
+use futures_util::{StreamExt, TryStreamExt};
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Response, StatusCode};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::Frame;
+use sloetrail_result::{PROBLEM_CONTENT_TYPE, Problem};
+use std::io;
+
+/// The body of an answer to a caller.
+pub(crate) type CallerBody = UnsyncBoxBody<Bytes, io::Error>;
+
+/// An answer to a caller.
+pub(crate) type CallerResponse = Response<CallerBody>;
+
+/// A body that is held whole.
+pub(crate) fn whole_body(bytes: impl Into<Bytes>) -> CallerBody {
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// A body that comes piece by piece; an error breaks the connection off.
+pub(crate) fn stream_body(pieces: BoxStream<'static, io::Result<Bytes>>) -> CallerBody {
+    StreamBody::new(pieces.map_ok(Frame::data).boxed()).boxed_unsync()
+}
+
+/// An answer with a JSON body.
+pub(crate) fn json_response(status: StatusCode, body: Vec<u8>) -> CallerResponse {
+    let mut response = Response::new(whole_body(body));
+    *response.status_mut() = status;
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
+
+/// An answer without a body.
+pub(crate) fn empty_response(status: StatusCode) -> CallerResponse {
+    let mut response = Response::new(whole_body(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
+/// A problem document as an answer.
+pub(crate) fn problem_response(problem: &Problem) -> CallerResponse {
+    let status = StatusCode::from_u16(problem.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let body = serde_json::to_vec(problem).unwrap_or_default();
+    let mut response = json_response(status, body);
+    let headers = response.headers_mut();
+    let content_type = HeaderValue::from_static(PROBLEM_CONTENT_TYPE);
+    headers.insert(CONTENT_TYPE, content_type);
+    if let Some(milliseconds) = problem.retry_after_ms {
+        let seconds = format!("{:.3}", milliseconds as f64 / 1_000.0);
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            headers.insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// Adds the request's id to an answer.
+pub(crate) fn with_request_id(
+    mut response: CallerResponse,
+    names: &HeaderNames,
+    request_id: &str,
+) -> CallerResponse {
+    if let Ok(value) = HeaderValue::from_str(request_id) {
+        response.headers_mut().insert(&names.request_id, value);
+    }
+    response
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/gateway/mod.rs
@@ -0,0 +1,15 @@
+//! What callers and trainers see: live requests, batches, results.
+//!
+//! A request comes in by [`front::Front`], which knows the product's own paths and
+//! otherwise asks the configuration in force for a route. A live request goes
+//! through [`live::LiveCall`]; a batch is accepted by [`submit`] and read by
+//! [`read`]. The types that they share are in [`message`].
+
+pub(crate) mod attempt;
+pub(crate) mod front;
+pub(crate) mod headers;
+pub(crate) mod live;
+pub(crate) mod message;
+pub(crate) mod read;
+pub(crate) mod stream;
+pub(crate) mod submit;
--- /dev/null
+++ b/crates/sloetrail-serving/src/gateway/stream.rs
@@ -0,0 +1,302 @@
+//! A live request whose answer is a series of events, passed on as they come.
+//!
+//! Only whole events are passed on. If the answer breaks off and the route allows
+//! it, another back end takes the series up after the last event that was passed
+//! on; the answer keeps the head and the signature of its first back end. Otherwise
+//! the caller's connection is broken off, so that the answer does not look whole.
+
+use super::attempt::{AttemptResult, Outgoing, build_request, judge_failure, judge_head};
+use super::headers;
+use super::live::LiveCall;
+use crate::context::NodeContext;
+use crate::event_stream::EventParser;
+use crate::events::{self, Event};
+use crate::http::{AnswerBody, Exchange, SendFailure, WholeAnswer};
+use crate::service_pools::Place;
+use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::{self, BoxStream};
+use http::{HeaderMap, StatusCode};
+use sloetrail_balance::AttemptOutcome;
+use sloetrail_result::{Problem, ResultCode};
+use sloetrail_types::EngineId;
+use std::collections::BTreeSet;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// How long a back end may be silent within a series before it counts as lost.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
+const SENDS_LIMIT: usize = 8;
+
+/// What a streaming request is answered with.
+pub(crate) enum StreamOutcome {
+    /// A series of events.
+    Events {
+        /// The status of the first back end.
+        status: StatusCode,
+        /// Its headers.
+        headers: HeaderMap,
+        /// The back end.
+        back_end: EngineId,
+        /// The events as bytes.
+        pieces: BoxStream<'static, io::Result<Bytes>>,
+    },
+    /// A whole answer that is no success.
+    Whole(WholeAnswer),
+    /// The node's own refusal or failure.
+    Problem(Problem),
+}
+
+struct Open {
+    place: Place,
+    status: StatusCode,
+    headers: HeaderMap,
+    body: AnswerBody,
+}
+
+enum Opening {
+    Events(Box<Open>),
+    Refused(WholeAnswer),
+    Failed(Problem),
+}
+
+/// Opens the series at a back end.
+pub(crate) async fn open(call: LiveCall) -> StreamOutcome {
+    let mut source = Source::new(call);
+    match source.connect().await {
+        Opening::Refused(answer) => StreamOutcome::Whole(answer),
+        Opening::Failed(problem) => StreamOutcome::Problem(problem),
+        Opening::Events(open) => StreamOutcome::Events {
+            status: open.status,
+            headers: open.headers,
+            back_end: open.place.back_end().id.clone(),
+            pieces: source.pieces(open.place, open.body),
+        },
+    }
+}
+
+struct Source {
+    call: LiveCall,
+    tried: BTreeSet<EngineId>,
+    may_have_run: usize,
+    sends: usize,
+    last_event: Option<u64>,
+}
+
+struct Running {
+    source: Source,
+    place: Option<Place>,
+    body: AnswerBody,
+    parser: EventParser,
+    is_over: bool,
+}
+
+impl Source {
+    fn new(call: LiveCall) -> Self {
+        let names = call.context.dialect.headers();
+        let last_event = headers::number(&call.outgoing.headers, &names.last_event_id);
+        Self {
+            call,
+            tried: BTreeSet::new(),
+            may_have_run: 0,
+            sends: 0,
+            last_event,
+        }
+    }
+
+    fn context(&self) -> Arc<NodeContext> {
+        Arc::clone(&self.call.context)
+    }
+
+    /// True if another back end may be asked.
+    fn may_try(&self) -> bool {
+        let route = &self.call.route;
+        let is_safe = self.may_have_run == 0 || route.resumable;
+        let has_time = Instant::now() < self.call.deadline;
+        is_safe && has_time && self.may_have_run < route.max_attempts && self.sends < SENDS_LIMIT
+    }
+
+    async fn connect(&mut self) -> Opening {
+        let mut last = None;
+        while self.may_try() {
+            let context = self.context();
+            let place = context.pools.acquire(&self.call.service, &self.tried);
+            let Some(place) = place else {
+                break;
+            };
+            self.tried.insert(place.back_end().id.clone());
+            self.sends += 1;
+            match self.try_back_end(place).await {
+                Ok(opening) => return opening,
+                Err(result) => {
+                    if !result.is_proved_not_run() {
+                        self.may_have_run += 1;
+                    }
+                    last = Some(result.word());
+                }
+            }
+        }
+        Opening::Failed(self.problem(last))
+    }
+
+    async fn try_back_end(&mut self, place: Place) -> Result<Opening, AttemptResult> {
+        let began = Instant::now();
+        let result = self.exchange(&place).await;
+        let failure = match result {
+            Ok(exchange) if exchange.status.is_success() => {
+                self.may_have_run += 1;
+                let (status, headers) = (exchange.status, exchange.headers.clone());
+                let body = exchange.into_body();
+                return Ok(Opening::Events(Box::new(Open {
+                    place,
+                    status,
+                    headers,
+                    body,
+                })));
+            }
+            Ok(exchange) => {
+                let limit = self.call.context.answer_limit();
+                match exchange.whole(limit, self.call.deadline).await {
+                    Ok(answer) if !answer.status.is_server_error() => {
+                        place.end(AttemptOutcome::Answered);
+                        return Ok(Opening::Refused(answer));
+                    }
+                    Ok(answer) => AttemptResult::RanAndFailed(answer),
+                    Err(failure) => judge_failure(failure),
+                }
+            }
+            Err(result) => result,
+        };
+        events::emit(&Event::AttemptFailed {
+            request: &self.call.outgoing.request_id,
+            back_end: place.back_end().id.as_str(),
+            outcome: failure.word(),
+            took_ms: began.elapsed().as_millis() as u64,
+            directory_version: place.directory_version().0,
+        });
+        place.end(failure.outcome());
+        Err(failure)
+    }
+
+    async fn exchange(&self, place: &Place) -> Result<Exchange, AttemptResult> {
+        let context = &self.call.context;
+        let names = context.dialect.headers();
+        let mut outgoing: Outgoing = self.call.outgoing.clone();
+        if let Some(last_event) = self.last_event {
+            headers::set_number(&mut outgoing.headers, &names.last_event_id, last_event);
+        }
+        let deadline = self.call.deadline;
+        let request = build_request(&outgoing, place.back_end(), names, deadline)
+            .ok_or(AttemptResult::NotSent)?;
+        let address = place.back_end().address;
+        let reuse = self.call.route.resumable;
+        let exchange = Exchange::send(&context.connections, address, request, reuse, deadline)
+            .await
+            .map_err(judge_failure)?;
+        match judge_head(exchange.status, &exchange.headers, names, &outgoing) {
+            Some(result) => Err(result),
+            None => Ok(exchange),
+        }
+    }
+
+    fn problem(&self, last: Option<&'static str>) -> Problem {
+        let service = &self.call.service;
+        let detail = format!(
+            "service {service}: the last attempt was {}",
+            last.unwrap_or("not made")
+        );
+        if self.may_have_run > 0 {
+            return Problem::new(ResultCode::EngineLost, detail);
+        }
+        let retry_after = self.call.route.latency_target.as_millis() as u64 / 2;
+        Problem::new(ResultCode::NoEngine, detail).with_retry_after_ms(retry_after)
+    }
+
+    fn pieces(self, place: Place, body: AnswerBody) -> BoxStream<'static, io::Result<Bytes>> {
+        let parser = EventParser::new(self.call.context.weight_version_field());
+        let running = Running {
+            source: self,
+            place: Some(place),
+            body,
+            parser,
+            is_over: false,
+        };
+        stream::unfold(running, Running::next).boxed()
+    }
+}
+
+impl Running {
+    /// The next whole events, or the end, or the error that breaks the answer off.
+    async fn next(mut self) -> Option<(io::Result<Bytes>, Self)> {
+        while !self.is_over {
+            let limit = self
+                .source
+                .call
+                .deadline
+                .min(Instant::now() + SILENCE_LIMIT);
+            let piece = tokio::time::timeout_at(limit, self.body.next_piece()).await;
+            let failure = match piece {
+                Ok(Ok(Some(piece))) => match self.take(&piece) {
+                    Ok(events) if events.is_empty() => continue,
+                    Ok(events) => return Some((Ok(events), self)),
+                    Err(failure) => failure,
+                },
+                Ok(Ok(None)) if !self.parser.is_within_event() => {
+                    self.end_place(AttemptOutcome::Answered);
+                    return None;
+                }
+                Ok(Ok(None)) => SendFailure::Lost,
+                Ok(Err(failure)) => failure,
+                Err(_) => SendFailure::OutOfTime,
+            };
+            if !self.resume(failure).await {
+                self.is_over = true;
+                let error = io::Error::other("the series of events broke off");
+                return Some((Err(error), self));
+            }
+        }
+        None
+    }
+
+    fn take(&mut self, piece: &[u8]) -> Result<Bytes, SendFailure> {
+        let events = self.parser.push(piece).map_err(|_| SendFailure::Lost)?;
+        let mut passed_on = Vec::new();
+        for event in events {
+            let follows = match (self.source.last_event, event.id) {
+                (Some(last), Some(id)) => id == last + 1,
+                _ => true,
+            };
+            if !follows {
+                return Err(SendFailure::Lost);
+            }
+            self.source.last_event = event.id.or(self.source.last_event);
+            passed_on.extend_from_slice(event.raw.as_bytes());
+        }
+        Ok(Bytes::from(passed_on))
+    }
+
+    async fn resume(&mut self, failure: SendFailure) -> bool {
+        let result = judge_failure(failure);
+        self.end_place(result.outcome());
+        if !self.source.call.route.resumable {
+            return false;
+        }
+        match self.source.connect().await {
+            Opening::Events(open) => {
+                self.place = Some(open.place);
+                self.body = open.body;
+                self.parser = EventParser::new(self.source.call.context.weight_version_field());
+                true
+            }
+            Opening::Refused(_) | Opening::Failed(_) => false,
+        }
+    }
+
+    fn end_place(&mut self, outcome: AttemptOutcome) {
+        if let Some(place) = self.place.take() {
+            place.end(outcome);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/http/mod.rs
@@ -0,0 +1,13 @@
+//! HTTP/1.1 towards callers and back ends.
+
+mod connections;
+mod exchange;
+mod listener;
+mod socket;
+
+pub use connections::ConnectionPool;
+pub use exchange::{AnswerBody, Exchange, SendFailure, WholeAnswer};
+pub use listener::{ConnectionTracker, ListenerSettings, serve_connections};
+
+/// The body of a request or answer that is held whole.
+pub type WholeBody = http_body_util::Full<bytes::Bytes>;
--- /dev/null
+++ b/crates/sloetrail-serving/src/node.rs
@@ -0,0 +1,239 @@
+//! A serving node: its parts put together, from start to an orderly stop.
+
+use crate::context::NodeContext;
+use crate::dialect::Dialect;
+use crate::directory::watch_directory;
+use crate::events::{self, Event};
+use crate::follow::follow;
+use crate::gateway::front::Front;
+use crate::gateway::message::empty_response;
+use crate::http::{ConnectionPool, ConnectionTracker, ListenerSettings, serve_connections};
+use crate::operator::watch_operator;
+use crate::owner;
+use crate::rows;
+use crate::service_pools::ServicePools;
+use crate::settings::ServingSettings;
+use crate::table::Table;
+use http::StatusCode;
+use sloetrail_types::digest;
+use snafu::{ResultExt, Snafu};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+/// Least time between two questions for changes of the operator's rows.
+const OPERATOR_PAUSE: Duration = Duration::from_millis(5);
+/// The same for the directory, whose rows change with each sign of life.
+const DIRECTORY_PAUSE: Duration = Duration::from_millis(60);
+const LEASE_PAUSE: Duration = Duration::from_millis(20);
+const SWEEP_PERIOD: Duration = Duration::from_secs(5);
+/// How long a stopping node goes on taking connections: until the platform has seen
+/// that it is not ready.
+const LINGER: Duration = Duration::from_millis(2_500);
+const STOP_STEP: Duration = Duration::from_millis(50);
+/// A node exits this much before it would be killed.
+const GRACE_MARGIN: Duration = Duration::from_millis(700);
+const PAUSE_WATCH_PERIOD: Duration = Duration::from_millis(250);
+const PAUSE_REPORTED: Duration = Duration::from_millis(1_000);
+
+/// A node that cannot start.
+#[derive(Debug, Snafu)]
+#[snafu(display("cannot listen on {address}: {source}"))]
+pub struct StartError {
+    address: SocketAddr,
+    source: std::io::Error,
+}
+
+/// A node that runs.
+pub struct ServingNode {
+    context: Arc<NodeContext>,
+    callers: ConnectionTracker,
+    callers_address: SocketAddr,
+    ready_address: SocketAddr,
+    stopping: CancellationToken,
+    owners: JoinHandle<()>,
+}
+
+impl ServingNode {
+    /// Starts a node.
+    pub async fn start(
+        settings: ServingSettings,
+        table: Arc<dyn Table>,
+        dialect: Arc<dyn Dialect>,
+    ) -> Result<Self, StartError> {
+        events::emit(&Event::NodeStarted {
+            node: &settings.node,
+            zone: settings.zone.as_str(),
+            instance: settings.instance.as_str(),
+            version: env!("CARGO_PKG_VERSION"),
+        });
+        let callers = listen(settings.callers_address).await?;
+        let ready = listen(settings.ready_address).await?;
+        let callers_address = local_address(&callers, settings.callers_address);
+        let ready_address = local_address(&ready, settings.ready_address);
+        let context = Arc::new(build_context(settings, table, dialect));
+        let stopping = CancellationToken::new();
+        let tracker = ConnectionTracker::default();
+        serve_callers(&context, callers, tracker.clone());
+        serve_ready(&context, ready, stopping.clone());
+        tokio::spawn(sweep_connections(Arc::clone(&context)));
+        tokio::spawn(watch_pauses());
+        let owners = tokio::spawn(owner::supervise(Arc::clone(&context), stopping.clone()));
+        Ok(Self {
+            context,
+            callers: tracker,
+            callers_address,
+            ready_address,
+            stopping,
+            owners,
+        })
+    }
+
+    /// Where callers reach the node.
+    pub fn callers_address(&self) -> SocketAddr {
+        self.callers_address
+    }
+
+    /// Where the platform asks whether it is ready.
+    pub fn ready_address(&self) -> SocketAddr {
+        self.ready_address
+    }
+
+    /// Stops in an orderly way: not ready, leases given up, connections taken for a
+    /// little longer, requests finished.
+    pub async fn stop(self) {
+        let began = Instant::now();
+        events::emit(&Event::NodeStopping {
+            requests: self.callers.requests(),
+            connections: self.callers.connections(),
+        });
+        self.stopping.cancel();
+        let grace = self.context.settings.bounds.grace;
+        let give_up_at = began + grace.saturating_sub(GRACE_MARGIN);
+        // The keepers give their leases up; without the table they run out.
+        let _ = tokio::time::timeout_at(give_up_at, self.owners).await;
+        tokio::time::sleep_until(give_up_at.min(began + LINGER)).await;
+        self.callers.stop();
+        while self.callers.connections() > 0 && Instant::now() < give_up_at {
+            tokio::time::sleep(STOP_STEP).await;
+        }
+        events::emit(&Event::NodeStopped {
+            requests: self.callers.requests(),
+        });
+    }
+}
+
+fn build_context(
+    settings: ServingSettings,
+    table: Arc<dyn Table>,
+    dialect: Arc<dyn Dialect>,
+) -> NodeContext {
+    let sources = dialect.sources().clone();
+    let operator_view = follow(
+        Arc::clone(&table),
+        sources.configuration.table,
+        sources.configuration.partition,
+        OPERATOR_PAUSE,
+    );
+    let directory_view = follow(
+        Arc::clone(&table),
+        sources.directory_table,
+        "",
+        DIRECTORY_PAUSE,
+    );
+    let leases = follow(
+        Arc::clone(&table),
+        rows::LEASES,
+        rows::PARTITION,
+        LEASE_PAUSE,
+    );
+    let directory = watch_directory(directory_view, Arc::clone(&dialect));
+    let seed = digest(settings.instance.as_str().as_bytes());
+    let pools = ServicePools::new(settings.zone.clone(), seed);
+    pools.follow(directory.clone());
+    NodeContext {
+        in_force: watch_operator(operator_view, Arc::clone(&dialect)),
+        connections: Arc::new(ConnectionPool::new()),
+        settings,
+        table,
+        dialect,
+        pools,
+        directory,
+        leases,
+    }
+}
+
+fn serve_callers(context: &Arc<NodeContext>, listener: TcpListener, tracker: ConnectionTracker) {
+    let seed = digest(context.settings.instance.as_str().as_bytes()) as f64 / u64::MAX as f64;
+    let front = Arc::new(Front::new(Arc::clone(context), seed));
+    let context = Arc::clone(context);
+    let settings = move || {
+        let limits = context.limits();
+        ListenerSettings {
+            header_bytes: limits.header_bytes,
+            idle_timeout: limits.idle_timeout,
+        }
+    };
+    let serving = serve_connections(listener, settings, tracker, move |request| {
+        let front = Arc::clone(&front);
+        async move { front.answer(request).await }
+    });
+    tokio::spawn(serving);
+}
+
+/// Tells whether the node takes new connections: once it knows a configuration and
+/// the back ends, and until it stops.
+fn serve_ready(context: &Arc<NodeContext>, listener: TcpListener, stopping: CancellationToken) {
+    let context = Arc::clone(context);
+    let settings = || ListenerSettings {
+        header_bytes: 8 * 1024,
+        idle_timeout: Duration::from_secs(15),
+    };
+    let tracker = ConnectionTracker::default();
+    let serving = serve_connections(listener, settings, tracker, move |_| {
+        let knows_back_ends = !context.directory.borrow().back_ends.is_empty();
+        let is_ready =
+            context.configuration().is_some() && knows_back_ends && !stopping.is_cancelled();
+        let status = match is_ready {
+            true => StatusCode::OK,
+            false => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        async move { empty_response(status) }
+    });
+    tokio::spawn(serving);
+}
+
+async fn sweep_connections(context: Arc<NodeContext>) {
+    loop {
+        tokio::time::sleep(SWEEP_PERIOD).await;
+        context.connections.sweep();
+    }
+}
+
+/// Notes when the process did not run for a while.
+async fn watch_pauses() {
+    loop {
+        let before = Instant::now();
+        tokio::time::sleep(PAUSE_WATCH_PERIOD).await;
+        let paused = before.elapsed().saturating_sub(PAUSE_WATCH_PERIOD);
+        if paused > PAUSE_REPORTED {
+            events::emit(&Event::ProcessPaused {
+                paused_ms: paused.as_millis() as u64,
+            });
+        }
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address)
+        .await
+        .context(StartSnafu { address })
+}
+
+fn local_address(listener: &TcpListener, wanted: SocketAddr) -> SocketAddr {
+    listener.local_addr().unwrap_or(wanted)
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/operator.rs
@@ -0,0 +1,98 @@
+//! What the operator and the trainers have put in force: the configuration and the
+//! published versions. Neither ever goes back within one life of a node.
+
+use crate::dialect::Dialect;
+use crate::events::{self, Event};
+use crate::follow::{TableView, ViewReceiver};
+use sloetrail_routing::ServingConfiguration;
+use sloetrail_types::{RowVersion, WeightVersion};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use tokio::sync::watch;
+
+/// The newest published version of each model.
+pub type PublishedVersions = BTreeMap<String, WeightVersion>;
+
+/// What is in force.
+#[derive(Clone, Debug, Default)]
+pub struct InForce {
+    /// The configuration; nothing before the first one was read.
+    pub configuration: Option<Arc<ServingConfiguration>>,
+    /// The newest published version of each model.
+    pub published: Arc<PublishedVersions>,
+    configuration_row: RowVersion,
+}
+
+/// Turns the operator's rows into what is in force until every receiver is gone.
+pub fn watch_operator(
+    mut view: ViewReceiver,
+    dialect: Arc<dyn Dialect>,
+) -> watch::Receiver<Arc<InForce>> {
+    let (sender, receiver) = watch::channel(Arc::new(InForce::default()));
+    tokio::spawn(async move {
+        while view.changed().await.is_ok() && !sender.is_closed() {
+            let table = view.borrow_and_update().clone();
+            let mut next = InForce::clone(&sender.borrow());
+            let configured = take_configuration(&mut next, &table, &*dialect);
+            let published = take_versions(&mut next, &table, &*dialect);
+            if configured || published {
+                sender.send_replace(Arc::new(next));
+            }
+        }
+    });
+    receiver
+}
+
+/// Takes in a newer configuration; true if there was one.
+fn take_configuration(in_force: &mut InForce, table: &TableView, dialect: &dyn Dialect) -> bool {
+    let address = &dialect.sources().configuration;
+    let Some(row) = table.rows.get(&address.key) else {
+        return false;
+    };
+    if row.version <= in_force.configuration_row {
+        return false;
+    }
+    in_force.configuration_row = row.version;
+    let configuration = match ServingConfiguration::parse(&row.value) {
+        Ok(configuration) => configuration,
+        Err(error) => {
+            events::emit(&Event::ConfigurationRefused {
+                row_version: row.version.0,
+                detail: &error.to_string(),
+            });
+            return false;
+        }
+    };
+    let current = in_force.configuration.as_ref();
+    if current.is_some_and(|current| current.revision >= configuration.revision) {
+        return false;
+    }
+    events::emit(&Event::ConfigurationInForce {
+        revision: configuration.revision.0,
+        routes: configuration.routes.iter().count(),
+    });
+    in_force.configuration = Some(Arc::new(configuration));
+    true
+}
+
+/// Takes in newer published versions; true if there were any.
+fn take_versions(in_force: &mut InForce, table: &TableView, dialect: &dyn Dialect) -> bool {
+    let mut changed = false;
+    for (key, row) in &table.rows {
+        let Some(published) = dialect.published_version(key, &row.value) else {
+            continue;
+        };
+        let known = in_force.published.get(&published.model).copied();
+        if known.unwrap_or_default() >= published.version {
+            continue;
+        }
+        events::emit(&Event::VersionPublished {
+            model: &published.model,
+            version: published.version.0,
+        });
+        let versions = Arc::make_mut(&mut in_force.published);
+        versions.insert(published.model, published.version);
+        changed = true;
+    }
+    changed
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/owner/engines.rs
@@ -0,0 +1,361 @@
+//! The engines of a service, as its owner sees them.
+
+use super::pace::PaceMeter;
+use crate::back_end::BackEnd;
+use crate::directory::Directory;
+use crate::events::{self, Event};
+use sloetrail_types::{EngineId, RowVersion, ServiceName, WeightVersion};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// An engine counts as slow from this many times the median pace on.
+const SLOW_FACTOR: f64 = 2.0;
+/// A slow engine counts as recovered below this many times the median pace.
+const RECOVERED_FACTOR: f64 = 1.5;
+/// How often a slow engine gets one item, to see whether it still is slow.
+const PROBE_PERIOD: Duration = Duration::from_millis(1_500);
+/// How long an engine that refused an item gets no other.
+const REFUSED_PAUSE: Duration = Duration::from_millis(40);
+/// How long an engine that was lost gets no item, at least.
+const LOST_PAUSE: Duration = Duration::from_millis(300);
+/// How long a change of weights may take before the engine is asked again.
+const CHANGE_LIMIT: Duration = Duration::from_millis(4_000);
+
+/// A change of weights that an engine has accepted.
+#[derive(Clone, Debug)]
+pub(super) struct VersionChangeUnderWay {
+    pub(super) model: String,
+    pub(super) version: WeightVersion,
+    pub(super) accepted_at: Instant,
+}
+
+/// One engine.
+pub(super) struct Engine {
+    pub(super) back_end: Arc<BackEnd>,
+    pub(super) running: usize,
+    pub(super) pace: Arc<PaceMeter>,
+    /// The versions that it is believed to use.
+    pub(super) versions: BTreeMap<String, WeightVersion>,
+    pub(super) change: Option<VersionChangeUnderWay>,
+    /// True while a call about an order is on its way.
+    pub(super) is_being_ordered: bool,
+    /// No order is given before.
+    pub(super) order_not_before: Instant,
+    is_slow: bool,
+    probed_at: Instant,
+    not_before: Instant,
+    /// The row at which it was lost: until a newer sign of life it gets nothing.
+    lost_at_row: Option<RowVersion>,
+    row_version: RowVersion,
+}
+
+/// What an item demands of an engine.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Demand<'a> {
+    pub(super) model: Option<&'a str>,
+    pub(super) oldest_version: WeightVersion,
+}
+
+/// Every engine of a service.
+#[derive(Default)]
+pub(super) struct EnginePool {
+    engines: BTreeMap<EngineId, Engine>,
+    /// Which model an engine is kept up to date for.
+    assignments: BTreeMap<EngineId, String>,
+}
+
+impl EnginePool {
+    /// Takes in the directory.
+    pub(super) fn take_directory(&mut self, directory: &Directory, service: &ServiceName) {
+        let mut listed = BTreeSet::new();
+        for back_end in directory.of_service(service) {
+            listed.insert(back_end.id.clone());
+            let row_version = directory.row_version(&back_end.id);
+            match self.engines.get_mut(&back_end.id) {
+                Some(engine) => engine.take_row(back_end, row_version),
+                None => {
+                    let engine = Engine::new(back_end, row_version);
+                    self.engines.insert(back_end.id.clone(), engine);
+                }
+            }
+        }
+        self.engines
+            .retain(|id, engine| listed.contains(id) || engine.running > 0);
+        for (id, engine) in &mut self.engines {
+            if !listed.contains(id) {
+                engine.mark_gone();
+            }
+        }
+    }
+
+    /// Gives each engine that takes work a model to be kept up to date for, evenly,
+    /// and changes as few as possible.
+    pub(super) fn assign(&mut self, models: &[String]) {
+        let engines = &self.engines;
+        self.assignments.retain(|id, model| {
+            let takes_work = engines
+                .get(id)
+                .is_some_and(|engine| !engine.back_end.draining);
+            takes_work && models.contains(model)
+        });
+        let unassigned: Vec<EngineId> = self
+            .engines
+            .iter()
+            .filter(|(id, engine)| !engine.back_end.draining && !self.assignments.contains_key(*id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in unassigned {
+            if let Some(model) = self.least_assigned(models) {
+                self.assignments.insert(id, model);
+            }
+        }
+        self.level(models);
+    }
+
+    fn assigned_count(&self, model: &str) -> usize {
+        let assigned = self.assignments.values();
+        assigned.filter(|assigned| *assigned == model).count()
+    }
+
+    fn least_assigned(&self, models: &[String]) -> Option<String> {
+        models
+            .iter()
+            .min_by_key(|model| self.assigned_count(model))
+            .cloned()
+    }
+
+    /// Moves engines from the model with most to the one with least while they lie
+    /// two or more apart.
+    fn level(&mut self, models: &[String]) {
+        loop {
+            let least = models.iter().min_by_key(|model| self.assigned_count(model));
+            let most = models.iter().max_by_key(|model| self.assigned_count(model));
+            let (Some(least), Some(most)) = (least, most) else {
+                return;
+            };
+            if self.assigned_count(most) < self.assigned_count(least) + 2 {
+                return;
+            }
+            let moved = self.assignments.iter().find(|(_, model)| *model == most);
+            let Some(id) = moved.map(|(id, _)| id.clone()) else {
+                return;
+            };
+            self.assignments.insert(id, least.clone());
+        }
+    }
+
+    /// True if an engine is kept up to date for a model.
+    pub(super) fn is_assigned(&self, id: &EngineId, model: &str) -> bool {
+        self.assignments
+            .get(id)
+            .is_some_and(|assigned| assigned == model)
+    }
+
+    /// The engine that takes an item with this demand, or none. Engines that are
+    /// kept up to date for the model go first, then those with least to do.
+    pub(super) fn pick(&self, demand: Demand<'_>, now: Instant) -> Option<EngineId> {
+        let able = self
+            .engines
+            .iter()
+            .filter(|(_, engine)| engine.can_take(demand, now));
+        let best = able.min_by_key(|(id, engine)| {
+            let assigned = demand.model.is_none_or(|model| self.is_assigned(id, model));
+            (!assigned, engine.is_slow, engine.running)
+        });
+        best.map(|(id, _)| id.clone())
+    }
+
+    /// Free places of engines that are not slow and meet a demand.
+    pub(super) fn fast_places(&self, demand: Demand<'_>, now: Instant) -> usize {
+        self.engines
+            .values()
+            .filter(|engine| !engine.is_slow && engine.can_take(demand, now))
+            .map(|engine| engine.back_end.slots.saturating_sub(engine.running))
+            .sum()
+    }
+
+    /// One engine.
+    pub(super) fn get(&self, id: &EngineId) -> Option<&Engine> {
+        self.engines.get(id)
+    }
+
+    /// One engine, to be changed.
+    pub(super) fn get_mut(&mut self, id: &EngineId) -> Option<&mut Engine> {
+        self.engines.get_mut(id)
+    }
+
+    /// Every engine.
+    pub(super) fn iter(&self) -> impl Iterator<Item = (&EngineId, &Engine)> {
+        self.engines.iter()
+    }
+
+    /// Every engine, to be changed.
+    pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = (&EngineId, &mut Engine)> {
+        self.engines.iter_mut()
+    }
+
+    /// Compares the engines' paces and marks those that are much slower.
+    pub(super) fn judge_paces(&mut self) {
+        let mut paces: Vec<u64> = self
+            .engines
+            .values()
+            .filter_map(|engine| engine.pace.microseconds())
+            .collect();
+        if paces.len() < 2 {
+            return;
+        }
+        paces.sort_unstable();
+        let median = paces[(paces.len() - 1) / 2];
+        for engine in self.engines.values_mut() {
+            engine.judge_pace(median);
+        }
+    }
+}
+
+impl Engine {
+    fn new(back_end: &Arc<BackEnd>, row_version: RowVersion) -> Self {
+        let now = Instant::now();
+        Self {
+            back_end: Arc::clone(back_end),
+            running: 0,
+            pace: Arc::default(),
+            versions: back_end.versions.clone(),
+            change: None,
+            is_being_ordered: false,
+            order_not_before: now,
+            is_slow: false,
+            probed_at: now,
+            not_before: now,
+            lost_at_row: None,
+            row_version,
+        }
+    }
+
+    /// Takes in the engine's row. A version there counts only if it is news: the row
+    /// lags behind what the engine's own answers have told.
+    fn take_row(&mut self, back_end: &Arc<BackEnd>, row_version: RowVersion) {
+        for (model, version) in &back_end.versions {
+            if self.back_end.versions.get(model) != Some(version) {
+                self.note_version(model, *version, "directory");
+            }
+        }
+        self.back_end = Arc::clone(back_end);
+        self.row_version = row_version;
+    }
+
+    fn mark_gone(&mut self) {
+        if !self.back_end.draining {
+            let mut gone = BackEnd::clone(&self.back_end);
+            gone.draining = true;
+            self.back_end = Arc::new(gone);
+        }
+    }
+
+    /// Takes in a version that the engine is known to use.
+    pub(super) fn note_version(&mut self, model: &str, version: WeightVersion, source: &str) {
+        if self.versions.get(model) == Some(&version) {
+            return;
+        }
+        self.versions.insert(model.to_owned(), version);
+        let is_done = self
+            .change
+            .as_ref()
+            .is_some_and(|change| change.model == model && version >= change.version);
+        if is_done {
+            self.change = None;
+        }
+        events::emit(&Event::VersionInForce {
+            back_end: self.back_end.id.as_str(),
+            model,
+            version: version.0,
+            source,
+        });
+    }
+
+    /// The version of a model that the engine is believed to use.
+    pub(super) fn version(&self, model: &str) -> WeightVersion {
+        self.versions.get(model).copied().unwrap_or_default()
+    }
+
+    /// True if the engine takes work and was not lost since its last sign of life.
+    pub(super) fn is_usable(&self, now: Instant) -> bool {
+        let is_back = self.lost_at_row.is_none_or(|row| self.row_version > row);
+        !self.back_end.draining && is_back && now >= self.not_before
+    }
+
+    fn can_take(&self, demand: Demand<'_>, now: Instant) -> bool {
+        let has_room = match self.is_slow {
+            true => self.running == 0 && now >= self.probed_at + PROBE_PERIOD,
+            false => self.running < self.back_end.slots,
+        };
+        self.is_usable(now) && has_room && self.has_version(demand)
+    }
+
+    fn has_version(&self, demand: Demand<'_>) -> bool {
+        let Some(model) = demand.model else {
+            return true;
+        };
+        let is_changing = self
+            .change
+            .as_ref()
+            .is_some_and(|change| change.model == model);
+        !is_changing && self.version(model) >= demand.oldest_version
+    }
+
+    /// True if the engine is much slower than the others.
+    pub(super) fn is_slow(&self) -> bool {
+        self.is_slow
+    }
+
+    /// An item was sent to the engine.
+    pub(super) fn started(&mut self) {
+        self.running += 1;
+        if self.is_slow {
+            self.probed_at = Instant::now();
+            self.pace.reset();
+        }
+    }
+
+    /// The engine refused an item without running it.
+    pub(super) fn refused(&mut self) {
+        self.not_before = Instant::now() + REFUSED_PAUSE;
+    }
+
+    /// The engine could not be reached, broke off or fell silent.
+    pub(super) fn lost(&mut self) {
+        self.not_before = Instant::now() + LOST_PAUSE;
+        self.lost_at_row = Some(self.row_version);
+    }
+
+    /// Forgets a change of weights that takes too long: the engine is asked again.
+    pub(super) fn expire_change(&mut self, now: Instant) {
+        let is_late = |change: &VersionChangeUnderWay| now > change.accepted_at + CHANGE_LIMIT;
+        if self.change.as_ref().is_some_and(is_late) {
+            self.change = None;
+        }
+    }
+
+    fn judge_pace(&mut self, median: u64) {
+        let Some(pace) = self.pace.microseconds() else {
+            return;
+        };
+        let factor = pace as f64 / median.max(1) as f64;
+        let is_slow = match self.is_slow {
+            true => factor > RECOVERED_FACTOR,
+            false => factor > SLOW_FACTOR,
+        };
+        if is_slow == self.is_slow {
+            return;
+        }
+        self.is_slow = is_slow;
+        self.probed_at = Instant::now();
+        events::emit(&Event::PaceChanged {
+            back_end: self.back_end.id.as_str(),
+            slow: is_slow,
+            pace_us: pace,
+            median_us: median,
+        });
+    }
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/owner/lease_keeper.rs
@@ -0,0 +1,290 @@
+//! Who owns a service: one keeper a service on every node.
+
+use super::service_owner::ServiceOwner;
+use super::term::Term;
+use crate::context::NodeContext;
+use crate::events::{self, Event};
+use crate::follow::TableView;
+use crate::rows;
+use crate::table::{Commit, Row, Transaction};
+use sloetrail_lease::{LeaseAction, LeaseRecord, LeaseWatcher, ObservedLease};
+use sloetrail_types::{NodeId, RowVersion, ServiceName, Timestamp};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+const TICK: Duration = Duration::from_millis(100);
+const SUPERVISION_PERIOD: Duration = Duration::from_millis(500);
+/// A view older than this says nothing of the lease.
+const VIEW_AGE_LIMIT: Duration = Duration::from_millis(1_400);
+
+/// Runs a keeper for each service that needs an owner, until the node stops; then
+/// gives every lease up.
+pub(crate) async fn supervise(context: Arc<NodeContext>, stopping: CancellationToken) {
+    let mut keepers: HashMap<ServiceName, JoinHandle<()>> = HashMap::new();
+    loop {
+        let configuration = context.configuration();
+        let services = configuration.map(|configuration| configuration.rollout_services());
+        for service in services.unwrap_or_default() {
+            keepers.entry(service.clone()).or_insert_with(|| {
+                let keeper = LeaseKeeper::new(Arc::clone(&context), service);
+                tokio::spawn(keeper.run(stopping.clone()))
+            });
+        }
+        tokio::select! {
+            () = tokio::time::sleep(SUPERVISION_PERIOD) => {}
+            () = stopping.cancelled() => break,
+        }
+    }
+    for (_, keeper) in keepers {
+        // A keeper that panicked has nothing left to give up.
+        let _ = keeper.await;
+    }
+}
+
+struct Holding {
+    term: Term,
+    owner: JoinHandle<()>,
+}
+
+struct LeaseKeeper {
+    context: Arc<NodeContext>,
+    service: ServiceName,
+    origin: Instant,
+    watcher: LeaseWatcher,
+    seen_version: Option<RowVersion>,
+    unchanged_since: Instant,
+    interruptions: u64,
+    holding: Option<Holding>,
+}
+
+impl LeaseKeeper {
+    fn new(context: Arc<NodeContext>, service: ServiceName) -> Self {
+        let watcher = new_watcher(&context);
+        Self {
+            context,
+            service,
+            origin: Instant::now(),
+            watcher,
+            seen_version: None,
+            unchanged_since: Instant::now(),
+            interruptions: 0,
+            holding: None,
+        }
+    }
+
+    async fn run(mut self, stopping: CancellationToken) {
+        while !stopping.is_cancelled() {
+            self.step().await;
+            let mut leases = self.context.leases.clone();
+            tokio::select! {
+                () = tokio::time::sleep(TICK) => {}
+                _ = leases.changed(), if self.holding.is_none() => {}
+                () = stopping.cancelled() => {}
+            }
+        }
+        self.release().await;
+    }
+
+    async fn step(&mut self) {
+        let view = self.context.leases.borrow().clone();
+        self.observe_view(&view);
+        self.check_holding();
+        let is_current = view
+            .age(Instant::now())
+            .is_some_and(|age| age < VIEW_AGE_LIMIT);
+        if !is_current && self.holding.is_none() {
+            return;
+        }
+        let now = self.now();
+        let action = match self.succeeds_own_machine() {
+            Some(action) => Some(action),
+            None => self.watcher.next_action(now, 0),
+        };
+        let Some(action) = action else {
+            return;
+        };
+        match self.holding.is_some() {
+            true => self.renew(action).await,
+            false => self.take_over(action, &view).await,
+        }
+    }
+
+    /// Takes in the lease row. After an interruption the time for which it was
+    /// unchanged counts anew: nobody could renew it meanwhile.
+    fn observe_view(&mut self, view: &TableView) {
+        if view.confirmed_at.is_none() {
+            return;
+        }
+        if view.interruptions != self.interruptions && self.holding.is_none() {
+            self.interruptions = view.interruptions;
+            self.watcher = new_watcher(&self.context);
+            self.seen_version = None;
+            self.unchanged_since = Instant::now();
+        }
+        let row = view.rows.get(&rows::lease(&self.service).key);
+        let version = row.map(|row| row.version);
+        if version < self.seen_version {
+            return;
+        }
+        self.observe_row(row);
+    }
+
+    fn observe_row(&mut self, row: Option<&Row>) {
+        let version = row.map(|row| row.version);
+        if version != self.seen_version {
+            self.seen_version = version;
+            self.unchanged_since = Instant::now();
+        }
+        let lease = row.and_then(|row| {
+            let record = serde_json::from_slice(&row.value).ok()?;
+            let version = row.version;
+            Some(ObservedLease { version, record })
+        });
+        let now = self.now();
+        self.watcher.observe(now, lease);
+    }
+
+    /// Ends the term if another holder has been seen, or the owner has found out.
+    fn check_holding(&mut self) {
+        let Some(holding) = &self.holding else {
+            return;
+        };
+        let is_own_epoch = self.watcher.held_epoch() == Some(holding.term.epoch);
+        if is_own_epoch && !holding.term.ended.is_cancelled() {
+            return;
+        }
+        let cause = match is_own_epoch {
+            true => "a write was fenced off",
+            false => "another holder is in the lease row",
+        };
+        self.end_holding(cause);
+    }
+
+    fn end_holding(&mut self, cause: &str) {
+        if let Some(holding) = self.holding.take() {
+            holding.term.ended.cancel();
+            events::emit(&Event::LeaseLost {
+                service: self.service.as_str(),
+                epoch: holding.term.epoch.0,
+                cause,
+            });
+        }
+    }
+
+    /// A lease in the name of this node without a term need not run out: it is of
+    /// a previous life, or of a take-over whose answer was lost.
+    fn succeeds_own_machine(&self) -> Option<LeaseAction> {
+        if self.holding.is_some() {
+            return None;
+        }
+        let holder = self.watcher.holder()?;
+        let is_own = self.context.settings.is_own_machine(holder);
+        is_own.then(|| self.watcher.take_over()).flatten()
+    }
+
+    async fn renew(&mut self, action: LeaseAction) {
+        let transaction = write_lease(&self.service, &action);
+        match self.context.table.commit(&transaction).await {
+            Ok(Commit::Done(version)) => self.note_own_write(version, action.record),
+            Ok(Commit::Conflict(rows)) => self.note_conflict(&rows),
+            // The row is read again before the next attempt.
+            Err(_) => {}
+        }
+    }
+
+    async fn take_over(&mut self, action: LeaseAction, view: &TableView) {
+        let previous = self.watcher.holder().map(NodeId::to_string);
+        let unchanged = self.unchanged_since.elapsed();
+        let fence = rows::fence(&self.service);
+        let fence_version = view.rows.get(&fence.key).map(|row| row.version);
+        let epoch = action.record.epoch;
+        let transaction = write_lease(&self.service, &action)
+            .require(fence.clone(), fence_version)
+            .put(fence, epoch.to_string());
+        let commit = self.context.table.commit(&transaction).await;
+        match commit {
+            Ok(Commit::Done(version)) => {
+                self.note_own_write(version, action.record);
+                events::emit(&Event::LeaseTaken {
+                    service: self.service.as_str(),
+                    epoch: epoch.0,
+                    previous: previous.as_deref().unwrap_or("-"),
+                    unchanged_ms: unchanged.as_millis() as u64,
+                });
+                self.begin_term(Term {
+                    service: self.service.clone(),
+                    epoch,
+                    fence: version,
+                    ended: CancellationToken::new(),
+                });
+            }
+            Ok(Commit::Conflict(rows)) => self.note_conflict(&rows),
+            // If it was done all the same, the row will name this node, which then
+            // takes over again under the next epoch.
+            Err(_) => {}
+        }
+    }
+
+    fn begin_term(&mut self, term: Term) {
+        let owner = ServiceOwner::new(Arc::clone(&self.context), term.clone());
+        self.holding = Some(Holding {
+            term,
+            owner: tokio::spawn(owner.run()),
+        });
+    }
+
+    fn note_own_write(&mut self, version: RowVersion, record: LeaseRecord) {
+        self.seen_version = Some(version);
+        self.unchanged_since = Instant::now();
+        let now = self.now();
+        self.watcher
+            .observe(now, Some(ObservedLease { version, record }));
+    }
+
+    fn note_conflict(&mut self, current: &[Row]) {
+        let address = rows::lease(&self.service);
+        let row = current.iter().find(|row| row.address == address);
+        self.observe_row(row);
+        self.check_holding();
+    }
+
+    /// Gives the lease up, so that another node need not wait for it to run out.
+    async fn release(&mut self) {
+        let Some(holding) = self.holding.take() else {
+            return;
+        };
+        holding.term.ended.cancel();
+        let _ = holding.owner.await;
+        if let Some(action) = self.watcher.release() {
+            let transaction = write_lease(&self.service, &action);
+            // Without an answer the lease runs out by itself.
+            let _ = self.context.table.commit(&transaction).await;
+        }
+        events::emit(&Event::LeaseLost {
+            service: self.service.as_str(),
+            epoch: holding.term.epoch.0,
+            cause: "the node stops",
+        });
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp(self.origin.elapsed().as_millis() as u64)
+    }
+}
+
+fn new_watcher(context: &NodeContext) -> LeaseWatcher {
+    let settings = &context.settings;
+    LeaseWatcher::new(settings.instance.clone(), settings.bounds.lease)
+}
+
+fn write_lease(service: &ServiceName, action: &LeaseAction) -> Transaction {
+    let address = rows::lease(service);
+    let record = serde_json::to_vec(&action.record).unwrap_or_default();
+    Transaction::new()
+        .require(address.clone(), action.expected)
+        .put(address, record)
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/owner/loading.rs
@@ -0,0 +1,74 @@
+//! Loading an open batch from the table.
+
+use crate::batch_rows::{read_results, read_submission};
+use crate::context::NodeContext;
+use crate::table::ReadError;
+use sloetrail_batch::{Batch, BatchHeader, BatchId, ItemId, Submission, SubmittedItem};
+use std::collections::BTreeSet;
+use std::time::Duration;
+use tokio_util::sync::CancellationToken;
+
+const RETRY_PAUSE: Duration = Duration::from_millis(80);
+
+/// A batch with the results that it lists already.
+pub(super) struct LoadedBatch {
+    pub(super) batch: Batch,
+    pub(super) listed: usize,
+}
+
+/// Loads a batch; nothing if it cannot be read before the term is over, or is not
+/// whole in the table.
+pub(super) async fn load(
+    context: &NodeContext,
+    id: &BatchId,
+    header: &BatchHeader,
+    carried: &BTreeSet<ItemId>,
+    ended: &CancellationToken,
+) -> Option<LoadedBatch> {
+    loop {
+        match try_load(context, id, header, carried).await {
+            Ok(loaded) => return loaded,
+            Err(_) if ended.is_cancelled() => return None,
+            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+        }
+    }
+}
+
+async fn try_load(
+    context: &NodeContext,
+    id: &BatchId,
+    header: &BatchHeader,
+    carried: &BTreeSet<ItemId>,
+) -> Result<Option<LoadedBatch>, ReadError> {
+    let table = &*context.table;
+    let Some(stored) = read_submission(table, id, header.body_rows).await? else {
+        return Ok(None);
+    };
+    let Ok(submission) = Submission::parse(&stored) else {
+        return Ok(None);
+    };
+    let hint = &context.dialect.headers().length_hint;
+    let expected_length = |item: &SubmittedItem| {
+        let hinted = item
+            .headers
+            .iter()
+            .find(|(name, _)| name.eq_ignore_ascii_case(hint.as_str()))
+            .and_then(|(_, value)| value.trim().parse().ok());
+        hinted.unwrap_or(item.tokens)
+    };
+    let header = header.clone();
+    let mut batch = Batch::new(id.clone(), header, submission, expected_length, carried);
+    let mut listed = 0;
+    loop {
+        let results = read_results(table, id, listed).await?;
+        if results.is_empty() {
+            return Ok(Some(LoadedBatch { batch, listed }));
+        }
+        listed += results.len();
+        for result in results {
+            if let Some(index) = batch.index_of(&result.id) {
+                batch.listed(index);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/owner/run.rs
@@ -0,0 +1,293 @@
+//! One run of an item at an engine.
+
+use super::pace::PaceMeter;
+use crate::back_end::BackEnd;
+use crate::context::NodeContext;
+use crate::event_stream::{EventParser, StreamEvent};
+use crate::gateway::attempt::{AttemptResult, Outgoing, build_request, judge_failure, judge_head};
+use crate::gateway::headers;
+use crate::http::{AnswerBody, Exchange};
+use http::header::{CONTENT_TYPE, HOST};
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use sloetrail_batch::{SubmittedItem, Transcript, TranscriptEvent};
+use sloetrail_types::WeightVersion;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+/// The time that an engine is given for one run.
+const RUN_TIME: Duration = Duration::from_secs(60);
+/// How long the head and the first event may take.
+const FIRST_EVENT_LIMIT: Duration = Duration::from_millis(2_500);
+/// How long an engine may be silent between two events.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
+/// Bytes of an answer that is no series of events.
+const REFUSAL_BYTES: usize = 64 * 1024;
+
+/// What a run needs to know.
+pub(super) struct RunSpec {
+    pub(super) context: Arc<NodeContext>,
+    pub(super) item: Arc<SubmittedItem>,
+    pub(super) host: String,
+    pub(super) back_end: Arc<BackEnd>,
+    pub(super) oldest_version: WeightVersion,
+    pub(super) single_version: bool,
+    pub(super) priority: u8,
+    pub(super) transcript: Transcript,
+    pub(super) pace: Arc<PaceMeter>,
+    pub(super) progress: Arc<RunProgress>,
+    pub(super) cancel: CancellationToken,
+}
+
+/// What an owner sees of a run while it goes on.
+#[derive(Debug, Default)]
+pub(super) struct RunProgress {
+    state: Mutex<ProgressState>,
+}
+
+#[derive(Debug, Default)]
+struct ProgressState {
+    version: Option<WeightVersion>,
+}
+
+impl RunProgress {
+    /// The version of the weights that made the last event.
+    pub(super) fn version(&self) -> Option<WeightVersion> {
+        self.state.lock().expect("not poisoned").version
+    }
+
+    fn note(&self, version: Option<WeightVersion>) {
+        let mut state = self.state.lock().expect("not poisoned");
+        state.version = version.or(state.version);
+    }
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RunOutcome {
+    /// The text is whole.
+    Whole,
+    /// The engine answered that the run failed.
+    Failed,
+    /// The engine answered that the item can never be done.
+    Impossible,
+    /// The engine did not run it, being full or busy.
+    NotRun,
+    /// Another back end listens at the address.
+    WrongInstance,
+    /// The engine could not be reached.
+    NotSent,
+    /// The answer broke off or was none.
+    Lost,
+    /// The engine fell silent.
+    Silent,
+    /// The engine's weights are too old, or not the only ones allowed.
+    WrongVersion,
+    /// The owner gave it up.
+    Cancelled,
+}
+
+impl RunOutcome {
+    /// A word for logs.
+    pub(super) fn word(self) -> &'static str {
+        match self {
+            RunOutcome::Whole => "whole",
+            RunOutcome::Failed => "failed",
+            RunOutcome::Impossible => "impossible",
+            RunOutcome::NotRun => "not run",
+            RunOutcome::WrongInstance => "wrong instance",
+            RunOutcome::NotSent => "not sent",
+            RunOutcome::Lost => "lost",
+            RunOutcome::Silent => "silent",
+            RunOutcome::WrongVersion => "wrong version",
+            RunOutcome::Cancelled => "cancelled",
+        }
+    }
+}
+
+/// The end of a run, with the text as far as it came.
+pub(super) struct RunEnd {
+    pub(super) outcome: RunOutcome,
+    pub(super) transcript: Transcript,
+}
+
+/// Runs an item to its end, or until the owner gives it up.
+pub(super) async fn run_item(spec: RunSpec) -> RunEnd {
+    let cancel = spec.cancel.clone();
+    let mut run = Run {
+        transcript: spec.transcript.clone(),
+        version: None,
+        last_event_at: None,
+        spec,
+    };
+    let outcome = tokio::select! {
+        outcome = run.to_the_end() => outcome,
+        () = cancel.cancelled() => RunOutcome::Cancelled,
+    };
+    RunEnd {
+        outcome,
+        transcript: run.transcript,
+    }
+}
+
+struct Run {
+    spec: RunSpec,
+    transcript: Transcript,
+    version: Option<WeightVersion>,
+    last_event_at: Option<Instant>,
+}
+
+impl Run {
+    async fn to_the_end(&mut self) -> RunOutcome {
+        let first_event_due = Instant::now() + FIRST_EVENT_LIMIT;
+        let exchange = match self.open(first_event_due).await {
+            Ok(exchange) => exchange,
+            Err(outcome) => return outcome,
+        };
+        if !exchange.status.is_success() {
+            return self.refused(exchange, first_event_due).await;
+        }
+        let names = self.spec.context.dialect.headers();
+        let version = headers::number(&exchange.headers, &names.weight_version);
+        if let Some(version) = version
+            && !self.take_version(WeightVersion(version))
+        {
+            return RunOutcome::WrongVersion;
+        }
+        self.read_events(exchange.into_body(), first_event_due)
+            .await
+    }
+
+    async fn open(&self, due: Instant) -> Result<Exchange, RunOutcome> {
+        let spec = &self.spec;
+        let names = spec.context.dialect.headers();
+        let outgoing = self.outgoing();
+        let deadline = Instant::now() + RUN_TIME;
+        let request = build_request(&outgoing, &spec.back_end, names, deadline)
+            .ok_or(RunOutcome::Impossible)?;
+        let address = spec.back_end.address;
+        let sent = Exchange::send(&spec.context.connections, address, request, true, due).await;
+        let exchange = sent.map_err(|failure| run_outcome(&judge_failure(failure)))?;
+        match judge_head(exchange.status, &exchange.headers, names, &outgoing) {
+            Some(result) => Err(run_outcome(&result)),
+            None => Ok(exchange),
+        }
+    }
+
+    fn outgoing(&self) -> Outgoing {
+        let spec = &self.spec;
+        let names = spec.context.dialect.headers();
+        let mut sent = HeaderMap::new();
+        for (name, value) in &spec.item.headers {
+            let name: Result<HeaderName, _> = name.parse();
+            if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
+                sent.insert(name, value);
+            }
+        }
+        headers::set_text(&mut sent, &HOST, &spec.host);
+        headers::set_text(&mut sent, &names.request_id, &spec.item.id);
+        headers::set_number(&mut sent, &names.priority, u64::from(spec.priority));
+        if let Some(last) = self.transcript.last_number() {
+            headers::set_number(&mut sent, &names.last_event_id, last);
+        }
+        let octets = HeaderValue::from_static("application/octet-stream");
+        sent.entry(CONTENT_TYPE).or_insert(octets);
+        Outgoing {
+            request_id: spec.item.id.clone(),
+            method: Method::POST,
+            path_and_query: spec.item.path.clone(),
+            headers: sent,
+            body: spec.item.body.clone(),
+        }
+    }
+
+    async fn refused(&self, exchange: Exchange, due: Instant) -> RunOutcome {
+        let status = exchange.status;
+        if let Err(failure) = exchange.whole(REFUSAL_BYTES, due).await {
+            return run_outcome(&judge_failure(failure));
+        }
+        match status.as_u16() {
+            422 => RunOutcome::Impossible,
+            500 => RunOutcome::Failed,
+            _ => RunOutcome::Lost,
+        }
+    }
+
+    async fn read_events(&mut self, mut body: AnswerBody, first_due: Instant) -> RunOutcome {
+        let mut parser = EventParser::new(self.spec.context.weight_version_field());
+        loop {
+            let due = match self.last_event_at {
+                None => first_due,
+                Some(at) => at + SILENCE_LIMIT,
+            };
+            let piece = match tokio::time::timeout_at(due, body.next_piece()).await {
+                Ok(Ok(piece)) => piece,
+                Ok(Err(_)) => return RunOutcome::Lost,
+                Err(_) => return RunOutcome::Silent,
+            };
+            let Some(piece) = piece else {
+                return match parser.is_within_event() || self.transcript.is_empty() {
+                    true => RunOutcome::Lost,
+                    false => RunOutcome::Whole,
+                };
+            };
+            let Ok(events) = parser.push(&piece) else {
+                return RunOutcome::Lost;
+            };
+            for event in events {
+                if let Some(outcome) = self.take_event(event) {
+                    return outcome;
+                }
+            }
+        }
+    }
+
+    /// Keeps an event; returns an outcome if the run cannot go on.
+    fn take_event(&mut self, event: StreamEvent) -> Option<RunOutcome> {
+        if let Some(version) = event.extra
+            && !self.take_version(WeightVersion(version))
+        {
+            return Some(RunOutcome::WrongVersion);
+        }
+        let Some(number) = event.id else {
+            return Some(RunOutcome::Lost);
+        };
+        let kept = self.transcript.push(TranscriptEvent {
+            number,
+            data: event.data,
+            version: self.version,
+        });
+        if kept.is_err() {
+            return Some(RunOutcome::Lost);
+        }
+        let now = Instant::now();
+        if let Some(previous) = self.last_event_at.replace(now) {
+            self.spec.pace.note(now.saturating_duration_since(previous));
+        }
+        self.spec.progress.note(self.version);
+        None
+    }
+
+    /// Takes in the version that makes the events from here on; false if it may not.
+    fn take_version(&mut self, version: WeightVersion) -> bool {
+        self.version = Some(version);
+        self.spec.progress.note(self.version);
+        let is_other = |known: &WeightVersion| *known != version;
+        let mixes = self.spec.single_version && self.transcript.versions().iter().any(is_other);
+        version >= self.spec.oldest_version && !mixes
+    }
+}
+
+fn run_outcome(result: &AttemptResult) -> RunOutcome {
+    match result {
+        AttemptResult::NotRun => RunOutcome::NotRun,
+        AttemptResult::WrongInstance => RunOutcome::WrongInstance,
+        AttemptResult::NotSent => RunOutcome::NotSent,
+        AttemptResult::OutOfTime => RunOutcome::Silent,
+        AttemptResult::RanAndFailed(_) => RunOutcome::Failed,
+        AttemptResult::Answered(_) | AttemptResult::Lost | AttemptResult::TooLarge => {
+            RunOutcome::Lost
+        }
+    }
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/owner/sweeper.rs
@@ -0,0 +1,65 @@
+//! Deleting batches that nobody may read any more.
+
+use super::term::Term;
+use crate::batch_rows::decode_header;
+use crate::context::NodeContext;
+use crate::follow::TableView;
+use crate::rows;
+use crate::table::{Commit, KeyRange, RowAddress, scan_all};
+use std::sync::Arc;
+
+/// Rows are kept this much longer than readers were promised.
+const MARGIN_MS: u64 = 60_000;
+/// Batches deleted in one round, so that a round stays small.
+const BATCHES_A_ROUND: usize = 8;
+
+/// Deletes a few batches of the term's service that are past their time.
+pub(super) async fn sweep(context: Arc<NodeContext>, term: Term, batches: Arc<TableView>) {
+    let Some(now_ms) = context.table.now_ms() else {
+        return;
+    };
+    let kept_ms = context.settings.bounds.batch_status.as_millis() as u64 + MARGIN_MS;
+    let past_its_time = batches.rows.iter().filter(|(_, row)| {
+        decode_header(&row.value).is_some_and(|header| {
+            let kept_ms = kept_ms.max(header.retention_ms + MARGIN_MS);
+            header.service == term.service && now_ms > header.accepted_at_ms + kept_ms
+        })
+    });
+    for (id, _) in past_its_time.take(BATCHES_A_ROUND) {
+        if !delete(&context, &term, id).await {
+            return;
+        }
+    }
+}
+
+/// Deletes a batch, its head last, so that a broken deletion is taken up again.
+async fn delete(context: &NodeContext, term: &Term, id: &str) -> bool {
+    let mut addresses: Vec<RowAddress> = Vec::new();
+    for range in [rows::results_from(id, 0), rows::submission_parts(id)] {
+        match scan_keys(context, range).await {
+            Some(found) => addresses.extend(found),
+            None => return false,
+        }
+    }
+    addresses.push(rows::end(id));
+    addresses.push(rows::batch(id));
+    let entries = context.table.limits().transaction_entries - 1;
+    for group in addresses.chunks(entries) {
+        let mut transaction = term.transaction();
+        for address in group {
+            transaction = transaction.delete(address.clone());
+        }
+        if !matches!(
+            context.table.commit(&transaction).await,
+            Ok(Commit::Done(_))
+        ) {
+            return false;
+        }
+    }
+    true
+}
+
+async fn scan_keys(context: &NodeContext, range: KeyRange) -> Option<Vec<RowAddress>> {
+    let page = scan_all(&*context.table, range).await.ok()?;
+    Some(page.rows.into_iter().map(|row| row.address).collect())
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/owner/term.rs
@@ -0,0 +1,24 @@
+//! One term of ownership.
+
+use crate::rows;
+use crate::table::Transaction;
+use sloetrail_types::{Epoch, RowVersion, ServiceName};
+use tokio_util::sync::CancellationToken;
+
+/// One term of ownership of a service.
+#[derive(Clone, Debug)]
+pub(crate) struct Term {
+    pub(crate) service: ServiceName,
+    pub(crate) epoch: Epoch,
+    /// The version of the fence row that the term's first transaction wrote.
+    pub(crate) fence: RowVersion,
+    /// Cancelled once the term is over or known to be lost.
+    pub(crate) ended: CancellationToken,
+}
+
+impl Term {
+    /// A transaction that takes effect only within this term.
+    pub(crate) fn transaction(&self) -> Transaction {
+        Transaction::new().require(rows::fence(&self.service), Some(self.fence))
+    }
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/owner/weights.rs
@@ -0,0 +1,187 @@
+//! Bringing engines to the published versions.
+//!
+//! An engine is asked for its status, then ordered under the count of orders that it
+//! has taken: an order that arrives late, after others, is refused by that count.
+
+use super::engines::EnginePool;
+use super::service_owner::OwnerEvent;
+use super::term::Term;
+use crate::back_end::{BackEnd, EngineStatus, OrderAnswer, VersionChange, VersionOrder};
+use crate::context::NodeContext;
+use crate::dialect::EngineCall;
+use crate::events::{self, Event};
+use crate::gateway::headers;
+use crate::http::{Exchange, SendFailure, WholeAnswer, WholeBody};
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Request};
+use sloetrail_types::{EngineId, WeightVersion};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+const CALL_TIME: Duration = Duration::from_millis(700);
+const ANSWER_BYTES: usize = 64 * 1024;
+
+/// An order that should be given.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct PlannedOrder {
+    pub(super) engine: EngineId,
+    pub(super) model: String,
+    pub(super) version: WeightVersion,
+}
+
+/// What became of an order.
+#[derive(Clone, Debug)]
+pub(super) struct OrderEnd {
+    pub(super) order: PlannedOrder,
+    /// What the engine said of itself before; nothing if it did not answer.
+    pub(super) status: Option<EngineStatus>,
+    /// Its answer to the order; nothing if none was sent or no answer came.
+    pub(super) answer: Option<OrderAnswer>,
+}
+
+/// The orders to give now: engines that are kept up to date for a model and use an
+/// older version than is published, those with least to do first, with at most
+/// `concurrent` changes at a time.
+pub(super) fn plan(
+    pool: &EnginePool,
+    published: impl Fn(&str) -> Option<WeightVersion>,
+    models: &[String],
+    concurrent: usize,
+    now: Instant,
+) -> Vec<PlannedOrder> {
+    let under_way = pool
+        .iter()
+        .filter(|(_, engine)| engine.change.is_some() || engine.is_being_ordered)
+        .count();
+    let mut wanted: Vec<(usize, PlannedOrder)> = Vec::new();
+    for model in models {
+        let Some(version) = published(model) else {
+            continue;
+        };
+        for (id, engine) in pool.iter() {
+            let is_due = engine.is_usable(now)
+                && pool.is_assigned(id, model)
+                && engine.version(model) < version
+                && engine.change.is_none()
+                && !engine.is_being_ordered
+                && now >= engine.order_not_before;
+            if is_due {
+                let order = PlannedOrder {
+                    engine: id.clone(),
+                    model: model.clone(),
+                    version,
+                };
+                wanted.push((engine.running, order));
+            }
+        }
+    }
+    wanted.sort_by_key(|(running, _)| *running);
+    let free = concurrent.saturating_sub(under_way);
+    wanted
+        .into_iter()
+        .take(free)
+        .map(|(_, order)| order)
+        .collect()
+}
+
+/// What it takes to give one order.
+pub(super) struct OrderTask {
+    pub(super) context: Arc<NodeContext>,
+    pub(super) term: Term,
+    pub(super) back_end: Arc<BackEnd>,
+    pub(super) order: PlannedOrder,
+    pub(super) change: VersionChange,
+    /// The order is not sent later than this.
+    pub(super) send_before: Instant,
+    pub(super) events: mpsc::UnboundedSender<OwnerEvent>,
+}
+
+impl OrderTask {
+    /// Asks the engine and gives the order.
+    pub(super) async fn run(self) {
+        let status = self.ask().await;
+        let answer = match &status {
+            Some(status) if self.should_order(status) => self.give(status).await,
+            _ => None,
+        };
+        let order = self.order.clone();
+        let end = OrderEnd {
+            order,
+            status,
+            answer,
+        };
+        // The owner may be gone; then nobody needs to know.
+        let _ = self.events.send(OwnerEvent::OrderEnded(end));
+    }
+
+    fn should_order(&self, status: &EngineStatus) -> bool {
+        let version = status.versions.get(&self.order.model).copied();
+        let is_behind = version.unwrap_or_default() < self.order.version;
+        let in_time = Instant::now() < self.send_before && !self.term.ended.is_cancelled();
+        is_behind && !status.busy && in_time
+    }
+
+    async fn ask(&self) -> Option<EngineStatus> {
+        let dialect = &self.context.dialect;
+        let answer = self.call(dialect.status_call()).await.ok()?;
+        if !answer.status.is_success() {
+            return None;
+        }
+        dialect.status(&answer.body).ok()
+    }
+
+    async fn give(&self, status: &EngineStatus) -> Option<OrderAnswer> {
+        let order = VersionOrder {
+            model: self.order.model.clone(),
+            version: self.order.version,
+            change: self.change,
+            holder: self.context.settings.node.clone(),
+            fence: self.term.epoch.0,
+            orders_taken: status.orders_taken,
+        };
+        let dialect = &self.context.dialect;
+        let answer = self.call(dialect.order_call(&order)).await;
+        let answer = answer
+            .ok()
+            .map(|answer| dialect.order_answer(answer.status));
+        events::emit(&Event::OrderGiven {
+            back_end: self.back_end.id.as_str(),
+            model: &self.order.model,
+            version: self.order.version.0,
+            epoch: self.term.epoch.0,
+            outcome: word(answer),
+        });
+        answer
+    }
+
+    async fn call(&self, call: EngineCall) -> Result<WholeAnswer, SendFailure> {
+        let names = self.context.dialect.headers();
+        let mut request = Request::new(WholeBody::new(call.body));
+        *request.method_mut() = call.method;
+        *request.uri_mut() = call.path.parse().map_err(|_| SendFailure::NotSent)?;
+        let sent = request.headers_mut();
+        let id = self.back_end.id.as_str();
+        headers::set_text(sent, &names.expected_instance, id);
+        let host = self.back_end.address.to_string();
+        headers::set_text(sent, &http::header::HOST, &host);
+        sent.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        let deadline = Instant::now() + CALL_TIME;
+        let address = self.back_end.address;
+        let pool = &self.context.connections;
+        let exchange = Exchange::send(pool, address, request, true, deadline).await?;
+        exchange.whole(ANSWER_BYTES, deadline).await
+    }
+}
+
+fn word(answer: Option<OrderAnswer>) -> &'static str {
+    match answer {
+        Some(OrderAnswer::Accepted) => "accepted",
+        Some(OrderAnswer::AlreadyInForce) => "already in force",
+        Some(OrderAnswer::Conflict) => "conflict",
+        Some(OrderAnswer::Fenced) => "fenced",
+        Some(OrderAnswer::Refused) => "refused",
+        None => "no answer",
+    }
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/rows.rs
@@ -0,0 +1,88 @@
+//! Where the product keeps its own rows in the table.
+//!
+//! All lie in one partition, so that one transaction can hold several of them.
+
+use crate::table::{KeyRange, RowAddress};
+use sloetrail_types::ServiceName;
+
+/// The partition of all rows.
+pub const PARTITION: &str = "sloetrail";
+/// Lease, fence and order window of each service.
+pub const LEASES: &str = "sloetrail_leases";
+/// The head of each batch; its presence means that the batch is accepted.
+pub const BATCHES: &str = "sloetrail_batches";
+/// The submissions, cut into rows.
+pub const SUBMISSIONS: &str = "sloetrail_submissions";
+/// A row for each batch that was ended.
+pub const ENDS: &str = "sloetrail_ends";
+/// The listed results, by batch and position.
+pub const RESULTS: &str = "sloetrail_results";
+
+const POSITION_DIGITS: usize = 8;
+const PART_DIGITS: usize = 3;
+
+/// The lease of a service: renewed several times a second.
+pub fn lease(service: &ServiceName) -> RowAddress {
+    RowAddress::new(LEASES, PARTITION, format!("lease/{service}"))
+}
+
+/// The fence of a service: written only when the owner changes.
+pub fn fence(service: &ServiceName) -> RowAddress {
+    RowAddress::new(LEASES, PARTITION, format!("fence/{service}"))
+}
+
+/// Until when the owner of a service may give orders to engines.
+pub fn order_window(service: &ServiceName) -> RowAddress {
+    RowAddress::new(LEASES, PARTITION, format!("orders/{service}"))
+}
+
+/// The head of a batch.
+pub fn batch(id: &str) -> RowAddress {
+    RowAddress::new(BATCHES, PARTITION, id)
+}
+
+/// The mark that a batch was ended.
+pub fn end(id: &str) -> RowAddress {
+    RowAddress::new(ENDS, PARTITION, id)
+}
+
+/// A part of a submission.
+pub fn submission_part(id: &str, part: usize) -> RowAddress {
+    let key = format!("{id}/{part:0PART_DIGITS$}");
+    RowAddress::new(SUBMISSIONS, PARTITION, key)
+}
+
+/// All parts of a submission.
+pub fn submission_parts(id: &str) -> KeyRange {
+    under(SUBMISSIONS, id)
+}
+
+/// A part of the result at a position.
+pub fn result_part(id: &str, position: usize, part: usize) -> RowAddress {
+    let key = format!("{id}/{position:0POSITION_DIGITS$}/{part:0PART_DIGITS$}");
+    RowAddress::new(RESULTS, PARTITION, key)
+}
+
+/// The results from a position on.
+pub fn results_from(id: &str, position: usize) -> KeyRange {
+    KeyRange {
+        from: format!("{id}/{position:0POSITION_DIGITS$}/"),
+        ..under(RESULTS, id)
+    }
+}
+
+/// The position that a result's key names.
+pub fn position_of(key: &str) -> Option<usize> {
+    key.split('/').nth(1)?.parse().ok()
+}
+
+fn under(table: &str, id: &str) -> KeyRange {
+    KeyRange {
+        table: table.to_owned(),
+        partition: PARTITION.to_owned(),
+        from: format!("{id}/"),
+        // The sign after the slash: the range holds all keys that begin with "ID/".
+        to: Some(format!("{id}0")),
+        limit: None,
+    }
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/service_pools.rs
@@ -0,0 +1,204 @@
+//! The choice of a back end for a live request.
+
+use crate::back_end::BackEnd;
+use crate::directory::Directory;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use sloetrail_balance::{
+    AttemptOutcome, Balancer, BalancerSettings, EngineReport, ListedEngine, ReportedState,
+    WorkClass,
+};
+use sloetrail_types::{EngineId, RowVersion, ServiceName, Timestamp, WeightVersion, ZoneName};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// How long a back end may be chosen without news of it. The directory is silent
+/// while the table is down, which must not stop live requests; a back end that is
+/// gone is found out by the first attempt.
+const VIEW_FRESHNESS: Duration = Duration::from_secs(600);
+
+/// The back ends of every service, as this node sees them.
+pub struct ServicePools {
+    origin: Instant,
+    zone: ZoneName,
+    state: Mutex<State>,
+}
+
+struct State {
+    random: StdRng,
+    directory: Arc<Directory>,
+    balancers: HashMap<ServiceName, Balancer>,
+    reported: BTreeMap<EngineId, RowVersion>,
+}
+
+impl ServicePools {
+    /// Pools without back ends.
+    pub fn new(zone: ZoneName, seed: u64) -> Arc<Self> {
+        Arc::new(Self {
+            origin: Instant::now(),
+            zone,
+            state: Mutex::new(State {
+                random: StdRng::seed_from_u64(seed),
+                directory: Arc::default(),
+                balancers: HashMap::new(),
+                reported: BTreeMap::new(),
+            }),
+        })
+    }
+
+    /// Keeps the pools in step with the directory.
+    pub fn follow(self: &Arc<Self>, mut directory: watch::Receiver<Arc<Directory>>) {
+        let pools = Arc::downgrade(self);
+        tokio::spawn(async move {
+            while directory.changed().await.is_ok() {
+                let Some(pools) = pools.upgrade() else {
+                    return;
+                };
+                let current = directory.borrow_and_update().clone();
+                pools.take_directory(current);
+            }
+        });
+    }
+
+    /// Takes in the directory: each sign of life of a back end counts as news.
+    pub fn take_directory(&self, directory: Arc<Directory>) {
+        let now = self.now();
+        let mut state = self.state.lock().expect("not poisoned");
+        let mut listed: HashMap<ServiceName, Vec<&Arc<BackEnd>>> = HashMap::new();
+        for back_end in directory.back_ends.values() {
+            listed
+                .entry(back_end.service.clone())
+                .or_default()
+                .push(back_end);
+        }
+        let known: Vec<ServiceName> = state.balancers.keys().cloned().collect();
+        for service in known {
+            listed.entry(service).or_default();
+        }
+        for (service, back_ends) in listed {
+            state.take_service(&self.zone, now, &directory, service, &back_ends);
+        }
+        state.directory = directory;
+    }
+
+    /// Chooses a back end of a service that has room and is not excluded.
+    pub fn acquire(
+        self: &Arc<Self>,
+        service: &ServiceName,
+        excluded: &BTreeSet<EngineId>,
+    ) -> Option<Place> {
+        let now = self.now();
+        let mut state = self.state.lock().expect("not poisoned");
+        let State {
+            random,
+            directory,
+            balancers,
+            ..
+        } = &mut *state;
+        let balancer = balancers.get_mut(service)?;
+        let id = balancer.choose(now, random, WorkClass::Live, excluded)?;
+        let back_end = directory.back_ends.get(&id).cloned();
+        let Some(back_end) = back_end else {
+            balancer.finish(now, &id, AttemptOutcome::Abandoned);
+            return None;
+        };
+        Some(Place {
+            pools: Arc::clone(self),
+            back_end,
+            directory_version: directory.version,
+            ended: false,
+        })
+    }
+
+    fn finish(&self, back_end: &BackEnd, outcome: AttemptOutcome) {
+        let now = self.now();
+        let mut state = self.state.lock().expect("not poisoned");
+        if let Some(balancer) = state.balancers.get_mut(&back_end.service) {
+            balancer.finish(now, &back_end.id, outcome);
+        }
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp(self.origin.elapsed().as_millis() as u64)
+    }
+}
+
+impl State {
+    fn take_service(
+        &mut self,
+        zone: &ZoneName,
+        now: Timestamp,
+        directory: &Directory,
+        service: ServiceName,
+        back_ends: &[&Arc<BackEnd>],
+    ) {
+        let most_slots = back_ends.iter().map(|back_end| back_end.slots).max();
+        let concurrency = most_slots.unwrap_or(1).max(1);
+        let balancer = self.balancers.entry(service).or_insert_with(|| {
+            Balancer::new(BalancerSettings {
+                zone: zone.clone(),
+                view_freshness: VIEW_FRESHNESS,
+                engine_concurrency: concurrency,
+            })
+        });
+        let listed = back_ends.iter().map(|back_end| ListedEngine {
+            id: back_end.id.clone(),
+            zone: back_end.zone.clone(),
+            leaving: back_end.draining,
+        });
+        balancer.set_engines(listed.collect());
+        for back_end in back_ends {
+            let row_version = directory.row_version(&back_end.id);
+            if self.reported.insert(back_end.id.clone(), row_version) == Some(row_version) {
+                continue;
+            }
+            let report = EngineReport {
+                observed_at: now,
+                state: ReportedState::Serving,
+                load: 0,
+                capacity: back_end.slots as u32,
+                version: WeightVersion(0),
+            };
+            balancer.report(&back_end.id, report);
+        }
+        let reported = &mut self.reported;
+        reported.retain(|id, _| directory.back_ends.contains_key(id));
+    }
+}
+
+/// A place on a back end. Dropping it without an outcome says nothing of the back end.
+pub struct Place {
+    pools: Arc<ServicePools>,
+    back_end: Arc<BackEnd>,
+    directory_version: RowVersion,
+    ended: bool,
+}
+
+impl Place {
+    /// The back end.
+    pub fn back_end(&self) -> &BackEnd {
+        &self.back_end
+    }
+
+    /// The version of the directory that named it.
+    pub fn directory_version(&self) -> RowVersion {
+        self.directory_version
+    }
+
+    /// Ends the request there.
+    pub fn end(mut self, outcome: AttemptOutcome) {
+        self.ended = true;
+        self.pools.finish(&self.back_end, outcome);
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.pools.finish(&self.back_end, AttemptOutcome::Abandoned);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/settings.rs
@@ -0,0 +1,179 @@
+//! Settings of a serving node: raw ones as they are read, typed ones once checked.
+
+use serde::Deserialize;
+use sloetrail_types::{NodeId, ZoneName};
+use snafu::{ResultExt, Snafu, ensure};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const LEASE_DEFAULT_MS: u64 = 1_500;
+const ORDER_GAP_DEFAULT_MS: u64 = 3_000;
+const GRACE_DEFAULT_S: f64 = 8.0;
+const BATCH_STATUS_DEFAULT_S: f64 = 120.0;
+const CONCURRENT_LOADS_DEFAULT: usize = 2;
+const DRAIN_DEFAULT_MS: u64 = 2_000;
+
+/// Settings that are refused.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// They are not the JSON that is expected.
+    #[snafu(display("the settings cannot be read: {source}"))]
+    Unreadable {
+        /// What the parser said.
+        source: serde_json::Error,
+    },
+    /// A value is outside its bounds.
+    #[snafu(display("settings: {field} {message}"))]
+    OutOfBounds {
+        /// The field.
+        field: &'static str,
+        /// What it must be.
+        message: &'static str,
+    },
+}
+
+/// Settings as they are written, in JSON. Unknown fields are ignored.
+#[derive(Clone, Debug, Deserialize)]
+pub struct RawServingSettings {
+    /// The node's name.
+    pub node: String,
+    /// Its zone.
+    pub zone: String,
+    /// Where callers reach it.
+    pub callers_address: SocketAddr,
+    /// Where the platform asks whether it takes new connections.
+    pub ready_address: SocketAddr,
+    /// Where metrics are served; absent means nowhere.
+    #[serde(default)]
+    pub metrics_address: Option<SocketAddr>,
+    /// How long a lease lasts without a renewal, in milliseconds.
+    pub lease_ms: Option<u64>,
+    /// How long orders of two owners must lie apart, in milliseconds.
+    pub order_gap_ms: Option<u64>,
+    /// How long the node may take to stop, in seconds.
+    pub grace_s: Option<f64>,
+    /// How long a batch may be read after its submission, in seconds.
+    pub batch_status_s: Option<f64>,
+    /// Engines that change their weights at a time.
+    pub concurrent_loads: Option<usize>,
+    /// How soon a draining back end must get no new work, in milliseconds.
+    pub drain_ms: Option<u64>,
+}
+
+/// Settings that have been checked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServingSettings {
+    /// The node's name; a replacement may bear it again.
+    pub node: String,
+    /// This life of the node.
+    pub instance: NodeId,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Where callers reach it.
+    pub callers_address: SocketAddr,
+    /// Where the platform asks whether it takes new connections.
+    pub ready_address: SocketAddr,
+    /// Where metrics are served.
+    pub metrics_address: Option<SocketAddr>,
+    /// The bounds in time and number.
+    pub bounds: ServingBounds,
+}
+
+/// Bounds in time and number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServingBounds {
+    /// How long a lease lasts without a renewal.
+    pub lease: Duration,
+    /// How long orders of two owners must lie apart.
+    pub order_gap: Duration,
+    /// How long the node may take to stop.
+    pub grace: Duration,
+    /// How long a batch may be read after its submission.
+    pub batch_status: Duration,
+    /// Engines that change their weights at a time.
+    pub concurrent_loads: usize,
+    /// How soon a draining back end must get no new work.
+    pub drain: Duration,
+}
+
+impl ServingBounds {
+    fn check(raw: &RawServingSettings) -> Result<Self, SettingsError> {
+        let milliseconds =
+            |value: Option<u64>, default| Duration::from_millis(value.unwrap_or(default));
+        let bounds = Self {
+            lease: milliseconds(raw.lease_ms, LEASE_DEFAULT_MS),
+            order_gap: milliseconds(raw.order_gap_ms, ORDER_GAP_DEFAULT_MS),
+            grace: seconds(raw.grace_s, GRACE_DEFAULT_S, "grace_s")?,
+            batch_status: seconds(raw.batch_status_s, BATCH_STATUS_DEFAULT_S, "batch_status_s")?,
+            concurrent_loads: raw.concurrent_loads.unwrap_or(CONCURRENT_LOADS_DEFAULT),
+            drain: milliseconds(raw.drain_ms, DRAIN_DEFAULT_MS),
+        };
+        bounds.validate()?;
+        Ok(bounds)
+    }
+
+    fn validate(&self) -> Result<(), SettingsError> {
+        const LEASE_LEAST: Duration = Duration::from_millis(300);
+        const GRACE_LEAST: Duration = Duration::from_millis(500);
+        let too_short = |field| OutOfBoundsSnafu {
+            field,
+            message: "is too short",
+        };
+        ensure!(self.lease >= LEASE_LEAST, too_short("lease_ms"));
+        ensure!(self.grace >= GRACE_LEAST, too_short("grace_s"));
+        ensure!(
+            self.concurrent_loads > 0,
+            OutOfBoundsSnafu {
+                field: "concurrent_loads",
+                message: "must be at least one"
+            }
+        );
+        Ok(())
+    }
+}
+
+fn seconds(
+    value: Option<f64>,
+    default: f64,
+    field: &'static str,
+) -> Result<Duration, SettingsError> {
+    let message = "must be a time in seconds";
+    Duration::try_from_secs_f64(value.unwrap_or(default))
+        .map_err(|_| OutOfBoundsSnafu { field, message }.build())
+}
+
+impl ServingSettings {
+    /// Reads and checks the JSON form. `life` tells this life of the node from
+    /// others of the same name.
+    pub fn parse(json: &[u8], life: u64) -> Result<Self, SettingsError> {
+        let raw: RawServingSettings = serde_json::from_slice(json).context(UnreadableSnafu)?;
+        Self::check(raw, life)
+    }
+
+    /// Checks settings that have been read.
+    pub fn check(raw: RawServingSettings, life: u64) -> Result<Self, SettingsError> {
+        ensure!(
+            !raw.node.is_empty() && !raw.node.contains('/'),
+            OutOfBoundsSnafu {
+                field: "node",
+                message: "must not be empty and must hold no slash"
+            }
+        );
+        let bounds = ServingBounds::check(&raw)?;
+        Ok(Self {
+            instance: NodeId::new(format!("{}/{life:016x}", raw.node)),
+            node: raw.node,
+            zone: ZoneName::new(raw.zone),
+            callers_address: raw.callers_address,
+            ready_address: raw.ready_address,
+            metrics_address: raw.metrics_address,
+            bounds,
+        })
+    }
+
+    /// True if `instance` is a life of this node.
+    pub fn is_own_machine(&self, instance: &NodeId) -> bool {
+        let name = instance.as_str().split('/').next();
+        name == Some(self.node.as_str())
+    }
+}
