--- a/crates/sloetrail-serving/src/owner/lease_keeper.rs
+++ b/crates/sloetrail-serving/src/owner/lease_keeper.rs
@@ -4,7 +4,7 @@
 use super::term::Term;
 use crate::context::NodeContext;
 use crate::events::{self, Event};
-use crate::follow::TableView;
+use crate::follow::{TableView, ViewReceiver};
 use crate::rows;
 use crate::table::{Commit, Row, Transaction};
 use sloetrail_lease::{LeaseAction, LeaseRecord, LeaseWatcher, ObservedLease};
@@ -53,6 +53,7 @@
 struct LeaseKeeper {
     context: Arc<NodeContext>,
     service: ServiceName,
+    leases: ViewReceiver,
     origin: Instant,
     watcher: LeaseWatcher,
     seen_version: Option<RowVersion>,
@@ -65,6 +66,7 @@
     fn new(context: Arc<NodeContext>, service: ServiceName) -> Self {
         let watcher = new_watcher(&context);
         Self {
+            leases: context.leases.clone(),
             context,
             service,
             origin: Instant::now(),
@@ -79,10 +81,10 @@
     async fn run(mut self, stopping: CancellationToken) {
         while !stopping.is_cancelled() {
             self.step().await;
-            let mut leases = self.context.leases.clone();
+            let can_hear = self.holding.is_none();
             tokio::select! {
                 () = tokio::time::sleep(TICK) => {}
-                _ = leases.changed(), if self.holding.is_none() => {}
+                Ok(()) = self.leases.changed(), if can_hear => {}
                 () = stopping.cancelled() => {}
             }
         }
@@ -90,7 +92,7 @@
     }
 
     async fn step(&mut self) {
-        let view = self.context.leases.borrow().clone();
+        let view = self.leases.borrow_and_update().clone();
         self.observe_view(&view);
         self.check_holding();
         let is_current = view
