--- /dev/null
+++ b/crates/sloetrail-serving-testkit/src/client.rs
@@ -0,0 +1,144 @@
+//! Calls as callers and trainers make them.
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use sloetrail_serving::dialect::HeaderNames;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+const CALL_TIME: Duration = Duration::from_secs(10);
+
+/// An answer, read to its end.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// The body as JSON; null if it is none.
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or(Value::Null)
+    }
+
+    /// The body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    /// A header as text.
+    pub fn header(&self, name: &HeaderName) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// A call.
+#[derive(Clone, Debug)]
+pub struct Call {
+    method: Method,
+    path: String,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+impl Call {
+    /// A call to a host.
+    pub fn new(method: Method, host: &str, path: impl Into<String>) -> Self {
+        let mut headers = HeaderMap::new();
+        let host = HeaderValue::from_str(host).expect("a host");
+        headers.insert(http::header::HOST, host);
+        Self {
+            method,
+            path: path.into(),
+            headers,
+            body: Bytes::new(),
+        }
+    }
+
+    /// The same call with a header.
+    #[must_use]
+    pub fn header(mut self, name: &HeaderName, value: &str) -> Self {
+        let value = HeaderValue::from_str(value).expect("a header's value");
+        self.headers.insert(name.clone(), value);
+        self
+    }
+
+    /// The same call with a body.
+    #[must_use]
+    pub fn body(mut self, body: impl Into<Bytes>) -> Self {
+        self.body = body.into();
+        self
+    }
+
+    /// Makes the call on a new connection; nothing if no whole answer comes.
+    pub async fn send(&self, address: SocketAddr) -> Option<Answer> {
+        tokio::time::timeout(CALL_TIME, self.try_send(address))
+            .await
+            .ok()?
+    }
+
+    async fn try_send(&self, address: SocketAddr) -> Option<Answer> {
+        let stream = TcpStream::connect(address).await.ok()?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let driving = tokio::spawn(connection);
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.path.parse().ok()?;
+        *request.headers_mut() = self.headers.clone();
+        let response = sender.send_request(request).await.ok();
+        let answer = match response {
+            Some(response) => {
+                let (head, body) = response.into_parts();
+                body.collect().await.ok().map(|body| Answer {
+                    status: head.status,
+                    headers: head.headers,
+                    body: body.to_bytes(),
+                })
+            }
+            None => None,
+        };
+        driving.abort();
+        answer
+    }
+}
+
+/// An item of a batch, as its trainer writes it.
+pub fn item(id: &str, group: &str, events: u64) -> Value {
+    json!({
+        "id": id, "path": "/rollout/item", "headers": {}, "group": group, "tokens": events,
+        "body": STANDARD.encode(format!("events={events}")),
+    })
+}
+
+/// The same item with a reward call.
+pub fn with_reward(mut item: Value, host: &str) -> Value {
+    let id = item["id"].as_str().unwrap_or_default().to_owned();
+    item["reward"] = json!({
+        "id": format!("reward-{id}"), "host": host, "path": "/live/score",
+        "body": STANDARD.encode("score"),
+    });
+    item
+}
+
+/// A batch of these items.
+pub fn batch(items: &[Value], model: &str, min_version: u64) -> Value {
+    json!({"step": 0, "model": model, "min_version": min_version, "items": items})
+}
+
+/// A submission of a batch.
+pub fn submission(names: &HeaderNames, host: &str, id: &str, batch: &Value) -> Call {
+    Call::new(Method::POST, host, format!("/rollout/{id}"))
+        .header(&names.request_id, id)
+        .body(batch.to_string())
+}
--- /dev/null
+++ b/crates/sloetrail-serving-testkit/src/cluster.rs
@@ -0,0 +1,337 @@
+//! Nodes, table and back ends put together.
+
+use crate::client::{Answer, Call, submission};
+use crate::engine::EngineStandIn;
+use crate::table::{MemoryTable, TableLink};
+use crate::wire::EngineWire;
+use http::Method;
+use serde_json::{Value, json};
+use sloetrail_serving::ServingNode;
+use sloetrail_serving::dialect::{Dialect, HeaderNames};
+use sloetrail_serving::settings::{RawServingSettings, ServingSettings};
+use sloetrail_serving::table::{RowAddress, Table};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::oneshot;
+
+/// The host of every route.
+pub const HOST: &str = "a.example";
+/// The service of live requests.
+pub const APPLICATION: &str = "application";
+/// The service of batches.
+pub const MODELS: &str = "models";
+/// The only model.
+pub const MODEL: &str = "m";
+
+const LEASE_MS: u64 = 500;
+const ORDER_GAP_MS: u64 = 800;
+const STEP: Duration = Duration::from_millis(15);
+const PATIENCE: Duration = Duration::from_secs(20);
+
+static NEXT_LIFE: AtomicU64 = AtomicU64::new(1);
+
+/// A node in a runtime of its own.
+pub struct NodeProcess {
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where its readiness is asked.
+    pub ready: SocketAddr,
+    /// Its way to the table.
+    pub link: Arc<TableLink>,
+    runtime: Option<Runtime>,
+    stop: Option<oneshot::Sender<()>>,
+}
+
+impl NodeProcess {
+    /// Ends it at once, as a kill does.
+    pub fn kill(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+
+    /// Tells it to stop in an orderly way.
+    pub fn stop(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            // A node that was killed cannot be stopped.
+            let _ = stop.send(());
+        }
+    }
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Nodes, table and back ends.
+pub struct Cluster {
+    /// The table.
+    pub table: Arc<MemoryTable>,
+    /// The nodes.
+    pub nodes: Vec<NodeProcess>,
+    /// The back ends.
+    pub engines: Vec<Arc<EngineStandIn>>,
+    wire: Arc<dyn EngineWire>,
+    dialect: Arc<dyn Dialect>,
+    /// Turns a way to the table into the table that a node is given.
+    wrap: Box<dyn Fn(Arc<TableLink>) -> Arc<dyn Table> + Send + Sync>,
+    revision: u64,
+}
+
+impl Cluster {
+    /// A cluster without nodes and back ends, with a configuration of the usual routes.
+    pub fn new(wire: Arc<dyn EngineWire>, dialect: Arc<dyn Dialect>) -> Self {
+        let mut cluster = Self {
+            table: MemoryTable::new(),
+            nodes: Vec::new(),
+            engines: Vec::new(),
+            wire,
+            dialect,
+            wrap: Box::new(|link| link),
+            revision: 0,
+        };
+        cluster.configure(usual_routes());
+        cluster
+    }
+
+    /// The same cluster whose nodes reach the table in another way.
+    #[must_use]
+    pub fn with_table(
+        mut self,
+        wrap: impl Fn(Arc<TableLink>) -> Arc<dyn Table> + Send + Sync + 'static,
+    ) -> Self {
+        self.wrap = Box::new(wrap);
+        self
+    }
+
+    /// The names of headers.
+    pub fn names(&self) -> HeaderNames {
+        self.dialect.headers().clone()
+    }
+
+    /// Writes a configuration of these routes.
+    pub fn configure(&mut self, routes: Value) {
+        self.revision += 3;
+        let revision = self.revision;
+        self.write_configuration(revision, routes);
+    }
+
+    /// Writes a configuration under a version of the caller's choice.
+    pub fn write_configuration(&self, version: u64, routes: Value) {
+        let configuration = json!({
+            "version": version, "routes": routes,
+            "services": [
+                {"name": APPLICATION, "max_conns": 100},
+                {"name": MODELS, "max_conns": 100,
+                 "engine": {"slots": 8, "models": [{"name": MODEL}]}},
+            ],
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 1_000_000},
+        });
+        let address = self.dialect.sources().configuration.clone();
+        self.table.write(address, configuration.to_string());
+    }
+
+    /// Publishes a version of the model.
+    pub fn publish(&self, version: u64) {
+        let (key, value) = self.wire.published(MODEL, version);
+        let sources = self.dialect.sources();
+        let address = RowAddress::new(&sources.configuration.table, "", key);
+        self.table.write(address, value.to_string());
+    }
+
+    /// Starts a back end of live requests.
+    pub async fn add_application(&mut self, zone: &str) -> Arc<EngineStandIn> {
+        self.add(APPLICATION, zone, &[], Duration::from_millis(5))
+            .await
+    }
+
+    /// Starts an engine.
+    pub async fn add_engine(&mut self, pace: Duration) -> Arc<EngineStandIn> {
+        self.add(MODELS, "zone-a", &[MODEL], pace).await
+    }
+
+    async fn add(
+        &mut self,
+        service: &str,
+        zone: &str,
+        models: &[&str],
+        pace: Duration,
+    ) -> Arc<EngineStandIn> {
+        let wire = Arc::clone(&self.wire);
+        let engine = EngineStandIn::start(wire, service, zone, models, pace).await;
+        self.engines.push(Arc::clone(&engine));
+        self.list(&engine);
+        engine
+    }
+
+    /// Writes a back end's row as it is now.
+    pub fn list(&self, engine: &EngineStandIn) {
+        let (table, value) = self.wire.row(&engine.listing());
+        self.table
+            .write(RowAddress::new(table, "", &engine.id), value.to_string());
+    }
+
+    /// Deletes a back end's row.
+    pub fn unlist(&self, engine: &EngineStandIn) {
+        let (table, _) = self.wire.row(&engine.listing());
+        self.table.delete(RowAddress::new(table, "", &engine.id));
+    }
+
+    /// Starts a node; nodes of one name are lives of one machine.
+    pub async fn add_node(&mut self, name: &str) -> usize {
+        let raw = RawServingSettings {
+            node: name.to_owned(),
+            zone: "zone-a".to_owned(),
+            callers_address: "127.0.0.1:0".parse().expect("an address"),
+            ready_address: "127.0.0.1:0".parse().expect("an address"),
+            metrics_address: None,
+            lease_ms: Some(LEASE_MS),
+            order_gap_ms: Some(ORDER_GAP_MS),
+            grace_s: Some(4.0),
+            batch_status_s: None,
+            concurrent_loads: None,
+            drain_ms: None,
+        };
+        let life = NEXT_LIFE.fetch_add(1, Ordering::Relaxed);
+        let settings = ServingSettings::check(raw, life).expect("sound settings");
+        let link = TableLink::new(Arc::clone(&self.table));
+        let table = (self.wrap)(Arc::clone(&link));
+        let dialect = Arc::clone(&self.dialect);
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        let (stop, stopped) = oneshot::channel();
+        let (started, addresses) = oneshot::channel();
+        runtime.spawn(async move {
+            let node = ServingNode::start(settings, table, dialect)
+                .await
+                .expect("starts");
+            let addresses = (node.callers_address(), node.ready_address());
+            started.send(addresses).expect("awaited");
+            if stopped.await.is_ok() {
+                node.stop().await;
+            } else {
+                std::future::pending::<()>().await;
+            }
+        });
+        let (callers, ready) = addresses.await.expect("the node starts");
+        self.nodes.push(NodeProcess {
+            callers,
+            ready,
+            link,
+            runtime: Some(runtime),
+            stop: Some(stop),
+        });
+        self.nodes.len() - 1
+    }
+
+    /// Waits until a node says that it is ready.
+    pub async fn wait_ready(&self, node: usize) {
+        let call = Call::new(Method::GET, HOST, "/v1/ready");
+        let address = self.nodes[node].ready;
+        let is_ready = || async {
+            let answer = call.send(address).await?;
+            (answer.status == 200).then_some(())
+        };
+        eventually("the node is ready", is_ready).await;
+    }
+
+    /// Submits a batch once; nothing if no answer comes.
+    pub async fn submit(&self, node: usize, id: &str, batch: &Value) -> Option<Answer> {
+        let call = submission(&self.names(), HOST, id, batch);
+        call.send(self.nodes[node].callers).await
+    }
+
+    /// Reads one page of a batch's results; nothing unless it is answered with 200.
+    pub async fn read(&self, node: usize, id: &str, after: usize) -> Option<Value> {
+        let answer = self.read_answer(node, id, after).await?;
+        (answer.status == 200).then(|| answer.json())
+    }
+
+    /// Reads one page of a batch's results, whatever the answer is.
+    pub async fn read_answer(&self, node: usize, id: &str, after: usize) -> Option<Answer> {
+        let path = format!("{}{id}?after={after}", self.dialect.paths().batches);
+        Call::new(Method::GET, HOST, path)
+            .send(self.nodes[node].callers)
+            .await
+    }
+
+    /// Ends a batch.
+    pub async fn end(&self, node: usize, id: &str) -> Option<Answer> {
+        let path = format!("{}{id}", self.dialect.paths().batches);
+        Call::new(Method::DELETE, HOST, path)
+            .send(self.nodes[node].callers)
+            .await
+    }
+
+    /// Reads a batch at a node until it lists `count` results.
+    pub async fn wait_results(&self, node: usize, id: &str, count: usize) -> Vec<Value> {
+        let all = || async {
+            let mut results: Vec<Value> = Vec::new();
+            loop {
+                let page = self.read(node, id, results.len()).await?;
+                let listed = page["results"].as_array()?.clone();
+                if listed.is_empty() {
+                    break;
+                }
+                results.extend(listed);
+            }
+            (results.len() >= count).then_some(results)
+        };
+        eventually("the batch is whole", all).await
+    }
+}
+
+/// The usual routes: live ones to the application, a rollout to the models.
+pub fn usual_routes() -> Value {
+    json!([
+        {"name": "live", "host": HOST, "path_prefix": "/live/", "kind": "idempotent",
+         "timeout_ms": 2000, "target_latency_ms": 200, "max_attempts": 3,
+         "service": APPLICATION},
+        {"name": "once", "host": HOST, "path_prefix": "/once/", "kind": "non_idempotent",
+         "timeout_ms": 2000, "target_latency_ms": 200, "max_attempts": 3,
+         "service": APPLICATION},
+        {"name": "events", "host": HOST, "path_prefix": "/events/", "kind": "stream",
+         "timeout_ms": 5000, "target_latency_ms": 200, "max_attempts": 3,
+         "resumable": true, "service": APPLICATION},
+        {"name": "rollout", "host": HOST, "path_prefix": "/rollout/", "kind": "rollout",
+         "timeout_ms": 5000, "target_latency_ms": 400, "run_target_ms": 5000,
+         "retain_s": 30, "max_attempts": 3, "service": MODELS},
+    ])
+}
+
+/// Tries until there is a result.
+///
+/// # Panics
+///
+/// If there is none in twenty seconds.
+pub async fn eventually<Outcome, Trying>(what: &str, attempt: impl Fn() -> Trying) -> Outcome
+where
+    Trying: Future<Output = Option<Outcome>>,
+{
+    let give_up_at = Instant::now() + PATIENCE;
+    loop {
+        if let Some(outcome) = attempt().await {
+            return outcome;
+        }
+        assert!(Instant::now() < give_up_at, "{what}: not in {PATIENCE:?}");
+        tokio::time::sleep(STEP).await;
+    }
+}
+
+/// Counts how often each id occurs.
+pub fn count_ids<'a>(ids: impl IntoIterator<Item = &'a str>) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for id in ids {
+        *counts.entry(id.to_owned()).or_default() += 1;
+    }
+    counts
+}
--- /dev/null
+++ b/crates/sloetrail-serving-testkit/src/table.rs
@@ -0,0 +1,327 @@
+//! The durable table in memory, with faults.
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use sloetrail_serving::table::{
+    Change, Changes, Commit, CommitError, KeyRange, Page, ReadError, Row, RowAddress, Table,
+    TableLimits, Transaction,
+};
+use sloetrail_types::RowVersion;
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+
+const ANSWER_TIME: Duration = Duration::from_millis(1);
+const TIMEOUT: Duration = Duration::from_millis(150);
+const PAGE_ROWS: usize = 50;
+
+/// What becomes of a transaction.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum CommitFault {
+    /// It is judged and answered.
+    #[default]
+    None,
+    /// It is done, and the answer is lost.
+    DoneUnanswered,
+    /// It is done this much later if its conditions still hold, and not answered.
+    DoneLate(Duration),
+    /// It is lost on the way.
+    LostOnTheWay,
+    /// It is refused.
+    Refused,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    rows: BTreeMap<RowAddress, (Bytes, u64)>,
+    version: u64,
+    history: Vec<(u64, Change)>,
+    forgotten_before: u64,
+    commits: usize,
+    fault: CommitFault,
+    /// The fault applies to this many commits; nothing means all.
+    fault_count: Option<usize>,
+    down: bool,
+}
+
+/// The table.
+pub struct MemoryTable {
+    began: Instant,
+    state: Mutex<State>,
+    changed: watch::Sender<u64>,
+}
+
+impl MemoryTable {
+    /// An empty table.
+    pub fn new() -> Arc<Self> {
+        let (changed, _) = watch::channel(0);
+        Arc::new(Self {
+            began: Instant::now(),
+            state: Mutex::default(),
+            changed,
+        })
+    }
+
+    /// Writes a row as the operator or a back end does: always answered.
+    pub fn write(&self, address: RowAddress, value: impl Into<Bytes>) {
+        let transaction = Transaction::new().put(address, value);
+        self.judge(&transaction);
+    }
+
+    /// Deletes a row.
+    pub fn delete(&self, address: RowAddress) {
+        let transaction = Transaction::new().delete(address);
+        self.judge(&transaction);
+    }
+
+    /// Every row of a table.
+    pub fn rows(&self, table: &str) -> Vec<Row> {
+        let state = self.state();
+        let rows = state.rows.iter();
+        rows.filter(|(address, _)| address.table == table)
+            .map(|(address, (value, version))| Row {
+                address: address.clone(),
+                value: value.clone(),
+                version: RowVersion(*version),
+            })
+            .collect()
+    }
+
+    /// What becomes of the next `count` transactions of nodes; nothing means all.
+    pub fn set_commit_fault(&self, fault: CommitFault, count: Option<usize>) {
+        let mut state = self.state();
+        state.fault = fault;
+        state.fault_count = count;
+    }
+
+    /// Whether the table answers anybody.
+    pub fn set_down(&self, down: bool) {
+        self.state().down = down;
+        self.changed.send_modify(|_| {});
+    }
+
+    /// Forgets all changes so far.
+    pub fn forget_history(&self) {
+        let mut state = self.state();
+        state.forgotten_before = state.version;
+        state.history.clear();
+        drop(state);
+        self.changed.send_modify(|_| {});
+    }
+
+    /// Transactions of nodes that were judged.
+    pub fn commits(&self) -> usize {
+        self.state().commits
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("not poisoned")
+    }
+
+    fn judge(&self, transaction: &Transaction) -> Commit {
+        let mut state = self.state();
+        let holds = transaction.conditions.iter().all(|condition| {
+            let version = state
+                .rows
+                .get(&condition.address)
+                .map(|(_, version)| *version);
+            version == condition.version.map(|version| version.0)
+        });
+        if !holds {
+            let named = transaction.conditions.iter().filter_map(|condition| {
+                let (value, version) = state.rows.get(&condition.address)?;
+                Some(Row {
+                    address: condition.address.clone(),
+                    value: value.clone(),
+                    version: RowVersion(*version),
+                })
+            });
+            return Commit::Conflict(named.collect());
+        }
+        state.version += 1;
+        let version = state.version;
+        for (address, value) in &transaction.puts {
+            state.rows.insert(address.clone(), (value.clone(), version));
+            let row = Row {
+                address: address.clone(),
+                value: value.clone(),
+                version: RowVersion(version),
+            };
+            state.history.push((version, Change::Written(row)));
+        }
+        for address in &transaction.deletes {
+            state.rows.remove(address);
+            let change = Change::Deleted(address.clone());
+            state.history.push((version, change));
+        }
+        drop(state);
+        self.changed.send_replace(version);
+        Commit::Done(RowVersion(version))
+    }
+
+    fn take_fault(&self) -> CommitFault {
+        let mut state = self.state();
+        state.commits += 1;
+        if state.down {
+            return CommitFault::LostOnTheWay;
+        }
+        match &mut state.fault_count {
+            None => state.fault,
+            Some(0) => CommitFault::None,
+            Some(count) => {
+                *count -= 1;
+                state.fault
+            }
+        }
+    }
+
+    fn is_down(&self) -> bool {
+        self.state().down
+    }
+}
+
+/// One node's way to the table; it can be cut.
+pub struct TableLink {
+    table: Arc<MemoryTable>,
+    cut: AtomicBool,
+}
+
+impl TableLink {
+    /// A way to a table.
+    pub fn new(table: Arc<MemoryTable>) -> Arc<Self> {
+        Arc::new(Self {
+            table,
+            cut: AtomicBool::new(false),
+        })
+    }
+
+    /// Whether the way is cut.
+    pub fn set_cut(&self, cut: bool) {
+        self.cut.store(cut, Ordering::SeqCst);
+        self.table.changed.send_modify(|_| {});
+    }
+
+    fn is_silent(&self) -> bool {
+        self.cut.load(Ordering::SeqCst) || self.table.is_down()
+    }
+
+    async fn reach(&self) -> Result<(), ReadError> {
+        tokio::time::sleep(ANSWER_TIME).await;
+        if self.is_silent() {
+            tokio::time::sleep(TIMEOUT).await;
+            return Err(ReadError::Unavailable);
+        }
+        Ok(())
+    }
+
+    fn changes_since(&self, name: &str, since: u64) -> Result<Changes, ReadError> {
+        let state = self.table.state();
+        if since < state.forgotten_before {
+            return Err(ReadError::HistoryLost);
+        }
+        let newer = state.history.iter().filter(|(version, change)| {
+            let address = match change {
+                Change::Written(row) => &row.address,
+                Change::Deleted(address) => address,
+            };
+            *version > since && address.table == name
+        });
+        Ok(Changes {
+            changes: newer.map(|(_, change)| change.clone()).collect(),
+            version: RowVersion(state.version),
+        })
+    }
+}
+
+#[async_trait]
+impl Table for TableLink {
+    fn limits(&self) -> TableLimits {
+        TableLimits {
+            row_bytes: 4_096,
+            transaction_entries: 40,
+            transaction_bytes: 64 * 1_024,
+        }
+    }
+
+    fn now_ms(&self) -> Option<u64> {
+        Some(1_000_000 + self.table.began.elapsed().as_millis() as u64)
+    }
+
+    async fn commit(&self, transaction: &Transaction) -> Result<Commit, CommitError> {
+        tokio::time::sleep(ANSWER_TIME).await;
+        if self.cut.load(Ordering::SeqCst) {
+            tokio::time::sleep(TIMEOUT).await;
+            return Err(CommitError::Unknown);
+        }
+        match self.table.take_fault() {
+            CommitFault::None => return Ok(self.table.judge(transaction)),
+            CommitFault::Refused => return Err(CommitError::NotDone),
+            CommitFault::LostOnTheWay => {}
+            CommitFault::DoneUnanswered => {
+                self.table.judge(transaction);
+            }
+            CommitFault::DoneLate(after) => {
+                let (table, late) = (Arc::clone(&self.table), transaction.clone());
+                std::thread::spawn(move || {
+                    std::thread::sleep(after);
+                    table.judge(&late);
+                });
+            }
+        }
+        tokio::time::sleep(TIMEOUT).await;
+        Err(CommitError::Unknown)
+    }
+
+    async fn scan(&self, range: &KeyRange) -> Result<Page, ReadError> {
+        self.reach().await?;
+        let state = self.table.state();
+        let limit = range.limit.unwrap_or(PAGE_ROWS).min(PAGE_ROWS);
+        let within = |address: &RowAddress| {
+            address.table == range.table
+                && address.partition == range.partition
+                && address.key >= range.from
+                && range.to.as_ref().is_none_or(|to| address.key < *to)
+        };
+        let mut found = state.rows.iter().filter(|(address, _)| within(address));
+        let rows: Vec<Row> = found
+            .by_ref()
+            .take(limit)
+            .map(|(address, (value, version))| Row {
+                address: address.clone(),
+                value: value.clone(),
+                version: RowVersion(*version),
+            })
+            .collect();
+        Ok(Page {
+            rows,
+            more: found.next().is_some(),
+            version: RowVersion(state.version),
+        })
+    }
+
+    async fn changes(
+        &self,
+        table: &str,
+        since: RowVersion,
+        wait: Duration,
+    ) -> Result<Changes, ReadError> {
+        self.reach().await?;
+        let mut changed = self.table.changed.subscribe();
+        let give_up_at = tokio::time::Instant::now() + wait;
+        loop {
+            if self.is_silent() {
+                tokio::time::sleep(TIMEOUT).await;
+                return Err(ReadError::Unavailable);
+            }
+            let changes = self.changes_since(table, since.0)?;
+            let is_over = tokio::time::Instant::now() >= give_up_at;
+            if !changes.changes.is_empty() || is_over {
+                return Ok(changes);
+            }
+            // Either something changes or the time is over; the loop looks again.
+            let _ = tokio::time::timeout_at(give_up_at, changed.changed()).await;
+        }
+    }
+}
--- a/crates/sloetrail-serving/src/dialect.rs
+++ b/crates/sloetrail-serving/src/dialect.rs
@@ -2,7 +2,7 @@
 //!
 //! The product works with its own types; a [`Dialect`] says which headers carry
 //! them, where the operator's rows lie and how an engine is asked and ordered.
-//! [`NativeDialect`] is the product's own.
+//! [`crate::native_dialect::NativeDialect`] is the product's own.
 
 use crate::back_end::{BackEnd, EngineStatus, OrderAnswer, VersionOrder};
 use crate::table::RowAddress;
@@ -41,6 +41,26 @@
     pub length_hint: HeaderName,
 }
 
+impl HeaderNames {
+    /// The product's own names.
+    pub fn native() -> Self {
+        Self {
+            request_id: HeaderName::from_static("sloetrail-request-id"),
+            deadline_ms: HeaderName::from_static("sloetrail-deadline-ms"),
+            signature: HeaderName::from_static("sloetrail-signature"),
+            expected_instance: HeaderName::from_static("sloetrail-expected-engine"),
+            instance: HeaderName::from_static("sloetrail-engine"),
+            not_run: HeaderName::from_static("sloetrail-not-run"),
+            expected_version: HeaderName::from_static("sloetrail-expected-version"),
+            weight_version: HeaderName::from_static("sloetrail-weight-version"),
+            last_event_id: HeaderName::from_static("last-event-id"),
+            priority: HeaderName::from_static("sloetrail-priority"),
+            wait_ms: HeaderName::from_static("sloetrail-wait-ms"),
+            length_hint: HeaderName::from_static("sloetrail-length-hint"),
+        }
+    }
+}
+
 /// Paths of the calls that trainers and the platform make. A batch's id follows the
 /// path.
 #[derive(Clone, Debug)]
--- a/crates/sloetrail-serving/src/gateway/stream.rs
+++ b/crates/sloetrail-serving/src/gateway/stream.rs
@@ -29,6 +29,10 @@
 /// How long a back end may be silent within a series before it counts as lost.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
 const SENDS_LIMIT: usize = 8;
+/// Part of the latency target for which a series waits for a back end.
+const WAIT_SHARE: f64 = 0.25;
+const WAIT_LEAST: Duration = Duration::from_millis(100);
+const WAIT_STEP: Duration = Duration::from_millis(15);
 
 /// What a streaming request is answered with.
 pub(crate) enum StreamOutcome {
@@ -121,9 +125,7 @@
     async fn connect(&mut self) -> Opening {
         let mut last = None;
         while self.may_try() {
-            let context = self.context();
-            let place = context.pools.acquire(&self.call.service, &self.tried);
-            let Some(place) = place else {
+            let Some(place) = self.acquire_or_wait().await else {
                 break;
             };
             self.tried.insert(place.back_end().id.clone());
@@ -141,6 +143,28 @@
         Opening::Failed(self.problem(last))
     }
 
+    /// A back end that was not tried yet, or else one that was, if there is one before
+    /// the caller has waited too long.
+    async fn acquire_or_wait(&mut self) -> Option<Place> {
+        let context = self.context();
+        let service = &self.call.service;
+        let target = self.call.route.latency_target;
+        let wait_until = Instant::now() + target.mul_f64(WAIT_SHARE).max(WAIT_LEAST);
+        loop {
+            if let Some(place) = context.pools.acquire(service, &self.tried) {
+                return Some(place);
+            }
+            self.tried.clear();
+            if let Some(place) = context.pools.acquire(service, &self.tried) {
+                return Some(place);
+            }
+            if Instant::now() + WAIT_STEP > wait_until {
+                return None;
+            }
+            tokio::time::sleep(WAIT_STEP).await;
+        }
+    }
+
     async fn try_back_end(&mut self, place: Place) -> Result<Opening, AttemptResult> {
         let began = Instant::now();
         let result = self.exchange(&place).await;
--- a/crates/sloetrail-serving/src/lib.rs
+++ b/crates/sloetrail-serving/src/lib.rs
@@ -24,6 +24,7 @@
 mod gateway;
 pub mod http;
 mod loss_backoff;
+pub mod native_dialect;
 mod node;
 pub mod operator;
 mod owner;
--- /dev/null
+++ b/crates/sloetrail-serving/src/native_dialect.rs
@@ -0,0 +1,156 @@
+//! The product's own dialect, in JSON.
+
+use crate::back_end::{BackEnd, EngineStatus, OrderAnswer, VersionChange, VersionOrder};
+use crate::dialect::{
+    CallerPaths, Dialect, DialectError, EngineCall, HeaderNames, PublishedVersion, SourceRows,
+};
+use crate::table::RowAddress;
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+use sloetrail_types::{EngineId, ServiceName, WeightVersion, ZoneName};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+const PUBLISHED_VERSIONS: &str = "versions/";
+
+/// The product's own dialect.
+pub struct NativeDialect {
+    headers: HeaderNames,
+    paths: CallerPaths,
+    sources: SourceRows,
+}
+
+impl Default for NativeDialect {
+    fn default() -> Self {
+        Self {
+            headers: HeaderNames::native(),
+            paths: CallerPaths::default(),
+            sources: SourceRows {
+                configuration: RowAddress::new("operator", "", "configuration"),
+                directory_table: "back_ends".to_owned(),
+            },
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct BackEndRow {
+    service: ServiceName,
+    address: SocketAddr,
+    zone: ZoneName,
+    slots: usize,
+    #[serde(default)]
+    draining: bool,
+    #[serde(default)]
+    versions: BTreeMap<String, WeightVersion>,
+}
+
+#[derive(Deserialize)]
+struct PublishedRow {
+    model: String,
+    version: WeightVersion,
+}
+
+#[derive(Deserialize)]
+struct StatusAnswer {
+    versions: BTreeMap<String, WeightVersion>,
+    busy: bool,
+    orders_taken: u64,
+}
+
+#[derive(Serialize)]
+struct OrderMessage<'a> {
+    model: &'a str,
+    version: WeightVersion,
+    change: &'a str,
+    holder: &'a str,
+    fence: u64,
+    orders_taken: u64,
+}
+
+impl Dialect for NativeDialect {
+    fn headers(&self) -> &HeaderNames {
+        &self.headers
+    }
+
+    fn paths(&self) -> &CallerPaths {
+        &self.paths
+    }
+
+    fn sources(&self) -> &SourceRows {
+        &self.sources
+    }
+
+    fn back_end(&self, id: &str, value: &[u8]) -> Result<BackEnd, DialectError> {
+        let row: BackEndRow = read(value)?;
+        Ok(BackEnd {
+            id: EngineId::from(id),
+            service: row.service,
+            address: row.address,
+            zone: row.zone,
+            slots: row.slots.max(1),
+            draining: row.draining,
+            versions: row.versions,
+        })
+    }
+
+    fn published_version(&self, key: &str, value: &[u8]) -> Option<PublishedVersion> {
+        key.strip_prefix(PUBLISHED_VERSIONS)?;
+        let row: PublishedRow = read(value).ok()?;
+        let PublishedRow { model, version } = row;
+        Some(PublishedVersion { model, version })
+    }
+
+    fn status_call(&self) -> EngineCall {
+        EngineCall {
+            method: Method::GET,
+            path: "/v1/status".to_owned(),
+            body: Bytes::new(),
+        }
+    }
+
+    fn status(&self, body: &[u8]) -> Result<EngineStatus, DialectError> {
+        let answer: StatusAnswer = read(body)?;
+        Ok(EngineStatus {
+            versions: answer.versions,
+            busy: answer.busy,
+            orders_taken: answer.orders_taken,
+        })
+    }
+
+    fn order_call(&self, order: &VersionOrder) -> EngineCall {
+        let message = OrderMessage {
+            model: &order.model,
+            version: order.version,
+            change: match order.change {
+                VersionChange::Continue => "continue",
+                VersionChange::Wait => "wait",
+            },
+            holder: &order.holder,
+            fence: order.fence,
+            orders_taken: order.orders_taken,
+        };
+        EngineCall {
+            method: Method::POST,
+            path: "/v1/orders".to_owned(),
+            body: Bytes::from(serde_json::to_vec(&message).unwrap_or_default()),
+        }
+    }
+
+    fn order_answer(&self, status: StatusCode) -> OrderAnswer {
+        match status {
+            StatusCode::ACCEPTED => OrderAnswer::Accepted,
+            StatusCode::OK => OrderAnswer::AlreadyInForce,
+            StatusCode::CONFLICT => OrderAnswer::Conflict,
+            StatusCode::PRECONDITION_FAILED => OrderAnswer::Fenced,
+            _ => OrderAnswer::Refused,
+        }
+    }
+}
+
+fn read<'a, Message: Deserialize<'a>>(value: &'a [u8]) -> Result<Message, DialectError> {
+    serde_json::from_slice(value).map_err(|error| DialectError {
+        message: error.to_string(),
+    })
+}
--- /dev/null
+++ b/crates/sloetrail-serving/tests/batches.rs
@@ -0,0 +1,362 @@
+//! Batches: accepted once, run whole, listed once, read the same everywhere.
+
+mod support;
+
+use serde_json::Value;
+use sloetrail_serving_testkit::client::{batch, item, with_reward};
+use sloetrail_serving_testkit::cluster::{Cluster, HOST, MODEL, eventually};
+use sloetrail_serving_testkit::engine::EngineFault;
+use sloetrail_serving_testkit::table::CommitFault;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use support::{native_cluster, usual_cluster};
+
+const PACE: Duration = Duration::from_millis(4);
+
+fn items(count: usize, events: u64) -> Vec<Value> {
+    let item = |number: usize| {
+        let plain = item(&format!("i{number}"), &format!("g{}", number / 2), events);
+        with_reward(plain, HOST)
+    };
+    (0..count).map(item).collect()
+}
+
+/// Asserts that a batch's results are whole: each item once, with all its events in
+/// order, the versions that its text names, and its score.
+fn assert_whole(results: &[Value], count: usize, events: u64) {
+    let ids: BTreeSet<&str> = results
+        .iter()
+        .filter_map(|result| result["id"].as_str())
+        .collect();
+    assert_eq!(ids.len(), count, "each item is listed");
+    assert_eq!(results.len(), count, "each item is listed once");
+    for result in results {
+        assert_eq!(result["state"], "succeeded", "{result}");
+        let id = result["id"].as_str().expect("an id");
+        let text = result["text"].as_str().expect("a text");
+        let lines: Vec<&str> = text.split('\n').collect();
+        assert_eq!(lines.len() as u64, events, "{text}");
+        let mut versions: BTreeSet<u64> = BTreeSet::new();
+        for (place, line) in lines.iter().enumerate() {
+            let parts: Vec<&str> = line.split('/').collect();
+            assert_eq!(parts[0], id);
+            assert_eq!(parts[1], (place + 1).to_string());
+            versions.insert(parts[2].parse().expect("a version"));
+        }
+        let named: BTreeSet<u64> = result["versions"]
+            .as_array()
+            .expect("versions")
+            .iter()
+            .filter_map(Value::as_u64)
+            .collect();
+        assert_eq!(
+            named, versions,
+            "the versions are those that made the events"
+        );
+        assert_eq!(result["score"], format!("signed reward-{id}"));
+    }
+}
+
+async fn accepted(cluster: &Cluster, node: usize, id: &str, batch: &Value) {
+    let answer = cluster.submit(node, id, batch).await.expect("an answer");
+    assert_eq!(answer.status, 202, "{}", answer.text());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_batch_taken_at_one_node_is_read_whole_at_another() {
+    let cluster = usual_cluster(PACE).await;
+    accepted(&cluster, 0, "b1", &batch(&items(20, 6), MODEL, 1)).await;
+    let first = cluster.wait_results(1, "b1", 20).await;
+    assert_whole(&first, 20, 6);
+    assert_eq!(cluster.wait_results(0, "b1", 20).await, first);
+    let page = cluster.read(0, "b1", 12).await.expect("a page");
+    assert_eq!(page["total"], 20);
+    assert_eq!(page["results"][0], first[12]);
+    assert_eq!(page["next"], 20);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_same_batch_sent_again_is_taken_once() {
+    let cluster = usual_cluster(PACE).await;
+    let body = batch(&items(6, 3), MODEL, 1);
+    for node in [0, 1, 0, 1] {
+        accepted(&cluster, node, "b1", &body).await;
+    }
+    assert_whole(&cluster.wait_results(0, "b1", 6).await, 6, 3);
+    let runs: usize = cluster
+        .engines
+        .iter()
+        .map(|engine| engine.runs().len())
+        .sum();
+    assert_eq!(runs, 6 + 6, "each item and each reward call ran once");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_batch_larger_than_one_transaction_is_kept_whole() {
+    let cluster = usual_cluster(Duration::from_millis(1)).await;
+    let large: Vec<Value> = (0..400)
+        .map(|number| {
+            let mut item = item(&format!("i{number}"), "g", 1);
+            item["headers"]["padding"] = Value::from("p".repeat(400));
+            with_reward(item, HOST)
+        })
+        .collect();
+    accepted(&cluster, 0, "b1", &batch(&large, MODEL, 1)).await;
+    assert_whole(&cluster.wait_results(1, "b1", 400).await, 400, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn everything_is_killed_right_after_the_acceptance_and_the_batch_is_still_whole() {
+    let mut cluster = usual_cluster(PACE).await;
+    accepted(&cluster, 0, "b1", &batch(&items(10, 8), MODEL, 1)).await;
+    for node in &mut cluster.nodes {
+        node.kill();
+    }
+    let node = cluster.add_node("node-3").await;
+    cluster.wait_ready(node).await;
+    assert_whole(&cluster.wait_results(node, "b1", 10).await, 10, 8);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_that_promises_that_nothing_runs_is_true() {
+    let cluster = usual_cluster(PACE).await;
+    let faults = [
+        CommitFault::Refused,
+        CommitFault::LostOnTheWay,
+        CommitFault::DoneUnanswered,
+        CommitFault::DoneLate(Duration::from_millis(900)),
+    ];
+    for (number, fault) in faults.into_iter().enumerate() {
+        let id = format!("b{number}");
+        let single = [item(&format!("only{number}"), "g", 2)];
+        cluster.table.set_commit_fault(fault, None);
+        let answer = cluster.submit(0, &id, &batch(&single, MODEL, 1)).await;
+        let status = answer.expect("an answer").status.as_u16();
+        cluster.table.set_commit_fault(CommitFault::None, None);
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let ran = cluster
+            .engines
+            .iter()
+            .flat_map(|engine| engine.runs())
+            .any(|run| run.id == format!("only{number}"));
+        let promised = matches!(status, 408 | 421 | 429 | 503);
+        assert!(!(promised && ran), "{fault:?}: {status} and it ran");
+        assert!(
+            status != 202 || ran,
+            "{fault:?}: accepted and it did not run"
+        );
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn positions_hold_although_answers_of_the_table_are_lost() {
+    let faults = [
+        CommitFault::DoneUnanswered,
+        CommitFault::LostOnTheWay,
+        CommitFault::DoneLate(Duration::from_millis(300)),
+    ];
+    for fault in faults {
+        let cluster = usual_cluster(PACE).await;
+        accepted(&cluster, 0, "b1", &batch(&items(30, 4), MODEL, 1)).await;
+        cluster.table.set_commit_fault(fault, Some(12));
+        let first = cluster.wait_results(1, "b1", 30).await;
+        assert_whole(&first, 30, 4);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert_eq!(cluster.wait_results(0, "b1", 30).await, first, "{fault:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unknown_batch_is_told_from_one_that_cannot_be_read() {
+    let cluster = usual_cluster(PACE).await;
+    let unknown = cluster
+        .read_answer(0, "nothing", 0)
+        .await
+        .expect("an answer");
+    assert_eq!(unknown.status, 404);
+    accepted(&cluster, 0, "b1", &batch(&items(2, 2), MODEL, 1)).await;
+    cluster.table.set_down(true);
+    let unsure = cluster.read_answer(0, "b1", 0).await.expect("an answer");
+    assert_eq!(unsure.status, 503);
+    let unsure = cluster
+        .read_answer(0, "nothing", 0)
+        .await
+        .expect("an answer");
+    assert_eq!(unsure.status, 503);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_batches_are_refused_with_their_code() {
+    let cluster = usual_cluster(PACE).await;
+    let twice = [item("same", "g", 1), item("same", "g", 1)];
+    let answer = cluster.submit(0, "b1", &batch(&twice, MODEL, 1)).await;
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.status, 400);
+    assert_eq!(answer.json()["code"], 1003);
+    let answer = cluster
+        .submit(0, "a/b", &batch(&items(1, 1), MODEL, 1))
+        .await;
+    assert_eq!(answer.expect("an answer").status, 400);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_ended_batch_starts_nothing_more_and_keeps_what_is_listed() {
+    let cluster = usual_cluster(Duration::from_millis(60)).await;
+    accepted(&cluster, 0, "b1", &batch(&items(40, 10), MODEL, 1)).await;
+    let some = cluster.wait_results(0, "b1", 1).await;
+    for node in [0, 1, 0] {
+        assert_eq!(
+            cluster.end(node, "b1").await.expect("an answer").status,
+            200
+        );
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let runs = || -> usize {
+        cluster
+            .engines
+            .iter()
+            .map(|engine| engine.runs().len())
+            .sum()
+    };
+    let before = runs();
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    assert_eq!(runs(), before, "nothing starts after the end");
+    let listed = cluster.read(1, "b1", 0).await.expect("a page");
+    assert_eq!(listed["results"][0], some[0]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn items_die_only_of_failures_of_their_own() {
+    let cluster = usual_cluster(PACE).await;
+    for engine in &cluster.engines {
+        engine.set_fault(EngineFault::None, None);
+    }
+    let engines: Vec<_> = cluster
+        .engines
+        .iter()
+        .filter(|engine| engine.service == "models")
+        .collect();
+    for engine in &engines {
+        engine.set_fault(EngineFault::Fails, None);
+    }
+    accepted(
+        &cluster,
+        0,
+        "b1",
+        &batch(&[item("fails", "g", 2)], MODEL, 1),
+    )
+    .await;
+    let dead = cluster.wait_results(0, "b1", 1).await;
+    assert_eq!(dead[0]["state"], "dead");
+    let runs: usize = engines.iter().map(|engine| engine.runs().len()).sum();
+    assert_eq!(runs, 3, "as often as the route allows");
+    for engine in &engines {
+        engine.set_fault(EngineFault::Impossible, None);
+    }
+    accepted(
+        &cluster,
+        0,
+        "b2",
+        &batch(&[item("never", "g", 2)], MODEL, 1),
+    )
+    .await;
+    assert_eq!(cluster.wait_results(0, "b2", 1).await[0]["state"], "dead");
+    for engine in &engines {
+        engine.set_fault(EngineFault::AnswerLost, Some(4));
+    }
+    accepted(&cluster, 0, "b3", &batch(&[item("lost", "g", 2)], MODEL, 1)).await;
+    assert_eq!(
+        cluster.wait_results(0, "b3", 1).await[0]["state"],
+        "succeeded"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_run_goes_on_after_its_last_event() {
+    let cluster = usual_cluster(PACE).await;
+    for engine in &cluster.engines {
+        if engine.service == "models" {
+            engine.set_fault(EngineFault::BreaksOff(3), Some(2));
+        }
+    }
+    accepted(&cluster, 0, "b1", &batch(&items(4, 10), MODEL, 1)).await;
+    assert_whole(&cluster.wait_results(0, "b1", 4).await, 4, 10);
+    let runs = cluster.engines.iter().flat_map(|engine| engine.runs());
+    // The last event may be lost with the connection; those before it are kept.
+    let continued = runs.filter(|run| matches!(run.last_event, Some(2 | 3)));
+    assert!(continued.count() >= 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_whose_connections_were_all_reset_get_work_again() {
+    let cluster = usual_cluster(Duration::from_millis(15)).await;
+    accepted(&cluster, 0, "b1", &batch(&items(40, 8), MODEL, 1)).await;
+    cluster.wait_results(0, "b1", 1).await;
+    for engine in &cluster.engines {
+        engine.reset_connections();
+    }
+    let began = std::time::Instant::now();
+    assert_whole(&cluster.wait_results(0, "b1", 40).await, 40, 8);
+    assert!(began.elapsed() < Duration::from_secs(4));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_body_of_an_item_can_be_read() {
+    let cluster = usual_cluster(Duration::from_millis(50)).await;
+    accepted(&cluster, 0, "b1", &batch(&items(4, 30), MODEL, 1)).await;
+    let call = |item: &str| {
+        let path = format!("/v1/batch-items/b1?id={item}");
+        sloetrail_serving_testkit::client::Call::new(http::Method::GET, HOST, path)
+    };
+    let found = call("i2")
+        .send(cluster.nodes[1].callers)
+        .await
+        .expect("an answer");
+    assert_eq!(found.text(), "events=30");
+    let missing = call("x")
+        .send(cluster.nodes[1].callers)
+        .await
+        .expect("an answer");
+    assert_eq!(missing.status, 404);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_step_waits_for_the_version_that_it_needs() {
+    let mut cluster = native_cluster();
+    cluster.add_application("zone-a").await;
+    let engine = cluster.add_engine(PACE).await;
+    cluster.add_engine(PACE).await;
+    let node = cluster.add_node("node-1").await;
+    cluster.wait_ready(node).await;
+    accepted(&cluster, node, "b1", &batch(&items(6, 4), MODEL, 2)).await;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert!(engine.runs().is_empty(), "no engine has version 2 yet");
+    cluster.publish(2);
+    let results = cluster.wait_results(node, "b1", 6).await;
+    assert_whole(&results, 6, 4);
+    for result in &results {
+        assert_eq!(result["versions"], serde_json::json!([2]));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn samples_that_run_while_the_version_changes_name_both() {
+    let cluster = usual_cluster(Duration::from_millis(25)).await;
+    accepted(&cluster, 0, "b1", &batch(&items(8, 40), MODEL, 1)).await;
+    let is_running = || async {
+        let runs: usize = cluster
+            .engines
+            .iter()
+            .map(|engine| engine.runs().len())
+            .sum();
+        (runs >= 8).then_some(())
+    };
+    eventually("the items run", is_running).await;
+    cluster.publish(2);
+    let results = cluster.wait_results(0, "b1", 8).await;
+    assert_whole(&results, 8, 40);
+    let both = results
+        .iter()
+        .filter(|result| result["versions"] == serde_json::json!([1, 2]));
+    assert!(both.count() > 0, "a sample was made under two versions");
+}
--- /dev/null
+++ b/crates/sloetrail-serving/tests/owner.rs
@@ -0,0 +1,213 @@
+//! Owners replaced: killed, stopped, cut off from the table, twice in a row.
+
+mod support;
+
+use serde_json::Value;
+use sloetrail_serving_testkit::client::{batch, item};
+use sloetrail_serving_testkit::cluster::{Cluster, MODEL, eventually};
+use sloetrail_serving_testkit::engine::{EngineFault, OrderRecord};
+use std::collections::BTreeSet;
+use std::time::Duration;
+use support::usual_cluster;
+
+/// As the cluster's nodes are set up.
+const ORDER_GAP: Duration = Duration::from_millis(800);
+
+fn items(count: usize, events: u64) -> Vec<Value> {
+    let item = |number: usize| item(&format!("i{number}"), &format!("g{number}"), events);
+    (0..count).map(item).collect()
+}
+
+fn assert_each_once(results: &[Value], count: usize) {
+    let ids: BTreeSet<&str> = results
+        .iter()
+        .filter_map(|result| result["id"].as_str())
+        .collect();
+    assert_eq!((ids.len(), results.len()), (count, count));
+}
+
+/// The node that holds the lease, by its name in the lease's row.
+async fn holder(cluster: &Cluster) -> usize {
+    let names = ["node-1", "node-2", "node-3"];
+    let found = || async {
+        let rows = cluster.table.rows("sloetrail_leases");
+        let row = rows.iter().find(|row| row.address.key == "lease/models")?;
+        let record: Value = serde_json::from_slice(&row.value).ok()?;
+        let holder = record["holder"].as_str()?.to_owned();
+        names.iter().position(|name| holder.starts_with(name))
+    };
+    eventually("somebody holds the lease", found).await
+}
+
+fn orders(cluster: &Cluster) -> Vec<OrderRecord> {
+    let mut orders: Vec<OrderRecord> = cluster
+        .engines
+        .iter()
+        .flat_map(|engine| engine.orders())
+        .collect();
+    orders.sort_by_key(|record| record.at);
+    orders
+}
+
+/// Asserts that orders of two holders lie apart and that fences never fall.
+fn assert_no_turns(orders: &[OrderRecord]) {
+    for pair in orders.windows(2) {
+        let [first, second] = pair else {
+            continue;
+        };
+        assert!(second.order.fence >= first.order.fence, "{orders:?}");
+        if second.order.holder != first.order.holder {
+            assert_ne!(second.order.fence, first.order.fence);
+            assert!(second.at - first.at >= ORDER_GAP, "{orders:?}");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_that_is_killed_is_replaced_and_texts_go_on() {
+    let mut cluster = usual_cluster(Duration::from_millis(30)).await;
+    let owner = holder(&cluster).await;
+    let other = 1 - owner;
+    cluster
+        .submit(other, "b1", &batch(&items(10, 60), MODEL, 1))
+        .await
+        .expect("taken");
+    let is_kept = || async {
+        let kept = cluster.table.rows("sloetrail_checkpoints");
+        (kept.len() >= 10).then_some(())
+    };
+    eventually("the texts are kept", is_kept).await;
+    cluster.nodes[owner].kill();
+    let results = cluster.wait_results(other, "b1", 10).await;
+    assert_each_once(&results, 10);
+    let runs = cluster.engines.iter().flat_map(|engine| engine.runs());
+    let continued = runs.filter(|run| run.last_event.is_some()).count();
+    assert!(continued >= 8, "{continued} of 10 texts went on");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_that_stops_hands_over_at_once() {
+    let mut cluster = usual_cluster(Duration::from_millis(30)).await;
+    let owner = holder(&cluster).await;
+    let other = 1 - owner;
+    cluster
+        .submit(other, "b1", &batch(&items(10, 60), MODEL, 1))
+        .await
+        .expect("taken");
+    let is_running = || async {
+        let runs: usize = cluster
+            .engines
+            .iter()
+            .map(|engine| engine.runs().len())
+            .sum();
+        (runs >= 10).then_some(())
+    };
+    eventually("the items run", is_running).await;
+    tokio::time::sleep(Duration::from_millis(250)).await;
+    let stopped_at = std::time::Instant::now();
+    cluster.nodes[owner].stop();
+    let is_continued = || async {
+        let runs = cluster.engines.iter().flat_map(|engine| engine.runs());
+        (runs.filter(|run| run.last_event.is_some()).count() >= 10).then_some(())
+    };
+    eventually("the texts go on", is_continued).await;
+    assert!(stopped_at.elapsed() < Duration::from_millis(1_000));
+    assert_each_once(&cluster.wait_results(other, "b1", 10).await, 10);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_that_is_cut_off_from_the_table_commits_nothing_more() {
+    let mut cluster = usual_cluster(Duration::from_millis(20)).await;
+    let owner = holder(&cluster).await;
+    let other = 1 - owner;
+    cluster
+        .submit(other, "b1", &batch(&items(20, 20), MODEL, 1))
+        .await
+        .expect("taken");
+    cluster.wait_results(other, "b1", 0).await;
+    cluster.nodes[owner].link.set_cut(true);
+    let results = cluster.wait_results(other, "b1", 20).await;
+    assert_each_once(&results, 20);
+    cluster.nodes[owner].link.set_cut(false);
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    let later = cluster.wait_results(other, "b1", 20).await;
+    assert_eq!(later, results, "positions hold after the old owner is back");
+    cluster.nodes[owner].stop();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn owners_killed_twice_in_a_row_lose_nothing() {
+    let mut cluster = usual_cluster(Duration::from_millis(15)).await;
+    let third = cluster.add_node("node-3").await;
+    cluster.wait_ready(third).await;
+    let first = holder(&cluster).await;
+    let reader = (first + 1) % 3;
+    cluster
+        .submit(reader, "b1", &batch(&items(30, 30), MODEL, 1))
+        .await
+        .expect("taken");
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    cluster.nodes[first].kill();
+    let changed = || async {
+        let now = holder(&cluster).await;
+        (now != first).then_some(now)
+    };
+    let second = eventually("another node owns", changed).await;
+    cluster.nodes[second].kill();
+    let left = (0..3)
+        .find(|node| *node != first && *node != second)
+        .expect("one is left");
+    assert_each_once(&cluster.wait_results(left, "b1", 30).await, 30);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_of_two_owners_lie_apart() {
+    let mut cluster = usual_cluster(Duration::from_millis(10)).await;
+    let owner = holder(&cluster).await;
+    cluster.publish(2);
+    let is_ordered = || async { (!orders(&cluster).is_empty()).then_some(()) };
+    eventually("an order is given", is_ordered).await;
+    cluster.nodes[owner].kill();
+    cluster.publish(3);
+    let in_force = || async {
+        let engines = cluster
+            .engines
+            .iter()
+            .filter(|engine| engine.service == "models");
+        let versions: Vec<u64> = engines.map(|engine| engine.version(MODEL)).collect();
+        versions.iter().all(|version| *version == 3).then_some(())
+    };
+    eventually("the version is in force", in_force).await;
+    let orders = orders(&cluster);
+    assert!(
+        orders
+            .iter()
+            .any(|record| record.order.holder != orders[0].order.holder)
+    );
+    assert_no_turns(&orders);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_that_are_carried_out_late_do_not_bring_an_old_version_back() {
+    let cluster = usual_cluster(Duration::from_millis(10)).await;
+    for engine in &cluster.engines {
+        engine.set_fault(
+            EngineFault::OrdersLate(Duration::from_millis(1_800)),
+            Some(1),
+        );
+    }
+    cluster.publish(2);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    cluster.publish(3);
+    let in_force = || async {
+        let engines = cluster
+            .engines
+            .iter()
+            .filter(|engine| engine.service == "models");
+        let versions: Vec<u64> = engines.map(|engine| engine.version(MODEL)).collect();
+        versions.iter().all(|version| *version == 3).then_some(())
+    };
+    eventually("the version is in force", in_force).await;
+    tokio::time::sleep(Duration::from_millis(2_200)).await;
+    assert!(in_force().await.is_some(), "a late order was refused");
+}
