--- a/crates/sloetrail-serving/src/gateway/live.rs
+++ b/crates/sloetrail-serving/src/gateway/live.rs
@@ -87,7 +87,7 @@
             last_failure: None,
             last_result: None,
         };
-        run.to_the_end().await
+        run.run_to_end().await
     }
 
     fn is_repeatable(&self) -> bool {
@@ -100,7 +100,7 @@
 }
 
 impl Run<'_> {
-    async fn to_the_end(mut self) -> LiveOutcome {
+    async fn run_to_end(mut self) -> LiveOutcome {
         let hedge_after = self.call.share_of_target(HEDGE_SHARE).max(HEDGE_LEAST);
         let mut next_hedge = Instant::now();
         loop {
--- a/crates/sloetrail-serving/src/owner/run.rs
+++ b/crates/sloetrail-serving/src/owner/run.rs
@@ -135,7 +135,7 @@
         spec,
     };
     tokio::select! {
-        outcome = run.to_the_end() => outcome,
+        outcome = run.run_to_end() => outcome,
         () = cancel.cancelled() => RunOutcome::Cancelled,
     }
 }
@@ -146,7 +146,7 @@
 }
 
 impl Run {
-    async fn to_the_end(&mut self) -> RunOutcome {
+    async fn run_to_end(&mut self) -> RunOutcome {
         let first_event_due = Instant::now() + FIRST_EVENT_LIMIT;
         let exchange = match self.open(first_event_due).await {
             Ok(exchange) => exchange,
