Counters, gauges and histograms on the metrics address

Change: a recorder with bounded labels and fixed buckets, a table whose calls are counted and timed, and the figures told as text on the address of the settings.

--- a/crates/sloetrail-serving/src/events/writer.rs
+++ b/crates/sloetrail-serving/src/events/writer.rs
@@ -2,6 +2,7 @@
 
 use super::Event;
 use super::rate_limiter::RateLimiter;
+use crate::telemetry;
 use log::LevelFilter;
 use serde::Serialize;
 use serde_json::value::RawValue;
@@ -92,6 +93,8 @@
     }
     let overflow = OVERFLOW.swap(0, Ordering::Relaxed);
     let thinned = super::take_thinned();
+    telemetry::lines_dropped("overflow", overflow);
+    telemetry::lines_dropped("thinned", thinned);
     if overflow + thinned > 0 {
         super::emit(&Event::LinesDropped { overflow, thinned });
     }
--- a/crates/sloetrail-serving/src/gateway/front.rs
+++ b/crates/sloetrail-serving/src/gateway/front.rs
@@ -9,6 +9,7 @@
 use crate::context::NodeContext;
 use crate::events::{self, Event};
 use crate::http::WholeAnswer;
+use crate::telemetry;
 use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderMap, Method, Request, Response};
@@ -220,13 +221,15 @@
                 back_end,
                 pieces,
             } => {
+                let took = received.elapsed();
+                telemetry::request_ended(&route.name, status.as_u16(), 0, took);
                 events::emit(&Event::RequestAnswered {
                     request: &request_id,
                     route: &route.name,
                     status: status.as_u16(),
                     back_end: back_end.as_str(),
                     attempts: 1,
-                    took_ms: received.elapsed().as_millis() as u64,
+                    took_ms: took.as_millis() as u64,
                     revision: configuration.revision.0,
                 });
                 let mut response = Response::new(stream_body(pieces));
@@ -259,15 +262,20 @@
     ) {
         let request = &call.outgoing.request_id;
         match &outcome.answer {
-            Ok(answer) => events::emit(&Event::RequestAnswered {
-                request,
-                route: &call.route.name,
-                status: answer.status.as_u16(),
-                back_end: outcome.back_end.as_ref().map_or("-", |id| id.as_str()),
-                attempts: outcome.attempts,
-                took_ms: call.received.elapsed().as_millis() as u64,
-                revision: configuration.revision.0,
-            }),
+            Ok(answer) => {
+                let status = answer.status.as_u16();
+                let took = call.received.elapsed();
+                telemetry::request_ended(&call.route.name, status, 0, took);
+                events::emit(&Event::RequestAnswered {
+                    request,
+                    route: &call.route.name,
+                    status,
+                    back_end: outcome.back_end.as_ref().map_or("-", |id| id.as_str()),
+                    attempts: outcome.attempts,
+                    took_ms: took.as_millis() as u64,
+                    revision: configuration.revision.0,
+                });
+            }
             Err(problem) => self.log_failure(
                 configuration,
                 request,
@@ -295,13 +303,15 @@
         deadline: Instant,
     ) {
         let left = deadline.saturating_duration_since(Instant::now());
+        let took = received.elapsed();
+        telemetry::request_ended(route, problem.status, problem.code, took);
         events::emit(&Event::RequestFailed {
             request,
             route,
             status: problem.status,
             code: problem.code,
             attempts,
-            took_ms: received.elapsed().as_millis() as u64,
+            took_ms: took.as_millis() as u64,
             left_ms: left.as_millis() as u64,
             revision: configuration.revision.0,
             detail: &problem.detail,
--- a/crates/sloetrail-serving/src/gateway/live.rs
+++ b/crates/sloetrail-serving/src/gateway/live.rs
@@ -10,6 +10,7 @@
 use crate::events::{self, Event};
 use crate::http::WholeAnswer;
 use crate::service_pools::Place;
+use crate::telemetry;
 use futures_util::StreamExt;
 use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
@@ -200,6 +201,7 @@
             took,
         } = attempted;
         let back_end = place.back_end().id.clone();
+        telemetry::attempt_ended(self.call.service.as_str(), result.word(), took);
         self.log_attempt(&place, &result, took);
         if matches!(result, AttemptResult::WrongInstance) {
             self.call
--- a/crates/sloetrail-serving/src/gateway/submit.rs
+++ b/crates/sloetrail-serving/src/gateway/submit.rs
@@ -12,6 +12,7 @@
 use crate::events::{self, Event};
 use crate::rows;
 use crate::table::{Commit, CommitError, ReadError, Transaction};
+use crate::telemetry;
 use bytes::Bytes;
 use http::StatusCode;
 use sloetrail_batch::{BatchHeader, Submission, is_usable_id};
@@ -42,6 +43,11 @@
     let outcome = accept(context, route, service, id, &body).await;
     match outcome {
         Ok((acceptance, items)) => {
+            let word = match acceptance {
+                Acceptance::New => "accepted",
+                Acceptance::Repeated => "repeated",
+            };
+            telemetry::batch_answered(word, began.elapsed());
             events::emit(&Event::BatchAccepted {
                 batch: id,
                 service: service.as_str(),
@@ -52,6 +58,7 @@
             empty_response(StatusCode::ACCEPTED)
         }
         Err(problem) => {
+            telemetry::batch_answered("refused", began.elapsed());
             events::emit(&Event::BatchRefused {
                 batch: id,
                 code: problem.code,
--- a/crates/sloetrail-serving/src/lib.rs
+++ b/crates/sloetrail-serving/src/lib.rs
@@ -24,6 +24,7 @@
 mod gateway;
 pub mod http;
 mod loss_backoff;
+mod measured_table;
 pub mod native_dialect;
 mod node;
 pub mod operator;
@@ -32,5 +33,6 @@
 mod service_pools;
 pub mod settings;
 pub mod table;
+mod telemetry;
 
 pub use node::{ServingNode, StartError};
--- a/crates/sloetrail-serving/src/node.rs
+++ b/crates/sloetrail-serving/src/node.rs
@@ -6,14 +6,16 @@
 use crate::events::{self, Event};
 use crate::follow::follow;
 use crate::gateway::front::Front;
-use crate::gateway::message::empty_response;
+use crate::gateway::message::{empty_response, whole_body};
 use crate::http::{ConnectionPool, ConnectionTracker, ListenerSettings, serve_connections};
+use crate::measured_table::MeasuredTable;
 use crate::operator::watch_operator;
 use crate::owner;
 use crate::rows;
 use crate::service_pools::ServicePools;
 use crate::settings::ServingSettings;
 use crate::table::Table;
+use crate::telemetry::{self, Beliefs};
 use http::StatusCode;
 use sloetrail_types::digest;
 use snafu::{ResultExt, Snafu};
@@ -30,7 +32,7 @@
 /// The same for the directory, whose rows change with each sign of life.
 const DIRECTORY_PAUSE: Duration = Duration::from_millis(60);
 const LEASE_PAUSE: Duration = Duration::from_millis(20);
-const SWEEP_PERIOD: Duration = Duration::from_secs(5);
+const HOUSEKEEPING_PERIOD: Duration = Duration::from_secs(5);
 /// How long a stopping node goes on taking connections: until the platform has seen
 /// that it is not ready.
 const LINGER: Duration = Duration::from_millis(2_500);
@@ -71,6 +73,8 @@
             instance: settings.instance.as_str(),
             version: env!("CARGO_PKG_VERSION"),
         });
+        telemetry::start();
+        let table: Arc<dyn Table> = MeasuredTable::new(table);
         let callers = listen(settings.callers_address).await?;
         let ready = listen(settings.ready_address).await?;
         let callers_address = local_address(&callers, settings.callers_address);
@@ -80,7 +84,10 @@
         let tracker = ConnectionTracker::default();
         serve_callers(&context, callers, tracker.clone());
         serve_ready(&context, ready, stopping.clone());
-        tokio::spawn(sweep_connections(Arc::clone(&context)));
+        if let Some(address) = context.settings.metrics_address {
+            serve_metrics(&context, listen(address).await?, tracker.clone());
+        }
+        tokio::spawn(keep_house(Arc::clone(&context)));
         tokio::spawn(watch_pauses());
         let owners = tokio::spawn(owner::supervise(Arc::clone(&context), stopping.clone()));
         Ok(Self {
@@ -207,10 +214,38 @@
     tokio::spawn(serving);
 }
 
-async fn sweep_connections(context: Arc<NodeContext>) {
+/// Tells counters, gauges and histograms as text, whatever the path.
+fn serve_metrics(context: &Arc<NodeContext>, listener: TcpListener, callers: ConnectionTracker) {
+    let context = Arc::clone(context);
+    let settings = || ListenerSettings {
+        header_bytes: 8 * 1024,
+        idle_timeout: Duration::from_secs(15),
+    };
+    let tracker = ConnectionTracker::default();
+    let serving = serve_connections(listener, settings, tracker, move |_| {
+        telemetry::beliefs(&beliefs(&context, &callers));
+        let text = telemetry::render();
+        async move { http::Response::new(whole_body(text)) }
+    });
+    tokio::spawn(serving);
+}
+
+fn beliefs(context: &NodeContext, callers: &ConnectionTracker) -> Beliefs {
+    let configuration = context.configuration();
+    Beliefs {
+        configuration_revision: configuration.map_or(0, |known| known.revision.0),
+        directory_version: context.directory.borrow().version.0,
+        lease_view_age: context.leases.borrow().age(Instant::now()),
+        requests: callers.requests(),
+        connections: callers.connections(),
+    }
+}
+
+async fn keep_house(context: Arc<NodeContext>) {
     loop {
-        tokio::time::sleep(SWEEP_PERIOD).await;
+        tokio::time::sleep(HOUSEKEEPING_PERIOD).await;
         context.connections.sweep();
+        telemetry::fold();
     }
 }
 
--- a/crates/sloetrail-serving/src/owner/lease_keeper.rs
+++ b/crates/sloetrail-serving/src/owner/lease_keeper.rs
@@ -7,6 +7,7 @@
 use crate::follow::{TableView, ViewReceiver};
 use crate::rows;
 use crate::table::{Commit, Row, Transaction};
+use crate::telemetry;
 use sloetrail_lease::{LeaseAction, LeaseRecord, LeaseWatcher, ObservedLease};
 use sloetrail_types::{NodeId, RowVersion, ServiceName, Timestamp};
 use std::collections::HashMap;
@@ -171,6 +172,7 @@
     fn end_holding(&mut self, cause: &str) {
         if let Some(holding) = self.holding.take() {
             holding.term.ended.cancel();
+            telemetry::lease_held(self.service.as_str(), 0);
             events::emit(&Event::LeaseLost {
                 service: self.service.as_str(),
                 epoch: holding.term.epoch.0,
@@ -219,6 +221,7 @@
                     previous: previous.as_deref().unwrap_or("-"),
                     unchanged_ms: unchanged.as_millis() as u64,
                 });
+                telemetry::lease_held(self.service.as_str(), epoch.0);
                 self.begin_term(Term {
                     service: self.service.clone(),
                     epoch,
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -15,9 +15,10 @@
 use crate::events::{self, Event};
 use crate::follow::{ViewReceiver, follow};
 use crate::rows;
+use crate::telemetry;
 use sloetrail_batch::{
     Batch, BatchHeader, BatchId, Checkpoint, DeathCause, ItemId, ItemIndex, ItemState,
-    ListedResult, RunFailure, Transcript,
+    ListedResult, ResultState, RunFailure, Transcript,
 };
 use sloetrail_types::EngineId;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -356,12 +357,20 @@
         self.engines.judge_paces();
         self.move_from_slow_engines(now);
         self.expire_items();
+        self.tell_items();
         if now.saturating_duration_since(self.kept_at) >= KEEP_PERIOD {
             self.kept_at = now;
             self.keep_texts();
         }
     }
 
+    fn tell_items(&self) {
+        let open = self.batches.values();
+        let waiting = open.map(|open| open.batch.waiting()).sum();
+        let running = self.batches.values().map(|open| open.runs.len()).sum();
+        telemetry::items(self.term.service.as_str(), waiting, running);
+    }
+
     /// Has the new events of every running item committed.
     fn keep_texts(&mut self) {
         for (id, open) in &mut self.batches {
@@ -560,6 +569,7 @@
         (outcome, transcript): (RunOutcome, Transcript),
         took: Duration,
     ) {
+        telemetry::run_ended(self.term.service.as_str(), outcome.word(), took);
         self.judge_engine(engine, outcome);
         let Some(open) = self.batches.get_mut(id) else {
             return;
@@ -691,6 +701,11 @@
     }
 
     fn committed(&mut self, committed: Committed) {
+        let state = match committed.result.state {
+            ResultState::Succeeded => "succeeded",
+            ResultState::Dead => "dead",
+        };
+        telemetry::result_listed(state, committed.took);
         let versions: Vec<u64> = committed
             .result
             .versions
--- a/crates/sloetrail-serving/src/owner/weights.rs
+++ b/crates/sloetrail-serving/src/owner/weights.rs
@@ -12,6 +12,7 @@
 use crate::events::{self, Event};
 use crate::gateway::headers;
 use crate::http::{Exchange, SendFailure, WholeAnswer, WholeBody};
+use crate::telemetry;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Request};
 use sloetrail_types::{EngineId, WeightVersion};
@@ -146,6 +147,7 @@
         let answer = answer
             .ok()
             .map(|answer| dialect.order_answer(answer.status));
+        telemetry::order_given(word(answer));
         events::emit(&Event::OrderGiven {
             back_end: self.back_end.id.as_str(),
             model: &self.order.model,
