--- a/crates/sloetrail-serving-testkit/src/engine.rs
+++ b/crates/sloetrail-serving-testkit/src/engine.rs
@@ -84,6 +84,7 @@
     pace: Duration,
     runs: Vec<RunRecord>,
     orders: Vec<OrderRecord>,
+    late_orders: Vec<ReadOrder>,
     draining: bool,
     resets: CancellationToken,
 }
@@ -137,6 +138,7 @@
                 pace,
                 runs: Vec::new(),
                 orders: Vec::new(),
+                late_orders: Vec::new(),
                 draining: false,
                 resets: CancellationToken::new(),
             }),
@@ -199,6 +201,16 @@
         self.state().orders.clone()
     }
 
+    /// Orders that were left unanswered, to be carried out late.
+    pub fn late_orders(&self) -> Vec<ReadOrder> {
+        self.state().late_orders.clone()
+    }
+
+    /// Uses a version from now on, as if it had been ordered.
+    pub fn force_version(&self, model: &str, version: u64) {
+        self.state().versions.insert(model.to_owned(), version);
+    }
+
     /// The version of a model in use.
     pub fn version(&self, model: &str) -> u64 {
         self.state()
@@ -273,6 +285,7 @@
         };
         if let EngineFault::OrdersLate(after) = self.take_fault() {
             let engine = Arc::clone(&self);
+            self.state().late_orders.push(order.clone());
             tokio::spawn(async move {
                 tokio::time::sleep(after).await;
                 engine.carry_out(order);
--- a/crates/sloetrail-serving-testkit/src/table.rs
+++ b/crates/sloetrail-serving-testkit/src/table.rs
@@ -43,6 +43,8 @@
     fault: CommitFault,
     /// The fault applies to this many commits; nothing means all.
     fault_count: Option<usize>,
+    /// The fault applies to commits that write to this table; nothing means all.
+    fault_table: Option<String>,
     down: bool,
 }
 
@@ -94,6 +96,18 @@
         let mut state = self.state();
         state.fault = fault;
         state.fault_count = count;
+        state.fault_table = None;
+    }
+
+    /// The same for transactions that write to one table.
+    pub fn set_commit_fault_on(&self, table: &str, fault: CommitFault, count: usize) {
+        self.set_commit_fault(fault, Some(count));
+        self.state().fault_table = Some(table.to_owned());
+    }
+
+    /// How many of the faulty transactions are still to come; nothing means all.
+    pub fn faults_left(&self) -> Option<usize> {
+        self.state().fault_count
     }
 
     /// Whether the table answers anybody.
@@ -161,12 +175,19 @@
         Commit::Done(RowVersion(version))
     }
 
-    fn take_fault(&self) -> CommitFault {
+    fn take_fault(&self, transaction: &Transaction) -> CommitFault {
         let mut state = self.state();
         state.commits += 1;
         if state.down {
             return CommitFault::LostOnTheWay;
         }
+        let is_meant = state.fault_table.as_ref().is_none_or(|table| {
+            let mut written = transaction.puts.iter();
+            written.any(|(address, _)| address.table == *table)
+        });
+        if !is_meant {
+            return CommitFault::None;
+        }
         match &mut state.fault_count {
             None => state.fault,
             Some(0) => CommitFault::None,
@@ -255,7 +276,7 @@
             tokio::time::sleep(TIMEOUT).await;
             return Err(CommitError::Unknown);
         }
-        match self.table.take_fault() {
+        match self.table.take_fault(transaction) {
             CommitFault::None => return Ok(self.table.judge(transaction)),
             CommitFault::Refused => return Err(CommitError::NotDone),
             CommitFault::LostOnTheWay => {}
--- a/crates/sloetrail-serving/src/gateway/submit.rs
+++ b/crates/sloetrail-serving/src/gateway/submit.rs
@@ -23,8 +23,9 @@
 use tokio::time::Instant;
 
 const RETRY_AFTER_MS: u64 = 150;
-const COMMIT_ATTEMPTS: usize = 3;
-const COMMIT_PAUSE: Duration = Duration::from_millis(60);
+/// How long an acceptance is tried for, as a part of the time that the route allows.
+const COMMIT_SHARE: f64 = 0.15;
+const COMMIT_PAUSE: Duration = Duration::from_millis(25);
 
 enum Acceptance {
     New,
@@ -95,7 +96,7 @@
         priority: route.priority,
     };
     let transactions = transactions(context, id, &parts, &header);
-    let acceptance = commit_all(context, id, &transactions).await?;
+    let acceptance = commit_all(context, route, id, &transactions).await?;
     Ok((acceptance, submission.items.len()))
 }
 
@@ -139,15 +140,15 @@
 
 async fn commit_all(
     context: &NodeContext,
+    route: &Route,
     id: &str,
     transactions: &[Transaction],
 ) -> Result<Acceptance, Problem> {
     let mut acceptance = Acceptance::New;
     let mut earlier_outcome_unknown = false;
+    let give_up_at = Instant::now() + route.timeout.mul_f64(COMMIT_SHARE);
     for transaction in transactions {
-        let mut attempts = 0;
         loop {
-            attempts += 1;
             match context.table.commit(transaction).await {
                 Ok(Commit::Done(_)) => break,
                 Ok(Commit::Conflict(_)) => {
@@ -156,8 +157,8 @@
                 }
                 Err(error) => {
                     earlier_outcome_unknown |= error == CommitError::Unknown;
-                    if attempts >= COMMIT_ATTEMPTS {
-                        return Err(refusal(context, id, earlier_outcome_unknown).await);
+                    if Instant::now() > give_up_at {
+                        return Err(refusal(id, earlier_outcome_unknown));
                     }
                     tokio::time::sleep(COMMIT_PAUSE).await;
                 }
@@ -169,7 +170,7 @@
 
 /// The answer to a batch that could not be committed. It promises that nothing runs
 /// only if no attempt may still take effect.
-async fn refusal(_context: &NodeContext, id: &str, outcome_unknown: bool) -> Problem {
+fn refusal(id: &str, outcome_unknown: bool) -> Problem {
     if outcome_unknown {
         let detail = format!("the table did not confirm batch {id}");
         return Problem::new(ResultCode::BatchUnconfirmed, detail);
--- a/crates/sloetrail-serving/src/lib.rs
+++ b/crates/sloetrail-serving/src/lib.rs
@@ -24,7 +24,6 @@
 mod gateway;
 pub mod http;
 mod loss_backoff;
-mod measured_table;
 pub mod native_dialect;
 mod node;
 pub mod operator;
@@ -33,6 +32,7 @@
 mod service_pools;
 pub mod settings;
 pub mod table;
+pub mod table_client;
 mod telemetry;
 
 pub use node::{ServingNode, StartError};
--- a/crates/sloetrail-serving/src/node.rs
+++ b/crates/sloetrail-serving/src/node.rs
@@ -8,7 +8,6 @@
 use crate::gateway::front::Front;
 use crate::gateway::message::{empty_response, whole_body};
 use crate::http::{ConnectionPool, ConnectionTracker, ListenerSettings, serve_connections};
-use crate::measured_table::MeasuredTable;
 use crate::operator::watch_operator;
 use crate::owner;
 use crate::rows;
@@ -74,7 +73,6 @@
             version: env!("CARGO_PKG_VERSION"),
         });
         telemetry::start();
-        let table: Arc<dyn Table> = MeasuredTable::new(table);
         let callers = listen(settings.callers_address).await?;
         let ready = listen(settings.ready_address).await?;
         let callers_address = local_address(&callers, settings.callers_address);
--- a/crates/sloetrail-serving/tests/batches.rs
+++ b/crates/sloetrail-serving/tests/batches.rs
@@ -157,9 +157,11 @@
     ];
     for fault in faults {
         let cluster = usual_cluster(PACE).await;
-        accepted(&cluster, 0, "b1", &batch(&items(30, 4), MODEL, 1)).await;
         // Few enough that the owner keeps its lease and must settle them itself.
-        cluster.table.set_commit_fault(fault, Some(2));
+        cluster
+            .table
+            .set_commit_fault_on("sloetrail_results", fault, 2);
+        accepted(&cluster, 0, "b1", &batch(&items(30, 4), MODEL, 1)).await;
         let first = cluster.wait_results(1, "b1", 30).await;
         assert_whole(&first, 30, 4);
         tokio::time::sleep(Duration::from_millis(500)).await;
--- a/crates/sloetrail-serving/tests/configuration.rs
+++ b/crates/sloetrail-serving/tests/configuration.rs
@@ -46,14 +46,19 @@
     let cluster = usual_cluster(PACE).await;
     cluster.write_configuration(50, json!([route("/new/")]));
     wait_status(&cluster, 0, "/new/x", 200).await;
+    // Each is seen before the next one is written.
+    let seen = Duration::from_millis(150);
     cluster.write_configuration(49, usual_routes());
+    tokio::time::sleep(seen).await;
+    assert_eq!(status(&cluster, 0, "/live/x").await, 404);
     let address = RowAddress::new("operator", "", "configuration");
     cluster.table.write(address, "{broken");
-    cluster.write_configuration(
-        51,
-        json!([{"name": "bad", "host": HOST, "path_prefix": "/x/",
-                                            "kind": "nonsense", "service": "application"}]),
-    );
+    tokio::time::sleep(seen).await;
+    assert_eq!(status(&cluster, 0, "/new/x").await, 200);
+    let mut unknown_kind = route("/x/");
+    unknown_kind["kind"] = json!("nonsense");
+    cluster.write_configuration(51, json!([unknown_kind]));
+    tokio::time::sleep(seen).await;
     for _ in 0..20 {
         assert_eq!(status(&cluster, 0, "/new/x").await, 200);
         assert_eq!(status(&cluster, 0, "/live/x").await, 404);
--- a/crates/sloetrail-serving/tests/owner.rs
+++ b/crates/sloetrail-serving/tests/owner.rs
@@ -198,17 +198,26 @@
         );
     }
     cluster.publish(2);
-    tokio::time::sleep(Duration::from_millis(300)).await;
+    let engines: Vec<_> = cluster
+        .engines
+        .iter()
+        .filter(|engine| engine.service == "models")
+        .collect();
+    let are_taken = || async {
+        let taken = engines
+            .iter()
+            .all(|engine| !engine.late_orders().is_empty());
+        taken.then_some(())
+    };
+    eventually("the orders for version 2 are on their way", are_taken).await;
     cluster.publish(3);
     let in_force = || async {
-        let engines = cluster
-            .engines
-            .iter()
-            .filter(|engine| engine.service == "models");
-        let versions: Vec<u64> = engines.map(|engine| engine.version(MODEL)).collect();
+        let versions: Vec<u64> = engines.iter().map(|engine| engine.version(MODEL)).collect();
         versions.iter().all(|version| *version == 3).then_some(())
     };
     eventually("the version is in force", in_force).await;
+    let late = engines.iter().flat_map(|engine| engine.late_orders());
+    assert!(late.map(|order| order.version).all(|version| version == 2));
     for _ in 0..220 {
         tokio::time::sleep(Duration::from_millis(10)).await;
         assert!(in_force().await.is_some(), "a late order was carried out");
@@ -221,19 +230,20 @@
     let mut cluster = usual_cluster(Duration::from_millis(4)).await;
     let owner = holder(&cluster).await;
     let other = 1 - owner;
-    let by_length: Vec<Value> = (0..12)
-        .map(|number| item(&format!("i{number}"), "g", 10 + number * 3))
-        .collect();
     cluster
-        .submit(other, "b1", &batch(&by_length, MODEL, 1))
+        .table
+        .set_commit_fault_on("sloetrail_results", CommitFault::DoneLate(LATE), 1);
+    cluster
+        .submit(other, "b1", &batch(&items(12, 10), MODEL, 1))
         .await
         .expect("taken");
-    cluster
-        .table
-        .set_commit_fault(CommitFault::DoneLate(LATE), None);
-    tokio::time::sleep(Duration::from_millis(300)).await;
+    let is_on_its_way = || async { (cluster.table.faults_left() == Some(0)).then_some(()) };
+    eventually("a commit is on its way", is_on_its_way).await;
     cluster.nodes[owner].kill();
-    cluster.table.set_commit_fault(CommitFault::None, None);
+    // The next owner's results differ from those that are still on their way.
+    for engine in &cluster.engines {
+        engine.force_version(MODEL, 2);
+    }
     let results = cluster.wait_results(other, "b1", 12).await;
     assert_each_once(&results, 12);
     tokio::time::sleep(LATE).await;
