A lease outlasts a slow table, and candidates take turns

Cause: with the store a hundred times slower, renewals took longer to be seen than a lease lasted: a sound owner was replaced, and all candidates queued their take-overs behind each other (a partition takes one change after another), so that nobody owned for 3 to 4 s. Change: a lease lasts at least eight ordinary answers of the table, up to 5 s; a candidate waits a turn drawn anew with each renewal; texts are not kept while the table is slow; supervision starts with the first configuration instead of half a second later.

--- a/crates/sloetrail-lease/src/watcher.rs
+++ b/crates/sloetrail-lease/src/watcher.rs
@@ -46,6 +46,12 @@
         }
     }
 
+    /// Changes how long the lease lasts without a renewal. It decides only how soon a
+    /// lost holder is replaced: what a holder may write is decided by its epoch.
+    pub fn set_duration(&mut self, duration: Duration) {
+        self.duration = duration;
+    }
+
     /// The epoch under which this node holds the lease, as far as it knows.
     pub fn held_epoch(&self) -> Option<Epoch> {
         let record = &self.seen.as_ref()?.record;
--- a/crates/sloetrail-serving-testkit/src/cluster.rs
+++ b/crates/sloetrail-serving-testkit/src/cluster.rs
@@ -14,8 +14,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
-use tokio::runtime::{Builder, Runtime};
+use tokio::runtime::Builder;
 use tokio::sync::oneshot;
 
 /// The host of every route.
@@ -34,7 +35,7 @@
 
 static NEXT_LIFE: AtomicU64 = AtomicU64::new(1);
 
-/// A node in a runtime of its own.
+/// A node in a thread and a runtime of its own, which end with it as a process does.
 pub struct NodeProcess {
     /// Where callers reach it.
     pub callers: SocketAddr,
@@ -42,25 +43,33 @@
     pub ready: SocketAddr,
     /// Its way to the table.
     pub link: Arc<TableLink>,
-    runtime: Option<Runtime>,
+    kill: Option<oneshot::Sender<()>>,
     stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
 }
 
 impl NodeProcess {
     /// Ends it at once, as a kill does.
     pub fn kill(&mut self) {
-        if let Some(runtime) = self.runtime.take() {
-            runtime.shutdown_background();
+        self.kill.take();
+        if let Some(thread) = self.thread.take() {
+            // A node that panicked has ended as well.
+            let _ = thread.join();
         }
     }
 
-    /// Tells it to stop in an orderly way.
+    /// Tells it to stop in an orderly way; it ends once it says that it has.
     pub fn stop(&mut self) {
         if let Some(stop) = self.stop.take() {
             // A node that was killed cannot be stopped.
             let _ = stop.send(());
         }
     }
+
+    /// True once it has ended.
+    pub fn has_ended(&self) -> bool {
+        self.thread.as_ref().is_none_or(JoinHandle::is_finished)
+    }
 }
 
 impl Drop for NodeProcess {
@@ -69,6 +78,43 @@
     }
 }
 
+/// What a node needs to start.
+struct NodeStart {
+    settings: ServingSettings,
+    table: Arc<dyn Table>,
+    dialect: Arc<dyn Dialect>,
+    started: oneshot::Sender<(SocketAddr, SocketAddr)>,
+    stopped: oneshot::Receiver<()>,
+    killed: oneshot::Receiver<()>,
+}
+
+impl NodeStart {
+    fn run(self) {
+        let runtime = Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        let killed = self.killed;
+        let serving = async move {
+            let node = ServingNode::start(self.settings, self.table, self.dialect);
+            let node = node.await.expect("starts");
+            let addresses = (node.callers_address(), node.ready_address());
+            self.started.send(addresses).expect("awaited");
+            match self.stopped.await {
+                Ok(()) => node.stop().await,
+                Err(_) => std::future::pending().await,
+            }
+        };
+        runtime.block_on(async move {
+            tokio::select! {
+                () = serving => {}
+                _ = killed => {}
+            }
+        });
+        runtime.shutdown_background();
+    }
+}
+
 /// Nodes, table and back ends.
 pub struct Cluster {
     /// The table.
@@ -203,32 +249,26 @@
         let link = TableLink::new(Arc::clone(&self.table));
         let table = (self.wrap)(Arc::clone(&link));
         let dialect = Arc::clone(&self.dialect);
-        let runtime = Builder::new_multi_thread()
-            .worker_threads(1)
-            .enable_all()
-            .build()
-            .expect("a runtime");
         let (stop, stopped) = oneshot::channel();
+        let (kill, killed) = oneshot::channel();
         let (started, addresses) = oneshot::channel();
-        runtime.spawn(async move {
-            let node = ServingNode::start(settings, table, dialect)
-                .await
-                .expect("starts");
-            let addresses = (node.callers_address(), node.ready_address());
-            started.send(addresses).expect("awaited");
-            if stopped.await.is_ok() {
-                node.stop().await;
-            } else {
-                std::future::pending::<()>().await;
-            }
-        });
+        let start = NodeStart {
+            settings,
+            table,
+            dialect,
+            started,
+            stopped,
+            killed,
+        };
+        let thread = std::thread::spawn(move || start.run());
         let (callers, ready) = addresses.await.expect("the node starts");
         self.nodes.push(NodeProcess {
             callers,
             ready,
             link,
-            runtime: Some(runtime),
+            kill: Some(kill),
             stop: Some(stop),
+            thread: Some(thread),
         });
         self.nodes.len() - 1
     }
--- a/crates/sloetrail-serving/src/owner/lease_keeper.rs
+++ b/crates/sloetrail-serving/src/owner/lease_keeper.rs
@@ -8,6 +8,7 @@
 use crate::rows;
 use crate::table::{Commit, Row, Transaction};
 use crate::telemetry;
+use rand::Rng;
 use sloetrail_lease::{LeaseAction, LeaseRecord, LeaseWatcher, ObservedLease};
 use sloetrail_types::{NodeId, RowVersion, ServiceName, Timestamp};
 use std::collections::HashMap;
@@ -18,9 +19,13 @@
 use tokio_util::sync::CancellationToken;
 
 const TICK: Duration = Duration::from_millis(100);
-const SUPERVISION_PERIOD: Duration = Duration::from_millis(500);
 /// How long an owner may take to put its work down.
 const RELEASE_TIME: Duration = Duration::from_millis(1_000);
+/// A lease outlasts this many ordinary answers of the table.
+const RENEWAL_ROUNDS: u32 = 8;
+const LEASE_MOST: Duration = Duration::from_secs(5);
+const CANDIDATE_TURNS: u32 = 8;
+const CANDIDATE_DELAY_MOST: Duration = Duration::from_secs(2);
 /// A view older than this says nothing of the lease.
 const VIEW_AGE_LIMIT: Duration = Duration::from_millis(1_400);
 
@@ -28,8 +33,9 @@
 /// gives every lease up.
 pub(crate) async fn supervise(context: Arc<NodeContext>, stopping: CancellationToken) {
     let mut keepers: HashMap<ServiceName, JoinHandle<()>> = HashMap::new();
+    let mut in_force = context.in_force.clone();
     loop {
-        let configuration = context.configuration();
+        let configuration = in_force.borrow_and_update().configuration.clone();
         let services = configuration.map(|configuration| configuration.rollout_services());
         for service in services.unwrap_or_default() {
             keepers.entry(service.clone()).or_insert_with(|| {
@@ -38,7 +44,7 @@
             });
         }
         tokio::select! {
-            () = tokio::time::sleep(SUPERVISION_PERIOD) => {}
+            Ok(()) = in_force.changed() => {}
             () = stopping.cancelled() => break,
         }
     }
@@ -62,6 +68,8 @@
     seen_version: Option<RowVersion>,
     unchanged_since: Instant,
     interruptions: u64,
+    /// This candidate's turn among those that see the lease run out.
+    candidate_turn: u32,
     holding: Option<Holding>,
 }
 
@@ -77,6 +85,7 @@
             seen_version: None,
             unchanged_since: Instant::now(),
             interruptions: 0,
+            candidate_turn: 0,
             holding: None,
         }
     }
@@ -96,6 +105,7 @@
 
     async fn step(&mut self) {
         let view = self.leases.borrow_and_update().clone();
+        self.watcher.set_duration(self.lease_duration());
         self.observe_view(&view);
         self.check_holding();
         let is_current = view
@@ -118,6 +128,25 @@
         }
     }
 
+    /// How long the lease lasts: longer than set while the table is slow, since each
+    /// renewal then takes a good part of a second and is seen late.
+    fn lease_duration(&self) -> Duration {
+        let set = self.context.settings.bounds.lease;
+        let slow = self.context.table.ordinary_time() * RENEWAL_ROUNDS;
+        let lasts = slow.clamp(set, set.max(LEASE_MOST));
+        match self.holding.is_some() {
+            true => lasts,
+            false => lasts + self.candidate_delay(),
+        }
+    }
+
+    /// What this candidate waits on top, so that the others see its take-over in time
+    /// and do not queue up with theirs.
+    fn candidate_delay(&self) -> Duration {
+        let round = self.context.table.ordinary_time() * 2;
+        (round * self.candidate_turn).min(CANDIDATE_DELAY_MOST)
+    }
+
     /// Takes in the lease row. After an interruption the time for which it was
     /// unchanged counts anew: nobody could renew it meanwhile.
     fn observe_view(&mut self, view: &TableView) {
@@ -143,6 +172,7 @@
         if version != self.seen_version {
             self.seen_version = version;
             self.unchanged_since = Instant::now();
+            self.candidate_turn = rand::rng().random_range(0..CANDIDATE_TURNS);
         }
         let lease = row.and_then(|row| {
             let record = serde_json::from_slice(&row.value).ok()?;
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -18,7 +18,7 @@
 use crate::telemetry;
 use sloetrail_batch::{
     Batch, BatchHeader, BatchId, Checkpoint, DeathCause, ItemId, ItemIndex, ItemState,
-    ListedResult, ResultState, RunFailure, Transcript,
+    ListedResult, ResultState, RunFailure, Transcript, TranscriptEvent,
 };
 use sloetrail_types::EngineId;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -37,6 +37,10 @@
 const SWEEP_PERIOD: Duration = Duration::from_secs(20);
 /// How often the texts that are being made are kept in the table.
 const KEEP_PERIOD: Duration = Duration::from_millis(500);
+/// Texts are not kept while the table is slower than this: results go first.
+const KEEP_TABLE_TIME: Duration = Duration::from_millis(100);
+/// Bytes of text in one piece.
+const KEEP_BYTES: usize = 16 * 1024;
 /// An item is given up only this much after its retention.
 const RETENTION_MARGIN_MS: u64 = 2_000;
 /// Ranks at an engine: items of groups that the trainer waits for, and the others.
@@ -358,7 +362,8 @@
         self.move_from_slow_engines(now);
         self.expire_items();
         self.tell_items();
-        if now.saturating_duration_since(self.kept_at) >= KEEP_PERIOD {
+        let is_fast = self.context.table.ordinary_time() < KEEP_TABLE_TIME;
+        if is_fast && now.saturating_duration_since(self.kept_at) >= KEEP_PERIOD {
             self.kept_at = now;
             self.keep_texts();
         }
@@ -375,7 +380,7 @@
     fn keep_texts(&mut self) {
         for (id, open) in &mut self.batches {
             for (index, run) in &mut open.runs {
-                let events = run.progress.events_after(run.kept);
+                let events = first_bytes(run.progress.events_after(run.kept), KEEP_BYTES);
                 if events.is_empty() {
                     continue;
                 }
@@ -814,6 +819,17 @@
     }
 }
 
+/// The first events that together hold at most so many bytes, at least one.
+fn first_bytes(events: Vec<TranscriptEvent>, bytes: usize) -> Vec<TranscriptEvent> {
+    let mut held = 0;
+    let fits = |(index, event): &(usize, TranscriptEvent)| {
+        held += event.data.len();
+        *index == 0 || held <= bytes
+    };
+    let fitting = events.into_iter().enumerate().take_while(fits);
+    fitting.map(|(_, event)| event).collect()
+}
+
 /// How many events of each unfinished item's text a batch was loaded with.
 fn kept_in_table(batch: &Batch) -> HashMap<ItemIndex, usize> {
     let unfinished = batch.unfinished().into_iter();
--- a/crates/sloetrail-serving/src/table.rs
+++ b/crates/sloetrail-serving/src/table.rs
@@ -225,6 +225,11 @@
     /// answer; nothing before the first one.
     fn now_ms(&self) -> Option<u64>;
 
+    /// How long an ordinary answer takes now, as far as it is known.
+    fn ordinary_time(&self) -> Duration {
+        Duration::ZERO
+    }
+
     /// Carries out a transaction.
     async fn commit(&self, transaction: &Transaction) -> Result<Commit, CommitError>;
 
--- a/crates/sloetrail-serving/src/table_client.rs
+++ b/crates/sloetrail-serving/src/table_client.rs
@@ -99,6 +99,11 @@
         self.transport.now_ms()
     }
 
+    fn ordinary_time(&self) -> Duration {
+        let of = |patience: &Mutex<Patience>| patience.lock().expect("not poisoned").ordinary();
+        of(&self.writes).max(of(&self.reads))
+    }
+
     async fn commit(&self, transaction: &Transaction) -> Result<Commit, CommitError> {
         let began = Instant::now();
         let patience = patience_of(&self.writes);
--- a/crates/sloetrail-serving/src/table_client/patience.rs
+++ b/crates/sloetrail-serving/src/table_client/patience.rs
@@ -25,6 +25,11 @@
         doubled.min(MOST)
     }
 
+    /// How long an ordinary answer takes.
+    pub fn ordinary(&self) -> Duration {
+        self.ordinary
+    }
+
     /// An answer took this long.
     pub fn note_answer(&mut self, took: Duration) {
         self.silences = 0;
--- a/crates/sloetrail-serving/tests/configuration.rs
+++ b/crates/sloetrail-serving/tests/configuration.rs
@@ -121,14 +121,20 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planned_stop_answers_what_it_has_and_says_that_it_is_not_ready() {
     let mut cluster = usual_cluster(PACE).await;
+    let mut slow = route("/slow/");
+    slow["kind"] = json!("non_idempotent");
+    slow["timeout_ms"] = json!(8_000);
+    cluster.configure(json!([slow]));
+    wait_status(&cluster, 0, "/slow/x", 200).await;
+    // Longer than the node goes on taking connections.
     for engine in &cluster.engines {
-        engine.set_pace(Duration::from_millis(700));
+        engine.set_pace(Duration::from_millis(2_900));
     }
     let address = cluster.nodes[0].callers;
     let names = cluster.names();
     let asking: Vec<_> = (0..8)
         .map(|number| {
-            let call = Call::new(Method::POST, HOST, "/once/x")
+            let call = Call::new(Method::POST, HOST, "/slow/x")
                 .header(&names.request_id, &format!("r{number}"));
             tokio::spawn(async move { call.send(address).await })
         })
@@ -146,11 +152,16 @@
         let answer = asked.await.expect("no panic").expect("an answer");
         assert_eq!(answer.status, 200);
     }
-    assert_eq!(
-        status(&cluster, 0, "/live/x").await,
-        200,
-        "late comers are served"
-    );
+    let has_ended = || async { cluster.nodes[0].has_ended().then_some(()) };
+    eventually("the node ends", has_ended).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_node_still_serves_those_who_have_not_heard() {
+    let mut cluster = usual_cluster(PACE).await;
+    cluster.nodes[0].stop();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(status(&cluster, 0, "/live/x").await, 200);
 }
 
 #[tokio::test(flavor = "multi_thread")]
