No file imports another in a circle; the owner split by concern

Change: the types that several files share have files of their own below them; the owner's loop, dispatch, results, texts and versions are five files.

--- a/crates/sloetrail-membership/src/lib.rs
+++ b/crates/sloetrail-membership/src/lib.rs
@@ -20,6 +20,7 @@
 mod member;
 mod membership;
 mod message;
+mod pending_probe;
 mod probe;
 mod zones;
 
--- a/crates/sloetrail-membership/src/membership.rs
+++ b/crates/sloetrail-membership/src/membership.rs
@@ -3,7 +3,7 @@
 use crate::gossip_queue::GossipQueue;
 use crate::member::{Member, MemberState, MemberUpdate};
 use crate::message::{Body, EngineNews, Envelope, NameDigest, ServiceCapacity, View, ZoneSummary};
-use crate::probe::{Probe, RelayedProbe};
+use crate::pending_probe::{Probe, RelayedProbe};
 use crate::zones::ZoneTable;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng, rngs::StdRng};
--- a/crates/sloetrail-membership/src/probe.rs
+++ b/crates/sloetrail-membership/src/probe.rs
@@ -3,6 +3,7 @@
 use crate::member::{MemberState, MemberUpdate};
 use crate::membership::{Membership, Outgoing};
 use crate::message::Body;
+use crate::pending_probe::Probe;
 use rand::seq::SliceRandom;
 use sloetrail_types::{NodeId, Timestamp};
 use std::collections::BTreeSet;
@@ -11,21 +12,6 @@
 /// Probes for other nodes that are remembered.
 const RELAYED_KEPT: u64 = 64;
 
-/// A probe of this node that waits for its acknowledgement.
-#[derive(Debug)]
-pub(crate) struct Probe {
-    pub(crate) target: NodeId,
-    pub(crate) sent_at: Timestamp,
-    pub(crate) helped: bool,
-}
-
-/// A probe on behalf of another node.
-#[derive(Debug)]
-pub(crate) struct RelayedProbe {
-    pub(crate) asker: NodeId,
-    pub(crate) asker_probe: u64,
-}
-
 impl Membership {
     pub(crate) fn probe_next(&mut self, now: Timestamp, outgoing: &mut Vec<Outgoing>) {
         let Some(target) = self.next_target() else {
--- a/crates/sloetrail-node/src/gateway/attempt.rs
+++ b/crates/sloetrail-node/src/gateway/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt at one engine, and whether its answer is whole.
 
-use super::forward::CallerRequest;
+use super::message::{Answer, CallerRequest};
 use crate::state::NodeState;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode, header};
@@ -29,14 +29,6 @@
     "upgrade",
 ];
 
-/// An engine's whole answer.
-#[derive(Clone, Debug)]
-pub(crate) struct Answer {
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
-}
-
 /// How an attempt ended.
 #[derive(Debug)]
 pub(crate) enum AttemptEnd {
--- a/crates/sloetrail-node/src/gateway/claims.rs
+++ b/crates/sloetrail-node/src/gateway/claims.rs
@@ -4,7 +4,7 @@
 //! before any engine sees the request. It is released only by its own claimant,
 //! and only once the request was certainly not run.
 
-use super::attempt::Answer;
+use super::message::Answer;
 use crate::state::NodeState;
 use crate::sync::rows::{to_value, value_of};
 use bytes::Bytes;
--- a/crates/sloetrail-node/src/gateway/forward.rs
+++ b/crates/sloetrail-node/src/gateway/forward.rs
@@ -1,68 +1,17 @@
 //! A caller's request, from admission to its one final answer.
 
-use super::attempt::{Answer, AttemptEnd, attempt};
 use super::claims::{Claim, ClaimOutcome, claim, release, store_answer};
+use super::message::{Answer, CallerRequest};
 use super::other_zone::run_in_other_zone;
-use super::pool::{ServicePool, Slot};
+use super::own_zone::run_in_zone;
+use super::pool::ServicePool;
 use crate::lifecycle::InFlight;
 use crate::state::NodeState;
-use bytes::Bytes;
-use http::{HeaderMap, Method};
-use sloetrail_balance::{AttemptOutcome, WorkClass};
-use sloetrail_config::Service;
 use sloetrail_result::{Kind, Problem, ResultCode};
-use sloetrail_types::{EngineId, ServiceName, digest};
-use std::collections::BTreeSet;
-use std::net::SocketAddr;
+use sloetrail_types::ServiceName;
 use std::sync::Arc;
 use tokio::time::Instant;
 
-const KEY_HEADER: &str = "idempotency-key";
-const KEY_LENGTH_LIMIT: usize = 200;
-
-/// A caller's request with its whole body.
-#[derive(Clone, Debug)]
-pub(crate) struct CallerRequest {
-    pub(crate) method: Method,
-    pub(crate) path_and_query: String,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
-}
-
-impl CallerRequest {
-    /// True if running it twice does what running it once does.
-    fn may_repeat(&self, service: &Service) -> bool {
-        let idempotent = matches!(
-            self.method,
-            Method::GET | Method::HEAD | Method::PUT | Method::DELETE | Method::OPTIONS
-        );
-        idempotent || (self.method == Method::POST && service.repeatable_posts)
-    }
-
-    fn key(&self) -> Result<Option<String>, Problem> {
-        let Some(value) = self.headers.get(KEY_HEADER) else {
-            return Ok(None);
-        };
-        let key = value.to_str().unwrap_or_default();
-        let sound = !key.is_empty()
-            && key.len() <= KEY_LENGTH_LIMIT
-            && key.bytes().all(|byte| byte.is_ascii_graphic());
-        if sound {
-            return Ok(Some(key.to_owned()));
-        }
-        Err(Problem::new(
-            ResultCode::InvalidKey,
-            "the key must be 1 to 200 visible ASCII characters",
-        ))
-    }
-
-    fn digest(&self) -> u64 {
-        let mut bytes = format!("{} {}\n", self.method, self.path_and_query).into_bytes();
-        bytes.extend_from_slice(&self.body);
-        digest(&bytes)
-    }
-}
-
 /// Carries a request to an engine of a service and back.
 pub(crate) async fn forward(
     state: &Arc<NodeState>,
@@ -135,67 +84,3 @@
     };
     run_in_other_zone(state, &pool.name(), request, deadline, refusal).await
 }
-
-/// Makes attempts until one brings an answer or no further one is allowed.
-pub(super) async fn run_in_zone(
-    state: &Arc<NodeState>,
-    pool: &Arc<ServicePool>,
-    request: &CallerRequest,
-    deadline: Instant,
-) -> Result<Answer, Problem> {
-    let settings = &*pool.service();
-    pool.earn_retry();
-    let may_repeat = request.may_repeat(settings);
-    let mut excluded = BTreeSet::new();
-    let mut unknown_before = None;
-    loop {
-        let slot = match pool.acquire(WorkClass::Live, &excluded, deadline).await {
-            Ok(slot) => slot,
-            // An attempt that may have run goes before a refusal to try again.
-            Err(refusal) => return Err(unknown_before.unwrap_or(refusal)),
-        };
-        let engine = slot.engine().clone();
-        let Some(address) = engine_address(state, &engine) else {
-            slot.end(AttemptOutcome::Lost);
-            excluded.insert(engine);
-            continue;
-        };
-        let end = attempt(state, settings.kind, request, &engine, address, deadline).await;
-        end_slot(slot, &end);
-        let problem = match end {
-            AttemptEnd::Whole(answer) => return Ok(answer),
-            AttemptEnd::Failed(code, reason) => return Err(Problem::new(code, reason)),
-            AttemptEnd::NotRun(reason) => Problem::new(ResultCode::EngineRefused, reason),
-            AttemptEnd::Unknown(code, reason) => Problem::new(code, reason),
-        };
-        if problem.kind == Kind::OutcomeUnknown {
-            unknown_before = Some(problem.clone());
-        }
-        let allowed = may_repeat || problem.kind == Kind::NotRun;
-        if !allowed || Instant::now() >= deadline {
-            return Err(unknown_before.unwrap_or(problem));
-        }
-        if !pool.take_retry() {
-            let spent = Problem::new(ResultCode::RetryBudgetSpent, problem.detail);
-            return Err(unknown_before.unwrap_or(spent));
-        }
-        metrics::counter!("sloetrail_retries_total").increment(1);
-        excluded.insert(engine);
-    }
-}
-
-fn end_slot(slot: Slot, end: &AttemptEnd) {
-    slot.end(match end {
-        AttemptEnd::Whole(_) | AttemptEnd::Failed(..) => AttemptOutcome::Answered,
-        AttemptEnd::NotRun(_) => AttemptOutcome::Refused,
-        AttemptEnd::Unknown(ResultCode::EngineTimeout, _) => AttemptOutcome::Lost,
-        AttemptEnd::Unknown(..) => AttemptOutcome::Failed,
-    });
-}
-
-fn engine_address(state: &NodeState, engine: &EngineId) -> Option<SocketAddr> {
-    let directory = state.directory();
-    directory
-        .engine(engine.as_str())
-        .map(|machine| machine.address)
-}
--- a/crates/sloetrail-node/src/gateway/other_zone.rs
+++ b/crates/sloetrail-node/src/gateway/other_zone.rs
@@ -1,7 +1,7 @@
 //! Requests that go to another zone, because this one has no engine for them.
 
-use super::attempt::Answer;
-use super::forward::{CallerRequest, run_in_zone};
+use super::message::{Answer, CallerRequest};
+use super::own_zone::run_in_zone;
 use crate::api::refusal_of_phase;
 use crate::peer::{
     ForwardedAnswer, ForwardedHeader, ForwardedRequest, PeerRequest, PeerResponse, ask_peer,
--- a/crates/sloetrail-serving/src/owner/committer.rs
+++ b/crates/sloetrail-serving/src/owner/committer.rs
@@ -5,7 +5,7 @@
 //! gets another content; one that the fence refuses ends the term. Pieces of texts
 //! that are still being made go along.
 
-use super::service_owner::OwnerEvent;
+use super::event::{Committed, OwnerEvent};
 use super::term::Term;
 use crate::context::NodeContext;
 use crate::rows;
@@ -48,15 +48,6 @@
     },
 }
 
-/// A result that was committed.
-pub(super) struct Committed {
-    pub(super) batch: BatchId,
-    pub(super) index: ItemIndex,
-    pub(super) position: usize,
-    pub(super) result: ListedResult,
-    pub(super) took: Duration,
-}
-
 /// Something to commit, with the rows that hold it.
 struct Pending {
     rows: Vec<(RowAddress, Bytes)>,
--- /dev/null
+++ b/crates/sloetrail-serving/src/owner/event.rs
@@ -0,0 +1,63 @@
+//! What the parts of an owner tell it.
+
+use super::loading::LoadedBatch;
+use super::reward::RewardOutcome;
+use super::run::RunOutcome;
+use crate::back_end::{EngineStatus, OrderAnswer};
+use sloetrail_batch::{BatchId, ItemIndex, ListedResult, Transcript};
+use sloetrail_types::{EngineId, WeightVersion};
+use std::time::Duration;
+
+/// What happens to an owner.
+pub(super) enum OwnerEvent {
+    /// A batch has been loaded, or could not be.
+    Loaded(BatchId, Box<Option<LoadedBatch>>),
+    /// A run of an item has ended.
+    RunEnded {
+        /// The batch.
+        batch: BatchId,
+        /// The item's place in its submission.
+        index: ItemIndex,
+        /// The engine.
+        engine: EngineId,
+        /// How it ended.
+        outcome: RunOutcome,
+        /// The text as far as it came.
+        transcript: Transcript,
+        /// How long it took.
+        took: Duration,
+    },
+    /// A text has been scored, or could not be.
+    RewardEnded(BatchId, ItemIndex, RewardOutcome),
+    /// A result was committed.
+    Committed(Committed),
+    /// An order was given, or could not be.
+    OrderEnded(OrderEnd),
+}
+
+/// A result that was committed.
+pub(super) struct Committed {
+    pub(super) batch: BatchId,
+    pub(super) index: ItemIndex,
+    pub(super) position: usize,
+    pub(super) result: ListedResult,
+    pub(super) took: Duration,
+}
+
+/// An order that should be given.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct PlannedOrder {
+    pub(super) engine: EngineId,
+    pub(super) model: String,
+    pub(super) version: WeightVersion,
+}
+
+/// What became of an order.
+#[derive(Clone, Debug)]
+pub(super) struct OrderEnd {
+    pub(super) order: PlannedOrder,
+    /// What the engine said of itself before; nothing if it did not answer.
+    pub(super) status: Option<EngineStatus>,
+    /// Its answer to the order; nothing if none was sent or no answer came.
+    pub(super) answer: Option<OrderAnswer>,
+}
--- a/crates/sloetrail-serving/src/owner/mod.rs
+++ b/crates/sloetrail-serving/src/owner/mod.rs
@@ -10,6 +10,7 @@
 
 mod committer;
 mod engines;
+mod event;
 mod lease_keeper;
 mod loading;
 mod order_window;
--- /dev/null
+++ b/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
@@ -0,0 +1,146 @@
+//! Which item goes to which engine, and when it is taken away again.
+
+use super::{ActiveRun, ServiceOwner};
+use crate::events::{self, Event};
+use crate::owner::engines::Demand;
+use crate::owner::event::OwnerEvent;
+use crate::owner::run::{RunProgress, RunSpec, run_item};
+use crate::telemetry;
+use sloetrail_batch::{BatchId, ItemIndex};
+use sloetrail_types::EngineId;
+use std::sync::Arc;
+use tokio::time::Instant;
+
+/// Ranks at an engine: items of groups that the trainer waits for, and the others.
+const PRIORITY_WANTED: u8 = 5;
+const PRIORITY_OTHER: u8 = 7;
+
+impl ServiceOwner {
+    /// Starts items while there are engines for them: first the items of groups that
+    /// trainers wait for, of all batches by rank and age, then the others.
+    pub(super) fn fill(&mut self) {
+        for wanted in [true, false] {
+            let mut order: Vec<(u8, u64, BatchId)> = self
+                .batches
+                .iter()
+                .map(|(id, open)| {
+                    let header = &open.batch.header;
+                    (header.priority, header.accepted_at_ms, id.clone())
+                })
+                .collect();
+            order.sort();
+            for (_, _, id) in order {
+                while self.start_next(&id, wanted) {}
+            }
+        }
+    }
+
+    /// Starts the next item of a batch; false if none waits or no engine takes it.
+    fn start_next(&mut self, id: &BatchId, wanted: bool) -> bool {
+        let Some(open) = self.batches.get_mut(id) else {
+            return false;
+        };
+        let next = open.batch.peek();
+        if next.is_none_or(|index| open.batch.is_wanted(index) != wanted) {
+            return false;
+        }
+        let demand = Demand {
+            model: open.batch.model.as_deref(),
+            oldest_version: open.batch.oldest_version,
+        };
+        let Some(engine_id) = self.engines.pick(demand, Instant::now()) else {
+            return false;
+        };
+        let Some(engine) = self.engines.get_mut(&engine_id) else {
+            return false;
+        };
+        let Some(index) = open.batch.start_next() else {
+            return false;
+        };
+        engine.started();
+        let item = open.batch.item(index);
+        let run = ActiveRun {
+            engine: engine_id.clone(),
+            cancel: open.cancel.child_token(),
+            progress: RunProgress::new(item.transcript.clone()),
+            kept: open.kept.get(&index).copied().unwrap_or_default(),
+        };
+        let spec = RunSpec {
+            context: Arc::clone(&self.context),
+            item: Arc::clone(&item.submitted),
+            host: open.batch.header.host.clone(),
+            back_end: Arc::clone(&engine.back_end),
+            oldest_version: open.batch.oldest_version,
+            single_version: open.batch.header.single_version,
+            priority: if wanted {
+                PRIORITY_WANTED
+            } else {
+                PRIORITY_OTHER
+            },
+            pace: Arc::clone(&engine.pace),
+            progress: Arc::clone(&run.progress),
+            cancel: run.cancel.clone(),
+        };
+        let model = open.batch.model.as_deref().unwrap_or_default();
+        events::emit(&Event::ItemStarted {
+            item: &item.submitted.id,
+            batch: id,
+            back_end: engine_id.as_str(),
+            last_event: item.transcript.last_number().unwrap_or_default(),
+            version: engine.version(model).0,
+            waiting: open.batch.waiting(),
+        });
+        open.runs.insert(index, run);
+        self.spawn_run(id.clone(), index, engine_id, spec);
+        true
+    }
+
+    fn spawn_run(&self, batch: BatchId, index: ItemIndex, engine: EngineId, spec: RunSpec) {
+        let sender = self.sender.clone();
+        tokio::spawn(async move {
+            let began = Instant::now();
+            let progress = Arc::clone(&spec.progress);
+            let outcome = run_item(spec).await;
+            let ended = OwnerEvent::RunEnded {
+                batch,
+                index,
+                engine,
+                outcome,
+                transcript: progress.transcript(),
+                took: began.elapsed(),
+            };
+            // The owner may be gone; then nobody needs it.
+            let _ = sender.send(ended);
+        });
+    }
+
+    /// Gives up runs on slow engines while others have free places; they go on there
+    /// from the text that is kept.
+    pub(super) fn move_from_slow_engines(&mut self, now: Instant) {
+        for open in self.batches.values() {
+            let demand = Demand {
+                model: open.batch.model.as_deref(),
+                oldest_version: open.batch.oldest_version,
+            };
+            if open.batch.waiting() > 0 {
+                continue;
+            }
+            let mut places = self.engines.fast_places(demand, now);
+            for run in open.runs.values() {
+                let engine = self.engines.get(&run.engine);
+                let is_slow = engine.is_some_and(|engine| engine.is_slow());
+                if places > 0 && is_slow && !run.cancel.is_cancelled() {
+                    run.cancel.cancel();
+                    places -= 1;
+                }
+            }
+        }
+    }
+
+    pub(super) fn tell_items(&self) {
+        let open = self.batches.values();
+        let waiting = open.map(|open| open.batch.waiting()).sum();
+        let running = self.batches.values().map(|open| open.runs.len()).sum();
+        telemetry::items(self.term.service.as_str(), waiting, running);
+    }
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/owner/service_owner/results.rs
@@ -0,0 +1,180 @@
+//! What becomes of a run: its engine judged, the text scored, the result listed.
+
+use super::ServiceOwner;
+use crate::events::{self, Event};
+use crate::owner::committer::CommitRequest;
+use crate::owner::event::{Committed, OwnerEvent};
+use crate::owner::reward::{RewardOutcome, score};
+use crate::owner::run::RunOutcome;
+use crate::telemetry;
+use sloetrail_batch::{
+    BatchId, DeathCause, ItemIndex, ItemState, ListedResult, ResultState, RunFailure, Transcript,
+};
+use sloetrail_types::EngineId;
+use std::sync::Arc;
+use std::time::Duration;
+
+impl ServiceOwner {
+    pub(super) fn run_ended(
+        &mut self,
+        id: &BatchId,
+        index: ItemIndex,
+        engine: &EngineId,
+        (outcome, transcript): (RunOutcome, Transcript),
+        took: Duration,
+    ) {
+        telemetry::run_ended(self.term.service.as_str(), outcome.word(), took);
+        self.judge_engine(engine, outcome);
+        let Some(open) = self.batches.get_mut(id) else {
+            return;
+        };
+        if open.batch.item(index).state != ItemState::Running {
+            return;
+        }
+        if let Some(run) = open.runs.remove(&index) {
+            open.kept.insert(index, run.kept);
+        }
+        if outcome == RunOutcome::Whole {
+            open.batch.text_is_whole(index, transcript);
+            self.begin_reward(id, index);
+            return;
+        }
+        events::emit(&Event::ItemInterrupted {
+            item: &open.batch.item(index).submitted.id,
+            batch: id,
+            back_end: engine.as_str(),
+            outcome: outcome.word(),
+            events: transcript.len(),
+            took_ms: took.as_millis() as u64,
+        });
+        open.batch.keep(index, transcript);
+        if outcome == RunOutcome::WrongVersion && open.batch.header.single_version {
+            open.batch.begin_anew(index);
+        }
+        let failure = match outcome {
+            RunOutcome::Failed => RunFailure::Failed,
+            RunOutcome::Impossible => RunFailure::Impossible,
+            _ => RunFailure::Interrupted,
+        };
+        let death = open.batch.run_failed(index, failure);
+        if open.batch.item(index).transcript.is_empty() {
+            open.kept.remove(&index);
+        }
+        if let Some(cause) = death {
+            self.give_up(id, index, cause);
+        }
+    }
+
+    fn judge_engine(&mut self, id: &EngineId, outcome: RunOutcome) {
+        let Some(engine) = self.engines.get_mut(id) else {
+            return;
+        };
+        engine.running = engine.running.saturating_sub(1);
+        match outcome {
+            RunOutcome::NotRun | RunOutcome::WrongVersion => engine.refused(),
+            RunOutcome::WrongInstance
+            | RunOutcome::NotSent
+            | RunOutcome::Lost
+            | RunOutcome::Silent => engine.lost(),
+            RunOutcome::Whole | RunOutcome::Failed | RunOutcome::Impossible => engine.finished(),
+            RunOutcome::Cancelled => {}
+        }
+    }
+
+    pub(super) fn begin_reward(&mut self, id: &BatchId, index: ItemIndex) {
+        let Some(open) = self.batches.get(id) else {
+            return;
+        };
+        let submitted = Arc::clone(&open.batch.item(index).submitted);
+        if submitted.reward.is_none() {
+            self.succeed(id, index, None);
+            return;
+        }
+        let context = Arc::clone(&self.context);
+        let cancel = open.cancel.child_token();
+        let sender = self.sender.clone();
+        let batch = id.clone();
+        tokio::spawn(async move {
+            let Some(reward) = &submitted.reward else {
+                return;
+            };
+            let outcome = score(&context, &submitted.id, reward, &cancel).await;
+            // The owner may be gone; then nobody needs it.
+            let _ = sender.send(OwnerEvent::RewardEnded(batch, index, outcome));
+        });
+    }
+
+    pub(super) fn reward_ended(&mut self, id: &BatchId, index: ItemIndex, outcome: RewardOutcome) {
+        let is_rewarding = self
+            .batches
+            .get(id)
+            .is_some_and(|open| open.batch.item(index).state == ItemState::Rewarding);
+        if !is_rewarding {
+            return;
+        }
+        match outcome {
+            RewardOutcome::Scored(score) => self.succeed(id, index, Some(score)),
+            RewardOutcome::Failed => self.give_up(id, index, DeathCause::RewardFailed),
+            RewardOutcome::Cancelled => {}
+        }
+    }
+
+    fn succeed(&mut self, id: &BatchId, index: ItemIndex, score: Option<String>) {
+        if let Some(open) = self.batches.get_mut(id) {
+            let result = open.batch.succeed(index, score);
+            self.list(id, index, result);
+        }
+    }
+
+    pub(super) fn give_up(&mut self, id: &BatchId, index: ItemIndex, cause: DeathCause) {
+        let Some(open) = self.batches.get_mut(id) else {
+            return;
+        };
+        let result = open.batch.give_up(index);
+        events::emit(&Event::ItemDead {
+            item: &result.id,
+            batch: id,
+            cause: match cause {
+                DeathCause::Impossible => "impossible",
+                DeathCause::RunsFailed => "its runs failed",
+                DeathCause::RewardFailed => "its reward call failed",
+                DeathCause::Expired => "its time of retention is over",
+            },
+        });
+        self.list(id, index, result);
+    }
+
+    fn list(&self, id: &BatchId, index: ItemIndex, result: ListedResult) {
+        let request = CommitRequest::List {
+            batch: id.clone(),
+            index,
+            result,
+        };
+        // The committer ends only with the term.
+        let _ = self.commits.send(request);
+    }
+
+    pub(super) fn committed(&mut self, committed: Committed) {
+        let state = match committed.result.state {
+            ResultState::Succeeded => "succeeded",
+            ResultState::Dead => "dead",
+        };
+        telemetry::result_listed(state, committed.took);
+        let versions: Vec<u64> = committed
+            .result
+            .versions
+            .iter()
+            .map(|version| version.0)
+            .collect();
+        events::emit(&Event::ItemListed {
+            item: &committed.result.id,
+            batch: &committed.batch,
+            position: committed.position,
+            versions: &versions,
+            commit_ms: committed.took.as_millis() as u64,
+        });
+        if let Some(open) = self.batches.get_mut(&committed.batch) {
+            open.batch.listed(committed.index);
+        }
+    }
+}
--- a/crates/sloetrail-serving/src/owner/weights.rs
+++ b/crates/sloetrail-serving/src/owner/weights.rs
@@ -4,7 +4,7 @@
 //! has taken: an order that arrives late, after others, is refused by that count.
 
 use super::engines::EnginePool;
-use super::service_owner::OwnerEvent;
+use super::event::{OrderEnd, OwnerEvent, PlannedOrder};
 use super::term::Term;
 use crate::back_end::{BackEnd, EngineStatus, OrderAnswer, VersionChange, VersionOrder};
 use crate::context::NodeContext;
@@ -15,7 +15,7 @@
 use crate::telemetry;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Request};
-use sloetrail_types::{EngineId, WeightVersion};
+use sloetrail_types::WeightVersion;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -24,24 +24,6 @@
 const CALL_TIME: Duration = Duration::from_millis(700);
 const ANSWER_BYTES: usize = 64 * 1024;
 
-/// An order that should be given.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct PlannedOrder {
-    pub(super) engine: EngineId,
-    pub(super) model: String,
-    pub(super) version: WeightVersion,
-}
-
-/// What became of an order.
-#[derive(Clone, Debug)]
-pub(super) struct OrderEnd {
-    pub(super) order: PlannedOrder,
-    /// What the engine said of itself before; nothing if it did not answer.
-    pub(super) status: Option<EngineStatus>,
-    /// Its answer to the order; nothing if none was sent or no answer came.
-    pub(super) answer: Option<OrderAnswer>,
-}
-
 /// The orders to give now: engines that are kept up to date for a model and use an
 /// older version than is published, those with least to do first, with at most
 /// `concurrent` changes at a time.
