--- a/crates/sloetrail-serving/src/gateway/live.rs
+++ b/crates/sloetrail-serving/src/gateway/live.rs
@@ -254,9 +254,12 @@
         let possible = self.may_have_run + self.pending.len();
         let is_late = Instant::now() + TIME_LEAST >= self.call.deadline;
         let service = &self.call.service;
-        let detail = match self.last_result {
-            Some(word) => format!("service {service}: the last attempt was {word}"),
-            None => format!("service {service}: no back end has room"),
+        let detail = match (self.pending.is_empty(), self.last_result) {
+            (false, _) => format!("service {service}: no answer from {}", self.asked()),
+            (true, Some(word)) => {
+                format!("service {service}: {word} at the last of {}", self.asked())
+            }
+            (true, None) => format!("service {service}: no back end has room"),
         };
         let code = match (possible > 0, is_late) {
             (true, true) => ResultCode::EngineTimeout,
@@ -273,6 +276,12 @@
         problem.with_retry_after_ms(retry_after.as_millis() as u64)
     }
 
+    /// The back ends that were asked, for people.
+    fn asked(&self) -> String {
+        let ids: Vec<&str> = self.tried.iter().map(EngineId::as_str).collect();
+        ids.join(", ")
+    }
+
     fn outcome(
         &self,
         answer: Result<WholeAnswer, Problem>,
