An absent table is probed; calls that wait when it is back are given up

Cause: after a silent outage of the store the followers and commits waited on for up to 4 s for answers that were lost: a batch accepted 1 s after the end of an outage was opened 3 s after it. Ruled out: the time to accept, which is short once a call is sent. Change: a table without answers for 0.4 s and three failures counts as absent and is asked every 250 ms without waiting for earlier answers; the first answer gives up whatever still waits. A batch is refused at once meanwhile: not run, come back in 2 s. Tests: table_client (given up at once when it is back; absence and return).

--- a/crates/sloetrail-serving/src/gateway/submit.rs
+++ b/crates/sloetrail-serving/src/gateway/submit.rs
@@ -23,6 +23,8 @@
 use tokio::time::Instant;
 
 const RETRY_AFTER_MS: u64 = 150;
+/// When to come back while the table does not answer: its outages last seconds.
+const OUTAGE_RETRY_AFTER_MS: u64 = 2_000;
 /// How long an acceptance is tried for, as a part of the time that the route allows.
 const COMMIT_SHARE: f64 = 0.15;
 const COMMIT_PAUSE: Duration = Duration::from_millis(25);
@@ -81,6 +83,11 @@
         let detail = format!("the id {id:?} cannot name a batch");
         return Err(Problem::new(ResultCode::MalformedRequest, detail));
     }
+    if !context.table.is_answering() {
+        let detail = format!("the table does not answer: batch {id} was not sent to it");
+        let problem = Problem::new(ResultCode::TableUnavailable, detail);
+        return Err(problem.with_retry_after_ms(OUTAGE_RETRY_AFTER_MS));
+    }
     let submission = Submission::parse(body)
         .map_err(|error| Problem::new(ResultCode::MalformedRequest, error.to_string()))?;
     let parts = cut(body, context.table.limits().row_bytes);
--- a/crates/sloetrail-serving/src/table.rs
+++ b/crates/sloetrail-serving/src/table.rs
@@ -230,6 +230,11 @@
         Duration::ZERO
     }
 
+    /// False if the table is known not to answer: a call would be in vain.
+    fn is_answering(&self) -> bool {
+        true
+    }
+
     /// Carries out a transaction.
     async fn commit(&self, transaction: &Transaction) -> Result<Commit, CommitError>;
 
--- /dev/null
+++ b/crates/sloetrail-serving/src/table_client/presence.rs
@@ -0,0 +1,50 @@
+//! Whether the table answers at all.
+
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Failures in a row after which the table may count as absent.
+const FAILURES_LEAST: u32 = 3;
+/// How long it must have been without an answer.
+const ABSENT_AFTER: Duration = Duration::from_millis(400);
+
+/// What the last calls tell of the table.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Presence {
+    failures: u32,
+    answered_at: Option<Instant>,
+    is_absent: bool,
+}
+
+/// A change of whether the table answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum PresenceChange {
+    /// It does not answer any more.
+    Lost,
+    /// It answers again.
+    Returned,
+}
+
+impl Presence {
+    /// A call was answered, or failed.
+    pub(super) fn note(&mut self, now: Instant, answered: bool) -> Option<PresenceChange> {
+        if answered {
+            self.failures = 0;
+            self.answered_at = Some(now);
+            let was_absent = std::mem::take(&mut self.is_absent);
+            return was_absent.then_some(PresenceChange::Returned);
+        }
+        self.failures = self.failures.saturating_add(1);
+        let is_long_ago = self
+            .answered_at
+            .is_none_or(|at| now.saturating_duration_since(at) > ABSENT_AFTER);
+        let is_lost = !self.is_absent && self.failures >= FAILURES_LEAST && is_long_ago;
+        self.is_absent |= is_lost;
+        is_lost.then_some(PresenceChange::Lost)
+    }
+
+    /// False after several failures and some time without an answer.
+    pub(super) fn is_answering(&self) -> bool {
+        !self.is_absent
+    }
+}
--- a/crates/sloetrail-serving/src/table_client/tests.rs
+++ b/crates/sloetrail-serving/src/table_client/tests.rs
@@ -1,5 +1,13 @@
-use super::Patience;
+use super::{Patience, Presence, PresenceChange, TableClient, TableTransport};
+use crate::table::{
+    Changes, Commit, CommitError, KeyRange, Page, ReadError, Table, TableLimits, Transaction,
+};
+use async_trait::async_trait;
+use sloetrail_types::RowVersion;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
+use tokio::time::Instant;
 
 const fn milliseconds(count: u64) -> Duration {
     Duration::from_millis(count)
@@ -39,3 +47,105 @@
     }
     assert_eq!(patience.time(), milliseconds(3_000));
 }
+
+#[test]
+fn a_table_is_absent_after_failures_and_time_and_back_with_one_answer() {
+    let start = Instant::now();
+    let mut presence = Presence::default();
+    assert_eq!(presence.note(start, true), None);
+    for after in [100, 200, 300] {
+        assert_eq!(presence.note(start + milliseconds(after), false), None);
+    }
+    assert!(presence.is_answering(), "too soon to say");
+    let change = presence.note(start + milliseconds(500), false);
+    assert_eq!(change, Some(PresenceChange::Lost));
+    assert!(!presence.is_answering());
+    assert_eq!(presence.note(start + milliseconds(550), false), None);
+    let change = presence.note(start + milliseconds(600), true);
+    assert_eq!(change, Some(PresenceChange::Returned));
+    assert_eq!(presence.note(start + milliseconds(2_100), false), None);
+    assert!(presence.is_answering(), "one failure is nothing");
+}
+
+/// A table that says nothing while it is away: calls made meanwhile are never answered.
+struct SilentTable {
+    away: AtomicBool,
+}
+
+impl SilentTable {
+    async fn answer<Answer: Default>(&self, patience: Duration) -> Result<Answer, ReadError> {
+        if self.away.load(Ordering::SeqCst) {
+            tokio::time::sleep(patience).await;
+            return Err(ReadError::Unavailable);
+        }
+        Ok(Answer::default())
+    }
+}
+
+#[async_trait]
+impl TableTransport for SilentTable {
+    fn limits(&self) -> TableLimits {
+        TableLimits {
+            row_bytes: 1,
+            transaction_entries: 1,
+            transaction_bytes: 1,
+        }
+    }
+
+    fn now_ms(&self) -> Option<u64> {
+        None
+    }
+
+    async fn commit(&self, _: &Transaction, patience: Duration) -> Result<Commit, CommitError> {
+        let answer: Result<RowVersion, ReadError> = self.answer(patience).await;
+        answer.map(Commit::Done).map_err(|_| CommitError::Unknown)
+    }
+
+    async fn scan(&self, _: &KeyRange, patience: Duration) -> Result<Page, ReadError> {
+        self.answer(patience).await
+    }
+
+    async fn changes(
+        &self,
+        _: &str,
+        _: RowVersion,
+        wait: Duration,
+        patience: Duration,
+    ) -> Result<Changes, ReadError> {
+        self.answer(wait + patience).await
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn calls_that_wait_when_the_table_is_back_are_given_up_at_once() {
+    let transport = Arc::new(SilentTable {
+        away: AtomicBool::new(true),
+    });
+    let table = TableClient::new(Arc::clone(&transport) as Arc<dyn TableTransport>);
+    let range = KeyRange::all("t", "p");
+    while table.is_answering() {
+        assert!(table.scan(&range).await.is_err());
+    }
+    let waiting = Arc::clone(&table);
+    let commit = tokio::spawn(async move {
+        let began = Instant::now();
+        (waiting.commit(&Transaction::new()).await, began.elapsed())
+    });
+    let waiting = Arc::clone(&table);
+    let changes = tokio::spawn(async move {
+        let wait = Duration::from_secs(60);
+        waiting.changes("t", RowVersion(0), wait).await
+    });
+    tokio::time::sleep(milliseconds(50)).await;
+    transport.away.store(false, Ordering::SeqCst);
+    let back = Instant::now();
+    assert_eq!(
+        changes.await.expect("no panic"),
+        Err(ReadError::Unavailable)
+    );
+    assert!(back.elapsed() <= milliseconds(300), "{:?}", back.elapsed());
+    let (commit, _) = commit.await.expect("no panic");
+    assert_eq!(commit, Err(CommitError::Unknown), "it may have been done");
+    assert!(table.is_answering());
+    assert!(table.scan(&range).await.is_ok());
+}
