After a pause no back end is chosen until the directory was asked again

Change: a tick that comes 0.8 s late means a pause; then no back end is chosen until the directory answered a question asked since, or 0.5 s passed. Ruled out: the time of the last answer as proof, since an answer from before the pause may wait in the socket.

--- a/crates/sloetrail-serving-testkit/src/cluster.rs
+++ b/crates/sloetrail-serving-testkit/src/cluster.rs
@@ -16,7 +16,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
-use tokio::runtime::Builder;
+use tokio::runtime::{Builder, Handle};
 use tokio::sync::oneshot;
 
 /// The host of every route.
@@ -43,6 +43,7 @@
     pub ready: SocketAddr,
     /// Its way to the table.
     pub link: Arc<TableLink>,
+    runtime: Handle,
     kill: Option<oneshot::Sender<()>>,
     stop: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<()>>,
@@ -66,6 +67,11 @@
         }
     }
 
+    /// Stops it from running for a while, as a frozen process does.
+    pub fn freeze(&self, time: Duration) {
+        self.runtime.spawn(async move { std::thread::sleep(time) });
+    }
+
     /// True once it has ended.
     pub fn has_ended(&self) -> bool {
         self.thread.as_ref().is_none_or(JoinHandle::is_finished)
@@ -83,7 +89,7 @@
     settings: ServingSettings,
     table: Arc<dyn Table>,
     dialect: Arc<dyn Dialect>,
-    started: oneshot::Sender<(SocketAddr, SocketAddr)>,
+    started: oneshot::Sender<(SocketAddr, SocketAddr, Handle)>,
     stopped: oneshot::Receiver<()>,
     killed: oneshot::Receiver<()>,
 }
@@ -98,8 +104,9 @@
         let serving = async move {
             let node = ServingNode::start(self.settings, self.table, self.dialect);
             let node = node.await.expect("starts");
-            let addresses = (node.callers_address(), node.ready_address());
-            self.started.send(addresses).expect("awaited");
+            let runtime = Handle::current();
+            let started = (node.callers_address(), node.ready_address(), runtime);
+            self.started.send(started).expect("awaited");
             match self.stopped.await {
                 Ok(()) => node.stop().await,
                 Err(_) => std::future::pending().await,
@@ -261,11 +268,12 @@
             killed,
         };
         let thread = std::thread::spawn(move || start.run());
-        let (callers, ready) = addresses.await.expect("the node starts");
+        let (callers, ready, runtime) = addresses.await.expect("the node starts");
         self.nodes.push(NodeProcess {
             callers,
             ready,
             link,
+            runtime,
             kill: Some(kill),
             stop: Some(stop),
             thread: Some(thread),
--- a/crates/sloetrail-serving-testkit/src/engine.rs
+++ b/crates/sloetrail-serving-testkit/src/engine.rs
@@ -116,7 +116,20 @@
         models: &[&str],
         pace: Duration,
     ) -> Arc<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let any = "127.0.0.1:0".parse().expect("an address");
+        Self::start_at(any, wire, service, zone, models, pace).await
+    }
+
+    /// Starts a back end at an address, which another one may have had before.
+    pub async fn start_at(
+        address: SocketAddr,
+        wire: Arc<dyn EngineWire>,
+        service: &str,
+        zone: &str,
+        models: &[&str],
+        pace: Duration,
+    ) -> Arc<Self> {
+        let listener = TcpListener::bind(address).await.expect("a free port");
         let number = NEXT_ID.fetch_add(1, Ordering::Relaxed);
         let engine = Arc::new(Self {
             id: format!("engine-{number}"),
@@ -148,6 +161,11 @@
         engine
     }
 
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// What it lists of itself.
     pub fn listing(&self) -> Listing {
         let state = self.state();
--- a/crates/sloetrail-serving-testkit/src/table.rs
+++ b/crates/sloetrail-serving-testkit/src/table.rs
@@ -8,12 +8,12 @@
 };
 use sloetrail_types::RowVersion;
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
-const ANSWER_TIME: Duration = Duration::from_millis(1);
+const ANSWER_MS: u64 = 1;
 const TIMEOUT: Duration = Duration::from_millis(150);
 const PAGE_ROWS: usize = 50;
 
@@ -207,6 +207,7 @@
 pub struct TableLink {
     table: Arc<MemoryTable>,
     cut: AtomicBool,
+    answer_ms: AtomicU64,
 }
 
 impl TableLink {
@@ -215,9 +216,21 @@
         Arc::new(Self {
             table,
             cut: AtomicBool::new(false),
+            answer_ms: AtomicU64::new(ANSWER_MS),
         })
     }
 
+    /// How long answers take from now on.
+    pub fn set_answer_time(&self, time: Duration) {
+        let milliseconds = time.as_millis() as u64;
+        self.answer_ms.store(milliseconds, Ordering::SeqCst);
+    }
+
+    async fn answer_time(&self) {
+        let milliseconds = self.answer_ms.load(Ordering::SeqCst);
+        tokio::time::sleep(Duration::from_millis(milliseconds)).await;
+    }
+
     /// Whether the way is cut.
     pub fn set_cut(&self, cut: bool) {
         self.cut.store(cut, Ordering::SeqCst);
@@ -229,7 +242,7 @@
     }
 
     async fn reach(&self) -> Result<(), ReadError> {
-        tokio::time::sleep(ANSWER_TIME).await;
+        self.answer_time().await;
         if self.is_silent() {
             tokio::time::sleep(TIMEOUT).await;
             return Err(ReadError::Unavailable);
@@ -271,7 +284,7 @@
     }
 
     async fn commit(&self, transaction: &Transaction) -> Result<Commit, CommitError> {
-        tokio::time::sleep(ANSWER_TIME).await;
+        self.answer_time().await;
         if self.cut.load(Ordering::SeqCst) {
             tokio::time::sleep(TIMEOUT).await;
             return Err(CommitError::Unknown);
@@ -339,6 +352,7 @@
             let changes = self.changes_since(table, since.0)?;
             let is_over = tokio::time::Instant::now() >= give_up_at;
             if !changes.changes.is_empty() || is_over {
+                self.answer_time().await;
                 return Ok(changes);
             }
             // Either something changes or the time is over; the loop looks again.
--- a/crates/sloetrail-serving/src/context.rs
+++ b/crates/sloetrail-serving/src/context.rs
@@ -5,6 +5,7 @@
 use crate::follow::ViewReceiver;
 use crate::http::ConnectionPool;
 use crate::operator::InForce;
+use crate::pause_guard::PauseGuard;
 use crate::service_pools::ServicePools;
 use crate::settings::ServingSettings;
 use crate::table::Table;
@@ -22,6 +23,7 @@
     pub(crate) in_force: watch::Receiver<Arc<InForce>>,
     pub(crate) directory: watch::Receiver<Arc<Directory>>,
     pub(crate) leases: ViewReceiver,
+    pub(crate) pause_guard: Arc<PauseGuard>,
 }
 
 impl NodeContext {
--- a/crates/sloetrail-serving/src/follow.rs
+++ b/crates/sloetrail-serving/src/follow.rs
@@ -24,6 +24,8 @@
     pub version: RowVersion,
     /// When the table last confirmed the view; nothing before the first time.
     pub confirmed_at: Option<Instant>,
+    /// When the question was asked that was answered last.
+    pub asked_at: Option<Instant>,
     /// Grows each time that the table could not be asked.
     pub interruptions: u64,
 }
@@ -34,6 +36,7 @@
             rows: BTreeMap::new(),
             version: RowVersion(0),
             confirmed_at: None,
+            asked_at: None,
             interruptions: 0,
         }
     }
@@ -105,10 +108,11 @@
     }
 
     async fn read_all(&mut self) -> Result<(), ReadError> {
+        let asked_at = Instant::now();
         let range = KeyRange::all(&self.name, &self.partition);
         let page = scan_all(&*self.table, range).await?;
         let rows = page.rows.into_iter();
-        self.publish(|view| {
+        self.publish(asked_at, |view| {
             view.rows = rows.map(|row| (row.address.key.clone(), row)).collect();
             view.version = page.version;
         });
@@ -116,18 +120,20 @@
     }
 
     async fn read_changes(&mut self) -> Result<(), ReadError> {
+        let asked_at = Instant::now();
         let since = self.sender.borrow().version;
         let table = &self.table;
         let changes = table.changes(&self.name, since, CHANGES_WAIT).await?;
         let partition = self.partition.clone();
-        self.publish(|view| apply(view, changes, &partition));
+        self.publish(asked_at, |view| apply(view, changes, &partition));
         Ok(())
     }
 
-    fn publish(&self, change: impl FnOnce(&mut TableView)) {
+    fn publish(&self, asked_at: Instant, change: impl FnOnce(&mut TableView)) {
         self.sender.send_modify(|current| {
             let view = Arc::make_mut(current);
             change(view);
+            view.asked_at = Some(asked_at);
             view.confirmed_at = Some(Instant::now());
         });
     }
--- a/crates/sloetrail-serving/src/gateway/live.rs
+++ b/crates/sloetrail-serving/src/gateway/live.rs
@@ -66,6 +66,8 @@
 
 struct Run<'a> {
     call: &'a LiveCall,
+    /// When the first attempt could be made.
+    began: Instant,
     pending: FuturesUnordered<BoxFuture<'static, Attempted>>,
     tried: BTreeSet<EngineId>,
     sends: usize,
@@ -80,6 +82,7 @@
     pub(crate) async fn run(&self) -> LiveOutcome {
         let run = Run {
             call: self,
+            began: Instant::now(),
             pending: FuturesUnordered::new(),
             tried: BTreeSet::new(),
             sends: 0,
@@ -102,6 +105,8 @@
 
 impl Run<'_> {
     async fn run_to_end(mut self) -> LiveOutcome {
+        self.call.context.pause_guard.settled().await;
+        self.began = Instant::now();
         let hedge_after = self.call.share_of_target(HEDGE_SHARE).max(HEDGE_LEAST);
         let mut next_hedge = Instant::now();
         loop {
@@ -144,7 +149,7 @@
     /// Starts an attempt; if no back end has room, waits for one for a small part
     /// of the latency target. False if there is none.
     async fn start_or_wait(&mut self) -> bool {
-        let wait_until = self.call.received + self.call.share_of_target(WAIT_SHARE);
+        let wait_until = self.began + self.call.share_of_target(WAIT_SHARE);
         loop {
             if self.start() {
                 return true;
--- a/crates/sloetrail-serving/src/gateway/stream.rs
+++ b/crates/sloetrail-serving/src/gateway/stream.rs
@@ -124,6 +124,7 @@
 
     async fn connect(&mut self) -> Opening {
         let mut last = None;
+        self.call.context.pause_guard.settled().await;
         while self.may_try() {
             let Some(place) = self.acquire_or_wait().await else {
                 break;
--- a/crates/sloetrail-serving/src/lib.rs
+++ b/crates/sloetrail-serving/src/lib.rs
@@ -28,6 +28,7 @@
 mod node;
 pub mod operator;
 mod owner;
+mod pause_guard;
 mod rows;
 mod service_pools;
 pub mod settings;
--- a/crates/sloetrail-serving/src/node.rs
+++ b/crates/sloetrail-serving/src/node.rs
@@ -10,6 +10,7 @@
 use crate::http::{ConnectionPool, ConnectionTracker, ListenerSettings, serve_connections};
 use crate::operator::watch_operator;
 use crate::owner;
+use crate::pause_guard::PauseGuard;
 use crate::rows;
 use crate::service_pools::ServicePools;
 use crate::settings::ServingSettings;
@@ -38,8 +39,6 @@
 const STOP_STEP: Duration = Duration::from_millis(50);
 /// A node exits this much before it would be killed.
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
-const PAUSE_WATCH_PERIOD: Duration = Duration::from_millis(250);
-const PAUSE_REPORTED: Duration = Duration::from_millis(1_000);
 
 /// A node that cannot start.
 #[derive(Debug, Snafu)]
@@ -86,7 +85,6 @@
             serve_metrics(&context, listen(address).await?, tracker.clone());
         }
         tokio::spawn(keep_house(Arc::clone(&context)));
-        tokio::spawn(watch_pauses());
         let owners = tokio::spawn(owner::supervise(Arc::clone(&context), stopping.clone()));
         Ok(Self {
             context,
@@ -156,6 +154,7 @@
         rows::PARTITION,
         LEASE_PAUSE,
     );
+    let pause_guard = PauseGuard::start(directory_view.clone());
     let directory = watch_directory(directory_view, Arc::clone(&dialect));
     let seed = digest(settings.instance.as_str().as_bytes());
     let pools = ServicePools::new(settings.zone.clone(), seed);
@@ -169,6 +168,7 @@
         pools,
         directory,
         leases,
+        pause_guard,
     }
 }
 
@@ -247,20 +247,6 @@
     }
 }
 
-/// Notes when the process did not run for a while.
-async fn watch_pauses() {
-    loop {
-        let before = Instant::now();
-        tokio::time::sleep(PAUSE_WATCH_PERIOD).await;
-        let paused = before.elapsed().saturating_sub(PAUSE_WATCH_PERIOD);
-        if paused > PAUSE_REPORTED {
-            events::emit(&Event::ProcessPaused {
-                paused_ms: paused.as_millis() as u64,
-            });
-        }
-    }
-}
-
 async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address)
         .await
--- a/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
@@ -19,6 +19,9 @@
     /// Starts items while there are engines for them: first the items of groups that
     /// trainers wait for, of all batches by rank and age, then the others.
     pub(super) fn fill(&mut self) {
+        if !self.context.pause_guard.is_settled() {
+            return;
+        }
         for wanted in [true, false] {
             let mut order: Vec<(u8, u64, BatchId)> = self
                 .batches
--- a/crates/sloetrail-serving/tests/configuration.rs
+++ b/crates/sloetrail-serving/tests/configuration.rs
@@ -118,6 +118,39 @@
     assert_eq!(leaving.runs().len(), before);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_was_frozen_sends_nothing_to_a_back_end_that_left_meanwhile() {
+    let cluster = usual_cluster(PACE).await;
+    let leaving = &cluster.engines[0];
+    for number in 0..10 {
+        assert_eq!(status(&cluster, 0, "/live/x").await, 200, "{number}");
+    }
+    // The news reaches the node only after the requests that waited for it to wake.
+    cluster.nodes[0]
+        .link
+        .set_answer_time(Duration::from_millis(60));
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    cluster.nodes[0].freeze(Duration::from_millis(1_800));
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    leaving.set_draining();
+    cluster.list(leaving);
+    let before = leaving.runs().len();
+    let waiting: Vec<_> = (0..10)
+        .map(|number| {
+            let names = cluster.names();
+            let call = Call::new(Method::POST, HOST, "/live/x")
+                .header(&names.request_id, &format!("w{number}"));
+            let address = cluster.nodes[0].callers;
+            tokio::spawn(async move { call.send(address).await })
+        })
+        .collect();
+    for asked in waiting {
+        let answer = asked.await.expect("no panic").expect("an answer");
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(leaving.runs().len(), before);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planned_stop_answers_what_it_has_and_says_that_it_is_not_ready() {
     let mut cluster = usual_cluster(PACE).await;
--- a/crates/sloetrail-serving/tests/live.rs
+++ b/crates/sloetrail-serving/tests/live.rs
@@ -206,3 +206,26 @@
         assert_eq!(answer.expect("an answer").status, 200);
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_address_that_another_service_took_over_runs_nothing() {
+    let (cluster, applications) = cluster_with(2).await;
+    let gone = &applications[0];
+    gone.crash();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let newcomer = EngineStandIn::start_at(
+        gone.address(),
+        Arc::new(sloetrail_serving_testkit::wire::NativeWire),
+        "other",
+        "zone-a",
+        &[],
+        PACE,
+    )
+    .await;
+    for number in 0..20 {
+        let id = format!("r{number}");
+        let answer = live(&cluster, 0, "/live/x", &id).await.expect("an answer");
+        assert_eq!(answer.status, 200);
+    }
+    assert!(newcomer.runs().is_empty());
+}
