--- a/crates/sloetrail-serving-testkit/src/cluster.rs
+++ b/crates/sloetrail-serving-testkit/src/cluster.rs
@@ -249,7 +249,6 @@
             grace_s: Some(4.0),
             batch_status_s: None,
             concurrent_loads: None,
-            drain_ms: None,
         };
         let life = NEXT_LIFE.fetch_add(1, Ordering::Relaxed);
         let settings = ServingSettings::check(raw, life).expect("sound settings");
--- a/crates/sloetrail-serving/src/settings.rs
+++ b/crates/sloetrail-serving/src/settings.rs
@@ -11,7 +11,6 @@
 const GRACE_DEFAULT_S: f64 = 8.0;
 const BATCH_STATUS_DEFAULT_S: f64 = 120.0;
 const CONCURRENT_LOADS_DEFAULT: usize = 2;
-const DRAIN_DEFAULT_MS: u64 = 2_000;
 
 /// Settings that are refused.
 #[derive(Debug, Snafu)]
@@ -56,8 +55,6 @@
     pub batch_status_s: Option<f64>,
     /// Engines that change their weights at a time.
     pub concurrent_loads: Option<usize>,
-    /// How soon a draining back end must get no new work, in milliseconds.
-    pub drain_ms: Option<u64>,
 }
 
 /// Settings that have been checked.
@@ -92,8 +89,6 @@
     pub batch_status: Duration,
     /// Engines that change their weights at a time.
     pub concurrent_loads: usize,
-    /// How soon a draining back end must get no new work.
-    pub drain: Duration,
 }
 
 impl ServingBounds {
@@ -106,7 +101,6 @@
             grace: seconds(raw.grace_s, GRACE_DEFAULT_S, "grace_s")?,
             batch_status: seconds(raw.batch_status_s, BATCH_STATUS_DEFAULT_S, "batch_status_s")?,
             concurrent_loads: raw.concurrent_loads.unwrap_or(CONCURRENT_LOADS_DEFAULT),
-            drain: milliseconds(raw.drain_ms, DRAIN_DEFAULT_MS),
         };
         bounds.validate()?;
         Ok(bounds)
