--- a/crates/sloetrail-serving-testkit/src/table.rs
+++ b/crates/sloetrail-serving-testkit/src/table.rs
@@ -51,6 +51,7 @@
 /// The table.
 pub struct MemoryTable {
     began: Instant,
+    ahead_ms: AtomicU64,
     state: Mutex<State>,
     changed: watch::Sender<u64>,
 }
@@ -61,6 +62,7 @@
         let (changed, _) = watch::channel(0);
         Arc::new(Self {
             began: Instant::now(),
+            ahead_ms: AtomicU64::new(0),
             state: Mutex::default(),
             changed,
         })
@@ -125,6 +127,12 @@
         self.changed.send_modify(|_| {});
     }
 
+    /// Puts the table's clock forward.
+    pub fn advance_clock(&self, time: Duration) {
+        let milliseconds = time.as_millis() as u64;
+        self.ahead_ms.fetch_add(milliseconds, Ordering::SeqCst);
+    }
+
     /// Transactions of nodes that were judged.
     pub fn commits(&self) -> usize {
         self.state().commits
@@ -280,7 +288,8 @@
     }
 
     fn now_ms(&self) -> Option<u64> {
-        Some(1_000_000 + self.table.began.elapsed().as_millis() as u64)
+        let ahead_ms = self.table.ahead_ms.load(Ordering::SeqCst);
+        Some(1_000_000 + ahead_ms + self.table.began.elapsed().as_millis() as u64)
     }
 
     async fn commit(&self, transaction: &Transaction) -> Result<Commit, CommitError> {
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -30,7 +30,7 @@
 
 const TICK: Duration = Duration::from_millis(100);
 const FOLLOW_PAUSE: Duration = Duration::from_millis(5);
-const SWEEP_PERIOD: Duration = Duration::from_secs(20);
+const SWEEP_PERIOD: Duration = Duration::from_secs(5);
 /// How often the texts that are being made are kept in the table.
 const KEEP_PERIOD: Duration = Duration::from_millis(500);
 /// Texts are not kept while the table is slower than this: results go first.
--- a/crates/sloetrail-serving/tests/batches.rs
+++ b/crates/sloetrail-serving/tests/batches.rs
@@ -363,3 +363,46 @@
         .filter(|result| result["versions"] == serde_json::json!([1, 2]));
     assert!(both.count() > 0, "a sample was made under two versions");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn items_past_their_retention_are_listed_as_dead_and_not_before() {
+    let cluster = usual_cluster(PACE).await;
+    // No engine will have version 9: the items wait.
+    accepted(&cluster, 0, "b1", &batch(&items(3, 2), MODEL, 9)).await;
+    cluster.table.advance_clock(Duration::from_secs(25));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let page = cluster.read(0, "b1", 0).await.expect("a page");
+    assert_eq!(page["results"], serde_json::json!([]));
+    cluster.table.advance_clock(Duration::from_secs(10));
+    let dead = cluster.wait_results(1, "b1", 3).await;
+    assert!(dead.iter().all(|result| result["state"] == "dead"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn batches_are_deleted_once_nobody_may_read_them_and_not_before() {
+    let cluster = usual_cluster(PACE).await;
+    accepted(&cluster, 0, "b1", &batch(&items(4, 2), MODEL, 1)).await;
+    cluster.wait_results(0, "b1", 4).await;
+    assert_eq!(cluster.end(0, "b1").await.expect("an answer").status, 200);
+    cluster.table.advance_clock(Duration::from_secs(115));
+    tokio::time::sleep(Duration::from_millis(5_500)).await;
+    assert_eq!(cluster.wait_results(0, "b1", 4).await.len(), 4);
+    cluster.table.advance_clock(Duration::from_secs(120));
+    let tables = [
+        "sloetrail_batches",
+        "sloetrail_submissions",
+        "sloetrail_results",
+        "sloetrail_ends",
+        "sloetrail_checkpoints",
+    ];
+    let are_gone = || async {
+        let left: usize = tables
+            .iter()
+            .map(|table| cluster.table.rows(table).len())
+            .sum();
+        (left == 0).then_some(())
+    };
+    eventually("every row of the batch is gone", are_gone).await;
+    let answer = cluster.read_answer(0, "b1", 0).await.expect("an answer");
+    assert_eq!(answer.status, 404);
+}
