--- a/crates/sloetrail-cli/src/client.rs
+++ b/crates/sloetrail-cli/src/client.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use sloetrail_platform::{CallError, HttpClient, RawResponse};
+use sloetrail_clients::{CallError, HttpClient, RawResponse};
 use sloetrail_result::{Problem, ResultCode};
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/sloetrail-lab/src/commands/bench/hollow_platform.rs
+++ b/crates/sloetrail-lab/src/commands/bench/hollow_platform.rs
@@ -6,7 +6,7 @@
 use axum::routing::get;
 use axum::{Json, Router};
 use clap::{Arg, ArgMatches, Command, value_parser};
-use sloetrail_platform::{EngineLoadState, EngineStatus, Machine, MachineRole, MachineState};
+use sloetrail_clients::{EngineLoadState, EngineStatus, Machine, MachineRole, MachineState};
 use sloetrail_types::{EngineId, Epoch, ServiceName, WeightVersion, ZoneName};
 use std::net::SocketAddr;
 use std::process::ExitCode;
--- a/crates/sloetrail-lab/src/commands/demo.rs
+++ b/crates/sloetrail-lab/src/commands/demo.rs
@@ -10,10 +10,10 @@
 use http::Method;
 use rand::{SeedableRng, rngs::StdRng};
 use serde::Serialize;
+use sloetrail_clients::HttpClient;
 use sloetrail_config::Bounds;
 use sloetrail_history::{CheckBounds, Verdict, check};
 use sloetrail_node::messages::ApplyRequest;
-use sloetrail_platform::HttpClient;
 use sloetrail_result::ResultCode;
 use sloetrail_types::{ApplyId, EngineId, Revision, ServiceName};
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/sloetrail-lab/src/commands/faults/run.rs
+++ b/crates/sloetrail-lab/src/commands/faults/run.rs
@@ -10,9 +10,9 @@
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
+use sloetrail_clients::HttpClient;
 use sloetrail_history::{CheckBounds, Verdict, check};
 use sloetrail_node::messages::ApplyRequest;
-use sloetrail_platform::HttpClient;
 use sloetrail_result::ResultCode;
 use sloetrail_types::ApplyId;
 use std::io::Write;
--- a/crates/sloetrail-lab/src/standins/engine/server.rs
+++ b/crates/sloetrail-lab/src/standins/engine/server.rs
@@ -18,11 +18,11 @@
 use http::{HeaderMap, HeaderValue, StatusCode};
 use http_body_util::BodyExt;
 use serde::{Deserialize, Serialize};
-use sloetrail_history::EventBody;
-use sloetrail_platform::{
+use sloetrail_clients::{
     Chunk, EngineLoadState, EngineStatus, GenerateRequest, NOT_RUN_HEADER, Order, OrderOutcome,
     Priority, REQUEST_ID_HEADER,
 };
+use sloetrail_history::EventBody;
 use sloetrail_types::{EngineId, RequestId, ServiceName, WeightVersion};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
--- a/crates/sloetrail-lab/src/standins/machines.rs
+++ b/crates/sloetrail-lab/src/standins/machines.rs
@@ -6,7 +6,7 @@
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use serde::Deserialize;
-use sloetrail_platform::{Machine, MachineList, MachineState};
+use sloetrail_clients::{Machine, MachineList, MachineState};
 use sloetrail_types::ZoneName;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
--- a/crates/sloetrail-lab/src/standins/scoring.rs
+++ b/crates/sloetrail-lab/src/standins/scoring.rs
@@ -5,7 +5,7 @@
 use axum::extract::State;
 use axum::routing::post;
 use axum::{Json, Router};
-use sloetrail_platform::{ScoreRequest, ScoreResponse};
+use sloetrail_clients::{ScoreRequest, ScoreResponse};
 use sloetrail_types::digest;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/sloetrail-lab/src/standins/table.rs
+++ b/crates/sloetrail-lab/src/standins/table.rs
@@ -7,7 +7,7 @@
 use axum::routing::post;
 use axum::{Json, Router};
 use http::StatusCode;
-use sloetrail_platform::{
+use sloetrail_clients::{
     CommitOutcome, ReadRequest, ReadResponse, Row, ScanRequest, ScanResponse, Transaction,
 };
 use sloetrail_types::RowVersion;
--- a/crates/sloetrail-lab/src/workload/http_json.rs
+++ b/crates/sloetrail-lab/src/workload/http_json.rs
@@ -5,7 +5,7 @@
 use http_body_util::Full;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use sloetrail_platform::{CallError, HttpClient};
+use sloetrail_clients::{CallError, HttpClient};
 use sloetrail_result::Problem;
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/sloetrail-lab/src/workload/open_loop.rs
+++ b/crates/sloetrail-lab/src/workload/open_loop.rs
@@ -9,7 +9,7 @@
 use http_body_util::Full;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde::Serialize;
-use sloetrail_platform::HttpClient;
+use sloetrail_clients::HttpClient;
 use sloetrail_result::Problem;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
--- a/crates/sloetrail-lab/src/workload/trainer.rs
+++ b/crates/sloetrail-lab/src/workload/trainer.rs
@@ -7,13 +7,13 @@
 use rand::{SeedableRng, rngs::StdRng};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use sloetrail_clients::HttpClient;
 use sloetrail_history::{EventBody, HandedSegment};
 use sloetrail_ledger::NewSample;
 use sloetrail_node::messages::{
     PublishRequest, PublishResponse, PullEntry, PullResponse, SampleEntry, SubmitRequest,
     SubmitResponse,
 };
-use sloetrail_platform::HttpClient;
 use sloetrail_types::{RunName, SampleId, SequenceNumber, ServiceName, StepNumber, WeightVersion};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
--- a/crates/sloetrail-lab/tests/bad_input.rs
+++ b/crates/sloetrail-lab/tests/bad_input.rs
@@ -2,10 +2,10 @@
 
 use http::{Method, Request, StatusCode};
 use http_body_util::Full;
+use sloetrail_clients::{HttpClient, RawResponse};
 use sloetrail_config::Bounds;
 use sloetrail_lab::fleet::{LocalFleet, Profile, ProfileName};
 use sloetrail_lab::history_log::HistoryLog;
-use sloetrail_platform::{HttpClient, RawResponse};
 use sloetrail_result::{Problem, ResultCode};
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/sloetrail-lab/tests/engine_stand_in.rs
+++ b/crates/sloetrail-lab/tests/engine_stand_in.rs
@@ -2,14 +2,14 @@
 
 use http::StatusCode;
 use http_body_util::Full;
+use sloetrail_clients::{
+    ChunkStream, EngineClient, GenerateRequest, HttpClient, Order, OrderCommand, OrderOutcome,
+    Priority,
+};
 use sloetrail_lab::history_log::HistoryLog;
 use sloetrail_lab::standins::engine::{
     CacheChange, EngineKind, EngineSettings, EngineStandIn, KvState, PrefixCache,
 };
-use sloetrail_platform::{
-    ChunkStream, EngineClient, GenerateRequest, HttpClient, Order, OrderCommand, OrderOutcome,
-    Priority,
-};
 use sloetrail_types::{EngineId, Epoch, RequestId, ServiceName, WeightVersion};
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/sloetrail-lab/tests/other_zone.rs
+++ b/crates/sloetrail-lab/tests/other_zone.rs
@@ -2,10 +2,10 @@
 
 use http::{Request, StatusCode};
 use http_body_util::Full;
+use sloetrail_clients::HttpClient;
 use sloetrail_config::Bounds;
 use sloetrail_lab::fleet::{LocalFleet, Profile, ProfileName};
 use sloetrail_lab::history_log::HistoryLog;
-use sloetrail_platform::HttpClient;
 use std::time::Duration;
 use tokio::time::Instant;
 
--- a/crates/sloetrail-lab/tests/table_client.rs
+++ b/crates/sloetrail-lab/tests/table_client.rs
@@ -1,9 +1,9 @@
 //! The table's client against the stand-in: lost answers are settled, not guessed.
 
+use sloetrail_clients::{Condition, HttpClient, Settled, TableClient, Transaction, Write};
 use sloetrail_history::EventBody;
 use sloetrail_lab::history_log::HistoryLog;
 use sloetrail_lab::standins::{CallLog, FaultControl, Faults, TableStandIn};
-use sloetrail_platform::{Condition, HttpClient, Settled, TableClient, Transaction, Write};
 use sloetrail_types::TransactionId;
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/sloetrail-node/src/api/operators.rs
+++ b/crates/sloetrail-node/src/api/operators.rs
@@ -17,7 +17,7 @@
 use axum::extract::{Path, State};
 use futures_util::future::join_all;
 use http::StatusCode;
-use sloetrail_platform::{EngineClient, EngineLoadState, Machine, OrderCommand};
+use sloetrail_clients::{EngineClient, EngineLoadState, Machine, OrderCommand};
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_types::{ApplyId, EngineId, ZoneName};
 use std::sync::Arc;
--- a/crates/sloetrail-node/src/api/trainers.rs
+++ b/crates/sloetrail-node/src/api/trainers.rs
@@ -12,7 +12,7 @@
 use axum::Json;
 use axum::extract::rejection::{JsonRejection, QueryRejection};
 use axum::extract::{Path, Query, State};
-use sloetrail_platform::{Row, Settled, Transaction};
+use sloetrail_clients::{Row, Settled, Transaction};
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_types::{RunName, ServiceName};
 use std::sync::Arc;
--- a/crates/sloetrail-node/src/directory.rs
+++ b/crates/sloetrail-node/src/directory.rs
@@ -1,7 +1,7 @@
 //! The machine list as the node uses it.
 
+use sloetrail_clients::{Machine, MachineList, MachineRole, MachineState};
 use sloetrail_membership::PeerNode;
-use sloetrail_platform::{Machine, MachineList, MachineRole, MachineState};
 use sloetrail_types::{NodeId, ServiceName, ZoneName};
 use std::net::SocketAddr;
 
--- a/crates/sloetrail-node/src/gateway/attempt.rs
+++ b/crates/sloetrail-node/src/gateway/attempt.rs
@@ -5,11 +5,11 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode, header};
 use http_body_util::Full;
-use sloetrail_config::ServiceKind;
-use sloetrail_platform::{
+use sloetrail_clients::{
     CallError, Chunk, ENGINE_ID_HEADER, NOT_RUN_HEADER, REQUEST_ID_HEADER, RawResponse,
     VERSIONS_HEADER,
 };
+use sloetrail_config::ServiceKind;
 use sloetrail_result::ResultCode;
 use sloetrail_types::{EngineId, RequestId, WeightVersion};
 use std::net::SocketAddr;
--- a/crates/sloetrail-node/src/gateway/claims.rs
+++ b/crates/sloetrail-node/src/gateway/claims.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 use serde::{Deserialize, Serialize};
-use sloetrail_platform::{Row, Settled, Transaction};
+use sloetrail_clients::{Row, Settled, Transaction};
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_types::{RowVersion, ServiceName, digest};
 use std::sync::Arc;
--- a/crates/sloetrail-node/src/owner/group_commit.rs
+++ b/crates/sloetrail-node/src/owner/group_commit.rs
@@ -6,8 +6,8 @@
 use super::run_handle::{CallFailure, Reply};
 use super::run_store::RunStore;
 use crate::state::NodeState;
+use sloetrail_clients::{Settled, Transaction};
 use sloetrail_ledger::{JournalRecord, Ledger, RowChange};
-use sloetrail_platform::{Settled, Transaction};
 use sloetrail_types::RowVersion;
 use std::future::Future;
 use std::pin::Pin;
--- a/crates/sloetrail-node/src/owner/run_store.rs
+++ b/crates/sloetrail-node/src/owner/run_store.rs
@@ -2,8 +2,8 @@
 
 use crate::state::NodeState;
 use crate::sync::rows::{to_value, value_of};
+use sloetrail_clients::{CallError, Condition, Row, Settled, Transaction, Write};
 use sloetrail_ledger::{JournalRecord, RowChange, SampleRecord, StoredRun};
-use sloetrail_platform::{CallError, Condition, Row, Settled, Transaction, Write};
 use sloetrail_types::{Epoch, RowVersion, RunName, SampleId, SequenceNumber, StepNumber};
 use std::time::Duration;
 use tokio::time::Instant;
--- a/crates/sloetrail-node/src/owner/weights.rs
+++ b/crates/sloetrail-node/src/owner/weights.rs
@@ -8,7 +8,7 @@
 use crate::sync::rows::value_of;
 use futures_util::future::join_all;
 use serde::{Deserialize, Serialize};
-use sloetrail_platform::{Machine, Order, OrderCommand, OrderOutcome};
+use sloetrail_clients::{Machine, Order, OrderCommand, OrderOutcome};
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_rollout::{EngineWeights, RolloutLimits, RolloutPlanner, RolloutStep, WeightSource};
 use sloetrail_types::{EngineId, Epoch, ServiceName, Timestamp, WeightVersion};
--- a/crates/sloetrail-node/src/owner/weights_handle.rs
+++ b/crates/sloetrail-node/src/owner/weights_handle.rs
@@ -1,6 +1,6 @@
 //! How the rest of the node talks to a service's owner.
 
-use sloetrail_platform::OrderCommand;
+use sloetrail_clients::OrderCommand;
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_types::{EngineId, Epoch};
 use std::time::Duration;
--- a/crates/sloetrail-node/src/problem_response.rs
+++ b/crates/sloetrail-node/src/problem_response.rs
@@ -3,7 +3,7 @@
 use axum::response::{IntoResponse, Response};
 use http::{HeaderValue, StatusCode, header};
 use rand::Rng;
-use sloetrail_platform::{RetryHint, SECONDS_HEADER};
+use sloetrail_clients::{RetryHint, SECONDS_HEADER};
 use sloetrail_result::{Kind, PROBLEM_CONTENT_TYPE, Problem, ResultCode};
 use std::time::Duration;
 
--- a/crates/sloetrail-node/src/state.rs
+++ b/crates/sloetrail-node/src/state.rs
@@ -6,11 +6,11 @@
 use crate::lifecycle::Lifecycle;
 use crate::owner::{RunHandle, WeightsHandle};
 use sloetrail_balance::ListedEngine;
-use sloetrail_config::{Configuration, NodeSettings};
-use sloetrail_membership::{ConfigurationFreshness, Membership, MembershipSettings};
-use sloetrail_platform::{
+use sloetrail_clients::{
     EngineClient, HttpClient, MachineListClient, ObjectClient, ScoringClient, TableClient,
 };
+use sloetrail_config::{Configuration, NodeSettings};
+use sloetrail_membership::{ConfigurationFreshness, Membership, MembershipSettings};
 use sloetrail_types::{
     EngineId, NodeId, Revision, RunName, ServiceName, Timestamp, TransactionId, digest,
 };
--- a/crates/sloetrail-node/src/sync/apply.rs
+++ b/crates/sloetrail-node/src/sync/apply.rs
@@ -10,8 +10,8 @@
 };
 use crate::api::messages::{ApplyAccepted, ApplyRequest};
 use crate::state::NodeState;
+use sloetrail_clients::{Condition, Row, Settled, Transaction, Write};
 use sloetrail_config::{Configuration, difference};
-use sloetrail_platform::{Condition, Row, Settled, Transaction, Write};
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_types::{ApplyId, Revision, ZoneName};
 use std::time::Duration;
--- a/crates/sloetrail-node/src/sync/directory_sync.rs
+++ b/crates/sloetrail-node/src/sync/directory_sync.rs
@@ -4,7 +4,7 @@
 use crate::directory::Directory;
 use crate::peer::{PeerRequest, PeerResponse, ask_peer};
 use crate::state::NodeState;
-use sloetrail_platform::CallError;
+use sloetrail_clients::CallError;
 use sloetrail_types::NodeId;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/sloetrail-node/src/sync/rows.rs
+++ b/crates/sloetrail-node/src/sync/rows.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use sloetrail_platform::{CallError, Row};
+use sloetrail_clients::{CallError, Row};
 use sloetrail_types::{ApplyId, Revision};
 
 /// The row that names the revision in force.
