Bodies of all requests share a budget

Cause: each body was bounded, all together were not; a burst of large ones would have taken a node over its memory. Change: 64 MiB together by default; what does not fit is refused as not run, with when to come back. Tests: body_budget; live: a_node_refuses_what_it_cannot_hold.

--- a/crates/sloetrail-serving-testkit/src/cluster.rs
+++ b/crates/sloetrail-serving-testkit/src/cluster.rs
@@ -130,6 +130,8 @@
     pub nodes: Vec<NodeProcess>,
     /// The back ends.
     pub engines: Vec<Arc<EngineStandIn>>,
+    /// The setting of that name for nodes that start from now on.
+    pub body_budget_bytes: Option<usize>,
     wire: Arc<dyn EngineWire>,
     dialect: Arc<dyn Dialect>,
     /// Turns a way to the table into the table that a node is given.
@@ -144,6 +146,7 @@
             table: MemoryTable::new(),
             nodes: Vec::new(),
             engines: Vec::new(),
+            body_budget_bytes: None,
             wire,
             dialect,
             wrap: Box::new(|link| link),
@@ -249,6 +252,7 @@
             grace_s: Some(4.0),
             batch_status_s: None,
             concurrent_loads: None,
+            body_budget_bytes: self.body_budget_bytes,
         };
         let life = NEXT_LIFE.fetch_add(1, Ordering::Relaxed);
         let settings = ServingSettings::check(raw, life).expect("sound settings");
--- a/crates/sloetrail-serving/src/gateway/front.rs
+++ b/crates/sloetrail-serving/src/gateway/front.rs
@@ -1,6 +1,7 @@
 //! The entry of every call from outside.
 
 use super::attempt::Outgoing;
+use super::body_budget::{BodyBudget, HeldBytes};
 use super::headers;
 use super::live::{LiveCall, LiveOutcome};
 use super::message::{CallerResponse, problem_response, stream_body, whole_body, with_request_id};
@@ -10,10 +11,10 @@
 use crate::events::{self, Event};
 use crate::http::WholeAnswer;
 use crate::telemetry;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::request::Parts;
 use http::{HeaderMap, Method, Request, Response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_routing::{Route, RouteKind, ServingConfiguration, WeightedChoice};
@@ -30,18 +31,22 @@
 /// An answer is due this much before its caller gives up.
 const ANSWER_MARGIN: Duration = Duration::from_millis(15);
 const NOT_READY_RETRY_MS: u64 = 200;
+const FULL_RETRY_MS: u64 = 250;
 
 /// The entry of every call from outside.
 pub(crate) struct Front {
     context: Arc<NodeContext>,
     choices: Mutex<HashMap<String, WeightedChoice>>,
+    bodies: BodyBudget,
     seed: f64,
 }
 
 impl Front {
     /// An entry; `seed` (between zero and one) differs from node to node.
     pub(crate) fn new(context: Arc<NodeContext>, seed: f64) -> Self {
+        let bodies = BodyBudget::new(context.settings.bounds.body_budget_bytes);
         Self {
+            bodies,
             context,
             choices: Mutex::default(),
             seed,
@@ -91,7 +96,8 @@
         };
         let route = Arc::clone(route);
         let deadline = self.deadline(&head.headers, &route, received);
-        let body = match self.read_body(body, deadline).await {
+        let mut held = self.bodies.begin();
+        let body = match self.read_body(body, &mut held, deadline).await {
             Ok(body) => body,
             Err(problem) => {
                 let name = &route.name;
@@ -162,23 +168,41 @@
         received + time.saturating_sub(ANSWER_MARGIN)
     }
 
-    async fn read_body(&self, body: Incoming, deadline: Instant) -> Result<Bytes, Problem> {
+    /// Reads a body whole, within the bounds of one body and of all together.
+    async fn read_body(
+        &self,
+        mut body: Incoming,
+        held: &mut HeldBytes,
+        deadline: Instant,
+    ) -> Result<Bytes, Problem> {
         let limit = self.context.limits().body_bytes;
-        let reading = Limited::new(body, limit).collect();
-        match tokio::time::timeout_at(deadline, reading).await {
-            Ok(Ok(collected)) => Ok(collected.to_bytes()),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+        let mut pieces = BytesMut::new();
+        loop {
+            let frame = match tokio::time::timeout_at(deadline, body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(error))) => {
+                    let detail = format!("the body was not sent whole: {error}");
+                    return Err(Problem::new(ResultCode::MalformedRequest, detail));
+                }
+                Ok(None) => return Ok(pieces.freeze()),
+                Err(_) => {
+                    let detail = "the body did not come";
+                    return Err(Problem::new(ResultCode::RequestTooSlow, detail));
+                }
+            };
+            let Ok(piece) = frame.into_data() else {
+                continue;
+            };
+            if held.bytes() + piece.len() > limit {
                 let detail = format!("over {limit} bytes");
-                Err(Problem::new(ResultCode::BodyTooLarge, detail))
+                return Err(Problem::new(ResultCode::BodyTooLarge, detail));
             }
-            Ok(Err(error)) => {
-                let detail = format!("the body was not sent whole: {error}");
-                Err(Problem::new(ResultCode::MalformedRequest, detail))
+            if !held.grow(piece.len()) {
+                let detail = "the node holds as many bytes of requests as it may";
+                let problem = Problem::new(ResultCode::QueueFull, detail);
+                return Err(problem.with_retry_after_ms(FULL_RETRY_MS));
             }
-            Err(_) => Err(Problem::new(
-                ResultCode::RequestTooSlow,
-                "the body did not come",
-            )),
+            pieces.extend_from_slice(&piece);
         }
     }
 
--- a/crates/sloetrail-serving/src/gateway/mod.rs
+++ b/crates/sloetrail-serving/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! [`read`]. The types that they share are in [`message`].
 
 pub(crate) mod attempt;
+pub(crate) mod body_budget;
 pub(crate) mod front;
 pub(crate) mod headers;
 pub(crate) mod live;
--- a/crates/sloetrail-serving/src/settings.rs
+++ b/crates/sloetrail-serving/src/settings.rs
@@ -11,6 +11,7 @@
 const GRACE_DEFAULT_S: f64 = 8.0;
 const BATCH_STATUS_DEFAULT_S: f64 = 120.0;
 const CONCURRENT_LOADS_DEFAULT: usize = 2;
+const BODY_BUDGET_DEFAULT: usize = 64 * 1024 * 1024;
 
 /// Settings that are refused.
 #[derive(Debug, Snafu)]
@@ -55,6 +56,8 @@
     pub batch_status_s: Option<f64>,
     /// Engines that change their weights at a time.
     pub concurrent_loads: Option<usize>,
+    /// Bytes that the bodies of all requests may take together.
+    pub body_budget_bytes: Option<usize>,
 }
 
 /// Settings that have been checked.
@@ -89,6 +92,8 @@
     pub batch_status: Duration,
     /// Engines that change their weights at a time.
     pub concurrent_loads: usize,
+    /// Bytes that the bodies of all requests may take together.
+    pub body_budget_bytes: usize,
 }
 
 impl ServingBounds {
@@ -101,6 +106,7 @@
             grace: seconds(raw.grace_s, GRACE_DEFAULT_S, "grace_s")?,
             batch_status: seconds(raw.batch_status_s, BATCH_STATUS_DEFAULT_S, "batch_status_s")?,
             concurrent_loads: raw.concurrent_loads.unwrap_or(CONCURRENT_LOADS_DEFAULT),
+            body_budget_bytes: raw.body_budget_bytes.unwrap_or(BODY_BUDGET_DEFAULT),
         };
         bounds.validate()?;
         Ok(bounds)
--- a/crates/sloetrail-serving/tests/live.rs
+++ b/crates/sloetrail-serving/tests/live.rs
@@ -229,3 +229,46 @@
     }
     assert!(newcomer.runs().is_empty());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_refuses_what_it_cannot_hold() {
+    let mut cluster = native_cluster();
+    cluster.body_budget_bytes = Some(500_000);
+    let application = cluster.add_application("zone-a").await;
+    application.set_pace(Duration::from_millis(400));
+    cluster.add_engine(PACE).await;
+    let node = cluster.add_node("node-1").await;
+    cluster.wait_ready(node).await;
+    let names = cluster.names();
+    let asking: Vec<_> = (0..5)
+        .map(|number| {
+            let call = Call::new(http::Method::POST, HOST, "/once/x")
+                .header(&names.request_id, &format!("r{number}"))
+                .body(vec![b'x'; 200_000]);
+            let address = cluster.nodes[node].callers;
+            tokio::spawn(async move { call.send(address).await })
+        })
+        .collect();
+    let mut served = 0;
+    for (number, asked) in asking.into_iter().enumerate() {
+        let answer = asked.await.expect("no panic").expect("an answer");
+        let runs = runs_of(std::slice::from_ref(&application), &format!("r{number}"));
+        match answer.status.as_u16() {
+            200 => served += runs,
+            503 => {
+                assert_eq!(runs, 0);
+                assert_eq!(answer.json()["code"], 1102);
+                assert!(answer.headers.contains_key("retry-after"));
+            }
+            other => panic!("{other}"),
+        }
+    }
+    assert!((1..=2).contains(&served), "{served} of 5 fit");
+    let again = live(&cluster, node, "/live/x", "later").await;
+    assert_eq!(again.expect("an answer").status, 200);
+    let too_large = Call::new(http::Method::POST, HOST, "/live/x")
+        .header(&names.request_id, "large")
+        .body(vec![b'x'; 1_000_001]);
+    let answer = too_large.send(cluster.nodes[node].callers).await;
+    assert!(answer.is_none_or(|answer| answer.status == 413 || answer.status == 503));
+}
