Slow engines do not count for their model

Change: engines are levelled by those that are not slow, the least busy one is moved; a slow engine is not ordered to new versions. Tests: owner/engines; slow_engines_do_not_count... fails on the code before.

--- a/crates/sloetrail-serving/src/owner/engines.rs
+++ b/crates/sloetrail-serving/src/owner/engines.rs
@@ -110,9 +110,15 @@
         self.level(models);
     }
 
+    /// Engines that are kept up to date for a model and are not slow.
     fn assigned_count(&self, model: &str) -> usize {
-        let assigned = self.assignments.values();
-        assigned.filter(|assigned| *assigned == model).count()
+        let assigned = self.assignments.iter();
+        let fast = assigned.filter(|(id, _)| !self.is_slow(id));
+        fast.filter(|(_, assigned)| *assigned == model).count()
+    }
+
+    fn is_slow(&self, id: &EngineId) -> bool {
+        self.engines.get(id).is_some_and(|engine| engine.is_slow)
     }
 
     fn least_assigned(&self, models: &[String]) -> Option<String> {
@@ -134,11 +140,14 @@
             if self.assigned_count(most) < self.assigned_count(least) + 2 {
                 return;
             }
-            let moved = self.assignments.iter().find(|(_, model)| *model == most);
-            let Some(id) = moved.map(|(id, _)| id.clone()) else {
+            let of_most = self.assignments.iter().filter(|(_, model)| *model == most);
+            let fast = of_most.filter(|(id, _)| !self.is_slow(id));
+            let running = |id: &EngineId| self.engines.get(id).map_or(0, |engine| engine.running);
+            let Some(id) = fast.map(|(id, _)| id).min_by_key(|id| running(id)) else {
                 return;
             };
-            self.assignments.insert(id, least.clone());
+            let (id, least) = (id.clone(), least.clone());
+            self.assignments.insert(id, least);
         }
     }
 
@@ -192,21 +201,24 @@
         self.engines.iter_mut()
     }
 
-    /// Compares the engines' paces and marks those that are much slower.
-    pub(super) fn judge_paces(&mut self) {
+    /// Compares the engines' paces and marks those that are much slower; true if a mark
+    /// has changed.
+    pub(super) fn judge_paces(&mut self) -> bool {
         let mut paces: Vec<u64> = self
             .engines
             .values()
             .filter_map(|engine| engine.pace.microseconds())
             .collect();
         if paces.len() < 2 {
-            return;
+            return false;
         }
         paces.sort_unstable();
         let median = paces[(paces.len() - 1) / 2];
+        let mut has_changed = false;
         for engine in self.engines.values_mut() {
-            engine.judge_pace(median);
+            has_changed |= engine.judge_pace(median);
         }
+        has_changed
     }
 }
 
@@ -334,9 +346,9 @@
         }
     }
 
-    fn judge_pace(&mut self, median: u64) {
+    fn judge_pace(&mut self, median: u64) -> bool {
         let Some(pace) = self.pace.microseconds() else {
-            return;
+            return false;
         };
         let factor = pace as f64 / median.max(1) as f64;
         let is_slow = match self.is_slow {
@@ -344,7 +356,7 @@
             false => factor > SLOW_FACTOR,
         };
         if is_slow == self.is_slow {
-            return;
+            return false;
         }
         self.is_slow = is_slow;
         self.probed_at = Instant::now();
@@ -354,5 +366,9 @@
             pace_us: pace,
             median_us: median,
         });
+        true
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/sloetrail-serving/src/owner/engines/tests.rs
@@ -0,0 +1,153 @@
+use super::{Demand, EnginePool};
+use crate::back_end::BackEnd;
+use crate::directory::Directory;
+use crate::owner::weights::plan;
+use sloetrail_types::{EngineId, ServiceName, WeightVersion, ZoneName};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+const MODELS: [&str; 3] = ["a", "b", "c"];
+
+fn models() -> Vec<String> {
+    MODELS.iter().map(|model| (*model).to_owned()).collect()
+}
+
+fn directory(engines: usize, draining: &[usize]) -> Directory {
+    let back_end = |number: usize| BackEnd {
+        id: EngineId::new(format!("e{number}")),
+        service: ServiceName::from("models"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: ZoneName::from("z"),
+        slots: 8,
+        draining: draining.contains(&number),
+        versions: MODELS
+            .iter()
+            .map(|model| ((*model).to_owned(), WeightVersion(1)))
+            .collect(),
+    };
+    let mut directory = Directory::default();
+    for number in 0..engines {
+        let back_end = back_end(number);
+        directory
+            .back_ends
+            .insert(back_end.id.clone(), Arc::new(back_end));
+    }
+    directory
+}
+
+fn pool(engines: usize) -> EnginePool {
+    let mut pool = EnginePool::default();
+    pool.take_directory(&directory(engines, &[]), &ServiceName::from("models"));
+    pool.assign(&models());
+    pool
+}
+
+/// How many engines that are not slow each model has.
+fn fast_engines(pool: &EnginePool) -> BTreeMap<&'static str, usize> {
+    let count = |model: &str| {
+        let assigned = pool.iter().filter(|(id, _)| pool.is_assigned(id, model));
+        assigned.filter(|(_, engine)| !engine.is_slow()).count()
+    };
+    MODELS.iter().map(|model| (*model, count(model))).collect()
+}
+
+fn set_pace(pool: &EnginePool, id: &EngineId, milliseconds: u64) {
+    let pace = &pool.get(id).expect("known").pace;
+    pace.reset();
+    for _ in 0..12 {
+        pace.note(Duration::from_millis(milliseconds));
+    }
+}
+
+fn of_model(pool: &EnginePool, model: &str) -> Vec<EngineId> {
+    let assigned = pool.iter().filter(|(id, _)| pool.is_assigned(id, model));
+    assigned.map(|(id, _)| id.clone()).collect()
+}
+
+fn make_slow(pool: &mut EnginePool, slow: &[EngineId]) {
+    let all: Vec<EngineId> = pool.iter().map(|(id, _)| id.clone()).collect();
+    for id in &all {
+        let milliseconds = if slow.contains(id) { 130 } else { 33 };
+        set_pace(pool, id, milliseconds);
+    }
+    assert!(pool.judge_paces());
+    pool.assign(&models());
+}
+
+#[test]
+fn engines_are_shared_out_evenly_and_few_are_moved() {
+    let mut pool = pool(9);
+    assert!(fast_engines(&pool).values().all(|count| *count == 3));
+    let before = MODELS.map(|model| of_model(&pool, model));
+    pool.take_directory(&directory(9, &[0]), &ServiceName::from("models"));
+    pool.assign(&models());
+    let after = MODELS.map(|model| of_model(&pool, model));
+    let kept = before
+        .iter()
+        .zip(&after)
+        .map(|(before, after)| after.iter().filter(|id| before.contains(id)).count());
+    assert_eq!(
+        kept.sum::<usize>(),
+        8,
+        "only the leaving engine is taken away"
+    );
+}
+
+#[test]
+fn slow_engines_do_not_count_for_their_model() {
+    let mut pool = pool(9);
+    let of_a = of_model(&pool, "a");
+    make_slow(&mut pool, &of_a[..2]);
+    let fast = fast_engines(&pool);
+    assert!(fast.values().all(|count| *count >= 2), "{fast:?}");
+}
+
+#[test]
+fn slow_engines_get_no_orders_and_one_item_at_a_time() {
+    let mut pool = pool(3);
+    let slow = of_model(&pool, "a");
+    make_slow(&mut pool, &slow);
+    let now = Instant::now() + Duration::from_secs(5);
+    let orders = plan(&pool, |_| Some(WeightVersion(2)), &models(), 9, now);
+    assert!(orders.iter().all(|order| !slow.contains(&order.engine)));
+    let demand = Demand {
+        model: Some("a"),
+        oldest_version: WeightVersion(1),
+    };
+    let engine = pool.get_mut(&slow[0]).expect("known");
+    engine.started();
+    let picked = pool.pick(demand, now);
+    assert!(picked.is_some_and(|id| !slow.contains(&id)));
+}
+
+#[test]
+fn an_engine_that_is_too_old_or_changing_takes_nothing() {
+    let pool = pool(3);
+    let demand = |oldest: u64| Demand {
+        model: Some("a"),
+        oldest_version: WeightVersion(oldest),
+    };
+    assert!(pool.pick(demand(1), Instant::now()).is_some());
+    assert_eq!(pool.pick(demand(2), Instant::now()), None);
+}
+
+#[test]
+fn orders_are_planned_a_few_at_a_time() {
+    let pool = pool(9);
+    let now = Instant::now();
+    let published = |model: &str| (model == "b").then_some(WeightVersion(4));
+    let orders = plan(&pool, published, &models(), 2, now);
+    assert_eq!(orders.len(), 2);
+    assert!(
+        orders
+            .iter()
+            .all(|order| order.model == "b" && order.version == WeightVersion(4))
+    );
+    assert!(
+        orders
+            .iter()
+            .all(|order| pool.is_assigned(&order.engine, "b"))
+    );
+}
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -322,7 +322,9 @@
             engine.expire_change(now);
         }
         self.note_versions_of_runs();
-        self.engines.judge_paces();
+        if self.engines.judge_paces() {
+            self.assign_models();
+        }
         self.move_from_slow_engines(now);
         self.expire_items();
         self.tell_items();
--- a/crates/sloetrail-serving/src/owner/weights.rs
+++ b/crates/sloetrail-serving/src/owner/weights.rs
@@ -45,6 +45,7 @@
         };
         for (id, engine) in pool.iter() {
             let is_due = engine.is_usable(now)
+                && !engine.is_slow()
                 && pool.is_assigned(id, model)
                 && engine.version(model) < version
                 && engine.change.is_none()
