A lease runs out only by confirmations; held answers tell the table's pace

And nodes that read little kept the patience of their slow start, so that they found the outage out 4 s late. Ruled out: resets of connections (questions were not cut), the order window. Change: for a candidate time passes as the table confirms the lease's view; a gap between confirmations counts like a failed call; answers that were held open tell the table's pace; the leases are asked for with a wait of a third of the lease.

--- a/crates/sloetrail-serving-testkit/src/table.rs
+++ b/crates/sloetrail-serving-testkit/src/table.rs
@@ -216,13 +216,16 @@
     table: Arc<MemoryTable>,
     cut: AtomicBool,
     answer_ms: AtomicU64,
+    held: watch::Sender<bool>,
 }
 
 impl TableLink {
     /// A way to a table.
     pub fn new(table: Arc<MemoryTable>) -> Arc<Self> {
+        let (held, _) = watch::channel(false);
         Arc::new(Self {
             table,
+            held,
             cut: AtomicBool::new(false),
             answer_ms: AtomicU64::new(ANSWER_MS),
         })
@@ -234,7 +237,15 @@
         self.answer_ms.store(milliseconds, Ordering::SeqCst);
     }
 
+    /// Whether calls are held: they are answered once they no longer are.
+    pub fn set_held(&self, held: bool) {
+        self.held.send_replace(held);
+    }
+
     async fn answer_time(&self) {
+        let mut held = self.held.subscribe();
+        // The sender lives as long as the link.
+        let _ = held.wait_for(|held| !*held).await;
         let milliseconds = self.answer_ms.load(Ordering::SeqCst);
         tokio::time::sleep(Duration::from_millis(milliseconds)).await;
     }
@@ -362,7 +373,7 @@
             let is_over = tokio::time::Instant::now() >= give_up_at;
             if !changes.changes.is_empty() || is_over {
                 self.answer_time().await;
-                return Ok(changes);
+                return self.changes_since(table, since.0);
             }
             // Either something changes or the time is over; the loop looks again.
             let _ = tokio::time::timeout_at(give_up_at, changed.changed()).await;
--- a/crates/sloetrail-serving/src/follow.rs
+++ b/crates/sloetrail-serving/src/follow.rs
@@ -9,9 +9,6 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-/// How long a question for changes may be held open. It also bounds how old the
-/// proof is that nothing has changed.
-const CHANGES_WAIT: Duration = Duration::from_millis(1_000);
 const RETRY_FIRST: Duration = Duration::from_millis(40);
 const RETRY_LIMIT: Duration = Duration::from_millis(640);
 
@@ -51,20 +48,37 @@
 /// A view that is kept up to date.
 pub type ViewReceiver = watch::Receiver<Arc<TableView>>;
 
-/// Follows one partition of a table until every receiver is dropped. `pause` is the
-/// least time between two questions, so that many small changes come together.
+/// How often a table is asked.
+#[derive(Clone, Copy, Debug)]
+pub struct FollowPace {
+    /// The least time between two questions, so that many small changes come together.
+    pub pause: Duration,
+    /// How long a question may be held open. It also bounds how old the proof is that
+    /// nothing has changed.
+    pub wait: Duration,
+}
+
+impl FollowPace {
+    /// A pace with this pause and the usual wait of a second.
+    pub const fn with_pause(pause: Duration) -> Self {
+        let wait = Duration::from_secs(1);
+        Self { pause, wait }
+    }
+}
+
+/// Follows one partition of a table until every receiver is dropped.
 pub fn follow(
     table: Arc<dyn Table>,
     name: impl Into<String>,
     partition: impl Into<String>,
-    pause: Duration,
+    pace: FollowPace,
 ) -> ViewReceiver {
     let (sender, receiver) = watch::channel(Arc::new(TableView::empty()));
     let follower = Follower {
         table,
         name: name.into(),
         partition: partition.into(),
-        pause,
+        pace,
         sender,
         interrupted: false,
     };
@@ -76,7 +90,7 @@
     table: Arc<dyn Table>,
     name: String,
     partition: String,
-    pause: Duration,
+    pace: FollowPace,
     sender: watch::Sender<Arc<TableView>>,
     interrupted: bool,
 }
@@ -95,7 +109,7 @@
                     must_read_all = false;
                     retry = RETRY_FIRST;
                     self.note_answer();
-                    tokio::time::sleep(self.pause).await;
+                    tokio::time::sleep(self.pace.pause).await;
                 }
                 Err(ReadError::HistoryLost) => must_read_all = true,
                 Err(ReadError::Unavailable) => {
@@ -123,7 +137,7 @@
         let asked_at = Instant::now();
         let since = self.sender.borrow().version;
         let table = &self.table;
-        let changes = table.changes(&self.name, since, CHANGES_WAIT).await?;
+        let changes = table.changes(&self.name, since, self.pace.wait).await?;
         let partition = self.partition.clone();
         self.publish(asked_at, |view| apply(view, changes, &partition));
         Ok(())
--- a/crates/sloetrail-serving/src/node.rs
+++ b/crates/sloetrail-serving/src/node.rs
@@ -4,7 +4,7 @@
 use crate::dialect::Dialect;
 use crate::directory::watch_directory;
 use crate::events::{self, Event};
-use crate::follow::follow;
+use crate::follow::{FollowPace, follow};
 use crate::gateway::front::Front;
 use crate::gateway::message::{empty_response, whole_body};
 use crate::http::{ConnectionPool, ConnectionTracker, ListenerSettings, serve_connections};
@@ -140,19 +140,23 @@
         Arc::clone(&table),
         sources.configuration.table,
         sources.configuration.partition,
-        OPERATOR_PAUSE,
+        FollowPace::with_pause(OPERATOR_PAUSE),
     );
     let directory_view = follow(
         Arc::clone(&table),
         sources.directory_table,
         "",
-        DIRECTORY_PAUSE,
+        FollowPace::with_pause(DIRECTORY_PAUSE),
     );
+    let lease_pace = FollowPace {
+        pause: LEASE_PAUSE,
+        wait: owner::lease_wait(&settings.bounds),
+    };
     let leases = follow(
         Arc::clone(&table),
         rows::LEASES,
         rows::PARTITION,
-        LEASE_PAUSE,
+        lease_pace,
     );
     let pause_guard = PauseGuard::start(directory_view.clone());
     let directory = watch_directory(directory_view, Arc::clone(&dialect));
--- a/crates/sloetrail-serving/src/owner/lease_keeper.rs
+++ b/crates/sloetrail-serving/src/owner/lease_keeper.rs
@@ -6,6 +6,7 @@
 use crate::events::{self, Event};
 use crate::follow::{TableView, ViewReceiver};
 use crate::rows;
+use crate::settings::ServingBounds;
 use crate::table::{Commit, Row, Transaction};
 use crate::telemetry;
 use rand::Rng;
@@ -24,10 +25,20 @@
 /// A lease outlasts this many ordinary answers of the table.
 const RENEWAL_ROUNDS: u32 = 8;
 const LEASE_MOST: Duration = Duration::from_secs(5);
+/// Confirmations that lie further apart than the wait, this and a few answers mean that
+/// the table did not answer meanwhile, though no call failed.
+const CONFIRMATION_MARGIN: Duration = Duration::from_millis(700);
+const CONFIRMATION_ANSWERS: u32 = 4;
 const CANDIDATE_TURNS: u32 = 8;
 const CANDIDATE_DELAY_MOST: Duration = Duration::from_secs(2);
-/// A view older than this says nothing of the lease.
-const VIEW_AGE_LIMIT: Duration = Duration::from_millis(1_400);
+/// How often a lease's row is confirmed in its time, if nothing changes.
+const CONFIRMATIONS: u32 = 3;
+
+/// How long a question for changes of the leases may be held open: a lease is seen to
+/// run out only by confirmations that its row has not changed.
+pub(crate) fn lease_wait(bounds: &ServingBounds) -> Duration {
+    bounds.lease / CONFIRMATIONS
+}
 
 /// Runs a keeper for each service that needs an owner, until the node stops; then
 /// gives every lease up.
@@ -68,6 +79,8 @@
     seen_version: Option<RowVersion>,
     unchanged_since: Instant,
     interruptions: u64,
+    /// When the view was confirmed that was looked at last.
+    confirmed_at: Option<Instant>,
     /// This candidate's turn among those that see the lease run out.
     candidate_turn: u32,
     holding: Option<Holding>,
@@ -85,6 +98,7 @@
             seen_version: None,
             unchanged_since: Instant::now(),
             interruptions: 0,
+            confirmed_at: None,
             candidate_turn: 0,
             holding: None,
         }
@@ -108,13 +122,14 @@
         self.watcher.set_duration(self.lease_duration());
         self.observe_view(&view);
         self.check_holding();
-        let is_current = view
-            .age(Instant::now())
-            .is_some_and(|age| age < VIEW_AGE_LIMIT);
-        if !is_current && self.holding.is_none() {
-            return;
-        }
-        let now = self.now();
+        let now = match self.holding {
+            Some(_) => self.timestamp(Instant::now()),
+            // For a candidate time passes as the table confirms the view.
+            None => match view.confirmed_at {
+                Some(confirmed_at) => self.timestamp(confirmed_at),
+                None => return,
+            },
+        };
         let action = match self.succeeds_own_machine() {
             Some(action) => Some(action),
             None => self.watcher.next_action(now, 0),
@@ -150,10 +165,15 @@
     /// Takes in the lease row. After an interruption the time for which it was
     /// unchanged counts anew: nobody could renew it meanwhile.
     fn observe_view(&mut self, view: &TableView) {
-        if view.confirmed_at.is_none() {
+        let Some(confirmed_at) = view.confirmed_at else {
             return;
-        }
-        if view.interruptions != self.interruptions && self.holding.is_none() {
+        };
+        let last = self.confirmed_at.replace(confirmed_at);
+        let was_silent = last.is_some_and(|last| {
+            confirmed_at.saturating_duration_since(last) > self.confirmation_gap()
+        });
+        let was_interrupted = was_silent || view.interruptions != self.interruptions;
+        if was_interrupted && self.holding.is_none() {
             self.interruptions = view.interruptions;
             self.watcher = new_watcher(&self.context);
             self.seen_version = None;
@@ -164,14 +184,20 @@
         if version < self.seen_version {
             return;
         }
-        self.observe_row(row);
+        self.observe_row(row, confirmed_at);
     }
 
-    fn observe_row(&mut self, row: Option<&Row>) {
+    /// The time between two confirmations of a view that is kept up.
+    fn confirmation_gap(&self) -> Duration {
+        let answers = self.context.table.ordinary_time() * CONFIRMATION_ANSWERS;
+        lease_wait(&self.context.settings.bounds) + CONFIRMATION_MARGIN + answers
+    }
+
+    fn observe_row(&mut self, row: Option<&Row>, at: Instant) {
         let version = row.map(|row| row.version);
         if version != self.seen_version {
             self.seen_version = version;
-            self.unchanged_since = Instant::now();
+            self.unchanged_since = at;
             self.candidate_turn = rand::rng().random_range(0..CANDIDATE_TURNS);
         }
         let lease = row.and_then(|row| {
@@ -179,8 +205,8 @@
             let version = row.version;
             Some(ObservedLease { version, record })
         });
-        let now = self.now();
-        self.watcher.observe(now, lease);
+        let at = self.timestamp(at);
+        self.watcher.observe(at, lease);
     }
 
     /// Ends the term if another holder has been seen, or the owner has found out.
@@ -278,7 +304,7 @@
     fn note_own_write(&mut self, version: RowVersion, record: LeaseRecord) {
         self.seen_version = Some(version);
         self.unchanged_since = Instant::now();
-        let now = self.now();
+        let now = self.timestamp(Instant::now());
         self.watcher
             .observe(now, Some(ObservedLease { version, record }));
     }
@@ -286,7 +312,7 @@
     fn note_conflict(&mut self, current: &[Row]) {
         let address = rows::lease(&self.service);
         let row = current.iter().find(|row| row.address == address);
-        self.observe_row(row);
+        self.observe_row(row, Instant::now());
         self.check_holding();
     }
 
@@ -311,8 +337,9 @@
         });
     }
 
-    fn now(&self) -> Timestamp {
-        Timestamp(self.origin.elapsed().as_millis() as u64)
+    fn timestamp(&self, at: Instant) -> Timestamp {
+        let since_origin = at.saturating_duration_since(self.origin);
+        Timestamp(since_origin.as_millis() as u64)
     }
 }
 
--- a/crates/sloetrail-serving/src/owner/mod.rs
+++ b/crates/sloetrail-serving/src/owner/mod.rs
@@ -22,4 +22,4 @@
 mod term;
 mod weights;
 
-pub(crate) use lease_keeper::supervise;
+pub(crate) use lease_keeper::{lease_wait, supervise};
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -16,7 +16,7 @@
 use crate::batch_rows::decode_header;
 use crate::context::NodeContext;
 use crate::events::{self, Event};
-use crate::follow::{ViewReceiver, follow};
+use crate::follow::{FollowPace, ViewReceiver, follow};
 use crate::rows;
 use sloetrail_batch::{Batch, BatchHeader, BatchId, DeathCause, ItemId, ItemIndex, Transcript};
 use sloetrail_types::EngineId;
@@ -158,7 +158,12 @@
 
     fn follow(&self, table: &str) -> ViewReceiver {
         let source = Arc::clone(&self.context.table);
-        follow(source, table, rows::PARTITION, FOLLOW_PAUSE)
+        follow(
+            source,
+            table,
+            rows::PARTITION,
+            FollowPace::with_pause(FOLLOW_PAUSE),
+        )
     }
 
     fn take_directory(&mut self) {
--- a/crates/sloetrail-serving/src/table_client.rs
+++ b/crates/sloetrail-serving/src/table_client.rs
@@ -221,15 +221,19 @@
         wait: Duration,
     ) -> Result<Changes, ReadError> {
         let began = Instant::now();
-        // How long an answer that is held open takes says nothing of the table's pace.
         let patience = patience_of(&self.reads);
         let result = tokio::select! {
             result = self.transport.changes(table, since, wait, patience) => result,
             () = self.returned() => Err(ReadError::Unavailable),
         };
-        if result.is_err() && began.elapsed() >= wait + patience {
+        let took = began.elapsed();
+        if result.is_err() && took >= wait + patience {
             learn(&self.reads, false, patience, patience);
         }
+        if result.is_ok() {
+            let mut reads = self.reads.lock().expect("not poisoned");
+            reads.note_held_answer(took, wait);
+        }
         self.note_presence(!matches!(result, Err(ReadError::Unavailable)));
         telemetry::table_call_ended("changes", read_word(&result), began.elapsed());
         result
--- a/crates/sloetrail-serving/src/table_client/patience.rs
+++ b/crates/sloetrail-serving/src/table_client/patience.rs
@@ -40,6 +40,17 @@
         };
     }
 
+    /// An answer that could be held open for `wait` took this long. One that was held
+    /// to the end tells what it took on top; an earlier one tells only that an ordinary
+    /// answer takes no longer.
+    pub fn note_held_answer(&mut self, took: Duration, wait: Duration) {
+        if took >= wait {
+            self.note_answer(took - wait);
+        } else if took < self.ordinary {
+            self.note_answer(took);
+        }
+    }
+
     /// No answer came in time.
     pub fn note_silence(&mut self) {
         self.silences = self.silences.saturating_add(1);
--- a/crates/sloetrail-serving/src/table_client/tests.rs
+++ b/crates/sloetrail-serving/src/table_client/tests.rs
@@ -39,6 +39,34 @@
     assert_eq!(patience.time(), milliseconds(150));
 }
 
+#[test]
+fn answers_that_are_held_open_tell_the_pace_as_well() {
+    let wait = milliseconds(1_000);
+    let mut patience = Patience::default();
+    patience.note_answer(milliseconds(500));
+    assert_eq!(patience.time(), milliseconds(3_000));
+    for _ in 0..20 {
+        patience.note_held_answer(milliseconds(1_005), wait);
+    }
+    assert_eq!(
+        patience.time(),
+        milliseconds(150),
+        "a slow start is forgotten"
+    );
+    patience.note_held_answer(milliseconds(700), wait);
+    assert_eq!(
+        patience.time(),
+        milliseconds(150),
+        "something changed after 700 ms"
+    );
+    patience.note_held_answer(milliseconds(1_400), wait);
+    assert_eq!(
+        patience.time(),
+        milliseconds(2_400),
+        "the table has turned slow"
+    );
+}
+
 #[test]
 fn patience_has_a_bound() {
     let mut patience = Patience::default();
--- a/crates/sloetrail-serving/tests/owner.rs
+++ b/crates/sloetrail-serving/tests/owner.rs
@@ -250,3 +250,28 @@
     let later = cluster.wait_results(other, "b1", 12).await;
     assert_eq!(later, results, "the late commit was fenced off");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_table_that_holds_every_call_for_a_while_costs_no_owner_its_lease() {
+    let cluster = usual_cluster(Duration::from_millis(10)).await;
+    let owner = holder(&cluster).await;
+    let lease = || {
+        let rows = cluster.table.rows("sloetrail_leases");
+        let row = rows
+            .into_iter()
+            .find(|row| row.address.key == "fence/models");
+        row.expect("a fence").version
+    };
+    let before = lease();
+    for node in &cluster.nodes {
+        node.link.set_held(true);
+    }
+    tokio::time::sleep(Duration::from_millis(3_000)).await;
+    // The other node hears the table again a little before the owner can renew.
+    cluster.nodes[1 - owner].link.set_held(false);
+    tokio::time::sleep(Duration::from_millis(250)).await;
+    cluster.nodes[owner].link.set_held(false);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(lease(), before, "nobody took over from a sound owner");
+    assert_eq!(holder(&cluster).await, owner);
+}
