A fifth of the engines change weights at a time, those no batch can use first

Cause: on the grown sites orders went to two engines at a time, each for 0.92 s. With 36 engines of three models a round took 16 s, while each trainer publishes a version every 4 s; one model's engines were brought up to date while the others' had none that their batches could use.

Change: a fifth of a service's engines, but at least the setting's number, may change at a time. Engines that the newest batch of their model cannot use go first, for the model with the smallest share in service; others lag behind until there is room, and half of those that are usable stay in service.

Tests first red: engines_that_no_batch_can_use_change_before..., half_of_the_engines... (they name functions that did not exist).

--- a/crates/sloetrail-serving/src/owner/engines/tests.rs
+++ b/crates/sloetrail-serving/src/owner/engines/tests.rs
@@ -1,7 +1,7 @@
 use super::{Demand, EnginePool};
 use crate::back_end::BackEnd;
 use crate::directory::Directory;
-use crate::owner::weights::plan;
+use crate::owner::rollout_plan::{ModelTarget, concurrent_changes, plan};
 use sloetrail_types::{EngineId, ServiceName, WeightVersion, ZoneName};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -61,6 +61,14 @@
     }
 }
 
+fn target(model: &str, published: u64, needed: u64) -> ModelTarget {
+    ModelTarget {
+        model: model.to_owned(),
+        published: WeightVersion(published),
+        needed: WeightVersion(needed),
+    }
+}
+
 fn of_model(pool: &EnginePool, model: &str) -> Vec<EngineId> {
     let assigned = pool.iter().filter(|(id, _)| pool.is_assigned(id, model));
     assigned.map(|(id, _)| id.clone()).collect()
@@ -110,7 +118,8 @@
     let slow = of_model(&pool, "a");
     make_slow(&mut pool, &slow);
     let now = Instant::now() + Duration::from_secs(5);
-    let orders = plan(&pool, |_| Some(WeightVersion(2)), &models(), 9, now);
+    let targets = MODELS.map(|model| target(model, 2, 1));
+    let orders = plan(&pool, &targets, 9, now);
     assert!(orders.iter().all(|order| !slow.contains(&order.engine)));
     let demand = Demand {
         model: Some("a"),
@@ -137,8 +146,7 @@
 fn orders_are_planned_a_few_at_a_time() {
     let pool = pool(9);
     let now = Instant::now();
-    let published = |model: &str| (model == "b").then_some(WeightVersion(4));
-    let orders = plan(&pool, published, &models(), 2, now);
+    let orders = plan(&pool, &[target("b", 4, 4)], 2, now);
     assert_eq!(orders.len(), 2);
     assert!(
         orders
@@ -151,3 +159,31 @@
             .all(|order| pool.is_assigned(&order.engine, "b"))
     );
 }
+
+#[test]
+fn engines_that_no_batch_can_use_change_before_those_that_lag_behind() {
+    let mut pool = pool(36);
+    for id in of_model(&pool, "a") {
+        let engine = pool.get_mut(&id).expect("known");
+        engine.note_version("a", WeightVersion(3), "test");
+    }
+    let targets = [target("a", 4, 3), target("b", 4, 3), target("c", 4, 3)];
+    let concurrent = concurrent_changes(36, 2);
+    assert_eq!(concurrent, 8, "a fifth of the engines");
+    let orders = plan(&pool, &targets, concurrent, Instant::now());
+    let of = |model: &str| orders.iter().filter(|order| order.model == model).count();
+    assert_eq!(
+        (of("a"), of("b"), of("c")),
+        (0, 4, 4),
+        "the models without a usable engine share what may change"
+    );
+}
+
+#[test]
+fn half_of_the_engines_that_batches_can_use_stay_in_service() {
+    let pool = pool(6);
+    let orders = plan(&pool, &[target("a", 2, 1)], 6, Instant::now());
+    assert_eq!(orders.len(), 1, "one of two");
+    let orders = plan(&pool, &[target("a", 2, 2)], 6, Instant::now());
+    assert_eq!(orders.len(), 2, "neither is of any use as it is");
+}
--- a/crates/sloetrail-serving/src/owner/mod.rs
+++ b/crates/sloetrail-serving/src/owner/mod.rs
@@ -4,7 +4,7 @@
 //! ([`lease_keeper`]). The holder runs a [`service_owner::ServiceOwner`]: it loads the
 //! open batches from the table, sends items to engines ([`run`]), has whole texts
 //! scored ([`reward`]), commits results in groups ([`committer`]) and brings the
-//! engines to the published versions ([`weights`]). Every write of a term is
+//! engines to the published versions ([`rollout_plan`], [`weights`]). Every write of a term is
 //! conditional on the fence row that the term's first transaction wrote; orders to
 //! engines are given only within windows that were committed before ([`order_window`]).
 
@@ -16,6 +16,7 @@
 mod order_window;
 mod pace;
 mod reward;
+mod rollout_plan;
 mod run;
 mod service_owner;
 mod sweeper;
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -66,6 +66,8 @@
     known: HashSet<BatchId>,
     /// Items that ended batches left over, with the text kept.
     carried: BTreeMap<ItemId, Transcript>,
+    /// By model, how many versions behind the newest one its last batch allows.
+    lags: BTreeMap<String, u64>,
     window: OrderWindow,
     events: mpsc::UnboundedReceiver<OwnerEvent>,
     sender: mpsc::UnboundedSender<OwnerEvent>,
@@ -89,6 +91,7 @@
             batches: BTreeMap::new(),
             known: HashSet::new(),
             carried: BTreeMap::new(),
+            lags: BTreeMap::new(),
             window: OrderWindow::default(),
             events,
             sender,
@@ -262,6 +265,7 @@
             epoch: self.term.epoch.0,
             age_ms: now_ms.saturating_sub(batch.header.accepted_at_ms),
         });
+        self.note_lag(batch.model.as_deref(), batch.oldest_version);
         let kept = kept_in_table(&batch);
         self.reuse_carried(&mut batch);
         let opened = CommitRequest::Open {
--- a/crates/sloetrail-serving/src/owner/service_owner/versions.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/versions.rs
@@ -4,7 +4,9 @@
 use crate::back_end::{OrderAnswer, VersionChange};
 use crate::owner::engines::VersionChangeUnderWay;
 use crate::owner::event::OrderEnd;
-use crate::owner::weights::{OrderTask, plan};
+use crate::owner::rollout_plan::{ModelTarget, concurrent_changes, plan};
+use crate::owner::weights::OrderTask;
+use sloetrail_types::WeightVersion;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -13,6 +15,9 @@
 const ORDER_RETRY_UNANSWERED: Duration = Duration::from_millis(700);
 const ORDER_SEND_TIME: Duration = Duration::from_millis(140);
 
+/// How far samples may be behind the newest version until a batch has told.
+const LAG_DEFAULT: u64 = 1;
+
 impl ServiceOwner {
     pub(super) fn note_versions_of_runs(&mut self) {
         for open in self.batches.values() {
@@ -32,16 +37,10 @@
 
     /// Gives the orders that are due, within a window that was committed before.
     pub(super) async fn drive_weights(&mut self) {
-        let models = self.models();
-        let published = Arc::clone(&self.context.in_force.borrow().published);
-        let concurrent = self.context.settings.bounds.concurrent_loads;
-        let orders = plan(
-            &self.engines,
-            |model| published.get(model).copied(),
-            &models,
-            concurrent,
-            Instant::now(),
-        );
+        let least = self.context.settings.bounds.concurrent_loads;
+        let concurrent = concurrent_changes(self.engines.iter().count(), least);
+        let targets = self.model_targets();
+        let orders = plan(&self.engines, &targets, concurrent, Instant::now());
         if orders.is_empty() {
             return;
         }
@@ -68,6 +67,44 @@
         }
     }
 
+    fn model_targets(&self) -> Vec<ModelTarget> {
+        let published = Arc::clone(&self.context.in_force.borrow().published);
+        let models = self.models().into_iter();
+        models
+            .filter_map(|model| {
+                let published = *published.get(&model)?;
+                let needed = self.needed_version(&model, published);
+                Some(ModelTarget {
+                    model,
+                    published,
+                    needed,
+                })
+            })
+            .collect()
+    }
+
+    /// The oldest version that the newest batch of a model can use, or the next one
+    /// that its trainer submits if it keeps its distance from the newest version.
+    fn needed_version(&self, model: &str, published: WeightVersion) -> WeightVersion {
+        let lag = self.lags.get(model).copied().unwrap_or(LAG_DEFAULT);
+        let expected = published.0.saturating_sub(lag);
+        let open = self.batches.values();
+        let of_model = open.filter(|open| open.batch.model.as_deref() == Some(model));
+        let demanded = of_model.map(|open| open.batch.oldest_version).max();
+        WeightVersion(expected).max(demanded.unwrap_or_default())
+    }
+
+    /// Notes how far behind the newest version a batch allows its samples to be.
+    pub(super) fn note_lag(&mut self, model: Option<&str>, oldest: WeightVersion) {
+        let published = Arc::clone(&self.context.in_force.borrow().published);
+        if let Some(model) = model
+            && let Some(published) = published.get(model)
+        {
+            let lag = published.0.saturating_sub(oldest.0);
+            self.lags.insert(model.to_owned(), lag);
+        }
+    }
+
     /// Running samples go on under new weights, unless a route of the service wants
     /// each sample from one version.
     fn version_change(&self) -> VersionChange {
--- a/crates/sloetrail-serving/src/owner/weights.rs
+++ b/crates/sloetrail-serving/src/owner/weights.rs
@@ -1,9 +1,8 @@
-//! Bringing engines to the published versions.
+//! Giving one order to an engine.
 //!
 //! An engine is asked for its status, then ordered under the count of orders that it
 //! has taken: an order that arrives late, after others, is refused by that count.
 
-use super::engines::EnginePool;
 use super::event::{OrderEnd, OwnerEvent, PlannedOrder};
 use super::term::Term;
 use crate::back_end::{BackEnd, EngineStatus, OrderAnswer, VersionChange, VersionOrder};
@@ -15,7 +14,6 @@
 use crate::telemetry;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Request};
-use sloetrail_types::WeightVersion;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -24,52 +22,6 @@
 const CALL_TIME: Duration = Duration::from_millis(700);
 const ANSWER_BYTES: usize = 64 * 1024;
 
-/// The orders to give now: engines that are kept up to date for a model and use an
-/// older version than is published, those with least to do first, with at most
-/// `concurrent` changes at a time.
-pub(super) fn plan(
-    pool: &EnginePool,
-    published: impl Fn(&str) -> Option<WeightVersion>,
-    models: &[String],
-    concurrent: usize,
-    now: Instant,
-) -> Vec<PlannedOrder> {
-    let under_way = pool
-        .iter()
-        .filter(|(_, engine)| engine.change.is_some() || engine.is_being_ordered)
-        .count();
-    let mut wanted: Vec<(usize, PlannedOrder)> = Vec::new();
-    for model in models {
-        let Some(version) = published(model) else {
-            continue;
-        };
-        for (id, engine) in pool.iter() {
-            let is_due = engine.is_usable(now)
-                && !engine.is_slow()
-                && pool.is_assigned(id, model)
-                && engine.version(model) < version
-                && engine.change.is_none()
-                && !engine.is_being_ordered
-                && now >= engine.order_not_before;
-            if is_due {
-                let order = PlannedOrder {
-                    engine: id.clone(),
-                    model: model.clone(),
-                    version,
-                };
-                wanted.push((engine.running, order));
-            }
-        }
-    }
-    wanted.sort_by_key(|(running, _)| *running);
-    let free = concurrent.saturating_sub(under_way);
-    wanted
-        .into_iter()
-        .take(free)
-        .map(|(_, order)| order)
-        .collect()
-}
-
 /// What it takes to give one order.
 pub(super) struct OrderTask {
     pub(super) context: Arc<NodeContext>,
