The owner's plans take linear time; engines by work; windows without waiting

Causes, found one after the other: - At 3,000 engines one plan took 1.65 s (for each order, every engine of every model was looked at) and ran after every event; a first assignment was quadratic as well. (Read from the code; a test shows each.) - The owner's loop waited for the table whenever it opened an order window: no item was sent meanwhile. Test first red on the code before (scratch copy): items_go_on_while_the_table_takes_its_time_over_an_order_window. - Windows lay in the table of leases, which every node follows. - Every engine got every version, though samples may be one version behind.

Changes: a queue a model, built once a plan, only when something has changed; engines are given the model whose weights they have kept up best, and shares follow the expected tokens of the batches; windows are opened by a task and lie in a table of their own; half of a model's engines, or twice what it uses of its places, get each version.

--- a/crates/sloetrail-serving-testkit/src/table.rs
+++ b/crates/sloetrail-serving-testkit/src/table.rs
@@ -31,6 +31,8 @@
     LostOnTheWay,
     /// It is refused.
     Refused,
+    /// It is done and answered after this time.
+    Slow(Duration),
 }
 
 #[derive(Debug, Default)]
@@ -312,6 +314,10 @@
         match self.table.take_fault(transaction) {
             CommitFault::None => return Ok(self.table.judge(transaction)),
             CommitFault::Refused => return Err(CommitError::NotDone),
+            CommitFault::Slow(time) => {
+                tokio::time::sleep(time).await;
+                return Ok(self.table.judge(transaction));
+            }
             CommitFault::LostOnTheWay => {}
             CommitFault::DoneUnanswered => {
                 self.table.judge(transaction);
--- a/crates/sloetrail-serving/src/owner/engines.rs
+++ b/crates/sloetrail-serving/src/owner/engines.rs
@@ -1,12 +1,13 @@
 //! The engines of a service, as its owner sees them.
 
+use super::assignment::{ModelShare, assign_models};
 use super::pace::PaceMeter;
 use crate::back_end::BackEnd;
 use crate::directory::Directory;
 use crate::events::{self, Event};
 use crate::loss_backoff::LossBackoff;
 use sloetrail_types::{EngineId, ServiceName, WeightVersion};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -38,6 +39,8 @@
     /// The versions that it is believed to use.
     pub(super) versions: BTreeMap<String, WeightVersion>,
     pub(super) change: Option<VersionChangeUnderWay>,
+    /// The model that it is kept up to date for.
+    pub(super) assigned: Option<String>,
     /// True while a call about an order is on its way.
     pub(super) is_being_ordered: bool,
     /// No order is given before.
@@ -59,16 +62,12 @@
 #[derive(Default)]
 pub(super) struct EnginePool {
     engines: BTreeMap<EngineId, Engine>,
-    /// Which model an engine is kept up to date for.
-    assignments: BTreeMap<EngineId, String>,
 }
 
 impl EnginePool {
     /// Takes in the directory.
     pub(super) fn take_directory(&mut self, directory: &Directory, service: &ServiceName) {
-        let mut listed = BTreeSet::new();
         for back_end in directory.of_service(service) {
-            listed.insert(back_end.id.clone());
             match self.engines.get_mut(&back_end.id) {
                 Some(engine) => engine.take_row(back_end),
                 None => {
@@ -77,85 +76,19 @@
                 }
             }
         }
-        self.engines
-            .retain(|id, engine| listed.contains(id) || engine.running > 0);
-        for (id, engine) in &mut self.engines {
-            if !listed.contains(id) {
+        self.engines.retain(|id, engine| {
+            let row = directory.back_ends.get(id);
+            let is_listed = row.is_some_and(|row| row.service == *service);
+            if !is_listed {
                 engine.mark_gone();
             }
-        }
-    }
-
-    /// Gives each engine that takes work a model to be kept up to date for, evenly,
-    /// and changes as few as possible.
-    pub(super) fn assign(&mut self, models: &[String]) {
-        let engines = &self.engines;
-        self.assignments.retain(|id, model| {
-            let takes_work = engines
-                .get(id)
-                .is_some_and(|engine| !engine.back_end.draining);
-            takes_work && models.contains(model)
+            is_listed || engine.running > 0
         });
-        let unassigned: Vec<EngineId> = self
-            .engines
-            .iter()
-            .filter(|(id, engine)| !engine.back_end.draining && !self.assignments.contains_key(*id))
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in unassigned {
-            if let Some(model) = self.least_assigned(models) {
-                self.assignments.insert(id, model);
-            }
-        }
-        self.level(models);
-    }
-
-    /// Engines that are kept up to date for a model and are not slow.
-    fn assigned_count(&self, model: &str) -> usize {
-        let assigned = self.assignments.iter();
-        let fast = assigned.filter(|(id, _)| !self.is_slow(id));
-        fast.filter(|(_, assigned)| *assigned == model).count()
     }
 
-    fn is_slow(&self, id: &EngineId) -> bool {
-        self.engines.get(id).is_some_and(|engine| engine.is_slow)
-    }
-
-    fn least_assigned(&self, models: &[String]) -> Option<String> {
-        models
-            .iter()
-            .min_by_key(|model| self.assigned_count(model))
-            .cloned()
-    }
-
-    /// Moves engines from the model with most to the one with least while they lie
-    /// two or more apart.
-    fn level(&mut self, models: &[String]) {
-        loop {
-            let least = models.iter().min_by_key(|model| self.assigned_count(model));
-            let most = models.iter().max_by_key(|model| self.assigned_count(model));
-            let (Some(least), Some(most)) = (least, most) else {
-                return;
-            };
-            if self.assigned_count(most) < self.assigned_count(least) + 2 {
-                return;
-            }
-            let of_most = self.assignments.iter().filter(|(_, model)| *model == most);
-            let fast = of_most.filter(|(id, _)| !self.is_slow(id));
-            let running = |id: &EngineId| self.engines.get(id).map_or(0, |engine| engine.running);
-            let Some(id) = fast.map(|(id, _)| id).min_by_key(|id| running(id)) else {
-                return;
-            };
-            let (id, least) = (id.clone(), least.clone());
-            self.assignments.insert(id, least);
-        }
-    }
-
-    /// True if an engine is kept up to date for a model.
-    pub(super) fn is_assigned(&self, id: &EngineId, model: &str) -> bool {
-        self.assignments
-            .get(id)
-            .is_some_and(|assigned| assigned == model)
+    /// Gives each engine that takes work a model to be kept up to date for.
+    pub(super) fn assign(&mut self, shares: &[ModelShare]) {
+        assign_models(&mut self.engines, shares);
     }
 
     /// The engine that takes an item with this demand, or none. Engines that are
@@ -165,8 +98,8 @@
             .engines
             .iter()
             .filter(|(_, engine)| engine.can_take(demand, now));
-        let best = able.min_by_key(|(id, engine)| {
-            let assigned = demand.model.is_none_or(|model| self.is_assigned(id, model));
+        let best = able.min_by_key(|(_, engine)| {
+            let assigned = demand.model.is_none_or(|model| engine.is_assigned(model));
             (!assigned, engine.is_slow, engine.running)
         });
         best.map(|(id, _)| id.clone())
@@ -181,6 +114,15 @@
             .sum()
     }
 
+    /// Every place, free or not, of the engines that are kept up to date for a model.
+    pub(super) fn places_of(&self, model: &str) -> usize {
+        let engines = self.engines.values();
+        engines
+            .filter(|engine| engine.is_assigned(model) && !engine.is_slow)
+            .map(|engine| engine.back_end.slots)
+            .sum()
+    }
+
     /// One engine.
     pub(super) fn get(&self, id: &EngineId) -> Option<&Engine> {
         self.engines.get(id)
@@ -191,6 +133,11 @@
         self.engines.get_mut(id)
     }
 
+    /// How many engines there are.
+    pub(super) fn len(&self) -> usize {
+        self.engines.len()
+    }
+
     /// Every engine.
     pub(super) fn iter(&self) -> impl Iterator<Item = (&EngineId, &Engine)> {
         self.engines.iter()
@@ -231,6 +178,7 @@
             pace: Arc::default(),
             versions: back_end.versions.clone(),
             change: None,
+            assigned: None,
             is_being_ordered: false,
             order_not_before: now,
             is_slow: false,
@@ -285,6 +233,11 @@
         self.versions.get(model).copied().unwrap_or_default()
     }
 
+    /// True if the engine is kept up to date for a model.
+    pub(super) fn is_assigned(&self, model: &str) -> bool {
+        self.assigned.as_deref() == Some(model)
+    }
+
     /// True if the engine takes work and was not lost or did not refuse just now.
     pub(super) fn is_usable(&self, now: Instant) -> bool {
         !self.back_end.draining && self.losses.is_over(now) && now >= self.not_before
--- a/crates/sloetrail-serving/src/owner/engines/tests.rs
+++ b/crates/sloetrail-serving/src/owner/engines/tests.rs
@@ -1,6 +1,7 @@
 use super::{Demand, EnginePool};
 use crate::back_end::BackEnd;
 use crate::directory::Directory;
+use crate::owner::assignment::ModelShare;
 use crate::owner::rollout_plan::{ModelTarget, concurrent_changes, plan};
 use sloetrail_types::{EngineId, ServiceName, WeightVersion, ZoneName};
 use std::collections::BTreeMap;
@@ -10,8 +11,16 @@
 
 const MODELS: [&str; 3] = ["a", "b", "c"];
 
-fn models() -> Vec<String> {
-    MODELS.iter().map(|model| (*model).to_owned()).collect()
+fn share(model: &str, published: u64, work: f64) -> ModelShare {
+    ModelShare {
+        model: model.to_owned(),
+        published: WeightVersion(published),
+        work,
+    }
+}
+
+fn models() -> Vec<ModelShare> {
+    MODELS.map(|model| share(model, 1, 1.0)).into()
 }
 
 fn directory(engines: usize, draining: &[usize]) -> Directory {
@@ -47,7 +56,7 @@
 /// How many engines that are not slow each model has.
 fn fast_engines(pool: &EnginePool) -> BTreeMap<&'static str, usize> {
     let count = |model: &str| {
-        let assigned = pool.iter().filter(|(id, _)| pool.is_assigned(id, model));
+        let assigned = pool.iter().filter(|(_, engine)| engine.is_assigned(model));
         assigned.filter(|(_, engine)| !engine.is_slow()).count()
     };
     MODELS.iter().map(|model| (*model, count(model))).collect()
@@ -66,11 +75,12 @@
         model: model.to_owned(),
         published: WeightVersion(published),
         needed: WeightVersion(needed),
+        newest_share: 1.0,
     }
 }
 
 fn of_model(pool: &EnginePool, model: &str) -> Vec<EngineId> {
-    let assigned = pool.iter().filter(|(id, _)| pool.is_assigned(id, model));
+    let assigned = pool.iter().filter(|(_, engine)| engine.is_assigned(model));
     assigned.map(|(id, _)| id.clone()).collect()
 }
 
@@ -153,11 +163,10 @@
             .iter()
             .all(|order| order.model == "b" && order.version == WeightVersion(4))
     );
-    assert!(
-        orders
-            .iter()
-            .all(|order| pool.is_assigned(&order.engine, "b"))
-    );
+    assert!(orders.iter().all(|order| {
+        pool.get(&order.engine)
+            .is_some_and(|engine| engine.is_assigned("b"))
+    }));
 }
 
 #[test]
@@ -187,3 +196,70 @@
     let orders = plan(&pool, &[target("a", 2, 2)], 6, Instant::now());
     assert_eq!(orders.len(), 2, "neither is of any use as it is");
 }
+
+#[test]
+fn the_work_of_a_plan_does_not_grow_with_the_square_of_the_engines() {
+    const ENGINES: usize = 3_000;
+    const LIMIT: Duration = Duration::from_millis(500);
+    let began = std::time::Instant::now();
+    let pool = pool(ENGINES);
+    let targets = MODELS.map(|model| target(model, 2, 1));
+    let concurrent = concurrent_changes(ENGINES, 2);
+    let orders = plan(&pool, &targets, concurrent, Instant::now());
+    assert_eq!(orders.len(), ENGINES / 5);
+    // Seconds before the engines of a model were counted once a plan.
+    assert!(began.elapsed() < LIMIT, "{:?}", began.elapsed());
+}
+
+fn engines_of(pool: &EnginePool) -> [usize; 3] {
+    MODELS.map(|model| of_model(pool, model).len())
+}
+
+#[test]
+fn models_get_engines_by_the_work_of_their_batches() {
+    let mut pool = pool(35);
+    let shares = [share("a", 1, 1.0), share("b", 1, 2.0), share("c", 1, 2.0)];
+    pool.assign(&shares);
+    assert_eq!(engines_of(&pool), [7, 14, 14]);
+    let before = MODELS.map(|model| of_model(&pool, model));
+    let nearly = [share("a", 1, 1.02), share("b", 1, 1.99), share("c", 1, 2.0)];
+    pool.assign(&nearly);
+    let after = MODELS.map(|model| of_model(&pool, model));
+    assert_eq!(before, after, "small differences move nothing");
+}
+
+#[test]
+fn a_new_owner_leaves_each_engine_the_model_that_it_has_kept_up() {
+    let mut first = pool(9);
+    first.take_directory(&directory(9, &[0, 4]), &ServiceName::from("models"));
+    first.assign(&models());
+    let kept = MODELS.map(|model| of_model(&first, model));
+    let mut second = EnginePool::default();
+    second.take_directory(&directory(9, &[0, 4]), &ServiceName::from("models"));
+    for (model, ids) in MODELS.iter().zip(&kept) {
+        for id in ids {
+            let engine = second.get_mut(id).expect("known");
+            engine.note_version(model, WeightVersion(7), "test");
+        }
+    }
+    second.assign(&MODELS.map(|model| share(model, 8, 1.0)));
+    let after = MODELS.map(|model| of_model(&second, model));
+    assert_eq!(kept, after);
+}
+
+#[test]
+fn a_model_with_room_to_spare_brings_half_of_its_engines_to_each_version() {
+    let mut pool = pool(24);
+    for version in 2..6 {
+        let spare = ModelTarget {
+            newest_share: 0.5,
+            ..target("a", version, version - 1)
+        };
+        let orders = plan(&pool, &[spare], 24, Instant::now());
+        assert_eq!(orders.len(), 4, "half of eight, at version {version}");
+        for order in orders {
+            let engine = pool.get_mut(&order.engine).expect("known");
+            engine.note_version("a", order.version, "test");
+        }
+    }
+}
--- a/crates/sloetrail-serving/src/owner/event.rs
+++ b/crates/sloetrail-serving/src/owner/event.rs
@@ -1,6 +1,7 @@
 //! What the parts of an owner tell it.
 
 use super::loading::LoadedBatch;
+use super::order_window::OrderWindow;
 use super::reward::RewardOutcome;
 use super::run::RunOutcome;
 use crate::back_end::{EngineStatus, OrderAnswer};
@@ -31,6 +32,8 @@
     RewardEnded(BatchId, ItemIndex, RewardOutcome),
     /// A result was committed.
     Committed(Committed),
+    /// The window for orders was opened, or could not be.
+    WindowAnswered(OrderWindow),
     /// An order was given, or could not be.
     OrderEnded(OrderEnd),
 }
--- a/crates/sloetrail-serving/src/owner/mod.rs
+++ b/crates/sloetrail-serving/src/owner/mod.rs
@@ -8,6 +8,7 @@
 //! conditional on the fence row that the term's first transaction wrote; orders to
 //! engines are given only within windows that were committed before ([`order_window`]).
 
+mod assignment;
 mod committer;
 mod engines;
 mod event;
@@ -21,6 +22,7 @@
 mod service_owner;
 mod sweeper;
 mod term;
+mod usage;
 mod weights;
 
 pub(crate) use lease_keeper::{lease_wait, supervise};
--- a/crates/sloetrail-serving/src/owner/order_window.rs
+++ b/crates/sloetrail-serving/src/owner/order_window.rs
@@ -30,7 +30,7 @@
 }
 
 /// The order window of one term.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct OrderWindow {
     open_until: Option<Instant>,
     /// When the gap after the last owner's window has passed, by the table's clock.
@@ -44,13 +44,13 @@
         self.open_until.is_some_and(|until| latest < until)
     }
 
-    /// Opens a window, or prolongs it; true if it is open afterwards.
-    pub(super) async fn open(&mut self, context: &NodeContext, term: &Term) -> bool {
+    /// Opens a window, or prolongs it, if it may be open by now.
+    pub(super) async fn open(&mut self, context: &NodeContext, term: &Term) {
         let Some(now_ms) = context.table.now_ms() else {
-            return false;
+            return;
         };
         if !self.is_past_gap(context, term, now_ms).await {
-            return false;
+            return;
         }
         let began = Instant::now();
         let window = StoredWindow {
@@ -66,7 +66,6 @@
             // It may be done later, which only makes a successor wait longer.
             Err(_) => {}
         }
-        self.is_open()
     }
 
     async fn is_past_gap(&mut self, context: &NodeContext, term: &Term, now_ms: u64) -> bool {
--- a/crates/sloetrail-serving/src/owner/rollout_plan.rs
+++ b/crates/sloetrail-serving/src/owner/rollout_plan.rs
@@ -3,12 +3,13 @@
 //! A change takes an engine out for about a second, and only a few engines may change
 //! at a time. Engines that the next batch of their model could not use go first, for
 //! the model with the smallest usable share; engines that merely lag behind follow, of
-//! which half stay in service.
+//! which half stay in service. While a model needs only part of its places, only part
+//! of its engines get each version, and the others the next one.
 
 use super::engines::{Engine, EnginePool};
 use super::event::PlannedOrder;
 use sloetrail_types::{EngineId, WeightVersion};
-use std::collections::BTreeSet;
+use std::cmp::Reverse;
 use tokio::time::Instant;
 
 /// Of the engines of a service one in this many may change at a time.
@@ -18,7 +19,7 @@
 const PER_THOUSAND: usize = 1_000;
 
 /// What the versions of one model have come to.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub(super) struct ModelTarget {
     /// The model.
     pub(super) model: String,
@@ -26,6 +27,9 @@
     pub(super) published: WeightVersion,
     /// The oldest version that the newest batch can use.
     pub(super) needed: WeightVersion,
+    /// The share of the model's engines that should have the newest version; others
+    /// keep theirs as long as batches can use it.
+    pub(super) newest_share: f64,
 }
 
 /// How many of `engines` may change at a time: a fifth, but at least `least`.
@@ -42,12 +46,19 @@
 ) -> Vec<PlannedOrder> {
     let under_way = pool.iter().filter(|(_, engine)| is_changing(engine));
     let free = concurrent.saturating_sub(under_way.count());
-    let mut planning = Planning {
-        pool,
-        now,
-        planned: BTreeSet::new(),
-    };
-    (0..free).map_while(|_| planning.next(targets)).collect()
+    if free == 0 {
+        return Vec::new();
+    }
+    let mut queues: Vec<ModelQueue> = targets
+        .iter()
+        .map(|target| ModelQueue::new(pool, target, now))
+        .collect();
+    (0..free)
+        .map_while(|_| {
+            let turns = queues.iter_mut().filter(|queue| queue.turn().is_some());
+            turns.min_by_key(|queue| queue.turn())?.take()
+        })
+        .collect()
 }
 
 fn is_changing(engine: &Engine) -> bool {
@@ -67,65 +78,95 @@
     running: usize,
 }
 
-struct Planning<'a> {
-    pool: &'a EnginePool,
-    now: Instant,
-    planned: BTreeSet<EngineId>,
+/// An engine that is due.
+struct Due<'a> {
+    id: &'a EngineId,
+    is_usable: bool,
+    version: WeightVersion,
+    running: usize,
+}
+
+/// The engines of one model, and those that are due in the order of their turns.
+struct ModelQueue<'a> {
+    target: &'a ModelTarget,
+    assigned: usize,
+    served: usize,
+    newest: usize,
+    changing: usize,
+    /// The next one stands last.
+    due: Vec<Due<'a>>,
 }
 
-impl Planning<'_> {
-    fn next(&mut self, targets: &[ModelTarget]) -> Option<PlannedOrder> {
-        let candidates = targets.iter().flat_map(|target| self.candidates(target));
-        let (_, order) = candidates.min_by_key(|(turn, _)| *turn)?;
-        self.planned.insert(order.engine.clone());
-        Some(order)
+impl<'a> ModelQueue<'a> {
+    fn new(pool: &'a EnginePool, target: &'a ModelTarget, now: Instant) -> Self {
+        let mut queue = Self {
+            target,
+            assigned: 0,
+            served: 0,
+            newest: 0,
+            changing: 0,
+            due: Vec::new(),
+        };
+        for (id, engine) in pool.iter() {
+            if !engine.back_end.draining && engine.is_assigned(&target.model) {
+                queue.add(id, engine, now);
+            }
+        }
+        queue
+            .due
+            .sort_by_key(|due| Reverse((due.is_usable, due.version, due.running)));
+        queue
     }
 
-    fn candidates(&self, target: &ModelTarget) -> Vec<(Turn, PlannedOrder)> {
-        let assigned: Vec<(&EngineId, &Engine)> = self
-            .pool
-            .iter()
-            .filter(|(id, engine)| {
-                self.pool.is_assigned(id, &target.model) && !engine.back_end.draining
-            })
-            .collect();
-        let is_usable = |engine: &Engine| engine.version(&target.model) >= target.needed;
-        let changes =
-            |id: &EngineId, engine: &Engine| is_changing(engine) || self.planned.contains(id);
-        let changing = assigned.iter().filter(|(id, engine)| changes(id, engine));
-        let changing = changing.count();
-        let served = assigned
-            .iter()
-            .filter(|(id, engine)| is_usable(engine) || changes(id, engine));
-        let served_share = served.count() * PER_THOUSAND / assigned.len().max(1);
-        let may_lag = changing >= assigned.len().div_ceil(USABLE_CHANGING_DIVISOR);
-        let due = assigned.into_iter().filter(|(id, engine)| {
-            let waits = is_usable(engine) && may_lag;
-            self.is_due(id, engine, target) && !waits
-        });
-        due.map(|(id, engine)| {
-            let turn = Turn {
-                is_usable: is_usable(engine),
-                served_share,
-                version: engine.version(&target.model),
+    fn add(&mut self, id: &'a EngineId, engine: &Engine, now: Instant) {
+        let version = engine.version(&self.target.model);
+        let is_usable = version >= self.target.needed;
+        self.assigned += 1;
+        self.changing += usize::from(is_changing(engine));
+        let is_newest = version >= self.target.published;
+        self.newest += usize::from(is_newest || is_changing(engine));
+        self.served += usize::from(is_usable || is_changing(engine));
+        let is_due = engine.is_usable(now)
+            && !engine.is_slow()
+            && version < self.target.published
+            && !is_changing(engine)
+            && now >= engine.order_not_before;
+        if is_due {
+            self.due.push(Due {
+                id,
+                is_usable,
+                version,
                 running: engine.running,
-            };
-            let order = PlannedOrder {
-                engine: id.clone(),
-                model: target.model.clone(),
-                version: target.published,
-            };
-            (turn, order)
+            });
+        }
+    }
+
+    /// The turn of the engine that is next; nothing if none may change now.
+    fn turn(&self) -> Option<Turn> {
+        let next = self.due.last()?;
+        let may_change = self.assigned.div_ceil(USABLE_CHANGING_DIVISOR);
+        let newest_enough = (self.assigned as f64 * self.target.newest_share).ceil();
+        let may_wait = self.changing >= may_change || self.newest >= newest_enough as usize;
+        if next.is_usable && may_wait {
+            return None;
+        }
+        Some(Turn {
+            is_usable: next.is_usable,
+            served_share: self.served * PER_THOUSAND / self.assigned,
+            version: next.version,
+            running: next.running,
         })
-        .collect()
     }
 
-    fn is_due(&self, id: &EngineId, engine: &Engine, target: &ModelTarget) -> bool {
-        engine.is_usable(self.now)
-            && !engine.is_slow()
-            && engine.version(&target.model) < target.published
-            && !is_changing(engine)
-            && !self.planned.contains(id)
-            && self.now >= engine.order_not_before
+    fn take(&mut self) -> Option<PlannedOrder> {
+        let next = self.due.pop()?;
+        self.changing += 1;
+        self.newest += 1;
+        self.served += usize::from(!next.is_usable);
+        Some(PlannedOrder {
+            engine: next.id.clone(),
+            model: self.target.model.clone(),
+            version: self.target.published,
+        })
     }
 }
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -13,6 +13,7 @@
 use super::run::RunProgress;
 use super::sweeper;
 use super::term::Term;
+use super::usage::PlaceUsage;
 use crate::batch_rows::decode_header;
 use crate::context::NodeContext;
 use crate::events::{self, Event};
@@ -68,7 +69,13 @@
     carried: BTreeMap<ItemId, Transcript>,
     /// By model, how many versions behind the newest one its last batch allows.
     lags: BTreeMap<String, u64>,
+    usage: PlaceUsage,
+    /// By model, the work of its last batch in expected tokens.
+    work: BTreeMap<String, f64>,
+    /// True if something has changed that orders to engines depend on.
+    weights_due: bool,
     window: OrderWindow,
+    window_is_opening: bool,
     events: mpsc::UnboundedReceiver<OwnerEvent>,
     sender: mpsc::UnboundedSender<OwnerEvent>,
     commits: mpsc::UnboundedSender<CommitRequest>,
@@ -92,7 +99,11 @@
             known: HashSet::new(),
             carried: BTreeMap::new(),
             lags: BTreeMap::new(),
+            usage: PlaceUsage::default(),
+            work: BTreeMap::new(),
+            weights_due: true,
             window: OrderWindow::default(),
+            window_is_opening: false,
             events,
             sender,
             commits,
@@ -129,7 +140,9 @@
                 _ = tick.tick() => self.on_tick(),
             }
             self.fill();
-            self.drive_weights().await;
+            if std::mem::take(&mut self.weights_due) {
+                self.drive_weights();
+            }
             if swept_at.elapsed() > SWEEP_PERIOD {
                 swept_at = Instant::now();
                 let view = batches.borrow().clone();
@@ -176,8 +189,9 @@
     }
 
     fn assign_models(&mut self) {
-        let models = self.models();
-        self.engines.assign(&models);
+        self.weights_due = true;
+        let shares = self.model_shares();
+        self.engines.assign(&shares);
     }
 
     fn models(&self) -> Vec<String> {
@@ -247,7 +261,11 @@
                 self.reward_ended(&batch, index, outcome);
             }
             OwnerEvent::Committed(committed) => self.committed(committed),
-            OwnerEvent::OrderEnded(end) => self.order_ended(end),
+            OwnerEvent::WindowAnswered(window) => self.window_answered(window),
+            OwnerEvent::OrderEnded(end) => {
+                self.weights_due = true;
+                self.order_ended(end);
+            }
         }
     }
 
@@ -265,7 +283,7 @@
             epoch: self.term.epoch.0,
             age_ms: now_ms.saturating_sub(batch.header.accepted_at_ms),
         });
-        self.note_lag(batch.model.as_deref(), batch.oldest_version);
+        self.note_batch(&batch);
         let kept = kept_in_table(&batch);
         self.reuse_carried(&mut batch);
         let opened = CommitRequest::Open {
@@ -326,11 +344,13 @@
     }
 
     fn on_tick(&mut self) {
+        self.weights_due = true;
         let now = Instant::now();
         for (_, engine) in self.engines.iter_mut() {
             engine.expire_change(now);
         }
         self.note_versions_of_runs();
+        self.note_usage();
         if self.engines.judge_paces() {
             self.assign_models();
         }
@@ -344,6 +364,16 @@
         }
     }
 
+    fn note_usage(&mut self) {
+        for model in self.models() {
+            let open = self.batches.values();
+            let of_model = open.filter(|open| open.batch.model.as_ref() == Some(&model));
+            let items = of_model.map(|open| open.batch.waiting() + open.runs.len());
+            let places = self.engines.places_of(&model);
+            self.usage.note(&model, items.sum(), places);
+        }
+    }
+
     fn expire_items(&mut self) {
         let Some(now_ms) = self.context.table.now_ms() else {
             return;
--- a/crates/sloetrail-serving/src/owner/service_owner/versions.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/versions.rs
@@ -2,10 +2,13 @@
 
 use super::ServiceOwner;
 use crate::back_end::{OrderAnswer, VersionChange};
+use crate::owner::assignment::ModelShare;
 use crate::owner::engines::VersionChangeUnderWay;
-use crate::owner::event::OrderEnd;
+use crate::owner::event::{OrderEnd, OwnerEvent};
+use crate::owner::order_window::OrderWindow;
 use crate::owner::rollout_plan::{ModelTarget, concurrent_changes, plan};
 use crate::owner::weights::OrderTask;
+use sloetrail_batch::Batch;
 use sloetrail_types::WeightVersion;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,6 +21,9 @@
 /// How far samples may be behind the newest version until a batch has told.
 const LAG_DEFAULT: u64 = 1;
 
+/// Weight of a batch in what is known of its model's work.
+const WORK_SMOOTHING: f64 = 0.3;
+
 impl ServiceOwner {
     pub(super) fn note_versions_of_runs(&mut self) {
         for open in self.batches.values() {
@@ -36,16 +42,16 @@
     }
 
     /// Gives the orders that are due, within a window that was committed before.
-    pub(super) async fn drive_weights(&mut self) {
+    pub(super) fn drive_weights(&mut self) {
         let least = self.context.settings.bounds.concurrent_loads;
-        let concurrent = concurrent_changes(self.engines.iter().count(), least);
+        let concurrent = concurrent_changes(self.engines.len(), least);
         let targets = self.model_targets();
         let orders = plan(&self.engines, &targets, concurrent, Instant::now());
         if orders.is_empty() {
             return;
         }
-        let is_open = self.window.is_open() || self.window.open(&self.context, &self.term).await;
-        if !is_open {
+        if !self.window.is_open() {
+            self.open_window();
             return;
         }
         let change = self.version_change();
@@ -67,6 +73,28 @@
         }
     }
 
+    /// Has a window opened without waiting for the table, which may be slow or down.
+    fn open_window(&mut self) {
+        if std::mem::replace(&mut self.window_is_opening, true) {
+            return;
+        }
+        let mut window = self.window.clone();
+        let context = Arc::clone(&self.context);
+        let term = self.term.clone();
+        let sender = self.sender.clone();
+        tokio::spawn(async move {
+            window.open(&context, &term).await;
+            // The owner may be gone; then nobody needs it.
+            let _ = sender.send(OwnerEvent::WindowAnswered(window));
+        });
+    }
+
+    pub(super) fn window_answered(&mut self, window: OrderWindow) {
+        self.window = window;
+        self.window_is_opening = false;
+        self.weights_due = true;
+    }
+
     fn model_targets(&self) -> Vec<ModelTarget> {
         let published = Arc::clone(&self.context.in_force.borrow().published);
         let models = self.models().into_iter();
@@ -74,10 +102,12 @@
             .filter_map(|model| {
                 let published = *published.get(&model)?;
                 let needed = self.needed_version(&model, published);
+                let newest_share = self.usage.newest_share(&model);
                 Some(ModelTarget {
                     model,
                     published,
                     needed,
+                    newest_share,
                 })
             })
             .collect()
@@ -94,15 +124,45 @@
         WeightVersion(expected).max(demanded.unwrap_or_default())
     }
 
-    /// Notes how far behind the newest version a batch allows its samples to be.
-    pub(super) fn note_lag(&mut self, model: Option<&str>, oldest: WeightVersion) {
+    /// What the engines are shared out by. A model of which no batch was seen counts as
+    /// the others do on average.
+    pub(super) fn model_shares(&self) -> Vec<ModelShare> {
         let published = Arc::clone(&self.context.in_force.borrow().published);
-        if let Some(model) = model
-            && let Some(published) = published.get(model)
-        {
-            let lag = published.0.saturating_sub(oldest.0);
-            self.lags.insert(model.to_owned(), lag);
+        let models = self.models();
+        let known: Vec<f64> = models
+            .iter()
+            .filter_map(|model| self.work.get(model).copied())
+            .collect();
+        let usual = match known.is_empty() {
+            true => 1.0,
+            false => known.iter().sum::<f64>() / known.len() as f64,
+        };
+        let models = models.into_iter();
+        models
+            .map(|model| ModelShare {
+                published: published.get(&model).copied().unwrap_or_default(),
+                work: self.work.get(&model).copied().unwrap_or(usual),
+                model,
+            })
+            .collect()
+    }
+
+    /// Notes how far behind the newest version a batch allows its samples to be, and
+    /// how much work it is.
+    pub(super) fn note_batch(&mut self, batch: &Batch) {
+        let Some(model) = &batch.model else {
+            return;
+        };
+        let published = Arc::clone(&self.context.in_force.borrow().published);
+        if let Some(published) = published.get(model) {
+            let lag = published.0.saturating_sub(batch.oldest_version.0);
+            self.lags.insert(model.clone(), lag);
         }
+        let tokens: u64 = batch.items().iter().map(|item| item.expected_length).sum();
+        let work = (tokens as f64).max(1.0);
+        let known = self.work.entry(model.clone()).or_insert(work);
+        *known += (work - *known) * WORK_SMOOTHING;
+        self.assign_models();
     }
 
     /// Running samples go on under new weights, unless a route of the service wants
--- a/crates/sloetrail-serving/src/rows.rs
+++ b/crates/sloetrail-serving/src/rows.rs
@@ -7,8 +7,10 @@
 
 /// The partition of all rows.
 pub const PARTITION: &str = "sloetrail";
-/// Lease, fence and order window of each service.
+/// Lease and fence of each service. Every node follows this table.
 pub const LEASES: &str = "sloetrail_leases";
+/// The order window of each service, which only a new owner reads.
+pub const ORDER_WINDOWS: &str = "sloetrail_order_windows";
 /// The head of each batch; its presence means that the batch is accepted.
 pub const BATCHES: &str = "sloetrail_batches";
 /// The submissions, cut into rows.
@@ -36,7 +38,7 @@
 
 /// Until when the owner of a service may give orders to engines.
 pub fn order_window(service: &ServiceName) -> RowAddress {
-    RowAddress::new(LEASES, PARTITION, format!("orders/{service}"))
+    RowAddress::new(ORDER_WINDOWS, PARTITION, service.as_str())
 }
 
 /// The head of a batch.
--- a/crates/sloetrail-serving/tests/owner.rs
+++ b/crates/sloetrail-serving/tests/owner.rs
@@ -86,6 +86,27 @@
     assert!(continued >= 8, "{continued} of 10 texts went on");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn items_go_on_while_the_table_takes_its_time_over_an_order_window() {
+    const ANSWER: Duration = Duration::from_secs(3);
+    let cluster = usual_cluster(Duration::from_millis(5)).await;
+    holder(&cluster).await;
+    let fault = CommitFault::Slow(ANSWER);
+    cluster
+        .table
+        .set_commit_fault_on("sloetrail_order_windows", fault, 1);
+    cluster.publish(2);
+    let is_asked = || async { (cluster.table.faults_left() == Some(0)).then_some(()) };
+    eventually("a window is asked for", is_asked).await;
+    let began = std::time::Instant::now();
+    cluster
+        .submit(0, "b1", &batch(&items(40, 5), MODEL, 1))
+        .await
+        .expect("taken");
+    assert_each_once(&cluster.wait_results(0, "b1", 40).await, 40);
+    assert!(began.elapsed() < ANSWER / 2, "{:?}", began.elapsed());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_owner_that_stops_hands_over_at_once() {
     let mut cluster = usual_cluster(Duration::from_millis(30)).await;
