The paces of feeds grow with the directory; owners keep theirs

A node asks for the directory up to 16 times a second, whatever the fleet's size.

Change: the time between two questions grows with the number of back ends that are listed, the only measure of the fleet that a node has: directory 60 ms to 0.9 s, leases 20 ms to the lease, the operator's question held 1 to 2.5 s. A node that owns a service follows the directory as closely as before. After an answer that came late the next question goes out at once, so that a woken process still asks before it acts.

--- a/crates/sloetrail-serving/src/context.rs
+++ b/crates/sloetrail-serving/src/context.rs
@@ -2,7 +2,7 @@
 
 use crate::dialect::Dialect;
 use crate::directory::Directory;
-use crate::follow::ViewReceiver;
+use crate::follow::{FleetSize, FollowPace, ViewReceiver};
 use crate::http::ConnectionPool;
 use crate::operator::InForce;
 use crate::pause_guard::PauseGuard;
@@ -23,6 +23,9 @@
     pub(crate) in_force: watch::Receiver<Arc<InForce>>,
     pub(crate) directory: watch::Receiver<Arc<Directory>>,
     pub(crate) leases: ViewReceiver,
+    /// How often the leases are asked for.
+    pub(crate) lease_pace: FollowPace,
+    pub(crate) fleet: FleetSize,
     pub(crate) pause_guard: Arc<PauseGuard>,
 }
 
--- a/crates/sloetrail-serving/src/directory.rs
+++ b/crates/sloetrail-serving/src/directory.rs
@@ -3,7 +3,7 @@
 use crate::back_end::BackEnd;
 use crate::dialect::Dialect;
 use crate::events::{self, Event};
-use crate::follow::{TableView, ViewReceiver};
+use crate::follow::{FleetSize, TableView, ViewReceiver};
 use sloetrail_types::{EngineId, RowVersion, ServiceName};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -65,10 +65,12 @@
     }
 }
 
-/// Turns the directory's table into typed back ends until every receiver is gone.
+/// Turns the directory's table into typed back ends until every receiver is gone, and
+/// tells how many there are.
 pub fn watch_directory(
     mut view: ViewReceiver,
     dialect: Arc<dyn Dialect>,
+    fleet: FleetSize,
 ) -> watch::Receiver<Arc<Directory>> {
     let (sender, receiver) = watch::channel(Arc::new(Directory::default()));
     tokio::spawn(async move {
@@ -80,6 +82,7 @@
             }
             let next = current.updated(&table, &*dialect);
             log_differences(&current, &next);
+            fleet.set_back_ends(next.back_ends.len());
             sender.send_replace(Arc::new(next));
         }
     });
--- a/crates/sloetrail-serving/src/follow.rs
+++ b/crates/sloetrail-serving/src/follow.rs
@@ -1,5 +1,9 @@
 //! Following a table: its rows in memory, kept up to date by its changes.
 
+mod pace;
+
+pub use pace::{FleetSize, FollowPace, FollowPaces, OwnedService, Pacing};
+
 use crate::events::{self, Event};
 use crate::table::{Change, Changes, KeyRange, ReadError, Row, Table, scan_all};
 use sloetrail_types::RowVersion;
@@ -11,6 +15,8 @@
 
 const RETRY_FIRST: Duration = Duration::from_millis(40);
 const RETRY_LIMIT: Duration = Duration::from_millis(640);
+/// An answer is late that comes this much after the time for which it may be held.
+const LATE_ANSWER: Duration = Duration::from_millis(400);
 
 /// A table's rows as of one moment.
 #[derive(Clone, Debug)]
@@ -48,24 +54,6 @@
 /// A view that is kept up to date.
 pub type ViewReceiver = watch::Receiver<Arc<TableView>>;
 
-/// How often a table is asked.
-#[derive(Clone, Copy, Debug)]
-pub struct FollowPace {
-    /// The least time between two questions, so that many small changes come together.
-    pub pause: Duration,
-    /// How long a question may be held open. It also bounds how old the proof is that
-    /// nothing has changed.
-    pub wait: Duration,
-}
-
-impl FollowPace {
-    /// A pace with this pause and the usual wait of a second.
-    pub const fn with_pause(pause: Duration) -> Self {
-        let wait = Duration::from_secs(1);
-        Self { pause, wait }
-    }
-}
-
 /// Follows one partition of a table until every receiver is dropped.
 pub fn follow(
     table: Arc<dyn Table>,
@@ -109,7 +97,7 @@
                     must_read_all = false;
                     retry = RETRY_FIRST;
                     self.note_answer();
-                    tokio::time::sleep(self.pace.pause).await;
+                    self.pause().await;
                 }
                 Err(ReadError::HistoryLost) => must_read_all = true,
                 Err(ReadError::Unavailable) => {
@@ -121,6 +109,17 @@
         }
     }
 
+    /// Lets changes gather. After an answer that came late, because this process or the
+    /// table stood still, the next question goes out at once.
+    async fn pause(&self) {
+        let asked_at = self.sender.borrow().asked_at;
+        let late_from = self.pace.wait.now() + LATE_ANSWER;
+        let is_late = asked_at.is_some_and(|asked_at| asked_at.elapsed() > late_from);
+        if !is_late {
+            tokio::time::sleep(self.pace.pause.now()).await;
+        }
+    }
+
     async fn read_all(&mut self) -> Result<(), ReadError> {
         let asked_at = Instant::now();
         let range = KeyRange::all(&self.name, &self.partition);
@@ -137,7 +136,9 @@
         let asked_at = Instant::now();
         let since = self.sender.borrow().version;
         let table = &self.table;
-        let changes = table.changes(&self.name, since, self.pace.wait).await?;
+        let changes = table
+            .changes(&self.name, since, self.pace.wait.now())
+            .await?;
         let partition = self.partition.clone();
         self.publish(asked_at, |view| apply(view, changes, &partition));
         Ok(())
--- a/crates/sloetrail-serving/src/node.rs
+++ b/crates/sloetrail-serving/src/node.rs
@@ -4,7 +4,7 @@
 use crate::dialect::Dialect;
 use crate::directory::watch_directory;
 use crate::events::{self, Event};
-use crate::follow::{FollowPace, follow};
+use crate::follow::{FleetSize, FollowPaces, follow};
 use crate::gateway::front::Front;
 use crate::gateway::message::{empty_response, whole_body};
 use crate::http::{ConnectionPool, ConnectionTracker, ListenerSettings, serve_connections};
@@ -27,11 +27,6 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-/// Least time between two questions for changes of the operator's rows.
-const OPERATOR_PAUSE: Duration = Duration::from_millis(5);
-/// The same for the directory, whose rows change with each sign of life.
-const DIRECTORY_PAUSE: Duration = Duration::from_millis(60);
-const LEASE_PAUSE: Duration = Duration::from_millis(20);
 const HOUSEKEEPING_PERIOD: Duration = Duration::from_secs(5);
 /// How long a stopping node goes on taking connections: until the platform has seen
 /// that it is not ready.
@@ -136,30 +131,28 @@
     dialect: Arc<dyn Dialect>,
 ) -> NodeContext {
     let sources = dialect.sources().clone();
+    let fleet = FleetSize::default();
+    let paces = FollowPaces::new(&fleet, &settings.bounds);
     let operator_view = follow(
         Arc::clone(&table),
         sources.configuration.table,
         sources.configuration.partition,
-        FollowPace::with_pause(OPERATOR_PAUSE),
+        paces.operator,
     );
     let directory_view = follow(
         Arc::clone(&table),
         sources.directory_table,
         "",
-        FollowPace::with_pause(DIRECTORY_PAUSE),
+        paces.directory,
     );
-    let lease_pace = FollowPace {
-        pause: LEASE_PAUSE,
-        wait: owner::lease_wait(&settings.bounds),
-    };
     let leases = follow(
         Arc::clone(&table),
         rows::LEASES,
         rows::PARTITION,
-        lease_pace,
+        paces.leases.clone(),
     );
     let pause_guard = PauseGuard::start(directory_view.clone());
-    let directory = watch_directory(directory_view, Arc::clone(&dialect));
+    let directory = watch_directory(directory_view, Arc::clone(&dialect), fleet.clone());
     let seed = digest(settings.instance.as_str().as_bytes());
     let pools = ServicePools::new(settings.zone.clone(), seed);
     pools.follow(directory.clone());
@@ -172,6 +165,8 @@
         pools,
         directory,
         leases,
+        lease_pace: paces.leases,
+        fleet,
         pause_guard,
     }
 }
--- a/crates/sloetrail-serving/src/owner/lease_keeper.rs
+++ b/crates/sloetrail-serving/src/owner/lease_keeper.rs
@@ -4,9 +4,8 @@
 use super::term::Term;
 use crate::context::NodeContext;
 use crate::events::{self, Event};
-use crate::follow::{TableView, ViewReceiver};
+use crate::follow::{OwnedService, TableView, ViewReceiver};
 use crate::rows;
-use crate::settings::ServingBounds;
 use crate::table::{Commit, Row, Transaction};
 use crate::telemetry;
 use rand::Rng;
@@ -31,14 +30,6 @@
 const CONFIRMATION_ANSWERS: u32 = 4;
 const CANDIDATE_TURNS: u32 = 8;
 const CANDIDATE_DELAY_MOST: Duration = Duration::from_secs(2);
-/// How often a lease's row is confirmed in its time, if nothing changes.
-const CONFIRMATIONS: u32 = 3;
-
-/// How long a question for changes of the leases may be held open: a lease is seen to
-/// run out only by confirmations that its row has not changed.
-pub(crate) fn lease_wait(bounds: &ServingBounds) -> Duration {
-    bounds.lease / CONFIRMATIONS
-}
 
 /// Runs a keeper for each service that needs an owner, until the node stops; then
 /// gives every lease up.
@@ -68,6 +59,8 @@
 struct Holding {
     term: Term,
     owner: JoinHandle<()>,
+    /// Has the directory followed as closely as in a small fleet.
+    _owned: OwnedService,
 }
 
 struct LeaseKeeper {
@@ -190,7 +183,7 @@
     /// The time between two confirmations of a view that is kept up.
     fn confirmation_gap(&self) -> Duration {
         let answers = self.context.table.ordinary_time() * CONFIRMATION_ANSWERS;
-        lease_wait(&self.context.settings.bounds) + CONFIRMATION_MARGIN + answers
+        self.context.lease_pace.round() + CONFIRMATION_MARGIN + answers
     }
 
     fn observe_row(&mut self, row: Option<&Row>, at: Instant) {
@@ -298,6 +291,7 @@
         self.holding = Some(Holding {
             term,
             owner: tokio::spawn(owner.run()),
+            _owned: self.context.fleet.own_service(),
         });
     }
 
--- a/crates/sloetrail-serving/src/owner/mod.rs
+++ b/crates/sloetrail-serving/src/owner/mod.rs
@@ -25,4 +25,4 @@
 mod usage;
 mod weights;
 
-pub(crate) use lease_keeper::{lease_wait, supervise};
+pub(crate) use lease_keeper::supervise;
