Only the engines that a model needs get new weights

Every engine that the newest batch could not use was brought up to date, needed or not.

Change: twice the share of places that a model used at its recent peak, and at least a tenth of its engines, are kept ready; of these half, or twice what is used on average, get each version. Engines that were lost or are slow do not count as ready, so that others replace them.

--- a/crates/sloetrail-serving/src/owner/engines/tests.rs
+++ b/crates/sloetrail-serving/src/owner/engines/tests.rs
@@ -75,6 +75,7 @@
         model: model.to_owned(),
         published: WeightVersion(published),
         needed: WeightVersion(needed),
+        ready_share: 1.0,
         newest_share: 1.0,
     }
 }
@@ -263,3 +264,35 @@
         }
     }
 }
+
+#[test]
+fn engines_that_a_model_does_not_need_keep_the_version_that_they_have() {
+    let pool = pool(300);
+    let needs_few = ModelTarget {
+        ready_share: 0.1,
+        newest_share: 0.5,
+        ..target("a", 4, 4)
+    };
+    let orders = plan(&pool, &[needs_few], 300, Instant::now());
+    assert_eq!(orders.len(), 10, "a tenth of a hundred");
+}
+
+#[test]
+fn lost_engines_are_replaced_by_those_that_were_not_needed() {
+    let mut pool = pool(300);
+    let ids = of_model(&pool, "a");
+    for id in &ids[..10] {
+        let engine = pool.get_mut(id).expect("known");
+        engine.note_version("a", WeightVersion(4), "test");
+    }
+    for id in &ids[..3] {
+        pool.get_mut(id).expect("known").lost();
+    }
+    let needs_few = ModelTarget {
+        ready_share: 0.1,
+        newest_share: 0.5,
+        ..target("a", 4, 4)
+    };
+    let orders = plan(&pool, &[needs_few], 300, Instant::now());
+    assert_eq!(orders.len(), 3);
+}
--- a/crates/sloetrail-serving/src/owner/rollout_plan.rs
+++ b/crates/sloetrail-serving/src/owner/rollout_plan.rs
@@ -27,8 +27,11 @@
     pub(super) published: WeightVersion,
     /// The oldest version that the newest batch can use.
     pub(super) needed: WeightVersion,
-    /// The share of the model's engines that should have the newest version; others
-    /// keep theirs as long as batches can use it.
+    /// The share of the model's engines that should be ready for the newest batch; the
+    /// others keep the version that they have.
+    pub(super) ready_share: f64,
+    /// Of these, the share that should have the newest version; others keep theirs as
+    /// long as batches can use it.
     pub(super) newest_share: f64,
 }
 
@@ -65,6 +68,11 @@
     engine.change.is_some() || engine.is_being_ordered
 }
 
+/// A share of a number of engines, rounded up.
+fn share_of(engines: usize, share: f64) -> usize {
+    (engines as f64 * share).ceil() as usize
+}
+
 /// Decides whose turn it is: the smallest goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Turn {
@@ -91,6 +99,8 @@
     target: &'a ModelTarget,
     assigned: usize,
     served: usize,
+    /// Of those served, the ones that were not lost lately.
+    ready: usize,
     newest: usize,
     changing: usize,
     /// The next one stands last.
@@ -103,6 +113,7 @@
             target,
             assigned: 0,
             served: 0,
+            ready: 0,
             newest: 0,
             changing: 0,
             due: Vec::new(),
@@ -123,9 +134,11 @@
         let is_usable = version >= self.target.needed;
         self.assigned += 1;
         self.changing += usize::from(is_changing(engine));
+        let is_served = is_usable || is_changing(engine);
+        self.served += usize::from(is_served);
+        self.ready += usize::from(is_served && engine.is_usable(now) && !engine.is_slow());
         let is_newest = version >= self.target.published;
         self.newest += usize::from(is_newest || is_changing(engine));
-        self.served += usize::from(is_usable || is_changing(engine));
         let is_due = engine.is_usable(now)
             && !engine.is_slow()
             && version < self.target.published
@@ -145,9 +158,11 @@
     fn turn(&self) -> Option<Turn> {
         let next = self.due.last()?;
         let may_change = self.assigned.div_ceil(USABLE_CHANGING_DIVISOR);
-        let newest_enough = (self.assigned as f64 * self.target.newest_share).ceil();
-        let may_wait = self.changing >= may_change || self.newest >= newest_enough as usize;
-        if next.is_usable && may_wait {
+        let may_wait = match next.is_usable {
+            true => self.changing >= may_change || self.newest >= self.newest_enough(),
+            false => self.ready >= self.ready_enough(),
+        };
+        if may_wait {
             return None;
         }
         Some(Turn {
@@ -158,11 +173,20 @@
         })
     }
 
+    fn ready_enough(&self) -> usize {
+        share_of(self.assigned, self.target.ready_share)
+    }
+
+    fn newest_enough(&self) -> usize {
+        share_of(self.ready_enough(), self.target.newest_share)
+    }
+
     fn take(&mut self) -> Option<PlannedOrder> {
         let next = self.due.pop()?;
         self.changing += 1;
         self.newest += 1;
         self.served += usize::from(!next.is_usable);
+        self.ready += usize::from(!next.is_usable);
         Some(PlannedOrder {
             engine: next.id.clone(),
             model: self.target.model.clone(),
--- a/crates/sloetrail-serving/src/owner/service_owner/versions.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/versions.rs
@@ -102,12 +102,12 @@
             .filter_map(|model| {
                 let published = *published.get(&model)?;
                 let needed = self.needed_version(&model, published);
-                let newest_share = self.usage.newest_share(&model);
                 Some(ModelTarget {
+                    ready_share: self.usage.ready_share(&model),
+                    newest_share: self.usage.newest_share(&model),
                     model,
                     published,
                     needed,
-                    newest_share,
                 })
             })
             .collect()
