Large machines own first; work without a confirmed lease gives way; versions that stay go to all

Changes: machines with less than a quarter of a core wait a third of the lease longer before they take one over (setting processor_share); items that are started while the lease is unconfirmed for longer than it lasts get the last rank, so that another owner's displace them; a version goes to every engine once it has stayed for 4.5 s, or 15 s where versions follow one another sooner.

--- a/crates/sloetrail-serving-testkit/src/cluster.rs
+++ b/crates/sloetrail-serving-testkit/src/cluster.rs
@@ -132,6 +132,8 @@
     pub engines: Vec<Arc<EngineStandIn>>,
     /// The setting of that name for nodes that start from now on.
     pub body_budget_bytes: Option<usize>,
+    /// The same.
+    pub processor_share: Option<f64>,
     wire: Arc<dyn EngineWire>,
     dialect: Arc<dyn Dialect>,
     /// Turns a way to the table into the table that a node is given.
@@ -147,6 +149,7 @@
             nodes: Vec::new(),
             engines: Vec::new(),
             body_budget_bytes: None,
+            processor_share: None,
             wire,
             dialect,
             wrap: Box::new(|link| link),
@@ -253,6 +256,7 @@
             batch_status_s: None,
             concurrent_loads: None,
             body_budget_bytes: self.body_budget_bytes,
+            processor_share: self.processor_share,
         };
         let life = NEXT_LIFE.fetch_add(1, Ordering::Relaxed);
         let settings = ServingSettings::check(raw, life).expect("sound settings");
--- a/crates/sloetrail-serving-testkit/src/engine.rs
+++ b/crates/sloetrail-serving-testkit/src/engine.rs
@@ -56,6 +56,8 @@
     pub last_event: Option<u64>,
     /// The time that it was given, in milliseconds.
     pub deadline_ms: Option<u64>,
+    /// Its rank; the most urgent is 0.
+    pub priority: Option<u64>,
     /// When it began.
     pub began: Instant,
     /// True once its answer was sent whole.
@@ -441,6 +443,7 @@
             path: head.uri.path().to_owned(),
             last_event,
             deadline_ms: number(deadline_ms),
+            priority: number(&self.wire.headers().priority),
             began: Instant::now(),
             finished: false,
             abandoned: false,
--- a/crates/sloetrail-serving/src/owner/lease_keeper.rs
+++ b/crates/sloetrail-serving/src/owner/lease_keeper.rs
@@ -10,10 +10,11 @@
 use crate::telemetry;
 use rand::Rng;
 use sloetrail_lease::{LeaseAction, LeaseRecord, LeaseWatcher, ObservedLease};
-use sloetrail_types::{NodeId, RowVersion, ServiceName, Timestamp};
+use sloetrail_types::{Epoch, NodeId, RowVersion, ServiceName, Timestamp};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -59,6 +60,8 @@
 struct Holding {
     term: Term,
     owner: JoinHandle<()>,
+    /// Tells the owner when the table last confirmed the lease.
+    confirmed_at: watch::Sender<Instant>,
     /// Has the directory followed as closely as in a small fleet.
     _owned: OwnedService,
 }
@@ -125,7 +128,9 @@
         };
         let action = match self.succeeds_own_machine() {
             Some(action) => Some(action),
-            None => self.watcher.next_action(now, 0),
+            None => self
+                .watcher
+                .next_action(now, self.context.settings.candidate_rank),
         };
         let Some(action) = action else {
             return;
@@ -244,7 +249,12 @@
     async fn renew(&mut self, action: LeaseAction) {
         let transaction = write_lease(&self.service, &action);
         match self.context.table.commit(&transaction).await {
-            Ok(Commit::Done(version)) => self.note_own_write(version, action.record),
+            Ok(Commit::Done(version)) => {
+                self.note_own_write(version, action.record);
+                if let Some(holding) = &self.holding {
+                    holding.confirmed_at.send_replace(Instant::now());
+                }
+            }
             Ok(Commit::Conflict(rows)) => self.note_conflict(&rows),
             // The row is read again before the next attempt.
             Err(_) => {}
@@ -271,13 +281,7 @@
                     unchanged_ms: unchanged.as_millis() as u64,
                 });
                 telemetry::lease_held(self.service.as_str(), epoch.0);
-                self.begin_term(Term {
-                    service: self.service.clone(),
-                    epoch,
-                    fence: version,
-                    releasing: CancellationToken::new(),
-                    ended: CancellationToken::new(),
-                });
+                self.begin_term(epoch, version);
             }
             Ok(Commit::Conflict(rows)) => self.note_conflict(&rows),
             // If it was done all the same, the row will name this node, which then
@@ -286,11 +290,21 @@
         }
     }
 
-    fn begin_term(&mut self, term: Term) {
+    fn begin_term(&mut self, epoch: Epoch, fence: RowVersion) {
+        let (sender, confirmed_at) = watch::channel(Instant::now());
+        let term = Term {
+            service: self.service.clone(),
+            epoch,
+            fence,
+            releasing: CancellationToken::new(),
+            ended: CancellationToken::new(),
+            confirmed_at,
+        };
         let owner = ServiceOwner::new(Arc::clone(&self.context), term.clone());
         self.holding = Some(Holding {
             term,
             owner: tokio::spawn(owner.run()),
+            confirmed_at: sender,
             _owned: self.context.fleet.own_service(),
         });
     }
--- a/crates/sloetrail-serving/src/owner/mod.rs
+++ b/crates/sloetrail-serving/src/owner/mod.rs
@@ -16,6 +16,7 @@
 mod loading;
 mod order_window;
 mod pace;
+mod publications;
 mod reward;
 mod rollout_plan;
 mod run;
--- /dev/null
+++ b/crates/sloetrail-serving/src/owner/publications.rs
@@ -0,0 +1,62 @@
+//! How often the models get new versions.
+//!
+//! While versions follow one another within seconds, only the engines that a model needs
+//! get each of them. A version that stays goes to every engine.
+
+use sloetrail_types::WeightVersion;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A version goes to every engine after this time, if the one before lasted long or
+/// nothing is known of it.
+const STAYS_AFTER: Duration = Duration::from_millis(4_500);
+/// The same, if the one before lasted no longer than this.
+const STAYS_AFTER_FREQUENT: Duration = Duration::from_secs(15);
+
+#[derive(Clone, Copy, Debug)]
+struct Publication {
+    version: WeightVersion,
+    since: Instant,
+    /// How long the version before was the newest one.
+    last_interval: Option<Duration>,
+}
+
+/// The newest versions, and since when they are known.
+#[derive(Debug, Default)]
+pub(super) struct Publications {
+    models: BTreeMap<String, Publication>,
+}
+
+impl Publications {
+    /// Takes in the newest version of a model.
+    pub(super) fn note(&mut self, model: &str, version: WeightVersion, now: Instant) {
+        let known = self.models.get(model).copied();
+        if known.is_some_and(|known| known.version == version) {
+            return;
+        }
+        let publication = Publication {
+            version,
+            since: now,
+            last_interval: known.map(|known| now.saturating_duration_since(known.since)),
+        };
+        self.models.insert(model.to_owned(), publication);
+    }
+
+    /// True if the newest version of a model is there to stay.
+    pub(super) fn stays(&self, model: &str, now: Instant) -> bool {
+        self.models.get(model).is_some_and(|publication| {
+            let is_frequent = publication
+                .last_interval
+                .is_some_and(|interval| interval < STAYS_AFTER_FREQUENT);
+            let after = match is_frequent {
+                true => STAYS_AFTER_FREQUENT,
+                false => STAYS_AFTER,
+            };
+            now.saturating_duration_since(publication.since) >= after
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/sloetrail-serving/src/owner/publications/tests.rs
@@ -0,0 +1,35 @@
+use super::Publications;
+use sloetrail_types::WeightVersion;
+use std::time::Duration;
+use tokio::time::Instant;
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+#[test]
+fn a_first_version_and_one_after_a_long_time_soon_stay() {
+    let began = Instant::now();
+    let mut publications = Publications::default();
+    assert!(!publications.stays("a", began), "nothing is published");
+    publications.note("a", WeightVersion(2), began);
+    assert!(!publications.stays("a", began + seconds(4)));
+    assert!(publications.stays("a", began + seconds(5)));
+    publications.note("a", WeightVersion(3), began + seconds(240));
+    assert!(!publications.stays("a", began + seconds(244)));
+    assert!(publications.stays("a", began + seconds(245)));
+}
+
+#[test]
+fn versions_that_follow_one_another_stay_only_once_no_other_comes() {
+    let began = Instant::now();
+    let mut publications = Publications::default();
+    for version in 0..5 {
+        let at = began + seconds(version * 4);
+        publications.note("a", WeightVersion(version + 2), at);
+        publications.note("a", WeightVersion(version + 2), at + seconds(1));
+    }
+    let last = began + seconds(16);
+    assert!(!publications.stays("a", last + seconds(14)));
+    assert!(publications.stays("a", last + seconds(15)));
+}
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -10,6 +10,7 @@
 use super::event::OwnerEvent;
 use super::loading::{LoadedBatch, load};
 use super::order_window::OrderWindow;
+use super::publications::Publications;
 use super::run::RunProgress;
 use super::sweeper;
 use super::term::Term;
@@ -70,6 +71,7 @@
     /// By model, how many versions behind the newest one its last batch allows.
     lags: BTreeMap<String, u64>,
     usage: PlaceUsage,
+    publications: Publications,
     /// By model, the work of its last batch in expected tokens.
     work: BTreeMap<String, f64>,
     /// True if something has changed that orders to engines depend on.
@@ -100,6 +102,7 @@
             carried: BTreeMap::new(),
             lags: BTreeMap::new(),
             usage: PlaceUsage::default(),
+            publications: Publications::default(),
             work: BTreeMap::new(),
             weights_due: true,
             window: OrderWindow::default(),
--- a/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
@@ -14,6 +14,9 @@
 /// Ranks at an engine: items of groups that the trainer waits for, and the others.
 const PRIORITY_WANTED: u8 = 5;
 const PRIORITY_OTHER: u8 = 7;
+/// The rank of items that are started while the lease has not been confirmed for longer
+/// than it lasts: another owner, if there is one, displaces them.
+const PRIORITY_UNCONFIRMED: u8 = 9;
 
 impl ServiceOwner {
     /// Starts items while there are engines for them: first the items of groups that
@@ -38,8 +41,18 @@
         }
     }
 
+    fn priority(&self, wanted: bool) -> u8 {
+        let lease = self.context.settings.bounds.lease;
+        match wanted {
+            _ if !self.term.is_confirmed_within(lease) => PRIORITY_UNCONFIRMED,
+            true => PRIORITY_WANTED,
+            false => PRIORITY_OTHER,
+        }
+    }
+
     /// Starts the next item of a batch; false if none waits or no engine takes it.
     fn start_next(&mut self, id: &BatchId, wanted: bool) -> bool {
+        let priority = self.priority(wanted);
         let Some(open) = self.batches.get_mut(id) else {
             return false;
         };
@@ -75,11 +88,7 @@
             back_end: Arc::clone(&engine.back_end),
             oldest_version: open.batch.oldest_version,
             single_version: open.batch.header.single_version,
-            priority: if wanted {
-                PRIORITY_WANTED
-            } else {
-                PRIORITY_OTHER
-            },
+            priority,
             pace: Arc::clone(&engine.pace),
             progress: Arc::clone(&run.progress),
             cancel: run.cancel.clone(),
--- a/crates/sloetrail-serving/src/owner/service_owner/versions.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/versions.rs
@@ -95,24 +95,36 @@
         self.weights_due = true;
     }
 
-    fn model_targets(&self) -> Vec<ModelTarget> {
+    fn model_targets(&mut self) -> Vec<ModelTarget> {
         let published = Arc::clone(&self.context.in_force.borrow().published);
         let models = self.models().into_iter();
         models
             .filter_map(|model| {
                 let published = *published.get(&model)?;
-                let needed = self.needed_version(&model, published);
-                Some(ModelTarget {
-                    ready_share: self.usage.ready_share(&model),
-                    newest_share: self.usage.newest_share(&model),
-                    model,
-                    published,
-                    needed,
-                })
+                Some(self.model_target(model, published))
             })
             .collect()
     }
 
+    fn model_target(&mut self, model: String, published: WeightVersion) -> ModelTarget {
+        let now = Instant::now();
+        self.publications.note(&model, published, now);
+        let (ready_share, newest_share) = match self.publications.stays(&model, now) {
+            true => (1.0, 1.0),
+            false => (
+                self.usage.ready_share(&model),
+                self.usage.newest_share(&model),
+            ),
+        };
+        ModelTarget {
+            needed: self.needed_version(&model, published),
+            model,
+            published,
+            ready_share,
+            newest_share,
+        }
+    }
+
     /// The oldest version that the newest batch of a model can use, or the next one
     /// that its trainer submits if it keeps its distance from the newest version.
     fn needed_version(&self, model: &str, published: WeightVersion) -> WeightVersion {
--- a/crates/sloetrail-serving/src/owner/term.rs
+++ b/crates/sloetrail-serving/src/owner/term.rs
@@ -3,6 +3,9 @@
 use crate::rows;
 use crate::table::Transaction;
 use sloetrail_types::{Epoch, RowVersion, ServiceName};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 /// One term of ownership of a service.
@@ -16,9 +19,16 @@
     pub(crate) releasing: CancellationToken,
     /// Cancelled once the term is over or known to be lost.
     pub(crate) ended: CancellationToken,
+    /// When the table last confirmed the lease.
+    pub(crate) confirmed_at: watch::Receiver<Instant>,
 }
 
 impl Term {
+    /// True if the table has confirmed the lease within this time.
+    pub(crate) fn is_confirmed_within(&self, time: Duration) -> bool {
+        self.confirmed_at.borrow().elapsed() <= time
+    }
+
     /// A transaction that takes effect only within this term.
     pub(crate) fn transaction(&self) -> Transaction {
         Transaction::new().require(rows::fence(&self.service), Some(self.fence))
--- a/crates/sloetrail-serving/src/settings.rs
+++ b/crates/sloetrail-serving/src/settings.rs
@@ -58,6 +58,9 @@
     pub concurrent_loads: Option<usize>,
     /// Bytes that the bodies of all requests may take together.
     pub body_budget_bytes: Option<usize>,
+    /// The share of a processor core that the node may use.
+    #[serde(default)]
+    pub processor_share: Option<f64>,
 }
 
 /// Settings that have been checked.
@@ -75,6 +78,8 @@
     pub ready_address: SocketAddr,
     /// Where metrics are served.
     pub metrics_address: Option<SocketAddr>,
+    /// The node's rank among candidates for a lease; those of a later rank wait longer.
+    pub candidate_rank: u32,
     /// The bounds in time and number.
     pub bounds: ServingBounds,
 }
@@ -132,6 +137,13 @@
     }
 }
 
+/// Small machines stand back for large ones: an owner's work is slow on them.
+fn candidate_rank(processor_share: Option<f64>) -> u32 {
+    const LARGE_FROM: f64 = 0.25;
+    let share = processor_share.unwrap_or(1.0);
+    u32::from(share < LARGE_FROM)
+}
+
 fn seconds(
     value: Option<f64>,
     default: f64,
@@ -167,6 +179,7 @@
             callers_address: raw.callers_address,
             ready_address: raw.ready_address,
             metrics_address: raw.metrics_address,
+            candidate_rank: candidate_rank(raw.processor_share),
             bounds,
         })
     }
--- a/crates/sloetrail-serving/tests/owner.rs
+++ b/crates/sloetrail-serving/tests/owner.rs
@@ -9,7 +9,7 @@
 use sloetrail_serving_testkit::table::CommitFault;
 use std::collections::BTreeSet;
 use std::time::Duration;
-use support::usual_cluster;
+use support::{native_cluster, usual_cluster};
 
 /// As the cluster's nodes are set up.
 const ORDER_GAP: Duration = Duration::from_millis(800);
@@ -27,14 +27,19 @@
     assert_eq!((ids.len(), results.len()), (count, count));
 }
 
+/// The holder in the lease's row.
+fn lease_holder(cluster: &Cluster) -> Option<String> {
+    let rows = cluster.table.rows("sloetrail_leases");
+    let row = rows.iter().find(|row| row.address.key == "lease/models")?;
+    let record: Value = serde_json::from_slice(&row.value).ok()?;
+    Some(record["holder"].as_str()?.to_owned())
+}
+
 /// The node that holds the lease, by its name in the lease's row.
 async fn holder(cluster: &Cluster) -> usize {
     let names = ["node-1", "node-2", "node-3"];
     let found = || async {
-        let rows = cluster.table.rows("sloetrail_leases");
-        let row = rows.iter().find(|row| row.address.key == "lease/models")?;
-        let record: Value = serde_json::from_slice(&row.value).ok()?;
-        let holder = record["holder"].as_str()?.to_owned();
+        let holder = lease_holder(cluster)?;
         names.iter().position(|name| holder.starts_with(name))
     };
     eventually("somebody holds the lease", found).await
@@ -107,6 +112,48 @@
     assert!(began.elapsed() < ANSWER / 2, "{:?}", began.elapsed());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn items_that_are_started_without_a_confirmed_lease_give_way() {
+    let mut cluster = native_cluster();
+    cluster.add_application("zone-a").await;
+    let engine = cluster.add_engine(Duration::from_millis(20)).await;
+    let node = cluster.add_node("node-1").await;
+    cluster.wait_ready(node).await;
+    cluster
+        .submit(node, "b1", &batch(&items(60, 15), MODEL, 1))
+        .await
+        .expect("taken");
+    let runs = || async { (!engine.runs().is_empty()).then_some(()) };
+    eventually("the items run", runs).await;
+    cluster.nodes[node].link.set_cut(true);
+    let all_began = || async { (engine.runs().len() >= 60).then_some(()) };
+    eventually("every item has begun", all_began).await;
+    let ranks: Vec<Option<u64>> = engine.runs().iter().map(|run| run.priority).collect();
+    assert_eq!(ranks[0], Some(5), "the lease was confirmed");
+    assert_eq!(ranks[59], Some(9), "the lease had run out");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_machine_takes_over_before_a_small_one() {
+    let mut cluster = usual_cluster(Duration::from_millis(20)).await;
+    let first = holder(&cluster).await;
+    let other = 1 - first;
+    cluster.nodes[other].kill();
+    cluster.processor_share = Some(0.1);
+    let small = cluster.add_node("node-2").await;
+    cluster.processor_share = Some(0.5);
+    let large = cluster.add_node("node-3").await;
+    cluster.wait_ready(small).await;
+    cluster.wait_ready(large).await;
+    cluster.nodes[first].kill();
+    let is_taken = || async {
+        let lease = lease_holder(&cluster)?;
+        (!lease.starts_with("node-1")).then_some(lease)
+    };
+    let holder = eventually("the lease is taken over", is_taken).await;
+    assert!(holder.starts_with("node-3"), "{holder}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_owner_that_stops_hands_over_at_once() {
     let mut cluster = usual_cluster(Duration::from_millis(30)).await;
