Order windows outlast a slow table's commits; callers' rows in a partition of their own

Commits queued behind those of callers and leases in the one partition that held everything; the lease was lost to another node meanwhile.

Changes: a window is longer by twice what the last one took to commit; batches, submissions and ends lie in a partition of their own. What is past its time is deleted in two steps: the owner's rows within the term, then the callers'. The testkit's table refuses transactions over several partitions.

Test first red (window's length as before): orders_are_given_while_the_table_is_slow.

--- a/crates/sloetrail-serving-testkit/src/table.rs
+++ b/crates/sloetrail-serving-testkit/src/table.rs
@@ -311,6 +311,9 @@
             tokio::time::sleep(TIMEOUT).await;
             return Err(CommitError::Unknown);
         }
+        if !lies_in_one_partition(transaction) {
+            return Err(CommitError::NotDone);
+        }
         match self.table.take_fault(transaction) {
             CommitFault::None => return Ok(self.table.judge(transaction)),
             CommitFault::Refused => return Err(CommitError::NotDone),
@@ -386,3 +389,15 @@
         }
     }
 }
+
+/// As the platform's store demands of a transaction that does not say otherwise.
+fn lies_in_one_partition(transaction: &Transaction) -> bool {
+    let conditions = transaction.conditions.iter();
+    let conditions = conditions.map(|condition| &condition.address);
+    let puts = transaction.puts.iter().map(|(address, _)| address);
+    let mut addresses = conditions.chain(puts).chain(&transaction.deletes);
+    let Some(first) = addresses.next() else {
+        return true;
+    };
+    addresses.all(|address| address.partition == first.partition)
+}
--- a/crates/sloetrail-serving/src/node.rs
+++ b/crates/sloetrail-serving/src/node.rs
@@ -148,7 +148,7 @@
     let leases = follow(
         Arc::clone(&table),
         rows::LEASES,
-        rows::PARTITION,
+        rows::OWNERS,
         paces.leases.clone(),
     );
     let pause_guard = PauseGuard::start(directory_view.clone());
--- a/crates/sloetrail-serving/src/owner/order_window.rs
+++ b/crates/sloetrail-serving/src/owner/order_window.rs
@@ -16,6 +16,10 @@
 use tokio::time::Instant;
 
 const WINDOW: Duration = Duration::from_millis(500);
+/// A window is longer by this many times what the last one took to commit: of a shorter
+/// one nothing would be left once it is committed.
+const COMMIT_TIMES: u32 = 2;
+const WINDOW_MOST: Duration = Duration::from_secs(5);
 /// The table's clock is known to within less than this.
 const CLOCK_MARGIN: Duration = Duration::from_millis(100);
 /// An order is not begun with less of the window left than this.
@@ -35,6 +39,8 @@
     open_until: Option<Instant>,
     /// When the gap after the last owner's window has passed, by the table's clock.
     not_before_ms: Option<u64>,
+    /// How long the last commit of a window took.
+    commit_time: Duration,
 }
 
 impl OrderWindow {
@@ -53,15 +59,18 @@
             return;
         }
         let began = Instant::now();
+        let length = (WINDOW + self.commit_time * COMMIT_TIMES).min(WINDOW_MOST);
         let window = StoredWindow {
             node: context.settings.node.clone(),
-            until_ms: now_ms + (WINDOW + CLOCK_MARGIN).as_millis() as u64,
+            until_ms: now_ms + (length + CLOCK_MARGIN).as_millis() as u64,
         };
         let value = serde_json::to_vec(&window).unwrap_or_default();
         let address = rows::order_window(&term.service);
         let transaction = term.transaction().put(address, value);
-        match context.table.commit(&transaction).await {
-            Ok(Commit::Done(_)) => self.open_until = Some(began + WINDOW),
+        let commit = context.table.commit(&transaction).await;
+        self.commit_time = began.elapsed();
+        match commit {
+            Ok(Commit::Done(_)) => self.open_until = Some(began + length),
             Ok(Commit::Conflict(_)) => term.ended.cancel(),
             // It may be done later, which only makes a successor wait longer.
             Err(_) => {}
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -180,7 +180,7 @@
         follow(
             source,
             table,
-            rows::PARTITION,
+            rows::CALLERS,
             FollowPace::with_pause(FOLLOW_PAUSE),
         )
     }
--- a/crates/sloetrail-serving/src/owner/sweeper.rs
+++ b/crates/sloetrail-serving/src/owner/sweeper.rs
@@ -5,7 +5,7 @@
 use crate::context::NodeContext;
 use crate::follow::TableView;
 use crate::rows;
-use crate::table::{Commit, KeyRange, RowAddress, scan_all};
+use crate::table::{Commit, KeyRange, RowAddress, Transaction, scan_all};
 use std::sync::Arc;
 
 /// Rows are kept this much longer than readers were promised.
@@ -32,32 +32,33 @@
     }
 }
 
-/// Deletes a batch, its head last, so that a broken deletion is taken up again.
+/// Deletes a batch, its head last, so that a broken deletion is taken up again. What the
+/// owner wrote is deleted within its term; the rest cannot change any more.
 async fn delete(context: &NodeContext, term: &Term, id: &str) -> bool {
-    let mut addresses: Vec<RowAddress> = Vec::new();
-    let ranges = [
-        rows::checkpoints(id),
-        rows::results_from(id, 0),
-        rows::submission_parts(id),
-    ];
-    for range in ranges {
-        match scan_keys(context, range).await {
-            Some(found) => addresses.extend(found),
-            None => return false,
-        }
-    }
-    addresses.push(rows::end(id));
-    addresses.push(rows::batch(id));
-    let entries = context.table.limits().transaction_entries - 1;
+    let Some(mut written) = scan_keys(context, rows::checkpoints(id)).await else {
+        return false;
+    };
+    let Some(results) = scan_keys(context, rows::results_from(id, 0)).await else {
+        return false;
+    };
+    let Some(mut submitted) = scan_keys(context, rows::submission_parts(id)).await else {
+        return false;
+    };
+    written.extend(results);
+    submitted.push(rows::end(id));
+    submitted.push(rows::batch(id));
+    delete_rows(context, &term.transaction(), &written).await
+        && delete_rows(context, &Transaction::new(), &submitted).await
+}
+
+/// Deletes rows in the order given, each group under the conditions of `first`.
+async fn delete_rows(context: &NodeContext, first: &Transaction, addresses: &[RowAddress]) -> bool {
+    let entries = context.table.limits().transaction_entries - first.conditions.len();
     for group in addresses.chunks(entries) {
-        let mut transaction = term.transaction();
-        for address in group {
-            transaction = transaction.delete(address.clone());
-        }
-        if !matches!(
-            context.table.commit(&transaction).await,
-            Ok(Commit::Done(_))
-        ) {
+        let mut transaction = first.clone();
+        transaction.deletes = group.to_vec();
+        let commit = context.table.commit(&transaction).await;
+        if !matches!(commit, Ok(Commit::Done(_))) {
             return false;
         }
     }
--- a/crates/sloetrail-serving/src/rows.rs
+++ b/crates/sloetrail-serving/src/rows.rs
@@ -1,12 +1,16 @@
 //! Where the product keeps its own rows in the table.
 //!
-//! All lie in one partition, so that one transaction can hold several of them.
+//! What an owner writes lies in one partition, since each of its transactions holds the
+//! fence; what callers submit and end lies in another. A partition takes one transaction
+//! after the other, so neither waits for the other while the table is slow.
 
 use crate::table::{KeyRange, RowAddress};
 use sloetrail_types::ServiceName;
 
-/// The partition of all rows.
-pub const PARTITION: &str = "sloetrail";
+/// The partition of what owners write.
+pub const OWNERS: &str = "sloetrail";
+/// The partition of what callers submit and end.
+pub const CALLERS: &str = "sloetrail_callers";
 /// Lease and fence of each service. Every node follows this table.
 pub const LEASES: &str = "sloetrail_leases";
 /// The order window of each service, which only a new owner reads.
@@ -28,51 +32,51 @@
 
 /// The lease of a service: renewed several times a second.
 pub fn lease(service: &ServiceName) -> RowAddress {
-    RowAddress::new(LEASES, PARTITION, format!("lease/{service}"))
+    RowAddress::new(LEASES, OWNERS, format!("lease/{service}"))
 }
 
 /// The fence of a service: written only when the owner changes.
 pub fn fence(service: &ServiceName) -> RowAddress {
-    RowAddress::new(LEASES, PARTITION, format!("fence/{service}"))
+    RowAddress::new(LEASES, OWNERS, format!("fence/{service}"))
 }
 
 /// Until when the owner of a service may give orders to engines.
 pub fn order_window(service: &ServiceName) -> RowAddress {
-    RowAddress::new(ORDER_WINDOWS, PARTITION, service.as_str())
+    RowAddress::new(ORDER_WINDOWS, OWNERS, service.as_str())
 }
 
 /// The head of a batch.
 pub fn batch(id: &str) -> RowAddress {
-    RowAddress::new(BATCHES, PARTITION, id)
+    RowAddress::new(BATCHES, CALLERS, id)
 }
 
 /// The mark that a batch was ended.
 pub fn end(id: &str) -> RowAddress {
-    RowAddress::new(ENDS, PARTITION, id)
+    RowAddress::new(ENDS, CALLERS, id)
 }
 
 /// A part of a submission.
 pub fn submission_part(id: &str, part: usize) -> RowAddress {
     let key = format!("{id}/{part:0PART_DIGITS$}");
-    RowAddress::new(SUBMISSIONS, PARTITION, key)
+    RowAddress::new(SUBMISSIONS, CALLERS, key)
 }
 
 /// All parts of a submission.
 pub fn submission_parts(id: &str) -> KeyRange {
-    under(SUBMISSIONS, id)
+    under(SUBMISSIONS, CALLERS, id)
 }
 
 /// A part of the result at a position.
 pub fn result_part(id: &str, position: usize, part: usize) -> RowAddress {
     let key = format!("{id}/{position:0POSITION_DIGITS$}/{part:0PART_DIGITS$}");
-    RowAddress::new(RESULTS, PARTITION, key)
+    RowAddress::new(RESULTS, OWNERS, key)
 }
 
 /// The results from a position on.
 pub fn results_from(id: &str, position: usize) -> KeyRange {
     KeyRange {
         from: format!("{id}/{position:0POSITION_DIGITS$}/"),
-        ..under(RESULTS, id)
+        ..under(RESULTS, OWNERS, id)
     }
 }
 
@@ -82,12 +86,12 @@
     let key = format!(
         "{id}/{index:0POSITION_DIGITS$}/{generation:0PART_DIGITS$}/{offset:0POSITION_DIGITS$}"
     );
-    RowAddress::new(CHECKPOINTS, PARTITION, key)
+    RowAddress::new(CHECKPOINTS, OWNERS, key)
 }
 
 /// All pieces of the texts of a batch.
 pub fn checkpoints(id: &str) -> KeyRange {
-    under(CHECKPOINTS, id)
+    under(CHECKPOINTS, OWNERS, id)
 }
 
 /// The position that a result's key names.
@@ -95,10 +99,10 @@
     key.split('/').nth(1)?.parse().ok()
 }
 
-fn under(table: &str, id: &str) -> KeyRange {
+fn under(table: &str, partition: &str, id: &str) -> KeyRange {
     KeyRange {
         table: table.to_owned(),
-        partition: PARTITION.to_owned(),
+        partition: partition.to_owned(),
         from: format!("{id}/"),
         // The sign after the slash: the range holds all keys that begin with "ID/".
         to: Some(format!("{id}0")),
--- a/crates/sloetrail-serving/src/table_client.rs
+++ b/crates/sloetrail-serving/src/table_client.rs
@@ -114,7 +114,7 @@
             tokio::spawn(async move {
                 let range = KeyRange {
                     limit: Some(1),
-                    ..KeyRange::all(rows::LEASES, rows::PARTITION)
+                    ..KeyRange::all(rows::LEASES, rows::OWNERS)
                 };
                 let answer = probing.transport.scan(&range, PROBE_PATIENCE).await;
                 if answer.is_ok() {
--- a/crates/sloetrail-serving/tests/owner.rs
+++ b/crates/sloetrail-serving/tests/owner.rs
@@ -112,6 +112,23 @@
     assert!(began.elapsed() < ANSWER / 2, "{:?}", began.elapsed());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_are_given_while_the_table_is_slow() {
+    let cluster = usual_cluster(Duration::from_millis(5)).await;
+    holder(&cluster).await;
+    let fault = CommitFault::Slow(Duration::from_millis(700));
+    cluster
+        .table
+        .set_commit_fault_on("sloetrail_order_windows", fault, usize::MAX);
+    cluster.publish(2);
+    let in_force = || async {
+        let mut engines = cluster.engines.iter();
+        let is_in_force = engines.any(|engine| engine.version(MODEL) == 2);
+        is_in_force.then_some(())
+    };
+    eventually("an engine has the version", in_force).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn items_that_are_started_without_a_confirmed_lease_give_way() {
     let mut cluster = native_cluster();
