One engine and the pool of engines in files of their own; unneeded engines hold nothing up

Cause: assignment.rs and engines.rs imported each other; in the plan of changes an engine that the newest batch cannot use and nobody needs stood before those that lag behind, so that these were not brought to newer versions.

Change: engine.rs below both; two queues a model, for engines that are unusable and for those that lag.

--- a/crates/sloetrail-serving/src/owner/assignment.rs
+++ b/crates/sloetrail-serving/src/owner/assignment.rs
@@ -4,7 +4,7 @@
 //! engine without a model gets the one whose weights it has kept up best, so that a new
 //! owner goes on with what the one before left; then as few as possible are moved.
 
-use super::engines::Engine;
+use super::engine::Engine;
 use sloetrail_types::{EngineId, WeightVersion};
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
--- /dev/null
+++ b/crates/sloetrail-serving/src/owner/engine.rs
@@ -0,0 +1,215 @@
+//! One engine, as the owner of its service sees it.
+
+use super::pace::PaceMeter;
+use crate::back_end::BackEnd;
+use crate::events::{self, Event};
+use crate::loss_backoff::LossBackoff;
+use sloetrail_types::WeightVersion;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// An engine counts as slow from this many times the median pace on.
+const SLOW_FACTOR: f64 = 2.0;
+/// A slow engine counts as recovered below this many times the median pace.
+const RECOVERED_FACTOR: f64 = 1.5;
+/// How often a slow engine gets one item, to see whether it still is slow.
+const PROBE_PERIOD: Duration = Duration::from_millis(1_500);
+/// How long an engine that refused an item gets no other.
+const REFUSED_PAUSE: Duration = Duration::from_millis(40);
+/// How long a change of weights may take before the engine is asked again.
+const CHANGE_LIMIT: Duration = Duration::from_millis(4_000);
+
+/// A change of weights that an engine has accepted.
+#[derive(Clone, Debug)]
+pub(super) struct VersionChangeUnderWay {
+    pub(super) model: String,
+    pub(super) version: WeightVersion,
+    pub(super) accepted_at: Instant,
+}
+
+/// One engine.
+pub(super) struct Engine {
+    pub(super) back_end: Arc<BackEnd>,
+    pub(super) running: usize,
+    pub(super) pace: Arc<PaceMeter>,
+    /// The versions that it is believed to use.
+    pub(super) versions: BTreeMap<String, WeightVersion>,
+    pub(super) change: Option<VersionChangeUnderWay>,
+    /// The model that it is kept up to date for.
+    pub(super) assigned: Option<String>,
+    /// True while a call about an order is on its way.
+    pub(super) is_being_ordered: bool,
+    /// No order is given before.
+    pub(super) order_not_before: Instant,
+    is_slow: bool,
+    probed_at: Instant,
+    not_before: Instant,
+    losses: LossBackoff,
+}
+
+/// What an item demands of an engine.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Demand<'a> {
+    pub(super) model: Option<&'a str>,
+    pub(super) oldest_version: WeightVersion,
+}
+
+impl Engine {
+    /// An engine as the directory lists it.
+    pub(super) fn new(back_end: &Arc<BackEnd>) -> Self {
+        let now = Instant::now();
+        Self {
+            back_end: Arc::clone(back_end),
+            running: 0,
+            pace: Arc::default(),
+            versions: back_end.versions.clone(),
+            change: None,
+            assigned: None,
+            is_being_ordered: false,
+            order_not_before: now,
+            is_slow: false,
+            probed_at: now,
+            not_before: now,
+            losses: LossBackoff::default(),
+        }
+    }
+
+    /// Takes in the engine's row. A version there counts only if it is news: the row
+    /// lags behind what the engine's own answers have told.
+    pub(super) fn take_row(&mut self, back_end: &Arc<BackEnd>) {
+        for (model, version) in &back_end.versions {
+            if self.back_end.versions.get(model) != Some(version) {
+                self.note_version(model, *version, "directory");
+            }
+        }
+        self.back_end = Arc::clone(back_end);
+    }
+
+    /// The directory lists the engine no more.
+    pub(super) fn mark_gone(&mut self) {
+        if !self.back_end.draining {
+            let mut gone = BackEnd::clone(&self.back_end);
+            gone.draining = true;
+            self.back_end = Arc::new(gone);
+        }
+    }
+
+    /// Takes in a version that the engine is known to use.
+    pub(super) fn note_version(&mut self, model: &str, version: WeightVersion, source: &str) {
+        if self.versions.get(model) == Some(&version) {
+            return;
+        }
+        self.versions.insert(model.to_owned(), version);
+        let is_done = self
+            .change
+            .as_ref()
+            .is_some_and(|change| change.model == model && version >= change.version);
+        if is_done {
+            self.change = None;
+        }
+        events::emit(&Event::VersionInForce {
+            back_end: self.back_end.id.as_str(),
+            model,
+            version: version.0,
+            source,
+        });
+    }
+
+    /// The version of a model that the engine is believed to use.
+    pub(super) fn version(&self, model: &str) -> WeightVersion {
+        self.versions.get(model).copied().unwrap_or_default()
+    }
+
+    /// True if the engine is kept up to date for a model.
+    pub(super) fn is_assigned(&self, model: &str) -> bool {
+        self.assigned.as_deref() == Some(model)
+    }
+
+    /// True if the engine takes work and was not lost or did not refuse just now.
+    pub(super) fn is_usable(&self, now: Instant) -> bool {
+        !self.back_end.draining && self.losses.is_over(now) && now >= self.not_before
+    }
+
+    /// True if the engine takes an item with this demand now.
+    pub(super) fn can_take(&self, demand: Demand<'_>, now: Instant) -> bool {
+        let has_room = match self.is_slow {
+            true => self.running == 0 && now >= self.probed_at + PROBE_PERIOD,
+            false => self.running < self.back_end.slots,
+        };
+        self.is_usable(now) && has_room && self.has_version(demand)
+    }
+
+    fn has_version(&self, demand: Demand<'_>) -> bool {
+        let Some(model) = demand.model else {
+            return true;
+        };
+        let is_changing = self
+            .change
+            .as_ref()
+            .is_some_and(|change| change.model == model);
+        !is_changing && self.version(model) >= demand.oldest_version
+    }
+
+    /// True if the engine is much slower than the others.
+    pub(super) fn is_slow(&self) -> bool {
+        self.is_slow
+    }
+
+    /// An item was sent to the engine.
+    pub(super) fn started(&mut self) {
+        self.running += 1;
+        if self.is_slow {
+            self.probed_at = Instant::now();
+            self.pace.reset();
+        }
+    }
+
+    /// The engine refused an item without running it.
+    pub(super) fn refused(&mut self) {
+        self.not_before = Instant::now() + REFUSED_PAUSE;
+    }
+
+    /// The engine could not be reached, broke off or fell silent.
+    pub(super) fn lost(&mut self) {
+        self.losses.note_loss(Instant::now());
+    }
+
+    /// The engine brought an item to its end.
+    pub(super) fn finished(&mut self) {
+        self.losses.note_success();
+    }
+
+    /// Forgets a change of weights that takes too long: the engine is asked again.
+    pub(super) fn expire_change(&mut self, now: Instant) {
+        let is_late = |change: &VersionChangeUnderWay| now > change.accepted_at + CHANGE_LIMIT;
+        if self.change.as_ref().is_some_and(is_late) {
+            self.change = None;
+        }
+    }
+
+    /// Compares its pace with the median; true if its mark has changed.
+    pub(super) fn judge_pace(&mut self, median: u64) -> bool {
+        let Some(pace) = self.pace.microseconds() else {
+            return false;
+        };
+        let factor = pace as f64 / median.max(1) as f64;
+        let is_slow = match self.is_slow {
+            true => factor > RECOVERED_FACTOR,
+            false => factor > SLOW_FACTOR,
+        };
+        if is_slow == self.is_slow {
+            return false;
+        }
+        self.is_slow = is_slow;
+        self.probed_at = Instant::now();
+        events::emit(&Event::PaceChanged {
+            back_end: self.back_end.id.as_str(),
+            slow: is_slow,
+            pace_us: pace,
+            median_us: median,
+        });
+        true
+    }
+}
--- a/crates/sloetrail-serving/src/owner/engines/tests.rs
+++ b/crates/sloetrail-serving/src/owner/engines/tests.rs
@@ -1,7 +1,8 @@
-use super::{Demand, EnginePool};
+use super::EnginePool;
 use crate::back_end::BackEnd;
 use crate::directory::Directory;
 use crate::owner::assignment::ModelShare;
+use crate::owner::engine::Demand;
 use crate::owner::rollout_plan::{ModelTarget, concurrent_changes, plan};
 use sloetrail_types::{EngineId, ServiceName, WeightVersion, ZoneName};
 use std::collections::BTreeMap;
@@ -296,3 +297,21 @@
     let orders = plan(&pool, &[needs_few], 300, Instant::now());
     assert_eq!(orders.len(), 3);
 }
+
+#[test]
+fn engines_that_are_not_needed_do_not_keep_the_others_from_newer_versions() {
+    let mut pool = pool(300);
+    let ids = of_model(&pool, "a");
+    for id in &ids[..10] {
+        let engine = pool.get_mut(id).expect("known");
+        engine.note_version("a", WeightVersion(3), "test");
+    }
+    let needs_few = ModelTarget {
+        ready_share: 0.1,
+        newest_share: 0.5,
+        ..target("a", 4, 3)
+    };
+    let orders = plan(&pool, &[needs_few], 300, Instant::now());
+    assert_eq!(orders.len(), 5, "half of the ten that are ready");
+    assert!(orders.iter().all(|order| ids[..10].contains(&order.engine)));
+}
--- a/crates/sloetrail-serving/src/owner/mod.rs
+++ b/crates/sloetrail-serving/src/owner/mod.rs
@@ -10,6 +10,7 @@
 
 mod assignment;
 mod committer;
+mod engine;
 mod engines;
 mod event;
 mod lease_keeper;
--- a/crates/sloetrail-serving/src/owner/rollout_plan.rs
+++ b/crates/sloetrail-serving/src/owner/rollout_plan.rs
@@ -6,7 +6,8 @@
 //! which half stay in service. While a model needs only part of its places, only part
 //! of its engines get each version, and the others the next one.
 
-use super::engines::{Engine, EnginePool};
+use super::engine::Engine;
+use super::engines::EnginePool;
 use super::event::PlannedOrder;
 use sloetrail_types::{EngineId, WeightVersion};
 use std::cmp::Reverse;
@@ -89,7 +90,6 @@
 /// An engine that is due.
 struct Due<'a> {
     id: &'a EngineId,
-    is_usable: bool,
     version: WeightVersion,
     running: usize,
 }
@@ -103,8 +103,10 @@
     ready: usize,
     newest: usize,
     changing: usize,
-    /// The next one stands last.
-    due: Vec<Due<'a>>,
+    /// Engines that the newest batch cannot use; the next one stands last.
+    unusable: Vec<Due<'a>>,
+    /// Engines that it can use; the next one stands last.
+    lagging: Vec<Due<'a>>,
 }
 
 impl<'a> ModelQueue<'a> {
@@ -116,16 +118,17 @@
             ready: 0,
             newest: 0,
             changing: 0,
-            due: Vec::new(),
+            unusable: Vec::new(),
+            lagging: Vec::new(),
         };
         for (id, engine) in pool.iter() {
             if !engine.back_end.draining && engine.is_assigned(&target.model) {
                 queue.add(id, engine, now);
             }
         }
-        queue
-            .due
-            .sort_by_key(|due| Reverse((due.is_usable, due.version, due.running)));
+        for due in [&mut queue.unusable, &mut queue.lagging] {
+            due.sort_by_key(|due| Reverse((due.version, due.running)));
+        }
         queue
     }
 
@@ -144,35 +147,45 @@
             && version < self.target.published
             && !is_changing(engine)
             && now >= engine.order_not_before;
-        if is_due {
-            self.due.push(Due {
-                id,
-                is_usable,
-                version,
-                running: engine.running,
-            });
+        if !is_due {
+            return;
         }
+        let due = match is_usable {
+            true => &mut self.lagging,
+            false => &mut self.unusable,
+        };
+        due.push(Due {
+            id,
+            version,
+            running: engine.running,
+        });
     }
 
     /// The turn of the engine that is next; nothing if none may change now.
     fn turn(&self) -> Option<Turn> {
-        let next = self.due.last()?;
-        let may_change = self.assigned.div_ceil(USABLE_CHANGING_DIVISOR);
-        let may_wait = match next.is_usable {
-            true => self.changing >= may_change || self.newest >= self.newest_enough(),
-            false => self.ready >= self.ready_enough(),
+        let is_usable = !self.needs_ready();
+        let next = match is_usable {
+            true if self.needs_newest() => self.lagging.last()?,
+            true => return None,
+            false => self.unusable.last()?,
         };
-        if may_wait {
-            return None;
-        }
         Some(Turn {
-            is_usable: next.is_usable,
+            is_usable,
             served_share: self.served * PER_THOUSAND / self.assigned,
             version: next.version,
             running: next.running,
         })
     }
 
+    fn needs_ready(&self) -> bool {
+        !self.unusable.is_empty() && self.ready < self.ready_enough()
+    }
+
+    fn needs_newest(&self) -> bool {
+        let may_change = self.assigned.div_ceil(USABLE_CHANGING_DIVISOR);
+        self.changing < may_change && self.newest < self.newest_enough()
+    }
+
     fn ready_enough(&self) -> usize {
         share_of(self.assigned, self.target.ready_share)
     }
@@ -182,11 +195,16 @@
     }
 
     fn take(&mut self) -> Option<PlannedOrder> {
-        let next = self.due.pop()?;
+        let was_unusable = self.needs_ready();
+        let due = match was_unusable {
+            true => &mut self.unusable,
+            false => &mut self.lagging,
+        };
+        let next = due.pop()?;
         self.changing += 1;
         self.newest += 1;
-        self.served += usize::from(!next.is_usable);
-        self.ready += usize::from(!next.is_usable);
+        self.served += usize::from(was_unusable);
+        self.ready += usize::from(was_unusable);
         Some(PlannedOrder {
             engine: next.id.clone(),
             model: self.target.model.clone(),
--- a/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
@@ -2,7 +2,7 @@
 
 use super::{ActiveRun, ServiceOwner};
 use crate::events::{self, Event};
-use crate::owner::engines::Demand;
+use crate::owner::engine::Demand;
 use crate::owner::event::OwnerEvent;
 use crate::owner::run::{RunProgress, RunSpec, run_item};
 use crate::telemetry;
--- a/crates/sloetrail-serving/src/owner/service_owner/versions.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/versions.rs
@@ -3,7 +3,7 @@
 use super::ServiceOwner;
 use crate::back_end::{OrderAnswer, VersionChange};
 use crate::owner::assignment::ModelShare;
-use crate::owner::engines::VersionChangeUnderWay;
+use crate::owner::engine::VersionChangeUnderWay;
 use crate::owner::event::{OrderEnd, OwnerEvent};
 use crate::owner::order_window::OrderWindow;
 use crate::owner::rollout_plan::{ModelTarget, concurrent_changes, plan};
