--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -8,7 +8,7 @@
 mod rate_limiter;
 mod writer;
 
-pub use writer::{LoggingError, start, start_with};
+pub use writer::{LoggingError, flush, start, start_with};
 
 use rate_limiter::RateLimiter;
 use serde::Serialize;
--- a/crates/sloetrail-serving/src/events/writer.rs
+++ b/crates/sloetrail-serving/src/events/writer.rs
@@ -10,7 +10,7 @@
 use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 const QUEUE_LINES: usize = 1024;
 const PARTS: [&str; 8] = [
@@ -18,6 +18,9 @@
 ];
 
 static OVERFLOW: AtomicU64 = AtomicU64::new(0);
+static QUEUED: AtomicU64 = AtomicU64::new(0);
+static WRITTEN: AtomicU64 = AtomicU64::new(0);
+const FLUSH_STEP: Duration = Duration::from_millis(2);
 /// What was dropped is said once a second at most.
 static DROP_REPORTS: RateLimiter = RateLimiter::new(1);
 
@@ -67,6 +70,16 @@
         .map_err(|_| LoggingError)
 }
 
+/// Waits until the lines that are queued have been written, but no longer than `patience`:
+/// a reader that does not read must not keep the process from ending.
+pub fn flush(patience: Duration) {
+    let give_up_at = Instant::now() + patience;
+    let queued = QUEUED.load(Ordering::Acquire);
+    while WRITTEN.load(Ordering::Acquire) < queued && Instant::now() < give_up_at {
+        std::thread::sleep(FLUSH_STEP);
+    }
+}
+
 fn line(node: &str, record: &log::Record<'_>) -> String {
     let message = record.args().to_string();
     let is_typed = PARTS.contains(&record.target());
@@ -88,6 +101,7 @@
         OVERFLOW.fetch_add(1, Ordering::Relaxed);
         return;
     }
+    QUEUED.fetch_add(1, Ordering::Release);
     if !DROP_REPORTS.admit() {
         return;
     }
@@ -104,10 +118,12 @@
     while let Ok(line) = receiver.recv() {
         let mut text = line;
         text.push('\n');
+        let mut lines = 1;
         // Lines that wait already go out with one write.
         while let Ok(next) = receiver.try_recv() {
             text.push_str(&next);
             text.push('\n');
+            lines += 1;
         }
         if output
             .write_all(text.as_bytes())
@@ -116,6 +132,7 @@
         {
             return;
         }
+        WRITTEN.fetch_add(lines, Ordering::Release);
     }
 }
 
