Reward calls that run out of time are not failures of the item

A hanging application answers 504 at the deadline; each such answer counted towards max_attempts, as any answer of failure did.

Change: only answers of 500 count. Test first red (code before): reward_calls_that_run_out_of_time_do_not_count_as_failures.

--- a/crates/sloetrail-serving-testkit/src/engine.rs
+++ b/crates/sloetrail-serving-testkit/src/engine.rs
@@ -33,6 +33,8 @@
     Refuses,
     /// It runs a request and answers 500.
     Fails,
+    /// It runs a request and answers 504: its time is over.
+    OutOfTime,
     /// It says that the request can never be done.
     Impossible,
     /// It breaks each series of events off after so many.
@@ -367,6 +369,7 @@
         match fault {
             EngineFault::AnswerLost => return Err(io::Error::other("the answer is lost")),
             EngineFault::Silent => std::future::pending().await,
+            EngineFault::OutOfTime => return Ok(self.signed(StatusCode::GATEWAY_TIMEOUT, &id)),
             EngineFault::Fails => return Ok(self.signed(StatusCode::INTERNAL_SERVER_ERROR, &id)),
             EngineFault::Impossible => {
                 return Ok(self.signed(StatusCode::UNPROCESSABLE_ENTITY, &id));
--- a/crates/sloetrail-serving/src/gateway/live.rs
+++ b/crates/sloetrail-serving/src/gateway/live.rs
@@ -14,6 +14,7 @@
 use futures_util::StreamExt;
 use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
+use http::StatusCode;
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_routing::{Route, RouteKind};
 use sloetrail_types::{EngineId, ServiceName};
@@ -54,7 +55,8 @@
     pub(crate) back_end: Option<EngineId>,
     /// Back ends that may have run the request.
     pub(crate) attempts: usize,
-    /// Whole answers of failure that came.
+    /// Answers that say that the request itself failed; one that ran out of time, or
+    /// that a broken back end gave, says nothing of the request.
     pub(crate) failed_answers: usize,
 }
 
@@ -222,7 +224,8 @@
         match result {
             AttemptResult::Answered(answer) => Some(self.outcome(Ok(answer), Some(back_end))),
             AttemptResult::RanAndFailed(answer) => {
-                self.failed_answers += 1;
+                let has_failed = answer.status == StatusCode::INTERNAL_SERVER_ERROR;
+                self.failed_answers += usize::from(has_failed);
                 self.last_failure = Some((answer, back_end));
                 None
             }
--- a/crates/sloetrail-serving/tests/batches.rs
+++ b/crates/sloetrail-serving/tests/batches.rs
@@ -228,6 +228,23 @@
     assert_eq!(listed["results"][0], some[0]);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn reward_calls_that_run_out_of_time_do_not_count_as_failures() {
+    const ANSWERS: usize = 5;
+    let cluster = usual_cluster(PACE).await;
+    let applications = cluster
+        .engines
+        .iter()
+        .filter(|engine| engine.service != "models");
+    for engine in applications {
+        engine.set_fault(EngineFault::OutOfTime, Some(ANSWERS));
+    }
+    let scored = with_reward(item("i1", "g", 2), HOST);
+    accepted(&cluster, 0, "b1", &batch(&[scored], MODEL, 1)).await;
+    let results = cluster.wait_results(0, "b1", 1).await;
+    assert_eq!(results[0]["state"], "succeeded");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn items_die_only_of_failures_of_their_own() {
     let cluster = usual_cluster(PACE).await;
