Fast engines first; long texts move to faster engines; policies in the settings

Cause: a step ends with its longest texts (165 events, 36 ms each on a fast engine, 53 ms on a full slow one), and the owner chose the emptiest engine: an item of 165 events took 5.9 to 8.7 s, where a step may take 7.5 s before it delays the next but one. Change: engines are ranked by pace in steps of 12%; a run on a clearly slower engine is closed and goes on at a faster one with a free place if that saves 250 ms.

--- a/crates/sloetrail-batch/src/batch.rs
+++ b/crates/sloetrail-batch/src/batch.rs
@@ -158,9 +158,18 @@
 
     /// Takes the next item out of the queue to run it.
     pub fn start_next(&mut self) -> Option<ItemIndex> {
-        let index = self.queue.pop()?;
-        self.items[index].state = ItemState::Running;
-        Some(index)
+        let index = self.peek()?;
+        self.start(index).then_some(index)
+    }
+
+    /// Takes an item out of the queue to run it; false if it does not wait.
+    pub fn start(&mut self, index: ItemIndex) -> bool {
+        let is_waiting = self.items[index].state == ItemState::Waiting;
+        if is_waiting {
+            self.queue.retain(|waiting| *waiting != index);
+            self.items[index].state = ItemState::Running;
+        }
+        is_waiting
     }
 
     /// Keeps what there is of an item's text.
--- a/crates/sloetrail-batch/src/lib.rs
+++ b/crates/sloetrail-batch/src/lib.rs
@@ -16,6 +16,7 @@
 mod batch;
 mod checkpoint;
 mod header;
+mod length_model;
 mod result;
 mod submission;
 mod transcript;
@@ -23,6 +24,7 @@
 pub use batch::{Batch, DeathCause, Item, ItemIndex, ItemState, RunFailure};
 pub use checkpoint::{Checkpoint, join_checkpoints};
 pub use header::{BatchHeader, BatchId, is_usable_id};
+pub use length_model::LengthModel;
 pub use result::{ListedResult, ResultPage, ResultState, StoredResultError};
 pub use submission::{ItemId, RewardCall, Submission, SubmissionError, SubmittedItem};
 pub use transcript::{Transcript, TranscriptError, TranscriptEvent};
--- a/crates/sloetrail-serving-testkit/src/cluster.rs
+++ b/crates/sloetrail-serving-testkit/src/cluster.rs
@@ -8,6 +8,7 @@
 use serde_json::{Value, json};
 use sloetrail_serving::ServingNode;
 use sloetrail_serving::dialect::{Dialect, HeaderNames};
+use sloetrail_serving::policies::Policies;
 use sloetrail_serving::settings::{RawServingSettings, ServingSettings};
 use sloetrail_serving::table::{RowAddress, Table};
 use std::collections::BTreeMap;
@@ -257,6 +258,7 @@
             concurrent_loads: None,
             body_budget_bytes: self.body_budget_bytes,
             processor_share: self.processor_share,
+            policies: Policies::default(),
         };
         let life = NEXT_LIFE.fetch_add(1, Ordering::Relaxed);
         let settings = ServingSettings::check(raw, life).expect("sound settings");
--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -224,6 +224,21 @@
         /// How long it took, in milliseconds.
         took_ms: u64,
     },
+    /// An item's run is closed to go on at a faster engine.
+    ItemMoved {
+        /// The item.
+        item: &'a str,
+        /// Its batch.
+        batch: &'a str,
+        /// The engine that it ran on.
+        from: &'a str,
+        /// The engine that it goes on at.
+        to: &'a str,
+        /// Events that are still expected.
+        remaining_events: u64,
+        /// The time that this is expected to save, in milliseconds.
+        gain_ms: u64,
+    },
     /// An item is given up.
     ItemDead {
         /// The item.
@@ -351,6 +366,7 @@
             | Event::BatchOpened { .. }
             | Event::ItemStarted { .. }
             | Event::ItemInterrupted { .. }
+            | Event::ItemMoved { .. }
             | Event::ItemDead { .. }
             | Event::ItemListed { .. }
             | Event::RewardFailed { .. } => "batch",
@@ -366,6 +382,7 @@
             Event::RequestAnswered { .. } => Some(&REQUESTS_ANSWERED),
             Event::ItemStarted { .. } => Some(&ITEMS_STARTED),
             Event::ItemListed { .. } => Some(&ITEMS_LISTED),
+            Event::ItemMoved { .. } => Some(&ITEMS_MOVED),
             _ => None,
         }
     }
@@ -374,6 +391,7 @@
 static REQUESTS_ANSWERED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
 static ITEMS_STARTED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
 static ITEMS_LISTED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
+static ITEMS_MOVED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
 
 /// Writes an event down, without waiting.
 pub fn emit(event: &Event<'_>) {
@@ -392,6 +410,11 @@
 
 /// How many lines were thinned out since the last question.
 fn take_thinned() -> u64 {
-    let limiters = [&REQUESTS_ANSWERED, &ITEMS_STARTED, &ITEMS_LISTED];
+    let limiters = [
+        &REQUESTS_ANSWERED,
+        &ITEMS_STARTED,
+        &ITEMS_LISTED,
+        &ITEMS_MOVED,
+    ];
     limiters.iter().map(|limiter| limiter.take_refused()).sum()
 }
--- a/crates/sloetrail-serving/src/lib.rs
+++ b/crates/sloetrail-serving/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod operator;
 mod owner;
 mod pause_guard;
+pub mod policies;
 mod rows;
 mod service_pools;
 pub mod settings;
--- a/crates/sloetrail-serving/src/owner/engine.rs
+++ b/crates/sloetrail-serving/src/owner/engine.rs
@@ -18,6 +18,8 @@
 const PROBE_PERIOD: Duration = Duration::from_millis(1_500);
 /// How long an engine that refused an item gets no other.
 const REFUSED_PAUSE: Duration = Duration::from_millis(40);
+/// How long a place is kept for an item whose run elsewhere is being closed.
+const PLACE_KEPT_FOR: Duration = Duration::from_millis(200);
 /// How long a change of weights may take before the engine is asked again.
 const CHANGE_LIMIT: Duration = Duration::from_millis(4_000);
 
@@ -44,6 +46,8 @@
     /// No order is given before.
     pub(super) order_not_before: Instant,
     is_slow: bool,
+    /// Until when a place is kept for an item that is moved here.
+    place_kept_until: Option<Instant>,
     probed_at: Instant,
     not_before: Instant,
     losses: LossBackoff,
@@ -70,6 +74,7 @@
             is_being_ordered: false,
             order_not_before: now,
             is_slow: false,
+            place_kept_until: None,
             probed_at: now,
             not_before: now,
             losses: LossBackoff::default(),
@@ -136,11 +141,28 @@
     pub(super) fn can_take(&self, demand: Demand<'_>, now: Instant) -> bool {
         let has_room = match self.is_slow {
             true => self.running == 0 && now >= self.probed_at + PROBE_PERIOD,
-            false => self.running < self.back_end.slots,
+            false => self.free_places(now) > 0,
         };
         self.is_usable(now) && has_room && self.has_version(demand)
     }
 
+    /// Places that neither a run nor an item that is moved here has taken.
+    pub(super) fn free_places(&self, now: Instant) -> usize {
+        let is_kept = self.place_kept_until.is_some_and(|until| now < until);
+        let taken = self.running + usize::from(is_kept);
+        self.back_end.slots.saturating_sub(taken)
+    }
+
+    /// Keeps a place for an item that is moved here, for a short time.
+    pub(super) fn keep_place(&mut self, now: Instant) {
+        self.place_kept_until = Some(now + PLACE_KEPT_FOR);
+    }
+
+    /// The item that a place was kept for has come, or will not come.
+    pub(super) fn release_place(&mut self) {
+        self.place_kept_until = None;
+    }
+
     fn has_version(&self, demand: Demand<'_>) -> bool {
         let Some(model) = demand.model else {
             return true;
--- a/crates/sloetrail-serving/src/owner/engines.rs
+++ b/crates/sloetrail-serving/src/owner/engines.rs
@@ -7,6 +7,29 @@
 use std::collections::BTreeMap;
 use tokio::time::Instant;
 
+/// Paces within this factor of one another count as alike: an engine that is full is
+/// that much slower than an empty one of the same kind.
+pub(super) const PACE_STEP: f64 = 1.12;
+
+/// An engine with a free place.
+pub(super) struct FreeEngine {
+    pub(super) id: EngineId,
+    /// Microseconds an event.
+    pub(super) pace: u64,
+}
+
+/// The grade of a pace relative to the median, lower for faster engines; an engine
+/// whose pace is not known counts as an ordinary one.
+fn pace_grade(pace: Option<u64>, median: Option<u64>) -> i32 {
+    match (pace, median) {
+        (Some(pace), Some(median)) if pace > 0 && median > 0 => {
+            let ratio = pace as f64 / median as f64;
+            (ratio.ln() / PACE_STEP.ln()).round() as i32
+        }
+        _ => 0,
+    }
+}
+
 /// Every engine of a service.
 #[derive(Default)]
 pub(super) struct EnginePool {
@@ -41,28 +64,68 @@
     }
 
     /// The engine that takes an item with this demand, or none. Engines that are
-    /// kept up to date for the model go first, then those with least to do.
-    pub(super) fn pick(&self, demand: Demand<'_>, now: Instant) -> Option<EngineId> {
+    /// kept up to date for the model go first, then the fastest ones, and of engines
+    /// that are about as fast those with least to do.
+    pub(super) fn pick(
+        &self,
+        demand: Demand<'_>,
+        now: Instant,
+        prefer_fast: bool,
+    ) -> Option<EngineId> {
         let able = self
             .engines
             .iter()
             .filter(|(_, engine)| engine.can_take(demand, now));
+        let median = self.median_pace();
         let best = able.min_by_key(|(_, engine)| {
             let assigned = demand.model.is_none_or(|model| engine.is_assigned(model));
-            (!assigned, engine.is_slow(), engine.running)
+            let grade = match prefer_fast {
+                true => pace_grade(engine.pace.microseconds(), median),
+                false => 0,
+            };
+            (!assigned, engine.is_slow(), grade, engine.running)
         });
         best.map(|(id, _)| id.clone())
     }
 
+    /// Engines that are not slow, meet a demand and have a free place, with their
+    /// paces; the fastest first. Engines whose pace is not known are left out.
+    pub(super) fn free_engines(&self, demand: Demand<'_>, now: Instant) -> Vec<FreeEngine> {
+        let able = self.engines.iter().filter(|(_, engine)| {
+            let assigned = demand.model.is_none_or(|model| engine.is_assigned(model));
+            assigned && !engine.is_slow() && engine.can_take(demand, now)
+        });
+        let mut free: Vec<FreeEngine> = able
+            .filter_map(|(id, engine)| {
+                Some(FreeEngine {
+                    id: id.clone(),
+                    pace: engine.pace.microseconds()?,
+                })
+            })
+            .collect();
+        free.sort_by_key(|engine| engine.pace);
+        free
+    }
+
     /// Free places of engines that are not slow and meet a demand.
     pub(super) fn fast_places(&self, demand: Demand<'_>, now: Instant) -> usize {
         self.engines
             .values()
             .filter(|engine| !engine.is_slow() && engine.can_take(demand, now))
-            .map(|engine| engine.back_end.slots.saturating_sub(engine.running))
+            .map(|engine| engine.free_places(now))
             .sum()
     }
 
+    /// The median of the engines' paces, in microseconds an event.
+    fn median_pace(&self) -> Option<u64> {
+        let engines = self.engines.values();
+        let mut paces: Vec<u64> = engines
+            .filter_map(|engine| engine.pace.microseconds())
+            .collect();
+        paces.sort_unstable();
+        paces.get(paces.len().checked_sub(1)? / 2).copied()
+    }
+
     /// Every place, free or not, of the engines that are kept up to date for a model.
     pub(super) fn places_of(&self, model: &str) -> usize {
         let engines = self.engines.values();
@@ -82,6 +145,13 @@
         self.engines.get_mut(id)
     }
 
+    /// Gives a place free that was kept for an item, if one was.
+    pub(super) fn release_place(&mut self, engine: Option<&EngineId>) {
+        if let Some(engine) = engine.and_then(|id| self.engines.get_mut(id)) {
+            engine.release_place();
+        }
+    }
+
     /// How many engines there are.
     pub(super) fn len(&self) -> usize {
         self.engines.len()
@@ -100,16 +170,11 @@
     /// Compares the engines' paces and marks those that are much slower; true if a mark
     /// has changed.
     pub(super) fn judge_paces(&mut self) -> bool {
-        let mut paces: Vec<u64> = self
-            .engines
-            .values()
-            .filter_map(|engine| engine.pace.microseconds())
-            .collect();
-        if paces.len() < 2 {
+        let engines = self.engines.values();
+        let measured = engines.filter(|engine| engine.pace.microseconds().is_some());
+        let Some(median) = self.median_pace().filter(|_| measured.count() >= 2) else {
             return false;
-        }
-        paces.sort_unstable();
-        let median = paces[(paces.len() - 1) / 2];
+        };
         let mut has_changed = false;
         for engine in self.engines.values_mut() {
             has_changed |= engine.judge_pace(median);
--- a/crates/sloetrail-serving/src/owner/pace.rs
+++ b/crates/sloetrail-serving/src/owner/pace.rs
@@ -6,6 +6,12 @@
 /// Weight of a new measurement, as a divisor.
 const SMOOTHING: u64 = 6;
 
+/// A gap this many times the known pace is a stall, as while weights change, and tells
+/// nothing of the pace.
+const STALL_FACTOR: u64 = 10;
+/// Measurements before the pace is believed.
+const MEASUREMENTS_LEAST: u64 = 4;
+
 /// A smoothed time between two events of one run, shared by the runs on an engine.
 #[derive(Debug, Default)]
 pub(super) struct PaceMeter {
@@ -18,6 +24,9 @@
     pub(super) fn note(&self, gap: Duration) {
         let gap = gap.as_micros() as u64;
         let known = self.microseconds.load(Ordering::Relaxed);
+        if self.microseconds().is_some() && gap > known.saturating_mul(STALL_FACTOR) {
+            return;
+        }
         let next = match self.measurements.fetch_add(1, Ordering::Relaxed) {
             0 => gap,
             _ => (known * (SMOOTHING - 1) + gap) / SMOOTHING,
@@ -27,7 +36,6 @@
 
     /// The smoothed time in microseconds; nothing before the first few events.
     pub(super) fn microseconds(&self) -> Option<u64> {
-        const MEASUREMENTS_LEAST: u64 = 4;
         let measured = self.measurements.load(Ordering::Relaxed) >= MEASUREMENTS_LEAST;
         measured.then(|| self.microseconds.load(Ordering::Relaxed))
     }
--- a/crates/sloetrail-serving/src/owner/run.rs
+++ b/crates/sloetrail-serving/src/owner/run.rs
@@ -73,6 +73,11 @@
         self.state().transcript.clone()
     }
 
+    /// How many events the text has.
+    pub(super) fn events(&self) -> usize {
+        self.state().transcript.len()
+    }
+
     /// The events after the first `count`.
     pub(super) fn events_after(&self, count: usize) -> Vec<TranscriptEvent> {
         self.state().transcript.after(count).to_vec()
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -1,6 +1,7 @@
 //! The owner of a service, for one term: its loop, and the batches that it has open.
 
 mod dispatch;
+mod relocation;
 mod results;
 mod texts;
 mod versions;
@@ -20,7 +21,9 @@
 use crate::events::{self, Event};
 use crate::follow::{FollowPace, ViewReceiver, follow};
 use crate::rows;
-use sloetrail_batch::{Batch, BatchHeader, BatchId, DeathCause, ItemId, ItemIndex, Transcript};
+use sloetrail_batch::{
+    Batch, BatchHeader, BatchId, DeathCause, ItemId, ItemIndex, LengthModel, Transcript,
+};
 use sloetrail_types::EngineId;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
@@ -48,6 +51,11 @@
     progress: Arc<RunProgress>,
     /// Events of the text that the table holds, or is about to hold.
     kept: usize,
+    began: Instant,
+    /// True if the item came here from a slower engine.
+    has_moved: bool,
+    /// The engine that the item goes on at once this run has been closed.
+    moves_to: Option<EngineId>,
 }
 
 struct OpenBatch {
@@ -71,6 +79,7 @@
     /// By model, how many versions behind the newest one its last batch allows.
     lags: BTreeMap<String, u64>,
     usage: PlaceUsage,
+    lengths: LengthModel,
     publications: Publications,
     /// By model, the work of its last batch in expected tokens.
     work: BTreeMap<String, f64>,
@@ -102,6 +111,7 @@
             carried: BTreeMap::new(),
             lags: BTreeMap::new(),
             usage: PlaceUsage::default(),
+            lengths: LengthModel::default(),
             publications: Publications::default(),
             work: BTreeMap::new(),
             weights_due: true,
@@ -358,6 +368,7 @@
             self.assign_models();
         }
         self.move_from_slow_engines(now);
+        self.move_long_texts(now);
         self.expire_items();
         self.tell_items();
         let is_fast = self.context.table.ordinary_time() < KEEP_TABLE_TIME;
--- a/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
@@ -41,7 +41,7 @@
         }
     }
 
-    fn priority(&self, wanted: bool) -> u8 {
+    pub(super) fn priority(&self, wanted: bool) -> u8 {
         let lease = self.context.settings.bounds.lease;
         match wanted {
             _ if !self.term.is_confirmed_within(lease) => PRIORITY_UNCONFIRMED,
@@ -64,15 +64,30 @@
             model: open.batch.model.as_deref(),
             oldest_version: open.batch.oldest_version,
         };
-        let Some(engine_id) = self.engines.pick(demand, Instant::now()) else {
+        let prefer_fast = self.context.settings.policies.prefer_fast_engines;
+        let Some(engine_id) = self.engines.pick(demand, Instant::now(), prefer_fast) else {
             return false;
         };
-        let Some(engine) = self.engines.get_mut(&engine_id) else {
+        next.is_some_and(|index| self.start_on(id, index, engine_id, priority))
+    }
+
+    /// Starts an item that waits on an engine; false if either is not there.
+    pub(super) fn start_on(
+        &mut self,
+        id: &BatchId,
+        index: ItemIndex,
+        engine_id: EngineId,
+        priority: u8,
+    ) -> bool {
+        let Some(open) = self.batches.get_mut(id) else {
             return false;
         };
-        let Some(index) = open.batch.start_next() else {
+        let Some(engine) = self.engines.get_mut(&engine_id) else {
             return false;
         };
+        if !open.batch.start(index) {
+            return false;
+        }
         engine.started();
         let item = open.batch.item(index);
         let run = ActiveRun {
@@ -80,6 +95,9 @@
             cancel: open.cancel.child_token(),
             progress: RunProgress::new(item.transcript.clone()),
             kept: open.kept.get(&index).copied().unwrap_or_default(),
+            began: Instant::now(),
+            has_moved: false,
+            moves_to: None,
         };
         let spec = RunSpec {
             context: Arc::clone(&self.context),
--- a/crates/sloetrail-serving/src/owner/service_owner/results.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/results.rs
@@ -31,10 +31,15 @@
         if open.batch.item(index).state != ItemState::Running {
             return;
         }
+        let mut moves_to = None;
         if let Some(run) = open.runs.remove(&index) {
             open.kept.insert(index, run.kept);
+            moves_to = run.moves_to;
         }
         if outcome == RunOutcome::Whole {
+            let hinted = open.batch.item(index).expected_length;
+            self.lengths.note(hinted, transcript.len());
+            self.engines.release_place(moves_to.as_ref());
             open.batch.text_is_whole(index, transcript);
             self.begin_reward(id, index);
             return;
@@ -60,8 +65,13 @@
         if open.batch.item(index).transcript.is_empty() {
             open.kept.remove(&index);
         }
-        if let Some(cause) = death {
-            self.give_up(id, index, cause);
+        match (death, moves_to) {
+            (Some(cause), moves_to) => {
+                self.engines.release_place(moves_to.as_ref());
+                self.give_up(id, index, cause);
+            }
+            (None, Some(engine)) => self.go_on_at(id, index, engine),
+            (None, None) => {}
         }
     }
 
--- a/crates/sloetrail-serving/src/settings.rs
+++ b/crates/sloetrail-serving/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a serving node: raw ones as they are read, typed ones once checked.
 
+use crate::policies::Policies;
 use serde::Deserialize;
 use sloetrail_types::{NodeId, ZoneName};
 use snafu::{ResultExt, Snafu, ensure};
@@ -61,6 +62,9 @@
     /// The share of a processor core that the node may use.
     #[serde(default)]
     pub processor_share: Option<f64>,
+    /// Mechanisms of decision that can be switched off.
+    #[serde(default)]
+    pub policies: Policies,
 }
 
 /// Settings that have been checked.
@@ -82,6 +86,8 @@
     pub candidate_rank: u32,
     /// The bounds in time and number.
     pub bounds: ServingBounds,
+    /// Mechanisms of decision that can be switched off.
+    pub policies: Policies,
 }
 
 /// Bounds in time and number.
@@ -181,6 +187,7 @@
             metrics_address: raw.metrics_address,
             candidate_rank: candidate_rank(raw.processor_share),
             bounds,
+            policies: raw.policies,
         })
     }
 
