Calls to the table are carried by another node while the table does not answer this one

Ruled out: a shorter lease alone (renewals fail the same way); handing over (nothing to hand over to before the cut is known). Change: nodes register where they listen; a node whose direct way is absent sends its calls to another node, which makes them on its own direct way only. A transaction that a peer may have carried out has an unknown outcome, as without a peer.

--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -60,6 +60,18 @@
         /// What.
         dependency: &'a str,
     },
+    /// The table does not answer this node; another one carries its calls.
+    RelayBegan {
+        /// The node that carries them.
+        peer: &'a str,
+    },
+    /// The node that carried calls for this one does so no more.
+    RelayEnded {
+        /// The node that carried them.
+        peer: &'a str,
+        /// Why.
+        cause: &'a str,
+    },
     /// A configuration is in force.
     ConfigurationInForce {
         /// Its revision.
@@ -351,7 +363,10 @@
             | Event::SettingsReloaded { .. }
             | Event::ProcessPaused { .. }
             | Event::LinesDropped { .. } => "node",
-            Event::DependencyLost { .. } | Event::DependencyRegained { .. } => "table",
+            Event::DependencyLost { .. }
+            | Event::DependencyRegained { .. }
+            | Event::RelayBegan { .. }
+            | Event::RelayEnded { .. } => "table",
             Event::ConfigurationInForce { .. }
             | Event::ConfigurationRefused { .. }
             | Event::RowUnreadable { .. }
--- a/crates/sloetrail-serving/src/lib.rs
+++ b/crates/sloetrail-serving/src/lib.rs
@@ -30,6 +30,7 @@
 mod owner;
 mod pause_guard;
 pub mod policies;
+mod relay;
 mod rows;
 mod service_pools;
 pub mod settings;
--- a/crates/sloetrail-serving/src/node.rs
+++ b/crates/sloetrail-serving/src/node.rs
@@ -11,6 +11,7 @@
 use crate::operator::watch_operator;
 use crate::owner;
 use crate::pause_guard::PauseGuard;
+use crate::relay;
 use crate::rows;
 use crate::service_pools::ServicePools;
 use crate::settings::ServingSettings;
@@ -67,6 +68,7 @@
             version: env!("CARGO_PKG_VERSION"),
         });
         telemetry::start();
+        let table = relayed(&settings, table).await?;
         let callers = listen(settings.callers_address).await?;
         let ready = listen(settings.ready_address).await?;
         let callers_address = local_address(&callers, settings.callers_address);
@@ -125,6 +127,20 @@
     }
 }
 
+/// The table, which other nodes reach for this one while it cannot.
+async fn relayed(
+    settings: &ServingSettings,
+    table: Arc<dyn Table>,
+) -> Result<Arc<dyn Table>, StartError> {
+    match settings.peer_address {
+        Some(address) if settings.policies.relay_table_calls => {
+            let listener = listen(address).await?;
+            Ok(relay::start(settings, table, listener))
+        }
+        _ => Ok(table),
+    }
+}
+
 fn build_context(
     settings: ServingSettings,
     table: Arc<dyn Table>,
--- a/crates/sloetrail-serving/src/policies.rs
+++ b/crates/sloetrail-serving/src/policies.rs
@@ -12,6 +12,8 @@
     pub prefer_fast_engines: bool,
     /// Long texts move to a faster engine that has a place, if that saves time.
     pub move_long_texts: bool,
+    /// A node that the table does not answer has its calls carried by another node.
+    pub relay_table_calls: bool,
 }
 
 impl Default for Policies {
@@ -19,6 +21,7 @@
         Self {
             prefer_fast_engines: true,
             move_long_texts: true,
+            relay_table_calls: true,
         }
     }
 }
--- /dev/null
+++ b/crates/sloetrail-serving/src/relay/message.rs
@@ -0,0 +1,99 @@
+//! What a node and the one that carries its calls say to each other.
+
+use crate::table::{Changes, Commit, CommitError, KeyRange, Page, ReadError, Transaction};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use sloetrail_types::RowVersion;
+
+/// The version of these messages. A node refuses those of another version.
+pub(super) const MESSAGE_VERSION: u8 = 1;
+/// The path under which calls are carried.
+pub(super) const PATH: &str = "/v1/table-calls";
+
+/// A call to be carried.
+#[derive(Clone, Debug, Serialize, serde::Deserialize)]
+pub(super) struct CarriedCall {
+    /// The version of this message.
+    pub(super) version: u8,
+    /// The token that the carrying node has put into the table.
+    pub(super) token: String,
+    /// The call.
+    pub(super) call: TableCall,
+}
+
+/// A call to the table.
+#[derive(Clone, Debug, Serialize, serde::Deserialize)]
+pub(super) enum TableCall {
+    /// Carries out a transaction.
+    Commit(Transaction),
+    /// Reads a range.
+    Scan(KeyRange),
+    /// Asks for changes.
+    Changes {
+        /// The table.
+        table: String,
+        /// The version that the asker has.
+        since: RowVersion,
+        /// How long the question may be held, in milliseconds.
+        wait_ms: u64,
+    },
+}
+
+/// The table's answer to a call.
+#[derive(Clone, Debug, Serialize, serde::Deserialize)]
+pub(super) enum TableAnswer {
+    /// To a transaction.
+    Commit(Result<Commit, CommitError>),
+    /// To a read.
+    Scan(Result<Page, ReadError>),
+    /// To a question for changes.
+    Changes(Result<Changes, ReadError>),
+}
+
+impl TableCall {
+    /// The answer when the call has left this node and nothing came back.
+    pub(super) fn without_answer(&self) -> TableAnswer {
+        match self {
+            TableCall::Commit(_) => TableAnswer::Commit(Err(CommitError::Unknown)),
+            TableCall::Scan(_) | TableCall::Changes { .. } => self.not_made(),
+        }
+    }
+
+    /// The answer when the call was not made.
+    pub(super) fn not_made(&self) -> TableAnswer {
+        match self {
+            TableCall::Commit(_) => TableAnswer::Commit(Err(CommitError::NotDone)),
+            TableCall::Scan(_) => TableAnswer::Scan(Err(ReadError::Unavailable)),
+            TableCall::Changes { .. } => TableAnswer::Changes(Err(ReadError::Unavailable)),
+        }
+    }
+}
+
+impl TableAnswer {
+    /// True if the table itself has answered.
+    pub(super) fn is_of_table(&self) -> bool {
+        match self {
+            TableAnswer::Commit(answer) => answer.is_ok(),
+            TableAnswer::Scan(answer) => !matches!(answer, Err(ReadError::Unavailable)),
+            TableAnswer::Changes(answer) => !matches!(answer, Err(ReadError::Unavailable)),
+        }
+    }
+
+    /// True if the table may have carried a transaction out without saying so: another
+    /// attempt could meet what this one has done, and the caller must know.
+    pub(super) fn may_have_been_done(&self) -> bool {
+        matches!(self, TableAnswer::Commit(Err(CommitError::Unknown)))
+    }
+}
+
+/// The encoded form of a message.
+pub(super) fn encode(message: &impl Serialize) -> Vec<u8> {
+    let mut encoded = Vec::new();
+    ciborium::into_writer(message, &mut encoded).expect("memory takes every write");
+    encoded
+}
+
+/// Reads the encoded form; nothing if it cannot be read.
+pub(super) fn decode<Message: DeserializeOwned>(encoded: &[u8]) -> Option<Message> {
+    ciborium::from_reader(encoded).ok()
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/relay/peers.rs
@@ -0,0 +1,209 @@
+//! Which other nodes there are, and which one carries calls for this one.
+
+use super::message::{
+    CarriedCall, MESSAGE_VERSION, PATH, TableAnswer, TableCall, decode, encode,
+};
+use crate::events::{self, Event};
+use crate::follow::{FollowPace, Pacing, ViewReceiver, follow};
+use crate::http::{ConnectionPool, Exchange, SendFailure, WholeBody};
+use crate::rows;
+use crate::settings::ServingSettings;
+use crate::table::{Table, Transaction};
+use http::header::HOST;
+use http::{HeaderValue, Method, Request};
+use rand::seq::SliceRandom;
+use serde::{Deserialize, Serialize};
+use sloetrail_types::ZoneName;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Nodes start together, and all of them write their rows then.
+const REGISTER_RETRY: Duration = Duration::from_millis(400);
+/// How often the rows are asked for: they change when nodes start.
+const FOLLOW_PAUSE: Duration = Duration::from_secs(4);
+const FOLLOW_WAIT: Duration = Duration::from_secs(1);
+/// Peers that are asked for one call.
+const PEERS_ASKED_MOST: usize = 3;
+/// A peer that failed is not asked for this long, if there are others.
+const FAILED_PAUSE: Duration = Duration::from_millis(1_000);
+/// After no peer could help, the direct way is tried alone for this long.
+const HELPLESS_PAUSE: Duration = Duration::from_millis(400);
+/// How long a peer may take over a call, beyond the time for which it is held.
+const CALL_TIME: Duration = Duration::from_millis(600);
+const ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// What a node tells the others of itself, in a row of the table.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct PeerEntry {
+    /// Where it listens for other nodes.
+    pub(super) address: SocketAddr,
+    /// Its zone.
+    pub(super) zone: ZoneName,
+    /// What a caller must show: it knows the row, and means this life of the node.
+    pub(super) token: String,
+}
+
+/// Writes the node's row, again and again until the table has taken it.
+pub(super) async fn register(table: Arc<dyn Table>, node: String, entry: PeerEntry) {
+    let row = serde_json::to_vec(&entry).unwrap_or_default();
+    let transaction = Transaction::new().put(rows::node(&node), row);
+    while table.commit(&transaction).await.is_err() {
+        tokio::time::sleep(REGISTER_RETRY).await;
+    }
+}
+
+/// The other nodes.
+pub(super) struct Peers {
+    own_name: String,
+    own_zone: ZoneName,
+    entries: ViewReceiver,
+    connections: Arc<ConnectionPool>,
+    state: Mutex<PeerState>,
+}
+
+#[derive(Default)]
+struct PeerState {
+    /// The peer that carried the last call.
+    current: Option<String>,
+    failed_at: HashMap<String, Instant>,
+    helpless_until: Option<Instant>,
+}
+
+impl Peers {
+    /// Follows the rows of the other nodes.
+    pub(super) fn follow(settings: &ServingSettings, table: &Arc<dyn Table>) -> Self {
+        let pace = FollowPace {
+            pause: Pacing::fixed(FOLLOW_PAUSE),
+            wait: Pacing::fixed(FOLLOW_WAIT),
+        };
+        Self {
+            own_name: settings.node.clone(),
+            own_zone: settings.zone.clone(),
+            entries: follow(Arc::clone(table), rows::NODES, rows::NODES, pace),
+            connections: Arc::new(ConnectionPool::new()),
+            state: Mutex::default(),
+        }
+    }
+
+    /// The table's answer to a call, if a peer can get one. A transaction that a peer may
+    /// have carried out is not given to another one: its outcome is unknown.
+    pub(super) async fn carry(&self, call: TableCall) -> Option<TableAnswer> {
+        if self.is_helpless() {
+            return None;
+        }
+        for (name, entry) in self.in_order() {
+            let (answer, cause) = match self.ask(&entry, &call).await {
+                Ok(answer) => (answer, "the table does not answer it either"),
+                Err(SendFailure::NotSent) => (call.not_made(), "it cannot be reached"),
+                Err(_) => (call.without_answer(), "it did not answer"),
+            };
+            if answer.is_of_table() {
+                self.note_carried(&name);
+                return Some(answer);
+            }
+            self.note_failed(&name, cause);
+            if answer.may_have_been_done() {
+                return Some(answer);
+            }
+        }
+        self.note_helpless();
+        None
+    }
+
+    /// The table answers this node directly again.
+    pub(super) fn note_direct(&self) {
+        let current = self.state().current.take();
+        if let Some(peer) = current {
+            let cause = "the table answers again";
+            events::emit(&Event::RelayEnded { peer: &peer, cause });
+        }
+    }
+
+    /// The peers to ask: the one that helped last, then others, those of the own zone
+    /// first and those that failed lately last.
+    fn in_order(&self) -> Vec<(String, PeerEntry)> {
+        let view = self.entries.borrow().clone();
+        let others = view.rows.iter().filter(|(name, _)| **name != self.own_name);
+        let mut peers: Vec<(String, PeerEntry)> = others
+            .filter_map(|(name, row)| Some((name.clone(), serde_json::from_slice(&row.value).ok()?)))
+            .collect();
+        peers.shuffle(&mut rand::rng());
+        let state = self.state();
+        let now = Instant::now();
+        peers.sort_by_key(|(name, entry)| {
+            let failed_at = state.failed_at.get(name);
+            let has_failed = failed_at.is_some_and(|at| now < *at + FAILED_PAUSE);
+            let is_current = state.current.as_ref() == Some(name);
+            (has_failed, !is_current, entry.zone != self.own_zone)
+        });
+        peers.truncate(PEERS_ASKED_MOST);
+        peers
+    }
+
+    async fn ask(&self, entry: &PeerEntry, call: &TableCall) -> Result<TableAnswer, SendFailure> {
+        let held = match call {
+            TableCall::Changes { wait_ms, .. } => Duration::from_millis(*wait_ms),
+            TableCall::Commit(_) | TableCall::Scan(_) => Duration::ZERO,
+        };
+        let deadline = Instant::now() + CALL_TIME + held;
+        let message = encode(&CarriedCall {
+            version: MESSAGE_VERSION,
+            token: entry.token.clone(),
+            call: call.clone(),
+        });
+        let mut request = Request::new(WholeBody::from(message));
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = http::Uri::from_static(PATH);
+        if let Ok(host) = HeaderValue::from_str(&entry.address.to_string()) {
+            request.headers_mut().insert(HOST, host);
+        }
+        let pool = &self.connections;
+        let exchange = Exchange::send(pool, entry.address, request, true, deadline).await?;
+        let answer = exchange.whole(ANSWER_BYTES, deadline).await?;
+        if !answer.status.is_success() {
+            return Err(SendFailure::NotSent);
+        }
+        decode(&answer.body).ok_or(SendFailure::Lost)
+    }
+
+    fn note_carried(&self, name: &str) {
+        let mut state = self.state();
+        state.failed_at.remove(name);
+        if state.current.as_deref() != Some(name) {
+            state.current = Some(name.to_owned());
+            drop(state);
+            events::emit(&Event::RelayBegan { peer: name });
+        }
+    }
+
+    fn note_failed(&self, name: &str, cause: &str) {
+        let mut state = self.state();
+        state.failed_at.insert(name.to_owned(), Instant::now());
+        if state.current.as_deref() == Some(name) {
+            state.current = None;
+            drop(state);
+            events::emit(&Event::RelayEnded { peer: name, cause });
+        }
+    }
+
+    fn note_helpless(&self) {
+        self.state().helpless_until = Some(Instant::now() + HELPLESS_PAUSE);
+    }
+
+    fn is_helpless(&self) -> bool {
+        let until = self.state().helpless_until;
+        until.is_some_and(|until| Instant::now() < until)
+    }
+
+    /// True while a peer carries this node's calls.
+    pub(super) fn is_helping(&self) -> bool {
+        self.state().current.is_some()
+    }
+
+    fn state(&self) -> std::sync::MutexGuard<'_, PeerState> {
+        self.state.lock().expect("not poisoned")
+    }
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/relay/table.rs
@@ -0,0 +1,101 @@
+//! The table, reached directly or with the help of another node.
+
+use super::message::{TableAnswer, TableCall};
+use super::peers::Peers;
+use crate::table::{
+    Changes, Commit, CommitError, KeyRange, Page, ReadError, Table, TableLimits, Transaction,
+};
+use async_trait::async_trait;
+use sloetrail_types::RowVersion;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The table as a node reaches it that has others carry its calls while it cannot.
+pub(super) struct RelayedTable {
+    direct: Arc<dyn Table>,
+    peers: Peers,
+}
+
+impl RelayedTable {
+    /// The table over a direct way, with peers to help out.
+    pub(super) fn new(direct: Arc<dyn Table>, peers: Peers) -> Self {
+        Self { direct, peers }
+    }
+
+    /// The answer that a peer gets, if the direct way is known not to work.
+    async fn carried(&self, call: impl FnOnce() -> TableCall) -> Option<TableAnswer> {
+        if self.direct.is_answering() {
+            self.peers.note_direct();
+            return None;
+        }
+        self.peers.carry(call()).await
+    }
+}
+
+#[async_trait]
+impl Table for RelayedTable {
+    fn limits(&self) -> TableLimits {
+        self.direct.limits()
+    }
+
+    fn now_ms(&self) -> Option<u64> {
+        self.direct.now_ms()
+    }
+
+    fn ordinary_time(&self) -> Duration {
+        self.direct.ordinary_time()
+    }
+
+    fn is_answering(&self) -> bool {
+        self.direct.is_answering() || self.peers.is_helping()
+    }
+
+    async fn absence(&self) {
+        self.direct.absence().await;
+    }
+
+    async fn commit(&self, transaction: &Transaction) -> Result<Commit, CommitError> {
+        let call = || TableCall::Commit(transaction.clone());
+        match self.carried(call).await {
+            Some(TableAnswer::Commit(answer)) => answer,
+            _ => self.direct.commit(transaction).await,
+        }
+    }
+
+    async fn scan(&self, range: &KeyRange) -> Result<Page, ReadError> {
+        let call = || TableCall::Scan(range.clone());
+        if let Some(TableAnswer::Scan(answer)) = self.carried(call).await {
+            return answer;
+        }
+        tokio::select! {
+            answer = self.direct.scan(range) => answer,
+            () = self.direct.absence() => match self.peers.carry(call()).await {
+                Some(TableAnswer::Scan(answer)) => answer,
+                _ => Err(ReadError::Unavailable),
+            },
+        }
+    }
+
+    async fn changes(
+        &self,
+        table: &str,
+        since: RowVersion,
+        wait: Duration,
+    ) -> Result<Changes, ReadError> {
+        let call = || TableCall::Changes {
+            table: table.to_owned(),
+            since,
+            wait_ms: wait.as_millis() as u64,
+        };
+        if let Some(TableAnswer::Changes(answer)) = self.carried(call).await {
+            return answer;
+        }
+        tokio::select! {
+            answer = self.direct.changes(table, since, wait) => answer,
+            () = self.direct.absence() => match self.peers.carry(call()).await {
+                Some(TableAnswer::Changes(answer)) => answer,
+                _ => Err(ReadError::Unavailable),
+            },
+        }
+    }
+}
--- a/crates/sloetrail-serving/src/rows.rs
+++ b/crates/sloetrail-serving/src/rows.rs
@@ -27,6 +27,9 @@
 /// Texts that are being made, by batch, item and offset.
 pub const CHECKPOINTS: &str = "sloetrail_checkpoints";
 
+/// Where nodes that carry calls for one another listen, by node.
+pub const NODES: &str = "sloetrail_nodes";
+
 const POSITION_DIGITS: usize = 8;
 const PART_DIGITS: usize = 3;
 
@@ -45,6 +48,12 @@
     RowAddress::new(ORDER_WINDOWS, OWNERS, service.as_str())
 }
 
+/// Where a node listens for others. Its partition is the table's own: all nodes write
+/// there when they start.
+pub fn node(name: &str) -> RowAddress {
+    RowAddress::new(NODES, NODES, name)
+}
+
 /// The head of a batch.
 pub fn batch(id: &str) -> RowAddress {
     RowAddress::new(BATCHES, CALLERS, id)
--- a/crates/sloetrail-serving/src/settings.rs
+++ b/crates/sloetrail-serving/src/settings.rs
@@ -44,6 +44,10 @@
     pub callers_address: SocketAddr,
     /// Where the platform asks whether it takes new connections.
     pub ready_address: SocketAddr,
+    /// Where other nodes reach the node, to have calls to the table carried; absent
+    /// means that it neither carries calls nor has any carried.
+    #[serde(default)]
+    pub peer_address: Option<SocketAddr>,
     /// Where metrics are served; absent means nowhere.
     #[serde(default)]
     pub metrics_address: Option<SocketAddr>,
@@ -80,6 +84,8 @@
     pub callers_address: SocketAddr,
     /// Where the platform asks whether it takes new connections.
     pub ready_address: SocketAddr,
+    /// Where other nodes reach the node.
+    pub peer_address: Option<SocketAddr>,
     /// Where metrics are served.
     pub metrics_address: Option<SocketAddr>,
     /// The node's rank among candidates for a lease; those of a later rank wait longer.
@@ -184,6 +190,7 @@
             zone: ZoneName::new(raw.zone),
             callers_address: raw.callers_address,
             ready_address: raw.ready_address,
+            peer_address: raw.peer_address,
             metrics_address: raw.metrics_address,
             candidate_rank: candidate_rank(raw.processor_share),
             bounds,
--- a/crates/sloetrail-serving/src/table.rs
+++ b/crates/sloetrail-serving/src/table.rs
@@ -6,12 +6,13 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 use sloetrail_types::RowVersion;
 use snafu::Snafu;
 use std::time::Duration;
 
 /// Where a row lies.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RowAddress {
     /// The table.
     pub table: String,
@@ -37,7 +38,7 @@
 }
 
 /// A row as it was read.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
     /// Where it lies.
     pub address: RowAddress,
@@ -48,7 +49,7 @@
 }
 
 /// A condition of a transaction.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Condition {
     /// The row.
     pub address: RowAddress,
@@ -57,7 +58,7 @@
 }
 
 /// A change that is done whole or not at all.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Transaction {
     /// What must hold.
     pub conditions: Vec<Condition>,
@@ -96,7 +97,7 @@
 }
 
 /// How a transaction that was judged ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Commit {
     /// It is done; the rows that it wrote have this version.
     Done(RowVersion),
@@ -106,7 +107,7 @@
 }
 
 /// A transaction whose outcome is not known, or that was not done.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu, Serialize, Deserialize)]
 pub enum CommitError {
     /// Proved: nothing was changed and nothing will be.
     #[snafu(display("the table refused the transaction"))]
@@ -117,7 +118,7 @@
 }
 
 /// A read that failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu, Serialize, Deserialize)]
 pub enum ReadError {
     /// The table did not answer, or refused.
     #[snafu(display("the table cannot be read"))]
@@ -128,7 +129,7 @@
 }
 
 /// A range of keys in one partition.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeyRange {
     /// The table.
     pub table: String,
@@ -176,7 +177,7 @@
 }
 
 /// Rows as of a single moment, by rising keys.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Page {
     /// The rows.
     pub rows: Vec<Row>,
@@ -187,7 +188,7 @@
 }
 
 /// A row that was written or deleted.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
     /// It was written.
     Written(Row),
@@ -196,7 +197,7 @@
 }
 
 /// What has changed since a version.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Changes {
     /// The changes in order.
     pub changes: Vec<Change>,
@@ -235,6 +236,12 @@
         true
     }
 
+    /// Completes once the table is found not to answer. A table that cannot tell never
+    /// completes.
+    async fn absence(&self) {
+        std::future::pending().await
+    }
+
     /// Carries out a transaction.
     async fn commit(&self, transaction: &Transaction) -> Result<Commit, CommitError>;
 
--- a/crates/sloetrail-serving/src/table_client.rs
+++ b/crates/sloetrail-serving/src/table_client.rs
@@ -66,6 +66,8 @@
     writes: Mutex<Patience>,
     reads: Mutex<Patience>,
     presence: Mutex<Presence>,
+    /// Grows each time that the table turns out not to answer.
+    absences: watch::Sender<u64>,
     /// Grows each time that the table answers again after an absence.
     returns: watch::Sender<u64>,
     this: Weak<Self>,
@@ -74,12 +76,14 @@
 impl TableClient {
     /// The table over a transport.
     pub fn new(transport: Arc<dyn TableTransport>) -> Arc<Self> {
+        let (absences, _) = watch::channel(0);
         let (returns, _) = watch::channel(0);
         Arc::new_cyclic(|this| Self {
             transport,
             writes: Mutex::default(),
             reads: Mutex::default(),
             presence: Mutex::default(),
+            absences,
             returns,
             this: this.clone(),
         })
@@ -97,6 +101,7 @@
         };
         match news {
             Some(PresenceChange::Lost) => {
+                self.absences.send_modify(|count| *count += 1);
                 if let Some(this) = self.this.upgrade() {
                     tokio::spawn(this.probe_until_it_answers());
                 }
@@ -180,6 +185,12 @@
         presence.is_answering()
     }
 
+    async fn absence(&self) {
+        let mut absences = self.absences.subscribe();
+        // The sender lives as long as this client.
+        let _ = absences.changed().await;
+    }
+
     async fn commit(&self, transaction: &Transaction) -> Result<Commit, CommitError> {
         let began = Instant::now();
         let patience = patience_of(&self.writes);
