Steps tell where their time went; orders of dispatch can be switched

Change: one line a step (step_whole) with the parts of the age of the item that was listed last, and the least time that the step could have taken; dispatch orders, kept texts and slow engines apart are policies in the settings, on by default.

--- a/crates/sloetrail-batch/src/batch.rs
+++ b/crates/sloetrail-batch/src/batch.rs
@@ -1,10 +1,11 @@
 //! One open batch, as the owner of its service holds it.
 
+use crate::groups::{GroupProgress, wanted_items};
 use crate::{
     BatchHeader, BatchId, ItemId, ListedResult, ResultState, Submission, SubmittedItem, Transcript,
 };
 use sloetrail_types::WeightVersion;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// An item's place in its submission.
@@ -85,9 +86,38 @@
     queue: Vec<ItemIndex>,
     /// For each item whether its group is among those waited for.
     wanted: Vec<bool>,
+    groups: GroupProgress,
+    order: DispatchOrder,
+}
+
+/// In which order the items of a batch go to engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DispatchOrder {
+    /// Items of the groups that are waited for go before the others.
+    pub wanted_first: bool,
+    /// Of the items that are waited for, those that are expected to be longest go
+    /// first, since they decide when the step is whole; otherwise those submitted first.
+    pub longest_first: bool,
+}
+
+impl Default for DispatchOrder {
+    fn default() -> Self {
+        Self {
+            wanted_first: true,
+            longest_first: true,
+        }
+    }
 }
 
 impl Batch {
+    /// The same batch with its items in another order.
+    #[must_use]
+    pub fn with_order(mut self, order: DispatchOrder) -> Self {
+        self.order = order;
+        self.sort_queue();
+        self
+    }
+
     /// A batch of which nothing has run. `expected_length` gives an item's length
     /// by the trainer's hint; `carried` are items that an earlier batch left over.
     pub fn new(
@@ -113,6 +143,7 @@
             })
             .collect();
         let wanted = wanted_items(&items, groups_wanted, carried);
+        let groups = GroupProgress::new(&items, groups_wanted);
         let mut batch = Self {
             id,
             header,
@@ -121,6 +152,8 @@
             queue: (0..items.len()).collect(),
             items,
             wanted,
+            groups,
+            order: DispatchOrder::default(),
         };
         batch.sort_queue();
         batch
@@ -141,9 +174,10 @@
         self.items.iter().position(|item| item.submitted.id == id)
     }
 
-    /// True if the item's group is among those that the trainer waits for first.
+    /// True if the item's group is among those that the trainer waits for first, or if
+    /// that makes no difference.
     pub fn is_wanted(&self, index: ItemIndex) -> bool {
-        self.wanted[index]
+        self.wanted[index] || !self.order.wanted_first
     }
 
     /// The item to run next, if one waits.
@@ -250,12 +284,22 @@
         ListedResult::dead(item.submitted.id.clone())
     }
 
-    /// An item's result is in the list.
-    pub fn listed(&mut self, index: ItemIndex) {
+    /// An item's result is in the list. True if it completes the groups that the trainer
+    /// waits for.
+    pub fn listed(&mut self, index: ItemIndex) -> bool {
         self.queue.retain(|waiting| *waiting != index);
         let item = &mut self.items[index];
+        if item.state == ItemState::Listed {
+            return false;
+        }
         item.state = ItemState::Listed;
-        item.transcript = Transcript::default();
+        let transcript = std::mem::take(&mut item.transcript);
+        self.groups.listed(index, transcript.len())
+    }
+
+    /// How far the groups of the batch have come.
+    pub fn groups(&self) -> &GroupProgress {
+        &self.groups
     }
 
     /// Items that are not listed and not being committed.
@@ -277,48 +321,16 @@
     /// Wanted items first, of these the longest first, since they decide when the
     /// step is whole; of the others the shortest first. The next one stands last.
     fn sort_queue(&mut self) {
-        let (items, wanted) = (&self.items, &self.wanted);
+        let (items, wanted, order) = (&self.items, &self.wanted, self.order);
         self.queue.sort_by_key(|index| {
-            let length = items[*index].expected_length as i64;
-            match wanted[*index] {
-                true => (1, length),
-                false => (0, -length),
+            let rank = match order.longest_first {
+                true => items[*index].expected_length as i64,
+                false => -(*index as i64),
+            };
+            match wanted[*index] || !order.wanted_first {
+                true => (1, rank),
+                false => (0, -rank),
             }
         });
     }
 }
-
-/// Marks the items of the groups that are waited for: those carried over from an
-/// earlier batch, then those whose longest item is shortest.
-fn wanted_items(
-    items: &[Item],
-    groups_wanted: Option<usize>,
-    carried: &BTreeSet<ItemId>,
-) -> Vec<bool> {
-    let Some(groups_wanted) = groups_wanted else {
-        return vec![true; items.len()];
-    };
-    let mut groups: BTreeMap<&str, (bool, u64)> = BTreeMap::new();
-    for item in items {
-        let (is_carried, longest) = groups.entry(group_of(item)).or_insert((false, 0));
-        *is_carried |= carried.contains(&item.submitted.id);
-        *longest = (*longest).max(item.expected_length);
-    }
-    let mut ranked: Vec<(&str, (bool, u64))> = groups.into_iter().collect();
-    ranked.sort_by_key(|(_, (is_carried, longest))| (!is_carried, *longest));
-    let wanted: BTreeSet<&str> = ranked
-        .into_iter()
-        .take(groups_wanted)
-        .map(|(group, _)| group)
-        .collect();
-    items
-        .iter()
-        .map(|item| wanted.contains(group_of(item)))
-        .collect()
-}
-
-/// An item without a group is a group of its own.
-fn group_of(item: &Item) -> &str {
-    let submitted = &item.submitted;
-    submitted.group.as_deref().unwrap_or(&submitted.id)
-}
--- a/crates/sloetrail-batch/src/lib.rs
+++ b/crates/sloetrail-batch/src/lib.rs
@@ -15,14 +15,16 @@
 
 mod batch;
 mod checkpoint;
+mod groups;
 mod header;
 mod length_model;
 mod result;
 mod submission;
 mod transcript;
 
-pub use batch::{Batch, DeathCause, Item, ItemIndex, ItemState, RunFailure};
+pub use batch::{Batch, DeathCause, DispatchOrder, Item, ItemIndex, ItemState, RunFailure};
 pub use checkpoint::{Checkpoint, join_checkpoints};
+pub use groups::GroupProgress;
 pub use header::{BatchHeader, BatchId, is_usable_id};
 pub use length_model::LengthModel;
 pub use result::{ListedResult, ResultPage, ResultState, StoredResultError};
--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -273,6 +273,42 @@
         /// How long the commit took, in milliseconds.
         commit_ms: u64,
     },
+    /// The groups that a trainer waits for are whole. The parts of the age, which add
+    /// up to it, are those of the item that was listed last.
+    StepWhole {
+        /// The batch.
+        batch: &'a str,
+        /// The groups that are waited for.
+        groups: usize,
+        /// The age of the batch, in milliseconds.
+        age_ms: u64,
+        /// Its age when this owner opened it.
+        opened_ms: u64,
+        /// The item that was listed last.
+        item: &'a str,
+        /// True if its group was expected to be among those waited for.
+        wanted: bool,
+        /// From the opening to the item's first run.
+        waiting_ms: u64,
+        /// At engines.
+        running_ms: u64,
+        /// At no engine, between two runs.
+        between_runs_ms: u64,
+        /// Being scored.
+        scoring_ms: u64,
+        /// Being committed.
+        committing_ms: u64,
+        /// The item's runs under this owner.
+        runs: usize,
+        /// Events that these have made, those made again included.
+        events_made: usize,
+        /// The most events of an item of a whole group.
+        longest_events: usize,
+        /// What these take on the fastest engine: no step could be shorter.
+        least_ms: u64,
+        /// The owner's epoch.
+        epoch: u64,
+    },
     /// A reward call did not give a score.
     RewardFailed {
         /// The item.
@@ -384,6 +420,7 @@
             | Event::ItemMoved { .. }
             | Event::ItemDead { .. }
             | Event::ItemListed { .. }
+            | Event::StepWhole { .. }
             | Event::RewardFailed { .. } => "batch",
             Event::LeaseTaken { .. } | Event::LeaseLost { .. } => "lease",
             Event::OrderGiven { .. } | Event::VersionInForce { .. } => "weights",
--- a/crates/sloetrail-serving/src/owner/engines.rs
+++ b/crates/sloetrail-serving/src/owner/engines.rs
@@ -116,6 +116,14 @@
             .sum()
     }
 
+    /// The pace of the fastest engine, in microseconds an event.
+    pub(super) fn fastest_pace(&self) -> Option<u64> {
+        let engines = self.engines.values();
+        engines
+            .filter_map(|engine| engine.pace.microseconds())
+            .min()
+    }
+
     /// The median of the engines' paces, in microseconds an event.
     fn median_pace(&self) -> Option<u64> {
         let engines = self.engines.values();
--- /dev/null
+++ b/crates/sloetrail-serving/src/owner/item_story.rs
@@ -0,0 +1,72 @@
+//! What has become of an item, as far as its owner has seen it: where its time went.
+
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// The times of one item under one owner.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ItemStory {
+    first_started: Option<Instant>,
+    pub(super) runs: usize,
+    running: Duration,
+    /// Events that its runs have made, those made again included.
+    pub(super) events_made: usize,
+    whole_at: Option<Instant>,
+    scored_at: Option<Instant>,
+}
+
+/// Where an item's time went, from the opening of its batch until it was listed. The
+/// parts add up to the whole.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct ItemTimes {
+    /// From the opening of the batch to the first run.
+    pub(super) waiting: Duration,
+    /// At engines.
+    pub(super) running: Duration,
+    /// At no engine, between two runs.
+    pub(super) between_runs: Duration,
+    /// Being scored.
+    pub(super) scoring: Duration,
+    /// Being committed.
+    pub(super) committing: Duration,
+}
+
+impl ItemStory {
+    /// A run has begun.
+    pub(super) fn started(&mut self, now: Instant) {
+        self.first_started.get_or_insert(now);
+        self.runs += 1;
+    }
+
+    /// A run has ended that took this long and made so many events.
+    pub(super) fn run_ended(&mut self, took: Duration, events: usize) {
+        self.running += took;
+        self.events_made += events;
+    }
+
+    /// The text is whole.
+    pub(super) fn text_is_whole(&mut self, now: Instant) {
+        self.whole_at = Some(now);
+    }
+
+    /// The result has gone to be committed.
+    pub(super) fn scored(&mut self, now: Instant) {
+        self.scored_at = Some(now);
+    }
+
+    /// Where the time went, if the batch was opened then and the item is listed now.
+    pub(super) fn times(&self, opened: Instant, listed: Instant) -> ItemTimes {
+        let first = self.first_started.unwrap_or(listed);
+        let scored = self.scored_at.unwrap_or(listed);
+        let whole = self.whole_at.unwrap_or(scored);
+        let at_engines = whole.saturating_duration_since(first);
+        let running = self.running.min(at_engines);
+        ItemTimes {
+            waiting: first.saturating_duration_since(opened),
+            running,
+            between_runs: at_engines - running,
+            scoring: scored.saturating_duration_since(whole),
+            committing: listed.saturating_duration_since(scored),
+        }
+    }
+}
--- a/crates/sloetrail-serving/src/owner/mod.rs
+++ b/crates/sloetrail-serving/src/owner/mod.rs
@@ -13,6 +13,7 @@
 mod engine;
 mod engines;
 mod event;
+mod item_story;
 mod lease_keeper;
 mod loading;
 mod order_window;
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -9,6 +9,7 @@
 use super::committer::{CommitRequest, commit_results};
 use super::engines::EnginePool;
 use super::event::OwnerEvent;
+use super::item_story::ItemStory;
 use super::loading::{LoadedBatch, load};
 use super::order_window::OrderWindow;
 use super::publications::Publications;
@@ -64,6 +65,10 @@
     /// Events of the text of an item that the table holds, once one of its runs ended.
     kept: HashMap<ItemIndex, usize>,
     cancel: CancellationToken,
+    opened_at: Instant,
+    /// The age of the batch when this owner opened it.
+    opened_age: Duration,
+    stories: HashMap<ItemIndex, ItemStory>,
 }
 
 /// The owner of a service, for one term.
@@ -289,13 +294,15 @@
             return;
         };
         let now_ms = self.context.table.now_ms().unwrap_or_default();
+        let age_ms = now_ms.saturating_sub(batch.header.accepted_at_ms);
         events::emit(&Event::BatchOpened {
             batch: &id,
             items: batch.items().len(),
             listed,
             epoch: self.term.epoch.0,
-            age_ms: now_ms.saturating_sub(batch.header.accepted_at_ms),
+            age_ms,
         });
+        batch = batch.with_order(self.context.settings.policies.dispatch_order());
         self.note_batch(&batch);
         let kept = kept_in_table(&batch);
         self.reuse_carried(&mut batch);
@@ -310,6 +317,9 @@
             runs: HashMap::new(),
             kept,
             cancel: CancellationToken::new(),
+            opened_at: Instant::now(),
+            opened_age: Duration::from_millis(age_ms),
+            stories: HashMap::new(),
         };
         self.batches.insert(id, open);
     }
@@ -317,6 +327,9 @@
     /// Goes on with texts that an ended batch left over, if their versions fit and
     /// the table holds none for the item in this batch.
     fn reuse_carried(&mut self, batch: &mut Batch) {
+        if !self.context.settings.policies.reuse_texts {
+            return;
+        }
         let oldest = batch.oldest_version;
         for index in batch.unfinished() {
             let item = batch.item(index);
@@ -364,7 +377,8 @@
         }
         self.note_versions_of_runs();
         self.note_usage();
-        if self.engines.judge_paces() {
+        let slow_apart = self.context.settings.policies.slow_engines_apart;
+        if slow_apart && self.engines.judge_paces() {
             self.assign_models();
         }
         self.move_from_slow_engines(now);
--- a/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
@@ -120,6 +120,7 @@
             version: engine.version(model).0,
             waiting: open.batch.waiting(),
         });
+        open.stories.entry(index).or_default().started(run.began);
         open.runs.insert(index, run);
         self.spawn_run(id.clone(), index, engine_id, spec);
         true
--- a/crates/sloetrail-serving/src/owner/service_owner/results.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/results.rs
@@ -13,6 +13,7 @@
 use sloetrail_types::EngineId;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 impl ServiceOwner {
     pub(super) fn run_ended(
@@ -31,6 +32,9 @@
         if open.batch.item(index).state != ItemState::Running {
             return;
         }
+        let story = open.stories.entry(index).or_default();
+        let known = open.batch.item(index).transcript.len();
+        story.run_ended(took, transcript.len().saturating_sub(known));
         let mut moves_to = None;
         if let Some(run) = open.runs.remove(&index) {
             open.kept.insert(index, run.kept);
@@ -40,6 +44,7 @@
             let hinted = open.batch.item(index).expected_length;
             self.lengths.note(hinted, transcript.len());
             self.engines.release_place(moves_to.as_ref());
+            story.text_is_whole(Instant::now());
             open.batch.text_is_whole(index, transcript);
             self.begin_reward(id, index);
             return;
@@ -131,6 +136,8 @@
 
     fn succeed(&mut self, id: &BatchId, index: ItemIndex, score: Option<String>) {
         if let Some(open) = self.batches.get_mut(id) {
+            let story = open.stories.entry(index).or_default();
+            story.scored(Instant::now());
             let result = open.batch.succeed(index, score);
             self.list(id, index, result);
         }
@@ -183,8 +190,48 @@
             versions: &versions,
             commit_ms: committed.took.as_millis() as u64,
         });
-        if let Some(open) = self.batches.get_mut(&committed.batch) {
-            open.batch.listed(committed.index);
+        let Some(open) = self.batches.get_mut(&committed.batch) else {
+            return;
+        };
+        if open.batch.listed(committed.index) {
+            self.tell_step(&committed.batch, committed.index);
         }
     }
+
+    /// Tells that the groups that a trainer waits for are whole, and where the time of
+    /// the item went that was the last of them.
+    fn tell_step(&self, id: &BatchId, last: ItemIndex) {
+        let Some(open) = self.batches.get(id) else {
+            return;
+        };
+        let now = Instant::now();
+        let groups = open.batch.groups();
+        let story = open.stories.get(&last).cloned().unwrap_or_default();
+        let times = story.times(open.opened_at, now);
+        let pace = self.engines.fastest_pace().unwrap_or_default();
+        let least = Duration::from_micros(pace.saturating_mul(groups.longest() as u64));
+        let age = open.opened_age + now.saturating_duration_since(open.opened_at);
+        events::emit(&Event::StepWhole {
+            batch: id,
+            groups: groups.wanted(),
+            age_ms: milliseconds(age),
+            opened_ms: milliseconds(open.opened_age),
+            item: &open.batch.item(last).submitted.id,
+            wanted: open.batch.is_wanted(last),
+            waiting_ms: milliseconds(times.waiting),
+            running_ms: milliseconds(times.running),
+            between_runs_ms: milliseconds(times.between_runs),
+            scoring_ms: milliseconds(times.scoring),
+            committing_ms: milliseconds(times.committing),
+            runs: story.runs,
+            events_made: story.events_made,
+            longest_events: groups.longest(),
+            least_ms: milliseconds(least),
+            epoch: self.term.epoch.0,
+        });
+    }
+}
+
+fn milliseconds(time: Duration) -> u64 {
+    time.as_millis() as u64
 }
--- a/crates/sloetrail-serving/src/policies.rs
+++ b/crates/sloetrail-serving/src/policies.rs
@@ -3,11 +3,21 @@
 //! a promise is not among them.
 
 use serde::Deserialize;
+use sloetrail_batch::DispatchOrder;
 
 /// Which mechanisms are on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Policies {
+    /// Items of the groups that a trainer waits for go before the others.
+    pub wanted_groups_first: bool,
+    /// Of the items of a batch those that are expected to be longest go first.
+    pub longest_first: bool,
+    /// Texts that ended batches left over are gone on with when their items come again.
+    pub reuse_texts: bool,
+    /// Engines that are much slower than the others get no work but to see whether they
+    /// still are.
+    pub slow_engines_apart: bool,
     /// Items go to the fastest engine that has a place, not to the emptiest one.
     pub prefer_fast_engines: bool,
     /// Long texts move to a faster engine that has a place, if that saves time.
@@ -19,9 +29,23 @@
 impl Default for Policies {
     fn default() -> Self {
         Self {
+            wanted_groups_first: true,
+            longest_first: true,
+            reuse_texts: true,
+            slow_engines_apart: true,
             prefer_fast_engines: true,
             move_long_texts: true,
             relay_table_calls: true,
         }
     }
 }
+
+impl Policies {
+    /// In which order the items of a batch go to engines.
+    pub(crate) fn dispatch_order(&self) -> DispatchOrder {
+        DispatchOrder {
+            wanted_first: self.wanted_groups_first,
+            longest_first: self.longest_first,
+        }
+    }
+}
