Longest items first; wanted groups first only where places are scarce

Which groups are whole first is known only to within the hints (log deviation 0.5); held back, the alternatives come too late, while all work of a step takes 1.8 s of the places and its longest text 6 s. Tests: order, groups, lengths, scarcity, moves, relay; a node's peers.

--- a/crates/sloetrail-batch/src/batch.rs
+++ b/crates/sloetrail-batch/src/batch.rs
@@ -93,7 +93,9 @@
 /// In which order the items of a batch go to engines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DispatchOrder {
-    /// Items of the groups that are waited for go before the others.
+    /// Items of the groups that are waited for go before the others. That saves work
+    /// where places are scarce; where they are not, it costs time, since which groups
+    /// are whole first is known only roughly.
     pub wanted_first: bool,
     /// Of the items that are waited for, those that are expected to be longest go
     /// first, since they decide when the step is whole; otherwise those submitted first.
@@ -103,19 +105,19 @@
 impl Default for DispatchOrder {
     fn default() -> Self {
         Self {
-            wanted_first: true,
+            wanted_first: false,
             longest_first: true,
         }
     }
 }
 
 impl Batch {
-    /// The same batch with its items in another order.
-    #[must_use]
-    pub fn with_order(mut self, order: DispatchOrder) -> Self {
-        self.order = order;
-        self.sort_queue();
-        self
+    /// From now on the items go to engines in this order.
+    pub fn set_order(&mut self, order: DispatchOrder) {
+        if self.order != order {
+            self.order = order;
+            self.sort_queue();
+        }
     }
 
     /// A batch of which nothing has run. `expected_length` gives an item's length
--- a/crates/sloetrail-batch/src/length_model.rs
+++ b/crates/sloetrail-batch/src/length_model.rs
@@ -61,3 +61,6 @@
         Some((expected - made).max(outgrown))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sloetrail-batch/src/tests.rs
+++ b/crates/sloetrail-batch/src/tests.rs
@@ -1,6 +1,6 @@
 use crate::{
-    Batch, BatchHeader, Checkpoint, DeathCause, ItemState, ListedResult, RunFailure, Submission,
-    Transcript, TranscriptEvent, is_usable_id, join_checkpoints,
+    Batch, BatchHeader, Checkpoint, DeathCause, DispatchOrder, ItemState, ListedResult, RunFailure,
+    Submission, Transcript, TranscriptEvent, is_usable_id, join_checkpoints,
 };
 use serde_json::{Value, json};
 use sloetrail_types::{ServiceName, WeightVersion};
@@ -59,17 +59,51 @@
     }
 }
 
-#[test]
-fn wanted_groups_go_first_and_of_these_the_longest_items() {
-    let items = vec![
+const WANTED_FIRST: DispatchOrder = DispatchOrder {
+    wanted_first: true,
+    longest_first: true,
+};
+
+fn three_groups() -> Vec<Value> {
+    vec![
         item("a1", "a", 50),
         item("a2", "a", 900),
         item("b1", "b", 70),
         item("b2", "b", 60),
         item("c1", "c", 400),
         item("c2", "c", 10),
-    ];
-    let mut batch = batch(items, 2, &[]);
+    ]
+}
+
+#[test]
+fn the_longest_items_go_first_whatever_their_group() {
+    let mut batch = batch(three_groups(), 2, &[]);
+    assert_eq!(order(&mut batch), ["a2", "c1", "b1", "b2", "a1", "c2"]);
+}
+
+#[test]
+fn items_go_as_they_were_submitted_if_lengths_do_not_count() {
+    let mut batch = batch(three_groups(), 2, &[]);
+    batch.set_order(DispatchOrder {
+        wanted_first: false,
+        longest_first: false,
+    });
+    assert_eq!(order(&mut batch), ["a1", "a2", "b1", "b2", "c1", "c2"]);
+}
+
+#[test]
+fn a_step_is_whole_once_as_many_groups_are_listed_as_are_waited_for() {
+    let mut batch = batch(three_groups(), 2, &[]);
+    let whole: Vec<bool> = (0..6).map(|index| batch.listed(index)).collect();
+    assert_eq!(whole, [false, false, false, true, false, false]);
+    assert!(!batch.listed(3), "an item counts once");
+    assert_eq!((batch.groups().whole(), batch.groups().wanted()), (3, 2));
+}
+
+#[test]
+fn wanted_groups_go_first_and_of_these_the_longest_items() {
+    let mut batch = batch(three_groups(), 2, &[]);
+    batch.set_order(WANTED_FIRST);
     assert_eq!(order(&mut batch), ["c1", "b1", "b2", "c2", "a1", "a2"]);
 }
 
@@ -81,6 +115,7 @@
         item("c1", "c", 400),
     ];
     let mut batch = batch(items, 1, &["a1"]);
+    batch.set_order(WANTED_FIRST);
     assert_eq!(order(&mut batch), ["a1", "b1", "c1"]);
 }
 
--- a/crates/sloetrail-serving-testkit/src/cluster.rs
+++ b/crates/sloetrail-serving-testkit/src/cluster.rs
@@ -135,6 +135,10 @@
     pub body_budget_bytes: Option<usize>,
     /// The same.
     pub processor_share: Option<f64>,
+    /// True if nodes that start from now on carry calls to the table for one another.
+    pub peers: bool,
+    /// How long a lease lasts for nodes that start from now on.
+    pub lease_ms: u64,
     wire: Arc<dyn EngineWire>,
     dialect: Arc<dyn Dialect>,
     /// Turns a way to the table into the table that a node is given.
@@ -151,6 +155,8 @@
             engines: Vec::new(),
             body_budget_bytes: None,
             processor_share: None,
+            peers: false,
+            lease_ms: LEASE_MS,
             wire,
             dialect,
             wrap: Box::new(|link| link),
@@ -250,8 +256,11 @@
             zone: "zone-a".to_owned(),
             callers_address: "127.0.0.1:0".parse().expect("an address"),
             ready_address: "127.0.0.1:0".parse().expect("an address"),
+            peer_address: self
+                .peers
+                .then(|| "127.0.0.1:0".parse().expect("an address")),
             metrics_address: None,
-            lease_ms: Some(LEASE_MS),
+            lease_ms: Some(self.lease_ms),
             order_gap_ms: Some(ORDER_GAP_MS),
             grace_s: Some(4.0),
             batch_status_s: None,
--- a/crates/sloetrail-serving-testkit/src/table.rs
+++ b/crates/sloetrail-serving-testkit/src/table.rs
@@ -6,6 +6,7 @@
     Change, Changes, Commit, CommitError, KeyRange, Page, ReadError, Row, RowAddress, Table,
     TableLimits, Transaction,
 };
+use sloetrail_serving::table_client::TableTransport;
 use sloetrail_types::RowVersion;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -390,6 +391,46 @@
     }
 }
 
+/// A node's way to the table as a transport, which gives a call up after a time.
+pub struct LinkTransport(pub Arc<TableLink>);
+
+#[async_trait]
+impl TableTransport for LinkTransport {
+    fn limits(&self) -> TableLimits {
+        self.0.limits()
+    }
+
+    fn now_ms(&self) -> Option<u64> {
+        self.0.now_ms()
+    }
+
+    async fn commit(
+        &self,
+        transaction: &Transaction,
+        patience: Duration,
+    ) -> Result<Commit, CommitError> {
+        let commit = tokio::time::timeout(patience, self.0.commit(transaction)).await;
+        commit.unwrap_or(Err(CommitError::Unknown))
+    }
+
+    async fn scan(&self, range: &KeyRange, patience: Duration) -> Result<Page, ReadError> {
+        let page = tokio::time::timeout(patience, self.0.scan(range)).await;
+        page.unwrap_or(Err(ReadError::Unavailable))
+    }
+
+    async fn changes(
+        &self,
+        table: &str,
+        since: RowVersion,
+        wait: Duration,
+        patience: Duration,
+    ) -> Result<Changes, ReadError> {
+        let asking = self.0.changes(table, since, wait);
+        let changes = tokio::time::timeout(wait + patience, asking).await;
+        changes.unwrap_or(Err(ReadError::Unavailable))
+    }
+}
+
 /// As the platform's store demands of a transaction that does not say otherwise.
 fn lies_in_one_partition(transaction: &Transaction) -> bool {
     let conditions = transaction.conditions.iter();
--- a/crates/sloetrail-serving/src/owner/engines/tests.rs
+++ b/crates/sloetrail-serving/src/owner/engines/tests.rs
@@ -71,6 +71,66 @@
     }
 }
 
+fn any_item<'a>() -> Demand<'a> {
+    Demand {
+        model: None,
+        oldest_version: WeightVersion(0),
+    }
+}
+
+#[test]
+fn a_faster_engine_takes_an_item_though_another_is_emptier() {
+    let mut pool = pool(2);
+    let (fast, slow) = (EngineId::new("e0"), EngineId::new("e1"));
+    set_pace(&pool, &fast, 40);
+    set_pace(&pool, &slow, 52);
+    pool.get_mut(&fast).expect("known").started();
+    let now = Instant::now();
+    assert_eq!(pool.pick(any_item(), now, true), Some(fast));
+    assert_eq!(pool.pick(any_item(), now, false), Some(slow));
+}
+
+#[test]
+fn of_engines_that_are_about_as_fast_the_emptiest_takes_an_item() {
+    let mut pool = pool(2);
+    let (fast, other) = (EngineId::new("e0"), EngineId::new("e1"));
+    set_pace(&pool, &fast, 40);
+    set_pace(&pool, &other, 41);
+    pool.get_mut(&fast).expect("known").started();
+    assert_eq!(pool.pick(any_item(), Instant::now(), true), Some(other));
+}
+
+#[test]
+fn a_place_that_is_kept_for_a_moved_item_is_not_given_to_another() {
+    let mut pool = pool(1);
+    let id = EngineId::new("e0");
+    set_pace(&pool, &id, 40);
+    let now = Instant::now();
+    for _ in 0..7 {
+        pool.get_mut(&id).expect("known").started();
+    }
+    assert_eq!(pool.free_engines(any_item(), now).len(), 1);
+    pool.get_mut(&id).expect("known").keep_place(now);
+    assert_eq!(pool.pick(any_item(), now, true), None);
+    assert!(pool.free_engines(any_item(), now).is_empty());
+    pool.release_place(Some(&id));
+    assert_eq!(pool.pick(any_item(), now, true), Some(id));
+}
+
+#[test]
+fn a_stall_does_not_count_as_pace() {
+    let pool = pool(1);
+    let id = EngineId::new("e0");
+    set_pace(&pool, &id, 40);
+    let pace = &pool.get(&id).expect("known").pace;
+    for _ in 0..12 {
+        pace.note(Duration::from_millis(900));
+    }
+    assert_eq!(pace.microseconds(), Some(40_000));
+    pace.note(Duration::from_millis(200));
+    assert!(pace.microseconds() > Some(60_000), "a slow engine is seen");
+}
+
 fn target(model: &str, published: u64, needed: u64) -> ModelTarget {
     ModelTarget {
         model: model.to_owned(),
@@ -139,7 +199,7 @@
     };
     let engine = pool.get_mut(&slow[0]).expect("known");
     engine.started();
-    let picked = pool.pick(demand, now);
+    let picked = pool.pick(demand, now, true);
     assert!(picked.is_some_and(|id| !slow.contains(&id)));
 }
 
@@ -150,8 +210,8 @@
         model: Some("a"),
         oldest_version: WeightVersion(oldest),
     };
-    assert!(pool.pick(demand(1), Instant::now()).is_some());
-    assert_eq!(pool.pick(demand(2), Instant::now()), None);
+    assert!(pool.pick(demand(1), Instant::now(), true).is_some());
+    assert_eq!(pool.pick(demand(2), Instant::now(), true), None);
 }
 
 #[test]
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -302,7 +302,8 @@
             epoch: self.term.epoch.0,
             age_ms,
         });
-        batch = batch.with_order(self.context.settings.policies.dispatch_order());
+        let is_scarce = self.usage.is_scarce(batch.model.as_deref());
+        batch.set_order(self.context.settings.policies.dispatch_order(is_scarce));
         self.note_batch(&batch);
         let kept = kept_in_table(&batch);
         self.reuse_carried(&mut batch);
@@ -377,6 +378,7 @@
         }
         self.note_versions_of_runs();
         self.note_usage();
+        self.order_items();
         let slow_apart = self.context.settings.policies.slow_engines_apart;
         if slow_apart && self.engines.judge_paces() {
             self.assign_models();
@@ -402,6 +404,15 @@
         }
     }
 
+    /// Has the items go to engines in the order that fits how scarce places are.
+    fn order_items(&mut self) {
+        let policies = self.context.settings.policies;
+        for open in self.batches.values_mut() {
+            let is_scarce = self.usage.is_scarce(open.batch.model.as_deref());
+            open.batch.set_order(policies.dispatch_order(is_scarce));
+        }
+    }
+
     fn expire_items(&mut self) {
         let Some(now_ms) = self.context.table.now_ms() else {
             return;
--- /dev/null
+++ b/crates/sloetrail-serving/src/owner/usage/tests.rs
@@ -0,0 +1,40 @@
+use super::PlaceUsage;
+
+const PLACES: usize = 100;
+
+fn is_scarce(usage: &PlaceUsage) -> bool {
+    usage.is_scarce(Some("m"))
+}
+
+#[test]
+fn places_that_are_always_in_use_are_scarce_soon_after_the_first_item() {
+    let mut usage = PlaceUsage::default();
+    for _ in 0..300 {
+        usage.note("m", 0, PLACES);
+    }
+    for _ in 0..20 {
+        usage.note("m", 3 * PLACES, PLACES);
+    }
+    assert!(!is_scarce(&usage), "too soon to say");
+    for _ in 0..20 {
+        usage.note("m", 3 * PLACES, PLACES);
+    }
+    assert!(is_scarce(&usage));
+    assert!(!usage.is_scarce(Some("other")));
+    assert!(!usage.is_scarce(None));
+}
+
+#[test]
+fn bursts_with_rest_between_them_leave_places_enough() {
+    let mut usage = PlaceUsage::default();
+    for _ in 0..10 {
+        for look in 0..40 {
+            let items = match look {
+                0..18 => 2 * PLACES,
+                _ => PLACES / 5,
+            };
+            usage.note("m", items, PLACES);
+        }
+        assert!(!is_scarce(&usage));
+    }
+}
--- a/crates/sloetrail-serving/src/policies.rs
+++ b/crates/sloetrail-serving/src/policies.rs
@@ -9,7 +9,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Policies {
-    /// Items of the groups that a trainer waits for go before the others.
+    /// While places are scarce, items of the groups that a trainer waits for go before
+    /// the others.
     pub wanted_groups_first: bool,
     /// Of the items of a batch those that are expected to be longest go first.
     pub longest_first: bool,
@@ -42,9 +43,9 @@
 
 impl Policies {
     /// In which order the items of a batch go to engines.
-    pub(crate) fn dispatch_order(&self) -> DispatchOrder {
+    pub(crate) fn dispatch_order(&self, places_are_scarce: bool) -> DispatchOrder {
         DispatchOrder {
-            wanted_first: self.wanted_groups_first,
+            wanted_first: self.wanted_groups_first && places_are_scarce,
             longest_first: self.longest_first,
         }
     }
--- a/crates/sloetrail-serving/src/relay/message.rs
+++ b/crates/sloetrail-serving/src/relay/message.rs
@@ -97,3 +97,6 @@
 pub(super) fn decode<Message: DeserializeOwned>(encoded: &[u8]) -> Option<Message> {
     ciborium::from_reader(encoded).ok()
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sloetrail-serving/src/relay/peers.rs
+++ b/crates/sloetrail-serving/src/relay/peers.rs
@@ -1,8 +1,6 @@
 //! Which other nodes there are, and which one carries calls for this one.
 
-use super::message::{
-    CarriedCall, MESSAGE_VERSION, PATH, TableAnswer, TableCall, decode, encode,
-};
+use super::message::{CarriedCall, MESSAGE_VERSION, PATH, TableAnswer, TableCall, decode, encode};
 use crate::events::{self, Event};
 use crate::follow::{FollowPace, Pacing, ViewReceiver, follow};
 use crate::http::{ConnectionPool, Exchange, SendFailure, WholeBody};
@@ -128,7 +126,9 @@
         let view = self.entries.borrow().clone();
         let others = view.rows.iter().filter(|(name, _)| **name != self.own_name);
         let mut peers: Vec<(String, PeerEntry)> = others
-            .filter_map(|(name, row)| Some((name.clone(), serde_json::from_slice(&row.value).ok()?)))
+            .filter_map(|(name, row)| {
+                Some((name.clone(), serde_json::from_slice(&row.value).ok()?))
+            })
             .collect();
         peers.shuffle(&mut rand::rng());
         let state = self.state();
--- a/crates/sloetrail-serving/tests/batches.rs
+++ b/crates/sloetrail-serving/tests/batches.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 use sloetrail_serving_testkit::client::{batch, item, with_reward};
 use sloetrail_serving_testkit::cluster::{Cluster, HOST, MODEL, eventually};
-use sloetrail_serving_testkit::engine::EngineFault;
+use sloetrail_serving_testkit::engine::{EngineFault, RunRecord};
 use sloetrail_serving_testkit::table::CommitFault;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -320,6 +320,33 @@
     assert!(began.elapsed() < Duration::from_secs(4));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_text_on_a_slow_engine_goes_on_at_a_faster_one() {
+    const EVENTS: u64 = 90;
+    let mut cluster = native_cluster();
+    cluster.add_application("zone-a").await;
+    // Not so slow that it is left alone altogether.
+    let slow = cluster.add_engine(Duration::from_millis(50)).await;
+    let node = cluster.add_node("node-1").await;
+    cluster.wait_ready(node).await;
+    // These teach how long texts are by their hints, and how fast the engine is.
+    accepted(&cluster, node, "b1", &batch(&items(8, 6), MODEL, 1)).await;
+    cluster.wait_results(node, "b1", 8).await;
+    accepted(&cluster, node, "b2", &batch(&items(1, EVENTS), MODEL, 1)).await;
+    let is_running = || async { (slow.runs().len() == 9).then_some(()) };
+    eventually("the long text runs", is_running).await;
+    let fast = cluster.add_engine(Duration::from_millis(30)).await;
+    accepted(&cluster, node, "b3", &batch(&items(8, 12), MODEL, 1)).await;
+    assert_whole(&cluster.wait_results(node, "b2", 1).await, 1, EVENTS);
+    let has_moved = |run: &RunRecord| run.last_event.is_some_and(|last| last < EVENTS);
+    assert!(
+        fast.runs().iter().any(has_moved),
+        "it went on at the fast one"
+    );
+    let is_closed = slow.runs().iter().any(|run| run.abandoned);
+    assert!(is_closed, "its first run was closed");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn the_body_of_an_item_can_be_read() {
     let cluster = usual_cluster(Duration::from_millis(50)).await;
--- /dev/null
+++ b/crates/sloetrail-serving/tests/relay.rs
@@ -0,0 +1,192 @@
+//! Calls to the table that other nodes carry.
+
+mod support;
+
+use http::Method;
+use serde::Serialize;
+use serde_json::Value;
+use sloetrail_serving::table_client::TableClient;
+use sloetrail_serving_testkit::client::{Call, batch, item};
+use sloetrail_serving_testkit::cluster::{Cluster, HOST, MODEL, eventually};
+use sloetrail_serving_testkit::table::LinkTransport;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use support::native_cluster;
+
+/// As on an ordinary deployment: an absence of the table is known after 0.4 s.
+const LEASE_MS: u64 = 1_500;
+const NODES: [&str; 3] = ["node-1", "node-2", "node-3"];
+
+/// Three nodes that carry calls for one another, ready, with their rows known.
+async fn cluster_of_peers() -> Cluster {
+    let mut cluster =
+        native_cluster().with_table(|link| TableClient::new(Arc::new(LinkTransport(link))));
+    cluster.peers = true;
+    cluster.lease_ms = LEASE_MS;
+    cluster.add_application("zone-a").await;
+    cluster.add_engine(Duration::from_millis(20)).await;
+    cluster.add_engine(Duration::from_millis(20)).await;
+    for name in NODES {
+        let node = cluster.add_node(name).await;
+        cluster.wait_ready(node).await;
+    }
+    let are_known = || async {
+        let rows = cluster.table.rows("sloetrail_nodes");
+        (rows.len() == NODES.len()).then_some(())
+    };
+    eventually("every node has its row", are_known).await;
+    // The nodes look at the rows every few seconds.
+    tokio::time::sleep(Duration::from_millis(5_500)).await;
+    cluster
+}
+
+fn items(count: usize, events: u64) -> Vec<Value> {
+    let item = |number: usize| item(&format!("i{number}"), &format!("g{number}"), events);
+    (0..count).map(item).collect()
+}
+
+fn assert_each_once(results: &[Value], count: usize) {
+    let ids: BTreeSet<&str> = results
+        .iter()
+        .filter_map(|result| result["id"].as_str())
+        .collect();
+    assert_eq!((ids.len(), results.len()), (count, count));
+}
+
+fn lease(cluster: &Cluster) -> Option<Value> {
+    let rows = cluster.table.rows("sloetrail_leases");
+    let row = rows.iter().find(|row| row.address.key == "lease/models")?;
+    serde_json::from_slice(&row.value).ok()
+}
+
+async fn owner(cluster: &Cluster) -> usize {
+    let found = || async {
+        let lease = lease(cluster)?;
+        let holder = lease["holder"].as_str()?;
+        NODES.iter().position(|name| holder.starts_with(name))
+    };
+    eventually("somebody holds the lease", found).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_that_only_the_table_does_not_answer_stays_the_owner() {
+    let cluster = cluster_of_peers().await;
+    let owner = owner(&cluster).await;
+    let other = (owner + 1) % NODES.len();
+    cluster
+        .submit(other, "b1", &batch(&items(10, 120), MODEL, 1))
+        .await
+        .expect("taken");
+    cluster.wait_ready(other).await;
+    let before = lease(&cluster).expect("a lease");
+    cluster.nodes[owner].link.set_cut(true);
+    cluster.publish(2);
+    let results = cluster.wait_results(other, "b1", 10).await;
+    assert_each_once(&results, 10);
+    let after = lease(&cluster).expect("a lease");
+    assert_eq!(
+        after["epoch"], before["epoch"],
+        "nobody took the lease over"
+    );
+    let runs = cluster.engines.iter().flat_map(|engine| engine.runs());
+    assert!(runs.count() <= 14, "texts were not begun anew");
+    let holders: BTreeSet<String> = cluster
+        .engines
+        .iter()
+        .flat_map(|engine| engine.orders())
+        .map(|record| record.order.holder)
+        .collect();
+    assert!(holders.len() <= 1, "{holders:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_the_table_does_not_answer_takes_and_reads_batches() {
+    let cluster = cluster_of_peers().await;
+    let cut = (owner(&cluster).await + 1) % NODES.len();
+    cluster.nodes[cut].link.set_cut(true);
+    let is_taken = || async {
+        let answer = cluster
+            .submit(cut, "b1", &batch(&items(6, 5), MODEL, 1))
+            .await?;
+        (answer.status == 202).then_some(())
+    };
+    eventually("the batch is taken", is_taken).await;
+    assert_each_once(&cluster.wait_results(cut, "b1", 6).await, 6);
+    assert_eq!(cluster.end(cut, "b1").await.expect("an answer").status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn when_the_table_answers_nobody_peers_do_not_help_and_all_goes_on_after() {
+    let cluster = cluster_of_peers().await;
+    for node in &cluster.nodes {
+        node.link.set_cut(true);
+    }
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let refused = cluster
+        .submit(0, "b1", &batch(&items(3, 5), MODEL, 1))
+        .await
+        .expect("an answer");
+    assert!(matches!(refused.status.as_u16(), 503 | 504));
+    for node in &cluster.nodes {
+        node.link.set_cut(false);
+    }
+    let is_taken = || async {
+        let answer = cluster
+            .submit(0, "b1", &batch(&items(3, 5), MODEL, 1))
+            .await?;
+        (answer.status == 202).then_some(())
+    };
+    eventually("the batch is taken", is_taken).await;
+    assert_each_once(&cluster.wait_results(1, "b1", 3).await, 3);
+}
+
+#[derive(Serialize)]
+struct ForeignCall {
+    version: u8,
+    token: String,
+    call: ForeignQuestion,
+}
+
+#[derive(Serialize)]
+enum ForeignQuestion {
+    Changes {
+        table: String,
+        since: u64,
+        wait_ms: u64,
+    },
+}
+
+fn encoded(version: u8, token: &str) -> Vec<u8> {
+    let call = ForeignCall {
+        version,
+        token: token.to_owned(),
+        call: ForeignQuestion::Changes {
+            table: "sloetrail_leases".to_owned(),
+            since: 0,
+            wait_ms: 0,
+        },
+    };
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&call, &mut bytes).expect("memory takes every write");
+    bytes
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_are_carried_only_for_who_shows_the_token_in_the_table() {
+    let cluster = cluster_of_peers().await;
+    let rows = cluster.table.rows("sloetrail_nodes");
+    let entry: Value = serde_json::from_slice(&rows[0].value).expect("an entry");
+    let text = |name: &str| entry[name].as_str().expect("a text").to_owned();
+    let address: SocketAddr = text("address").parse().expect("an address");
+    let ask = |body: Vec<u8>| async move {
+        let call = Call::new(Method::POST, HOST, "/v1/table-calls").body(body);
+        call.send(address).await.expect("an answer").status.as_u16()
+    };
+    assert_eq!(ask(encoded(1, &text("token"))).await, 200);
+    assert_eq!(ask(encoded(1, "0000")).await, 403);
+    assert_eq!(ask(encoded(9, &text("token"))).await, 403);
+    assert_eq!(ask(b"no call".to_vec()).await, 400);
+    assert_eq!(ask(Vec::new()).await, 400);
+}
