A few nodes watch over owners and need not wait for the lease of one that is gone

Cause: an owner whose machine is lost is replaced 1.6 s after its last renewal, and both open steps stand still meanwhile; its neighbours could know sooner. Ruled out: a shorter lease for all (an owner that loses a few answers would be replaced; the relay needs 0.4 s to notice a cut). Change: three nodes, drawn anew for each term, ask the holder's node every 100 ms which life answers. Twice gone (refused, or another life), or silent twice and silent for another node too: they compete for the lease. The table decides as before.

--- a/crates/sloetrail-lease/src/watcher.rs
+++ b/crates/sloetrail-lease/src/watcher.rs
@@ -63,6 +63,12 @@
         self.seen.as_ref()?.record.holder.as_ref()
     }
 
+    /// The holder and its epoch, as far as this node knows.
+    pub fn term(&self) -> Option<(&NodeId, Epoch)> {
+        let record = &self.seen.as_ref()?.record;
+        Some((record.holder.as_ref()?, record.epoch))
+    }
+
     /// Takes in the row as it was just read or written.
     pub fn observe(&mut self, now: Timestamp, lease: Option<ObservedLease>) {
         let changed = self.unchanged_since.is_none() || self.seen != lease;
--- a/crates/sloetrail-serving/src/context.rs
+++ b/crates/sloetrail-serving/src/context.rs
@@ -6,6 +6,7 @@
 use crate::http::ConnectionPool;
 use crate::operator::InForce;
 use crate::pause_guard::PauseGuard;
+use crate::relay::peers::Peers;
 use crate::service_pools::ServicePools;
 use crate::settings::ServingSettings;
 use crate::table::Table;
@@ -17,6 +18,8 @@
 pub(crate) struct NodeContext {
     pub(crate) settings: ServingSettings,
     pub(crate) table: Arc<dyn Table>,
+    /// The other nodes, if nodes help each other out.
+    pub(crate) peers: Option<Arc<Peers>>,
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) connections: Arc<ConnectionPool>,
     pub(crate) pools: Arc<ServicePools>,
--- a/crates/sloetrail-serving/src/node.rs
+++ b/crates/sloetrail-serving/src/node.rs
@@ -11,7 +11,7 @@
 use crate::operator::watch_operator;
 use crate::owner;
 use crate::pause_guard::PauseGuard;
-use crate::relay;
+use crate::relay::{self, peers::Peers};
 use crate::rows;
 use crate::service_pools::ServicePools;
 use crate::settings::ServingSettings;
@@ -68,12 +68,12 @@
             version: env!("CARGO_PKG_VERSION"),
         });
         telemetry::start();
-        let table = relayed(&settings, table).await?;
+        let (table, peers) = relayed(&settings, table).await?;
         let callers = listen(settings.callers_address).await?;
         let ready = listen(settings.ready_address).await?;
         let callers_address = local_address(&callers, settings.callers_address);
         let ready_address = local_address(&ready, settings.ready_address);
-        let context = Arc::new(build_context(settings, table, dialect));
+        let context = Arc::new(build_context(settings, table, peers, dialect));
         let stopping = CancellationToken::new();
         let tracker = ConnectionTracker::default();
         serve_callers(&context, callers, tracker.clone());
@@ -131,19 +131,21 @@
 async fn relayed(
     settings: &ServingSettings,
     table: Arc<dyn Table>,
-) -> Result<Arc<dyn Table>, StartError> {
+) -> Result<(Arc<dyn Table>, Option<Arc<Peers>>), StartError> {
     match settings.peer_address {
         Some(address) if settings.policies.relay_table_calls => {
             let listener = listen(address).await?;
-            Ok(relay::start(settings, table, listener))
+            let (table, peers) = relay::start(settings, table, listener);
+            Ok((table, Some(peers)))
         }
-        _ => Ok(table),
+        _ => Ok((table, None)),
     }
 }
 
 fn build_context(
     settings: ServingSettings,
     table: Arc<dyn Table>,
+    peers: Option<Arc<Peers>>,
     dialect: Arc<dyn Dialect>,
 ) -> NodeContext {
     let sources = dialect.sources().clone();
@@ -177,6 +179,7 @@
         connections: Arc::new(ConnectionPool::new()),
         settings,
         table,
+        peers,
         dialect,
         pools,
         directory,
--- a/crates/sloetrail-serving/src/owner/lease_keeper.rs
+++ b/crates/sloetrail-serving/src/owner/lease_keeper.rs
@@ -1,5 +1,6 @@
 //! Who owns a service: one keeper a service on every node.
 
+use super::owner_watch::{OwnerWatch, WatchedTerm};
 use super::service_owner::ServiceOwner;
 use super::term::Term;
 use crate::context::NodeContext;
@@ -80,6 +81,8 @@
     /// This candidate's turn among those that see the lease run out.
     candidate_turn: u32,
     holding: Option<Holding>,
+    /// Watches over the holder while it is another node.
+    watch: OwnerWatch,
 }
 
 impl LeaseKeeper {
@@ -97,6 +100,7 @@
             confirmed_at: None,
             candidate_turn: 0,
             holding: None,
+            watch: OwnerWatch::default(),
         }
     }
 
@@ -126,7 +130,8 @@
                 None => return,
             },
         };
-        let action = match self.succeeds_own_machine() {
+        let succeeds = self.succeeds_own_machine();
+        let action = match succeeds.or_else(|| self.succeeds_gone_holder()) {
             Some(action) => Some(action),
             None => self
                 .watcher
@@ -246,6 +251,19 @@
         is_own.then(|| self.watcher.take_over()).flatten()
     }
 
+    /// The lease of a holder that its watchers found gone need not run out either.
+    fn succeeds_gone_holder(&mut self) -> Option<LeaseAction> {
+        let watched = match self.holding {
+            Some(_) => None,
+            None => self.watcher.term().map(|(holder, epoch)| WatchedTerm {
+                holder: holder.clone(),
+                epoch,
+            }),
+        };
+        let is_gone = self.watch.finds_gone(&self.context, watched);
+        is_gone.then(|| self.watcher.take_over()).flatten()
+    }
+
     async fn renew(&mut self, action: LeaseAction) {
         let transaction = write_lease(&self.service, &action);
         match self.context.table.commit(&transaction).await {
@@ -318,6 +336,8 @@
     }
 
     fn note_conflict(&mut self, current: &[Row]) {
+        // Whoever wrote the row lives.
+        self.watch.stop();
         let address = rows::lease(&self.service);
         let row = current.iter().find(|row| row.address == address);
         self.observe_row(row, Instant::now());
--- a/crates/sloetrail-serving/src/owner/mod.rs
+++ b/crates/sloetrail-serving/src/owner/mod.rs
@@ -17,6 +17,7 @@
 mod lease_keeper;
 mod loading;
 mod order_window;
+mod owner_watch;
 mod pace;
 mod publications;
 mod reward;
--- a/crates/sloetrail-serving/src/policies.rs
+++ b/crates/sloetrail-serving/src/policies.rs
@@ -25,6 +25,9 @@
     pub move_long_texts: bool,
     /// A node that the table does not answer has its calls carried by another node.
     pub relay_table_calls: bool,
+    /// A few nodes ask the owner of a service whether it lives, and compete for its lease
+    /// when it does not; otherwise the lease has to run out.
+    pub watch_owners: bool,
 }
 
 impl Default for Policies {
@@ -37,6 +40,7 @@
             prefer_fast_engines: true,
             move_long_texts: true,
             relay_table_calls: true,
+            watch_owners: true,
         }
     }
 }
--- a/crates/sloetrail-serving/src/relay/message.rs
+++ b/crates/sloetrail-serving/src/relay/message.rs
@@ -3,12 +3,30 @@
 use crate::table::{Changes, Commit, CommitError, KeyRange, Page, ReadError, Transaction};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use sloetrail_types::RowVersion;
+use sloetrail_types::{NodeId, RowVersion};
+use std::net::SocketAddr;
 
 /// The version of these messages. A node refuses those of another version.
 pub(super) const MESSAGE_VERSION: u8 = 1;
 /// The path under which calls are carried.
-pub(super) const PATH: &str = "/v1/table-calls";
+pub(super) const CALLS_PATH: &str = "/v1/table-calls";
+/// The path under which a node tells which life of it answers.
+pub(super) const LIFE_PATH: &str = "/v1/life";
+/// The path under which a node asks another one for its life.
+pub(super) const PROBE_PATH: &str = "/v1/life-of-another";
+
+/// A question whether another node lives, as seen from the node that is asked.
+#[derive(Clone, Debug, Serialize, serde::Deserialize)]
+pub(super) struct ProbeCall {
+    /// The version of this message.
+    pub(super) version: u8,
+    /// The token that the asked node has put into the table.
+    pub(super) token: String,
+    /// The life of the node that is meant.
+    pub(super) life: NodeId,
+    /// Where it listens.
+    pub(super) address: SocketAddr,
+}
 
 /// A call to be carried.
 #[derive(Clone, Debug, Serialize, serde::Deserialize)]
--- a/crates/sloetrail-serving/src/relay/mod.rs
+++ b/crates/sloetrail-serving/src/relay/mod.rs
@@ -11,32 +11,39 @@
 //! circle; and a caller shows the token that the carrying node has put into the table,
 //! so that only who reads the table is served, and never by a later life of an address.
 //!
+//! The same nodes watch over each other's owners ([`liveness`]): a few of them ask the
+//! owner of a service whether it lives, and need not wait for its lease to run out when
+//! it does not.
+//!
 //! Flow: [`peers`] registers the node and follows where the others are; [`server`]
 //! carries calls for them; [`table`] chooses for each call between the direct way and a
 //! peer; [`message`] is what goes between two nodes, as CBOR over HTTP.
 
+pub(crate) mod liveness;
 mod message;
-mod peers;
+pub(crate) mod peers;
 mod server;
 mod table;
 
+use self::peers::Peers;
 use crate::settings::ServingSettings;
 use crate::table::Table;
 use std::sync::Arc;
 use tokio::net::TcpListener;
 
 /// Starts carrying calls for others, and returns the table as it is reached with their
-/// help.
+/// help, and the others.
 pub(crate) fn start(
     settings: &ServingSettings,
     direct: Arc<dyn Table>,
     listener: TcpListener,
-) -> Arc<dyn Table> {
+) -> (Arc<dyn Table>, Arc<Peers>) {
     let token = format!("{:016x}", rand::random::<u64>());
     if let Ok(address) = listener.local_addr() {
         let entry = peers::PeerEntry {
             address,
             zone: settings.zone.clone(),
+            candidate_rank: settings.candidate_rank,
             token: token.clone(),
         };
         tokio::spawn(peers::register(
@@ -45,7 +52,9 @@
             entry,
         ));
     }
-    tokio::spawn(server::serve(Arc::clone(&direct), listener, token));
-    let peers = peers::Peers::follow(settings, &direct);
-    Arc::new(table::RelayedTable::new(direct, peers))
+    let peers = Arc::new(Peers::follow(settings, &direct));
+    let server = server::PeerServer::new(settings, Arc::clone(&direct), &peers, token);
+    tokio::spawn(server.serve(listener));
+    let table = table::RelayedTable::new(direct, Arc::clone(&peers));
+    (Arc::new(table), peers)
 }
--- a/crates/sloetrail-serving/src/relay/peers.rs
+++ b/crates/sloetrail-serving/src/relay/peers.rs
@@ -1,17 +1,21 @@
 //! Which other nodes there are, and which one carries calls for this one.
 
-use super::message::{CarriedCall, MESSAGE_VERSION, PATH, TableAnswer, TableCall, decode, encode};
+use super::message::{
+    CALLS_PATH, CarriedCall, LIFE_PATH, MESSAGE_VERSION, PROBE_PATH, ProbeCall, TableAnswer,
+    TableCall, decode, encode,
+};
 use crate::events::{self, Event};
 use crate::follow::{FollowPace, Pacing, ViewReceiver, follow};
 use crate::http::{ConnectionPool, Exchange, SendFailure, WholeBody};
 use crate::rows;
 use crate::settings::ServingSettings;
-use crate::table::{Table, Transaction};
+use crate::table::{Row, Table, Transaction};
+use bytes::Bytes;
 use http::header::HOST;
 use http::{HeaderValue, Method, Request};
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
-use sloetrail_types::ZoneName;
+use sloetrail_types::{Epoch, NodeId, ZoneName, digest};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -33,6 +37,22 @@
 const CALL_TIME: Duration = Duration::from_millis(600);
 const ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
+/// How long a node may take to say that it lives.
+const LOOK_TIME: Duration = Duration::from_millis(150);
+/// Nodes that watch over the holder of a lease.
+const WATCHERS: usize = 3;
+
+/// What a look at a node has shown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Sign {
+    /// It has answered.
+    Alive,
+    /// Nothing came.
+    Silent,
+    /// Its machine says that it is not there, or another life has taken its place.
+    Gone,
+}
+
 /// What a node tells the others of itself, in a row of the table.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct PeerEntry {
@@ -40,6 +60,8 @@
     pub(super) address: SocketAddr,
     /// Its zone.
     pub(super) zone: ZoneName,
+    /// Its rank among candidates for a lease.
+    pub(super) candidate_rank: u32,
     /// What a caller must show: it knows the row, and means this life of the node.
     pub(super) token: String,
 }
@@ -54,7 +76,7 @@
 }
 
 /// The other nodes.
-pub(super) struct Peers {
+pub(crate) struct Peers {
     own_name: String,
     own_zone: ZoneName,
     entries: ViewReceiver,
@@ -154,19 +176,102 @@
             token: entry.token.clone(),
             call: call.clone(),
         });
-        let mut request = Request::new(WholeBody::from(message));
-        *request.method_mut() = Method::POST;
-        *request.uri_mut() = http::Uri::from_static(PATH);
-        if let Ok(host) = HeaderValue::from_str(&entry.address.to_string()) {
+        let request = (Method::POST, CALLS_PATH, message);
+        let answer = self.send(entry.address, request, deadline).await?;
+        decode(&answer).ok_or(SendFailure::Lost)
+    }
+
+    /// Sends a request to a peer and reads its answer.
+    async fn send(
+        &self,
+        address: SocketAddr,
+        (method, path, body): (Method, &'static str, Vec<u8>),
+        deadline: Instant,
+    ) -> Result<Bytes, SendFailure> {
+        let mut request = Request::new(WholeBody::from(body));
+        *request.method_mut() = method;
+        *request.uri_mut() = http::Uri::from_static(path);
+        if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
             request.headers_mut().insert(HOST, host);
         }
         let pool = &self.connections;
-        let exchange = Exchange::send(pool, entry.address, request, true, deadline).await?;
+        let exchange = Exchange::send(pool, address, request, true, deadline).await?;
         let answer = exchange.whole(ANSWER_BYTES, deadline).await?;
-        if !answer.status.is_success() {
-            return Err(SendFailure::NotSent);
+        match answer.status.is_success() {
+            true => Ok(answer.body),
+            false => Err(SendFailure::NotSent),
         }
-        decode(&answer.body).ok_or(SendFailure::Lost)
+    }
+
+    /// Whether a life of a node answers at an address.
+    pub(super) async fn look(&self, life: &NodeId, address: SocketAddr) -> Sign {
+        let deadline = Instant::now() + LOOK_TIME;
+        let request = (Method::GET, LIFE_PATH, Vec::new());
+        match self.send(address, request, deadline).await {
+            Ok(answer) if answer == life.as_str().as_bytes() => Sign::Alive,
+            // Another life of the node answers.
+            Ok(_) => Sign::Gone,
+            Err(SendFailure::OutOfTime) => Sign::Silent,
+            Err(_) if Instant::now() >= deadline => Sign::Silent,
+            Err(_) => Sign::Gone,
+        }
+    }
+
+    /// Whether a life of a node answers. A node that is not known counts as alive: its
+    /// lease still has to run out.
+    pub(crate) async fn sign_of(&self, life: &NodeId) -> Sign {
+        match self.address_of(life) {
+            Some(address) => self.look(life, address).await,
+            None => Sign::Alive,
+        }
+    }
+
+    /// Whether a life of a node answers another peer. Where none can say, it counts as
+    /// alive.
+    pub(crate) async fn sign_seen_by_another(&self, life: &NodeId) -> Sign {
+        let Some(address) = self.address_of(life) else {
+            return Sign::Alive;
+        };
+        let holder = node_name(life);
+        let others = self.in_order().into_iter();
+        let Some((_, other)) = others.filter(|(name, _)| name != holder).next_back() else {
+            return Sign::Alive;
+        };
+        let message = encode(&ProbeCall {
+            version: MESSAGE_VERSION,
+            token: other.token.clone(),
+            life: life.clone(),
+            address,
+        });
+        let deadline = Instant::now() + LOOK_TIME * 2;
+        let request = (Method::POST, PROBE_PATH, message);
+        let answer = self.send(other.address, request, deadline).await.ok();
+        let sign = answer.and_then(|answer| decode(&answer));
+        sign.unwrap_or(Sign::Alive)
+    }
+
+    fn address_of(&self, life: &NodeId) -> Option<SocketAddr> {
+        let view = self.entries.borrow();
+        let row = view.rows.get(node_name(life))?;
+        let entry: PeerEntry = serde_json::from_slice(&row.value).ok()?;
+        Some(entry.address)
+    }
+
+    /// True if this node is among the few that watch over the holder of a lease. Which
+    /// ones they are changes with each term; small machines are not among them.
+    pub(crate) fn watches_over(&self, holder: &NodeId, epoch: Epoch) -> bool {
+        let view = self.entries.borrow();
+        let entry = |row: &Row| serde_json::from_slice::<PeerEntry>(&row.value).ok();
+        let candidates = view.rows.iter().filter(|(name, row)| {
+            let rank = entry(row).map(|entry| entry.candidate_rank);
+            name.as_str() != node_name(holder) && rank == Some(0)
+        });
+        let mut drawn: Vec<(u64, &String)> = candidates
+            .map(|(name, _)| (digest(format!("{}/{name}", epoch.0).as_bytes()), name))
+            .collect();
+        drawn.sort_unstable();
+        let mut watchers = drawn.iter().take(WATCHERS);
+        watchers.any(|(_, name)| **name == self.own_name)
     }
 
     fn note_carried(&self, name: &str) {
@@ -207,3 +312,8 @@
         self.state.lock().expect("not poisoned")
     }
 }
+
+/// The name of the node that a life is of.
+fn node_name(life: &NodeId) -> &str {
+    life.as_str().split('/').next().unwrap_or_default()
+}
--- a/crates/sloetrail-serving/src/relay/table.rs
+++ b/crates/sloetrail-serving/src/relay/table.rs
@@ -13,12 +13,12 @@
 /// The table as a node reaches it that has others carry its calls while it cannot.
 pub(super) struct RelayedTable {
     direct: Arc<dyn Table>,
-    peers: Peers,
+    peers: Arc<Peers>,
 }
 
 impl RelayedTable {
     /// The table over a direct way, with peers to help out.
-    pub(super) fn new(direct: Arc<dyn Table>, peers: Peers) -> Self {
+    pub(super) fn new(direct: Arc<dyn Table>, peers: Arc<Peers>) -> Self {
         Self { direct, peers }
     }
 
