An owner outlasts times in which the table takes no writes

Ruled out: the relay (the same without peers); the watch over owners (its log says that it found nobody gone then). Change: a take-over that is not done lets the time count anew, since the holder could not write either; a renewal that failed is due again at once. Finds of watchers are logged.

--- a/crates/sloetrail-lease/src/watcher.rs
+++ b/crates/sloetrail-lease/src/watcher.rs
@@ -102,6 +102,11 @@
         Some(self.take_over_action())
     }
 
+    /// The renewal that was last asked for was not done: the next one is due at once.
+    pub fn renewal_failed(&mut self) {
+        self.renewed_at = Timestamp::default();
+    }
+
     /// The write that gives the lease up, if this node holds it.
     pub fn release(&self) -> Option<LeaseAction> {
         let seen = self.seen.as_ref()?;
--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -331,6 +331,15 @@
         /// How long the lease was unchanged, in milliseconds.
         unchanged_ms: u64,
     },
+    /// A watcher has found the owner of a service gone and competes for its lease.
+    OwnerFoundGone {
+        /// The owner.
+        holder: &'a str,
+        /// What was seen last.
+        seen: &'a str,
+        /// How long it took since the last sign of life, in milliseconds.
+        silent_ms: u64,
+    },
     /// This node is no longer the owner of a service.
     LeaseLost {
         /// The service.
@@ -422,7 +431,9 @@
             | Event::ItemListed { .. }
             | Event::StepWhole { .. }
             | Event::RewardFailed { .. } => "batch",
-            Event::LeaseTaken { .. } | Event::LeaseLost { .. } => "lease",
+            Event::LeaseTaken { .. }
+            | Event::OwnerFoundGone { .. }
+            | Event::LeaseLost { .. } => "lease",
             Event::OrderGiven { .. } | Event::VersionInForce { .. } => "weights",
         }
     }
--- a/crates/sloetrail-serving/src/owner/lease_keeper.rs
+++ b/crates/sloetrail-serving/src/owner/lease_keeper.rs
@@ -178,9 +178,7 @@
         let was_interrupted = was_silent || view.interruptions != self.interruptions;
         if was_interrupted && self.holding.is_none() {
             self.interruptions = view.interruptions;
-            self.watcher = new_watcher(&self.context);
-            self.seen_version = None;
-            self.unchanged_since = Instant::now();
+            self.count_anew();
         }
         let row = view.rows.get(&rows::lease(&self.service).key);
         let version = row.map(|row| row.version);
@@ -274,8 +272,8 @@
                 }
             }
             Ok(Commit::Conflict(rows)) => self.note_conflict(&rows),
-            // The row is read again before the next attempt.
-            Err(_) => {}
+            // Candidates would be sooner if it waited for its usual time.
+            Err(_) => self.watcher.renewal_failed(),
         }
     }
 
@@ -303,11 +301,19 @@
             }
             Ok(Commit::Conflict(rows)) => self.note_conflict(&rows),
             // If it was done all the same, the row will name this node, which then
-            // takes over again under the next epoch.
-            Err(_) => {}
+            // takes over again under the next epoch. If not, the holder could not write
+            // either, and its time counts anew.
+            Err(_) => self.count_anew(),
         }
     }
 
+    /// The time for which the lease was unchanged counts anew.
+    fn count_anew(&mut self) {
+        self.watcher = new_watcher(&self.context);
+        self.seen_version = None;
+        self.unchanged_since = Instant::now();
+    }
+
     fn begin_term(&mut self, epoch: Epoch, fence: RowVersion) {
         let (sender, confirmed_at) = watch::channel(Instant::now());
         let term = Term {
--- a/crates/sloetrail-serving/src/owner/owner_watch.rs
+++ b/crates/sloetrail-serving/src/owner/owner_watch.rs
@@ -1,6 +1,7 @@
 //! Watching over the owner of a service from another node.
 
 use crate::context::NodeContext;
+use crate::events::{self, Event};
 use crate::relay::liveness::{Liveness, Verdict};
 use crate::relay::peers::{Peers, Sign};
 use sloetrail_types::{Epoch, NodeId};
@@ -78,6 +79,7 @@
 /// Looks at the holder until it is found gone.
 async fn watch(peers: Arc<Peers>, holder: NodeId) {
     let mut liveness = Liveness::default();
+    let mut alive_at = Instant::now();
     loop {
         tokio::time::sleep(PERIOD).await;
         let began = Instant::now();
@@ -86,6 +88,9 @@
             true => Sign::Alive,
             false => seen,
         };
+        if sign == Sign::Alive {
+            alive_at = Instant::now();
+        }
         let verdict = match liveness.note(sign) {
             Verdict::AskAnother => {
                 let seen = peers.sign_seen_by_another(&holder).await;
@@ -94,6 +99,11 @@
             verdict => verdict,
         };
         if verdict == Verdict::Compete {
+            events::emit(&Event::OwnerFoundGone {
+                holder: holder.as_str(),
+                seen: sign.word(),
+                silent_ms: alive_at.elapsed().as_millis() as u64,
+            });
             return;
         }
     }
--- a/crates/sloetrail-serving/src/relay/peers.rs
+++ b/crates/sloetrail-serving/src/relay/peers.rs
@@ -53,6 +53,17 @@
     Gone,
 }
 
+impl Sign {
+    /// A word for logs.
+    pub(crate) fn word(self) -> &'static str {
+        match self {
+            Sign::Alive => "alive",
+            Sign::Silent => "silent",
+            Sign::Gone => "gone",
+        }
+    }
+}
+
 /// What a node tells the others of itself, in a row of the table.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct PeerEntry {
--- a/crates/sloetrail-serving/tests/owner.rs
+++ b/crates/sloetrail-serving/tests/owner.rs
@@ -35,6 +35,14 @@
     Some(record["holder"].as_str()?.to_owned())
 }
 
+/// The epoch in the lease's row.
+fn lease_epoch(cluster: &Cluster) -> Value {
+    let rows = cluster.table.rows("sloetrail_leases");
+    let row = rows.iter().find(|row| row.address.key == "lease/models");
+    let record: Value = serde_json::from_slice(&row.expect("a lease").value).expect("a record");
+    record["epoch"].clone()
+}
+
 /// The node that holds the lease, by its name in the lease's row.
 async fn holder(cluster: &Cluster) -> usize {
     let names = ["node-1", "node-2", "node-3"];
@@ -360,3 +368,20 @@
     assert_eq!(lease(), before, "nobody took over from a sound owner");
     assert_eq!(holder(&cluster).await, owner);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_stays_while_the_table_takes_no_writes_but_answers_reads() {
+    let cluster = usual_cluster(Duration::from_millis(10)).await;
+    let owner = holder(&cluster).await;
+    let epoch = lease_epoch(&cluster);
+    let fault = CommitFault::Refused;
+    cluster
+        .table
+        .set_commit_fault_on("sloetrail_leases", fault, usize::MAX);
+    // Several times as long as a lease lasts.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    cluster.table.set_commit_fault(CommitFault::None, None);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(holder(&cluster).await, owner);
+    assert_eq!(lease_epoch(&cluster), epoch);
+}
