step-report: where the time of steps went, from logs

Change: sloetrail step-report LOG... as text or JSON; reading log files stands in one place. Tests: parts add up, steps not whole are told, logs without steps.

--- a/crates/sloetrail-cli/src/arguments.rs
+++ b/crates/sloetrail-cli/src/arguments.rs
@@ -109,13 +109,13 @@
                         .value_name("ID")
                         .help("The id of a request, a batch, an item or a reward call"),
                 )
-                .arg(
-                    Arg::new("logs")
-                        .required(true)
-                        .num_args(1..)
-                        .value_name("LOG")
-                        .help("Logs of nodes, in any order"),
-                ),
+                .arg(logs()),
+        )
+        .subcommand(
+            Command::new("step-report")
+                .about("Tells where the time of training steps went, from the logs of several nodes")
+                .after_help("Example: sloetrail step-report node-1.log node-2.log")
+                .arg(logs()),
         )
         .subcommand(
             Command::new("check")
@@ -142,6 +142,14 @@
     Arg::new("file").required(true).value_name("FILE")
 }
 
+fn logs() -> Arg {
+    Arg::new("logs")
+        .required(true)
+        .num_args(1..)
+        .value_name("LOG")
+        .help("Logs of nodes, in any order")
+}
+
 fn engine() -> Arg {
     Arg::new("engine").required(true).value_name("ENGINE")
 }
--- a/crates/sloetrail-cli/src/log_story.rs
+++ b/crates/sloetrail-cli/src/log_story.rs
@@ -47,16 +47,18 @@
 
 impl LogLine {
     /// Reads a line; whatever stands before its first brace is left out.
-    fn parse(text: &str) -> Option<Self> {
+    pub(crate) fn parse(text: &str) -> Option<Self> {
         let start = text.find('{')?;
         serde_json::from_str(&text[start..]).ok()
     }
 
-    fn event(&self) -> &str {
+    /// The name of the decision.
+    pub(crate) fn event(&self) -> &str {
         self.field(EVENT).unwrap_or("-")
     }
 
-    fn field(&self, name: &str) -> Option<&str> {
+    /// A field of the decision that is a text.
+    pub(crate) fn field(&self, name: &str) -> Option<&str> {
         self.decision.get(name).and_then(Value::as_str)
     }
 
--- a/crates/sloetrail-cli/src/main.rs
+++ b/crates/sloetrail-cli/src/main.rs
@@ -13,9 +13,11 @@
 mod explain;
 mod explain_request;
 mod failure;
+mod log_files;
 mod log_story;
 mod orders;
 mod reports;
+mod step_report;
 
 use clap::ArgMatches;
 use failure::Failure;
@@ -48,6 +50,7 @@
         Some(("resume", matches)) => orders::resume(matches).await,
         Some(("explain", matches)) => explain::explain(matches, as_json),
         Some(("explain-request", matches)) => explain_request::explain_request(matches, as_json),
+        Some(("step-report", matches)) => step_report::step_report(matches, as_json),
         Some(("check", matches)) => check::check(matches, as_json),
         Some(("replay", matches)) => check::replay(matches, as_json),
         _ => unreachable!("clap asks for a subcommand"),
--- /dev/null
+++ b/crates/sloetrail-cli/src/step_report.rs
@@ -0,0 +1,236 @@
+//! `step-report`: where the time of training steps went, from the logs of several nodes.
+//!
+//! A step is a batch that has groups to wait for. When enough of them are whole, its
+//! owner writes one line (`step_whole`) with the parts of the batch's age; this report
+//! gathers these lines, adds the steps that never became whole, and sums the parts up.
+
+use crate::failure::Failure;
+use crate::log_files::read_logs;
+use crate::log_story::LogLine;
+use clap::ArgMatches;
+use serde::Serialize;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+/// Where the time of a step went, in milliseconds. The parts add up to its age.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+struct StepParts {
+    /// Until its last owner had opened it: accepting, loading, owners before.
+    before_opening_ms: u64,
+    /// Until its last item was first sent to an engine.
+    waiting_ms: u64,
+    /// At engines.
+    running_ms: u64,
+    /// At no engine, between two runs.
+    between_runs_ms: u64,
+    /// Being scored.
+    scoring_ms: u64,
+    /// Being committed, which includes waiting for the table.
+    committing_ms: u64,
+}
+
+/// A step whose groups became whole.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+struct WholeStep {
+    /// Its age then, in milliseconds.
+    age_ms: u64,
+    /// Where that time went.
+    parts: StepParts,
+    /// What its longest text takes on the fastest engine: no step could be shorter.
+    least_ms: u64,
+    /// The item that was listed last.
+    last_item: String,
+    /// Its runs under the last owner.
+    runs: u64,
+}
+
+/// A step.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+struct Step {
+    batch: String,
+    /// When a node accepted it first, by that node's time of day in milliseconds.
+    accepted_at_ms: Option<u64>,
+    items: u64,
+    /// How often an owner opened it.
+    openings: u64,
+    /// Nothing if its groups did not become whole within the logs.
+    whole: Option<WholeStep>,
+}
+
+/// All steps, by the time at which they were accepted.
+#[derive(Debug, Default, PartialEq, Eq, Serialize)]
+struct StepReport {
+    steps: Vec<Step>,
+    /// Sums over the steps that became whole.
+    sums: StepParts,
+    /// The sum of their ages.
+    age_ms: u64,
+    /// The sum of the least times.
+    least_ms: u64,
+}
+
+/// Prints the report on the steps in log files.
+pub(crate) fn step_report(matches: &ArgMatches, as_json: bool) -> Result<(), Failure> {
+    let texts = read_logs(matches)?;
+    let report = gather(texts.iter().map(String::as_str));
+    match as_json {
+        true => println!("{}", serde_json::to_string(&report).unwrap_or_default()),
+        false => print!("{}", as_text(&report)),
+    }
+    Ok(())
+}
+
+fn gather<'a>(logs: impl IntoIterator<Item = &'a str>) -> StepReport {
+    let mut steps: BTreeMap<String, Step> = BTreeMap::new();
+    let lines = logs.into_iter().flat_map(str::lines);
+    for line in lines.filter_map(LogLine::parse) {
+        let Some(batch) = line.field("batch").map(str::to_owned) else {
+            continue;
+        };
+        let step = steps.entry(batch.clone()).or_default();
+        step.batch = batch;
+        take(step, &line);
+    }
+    let mut report = StepReport::default();
+    for step in steps.into_values() {
+        // A batch that the logs only mention in passing is left out.
+        if step.accepted_at_ms.is_some() || step.openings > 0 {
+            report.add(step);
+        }
+    }
+    report.steps.sort_by_key(|step| step.accepted_at_ms);
+    report
+}
+
+fn take(step: &mut Step, line: &LogLine) {
+    let number = |name: &str| line.decision.get(name).and_then(Value::as_u64);
+    match line.event() {
+        "batch_accepted" => {
+            step.items = number("items").unwrap_or(step.items);
+            let earliest = step.accepted_at_ms.unwrap_or(u64::MAX);
+            step.accepted_at_ms = Some(earliest.min(line.time_ms));
+        }
+        "batch_opened" => {
+            step.items = number("items").unwrap_or(step.items);
+            step.openings += 1;
+        }
+        "step_whole" => {
+            let part = |name: &str| number(name).unwrap_or_default();
+            step.whole = Some(WholeStep {
+                age_ms: part("age_ms"),
+                parts: StepParts {
+                    before_opening_ms: part("opened_ms"),
+                    waiting_ms: part("waiting_ms"),
+                    running_ms: part("running_ms"),
+                    between_runs_ms: part("between_runs_ms"),
+                    scoring_ms: part("scoring_ms"),
+                    committing_ms: part("committing_ms"),
+                },
+                least_ms: part("least_ms"),
+                last_item: line.field("item").unwrap_or_default().to_owned(),
+                runs: part("runs"),
+            });
+        }
+        _ => {}
+    }
+}
+
+impl StepReport {
+    fn add(&mut self, step: Step) {
+        if let Some(whole) = &step.whole {
+            self.age_ms += whole.age_ms;
+            self.least_ms += whole.least_ms;
+            self.sums.add(&whole.parts);
+        }
+        self.steps.push(step);
+    }
+}
+
+impl StepParts {
+    fn add(&mut self, other: &Self) {
+        self.before_opening_ms += other.before_opening_ms;
+        self.waiting_ms += other.waiting_ms;
+        self.running_ms += other.running_ms;
+        self.between_runs_ms += other.between_runs_ms;
+        self.scoring_ms += other.scoring_ms;
+        self.committing_ms += other.committing_ms;
+    }
+
+    fn named(&self) -> [(&'static str, u64); 6] {
+        [
+            ("opening", self.before_opening_ms),
+            ("waiting", self.waiting_ms),
+            ("running", self.running_ms),
+            ("between", self.between_runs_ms),
+            ("scoring", self.scoring_ms),
+            ("commit", self.committing_ms),
+        ]
+    }
+}
+
+/// The report for people.
+fn as_text(report: &StepReport) -> String {
+    let mut text = String::new();
+    let first = report.steps.iter().find_map(|step| step.accepted_at_ms);
+    let first = first.unwrap_or_default();
+    // Writing to a string cannot fail.
+    let _ = writeln!(
+        text,
+        "{:<18} {:>8} {:>6} {:>6} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>5}",
+        "batch",
+        "at",
+        "items",
+        "opened",
+        "age",
+        "opening",
+        "waiting",
+        "running",
+        "between",
+        "scoring",
+        "commit",
+        "least",
+        "runs"
+    );
+    for step in &report.steps {
+        let at = step.accepted_at_ms.unwrap_or(first).saturating_sub(first);
+        let _ = write!(
+            text,
+            "{:<18} {at:>8} {:>6} {:>6} ",
+            step.batch, step.items, step.openings
+        );
+        let Some(whole) = &step.whole else {
+            let _ = writeln!(text, "not whole");
+            continue;
+        };
+        let _ = write!(text, "{:>7} ", whole.age_ms);
+        for (_, part) in whole.parts.named() {
+            let _ = write!(text, "{part:>7} ");
+        }
+        let _ = writeln!(text, "{:>7} {:>5}", whole.least_ms, whole.runs);
+    }
+    write_summary(&mut text, report);
+    text
+}
+
+fn write_summary(text: &mut String, report: &StepReport) {
+    let whole = report.steps.iter().filter(|step| step.whole.is_some());
+    let whole = whole.count() as u64;
+    let not_whole = report.steps.len() as u64 - whole;
+    let _ = writeln!(text, "{whole} steps whole, {not_whole} not");
+    if whole == 0 {
+        return;
+    }
+    let parts = report.sums.named();
+    let means = parts.map(|(name, sum)| format!("{name} {}", sum / whole));
+    let _ = writeln!(
+        text,
+        "mean age {} ms ({}), least {} ms",
+        report.age_ms / whole,
+        means.join(", "),
+        report.least_ms / whole
+    );
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -431,9 +431,9 @@
             | Event::ItemListed { .. }
             | Event::StepWhole { .. }
             | Event::RewardFailed { .. } => "batch",
-            Event::LeaseTaken { .. }
-            | Event::OwnerFoundGone { .. }
-            | Event::LeaseLost { .. } => "lease",
+            Event::LeaseTaken { .. } | Event::OwnerFoundGone { .. } | Event::LeaseLost { .. } => {
+                "lease"
+            }
             Event::OrderGiven { .. } | Event::VersionInForce { .. } => "weights",
         }
     }
--- a/crates/sloetrail-serving/src/relay/server.rs
+++ b/crates/sloetrail-serving/src/relay/server.rs
@@ -132,7 +132,9 @@
 }
 
 async fn read_body(request: Request<Incoming>) -> Result<Bytes, StatusCode> {
-    let body = Limited::new(request.into_body(), CALL_BYTES).collect().await;
+    let body = Limited::new(request.into_body(), CALL_BYTES)
+        .collect()
+        .await;
     let body = body.map_err(|_| StatusCode::BAD_REQUEST)?;
     Ok(body.to_bytes())
 }
