--- a/crates/sloetrail-serving/src/owner/owner_watch.rs
+++ b/crates/sloetrail-serving/src/owner/owner_watch.rs
@@ -3,7 +3,8 @@
 use crate::context::NodeContext;
 use crate::events::{self, Event};
 use crate::relay::liveness::{Liveness, Verdict};
-use crate::relay::peers::{Peers, Sign};
+use crate::relay::peers::Peers;
+use crate::relay::signs::Sign;
 use sloetrail_types::{Epoch, NodeId};
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -1,5 +1,6 @@
 //! The owner of a service, for one term: its loop, and the batches that it has open.
 
+mod batches;
 mod dispatch;
 mod relocation;
 mod results;
@@ -10,23 +11,18 @@
 use super::engines::EnginePool;
 use super::event::OwnerEvent;
 use super::item_story::ItemStory;
-use super::loading::{LoadedBatch, load};
 use super::order_window::OrderWindow;
 use super::publications::Publications;
 use super::run::RunProgress;
 use super::sweeper;
 use super::term::Term;
 use super::usage::PlaceUsage;
-use crate::batch_rows::decode_header;
 use crate::context::NodeContext;
-use crate::events::{self, Event};
 use crate::follow::{FollowPace, ViewReceiver, follow};
 use crate::rows;
-use sloetrail_batch::{
-    Batch, BatchHeader, BatchId, DeathCause, ItemId, ItemIndex, LengthModel, Transcript,
-};
+use sloetrail_batch::{Batch, BatchId, ItemId, ItemIndex, LengthModel, Transcript};
 use sloetrail_types::EngineId;
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -41,10 +37,6 @@
 const KEEP_PERIOD: Duration = Duration::from_millis(500);
 /// Texts are not kept while the table is slower than this: results go first.
 const KEEP_TABLE_TIME: Duration = Duration::from_millis(100);
-/// An item is given up only this much after its retention.
-const RETENTION_MARGIN_MS: u64 = 2_000;
-/// Items that ended batches left over and that may come again.
-const CARRIED_LIMIT: usize = 20_000;
 
 struct ActiveRun {
     engine: EngineId,
@@ -221,49 +213,6 @@
         model.map(|model| model.models.clone()).unwrap_or_default()
     }
 
-    /// Takes in the heads of batches and the marks of ended ones.
-    fn take_batches(&mut self, batches: &mut ViewReceiver, ends: &mut ViewReceiver) {
-        let batches = batches.borrow_and_update().clone();
-        let ends = ends.borrow_and_update().clone();
-        if batches.confirmed_at.is_none() || ends.confirmed_at.is_none() {
-            return;
-        }
-        let ended: Vec<BatchId> = self
-            .batches
-            .keys()
-            .filter(|id| ends.rows.contains_key(*id))
-            .cloned()
-            .collect();
-        for id in ended {
-            self.close(&id);
-        }
-        for (id, row) in &batches.rows {
-            if self.known.contains(id) {
-                continue;
-            }
-            let header = decode_header(&row.value);
-            let Some(header) = header.filter(|header| header.service == self.term.service) else {
-                continue;
-            };
-            self.known.insert(id.clone());
-            if !ends.rows.contains_key(id) {
-                self.begin_loading(id.clone(), header);
-            }
-        }
-    }
-
-    fn begin_loading(&self, id: BatchId, header: BatchHeader) {
-        let context = Arc::clone(&self.context);
-        let carried: BTreeSet<ItemId> = self.carried.keys().cloned().collect();
-        let ended = self.term.ended.clone();
-        let sender = self.sender.clone();
-        tokio::spawn(async move {
-            let loaded = load(&context, &id, &header, &carried, &ended).await;
-            // The owner may be gone; then nobody needs it.
-            let _ = sender.send(OwnerEvent::Loaded(id, Box::new(loaded)));
-        });
-    }
-
     fn take(&mut self, event: OwnerEvent) {
         match event {
             OwnerEvent::Loaded(id, loaded) => self.open(id, *loaded),
@@ -287,89 +236,6 @@
         }
     }
 
-    fn open(&mut self, id: BatchId, loaded: Option<LoadedBatch>) {
-        let Some(LoadedBatch { mut batch, listed }) = loaded else {
-            // Its parts may still be on their way; the next change looks again.
-            self.known.remove(&id);
-            return;
-        };
-        let now_ms = self.context.table.now_ms().unwrap_or_default();
-        let age_ms = now_ms.saturating_sub(batch.header.accepted_at_ms);
-        events::emit(&Event::BatchOpened {
-            batch: &id,
-            items: batch.items().len(),
-            listed,
-            epoch: self.term.epoch.0,
-            age_ms,
-        });
-        let is_scarce = self.usage.is_scarce(batch.model.as_deref());
-        batch.set_order(self.context.settings.policies.dispatch_order(is_scarce));
-        self.note_batch(&batch);
-        let kept = kept_in_table(&batch);
-        self.reuse_carried(&mut batch);
-        let opened = CommitRequest::Open {
-            batch: id.clone(),
-            next_position: listed,
-        };
-        // The committer ends only with the term.
-        let _ = self.commits.send(opened);
-        let open = OpenBatch {
-            batch,
-            runs: HashMap::new(),
-            kept,
-            cancel: CancellationToken::new(),
-            opened_at: Instant::now(),
-            opened_age: Duration::from_millis(age_ms),
-            stories: HashMap::new(),
-        };
-        self.batches.insert(id, open);
-    }
-
-    /// Goes on with texts that an ended batch left over, if their versions fit and
-    /// the table holds none for the item in this batch.
-    fn reuse_carried(&mut self, batch: &mut Batch) {
-        if !self.context.settings.policies.reuse_texts {
-            return;
-        }
-        let oldest = batch.oldest_version;
-        for index in batch.unfinished() {
-            let item = batch.item(index);
-            let Some(transcript) = self.carried.remove(&item.submitted.id) else {
-                continue;
-            };
-            let mixes = batch.header.single_version && transcript.versions().len() > 1;
-            let is_usable = transcript.is_fresh(oldest) && !mixes && item.transcript.is_empty();
-            if is_usable {
-                // The first piece that is kept holds the whole text, under offset zero.
-                let generation = item.generation + 1;
-                batch.restore(index, generation, transcript);
-            }
-        }
-    }
-
-    fn close(&mut self, id: &BatchId) {
-        let Some(mut open) = self.batches.remove(id) else {
-            return;
-        };
-        open.cancel.cancel();
-        for (index, run) in &open.runs {
-            open.batch.keep(*index, run.progress.transcript());
-        }
-        let unfinished = open.batch.unfinished();
-        events::emit(&Event::BatchEnded {
-            batch: id,
-            unfinished: unfinished.len(),
-        });
-        if self.carried.len() > CARRIED_LIMIT {
-            self.carried.clear();
-        }
-        for index in unfinished {
-            let item = open.batch.item(index);
-            let id = item.submitted.id.clone();
-            self.carried.insert(id, item.transcript.clone());
-        }
-    }
-
     fn on_tick(&mut self) {
         self.weights_due = true;
         let now = Instant::now();
@@ -412,41 +278,4 @@
             open.batch.set_order(policies.dispatch_order(is_scarce));
         }
     }
-
-    fn expire_items(&mut self) {
-        let Some(now_ms) = self.context.table.now_ms() else {
-            return;
-        };
-        let is_expired = |open: &OpenBatch| {
-            let header = &open.batch.header;
-            let kept_until = header.accepted_at_ms + header.retention_ms + RETENTION_MARGIN_MS;
-            header.accepted_at_ms > 0 && now_ms > kept_until
-        };
-        let expired: Vec<BatchId> = self
-            .batches
-            .iter()
-            .filter(|(_, open)| is_expired(open))
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in expired {
-            let Some(open) = self.batches.get_mut(&id) else {
-                continue;
-            };
-            open.cancel.cancel();
-            open.cancel = CancellationToken::new();
-            open.runs.clear();
-            for index in open.batch.unfinished() {
-                self.give_up(&id, index, DeathCause::Expired);
-            }
-        }
-    }
-}
-
-/// How many events of each unfinished item's text a batch was loaded with.
-fn kept_in_table(batch: &Batch) -> HashMap<ItemIndex, usize> {
-    let unfinished = batch.unfinished().into_iter();
-    unfinished
-        .map(|index| (index, batch.item(index).transcript.len()))
-        .filter(|(_, events)| *events > 0)
-        .collect()
 }
--- a/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
@@ -145,29 +145,6 @@
         });
     }
 
-    /// Gives up runs on slow engines while others have free places; they go on there
-    /// from the text that is kept.
-    pub(super) fn move_from_slow_engines(&mut self, now: Instant) {
-        for open in self.batches.values() {
-            let demand = Demand {
-                model: open.batch.model.as_deref(),
-                oldest_version: open.batch.oldest_version,
-            };
-            if open.batch.waiting() > 0 {
-                continue;
-            }
-            let mut places = self.engines.fast_places(demand, now);
-            for run in open.runs.values() {
-                let engine = self.engines.get(&run.engine);
-                let is_slow = engine.is_some_and(|engine| engine.is_slow());
-                if places > 0 && is_slow && !run.cancel.is_cancelled() {
-                    run.cancel.cancel();
-                    places -= 1;
-                }
-            }
-        }
-    }
-
     pub(super) fn tell_items(&self) {
         let open = self.batches.values();
         let waiting = open.map(|open| open.batch.waiting()).sum();
--- a/crates/sloetrail-serving/src/owner/service_owner/relocation.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/relocation.rs
@@ -1,4 +1,5 @@
-//! Moving long texts to faster engines.
+//! Moving items to other engines: off those that are much slower than the others, and
+//! long texts to faster ones.
 //!
 //! A step ends with its longest texts, and by then most places are free. A text that is
 //! being made on an engine slower than one with a free place is moved there if the time
@@ -41,6 +42,29 @@
 }
 
 impl ServiceOwner {
+    /// Gives up runs on slow engines while others have free places; they go on there
+    /// from the text that is kept.
+    pub(super) fn move_from_slow_engines(&mut self, now: Instant) {
+        for open in self.batches.values() {
+            let demand = Demand {
+                model: open.batch.model.as_deref(),
+                oldest_version: open.batch.oldest_version,
+            };
+            if open.batch.waiting() > 0 {
+                continue;
+            }
+            let mut places = self.engines.fast_places(demand, now);
+            for run in open.runs.values() {
+                let engine = self.engines.get(&run.engine);
+                let is_slow = engine.is_some_and(|engine| engine.is_slow());
+                if places > 0 && is_slow && !run.cancel.is_cancelled() {
+                    run.cancel.cancel();
+                    places -= 1;
+                }
+            }
+        }
+    }
+
     /// Closes the runs of long texts that would be done sooner on a faster engine with
     /// a free place.
     pub(super) fn move_long_texts(&mut self, now: Instant) {
--- a/crates/sloetrail-serving/src/relay/liveness.rs
+++ b/crates/sloetrail-serving/src/relay/liveness.rs
@@ -5,7 +5,7 @@
 //! watcher alone: so another node is asked too. Nothing here takes a lease away from a
 //! holder that lives: the table decides, and the holder's writes are fenced.
 
-use super::peers::Sign;
+use super::signs::Sign;
 
 /// Looks in a row that must show the holder gone.
 const GONE_LEAST: u32 = 2;
--- a/crates/sloetrail-serving/src/relay/mod.rs
+++ b/crates/sloetrail-serving/src/relay/mod.rs
@@ -23,6 +23,7 @@
 mod message;
 pub(crate) mod peers;
 mod server;
+pub(crate) mod signs;
 mod table;
 
 use self::peers::Peers;
--- a/crates/sloetrail-serving/src/relay/peers.rs
+++ b/crates/sloetrail-serving/src/relay/peers.rs
@@ -1,21 +1,20 @@
 //! Which other nodes there are, and which one carries calls for this one.
 
 use super::message::{
-    CALLS_PATH, CarriedCall, LIFE_PATH, MESSAGE_VERSION, PROBE_PATH, ProbeCall, TableAnswer,
-    TableCall, decode, encode,
+    CALLS_PATH, CarriedCall, MESSAGE_VERSION, TableAnswer, TableCall, decode, encode,
 };
 use crate::events::{self, Event};
 use crate::follow::{FollowPace, Pacing, ViewReceiver, follow};
 use crate::http::{ConnectionPool, Exchange, SendFailure, WholeBody};
 use crate::rows;
 use crate::settings::ServingSettings;
-use crate::table::{Row, Table, Transaction};
+use crate::table::{Table, Transaction};
 use bytes::Bytes;
 use http::header::HOST;
 use http::{HeaderValue, Method, Request};
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
-use sloetrail_types::{Epoch, NodeId, ZoneName, digest};
+use sloetrail_types::{NodeId, ZoneName};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -37,33 +36,6 @@
 const CALL_TIME: Duration = Duration::from_millis(600);
 const ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
-/// How long a node may take to say that it lives.
-const LOOK_TIME: Duration = Duration::from_millis(150);
-/// Nodes that watch over the holder of a lease.
-const WATCHERS: usize = 3;
-
-/// What a look at a node has shown.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum Sign {
-    /// It has answered.
-    Alive,
-    /// Nothing came.
-    Silent,
-    /// Its machine says that it is not there, or another life has taken its place.
-    Gone,
-}
-
-impl Sign {
-    /// A word for logs.
-    pub(crate) fn word(self) -> &'static str {
-        match self {
-            Sign::Alive => "alive",
-            Sign::Silent => "silent",
-            Sign::Gone => "gone",
-        }
-    }
-}
-
 /// What a node tells the others of itself, in a row of the table.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct PeerEntry {
@@ -88,9 +60,9 @@
 
 /// The other nodes.
 pub(crate) struct Peers {
-    own_name: String,
+    pub(super) own_name: String,
     own_zone: ZoneName,
-    entries: ViewReceiver,
+    pub(super) entries: ViewReceiver,
     connections: Arc<ConnectionPool>,
     state: Mutex<PeerState>,
 }
@@ -155,7 +127,7 @@
 
     /// The peers to ask: the one that helped last, then others, those of the own zone
     /// first and those that failed lately last.
-    fn in_order(&self) -> Vec<(String, PeerEntry)> {
+    pub(super) fn in_order(&self) -> Vec<(String, PeerEntry)> {
         let view = self.entries.borrow().clone();
         let others = view.rows.iter().filter(|(name, _)| **name != self.own_name);
         let mut peers: Vec<(String, PeerEntry)> = others
@@ -193,7 +165,7 @@
     }
 
     /// Sends a request to a peer and reads its answer.
-    async fn send(
+    pub(super) async fn send(
         &self,
         address: SocketAddr,
         (method, path, body): (Method, &'static str, Vec<u8>),
@@ -214,77 +186,13 @@
         }
     }
 
-    /// Whether a life of a node answers at an address.
-    pub(super) async fn look(&self, life: &NodeId, address: SocketAddr) -> Sign {
-        let deadline = Instant::now() + LOOK_TIME;
-        let request = (Method::GET, LIFE_PATH, Vec::new());
-        match self.send(address, request, deadline).await {
-            Ok(answer) if answer == life.as_str().as_bytes() => Sign::Alive,
-            // Another life of the node answers.
-            Ok(_) => Sign::Gone,
-            Err(SendFailure::OutOfTime) => Sign::Silent,
-            Err(_) if Instant::now() >= deadline => Sign::Silent,
-            Err(_) => Sign::Gone,
-        }
-    }
-
-    /// Whether a life of a node answers. A node that is not known counts as alive: its
-    /// lease still has to run out.
-    pub(crate) async fn sign_of(&self, life: &NodeId) -> Sign {
-        match self.address_of(life) {
-            Some(address) => self.look(life, address).await,
-            None => Sign::Alive,
-        }
-    }
-
-    /// Whether a life of a node answers another peer. Where none can say, it counts as
-    /// alive.
-    pub(crate) async fn sign_seen_by_another(&self, life: &NodeId) -> Sign {
-        let Some(address) = self.address_of(life) else {
-            return Sign::Alive;
-        };
-        let holder = node_name(life);
-        let others = self.in_order().into_iter();
-        let Some((_, other)) = others.filter(|(name, _)| name != holder).next_back() else {
-            return Sign::Alive;
-        };
-        let message = encode(&ProbeCall {
-            version: MESSAGE_VERSION,
-            token: other.token.clone(),
-            life: life.clone(),
-            address,
-        });
-        let deadline = Instant::now() + LOOK_TIME * 2;
-        let request = (Method::POST, PROBE_PATH, message);
-        let answer = self.send(other.address, request, deadline).await.ok();
-        let sign = answer.and_then(|answer| decode(&answer));
-        sign.unwrap_or(Sign::Alive)
-    }
-
-    fn address_of(&self, life: &NodeId) -> Option<SocketAddr> {
+    pub(super) fn address_of(&self, life: &NodeId) -> Option<SocketAddr> {
         let view = self.entries.borrow();
         let row = view.rows.get(node_name(life))?;
         let entry: PeerEntry = serde_json::from_slice(&row.value).ok()?;
         Some(entry.address)
     }
 
-    /// True if this node is among the few that watch over the holder of a lease. Which
-    /// ones they are changes with each term; small machines are not among them.
-    pub(crate) fn watches_over(&self, holder: &NodeId, epoch: Epoch) -> bool {
-        let view = self.entries.borrow();
-        let entry = |row: &Row| serde_json::from_slice::<PeerEntry>(&row.value).ok();
-        let candidates = view.rows.iter().filter(|(name, row)| {
-            let rank = entry(row).map(|entry| entry.candidate_rank);
-            name.as_str() != node_name(holder) && rank == Some(0)
-        });
-        let mut drawn: Vec<(u64, &String)> = candidates
-            .map(|(name, _)| (digest(format!("{}/{name}", epoch.0).as_bytes()), name))
-            .collect();
-        drawn.sort_unstable();
-        let mut watchers = drawn.iter().take(WATCHERS);
-        watchers.any(|(_, name)| **name == self.own_name)
-    }
-
     fn note_carried(&self, name: &str) {
         let mut state = self.state();
         state.failed_at.remove(name);
@@ -325,6 +233,6 @@
 }
 
 /// The name of the node that a life is of.
-fn node_name(life: &NodeId) -> &str {
+pub(super) fn node_name(life: &NodeId) -> &str {
     life.as_str().split('/').next().unwrap_or_default()
 }
