--- a/crates/sloetrail-serving/src/owner/engines.rs
+++ b/crates/sloetrail-serving/src/owner/engines.rs
@@ -13,6 +13,7 @@
 
 /// An engine with a free place.
 pub(super) struct FreeEngine {
+    /// The engine.
     pub(super) id: EngineId,
     /// Microseconds an event.
     pub(super) pace: u64,
--- a/crates/sloetrail-serving/src/relay/peers.rs
+++ b/crates/sloetrail-serving/src/relay/peers.rs
@@ -17,7 +17,7 @@
 use sloetrail_types::{NodeId, ZoneName};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -186,6 +186,7 @@
         }
     }
 
+    /// Where the node of a life listens for others, as its row says.
     pub(super) fn address_of(&self, life: &NodeId) -> Option<SocketAddr> {
         let view = self.entries.borrow();
         let row = view.rows.get(node_name(life))?;
@@ -227,7 +228,7 @@
         self.state().current.is_some()
     }
 
-    fn state(&self) -> std::sync::MutexGuard<'_, PeerState> {
+    fn state(&self) -> MutexGuard<'_, PeerState> {
         self.state.lock().expect("not poisoned")
     }
 }
