--- a/crates/sloetrail-serving/src/relay/peers.rs
+++ b/crates/sloetrail-serving/src/relay/peers.rs
@@ -69,12 +69,35 @@
 
 #[derive(Default)]
 struct PeerState {
-    /// The peer that carried the last call.
+    /// The peer that is asked first.
     current: Option<String>,
     failed_at: HashMap<String, Instant>,
     helpless_until: Option<Instant>,
 }
 
+impl PeerState {
+    /// A peer has carried a call; true if it is now the one that is asked first. It stays
+    /// that until it fails: calls that were under way come back from others too.
+    fn note_carried(&mut self, name: &str) -> bool {
+        self.failed_at.remove(name);
+        let has_begun = self.current.is_none();
+        if has_begun {
+            self.current = Some(name.to_owned());
+        }
+        has_begun
+    }
+
+    /// A peer could not carry a call; true if it was the one that is asked first.
+    fn note_failed(&mut self, name: &str, now: Instant) -> bool {
+        self.failed_at.insert(name.to_owned(), now);
+        let has_ended = self.current.as_deref() == Some(name);
+        if has_ended {
+            self.current = None;
+        }
+        has_ended
+    }
+}
+
 impl Peers {
     /// Follows the rows of the other nodes.
     pub(super) fn follow(settings: &ServingSettings, table: &Arc<dyn Table>) -> Self {
@@ -195,21 +218,15 @@
     }
 
     fn note_carried(&self, name: &str) {
-        let mut state = self.state();
-        state.failed_at.remove(name);
-        if state.current.as_deref() != Some(name) {
-            state.current = Some(name.to_owned());
-            drop(state);
+        let has_begun = self.state().note_carried(name);
+        if has_begun {
             events::emit(&Event::RelayBegan { peer: name });
         }
     }
 
     fn note_failed(&self, name: &str, cause: &str) {
-        let mut state = self.state();
-        state.failed_at.insert(name.to_owned(), Instant::now());
-        if state.current.as_deref() == Some(name) {
-            state.current = None;
-            drop(state);
+        let has_ended = self.state().note_failed(name, Instant::now());
+        if has_ended {
             events::emit(&Event::RelayEnded { peer: name, cause });
         }
     }
@@ -237,3 +254,6 @@
 pub(super) fn node_name(life: &NodeId) -> &str {
     life.as_str().split('/').next().unwrap_or_default()
 }
+
+#[cfg(test)]
+mod tests;
