Items in a file of their own: batch and groups no longer import each other

Cause: the groups of a batch need the type of an item, which stood in batch.rs, and batch.rs needs the groups. Change: Item and what it consists of moved to item.rs, without any change of what they do.

--- a/crates/sloetrail-batch/src/batch.rs
+++ b/crates/sloetrail-batch/src/batch.rs
@@ -1,6 +1,7 @@
 //! One open batch, as the owner of its service holds it.
 
 use crate::groups::{GroupProgress, wanted_items};
+use crate::item::{DeathCause, IMPOSSIBLE_ANSWERS_LIMIT, Item, ItemIndex, ItemState, RunFailure};
 use crate::{
     BatchHeader, BatchId, ItemId, ListedResult, ResultState, Submission, SubmittedItem, Transcript,
 };
@@ -8,68 +9,6 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-/// An item's place in its submission.
-pub type ItemIndex = usize;
-
-/// Refusals of the kind "never possible" after which an item is given up.
-const IMPOSSIBLE_ANSWERS_LIMIT: usize = 1;
-
-/// Where an item stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ItemState {
-    /// It waits for an engine.
-    Waiting,
-    /// It is at an engine.
-    Running,
-    /// Its text is whole and being scored.
-    Rewarding,
-    /// Its result is being committed.
-    Committing,
-    /// Its result is in the list.
-    Listed,
-}
-
-/// Why an item is given up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum DeathCause {
-    /// An engine said that it can never be done.
-    Impossible,
-    /// It failed as often as its route allows.
-    RunsFailed,
-    /// Its reward call failed as often as its route allows.
-    RewardFailed,
-    /// Its time of retention is over.
-    Expired,
-}
-
-/// How a run ended without a whole text.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RunFailure {
-    /// The engine answered that the run failed.
-    Failed,
-    /// The engine answered that the item can never be done.
-    Impossible,
-    /// The engine did not run it, or the answer broke off: try elsewhere.
-    Interrupted,
-}
-
-/// One item with what has become of it.
-#[derive(Clone, Debug)]
-pub struct Item {
-    /// What was submitted.
-    pub submitted: Arc<SubmittedItem>,
-    /// Where it stands.
-    pub state: ItemState,
-    /// The events kept so far.
-    pub transcript: Transcript,
-    /// How often the text has begun anew.
-    pub generation: u32,
-    /// The length that is expected, in the unit of the trainer's hint.
-    pub expected_length: u64,
-    failed_runs: usize,
-    impossible_answers: usize,
-}
-
 /// One open batch.
 #[derive(Clone, Debug)]
 pub struct Batch {
--- a/crates/sloetrail-batch/src/groups.rs
+++ b/crates/sloetrail-batch/src/groups.rs
@@ -1,6 +1,6 @@
 //! The groups of a batch: which of them are waited for, and which are whole.
 
-use crate::batch::{Item, ItemIndex};
+use crate::item::{Item, ItemIndex};
 use crate::submission::ItemId;
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/sloetrail-batch/src/lib.rs
+++ b/crates/sloetrail-batch/src/lib.rs
@@ -17,15 +17,17 @@
 mod checkpoint;
 mod groups;
 mod header;
+mod item;
 mod length_model;
 mod result;
 mod submission;
 mod transcript;
 
-pub use batch::{Batch, DeathCause, DispatchOrder, Item, ItemIndex, ItemState, RunFailure};
+pub use batch::{Batch, DispatchOrder};
 pub use checkpoint::{Checkpoint, join_checkpoints};
 pub use groups::GroupProgress;
 pub use header::{BatchHeader, BatchId, is_usable_id};
+pub use item::{DeathCause, Item, ItemIndex, ItemState, RunFailure};
 pub use length_model::LengthModel;
 pub use result::{ListedResult, ResultPage, ResultState, StoredResultError};
 pub use submission::{ItemId, RewardCall, Submission, SubmissionError, SubmittedItem};
