A back end that ran a series is not quoted with 'not run'

Cause, found by reading every place that refuses: a streaming request whose back ends answered 429 or 408 without saying that they had not run it got that answer passed on, which promises the caller that nothing ran. Live requests judged such answers as run and failed already; streams had a rule of their own. Change: both use the same judgement. The caller gets 502, which promises nothing. Ruled out: passing on only the answers that say 'not run': they are tried elsewhere before.

--- a/crates/sloetrail-serving-testkit/src/engine.rs
+++ b/crates/sloetrail-serving-testkit/src/engine.rs
@@ -35,6 +35,8 @@
     Fails,
     /// It runs a request and answers 504: its time is over.
     OutOfTime,
+    /// It runs a request and answers 429, without saying that it did not run it.
+    Overloaded,
     /// It says that the request can never be done.
     Impossible,
     /// It breaks each series of events off after so many.
@@ -370,6 +372,9 @@
             EngineFault::AnswerLost => return Err(io::Error::other("the answer is lost")),
             EngineFault::Silent => std::future::pending().await,
             EngineFault::OutOfTime => return Ok(self.signed(StatusCode::GATEWAY_TIMEOUT, &id)),
+            EngineFault::Overloaded => {
+                return Ok(self.signed(StatusCode::TOO_MANY_REQUESTS, &id));
+            }
             EngineFault::Fails => return Ok(self.signed(StatusCode::INTERNAL_SERVER_ERROR, &id)),
             EngineFault::Impossible => {
                 return Ok(self.signed(StatusCode::UNPROCESSABLE_ENTITY, &id));
--- a/crates/sloetrail-serving/src/gateway/attempt.rs
+++ b/crates/sloetrail-serving/src/gateway/attempt.rs
@@ -144,7 +144,8 @@
     (echoed != Some(&outgoing.request_id)).then_some(AttemptResult::Lost)
 }
 
-fn judge_answer(answer: WholeAnswer, names: &HeaderNames) -> AttemptResult {
+/// What a whole answer says: a failure, or something that the caller may have.
+pub(crate) fn judge_answer(answer: WholeAnswer, names: &HeaderNames) -> AttemptResult {
     let is_signed = answer.headers.contains_key(&names.signature);
     if answer.status.is_success() && !is_signed {
         return AttemptResult::Lost;
--- a/crates/sloetrail-serving/src/gateway/stream.rs
+++ b/crates/sloetrail-serving/src/gateway/stream.rs
@@ -5,7 +5,9 @@
 //! on; the answer keeps the head and the signature of its first back end. Otherwise
 //! the caller's connection is broken off, so that the answer does not look whole.
 
-use super::attempt::{AttemptResult, Outgoing, build_request, judge_failure, judge_head};
+use super::attempt::{
+    AttemptResult, Outgoing, build_request, judge_answer, judge_failure, judge_head,
+};
 use super::headers;
 use super::live::LiveCall;
 use crate::context::NodeContext;
@@ -182,14 +184,17 @@
                 })));
             }
             Ok(exchange) => {
-                let limit = self.call.context.answer_limit();
-                match exchange.whole(limit, self.call.deadline).await {
-                    Ok(answer) if !answer.status.is_server_error() => {
+                let context = &self.call.context;
+                let limit = context.answer_limit();
+                let whole = exchange.whole(limit, self.call.deadline).await;
+                let names = context.dialect.headers();
+                let judged = whole.map(|answer| judge_answer(answer, names));
+                match judged.unwrap_or_else(judge_failure) {
+                    AttemptResult::Answered(answer) => {
                         place.end(AttemptOutcome::Answered);
                         return Ok(Opening::Refused(answer));
                     }
-                    Ok(answer) => AttemptResult::RanAndFailed(answer),
-                    Err(failure) => judge_failure(failure),
+                    failure => failure,
                 }
             }
             Err(result) => result,
--- a/crates/sloetrail-serving/tests/streams.rs
+++ b/crates/sloetrail-serving/tests/streams.rs
@@ -87,3 +87,19 @@
         .sum();
     assert_eq!(runs, 1);
 }
+
+/// A 429 promises the caller that its request has not run: a back end's word for it is
+/// needed, and one that only says that it is overloaded has not given it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_back_end_that_ran_a_series_is_not_quoted_with_a_promise_that_it_did_not() {
+    let cluster = cluster().await;
+    for engine in &cluster.engines {
+        engine.set_fault(EngineFault::Overloaded, None);
+    }
+    let answer = events(&cluster, "/events/x", "events=3")
+        .await
+        .expect("an answer");
+    let runs = cluster.engines.iter().flat_map(|engine| engine.runs());
+    assert!(runs.count() > 0, "it ran");
+    assert_eq!(answer.status, 502, "{}", answer.text());
+}
