A batch that is sent in an outage of the table waits for its end

Change: it waits up to 0.45 of the caller's time, with its body only; the table is not asked for it meanwhile. Ruled out: trying on against a table that is known to be away (each try costs a call and makes the outcome unknown); refusing the oldest when many wait (it has least time left).

--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -177,6 +177,11 @@
         /// How long it took, in milliseconds.
         took_ms: u64,
     },
+    /// A batch that is submitted waits, since the table does not answer.
+    BatchWaits {
+        /// The batch.
+        batch: &'a str,
+    },
     /// A batch was not accepted.
     BatchRefused {
         /// The batch.
@@ -421,6 +426,7 @@
             | Event::RequestFailed { .. }
             | Event::AttemptFailed { .. } => "gateway",
             Event::BatchAccepted { .. }
+            | Event::BatchWaits { .. }
             | Event::BatchRefused { .. }
             | Event::BatchEnded { .. }
             | Event::BatchOpened { .. }
--- a/crates/sloetrail-serving/src/gateway/front.rs
+++ b/crates/sloetrail-serving/src/gateway/front.rs
@@ -5,8 +5,9 @@
 use super::headers;
 use super::live::{LiveCall, LiveOutcome};
 use super::message::{CallerResponse, problem_response, stream_body, whole_body, with_request_id};
+use super::read;
 use super::stream::{self, StreamOutcome};
-use super::{read, submit};
+use super::submit::{self, SubmissionCall, WaitingSubmissions};
 use crate::context::NodeContext;
 use crate::events::{self, Event};
 use crate::http::WholeAnswer;
@@ -38,15 +39,17 @@
     context: Arc<NodeContext>,
     choices: Mutex<HashMap<String, WeightedChoice>>,
     bodies: BodyBudget,
+    waiting: WaitingSubmissions,
     seed: f64,
 }
 
 impl Front {
     /// An entry; `seed` (between zero and one) differs from node to node.
     pub(crate) fn new(context: Arc<NodeContext>, seed: f64) -> Self {
-        let bodies = BodyBudget::new(context.settings.bounds.body_budget_bytes);
+        let body_budget_bytes = context.settings.bounds.body_budget_bytes;
         Self {
-            bodies,
+            bodies: BodyBudget::new(body_budget_bytes),
+            waiting: WaitingSubmissions::new(body_budget_bytes),
             context,
             choices: Mutex::default(),
             seed,
@@ -114,7 +117,9 @@
             }
         };
         if route.kind == RouteKind::Rollout {
-            return self.submission(&route, request_id, body).await;
+            return self
+                .submission(&route, request_id, body, received, deadline)
+                .await;
         }
         let Some(service) = self.choose_service(&route) else {
             let problem = Problem::new(ResultCode::NoEngine, "the route has no service");
@@ -218,12 +223,27 @@
         Some(part.service.clone())
     }
 
-    async fn submission(&self, route: &Route, id: &str, body: Bytes) -> CallerResponse {
+    async fn submission(
+        &self,
+        route: &Route,
+        id: &str,
+        body: Bytes,
+        received: Instant,
+        deadline: Instant,
+    ) -> CallerResponse {
         let Some(service) = submit::batch_service(&route.services) else {
             let problem = Problem::new(ResultCode::NoEngine, "the route has no service");
             return problem_response(&problem);
         };
-        submit::submit(&self.context, route, service, id, body).await
+        let call = SubmissionCall {
+            route,
+            service,
+            id,
+            body,
+            received,
+            deadline,
+        };
+        submit::submit(&self.context, &self.waiting, call).await
     }
 
     async fn live(&self, call: LiveCall, configuration: &ServingConfiguration) -> CallerResponse {
--- a/crates/sloetrail-serving/src/gateway/submit.rs
+++ b/crates/sloetrail-serving/src/gateway/submit.rs
@@ -5,7 +5,16 @@
 //! the head and is accepted again. An answer that promises that nothing runs is
 //! given only if the table says that nothing was written; if the table does not
 //! answer, the caller is told that the outcome is unknown and sends again.
+//!
+//! Outages of the table last seconds, as long as a caller's two or three tries. A
+//! submission that meets one therefore waits for its end, for a part of the caller's
+//! time ([`waiting`]), and is then refused with the time to come back.
+
+mod waiting;
 
+pub(crate) use self::waiting::WaitingSubmissions;
+
+use self::waiting::{Hindrance, wait_for_table};
 use super::message::{CallerResponse, empty_response, problem_response};
 use crate::batch_rows::{encode_header, read_header};
 use crate::context::NodeContext;
@@ -22,11 +31,19 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-const RETRY_AFTER_MS: u64 = 150;
-/// When to come back while the table does not answer: its outages last seconds.
-const OUTAGE_RETRY_AFTER_MS: u64 = 2_000;
-/// How long an acceptance is tried for, as a part of the time that the route allows.
-const COMMIT_SHARE: f64 = 0.15;
+/// When to come back after a call that the table refused or did not answer, or to a
+/// node that is cut off alone: another node can take it at once.
+const RETRY_AFTER: Duration = Duration::from_millis(150);
+/// When to come back after an outage was waited for in vain. Outages of 3 to 7 s are
+/// what the operators play; the retry waits as well, so it need not come late.
+const OUTAGE_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+/// The most of the caller's time left that a retry may be put off by. Callers do not
+/// heed more than a third of it.
+const RETRY_AFTER_SHARE: f64 = 0.25;
+/// How long an acceptance is tried for, as a part of the time until its answer is due:
+/// under half, so that the caller has as much left for one more try at another node.
+const ACCEPTANCE_SHARE: f64 = 0.45;
+/// Between two attempts at a transaction that failed.
 const COMMIT_PAUSE: Duration = Duration::from_millis(25);
 
 enum Acceptance {
@@ -34,16 +51,31 @@
     Repeated,
 }
 
+/// A batch as it was submitted.
+pub(crate) struct SubmissionCall<'a> {
+    /// The route that it came by.
+    pub(crate) route: &'a Route,
+    /// The service that runs it.
+    pub(crate) service: &'a ServiceName,
+    /// Its id.
+    pub(crate) id: &'a str,
+    /// Its body.
+    pub(crate) body: Bytes,
+    /// When it was received.
+    pub(crate) received: Instant,
+    /// When its answer is due.
+    pub(crate) deadline: Instant,
+}
+
 /// Answers a submission.
 pub(crate) async fn submit(
     context: &NodeContext,
-    route: &Route,
-    service: &ServiceName,
-    id: &str,
-    body: Bytes,
+    waiting: &WaitingSubmissions,
+    call: SubmissionCall<'_>,
 ) -> CallerResponse {
+    let (id, service) = (call.id, call.service);
     let began = Instant::now();
-    let outcome = accept(context, route, service, id, &body).await;
+    let outcome = accept(context, waiting, &call).await;
     match outcome {
         Ok((acceptance, items)) => {
             let word = match acceptance {
@@ -74,27 +106,26 @@
 
 async fn accept(
     context: &NodeContext,
-    route: &Route,
-    service: &ServiceName,
-    id: &str,
-    body: &Bytes,
+    waiting: &WaitingSubmissions,
+    call: &SubmissionCall<'_>,
 ) -> Result<(Acceptance, usize), Problem> {
+    let SubmissionCall {
+        route, id, body, ..
+    } = call;
     if !is_usable_id(id) {
         let detail = format!("the id {id:?} cannot name a batch");
         return Err(Problem::new(ResultCode::MalformedRequest, detail));
     }
-    if !context.table.is_answering() {
-        let detail = format!("the table does not answer: batch {id} was not sent to it");
-        let problem = Problem::new(ResultCode::TableUnavailable, detail);
-        return Err(problem.with_retry_after_ms(OUTAGE_RETRY_AFTER_MS));
-    }
     let submission = Submission::parse(body)
         .map_err(|error| Problem::new(ResultCode::MalformedRequest, error.to_string()))?;
+    let items = submission.items.len();
+    // A submission may wait for the table: only its body is held meanwhile.
+    drop(submission);
     let parts = cut(body, context.table.limits().row_bytes);
     let header = BatchHeader {
-        service: service.clone(),
+        service: call.service.clone(),
         host: route.host.clone(),
-        total: submission.items.len(),
+        total: items,
         body_rows: parts.len(),
         accepted_at_ms: context.table.now_ms().unwrap_or_default(),
         max_attempts: route.max_attempts,
@@ -103,8 +134,22 @@
         priority: route.priority,
     };
     let transactions = transactions(context, id, &parts, &header);
-    let acceptance = commit_all(context, route, id, &transactions).await?;
-    Ok((acceptance, submission.items.len()))
+    let commit = BatchCommit {
+        context,
+        waiting,
+        id,
+        body_bytes: body.len(),
+        give_up_at: give_up_at(call.received, call.deadline),
+        deadline: call.deadline,
+        outcome_unknown: false,
+    };
+    Ok((commit.run(&transactions).await?, items))
+}
+
+/// When an acceptance is given up.
+fn give_up_at(received: Instant, deadline: Instant) -> Instant {
+    let time = deadline.saturating_duration_since(received);
+    received + time.mul_f64(ACCEPTANCE_SHARE)
 }
 
 fn cut(body: &Bytes, row_bytes: usize) -> Vec<Bytes> {
@@ -145,45 +190,75 @@
     all
 }
 
-async fn commit_all(
-    context: &NodeContext,
-    route: &Route,
-    id: &str,
-    transactions: &[Transaction],
-) -> Result<Acceptance, Problem> {
-    let mut acceptance = Acceptance::New;
-    let mut earlier_outcome_unknown = false;
-    let give_up_at = Instant::now() + route.timeout.mul_f64(COMMIT_SHARE);
-    for transaction in transactions {
+/// The attempts at committing one batch.
+struct BatchCommit<'a> {
+    context: &'a NodeContext,
+    waiting: &'a WaitingSubmissions,
+    id: &'a str,
+    body_bytes: usize,
+    give_up_at: Instant,
+    deadline: Instant,
+    /// An attempt got no answer: it may still take effect.
+    outcome_unknown: bool,
+}
+
+impl BatchCommit<'_> {
+    async fn run(mut self, transactions: &[Transaction]) -> Result<Acceptance, Problem> {
+        let mut acceptance = Acceptance::New;
+        for transaction in transactions {
+            if let Commit::Conflict(_) = self.commit(transaction).await? {
+                acceptance = Acceptance::Repeated;
+            }
+        }
+        Ok(acceptance)
+    }
+
+    /// Tries until the table judges the transaction or the time is over. While the table
+    /// is known not to answer it is not asked.
+    async fn commit(&mut self, transaction: &Transaction) -> Result<Commit, Problem> {
         loop {
-            match context.table.commit(transaction).await {
-                Ok(Commit::Done(_)) => break,
-                Ok(Commit::Conflict(_)) => {
-                    acceptance = Acceptance::Repeated;
-                    break;
-                }
-                Err(error) => {
-                    earlier_outcome_unknown |= error == CommitError::Unknown;
-                    if Instant::now() > give_up_at {
-                        return Err(refusal(id, earlier_outcome_unknown));
-                    }
-                    tokio::time::sleep(COMMIT_PAUSE).await;
-                }
+            if let Err(hindrance) = self.wait_for_table().await {
+                return Err(self.refusal(hindrance));
+            }
+            match self.context.table.commit(transaction).await {
+                Ok(judged) => return Ok(judged),
+                Err(error) => self.outcome_unknown |= error == CommitError::Unknown,
+            }
+            if Instant::now() + COMMIT_PAUSE >= self.give_up_at {
+                return Err(self.refusal(Hindrance::NotTaken));
             }
+            tokio::time::sleep(COMMIT_PAUSE).await;
         }
     }
-    Ok(acceptance)
-}
 
-/// The answer to a batch that could not be committed. It promises that nothing runs
-/// only if no attempt may still take effect.
-fn refusal(id: &str, outcome_unknown: bool) -> Problem {
-    if outcome_unknown {
-        let detail = format!("the table did not confirm batch {id}");
-        return Problem::new(ResultCode::BatchUnconfirmed, detail);
+    async fn wait_for_table(&self) -> Result<(), Hindrance> {
+        if self.context.table.is_answering() {
+            return Ok(());
+        }
+        events::emit(&Event::BatchWaits { batch: self.id });
+        let table = &*self.context.table;
+        wait_for_table(table, self.waiting, self.body_bytes, self.give_up_at).await
+    }
+
+    /// The answer to a batch that could not be committed. It promises that nothing runs
+    /// only if no attempt may still take effect.
+    fn refusal(&self, hindrance: Hindrance) -> Problem {
+        let code = match self.outcome_unknown {
+            true => ResultCode::BatchUnconfirmed,
+            false => ResultCode::TableUnavailable,
+        };
+        let detail = format!("batch {}: {hindrance}", self.id);
+        let retry_after = match hindrance {
+            Hindrance::OutageLasts => self.retry_after_outage(),
+            Hindrance::Isolated | Hindrance::TooManyWait | Hindrance::NotTaken => RETRY_AFTER,
+        };
+        Problem::new(code, detail).with_retry_after_ms(retry_after.as_millis() as u64)
+    }
+
+    fn retry_after_outage(&self) -> Duration {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        OUTAGE_RETRY_AFTER.min(left.mul_f64(RETRY_AFTER_SHARE))
     }
-    let detail = format!("the table did not take batch {id}");
-    Problem::new(ResultCode::TableUnavailable, detail).with_retry_after_ms(RETRY_AFTER_MS)
 }
 
 /// Ends a batch: what is not listed need not be run any more.
@@ -212,7 +287,7 @@
 /// The refusal of a call that the table must settle first.
 pub(crate) fn table_unavailable() -> Problem {
     Problem::new(ResultCode::TableUnavailable, "the table does not answer")
-        .with_retry_after_ms(RETRY_AFTER_MS)
+        .with_retry_after_ms(RETRY_AFTER.as_millis() as u64)
 }
 
 /// The service that runs a batch: the first with a share, so that the same batch
--- a/crates/sloetrail-serving/src/relay/peers.rs
+++ b/crates/sloetrail-serving/src/relay/peers.rs
@@ -34,6 +34,9 @@
 const HELPLESS_PAUSE: Duration = Duration::from_millis(400);
 /// How long a peer may take over a call, beyond the time for which it is held.
 const CALL_TIME: Duration = Duration::from_millis(600);
+/// Calls in a row that peers left without any answer after which the node counts as cut
+/// off from all of them: a single peer may be frozen or gone.
+const SILENCES_LEAST: u32 = 2;
 const ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
 /// What a node tells the others of itself, in a row of the table.
@@ -73,6 +76,8 @@
     current: Option<String>,
     failed_at: HashMap<String, Instant>,
     helpless_until: Option<Instant>,
+    /// Calls in a row that peers left without any answer.
+    silences: u32,
 }
 
 impl PeerState {
@@ -87,6 +92,20 @@
         has_begun
     }
 
+    /// A peer did not answer a call at all.
+    fn note_silence(&mut self) {
+        self.silences = self.silences.saturating_add(1);
+    }
+
+    /// A peer gave an answer, whatever it says: others can be reached.
+    fn note_answered(&mut self) {
+        self.silences = 0;
+    }
+
+    fn are_silent(&self) -> bool {
+        self.silences >= SILENCES_LEAST
+    }
+
     /// A peer could not carry a call; true if it was the one that is asked first.
     fn note_failed(&mut self, name: &str, now: Instant) -> bool {
         self.failed_at.insert(name.to_owned(), now);
@@ -121,7 +140,11 @@
             return None;
         }
         for (name, entry) in self.in_order() {
-            let (answer, cause) = match self.ask(&entry, &call).await {
+            let asked = self.ask(&entry, &call).await;
+            if asked.is_err() {
+                self.state().note_silence();
+            }
+            let (answer, cause) = match asked {
                 Ok(answer) => (answer, "the table does not answer it either"),
                 Err(SendFailure::NotSent) => (call.not_made(), "it cannot be reached"),
                 Err(_) => (call.without_answer(), "it did not answer"),
@@ -203,6 +226,7 @@
         let pool = &self.connections;
         let exchange = Exchange::send(pool, address, request, true, deadline).await?;
         let answer = exchange.whole(ANSWER_BYTES, deadline).await?;
+        self.state().note_answered();
         match answer.status.is_success() {
             true => Ok(answer.body),
             false => Err(SendFailure::NotSent),
@@ -240,6 +264,11 @@
         until.is_some_and(|until| Instant::now() < until)
     }
 
+    /// True if the peers that were asked last did not answer at all.
+    pub(super) fn are_silent(&self) -> bool {
+        self.state().are_silent()
+    }
+
     /// True while a peer carries this node's calls.
     pub(super) fn is_helping(&self) -> bool {
         self.state().current.is_some()
--- a/crates/sloetrail-serving/src/relay/peers/tests.rs
+++ b/crates/sloetrail-serving/src/relay/peers/tests.rs
@@ -11,3 +11,15 @@
     assert!(state.note_failed("a", Instant::now()));
     assert!(state.note_carried("b"));
 }
+
+#[test]
+fn a_node_that_two_peers_leave_without_an_answer_is_cut_off_until_one_answers() {
+    let mut state = PeerState::default();
+    assert!(!state.are_silent(), "nobody has been asked");
+    state.note_silence();
+    assert!(!state.are_silent(), "one peer may be frozen or gone");
+    state.note_silence();
+    assert!(state.are_silent());
+    state.note_answered();
+    assert!(!state.are_silent());
+}
--- a/crates/sloetrail-serving/src/relay/table.rs
+++ b/crates/sloetrail-serving/src/relay/table.rs
@@ -50,6 +50,10 @@
         self.direct.is_answering() || self.peers.is_helping()
     }
 
+    fn is_isolated(&self) -> bool {
+        !self.direct.is_answering() && self.peers.are_silent()
+    }
+
     async fn absence(&self) {
         self.direct.absence().await;
     }
--- a/crates/sloetrail-serving/src/table.rs
+++ b/crates/sloetrail-serving/src/table.rs
@@ -236,6 +236,12 @@
         true
     }
 
+    /// True if the table does not answer this node and no other node can be reached that
+    /// might know more: it may well answer others.
+    fn is_isolated(&self) -> bool {
+        false
+    }
+
     /// Completes once the table is found not to answer. A table that cannot tell never
     /// completes.
     async fn absence(&self) {
--- a/crates/sloetrail-serving/tests/relay.rs
+++ b/crates/sloetrail-serving/tests/relay.rs
@@ -12,7 +12,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use support::native_cluster;
 
 /// As on an ordinary deployment: an absence of the table is known after 0.4 s.
@@ -142,6 +142,26 @@
     assert_each_once(&cluster.wait_results(1, "b1", 3).await, 3);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_is_cut_off_alone_sends_batches_elsewhere_at_once() {
+    let mut cluster = cluster_of_peers().await;
+    cluster.nodes[1].kill();
+    cluster.nodes[2].kill();
+    cluster.nodes[0].link.set_cut(true);
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let began = Instant::now();
+    let refused = cluster
+        .submit(0, "b1", &batch(&items(3, 5), MODEL, 1))
+        .await
+        .expect("an answer");
+    assert_eq!(refused.status, 503, "{}", refused.text());
+    assert!(
+        began.elapsed() < Duration::from_millis(500),
+        "another node could take it, so its caller is not kept waiting"
+    );
+    assert!(refused.headers.contains_key("retry-after"));
+}
+
 #[derive(Serialize)]
 struct ForeignCall {
     version: u8,
