Every part of a node goes on as soon as the table is back

Cause: followers and the committer of results waited out pauses of up to 640 ms of their own after an outage, although the client of the table finds its return within 250 ms. Change: the pause after a failure is one type, RetryPause, for both, and ends with the absence. Followers of several tables ask within the quarter of a second over which nodes find the return: about 1,500 reads at 295 nodes, of 16,000 a second. Ruled out: shorter pauses, which cost calls in every outage; asking on no pause at all. The two kinds of reads that a peer may carry share one function now.

--- a/crates/sloetrail-serving/src/follow.rs
+++ b/crates/sloetrail-serving/src/follow.rs
@@ -5,6 +5,7 @@
 pub use pace::{FleetSize, FollowPace, FollowPaces, OwnedService, Pacing};
 
 use crate::events::{self, Event};
+use crate::retry_pause::RetryPause;
 use crate::table::{Change, Changes, KeyRange, ReadError, Row, Table, scan_all};
 use sloetrail_types::RowVersion;
 use std::collections::BTreeMap;
@@ -13,8 +14,6 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-const RETRY_FIRST: Duration = Duration::from_millis(40);
-const RETRY_LIMIT: Duration = Duration::from_millis(640);
 /// An answer is late that comes this much after the time for which it may be held.
 const LATE_ANSWER: Duration = Duration::from_millis(400);
 
@@ -86,7 +85,7 @@
 impl Follower {
     async fn run(mut self) {
         let mut must_read_all = true;
-        let mut retry = RETRY_FIRST;
+        let mut retry = RetryPause::new();
         while !self.sender.is_closed() {
             let step = match must_read_all {
                 true => self.read_all().await,
@@ -95,15 +94,14 @@
             match step {
                 Ok(()) => {
                     must_read_all = false;
-                    retry = RETRY_FIRST;
+                    retry.reset();
                     self.note_answer();
                     self.pause().await;
                 }
                 Err(ReadError::HistoryLost) => must_read_all = true,
                 Err(ReadError::Unavailable) => {
                     self.note_interruption();
-                    tokio::time::sleep(retry).await;
-                    retry = (retry * 2).min(RETRY_LIMIT);
+                    retry.wait(&*self.table).await;
                 }
             }
         }
@@ -185,3 +183,6 @@
     }
     view.version = view.version.max(changes.version);
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sloetrail-serving/src/lib.rs
+++ b/crates/sloetrail-serving/src/lib.rs
@@ -31,6 +31,7 @@
 mod pause_guard;
 pub mod policies;
 mod relay;
+mod retry_pause;
 mod rows;
 mod service_pools;
 pub mod settings;
--- a/crates/sloetrail-serving/src/owner/committer.rs
+++ b/crates/sloetrail-serving/src/owner/committer.rs
@@ -8,6 +8,7 @@
 use super::event::{Committed, OwnerEvent};
 use super::term::Term;
 use crate::context::NodeContext;
+use crate::retry_pause::RetryPause;
 use crate::rows;
 use crate::table::{Commit, CommitError, RowAddress, TableLimits, Transaction};
 use bytes::Bytes;
@@ -18,9 +19,6 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-const RETRY_FIRST: Duration = Duration::from_millis(30);
-const RETRY_LIMIT: Duration = Duration::from_millis(500);
-
 /// What is to be committed.
 pub(super) enum CommitRequest {
     /// A batch has been loaded; its next free position.
@@ -190,7 +188,7 @@
 /// Sends a transaction until it is done; false if the fence refuses it or the term
 /// is over.
 async fn commit(context: &NodeContext, term: &Term, transaction: &Transaction) -> bool {
-    let mut retry = RETRY_FIRST;
+    let mut retry = RetryPause::new();
     loop {
         let commit = tokio::select! {
             commit = context.table.commit(transaction) => commit,
@@ -201,7 +199,6 @@
             Ok(Commit::Conflict(_)) => return false,
             Err(CommitError::NotDone | CommitError::Unknown) => {}
         }
-        tokio::time::sleep(retry).await;
-        retry = (retry * 2).min(RETRY_LIMIT);
+        retry.wait(&*context.table).await;
     }
 }
--- a/crates/sloetrail-serving/src/relay/table.rs
+++ b/crates/sloetrail-serving/src/relay/table.rs
@@ -30,6 +30,26 @@
         }
         self.peers.carry(call()).await
     }
+
+    /// A read by a peer, if the direct way is known not to work; otherwise directly, and
+    /// by a peer if the direct way turns out not to work meanwhile.
+    async fn read<Answer>(
+        &self,
+        call: impl Fn() -> TableCall + Send,
+        direct: impl Future<Output = Result<Answer, ReadError>> + Send,
+        answer_of: impl Fn(TableAnswer) -> Option<Result<Answer, ReadError>> + Send,
+    ) -> Result<Answer, ReadError> {
+        if let Some(answer) = self.carried(&call).await.and_then(&answer_of) {
+            return answer;
+        }
+        tokio::select! {
+            answer = direct => answer,
+            () = self.direct.absence() => {
+                let carried = self.peers.carry(call()).await;
+                carried.and_then(&answer_of).unwrap_or(Err(ReadError::Unavailable))
+            }
+        }
+    }
 }
 
 #[async_trait]
@@ -58,6 +78,10 @@
         self.direct.absence().await;
     }
 
+    async fn returned(&self) {
+        self.direct.returned().await;
+    }
+
     async fn commit(&self, transaction: &Transaction) -> Result<Commit, CommitError> {
         let call = || TableCall::Commit(transaction.clone());
         match self.carried(call).await {
@@ -68,16 +92,11 @@
 
     async fn scan(&self, range: &KeyRange) -> Result<Page, ReadError> {
         let call = || TableCall::Scan(range.clone());
-        if let Some(TableAnswer::Scan(answer)) = self.carried(call).await {
-            return answer;
-        }
-        tokio::select! {
-            answer = self.direct.scan(range) => answer,
-            () = self.direct.absence() => match self.peers.carry(call()).await {
-                Some(TableAnswer::Scan(answer)) => answer,
-                _ => Err(ReadError::Unavailable),
-            },
-        }
+        self.read(call, self.direct.scan(range), |answer| match answer {
+            TableAnswer::Scan(answer) => Some(answer),
+            _ => None,
+        })
+        .await
     }
 
     async fn changes(
@@ -91,15 +110,11 @@
             since,
             wait_ms: wait.as_millis() as u64,
         };
-        if let Some(TableAnswer::Changes(answer)) = self.carried(call).await {
-            return answer;
-        }
-        tokio::select! {
-            answer = self.direct.changes(table, since, wait) => answer,
-            () = self.direct.absence() => match self.peers.carry(call()).await {
-                Some(TableAnswer::Changes(answer)) => answer,
-                _ => Err(ReadError::Unavailable),
-            },
-        }
+        let direct = self.direct.changes(table, since, wait);
+        self.read(call, direct, |answer| match answer {
+            TableAnswer::Changes(answer) => Some(answer),
+            _ => None,
+        })
+        .await
     }
 }
--- /dev/null
+++ b/crates/sloetrail-serving/src/retry_pause.rs
@@ -0,0 +1,37 @@
+//! The pause before a call to the table is made again.
+
+use crate::table::Table;
+use std::time::Duration;
+
+/// Ten ordinary answers of the table.
+const FIRST: Duration = Duration::from_millis(40);
+/// The table's rates are shared by all nodes: in an outage a part of a node that waits
+/// makes under two calls a second.
+const LONGEST: Duration = Duration::from_millis(640);
+
+/// A pause that doubles from failure to failure, and ends early once the table is known
+/// to answer again after an absence.
+#[derive(Debug)]
+pub(crate) struct RetryPause {
+    next: Duration,
+}
+
+impl RetryPause {
+    /// Nothing has failed yet.
+    pub(crate) fn new() -> Self {
+        Self { next: FIRST }
+    }
+
+    /// A call was answered.
+    pub(crate) fn reset(&mut self) {
+        self.next = FIRST;
+    }
+
+    /// Waits after a failure.
+    pub(crate) async fn wait(&mut self, table: &dyn Table) {
+        tokio::select! {
+            () = tokio::time::sleep(self.next) => self.next = (self.next * 2).min(LONGEST),
+            () = table.returned() => self.reset(),
+        }
+    }
+}
--- a/crates/sloetrail-serving/src/table.rs
+++ b/crates/sloetrail-serving/src/table.rs
@@ -248,6 +248,12 @@
         std::future::pending().await
     }
 
+    /// Completes once the table answers again after an absence. A table that cannot tell
+    /// never completes.
+    async fn returned(&self) {
+        std::future::pending().await
+    }
+
     /// Carries out a transaction.
     async fn commit(&self, transaction: &Transaction) -> Result<Commit, CommitError>;
 
--- a/crates/sloetrail-serving/src/table_client.rs
+++ b/crates/sloetrail-serving/src/table_client.rs
@@ -133,13 +133,6 @@
             tokio::time::sleep(period).await;
         }
     }
-
-    /// Completes once the table has come back after an absence.
-    async fn returned(&self) {
-        let mut returns = self.returns.subscribe();
-        // The sender lives as long as this client.
-        let _ = returns.changed().await;
-    }
 }
 
 fn patience_of(of: &Mutex<Patience>) -> Duration {
@@ -191,6 +184,12 @@
         let _ = absences.changed().await;
     }
 
+    async fn returned(&self) {
+        let mut returns = self.returns.subscribe();
+        // The sender lives as long as this client.
+        let _ = returns.changed().await;
+    }
+
     async fn commit(&self, transaction: &Transaction) -> Result<Commit, CommitError> {
         let began = Instant::now();
         let patience = patience_of(&self.writes);
