--- a/crates/sloetrail-serving/src/owner/owner_watch.rs
+++ b/crates/sloetrail-serving/src/owner/owner_watch.rs
@@ -4,20 +4,20 @@
 use crate::events::{self, Event};
 use crate::relay::liveness::{Liveness, Verdict};
 use crate::relay::peers::Peers;
-use crate::relay::signs::Sign;
+use crate::relay::probe::ProbeOutcome;
 use sloetrail_types::{Epoch, NodeId};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
-/// The time between two looks.
+/// The time between two probes.
 const PERIOD: Duration = Duration::from_millis(100);
 /// How often a node that does not watch sees whether it should: the other nodes may
 /// not have been known before.
 const CHOOSING_PERIOD: Duration = Duration::from_secs(2);
-/// A look that took longer was slept through, and says nothing of the holder.
-const LOOK_MOST: Duration = Duration::from_millis(600);
+/// A probe that took longer was slept through, and says nothing of the holder.
+const PROBE_TIME_MOST: Duration = Duration::from_millis(600);
 
 /// The holder of a lease, for one term.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -77,24 +77,24 @@
     should.then(|| tokio::spawn(watch(Arc::clone(peers), term.holder.clone())))
 }
 
-/// Looks at the holder until it is found gone.
+/// Probes the holder until it is found gone.
 async fn watch(peers: Arc<Peers>, holder: NodeId) {
     let mut liveness = Liveness::default();
     let mut alive_at = Instant::now();
     loop {
         tokio::time::sleep(PERIOD).await;
         let began = Instant::now();
-        let seen = peers.sign_of(&holder).await;
-        let sign = match began.elapsed() > LOOK_MOST {
-            true => Sign::Alive,
+        let seen = peers.probe_life(&holder).await;
+        let outcome = match began.elapsed() > PROBE_TIME_MOST {
+            true => ProbeOutcome::Alive,
             false => seen,
         };
-        if sign == Sign::Alive {
+        if outcome == ProbeOutcome::Alive {
             alive_at = Instant::now();
         }
-        let verdict = match liveness.note(sign) {
+        let verdict = match liveness.note(outcome) {
             Verdict::AskAnother => {
-                let seen = peers.sign_seen_by_another(&holder).await;
+                let seen = peers.probe_through_another(&holder).await;
                 liveness.note_other(seen)
             }
             verdict => verdict,
@@ -102,7 +102,7 @@
         if verdict == Verdict::Compete {
             events::emit(&Event::OwnerFoundGone {
                 holder: holder.as_str(),
-                seen: sign.word(),
+                seen: outcome.word(),
                 silent_ms: alive_at.elapsed().as_millis() as u64,
             });
             return;
--- a/crates/sloetrail-serving/src/owner/usage.rs
+++ b/crates/sloetrail-serving/src/owner/usage.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
-/// Weight of one look in the average; looks come ten times a second.
+/// Weight of one observation in the average; they come ten times a second.
 const SMOOTHING: f64 = 0.012;
-/// What is left of a peak after one look.
+/// What is left of a peak after one observation.
 const PEAK_KEPT: f64 = 0.99;
 /// Places that should be ready for use, for each one used at the peak.
 const READY_FOR_PEAK: f64 = 2.0;
@@ -17,15 +17,15 @@
 /// as long as its longest text, above it as long as its work.
 const SCARCE_FROM: f64 = 0.75;
 /// Looks since the first item before that is judged.
-const LOOKS_LEAST: u32 = 30;
-/// Weight of one look in that average, once there were many.
+const OBSERVATIONS_LEAST: u32 = 30;
+/// Weight of one observation in that average, once there were many.
 const SCARCITY_SMOOTHING: f64 = 0.02;
 
 #[derive(Clone, Copy, Debug)]
 struct Usage {
     average: f64,
     /// Looks since the first item.
-    looks: u32,
+    observations: u32,
     /// The average since then, which does not begin from the quiet before.
     since_first: f64,
     peak: f64,
@@ -44,16 +44,16 @@
         let share = (items as f64 / places.max(1) as f64).min(1.0);
         let first = Usage {
             average: share,
-            looks: 0,
+            observations: 0,
             since_first: 0.0,
             peak: share,
         };
         let usage = self.models.entry(model.to_owned()).or_insert(first);
         usage.average += (share - usage.average) * SMOOTHING;
         usage.peak = share.max(usage.peak * PEAK_KEPT);
-        if items > 0 || usage.looks > 0 {
-            usage.looks = usage.looks.saturating_add(1);
-            let weight = SCARCITY_SMOOTHING.max(1.0 / f64::from(usage.looks));
+        if items > 0 || usage.observations > 0 {
+            usage.observations = usage.observations.saturating_add(1);
+            let weight = SCARCITY_SMOOTHING.max(1.0 / f64::from(usage.observations));
             usage.since_first += (share - usage.since_first) * weight;
         }
     }
@@ -61,7 +61,9 @@
     /// True if a model's places are nearly always in use.
     pub(super) fn is_scarce(&self, model: Option<&str>) -> bool {
         let usage = model.and_then(|model| self.models.get(model));
-        usage.is_some_and(|usage| usage.looks >= LOOKS_LEAST && usage.since_first > SCARCE_FROM)
+        usage.is_some_and(|usage| {
+            usage.observations >= OBSERVATIONS_LEAST && usage.since_first > SCARCE_FROM
+        })
     }
 
     /// The share of a model's engines that should be ready for use.
--- a/crates/sloetrail-serving/src/owner/usage/tests.rs
+++ b/crates/sloetrail-serving/src/owner/usage/tests.rs
@@ -28,8 +28,8 @@
 fn bursts_with_rest_between_them_leave_places_enough() {
     let mut usage = PlaceUsage::default();
     for _ in 0..10 {
-        for look in 0..40 {
-            let items = match look {
+        for observation in 0..40 {
+            let items = match observation {
                 0..18 => 2 * PLACES,
                 _ => PLACES / 5,
             };
--- a/crates/sloetrail-serving/src/relay/liveness.rs
+++ b/crates/sloetrail-serving/src/relay/liveness.rs
@@ -5,17 +5,17 @@
 //! watcher alone: so another node is asked too. Nothing here takes a lease away from a
 //! holder that lives: the table decides, and the holder's writes are fenced.
 
-use super::signs::Sign;
+use super::probe::ProbeOutcome;
 
-/// Looks in a row that must show the holder gone.
+/// Probes in a row that must show the holder gone.
 const GONE_LEAST: u32 = 2;
-/// Looks in a row that must have found silence before another node is asked.
+/// Probes in a row that must have found silence before another node is asked.
 const SILENT_LEAST: u32 = 2;
 
-/// What to do after a look.
+/// What to do after a probe.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Verdict {
-    /// Look again later.
+    /// Probe again later.
     Wait,
     /// Ask another node what it sees.
     AskAnother,
@@ -23,7 +23,7 @@
     Compete,
 }
 
-/// What the last looks have shown.
+/// What the last probes have shown.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Liveness {
     gone: u32,
@@ -31,12 +31,12 @@
 }
 
 impl Liveness {
-    /// Takes in a look of this node.
-    pub(crate) fn note(&mut self, sign: Sign) -> Verdict {
-        match sign {
-            Sign::Alive => *self = Self::default(),
-            Sign::Gone => self.gone += 1,
-            Sign::Silent => self.silent += 1,
+    /// Takes in a probe by this node.
+    pub(crate) fn note(&mut self, outcome: ProbeOutcome) -> Verdict {
+        match outcome {
+            ProbeOutcome::Alive => *self = Self::default(),
+            ProbeOutcome::Gone => self.gone += 1,
+            ProbeOutcome::Silent => self.silent += 1,
         }
         match self {
             Self { gone, .. } if *gone >= GONE_LEAST => Verdict::Compete,
@@ -46,13 +46,13 @@
     }
 
     /// Takes in what another node has seen after this one found silence.
-    pub(crate) fn note_other(&mut self, sign: Sign) -> Verdict {
-        match sign {
-            Sign::Alive => {
+    pub(crate) fn note_other(&mut self, outcome: ProbeOutcome) -> Verdict {
+        match outcome {
+            ProbeOutcome::Alive => {
                 *self = Self::default();
                 Verdict::Wait
             }
-            Sign::Silent | Sign::Gone => Verdict::Compete,
+            ProbeOutcome::Silent | ProbeOutcome::Gone => Verdict::Compete,
         }
     }
 }
--- a/crates/sloetrail-serving/src/relay/mod.rs
+++ b/crates/sloetrail-serving/src/relay/mod.rs
@@ -22,8 +22,8 @@
 pub(crate) mod liveness;
 mod message;
 pub(crate) mod peers;
+pub(crate) mod probe;
 mod server;
-pub(crate) mod signs;
 mod table;
 
 use self::peers::Peers;
--- a/crates/sloetrail-serving/src/relay/probe.rs
+++ b/crates/sloetrail-serving/src/relay/probe.rs
@@ -1,4 +1,4 @@
-//! Looking at another node: whether a life of it answers, from here or from elsewhere.
+//! Probes of another node: whether a life of it answers, from here or from elsewhere.
 
 use super::message::{LIFE_PATH, MESSAGE_VERSION, PROBE_PATH, ProbeCall, decode, encode};
 use super::peers::{PeerEntry, Peers, node_name};
@@ -12,13 +12,13 @@
 use tokio::time::Instant;
 
 /// How long a node may take to say that it lives.
-const LOOK_TIME: Duration = Duration::from_millis(150);
+const PROBE_TIME: Duration = Duration::from_millis(150);
 /// Nodes that watch over the holder of a lease.
 const WATCHERS: usize = 3;
 
-/// What a look at a node has shown.
+/// What a probe of a node has shown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum Sign {
+pub(crate) enum ProbeOutcome {
     /// It has answered.
     Alive,
     /// Nothing came.
@@ -27,51 +27,51 @@
     Gone,
 }
 
-impl Sign {
+impl ProbeOutcome {
     /// A word for logs.
     pub(crate) fn word(self) -> &'static str {
         match self {
-            Sign::Alive => "alive",
-            Sign::Silent => "silent",
-            Sign::Gone => "gone",
+            ProbeOutcome::Alive => "alive",
+            ProbeOutcome::Silent => "silent",
+            ProbeOutcome::Gone => "gone",
         }
     }
 }
 
 impl Peers {
     /// Whether a life of a node answers at an address.
-    pub(super) async fn look(&self, life: &NodeId, address: SocketAddr) -> Sign {
-        let deadline = Instant::now() + LOOK_TIME;
+    pub(super) async fn probe(&self, life: &NodeId, address: SocketAddr) -> ProbeOutcome {
+        let deadline = Instant::now() + PROBE_TIME;
         let request = (Method::GET, LIFE_PATH, Vec::new());
         match self.send(address, request, deadline).await {
-            Ok(answer) if answer == life.as_str().as_bytes() => Sign::Alive,
+            Ok(answer) if answer == life.as_str().as_bytes() => ProbeOutcome::Alive,
             // Another life of the node answers.
-            Ok(_) => Sign::Gone,
-            Err(SendFailure::OutOfTime) => Sign::Silent,
-            Err(_) if Instant::now() >= deadline => Sign::Silent,
-            Err(_) => Sign::Gone,
+            Ok(_) => ProbeOutcome::Gone,
+            Err(SendFailure::OutOfTime) => ProbeOutcome::Silent,
+            Err(_) if Instant::now() >= deadline => ProbeOutcome::Silent,
+            Err(_) => ProbeOutcome::Gone,
         }
     }
 
     /// Whether a life of a node answers. A node that is not known counts as alive: its
     /// lease still has to run out.
-    pub(crate) async fn sign_of(&self, life: &NodeId) -> Sign {
+    pub(crate) async fn probe_life(&self, life: &NodeId) -> ProbeOutcome {
         match self.address_of(life) {
-            Some(address) => self.look(life, address).await,
-            None => Sign::Alive,
+            Some(address) => self.probe(life, address).await,
+            None => ProbeOutcome::Alive,
         }
     }
 
     /// Whether a life of a node answers another peer. Where none can say, it counts as
     /// alive.
-    pub(crate) async fn sign_seen_by_another(&self, life: &NodeId) -> Sign {
+    pub(crate) async fn probe_through_another(&self, life: &NodeId) -> ProbeOutcome {
         let Some(address) = self.address_of(life) else {
-            return Sign::Alive;
+            return ProbeOutcome::Alive;
         };
         let holder = node_name(life);
         let mut others = self.in_order().into_iter();
         let Some((_, other)) = others.rfind(|(name, _)| name != holder) else {
-            return Sign::Alive;
+            return ProbeOutcome::Alive;
         };
         let message = encode(&ProbeCall {
             version: MESSAGE_VERSION,
@@ -79,11 +79,11 @@
             life: life.clone(),
             address,
         });
-        let deadline = Instant::now() + LOOK_TIME * 2;
+        let deadline = Instant::now() + PROBE_TIME * 2;
         let request = (Method::POST, PROBE_PATH, message);
         let answer = self.send(other.address, request, deadline).await.ok();
-        let sign = answer.and_then(|answer| decode(&answer));
-        sign.unwrap_or(Sign::Alive)
+        let seen = answer.and_then(|answer| decode(&answer));
+        seen.unwrap_or(ProbeOutcome::Alive)
     }
 
     /// True if this node is among the few that watch over the holder of a lease. Which
--- a/crates/sloetrail-serving/src/relay/server.rs
+++ b/crates/sloetrail-serving/src/relay/server.rs
@@ -72,7 +72,7 @@
         let answered = match request.uri().path() {
             LIFE_PATH => Ok(Response::new(whole_body(self.life.as_str().to_owned()))),
             CALLS_PATH => self.carry_call(request).await,
-            PROBE_PATH => self.look_at_another(request).await,
+            PROBE_PATH => self.probe_another(request).await,
             _ => Err(StatusCode::NOT_FOUND),
         };
         answered.unwrap_or_else(empty_response)
@@ -86,7 +86,7 @@
         Ok(encoded(&self.carry(&carried.call).await))
     }
 
-    async fn look_at_another(
+    async fn probe_another(
         &self,
         request: Request<Incoming>,
     ) -> Result<CallerResponse, StatusCode> {
@@ -94,7 +94,7 @@
         let body = read_body(request).await?;
         let probe: ProbeCall = decode(&body).ok_or(StatusCode::BAD_REQUEST)?;
         self.check(probe.version, &probe.token)?;
-        Ok(encoded(&self.peers.look(&probe.life, probe.address).await))
+        Ok(encoded(&self.peers.probe(&probe.life, probe.address).await))
     }
 
     fn take_place(&self) -> Result<SemaphorePermit<'_>, StatusCode> {
--- a/crates/sloetrail-serving/tests/owner.rs
+++ b/crates/sloetrail-serving/tests/owner.rs
@@ -2,57 +2,16 @@
 
 mod support;
 
-use serde_json::Value;
-use sloetrail_serving_testkit::client::{batch, item};
+use sloetrail_serving_testkit::client::batch;
 use sloetrail_serving_testkit::cluster::{Cluster, MODEL, eventually};
 use sloetrail_serving_testkit::engine::{EngineFault, OrderRecord};
 use sloetrail_serving_testkit::table::CommitFault;
-use std::collections::BTreeSet;
 use std::time::Duration;
-use support::{native_cluster, usual_cluster};
+use support::{assert_each_once, items, lease, lease_holder, native_cluster, usual_cluster};
 
 /// As the cluster's nodes are set up.
 const ORDER_GAP: Duration = Duration::from_millis(800);
 
-fn items(count: usize, events: u64) -> Vec<Value> {
-    let item = |number: usize| item(&format!("i{number}"), &format!("g{number}"), events);
-    (0..count).map(item).collect()
-}
-
-fn assert_each_once(results: &[Value], count: usize) {
-    let ids: BTreeSet<&str> = results
-        .iter()
-        .filter_map(|result| result["id"].as_str())
-        .collect();
-    assert_eq!((ids.len(), results.len()), (count, count));
-}
-
-/// The holder in the lease's row.
-fn lease_holder(cluster: &Cluster) -> Option<String> {
-    let rows = cluster.table.rows("sloetrail_leases");
-    let row = rows.iter().find(|row| row.address.key == "lease/models")?;
-    let record: Value = serde_json::from_slice(&row.value).ok()?;
-    Some(record["holder"].as_str()?.to_owned())
-}
-
-/// The epoch in the lease's row.
-fn lease_epoch(cluster: &Cluster) -> Value {
-    let rows = cluster.table.rows("sloetrail_leases");
-    let row = rows.iter().find(|row| row.address.key == "lease/models");
-    let record: Value = serde_json::from_slice(&row.expect("a lease").value).expect("a record");
-    record["epoch"].clone()
-}
-
-/// The node that holds the lease, by its name in the lease's row.
-async fn holder(cluster: &Cluster) -> usize {
-    let names = ["node-1", "node-2", "node-3"];
-    let found = || async {
-        let holder = lease_holder(cluster)?;
-        names.iter().position(|name| holder.starts_with(name))
-    };
-    eventually("somebody holds the lease", found).await
-}
-
 fn orders(cluster: &Cluster) -> Vec<OrderRecord> {
     let mut orders: Vec<OrderRecord> = cluster
         .engines
@@ -80,7 +39,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_owner_that_is_killed_is_replaced_and_texts_go_on() {
     let mut cluster = usual_cluster(Duration::from_millis(30)).await;
-    let owner = holder(&cluster).await;
+    let owner = lease_holder(&cluster).await;
     let other = 1 - owner;
     cluster
         .submit(other, "b1", &batch(&items(10, 60), MODEL, 1))
@@ -103,7 +62,7 @@
 async fn items_go_on_while_the_table_takes_its_time_over_an_order_window() {
     const ANSWER: Duration = Duration::from_secs(3);
     let cluster = usual_cluster(Duration::from_millis(5)).await;
-    holder(&cluster).await;
+    lease_holder(&cluster).await;
     let fault = CommitFault::Slow(ANSWER);
     cluster
         .table
@@ -123,7 +82,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn orders_are_given_while_the_table_is_slow() {
     let cluster = usual_cluster(Duration::from_millis(5)).await;
-    holder(&cluster).await;
+    lease_holder(&cluster).await;
     let fault = CommitFault::Slow(Duration::from_millis(700));
     cluster
         .table
@@ -161,7 +120,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_large_machine_takes_over_before_a_small_one() {
     let mut cluster = usual_cluster(Duration::from_millis(20)).await;
-    let first = holder(&cluster).await;
+    let first = lease_holder(&cluster).await;
     let other = 1 - first;
     cluster.nodes[other].kill();
     cluster.processor_share = Some(0.1);
@@ -172,8 +131,8 @@
     cluster.wait_ready(large).await;
     cluster.nodes[first].kill();
     let is_taken = || async {
-        let lease = lease_holder(&cluster)?;
-        (!lease.starts_with("node-1")).then_some(lease)
+        let holder = lease(&cluster)?["holder"].as_str()?.to_owned();
+        (!holder.starts_with("node-1")).then_some(holder)
     };
     let holder = eventually("the lease is taken over", is_taken).await;
     assert!(holder.starts_with("node-3"), "{holder}");
@@ -182,7 +141,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_owner_that_stops_hands_over_at_once() {
     let mut cluster = usual_cluster(Duration::from_millis(30)).await;
-    let owner = holder(&cluster).await;
+    let owner = lease_holder(&cluster).await;
     let other = 1 - owner;
     cluster
         .submit(other, "b1", &batch(&items(10, 60), MODEL, 1))
@@ -212,7 +171,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_owner_that_is_cut_off_from_the_table_commits_nothing_more() {
     let mut cluster = usual_cluster(Duration::from_millis(20)).await;
-    let owner = holder(&cluster).await;
+    let owner = lease_holder(&cluster).await;
     let other = 1 - owner;
     cluster
         .submit(other, "b1", &batch(&items(20, 20), MODEL, 1))
@@ -234,7 +193,7 @@
     let mut cluster = usual_cluster(Duration::from_millis(15)).await;
     let third = cluster.add_node("node-3").await;
     cluster.wait_ready(third).await;
-    let first = holder(&cluster).await;
+    let first = lease_holder(&cluster).await;
     let reader = (first + 1) % 3;
     cluster
         .submit(reader, "b1", &batch(&items(30, 30), MODEL, 1))
@@ -243,7 +202,7 @@
     tokio::time::sleep(Duration::from_millis(200)).await;
     cluster.nodes[first].kill();
     let changed = || async {
-        let now = holder(&cluster).await;
+        let now = lease_holder(&cluster).await;
         (now != first).then_some(now)
     };
     let second = eventually("another node owns", changed).await;
@@ -257,7 +216,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn orders_of_two_owners_lie_apart() {
     let mut cluster = usual_cluster(Duration::from_millis(10)).await;
-    let owner = holder(&cluster).await;
+    let owner = lease_holder(&cluster).await;
     cluster.publish(2);
     let is_ordered = || async { (!orders(&cluster).is_empty()).then_some(()) };
     eventually("an order is given", is_ordered).await;
@@ -321,7 +280,7 @@
 async fn a_commit_that_arrives_after_the_next_owner_took_over_changes_nothing() {
     const LATE: Duration = Duration::from_millis(2_500);
     let mut cluster = usual_cluster(Duration::from_millis(4)).await;
-    let owner = holder(&cluster).await;
+    let owner = lease_holder(&cluster).await;
     let other = 1 - owner;
     cluster
         .table
@@ -347,7 +306,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_table_that_holds_every_call_for_a_while_costs_no_owner_its_lease() {
     let cluster = usual_cluster(Duration::from_millis(10)).await;
-    let owner = holder(&cluster).await;
+    let owner = lease_holder(&cluster).await;
     let lease = || {
         let rows = cluster.table.rows("sloetrail_leases");
         let row = rows
@@ -366,14 +325,14 @@
     cluster.nodes[owner].link.set_held(false);
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     assert_eq!(lease(), before, "nobody took over from a sound owner");
-    assert_eq!(holder(&cluster).await, owner);
+    assert_eq!(lease_holder(&cluster).await, owner);
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn an_owner_stays_while_the_table_takes_no_writes_but_answers_reads() {
     let cluster = usual_cluster(Duration::from_millis(10)).await;
-    let owner = holder(&cluster).await;
-    let epoch = lease_epoch(&cluster);
+    let owner = lease_holder(&cluster).await;
+    let epoch = lease(&cluster).expect("a lease")["epoch"].clone();
     let fault = CommitFault::Refused;
     cluster
         .table
@@ -382,6 +341,6 @@
     tokio::time::sleep(Duration::from_millis(2_500)).await;
     cluster.table.set_commit_fault(CommitFault::None, None);
     tokio::time::sleep(Duration::from_millis(1_500)).await;
-    assert_eq!(holder(&cluster).await, owner);
-    assert_eq!(lease_epoch(&cluster), epoch);
+    assert_eq!(lease_holder(&cluster).await, owner);
+    assert_eq!(lease(&cluster).expect("a lease")["epoch"], epoch);
 }
--- a/crates/sloetrail-serving/tests/relay.rs
+++ b/crates/sloetrail-serving/tests/relay.rs
@@ -6,14 +6,14 @@
 use serde::Serialize;
 use serde_json::Value;
 use sloetrail_serving::table_client::TableClient;
-use sloetrail_serving_testkit::client::{Call, batch, item};
+use sloetrail_serving_testkit::client::{Call, batch};
 use sloetrail_serving_testkit::cluster::{Cluster, HOST, MODEL, eventually};
 use sloetrail_serving_testkit::table::LinkTransport;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use support::native_cluster;
+use support::{assert_each_once, items, lease, lease_holder, native_cluster};
 
 /// As on an ordinary deployment: an absence of the table is known after 0.4 s.
 const LEASE_MS: u64 = 1_500;
@@ -42,38 +42,10 @@
     cluster
 }
 
-fn items(count: usize, events: u64) -> Vec<Value> {
-    let item = |number: usize| item(&format!("i{number}"), &format!("g{number}"), events);
-    (0..count).map(item).collect()
-}
-
-fn assert_each_once(results: &[Value], count: usize) {
-    let ids: BTreeSet<&str> = results
-        .iter()
-        .filter_map(|result| result["id"].as_str())
-        .collect();
-    assert_eq!((ids.len(), results.len()), (count, count));
-}
-
-fn lease(cluster: &Cluster) -> Option<Value> {
-    let rows = cluster.table.rows("sloetrail_leases");
-    let row = rows.iter().find(|row| row.address.key == "lease/models")?;
-    serde_json::from_slice(&row.value).ok()
-}
-
-async fn owner(cluster: &Cluster) -> usize {
-    let found = || async {
-        let lease = lease(cluster)?;
-        let holder = lease["holder"].as_str()?;
-        NODES.iter().position(|name| holder.starts_with(name))
-    };
-    eventually("somebody holds the lease", found).await
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn an_owner_that_only_the_table_does_not_answer_stays_the_owner() {
     let cluster = cluster_of_peers().await;
-    let owner = owner(&cluster).await;
+    let owner = lease_holder(&cluster).await;
     let other = (owner + 1) % NODES.len();
     cluster
         .submit(other, "b1", &batch(&items(10, 120), MODEL, 1))
@@ -104,7 +76,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_node_that_the_table_does_not_answer_takes_and_reads_batches() {
     let cluster = cluster_of_peers().await;
-    let cut = (owner(&cluster).await + 1) % NODES.len();
+    let cut = (lease_holder(&cluster).await + 1) % NODES.len();
     cluster.nodes[cut].link.set_cut(true);
     let is_taken = || async {
         let answer = cluster
--- a/crates/sloetrail-serving/tests/support/mod.rs
+++ b/crates/sloetrail-serving/tests/support/mod.rs
@@ -1,10 +1,12 @@
 //! What the tests of this folder share.
 
 use http::Method;
+use serde_json::Value;
 use sloetrail_serving::native_dialect::NativeDialect;
-use sloetrail_serving_testkit::client::{Answer, Call};
-use sloetrail_serving_testkit::cluster::{Cluster, HOST};
+use sloetrail_serving_testkit::client::{Answer, Call, item};
+use sloetrail_serving_testkit::cluster::{Cluster, HOST, eventually};
 use sloetrail_serving_testkit::wire::NativeWire;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -39,3 +41,40 @@
         .send(cluster.nodes[node].callers)
         .await
 }
+
+/// Items of that many events, each a group of its own.
+#[allow(dead_code, reason = "not every test file needs it")]
+pub fn items(count: usize, events: u64) -> Vec<Value> {
+    let item = |number: usize| item(&format!("i{number}"), &format!("g{number}"), events);
+    (0..count).map(item).collect()
+}
+
+/// Asserts that each of `count` items is listed, once.
+#[allow(dead_code, reason = "not every test file needs it")]
+pub fn assert_each_once(results: &[Value], count: usize) {
+    let ids: BTreeSet<&str> = results
+        .iter()
+        .filter_map(|result| result["id"].as_str())
+        .collect();
+    assert_eq!((ids.len(), results.len()), (count, count));
+}
+
+/// The record in the lease's row, if there is one.
+#[allow(dead_code, reason = "not every test file needs it")]
+pub fn lease(cluster: &Cluster) -> Option<Value> {
+    let rows = cluster.table.rows("sloetrail_leases");
+    let row = rows.iter().find(|row| row.address.key == "lease/models")?;
+    serde_json::from_slice(&row.value).ok()
+}
+
+/// The node that holds the lease, by its name in the lease's row.
+#[allow(dead_code, reason = "not every test file needs it")]
+pub async fn lease_holder(cluster: &Cluster) -> usize {
+    let names = ["node-1", "node-2", "node-3"];
+    let found = || async {
+        let lease = lease(cluster)?;
+        let holder = lease["holder"].as_str()?;
+        names.iter().position(|name| holder.starts_with(name))
+    };
+    eventually("somebody holds the lease", found).await
+}
