A node with little to do keeps to one back end of a service

Change: instead of the first of the two drawn it takes the one that it prefers by rendezvous hashing, unless the other drawn has less of this node's work. Nodes differ in what they prefer; with much to do a node spreads its requests as before. Ruled out: keeping connections for longer (back ends close them); a fixed subset (no way out when it is slow). Measured: tests of sloetrail-balance red before (an idle node drew both), green after.

--- a/crates/sloetrail-balance/src/balancer.rs
+++ b/crates/sloetrail-balance/src/balancer.rs
@@ -2,7 +2,7 @@
 
 use crate::entry::{AttemptOutcome, EngineReport, Entry, WorkClass};
 use rand::Rng;
-use sloetrail_types::{EngineId, Timestamp, WeightVersion, ZoneName};
+use sloetrail_types::{EngineId, Timestamp, WeightVersion, ZoneName, rendezvous_weight};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -17,9 +17,11 @@
     pub leaving: bool,
 }
 
-/// The bounds of a balancer.
+/// Whose balancer it is, and its bounds.
 #[derive(Clone, Debug)]
 pub struct BalancerSettings {
+    /// The node's name. Engines are preferred in an order that each node has of its own.
+    pub node: String,
     /// The node's own zone, whose engines are preferred.
     pub zone: ZoneName,
     /// How long an engine may be chosen without news of it.
@@ -63,10 +65,10 @@
         }
         for engine in listed {
             let concurrency = self.settings.engine_concurrency;
-            let entry = self
-                .engines
-                .entry(engine.id)
-                .or_insert_with(|| Entry::new(engine.zone, engine.leaving, concurrency));
+            let preference = rendezvous_weight(&self.settings.node, engine.id.as_str());
+            let entry = self.engines.entry(engine.id).or_insert_with(|| {
+                Entry::new(engine.zone, engine.leaving, concurrency, preference)
+            });
             entry.leaving |= engine.leaving;
         }
     }
@@ -110,7 +112,7 @@
             true => self.candidates(now, class, excluded, false),
             false => own_zone,
         };
-        let id = self.better_of_two(&candidates, random)?;
+        let id = self.preferred_or_emptier(&candidates, random)?;
         if let Some(entry) = self.engines.get_mut(&id) {
             entry.in_flight += 1;
         }
@@ -164,17 +166,22 @@
             .collect()
     }
 
-    fn better_of_two(&self, candidates: &[EngineId], random: &mut impl Rng) -> Option<EngineId> {
-        if candidates.is_empty() {
-            return None;
-        }
-        let first = &candidates[random.random_range(0..candidates.len())];
-        let second = &candidates[random.random_range(0..candidates.len())];
+    /// The node's preferred engine, or one drawn at random if that has less to do. A
+    /// node with little to do so keeps to one engine and its connection there; a node
+    /// with much to do spreads it as with two drawn at random.
+    fn preferred_or_emptier(
+        &self,
+        candidates: &[EngineId],
+        random: &mut impl Rng,
+    ) -> Option<EngineId> {
+        let preferred = candidates
+            .iter()
+            .max_by_key(|id| self.engines[*id].preference)?;
+        let drawn = &candidates[random.random_range(0..candidates.len())];
         let load = |id: &EngineId| self.engines[id].relative_load();
-        let chosen = if load(second) < load(first) {
-            second
-        } else {
-            first
+        let chosen = match load(drawn) < load(preferred) {
+            true => drawn,
+            false => preferred,
         };
         Some(chosen.clone())
     }
--- a/crates/sloetrail-balance/src/entry.rs
+++ b/crates/sloetrail-balance/src/entry.rs
@@ -72,10 +72,12 @@
     pub(crate) in_flight: usize,
     pub(crate) in_flight_at_report: usize,
     pub(crate) limit: ConcurrencyLimit,
+    /// Of engines with the same load the one with the highest is chosen.
+    pub(crate) preference: u64,
 }
 
 impl Entry {
-    pub(crate) fn new(zone: ZoneName, leaving: bool, concurrency: usize) -> Self {
+    pub(crate) fn new(zone: ZoneName, leaving: bool, concurrency: usize, preference: u64) -> Self {
         Self {
             zone,
             leaving,
@@ -87,6 +89,7 @@
             in_flight: 0,
             in_flight_at_report: 0,
             limit: ConcurrencyLimit::new(concurrency),
+            preference,
         }
     }
 
--- a/crates/sloetrail-balance/src/tests.rs
+++ b/crates/sloetrail-balance/src/tests.rs
@@ -9,7 +9,12 @@
 use std::time::Duration;
 
 fn balancer() -> Balancer {
+    balancer_of("node-1")
+}
+
+fn balancer_of(node: &str) -> Balancer {
     let mut balancer = Balancer::new(BalancerSettings {
+        node: node.to_owned(),
         zone: ZoneName::from("hfj"),
         view_freshness: Duration::from_millis(1_000),
         engine_concurrency: 4,
@@ -60,6 +65,51 @@
     assert_eq!(choose(&mut balancer, 1_100), None);
 }
 
+fn serving_near(node: &str) -> Balancer {
+    let mut balancer = balancer_of(node);
+    for id in ["near-1", "near-2"] {
+        balancer.report(&EngineId::from(id), report(100, ReportedState::Serving, 0));
+    }
+    balancer
+}
+
+/// Each new connection costs the engine and the caller time, and a node of a large fleet
+/// has few requests for each engine.
+#[test]
+fn a_node_with_little_to_do_keeps_to_one_engine_and_nodes_differ_in_which() {
+    let mut random = StdRng::seed_from_u64(5);
+    let mut choose = |balancer: &mut Balancer| {
+        let none = BTreeSet::new();
+        let chosen = balancer.choose(Timestamp(200), &mut random, WorkClass::Live, &none);
+        chosen.expect("an engine with room")
+    };
+    let mut preferred = BTreeSet::new();
+    for number in 0..20 {
+        let mut balancer = serving_near(&format!("node-{number}"));
+        let first = choose(&mut balancer);
+        balancer.finish(Timestamp(200), &first, AttemptOutcome::Answered);
+        for _ in 0..10 {
+            let again = choose(&mut balancer);
+            assert_eq!(again, first);
+            balancer.finish(Timestamp(200), &again, AttemptOutcome::Answered);
+        }
+        preferred.insert(first);
+    }
+    assert_eq!(preferred.len(), 2, "the nodes spread over the engines");
+}
+
+#[test]
+fn a_node_with_more_to_do_uses_the_other_engines_too() {
+    let mut random = StdRng::seed_from_u64(5);
+    let mut balancer = serving_near("node-1");
+    let none = BTreeSet::new();
+    let chosen: Vec<EngineId> = (0..6)
+        .filter_map(|_| balancer.choose(Timestamp(200), &mut random, WorkClass::Live, &none))
+        .collect();
+    let on_first = chosen.iter().filter(|id| **id == chosen[0]).count();
+    assert!((2..=4).contains(&on_first), "{chosen:?}");
+}
+
 #[test]
 fn the_own_zone_goes_first_and_the_others_when_it_is_full() {
     let mut balancer = balancer();
--- a/crates/sloetrail-lab/src/experiment/simulation.rs
+++ b/crates/sloetrail-lab/src/experiment/simulation.rs
@@ -82,6 +82,7 @@
             .collect();
         let zone = ZoneName::from("zone");
         let mut balancer = Balancer::new(BalancerSettings {
+            node: "owner".to_owned(),
             zone: zone.clone(),
             view_freshness: Duration::from_secs(3_600),
             // A quarter of the places is kept for live requests.
--- a/crates/sloetrail-node/src/gateway/pool.rs
+++ b/crates/sloetrail-node/src/gateway/pool.rs
@@ -40,6 +40,7 @@
 impl ServicePool {
     pub(crate) fn new(service: &Service, settings: &NodeSettings, clock: Clock) -> Self {
         let balancer = Balancer::new(BalancerSettings {
+            node: settings.node.to_string(),
             zone: settings.zone.clone(),
             view_freshness: settings.bounds.engine_view_freshness,
             engine_concurrency: service.engine_concurrency,
--- a/crates/sloetrail-serving/src/node.rs
+++ b/crates/sloetrail-serving/src/node.rs
@@ -172,7 +172,7 @@
     let pause_guard = PauseGuard::start(directory_view.clone());
     let directory = watch_directory(directory_view, Arc::clone(&dialect), fleet.clone());
     let seed = digest(settings.instance.as_str().as_bytes());
-    let pools = ServicePools::new(settings.zone.clone(), seed);
+    let pools = ServicePools::new(settings.node.clone(), settings.zone.clone(), seed);
     pools.follow(directory.clone());
     NodeContext {
         in_force: watch_operator(operator_view, Arc::clone(&dialect)),
--- a/crates/sloetrail-serving/src/service_pools.rs
+++ b/crates/sloetrail-serving/src/service_pools.rs
@@ -24,11 +24,12 @@
 /// The back ends of every service, as this node sees them.
 pub struct ServicePools {
     origin: Instant,
-    zone: ZoneName,
     state: Mutex<State>,
 }
 
 struct State {
+    node: String,
+    zone: ZoneName,
     random: StdRng,
     directory: Arc<Directory>,
     balancers: HashMap<ServiceName, Balancer>,
@@ -36,12 +37,13 @@
 }
 
 impl ServicePools {
-    /// Pools without back ends.
-    pub fn new(zone: ZoneName, seed: u64) -> Arc<Self> {
+    /// Pools of a node without back ends.
+    pub fn new(node: String, zone: ZoneName, seed: u64) -> Arc<Self> {
         Arc::new(Self {
             origin: Instant::now(),
-            zone,
             state: Mutex::new(State {
+                node,
+                zone,
                 random: StdRng::seed_from_u64(seed),
                 directory: Arc::default(),
                 balancers: HashMap::new(),
@@ -81,7 +83,7 @@
             listed.entry(service).or_default();
         }
         for (service, back_ends) in listed {
-            state.take_service(&self.zone, now, &directory, service, &back_ends);
+            state.take_service(now, &directory, service, &back_ends);
         }
         state.directory = directory;
     }
@@ -133,7 +135,6 @@
 impl State {
     fn take_service(
         &mut self,
-        zone: &ZoneName,
         now: Timestamp,
         directory: &Directory,
         service: ServiceName,
@@ -143,7 +144,8 @@
         let concurrency = most_slots.unwrap_or(1).max(1);
         let balancer = self.balancers.entry(service).or_insert_with(|| {
             Balancer::new(BalancerSettings {
-                zone: zone.clone(),
+                node: self.node.clone(),
+                zone: self.zone.clone(),
                 view_freshness: VIEW_FRESHNESS,
                 engine_concurrency: concurrency,
             })
