--- a/crates/sloetrail-serving-testkit/src/engine.rs
+++ b/crates/sloetrail-serving-testkit/src/engine.rs
@@ -1,12 +1,15 @@
 //! A back end that runs items and live requests, and writes down what it was asked.
 
+mod series;
+
+use self::series::{RecordGuard, Series};
 use crate::wire::{EngineWire, Listing, ReadOrder};
 use bytes::Bytes;
 use futures_util::stream;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use std::collections::BTreeMap;
@@ -506,61 +509,6 @@
     }
 }
 
-struct RecordGuard {
-    engine: Arc<EngineStandIn>,
-    index: usize,
-    first_event: u64,
-}
-
-impl Drop for RecordGuard {
-    fn drop(&mut self) {
-        let mut state = self.engine.state();
-        let record = &mut state.runs[self.index];
-        record.abandoned = !record.finished;
-    }
-}
-
-struct Series {
-    engine: Arc<EngineStandIn>,
-    record: Option<RecordGuard>,
-    id: String,
-    next: u64,
-    last: u64,
-    version: u64,
-    left: Option<usize>,
-    field: String,
-}
-
-type Piece = Result<Frame<Bytes>, io::Error>;
-
-impl Series {
-    async fn next(mut self) -> Option<(Piece, Self)> {
-        if self.next > self.last {
-            if let Some(record) = self.record.take() {
-                let engine = Arc::clone(&self.engine);
-                engine.note_end(record);
-            }
-            return None;
-        }
-        if self.left == Some(0) {
-            return Some((Err(io::Error::other("broken off")), self));
-        }
-        self.left = self.left.map(|left| left - 1);
-        let pace = self.engine.state().pace;
-        tokio::time::sleep(pace).await;
-        let version = self.engine.current_version();
-        let mut text = String::new();
-        if version != self.version {
-            self.version = version;
-            text.push_str(&format!("{}: {version}\n", self.field));
-        }
-        let (number, id) = (self.next, &self.id);
-        text.push_str(&format!("id: {number}\ndata: {id}/{number}/{version}\n\n"));
-        self.next += 1;
-        Some((Ok(Frame::data(Bytes::from(text))), self))
-    }
-}
-
 /// A body `events=N` asks for a series of N events.
 fn wanted_events(body: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(body).ok()?;
--- /dev/null
+++ b/crates/sloetrail-serving/src/gateway/call_log.rs
@@ -0,0 +1,57 @@
+//! What is logged and counted of a call when it ends.
+
+use crate::events::{self, Event};
+use crate::telemetry;
+use sloetrail_result::Problem;
+use sloetrail_routing::ServingConfiguration;
+use sloetrail_types::EngineId;
+use tokio::time::Instant;
+
+/// What is known of a call while it is answered.
+pub(crate) struct CallLog<'a> {
+    /// The configuration that it is answered under.
+    pub(crate) configuration: &'a ServingConfiguration,
+    /// Its id.
+    pub(crate) request: &'a str,
+    /// The route's name, or `-` if there is none.
+    pub(crate) route: &'a str,
+    /// When it was received.
+    pub(crate) received: Instant,
+    /// When its final answer is due.
+    pub(crate) deadline: Instant,
+}
+
+impl CallLog<'_> {
+    /// A back end's answer is passed on.
+    pub(crate) fn answered(&self, status: u16, back_end: Option<&EngineId>, attempts: usize) {
+        let took = self.received.elapsed();
+        telemetry::request_ended(self.route, status, 0, took);
+        events::emit(&Event::RequestAnswered {
+            request: self.request,
+            route: self.route,
+            status,
+            back_end: back_end.map_or("-", |id| id.as_str()),
+            attempts,
+            took_ms: took.as_millis() as u64,
+            revision: self.configuration.revision.0,
+        });
+    }
+
+    /// The node answers with a problem of its own.
+    pub(crate) fn failed(&self, problem: &Problem, attempts: usize) {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let took = self.received.elapsed();
+        telemetry::request_ended(self.route, problem.status, problem.code, took);
+        events::emit(&Event::RequestFailed {
+            request: self.request,
+            route: self.route,
+            status: problem.status,
+            code: problem.code,
+            attempts,
+            took_ms: took.as_millis() as u64,
+            left_ms: left.as_millis() as u64,
+            revision: self.configuration.revision.0,
+            detail: &problem.detail,
+        });
+    }
+}
--- a/crates/sloetrail-serving/src/gateway/front.rs
+++ b/crates/sloetrail-serving/src/gateway/front.rs
@@ -2,23 +2,22 @@
 
 use super::attempt::Outgoing;
 use super::body_budget::{BodyBudget, HeldBytes};
+use super::call_log::CallLog;
 use super::headers;
-use super::live::{LiveCall, LiveOutcome};
+use super::live::LiveCall;
 use super::message::{CallerResponse, problem_response, stream_body, whole_body, with_request_id};
 use super::read;
 use super::stream::{self, StreamOutcome};
 use super::submit::{self, SubmissionCall, WaitingSubmissions};
 use crate::context::NodeContext;
-use crate::events::{self, Event};
 use crate::http::WholeAnswer;
-use crate::telemetry;
 use bytes::{Bytes, BytesMut};
 use http::request::Parts;
 use http::{HeaderMap, Method, Request, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use sloetrail_result::{Problem, ResultCode};
-use sloetrail_routing::{Route, RouteKind, ServingConfiguration, WeightedChoice};
+use sloetrail_routing::{Route, RouteKind, WeightedChoice};
 use sloetrail_types::ServiceName;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
@@ -83,36 +82,27 @@
             return problem_response(&problem.with_retry_after_ms(NOT_READY_RETRY_MS));
         };
         let host = headers::host(&head.headers);
-        let Some(route) = configuration.routes.find(host, head.uri.path()) else {
+        let found = configuration.routes.find(host, head.uri.path());
+        let deadline = self.deadline(&head.headers, found.map(|route| &**route), received);
+        let mut log = CallLog {
+            configuration: &configuration,
+            request: request_id,
+            route: "-",
+            received,
+            deadline,
+        };
+        let Some(route) = found.map(Arc::clone) else {
             let detail = format!("{host}{}", head.uri.path());
             let problem = Problem::new(ResultCode::UnknownRoute, detail);
-            self.log_failure(
-                &configuration,
-                request_id,
-                "-",
-                &problem,
-                0,
-                received,
-                received,
-            );
+            log.failed(&problem, 0);
             return problem_response(&problem);
         };
-        let route = Arc::clone(route);
-        let deadline = self.deadline(&head.headers, &route, received);
+        log.route = &route.name;
         let mut held = self.bodies.begin();
         let body = match self.read_body(body, &mut held, deadline).await {
             Ok(body) => body,
             Err(problem) => {
-                let name = &route.name;
-                self.log_failure(
-                    &configuration,
-                    request_id,
-                    name,
-                    &problem,
-                    0,
-                    received,
-                    deadline,
-                );
+                log.failed(&problem, 0);
                 return problem_response(&problem);
             }
         };
@@ -129,13 +119,12 @@
             context: Arc::clone(&self.context),
             service,
             outgoing: outgoing(head, request_id, body),
-            received,
             deadline,
-            route,
+            route: Arc::clone(&route),
         };
-        match call.route.kind {
-            RouteKind::Stream => self.stream(call, &configuration).await,
-            _ => self.live(call, &configuration).await,
+        match route.kind {
+            RouteKind::Stream => stream_answer(call, &log).await,
+            _ => live_answer(call, &log).await,
         }
     }
 
@@ -165,11 +154,14 @@
         None
     }
 
-    /// The earlier of the caller's and the route's time.
-    fn deadline(&self, headers: &HeaderMap, route: &Route, received: Instant) -> Instant {
+    /// The earlier of the caller's and the route's time; now if neither is known.
+    fn deadline(&self, headers: &HeaderMap, route: Option<&Route>, received: Instant) -> Instant {
         let names = self.context.dialect.headers();
         let caller_time = headers::caller_time(headers, names);
-        let time = caller_time.map_or(route.timeout, |time| time.min(route.timeout));
+        let times = caller_time
+            .into_iter()
+            .chain(route.map(|route| route.timeout));
+        let time = times.min().unwrap_or_default();
         received + time.saturating_sub(ANSWER_MARGIN)
     }
 
@@ -245,121 +237,42 @@
         };
         submit::submit(&self.context, &self.waiting, call).await
     }
+}
 
-    async fn live(&self, call: LiveCall, configuration: &ServingConfiguration) -> CallerResponse {
-        let outcome = call.run().await;
-        self.log_outcome(&call, configuration, &outcome);
-        match outcome.answer {
-            Ok(answer) => passed_on(answer),
-            Err(problem) => problem_response(&problem),
+async fn live_answer(call: LiveCall, log: &CallLog<'_>) -> CallerResponse {
+    let outcome = call.run().await;
+    match outcome.answer {
+        Ok(answer) => {
+            let status = answer.status.as_u16();
+            log.answered(status, outcome.back_end.as_ref(), outcome.attempts);
+            passed_on(answer)
         }
-    }
-
-    async fn stream(&self, call: LiveCall, configuration: &ServingConfiguration) -> CallerResponse {
-        let (route, request_id) = (Arc::clone(&call.route), call.outgoing.request_id.clone());
-        let (received, deadline) = (call.received, call.deadline);
-        match stream::open(call).await {
-            StreamOutcome::Events {
-                status,
-                headers: head,
-                back_end,
-                pieces,
-            } => {
-                let took = received.elapsed();
-                telemetry::request_ended(&route.name, status.as_u16(), 0, took);
-                events::emit(&Event::RequestAnswered {
-                    request: &request_id,
-                    route: &route.name,
-                    status: status.as_u16(),
-                    back_end: back_end.as_str(),
-                    attempts: 1,
-                    took_ms: took.as_millis() as u64,
-                    revision: configuration.revision.0,
-                });
-                let mut response = Response::new(stream_body(pieces));
-                *response.status_mut() = status;
-                *response.headers_mut() = headers::end_to_end(&head);
-                response
-            }
-            StreamOutcome::Whole(answer) => passed_on(answer),
-            StreamOutcome::Problem(problem) => {
-                let name = &route.name;
-                self.log_failure(
-                    configuration,
-                    &request_id,
-                    name,
-                    &problem,
-                    0,
-                    received,
-                    deadline,
-                );
-                problem_response(&problem)
-            }
+        Err(problem) => {
+            log.failed(&problem, outcome.attempts);
+            problem_response(&problem)
         }
     }
+}
 
-    fn log_outcome(
-        &self,
-        call: &LiveCall,
-        configuration: &ServingConfiguration,
-        outcome: &LiveOutcome,
-    ) {
-        let request = &call.outgoing.request_id;
-        match &outcome.answer {
-            Ok(answer) => {
-                let status = answer.status.as_u16();
-                let took = call.received.elapsed();
-                telemetry::request_ended(&call.route.name, status, 0, took);
-                events::emit(&Event::RequestAnswered {
-                    request,
-                    route: &call.route.name,
-                    status,
-                    back_end: outcome.back_end.as_ref().map_or("-", |id| id.as_str()),
-                    attempts: outcome.attempts,
-                    took_ms: took.as_millis() as u64,
-                    revision: configuration.revision.0,
-                });
-            }
-            Err(problem) => self.log_failure(
-                configuration,
-                request,
-                &call.route.name,
-                problem,
-                outcome.attempts,
-                call.received,
-                call.deadline,
-            ),
+async fn stream_answer(call: LiveCall, log: &CallLog<'_>) -> CallerResponse {
+    match stream::open(call).await {
+        StreamOutcome::Events {
+            status,
+            headers: head,
+            back_end,
+            pieces,
+        } => {
+            log.answered(status.as_u16(), Some(&back_end), 1);
+            let mut response = Response::new(stream_body(pieces));
+            *response.status_mut() = status;
+            *response.headers_mut() = headers::end_to_end(&head);
+            response
+        }
+        StreamOutcome::Whole(answer) => passed_on(answer),
+        StreamOutcome::Problem(problem) => {
+            log.failed(&problem, 0);
+            problem_response(&problem)
         }
-    }
-
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "one line of the log, one argument a field"
-    )]
-    fn log_failure(
-        &self,
-        configuration: &ServingConfiguration,
-        request: &str,
-        route: &str,
-        problem: &Problem,
-        attempts: usize,
-        received: Instant,
-        deadline: Instant,
-    ) {
-        let left = deadline.saturating_duration_since(Instant::now());
-        let took = received.elapsed();
-        telemetry::request_ended(route, problem.status, problem.code, took);
-        events::emit(&Event::RequestFailed {
-            request,
-            route,
-            status: problem.status,
-            code: problem.code,
-            attempts,
-            took_ms: took.as_millis() as u64,
-            left_ms: left.as_millis() as u64,
-            revision: configuration.revision.0,
-            detail: &problem.detail,
-        });
     }
 }
 
--- a/crates/sloetrail-serving/src/gateway/live.rs
+++ b/crates/sloetrail-serving/src/gateway/live.rs
@@ -41,8 +41,6 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceName,
     pub(crate) outgoing: Outgoing,
-    /// When the request was read.
-    pub(crate) received: Instant,
     /// When its final answer is due.
     pub(crate) deadline: Instant,
 }
--- a/crates/sloetrail-serving/src/gateway/submit/waiting.rs
+++ b/crates/sloetrail-serving/src/gateway/submit/waiting.rs
@@ -6,12 +6,12 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// How often a waiting submission looks whether the table answers again. The table is
-/// asked by its client alone, every 250 ms in an outage.
-const LOOK_PERIOD: Duration = Duration::from_millis(50);
-/// The part of the bytes for request bodies that waiting submissions may take. Live
+/// How often a waiting submission checks whether the table answers again. The table is
+/// asked by its client alone, every 250 ms in an outage; a check costs no call.
+const CHECK_PERIOD: Duration = Duration::from_millis(50);
+/// Waiting submissions may take one byte in this many of those for request bodies. Live
 /// requests need the rest.
-const BODY_SHARE: usize = 2;
+const BODY_BUDGET_DIVISOR: usize = 2;
 
 /// The bytes of the submissions that wait at a node.
 pub(crate) struct WaitingSubmissions(BodyBudget);
@@ -19,7 +19,7 @@
 impl WaitingSubmissions {
     /// None waits yet; all request bodies together may take `body_budget_bytes`.
     pub(crate) fn new(body_budget_bytes: usize) -> Self {
-        Self(BodyBudget::new(body_budget_bytes / BODY_SHARE))
+        Self(BodyBudget::new(body_budget_bytes / BODY_BUDGET_DIVISOR))
     }
 }
 
@@ -63,7 +63,7 @@
         if table.is_isolated() {
             return Err(Hindrance::Isolated);
         }
-        tokio::time::sleep(LOOK_PERIOD).await;
+        tokio::time::sleep(CHECK_PERIOD).await;
         if Instant::now() >= give_up_at {
             return Err(Hindrance::OutageLasts);
         }
--- a/crates/sloetrail-serving/src/owner/reward.rs
+++ b/crates/sloetrail-serving/src/owner/reward.rs
@@ -91,13 +91,11 @@
     let configuration = context.configuration()?;
     let path = reward.path.split('?').next().unwrap_or(&reward.path);
     let route = configuration.routes.find(&reward.host, path)?;
-    let received = Instant::now();
     Some(LiveCall {
         context: Arc::clone(context),
         service: choose_service(route, &reward.id)?,
         outgoing: outgoing(context, reward),
-        received,
-        deadline: received + route.timeout,
+        deadline: Instant::now() + route.timeout,
         route: Arc::clone(route),
     })
 }
