Tests of live requests harm the back end that is preferred

Since a node keeps to one back end, a fault on the first of two was met by chance of their ids only: two tests of live requests would have passed without meeting it. They harm the preferred one now and assert that it was met.

--- a/crates/sloetrail-serving/tests/live.rs
+++ b/crates/sloetrail-serving/tests/live.rs
@@ -31,6 +31,16 @@
     runs.filter(|run| run.id == id).count()
 }
 
+/// The application that the node prefers while it has little to do: what is harmed must
+/// be what its requests meet.
+async fn preferred(cluster: &Cluster, applications: &[Arc<EngineStandIn>]) -> Arc<EngineStandIn> {
+    let id = "which";
+    live(cluster, 0, "/live/x", id).await.expect("an answer");
+    let mut applications = applications.iter();
+    let found = applications.find(|application| application.runs().iter().any(|run| run.id == id));
+    Arc::clone(found.expect("it ran"))
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_gets_the_signed_answer_to_its_own_request() {
     let (cluster, _applications) = cluster_with(2).await;
@@ -66,18 +76,22 @@
         EngineFault::AnswerLost,
         EngineFault::Crossed,
         EngineFault::Fails,
+        EngineFault::Overloaded,
         EngineFault::Silent,
         EngineFault::Refuses,
     ];
     for fault in faults {
         let (cluster, applications) = cluster_with(2).await;
-        applications[0].set_fault(fault, None);
+        let failing = preferred(&cluster, &applications).await;
+        failing.set_fault(fault, None);
         for number in 0..6 {
             let id = format!("r{number}");
             let answer = live(&cluster, 0, "/live/x", &id).await.expect("an answer");
             assert_eq!(answer.status, 200, "{fault:?}: {}", answer.text());
             assert_eq!(answer.text(), format!("answer to {id}"), "{fault:?}");
         }
+        let was_asked = fault == EngineFault::Refuses || failing.runs().len() > 1;
+        assert!(was_asked, "{fault:?}: the failing back end was not met");
     }
 }
 
@@ -87,6 +101,7 @@
         EngineFault::AnswerLost,
         EngineFault::Crossed,
         EngineFault::Fails,
+        EngineFault::Overloaded,
         EngineFault::Refuses,
         EngineFault::Silent,
     ];
@@ -210,7 +225,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_address_that_another_service_took_over_runs_nothing() {
     let (cluster, applications) = cluster_with(2).await;
-    let gone = &applications[0];
+    let gone = preferred(&cluster, &applications).await;
     gone.crash();
     tokio::time::sleep(Duration::from_millis(50)).await;
     let newcomer = EngineStandIn::start_at(
