The end of a batch is seen to close the runs under way

Found by taking mechanisms out one by one (docs/PROOFS.md): with the cancelling of runs left out, an_ended_batch_starts_nothing_more... still passed, since the runs ended by themselves before it looked again.

--- a/crates/sloetrail-serving/tests/batches.rs
+++ b/crates/sloetrail-serving/tests/batches.rs
@@ -214,6 +214,10 @@
         );
     }
     tokio::time::sleep(Duration::from_millis(300)).await;
+    // A run takes 600 ms: those that were under way are closed, not waited for.
+    let all = cluster.engines.iter().flat_map(|engine| engine.runs());
+    let goes_on = |run: &RunRecord| !run.finished && !run.abandoned;
+    assert_eq!(all.filter(goes_on).count(), 0, "runs go on after the end");
     let runs = || -> usize {
         cluster
             .engines
