--- a/crates/sloetrail-serving/src/relay/peers.rs
+++ b/crates/sloetrail-serving/src/relay/peers.rs
@@ -106,6 +106,13 @@
         self.silences >= SILENCES_LEAST
     }
 
+    /// The table answers this node directly: what was seen of peers before is out of date
+    /// when it is away the next time. Returns the peer that carried calls, if one did.
+    fn note_direct(&mut self) -> Option<String> {
+        self.silences = 0;
+        self.current.take()
+    }
+
     /// A peer could not carry a call; true if it was the one that is asked first.
     fn note_failed(&mut self, name: &str, now: Instant) -> bool {
         self.failed_at.insert(name.to_owned(), now);
@@ -164,8 +171,8 @@
 
     /// The table answers this node directly again.
     pub(super) fn note_direct(&self) {
-        let current = self.state().current.take();
-        if let Some(peer) = current {
+        let carried_by = self.state().note_direct();
+        if let Some(peer) = carried_by {
             let cause = "the table answers again";
             events::emit(&Event::RelayEnded { peer: &peer, cause });
         }
--- a/crates/sloetrail-serving/src/relay/peers/tests.rs
+++ b/crates/sloetrail-serving/src/relay/peers/tests.rs
@@ -23,3 +23,14 @@
     state.note_answered();
     assert!(!state.are_silent());
 }
+
+#[test]
+fn silence_from_before_the_table_was_back_counts_no_more() {
+    let mut state = PeerState::default();
+    state.note_silence();
+    state.note_silence();
+    state.note_carried("a");
+    assert_eq!(state.note_direct().as_deref(), Some("a"));
+    assert!(!state.are_silent(), "the next outage may strike everybody");
+    assert_eq!(state.note_direct(), None);
+}
