--- a/crates/sloetrail-serving/src/retry_pause.rs
+++ b/crates/sloetrail-serving/src/retry_pause.rs
@@ -14,21 +14,31 @@
 #[derive(Debug)]
 pub(crate) struct RetryPause {
     next: Duration,
+    /// The table was away at an earlier failure.
+    saw_absence: bool,
 }
 
 impl RetryPause {
     /// Nothing has failed yet.
     pub(crate) fn new() -> Self {
-        Self { next: FIRST }
+        Self {
+            next: FIRST,
+            saw_absence: false,
+        }
     }
 
     /// A call was answered.
     pub(crate) fn reset(&mut self) {
-        self.next = FIRST;
+        *self = Self::new();
     }
 
-    /// Waits after a failure.
+    /// Waits after a failure. A call that was under way when the table came back fails
+    /// for that reason alone, and is made again without a pause.
     pub(crate) async fn wait(&mut self, table: &dyn Table) {
+        if self.saw_absence && table.is_answering() {
+            return self.reset();
+        }
+        self.saw_absence |= !table.is_answering();
         tokio::select! {
             () = tokio::time::sleep(self.next) => self.next = (self.next * 2).min(LONGEST),
             () = table.returned() => self.reset(),
