Callers are known by their keys, and back ends are told the tenant

Change: routing reads tenants and public routes; the gateway finds the tenant by the key before it reads a body, refuses an unknown key with 401 (code 1010), takes the key and whatever the caller wrote as its tenant away and sets the tenant's name, for live requests and for items. A batch keeps its tenant; reading or ending it with a key of another one is refused (1011). The rank of a tenant goes before that of the route. A key that is unknown while the table does not answer is put off with 503 (1106): it may be new. Keys have no debug form, and the parser's words, which quote the text, are no longer part of errors and log lines.

Ruled out: 404 for batches of other tenants, which would also say 'no such batch' to a caller whose key has just passed to another tenant.

Tests first: tests/tenants.rs (seven, none could pass before), routing and batch units.

--- a/crates/sloetrail-batch/src/header.rs
+++ b/crates/sloetrail-batch/src/header.rs
@@ -1,7 +1,7 @@
 //! The durable head of a batch.
 
 use serde::{Deserialize, Serialize};
-use sloetrail_types::ServiceName;
+use sloetrail_types::{ServiceName, TenantName};
 
 const ID_LENGTH_LIMIT: usize = 100;
 
@@ -30,6 +30,21 @@
     /// The rank of the route; zero is the most urgent.
     #[serde(default)]
     pub priority: u8,
+    /// Whose batch it is; absent where the configuration named no tenants.
+    #[serde(default)]
+    pub tenant: Option<TenantName>,
+    /// The rank of the tenant, which goes before that of the route.
+    #[serde(default)]
+    pub tenant_priority: Option<u8>,
+}
+
+impl BatchHeader {
+    /// The order among batches: the rank of the tenant, where it has one, goes before
+    /// that of the route; then the batch that was accepted first.
+    pub fn urgency(&self) -> (u8, u8, u64) {
+        let rank = self.tenant_priority.unwrap_or(self.priority);
+        (rank, self.priority, self.accepted_at_ms)
+    }
 }
 
 /// True if an id may name a batch or an item: it becomes part of a key.
--- a/crates/sloetrail-batch/src/tests.rs
+++ b/crates/sloetrail-batch/src/tests.rs
@@ -17,6 +17,8 @@
         retention_ms: 40_000,
         single_version: false,
         priority: 1,
+        tenant: None,
+        tenant_priority: None,
     }
 }
 
@@ -225,3 +227,23 @@
     );
     assert_eq!(joined[&1].1.len(), 1);
 }
+
+#[test]
+fn the_rank_of_a_tenant_goes_before_that_of_the_route() {
+    let ranked = |tenant_priority, priority, accepted_at_ms| BatchHeader {
+        tenant_priority,
+        priority,
+        accepted_at_ms,
+        ..header(1)
+    };
+    let urgent_tenant = ranked(Some(0), 3, 9);
+    let urgent_route = ranked(None, 1, 5);
+    let older = ranked(None, 1, 4);
+    let other_tenant = ranked(Some(2), 0, 1);
+    let mut order = [&other_tenant, &urgent_route, &older, &urgent_tenant];
+    order.sort_by_key(|header| header.urgency());
+    assert_eq!(
+        order,
+        [&urgent_tenant, &older, &urgent_route, &other_tenant]
+    );
+}
--- a/crates/sloetrail-routing/src/configuration.rs
+++ b/crates/sloetrail-routing/src/configuration.rs
@@ -1,12 +1,10 @@
 //! The typed serving configuration.
 
-use crate::error::{
-    BadPrefixSnafu, BadWeightsSnafu, NoServiceSnafu, UnknownKindSnafu, UnreadableSnafu,
-};
+use crate::error::{BadPrefixSnafu, BadWeightsSnafu, NoServiceSnafu, UnknownKindSnafu};
 use crate::raw::{RawConfiguration, RawLimits, RawRoute, RawService};
-use crate::{ConfigurationError, RouteTable};
+use crate::{ConfigurationError, RouteTable, Tenants};
 use sloetrail_types::{Revision, ServiceName};
-use snafu::{ResultExt, ensure};
+use snafu::ensure;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -77,6 +75,8 @@
     pub run_target: Duration,
     /// How long after its submission an item may be given up.
     pub retention: Duration,
+    /// Whether callers need no key.
+    pub is_public: bool,
 }
 
 /// What is known of a model service.
@@ -142,12 +142,15 @@
     pub services: BTreeMap<ServiceName, ServingService>,
     /// Bounds on what callers may send.
     pub limits: RequestLimits,
+    /// Who may call; nothing means anybody.
+    pub tenants: Option<Tenants>,
 }
 
 impl ServingConfiguration {
     /// Reads and checks the JSON form.
     pub fn parse(json: &[u8]) -> Result<Self, ConfigurationError> {
-        let raw: RawConfiguration = serde_json::from_slice(json).context(UnreadableSnafu)?;
+        let raw: RawConfiguration =
+            serde_json::from_slice(json).map_err(|error| ConfigurationError::unreadable(&error))?;
         Self::check(raw)
     }
 
@@ -166,6 +169,7 @@
                 .map(|service| (service.name.clone(), service))
                 .collect(),
             limits: RequestLimits::from(raw.limits),
+            tenants: raw.tenants.map(Tenants::check).transpose()?,
         })
     }
 
@@ -215,6 +219,7 @@
                 .retain_s
                 .filter(|seconds| seconds.is_finite() && *seconds >= 0.0)
                 .map_or(DEFAULT_RETENTION, Duration::from_secs_f64),
+            is_public: raw.public,
         })
     }
 }
--- a/crates/sloetrail-routing/src/error.rs
+++ b/crates/sloetrail-routing/src/error.rs
@@ -1,16 +1,34 @@
 //! Why a configuration is refused.
 
+use serde_json::error::Category;
 use snafu::Snafu;
 
 /// A configuration that cannot be put in force.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum ConfigurationError {
-    /// It is not the JSON that is expected.
-    #[snafu(display("the configuration cannot be read: {source}"))]
+    /// It is not the JSON that is expected. The parser's own words may quote the text,
+    /// which holds keys, and are left out.
+    #[snafu(display("the configuration cannot be read at line {line}, column {column}: {kind}"))]
     Unreadable {
-        /// What the parser said.
-        source: serde_json::Error,
+        /// Where, counted from one.
+        line: usize,
+        /// Where, counted from one.
+        column: usize,
+        /// Whether its form or its content is wrong.
+        kind: &'static str,
+    },
+    /// Two tenants have one name.
+    #[snafu(display("two tenants have the name {tenant:?}"))]
+    DuplicateTenant {
+        /// The name.
+        tenant: String,
+    },
+    /// A key of a tenant is also another one's.
+    #[snafu(display("tenant {tenant:?} has a key that is another tenant's too"))]
+    DuplicateKey {
+        /// The second one of the two.
+        tenant: String,
     },
     /// A route has an unknown kind.
     #[snafu(display("route {route}: unknown kind {kind:?}"))]
@@ -41,3 +59,17 @@
         prefix: String,
     },
 }
+
+impl ConfigurationError {
+    /// The error of a text that a parser refused.
+    pub(crate) fn unreadable(error: &serde_json::Error) -> Self {
+        Self::Unreadable {
+            line: error.line(),
+            column: error.column(),
+            kind: match error.classify() {
+                Category::Io | Category::Syntax | Category::Eof => "it is no JSON",
+                Category::Data => "a field is missing or has the wrong type",
+            },
+        }
+    }
+}
--- a/crates/sloetrail-routing/src/lib.rs
+++ b/crates/sloetrail-routing/src/lib.rs
@@ -3,7 +3,8 @@
 //! A serving configuration arrives as JSON ([`raw`]), is checked into typed routes
 //! and services ([`ServingConfiguration`]) and is then asked, for a host and a
 //! path, for the route ([`RouteTable`]). A route that names several services is
-//! shared out by [`WeightedChoice`].
+//! shared out by [`WeightedChoice`]. Where a configuration names tenants, a caller is known
+//! by its key ([`Tenants`]).
 //!
 //! Nothing here does I/O or reads a clock.
 
@@ -11,6 +12,7 @@
 mod error;
 pub mod raw;
 mod route_table;
+mod tenants;
 mod weighted_choice;
 
 pub use configuration::{
@@ -19,6 +21,7 @@
 };
 pub use error::ConfigurationError;
 pub use route_table::RouteTable;
+pub use tenants::{Tenant, Tenants};
 pub use weighted_choice::WeightedChoice;
 
 #[cfg(test)]
--- a/crates/sloetrail-routing/src/raw.rs
+++ b/crates/sloetrail-routing/src/raw.rs
@@ -3,8 +3,8 @@
 
 use serde::Deserialize;
 
-/// A whole configuration.
-#[derive(Clone, Debug, Deserialize)]
+/// A whole configuration. It has no `Debug` form, which would show keys.
+#[derive(Clone, Deserialize)]
 pub struct RawConfiguration {
     /// Grows with each configuration; steps may be uneven.
     pub version: u64,
@@ -17,6 +17,20 @@
     /// Bounds on what callers may send.
     #[serde(default)]
     pub limits: RawLimits,
+    /// Who may call; absent means anybody.
+    pub tenants: Option<Vec<RawTenant>>,
+}
+
+/// A tenant. It has no `Debug` form, which would show its keys.
+#[derive(Clone, Deserialize)]
+pub struct RawTenant {
+    /// Its name.
+    pub name: String,
+    /// The keys that its callers show.
+    #[serde(default)]
+    pub api_keys: Vec<String>,
+    /// Its rank, which goes before that of the route; zero is the most urgent.
+    pub priority: Option<u8>,
 }
 
 /// One route.
@@ -53,6 +67,9 @@
     pub run_target_ms: Option<u64>,
     /// How long after its submission an item may be given up, in seconds.
     pub retain_s: Option<f64>,
+    /// Whether callers need no key.
+    #[serde(default)]
+    pub public: bool,
 }
 
 /// A service and its share of a route.
--- /dev/null
+++ b/crates/sloetrail-routing/src/tenants.rs
@@ -0,0 +1,83 @@
+//! Tenants and the keys by which their callers are known.
+//!
+//! A key is a secret: [`ApiKey`] does not show it, and no error of this module holds one.
+
+use crate::ConfigurationError;
+use crate::error::{DuplicateKeySnafu, DuplicateTenantSnafu};
+use crate::raw::RawTenant;
+use sloetrail_types::TenantName;
+use snafu::ensure;
+use std::collections::{BTreeSet, HashMap};
+use std::fmt;
+use std::sync::Arc;
+
+/// A secret by which a caller shows which tenant it belongs to.
+#[derive(Clone, PartialEq, Eq, Hash)]
+struct ApiKey(String);
+
+impl fmt::Debug for ApiKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("ApiKey(hidden)")
+    }
+}
+
+/// Who owns the requests that carry one of its keys.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tenant {
+    /// Its name.
+    pub name: TenantName,
+    /// Its rank, which goes before that of the route; zero is the most urgent. Absent
+    /// leaves the rank to the route.
+    pub priority: Option<u8>,
+}
+
+/// The tenants of a configuration, by their keys.
+///
+/// Invariant: each key belongs to one tenant.
+#[derive(Clone, Debug, Default)]
+pub struct Tenants {
+    by_key: HashMap<ApiKey, Arc<Tenant>>,
+}
+
+impl Tenants {
+    /// Checks tenants that have been read.
+    ///
+    /// # Errors
+    ///
+    /// If two tenants have one name or one key.
+    pub(crate) fn check(raw: Vec<RawTenant>) -> Result<Self, ConfigurationError> {
+        let mut names = BTreeSet::new();
+        let mut by_key: HashMap<ApiKey, Arc<Tenant>> = HashMap::new();
+        for RawTenant {
+            name,
+            api_keys,
+            priority,
+        } in raw
+        {
+            ensure!(
+                names.insert(name.clone()),
+                DuplicateTenantSnafu { tenant: name }
+            );
+            let tenant = Arc::new(Tenant {
+                name: TenantName::new(name),
+                priority,
+            });
+            for key in api_keys {
+                let before = by_key.insert(ApiKey(key), Arc::clone(&tenant));
+                let other = before.filter(|before| before.name != tenant.name);
+                ensure!(
+                    other.is_none(),
+                    DuplicateKeySnafu {
+                        tenant: tenant.name.as_str()
+                    }
+                );
+            }
+        }
+        Ok(Self { by_key })
+    }
+
+    /// The tenant that a key belongs to.
+    pub fn of_key(&self, key: &str) -> Option<&Arc<Tenant>> {
+        self.by_key.get(&ApiKey(key.to_owned()))
+    }
+}
--- a/crates/sloetrail-routing/src/tests.rs
+++ b/crates/sloetrail-routing/src/tests.rs
@@ -86,3 +86,66 @@
     }
     assert!((88..=92).contains(&counts["one"]), "{counts:?}");
 }
+
+#[test]
+fn a_key_leads_to_its_tenant() {
+    let configuration = parse(&json!({"version": 1, "tenants": [
+        {"name": "north", "api_keys": ["k1", "k2"], "priority": 1},
+        {"name": "south", "api_keys": ["k3"]},
+    ]}))
+    .expect("sound");
+    let tenants = configuration.tenants.expect("named");
+    let tenant = |key: &str| {
+        let tenant = tenants.of_key(key)?;
+        Some((tenant.name.as_str().to_owned(), tenant.priority))
+    };
+    assert_eq!(tenant("k2"), Some(("north".to_owned(), Some(1))));
+    assert_eq!(tenant("k3"), Some(("south".to_owned(), None)));
+    assert_eq!(tenant("k4"), None);
+    assert!(
+        parse(&json!({"version": 1}))
+            .expect("sound")
+            .tenants
+            .is_none()
+    );
+}
+
+#[test]
+fn tenants_with_one_name_or_one_key_are_refused() {
+    let twice = |first: Value, second: Value| {
+        let error = parse(&json!({"version": 1, "tenants": [first, second]}));
+        error.expect_err("refused").to_string()
+    };
+    let key = "secret-key";
+    let by_key = twice(
+        json!({"name": "north", "api_keys": [key]}),
+        json!({"name": "south", "api_keys": [key]}),
+    );
+    assert!(
+        by_key.contains("south") && !by_key.contains(key),
+        "{by_key}"
+    );
+    let by_name = twice(
+        json!({"name": "north", "api_keys": []}),
+        json!({"name": "north", "api_keys": []}),
+    );
+    assert!(by_name.contains("north"), "{by_name}");
+}
+
+#[test]
+fn no_key_is_in_an_error_or_a_debug_form() {
+    let key = "secret-key";
+    let unsound = [
+        json!({"version": 1, "tenants": [{"name": "north", "api_keys": key}]}),
+        json!({"version": 1, "tenants": [{"name": "north", "api_keys": [{key: 1}]}]}),
+        json!({"version": 1, "tenants": [{key: "north", "api_keys": []}]}),
+        json!({"version": 1, "tenants": key}),
+    ];
+    for configuration in &unsound {
+        let error = parse(configuration).expect_err("refused");
+        assert!(!format!("{error} {error:?}").contains(key), "{error}");
+    }
+    let sound = json!({"version": 1, "tenants": [{"name": "north", "api_keys": [key]}]});
+    let shown = format!("{:?}", parse(&sound).expect("sound"));
+    assert!(shown.contains("north") && !shown.contains(key), "{shown}");
+}
--- a/crates/sloetrail-serving-testkit/src/cluster.rs
+++ b/crates/sloetrail-serving-testkit/src/cluster.rs
@@ -139,6 +139,10 @@
     pub peers: bool,
     /// How long a lease lasts for nodes that start from now on.
     pub lease_ms: u64,
+    /// The tenants of configurations that are written from now on.
+    pub tenants: Option<Value>,
+    /// The key that the calls of this type carry.
+    pub api_key: Option<String>,
     wire: Arc<dyn EngineWire>,
     dialect: Arc<dyn Dialect>,
     /// Turns a way to the table into the table that a node is given.
@@ -157,6 +161,8 @@
             processor_share: None,
             peers: false,
             lease_ms: LEASE_MS,
+            tenants: None,
+            api_key: None,
             wire,
             dialect,
             wrap: Box::new(|link| link),
@@ -190,7 +196,7 @@
 
     /// Writes a configuration under a version of the caller's choice.
     pub fn write_configuration(&self, version: u64, routes: Value) {
-        let configuration = json!({
+        let mut configuration = json!({
             "version": version, "routes": routes,
             "services": [
                 {"name": APPLICATION, "max_conns": 100},
@@ -199,6 +205,9 @@
             ],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 1_000_000},
         });
+        if let Some(tenants) = &self.tenants {
+            configuration["tenants"] = tenants.clone();
+        }
         let address = self.dialect.sources().configuration.clone();
         self.table.write(address, configuration.to_string());
     }
@@ -312,7 +321,7 @@
 
     /// Submits a batch once; nothing if no answer comes.
     pub async fn submit(&self, node: usize, id: &str, batch: &Value) -> Option<Answer> {
-        let call = submission(&self.names(), HOST, id, batch);
+        let call = self.keyed(submission(&self.names(), HOST, id, batch));
         call.send(self.nodes[node].callers).await
     }
 
@@ -325,15 +334,23 @@
     /// Reads one page of a batch's results, whatever the answer is.
     pub async fn read_answer(&self, node: usize, id: &str, after: usize) -> Option<Answer> {
         let path = format!("{}{id}?after={after}", self.dialect.paths().batches);
-        Call::new(Method::GET, HOST, path)
+        self.keyed(Call::new(Method::GET, HOST, path))
             .send(self.nodes[node].callers)
             .await
     }
 
+    /// A call with the cluster's key, if it has one.
+    pub fn keyed(&self, call: Call) -> Call {
+        match &self.api_key {
+            Some(key) => call.header(&self.names().api_key, key),
+            None => call,
+        }
+    }
+
     /// Ends a batch.
     pub async fn end(&self, node: usize, id: &str) -> Option<Answer> {
         let path = format!("{}{id}", self.dialect.paths().batches);
-        Call::new(Method::DELETE, HOST, path)
+        self.keyed(Call::new(Method::DELETE, HOST, path))
             .send(self.nodes[node].callers)
             .await
     }
--- a/crates/sloetrail-serving-testkit/src/engine.rs
+++ b/crates/sloetrail-serving-testkit/src/engine.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -65,6 +65,10 @@
     pub deadline_ms: Option<u64>,
     /// Its rank; the most urgent is 0.
     pub priority: Option<u64>,
+    /// The tenant that it was sent for.
+    pub tenant: Option<String>,
+    /// The names of all its headers.
+    pub header_names: BTreeSet<String>,
     /// When it began.
     pub began: Instant,
     /// True once its answer was sent whole.
@@ -370,7 +374,7 @@
             refusal.headers_mut().insert(names.not_run, value);
             return Ok(refusal);
         }
-        let record = self.note_run(&head, &id, &names.last_event_id, &names.deadline_ms);
+        let record = self.note_run(&head, &id);
         match fault {
             EngineFault::AnswerLost => return Err(io::Error::other("the answer is lost")),
             EngineFault::Silent => std::future::pending().await,
@@ -439,22 +443,19 @@
             .unwrap_or_default()
     }
 
-    fn note_run(
-        self: &Arc<Self>,
-        head: &http::request::Parts,
-        id: &str,
-        last_event_id: &HeaderName,
-        deadline_ms: &HeaderName,
-    ) -> RecordGuard {
+    fn note_run(self: &Arc<Self>, head: &http::request::Parts, id: &str) -> RecordGuard {
+        let names = self.wire.headers();
         let number = |name| text(&head.headers, name).and_then(|text| text.parse::<u64>().ok());
-        let last_event = number(last_event_id);
+        let last_event = number(&names.last_event_id);
         let mut state = self.state();
         state.runs.push(RunRecord {
             id: id.to_owned(),
             path: head.uri.path().to_owned(),
             last_event,
-            deadline_ms: number(deadline_ms),
-            priority: number(&self.wire.headers().priority),
+            deadline_ms: number(&names.deadline_ms),
+            priority: number(&names.priority),
+            tenant: text(&head.headers, &names.tenant),
+            header_names: head.headers.keys().map(ToString::to_string).collect(),
             began: Instant::now(),
             finished: false,
             abandoned: false,
--- a/crates/sloetrail-serving/src/dialect.rs
+++ b/crates/sloetrail-serving/src/dialect.rs
@@ -39,6 +39,10 @@
     pub wait_ms: HeaderName,
     /// The caller's estimate of a text's length in tokens.
     pub length_hint: HeaderName,
+    /// The secret by which a caller shows its tenant.
+    pub api_key: HeaderName,
+    /// The tenant, as back ends are told it.
+    pub tenant: HeaderName,
 }
 
 impl HeaderNames {
@@ -57,6 +61,8 @@
             priority: HeaderName::from_static("sloetrail-priority"),
             wait_ms: HeaderName::from_static("sloetrail-wait-ms"),
             length_hint: HeaderName::from_static("sloetrail-length-hint"),
+            api_key: HeaderName::from_static("sloetrail-api-key"),
+            tenant: HeaderName::from_static("sloetrail-tenant"),
         }
     }
 }
--- /dev/null
+++ b/crates/sloetrail-serving/src/gateway/caller.rs
@@ -0,0 +1,85 @@
+//! Who a caller is: known by its key where the configuration names tenants.
+//!
+//! A key ends here. It goes to no back end, into no row, line or answer; what goes on is
+//! the tenant's name, whatever the caller itself has written there.
+
+use super::headers;
+use crate::context::NodeContext;
+use crate::dialect::HeaderNames;
+use http::HeaderMap;
+use sloetrail_batch::BatchHeader;
+use sloetrail_result::{Problem, ResultCode};
+use sloetrail_routing::{ServingConfiguration, Tenant};
+use sloetrail_types::TenantName;
+use std::sync::Arc;
+
+/// When to come back after a node could not tell whether a key is new: another node can
+/// tell at once.
+const STALE_RETRY_MS: u64 = 200;
+
+/// Whether callers have to show a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum KeyDemand {
+    /// They have to, if the configuration names tenants.
+    Needed,
+    /// They need not; a key that is known still tells the tenant.
+    Optional,
+}
+
+/// The tenant that a caller belongs to; nothing if it need not belong to one.
+///
+/// A key that is not known is refused, unless this node cannot learn of new keys just
+/// now: then another node has to tell.
+pub(crate) fn identify(
+    context: &NodeContext,
+    configuration: &ServingConfiguration,
+    headers: &HeaderMap,
+    demand: KeyDemand,
+) -> Result<Option<Arc<Tenant>>, Problem> {
+    let Some(tenants) = &configuration.tenants else {
+        return Ok(None);
+    };
+    let names = context.dialect.headers();
+    let key = headers::text(headers, &names.api_key);
+    let tenant = key.and_then(|key| tenants.of_key(key));
+    match (tenant, key, demand) {
+        (Some(tenant), _, _) => Ok(Some(Arc::clone(tenant))),
+        (None, _, KeyDemand::Optional) => Ok(None),
+        (None, None, KeyDemand::Needed) => {
+            Err(Problem::new(ResultCode::UnknownApiKey, "no key was sent"))
+        }
+        (None, Some(_), KeyDemand::Needed) => Err(unknown_key(context)),
+    }
+}
+
+fn unknown_key(context: &NodeContext) -> Problem {
+    if context.table.is_answering() {
+        return Problem::new(ResultCode::UnknownApiKey, "the key belongs to no tenant");
+    }
+    let detail = "the key is not known here, and the table does not tell whether it is new";
+    Problem::new(ResultCode::ConfigurationStale, detail).with_retry_after_ms(STALE_RETRY_MS)
+}
+
+/// Refuses a call about a batch of another tenant.
+pub(crate) fn check_owner(header: &BatchHeader, caller: Option<&Tenant>) -> Result<(), Problem> {
+    match (&header.tenant, caller) {
+        (Some(owner), Some(caller)) if *owner != caller.name => Err(Problem::new(
+            ResultCode::OtherTenant,
+            "the batch belongs to another tenant",
+        )),
+        _ => Ok(()),
+    }
+}
+
+/// Replaces the caller's key, and what it says of its tenant, by the tenant's name.
+pub(crate) fn set_tenant(
+    headers: &mut HeaderMap,
+    names: &HeaderNames,
+    tenant: Option<&TenantName>,
+) {
+    headers.remove(&names.api_key);
+    headers.remove(&names.tenant);
+    if let Some(tenant) = tenant {
+        headers::set_text(headers, &names.tenant, tenant.as_str());
+    }
+}
--- a/crates/sloetrail-serving/src/gateway/front.rs
+++ b/crates/sloetrail-serving/src/gateway/front.rs
@@ -3,6 +3,7 @@
 use super::attempt::Outgoing;
 use super::body_budget::{BodyBudget, HeldBytes};
 use super::call_log::CallLog;
+use super::caller::{self, KeyDemand};
 use super::headers;
 use super::live::LiveCall;
 use super::message::{CallerResponse, problem_response, stream_body, whole_body, with_request_id};
@@ -17,7 +18,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use sloetrail_result::{Problem, ResultCode};
-use sloetrail_routing::{Route, RouteKind, WeightedChoice};
+use sloetrail_routing::{Route, RouteKind, ServingConfiguration, Tenant, WeightedChoice};
 use sloetrail_types::ServiceName;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
@@ -42,6 +43,27 @@
     seed: f64,
 }
 
+/// A call about a batch that was submitted before.
+enum BatchCall<'a> {
+    /// What is not listed need not be run any more.
+    End { id: &'a str },
+    /// The results from a position on, waiting for some if there are none yet.
+    Results {
+        id: &'a str,
+        position: usize,
+        wait: Duration,
+    },
+    /// The body of an item.
+    ItemBody { id: &'a str, item: &'a str },
+}
+
+/// A batch as its caller sent it.
+struct Submitted<'a> {
+    id: &'a str,
+    tenant: Option<&'a Tenant>,
+    body: Bytes,
+}
+
 impl Front {
     /// An entry; `seed` (between zero and one) differs from node to node.
     pub(crate) fn new(context: Arc<NodeContext>, seed: f64) -> Self {
@@ -74,13 +96,13 @@
         request_id: &str,
         received: Instant,
     ) -> CallerResponse {
-        if let Some(response) = self.batch_call(&head).await {
-            return response;
-        }
         let Some(configuration) = self.context.configuration() else {
             let problem = Problem::new(ResultCode::NodeNotReady, "no configuration yet");
             return problem_response(&problem.with_retry_after_ms(NOT_READY_RETRY_MS));
         };
+        if let Some(response) = self.batch_call(&configuration, &head).await {
+            return response;
+        }
         let host = headers::host(&head.headers);
         let found = configuration.routes.find(host, head.uri.path());
         let deadline = self.deadline(&head.headers, found.map(|route| &**route), received);
@@ -98,6 +120,17 @@
             return problem_response(&problem);
         };
         log.route = &route.name;
+        let demand = match route.is_public {
+            true => KeyDemand::Optional,
+            false => KeyDemand::Needed,
+        };
+        let tenant = match caller::identify(&self.context, &configuration, &head.headers, demand) {
+            Ok(tenant) => tenant,
+            Err(problem) => {
+                log.failed(&problem, 0);
+                return problem_response(&problem);
+            }
+        };
         let mut held = self.bodies.begin();
         let body = match self.read_body(body, &mut held, deadline).await {
             Ok(body) => body,
@@ -107,9 +140,12 @@
             }
         };
         if route.kind == RouteKind::Rollout {
-            return self
-                .submission(&route, request_id, body, received, deadline)
-                .await;
+            let submitted = Submitted {
+                id: request_id,
+                tenant: tenant.as_deref(),
+                body,
+            };
+            return self.submission(&route, submitted, received, deadline).await;
         }
         let Some(service) = self.choose_service(&route) else {
             let problem = Problem::new(ResultCode::NoEngine, "the route has no service");
@@ -118,7 +154,7 @@
         let call = LiveCall {
             context: Arc::clone(&self.context),
             service,
-            outgoing: outgoing(head, request_id, body),
+            outgoing: self.outgoing(head, request_id, tenant.as_deref(), body),
             deadline,
             route: Arc::clone(&route),
         };
@@ -128,28 +164,52 @@
         }
     }
 
-    async fn batch_call(&self, head: &Parts) -> Option<CallerResponse> {
+    /// Answers a call about a batch; nothing if the call is about none.
+    async fn batch_call(
+        &self,
+        configuration: &ServingConfiguration,
+        head: &Parts,
+    ) -> Option<CallerResponse> {
+        let call = self.read_batch_call(head)?;
+        let demand = KeyDemand::Needed;
+        let caller = match caller::identify(&self.context, configuration, &head.headers, demand) {
+            Ok(caller) => caller,
+            Err(problem) => return Some(problem_response(&problem)),
+        };
+        let (context, caller) = (&*self.context, caller.as_deref());
+        Some(match call {
+            BatchCall::End { id } => submit::end(context, id, caller).await,
+            BatchCall::Results { id, position, wait } => {
+                read::results(context, id, caller, position, wait).await
+            }
+            BatchCall::ItemBody { id, item } => read::item_body(context, id, caller, item).await,
+        })
+    }
+
+    fn read_batch_call<'a>(&self, head: &'a Parts) -> Option<BatchCall<'a>> {
         let path = head.uri.path();
         let query = head.uri.query().unwrap_or_default();
         let paths = self.context.dialect.paths();
         if let Some(id) = path.strip_prefix(&paths.batches) {
             if head.method == Method::DELETE {
-                return Some(submit::end(&self.context, id).await);
+                return Some(BatchCall::End { id });
             }
             if head.method == Method::GET {
                 let position = query_value(query, AFTER).and_then(|text| text.parse().ok());
                 let names = self.context.dialect.headers();
                 let wait = headers::number(&head.headers, &names.wait_ms).unwrap_or_default();
-                let wait = Duration::from_millis(wait);
-                let position = position.unwrap_or_default();
-                return Some(read::results(&self.context, id, position, wait).await);
+                return Some(BatchCall::Results {
+                    id,
+                    position: position.unwrap_or_default(),
+                    wait: Duration::from_millis(wait),
+                });
             }
         }
         if let Some(id) = path.strip_prefix(&paths.batch_items)
             && head.method == Method::GET
         {
             let item = query_value(query, ITEM_ID).unwrap_or_default();
-            return Some(read::item_body(&self.context, id, item).await);
+            return Some(BatchCall::ItemBody { id, item });
         }
         None
     }
@@ -218,8 +278,7 @@
     async fn submission(
         &self,
         route: &Route,
-        id: &str,
-        body: Bytes,
+        submitted: Submitted<'_>,
         received: Instant,
         deadline: Instant,
     ) -> CallerResponse {
@@ -230,13 +289,36 @@
         let call = SubmissionCall {
             route,
             service,
-            id,
-            body,
+            id: submitted.id,
+            tenant: submitted.tenant,
+            body: submitted.body,
             received,
             deadline,
         };
         submit::submit(&self.context, &self.waiting, call).await
     }
+
+    /// A caller's request as it goes to a back end: with the tenant in place of its key.
+    fn outgoing(
+        &self,
+        head: Parts,
+        request_id: &str,
+        tenant: Option<&Tenant>,
+        body: Bytes,
+    ) -> Outgoing {
+        let names = self.context.dialect.headers();
+        let path_and_query = head.uri.path_and_query();
+        let path_and_query = path_and_query.map_or_else(|| "/".to_owned(), ToString::to_string);
+        let mut sent = headers::end_to_end(&head.headers);
+        caller::set_tenant(&mut sent, names, tenant.map(|tenant| &tenant.name));
+        Outgoing {
+            request_id: request_id.to_owned(),
+            method: head.method,
+            path_and_query,
+            headers: sent,
+            body,
+        }
+    }
 }
 
 async fn live_answer(call: LiveCall, log: &CallLog<'_>) -> CallerResponse {
@@ -276,18 +358,6 @@
     }
 }
 
-/// A caller's request as it goes to a back end.
-fn outgoing(head: Parts, request_id: &str, body: Bytes) -> Outgoing {
-    let path_and_query = head.uri.path_and_query();
-    Outgoing {
-        request_id: request_id.to_owned(),
-        method: head.method,
-        path_and_query: path_and_query.map_or_else(|| "/".to_owned(), ToString::to_string),
-        headers: headers::end_to_end(&head.headers),
-        body,
-    }
-}
-
 /// A back end's whole answer as it goes to the caller.
 fn passed_on(answer: WholeAnswer) -> CallerResponse {
     let mut response = Response::new(whole_body(answer.body));
--- a/crates/sloetrail-serving/src/gateway/mod.rs
+++ b/crates/sloetrail-serving/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod attempt;
 pub(crate) mod body_budget;
 pub(crate) mod call_log;
+pub(crate) mod caller;
 pub(crate) mod front;
 pub(crate) mod headers;
 pub(crate) mod live;
--- a/crates/sloetrail-serving/src/gateway/read.rs
+++ b/crates/sloetrail-serving/src/gateway/read.rs
@@ -4,6 +4,7 @@
 //! A node that cannot read them says so; only the absence of the head's row, as the
 //! table tells it, means that there is no such batch.
 
+use super::caller::check_owner;
 use super::message::{CallerResponse, json_response, problem_response, whole_body};
 use super::submit::table_unavailable;
 use crate::batch_rows::{read_header, read_results, read_submission};
@@ -12,6 +13,7 @@
 use http::StatusCode;
 use sloetrail_batch::{BatchHeader, ListedResult, ResultPage, Submission};
 use sloetrail_result::{Problem, ResultCode};
+use sloetrail_routing::Tenant;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -25,10 +27,11 @@
 pub(crate) async fn results(
     context: &NodeContext,
     id: &str,
+    caller: Option<&Tenant>,
     position: usize,
     wait: Duration,
 ) -> CallerResponse {
-    match try_results(context, id, position, wait).await {
+    match try_results(context, id, caller, position, wait).await {
         Ok(page) => {
             let body = serde_json::to_vec(&page).unwrap_or_default();
             json_response(StatusCode::OK, body)
@@ -40,10 +43,11 @@
 async fn try_results(
     context: &NodeContext,
     id: &str,
+    caller: Option<&Tenant>,
     position: usize,
     wait: Duration,
 ) -> Result<ResultPage, Problem> {
-    let header = known_header(context, id).await?;
+    let header = header_of(context, id, caller).await?;
     let give_up_at = Instant::now() + wait.min(WAIT_LIMIT);
     loop {
         let listed = read_results(&*context.table, id, position).await;
@@ -74,8 +78,13 @@
 }
 
 /// Answers with the body of an item.
-pub(crate) async fn item_body(context: &NodeContext, id: &str, item: &str) -> CallerResponse {
-    match try_item_body(context, id, item).await {
+pub(crate) async fn item_body(
+    context: &NodeContext,
+    id: &str,
+    caller: Option<&Tenant>,
+    item: &str,
+) -> CallerResponse {
+    match try_item_body(context, id, caller, item).await {
         Ok(response) => response,
         Err(problem) => problem_response(&problem),
     }
@@ -84,9 +93,10 @@
 async fn try_item_body(
     context: &NodeContext,
     id: &str,
+    caller: Option<&Tenant>,
     item: &str,
 ) -> Result<CallerResponse, Problem> {
-    let header = known_header(context, id).await?;
+    let header = header_of(context, id, caller).await?;
     let stored = read_submission(&*context.table, id, header.body_rows).await;
     let stored = stored
         .map_err(|_| table_unavailable())?
@@ -100,9 +110,14 @@
     Ok(http::Response::new(whole_body(found.body)))
 }
 
-async fn known_header(context: &NodeContext, id: &str) -> Result<BatchHeader, Problem> {
+/// The head of a batch that a caller may know of.
+pub(crate) async fn header_of(
+    context: &NodeContext,
+    id: &str,
+    caller: Option<&Tenant>,
+) -> Result<BatchHeader, Problem> {
     match read_header(&*context.table, id).await {
-        Ok(Some((header, _))) => Ok(header),
+        Ok(Some((header, _))) => check_owner(&header, caller).map(|()| header),
         Ok(None) => {
             let detail = format!("batch {id}");
             Err(Problem::new(ResultCode::UnknownBatch, detail))
--- a/crates/sloetrail-serving/src/gateway/submit.rs
+++ b/crates/sloetrail-serving/src/gateway/submit.rs
@@ -16,17 +16,18 @@
 
 use self::waiting::{Hindrance, wait_for_table};
 use super::message::{CallerResponse, empty_response, problem_response};
-use crate::batch_rows::{encode_header, read_header};
+use super::read::header_of;
+use crate::batch_rows::encode_header;
 use crate::context::NodeContext;
 use crate::events::{self, Event};
 use crate::rows;
-use crate::table::{Commit, CommitError, ReadError, Transaction};
+use crate::table::{Commit, CommitError, Transaction};
 use crate::telemetry;
 use bytes::Bytes;
 use http::StatusCode;
 use sloetrail_batch::{BatchHeader, Submission, is_usable_id};
 use sloetrail_result::{Problem, ResultCode};
-use sloetrail_routing::{Route, WeightedService};
+use sloetrail_routing::{Route, Tenant, WeightedService};
 use sloetrail_types::ServiceName;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -59,6 +60,8 @@
     pub(crate) service: &'a ServiceName,
     /// Its id.
     pub(crate) id: &'a str,
+    /// Whose it is; nothing where the configuration names no tenants.
+    pub(crate) tenant: Option<&'a Tenant>,
     /// Its body.
     pub(crate) body: Bytes,
     /// When it was received.
@@ -132,6 +135,8 @@
         retention_ms: route.retention.as_millis() as u64,
         single_version: route.single_version,
         priority: route.priority,
+        tenant: call.tenant.map(|tenant| tenant.name.clone()),
+        tenant_priority: call.tenant.and_then(|tenant| tenant.priority),
     };
     let transactions = transactions(context, id, &parts, &header);
     let commit = BatchCommit {
@@ -262,16 +267,13 @@
 }
 
 /// Ends a batch: what is not listed need not be run any more.
-pub(crate) async fn end(context: &NodeContext, id: &str) -> CallerResponse {
-    let header = match read_header(&*context.table, id).await {
-        Ok(header) => header,
-        Err(ReadError::Unavailable | ReadError::HistoryLost) => {
-            return problem_response(&table_unavailable());
-        }
-    };
-    if header.is_none() {
-        let detail = format!("batch {id}");
-        return problem_response(&Problem::new(ResultCode::UnknownBatch, detail));
+pub(crate) async fn end(
+    context: &NodeContext,
+    id: &str,
+    caller: Option<&Tenant>,
+) -> CallerResponse {
+    if let Err(problem) = header_of(context, id, caller).await {
+        return problem_response(&problem);
     }
     let transaction = Transaction::new().put(rows::end(id), Bytes::from_static(b"ended"));
     match context.table.commit(&transaction).await {
--- a/crates/sloetrail-serving/src/owner/run.rs
+++ b/crates/sloetrail-serving/src/owner/run.rs
@@ -5,12 +5,12 @@
 use crate::context::NodeContext;
 use crate::event_stream::{EventParser, StreamEvent};
 use crate::gateway::attempt::{AttemptResult, Outgoing, build_request, judge_failure, judge_head};
-use crate::gateway::headers;
+use crate::gateway::{caller, headers};
 use crate::http::{AnswerBody, Exchange};
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use sloetrail_batch::{SubmittedItem, Transcript, TranscriptEvent};
-use sloetrail_types::WeightVersion;
+use sloetrail_types::{TenantName, WeightVersion};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -30,6 +30,7 @@
     pub(super) context: Arc<NodeContext>,
     pub(super) item: Arc<SubmittedItem>,
     pub(super) host: String,
+    pub(super) tenant: Option<TenantName>,
     pub(super) back_end: Arc<BackEnd>,
     pub(super) oldest_version: WeightVersion,
     pub(super) single_version: bool,
@@ -197,6 +198,7 @@
                 sent.insert(name, value);
             }
         }
+        caller::set_tenant(&mut sent, names, spec.tenant.as_ref());
         headers::set_text(&mut sent, &HOST, &spec.host);
         headers::set_text(&mut sent, &names.request_id, &spec.item.id);
         headers::set_number(&mut sent, &names.priority, u64::from(spec.priority));
--- a/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
@@ -26,16 +26,12 @@
             return;
         }
         for wanted in [true, false] {
-            let mut order: Vec<(u8, u64, BatchId)> = self
-                .batches
-                .iter()
-                .map(|(id, open)| {
-                    let header = &open.batch.header;
-                    (header.priority, header.accepted_at_ms, id.clone())
-                })
+            let open = self.batches.iter();
+            let mut order: Vec<_> = open
+                .map(|(id, open)| (open.batch.header.urgency(), id.clone()))
                 .collect();
             order.sort();
-            for (_, _, id) in order {
+            for (_, id) in order {
                 while self.start_next(&id, wanted) {}
             }
         }
@@ -103,6 +99,7 @@
             context: Arc::clone(&self.context),
             item: Arc::clone(&item.submitted),
             host: open.batch.header.host.clone(),
+            tenant: open.batch.header.tenant.clone(),
             back_end: Arc::clone(&engine.back_end),
             oldest_version: open.batch.oldest_version,
             single_version: open.batch.header.single_version,
--- /dev/null
+++ b/crates/sloetrail-serving/tests/tenants.rs
@@ -0,0 +1,223 @@
+//! Tenants: callers are known by their keys, which go no further than the node; back ends
+//! are told the tenant, and a batch belongs to the tenant that submitted it.
+
+mod support;
+
+use http::Method;
+use serde_json::{Value, json};
+use sloetrail_serving::table_client::TableClient;
+use sloetrail_serving_testkit::client::{Answer, Call, batch, with_reward};
+use sloetrail_serving_testkit::cluster::{Cluster, HOST, MODEL, eventually, usual_routes};
+use sloetrail_serving_testkit::engine::RunRecord;
+use sloetrail_serving_testkit::table::LinkTransport;
+use std::sync::Arc;
+use std::time::Duration;
+use support::{assert_each_once, items, native_cluster};
+
+const PACE: Duration = Duration::from_millis(5);
+const NORTH: &str = "north-key";
+const SOUTH: &str = "south-key";
+
+fn tenants(north_keys: &[&str]) -> Value {
+    json!([
+        {"name": "north", "api_keys": north_keys, "priority": 1},
+        {"name": "south", "api_keys": [SOUTH]},
+    ])
+}
+
+/// The usual routes, and one for everybody.
+fn routes() -> Value {
+    let mut routes = usual_routes();
+    let mut open = routes[0].clone();
+    open["name"] = json!("open");
+    open["path_prefix"] = json!("/open/");
+    open["public"] = json!(true);
+    let all = routes.as_array_mut().expect("a list");
+    all.push(open);
+    routes
+}
+
+async fn cluster() -> Cluster {
+    let mut cluster =
+        native_cluster().with_table(|link| TableClient::new(Arc::new(LinkTransport(link))));
+    cluster.tenants = Some(tenants(&[NORTH]));
+    cluster.configure(routes());
+    cluster.add_application("zone-a").await;
+    cluster.add_engine(PACE).await;
+    let node = cluster.add_node("node-1").await;
+    cluster.wait_ready(node).await;
+    cluster
+}
+
+fn call(cluster: &Cluster, path: &str, id: &str, key: Option<&str>) -> Call {
+    let names = cluster.names();
+    let call = Call::new(Method::POST, HOST, path)
+        .header(&names.request_id, id)
+        .header(&names.deadline_ms, "1500")
+        .body("question");
+    match key {
+        Some(key) => call.header(&names.api_key, key),
+        None => call,
+    }
+}
+
+async fn send(cluster: &Cluster, call: &Call) -> Answer {
+    let answer = call.send(cluster.nodes[0].callers).await;
+    answer.expect("an answer")
+}
+
+fn runs(cluster: &Cluster) -> Vec<RunRecord> {
+    let engines = cluster.engines.iter();
+    engines.flat_map(|engine| engine.runs()).collect()
+}
+
+fn run_of(cluster: &Cluster, id: &str) -> RunRecord {
+    let mut runs = runs(cluster).into_iter();
+    runs.find(|run| run.id == id).expect("it ran")
+}
+
+fn assert_no_key_was_passed_on(cluster: &Cluster) {
+    let key = cluster.names().api_key;
+    for run in runs(cluster) {
+        assert!(!run.header_names.contains(key.as_str()), "{run:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_back_end_is_told_the_tenant_in_place_of_the_key() {
+    let cluster = cluster().await;
+    let bodies = [
+        ("/live/x", "question"),
+        ("/once/x", "question"),
+        ("/events/x", "events=2"),
+    ];
+    for (path, body) in bodies {
+        let names = cluster.names();
+        let call = call(&cluster, path, path, Some(NORTH));
+        let call = call.header(&names.tenant, "south").body(body);
+        assert_eq!(send(&cluster, &call).await.status, 200);
+        assert_eq!(run_of(&cluster, path).tenant.as_deref(), Some("north"));
+    }
+    assert_no_key_was_passed_on(&cluster);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_without_a_known_key_is_refused_and_runs_nowhere() {
+    let cluster = cluster().await;
+    for key in [None, Some("unknown-key"), Some("")] {
+        for path in ["/live/x", "/once/x", "/events/x", "/rollout/x"] {
+            let answer = send(&cluster, &call(&cluster, path, "r1", key)).await;
+            assert_eq!(answer.status, 401, "{path}");
+            assert_eq!(answer.json()["code"], 1010);
+            assert!(!answer.text().contains("unknown-key"), "{}", answer.text());
+        }
+    }
+    let nowhere = send(&cluster, &call(&cluster, "/nowhere/", "r2", None)).await;
+    assert_eq!(nowhere.status, 404);
+    assert!(runs(&cluster).is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_public_route_needs_no_key() {
+    let cluster = cluster().await;
+    let names = cluster.names();
+    let unknown = call(&cluster, "/open/x", "r1", None).header(&names.tenant, "north");
+    assert_eq!(send(&cluster, &unknown).await.status, 200);
+    assert_eq!(run_of(&cluster, "r1").tenant, None);
+    let known = call(&cluster, "/open/x", "r2", Some(SOUTH));
+    assert_eq!(send(&cluster, &known).await.status, 200);
+    assert_eq!(run_of(&cluster, "r2").tenant.as_deref(), Some("south"));
+    assert_no_key_was_passed_on(&cluster);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn items_run_for_the_tenant_of_their_batch_and_rewards_for_nobody() {
+    let mut cluster = cluster().await;
+    let names = cluster.names();
+    cluster.api_key = Some(NORTH.to_owned());
+    let mut items: Vec<Value> = items(4, 3);
+    for item in &mut items {
+        // What a trainer writes into its items is no better than what a caller sends.
+        item["headers"] = json!({names.tenant.as_str(): "south", names.api_key.as_str(): NORTH});
+        *item = with_reward(item.clone(), HOST);
+        item["reward"]["path"] = json!("/open/score");
+    }
+    let answer = cluster.submit(0, "b1", &batch(&items, MODEL, 1)).await;
+    assert_eq!(answer.expect("an answer").status, 202);
+    assert_each_once(&cluster.wait_results(0, "b1", 4).await, 4);
+    for run in runs(&cluster) {
+        let expected = (!run.id.starts_with("reward-")).then_some("north");
+        assert_eq!(run.tenant.as_deref(), expected, "{run:?}");
+    }
+    assert_no_key_was_passed_on(&cluster);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_batch_is_shown_and_ended_for_its_own_tenant_only() {
+    let mut cluster = cluster().await;
+    cluster.api_key = Some(NORTH.to_owned());
+    let answer = cluster
+        .submit(0, "b1", &batch(&items(2, 3), MODEL, 1))
+        .await;
+    assert_eq!(answer.expect("an answer").status, 202);
+    cluster.wait_results(0, "b1", 2).await;
+    for (key, status, code) in [
+        (Some(SOUTH), 403, 1011),
+        (Some("x"), 401, 1010),
+        (None, 401, 1010),
+    ] {
+        cluster.api_key = key.map(str::to_owned);
+        let path = format!("/v1/batch-items/{}?id=i0", "b1");
+        let body = cluster.keyed(Call::new(Method::GET, HOST, path));
+        let answers = [
+            cluster.read_answer(0, "b1", 0).await.expect("an answer"),
+            cluster.end(0, "b1").await.expect("an answer"),
+            send(&cluster, &body).await,
+        ];
+        for answer in answers {
+            assert_eq!(answer.status, status);
+            assert_eq!(answer.json()["code"], code);
+        }
+    }
+    assert!(cluster.table.rows("sloetrail_ends").is_empty());
+    cluster.api_key = Some(NORTH.to_owned());
+    assert_eq!(cluster.end(0, "b1").await.expect("an answer").status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_that_is_taken_away_is_refused_soon_and_ends_no_batch() {
+    let mut cluster = cluster().await;
+    cluster.tenants = Some(tenants(&[NORTH, "north-second"]));
+    cluster.configure(routes());
+    let callers = cluster.nodes[0].callers;
+    let second = call(&cluster, "/live/x", "r1", Some("north-second"));
+    let is_in_force = || async { (second.send(callers).await?.status == 200).then_some(()) };
+    eventually("the second key is in force", is_in_force).await;
+    cluster.api_key = Some(NORTH.to_owned());
+    let answer = cluster
+        .submit(0, "b1", &batch(&items(6, 40), MODEL, 1))
+        .await;
+    assert_eq!(answer.expect("an answer").status, 202);
+    cluster.tenants = Some(tenants(&["north-second"]));
+    cluster.configure(routes());
+    let first = call(&cluster, "/live/x", "r2", Some(NORTH));
+    let is_refused = || async { (first.send(callers).await?.status == 401).then_some(()) };
+    eventually("the first key is refused", is_refused).await;
+    cluster.api_key = Some("north-second".to_owned());
+    assert_each_once(&cluster.wait_results(0, "b1", 6).await, 6);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_cannot_learn_of_new_keys_sends_the_caller_to_another() {
+    let cluster = cluster().await;
+    cluster.table.set_down(true);
+    let unknown = call(&cluster, "/live/x", "r1", Some("perhaps-new"));
+    let callers = cluster.nodes[0].callers;
+    let is_put_off = || async {
+        let answer = unknown.send(callers).await?;
+        (answer.status == 503 && answer.json()["code"] == 1106).then_some(())
+    };
+    eventually("the node finds that the table is away", is_put_off).await;
+    let known = call(&cluster, "/live/x", "r2", Some(NORTH));
+    assert_eq!(send(&cluster, &known).await.status, 200);
+}
--- a/crates/sloetrail-types/src/lib.rs
+++ b/crates/sloetrail-types/src/lib.rs
@@ -12,7 +12,8 @@
 pub use counters::{Epoch, Revision, RowVersion, SequenceNumber, StepNumber, WeightVersion};
 pub use digest::{digest, rendezvous_weight};
 pub use names::{
-    ApplyId, EngineId, NodeId, RequestId, RunName, SampleId, ServiceName, TransactionId, ZoneName,
+    ApplyId, EngineId, NodeId, RequestId, RunName, SampleId, ServiceName, TenantName,
+    TransactionId, ZoneName,
 };
 pub use segment::{Segment, oldest_version, segments_cover};
 pub use time::Timestamp;
--- a/crates/sloetrail-types/src/names.rs
+++ b/crates/sloetrail-types/src/names.rs
@@ -68,6 +68,10 @@
     /// One configuration apply, named by the operator's client.
     ApplyId
 );
+name_type!(
+    /// A tenant of the operators, to which callers belong.
+    TenantName
+);
 name_type!(
     /// One transaction on the table service, named by its writer.
     TransactionId
