--- a/crates/sloetrail-serving-testkit/src/cluster.rs
+++ b/crates/sloetrail-serving-testkit/src/cluster.rs
@@ -9,8 +9,9 @@
 use sloetrail_serving::ServingNode;
 use sloetrail_serving::dialect::{Dialect, HeaderNames};
 use sloetrail_serving::policies::Policies;
-use sloetrail_serving::settings::{RawServingSettings, ServingSettings};
+use sloetrail_serving::settings::{RawServingSettings, RawUsageSettings, ServingSettings};
 use sloetrail_serving::table::{RowAddress, Table};
+use sloetrail_serving::usage::UsageRecipient;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -90,6 +91,7 @@
     settings: ServingSettings,
     table: Arc<dyn Table>,
     dialect: Arc<dyn Dialect>,
+    recipient: Option<Arc<dyn UsageRecipient>>,
     started: oneshot::Sender<(SocketAddr, SocketAddr, Handle)>,
     stopped: oneshot::Receiver<()>,
     killed: oneshot::Receiver<()>,
@@ -103,7 +105,8 @@
             .expect("a runtime");
         let killed = self.killed;
         let serving = async move {
-            let node = ServingNode::start(self.settings, self.table, self.dialect);
+            let (settings, recipient) = (self.settings, self.recipient);
+            let node = ServingNode::start(settings, self.table, self.dialect, recipient);
             let node = node.await.expect("starts");
             let runtime = Handle::current();
             let started = (node.callers_address(), node.ready_address(), runtime);
@@ -139,6 +142,10 @@
     pub peers: bool,
     /// How long a lease lasts for nodes that start from now on.
     pub lease_ms: u64,
+    /// When nodes that start from now on report usage.
+    pub usage: Option<RawUsageSettings>,
+    /// Who takes the reports.
+    pub recipient: Option<Arc<dyn UsageRecipient>>,
     /// The tenants of configurations that are written from now on.
     pub tenants: Option<Value>,
     /// The key that the calls of this type carry.
@@ -161,6 +168,8 @@
             processor_share: None,
             peers: false,
             lease_ms: LEASE_MS,
+            usage: None,
+            recipient: None,
             tenants: None,
             api_key: None,
             wire,
@@ -277,6 +286,7 @@
             body_budget_bytes: self.body_budget_bytes,
             processor_share: self.processor_share,
             policies: Policies::default(),
+            usage: self.usage,
         };
         let life = NEXT_LIFE.fetch_add(1, Ordering::Relaxed);
         let settings = ServingSettings::check(raw, life).expect("sound settings");
@@ -290,6 +300,7 @@
             settings,
             table,
             dialect,
+            recipient: self.recipient.clone(),
             started,
             stopped,
             killed,
--- a/crates/sloetrail-serving/src/context.rs
+++ b/crates/sloetrail-serving/src/context.rs
@@ -10,6 +10,7 @@
 use crate::service_pools::ServicePools;
 use crate::settings::ServingSettings;
 use crate::table::Table;
+use crate::usage::NodeUsage;
 use sloetrail_routing::{RequestLimits, ServingConfiguration};
 use std::sync::Arc;
 use tokio::sync::watch;
@@ -30,6 +31,8 @@
     pub(crate) lease_pace: FollowPace,
     pub(crate) fleet: FleetSize,
     pub(crate) pause_guard: Arc<PauseGuard>,
+    /// Counts what tenants use, where that is to be reported.
+    pub(crate) usage: Option<Arc<NodeUsage>>,
 }
 
 impl NodeContext {
--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -389,6 +389,38 @@
         /// The median of all engines.
         median_us: u64,
     },
+    /// A report of what tenants used was sent.
+    UsageReported {
+        /// The window.
+        window: u64,
+        /// Tenants with a request in it.
+        tenants: usize,
+        /// Requests of all tenants.
+        requests: u64,
+        /// The epoch under which it was sent.
+        epoch: u64,
+        /// How long after the end of the window, in milliseconds.
+        after_end_ms: u64,
+        /// What became of it.
+        outcome: &'a str,
+        /// The status, if it was refused for good.
+        status: Option<u16>,
+    },
+    /// Counts of windows that were reported before were found: they came too late, or an
+    /// earlier holder ended before it deleted them.
+    UsageLeft {
+        /// The window that is reported now.
+        window: u64,
+        /// Requests that are in no report, or in one already.
+        requests: u64,
+    },
+    /// The nodes' wall clock was set: how far it is ahead of the table's clock.
+    WallClockAgreed {
+        /// The lead, in milliseconds.
+        lead_ms: i64,
+        /// Nodes whose clocks were compared.
+        nodes: usize,
+    },
     /// The process did not run for a while.
     ProcessPaused {
         /// How long, in milliseconds.
@@ -441,6 +473,9 @@
                 "lease"
             }
             Event::OrderGiven { .. } | Event::VersionInForce { .. } => "weights",
+            Event::UsageReported { .. }
+            | Event::UsageLeft { .. }
+            | Event::WallClockAgreed { .. } => "usage",
         }
     }
 
@@ -465,6 +500,7 @@
 /// Writes an event down, without waiting.
 pub fn emit(event: &Event<'_>) {
     let part = event.part();
+    debug_assert!(writer::PARTS.contains(&part), "{part} is written by nobody");
     if !log::log_enabled!(target: part, log::Level::Info) {
         return;
     }
--- a/crates/sloetrail-serving/src/events/writer.rs
+++ b/crates/sloetrail-serving/src/events/writer.rs
@@ -13,8 +13,9 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 const QUEUE_LINES: usize = 1024;
-const PARTS: [&str; 8] = [
-    "node", "table", "config", "engine", "gateway", "batch", "lease", "weights",
+/// The parts of the program that typed events come from.
+pub(super) const PARTS: [&str; 9] = [
+    "node", "table", "config", "engine", "gateway", "batch", "lease", "weights", "usage",
 ];
 
 static OVERFLOW: AtomicU64 = AtomicU64::new(0);
--- a/crates/sloetrail-serving/src/follow/pace.rs
+++ b/crates/sloetrail-serving/src/follow/pace.rs
@@ -49,7 +49,8 @@
         OwnedService(self.clone())
     }
 
-    fn back_ends(&self) -> usize {
+    /// How many back ends are listed, as far as known.
+    pub fn back_ends(&self) -> usize {
         self.state.back_ends.load(Ordering::Relaxed)
     }
 
--- a/crates/sloetrail-serving/src/gateway/front.rs
+++ b/crates/sloetrail-serving/src/gateway/front.rs
@@ -154,6 +154,7 @@
         let call = LiveCall {
             context: Arc::clone(&self.context),
             service,
+            tenant: tenant.as_ref().map(|tenant| tenant.name.clone()),
             outgoing: self.outgoing(head, request_id, tenant.as_deref(), body),
             deadline,
             route: Arc::clone(&route),
--- a/crates/sloetrail-serving/src/gateway/live.rs
+++ b/crates/sloetrail-serving/src/gateway/live.rs
@@ -11,13 +11,14 @@
 use crate::http::WholeAnswer;
 use crate::service_pools::Place;
 use crate::telemetry;
+use crate::usage::BegunRequest;
 use futures_util::StreamExt;
 use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
 use http::StatusCode;
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_routing::{Route, RouteKind};
-use sloetrail_types::{EngineId, ServiceName};
+use sloetrail_types::{EngineId, ServiceName, TenantName};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -41,6 +42,8 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceName,
     pub(crate) outgoing: Outgoing,
+    /// Whose use it counts as; nothing for calls of the node itself.
+    pub(crate) tenant: Option<TenantName>,
     /// When its final answer is due.
     pub(crate) deadline: Instant,
 }
@@ -59,6 +62,8 @@
 }
 
 struct Attempted {
+    /// The number of the send.
+    send: usize,
     place: Place,
     result: AttemptResult,
     took: Duration,
@@ -75,6 +80,7 @@
     failed_answers: usize,
     last_failure: Option<(WholeAnswer, EngineId)>,
     last_result: Option<&'static str>,
+    begun: Option<BegunRequest>,
 }
 
 impl LiveCall {
@@ -90,10 +96,17 @@
             failed_answers: 0,
             last_failure: None,
             last_result: None,
+            begun: self.begun_request(),
         };
         run.run_to_end().await
     }
 
+    /// What counts the request, if it is counted.
+    pub(crate) fn begun_request(&self) -> Option<BegunRequest> {
+        let usage = self.context.usage.as_ref()?;
+        Some(BegunRequest::new(usage, self.tenant.as_ref()?))
+    }
+
     fn is_repeatable(&self) -> bool {
         self.route.kind == RouteKind::Idempotent
     }
@@ -173,6 +186,10 @@
         };
         self.tried.insert(place.back_end().id.clone());
         self.sends += 1;
+        let send = self.sends;
+        if let Some(begun) = &mut self.begun {
+            begun.sent(send);
+        }
         let outgoing = self.call.outgoing.clone();
         let reuse = self.call.is_repeatable();
         let deadline = self.call.deadline;
@@ -189,6 +206,7 @@
             )
             .await;
             Attempted {
+                send,
                 place,
                 result,
                 took: began.elapsed(),
@@ -201,6 +219,7 @@
     /// Takes in the end of an attempt; returns the final outcome if this is it.
     fn take(&mut self, attempted: Attempted) -> Option<LiveOutcome> {
         let Attempted {
+            send,
             place,
             result,
             took,
@@ -218,6 +237,8 @@
         self.last_result = Some(result.word());
         if !result.is_proved_not_run() {
             self.may_have_run += 1;
+        } else if let Some(begun) = &mut self.begun {
+            begun.not_run(send);
         }
         match result {
             AttemptResult::Answered(answer) => Some(self.outcome(Ok(answer), Some(back_end))),
--- a/crates/sloetrail-serving/src/gateway/stream.rs
+++ b/crates/sloetrail-serving/src/gateway/stream.rs
@@ -15,6 +15,7 @@
 use crate::events::{self, Event};
 use crate::http::{AnswerBody, Exchange, SendFailure, WholeAnswer};
 use crate::service_pools::Place;
+use crate::usage::BegunRequest;
 use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream::{self, BoxStream};
@@ -89,6 +90,8 @@
     may_have_run: usize,
     sends: usize,
     last_event: Option<u64>,
+    /// A series began with its first event.
+    begun: Option<BegunRequest>,
 }
 
 struct Running {
@@ -104,6 +107,7 @@
         let names = call.context.dialect.headers();
         let last_event = headers::number(&call.outgoing.headers, &names.last_event_id);
         Self {
+            begun: call.begun_request(),
             call,
             tried: BTreeSet::new(),
             may_have_run: 0,
@@ -292,6 +296,9 @@
 
     fn take(&mut self, piece: &[u8]) -> Result<Bytes, SendFailure> {
         let events = self.parser.push(piece).map_err(|_| SendFailure::Lost)?;
+        if let (false, Some(begun)) = (events.is_empty(), &mut self.source.begun) {
+            begun.sent(self.source.sends);
+        }
         let mut passed_on = Vec::new();
         for event in events {
             let follows = match (self.source.last_event, event.id) {
--- a/crates/sloetrail-serving/src/owner/lease_keeper.rs
+++ b/crates/sloetrail-serving/src/leases/keeper.rs
@@ -1,8 +1,7 @@
-//! Who owns a service: one keeper a service on every node.
+//! Who holds a lease: one keeper a lease on every node.
 
 use super::owner_watch::{OwnerWatch, WatchedTerm};
-use super::service_owner::ServiceOwner;
-use super::term::Term;
+use super::{LeaseSubject, Term, TermWork};
 use crate::context::NodeContext;
 use crate::events::{self, Event};
 use crate::follow::{OwnedService, TableView, ViewReceiver};
@@ -11,8 +10,7 @@
 use crate::telemetry;
 use rand::Rng;
 use sloetrail_lease::{LeaseAction, LeaseRecord, LeaseWatcher, ObservedLease};
-use sloetrail_types::{Epoch, NodeId, RowVersion, ServiceName, Timestamp};
-use std::collections::HashMap;
+use sloetrail_types::{Epoch, NodeId, RowVersion, Timestamp};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -21,7 +19,7 @@
 use tokio_util::sync::CancellationToken;
 
 const TICK: Duration = Duration::from_millis(100);
-/// How long an owner may take to put its work down.
+/// How long the holder may take to put its work down.
 const RELEASE_TIME: Duration = Duration::from_millis(1_000);
 /// A lease outlasts this many ordinary answers of the table.
 const RENEWAL_ROUNDS: u32 = 8;
@@ -33,43 +31,20 @@
 const CANDIDATE_TURNS: u32 = 8;
 const CANDIDATE_DELAY_MOST: Duration = Duration::from_secs(2);
 
-/// Runs a keeper for each service that needs an owner, until the node stops; then
-/// gives every lease up.
-pub(crate) async fn supervise(context: Arc<NodeContext>, stopping: CancellationToken) {
-    let mut keepers: HashMap<ServiceName, JoinHandle<()>> = HashMap::new();
-    let mut in_force = context.in_force.clone();
-    loop {
-        let configuration = in_force.borrow_and_update().configuration.clone();
-        let services = configuration.map(|configuration| configuration.rollout_services());
-        for service in services.unwrap_or_default() {
-            keepers.entry(service.clone()).or_insert_with(|| {
-                let keeper = LeaseKeeper::new(Arc::clone(&context), service);
-                tokio::spawn(keeper.run(stopping.clone()))
-            });
-        }
-        tokio::select! {
-            Ok(()) = in_force.changed() => {}
-            () = stopping.cancelled() => break,
-        }
-    }
-    for (_, keeper) in keepers {
-        // A keeper that panicked has nothing left to give up.
-        let _ = keeper.await;
-    }
-}
-
 struct Holding {
     term: Term,
-    owner: JoinHandle<()>,
-    /// Tells the owner when the table last confirmed the lease.
+    work: JoinHandle<()>,
+    /// Tells the holder when the table last confirmed the lease.
     confirmed_at: watch::Sender<Instant>,
     /// Has the directory followed as closely as in a small fleet.
-    _owned: OwnedService,
+    _owned: Option<OwnedService>,
 }
 
-struct LeaseKeeper {
+/// Competes for one lease, and renews it while this node holds it.
+pub(crate) struct LeaseKeeper {
     context: Arc<NodeContext>,
-    service: ServiceName,
+    subject: LeaseSubject,
+    work: Arc<dyn TermWork>,
     leases: ViewReceiver,
     origin: Instant,
     watcher: LeaseWatcher,
@@ -86,12 +61,19 @@
 }
 
 impl LeaseKeeper {
-    fn new(context: Arc<NodeContext>, service: ServiceName) -> Self {
+    /// A keeper that does not know who holds the lease. `work` is what this node does while
+    /// it holds it.
+    pub(crate) fn new(
+        context: Arc<NodeContext>,
+        subject: LeaseSubject,
+        work: Arc<dyn TermWork>,
+    ) -> Self {
         let watcher = new_watcher(&context);
         Self {
             leases: context.leases.clone(),
             context,
-            service,
+            subject,
+            work,
             origin: Instant::now(),
             watcher,
             seen_version: None,
@@ -104,7 +86,8 @@
         }
     }
 
-    async fn run(mut self, stopping: CancellationToken) {
+    /// Keeps the lease until the node stops, and then gives it up.
+    pub(crate) async fn run(mut self, stopping: CancellationToken) {
         while !stopping.is_cancelled() {
             self.step().await;
             let can_hear = self.holding.is_none();
@@ -180,7 +163,7 @@
             self.interruptions = view.interruptions;
             self.count_anew();
         }
-        let row = view.rows.get(&rows::lease(&self.service).key);
+        let row = view.rows.get(&rows::lease(self.subject.name()).key);
         let version = row.map(|row| row.version);
         if version < self.seen_version {
             return;
@@ -229,9 +212,9 @@
     fn end_holding(&mut self, cause: &str) {
         if let Some(holding) = self.holding.take() {
             holding.term.ended.cancel();
-            telemetry::lease_held(self.service.as_str(), 0);
+            telemetry::lease_held(self.subject.name(), 0);
             events::emit(&Event::LeaseLost {
-                service: self.service.as_str(),
+                service: self.subject.name(),
                 epoch: holding.term.epoch.0,
                 cause,
             });
@@ -263,7 +246,7 @@
     }
 
     async fn renew(&mut self, action: LeaseAction) {
-        let transaction = write_lease(&self.service, &action);
+        let transaction = write_lease(&self.subject, &action);
         match self.context.table.commit(&transaction).await {
             Ok(Commit::Done(version)) => {
                 self.note_own_write(version, action.record);
@@ -280,10 +263,10 @@
     async fn take_over(&mut self, action: LeaseAction, view: &TableView) {
         let previous = self.watcher.holder().map(NodeId::to_string);
         let unchanged = self.unchanged_since.elapsed();
-        let fence = rows::fence(&self.service);
+        let fence = rows::fence(self.subject.name());
         let fence_version = view.rows.get(&fence.key).map(|row| row.version);
         let epoch = action.record.epoch;
-        let transaction = write_lease(&self.service, &action)
+        let transaction = write_lease(&self.subject, &action)
             .require(fence.clone(), fence_version)
             .put(fence, epoch.to_string());
         let commit = self.context.table.commit(&transaction).await;
@@ -291,12 +274,12 @@
             Ok(Commit::Done(version)) => {
                 self.note_own_write(version, action.record);
                 events::emit(&Event::LeaseTaken {
-                    service: self.service.as_str(),
+                    service: self.subject.name(),
                     epoch: epoch.0,
                     previous: previous.as_deref().unwrap_or("-"),
                     unchanged_ms: unchanged.as_millis() as u64,
                 });
-                telemetry::lease_held(self.service.as_str(), epoch.0);
+                telemetry::lease_held(self.subject.name(), epoch.0);
                 self.begin_term(epoch, version);
             }
             Ok(Commit::Conflict(rows)) => self.note_conflict(&rows),
@@ -317,19 +300,20 @@
     fn begin_term(&mut self, epoch: Epoch, fence: RowVersion) {
         let (sender, confirmed_at) = watch::channel(Instant::now());
         let term = Term {
-            service: self.service.clone(),
+            subject: self.subject.clone(),
             epoch,
             fence,
             releasing: CancellationToken::new(),
             ended: CancellationToken::new(),
             confirmed_at,
         };
-        let owner = ServiceOwner::new(Arc::clone(&self.context), term.clone());
+        let work = tokio::spawn(self.work.run(term.clone()));
+        let waits = self.work.waits_for_back_ends();
         self.holding = Some(Holding {
             term,
-            owner: tokio::spawn(owner.run()),
+            work,
             confirmed_at: sender,
-            _owned: self.context.fleet.own_service(),
+            _owned: waits.then(|| self.context.fleet.own_service()),
         });
     }
 
@@ -344,7 +328,7 @@
     fn note_conflict(&mut self, current: &[Row]) {
         // Whoever wrote the row lives.
         self.watch.stop();
-        let address = rows::lease(&self.service);
+        let address = rows::lease(self.subject.name());
         let row = current.iter().find(|row| row.address == address);
         self.observe_row(row, Instant::now());
         self.check_holding();
@@ -356,16 +340,16 @@
             return;
         };
         holding.term.releasing.cancel();
-        // An owner that cannot put its work down in time leaves it as it is.
-        let _ = tokio::time::timeout(RELEASE_TIME, holding.owner).await;
+        // Work that cannot be put down in time is left as it is.
+        let _ = tokio::time::timeout(RELEASE_TIME, holding.work).await;
         holding.term.ended.cancel();
         if let Some(action) = self.watcher.release() {
-            let transaction = write_lease(&self.service, &action);
+            let transaction = write_lease(&self.subject, &action);
             // Without an answer the lease runs out by itself.
             let _ = self.context.table.commit(&transaction).await;
         }
         events::emit(&Event::LeaseLost {
-            service: self.service.as_str(),
+            service: self.subject.name(),
             epoch: holding.term.epoch.0,
             cause: "the node stops",
         });
@@ -382,8 +366,8 @@
     LeaseWatcher::new(settings.instance.clone(), settings.bounds.lease)
 }
 
-fn write_lease(service: &ServiceName, action: &LeaseAction) -> Transaction {
-    let address = rows::lease(service);
+fn write_lease(subject: &LeaseSubject, action: &LeaseAction) -> Transaction {
+    let address = rows::lease(subject.name());
     let record = serde_json::to_vec(&action.record).unwrap_or_default();
     Transaction::new()
         .require(address.clone(), action.expected)
--- a/crates/sloetrail-serving/src/owner/order_window.rs
+++ b/crates/sloetrail-serving/src/leases/order_window.rs
@@ -1,13 +1,13 @@
-//! When an owner may give orders to engines.
+//! When the holder of a lease may give orders, to engines or to others who do as it says.
 //!
-//! Engines do not compare fences, and two owners must not take turns. So an owner
+//! Who takes orders does not compare fences, and two holders must not take turns. So a holder
 //! commits a window before it gives orders, and gives them only while the window is
-//! open by its own clock, counted from before the commit. A new owner reads the
+//! open by its own clock, counted from before the commit. A new holder reads the
 //! window of the one before and waits until it is over, by the table's clock, and
 //! the gap that must lie between two owners has passed. Where the last owner gave
 //! no orders lately there is nothing to wait for.
 
-use super::term::Term;
+use super::Term;
 use crate::context::NodeContext;
 use crate::rows;
 use crate::table::{Commit, Table, read_row};
@@ -35,7 +35,7 @@
 
 /// The order window of one term.
 #[derive(Clone, Debug, Default)]
-pub(super) struct OrderWindow {
+pub(crate) struct OrderWindow {
     open_until: Option<Instant>,
     /// When the gap after the last owner's window has passed, by the table's clock.
     not_before_ms: Option<u64>,
@@ -45,13 +45,13 @@
 
 impl OrderWindow {
     /// True if an order may be given now, and be on its way before the window ends.
-    pub(super) fn is_open(&self) -> bool {
+    pub(crate) fn is_open(&self) -> bool {
         let latest = Instant::now() + LEFT_LEAST;
         self.open_until.is_some_and(|until| latest < until)
     }
 
     /// Opens a window, or prolongs it, if it may be open by now.
-    pub(super) async fn open(&mut self, context: &NodeContext, term: &Term) {
+    pub(crate) async fn open(&mut self, context: &NodeContext, term: &Term) {
         let Some(now_ms) = context.table.now_ms() else {
             return;
         };
@@ -65,7 +65,7 @@
             until_ms: now_ms + (length + CLOCK_MARGIN).as_millis() as u64,
         };
         let value = serde_json::to_vec(&window).unwrap_or_default();
-        let address = rows::order_window(&term.service);
+        let address = rows::order_window(term.subject.name());
         let transaction = term.transaction().put(address, value);
         let commit = context.table.commit(&transaction).await;
         self.commit_time = began.elapsed();
@@ -89,7 +89,7 @@
 /// From when on this term's owner may give orders; nothing if it cannot be read.
 async fn not_before_ms(context: &NodeContext, term: &Term) -> Option<u64> {
     let table: &dyn Table = &*context.table;
-    let row = read_row(table, &rows::order_window(&term.service))
+    let row = read_row(table, &rows::order_window(term.subject.name()))
         .await
         .ok()?;
     let Some(row) = row else {
--- a/crates/sloetrail-serving/src/owner/owner_watch.rs
+++ b/crates/sloetrail-serving/src/leases/owner_watch.rs
@@ -1,4 +1,4 @@
-//! Watching over the owner of a service from another node.
+//! Watching over the holder of a lease from another node.
 
 use crate::context::NodeContext;
 use crate::events::{self, Event};
@@ -26,7 +26,7 @@
     pub(super) epoch: Epoch,
 }
 
-/// A watch over the owner of a service.
+/// A watch over the holder of a lease.
 #[derive(Default)]
 pub(super) struct OwnerWatch {
     term: Option<WatchedTerm>,
--- a/crates/sloetrail-serving/src/owner/term.rs
+++ b/crates/sloetrail-serving/src/leases/term.rs
@@ -1,21 +1,22 @@
-//! One term of ownership.
+//! One term of a lease.
 
+use super::LeaseSubject;
 use crate::rows;
 use crate::table::Transaction;
-use sloetrail_types::{Epoch, RowVersion, ServiceName};
+use sloetrail_types::{Epoch, RowVersion};
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-/// One term of ownership of a service.
+/// One term of a lease: from taking it to losing it or giving it up.
 #[derive(Clone, Debug)]
 pub(crate) struct Term {
-    pub(crate) service: ServiceName,
+    pub(crate) subject: LeaseSubject,
     pub(crate) epoch: Epoch,
     /// The version of the fence row that the term's first transaction wrote.
     pub(crate) fence: RowVersion,
-    /// Cancelled when the owner is to put its work down in an orderly way.
+    /// Cancelled when the holder is to put its work down in an orderly way.
     pub(crate) releasing: CancellationToken,
     /// Cancelled once the term is over or known to be lost.
     pub(crate) ended: CancellationToken,
@@ -31,6 +32,6 @@
 
     /// A transaction that takes effect only within this term.
     pub(crate) fn transaction(&self) -> Transaction {
-        Transaction::new().require(rows::fence(&self.service), Some(self.fence))
+        Transaction::new().require(rows::fence(self.subject.name()), Some(self.fence))
     }
 }
--- a/crates/sloetrail-serving/src/node.rs
+++ b/crates/sloetrail-serving/src/node.rs
@@ -9,16 +9,18 @@
 use crate::gateway::message::{empty_response, whole_body};
 use crate::http::{ConnectionPool, ConnectionTracker, ListenerSettings, serve_connections};
 use crate::operator::watch_operator;
-use crate::owner;
 use crate::pause_guard::PauseGuard;
 use crate::relay::{self, peers::Peers};
 use crate::rows;
 use crate::service_pools::ServicePools;
 use crate::settings::ServingSettings;
+use crate::supervisor::supervise;
 use crate::table::Table;
 use crate::telemetry::{self, Beliefs};
+use crate::usage::{NodeUsage, UsageRecipient, UsageWork};
 use http::StatusCode;
 use sloetrail_types::digest;
+use sloetrail_usage::ReportSchedule;
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -36,6 +38,9 @@
 /// A node exits this much before it would be killed.
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
 
+/// How long a stopping node tries to hand over what it counted, within the margin.
+const USAGE_HAND_OVER: Duration = Duration::from_millis(400);
+
 /// A node that cannot start.
 #[derive(Debug, Snafu)]
 #[snafu(display("cannot listen on {address}: {source}"))]
@@ -55,11 +60,13 @@
 }
 
 impl ServingNode {
-    /// Starts a node.
+    /// Starts a node. `recipient` takes the reports of what tenants use; without it, or
+    /// without settings for it, usage is not counted.
     pub async fn start(
         settings: ServingSettings,
         table: Arc<dyn Table>,
         dialect: Arc<dyn Dialect>,
+        recipient: Option<Arc<dyn UsageRecipient>>,
     ) -> Result<Self, StartError> {
         events::emit(&Event::NodeStarted {
             node: &settings.node,
@@ -73,7 +80,9 @@
         let ready = listen(settings.ready_address).await?;
         let callers_address = local_address(&callers, settings.callers_address);
         let ready_address = local_address(&ready, settings.ready_address);
-        let context = Arc::new(build_context(settings, table, peers, dialect));
+        let reports = settings.usage.zip(recipient);
+        let schedule = reports.as_ref().map(|(usage, _)| usage.schedule());
+        let context = Arc::new(build_context(settings, table, peers, dialect, schedule));
         let stopping = CancellationToken::new();
         let tracker = ConnectionTracker::default();
         serve_callers(&context, callers, tracker.clone());
@@ -82,7 +91,17 @@
             serve_metrics(&context, listen(address).await?, tracker.clone());
         }
         tokio::spawn(keep_house(Arc::clone(&context)));
-        let owners = tokio::spawn(owner::supervise(Arc::clone(&context), stopping.clone()));
+        let usage = reports.and_then(|(_, recipient)| {
+            let usage = Arc::clone(context.usage.as_ref()?);
+            tokio::spawn(Arc::clone(&usage).run());
+            Some(UsageWork {
+                context: Arc::clone(&context),
+                usage,
+                recipient,
+            })
+        });
+        let owners = supervise(Arc::clone(&context), usage, stopping.clone());
+        let owners = tokio::spawn(owners);
         Ok(Self {
             context,
             callers: tracker,
@@ -121,6 +140,10 @@
         while self.callers.connections() > 0 && Instant::now() < give_up_at {
             tokio::time::sleep(STOP_STEP).await;
         }
+        if let Some(usage) = &self.context.usage {
+            // What cannot be handed over in time is lost, as when the node is killed.
+            let _ = tokio::time::timeout(USAGE_HAND_OVER, usage.hand_over()).await;
+        }
         events::emit(&Event::NodeStopped {
             requests: self.callers.requests(),
         });
@@ -147,6 +170,7 @@
     table: Arc<dyn Table>,
     peers: Option<Arc<Peers>>,
     dialect: Arc<dyn Dialect>,
+    usage_schedule: Option<ReportSchedule>,
 ) -> NodeContext {
     let sources = dialect.sources().clone();
     let fleet = FleetSize::default();
@@ -174,6 +198,16 @@
     let seed = digest(settings.instance.as_str().as_bytes());
     let pools = ServicePools::new(settings.node.clone(), settings.zone.clone(), seed);
     pools.follow(directory.clone());
+    let usage = usage_schedule.map(|schedule| {
+        let (table, leases) = (Arc::clone(&table), leases.clone());
+        NodeUsage::new(
+            schedule,
+            settings.instance.clone(),
+            table,
+            leases,
+            fleet.clone(),
+        )
+    });
     NodeContext {
         in_force: watch_operator(operator_view, Arc::clone(&dialect)),
         connections: Arc::new(ConnectionPool::new()),
@@ -187,6 +221,7 @@
         lease_pace: paces.leases,
         fleet,
         pause_guard,
+        usage,
     }
 }
 
--- a/crates/sloetrail-serving/src/owner/committer.rs
+++ b/crates/sloetrail-serving/src/owner/committer.rs
@@ -6,8 +6,8 @@
 //! that are still being made go along.
 
 use super::event::{Committed, OwnerEvent};
-use super::term::Term;
 use crate::context::NodeContext;
+use crate::leases::Term;
 use crate::retry_pause::RetryPause;
 use crate::rows;
 use crate::table::{Commit, CommitError, RowAddress, TableLimits, Transaction};
--- a/crates/sloetrail-serving/src/owner/event.rs
+++ b/crates/sloetrail-serving/src/owner/event.rs
@@ -1,10 +1,10 @@
 //! What the parts of an owner tell it.
 
 use super::loading::LoadedBatch;
-use super::order_window::OrderWindow;
 use super::reward::RewardOutcome;
 use super::run::RunOutcome;
 use crate::back_end::{EngineStatus, OrderAnswer};
+use crate::leases::OrderWindow;
 use sloetrail_batch::{BatchId, ItemIndex, ListedResult, Transcript};
 use sloetrail_types::{EngineId, WeightVersion};
 use std::time::Duration;
--- a/crates/sloetrail-serving/src/owner/mod.rs
+++ b/crates/sloetrail-serving/src/owner/mod.rs
@@ -1,12 +1,10 @@
 //! The owner of a service's batches: one node at a time.
 //!
-//! Each node keeps an eye on the lease of each service that runs batches
-//! ([`lease_keeper`]). The holder runs a [`service_owner::ServiceOwner`]: it loads the
-//! open batches from the table, sends items to engines ([`run`]), has whole texts
-//! scored ([`reward`]), commits results in groups ([`committer`]) and brings the
-//! engines to the published versions ([`rollout_plan`], [`weights`]). Every write of a term is
-//! conditional on the fence row that the term's first transaction wrote; orders to
-//! engines are given only within windows that were committed before ([`order_window`]).
+//! The holder of the lease of a service that runs batches ([`crate::leases`]) runs a
+//! [`service_owner::ServiceOwner`]: it loads the open batches from the table, sends items
+//! to engines ([`run`]), has whole texts scored ([`reward`]), commits results in groups
+//! ([`committer`]) and brings the engines to the published versions ([`rollout_plan`],
+//! [`weights`]).
 
 mod assignment;
 mod committer;
@@ -14,10 +12,7 @@
 mod engines;
 mod event;
 mod item_story;
-mod lease_keeper;
 mod loading;
-mod order_window;
-mod owner_watch;
 mod pace;
 mod publications;
 mod reward;
@@ -25,8 +20,31 @@
 mod run;
 mod service_owner;
 mod sweeper;
-mod term;
 mod usage;
 mod weights;
 
-pub(crate) use lease_keeper::supervise;
+use self::service_owner::ServiceOwner;
+use crate::context::NodeContext;
+use crate::leases::{Term, TermWork};
+use futures_util::future::BoxFuture;
+use sloetrail_types::ServiceName;
+use std::sync::Arc;
+
+/// What the holder of a service's lease does: it owns the service's batches.
+pub(crate) struct BatchesWork {
+    /// The node's parts.
+    pub(crate) context: Arc<NodeContext>,
+    /// The service.
+    pub(crate) service: ServiceName,
+}
+
+impl TermWork for BatchesWork {
+    fn run(&self, term: Term) -> BoxFuture<'static, ()> {
+        let owner = ServiceOwner::new(Arc::clone(&self.context), self.service.clone(), term);
+        Box::pin(owner.run())
+    }
+
+    fn waits_for_back_ends(&self) -> bool {
+        true
+    }
+}
--- a/crates/sloetrail-serving/src/owner/reward.rs
+++ b/crates/sloetrail-serving/src/owner/reward.rs
@@ -95,6 +95,7 @@
         context: Arc::clone(context),
         service: choose_service(route, &reward.id)?,
         outgoing: outgoing(context, reward),
+        tenant: None,
         deadline: Instant::now() + route.timeout,
         route: Arc::clone(route),
     })
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -11,17 +11,16 @@
 use super::engines::EnginePool;
 use super::event::OwnerEvent;
 use super::item_story::ItemStory;
-use super::order_window::OrderWindow;
 use super::publications::Publications;
 use super::run::RunProgress;
 use super::sweeper;
-use super::term::Term;
 use super::usage::PlaceUsage;
 use crate::context::NodeContext;
 use crate::follow::{FollowPace, ViewReceiver, follow};
+use crate::leases::{OrderWindow, Term};
 use crate::rows;
 use sloetrail_batch::{Batch, BatchId, ItemId, ItemIndex, LengthModel, Transcript};
-use sloetrail_types::EngineId;
+use sloetrail_types::{EngineId, ServiceName};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -66,6 +65,7 @@
 /// The owner of a service, for one term.
 pub(super) struct ServiceOwner {
     context: Arc<NodeContext>,
+    service: ServiceName,
     term: Term,
     engines: EnginePool,
     batches: BTreeMap<BatchId, OpenBatch>,
@@ -92,7 +92,7 @@
 }
 
 impl ServiceOwner {
-    pub(super) fn new(context: Arc<NodeContext>, term: Term) -> Self {
+    pub(super) fn new(context: Arc<NodeContext>, service: ServiceName, term: Term) -> Self {
         let (sender, events) = mpsc::unbounded_channel();
         let (commits, requests) = mpsc::unbounded_channel();
         let committing =
@@ -101,6 +101,7 @@
             committing: tokio::spawn(committing),
             kept_at: Instant::now(),
             context,
+            service,
             term,
             engines: EnginePool::default(),
             batches: BTreeMap::new(),
@@ -158,6 +159,7 @@
                 let view = batches.borrow().clone();
                 tokio::spawn(sweeper::sweep(
                     Arc::clone(&self.context),
+                    self.service.clone(),
                     self.term.clone(),
                     view,
                 ));
@@ -194,7 +196,7 @@
 
     fn take_directory(&mut self) {
         let directory = self.context.directory.borrow().clone();
-        self.engines.take_directory(&directory, &self.term.service);
+        self.engines.take_directory(&directory, &self.service);
         self.assign_models();
     }
 
@@ -208,7 +210,7 @@
         let configuration = self.context.configuration();
         let service = configuration
             .as_ref()
-            .and_then(|configuration| configuration.services.get(&self.term.service));
+            .and_then(|configuration| configuration.services.get(&self.service));
         let model = service.and_then(|service| service.model.as_ref());
         model.map(|model| model.models.clone()).unwrap_or_default()
     }
--- a/crates/sloetrail-serving/src/owner/service_owner/batches.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/batches.rs
@@ -41,7 +41,7 @@
                 continue;
             }
             let header = decode_header(&row.value);
-            let Some(header) = header.filter(|header| header.service == self.term.service) else {
+            let Some(header) = header.filter(|header| header.service == self.service) else {
                 continue;
             };
             self.known.insert(id.clone());
--- a/crates/sloetrail-serving/src/owner/service_owner/results.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/results.rs
@@ -24,7 +24,7 @@
         (outcome, transcript): (RunOutcome, Transcript),
         took: Duration,
     ) {
-        telemetry::run_ended(self.term.service.as_str(), outcome.word(), took);
+        telemetry::run_ended(self.service.as_str(), outcome.word(), took);
         self.judge_engine(engine, outcome);
         let Some(open) = self.batches.get_mut(id) else {
             return;
--- a/crates/sloetrail-serving/src/owner/service_owner/versions.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/versions.rs
@@ -2,10 +2,10 @@
 
 use super::ServiceOwner;
 use crate::back_end::{OrderAnswer, VersionChange};
+use crate::leases::OrderWindow;
 use crate::owner::assignment::ModelShare;
 use crate::owner::engine::VersionChangeUnderWay;
 use crate::owner::event::{OrderEnd, OwnerEvent};
-use crate::owner::order_window::OrderWindow;
 use crate::owner::rollout_plan::{ModelTarget, concurrent_changes, plan};
 use crate::owner::weights::OrderTask;
 use sloetrail_batch::Batch;
@@ -184,7 +184,7 @@
         let wants_one = configuration.is_some_and(|configuration| {
             configuration.routes.iter().any(|route| {
                 let serves =
-                    |part: &sloetrail_routing::WeightedService| part.service == self.term.service;
+                    |part: &sloetrail_routing::WeightedService| part.service == self.service;
                 route.single_version && route.services.iter().any(serves)
             })
         });
--- a/crates/sloetrail-serving/src/owner/sweeper.rs
+++ b/crates/sloetrail-serving/src/owner/sweeper.rs
@@ -1,11 +1,12 @@
 //! Deleting batches that nobody may read any more.
 
-use super::term::Term;
 use crate::batch_rows::decode_header;
 use crate::context::NodeContext;
 use crate::follow::TableView;
+use crate::leases::Term;
 use crate::rows;
 use crate::table::{Commit, KeyRange, RowAddress, Transaction, scan_all};
+use sloetrail_types::ServiceName;
 use std::sync::Arc;
 
 /// Rows are kept this much longer than readers were promised.
@@ -13,8 +14,13 @@
 /// Batches deleted in one round, so that a round stays small.
 const BATCHES_A_ROUND: usize = 8;
 
-/// Deletes a few batches of the term's service that are past their time.
-pub(super) async fn sweep(context: Arc<NodeContext>, term: Term, batches: Arc<TableView>) {
+/// Deletes a few batches of a service that are past their time.
+pub(super) async fn sweep(
+    context: Arc<NodeContext>,
+    service: ServiceName,
+    term: Term,
+    batches: Arc<TableView>,
+) {
     let Some(now_ms) = context.table.now_ms() else {
         return;
     };
@@ -22,7 +28,7 @@
     let past_its_time = batches.rows.iter().filter(|(_, row)| {
         decode_header(&row.value).is_some_and(|header| {
             let kept_ms = kept_ms.max(header.retention_ms + MARGIN_MS);
-            header.service == term.service && now_ms > header.accepted_at_ms + kept_ms
+            header.service == service && now_ms > header.accepted_at_ms + kept_ms
         })
     });
     for (id, _) in past_its_time.take(BATCHES_A_ROUND) {
--- a/crates/sloetrail-serving/src/owner/weights.rs
+++ b/crates/sloetrail-serving/src/owner/weights.rs
@@ -4,13 +4,13 @@
 //! has taken: an order that arrives late, after others, is refused by that count.
 
 use super::event::{OrderEnd, OwnerEvent, PlannedOrder};
-use super::term::Term;
 use crate::back_end::{BackEnd, EngineStatus, OrderAnswer, VersionChange, VersionOrder};
 use crate::context::NodeContext;
 use crate::dialect::EngineCall;
 use crate::events::{self, Event};
 use crate::gateway::headers;
 use crate::http::{Exchange, SendFailure, WholeAnswer, WholeBody};
+use crate::leases::Term;
 use crate::telemetry;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Request};
--- a/crates/sloetrail-serving/src/relay/mod.rs
+++ b/crates/sloetrail-serving/src/relay/mod.rs
@@ -46,6 +46,7 @@
             zone: settings.zone.clone(),
             candidate_rank: settings.candidate_rank,
             token: token.clone(),
+            clock_lead: None,
         };
         tokio::spawn(peers::register(
             Arc::clone(&direct),
--- a/crates/sloetrail-serving/src/relay/peers.rs
+++ b/crates/sloetrail-serving/src/relay/peers.rs
@@ -8,13 +8,15 @@
 use crate::http::{ConnectionPool, Exchange, SendFailure, WholeBody};
 use crate::rows;
 use crate::settings::ServingSettings;
-use crate::table::{Table, Transaction};
+use crate::table::{KeyRange, ReadError, Table, Transaction, scan_all};
+use crate::usage::seen_lead;
 use bytes::Bytes;
 use http::header::HOST;
 use http::{HeaderValue, Method, Request};
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use sloetrail_types::{NodeId, ZoneName};
+use sloetrail_usage::ClockLead;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -23,6 +25,10 @@
 
 /// Nodes start together, and all of them write their rows then.
 const REGISTER_RETRY: Duration = Duration::from_millis(400);
+/// A node that registered before it had any answer of the table does so again soon.
+const CLOCK_UNKNOWN_PAUSE: Duration = Duration::from_millis(500);
+/// Clocks drift apart by under 0.1 ms a second.
+const REGISTER_PERIOD: Duration = Duration::from_secs(600);
 /// How often the rows are asked for: they change when nodes start.
 const FOLLOW_PAUSE: Duration = Duration::from_secs(4);
 const FOLLOW_WAIT: Duration = Duration::from_secs(1);
@@ -50,17 +56,37 @@
     pub(super) candidate_rank: u32,
     /// What a caller must show: it knows the row, and means this life of the node.
     pub(super) token: String,
+    /// How far it sees wall-clock time ahead of the table's clock; nothing before it knows
+    /// that clock.
+    #[serde(default)]
+    pub(super) clock_lead: Option<ClockLead>,
 }
 
-/// Writes the node's row, again and again until the table has taken it.
-pub(super) async fn register(table: Arc<dyn Table>, node: String, entry: PeerEntry) {
-    let row = serde_json::to_vec(&entry).unwrap_or_default();
-    let transaction = Transaction::new().put(rows::node(&node), row);
-    while table.commit(&transaction).await.is_err() {
-        tokio::time::sleep(REGISTER_RETRY).await;
+/// Writes the node's row until the table has taken it, and anew from time to time, for
+/// clocks drift.
+pub(super) async fn register(table: Arc<dyn Table>, node: String, mut entry: PeerEntry) {
+    loop {
+        entry.clock_lead = seen_lead(&*table);
+        let row = serde_json::to_vec(&entry).unwrap_or_default();
+        let transaction = Transaction::new().put(rows::node(&node), row);
+        let is_registered = table.commit(&transaction).await.is_ok();
+        let pause = match (is_registered, entry.clock_lead) {
+            (false, _) => REGISTER_RETRY,
+            (true, None) => CLOCK_UNKNOWN_PAUSE,
+            (true, Some(_)) => REGISTER_PERIOD,
+        };
+        tokio::time::sleep(pause).await;
     }
 }
 
+/// How far each node sees wall-clock time ahead of the table's clock.
+pub(crate) async fn read_clock_leads(table: &dyn Table) -> Result<Vec<ClockLead>, ReadError> {
+    let page = scan_all(table, KeyRange::all(rows::NODES, rows::NODES)).await?;
+    let entries = page.rows.iter();
+    let entries = entries.filter_map(|row| serde_json::from_slice::<PeerEntry>(&row.value).ok());
+    Ok(entries.filter_map(|entry| entry.clock_lead).collect())
+}
+
 /// The other nodes.
 pub(crate) struct Peers {
     pub(super) own_name: String,
--- a/crates/sloetrail-serving/src/rows.rs
+++ b/crates/sloetrail-serving/src/rows.rs
@@ -5,15 +5,16 @@
 //! after the other, so neither waits for the other while the table is slow.
 
 use crate::table::{KeyRange, RowAddress};
-use sloetrail_types::ServiceName;
+use sloetrail_types::NodeId;
+use sloetrail_usage::WindowNumber;
 
 /// The partition of what owners write.
 pub const OWNERS: &str = "sloetrail";
 /// The partition of what callers submit and end.
 pub const CALLERS: &str = "sloetrail_callers";
-/// Lease and fence of each service. Every node follows this table.
+/// Leases and their fences. Every node follows this table.
 pub const LEASES: &str = "sloetrail_leases";
-/// The order window of each service, which only a new owner reads.
+/// The order window of each lease, which only a new holder reads.
 pub const ORDER_WINDOWS: &str = "sloetrail_order_windows";
 /// The head of each batch; its presence means that the batch is accepted.
 pub const BATCHES: &str = "sloetrail_batches";
@@ -30,22 +31,60 @@
 /// Where nodes that carry calls for one another listen, by node.
 pub const NODES: &str = "sloetrail_nodes";
 
+/// What nodes have counted of the use of tenants and no report holds yet. Its partition is
+/// the table's own: all nodes write there.
+pub const USAGE_PIECES: &str = "sloetrail_usage_pieces";
+
+/// The report of usage that was committed last.
+pub const USAGE_REPORTS: &str = "sloetrail_usage_reports";
+
+/// Digits of a window's number: keys sort as the windows follow one another.
+const WINDOW_DIGITS: usize = 20;
 const POSITION_DIGITS: usize = 8;
 const PART_DIGITS: usize = 3;
 
-/// The lease of a service: renewed several times a second.
-pub fn lease(service: &ServiceName) -> RowAddress {
-    RowAddress::new(LEASES, OWNERS, format!("lease/{service}"))
+/// A lease, by the name of what it is for: renewed several times a second.
+pub fn lease(subject: &str) -> RowAddress {
+    RowAddress::new(LEASES, OWNERS, format!("lease/{subject}"))
+}
+
+/// The fence of a lease: written only when the holder changes.
+pub fn fence(subject: &str) -> RowAddress {
+    RowAddress::new(LEASES, OWNERS, format!("fence/{subject}"))
+}
+
+/// Until when the holder of a lease may give orders.
+pub fn order_window(subject: &str) -> RowAddress {
+    RowAddress::new(ORDER_WINDOWS, OWNERS, subject)
+}
+
+/// How far wall-clock time is ahead of the table's clock, as the nodes agree on it. It
+/// lies with the leases, which every node follows.
+pub fn wall_clock() -> RowAddress {
+    RowAddress::new(LEASES, OWNERS, "wall-clock")
+}
+
+/// A piece of what a life of a node has counted in a window.
+pub fn usage_piece(instance: &NodeId, window: WindowNumber, sequence: u64) -> RowAddress {
+    let key = format!("{}/{instance}/{sequence}", window_key(window));
+    RowAddress::new(USAGE_PIECES, USAGE_PIECES, key)
+}
+
+/// All pieces of a window, and those that earlier ones have left.
+pub fn usage_pieces_until(window: WindowNumber) -> KeyRange {
+    KeyRange {
+        to: Some(window_key(window.next())),
+        ..KeyRange::all(USAGE_PIECES, USAGE_PIECES)
+    }
 }
 
-/// The fence of a service: written only when the owner changes.
-pub fn fence(service: &ServiceName) -> RowAddress {
-    RowAddress::new(LEASES, OWNERS, format!("fence/{service}"))
+fn window_key(window: WindowNumber) -> String {
+    format!("{:0WINDOW_DIGITS$}", window.0)
 }
 
-/// Until when the owner of a service may give orders to engines.
-pub fn order_window(service: &ServiceName) -> RowAddress {
-    RowAddress::new(ORDER_WINDOWS, OWNERS, service.as_str())
+/// The report of usage that was committed last.
+pub fn usage_report() -> RowAddress {
+    RowAddress::new(USAGE_REPORTS, OWNERS, "last")
 }
 
 /// Where a node listens for others. Its partition is the table's own: all nodes write
--- a/crates/sloetrail-serving/src/settings.rs
+++ b/crates/sloetrail-serving/src/settings.rs
@@ -3,6 +3,7 @@
 use crate::policies::Policies;
 use serde::Deserialize;
 use sloetrail_types::{NodeId, ZoneName};
+use sloetrail_usage::{ReportSchedule, Windows};
 use snafu::{ResultExt, Snafu, ensure};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -69,6 +70,50 @@
     /// Mechanisms of decision that can be switched off.
     #[serde(default)]
     pub policies: Policies,
+    /// When the use of tenants is reported; absent means never.
+    #[serde(default)]
+    pub usage: Option<RawUsageSettings>,
+}
+
+/// When the use of tenants is reported, as it is written.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct RawUsageSettings {
+    /// The length of a window, in seconds.
+    pub window_s: f64,
+    /// How long after the end of a window its report is due, in seconds.
+    pub due_s: f64,
+}
+
+/// When the use of tenants is reported.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UsageSettings {
+    /// The length of a window.
+    pub window: Duration,
+    /// How long after the end of a window its report is due.
+    pub due_after: Duration,
+}
+
+impl UsageSettings {
+    fn check(raw: RawUsageSettings) -> Result<Self, SettingsError> {
+        const LEAST: Duration = Duration::from_millis(100);
+        let settings = Self {
+            window: seconds(Some(raw.window_s), 0.0, "usage.window_s")?,
+            due_after: seconds(Some(raw.due_s), 0.0, "usage.due_s")?,
+        };
+        for (time, field) in [
+            (settings.window, "usage.window_s"),
+            (settings.due_after, "usage.due_s"),
+        ] {
+            let message = "is too short";
+            ensure!(time >= LEAST, OutOfBoundsSnafu { field, message });
+        }
+        Ok(settings)
+    }
+
+    /// When windows are reported.
+    pub fn schedule(&self) -> ReportSchedule {
+        ReportSchedule::new(Windows::new(self.window), self.due_after)
+    }
 }
 
 /// Settings that have been checked.
@@ -94,6 +139,8 @@
     pub bounds: ServingBounds,
     /// Mechanisms of decision that can be switched off.
     pub policies: Policies,
+    /// When the use of tenants is reported; nothing means never.
+    pub usage: Option<UsageSettings>,
 }
 
 /// Bounds in time and number.
@@ -195,6 +242,7 @@
             candidate_rank: candidate_rank(raw.processor_share),
             bounds,
             policies: raw.policies,
+            usage: raw.usage.map(UsageSettings::check).transpose()?,
         })
     }
 
--- /dev/null
+++ b/crates/sloetrail-serving/src/supervisor.rs
@@ -0,0 +1,48 @@
+//! Which leases this node keeps: one for each kind of work that one node at a time does.
+
+use crate::context::NodeContext;
+use crate::leases::{LeaseKeeper, LeaseSubject, TermWork};
+use crate::owner::BatchesWork;
+use crate::usage::UsageWork;
+use std::collections::HashMap;
+use std::sync::Arc;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+/// Runs a keeper for each lease that is needed, until the node stops; then gives every
+/// lease up. `usage` is present where usage is to be reported.
+pub(crate) async fn supervise(
+    context: Arc<NodeContext>,
+    usage: Option<UsageWork>,
+    stopping: CancellationToken,
+) {
+    let mut keepers: HashMap<LeaseSubject, JoinHandle<()>> = HashMap::new();
+    let start = |subject: LeaseSubject, work: Arc<dyn TermWork>| {
+        let keeper = LeaseKeeper::new(Arc::clone(&context), subject, work);
+        tokio::spawn(keeper.run(stopping.clone()))
+    };
+    if let Some(usage) = usage {
+        let subject = LeaseSubject::UsageReports;
+        keepers.insert(subject.clone(), start(subject, Arc::new(usage)));
+    }
+    let mut in_force = context.in_force.clone();
+    loop {
+        let configuration = in_force.borrow_and_update().configuration.clone();
+        let services = configuration.map(|configuration| configuration.rollout_services());
+        for service in services.unwrap_or_default() {
+            let subject = LeaseSubject::Batches(service.clone());
+            keepers.entry(subject.clone()).or_insert_with(|| {
+                let context = Arc::clone(&context);
+                start(subject, Arc::new(BatchesWork { context, service }))
+            });
+        }
+        tokio::select! {
+            Ok(()) = in_force.changed() => {}
+            () = stopping.cancelled() => break,
+        }
+    }
+    for (_, keeper) in keepers {
+        // A keeper that panicked has nothing left to give up.
+        let _ = keeper.await;
+    }
+}
--- a/crates/sloetrail-serving/src/telemetry.rs
+++ b/crates/sloetrail-serving/src/telemetry.rs
@@ -98,6 +98,16 @@
     counter!("sloetrail_orders_total", "outcome" => outcome).increment(1);
 }
 
+/// A report of usage was sent.
+pub(crate) fn usage_reported(outcome: &'static str) {
+    counter!("sloetrail_usage_reports_total", "outcome" => outcome).increment(1);
+}
+
+/// A request that was to be counted was forgotten before the clock was agreed on.
+pub(crate) fn usage_forgotten() {
+    counter!("sloetrail_usage_forgotten_total").increment(1);
+}
+
 /// Whether this node owns a service, and under which epoch; zero means not.
 pub(crate) fn lease_held(service: &str, epoch: u64) {
     let service = SERVICES.bounded(service);
--- /dev/null
+++ b/crates/sloetrail-serving/src/usage/recipient.rs
@@ -0,0 +1,61 @@
+//! Whoever takes the reports of usage.
+
+use async_trait::async_trait;
+use sloetrail_types::Epoch;
+use sloetrail_usage::UsageReport;
+use std::time::Duration;
+
+/// Who sends a report.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReportSender {
+    /// The node.
+    pub node: String,
+    /// The epoch of its lease, which grows with each holder and fences earlier ones off.
+    pub epoch: Epoch,
+}
+
+/// What became of a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportAnswer {
+    /// It was taken, now or before.
+    Accepted,
+    /// A later holder has sent reports already.
+    Fenced,
+    /// It will never be taken as it is; the status.
+    Refused(u16),
+    /// It was not taken now, or nothing was answered: the same is to be sent again.
+    NotNow,
+}
+
+impl ReportAnswer {
+    /// A word for logs and metrics.
+    pub(crate) fn word(self) -> &'static str {
+        match self {
+            ReportAnswer::Accepted => "accepted",
+            ReportAnswer::Fenced => "fenced",
+            ReportAnswer::Refused(_) => "refused",
+            ReportAnswer::NotNow => "not now",
+        }
+    }
+
+    /// The status of a refusal.
+    pub(crate) fn status(self) -> Option<u16> {
+        match self {
+            ReportAnswer::Refused(status) => Some(status),
+            ReportAnswer::Accepted | ReportAnswer::Fenced | ReportAnswer::NotNow => None,
+        }
+    }
+}
+
+/// Whoever takes the reports of usage.
+#[async_trait]
+pub trait UsageRecipient: Send + Sync {
+    /// Hands a report over; gives up after `patience`. The same report may be handed over
+    /// again.
+    async fn report(
+        &self,
+        report: &UsageReport,
+        sender: &ReportSender,
+        patience: Duration,
+    ) -> ReportAnswer;
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/usage/reporter.rs
@@ -0,0 +1,326 @@
+//! The holder of the reports' lease, for one term.
+//!
+//! Each window goes the same way: its pieces are read and added up, the sum is committed
+//! under the term's fence in place of the window before, and sent until it is taken. A
+//! successor finds the committed sum and sends it once more before it goes on, so a window
+//! is never reported with two sums. Reports are sent within order windows, so those of two
+//! holders lie apart.
+
+use super::node_usage::decode_piece;
+use super::recipient::{ReportAnswer, ReportSender};
+use super::wall_clock::{lead_in, seen_lead};
+use super::{NodeUsage, UsageRecipient};
+use crate::context::NodeContext;
+use crate::events::{self, Event};
+use crate::leases::{OrderWindow, Term, TermWork};
+use crate::relay::peers::read_clock_leads;
+use crate::rows;
+use crate::table::{Commit, Page, Row, Transaction, read_row, scan_all};
+use crate::telemetry;
+use futures_util::future::BoxFuture;
+use sloetrail_types::RowVersion;
+use sloetrail_usage::{ReportSchedule, Turn, UsagePiece, UsageReport, WindowNumber, agreed_lead};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// How long a step of this holder waits at most, and after a failure.
+const STEP: Duration = Duration::from_millis(250);
+/// How long an answer to a report may take. It must come within the order window.
+const REPORT_PATIENCE: Duration = Duration::from_millis(700);
+/// The pause after a report that was not taken, and its bound: calls have a price, and
+/// what takes them is away for seconds.
+const RETRY_FIRST: Duration = Duration::from_millis(200);
+const RETRY_LONGEST: Duration = Duration::from_millis(1_000);
+/// How often the agreed clock is looked at. Two clocks drift apart by under 0.1 ms a
+/// second.
+const CLOCK_PERIOD: Duration = Duration::from_secs(600);
+/// How soon it is looked at again at the beginning of a term: nodes that start together
+/// have not all told what they see when the first of them holds the lease.
+const CLOCK_PERIOD_FIRST: Duration = Duration::from_secs(4);
+/// The agreed clock is changed only if it is off by more than this: nodes count by what
+/// they know of it, and a change puts a few requests into the window beside theirs.
+const CLOCK_TOLERANCE_MS: u64 = 50;
+
+/// What the holder of the reports' lease does.
+pub(crate) struct UsageWork {
+    /// The node's parts.
+    pub(crate) context: Arc<NodeContext>,
+    /// What this node counts.
+    pub(crate) usage: Arc<NodeUsage>,
+    /// Whoever takes the reports.
+    pub(crate) recipient: Arc<dyn UsageRecipient>,
+}
+
+impl TermWork for UsageWork {
+    fn run(&self, term: Term) -> BoxFuture<'static, ()> {
+        let reporter = UsageReporter {
+            schedule: self.usage.schedule(),
+            context: Arc::clone(&self.context),
+            usage: Arc::clone(&self.usage),
+            recipient: Arc::clone(&self.recipient),
+            term,
+            order_window: OrderWindow::default(),
+            next: None,
+            row_version: None,
+            answering_since: Instant::now(),
+            clock_checked_at: None,
+            clock_checks: 0,
+        };
+        Box::pin(reporter.run())
+    }
+}
+
+/// The holder of the reports' lease, for one term.
+struct UsageReporter {
+    context: Arc<NodeContext>,
+    usage: Arc<NodeUsage>,
+    recipient: Arc<dyn UsageRecipient>,
+    term: Term,
+    order_window: OrderWindow,
+    schedule: ReportSchedule,
+    /// The window to report next; nothing before the first one ever is known.
+    next: Option<WindowNumber>,
+    /// The version of the row that holds the report committed last. Each commit demands
+    /// it, so that one without an answer cannot take effect after a later one.
+    row_version: Option<RowVersion>,
+    /// Since when the table has been answering without a break, as far as seen.
+    answering_since: Instant,
+    clock_checked_at: Option<Instant>,
+    clock_checks: u32,
+}
+
+impl UsageReporter {
+    /// Reports until the term is over.
+    async fn run(mut self) {
+        let (ended, releasing) = (self.term.ended.clone(), self.term.releasing.clone());
+        tokio::select! {
+            () = ended.cancelled() => {}
+            () = releasing.cancelled() => {}
+            () = self.report_windows() => {}
+        }
+    }
+
+    async fn report_windows(&mut self) {
+        if let Some(last) = self.read_last().await {
+            // The holder before may not have heard whether it was taken.
+            self.send(&last).await;
+            self.next = Some(last.window.next());
+        }
+        loop {
+            self.agree_on_clock().await;
+            match self.turn() {
+                Turn::Wait(time) => self.pause(time.min(STEP)).await,
+                Turn::Report(window) => match self.commit_report(window).await {
+                    Some(report) => {
+                        self.send(&report).await;
+                        self.next = Some(window.next());
+                    }
+                    None => self.pause(STEP).await,
+                },
+            }
+        }
+    }
+
+    fn turn(&mut self) -> Turn {
+        let Some(wall_ms) = self.usage.wall_ms() else {
+            return Turn::Wait(STEP);
+        };
+        let first = self.schedule.first(wall_ms);
+        let window = *self.next.get_or_insert(first);
+        let answering_for = self.answering_since.elapsed();
+        self.schedule.turn(window, wall_ms, answering_for)
+    }
+
+    async fn pause(&mut self, time: Duration) {
+        tokio::time::sleep(time).await;
+        if !self.context.table.is_answering() {
+            self.answering_since = Instant::now();
+        }
+    }
+
+    /// The report that was committed last, by whatever holder; waits for the table.
+    async fn read_last(&mut self) -> Option<UsageReport> {
+        loop {
+            let row = read_row(&*self.context.table, &rows::usage_report()).await;
+            match row.map(|row| row.map(|row| self.take_row(&row))) {
+                Ok(report) => return report.flatten(),
+                Err(_) => self.pause(STEP).await,
+            }
+        }
+    }
+
+    fn take_row(&mut self, row: &Row) -> Option<UsageReport> {
+        self.row_version = Some(row.version);
+        match serde_json::from_slice(&row.value) {
+            Ok(report) => Some(report),
+            Err(error) => {
+                events::emit(&Event::RowUnreadable {
+                    table: rows::USAGE_REPORTS,
+                    key: &row.address.key,
+                    detail: &error.to_string(),
+                });
+                None
+            }
+        }
+    }
+
+    /// Adds a window up and commits the sum. Nothing if the table did not let it; it is
+    /// then tried again from the beginning.
+    async fn commit_report(&mut self, window: WindowNumber) -> Option<UsageReport> {
+        let range = rows::usage_pieces_until(window);
+        let page = scan_all(&*self.context.table, range).await.ok()?;
+        let pieces = pieces_in(&page);
+        let report = UsageReport::of_pieces(window, &pieces);
+        let value = serde_json::to_vec(&report).unwrap_or_default();
+        let address = rows::usage_report();
+        let transaction = self.term.transaction();
+        let transaction = transaction.require(address.clone(), self.row_version);
+        let commit = self
+            .context
+            .table
+            .commit(&transaction.put(address, value))
+            .await;
+        let committed = match commit {
+            Ok(Commit::Done(version)) => {
+                self.row_version = Some(version);
+                report
+            }
+            Ok(Commit::Conflict(rows)) => self.adopt(window, &rows)?,
+            // It may have been done; the next attempt conflicts then, and adopts it.
+            Err(_) => return None,
+        };
+        tell_left(window, &pieces);
+        self.delete_pieces(&page).await;
+        Some(committed)
+    }
+
+    /// The sum of a window that an earlier attempt of this term has committed without an
+    /// answer. The term is over if it is the fence that did not hold.
+    fn adopt(&mut self, window: WindowNumber, current: &[Row]) -> Option<UsageReport> {
+        let address = rows::usage_report();
+        let row = current.iter().find(|row| row.address == address);
+        let is_own = row.is_some_and(|row| Some(row.version) != self.row_version);
+        let report = row.filter(|_| is_own).and_then(|row| self.take_row(row));
+        let report = report.filter(|report| report.window == window);
+        if report.is_none() {
+            self.term.ended.cancel();
+        }
+        report
+    }
+
+    /// Pieces that are in a committed sum are needed no more. Those that stay, because the
+    /// table did not answer, are found again with the next window.
+    async fn delete_pieces(&self, page: &Page) {
+        let entries = self.context.table.limits().transaction_entries;
+        for group in page.rows.chunks(entries) {
+            let mut transaction = Transaction::new();
+            transaction.deletes = group.iter().map(|row| row.address.clone()).collect();
+            if self.context.table.commit(&transaction).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Sends a committed report until it is taken, or will never be.
+    async fn send(&mut self, report: &UsageReport) {
+        let sender = ReportSender {
+            node: self.context.settings.node.clone(),
+            epoch: self.term.epoch,
+        };
+        let mut retry = RETRY_FIRST;
+        loop {
+            if !self.order_window.is_open() {
+                self.order_window.open(&self.context, &self.term).await;
+            }
+            if self.order_window.is_open() {
+                let answer = self
+                    .recipient
+                    .report(report, &sender, REPORT_PATIENCE)
+                    .await;
+                self.tell_answer(report, answer);
+                match answer {
+                    ReportAnswer::Accepted | ReportAnswer::Refused(_) => return,
+                    ReportAnswer::Fenced => self.term.ended.cancel(),
+                    ReportAnswer::NotNow => {}
+                }
+            }
+            self.pause(retry).await;
+            retry = (retry * 2).min(RETRY_LONGEST);
+        }
+    }
+
+    fn tell_answer(&self, report: &UsageReport, answer: ReportAnswer) {
+        telemetry::usage_reported(answer.word());
+        let windows = self.schedule.windows();
+        let end_ms = windows.end_ms(report.window);
+        let wall_ms = self.usage.wall_ms().unwrap_or(end_ms);
+        events::emit(&Event::UsageReported {
+            window: report.window.0,
+            tenants: report.counts.len(),
+            requests: report.requests(),
+            epoch: self.term.epoch.0,
+            after_end_ms: wall_ms.saturating_sub(end_ms),
+            outcome: answer.word(),
+            status: answer.status(),
+        });
+    }
+
+    /// Sees now and then whether the agreed clock still fits what the nodes see.
+    async fn agree_on_clock(&mut self) {
+        let period = match self.clock_checks {
+            0 | 1 => CLOCK_PERIOD_FIRST,
+            _ => CLOCK_PERIOD,
+        };
+        let checked_at = self.clock_checked_at;
+        if checked_at.is_some_and(|at| at.elapsed() < period) {
+            return;
+        }
+        if self.try_agree_on_clock().await.is_some() {
+            self.clock_checked_at = Some(Instant::now());
+            self.clock_checks = self.clock_checks.saturating_add(1);
+        }
+    }
+
+    /// Nothing if the table does not answer, or nobody knows its clock.
+    async fn try_agree_on_clock(&self) -> Option<()> {
+        let table = &*self.context.table;
+        let mut seen = read_clock_leads(table).await.ok()?;
+        seen.extend(seen_lead(table));
+        let nodes = seen.len();
+        let agreed = agreed_lead(seen)?;
+        let known = lead_in(&self.context.leases.borrow());
+        if known.is_some_and(|known| known.distance(agreed) <= CLOCK_TOLERANCE_MS) {
+            return Some(());
+        }
+        let value = serde_json::to_vec(&agreed).unwrap_or_default();
+        let transaction = self.term.transaction().put(rows::wall_clock(), value);
+        match table.commit(&transaction).await.ok()? {
+            Commit::Done(_) => events::emit(&Event::WallClockAgreed {
+                lead_ms: agreed.0,
+                nodes,
+            }),
+            Commit::Conflict(_) => self.term.ended.cancel(),
+        }
+        Some(())
+    }
+}
+
+fn pieces_in(page: &Page) -> Vec<UsagePiece> {
+    let rows = page.rows.iter();
+    rows.filter_map(|row| decode_piece(&row.address.key, &row.value))
+        .collect()
+}
+
+/// Tells of pieces of windows before this one: they came after their window was reported,
+/// or an earlier holder ended before it could delete them.
+fn tell_left(window: WindowNumber, pieces: &[UsagePiece]) {
+    let left = pieces.iter().filter(|piece| piece.window < window);
+    let requests: u64 = left.flat_map(|piece| piece.counts.values()).sum();
+    if requests > 0 {
+        events::emit(&Event::UsageLeft {
+            window: window.0,
+            requests,
+        });
+    }
+}
