--- a/crates/sloetrail-batch/src/header.rs
+++ b/crates/sloetrail-batch/src/header.rs
@@ -27,6 +27,10 @@
     pub retention_ms: u64,
     /// Whether a sample must come from one version of the weights.
     pub single_version: bool,
+    /// How long after its acceptance the batch is wanted whole, in milliseconds; zero if
+    /// that is not known.
+    #[serde(default)]
+    pub run_target_ms: u64,
     /// The rank of the route; zero is the most urgent.
     #[serde(default)]
     pub priority: u8,
--- a/crates/sloetrail-batch/src/tests.rs
+++ b/crates/sloetrail-batch/src/tests.rs
@@ -16,6 +16,7 @@
         max_attempts: 2,
         retention_ms: 40_000,
         single_version: false,
+        run_target_ms: 7_500,
         priority: 1,
         tenant: None,
         tenant_priority: None,
--- a/crates/sloetrail-routing/src/configuration.rs
+++ b/crates/sloetrail-routing/src/configuration.rs
@@ -1,9 +1,10 @@
 //! The typed serving configuration.
 
 use crate::error::{BadPrefixSnafu, BadWeightsSnafu, NoServiceSnafu, UnknownKindSnafu};
-use crate::raw::{RawConfiguration, RawLimits, RawRoute, RawService};
+use crate::raw::{RawConfiguration, RawLimits, RawRoute, RawScaling, RawService};
 use crate::{ConfigurationError, RouteTable, Tenants};
-use sloetrail_types::{Revision, ServiceName};
+use sloetrail_scaling::ScalingBounds;
+use sloetrail_types::{Revision, ServiceName, ZoneName};
 use snafu::ensure;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -89,7 +90,7 @@
 }
 
 /// One service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ServingService {
     /// Its name.
     pub name: ServiceName,
@@ -97,6 +98,8 @@
     pub max_connections: usize,
     /// Present if the back ends are model engines.
     pub model: Option<ModelService>,
+    /// Present if the number of back ends may be ordered.
+    pub scaling: Option<ScalingBounds>,
 }
 
 /// Bounds on what callers may send.
@@ -273,6 +276,21 @@
             name: ServiceName::new(raw.name),
             max_connections: raw.max_conns.unwrap_or(DEFAULT_CONNECTIONS),
             model,
+            scaling: raw.scaling.map(scaling_bounds),
         }
     }
 }
+
+/// Figures that cannot be used are left out: a start of no length, a price like the others'.
+fn scaling_bounds(raw: RawScaling) -> ScalingBounds {
+    let prices = raw.zone_prices.into_iter();
+    let usable = prices.filter(|(_, price)| price.is_finite() && *price >= 0.0);
+    ScalingBounds {
+        least: raw.min,
+        most: raw.max.max(raw.min),
+        boot_time: Duration::try_from_secs_f64(raw.boot_s).unwrap_or_default(),
+        zone_prices: usable
+            .map(|(zone, price)| (ZoneName::new(zone), price))
+            .collect(),
+    }
+}
--- a/crates/sloetrail-routing/src/raw.rs
+++ b/crates/sloetrail-routing/src/raw.rs
@@ -2,6 +2,7 @@
 //! newer writer can be read.
 
 use serde::Deserialize;
+use std::collections::BTreeMap;
 
 /// A whole configuration. It has no `Debug` form, which would show keys.
 #[derive(Clone, Deserialize)]
@@ -90,6 +91,24 @@
     pub max_conns: Option<usize>,
     /// Present if the back ends are model engines.
     pub engine: Option<RawEngine>,
+    /// Present if the number of back ends may be ordered.
+    pub scaling: Option<RawScaling>,
+}
+
+/// How many back ends of a service may be ordered in each zone.
+#[derive(Clone, Debug, Deserialize)]
+pub struct RawScaling {
+    /// The least of a zone.
+    #[serde(default)]
+    pub min: usize,
+    /// The most of a zone.
+    pub max: usize,
+    /// How long one takes to start, in seconds.
+    #[serde(default)]
+    pub boot_s: f64,
+    /// What one costs in each zone, relative to the others.
+    #[serde(default)]
+    pub zone_prices: BTreeMap<String, f64>,
 }
 
 /// What the engines of a model service can do.
--- a/crates/sloetrail-routing/src/tests.rs
+++ b/crates/sloetrail-routing/src/tests.rs
@@ -149,3 +149,24 @@
     let shown = format!("{:?}", parse(&sound).expect("sound"));
     assert!(shown.contains("north") && !shown.contains(key), "{shown}");
 }
+
+#[test]
+fn bounds_on_the_number_of_back_ends_are_read_with_their_prices() {
+    let configuration = parse(&json!({"version": 1, "services": [
+        {"name": "models", "scaling": {"min": 1, "max": 24, "boot_s": 4.0, "spot_price": 0.22,
+                                       "zone_prices": {"a": 0.85, "b": 1.2}}},
+        {"name": "application"},
+        {"name": "odd", "scaling": {"min": 3, "max": 2, "boot_s": -1.0,
+                                    "zone_prices": {"a": -1.0}}},
+    ]}))
+    .expect("sound");
+    let scaling = |service: &str| configuration.services[&service.into()].scaling.clone();
+    let models = scaling("models").expect("given");
+    assert_eq!((models.least, models.most), (1, 24));
+    assert_eq!(models.boot_time.as_secs(), 4);
+    assert_eq!(models.zone_prices[&"b".into()], 1.2);
+    assert_eq!(scaling("application"), None);
+    let odd = scaling("odd").expect("given");
+    assert_eq!((odd.least, odd.most, odd.boot_time.as_secs()), (3, 3, 0));
+    assert!(odd.zone_prices.is_empty());
+}
--- /dev/null
+++ b/crates/sloetrail-scaling/src/lib.rs
@@ -0,0 +1,21 @@
+//! How many engines a service needs.
+//!
+//! The owner of a service tells a [`Scaler`] what its engines do ([`Scaler::note_load`])
+//! and how long steps take beside the time that they have ([`Scaler::note_step`]). From
+//! time to time it asks whether another number of engines is wanted
+//! ([`Scaler::decide`]), which is then spread over the zones ([`spread`]).
+//!
+//! Engines are paid for while they have nothing to do, and new ones take seconds to
+//! start. So the number follows the work of the last few steps with room to spare: up at
+//! once, down slowly, and never down while steps take most of their time.
+//!
+//! Nothing here does I/O or reads a clock.
+
+mod scaler;
+mod spread;
+
+pub use scaler::{EnginesNow, Scaler};
+pub use spread::{ScalingBounds, spread};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/sloetrail-scaling/src/tests.rs
@@ -0,0 +1,171 @@
+use crate::{EnginesNow, Scaler, ScalingBounds, spread};
+use sloetrail_types::{Timestamp, ZoneName};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const TICK_MS: u64 = 100;
+const PERIOD: Duration = Duration::from_secs(4);
+
+fn bounds() -> ScalingBounds {
+    ScalingBounds {
+        least: 1,
+        most: 24,
+        boot_time: Duration::from_secs(4),
+        zone_prices: [("a", 0.85), ("b", 1.2), ("c", 1.0)]
+            .map(|(zone, price)| (ZoneName::from(zone), price))
+            .into(),
+    }
+}
+
+fn engines(engines: usize) -> EnginesNow {
+    EnginesNow {
+        engines,
+        slots: 6,
+        zones: 3,
+    }
+}
+
+/// A service whose orders are carried out at once.
+struct Service {
+    scaler: Scaler,
+    engines: usize,
+    now_ms: u64,
+    orders: Vec<usize>,
+}
+
+impl Service {
+    fn new(engines: usize) -> Self {
+        Self {
+            scaler: Scaler::default(),
+            engines,
+            now_ms: 1_000,
+            orders: Vec::new(),
+        }
+    }
+
+    /// Goes on for some seconds with a batch every four, this many items running, and
+    /// steps that take this part of their time.
+    fn run(&mut self, seconds: u64, running: usize, step_share: f64) {
+        let end_ms = self.now_ms + seconds * 1_000;
+        while self.now_ms < end_ms {
+            let now = Timestamp(self.now_ms);
+            if self.now_ms.is_multiple_of(PERIOD.as_millis() as u64) {
+                self.scaler.note_batch(now, Some(PERIOD));
+                self.scaler.note_step(now, step_share);
+            }
+            let places = self.engines * 6;
+            self.scaler.note_load(now, running.min(places));
+            let decided = self.scaler.decide(now, engines(self.engines), &bounds());
+            if let Some(wanted) = decided {
+                self.engines = wanted;
+                self.orders.push(wanted);
+            }
+            self.now_ms += TICK_MS;
+        }
+    }
+}
+
+#[test]
+fn engines_that_are_not_needed_are_given_back_step_by_step() {
+    let mut service = Service::new(35);
+    service.run(60, 54, 0.7);
+    // Half of the places of 18 engines would be busy; a smaller change is not worth an order.
+    assert_eq!(service.engines, 19, "{:?}", service.orders);
+    let steps = [35].into_iter().chain(service.orders.iter().copied());
+    let steps: Vec<usize> = steps.collect();
+    for pair in steps.windows(2) {
+        assert!(pair[1] as f64 >= pair[0] as f64 * 0.8, "{steps:?}");
+    }
+    let orders = service.orders.len();
+    service.run(60, 54, 0.7);
+    assert_eq!(service.orders.len(), orders, "it stays");
+}
+
+#[test]
+fn nothing_is_given_back_before_the_first_steps_or_while_no_batch_comes() {
+    let mut service = Service::new(35);
+    for tick in 0..300 {
+        let now = Timestamp(1_000 + tick * TICK_MS);
+        service.scaler.note_load(now, 0);
+        assert_eq!(service.scaler.decide(now, engines(35), &bounds()), None);
+    }
+    service.now_ms = 31_000;
+    service.run(8, 10, 0.7);
+    assert!(service.orders.is_empty(), "{:?}", service.orders);
+    let idle = Timestamp(service.now_ms + 60_000);
+    service.scaler.note_load(idle, 0);
+    assert_eq!(service.scaler.decide(idle, engines(35), &bounds()), None);
+}
+
+#[test]
+fn nothing_is_given_back_while_steps_take_most_of_their_time() {
+    let mut service = Service::new(35);
+    service.run(60, 54, 0.9);
+    assert!(service.orders.is_empty(), "{:?}", service.orders);
+}
+
+#[test]
+fn a_load_that_is_low_because_work_is_held_up_gives_nothing_back() {
+    let mut service = Service::new(20);
+    service.run(30, 60, 0.7);
+    for _ in 0..6 {
+        service.scaler.note_held_up(Timestamp(service.now_ms));
+        service.run(1, 0, 0.7);
+    }
+    service.run(7, 20, 0.7);
+    assert!(service.orders.is_empty(), "{:?}", service.orders);
+    service.run(10, 20, 0.7);
+    assert!(service.engines < 20, "it is seen again for a whole horizon");
+}
+
+#[test]
+fn more_engines_are_ordered_when_places_are_busy_or_steps_are_late() {
+    let mut busy = Service::new(10);
+    busy.run(30, 100, 0.7);
+    assert!(busy.engines >= 33, "{:?}", busy.orders);
+    assert!(busy.orders[0] <= 15, "{:?}", busy.orders);
+    let mut late = Service::new(20);
+    late.run(10, 50, 1.2);
+    assert_eq!(late.orders[0], 24);
+    let mut late_for_another_reason = Service::new(20);
+    late_for_another_reason.run(30, 20, 1.2);
+    assert!(late_for_another_reason.orders.is_empty());
+}
+
+#[test]
+fn lost_engines_are_replaced_since_the_others_are_busier() {
+    let mut service = Service::new(20);
+    service.run(30, 60, 0.7);
+    assert!(service.orders.is_empty(), "{:?}", service.orders);
+    service.engines = 12;
+    service.run(30, 60, 0.7);
+    assert!(service.engines >= 20, "{:?}", service.orders);
+}
+
+#[test]
+fn bounds_are_kept() {
+    let mut idle = Service::new(10);
+    idle.run(120, 1, 0.5);
+    assert_eq!(idle.engines, 4, "{:?}", idle.orders);
+    idle.engines = 3;
+    idle.run(60, 0, 0.5);
+    assert_eq!(idle.engines, 3, "{:?}", idle.orders);
+    let mut full = Service::new(60);
+    full.run(60, 1_000, 1.5);
+    assert_eq!(full.engines, 72, "{:?}", full.orders);
+}
+
+#[test]
+fn engines_are_spread_evenly_and_the_rest_goes_to_the_cheapest_zones() {
+    let zones: Vec<ZoneName> = ["a", "b", "c"].map(ZoneName::from).into();
+    let shares = |total: usize| {
+        let shares = spread(total, &zones, &bounds());
+        ["a", "b", "c"].map(|zone| shares[&ZoneName::from(zone)])
+    };
+    assert_eq!(shares(18), [6, 6, 6]);
+    assert_eq!(shares(19), [7, 6, 6]);
+    assert_eq!(shares(20), [7, 6, 7]);
+    assert_eq!(shares(0), [1, 1, 1]);
+    assert_eq!(shares(100), [24, 24, 24]);
+    assert_eq!(spread(5, &[], &bounds()), BTreeMap::new());
+}
--- a/crates/sloetrail-serving-testkit/src/cluster.rs
+++ b/crates/sloetrail-serving-testkit/src/cluster.rs
@@ -6,12 +6,13 @@
 use crate::wire::EngineWire;
 use http::Method;
 use serde_json::{Value, json};
-use sloetrail_serving::ServingNode;
 use sloetrail_serving::dialect::{Dialect, HeaderNames};
+use sloetrail_serving::engine_supply::EngineSupply;
 use sloetrail_serving::policies::Policies;
 use sloetrail_serving::settings::{RawServingSettings, RawUsageSettings, ServingSettings};
 use sloetrail_serving::table::{RowAddress, Table};
 use sloetrail_serving::usage::UsageRecipient;
+use sloetrail_serving::{ControlServices, ServingNode};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -91,7 +92,7 @@
     settings: ServingSettings,
     table: Arc<dyn Table>,
     dialect: Arc<dyn Dialect>,
-    recipient: Option<Arc<dyn UsageRecipient>>,
+    services: ControlServices,
     started: oneshot::Sender<(SocketAddr, SocketAddr, Handle)>,
     stopped: oneshot::Receiver<()>,
     killed: oneshot::Receiver<()>,
@@ -105,8 +106,8 @@
             .expect("a runtime");
         let killed = self.killed;
         let serving = async move {
-            let (settings, recipient) = (self.settings, self.recipient);
-            let node = ServingNode::start(settings, self.table, self.dialect, recipient);
+            let (settings, services) = (self.settings, self.services);
+            let node = ServingNode::start(settings, self.table, self.dialect, services);
             let node = node.await.expect("starts");
             let runtime = Handle::current();
             let started = (node.callers_address(), node.ready_address(), runtime);
@@ -146,6 +147,10 @@
     pub usage: Option<RawUsageSettings>,
     /// Who takes the reports.
     pub recipient: Option<Arc<dyn UsageRecipient>>,
+    /// Who takes orders for numbers of engines.
+    pub engine_supply: Option<Arc<dyn EngineSupply>>,
+    /// How many engines may be ordered, in configurations that are written from now on.
+    pub scaling: Option<Value>,
     /// The tenants of configurations that are written from now on.
     pub tenants: Option<Value>,
     /// The key that the calls of this type carry.
@@ -170,6 +175,8 @@
             lease_ms: LEASE_MS,
             usage: None,
             recipient: None,
+            engine_supply: None,
+            scaling: None,
             tenants: None,
             api_key: None,
             wire,
@@ -214,6 +221,9 @@
             ],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 1_000_000},
         });
+        if let Some(scaling) = &self.scaling {
+            configuration["services"][1]["scaling"] = scaling.clone();
+        }
         if let Some(tenants) = &self.tenants {
             configuration["tenants"] = tenants.clone();
         }
@@ -300,7 +310,10 @@
             settings,
             table,
             dialect,
-            recipient: self.recipient.clone(),
+            services: ControlServices {
+                usage_recipient: self.recipient.clone(),
+                engine_supply: self.engine_supply.clone(),
+            },
             started,
             stopped,
             killed,
--- a/crates/sloetrail-serving-testkit/src/lib.rs
+++ b/crates/sloetrail-serving-testkit/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod client;
 pub mod cluster;
 pub mod engine;
+pub mod supply;
 pub mod table;
 pub mod usage;
 pub mod wire;
--- /dev/null
+++ b/crates/sloetrail-serving-testkit/src/supply.rs
@@ -0,0 +1,73 @@
+//! Whoever starts engines and takes them away, as orders see it: they are written down and
+//! carried out by nobody.
+
+use async_trait::async_trait;
+use sloetrail_serving::engine_supply::{EngineSupply, SupplyAnswer, SupplyOrder};
+use sloetrail_serving::lease_holder::LeaseHolder;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+/// An order that came.
+#[derive(Clone, Debug)]
+pub struct SupplyRecord {
+    /// The order.
+    pub order: SupplyOrder,
+    /// Who gave it.
+    pub holder: LeaseHolder,
+    /// When it came.
+    pub at: Instant,
+}
+
+/// Writes orders down.
+pub struct SupplyBook {
+    state: Mutex<State>,
+}
+
+struct State {
+    records: Vec<SupplyRecord>,
+    answer: SupplyAnswer,
+}
+
+impl SupplyBook {
+    /// A book without orders, which accepts them.
+    pub fn new() -> Arc<Self> {
+        Arc::new(Self {
+            state: Mutex::new(State {
+                records: Vec::new(),
+                answer: SupplyAnswer::Accepted,
+            }),
+        })
+    }
+
+    /// How orders are answered from now on.
+    pub fn set_answer(&self, answer: SupplyAnswer) {
+        self.state().answer = answer;
+    }
+
+    /// Every order that came.
+    pub fn records(&self) -> Vec<SupplyRecord> {
+        self.state().records.clone()
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("not poisoned")
+    }
+}
+
+#[async_trait]
+impl EngineSupply for SupplyBook {
+    async fn order(
+        &self,
+        order: &SupplyOrder,
+        holder: &LeaseHolder,
+        _patience: Duration,
+    ) -> SupplyAnswer {
+        let mut state = self.state();
+        state.records.push(SupplyRecord {
+            order: order.clone(),
+            holder: holder.clone(),
+            at: Instant::now(),
+        });
+        state.answer
+    }
+}
--- a/crates/sloetrail-serving-testkit/src/usage.rs
+++ b/crates/sloetrail-serving-testkit/src/usage.rs
@@ -1,7 +1,8 @@
 //! Whoever takes reports of usage, and writes down what it was sent.
 
 use async_trait::async_trait;
-use sloetrail_serving::usage::{ReportAnswer, ReportSender, UsageRecipient};
+use sloetrail_serving::lease_holder::LeaseHolder;
+use sloetrail_serving::usage::{ReportAnswer, UsageRecipient};
 use sloetrail_usage::{UsageReport, WindowNumber};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -27,7 +28,7 @@
     /// The report.
     pub report: UsageReport,
     /// Who sent it.
-    pub sender: ReportSender,
+    pub sender: LeaseHolder,
     /// When it came.
     pub at: Instant,
     /// True if it was taken.
@@ -99,7 +100,7 @@
     async fn report(
         &self,
         report: &UsageReport,
-        sender: &ReportSender,
+        holder: &LeaseHolder,
         _patience: Duration,
     ) -> ReportAnswer {
         let mut state = self.state();
@@ -107,7 +108,7 @@
         let taken = matches!(fault, ReportFault::None | ReportFault::TakenUnanswered);
         state.records.push(ReportRecord {
             report: report.clone(),
-            sender: sender.clone(),
+            sender: holder.clone(),
             at: Instant::now(),
             taken,
         });
--- a/crates/sloetrail-serving/src/context.rs
+++ b/crates/sloetrail-serving/src/context.rs
@@ -2,6 +2,7 @@
 
 use crate::dialect::Dialect;
 use crate::directory::Directory;
+use crate::engine_supply::EngineSupply;
 use crate::follow::{FleetSize, FollowPace, ViewReceiver};
 use crate::http::ConnectionPool;
 use crate::operator::InForce;
@@ -33,6 +34,8 @@
     pub(crate) pause_guard: Arc<PauseGuard>,
     /// Counts what tenants use, where that is to be reported.
     pub(crate) usage: Option<Arc<NodeUsage>>,
+    /// Starts engines and takes them away, where the deployment lets the node order that.
+    pub(crate) engine_supply: Option<Arc<dyn EngineSupply>>,
 }
 
 impl NodeContext {
--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -389,6 +389,21 @@
         /// The median of all engines.
         median_us: u64,
     },
+    /// A number of engines was ordered for a zone.
+    EnginesOrdered {
+        /// The service.
+        service: &'a str,
+        /// The zone.
+        zone: &'a str,
+        /// How many engines it is to have.
+        engines: usize,
+        /// The epoch under which it was ordered.
+        epoch: u64,
+        /// What became of the order.
+        outcome: &'a str,
+        /// The status, if it was refused.
+        status: Option<u16>,
+    },
     /// A report of what tenants used was sent.
     UsageReported {
         /// The window.
@@ -473,6 +488,7 @@
                 "lease"
             }
             Event::OrderGiven { .. } | Event::VersionInForce { .. } => "weights",
+            Event::EnginesOrdered { .. } => "engine",
             Event::UsageReported { .. }
             | Event::UsageLeft { .. }
             | Event::WallClockAgreed { .. } => "usage",
--- a/crates/sloetrail-serving/src/gateway/submit.rs
+++ b/crates/sloetrail-serving/src/gateway/submit.rs
@@ -134,6 +134,7 @@
         max_attempts: route.max_attempts,
         retention_ms: route.retention.as_millis() as u64,
         single_version: route.single_version,
+        run_target_ms: route.run_target.as_millis() as u64,
         priority: route.priority,
         tenant: call.tenant.map(|tenant| tenant.name.clone()),
         tenant_priority: call.tenant.and_then(|tenant| tenant.priority),
--- a/crates/sloetrail-serving/src/leases/term.rs
+++ b/crates/sloetrail-serving/src/leases/term.rs
@@ -1,7 +1,9 @@
 //! One term of a lease.
 
 use super::LeaseSubject;
+use crate::lease_holder::LeaseHolder;
 use crate::rows;
+use crate::settings::ServingSettings;
 use crate::table::Transaction;
 use sloetrail_types::{Epoch, RowVersion};
 use std::time::Duration;
@@ -30,6 +32,14 @@
         self.confirmed_at.borrow().elapsed() <= time
     }
 
+    /// The holder, as others are told it.
+    pub(crate) fn holder(&self, settings: &ServingSettings) -> LeaseHolder {
+        LeaseHolder {
+            node: settings.node.clone(),
+            epoch: self.epoch,
+        }
+    }
+
     /// A transaction that takes effect only within this term.
     pub(crate) fn transaction(&self) -> Transaction {
         Transaction::new().require(rows::fence(self.subject.name()), Some(self.fence))
--- a/crates/sloetrail-serving/src/node.rs
+++ b/crates/sloetrail-serving/src/node.rs
@@ -3,6 +3,7 @@
 use crate::context::NodeContext;
 use crate::dialect::Dialect;
 use crate::directory::watch_directory;
+use crate::engine_supply::EngineSupply;
 use crate::events::{self, Event};
 use crate::follow::{FleetSize, FollowPaces, follow};
 use crate::gateway::front::Front;
@@ -49,6 +50,16 @@
     source: std::io::Error,
 }
 
+/// What a node is given beside its table, where the deployment has it.
+#[derive(Default)]
+pub struct ControlServices {
+    /// Takes the reports of what tenants use; without it, or without settings for it, usage
+    /// is not counted.
+    pub usage_recipient: Option<Arc<dyn UsageRecipient>>,
+    /// Starts engines and takes them away; without it their number is left alone.
+    pub engine_supply: Option<Arc<dyn EngineSupply>>,
+}
+
 /// A node that runs.
 pub struct ServingNode {
     context: Arc<NodeContext>,
@@ -60,13 +71,12 @@
 }
 
 impl ServingNode {
-    /// Starts a node. `recipient` takes the reports of what tenants use; without it, or
-    /// without settings for it, usage is not counted.
+    /// Starts a node.
     pub async fn start(
         settings: ServingSettings,
         table: Arc<dyn Table>,
         dialect: Arc<dyn Dialect>,
-        recipient: Option<Arc<dyn UsageRecipient>>,
+        services: ControlServices,
     ) -> Result<Self, StartError> {
         events::emit(&Event::NodeStarted {
             node: &settings.node,
@@ -80,9 +90,11 @@
         let ready = listen(settings.ready_address).await?;
         let callers_address = local_address(&callers, settings.callers_address);
         let ready_address = local_address(&ready, settings.ready_address);
-        let reports = settings.usage.zip(recipient);
+        let reports = settings.usage.zip(services.usage_recipient);
         let schedule = reports.as_ref().map(|(usage, _)| usage.schedule());
-        let context = Arc::new(build_context(settings, table, peers, dialect, schedule));
+        let mut context = build_context(settings, table, peers, dialect, schedule);
+        context.engine_supply = services.engine_supply;
+        let context = Arc::new(context);
         let stopping = CancellationToken::new();
         let tracker = ConnectionTracker::default();
         serve_callers(&context, callers, tracker.clone());
@@ -222,6 +234,7 @@
         fleet,
         pause_guard,
         usage,
+        engine_supply: None,
     }
 }
 
--- a/crates/sloetrail-serving/src/owner/event.rs
+++ b/crates/sloetrail-serving/src/owner/event.rs
@@ -3,6 +3,7 @@
 use super::loading::LoadedBatch;
 use super::reward::RewardOutcome;
 use super::run::RunOutcome;
+use super::service_owner::SupplyAnswered;
 use crate::back_end::{EngineStatus, OrderAnswer};
 use crate::leases::OrderWindow;
 use sloetrail_batch::{BatchId, ItemIndex, ListedResult, Transcript};
@@ -36,6 +37,8 @@
     WindowAnswered(OrderWindow),
     /// An order was given, or could not be.
     OrderEnded(OrderEnd),
+    /// The number of engines was ordered, or could not be.
+    SupplyAnswered(SupplyAnswered),
 }
 
 /// A result that was committed.
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -4,9 +4,12 @@
 mod dispatch;
 mod relocation;
 mod results;
+mod supply;
 mod texts;
 mod versions;
 
+pub(super) use self::supply::SupplyAnswered;
+use self::supply::SupplyState;
 use super::committer::{CommitRequest, commit_results};
 use super::engines::EnginePool;
 use super::event::OwnerEvent;
@@ -84,6 +87,7 @@
     weights_due: bool,
     window: OrderWindow,
     window_is_opening: bool,
+    supply: SupplyState,
     events: mpsc::UnboundedReceiver<OwnerEvent>,
     sender: mpsc::UnboundedSender<OwnerEvent>,
     commits: mpsc::UnboundedSender<CommitRequest>,
@@ -115,6 +119,7 @@
             weights_due: true,
             window: OrderWindow::default(),
             window_is_opening: false,
+            supply: SupplyState::default(),
             events,
             sender,
             commits,
@@ -231,6 +236,7 @@
             }
             OwnerEvent::Committed(committed) => self.committed(committed),
             OwnerEvent::WindowAnswered(window) => self.window_answered(window),
+            OwnerEvent::SupplyAnswered(answer) => self.supply_answered(answer),
             OwnerEvent::OrderEnded(end) => {
                 self.weights_due = true;
                 self.order_ended(end);
@@ -255,6 +261,7 @@
         self.move_long_texts(now);
         self.expire_items();
         self.tell_items();
+        self.drive_supply();
         let is_fast = self.context.table.ordinary_time() < KEEP_TABLE_TIME;
         if is_fast && now.saturating_duration_since(self.kept_at) >= KEEP_PERIOD {
             self.kept_at = now;
--- a/crates/sloetrail-serving/src/owner/service_owner/results.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/results.rs
@@ -194,6 +194,8 @@
             return;
         };
         if open.batch.listed(committed.index) {
+            let age = open.opened_age + open.opened_at.elapsed();
+            self.supply.note_step(&open.batch.header, age);
             self.tell_step(&committed.batch, committed.index);
         }
     }
--- a/crates/sloetrail-serving/src/owner/service_owner/versions.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/versions.rs
@@ -74,7 +74,7 @@
     }
 
     /// Has a window opened without waiting for the table, which may be slow or down.
-    fn open_window(&mut self) {
+    pub(super) fn open_window(&mut self) {
         if std::mem::replace(&mut self.window_is_opening, true) {
             return;
         }
@@ -165,6 +165,7 @@
         let Some(model) = &batch.model else {
             return;
         };
+        self.supply.note_batch(model, &batch.header);
         let published = Arc::clone(&self.context.in_force.borrow().published);
         if let Some(published) = published.get(model) {
             let lag = published.0.saturating_sub(batch.oldest_version.0);
--- a/crates/sloetrail-serving/src/telemetry.rs
+++ b/crates/sloetrail-serving/src/telemetry.rs
@@ -98,6 +98,11 @@
     counter!("sloetrail_orders_total", "outcome" => outcome).increment(1);
 }
 
+/// A number of engines was ordered for a zone.
+pub(crate) fn engines_ordered(outcome: &'static str) {
+    counter!("sloetrail_engine_number_orders_total", "outcome" => outcome).increment(1);
+}
+
 /// A report of usage was sent.
 pub(crate) fn usage_reported(outcome: &'static str) {
     counter!("sloetrail_usage_reports_total", "outcome" => outcome).increment(1);
--- a/crates/sloetrail-serving/src/usage/mod.rs
+++ b/crates/sloetrail-serving/src/usage/mod.rs
@@ -17,6 +17,6 @@
 
 pub(crate) use begun_request::BegunRequest;
 pub(crate) use node_usage::NodeUsage;
-pub use recipient::{ReportAnswer, ReportSender, UsageRecipient};
+pub use recipient::{ReportAnswer, UsageRecipient};
 pub(crate) use reporter::UsageWork;
 pub(crate) use wall_clock::seen_lead;
--- a/crates/sloetrail-serving/src/usage/recipient.rs
+++ b/crates/sloetrail-serving/src/usage/recipient.rs
@@ -1,19 +1,10 @@
 //! Whoever takes the reports of usage.
 
+use crate::lease_holder::LeaseHolder;
 use async_trait::async_trait;
-use sloetrail_types::Epoch;
 use sloetrail_usage::UsageReport;
 use std::time::Duration;
 
-/// Who sends a report.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ReportSender {
-    /// The node.
-    pub node: String,
-    /// The epoch of its lease, which grows with each holder and fences earlier ones off.
-    pub epoch: Epoch,
-}
-
 /// What became of a report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReportAnswer {
@@ -55,7 +46,7 @@
     async fn report(
         &self,
         report: &UsageReport,
-        sender: &ReportSender,
+        holder: &LeaseHolder,
         patience: Duration,
     ) -> ReportAnswer;
 }
--- a/crates/sloetrail-serving/src/usage/reporter.rs
+++ b/crates/sloetrail-serving/src/usage/reporter.rs
@@ -7,7 +7,7 @@
 //! holders lie apart.
 
 use super::node_usage::decode_piece;
-use super::recipient::{ReportAnswer, ReportSender};
+use super::recipient::ReportAnswer;
 use super::wall_clock::{lead_in, seen_lead};
 use super::{NodeUsage, UsageRecipient};
 use crate::context::NodeContext;
@@ -224,10 +224,7 @@
 
     /// Sends a committed report until it is taken, or will never be.
     async fn send(&mut self, report: &UsageReport) {
-        let sender = ReportSender {
-            node: self.context.settings.node.clone(),
-            epoch: self.term.epoch,
-        };
+        let holder = self.term.holder(&self.context.settings);
         let mut retry = RETRY_FIRST;
         loop {
             if !self.order_window.is_open() {
@@ -236,7 +233,7 @@
             if self.order_window.is_open() {
                 let answer = self
                     .recipient
-                    .report(report, &sender, REPORT_PATIENCE)
+                    .report(report, &holder, REPORT_PATIENCE)
                     .await;
                 self.tell_answer(report, answer);
                 match answer {
--- /dev/null
+++ b/crates/sloetrail-serving/tests/supply.rs
@@ -0,0 +1,101 @@
+//! The number of engines: ordered by the owner of the service alone, from what its engines
+//! do, and left alone where the configuration or the work gives no reason.
+
+mod support;
+
+use serde_json::json;
+use sloetrail_serving::engine_supply::SupplyAnswer;
+use sloetrail_serving_testkit::client::batch;
+use sloetrail_serving_testkit::cluster::{Cluster, MODEL, MODELS, eventually, usual_routes};
+use sloetrail_serving_testkit::supply::SupplyBook;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use support::{items, lease, lease_holder, native_cluster};
+
+/// As the cluster's nodes are set up.
+const ORDER_GAP: Duration = Duration::from_millis(800);
+const ENGINES: usize = 6;
+/// The load is looked at for eight seconds before engines are given back.
+const SEEN: Duration = Duration::from_secs(11);
+
+async fn cluster(scaling: bool) -> (Cluster, Arc<SupplyBook>) {
+    let book = SupplyBook::new();
+    let mut cluster = native_cluster();
+    cluster.engine_supply = Some(Arc::<SupplyBook>::clone(&book));
+    if scaling {
+        cluster.scaling = Some(json!({"min": 1, "max": 8, "boot_s": 0.2}));
+    }
+    cluster.configure(usual_routes());
+    cluster.add_application("zone-a").await;
+    for _ in 0..ENGINES {
+        cluster.add_engine(Duration::from_millis(5)).await;
+    }
+    for name in ["node-1", "node-2"] {
+        let node = cluster.add_node(name).await;
+        cluster.wait_ready(node).await;
+    }
+    (cluster, book)
+}
+
+/// Submits small batches, one after the other, until there is an order or the time is over.
+async fn work_until_ordered(cluster: &Cluster, node: usize, book: &SupplyBook, time: Duration) {
+    let began = Instant::now();
+    let before = book.records().len();
+    while began.elapsed() < time && book.records().len() == before {
+        let id = format!("b-{node}-{}", began.elapsed().as_millis());
+        let answer = cluster
+            .submit(node, &id, &batch(&items(3, 4), MODEL, 1))
+            .await;
+        assert_eq!(answer.expect("an answer").status, 202);
+        cluster.wait_results(node, &id, 3).await;
+        cluster.end(node, &id).await;
+        tokio::time::sleep(Duration::from_millis(700)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_without_work_are_given_back_by_the_owner_and_by_its_successor() {
+    let (mut cluster, book) = cluster(true).await;
+    let owner = lease_holder(&cluster).await;
+    work_until_ordered(&cluster, 1 - owner, &book, SEEN * 2).await;
+    let first = book.records().first().cloned().expect("an order");
+    assert_eq!(first.order.service.as_str(), MODELS);
+    assert_eq!(first.order.zone.as_str(), "zone-a");
+    assert!(first.order.engines < ENGINES, "{first:?}");
+    assert_eq!(first.holder.node, format!("node-{}", owner + 1));
+    cluster.nodes[owner].kill();
+    let before = book.records().len();
+    work_until_ordered(&cluster, 1 - owner, &book, SEEN * 2).await;
+    let records = book.records();
+    assert!(records.len() > before, "the successor orders too");
+    let (last, next) = (&records[before - 1], &records[before]);
+    assert_ne!(next.holder.node, last.holder.node);
+    assert!(next.holder.epoch > last.holder.epoch, "{records:?}");
+    assert!(next.at - last.at >= ORDER_GAP, "{records:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_is_ordered_where_the_configuration_does_not_say_that_it_may_be() {
+    let (cluster, book) = cluster(false).await;
+    work_until_ordered(&cluster, 0, &book, SEEN).await;
+    assert!(book.records().is_empty(), "{:?}", book.records());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_is_ordered_while_there_is_no_work() {
+    let (_cluster, book) = cluster(true).await;
+    tokio::time::sleep(SEEN).await;
+    assert!(book.records().is_empty(), "{:?}", book.records());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_that_is_fenced_off_ends_its_term() {
+    let (cluster, book) = cluster(true).await;
+    let owner = lease_holder(&cluster).await;
+    let epoch = lease(&cluster).expect("a lease")["epoch"].clone();
+    book.set_answer(SupplyAnswer::Fenced);
+    work_until_ordered(&cluster, 1 - owner, &book, SEEN * 2).await;
+    assert!(!book.records().is_empty());
+    let has_ended = || async { (lease(&cluster)?["epoch"] != epoch).then_some(()) };
+    eventually("another term has begun", has_ended).await;
+}
