The owner of a service orders more engines when steps need them

Change: where the configuration lets the number of engines be ordered, the owner of a service orders more when half of the places are busy on average or a step was late, within its order window and under its epoch, spread evenly over the zones, what cannot be divided in the cheapest ones. What was added is given back after two periods of steps with less to do, never below the number before any was ordered (kept in the table), not while steps take 0.85 of their time and not after the table was away. sloetrail-scaling decides without I/O; platform/ spells the order.

--- a/crates/sloetrail-scaling/src/scaler.rs
+++ b/crates/sloetrail-scaling/src/scaler.rs
@@ -107,12 +107,15 @@
         self.steps.push_back(StepSample { at: now, share });
     }
 
-    /// Another number of engines, if one is wanted. The caller orders it.
+    /// Another number of engines, if one is wanted. Engines are given back down to `floor`
+    /// only; fewer than that are no reason to order more, since somebody may have taken
+    /// them away on purpose. The caller orders the number.
     pub fn decide(
         &mut self,
         now: Timestamp,
         engines: EnginesNow,
         bounds: &ScalingBounds,
+        floor: usize,
     ) -> Option<usize> {
         if !self.is_in_use(now) || now < self.not_before || engines.engines == 0 {
             return None;
@@ -120,6 +123,7 @@
         let wanted = self.wanted(now, engines);
         let least = bounds.least * engines.zones;
         let most = bounds.most * engines.zones;
+        let wanted = wanted.max(floor.min(engines.engines));
         let wanted = wanted.clamp(least, most.max(least));
         if wanted == engines.engines {
             return None;
--- a/crates/sloetrail-serving-testkit/src/supply.rs
+++ b/crates/sloetrail-serving-testkit/src/supply.rs
@@ -25,7 +25,7 @@
 
 struct State {
     records: Vec<SupplyRecord>,
-    answer: SupplyAnswer,
+    next_answer: Option<SupplyAnswer>,
 }
 
 impl SupplyBook {
@@ -34,14 +34,14 @@
         Arc::new(Self {
             state: Mutex::new(State {
                 records: Vec::new(),
-                answer: SupplyAnswer::Accepted,
+                next_answer: None,
             }),
         })
     }
 
-    /// How orders are answered from now on.
-    pub fn set_answer(&self, answer: SupplyAnswer) {
-        self.state().answer = answer;
+    /// How the next order is answered; those after it are accepted again.
+    pub fn set_next_answer(&self, answer: SupplyAnswer) {
+        self.state().next_answer = Some(answer);
     }
 
     /// Every order that came.
@@ -68,6 +68,7 @@
             holder: holder.clone(),
             at: Instant::now(),
         });
-        state.answer
+        let answer = state.next_answer.take();
+        answer.unwrap_or(SupplyAnswer::Accepted)
     }
 }
--- a/crates/sloetrail-serving/src/owner/event.rs
+++ b/crates/sloetrail-serving/src/owner/event.rs
@@ -37,6 +37,9 @@
     WindowAnswered(OrderWindow),
     /// An order was given, or could not be.
     OrderEnded(OrderEnd),
+    /// How many engines there were before any were ordered; nothing if the table did not
+    /// tell.
+    FloorRead(Option<usize>),
     /// The number of engines was ordered, or could not be.
     SupplyAnswered(SupplyAnswered),
 }
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -236,6 +236,7 @@
             }
             OwnerEvent::Committed(committed) => self.committed(committed),
             OwnerEvent::WindowAnswered(window) => self.window_answered(window),
+            OwnerEvent::FloorRead(floor) => self.floor_read(floor),
             OwnerEvent::SupplyAnswered(answer) => self.supply_answered(answer),
             OwnerEvent::OrderEnded(end) => {
                 self.weights_due = true;
--- a/crates/sloetrail-serving/src/owner/service_owner/supply.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/supply.rs
@@ -1,15 +1,18 @@
 //! How many engines the service has: decided from what they do, and ordered.
 
 use super::ServiceOwner;
+use crate::context::NodeContext;
 use crate::engine_supply::{EngineSupply, SupplyAnswer, SupplyOrder};
 use crate::events::{self, Event};
 use crate::lease_holder::LeaseHolder;
-use crate::leases::OrderWindow;
+use crate::leases::{OrderWindow, Term};
 use crate::owner::event::OwnerEvent;
+use crate::rows;
+use crate::table::{Commit, read_row};
 use crate::telemetry;
 use sloetrail_batch::BatchHeader;
 use sloetrail_scaling::{EnginesNow, Scaler, ScalingBounds, spread};
-use sloetrail_types::{Timestamp, ZoneName};
+use sloetrail_types::{ServiceName, Timestamp, ZoneName};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,12 +21,26 @@
 /// How long an answer to an order may take. It must come within the order window.
 const ORDER_PATIENCE: Duration = Duration::from_millis(700);
 
+/// How long to wait when the table did not tell how many engines there were.
+const FLOOR_RETRY: Duration = Duration::from_millis(1_000);
+
+/// What is known of how many engines there were before any were ordered.
+#[derive(Clone, Copy)]
+enum Floor {
+    /// It is to be read from this moment on.
+    Unknown(Instant),
+    BeingRead,
+    Known(usize),
+}
+
 /// What the owner knows of the number of its engines.
 pub(super) struct SupplyState {
     origin: Instant,
     scaler: Scaler,
     /// By model, when its last batch was accepted, in milliseconds of the table's clock.
     accepted_at_ms: BTreeMap<String, u64>,
+    /// How many engines there were before any were ordered.
+    floor: Floor,
     /// Orders that wait for a window.
     planned: Vec<SupplyOrder>,
     is_ordering: bool,
@@ -35,6 +52,7 @@
             origin: Instant::now(),
             scaler: Scaler::default(),
             accepted_at_ms: BTreeMap::new(),
+            floor: Floor::Unknown(Instant::now()),
             planned: Vec::new(),
             is_ordering: false,
         }
@@ -74,7 +92,9 @@
 impl ServiceOwner {
     /// Takes in what the engines do, and orders another number of them if one is wanted.
     pub(super) fn drive_supply(&mut self) {
-        let Some(supply) = self.context.engine_supply.clone() else {
+        let supply = self.context.engine_supply.clone();
+        let is_on = self.context.settings.policies.order_engines;
+        let Some(supply) = supply.filter(|_| is_on) else {
             return;
         };
         let Some(bounds) = self.scaling_bounds() else {
@@ -87,8 +107,11 @@
         if !self.context.table.is_answering() {
             self.supply.scaler.note_held_up(now);
         }
+        let Some(floor) = self.floor(&bounds) else {
+            return;
+        };
         if self.supply.planned.is_empty() && !self.supply.is_ordering {
-            self.supply.planned = self.plan_supply(now, &bounds);
+            self.supply.planned = self.plan_supply(now, &bounds, floor);
         }
         self.order_supply(supply);
     }
@@ -99,7 +122,38 @@
         service.scaling.clone()
     }
 
-    fn plan_supply(&mut self, now: Timestamp, bounds: &ScalingBounds) -> Vec<SupplyOrder> {
+    /// How many engines there were before any were ordered, once the table has told.
+    fn floor(&mut self, bounds: &ScalingBounds) -> Option<usize> {
+        let engines: usize = self.engines_by_zone(bounds).values().sum();
+        // Before the first batch the engines may still be on their way.
+        let is_in_use = engines > 0 && !self.supply.accepted_at_ms.is_empty();
+        match self.supply.floor {
+            Floor::Known(floor) => return Some(floor),
+            Floor::Unknown(from) if is_in_use && Instant::now() >= from => {}
+            Floor::Unknown(_) | Floor::BeingRead => return None,
+        }
+        self.supply.floor = Floor::BeingRead;
+        let (context, term) = (Arc::clone(&self.context), self.term.clone());
+        let (service, sender) = (self.service.clone(), self.sender.clone());
+        tokio::spawn(async move {
+            let floor = read_floor(&context, &term, &service, engines).await;
+            // The owner may be gone; then nobody needs it.
+            let _ = sender.send(OwnerEvent::FloorRead(floor));
+        });
+        None
+    }
+
+    pub(super) fn floor_read(&mut self, floor: Option<usize>) {
+        let again_at = Instant::now() + FLOOR_RETRY;
+        self.supply.floor = floor.map_or(Floor::Unknown(again_at), Floor::Known);
+    }
+
+    fn plan_supply(
+        &mut self,
+        now: Timestamp,
+        bounds: &ScalingBounds,
+        floor: usize,
+    ) -> Vec<SupplyOrder> {
         let zones = self.engines_by_zone(bounds);
         let slots = self.engines.iter().map(|(_, engine)| engine.back_end.slots);
         let engines_now = EnginesNow {
@@ -107,7 +161,7 @@
             slots: slots.max().unwrap_or(1),
             zones: zones.len(),
         };
-        let Some(wanted) = self.supply.scaler.decide(now, engines_now, bounds) else {
+        let Some(wanted) = self.supply.scaler.decide(now, engines_now, bounds, floor) else {
             return Vec::new();
         };
         let names: Vec<ZoneName> = zones.keys().cloned().collect();
@@ -166,6 +220,25 @@
     }
 }
 
+/// How many engines there were before any were ordered. The first owner ever writes down
+/// what it sees. Nothing if the table does not answer.
+async fn read_floor(
+    context: &NodeContext,
+    term: &Term,
+    service: &ServiceName,
+    engines: usize,
+) -> Option<usize> {
+    let address = rows::engine_floor(service);
+    let row = read_row(&*context.table, &address).await.ok()?;
+    if let Some(row) = row {
+        return serde_json::from_slice(&row.value).ok();
+    }
+    let transaction = term.transaction().require(address.clone(), None);
+    let transaction = transaction.put(address, engines.to_string());
+    let commit = context.table.commit(&transaction).await.ok()?;
+    matches!(commit, Commit::Done(_)).then_some(engines)
+}
+
 /// Orders that are given one after the other.
 struct SupplyTask {
     supply: Arc<dyn EngineSupply>,
--- a/crates/sloetrail-serving/src/policies.rs
+++ b/crates/sloetrail-serving/src/policies.rs
@@ -28,6 +28,11 @@
     /// A few nodes ask the owner of a service whether it lives, and compete for its lease
     /// when it does not; otherwise the lease has to run out.
     pub watch_owners: bool,
+    /// While answers of a service take longer than usual, a second back end is asked later.
+    pub hedge_by_answer_times: bool,
+    /// The owner of a service orders more engines while steps are late or places are busy,
+    /// and gives them back later.
+    pub order_engines: bool,
 }
 
 impl Default for Policies {
@@ -41,6 +46,8 @@
             move_long_texts: true,
             relay_table_calls: true,
             watch_owners: true,
+            hedge_by_answer_times: true,
+            order_engines: true,
         }
     }
 }
--- a/crates/sloetrail-serving/src/rows.rs
+++ b/crates/sloetrail-serving/src/rows.rs
@@ -5,7 +5,7 @@
 //! after the other, so neither waits for the other while the table is slow.
 
 use crate::table::{KeyRange, RowAddress};
-use sloetrail_types::NodeId;
+use sloetrail_types::{NodeId, ServiceName};
 use sloetrail_usage::WindowNumber;
 
 /// The partition of what owners write.
@@ -38,6 +38,9 @@
 /// The report of usage that was committed last.
 pub const USAGE_REPORTS: &str = "sloetrail_usage_reports";
 
+/// How many engines each service had before any were ordered.
+pub const ENGINE_FLOORS: &str = "sloetrail_engine_floors";
+
 /// Digits of a window's number: keys sort as the windows follow one another.
 const WINDOW_DIGITS: usize = 20;
 const POSITION_DIGITS: usize = 8;
@@ -82,6 +85,11 @@
     format!("{:0WINDOW_DIGITS$}", window.0)
 }
 
+/// How many engines a service had before any were ordered.
+pub fn engine_floor(service: &ServiceName) -> RowAddress {
+    RowAddress::new(ENGINE_FLOORS, OWNERS, service.as_str())
+}
+
 /// The report of usage that was committed last.
 pub fn usage_report() -> RowAddress {
     RowAddress::new(USAGE_REPORTS, OWNERS, "last")
