Of engines with as much to do the one used last goes first

Cause: among engines alike the one with the smallest id was taken, whether or not a connection to it is kept.

Change: the one that brought an item to its end last. Work is spread as before: what an engine has to do goes first.

--- a/crates/sloetrail-serving/src/owner/engine.rs
+++ b/crates/sloetrail-serving/src/owner/engine.rs
@@ -50,6 +50,8 @@
     place_kept_until: Option<Instant>,
     probed_at: Instant,
     not_before: Instant,
+    /// When it last brought an item to its end. Its connection is kept for some seconds.
+    finished_at: Option<Instant>,
     losses: LossBackoff,
 }
 
@@ -77,6 +79,7 @@
             place_kept_until: None,
             probed_at: now,
             not_before: now,
+            finished_at: None,
             losses: LossBackoff::default(),
         }
     }
@@ -201,6 +204,12 @@
     /// The engine brought an item to its end.
     pub(super) fn finished(&mut self) {
         self.losses.note_success();
+        self.finished_at = Some(Instant::now());
+    }
+
+    /// When it last brought an item to its end.
+    pub(super) fn finished_at(&self) -> Option<Instant> {
+        self.finished_at
     }
 
     /// Forgets a change of weights that takes too long: the engine is asked again.
--- a/crates/sloetrail-serving/src/owner/engines.rs
+++ b/crates/sloetrail-serving/src/owner/engines.rs
@@ -4,6 +4,7 @@
 use super::engine::{Demand, Engine};
 use crate::directory::Directory;
 use sloetrail_types::{EngineId, ServiceName};
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use tokio::time::Instant;
 
@@ -66,7 +67,8 @@
 
     /// The engine that takes an item with this demand, or none. Engines that are
     /// kept up to date for the model go first, then the fastest ones, and of engines
-    /// that are about as fast those with least to do.
+    /// that are about as fast those with least to do. Of several the one goes first that
+    /// was used last, since a connection to it is kept.
     pub(super) fn pick(
         &self,
         demand: Demand<'_>,
@@ -84,7 +86,14 @@
                 true => pace_grade(engine.pace.microseconds(), median),
                 false => 0,
             };
-            (!assigned, engine.is_slow(), grade, engine.running)
+            let used_last = Reverse(engine.finished_at());
+            (
+                !assigned,
+                engine.is_slow(),
+                grade,
+                engine.running,
+                used_last,
+            )
         });
         best.map(|(id, _)| id.clone())
     }
--- a/crates/sloetrail-serving/src/owner/engines/tests.rs
+++ b/crates/sloetrail-serving/src/owner/engines/tests.rs
@@ -423,3 +423,21 @@
     assert_eq!(orders.len(), 5, "half of the ten that are ready");
     assert!(orders.iter().all(|order| ids[..10].contains(&order.engine)));
 }
+
+#[test]
+fn of_engines_with_as_much_to_do_the_one_that_was_used_last_goes_first() {
+    let mut pool = pool(9);
+    let demand = Demand {
+        model: Some("a"),
+        oldest_version: WeightVersion(1),
+    };
+    let of_model = pool.iter().filter(|(_, engine)| engine.is_assigned("a"));
+    let ids: Vec<EngineId> = of_model.map(|(id, _)| id.clone()).collect();
+    let used_last = ids.last().expect("some").clone();
+    pool.get_mut(&used_last).expect("known").finished();
+    let pick = |pool: &EnginePool| pool.pick(demand, Instant::now(), true);
+    assert_eq!(pick(&pool), Some(used_last.clone()));
+    pool.get_mut(&used_last).expect("known").started();
+    let other = pick(&pool).expect("an engine with nothing to do");
+    assert_ne!(other, used_last, "work is spread all the same");
+}
