--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -5,6 +5,7 @@
 //! what does not fit is counted and said in a later line. Ordinary successes are
 //! thinned by a limit a second; failures and refusals are not.
 
+mod part;
 mod rate_limiter;
 mod writer;
 
@@ -13,9 +14,6 @@
 use rate_limiter::RateLimiter;
 use serde::Serialize;
 
-/// Lines a second of one kind of ordinary event.
-const ORDINARY_LINES_PER_SECOND: u32 = 20;
-
 /// A decision, or a change of what the node believes.
 #[derive(Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -450,69 +448,6 @@
     },
 }
 
-impl Event<'_> {
-    /// The part of the program that an event belongs to; it becomes the prefix.
-    pub fn part(&self) -> &'static str {
-        match self {
-            Event::NodeStarted { .. }
-            | Event::NodeStopping { .. }
-            | Event::NodeStopped { .. }
-            | Event::SettingsReloaded { .. }
-            | Event::ProcessPaused { .. }
-            | Event::LinesDropped { .. } => "node",
-            Event::DependencyLost { .. }
-            | Event::DependencyRegained { .. }
-            | Event::RelayBegan { .. }
-            | Event::RelayEnded { .. } => "table",
-            Event::ConfigurationInForce { .. }
-            | Event::ConfigurationRefused { .. }
-            | Event::RowUnreadable { .. }
-            | Event::VersionPublished { .. } => "config",
-            Event::BackEndChanged { .. } | Event::PaceChanged { .. } => "engine",
-            Event::RequestAnswered { .. }
-            | Event::RequestFailed { .. }
-            | Event::AttemptFailed { .. } => "gateway",
-            Event::BatchAccepted { .. }
-            | Event::BatchWaits { .. }
-            | Event::BatchRefused { .. }
-            | Event::BatchEnded { .. }
-            | Event::BatchOpened { .. }
-            | Event::ItemStarted { .. }
-            | Event::ItemInterrupted { .. }
-            | Event::ItemMoved { .. }
-            | Event::ItemDead { .. }
-            | Event::ItemListed { .. }
-            | Event::StepWhole { .. }
-            | Event::RewardFailed { .. } => "batch",
-            Event::LeaseTaken { .. } | Event::OwnerFoundGone { .. } | Event::LeaseLost { .. } => {
-                "lease"
-            }
-            Event::OrderGiven { .. } | Event::VersionInForce { .. } => "weights",
-            Event::EnginesOrdered { .. } => "engine",
-            Event::UsageReported { .. }
-            | Event::UsageLeft { .. }
-            | Event::WallClockAgreed { .. } => "usage",
-        }
-    }
-
-    /// The limit that thins this event out, if it is one that happens many times a
-    /// second in the ordinary course of things.
-    fn limiter(&self) -> Option<&'static RateLimiter> {
-        match self {
-            Event::RequestAnswered { .. } => Some(&REQUESTS_ANSWERED),
-            Event::ItemStarted { .. } => Some(&ITEMS_STARTED),
-            Event::ItemListed { .. } => Some(&ITEMS_LISTED),
-            Event::ItemMoved { .. } => Some(&ITEMS_MOVED),
-            _ => None,
-        }
-    }
-}
-
-static REQUESTS_ANSWERED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
-static ITEMS_STARTED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
-static ITEMS_LISTED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
-static ITEMS_MOVED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
-
 /// Writes an event down, without waiting.
 pub fn emit(event: &Event<'_>) {
     let part = event.part();
@@ -528,14 +463,3 @@
         log::info!(target: part, "{json}");
     }
 }
-
-/// How many lines were thinned out since the last question.
-fn take_thinned() -> u64 {
-    let limiters = [
-        &REQUESTS_ANSWERED,
-        &ITEMS_STARTED,
-        &ITEMS_LISTED,
-        &ITEMS_MOVED,
-    ];
-    limiters.iter().map(|limiter| limiter.take_refused()).sum()
-}
--- /dev/null
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -0,0 +1,81 @@
+//! Which part of the program an event belongs to, and which events are thinned out.
+
+use super::Event;
+use super::rate_limiter::RateLimiter;
+
+/// Lines a second of one kind of ordinary event.
+const ORDINARY_LINES_PER_SECOND: u32 = 20;
+
+impl Event<'_> {
+    /// The part of the program that an event belongs to; it becomes the prefix.
+    pub fn part(&self) -> &'static str {
+        match self {
+            Event::NodeStarted { .. }
+            | Event::NodeStopping { .. }
+            | Event::NodeStopped { .. }
+            | Event::SettingsReloaded { .. }
+            | Event::ProcessPaused { .. }
+            | Event::LinesDropped { .. } => "node",
+            Event::DependencyLost { .. }
+            | Event::DependencyRegained { .. }
+            | Event::RelayBegan { .. }
+            | Event::RelayEnded { .. } => "table",
+            Event::ConfigurationInForce { .. }
+            | Event::ConfigurationRefused { .. }
+            | Event::RowUnreadable { .. }
+            | Event::VersionPublished { .. } => "config",
+            Event::BackEndChanged { .. } | Event::PaceChanged { .. } => "engine",
+            Event::RequestAnswered { .. }
+            | Event::RequestFailed { .. }
+            | Event::AttemptFailed { .. } => "gateway",
+            Event::BatchAccepted { .. }
+            | Event::BatchWaits { .. }
+            | Event::BatchRefused { .. }
+            | Event::BatchEnded { .. }
+            | Event::BatchOpened { .. }
+            | Event::ItemStarted { .. }
+            | Event::ItemInterrupted { .. }
+            | Event::ItemMoved { .. }
+            | Event::ItemDead { .. }
+            | Event::ItemListed { .. }
+            | Event::StepWhole { .. }
+            | Event::RewardFailed { .. } => "batch",
+            Event::LeaseTaken { .. } | Event::OwnerFoundGone { .. } | Event::LeaseLost { .. } => {
+                "lease"
+            }
+            Event::OrderGiven { .. } | Event::VersionInForce { .. } => "weights",
+            Event::EnginesOrdered { .. } => "engine",
+            Event::UsageReported { .. }
+            | Event::UsageLeft { .. }
+            | Event::WallClockAgreed { .. } => "usage",
+        }
+    }
+
+    /// The limit that thins this event out, if it is one that happens many times a
+    /// second in the ordinary course of things.
+    pub(super) fn limiter(&self) -> Option<&'static RateLimiter> {
+        match self {
+            Event::RequestAnswered { .. } => Some(&REQUESTS_ANSWERED),
+            Event::ItemStarted { .. } => Some(&ITEMS_STARTED),
+            Event::ItemListed { .. } => Some(&ITEMS_LISTED),
+            Event::ItemMoved { .. } => Some(&ITEMS_MOVED),
+            _ => None,
+        }
+    }
+}
+
+static REQUESTS_ANSWERED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
+static ITEMS_STARTED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
+static ITEMS_LISTED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
+static ITEMS_MOVED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
+
+/// How many lines were thinned out since the last question.
+pub(super) fn take_thinned() -> u64 {
+    let limiters = [
+        &REQUESTS_ANSWERED,
+        &ITEMS_STARTED,
+        &ITEMS_LISTED,
+        &ITEMS_MOVED,
+    ];
+    limiters.iter().map(|limiter| limiter.take_refused()).sum()
+}
--- a/crates/sloetrail-serving/src/events/writer.rs
+++ b/crates/sloetrail-serving/src/events/writer.rs
@@ -107,7 +107,7 @@
         return;
     }
     let overflow = OVERFLOW.swap(0, Ordering::Relaxed);
-    let thinned = super::take_thinned();
+    let thinned = super::part::take_thinned();
     telemetry::lines_dropped("overflow", overflow);
     telemetry::lines_dropped("thinned", thinned);
     if overflow + thinned > 0 {
--- a/crates/sloetrail-serving/src/gateway/front.rs
+++ b/crates/sloetrail-serving/src/gateway/front.rs
@@ -1,34 +1,30 @@
 //! The entry of every call from outside.
 
 use super::attempt::Outgoing;
+use super::batch_call::BatchCall;
 use super::body_budget::{BodyBudget, HeldBytes};
 use super::call_log::CallLog;
 use super::caller::{self, KeyDemand};
 use super::headers;
 use super::live::LiveCall;
 use super::message::{CallerResponse, problem_response, stream_body, whole_body, with_request_id};
-use super::read;
 use super::stream::{self, StreamOutcome};
 use super::submit::{self, SubmissionCall, WaitingSubmissions};
 use crate::context::NodeContext;
 use crate::http::WholeAnswer;
 use bytes::{Bytes, BytesMut};
 use http::request::Parts;
-use http::{HeaderMap, Method, Request, Response};
+use http::{HeaderMap, Request, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use sloetrail_result::{Problem, ResultCode};
-use sloetrail_routing::{Route, RouteKind, ServingConfiguration, Tenant, WeightedChoice};
+use sloetrail_routing::{Route, RouteKind, Tenant, WeightedChoice};
 use sloetrail_types::ServiceName;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Query parameters of the calls about batches.
-const AFTER: &str = "after";
-const ITEM_ID: &str = "id";
-
 /// An answer is due this much before its caller gives up.
 const ANSWER_MARGIN: Duration = Duration::from_millis(15);
 const NOT_READY_RETRY_MS: u64 = 200;
@@ -43,20 +39,6 @@
     seed: f64,
 }
 
-/// A call about a batch that was submitted before.
-enum BatchCall<'a> {
-    /// What is not listed need not be run any more.
-    End { id: &'a str },
-    /// The results from a position on, waiting for some if there are none yet.
-    Results {
-        id: &'a str,
-        position: usize,
-        wait: Duration,
-    },
-    /// The body of an item.
-    ItemBody { id: &'a str, item: &'a str },
-}
-
 /// A batch as its caller sent it.
 struct Submitted<'a> {
     id: &'a str,
@@ -100,8 +82,10 @@
             let problem = Problem::new(ResultCode::NodeNotReady, "no configuration yet");
             return problem_response(&problem.with_retry_after_ms(NOT_READY_RETRY_MS));
         };
-        if let Some(response) = self.batch_call(&configuration, &head).await {
-            return response;
+        if let Some(call) = BatchCall::read(&self.context, &head) {
+            return call
+                .answer(&self.context, &configuration, &head.headers)
+                .await;
         }
         let host = headers::host(&head.headers);
         let found = configuration.routes.find(host, head.uri.path());
@@ -165,56 +149,6 @@
         }
     }
 
-    /// Answers a call about a batch; nothing if the call is about none.
-    async fn batch_call(
-        &self,
-        configuration: &ServingConfiguration,
-        head: &Parts,
-    ) -> Option<CallerResponse> {
-        let call = self.read_batch_call(head)?;
-        let demand = KeyDemand::Needed;
-        let caller = match caller::identify(&self.context, configuration, &head.headers, demand) {
-            Ok(caller) => caller,
-            Err(problem) => return Some(problem_response(&problem)),
-        };
-        let (context, caller) = (&*self.context, caller.as_deref());
-        Some(match call {
-            BatchCall::End { id } => submit::end(context, id, caller).await,
-            BatchCall::Results { id, position, wait } => {
-                read::results(context, id, caller, position, wait).await
-            }
-            BatchCall::ItemBody { id, item } => read::item_body(context, id, caller, item).await,
-        })
-    }
-
-    fn read_batch_call<'a>(&self, head: &'a Parts) -> Option<BatchCall<'a>> {
-        let path = head.uri.path();
-        let query = head.uri.query().unwrap_or_default();
-        let paths = self.context.dialect.paths();
-        if let Some(id) = path.strip_prefix(&paths.batches) {
-            if head.method == Method::DELETE {
-                return Some(BatchCall::End { id });
-            }
-            if head.method == Method::GET {
-                let position = query_value(query, AFTER).and_then(|text| text.parse().ok());
-                let names = self.context.dialect.headers();
-                let wait = headers::number(&head.headers, &names.wait_ms).unwrap_or_default();
-                return Some(BatchCall::Results {
-                    id,
-                    position: position.unwrap_or_default(),
-                    wait: Duration::from_millis(wait),
-                });
-            }
-        }
-        if let Some(id) = path.strip_prefix(&paths.batch_items)
-            && head.method == Method::GET
-        {
-            let item = query_value(query, ITEM_ID).unwrap_or_default();
-            return Some(BatchCall::ItemBody { id, item });
-        }
-        None
-    }
-
     /// The earlier of the caller's and the route's time; now if neither is known.
     fn deadline(&self, headers: &HeaderMap, route: Option<&Route>, received: Instant) -> Instant {
         let names = self.context.dialect.headers();
@@ -367,10 +301,3 @@
     *response.headers_mut() = headers;
     response
 }
-
-fn query_value<'a>(query: &'a str, name: &str) -> Option<&'a str> {
-    query
-        .split('&')
-        .filter_map(|pair| pair.split_once('='))
-        .find_map(|(key, value)| (key == name).then_some(value))
-}
--- a/crates/sloetrail-serving/src/gateway/mod.rs
+++ b/crates/sloetrail-serving/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! [`read`]. The types that they share are in [`message`].
 
 pub(crate) mod attempt;
+mod batch_call;
 pub(crate) mod body_budget;
 pub(crate) mod call_log;
 pub(crate) mod caller;
--- a/crates/sloetrail-serving/src/node.rs
+++ b/crates/sloetrail-serving/src/node.rs
@@ -92,8 +92,8 @@
         let ready_address = local_address(&ready, settings.ready_address);
         let reports = settings.usage.zip(services.usage_recipient);
         let schedule = reports.as_ref().map(|(usage, _)| usage.schedule());
-        let mut context = build_context(settings, table, peers, dialect, schedule);
-        context.engine_supply = services.engine_supply;
+        let supply = services.engine_supply;
+        let context = build_context(settings, (table, peers), dialect, schedule, supply);
         let context = Arc::new(context);
         let stopping = CancellationToken::new();
         let tracker = ConnectionTracker::default();
@@ -179,10 +179,10 @@
 
 fn build_context(
     settings: ServingSettings,
-    table: Arc<dyn Table>,
-    peers: Option<Arc<Peers>>,
+    (table, peers): (Arc<dyn Table>, Option<Arc<Peers>>),
     dialect: Arc<dyn Dialect>,
     usage_schedule: Option<ReportSchedule>,
+    engine_supply: Option<Arc<dyn EngineSupply>>,
 ) -> NodeContext {
     let sources = dialect.sources().clone();
     let fleet = FleetSize::default();
@@ -234,7 +234,7 @@
         fleet,
         pause_guard,
         usage,
-        engine_supply: None,
+        engine_supply,
     }
 }
 
--- a/crates/sloetrail-serving/src/owner/mod.rs
+++ b/crates/sloetrail-serving/src/owner/mod.rs
@@ -14,13 +14,13 @@
 mod item_story;
 mod loading;
 mod pace;
+mod place_usage;
 mod publications;
 mod reward;
 mod rollout_plan;
 mod run;
 mod service_owner;
 mod sweeper;
-mod usage;
 mod weights;
 
 use self::service_owner::ServiceOwner;
