Two tests that reports survive what their mutations would break

Not caught at first: a commit without the version of the report before, and a committed report that the next holder does not send. Both have a test now that fails with the mutation and passes without.

--- a/crates/sloetrail-serving/tests/usage.rs
+++ b/crates/sloetrail-serving/tests/usage.rs
@@ -244,6 +244,47 @@
     assert_no_turns(&book);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_report_that_was_committed_and_not_taken_is_sent_by_the_next_holder() {
+    let (mut cluster, book) = cluster(&["node-1", "node-2"]).await;
+    let first = holder(&book).await;
+    wait_later_windows(&book, 1).await;
+    book.set_fault(ReportFault::Away);
+    let before = book.records().len();
+    let is_sent = || async { (book.records().len() > before).then_some(()) };
+    eventually("a report is sent and not taken", is_sent).await;
+    cluster.nodes[first].kill();
+    book.set_fault(ReportFault::None);
+    wait_later_windows(&book, 4).await;
+    assert_no_window_is_left_out(&book);
+    assert_no_turns(&book);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_commit_that_takes_effect_late_does_not_put_a_later_report_back() {
+    const LATE: Duration = Duration::from_millis(1_200);
+    let (cluster, book) = cluster(&["node-1"]).await;
+    holder(&book).await;
+    cluster
+        .table
+        .set_commit_fault_on(REPORTS, CommitFault::DoneLate(LATE), 1);
+    let committed = || {
+        let rows = cluster.table.rows(REPORTS);
+        let report: serde_json::Value = serde_json::from_slice(&rows[0].value).expect("JSON");
+        report["window"].as_u64().expect("a number")
+    };
+    let (first, mut newest) = (committed(), committed());
+    let began = std::time::Instant::now();
+    while began.elapsed() < LATE * 3 {
+        let window = committed();
+        assert!(window >= newest, "{window} after {newest}");
+        newest = window;
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(cluster.table.faults_left(), Some(0));
+    assert!(newest > first + 3, "reports went on");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_runs_longer_than_its_report_waits_counts_in_its_window() {
     let (cluster, book) = cluster(&["node-1"]).await;
