Requests that came too late for their report are told also after an unanswered commit

Cause (reading): if a sum turns out to be committed by an attempt without an answer, the pieces that came between that attempt and the next one were deleted without a word.

Change: usage_left counts them too. Its description says that it may also tell of counts that were reported and could not be deleted.

--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -419,8 +419,8 @@
         /// The status, if it was refused for good.
         status: Option<u16>,
     },
-    /// Counts of windows that were reported before were found: they came too late, or an
-    /// earlier holder ended before it deleted them.
+    /// Counts of windows that were reported before were found: they came too late, or they
+    /// were reported and could not be deleted then.
     UsageLeft {
         /// The window that is reported now.
         window: u64,
--- a/crates/sloetrail-serving/src/usage/reporter.rs
+++ b/crates/sloetrail-serving/src/usage/reporter.rs
@@ -181,6 +181,7 @@
             .table
             .commit(&transaction.put(address, value))
             .await;
+        let counted = report.requests();
         let committed = match commit {
             Ok(Commit::Done(version)) => {
                 self.row_version = Some(version);
@@ -190,7 +191,9 @@
             // It may have been done; the next attempt conflicts then, and adopts it.
             Err(_) => return None,
         };
-        tell_left(window, &pieces);
+        // An earlier attempt was committed before the last pieces came.
+        let too_late = counted.saturating_sub(committed.requests());
+        tell_left(window, &pieces, too_late);
         self.delete_pieces(&page).await;
         Some(committed)
     }
@@ -309,11 +312,12 @@
         .collect()
 }
 
-/// Tells of pieces of windows before this one: they came after their window was reported,
-/// or an earlier holder ended before it could delete them.
-fn tell_left(window: WindowNumber, pieces: &[UsagePiece]) {
+/// Tells of requests that came too late for their report: those of pieces of windows before
+/// this one, which an earlier holder may also have counted and not deleted, and others.
+fn tell_left(window: WindowNumber, pieces: &[UsagePiece], others: u64) {
     let left = pieces.iter().filter(|piece| piece.window < window);
-    let requests: u64 = left.flat_map(|piece| piece.counts.values()).sum();
+    let of_pieces: u64 = left.flat_map(|piece| piece.counts.values()).sum();
+    let requests = of_pieces + others;
     if requests > 0 {
         events::emit(&Event::UsageLeft {
             window: window.0,
