A report that cannot be read back stops the reports instead of telling a window twice

Cause (reading the diff): a new holder that could not read the report committed last went on with the windows of the last ten seconds, some of which may have been reported, and whose pieces are gone.

--- a/crates/sloetrail-serving/src/usage/reporter.rs
+++ b/crates/sloetrail-serving/src/usage/reporter.rs
@@ -139,14 +139,20 @@
         }
     }
 
-    /// The report that was committed last, by whatever holder; waits for the table.
+    /// The report that was committed last, by whatever holder; waits for the table. A row
+    /// that cannot be read ends the term: without it a window could be told twice.
     async fn read_last(&mut self) -> Option<UsageReport> {
         loop {
             let row = read_row(&*self.context.table, &rows::usage_report()).await;
-            match row.map(|row| row.map(|row| self.take_row(&row))) {
-                Ok(report) => return report.flatten(),
-                Err(_) => self.pause(STEP).await,
+            match row {
+                Ok(None) => return None,
+                Ok(Some(row)) => match self.take_row(&row) {
+                    Some(report) => return Some(report),
+                    None => self.term.ended.cancel(),
+                },
+                Err(_) => {}
             }
+            self.pause(STEP).await;
         }
     }
 
--- a/crates/sloetrail-serving/tests/usage.rs
+++ b/crates/sloetrail-serving/tests/usage.rs
@@ -368,3 +368,18 @@
     let has_ended = || async { cluster.nodes[other].has_ended().then_some(()) };
     eventually("it has ended", has_ended).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_is_reported_while_the_last_report_cannot_be_read() {
+    let (mut cluster, book) = cluster(&["node-1", "node-2"]).await;
+    let first = holder(&book).await;
+    cluster.nodes[first].kill();
+    let row = cluster.table.rows(REPORTS).remove(0);
+    cluster.table.write(row.address.clone(), "unreadable");
+    let before = book.records().len();
+    tokio::time::sleep(Duration::from_millis(3_000)).await;
+    assert_eq!(book.records().len(), before, "a window could be told twice");
+    cluster.table.write(row.address, row.value);
+    wait_later_windows(&book, 3).await;
+    assert_no_window_is_left_out(&book);
+}
