No files of the gateway or the owner import each other in a circle

What became of orders for numbers of engines is an event like the others.

No behaviour changed. Measured: batches, submissions, tenants, supply and owner pass.

--- a/crates/sloetrail-serving/src/gateway/mod.rs
+++ b/crates/sloetrail-serving/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod caller;
 pub(crate) mod front;
 pub(crate) mod headers;
+mod known_batch;
 pub(crate) mod live;
 pub(crate) mod message;
 pub(crate) mod read;
--- a/crates/sloetrail-serving/src/gateway/read.rs
+++ b/crates/sloetrail-serving/src/gateway/read.rs
@@ -4,14 +4,12 @@
 //! A node that cannot read them says so; only the absence of the head's row, as the
 //! table tells it, means that there is no such batch.
 
-use super::caller::check_owner;
+use super::known_batch::{header_of, table_unavailable};
 use super::message::{CallerResponse, json_response, problem_response, whole_body};
-use super::submit::table_unavailable;
-use crate::batch_rows::{read_header, read_results, read_submission};
+use crate::batch_rows::{read_results, read_submission};
 use crate::context::NodeContext;
-use crate::table::ReadError;
 use http::StatusCode;
-use sloetrail_batch::{BatchHeader, ListedResult, ResultPage, Submission};
+use sloetrail_batch::{ListedResult, ResultPage, Submission};
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_routing::Tenant;
 use std::time::Duration;
@@ -109,19 +107,3 @@
     };
     Ok(http::Response::new(whole_body(found.body)))
 }
-
-/// The head of a batch that a caller may know of.
-pub(crate) async fn header_of(
-    context: &NodeContext,
-    id: &str,
-    caller: Option<&Tenant>,
-) -> Result<BatchHeader, Problem> {
-    match read_header(&*context.table, id).await {
-        Ok(Some((header, _))) => check_owner(&header, caller).map(|()| header),
-        Ok(None) => {
-            let detail = format!("batch {id}");
-            Err(Problem::new(ResultCode::UnknownBatch, detail))
-        }
-        Err(ReadError::Unavailable | ReadError::HistoryLost) => Err(table_unavailable()),
-    }
-}
--- a/crates/sloetrail-serving/src/gateway/submit.rs
+++ b/crates/sloetrail-serving/src/gateway/submit.rs
@@ -15,8 +15,8 @@
 pub(crate) use self::waiting::WaitingSubmissions;
 
 use self::waiting::{Hindrance, wait_for_table};
+use super::known_batch::{RETRY_AFTER, header_of, table_unavailable};
 use super::message::{CallerResponse, empty_response, problem_response};
-use super::read::header_of;
 use crate::batch_rows::encode_header;
 use crate::context::NodeContext;
 use crate::events::{self, Event};
@@ -32,9 +32,6 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// When to come back after a call that the table refused or did not answer, or to a
-/// node that is cut off alone: another node can take it at once.
-const RETRY_AFTER: Duration = Duration::from_millis(150);
 /// When to come back after an outage was waited for in vain. Outages of 3 to 7 s are
 /// what the operators play; the retry waits as well, so it need not come late.
 const OUTAGE_RETRY_AFTER: Duration = Duration::from_millis(1_000);
@@ -287,12 +284,6 @@
     }
 }
 
-/// The refusal of a call that the table must settle first.
-pub(crate) fn table_unavailable() -> Problem {
-    Problem::new(ResultCode::TableUnavailable, "the table does not answer")
-        .with_retry_after_ms(RETRY_AFTER.as_millis() as u64)
-}
-
 /// The service that runs a batch: the first with a share, so that the same batch
 /// sent again goes to the same one.
 pub(crate) fn batch_service(services: &[WeightedService]) -> Option<&ServiceName> {
--- a/crates/sloetrail-serving/src/owner/event.rs
+++ b/crates/sloetrail-serving/src/owner/event.rs
@@ -3,7 +3,6 @@
 use super::loading::LoadedBatch;
 use super::reward::RewardOutcome;
 use super::run::RunOutcome;
-use super::service_owner::SupplyAnswered;
 use crate::back_end::{EngineStatus, OrderAnswer};
 use crate::leases::OrderWindow;
 use sloetrail_batch::{BatchId, ItemIndex, ListedResult, Transcript};
@@ -70,3 +69,10 @@
     /// Its answer to the order; nothing if none was sent or no answer came.
     pub(super) answer: Option<OrderAnswer>,
 }
+
+/// What became of orders for numbers of engines that were given together.
+#[derive(Debug)]
+pub(super) struct SupplyAnswered {
+    /// A later holder has given orders already.
+    pub(super) fenced: bool,
+}
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -8,7 +8,6 @@
 mod texts;
 mod versions;
 
-pub(super) use self::supply::SupplyAnswered;
 use self::supply::SupplyState;
 use super::committer::{CommitRequest, commit_results};
 use super::engines::EnginePool;
--- a/crates/sloetrail-serving/src/owner/service_owner/supply.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/supply.rs
@@ -6,7 +6,7 @@
 use crate::events::{self, Event};
 use crate::lease_holder::LeaseHolder;
 use crate::leases::{OrderWindow, Term};
-use crate::owner::event::OwnerEvent;
+use crate::owner::event::{OwnerEvent, SupplyAnswered};
 use crate::rows;
 use crate::table::{Commit, read_row};
 use crate::telemetry;
@@ -83,12 +83,6 @@
     }
 }
 
-/// The answers to the orders that were given together.
-#[derive(Debug)]
-pub(in crate::owner) struct SupplyAnswered {
-    fenced: bool,
-}
-
 impl ServiceOwner {
     /// Takes in what the engines do, and orders another number of them if one is wanted.
     pub(super) fn drive_supply(&mut self) {
