An answer of the store is waited for as long as it comes

A read was given up after the patience that ordinary answers had taught, whole answer included, so a page of results of 100 KB and more never came.

Change: the patience counts from one piece of an answer to the next. Silence is what tells a lost call.

--- a/crates/sloetrail-serving/src/http/exchange.rs
+++ b/crates/sloetrail-serving/src/http/exchange.rs
@@ -115,10 +115,29 @@
 
     /// Reads the body to its end.
     pub async fn whole(self, limit: usize, deadline: Instant) -> Result<WholeAnswer, SendFailure> {
+        self.collect(limit, || deadline).await
+    }
+
+    /// Reads the body to its end for as long as pieces of it come: a large one may take its
+    /// time on a slow link, but no longer than this from one piece to the next.
+    pub async fn whole_while_it_comes(
+        self,
+        limit: usize,
+        patience: Duration,
+    ) -> Result<WholeAnswer, SendFailure> {
+        self.collect(limit, || Instant::now() + patience).await
+    }
+
+    /// Reads the body to its end; `due` tells by when the next piece must have come.
+    async fn collect(
+        self,
+        limit: usize,
+        due: impl Fn() -> Instant,
+    ) -> Result<WholeAnswer, SendFailure> {
         let mut collected = BytesMut::new();
         let mut body = self.body;
         loop {
-            let piece = tokio::time::timeout_at(deadline, body.next_piece()).await;
+            let piece = tokio::time::timeout_at(due(), body.next_piece()).await;
             match piece.map_err(|_| SendFailure::OutOfTime)?? {
                 Some(piece) if collected.len() + piece.len() > limit => {
                     return Err(SendFailure::TooLarge);
