--- a/crates/sloetrail-cli/src/arguments.rs
+++ b/crates/sloetrail-cli/src/arguments.rs
@@ -117,6 +117,12 @@
                 .after_help("Example: sloetrail step-report node-1.log node-2.log")
                 .arg(logs()),
         )
+        .subcommand(
+            Command::new("usage")
+                .about("Tells which windows of usage were reported, by whom, and which are missing, from the logs of several nodes")
+                .after_help("Example: sloetrail usage node-1.log node-2.log")
+                .arg(logs()),
+        )
         .subcommand(
             Command::new("check")
                 .about("Judges a recorded history, invariant by invariant")
--- a/crates/sloetrail-cli/src/main.rs
+++ b/crates/sloetrail-cli/src/main.rs
@@ -18,6 +18,7 @@
 mod orders;
 mod reports;
 mod step_report;
+mod usage_report;
 
 use clap::ArgMatches;
 use failure::Failure;
@@ -51,6 +52,7 @@
         Some(("explain", matches)) => explain::explain(matches, as_json),
         Some(("explain-request", matches)) => explain_request::explain_request(matches, as_json),
         Some(("step-report", matches)) => step_report::step_report(matches, as_json),
+        Some(("usage", matches)) => usage_report::usage_report(matches, as_json),
         Some(("check", matches)) => check::check(matches, as_json),
         Some(("replay", matches)) => check::replay(matches, as_json),
         _ => unreachable!("clap asks for a subcommand"),
--- a/crates/sloetrail-routing/src/error.rs
+++ b/crates/sloetrail-routing/src/error.rs
@@ -24,6 +24,17 @@
         /// The name.
         tenant: String,
     },
+    /// A tenant has no name.
+    #[snafu(display("a tenant has an empty name"))]
+    UnnamedTenant,
+    /// A key is so short that it can be guessed.
+    #[snafu(display("tenant {tenant:?} has a key of fewer than {least} bytes"))]
+    ShortKey {
+        /// The tenant.
+        tenant: String,
+        /// The least bytes of a key.
+        least: usize,
+    },
     /// A key of a tenant is also another one's.
     #[snafu(display("tenant {tenant:?} has a key that is another tenant's too"))]
     DuplicateKey {
--- a/crates/sloetrail-routing/src/tenants.rs
+++ b/crates/sloetrail-routing/src/tenants.rs
@@ -3,7 +3,7 @@
 //! A key is a secret: [`ApiKey`] does not show it, and no error of this module holds one.
 
 use crate::ConfigurationError;
-use crate::error::{DuplicateKeySnafu, DuplicateTenantSnafu};
+use crate::error::{DuplicateKeySnafu, DuplicateTenantSnafu, ShortKeySnafu, UnnamedTenantSnafu};
 use crate::raw::RawTenant;
 use sloetrail_types::TenantName;
 use snafu::ensure;
@@ -11,6 +11,9 @@
 use std::fmt;
 use std::sync::Arc;
 
+/// Shorter keys can be guessed. The operators' have twenty bytes.
+const KEY_BYTES_LEAST: usize = 8;
+
 /// A secret by which a caller shows which tenant it belongs to.
 #[derive(Clone, PartialEq, Eq, Hash)]
 struct ApiKey(String);
@@ -44,7 +47,7 @@
     ///
     /// # Errors
     ///
-    /// If two tenants have one name or one key.
+    /// If two tenants have one name or one key, a name is empty or a key short.
     pub(crate) fn check(raw: Vec<RawTenant>) -> Result<Self, ConfigurationError> {
         let mut names = BTreeSet::new();
         let mut by_key: HashMap<ApiKey, Arc<Tenant>> = HashMap::new();
@@ -54,6 +57,7 @@
             priority,
         } in raw
         {
+            ensure!(!name.is_empty(), UnnamedTenantSnafu);
             ensure!(
                 names.insert(name.clone()),
                 DuplicateTenantSnafu { tenant: name }
@@ -63,6 +67,14 @@
                 priority,
             });
             for key in api_keys {
+                let (tenant_name, least) = (tenant.name.as_str(), KEY_BYTES_LEAST);
+                ensure!(
+                    key.len() >= least,
+                    ShortKeySnafu {
+                        tenant: tenant_name,
+                        least
+                    }
+                );
                 let before = by_key.insert(ApiKey(key), Arc::clone(&tenant));
                 let other = before.filter(|before| before.name != tenant.name);
                 ensure!(
--- a/crates/sloetrail-serving/src/gateway/caller.rs
+++ b/crates/sloetrail-serving/src/gateway/caller.rs
@@ -60,14 +60,11 @@
     Problem::new(ResultCode::ConfigurationStale, detail).with_retry_after_ms(STALE_RETRY_MS)
 }
 
-/// Refuses a call about a batch of another tenant.
-pub(crate) fn check_owner(header: &BatchHeader, caller: Option<&Tenant>) -> Result<(), Problem> {
+/// True if a caller may know of a batch: it is its tenant's, or nobody's.
+pub(crate) fn may_know(header: &BatchHeader, caller: Option<&Tenant>) -> bool {
     match (&header.tenant, caller) {
-        (Some(owner), Some(caller)) if *owner != caller.name => Err(Problem::new(
-            ResultCode::OtherTenant,
-            "the batch belongs to another tenant",
-        )),
-        _ => Ok(()),
+        (Some(owner), Some(caller)) => *owner == caller.name,
+        _ => true,
     }
 }
 
--- a/crates/sloetrail-serving/src/gateway/known_batch.rs
+++ b/crates/sloetrail-serving/src/gateway/known_batch.rs
@@ -1,6 +1,6 @@
 //! Batches that were accepted, as the table tells of them.
 
-use super::caller::check_owner;
+use super::caller::may_know;
 use crate::batch_rows::read_header;
 use crate::context::NodeContext;
 use crate::table::ReadError;
@@ -13,15 +13,15 @@
 /// node that is cut off alone: another node can take it at once.
 pub(super) const RETRY_AFTER: Duration = Duration::from_millis(150);
 
-/// The head of a batch that a caller may know of.
+/// The head of a batch that a caller may know of. To another tenant it does not exist.
 pub(crate) async fn header_of(
     context: &NodeContext,
     id: &str,
     caller: Option<&Tenant>,
 ) -> Result<BatchHeader, Problem> {
     match read_header(&*context.table, id).await {
-        Ok(Some((header, _))) => check_owner(&header, caller).map(|()| header),
-        Ok(None) => {
+        Ok(Some((header, _))) if may_know(&header, caller) => Ok(header),
+        Ok(_) => {
             let detail = format!("batch {id}");
             Err(Problem::new(ResultCode::UnknownBatch, detail))
         }
