--- a/crates/sloetrail-balance/src/balancer.rs
+++ b/crates/sloetrail-balance/src/balancer.rs
@@ -1,8 +1,12 @@
 //! The choice among a service's engines.
 
+use crate::SendBound;
 use crate::entry::{AttemptOutcome, EngineReport, Entry, WorkClass};
 use rand::Rng;
-use sloetrail_types::{EngineId, Timestamp, WeightVersion, ZoneName, rendezvous_weight};
+use sloetrail_types::{
+    AllowedRegions, Distance, EngineId, Timestamp, Topology, WeightVersion, ZoneName,
+    rendezvous_weight,
+};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -15,6 +19,43 @@
     pub zone: ZoneName,
     /// True if the list marks it as leaving.
     pub leaving: bool,
+    /// True if nothing is to be sent to its zone for now.
+    pub evacuated: bool,
+    /// Present if it is cold.
+    pub cold: Option<ColdEngine>,
+}
+
+impl ListedEngine {
+    /// An engine that takes work and is warm.
+    pub fn ready(id: EngineId, zone: ZoneName) -> Self {
+        Self {
+            id,
+            zone,
+            leaving: false,
+            evacuated: false,
+            cold: None,
+        }
+    }
+}
+
+/// How an engine that is cold is to be spared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ColdEngine {
+    /// Until when it is cold.
+    pub until: Timestamp,
+    /// What this node may send it meanwhile; nothing means as much as to a warm one.
+    pub bound: Option<SendBound>,
+}
+
+/// What a request demands of the engine that is chosen for it.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand<'a> {
+    /// Who waits for it.
+    pub class: WorkClass,
+    /// Engines that are not to be chosen.
+    pub excluded: &'a BTreeSet<EngineId>,
+    /// The regions in which it may be served.
+    pub regions: &'a AllowedRegions,
 }
 
 /// Whose balancer it is, and its bounds.
@@ -22,8 +63,8 @@
 pub struct BalancerSettings {
     /// The node's name. Engines are preferred in an order that each node has of its own.
     pub node: String,
-    /// The node's own zone, whose engines are preferred.
-    pub zone: ZoneName,
+    /// The node's own zone, whose engines are preferred, and the regions of all zones.
+    pub topology: Topology,
     /// How long an engine may be chosen without news of it.
     pub view_freshness: Duration,
     /// Upper bound of this node's requests on one engine.
@@ -70,6 +111,8 @@
                 Entry::new(engine.zone, engine.leaving, concurrency, preference)
             });
             entry.leaving |= engine.leaving;
+            entry.evacuated = engine.evacuated;
+            entry.cold = engine.cold;
         }
     }
 
@@ -104,17 +147,13 @@
         &mut self,
         now: Timestamp,
         random: &mut impl Rng,
-        class: WorkClass,
-        excluded: &BTreeSet<EngineId>,
+        demand: Demand<'_>,
     ) -> Option<EngineId> {
-        let own_zone = self.candidates(now, class, excluded, true);
-        let candidates = match own_zone.is_empty() {
-            true => self.candidates(now, class, excluded, false),
-            false => own_zone,
-        };
+        let candidates = self.nearest_candidates(now, demand);
         let id = self.preferred_or_emptier(&candidates, random)?;
         if let Some(entry) = self.engines.get_mut(&id) {
             entry.in_flight += 1;
+            entry.sends.note(now);
         }
         Some(id)
     }
@@ -141,29 +180,45 @@
             .count()
     }
 
+    /// True if an engine of the allowed regions takes work, whether or not it has room now.
+    /// Without one, waiting does not help a request.
+    pub fn may_serve(&self, regions: &AllowedRegions) -> bool {
+        let topology = &self.settings.topology;
+        self.engines
+            .values()
+            .any(|entry| entry.takes_work() && topology.allows(regions, &entry.zone))
+    }
+
     /// Requests in flight from this node.
     pub fn in_flight(&self) -> usize {
         self.engines.values().map(|entry| entry.in_flight).sum()
     }
 
-    fn candidates(
-        &self,
-        now: Timestamp,
-        class: WorkClass,
-        excluded: &BTreeSet<EngineId>,
-        own_zone_only: bool,
-    ) -> Vec<EngineId> {
+    /// The engines that may be chosen and have room: warm ones before cold ones, and of
+    /// these the nearest.
+    fn nearest_candidates(&self, now: Timestamp, demand: Demand<'_>) -> Vec<EngineId> {
         let freshness = self.settings.view_freshness;
-        self.engines
-            .iter()
-            .filter(|(id, entry)| {
-                entry.may_be_chosen(now, freshness)
-                    && entry.has_room(class)
-                    && !excluded.contains(id)
-                    && (!own_zone_only || entry.zone == self.settings.zone)
-            })
-            .map(|(id, _)| id.clone())
-            .collect()
+        let topology = &self.settings.topology;
+        let able = self.engines.iter().filter(|(id, entry)| {
+            entry.may_be_chosen(now, freshness)
+                && entry.has_room(now, demand.class)
+                && !demand.excluded.contains(id)
+                && topology.allows(demand.regions, &entry.zone)
+        });
+        let mut nearest: Option<(bool, Distance)> = None;
+        let mut candidates = Vec::new();
+        for (id, entry) in able {
+            let rank = (entry.is_cold(now), topology.distance(&entry.zone));
+            if nearest.is_some_and(|nearest| rank > nearest) {
+                continue;
+            }
+            if nearest.is_none_or(|nearest| rank < nearest) {
+                nearest = Some(rank);
+                candidates.clear();
+            }
+            candidates.push(id.clone());
+        }
+        candidates
     }
 
     /// The node's preferred engine if it has nothing to do there, otherwise the emptier of
--- a/crates/sloetrail-balance/src/entry.rs
+++ b/crates/sloetrail-balance/src/entry.rs
@@ -1,6 +1,6 @@
 //! What a node knows of one engine.
 
-use crate::ConcurrencyLimit;
+use crate::{ColdEngine, ConcurrencyLimit, SendWindow};
 use sloetrail_types::{Timestamp, WeightVersion, ZoneName};
 use std::time::Duration;
 
@@ -64,6 +64,11 @@
 pub(crate) struct Entry {
     pub(crate) zone: ZoneName,
     pub(crate) leaving: bool,
+    /// True if nothing is to be sent to its zone for now.
+    pub(crate) evacuated: bool,
+    pub(crate) cold: Option<ColdEngine>,
+    /// What this node sent it last.
+    pub(crate) sends: SendWindow,
     pub(crate) report: Option<EngineReport>,
     pub(crate) confirmed_at: Option<Timestamp>,
     pub(crate) lost_at: Option<Timestamp>,
@@ -81,6 +86,9 @@
         Self {
             zone,
             leaving,
+            evacuated: false,
+            cold: None,
+            sends: SendWindow::default(),
             report: None,
             confirmed_at: None,
             lost_at: None,
@@ -104,16 +112,33 @@
         let serving = self
             .report
             .is_some_and(|report| report.state == ReportedState::Serving);
-        fresh && serving && !self.leaving && newer_than(self.lost_at) && newer_than(self.refused_at)
+        fresh
+            && serving
+            && self.takes_work()
+            && newer_than(self.lost_at)
+            && newer_than(self.refused_at)
     }
 
-    pub(crate) fn has_room(&self, class: WorkClass) -> bool {
+    /// True unless it leaves or its zone is evacuated.
+    pub(crate) fn takes_work(&self) -> bool {
+        !self.leaving && !self.evacuated
+    }
+
+    /// True if it is cold now.
+    pub(crate) fn is_cold(&self, now: Timestamp) -> bool {
+        self.cold.is_some_and(|cold| now < cold.until)
+    }
+
+    pub(crate) fn has_room(&self, now: Timestamp, class: WorkClass) -> bool {
         let limit = self.limit.current();
         let places = match class {
             WorkClass::Live => limit,
             WorkClass::Sample => (limit - limit / SHARE_KEPT_FOR_LIVE).max(1),
         };
-        self.in_flight < places
+        let bound = self.cold.filter(|_| self.is_cold(now));
+        let bound = bound.and_then(|cold| cold.bound);
+        let is_spared = bound.is_some_and(|bound| !self.sends.has_room(now, bound));
+        self.in_flight < places && !is_spared
     }
 
     /// Load in parts of capacity: what others had there at the report, and what
--- a/crates/sloetrail-balance/src/tests.rs
+++ b/crates/sloetrail-balance/src/tests.rs
@@ -1,13 +1,18 @@
 use crate::{
-    AttemptOutcome, Balancer, BalancerSettings, ConcurrencyLimit, EngineReport, LatencyQuantile,
-    ListedEngine, ReportedState, RetryBudget, WorkClass,
+    AttemptOutcome, Balancer, BalancerSettings, ConcurrencyLimit, Demand, EngineReport,
+    LatencyQuantile, ListedEngine, ReportedState, RetryBudget, WorkClass,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use sloetrail_types::{EngineId, Timestamp, WeightVersion, ZoneName};
+use sloetrail_types::{AllowedRegions, EngineId, Timestamp, Topology, WeightVersion, ZoneName};
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::LazyLock;
 use std::time::Duration;
 
+mod places;
+
+static EVERYWHERE: LazyLock<AllowedRegions> = LazyLock::new(AllowedRegions::everywhere);
+
 fn balancer() -> Balancer {
     balancer_of("node-1")
 }
@@ -15,7 +20,7 @@
 fn balancer_of(node: &str) -> Balancer {
     let mut balancer = Balancer::new(BalancerSettings {
         node: node.to_owned(),
-        zone: ZoneName::from("hfj"),
+        topology: Topology::of_zone(ZoneName::from("hfj")),
         view_freshness: Duration::from_millis(1_000),
         engine_concurrency: 4,
     });
@@ -29,9 +34,8 @@
 
 fn listed(id: &str, zone: &str, leaving: bool) -> ListedEngine {
     ListedEngine {
-        id: EngineId::from(id),
-        zone: ZoneName::from(zone),
         leaving,
+        ..ListedEngine::ready(EngineId::from(id), ZoneName::from(zone))
     }
 }
 
@@ -47,12 +51,16 @@
 
 fn choose(balancer: &mut Balancer, now: u64) -> Option<EngineId> {
     let mut random = StdRng::seed_from_u64(3);
-    balancer.choose(
-        Timestamp(now),
-        &mut random,
-        WorkClass::Live,
-        &BTreeSet::new(),
-    )
+    let none = BTreeSet::new();
+    balancer.choose(Timestamp(now), &mut random, demand(WorkClass::Live, &none))
+}
+
+fn demand(class: WorkClass, excluded: &BTreeSet<EngineId>) -> Demand<'_> {
+    Demand {
+        class,
+        excluded,
+        regions: &EVERYWHERE,
+    }
 }
 
 #[test]
@@ -80,7 +88,7 @@
     let mut random = StdRng::seed_from_u64(5);
     let mut choose = |balancer: &mut Balancer| {
         let none = BTreeSet::new();
-        let chosen = balancer.choose(Timestamp(200), &mut random, WorkClass::Live, &none);
+        let chosen = balancer.choose(Timestamp(200), &mut random, demand(WorkClass::Live, &none));
         chosen.expect("an engine with room")
     };
     let mut preferred = BTreeSet::new();
@@ -110,7 +118,7 @@
     let mut under_way: Vec<EngineId> = Vec::new();
     let mut chosen: BTreeMap<EngineId, usize> = BTreeMap::new();
     for _ in 0..ROUNDS {
-        let id = balancer.choose(Timestamp(200), &mut random, WorkClass::Live, &none);
+        let id = balancer.choose(Timestamp(200), &mut random, demand(WorkClass::Live, &none));
         let id = id.expect("an engine with room");
         *chosen.entry(id.clone()).or_default() += 1;
         under_way.push(id);
@@ -178,8 +186,7 @@
             .choose(
                 Timestamp(110),
                 &mut random,
-                WorkClass::Live,
-                &BTreeSet::new(),
+                demand(WorkClass::Live, &BTreeSet::new()),
             )
             .expect("there is room");
         counts[usize::from(chosen == EngineId::from("near-2"))] += 1;
@@ -225,7 +232,11 @@
     let mut samples = 0;
     let none = BTreeSet::new();
     while balancer
-        .choose(Timestamp(110), &mut random, WorkClass::Sample, &none)
+        .choose(
+            Timestamp(110),
+            &mut random,
+            demand(WorkClass::Sample, &none),
+        )
         .is_some()
     {
         samples += 1;
--- /dev/null
+++ b/crates/sloetrail-balance/src/tests/places.rs
@@ -0,0 +1,207 @@
+//! Which engines are nearer, which regions are allowed, which zones are evacuated.
+
+use super::{EVERYWHERE, report};
+use crate::{
+    AttemptOutcome, Balancer, BalancerSettings, ColdBudget, ColdEngine, Demand, ListedEngine,
+    ReportedState, SendBound, SendWindow, WorkClass,
+};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use sloetrail_types::{AllowedRegions, EngineId, RegionName, Timestamp, Topology, ZoneName};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+const ENGINES: [(&str, &str); 4] = [
+    ("own", "a1"),
+    ("near", "a2"),
+    ("far-1", "b1"),
+    ("far-2", "b2"),
+];
+
+fn topology() -> Topology {
+    let regions = [("a1", "a"), ("a2", "a"), ("b1", "b"), ("b2", "b")];
+    let regions = regions.map(|(zone, region)| (ZoneName::from(zone), RegionName::from(region)));
+    Topology::new(ZoneName::from("a1"), regions.into())
+}
+
+fn listed() -> Vec<ListedEngine> {
+    let engines = ENGINES.iter();
+    engines
+        .map(|(id, zone)| ListedEngine::ready(EngineId::from(*id), ZoneName::from(*zone)))
+        .collect()
+}
+
+fn serving(engines: Vec<ListedEngine>) -> Balancer {
+    let mut balancer = Balancer::new(BalancerSettings {
+        node: "node-1".to_owned(),
+        topology: topology(),
+        view_freshness: Duration::from_secs(600),
+        engine_concurrency: 8,
+    });
+    balancer.set_engines(engines);
+    for (id, _) in ENGINES {
+        let report = report(100, ReportedState::Serving, 0);
+        balancer.report(&EngineId::from(id), report);
+    }
+    balancer
+}
+
+fn choose_in(balancer: &mut Balancer, regions: &AllowedRegions, now: u64) -> Option<String> {
+    let mut random = StdRng::seed_from_u64(3);
+    let excluded = BTreeSet::new();
+    let demand = Demand {
+        class: WorkClass::Live,
+        excluded: &excluded,
+        regions,
+    };
+    let id = balancer.choose(Timestamp(now), &mut random, demand)?;
+    balancer.finish(Timestamp(now), &id, AttemptOutcome::Answered);
+    Some(id.as_str().to_owned())
+}
+
+fn choose(balancer: &mut Balancer, now: u64) -> Option<String> {
+    choose_in(balancer, &EVERYWHERE, now)
+}
+
+fn mark(engines: &mut [ListedEngine], id: &str, change: impl Fn(&mut ListedEngine)) {
+    let id = EngineId::from(id);
+    let engine = engines.iter_mut().find(|engine| engine.id == id);
+    change(engine.expect("listed"));
+}
+
+#[test]
+fn engines_of_the_own_zone_then_of_the_own_region_go_first() {
+    let mut engines = listed();
+    let mut balancer = serving(engines.clone());
+    assert_eq!(choose(&mut balancer, 200).as_deref(), Some("own"));
+    mark(&mut engines, "own", |engine| engine.evacuated = true);
+    balancer.set_engines(engines.clone());
+    assert_eq!(choose(&mut balancer, 200).as_deref(), Some("near"));
+    mark(&mut engines, "near", |engine| engine.leaving = true);
+    balancer.set_engines(engines.clone());
+    let far = choose(&mut balancer, 200).expect("one elsewhere");
+    assert!(far.starts_with("far"), "{far}");
+}
+
+#[test]
+fn an_evacuation_is_taken_back_and_a_leave_is_not() {
+    let mut engines = listed();
+    for (id, _) in ENGINES {
+        mark(&mut engines, id, |engine| engine.evacuated = true);
+    }
+    let mut balancer = serving(engines);
+    assert_eq!(choose(&mut balancer, 200), None);
+    assert!(!balancer.may_serve(&EVERYWHERE));
+    balancer.set_engines(listed());
+    assert_eq!(choose(&mut balancer, 200).as_deref(), Some("own"));
+    let mut leaving = listed();
+    mark(&mut leaving, "own", |engine| engine.leaving = true);
+    balancer.set_engines(leaving);
+    balancer.set_engines(listed());
+    assert_eq!(choose(&mut balancer, 200).as_deref(), Some("near"));
+}
+
+#[test]
+fn no_engine_of_another_region_than_the_allowed_ones_is_chosen() {
+    let mut balancer = serving(listed());
+    let only = |name: &str| AllowedRegions::only([RegionName::from(name)]);
+    for _ in 0..20 {
+        let chosen = choose_in(&mut balancer, &only("b"), 200).expect("one");
+        assert!(chosen.starts_with("far"), "{chosen}");
+    }
+    assert_eq!(choose_in(&mut balancer, &only("c"), 200), None);
+    assert!(balancer.may_serve(&only("b")) && !balancer.may_serve(&only("c")));
+}
+
+#[test]
+fn cold_engines_get_what_warm_ones_cannot_take_and_no_more_than_their_bound() {
+    let cold = ColdEngine {
+        until: Timestamp(3_000),
+        bound: Some(SendBound::per_second(2.0)),
+    };
+    let mut engines = listed();
+    mark(&mut engines, "own", |engine| engine.cold = Some(cold));
+    let mut balancer = serving(engines.clone());
+    assert_eq!(choose(&mut balancer, 200).as_deref(), Some("near"));
+    for (id, _) in &ENGINES[1..] {
+        mark(&mut engines, id, |engine| engine.leaving = true);
+    }
+    balancer.set_engines(engines);
+    let chosen: Vec<bool> = (0..12)
+        .map(|step| choose(&mut balancer, 300 + step * 100).is_some())
+        .collect();
+    assert_eq!(
+        chosen.iter().filter(|chosen| **chosen).count(),
+        3,
+        "{chosen:?}"
+    );
+    assert!(chosen[0] && chosen[1] && chosen[11], "{chosen:?}");
+    let warm = (0..5).filter(|_| choose(&mut balancer, 3_000).is_some());
+    assert_eq!(warm.count(), 5, "a warm engine is not spared");
+}
+
+#[test]
+fn any_span_of_the_bound_holds_no_more_sends() {
+    let bound = SendBound::per_second(7.9);
+    let mut window = SendWindow::default();
+    let mut sends = Vec::new();
+    for now in (0..10_000).step_by(7) {
+        if window.has_room(Timestamp(now), bound) {
+            window.note(Timestamp(now));
+            sends.push(now);
+        }
+    }
+    for first in &sends {
+        let within = sends
+            .iter()
+            .filter(|at| *at >= first && **at < first + 1_000);
+        assert!(within.count() <= 7);
+    }
+    assert!(sends.len() >= 60, "{} sends in ten seconds", sends.len());
+    let slow = SendBound::per_second(0.5);
+    assert_eq!((slow.most, slow.span), (1, Duration::from_secs(2)));
+    assert_eq!(SendBound::per_second(0.0), SendBound::NONE);
+}
+
+/// However many nodes there are: what they may send together, in any second, is what the
+/// back end bears.
+#[test]
+fn all_nodes_together_send_a_cold_back_end_no_more_than_it_bears() {
+    for nodes in [1, 3, 7, 8, 83, 350] {
+        let names: Vec<String> = (0..nodes).map(|number| format!("node-{number}")).collect();
+        for bears in [0.3, 1.0, 7.9, 40.0] {
+            let budget = ColdBudget {
+                bears,
+                most: bears * 1.5 + 5.0,
+                ways: 1,
+            };
+            let bound = |own: &String| {
+                let senders = names.iter().map(String::as_str);
+                budget.live_bound("i-1", own, senders)
+            };
+            let bounds = names.iter().map(bound);
+            let rate = bounds.map(|bound| bound.most as f64 / bound.span.as_secs_f64());
+            let rate: f64 = rate.sum();
+            assert!(rate <= bears + 1e-9, "{nodes} nodes, {bears}: {rate}");
+            assert!(rate > 0.0, "somebody may send");
+        }
+    }
+}
+
+#[test]
+fn an_owner_and_its_successor_together_keep_the_most() {
+    for (bears, excess, slack, ways) in [
+        (7.9, 1.5, 5.0, 1),
+        (7.9, 1.5, 5.0, 2),
+        (40.0, 1.5, 5.0, 1),
+        (3.0, 1.0, 0.0, 1),
+    ] {
+        let most = bears * excess + slack;
+        let budget = ColdBudget { bears, most, ways };
+        let cold = budget.owner_bound().most;
+        let unnoticed = budget.unnoticed_bound().most;
+        let both = (ways * (cold + unnoticed.max(cold))) as f64;
+        assert!(both <= most, "{bears}: {cold} and {unnoticed} of {most}");
+        assert!(cold >= 1);
+    }
+}
--- a/crates/sloetrail-lab/src/experiment/simulation.rs
+++ b/crates/sloetrail-lab/src/experiment/simulation.rs
@@ -7,13 +7,14 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use sloetrail_balance::{
-    AttemptOutcome, Balancer, BalancerSettings, EngineReport, ListedEngine, ReportedState,
+    AttemptOutcome, Balancer, BalancerSettings, Demand, EngineReport, ListedEngine, ReportedState,
     WorkClass,
 };
 use sloetrail_ledger::{FinishedSample, HandOver, Ledger, Limits, NewSample, StoredRun};
 use sloetrail_rollout::{EngineWeights, RolloutLimits, RolloutPlanner, RolloutStep};
 use sloetrail_types::{
-    EngineId, Epoch, SampleId, SequenceNumber, StepNumber, Timestamp, WeightVersion, ZoneName,
+    AllowedRegions, EngineId, Epoch, SampleId, SequenceNumber, StepNumber, Timestamp, Topology,
+    WeightVersion, ZoneName,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -83,16 +84,12 @@
         let zone = ZoneName::from("zone");
         let mut balancer = Balancer::new(BalancerSettings {
             node: "owner".to_owned(),
-            zone: zone.clone(),
+            topology: Topology::of_zone(zone.clone()),
             view_freshness: Duration::from_secs(3_600),
             // A quarter of the places is kept for live requests.
             engine_concurrency: settings.engine_capacity * 4 / 3 + 1,
         });
-        let listed = |id: &EngineId| ListedEngine {
-            id: id.clone(),
-            zone: zone.clone(),
-            leaving: false,
-        };
+        let listed = |id: &EngineId| ListedEngine::ready(id.clone(), zone.clone());
         balancer.set_engines(ids.iter().map(listed).collect());
         let limits = Limits {
             staleness_bound: settings.staleness_bound,
@@ -259,7 +256,12 @@
         let now = self.timestamp();
         let nobody = BTreeSet::new();
         let balancer = &mut self.balancer;
-        let id = balancer.choose(now, &mut self.random, WorkClass::Sample, &nobody)?;
+        let demand = Demand {
+            class: WorkClass::Sample,
+            excluded: &nobody,
+            regions: &AllowedRegions::everywhere(),
+        };
+        let id = balancer.choose(now, &mut self.random, demand)?;
         self.engines.iter().position(|engine| engine.id == id)
     }
 
--- a/crates/sloetrail-node/src/gateway/pool.rs
+++ b/crates/sloetrail-node/src/gateway/pool.rs
@@ -5,11 +5,12 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use sloetrail_balance::{
-    AttemptOutcome, Balancer, BalancerSettings, EngineReport, ListedEngine, RetryBudget, WorkClass,
+    AttemptOutcome, Balancer, BalancerSettings, Demand, EngineReport, ListedEngine, RetryBudget,
+    WorkClass,
 };
 use sloetrail_config::{NodeSettings, Service};
 use sloetrail_result::{Problem, ResultCode};
-use sloetrail_types::{EngineId, ServiceName, WeightVersion, digest};
+use sloetrail_types::{AllowedRegions, EngineId, ServiceName, Topology, WeightVersion, digest};
 use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
@@ -41,7 +42,7 @@
     pub(crate) fn new(service: &Service, settings: &NodeSettings, clock: Clock) -> Self {
         let balancer = Balancer::new(BalancerSettings {
             node: settings.node.to_string(),
-            zone: settings.zone.clone(),
+            topology: Topology::of_zone(settings.zone.clone()),
             view_freshness: settings.bounds.engine_view_freshness,
             engine_concurrency: service.engine_concurrency,
         });
@@ -136,7 +137,12 @@
         let now = self.clock.now();
         let mut choice = self.choice();
         let Choice { balancer, random } = &mut *choice;
-        let engine = balancer.choose(now, random, class, excluded)?;
+        let demand = Demand {
+            class,
+            excluded,
+            regions: &AllowedRegions::everywhere(),
+        };
+        let engine = balancer.choose(now, random, demand)?;
         drop(choice);
         Some(Slot {
             pool: Arc::clone(self),
--- a/crates/sloetrail-node/src/state.rs
+++ b/crates/sloetrail-node/src/state.rs
@@ -263,9 +263,8 @@
             let listed = directory
                 .engines_of(&service.name)
                 .map(|machine| ListedEngine {
-                    id: EngineId::new(machine.id.clone()),
-                    zone: machine.zone.clone(),
                     leaving: is_leaving(machine),
+                    ..ListedEngine::ready(EngineId::new(machine.id.clone()), machine.zone.clone())
                 })
                 .collect();
             pool.set_engines(listed);
--- a/crates/sloetrail-routing/src/configuration.rs
+++ b/crates/sloetrail-routing/src/configuration.rs
@@ -4,7 +4,7 @@
 use crate::raw::{RawConfiguration, RawLimits, RawRoute, RawScaling, RawService};
 use crate::{ConfigurationError, RouteTable, Tenants};
 use sloetrail_scaling::ScalingBounds;
-use sloetrail_types::{Revision, ServiceName, ZoneName};
+use sloetrail_types::{AllowedRegions, RegionName, Revision, ServiceName, ZoneName};
 use snafu::ensure;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -78,6 +78,8 @@
     pub retention: Duration,
     /// Whether callers need no key.
     pub is_public: bool,
+    /// The regions in which its requests may be served.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// What is known of a model service.
@@ -100,6 +102,17 @@
     pub model: Option<ModelService>,
     /// Present if the number of back ends may be ordered.
     pub scaling: Option<ScalingBounds>,
+    /// What a back end bears while it is cold.
+    pub cold: ColdBounds,
+}
+
+/// What a back end bears for some time after its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ColdBounds {
+    /// How long it is cold after a start.
+    pub lasts: Duration,
+    /// Requests a second from all nodes together; nothing means as many as a warm one.
+    pub per_second: Option<f64>,
 }
 
 /// Bounds on what callers may send.
@@ -176,6 +189,20 @@
         })
     }
 
+    /// What is known of how back ends of a service start.
+    pub fn cold_bounds(&self, service: &ServiceName) -> ColdBounds {
+        let known = self.services.get(service);
+        known.map(|service| service.cold).unwrap_or_default()
+    }
+
+    /// True if live requests go to a service: a route of another kind than batches does.
+    pub fn has_live_requests(&self, service: &ServiceName) -> bool {
+        self.routes.iter().any(|route| {
+            let serves = route.services.iter().any(|part| part.service == *service);
+            serves && route.kind != RouteKind::Rollout
+        })
+    }
+
     /// The services whose batches need an owner: those that a rollout route names.
     pub fn rollout_services(&self) -> Vec<ServiceName> {
         let mut names: Vec<ServiceName> = self
@@ -223,6 +250,7 @@
                 .filter(|seconds| seconds.is_finite() && *seconds >= 0.0)
                 .map_or(DEFAULT_RETENTION, Duration::from_secs_f64),
             is_public: raw.public,
+            allowed_regions: allowed_regions(raw.allowed_regions),
         })
     }
 }
@@ -277,10 +305,28 @@
             max_connections: raw.max_conns.unwrap_or(DEFAULT_CONNECTIONS),
             model,
             scaling: raw.scaling.map(scaling_bounds),
+            cold: cold_bounds(raw.cold_s, raw.cold_per_s),
         }
     }
 }
 
+/// A list that names no region binds to none.
+pub(crate) fn allowed_regions(names: Option<Vec<String>>) -> AllowedRegions {
+    match names.filter(|names| !names.is_empty()) {
+        Some(names) => AllowedRegions::only(names.into_iter().map(RegionName::new)),
+        None => AllowedRegions::everywhere(),
+    }
+}
+
+/// Figures that cannot be used are left out: no time, no bound.
+fn cold_bounds(seconds: Option<f64>, per_second: Option<f64>) -> ColdBounds {
+    let lasts = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    ColdBounds {
+        lasts: lasts.unwrap_or_default(),
+        per_second: per_second.filter(|rate| rate.is_finite() && *rate > 0.0),
+    }
+}
+
 /// Figures that cannot be used are left out: a start of no length, a price like the others'.
 fn scaling_bounds(raw: RawScaling) -> ScalingBounds {
     let prices = raw.zone_prices.into_iter();
--- a/crates/sloetrail-routing/src/lib.rs
+++ b/crates/sloetrail-routing/src/lib.rs
@@ -16,8 +16,8 @@
 mod weighted_choice;
 
 pub use configuration::{
-    ModelService, RequestLimits, Route, RouteKind, RouteName, ServingConfiguration, ServingService,
-    WeightedService,
+    ColdBounds, ModelService, RequestLimits, Route, RouteKind, RouteName, ServingConfiguration,
+    ServingService, WeightedService,
 };
 pub use error::ConfigurationError;
 pub use route_table::RouteTable;
--- a/crates/sloetrail-routing/src/raw.rs
+++ b/crates/sloetrail-routing/src/raw.rs
@@ -32,6 +32,9 @@
     pub api_keys: Vec<String>,
     /// Its rank, which goes before that of the route; zero is the most urgent.
     pub priority: Option<u8>,
+    /// The only regions in which its requests may be served; absent or empty means all.
+    #[serde(default)]
+    pub allowed_regions: Option<Vec<String>>,
 }
 
 /// One route.
@@ -71,6 +74,9 @@
     /// Whether callers need no key.
     #[serde(default)]
     pub public: bool,
+    /// The only regions in which its requests may be served; absent or empty means all.
+    #[serde(default)]
+    pub allowed_regions: Option<Vec<String>>,
 }
 
 /// A service and its share of a route.
@@ -93,6 +99,13 @@
     pub engine: Option<RawEngine>,
     /// Present if the number of back ends may be ordered.
     pub scaling: Option<RawScaling>,
+    /// How long a back end is cold after its start, in seconds.
+    #[serde(default)]
+    pub cold_s: Option<f64>,
+    /// Requests that a cold back end bears in a second, from all nodes together; absent or
+    /// zero means as many as a warm one.
+    #[serde(default)]
+    pub cold_per_s: Option<f64>,
 }
 
 /// How many back ends of a service may be ordered in each zone.
--- a/crates/sloetrail-routing/src/tenants.rs
+++ b/crates/sloetrail-routing/src/tenants.rs
@@ -3,9 +3,10 @@
 //! A key is a secret: [`ApiKey`] does not show it, and no error of this module holds one.
 
 use crate::ConfigurationError;
+use crate::configuration::allowed_regions as regions_named;
 use crate::error::{DuplicateKeySnafu, DuplicateTenantSnafu, ShortKeySnafu, UnnamedTenantSnafu};
 use crate::raw::RawTenant;
-use sloetrail_types::TenantName;
+use sloetrail_types::{AllowedRegions, TenantName};
 use snafu::ensure;
 use std::collections::{BTreeSet, HashMap};
 use std::fmt;
@@ -32,6 +33,8 @@
     /// Its rank, which goes before that of the route; zero is the most urgent. Absent
     /// leaves the rank to the route.
     pub priority: Option<u8>,
+    /// The regions in which its requests may be served.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// The tenants of a configuration, by their keys.
@@ -55,6 +58,7 @@
             name,
             api_keys,
             priority,
+            allowed_regions,
         } in raw
         {
             ensure!(!name.is_empty(), UnnamedTenantSnafu);
@@ -65,6 +69,7 @@
             let tenant = Arc::new(Tenant {
                 name: TenantName::new(name),
                 priority,
+                allowed_regions: regions_named(allowed_regions),
             });
             for key in api_keys {
                 let (tenant_name, least) = (tenant.name.as_str(), KEY_BYTES_LEAST);
--- a/crates/sloetrail-routing/src/tests.rs
+++ b/crates/sloetrail-routing/src/tests.rs
@@ -1,6 +1,8 @@
-use crate::{ConfigurationError, RouteKind, ServingConfiguration, WeightedChoice};
+use crate::{ColdBounds, ConfigurationError, RouteKind, ServingConfiguration, WeightedChoice};
 use serde_json::{Value, json};
+use sloetrail_types::{AllowedRegions, RegionName, ServiceName};
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 fn parse(value: &Value) -> Result<ServingConfiguration, ConfigurationError> {
     ServingConfiguration::parse(value.to_string().as_bytes())
@@ -187,3 +189,50 @@
     let unnamed = refused(json!({"name": "", "api_keys": ["a-good-key"]}));
     assert!(unnamed.contains("empty name"), "{unnamed}");
 }
+
+#[test]
+fn regions_of_routes_and_tenants_are_read_and_an_empty_list_binds_to_none() {
+    let mut bound = route("/a/", "one");
+    bound["allowed_regions"] = json!(["north"]);
+    let mut empty = route("/b/", "one");
+    empty["allowed_regions"] = json!([]);
+    let configuration = parse(&json!({
+        "version": 1, "routes": [bound, empty, route("/c/", "one")],
+        "tenants": [{"name": "t", "api_keys": ["0123456789"],
+                     "allowed_regions": ["north", "south"]}],
+    }))
+    .expect("sound");
+    let regions = |path| {
+        let route = configuration.routes.find("a.example", path).expect("found");
+        route.allowed_regions.clone()
+    };
+    let north = AllowedRegions::only([RegionName::from("north")]);
+    assert_eq!(regions("/a/"), north);
+    assert!(regions("/b/").is_everywhere() && regions("/c/").is_everywhere());
+    let tenants = configuration.tenants.as_ref().expect("given");
+    let tenant = tenants.of_key("0123456789").expect("known");
+    assert_eq!(tenant.allowed_regions.and(&north), north);
+}
+
+#[test]
+fn what_cold_back_ends_bear_is_read_and_figures_that_cannot_be_used_are_left_out() {
+    let service = |name: &str, cold_s: Value, per_second: Value| json!({"name": name, "cold_s": cold_s, "cold_per_s": per_second});
+    let configuration = parse(&json!({
+        "version": 1, "routes": [route("/a/", "one")],
+        "services": [service("one", json!(3.0), json!(7.9)), service("two", json!(3.0), json!(0.0)),
+                     service("three", json!(-1.0), json!(-2.0)), {"name": "four"}],
+    }))
+    .expect("sound");
+    let bounds = |name| configuration.cold_bounds(&ServiceName::from(name));
+    assert_eq!(bounds("one").lasts, Duration::from_secs(3));
+    assert_eq!(bounds("one").per_second, Some(7.9));
+    assert_eq!(
+        (bounds("two").per_second, bounds("two").lasts),
+        (None, Duration::from_secs(3))
+    );
+    for name in ["three", "four", "unknown"] {
+        assert_eq!(bounds(name), ColdBounds::default());
+    }
+    assert!(configuration.has_live_requests(&ServiceName::from("one")));
+    assert!(!configuration.has_live_requests(&ServiceName::from("two")));
+}
--- a/crates/sloetrail-serving-testkit/src/cluster.rs
+++ b/crates/sloetrail-serving-testkit/src/cluster.rs
@@ -9,7 +9,9 @@
 use sloetrail_serving::dialect::{Dialect, HeaderNames};
 use sloetrail_serving::engine_supply::EngineSupply;
 use sloetrail_serving::policies::Policies;
-use sloetrail_serving::settings::{RawServingSettings, RawUsageSettings, ServingSettings};
+use sloetrail_serving::settings::{
+    RawColdSettings, RawServingSettings, RawUsageSettings, ServingSettings,
+};
 use sloetrail_serving::table::{RowAddress, Table};
 use sloetrail_serving::usage::UsageRecipient;
 use sloetrail_serving::{ControlServices, ServingNode};
@@ -141,6 +143,13 @@
     pub processor_share: Option<f64>,
     /// True if nodes that start from now on carry calls to the table for one another.
     pub peers: bool,
+    /// The region of each zone, for nodes that start from now on.
+    pub regions: BTreeMap<String, String>,
+    /// What cold back ends bear, in the configuration of both services: seconds that they
+    /// are cold, and requests a second.
+    pub cold: Option<(f64, f64)>,
+    /// How much more cold back ends may get, for nodes that start from now on.
+    pub cold_tolerance: Option<RawColdSettings>,
     /// How long a lease lasts for nodes that start from now on.
     pub lease_ms: u64,
     /// When nodes that start from now on report usage.
@@ -172,6 +181,9 @@
             body_budget_bytes: None,
             processor_share: None,
             peers: false,
+            regions: BTreeMap::new(),
+            cold: None,
+            cold_tolerance: None,
             lease_ms: LEASE_MS,
             usage: None,
             recipient: None,
@@ -227,6 +239,12 @@
         if let Some(tenants) = &self.tenants {
             configuration["tenants"] = tenants.clone();
         }
+        if let Some((seconds, per_second)) = self.cold {
+            for service in [0, 1] {
+                configuration["services"][service]["cold_s"] = json!(seconds);
+                configuration["services"][service]["cold_per_s"] = json!(per_second);
+            }
+        }
         let address = self.dialect.sources().configuration.clone();
         self.table.write(address, configuration.to_string());
     }
@@ -239,15 +257,35 @@
         self.table.write(address, value.to_string());
     }
 
+    /// Asks for the evacuation of a zone.
+    pub fn evacuate(&self, zone: &str) {
+        self.table.write(self.evacuation(zone), "{}");
+    }
+
+    /// Withdraws the evacuation of a zone.
+    pub fn withdraw_evacuation(&self, zone: &str) {
+        self.table.delete(self.evacuation(zone));
+    }
+
+    fn evacuation(&self, zone: &str) -> RowAddress {
+        let sources = self.dialect.sources();
+        RowAddress::new(&sources.configuration.table, "", self.wire.evacuation(zone))
+    }
+
     /// Starts a back end of live requests.
     pub async fn add_application(&mut self, zone: &str) -> Arc<EngineStandIn> {
         self.add(APPLICATION, zone, &[], Duration::from_millis(5))
             .await
     }
 
-    /// Starts an engine.
+    /// Starts an engine in the usual zone.
     pub async fn add_engine(&mut self, pace: Duration) -> Arc<EngineStandIn> {
-        self.add(MODELS, "zone-a", &[MODEL], pace).await
+        self.add_engine_in("zone-a", pace).await
+    }
+
+    /// Starts an engine in a zone.
+    pub async fn add_engine_in(&mut self, zone: &str, pace: Duration) -> Arc<EngineStandIn> {
+        self.add(MODELS, zone, &[MODEL], pace).await
     }
 
     async fn add(
@@ -277,11 +315,18 @@
         self.table.delete(RowAddress::new(table, "", &engine.id));
     }
 
-    /// Starts a node; nodes of one name are lives of one machine.
+    /// Starts a node in the usual zone; nodes of one name are lives of one machine.
     pub async fn add_node(&mut self, name: &str) -> usize {
+        self.add_node_in("zone-a", name).await
+    }
+
+    /// Starts a node in a zone.
+    pub async fn add_node_in(&mut self, zone: &str, name: &str) -> usize {
         let raw = RawServingSettings {
             node: name.to_owned(),
-            zone: "zone-a".to_owned(),
+            zone: zone.to_owned(),
+            regions: Some(self.regions.clone()),
+            cold: self.cold_tolerance,
             callers_address: "127.0.0.1:0".parse().expect("an address"),
             ready_address: "127.0.0.1:0".parse().expect("an address"),
             peer_address: self
--- a/crates/sloetrail-serving-testkit/src/engine.rs
+++ b/crates/sloetrail-serving-testkit/src/engine.rs
@@ -99,9 +99,20 @@
     orders: Vec<OrderRecord>,
     late_orders: Vec<ReadOrder>,
     draining: bool,
+    cold_until: Option<Instant>,
+    arrivals: Vec<Instant>,
     resets: CancellationToken,
 }
 
+impl State {
+    fn cold_left(&self) -> Duration {
+        let until = self.cold_until;
+        until.map_or(Duration::ZERO, |until| {
+            until.saturating_duration_since(Instant::now())
+        })
+    }
+}
+
 /// A back end.
 pub struct EngineStandIn {
     /// Its id.
@@ -166,6 +177,8 @@
                 orders: Vec::new(),
                 late_orders: Vec::new(),
                 draining: false,
+                cold_until: None,
+                arrivals: Vec::new(),
                 resets: CancellationToken::new(),
             }),
             stopped: CancellationToken::new(),
@@ -188,6 +201,7 @@
             zone: self.zone.clone(),
             slots: self.slots,
             draining: state.draining,
+            cold_left_ms: state.cold_left().as_millis() as u64,
             versions: state.versions.clone(),
         }
     }
@@ -204,6 +218,17 @@
         self.state().pace = pace;
     }
 
+    /// Is cold from now on for a while, and says so when it is listed again.
+    pub fn set_cold(&self, time: Duration) {
+        self.state().cold_until = Some(Instant::now() + time);
+    }
+
+    /// When requests came, those that were refused included, but not those meant for
+    /// another instance.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.state().arrivals.clone()
+    }
+
     /// Says from now on that it takes no new work.
     pub fn set_draining(&self) {
         self.state().draining = true;
@@ -367,6 +392,7 @@
     ) -> Result<Response<EngineBody>, io::Error> {
         let names = self.wire.headers();
         let id = text(&head.headers, &names.request_id).unwrap_or_default();
+        self.state().arrivals.push(Instant::now());
         let fault = self.take_fault();
         if fault == EngineFault::Refuses {
             let mut refusal = self.plain(StatusCode::SERVICE_UNAVAILABLE);
--- a/crates/sloetrail-serving-testkit/src/wire.rs
+++ b/crates/sloetrail-serving-testkit/src/wire.rs
@@ -35,6 +35,8 @@
     fn row(&self, listing: &Listing) -> (String, Value);
     /// The key of the row that publishes a version, and its value.
     fn published(&self, model: &str, version: u64) -> (String, Value);
+    /// The key of the row that asks for the evacuation of a zone.
+    fn evacuation(&self, zone: &str) -> String;
 }
 
 /// What a back end lists of itself.
@@ -50,6 +52,8 @@
     pub slots: usize,
     /// True if it takes no new work.
     pub draining: bool,
+    /// How much longer it is cold, in milliseconds.
+    pub cold_left_ms: u64,
     /// The versions of its models.
     pub versions: BTreeMap<String, u64>,
 }
@@ -89,6 +93,7 @@
         let value = json!({
             "service": listing.service, "address": listing.address, "zone": listing.zone,
             "slots": listing.slots, "draining": listing.draining, "versions": listing.versions,
+            "cold_left_ms": listing.cold_left_ms,
         });
         ("back_ends".to_owned(), value)
     }
@@ -97,4 +102,8 @@
         let value = json!({"model": model, "version": version});
         (format!("versions/{model}"), value)
     }
+
+    fn evacuation(&self, zone: &str) -> String {
+        format!("evacuations/{zone}")
+    }
 }
--- a/crates/sloetrail-serving/src/back_end.rs
+++ b/crates/sloetrail-serving/src/back_end.rs
@@ -3,6 +3,7 @@
 use sloetrail_types::{EngineId, ServiceName, WeightVersion, ZoneName};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// One life of a back end, as the directory lists it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -19,6 +20,8 @@
     pub slots: usize,
     /// True if it takes no new work.
     pub draining: bool,
+    /// How much longer it was cold when it wrote its row; zero once it is warm.
+    pub cold_left: Duration,
     /// The version of each model's weights that it uses.
     pub versions: BTreeMap<String, WeightVersion>,
 }
--- a/crates/sloetrail-serving/src/dialect.rs
+++ b/crates/sloetrail-serving/src/dialect.rs
@@ -8,7 +8,7 @@
 use crate::table::RowAddress;
 use bytes::Bytes;
 use http::{HeaderName, Method, StatusCode};
-use sloetrail_types::WeightVersion;
+use sloetrail_types::{WeightVersion, ZoneName};
 use snafu::Snafu;
 
 /// The names of the headers that carry a request's particulars.
@@ -140,6 +140,10 @@
     /// Reads a row of the configuration's table as a published version, if it is one.
     fn published_version(&self, key: &str, value: &[u8]) -> Option<PublishedVersion>;
 
+    /// Reads the key of a row of the configuration's table as the evacuation of a zone, if it
+    /// is one. The row is there for as long as the operator asks for it.
+    fn evacuated_zone(&self, key: &str) -> Option<ZoneName>;
+
     /// The call that asks an engine for its status.
     fn status_call(&self) -> EngineCall;
 
--- a/crates/sloetrail-serving/src/directory.rs
+++ b/crates/sloetrail-serving/src/directory.rs
@@ -4,10 +4,13 @@
 use crate::dialect::Dialect;
 use crate::events::{self, Event};
 use crate::follow::{FleetSize, TableView, ViewReceiver};
+use crate::operator::Evacuations;
 use sloetrail_types::{EngineId, RowVersion, ServiceName};
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// Every back end that is listed.
 #[derive(Clone, Debug, Default)]
@@ -16,6 +19,8 @@
     pub back_ends: BTreeMap<EngineId, Arc<BackEnd>>,
     /// The version up to which changes are taken in.
     pub version: RowVersion,
+    /// Until when back ends are cold that said so.
+    cold_until: BTreeMap<EngineId, Instant>,
     /// The version of the row that each back end was read from.
     row_versions: BTreeMap<EngineId, RowVersion>,
 }
@@ -28,20 +33,55 @@
             .filter(move |back_end| back_end.service == *service)
     }
 
+    /// How many back ends say that they are cold.
+    pub(crate) fn cold_count(&self, now: Instant) -> usize {
+        let untils = self.cold_until.values();
+        untils.filter(|until| **until > now).count()
+    }
+
+    /// Until when a back end is cold; nothing if it is warm. Either its row said so, and the
+    /// time counts from when that was read, which is no sooner than when it was written; or
+    /// an evacuation of its zone was withdrawn: the news of that may come before the news
+    /// that it is cold, so it counts as cold for as long as after a start (`lasts`).
+    pub(crate) fn cold_until(
+        &self,
+        back_end: &BackEnd,
+        evacuations: &Evacuations,
+        lasts: Duration,
+    ) -> Option<Instant> {
+        let told = self.cold_until.get(&back_end.id).copied();
+        let withdrawn_at = evacuations.withdrawn_at(&back_end.zone);
+        let returning = withdrawn_at.map(|at| at + lasts);
+        told.max(returning).filter(|until| *until > Instant::now())
+    }
+
     /// The directory after a change of the table. Only rows that changed are read.
     fn updated(&self, view: &TableView, dialect: &dyn Dialect) -> Self {
         let mut next = Self {
             version: view.version,
             ..Self::default()
         };
+        let now = Instant::now();
         for (key, row) in &view.rows {
             let id = EngineId::new(key.clone());
             let known = self.back_ends.get(&id);
             let is_unchanged = self.row_versions.get(&id) == Some(&row.version);
-            let back_end = match known.filter(|_| is_unchanged) {
-                Some(known) => Some(Arc::clone(known)),
-                None => read(dialect, key, &row.value).map(Arc::new),
+            let (back_end, cold_until) = match known.filter(|_| is_unchanged) {
+                Some(known) => {
+                    let cold_until = self.cold_until.get(&id).copied();
+                    (Some(Arc::clone(known)), cold_until)
+                }
+                None => {
+                    let back_end = read(dialect, key, &row.value);
+                    let cold_left = back_end.as_ref().map(|back_end| back_end.cold_left);
+                    let cold_left = cold_left.filter(|left| !left.is_zero());
+                    let cold_until = cold_left.map(|left| now + left);
+                    (back_end.map(Arc::new), cold_until)
+                }
             };
+            if let Some(until) = cold_until.filter(|until| *until > now) {
+                next.cold_until.insert(id.clone(), until);
+            }
             if let Some(back_end) = back_end {
                 next.row_versions.insert(id.clone(), row.version);
                 next.back_ends.insert(id, back_end);
@@ -90,9 +130,10 @@
 }
 
 fn log_differences(before: &Directory, after: &Directory) {
-    let state = |back_end: &BackEnd| match back_end.draining {
-        true => "draining",
-        false => "ready",
+    let state = |back_end: &BackEnd| match (back_end.draining, back_end.cold_left.is_zero()) {
+        (true, _) => "draining",
+        (false, true) => "ready",
+        (false, false) => "cold",
     };
     let emit = |back_end: &BackEnd, state: &str| {
         events::emit(&Event::BackEndChanged {
@@ -104,7 +145,7 @@
     };
     for (id, back_end) in &after.back_ends {
         let known = before.back_ends.get(id);
-        if known.is_none_or(|known| known.draining != back_end.draining) {
+        if known.is_none_or(|known| state(known) != state(back_end)) {
             emit(back_end, state(back_end));
         }
     }
--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -100,13 +100,21 @@
         /// The version.
         version: u64,
     },
+    /// The operator asked that nothing further be sent to the back ends of a zone, or
+    /// withdrew that.
+    EvacuationChanged {
+        /// The zone.
+        zone: &'a str,
+        /// True if it is asked for, false if it was withdrawn.
+        evacuated: bool,
+    },
     /// A back end joined, left or changed its state.
     BackEndChanged {
         /// The back end.
         back_end: &'a str,
         /// Its service.
         service: &'a str,
-        /// `ready`, `draining` or `gone`.
+        /// `ready`, `cold`, `draining` or `gone`.
         state: &'a str,
         /// The version of the directory.
         directory_version: u64,
--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -23,7 +23,8 @@
             Event::ConfigurationInForce { .. }
             | Event::ConfigurationRefused { .. }
             | Event::RowUnreadable { .. }
-            | Event::VersionPublished { .. } => "config",
+            | Event::VersionPublished { .. }
+            | Event::EvacuationChanged { .. } => "config",
             Event::BackEndChanged { .. } | Event::PaceChanged { .. } => "engine",
             Event::RequestAnswered { .. }
             | Event::RequestFailed { .. }
--- a/crates/sloetrail-serving/src/gateway/front.rs
+++ b/crates/sloetrail-serving/src/gateway/front.rs
@@ -135,9 +135,15 @@
             let problem = Problem::new(ResultCode::NoEngine, "the route has no service");
             return problem_response(&problem);
         };
+        let tenant_regions = tenant.as_ref().map(|tenant| &tenant.allowed_regions);
+        let regions = tenant_regions.map_or_else(
+            || route.allowed_regions.clone(),
+            |regions| route.allowed_regions.and(regions),
+        );
         let call = LiveCall {
             context: Arc::clone(&self.context),
             service,
+            regions,
             tenant: tenant.as_ref().map(|tenant| tenant.name.clone()),
             outgoing: self.outgoing(head, request_id, tenant.as_deref(), body),
             deadline,
--- a/crates/sloetrail-serving/src/gateway/live.rs
+++ b/crates/sloetrail-serving/src/gateway/live.rs
@@ -18,7 +18,7 @@
 use http::StatusCode;
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_routing::{Route, RouteKind};
-use sloetrail_types::{EngineId, ServiceName, TenantName};
+use sloetrail_types::{AllowedRegions, EngineId, ServiceName, TenantName};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -43,6 +43,8 @@
     pub(crate) context: Arc<NodeContext>,
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceName,
+    /// The regions in which it may be served.
+    pub(crate) regions: AllowedRegions,
     pub(crate) outgoing: Outgoing,
     /// Whose use it counts as; nothing for calls of the node itself.
     pub(crate) tenant: Option<TenantName>,
@@ -109,6 +111,11 @@
         Some(BegunRequest::new(usage, self.tenant.as_ref()?))
     }
 
+    /// False if no back end of the allowed regions takes work: waiting does not help then.
+    pub(crate) fn may_be_served(&self) -> bool {
+        self.context.pools.may_serve(&self.service, &self.regions)
+    }
+
     fn is_repeatable(&self) -> bool {
         self.route.kind == RouteKind::Idempotent
     }
@@ -186,7 +193,7 @@
             if self.start() {
                 return true;
             }
-            if Instant::now() + WAIT_STEP > wait_until {
+            if Instant::now() + WAIT_STEP > wait_until || !self.call.may_be_served() {
                 return false;
             }
             tokio::time::sleep(WAIT_STEP).await;
@@ -195,7 +202,10 @@
 
     fn start(&mut self) -> bool {
         let context = Arc::clone(&self.call.context);
-        let Some(place) = context.pools.acquire(&self.call.service, &self.tried) else {
+        let LiveCall {
+            service, regions, ..
+        } = self.call;
+        let Some(place) = context.pools.acquire(service, regions, &self.tried) else {
             return false;
         };
         self.tried.insert(place.back_end().id.clone());
--- a/crates/sloetrail-serving/src/gateway/stream.rs
+++ b/crates/sloetrail-serving/src/gateway/stream.rs
@@ -154,18 +154,20 @@
     /// the caller has waited too long.
     async fn acquire_or_wait(&mut self) -> Option<Place> {
         let context = self.context();
-        let service = &self.call.service;
+        let LiveCall {
+            service, regions, ..
+        } = &self.call;
         let target = self.call.route.latency_target;
         let wait_until = Instant::now() + target.mul_f64(WAIT_SHARE).max(WAIT_LEAST);
         loop {
-            if let Some(place) = context.pools.acquire(service, &self.tried) {
+            if let Some(place) = context.pools.acquire(service, regions, &self.tried) {
                 return Some(place);
             }
             self.tried.clear();
-            if let Some(place) = context.pools.acquire(service, &self.tried) {
+            if let Some(place) = context.pools.acquire(service, regions, &self.tried) {
                 return Some(place);
             }
-            if Instant::now() + WAIT_STEP > wait_until {
+            if Instant::now() + WAIT_STEP > wait_until || !self.call.may_be_served() {
                 return None;
             }
             tokio::time::sleep(WAIT_STEP).await;
--- a/crates/sloetrail-serving/src/native_dialect.rs
+++ b/crates/sloetrail-serving/src/native_dialect.rs
@@ -11,8 +11,10 @@
 use sloetrail_types::{EngineId, ServiceName, WeightVersion, ZoneName};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 const PUBLISHED_VERSIONS: &str = "versions/";
+const EVACUATIONS: &str = "evacuations/";
 
 /// The product's own dialect.
 pub struct NativeDialect {
@@ -43,6 +45,8 @@
     #[serde(default)]
     draining: bool,
     #[serde(default)]
+    cold_left_ms: u64,
+    #[serde(default)]
     versions: BTreeMap<String, WeightVersion>,
 }
 
@@ -91,6 +95,7 @@
             zone: row.zone,
             slots: row.slots.max(1),
             draining: row.draining,
+            cold_left: Duration::from_millis(row.cold_left_ms),
             versions: row.versions,
         })
     }
@@ -102,6 +107,10 @@
         Some(PublishedVersion { model, version })
     }
 
+    fn evacuated_zone(&self, key: &str) -> Option<ZoneName> {
+        key.strip_prefix(EVACUATIONS).map(ZoneName::from)
+    }
+
     fn status_call(&self) -> EngineCall {
         EngineCall {
             method: Method::GET,
--- a/crates/sloetrail-serving/src/node.rs
+++ b/crates/sloetrail-serving/src/node.rs
@@ -80,7 +80,7 @@
     ) -> Result<Self, StartError> {
         events::emit(&Event::NodeStarted {
             node: &settings.node,
-            zone: settings.zone.as_str(),
+            zone: settings.zone().as_str(),
             instance: settings.instance.as_str(),
             version: env!("CARGO_PKG_VERSION"),
         });
@@ -205,11 +205,13 @@
         rows::OWNERS,
         paces.leases.clone(),
     );
-    let pause_guard = PauseGuard::start(directory_view.clone());
+    let pause_guard = PauseGuard::start([directory_view.clone(), operator_view.clone()]);
     let directory = watch_directory(directory_view, Arc::clone(&dialect), fleet.clone());
     let seed = digest(settings.instance.as_str().as_bytes());
-    let pools = ServicePools::new(settings.node.clone(), settings.zone.clone(), seed);
-    pools.follow(directory.clone());
+    let in_force = watch_operator(operator_view, Arc::clone(&dialect));
+    let senders = peers.clone();
+    let pools = ServicePools::new(&settings, senders, seed);
+    pools.follow(directory.clone(), in_force.clone());
     let usage = usage_schedule.map(|schedule| {
         let (table, leases) = (Arc::clone(&table), leases.clone());
         NodeUsage::new(
@@ -221,7 +223,7 @@
         )
     });
     NodeContext {
-        in_force: watch_operator(operator_view, Arc::clone(&dialect)),
+        in_force,
         connections: Arc::new(ConnectionPool::new()),
         settings,
         table,
@@ -299,6 +301,8 @@
     Beliefs {
         configuration_revision: configuration.map_or(0, |known| known.revision.0),
         directory_version: context.directory.borrow().version.0,
+        zones_evacuated: context.in_force.borrow().evacuations.count(),
+        back_ends_cold: context.directory.borrow().cold_count(Instant::now()),
         lease_view_age: context.leases.borrow().age(Instant::now()),
         requests: callers.requests(),
         connections: callers.connections(),
--- a/crates/sloetrail-serving/src/operator.rs
+++ b/crates/sloetrail-serving/src/operator.rs
@@ -1,18 +1,63 @@
-//! What the operator and the trainers have put in force: the configuration and the
-//! published versions. Neither ever goes back within one life of a node.
+//! What the operator and the trainers have put in force: the configuration, the published
+//! versions and the zones that are evacuated. Configuration and versions never go back
+//! within one life of a node; an evacuation holds until it is withdrawn.
 
 use crate::dialect::Dialect;
 use crate::events::{self, Event};
 use crate::follow::{TableView, ViewReceiver};
 use sloetrail_routing::ServingConfiguration;
-use sloetrail_types::{RowVersion, WeightVersion};
-use std::collections::BTreeMap;
+use sloetrail_types::{RowVersion, WeightVersion, ZoneName};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// The newest published version of each model.
 pub type PublishedVersions = BTreeMap<String, WeightVersion>;
 
+/// The zones to whose back ends nothing further is to be sent.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Evacuations {
+    zones: BTreeSet<ZoneName>,
+    /// When this node saw that an evacuation was withdrawn.
+    withdrawn_at: BTreeMap<ZoneName, Instant>,
+}
+
+impl Evacuations {
+    /// True if nothing is to be sent to the back ends of a zone.
+    pub fn covers(&self, zone: &ZoneName) -> bool {
+        self.zones.contains(zone)
+    }
+
+    /// When the last evacuation of a zone was withdrawn, as this node saw it.
+    pub fn withdrawn_at(&self, zone: &ZoneName) -> Option<Instant> {
+        self.withdrawn_at.get(zone).copied()
+    }
+
+    /// How many zones are evacuated.
+    pub fn count(&self) -> usize {
+        self.zones.len()
+    }
+
+    /// Takes in the zones that are evacuated now; true if they changed.
+    fn take(&mut self, zones: BTreeSet<ZoneName>) -> bool {
+        if zones == self.zones {
+            return false;
+        }
+        for zone in self.zones.difference(&zones) {
+            self.withdrawn_at.insert(zone.clone(), Instant::now());
+        }
+        for zone in self.zones.symmetric_difference(&zones) {
+            events::emit(&Event::EvacuationChanged {
+                zone: zone.as_str(),
+                evacuated: zones.contains(zone),
+            });
+        }
+        self.zones = zones;
+        true
+    }
+}
+
 /// What is in force.
 #[derive(Clone, Debug, Default)]
 pub struct InForce {
@@ -20,6 +65,8 @@
     pub configuration: Option<Arc<ServingConfiguration>>,
     /// The newest published version of each model.
     pub published: Arc<PublishedVersions>,
+    /// The zones that are evacuated.
+    pub evacuations: Arc<Evacuations>,
     configuration_row: RowVersion,
 }
 
@@ -35,7 +82,8 @@
             let mut next = InForce::clone(&sender.borrow());
             let configured = take_configuration(&mut next, &table, &*dialect);
             let published = take_versions(&mut next, &table, &*dialect);
-            if configured || published {
+            let evacuated = take_evacuations(&mut next, &table, &*dialect);
+            if configured || published || evacuated {
                 sender.send_replace(Arc::new(next));
             }
         }
@@ -75,6 +123,16 @@
     true
 }
 
+/// Takes in which zones are evacuated; true if that has changed.
+fn take_evacuations(in_force: &mut InForce, table: &TableView, dialect: &dyn Dialect) -> bool {
+    let keys = table.rows.keys();
+    let zones: BTreeSet<ZoneName> = keys.filter_map(|key| dialect.evacuated_zone(key)).collect();
+    if zones == in_force.evacuations.zones {
+        return false;
+    }
+    Arc::make_mut(&mut in_force.evacuations).take(zones)
+}
+
 /// Takes in newer published versions; true if there were any.
 fn take_versions(in_force: &mut InForce, table: &TableView, dialect: &dyn Dialect) -> bool {
     let mut changed = false;
--- a/crates/sloetrail-serving/src/owner/assignment.rs
+++ b/crates/sloetrail-serving/src/owner/assignment.rs
@@ -29,14 +29,14 @@
             let mut models = shares.iter();
             models.position(|share| share.model == assigned)
         });
-        match model.filter(|_| !engine.back_end.draining) {
+        match model.filter(|_| engine.takes_work()) {
             Some(model) => counts[model] += usize::from(!engine.is_slow()),
             None => engine.assigned = None,
         }
     }
     let unassigned = engines
         .values_mut()
-        .filter(|engine| engine.assigned.is_none() && !engine.back_end.draining);
+        .filter(|engine| engine.assigned.is_none() && engine.takes_work());
     for engine in unassigned {
         let Some(best) = best_kept(engine, shares, &counts) else {
             return;
--- a/crates/sloetrail-serving/src/owner/engine.rs
+++ b/crates/sloetrail-serving/src/owner/engine.rs
@@ -4,7 +4,8 @@
 use crate::back_end::BackEnd;
 use crate::events::{self, Event};
 use crate::loss_backoff::LossBackoff;
-use sloetrail_types::WeightVersion;
+use sloetrail_balance::{ColdBudget, SendBound, SendWindow};
+use sloetrail_types::{Timestamp, WeightVersion};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,6 +21,9 @@
 const REFUSED_PAUSE: Duration = Duration::from_millis(40);
 /// How long a place is kept for an item whose run elsewhere is being closed.
 const PLACE_KEPT_FOR: Duration = Duration::from_millis(200);
+/// How long an engine that an owner has taken in counts as cold, whatever is known of it: the
+/// sends of the owner before, which this one does not know, are over by then.
+const TAKEN_IN_FOR: Duration = Duration::from_millis(1_100);
 /// How long a change of weights may take before the engine is asked again.
 const CHANGE_LIMIT: Duration = Duration::from_millis(4_000);
 
@@ -31,6 +35,17 @@
     pub(super) accepted_at: Instant,
 }
 
+/// What an engine's state in the deployment means for sends to it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Sparing {
+    /// True if nothing is to be sent to its zone for now.
+    pub(super) evacuated: bool,
+    /// Until when it is cold.
+    pub(super) cold_until: Option<Instant>,
+    /// What it may get while it is cold, and unnoticed; nothing means as much as it takes.
+    pub(super) budget: Option<ColdBudget>,
+}
+
 /// One engine.
 pub(super) struct Engine {
     pub(super) back_end: Arc<BackEnd>,
@@ -53,6 +68,11 @@
     /// When it last brought an item to its end. Its connection is kept for some seconds.
     finished_at: Option<Instant>,
     losses: LossBackoff,
+    sparing: Sparing,
+    /// What this owner sent it last.
+    sends: SendWindow,
+    /// When this owner took it in.
+    taken_in_at: Instant,
 }
 
 /// What an item demands of an engine.
@@ -81,6 +101,9 @@
             not_before: now,
             finished_at: None,
             losses: LossBackoff::default(),
+            sparing: Sparing::default(),
+            sends: SendWindow::default(),
+            taken_in_at: now,
         }
     }
 
@@ -95,6 +118,11 @@
         self.back_end = Arc::clone(back_end);
     }
 
+    /// Takes in what its state in the deployment means for sends to it.
+    pub(super) fn set_sparing(&mut self, sparing: Sparing) {
+        self.sparing = sparing;
+    }
+
     /// The directory lists the engine no more.
     pub(super) fn mark_gone(&mut self) {
         if !self.back_end.draining {
@@ -135,9 +163,37 @@
         self.assigned.as_deref() == Some(model)
     }
 
+    /// True unless the engine leaves or its zone is evacuated.
+    pub(super) fn takes_work(&self) -> bool {
+        !self.back_end.draining && !self.sparing.evacuated
+    }
+
+    /// What may be sent to the engine now; nothing if that is not bounded.
+    fn send_bound(&self, now: Instant) -> Option<SendBound> {
+        let budget = self.sparing.budget?;
+        let is_cold = self.sparing.cold_until.is_some_and(|until| now < until);
+        let is_new = now < self.taken_in_at + TAKEN_IN_FOR;
+        Some(match is_cold || is_new {
+            true => budget.owner_bound(),
+            false => budget.unnoticed_bound(),
+        })
+    }
+
+    /// True if the engine bears one more item at this moment.
+    fn bears_more(&self, now: Instant) -> bool {
+        let bound = self.send_bound(now);
+        bound.is_none_or(|bound| self.sends.has_room(self.timestamp(now), bound))
+    }
+
+    /// Time since this owner took the engine in, on a clock that counts a freeze.
+    fn timestamp(&self, now: Instant) -> Timestamp {
+        let since = now.saturating_duration_since(self.taken_in_at);
+        Timestamp(since.as_millis() as u64)
+    }
+
     /// True if the engine takes work and was not lost or did not refuse just now.
     pub(super) fn is_usable(&self, now: Instant) -> bool {
-        !self.back_end.draining && self.losses.is_over(now) && now >= self.not_before
+        self.takes_work() && self.losses.is_over(now) && now >= self.not_before
     }
 
     /// True if the engine takes an item with this demand now.
@@ -146,7 +202,7 @@
             true => self.running == 0 && now >= self.probed_at + PROBE_PERIOD,
             false => self.free_places(now) > 0,
         };
-        self.is_usable(now) && has_room && self.has_version(demand)
+        self.is_usable(now) && has_room && self.bears_more(now) && self.has_version(demand)
     }
 
     /// Places that neither a run nor an item that is moved here has taken.
@@ -185,8 +241,10 @@
     /// An item was sent to the engine.
     pub(super) fn started(&mut self) {
         self.running += 1;
+        let now = Instant::now();
+        self.sends.note(self.timestamp(now));
         if self.is_slow {
-            self.probed_at = Instant::now();
+            self.probed_at = now;
             self.pace.reset();
         }
     }
--- a/crates/sloetrail-serving/src/owner/engines.rs
+++ b/crates/sloetrail-serving/src/owner/engines.rs
@@ -1,7 +1,8 @@
 //! The engines of a service, as its owner sees them.
 
 use super::assignment::{ModelShare, assign_models};
-use super::engine::{Demand, Engine};
+use super::engine::{Demand, Engine, Sparing};
+use crate::back_end::BackEnd;
 use crate::directory::Directory;
 use sloetrail_types::{EngineId, ServiceName};
 use std::cmp::Reverse;
@@ -60,6 +61,14 @@
         });
     }
 
+    /// Takes in what the engines' state in the deployment means for sends to them.
+    pub(super) fn set_sparing(&mut self, sparing: impl Fn(&BackEnd) -> Sparing) {
+        for engine in self.engines.values_mut() {
+            let sparing = sparing(&engine.back_end);
+            engine.set_sparing(sparing);
+        }
+    }
+
     /// Gives each engine that takes work a model to be kept up to date for.
     pub(super) fn assign(&mut self, shares: &[ModelShare]) {
         assign_models(&mut self.engines, shares);
--- a/crates/sloetrail-serving/src/owner/reward.rs
+++ b/crates/sloetrail-serving/src/owner/reward.rs
@@ -94,6 +94,7 @@
     Some(LiveCall {
         context: Arc::clone(context),
         service: choose_service(route, &reward.id)?,
+        regions: route.allowed_regions.clone(),
         outgoing: outgoing(context, reward),
         tenant: None,
         deadline: Instant::now() + route.timeout,
--- a/crates/sloetrail-serving/src/owner/rollout_plan.rs
+++ b/crates/sloetrail-serving/src/owner/rollout_plan.rs
@@ -122,7 +122,7 @@
             lagging: Vec::new(),
         };
         for (id, engine) in pool.iter() {
-            if !engine.back_end.draining && engine.is_assigned(&target.model) {
+            if engine.takes_work() && engine.is_assigned(&target.model) {
                 queue.add(id, engine, now);
             }
         }
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -10,6 +10,7 @@
 
 use self::supply::SupplyState;
 use super::committer::{CommitRequest, commit_results};
+use super::engine::Sparing;
 use super::engines::EnginePool;
 use super::event::OwnerEvent;
 use super::item_story::ItemStory;
@@ -148,6 +149,7 @@
                 Ok(()) = directory.changed() => self.take_directory(),
                 Ok(()) = in_force.changed() => {
                     in_force.mark_unchanged();
+                    self.spare_engines();
                     self.assign_models();
                 }
                 Ok(()) = batches.changed() => self.take_batches(&mut batches, &mut ends),
@@ -201,9 +203,28 @@
     fn take_directory(&mut self) {
         let directory = self.context.directory.borrow().clone();
         self.engines.take_directory(&directory, &self.service);
+        self.spare_engines();
         self.assign_models();
     }
 
+    /// Takes in which engines are cold or lie in an evacuated zone.
+    fn spare_engines(&mut self) {
+        let directory = self.context.directory.borrow().clone();
+        let in_force = self.context.in_force.borrow().clone();
+        let Some(configuration) = &in_force.configuration else {
+            return;
+        };
+        let evacuations = &in_force.evacuations;
+        let lasts = configuration.cold_bounds(&self.service).lasts;
+        let tolerance = self.context.settings.cold;
+        let budget = tolerance.budget(configuration, &self.service);
+        self.engines.set_sparing(|back_end| Sparing {
+            evacuated: evacuations.covers(&back_end.zone),
+            cold_until: directory.cold_until(back_end, evacuations, lasts),
+            budget,
+        });
+    }
+
     fn assign_models(&mut self) {
         self.weights_due = true;
         let shares = self.model_shares();
--- a/crates/sloetrail-serving/src/owner/service_owner/supply.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/supply.rs
@@ -171,14 +171,17 @@
     }
 
     /// Engines that take work, by zone. A zone that has lost all of its engines is there
-    /// as long as it has a price.
+    /// as long as it has a price. A zone that is evacuated is left out: its number stays as
+    /// it is, and what is needed is ordered elsewhere.
     fn engines_by_zone(&self, bounds: &ScalingBounds) -> BTreeMap<ZoneName, usize> {
         let priced = bounds.zone_prices.keys();
         let mut zones: BTreeMap<ZoneName, usize> = priced.map(|zone| (zone.clone(), 0)).collect();
         for (_, engine) in self.engines.iter() {
             let count = zones.entry(engine.back_end.zone.clone()).or_default();
-            *count += usize::from(!engine.back_end.draining);
+            *count += usize::from(engine.takes_work());
         }
+        let evacuations = Arc::clone(&self.context.in_force.borrow().evacuations);
+        zones.retain(|zone, _| !evacuations.covers(zone));
         zones
     }
 
--- a/crates/sloetrail-serving/src/pause_guard.rs
+++ b/crates/sloetrail-serving/src/pause_guard.rs
@@ -1,8 +1,9 @@
 //! Knowing that the process did not run for a while.
 //!
 //! A process that was stopped and wakes believes what it believed before. Until the
-//! directory has answered a question that was asked after it woke, or had time to, no
-//! back end is chosen: one of them may have left meanwhile.
+//! directory and the operator's rows have answered a question that was asked after it woke,
+//! or had time to, no back end is chosen: one of them may have left meanwhile, or its zone
+//! may be evacuated.
 
 use crate::events::{self, Event};
 use crate::follow::ViewReceiver;
@@ -60,15 +61,16 @@
 
 /// Keeps beliefs from before a pause from being acted on.
 pub(crate) struct PauseGuard {
-    directory: ViewReceiver,
+    /// What back ends are chosen by: the directory and the operator's rows.
+    beliefs: [ViewReceiver; 2],
     state: Mutex<Wakefulness>,
 }
 
 impl PauseGuard {
-    /// A guard over the directory; it watches until it is dropped.
-    pub(crate) fn start(directory: ViewReceiver) -> Arc<Self> {
+    /// A guard over what back ends are chosen by; it watches until it is dropped.
+    pub(crate) fn start(beliefs: [ViewReceiver; 2]) -> Arc<Self> {
         let guard = Arc::new(Self {
-            directory,
+            beliefs,
             state: Mutex::new(Wakefulness::new(Instant::now())),
         });
         let watched = Arc::downgrade(&guard);
@@ -98,7 +100,8 @@
     /// True if back ends may be chosen on what is believed now.
     pub(crate) fn is_settled(&self) -> bool {
         self.note();
-        let asked_at = self.directory.borrow().asked_at;
+        let asked = self.beliefs.iter().map(|view| view.borrow().asked_at);
+        let asked_at = asked.min().flatten();
         let mut state = self.state.lock().expect("not poisoned");
         state.is_settled(Instant::now(), asked_at)
     }
--- a/crates/sloetrail-serving/src/relay/mod.rs
+++ b/crates/sloetrail-serving/src/relay/mod.rs
@@ -43,7 +43,7 @@
     if let Ok(address) = listener.local_addr() {
         let entry = peers::PeerEntry {
             address,
-            zone: settings.zone.clone(),
+            zone: settings.zone().clone(),
             candidate_rank: settings.candidate_rank,
             token: token.clone(),
             clock_lead: None,
--- a/crates/sloetrail-serving/src/relay/peers.rs
+++ b/crates/sloetrail-serving/src/relay/peers.rs
@@ -159,7 +159,7 @@
         };
         Self {
             own_name: settings.node.clone(),
-            own_zone: settings.zone.clone(),
+            own_zone: settings.zone().clone(),
             entries: follow(Arc::clone(table), rows::NODES, rows::NODES, pace),
             connections: Arc::new(ConnectionPool::new()),
             state: Mutex::default(),
@@ -266,6 +266,11 @@
         }
     }
 
+    /// The names of the nodes that have registered, this one included.
+    pub(crate) fn names(&self) -> Vec<String> {
+        self.entries.borrow().rows.keys().cloned().collect()
+    }
+
     /// Where the node of a life listens for others, as its row says.
     pub(super) fn address_of(&self, life: &NodeId) -> Option<SocketAddr> {
         let view = self.entries.borrow();
--- a/crates/sloetrail-serving/src/service_pools.rs
+++ b/crates/sloetrail-serving/src/service_pools.rs
@@ -3,13 +3,18 @@
 use crate::back_end::BackEnd;
 use crate::directory::Directory;
 use crate::loss_backoff::LossBackoff;
+use crate::operator::InForce;
+use crate::relay::peers::Peers;
+use crate::settings::{ColdTolerance, ServingSettings};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use sloetrail_balance::{
-    AttemptOutcome, Balancer, BalancerSettings, EngineReport, LatencyQuantile, ListedEngine,
-    ReportedState, WorkClass,
+    AttemptOutcome, Balancer, BalancerSettings, ColdBudget, ColdEngine, Demand, EngineReport,
+    LatencyQuantile, ListedEngine, ReportedState, SendBound, WorkClass,
+};
+use sloetrail_types::{
+    AllowedRegions, EngineId, RowVersion, ServiceName, Timestamp, Topology, WeightVersion,
 };
-use sloetrail_types::{EngineId, RowVersion, ServiceName, Timestamp, WeightVersion, ZoneName};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -29,9 +34,13 @@
 
 struct State {
     node: String,
-    zone: ZoneName,
+    topology: Topology,
+    cold: ColdTolerance,
+    /// The other nodes, among which what a cold back end bears is dealt out.
+    peers: Option<Arc<Peers>>,
     random: StdRng,
     directory: Arc<Directory>,
+    in_force: Arc<InForce>,
     balancers: HashMap<ServiceName, Balancer>,
     answer_times: HashMap<ServiceName, LatencyQuantile>,
     losses: BTreeMap<EngineId, LossBackoff>,
@@ -39,14 +48,21 @@
 
 impl ServicePools {
     /// Pools of a node without back ends.
-    pub fn new(node: String, zone: ZoneName, seed: u64) -> Arc<Self> {
+    pub(crate) fn new(
+        settings: &ServingSettings,
+        peers: Option<Arc<Peers>>,
+        seed: u64,
+    ) -> Arc<Self> {
         Arc::new(Self {
             origin: Instant::now(),
             state: Mutex::new(State {
-                node,
-                zone,
+                node: settings.node.clone(),
+                topology: settings.topology.clone(),
+                cold: settings.cold,
+                peers,
                 random: StdRng::seed_from_u64(seed),
                 directory: Arc::default(),
+                in_force: Arc::default(),
                 balancers: HashMap::new(),
                 answer_times: HashMap::new(),
                 losses: BTreeMap::new(),
@@ -54,25 +70,34 @@
         })
     }
 
-    /// Keeps the pools in step with the directory.
-    pub fn follow(self: &Arc<Self>, mut directory: watch::Receiver<Arc<Directory>>) {
+    /// Keeps the pools in step with the directory and with what is in force.
+    pub(crate) fn follow(
+        self: &Arc<Self>,
+        mut directory: watch::Receiver<Arc<Directory>>,
+        mut in_force: watch::Receiver<Arc<InForce>>,
+    ) {
         let pools = Arc::downgrade(self);
         tokio::spawn(async move {
-            while directory.changed().await.is_ok() {
+            loop {
+                tokio::select! {
+                    changed = directory.changed() => if changed.is_err() { return },
+                    changed = in_force.changed() => if changed.is_err() { return },
+                }
                 let Some(pools) = pools.upgrade() else {
                     return;
                 };
-                let current = directory.borrow_and_update().clone();
-                pools.take_directory(current);
+                let listed = directory.borrow_and_update().clone();
+                pools.take(listed, in_force.borrow_and_update().clone());
             }
         });
     }
 
-    /// Takes in the directory. Being listed counts as news of a back end, except of
-    /// one that is left alone after a loss.
-    pub fn take_directory(&self, directory: Arc<Directory>) {
+    /// Takes in the directory and what is in force. Being listed counts as news of a back
+    /// end, except of one that is left alone after a loss.
+    fn take(&self, directory: Arc<Directory>, in_force: Arc<InForce>) {
         let now = self.now();
         let mut state = self.state.lock().expect("not poisoned");
+        state.in_force = in_force;
         let mut listed: HashMap<ServiceName, Vec<&Arc<BackEnd>>> = HashMap::new();
         for back_end in directory.back_ends.values() {
             listed
@@ -90,10 +115,20 @@
         state.directory = directory;
     }
 
-    /// Chooses a back end of a service that has room and is not excluded.
-    pub fn acquire(
+    /// True if a back end of a service takes work in the allowed regions, whether or not it
+    /// has room now. Without one, waiting does not help a request.
+    pub(crate) fn may_serve(&self, service: &ServiceName, regions: &AllowedRegions) -> bool {
+        let state = self.state.lock().expect("not poisoned");
+        let balancer = state.balancers.get(service);
+        balancer.is_some_and(|balancer| balancer.may_serve(regions))
+    }
+
+    /// Chooses a back end of a service that has room, lies in one of the allowed regions
+    /// and is not excluded.
+    pub(crate) fn acquire(
         self: &Arc<Self>,
         service: &ServiceName,
+        regions: &AllowedRegions,
         excluded: &BTreeSet<EngineId>,
     ) -> Option<Place> {
         let now = self.now();
@@ -106,7 +141,12 @@
             ..
         } = &mut *state;
         let balancer = balancers.get_mut(service)?;
-        let id = balancer.choose(now, random, WorkClass::Live, excluded)?;
+        let demand = Demand {
+            class: WorkClass::Live,
+            excluded,
+            regions,
+        };
+        let id = balancer.choose(now, random, demand)?;
         let back_end = directory.back_ends.get(&id).cloned();
         let Some(back_end) = back_end else {
             balancer.finish(now, &id, AttemptOutcome::Abandoned);
@@ -161,20 +201,23 @@
     ) {
         let most_slots = back_ends.iter().map(|back_end| back_end.slots).max();
         let concurrency = most_slots.unwrap_or(1).max(1);
+        let spared = Spared::new(self, &service);
+        let listed = back_ends.iter().map(|back_end| ListedEngine {
+            leaving: back_end.draining,
+            evacuated: self.in_force.evacuations.covers(&back_end.zone),
+            cold: spared.cold(self, directory, back_end, now),
+            ..ListedEngine::ready(back_end.id.clone(), back_end.zone.clone())
+        });
+        let listed: Vec<ListedEngine> = listed.collect();
         let balancer = self.balancers.entry(service).or_insert_with(|| {
             Balancer::new(BalancerSettings {
                 node: self.node.clone(),
-                zone: self.zone.clone(),
+                topology: self.topology.clone(),
                 view_freshness: VIEW_FRESHNESS,
                 engine_concurrency: concurrency,
             })
         });
-        let listed = back_ends.iter().map(|back_end| ListedEngine {
-            id: back_end.id.clone(),
-            zone: back_end.zone.clone(),
-            leaving: back_end.draining,
-        });
-        balancer.set_engines(listed.collect());
+        balancer.set_engines(listed);
         let instant = Instant::now();
         for back_end in back_ends {
             let losses = self.losses.entry(back_end.id.clone()).or_default();
@@ -200,6 +243,14 @@
         }
     }
 
+    /// What this node's live requests may send to a cold back end.
+    fn live_bound(&self, budget: &ColdBudget, back_end: &EngineId) -> SendBound {
+        let names = self.peers.as_ref().map(|peers| peers.names());
+        let names = names.unwrap_or_default();
+        let senders = names.iter().map(String::as_str);
+        budget.live_bound(back_end.as_str(), &self.node, senders)
+    }
+
     fn note_outcome(&mut self, id: &EngineId, outcome: AttemptOutcome) {
         let losses = self.losses.entry(id.clone()).or_default();
         match outcome {
@@ -211,6 +262,48 @@
     }
 }
 
+/// How the cold back ends of a service are spared.
+struct Spared {
+    /// How long one is cold after it started.
+    lasts: Duration,
+    /// What cold ones may get; nothing means as much as warm ones.
+    budget: Option<ColdBudget>,
+}
+
+impl Spared {
+    fn new(state: &State, service: &ServiceName) -> Self {
+        let Some(configuration) = &state.in_force.configuration else {
+            return Self {
+                lasts: Duration::ZERO,
+                budget: None,
+            };
+        };
+        Self {
+            lasts: configuration.cold_bounds(service).lasts,
+            budget: state.cold.budget(configuration, service),
+        }
+    }
+
+    fn cold(
+        &self,
+        state: &State,
+        directory: &Directory,
+        back_end: &BackEnd,
+        now: Timestamp,
+    ) -> Option<ColdEngine> {
+        let evacuations = &state.in_force.evacuations;
+        let until = directory.cold_until(back_end, evacuations, self.lasts)?;
+        let left = until.saturating_duration_since(Instant::now());
+        let bound = self
+            .budget
+            .map(|budget| state.live_bound(&budget, &back_end.id));
+        Some(ColdEngine {
+            until: now.after(left),
+            bound,
+        })
+    }
+}
+
 /// The news that a back end is listed.
 fn listed_report(back_end: &BackEnd, now: Timestamp) -> EngineReport {
     EngineReport {
--- a/crates/sloetrail-serving/src/settings.rs
+++ b/crates/sloetrail-serving/src/settings.rs
@@ -2,9 +2,12 @@
 
 use crate::policies::Policies;
 use serde::Deserialize;
-use sloetrail_types::{NodeId, ZoneName};
+use sloetrail_balance::ColdBudget;
+use sloetrail_routing::ServingConfiguration;
+use sloetrail_types::{NodeId, RegionName, ServiceName, Topology, ZoneName};
 use sloetrail_usage::{ReportSchedule, Windows};
 use snafu::{ResultExt, Snafu, ensure};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -73,6 +76,81 @@
     /// When the use of tenants is reported; absent means never.
     #[serde(default)]
     pub usage: Option<RawUsageSettings>,
+    /// The region of each zone; absent means that all zones lie in one.
+    #[serde(default)]
+    pub regions: Option<BTreeMap<String, String>>,
+    /// How much more than it bears a cold back end may get; absent means no more.
+    #[serde(default)]
+    pub cold: Option<RawColdSettings>,
+}
+
+/// How much more than it bears a cold back end may get from all nodes together, as it is
+/// written.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct RawColdSettings {
+    /// A factor on the requests a second that it bears.
+    pub excess: f64,
+    /// Requests a second on top.
+    #[serde(default)]
+    pub slack: f64,
+}
+
+/// How much more than it bears a cold back end may get from all nodes together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdTolerance {
+    /// A factor on the requests a second that it bears; one or more.
+    pub excess: f64,
+    /// Requests a second on top.
+    pub slack: f64,
+}
+
+impl Default for ColdTolerance {
+    fn default() -> Self {
+        Self {
+            excess: 1.0,
+            slack: 0.0,
+        }
+    }
+}
+
+impl ColdTolerance {
+    fn check(raw: RawColdSettings) -> Result<Self, SettingsError> {
+        ensure!(
+            raw.excess.is_finite() && raw.excess >= 1.0,
+            OutOfBoundsSnafu {
+                field: "cold.excess",
+                message: "must be a factor of one or more"
+            }
+        );
+        ensure!(
+            raw.slack.is_finite() && raw.slack >= 0.0,
+            OutOfBoundsSnafu {
+                field: "cold.slack",
+                message: "must be a number of requests"
+            }
+        );
+        Ok(Self {
+            excess: raw.excess,
+            slack: raw.slack,
+        })
+    }
+
+    /// What the cold back ends of a service may get, and how many ways lead to them;
+    /// nothing if they bear as much as warm ones.
+    pub(crate) fn budget(
+        &self,
+        configuration: &ServingConfiguration,
+        service: &ServiceName,
+    ) -> Option<ColdBudget> {
+        let bears = configuration.cold_bounds(service).per_second?;
+        let owners = usize::from(configuration.rollout_services().contains(service));
+        let live = usize::from(configuration.has_live_requests(service));
+        Some(ColdBudget {
+            bears,
+            most: bears * self.excess + self.slack,
+            ways: owners + live,
+        })
+    }
 }
 
 /// When the use of tenants is reported, as it is written.
@@ -117,14 +195,14 @@
 }
 
 /// Settings that have been checked.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ServingSettings {
     /// The node's name; a replacement may bear it again.
     pub node: String,
     /// This life of the node.
     pub instance: NodeId,
-    /// Its zone.
-    pub zone: ZoneName,
+    /// Its zone, and the regions of the others.
+    pub topology: Topology,
     /// Where callers reach it.
     pub callers_address: SocketAddr,
     /// Where the platform asks whether it takes new connections.
@@ -141,6 +219,8 @@
     pub policies: Policies,
     /// When the use of tenants is reported; nothing means never.
     pub usage: Option<UsageSettings>,
+    /// How much more than it bears a cold back end may get.
+    pub cold: ColdTolerance,
 }
 
 /// Bounds in time and number.
@@ -203,6 +283,12 @@
     u32::from(share < LARGE_FROM)
 }
 
+fn topology(zone: String, regions: BTreeMap<String, String>) -> Topology {
+    let regions = regions.into_iter();
+    let regions = regions.map(|(zone, region)| (ZoneName::new(zone), RegionName::new(region)));
+    Topology::new(ZoneName::new(zone), regions.collect())
+}
+
 fn seconds(
     value: Option<f64>,
     default: f64,
@@ -234,7 +320,7 @@
         Ok(Self {
             instance: NodeId::new(format!("{}/{life:016x}", raw.node)),
             node: raw.node,
-            zone: ZoneName::new(raw.zone),
+            topology: topology(raw.zone, raw.regions.unwrap_or_default()),
             callers_address: raw.callers_address,
             ready_address: raw.ready_address,
             peer_address: raw.peer_address,
@@ -243,9 +329,17 @@
             bounds,
             policies: raw.policies,
             usage: raw.usage.map(UsageSettings::check).transpose()?,
+            cold: raw
+                .cold
+                .map_or(Ok(ColdTolerance::default()), ColdTolerance::check)?,
         })
     }
 
+    /// The node's own zone.
+    pub fn zone(&self) -> &ZoneName {
+        self.topology.zone()
+    }
+
     /// True if `instance` is a life of this node.
     pub fn is_own_machine(&self, instance: &NodeId) -> bool {
         let name = instance.as_str().split('/').next();
--- a/crates/sloetrail-serving/src/telemetry.rs
+++ b/crates/sloetrail-serving/src/telemetry.rs
@@ -130,6 +130,8 @@
 pub(crate) struct Beliefs {
     pub(crate) configuration_revision: u64,
     pub(crate) directory_version: u64,
+    pub(crate) zones_evacuated: usize,
+    pub(crate) back_ends_cold: usize,
     pub(crate) lease_view_age: Option<Duration>,
     pub(crate) requests: usize,
     pub(crate) connections: usize,
@@ -139,6 +141,8 @@
 pub(crate) fn beliefs(beliefs: &Beliefs) {
     gauge!("sloetrail_configuration_revision").set(beliefs.configuration_revision as f64);
     gauge!("sloetrail_directory_version").set(beliefs.directory_version as f64);
+    gauge!("sloetrail_zones_evacuated").set(beliefs.zones_evacuated as f64);
+    gauge!("sloetrail_back_ends_cold").set(beliefs.back_ends_cold as f64);
     gauge!("sloetrail_requests_in_flight").set(beliefs.requests as f64);
     gauge!("sloetrail_connections_open").set(beliefs.connections as f64);
     if let Some(age) = beliefs.lease_view_age {
--- a/crates/sloetrail-types/src/lib.rs
+++ b/crates/sloetrail-types/src/lib.rs
@@ -6,17 +6,21 @@
 mod counters;
 mod digest;
 mod names;
+mod regions;
 mod segment;
 mod time;
 
 pub use counters::{Epoch, Revision, RowVersion, SequenceNumber, StepNumber, WeightVersion};
 pub use digest::{digest, rendezvous_weight};
 pub use names::{
-    ApplyId, EngineId, NodeId, RequestId, RunName, SampleId, ServiceName, TenantName,
+    ApplyId, EngineId, NodeId, RegionName, RequestId, RunName, SampleId, ServiceName, TenantName,
     TransactionId, ZoneName,
 };
+pub use regions::{AllowedRegions, Distance, Topology};
 pub use segment::{Segment, oldest_version, segments_cover};
 pub use time::Timestamp;
 
+#[cfg(test)]
+mod regions_tests;
 #[cfg(test)]
 mod tests;
--- a/crates/sloetrail-types/src/names.rs
+++ b/crates/sloetrail-types/src/names.rs
@@ -56,6 +56,10 @@
     /// A failure zone.
     ZoneName
 );
+name_type!(
+    /// A region: zones that are near one another.
+    RegionName
+);
 name_type!(
     /// A trainer's name for a sample, unique within its run.
     SampleId
