Batches open sooner, and owners sit near the table

Change: an owner does not look for earlier work of a batch that was accepted within its term, since earlier owners are fenced off; a reader's head and results are read at once; the nodes that watch over a holder, one of which becomes the next one, are drawn from those near the table.

The test of the opening was red without the change (one search counted).

--- a/crates/sloetrail-serving-testkit/src/table.rs
+++ b/crates/sloetrail-serving-testkit/src/table.rs
@@ -43,6 +43,8 @@
     history: Vec<(u64, Change)>,
     forgotten_before: u64,
     commits: usize,
+    /// Reads of ranges that were answered, by table.
+    scans: BTreeMap<String, usize>,
     fault: CommitFault,
     /// The fault applies to this many commits; nothing means all.
     fault_count: Option<usize>,
@@ -71,6 +73,11 @@
         })
     }
 
+    /// How many reads of ranges of a table were answered.
+    pub fn scans(&self, table: &str) -> usize {
+        self.state().scans.get(table).copied().unwrap_or_default()
+    }
+
     /// Writes a row as the operator or a back end does: always answered.
     pub fn write(&self, address: RowAddress, value: impl Into<Bytes>) {
         let transaction = Transaction::new().put(address, value);
@@ -340,7 +347,8 @@
 
     async fn scan(&self, range: &KeyRange) -> Result<Page, ReadError> {
         self.reach().await?;
-        let state = self.table.state();
+        let mut state = self.table.state();
+        *state.scans.entry(range.table.clone()).or_default() += 1;
         let limit = range.limit.unwrap_or(PAGE_ROWS).min(PAGE_ROWS);
         let within = |address: &RowAddress| {
             address.table == range.table
--- a/crates/sloetrail-serving/src/gateway/read.rs
+++ b/crates/sloetrail-serving/src/gateway/read.rs
@@ -45,15 +45,19 @@
     position: usize,
     wait: Duration,
 ) -> Result<ResultPage, Problem> {
-    let header = header_of(context, id, caller).await?;
     let give_up_at = Instant::now() + wait.min(WAIT_LIMIT);
+    // Both at once: where the table is in another region one answer takes 28 ms.
+    let (header, mut listed) = tokio::join!(
+        header_of(context, id, caller),
+        read_results(&*context.table, id, position)
+    );
+    let header = header?;
     loop {
-        let listed = read_results(&*context.table, id, position).await;
-        let listed = listed.map_err(|_| table_unavailable())?;
+        let known = listed.map_err(|_| table_unavailable())?;
         let is_last_look = Instant::now() + POLL_PERIOD > give_up_at;
         let nothing_can_come = position >= header.total;
-        if !listed.is_empty() || is_last_look || nothing_can_come {
-            let results = fitting(listed);
+        if !known.is_empty() || is_last_look || nothing_can_come {
+            let results = fitting(known);
             return Ok(ResultPage {
                 total: header.total,
                 next: position + results.len(),
@@ -61,6 +65,7 @@
             });
         }
         tokio::time::sleep(POLL_PERIOD).await;
+        listed = read_results(&*context.table, id, position).await;
     }
 }
 
--- a/crates/sloetrail-serving/src/owner/loading.rs
+++ b/crates/sloetrail-serving/src/owner/loading.rs
@@ -2,7 +2,7 @@
 
 use crate::batch_rows::{read_checkpoints, read_results, read_submission};
 use crate::context::NodeContext;
-use crate::table::ReadError;
+use crate::table::{ReadError, Table};
 use sloetrail_batch::{Batch, BatchHeader, BatchId, ItemId, ItemState, Submission, SubmittedItem};
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -16,17 +16,27 @@
     pub(super) listed: usize,
 }
 
+/// Whether owners before this term may have worked on a batch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum BatchOrigin {
+    /// It was accepted before the term began: results and texts may be in the table.
+    EarlierTerm,
+    /// It was accepted within the term. Earlier owners are fenced off, so that nobody has
+    /// written results or texts of it. Not looking for them opens a batch two answers of the
+    /// table sooner: 56 ms of 215 where the table is in another region, 12 ms one way.
+    ThisTerm,
+}
+
 /// Loads a batch; nothing if it cannot be read before the term is over, or is not
 /// whole in the table.
 pub(super) async fn load(
     context: &NodeContext,
-    id: &BatchId,
-    header: &BatchHeader,
+    (id, header, origin): (&BatchId, &BatchHeader, BatchOrigin),
     carried: &BTreeSet<ItemId>,
     ended: &CancellationToken,
 ) -> Option<LoadedBatch> {
     loop {
-        match try_load(context, id, header, carried).await {
+        match try_load(context, (id, header, origin), carried).await {
             Ok(loaded) => return loaded,
             Err(_) if ended.is_cancelled() => return None,
             Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
@@ -36,8 +46,7 @@
 
 async fn try_load(
     context: &NodeContext,
-    id: &BatchId,
-    header: &BatchHeader,
+    (id, header, origin): (&BatchId, &BatchHeader, BatchOrigin),
     carried: &BTreeSet<ItemId>,
 ) -> Result<Option<LoadedBatch>, ReadError> {
     let table = &*context.table;
@@ -58,9 +67,19 @@
     };
     let header = header.clone();
     let mut batch = Batch::new(id.clone(), header, submission, expected_length, carried);
+    let listed = match origin {
+        BatchOrigin::ThisTerm => 0,
+        BatchOrigin::EarlierTerm => restore(table, &mut batch).await?,
+    };
+    Ok(Some(LoadedBatch { batch, listed }))
+}
+
+/// Takes in what earlier owners wrote of a batch; returns how many results are listed.
+async fn restore(table: &dyn Table, batch: &mut Batch) -> Result<usize, ReadError> {
+    let id = batch.id.clone();
     let mut listed = 0;
     loop {
-        let results = read_results(table, id, listed).await?;
+        let results = read_results(table, &id, listed).await?;
         if results.is_empty() {
             break;
         }
@@ -71,7 +90,7 @@
             }
         }
     }
-    for (index, (generation, transcript)) in read_checkpoints(table, id).await? {
+    for (index, (generation, transcript)) in read_checkpoints(table, &id).await? {
         let is_open = index < batch.items().len() && batch.item(index).state == ItemState::Waiting;
         if !is_open {
             continue;
@@ -81,5 +100,5 @@
             batch.begin_anew(index);
         }
     }
-    Ok(Some(LoadedBatch { batch, listed }))
+    Ok(listed)
 }
--- a/crates/sloetrail-serving/src/owner/service_owner/batches.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/batches.rs
@@ -6,7 +6,7 @@
 use crate::follow::ViewReceiver;
 use crate::owner::committer::CommitRequest;
 use crate::owner::event::OwnerEvent;
-use crate::owner::loading::{LoadedBatch, load};
+use crate::owner::loading::{BatchOrigin, LoadedBatch, load};
 use sloetrail_batch::{Batch, BatchHeader, BatchId, DeathCause, ItemId, ItemIndex};
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
@@ -46,18 +46,22 @@
             };
             self.known.insert(id.clone());
             if !ends.rows.contains_key(id) {
-                self.begin_loading(id.clone(), header);
+                let origin = match row.version > self.term.fence {
+                    true => BatchOrigin::ThisTerm,
+                    false => BatchOrigin::EarlierTerm,
+                };
+                self.begin_loading(id.clone(), header, origin);
             }
         }
     }
 
-    fn begin_loading(&self, id: BatchId, header: BatchHeader) {
+    fn begin_loading(&self, id: BatchId, header: BatchHeader, origin: BatchOrigin) {
         let context = Arc::clone(&self.context);
         let carried: BTreeSet<ItemId> = self.carried.keys().cloned().collect();
         let ended = self.term.ended.clone();
         let sender = self.sender.clone();
         tokio::spawn(async move {
-            let loaded = load(&context, &id, &header, &carried, &ended).await;
+            let loaded = load(&context, (&id, &header, origin), &carried, &ended).await;
             // The owner may be gone; then nobody needs it.
             let _ = sender.send(OwnerEvent::Loaded(id, Box::new(loaded)));
         });
--- a/crates/sloetrail-serving/src/relay/mod.rs
+++ b/crates/sloetrail-serving/src/relay/mod.rs
@@ -47,6 +47,7 @@
             candidate_rank: settings.candidate_rank,
             token: token.clone(),
             clock_lead: None,
+            table_time_us: None,
         };
         tokio::spawn(peers::register(
             Arc::clone(&direct),
--- a/crates/sloetrail-serving/src/relay/peers.rs
+++ b/crates/sloetrail-serving/src/relay/peers.rs
@@ -27,6 +27,9 @@
 const REGISTER_RETRY: Duration = Duration::from_millis(400);
 /// A node that registered before it had any answer of the table does so again soon.
 const CLOCK_UNKNOWN_PAUSE: Duration = Duration::from_millis(500);
+/// All nodes ask the table much when they start together. Its answers some seconds later
+/// tell how near it is.
+const SETTLED_PAUSE: Duration = Duration::from_secs(5);
 /// Clocks drift apart by under 0.1 ms a second.
 const REGISTER_PERIOD: Duration = Duration::from_secs(600);
 /// How often the rows are asked for: they change when nodes start.
@@ -60,19 +63,28 @@
     /// that clock.
     #[serde(default)]
     pub(super) clock_lead: Option<ClockLead>,
+    /// How long an ordinary answer of the table takes to reach it, in microseconds; nothing
+    /// before some time has passed since its start.
+    #[serde(default)]
+    pub(super) table_time_us: Option<u64>,
 }
 
 /// Writes the node's row until the table has taken it, and anew from time to time, for
 /// clocks drift.
 pub(super) async fn register(table: Arc<dyn Table>, node: String, mut entry: PeerEntry) {
+    let started_at = Instant::now();
     loop {
         entry.clock_lead = seen_lead(&*table);
+        let is_settled = started_at.elapsed() >= SETTLED_PAUSE;
+        let table_time = table.ordinary_time().as_micros() as u64;
+        entry.table_time_us = is_settled.then_some(table_time);
         let row = serde_json::to_vec(&entry).unwrap_or_default();
         let transaction = Transaction::new().put(rows::node(&node), row);
         let is_registered = table.commit(&transaction).await.is_ok();
         let pause = match (is_registered, entry.clock_lead) {
             (false, _) => REGISTER_RETRY,
             (true, None) => CLOCK_UNKNOWN_PAUSE,
+            (true, Some(_)) if !is_settled => SETTLED_PAUSE,
             (true, Some(_)) => REGISTER_PERIOD,
         };
         tokio::time::sleep(pause).await;
--- a/crates/sloetrail-serving/src/relay/probe.rs
+++ b/crates/sloetrail-serving/src/relay/probe.rs
@@ -15,6 +15,9 @@
 const PROBE_TIME: Duration = Duration::from_millis(150);
 /// Nodes that watch over the holder of a lease.
 const WATCHERS: usize = 3;
+/// Nodes whose table answers within this many times the shortest time are near it. In
+/// another region answers take four to six times as long.
+const NEAR_FACTOR: u64 = 2;
 
 /// What a probe of a node has shown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -87,19 +90,48 @@
     }
 
     /// True if this node is among the few that watch over the holder of a lease. Which
-    /// ones they are changes with each term; small machines are not among them.
+    /// ones they are changes with each term; small machines are not among them, and those
+    /// near the table go before others: one of them becomes the next holder, and an owner
+    /// near the table opens batches and lists results two to six answers sooner.
     pub(crate) fn watches_over(&self, holder: &NodeId, epoch: Epoch) -> bool {
         let view = self.entries.borrow();
         let entry = |row: &Row| serde_json::from_slice::<PeerEntry>(&row.value).ok();
-        let candidates = view.rows.iter().filter(|(name, row)| {
-            let rank = entry(row).map(|entry| entry.candidate_rank);
-            name.as_str() != node_name(holder) && rank == Some(0)
-        });
-        let mut drawn: Vec<(u64, &String)> = candidates
-            .map(|(name, _)| (digest(format!("{}/{name}", epoch.0).as_bytes()), name))
-            .collect();
-        drawn.sort_unstable();
-        let mut watchers = drawn.iter().take(WATCHERS);
-        watchers.any(|(_, name)| **name == self.own_name)
+        let known = view
+            .rows
+            .iter()
+            .filter_map(|(name, row)| Some((name, entry(row)?)));
+        let candidates = known
+            .filter(|(name, entry)| name.as_str() != node_name(holder) && entry.candidate_rank == 0)
+            .map(|(name, entry)| Candidate {
+                name,
+                table_time_us: entry.table_time_us,
+            });
+        let watchers = draw_watchers(candidates.collect(), epoch);
+        watchers.contains(&self.own_name.as_str())
     }
 }
+
+/// A node that may watch over a holder and become the next one.
+#[derive(Clone, Copy, Debug)]
+struct Candidate<'a> {
+    name: &'a str,
+    /// How long an ordinary answer of the table takes to reach it, in microseconds.
+    table_time_us: Option<u64>,
+}
+
+/// The nodes that watch in a term: drawn by its epoch, of those near the table first.
+fn draw_watchers(mut candidates: Vec<Candidate<'_>>, epoch: Epoch) -> Vec<&str> {
+    let times = candidates.iter().map(|candidate| candidate.table_time_us);
+    let nearest = times.flatten().min().unwrap_or_default();
+    candidates.sort_by_cached_key(|candidate| {
+        let time = candidate.table_time_us;
+        let is_near = time.is_some_and(|time| time <= nearest * NEAR_FACTOR);
+        let lot = digest(format!("{}/{}", epoch.0, candidate.name).as_bytes());
+        (!is_near, lot)
+    });
+    let drawn = candidates.into_iter().take(WATCHERS);
+    drawn.map(|candidate| candidate.name).collect()
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/sloetrail-serving/tests/owner.rs
+++ b/crates/sloetrail-serving/tests/owner.rs
@@ -344,3 +344,29 @@
     assert_eq!(lease_holder(&cluster).await, owner);
     assert_eq!(lease(&cluster).expect("a lease")["epoch"], epoch);
 }
+
+/// Earlier owners are fenced off from a batch that is accepted within the term. Looking for
+/// what they wrote costs two answers of the table before its first item starts.
+#[tokio::test(flavor = "multi_thread")]
+async fn only_a_batch_of_an_earlier_term_is_searched_for_earlier_work() {
+    const TEXTS: &str = "sloetrail_checkpoints";
+    let cluster = usual_cluster(Duration::from_millis(30)).await;
+    let owner = lease_holder(&cluster).await;
+    let work = batch(&items(4, 20), MODEL, 1);
+    cluster.submit(owner, "b1", &work).await.expect("taken");
+    let first_result = || async {
+        let results = cluster.table.rows("sloetrail_results");
+        (!results.is_empty()).then_some(())
+    };
+    eventually("an item is done", first_result).await;
+    assert_eq!(cluster.table.scans(TEXTS), 0);
+    let work = batch(&items(4, 60), MODEL, 1);
+    cluster.submit(owner, "b2", &work).await.expect("taken");
+    let is_kept = || async { (!cluster.table.rows(TEXTS).is_empty()).then_some(()) };
+    eventually("a text is kept", is_kept).await;
+    let mut cluster = cluster;
+    cluster.nodes[owner].kill();
+    let results = cluster.wait_results(1 - owner, "b2", 4).await;
+    assert_each_once(&results, 4);
+    assert!(cluster.table.scans(TEXTS) >= 1);
+}
