--- a/crates/sloetrail-batch/src/header.rs
+++ b/crates/sloetrail-batch/src/header.rs
@@ -1,7 +1,7 @@
 //! The durable head of a batch.
 
 use serde::{Deserialize, Serialize};
-use sloetrail_types::{ServiceName, TenantName};
+use sloetrail_types::{AllowedRegions, ServiceName, TenantName, WeightVersion};
 
 const ID_LENGTH_LIMIT: usize = 100;
 
@@ -40,6 +40,15 @@
     /// The rank of the tenant, which goes before that of the route.
     #[serde(default)]
     pub tenant_priority: Option<u8>,
+    /// The regions in which it may be kept and run, as they were when it was accepted.
+    #[serde(default)]
+    pub allowed_regions: AllowedRegions,
+    /// The model whose weights make the samples.
+    #[serde(default)]
+    pub model: Option<String>,
+    /// The oldest version that may make a token.
+    #[serde(default)]
+    pub oldest_version: WeightVersion,
 }
 
 impl BatchHeader {
--- a/crates/sloetrail-batch/src/tests.rs
+++ b/crates/sloetrail-batch/src/tests.rs
@@ -3,7 +3,7 @@
     Submission, Transcript, TranscriptEvent, is_usable_id, join_checkpoints,
 };
 use serde_json::{Value, json};
-use sloetrail_types::{ServiceName, WeightVersion};
+use sloetrail_types::{AllowedRegions, ServiceName, WeightVersion};
 use std::collections::BTreeSet;
 
 fn header(total: usize) -> BatchHeader {
@@ -20,6 +20,9 @@
         priority: 1,
         tenant: None,
         tenant_priority: None,
+        allowed_regions: AllowedRegions::everywhere(),
+        model: None,
+        oldest_version: WeightVersion(0),
     }
 }
 
@@ -248,3 +251,15 @@
         [&urgent_tenant, &older, &urgent_route, &other_tenant]
     );
 }
+
+#[test]
+fn a_head_that_was_stored_without_regions_binds_its_batch_to_none() {
+    let mut stored = serde_json::to_value(header(3)).expect("a head");
+    let fields = stored.as_object_mut().expect("fields");
+    for field in ["allowed_regions", "model", "oldest_version"] {
+        assert!(fields.remove(field).is_some(), "{field}");
+    }
+    let read: BatchHeader = serde_json::from_value(stored).expect("readable");
+    assert_eq!(read, header(3));
+    assert!(read.allowed_regions.is_everywhere());
+}
--- a/crates/sloetrail-routing/src/configuration.rs
+++ b/crates/sloetrail-routing/src/configuration.rs
@@ -6,7 +6,7 @@
 use sloetrail_scaling::ScalingBounds;
 use sloetrail_types::{AllowedRegions, RegionName, Revision, ServiceName, ZoneName};
 use snafu::ensure;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -215,6 +215,56 @@
         names.dedup();
         names
     }
+
+    /// The sets of regions to which batches of a service may be bound, each of which needs
+    /// an owner. Everywhere is among them: its owner is in charge of the engines. Empty if
+    /// the service runs no batches.
+    pub fn batch_regions(&self, service: &ServiceName) -> BTreeSet<AllowedRegions> {
+        let mut sets = BTreeSet::new();
+        for route in self.rollout_routes(service) {
+            sets.extend(self.regions_by_caller(route));
+        }
+        if sets.is_empty() {
+            return sets;
+        }
+        for reward_regions in self.reward_regions() {
+            let narrowed: Vec<_> = sets.iter().map(|set| set.and(reward_regions)).collect();
+            sets.extend(narrowed.into_iter().filter(|set| !set.is_nowhere()));
+        }
+        sets.retain(|set| !set.is_nowhere());
+        sets.insert(AllowedRegions::everywhere());
+        sets
+    }
+
+    fn rollout_routes(&self, service: &ServiceName) -> impl Iterator<Item = &Route> {
+        self.routes.iter().map(|route| &**route).filter(|route| {
+            let serves = route.services.iter().any(|part| part.service == *service);
+            serves && route.kind == RouteKind::Rollout
+        })
+    }
+
+    /// The regions in which requests of a route may be served, for each caller that there
+    /// can be.
+    fn regions_by_caller(&self, route: &Route) -> Vec<AllowedRegions> {
+        let own = &route.allowed_regions;
+        let Some(tenants) = &self.tenants else {
+            return vec![own.clone()];
+        };
+        let of_tenants = tenants.allowed_regions().map(|regions| own.and(regions));
+        let of_nobody = route.is_public.then(|| own.clone());
+        of_tenants.chain(of_nobody).collect()
+    }
+
+    /// The restrictions that reward calls may bring: they go by routes of live requests.
+    fn reward_regions(&self) -> BTreeSet<&AllowedRegions> {
+        let live = self
+            .routes
+            .iter()
+            .filter(|route| route.kind != RouteKind::Rollout);
+        live.map(|route| &route.allowed_regions)
+            .filter(|regions| !regions.is_everywhere())
+            .collect()
+    }
 }
 
 impl Route {
--- a/crates/sloetrail-routing/src/tenants.rs
+++ b/crates/sloetrail-routing/src/tenants.rs
@@ -93,6 +93,13 @@
         Ok(Self { by_key })
     }
 
+    /// The regions in which requests may be served, by tenant; a tenant with several keys
+    /// comes several times.
+    pub(crate) fn allowed_regions(&self) -> impl Iterator<Item = &AllowedRegions> {
+        let tenants = self.by_key.values();
+        tenants.map(|tenant| &tenant.allowed_regions)
+    }
+
     /// The tenant that a key belongs to.
     pub fn of_key(&self, key: &str) -> Option<&Arc<Tenant>> {
         self.by_key.get(&ApiKey(key.to_owned()))
--- a/crates/sloetrail-routing/src/tests.rs
+++ b/crates/sloetrail-routing/src/tests.rs
@@ -236,3 +236,48 @@
     assert!(configuration.has_live_requests(&ServiceName::from("one")));
     assert!(!configuration.has_live_requests(&ServiceName::from("two")));
 }
+
+#[test]
+fn each_set_of_regions_that_a_batch_may_be_bound_to_is_known() {
+    let rollout = |path: &str, regions: Value| {
+        let mut route = route(path, "models");
+        route["kind"] = json!("rollout");
+        route["allowed_regions"] = regions;
+        route
+    };
+    let sets = |routes: Value, tenants: Value| {
+        let configuration = json!({"version": 1, "routes": routes, "tenants": tenants});
+        let configuration = parse(&configuration).expect("sound");
+        let sets = configuration.batch_regions(&ServiceName::from("models"));
+        let sets: Vec<String> = sets.iter().map(ToString::to_string).collect();
+        sets.join(" ")
+    };
+    let tenants = json!([
+        {"name": "t", "api_keys": ["0123456789"], "allowed_regions": ["north", "south"]},
+        {"name": "u", "api_keys": ["9876543210"], "allowed_regions": ["east"]},
+    ]);
+    assert_eq!(sets(json!([route("/a/", "models")]), Value::Null), "");
+    let unbound = rollout("/a/", Value::Null);
+    assert_eq!(sets(json!([unbound]), Value::Null), "everywhere");
+    let north = rollout("/b/", json!(["north"]));
+    assert_eq!(
+        sets(json!([north]), Value::Null),
+        "everywhere north",
+        "somebody is in charge of the engines"
+    );
+    assert_eq!(
+        sets(json!([unbound]), tenants.clone()),
+        "everywhere east north+south"
+    );
+    assert_eq!(
+        sets(json!([north]), tenants.clone()),
+        "everywhere north",
+        "no batch can be bound to nowhere"
+    );
+    let mut reward = route("/r/", "scores");
+    reward["allowed_regions"] = json!(["south", "west"]);
+    assert_eq!(
+        sets(json!([unbound, reward]), tenants),
+        "everywhere east north+south south"
+    );
+}
--- a/crates/sloetrail-serving-testkit/src/table.rs
+++ b/crates/sloetrail-serving-testkit/src/table.rs
@@ -8,7 +8,7 @@
 };
 use sloetrail_serving::table_client::TableTransport;
 use sloetrail_types::RowVersion;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -214,9 +214,19 @@
     }
 }
 
+/// What has gone over a link to one table.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LinkUse {
+    /// Transactions that write to it.
+    pub writes: usize,
+    /// Reads of ranges.
+    pub reads: usize,
+}
+
 /// One node's way to the table; it can be cut.
 pub struct TableLink {
     table: Arc<MemoryTable>,
+    uses: Mutex<BTreeMap<String, LinkUse>>,
     cut: AtomicBool,
     answer_ms: AtomicU64,
     held: watch::Sender<bool>,
@@ -228,12 +238,32 @@
         let (held, _) = watch::channel(false);
         Arc::new(Self {
             table,
+            uses: Mutex::default(),
             held,
             cut: AtomicBool::new(false),
             answer_ms: AtomicU64::new(ANSWER_MS),
         })
     }
 
+    /// What has gone over the link to a table, calls that were carried for others included.
+    pub fn uses_of(&self, table: &str) -> LinkUse {
+        let uses = self.uses.lock().expect("not poisoned");
+        uses.get(table).copied().unwrap_or_default()
+    }
+
+    fn note_writes(&self, transaction: &Transaction) {
+        let mut uses = self.uses.lock().expect("not poisoned");
+        let tables: BTreeSet<&String> = transaction.puts.iter().map(|(at, _)| &at.table).collect();
+        for table in tables {
+            uses.entry(table.clone()).or_default().writes += 1;
+        }
+    }
+
+    fn note_read(&self, table: &str) {
+        let mut uses = self.uses.lock().expect("not poisoned");
+        uses.entry(table.to_owned()).or_default().reads += 1;
+    }
+
     /// How long answers take from now on.
     pub fn set_answer_time(&self, time: Duration) {
         let milliseconds = time.as_millis() as u64;
@@ -312,6 +342,7 @@
             tokio::time::sleep(TIMEOUT).await;
             return Err(CommitError::Unknown);
         }
+        self.note_writes(transaction);
         if !lies_in_one_partition(transaction) {
             return Err(CommitError::NotDone);
         }
@@ -340,6 +371,7 @@
 
     async fn scan(&self, range: &KeyRange) -> Result<Page, ReadError> {
         self.reach().await?;
+        self.note_read(&range.table);
         let state = self.table.state();
         let limit = range.limit.unwrap_or(PAGE_ROWS).min(PAGE_ROWS);
         let within = |address: &RowAddress| {
--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -154,6 +154,9 @@
         left_ms: u64,
         /// The revision of the configuration that routed it.
         revision: u64,
+        /// The regions that it may be served in, `everywhere` or `nowhere`; `-` if it was
+        /// refused before they were known.
+        regions: &'a str,
         /// A short sentence.
         detail: &'a str,
     },
@@ -180,6 +183,8 @@
         items: usize,
         /// True if it was accepted before.
         repeated: bool,
+        /// The regions that it is bound to, or `everywhere`.
+        regions: &'a str,
         /// How long it took, in milliseconds.
         took_ms: u64,
     },
@@ -216,6 +221,8 @@
         epoch: u64,
         /// Its age by the table's clock, in milliseconds.
         age_ms: u64,
+        /// The regions that it is bound to, or `everywhere`.
+        regions: &'a str,
     },
     /// An item was sent to an engine.
     ItemStarted {
--- a/crates/sloetrail-serving/src/gateway/call_log.rs
+++ b/crates/sloetrail-serving/src/gateway/call_log.rs
@@ -4,7 +4,7 @@
 use crate::telemetry;
 use sloetrail_result::Problem;
 use sloetrail_routing::ServingConfiguration;
-use sloetrail_types::EngineId;
+use sloetrail_types::{AllowedRegions, EngineId};
 use tokio::time::Instant;
 
 /// What is known of a call while it is answered.
@@ -15,6 +15,8 @@
     pub(crate) request: &'a str,
     /// The route's name, or `-` if there is none.
     pub(crate) route: &'a str,
+    /// The regions that it may be served in, once they are known.
+    pub(crate) regions: Option<AllowedRegions>,
     /// When it was received.
     pub(crate) received: Instant,
     /// When its final answer is due.
@@ -42,6 +44,7 @@
         let left = self.deadline.saturating_duration_since(Instant::now());
         let took = self.received.elapsed();
         telemetry::request_ended(self.route, problem.status, problem.code, took);
+        let regions = self.regions.as_ref().map(ToString::to_string);
         events::emit(&Event::RequestFailed {
             request: self.request,
             route: self.route,
@@ -51,6 +54,7 @@
             took_ms: took.as_millis() as u64,
             left_ms: left.as_millis() as u64,
             revision: self.configuration.revision.0,
+            regions: regions.as_deref().unwrap_or("-"),
             detail: &problem.detail,
         });
     }
--- a/crates/sloetrail-serving/src/gateway/front.rs
+++ b/crates/sloetrail-serving/src/gateway/front.rs
@@ -8,6 +8,7 @@
 use super::headers;
 use super::live::LiveCall;
 use super::message::{CallerResponse, problem_response, stream_body, whole_body, with_request_id};
+use super::regions;
 use super::stream::{self, StreamOutcome};
 use super::submit::{self, SubmissionCall, WaitingSubmissions};
 use crate::context::NodeContext;
@@ -19,7 +20,7 @@
 use hyper::body::Incoming;
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_routing::{Route, RouteKind, Tenant, WeightedChoice};
-use sloetrail_types::ServiceName;
+use sloetrail_types::{AllowedRegions, ServiceName};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -43,6 +44,7 @@
 struct Submitted<'a> {
     id: &'a str,
     tenant: Option<&'a Tenant>,
+    regions: AllowedRegions,
     body: Bytes,
 }
 
@@ -94,6 +96,7 @@
             configuration: &configuration,
             request: request_id,
             route: "-",
+            regions: None,
             received,
             deadline,
         };
@@ -115,6 +118,15 @@
                 return problem_response(&problem);
             }
         };
+        let regions = match regions::allowed(&route, tenant.as_deref()) {
+            Ok(regions) => regions,
+            Err(problem) => {
+                log.regions = Some(AllowedRegions::only([]));
+                log.failed(&problem, 0);
+                return problem_response(&problem);
+            }
+        };
+        log.regions = Some(regions.clone());
         let mut held = self.bodies.begin();
         let body = match self.read_body(body, &mut held, deadline).await {
             Ok(body) => body,
@@ -127,19 +139,15 @@
             let submitted = Submitted {
                 id: request_id,
                 tenant: tenant.as_deref(),
+                regions,
                 body,
             };
-            return self.submission(&route, submitted, received, deadline).await;
+            return self.submission(&log, &route, submitted).await;
         }
         let Some(service) = self.choose_service(&route) else {
             let problem = Problem::new(ResultCode::NoEngine, "the route has no service");
             return problem_response(&problem);
         };
-        let tenant_regions = tenant.as_ref().map(|tenant| &tenant.allowed_regions);
-        let regions = tenant_regions.map_or_else(
-            || route.allowed_regions.clone(),
-            |regions| route.allowed_regions.and(regions),
-        );
         let call = LiveCall {
             context: Arc::clone(&self.context),
             service,
@@ -218,23 +226,24 @@
 
     async fn submission(
         &self,
+        log: &CallLog<'_>,
         route: &Route,
         submitted: Submitted<'_>,
-        received: Instant,
-        deadline: Instant,
     ) -> CallerResponse {
         let Some(service) = submit::batch_service(&route.services) else {
             let problem = Problem::new(ResultCode::NoEngine, "the route has no service");
             return problem_response(&problem);
         };
         let call = SubmissionCall {
+            configuration: log.configuration,
             route,
             service,
             id: submitted.id,
             tenant: submitted.tenant,
+            regions: submitted.regions,
             body: submitted.body,
-            received,
-            deadline,
+            received: log.received,
+            deadline: log.deadline,
         };
         submit::submit(&self.context, &self.waiting, call).await
     }
--- a/crates/sloetrail-serving/src/gateway/mod.rs
+++ b/crates/sloetrail-serving/src/gateway/mod.rs
@@ -16,5 +16,6 @@
 pub(crate) mod live;
 pub(crate) mod message;
 pub(crate) mod read;
+mod regions;
 pub(crate) mod stream;
 pub(crate) mod submit;
--- /dev/null
+++ b/crates/sloetrail-serving/src/gateway/regions/tests.rs
@@ -0,0 +1,71 @@
+use super::{allowed, of_batch};
+use serde_json::{Value, json};
+use sloetrail_batch::Submission;
+use sloetrail_routing::ServingConfiguration;
+use sloetrail_types::{AllowedRegions, RegionName};
+
+const KEY: &str = "0123456789";
+
+fn route(path: &str, regions: &[&str]) -> Value {
+    json!({"name": path, "host": "a.example", "path_prefix": path, "kind": "idempotent",
+           "service": "one", "allowed_regions": regions})
+}
+
+fn configuration() -> ServingConfiguration {
+    let configuration = json!({
+        "version": 1,
+        "routes": [route("/n/", &["north"]), route("/s/", &["south"]), route("/any/", &[])],
+        "tenants": [{"name": "t", "api_keys": [KEY], "allowed_regions": ["north", "east"]}],
+    });
+    ServingConfiguration::parse(configuration.to_string().as_bytes()).expect("sound")
+}
+
+fn only(names: &[&str]) -> AllowedRegions {
+    AllowedRegions::only(names.iter().copied().map(RegionName::from))
+}
+
+#[test]
+fn what_route_and_tenant_have_in_common_is_allowed_and_nothing_is_refused() {
+    let configuration = configuration();
+    let route = |path| configuration.routes.find("a.example", path).expect("found");
+    let tenants = configuration.tenants.as_ref().expect("given");
+    let tenant = Some(&**tenants.of_key(KEY).expect("known"));
+    assert_eq!(allowed(route("/n/"), tenant), Ok(only(&["north"])));
+    assert_eq!(
+        allowed(route("/any/"), tenant),
+        Ok(only(&["east", "north"]))
+    );
+    assert_eq!(
+        allowed(route("/any/"), None),
+        Ok(AllowedRegions::everywhere())
+    );
+    let refusal = allowed(route("/s/"), tenant).expect_err("nothing in common");
+    assert_eq!((refusal.code, refusal.status), (1101, 503));
+    assert!(refusal.retry_after_ms.is_some_and(|time| time > 0));
+    assert!(refusal.detail.contains("south") && refusal.detail.contains("east+north"));
+}
+
+#[test]
+fn a_batch_is_kept_where_the_routes_of_its_reward_calls_allow_it_too() {
+    let configuration = configuration();
+    let kept = |of_caller: &AllowedRegions, paths: &[&str]| {
+        let item = |(number, path): (usize, &&str)| {
+            json!({"id": format!("i{number}"), "path": "/r/", "reward":
+                   {"id": format!("r{number}"), "host": "a.example", "path": path}})
+        };
+        let items: Vec<Value> = paths.iter().enumerate().map(item).collect();
+        let submission = json!({"items": items}).to_string();
+        let submission = Submission::parse(submission.as_bytes()).expect("sound");
+        of_batch(&configuration, of_caller, &submission)
+    };
+    let everywhere = AllowedRegions::everywhere();
+    assert_eq!(kept(&everywhere, &["/any/1", "/unknown/"]), everywhere);
+    assert_eq!(kept(&everywhere, &["/any/1", "/n/1?x=y"]), only(&["north"]));
+    let two = only(&["north", "south"]);
+    assert_eq!(kept(&two, &["/s/1"]), only(&["south"]));
+    assert_eq!(
+        kept(&two, &["/s/1", "/n/1"]),
+        only(&["south"]),
+        "one that would leave none is passed over"
+    );
+}
--- a/crates/sloetrail-serving/src/gateway/submit.rs
+++ b/crates/sloetrail-serving/src/gateway/submit.rs
@@ -17,6 +17,7 @@
 use self::waiting::{Hindrance, wait_for_table};
 use super::known_batch::{RETRY_AFTER, header_of, table_unavailable};
 use super::message::{CallerResponse, empty_response, problem_response};
+use super::regions;
 use crate::batch_rows::encode_header;
 use crate::context::NodeContext;
 use crate::events::{self, Event};
@@ -27,8 +28,8 @@
 use http::StatusCode;
 use sloetrail_batch::{BatchHeader, Submission, is_usable_id};
 use sloetrail_result::{Problem, ResultCode};
-use sloetrail_routing::{Route, Tenant, WeightedService};
-use sloetrail_types::ServiceName;
+use sloetrail_routing::{Route, ServingConfiguration, Tenant, WeightedService};
+use sloetrail_types::{AllowedRegions, ServiceName};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -49,8 +50,17 @@
     Repeated,
 }
 
+/// A batch that is accepted.
+struct Accepted {
+    acceptance: Acceptance,
+    items: usize,
+    regions: AllowedRegions,
+}
+
 /// A batch as it was submitted.
 pub(crate) struct SubmissionCall<'a> {
+    /// The configuration that it is accepted under.
+    pub(crate) configuration: &'a ServingConfiguration,
     /// The route that it came by.
     pub(crate) route: &'a Route,
     /// The service that runs it.
@@ -59,6 +69,8 @@
     pub(crate) id: &'a str,
     /// Whose it is; nothing where the configuration names no tenants.
     pub(crate) tenant: Option<&'a Tenant>,
+    /// The regions that its route and its tenant allow.
+    pub(crate) regions: AllowedRegions,
     /// Its body.
     pub(crate) body: Bytes,
     /// When it was received.
@@ -77,8 +89,8 @@
     let began = Instant::now();
     let outcome = accept(context, waiting, &call).await;
     match outcome {
-        Ok((acceptance, items)) => {
-            let word = match acceptance {
+        Ok(accepted) => {
+            let word = match accepted.acceptance {
                 Acceptance::New => "accepted",
                 Acceptance::Repeated => "repeated",
             };
@@ -86,8 +98,9 @@
             events::emit(&Event::BatchAccepted {
                 batch: id,
                 service: service.as_str(),
-                items,
-                repeated: matches!(acceptance, Acceptance::Repeated),
+                items: accepted.items,
+                repeated: matches!(accepted.acceptance, Acceptance::Repeated),
+                regions: &accepted.regions.to_string(),
                 took_ms: began.elapsed().as_millis() as u64,
             });
             empty_response(StatusCode::ACCEPTED)
@@ -108,7 +121,7 @@
     context: &NodeContext,
     waiting: &WaitingSubmissions,
     call: &SubmissionCall<'_>,
-) -> Result<(Acceptance, usize), Problem> {
+) -> Result<Accepted, Problem> {
     let SubmissionCall {
         route, id, body, ..
     } = call;
@@ -119,6 +132,8 @@
     let submission = Submission::parse(body)
         .map_err(|error| Problem::new(ResultCode::MalformedRequest, error.to_string()))?;
     let items = submission.items.len();
+    let regions = regions::of_batch(call.configuration, &call.regions, &submission);
+    let (model, oldest_version) = (submission.model.clone(), submission.min_version);
     // A submission may wait for the table: only its body is held meanwhile.
     drop(submission);
     let parts = cut(body, context.table.limits().row_bytes);
@@ -135,6 +150,9 @@
         priority: route.priority,
         tenant: call.tenant.map(|tenant| tenant.name.clone()),
         tenant_priority: call.tenant.and_then(|tenant| tenant.priority),
+        allowed_regions: regions.clone(),
+        model,
+        oldest_version: oldest_version.unwrap_or_default(),
     };
     let transactions = transactions(context, id, &parts, &header);
     let commit = BatchCommit {
@@ -146,7 +164,12 @@
         deadline: call.deadline,
         outcome_unknown: false,
     };
-    Ok((commit.run(&transactions).await?, items))
+    let acceptance = commit.run(&transactions).await?;
+    Ok(Accepted {
+        acceptance,
+        items,
+        regions,
+    })
 }
 
 /// When an acceptance is given up.
--- a/crates/sloetrail-serving/src/leases/keeper.rs
+++ b/crates/sloetrail-serving/src/leases/keeper.rs
@@ -241,7 +241,8 @@
                 epoch,
             }),
         };
-        let is_gone = self.watch.finds_gone(&self.context, watched);
+        let regions = self.subject.regions();
+        let is_gone = self.watch.finds_gone(&self.context, watched, &regions);
         is_gone.then(|| self.watcher.take_over()).flatten()
     }
 
--- a/crates/sloetrail-serving/src/leases/mod.rs
+++ b/crates/sloetrail-serving/src/leases/mod.rs
@@ -15,5 +15,5 @@
 
 pub(crate) use keeper::LeaseKeeper;
 pub(crate) use order_window::OrderWindow;
-pub(crate) use subject::{LeaseSubject, TermWork};
+pub(crate) use subject::{BatchSet, LeaseSubject, TermWork};
 pub(crate) use term::Term;
--- a/crates/sloetrail-serving/src/leases/owner_watch.rs
+++ b/crates/sloetrail-serving/src/leases/owner_watch.rs
@@ -5,7 +5,7 @@
 use crate::relay::liveness::{Liveness, Verdict};
 use crate::relay::peers::Peers;
 use crate::relay::probe::ProbeOutcome;
-use sloetrail_types::{Epoch, NodeId};
+use sloetrail_types::{AllowedRegions, Epoch, NodeId};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinHandle;
@@ -35,8 +35,14 @@
 }
 
 impl OwnerWatch {
-    /// Watches over the holder of a term, or over nobody. True once it is found gone.
-    pub(super) fn finds_gone(&mut self, context: &NodeContext, term: Option<WatchedTerm>) -> bool {
+    /// Watches over the holder of a term, or over nobody, if this node is among the few of
+    /// these regions that should. True once it is found gone.
+    pub(super) fn finds_gone(
+        &mut self,
+        context: &NodeContext,
+        term: Option<WatchedTerm>,
+        regions: &AllowedRegions,
+    ) -> bool {
         if self.term != term {
             self.stop();
             self.term = term;
@@ -44,7 +50,7 @@
         if self.watching.is_none() && self.is_time_to_choose() {
             self.chosen_at = Some(Instant::now());
             let term = self.term.as_ref();
-            self.watching = term.and_then(|term| begin(context, term));
+            self.watching = term.and_then(|term| begin(context, term, regions));
         }
         self.watching.as_ref().is_some_and(JoinHandle::is_finished)
     }
@@ -70,10 +76,14 @@
 }
 
 /// Begins to watch, if this node is among those that should.
-fn begin(context: &NodeContext, term: &WatchedTerm) -> Option<JoinHandle<()>> {
+fn begin(
+    context: &NodeContext,
+    term: &WatchedTerm,
+    regions: &AllowedRegions,
+) -> Option<JoinHandle<()>> {
     let peers = context.peers.as_ref()?;
     let is_on = context.settings.policies.watch_owners;
-    let should = is_on && peers.watches_over(&term.holder, term.epoch);
+    let should = is_on && peers.watches_over(&term.holder, term.epoch, regions);
     should.then(|| tokio::spawn(watch(Arc::clone(peers), term.holder.clone())))
 }
 
--- a/crates/sloetrail-serving/src/leases/subject.rs
+++ b/crates/sloetrail-serving/src/leases/subject.rs
@@ -2,13 +2,13 @@
 
 use super::Term;
 use futures_util::future::BoxFuture;
-use sloetrail_types::ServiceName;
+use sloetrail_types::{AllowedRegions, ServiceName};
 
 /// What a lease is for.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum LeaseSubject {
-    /// The batches of a service, and the weights of its engines.
-    Batches(ServiceName),
+    /// Batches of a service.
+    Batches(BatchSet),
     /// The reports of what tenants use.
     UsageReports,
 }
@@ -18,10 +18,60 @@
     /// that begins with a star.
     pub(crate) fn name(&self) -> &str {
         match self {
-            LeaseSubject::Batches(service) => service.as_str(),
+            LeaseSubject::Batches(set) => &set.name,
             LeaseSubject::UsageReports => "*usage-reports",
         }
     }
+
+    /// The regions whose nodes compete for the lease.
+    pub(crate) fn regions(&self) -> AllowedRegions {
+        match self {
+            LeaseSubject::Batches(set) => set.regions.clone(),
+            LeaseSubject::UsageReports => AllowedRegions::everywhere(),
+        }
+    }
+}
+
+/// The batches of a service that are bound to the same regions.
+///
+/// Invariant: the name follows from the service and the regions. It is the service's for
+/// the batches that may be anywhere; no name of a service or region holds an `@` or a `+`.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct BatchSet {
+    service: ServiceName,
+    regions: AllowedRegions,
+    name: String,
+}
+
+impl BatchSet {
+    /// The batches of a service that are bound to these regions.
+    pub(crate) fn new(service: ServiceName, regions: AllowedRegions) -> Self {
+        let name = match regions.is_everywhere() {
+            true => service.to_string(),
+            false => format!("{service}@{regions}"),
+        };
+        Self {
+            service,
+            regions,
+            name,
+        }
+    }
+
+    /// The service that runs them.
+    pub(crate) fn service(&self) -> &ServiceName {
+        &self.service
+    }
+
+    /// The regions in which they may be kept and run.
+    pub(crate) fn regions(&self) -> &AllowedRegions {
+        &self.regions
+    }
+
+    /// True for the batches that may be anywhere. Their owner alone is in charge of the
+    /// engines: it orders weights and numbers, and deletes what is past its time.
+    pub(crate) fn is_in_charge_of_engines(&self) -> bool {
+        self.regions.is_everywhere()
+    }
 }
 
 /// What the holder of a lease does.
@@ -36,3 +86,6 @@
         false
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/sloetrail-serving/src/leases/subject/tests.rs
@@ -0,0 +1,18 @@
+use super::{BatchSet, LeaseSubject};
+use sloetrail_types::{AllowedRegions, RegionName, ServiceName};
+
+fn lease_name(regions: AllowedRegions) -> String {
+    let set = BatchSet::new(ServiceName::from("models"), regions);
+    LeaseSubject::Batches(set).name().to_owned()
+}
+
+#[test]
+fn batches_that_may_be_anywhere_have_the_lease_of_the_service_and_others_their_own() {
+    let only = |names: [&str; 2]| AllowedRegions::only(names.map(RegionName::from));
+    assert_eq!(lease_name(AllowedRegions::everywhere()), "models");
+    assert_eq!(lease_name(only(["south", "north"])), "models@north+south");
+    assert_eq!(
+        lease_name(only(["north", "south"])),
+        lease_name(only(["south", "north"]))
+    );
+}
--- a/crates/sloetrail-serving/src/owner/engines.rs
+++ b/crates/sloetrail-serving/src/owner/engines.rs
@@ -4,7 +4,7 @@
 use super::engine::{Demand, Engine, Sparing};
 use crate::back_end::BackEnd;
 use crate::directory::Directory;
-use sloetrail_types::{EngineId, ServiceName};
+use sloetrail_types::{AllowedRegions, EngineId, ServiceName, Topology};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use tokio::time::Instant;
@@ -33,16 +33,34 @@
     }
 }
 
-/// Every engine of a service.
+/// The engines of a service that its owner may use.
 #[derive(Default)]
 pub(super) struct EnginePool {
     engines: BTreeMap<EngineId, Engine>,
+    /// Where they must lie; nothing means anywhere.
+    bound: Option<(Topology, AllowedRegions)>,
 }
 
 impl EnginePool {
+    /// No engines yet, and later on those of these regions alone.
+    pub(super) fn within(topology: Topology, regions: AllowedRegions) -> Self {
+        Self {
+            engines: BTreeMap::new(),
+            bound: Some((topology, regions)),
+        }
+    }
+
+    fn may_use(&self, back_end: &BackEnd) -> bool {
+        let bound = self.bound.as_ref();
+        bound.is_none_or(|(topology, regions)| topology.allows(regions, &back_end.zone))
+    }
+
     /// Takes in the directory.
     pub(super) fn take_directory(&mut self, directory: &Directory, service: &ServiceName) {
         for back_end in directory.of_service(service) {
+            if !self.may_use(back_end) {
+                continue;
+            }
             match self.engines.get_mut(&back_end.id) {
                 Some(engine) => engine.take_row(back_end),
                 None => {
--- a/crates/sloetrail-serving/src/owner/mod.rs
+++ b/crates/sloetrail-serving/src/owner/mod.rs
@@ -1,10 +1,11 @@
-//! The owner of a service's batches: one node at a time.
+//! The owner of a service's batches: one node at a time for each set of regions to which
+//! batches are bound.
 //!
-//! The holder of the lease of a service that runs batches ([`crate::leases`]) runs a
+//! The holder of the lease of such a [`BatchSet`] ([`crate::leases`]) runs a
 //! [`service_owner::ServiceOwner`]: it loads the open batches from the table, sends items
 //! to engines ([`run`]), has whole texts scored ([`reward`]), commits results in groups
 //! ([`committer`]) and brings the engines to the published versions ([`rollout_plan`],
-//! [`weights`]).
+//! [`weights`]). Only the owner of the batches that may be anywhere gives orders to engines.
 
 mod assignment;
 mod committer;
@@ -25,22 +26,21 @@
 
 use self::service_owner::ServiceOwner;
 use crate::context::NodeContext;
-use crate::leases::{Term, TermWork};
+use crate::leases::{BatchSet, Term, TermWork};
 use futures_util::future::BoxFuture;
-use sloetrail_types::ServiceName;
 use std::sync::Arc;
 
-/// What the holder of a service's lease does: it owns the service's batches.
+/// What the holder of the lease of batches does: it owns them.
 pub(crate) struct BatchesWork {
     /// The node's parts.
     pub(crate) context: Arc<NodeContext>,
-    /// The service.
-    pub(crate) service: ServiceName,
+    /// The batches.
+    pub(crate) set: BatchSet,
 }
 
 impl TermWork for BatchesWork {
     fn run(&self, term: Term) -> BoxFuture<'static, ()> {
-        let owner = ServiceOwner::new(Arc::clone(&self.context), self.service.clone(), term);
+        let owner = ServiceOwner::new(Arc::clone(&self.context), self.set.clone(), term);
         Box::pin(owner.run())
     }
 
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -2,12 +2,14 @@
 
 mod batches;
 mod dispatch;
+mod other_batches;
 mod relocation;
 mod results;
 mod supply;
 mod texts;
 mod versions;
 
+use self::other_batches::OtherBatches;
 use self::supply::SupplyState;
 use super::committer::{CommitRequest, commit_results};
 use super::engine::Sparing;
@@ -20,7 +22,7 @@
 use super::sweeper;
 use crate::context::NodeContext;
 use crate::follow::{FollowPace, ViewReceiver, follow};
-use crate::leases::{OrderWindow, Term};
+use crate::leases::{BatchSet, OrderWindow, Term};
 use crate::rows;
 use sloetrail_batch::{Batch, BatchId, ItemId, ItemIndex, LengthModel, Transcript};
 use sloetrail_types::{EngineId, ServiceName};
@@ -69,11 +71,15 @@
 pub(super) struct ServiceOwner {
     context: Arc<NodeContext>,
     service: ServiceName,
+    /// The batches that it owns.
+    set: BatchSet,
     term: Term,
     engines: EnginePool,
     batches: BTreeMap<BatchId, OpenBatch>,
     /// Batches that are open, being loaded, ended or unusable.
     known: HashSet<BatchId>,
+    /// Those of other owners of the service.
+    others: OtherBatches,
     /// Items that ended batches left over, with the text kept.
     carried: BTreeMap<ItemId, Transcript>,
     /// By model, how many versions behind the newest one its last batch allows.
@@ -96,7 +102,7 @@
 }
 
 impl ServiceOwner {
-    pub(super) fn new(context: Arc<NodeContext>, service: ServiceName, term: Term) -> Self {
+    pub(super) fn new(context: Arc<NodeContext>, set: BatchSet, term: Term) -> Self {
         let (sender, events) = mpsc::unbounded_channel();
         let (commits, requests) = mpsc::unbounded_channel();
         let committing =
@@ -104,12 +110,14 @@
         Self {
             committing: tokio::spawn(committing),
             kept_at: Instant::now(),
+            engines: EnginePool::within(context.settings.topology.clone(), set.regions().clone()),
             context,
-            service,
+            service: set.service().clone(),
+            set,
             term,
-            engines: EnginePool::default(),
             batches: BTreeMap::new(),
             known: HashSet::new(),
+            others: OtherBatches::default(),
             carried: BTreeMap::new(),
             lags: BTreeMap::new(),
             usage: PlaceUsage::default(),
@@ -160,7 +168,8 @@
             if std::mem::take(&mut self.weights_due) {
                 self.drive_weights();
             }
-            if swept_at.elapsed() > SWEEP_PERIOD {
+            let is_in_charge = self.set.is_in_charge_of_engines();
+            if is_in_charge && swept_at.elapsed() > SWEEP_PERIOD {
                 swept_at = Instant::now();
                 let view = batches.borrow().clone();
                 tokio::spawn(sweeper::sweep(
@@ -291,12 +300,14 @@
     }
 
     fn note_usage(&mut self) {
+        let now_ms = self.context.table.now_ms().unwrap_or_default();
         for model in self.models() {
             let open = self.batches.values();
             let of_model = open.filter(|open| open.batch.model.as_ref() == Some(&model));
             let items = of_model.map(|open| open.batch.waiting() + open.runs.len());
+            let items = items.sum::<usize>() + self.others.items(&model, now_ms);
             let places = self.engines.places_of(&model);
-            self.usage.note(&model, items.sum(), places);
+            self.usage.note(&model, items, places);
         }
     }
 
--- a/crates/sloetrail-serving/src/owner/service_owner/batches.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/batches.rs
@@ -45,10 +45,27 @@
                 continue;
             };
             self.known.insert(id.clone());
-            if !ends.rows.contains_key(id) {
-                self.begin_loading(id.clone(), header);
+            if ends.rows.contains_key(id) {
+                continue;
+            }
+            match header.allowed_regions == *self.set.regions() {
+                true => self.begin_loading(id.clone(), header),
+                false => self.note_other(id.clone(), header),
             }
         }
+        self.others
+            .retain(|id| batches.rows.contains_key(id) && !ends.rows.contains_key(id));
+    }
+
+    /// A batch that another owner of the service runs counts for the engines' weights.
+    fn note_other(&mut self, id: BatchId, header: BatchHeader) {
+        if !self.set.is_in_charge_of_engines() {
+            return;
+        }
+        if let Some(model) = &header.model {
+            self.note_demand(model, header.oldest_version, &header);
+        }
+        self.others.insert(id, header);
     }
 
     fn begin_loading(&self, id: BatchId, header: BatchHeader) {
@@ -77,6 +94,7 @@
             listed,
             epoch: self.term.epoch.0,
             age_ms,
+            regions: &self.set.regions().to_string(),
         });
         let is_scarce = self.usage.is_scarce(batch.model.as_deref());
         batch.set_order(self.context.settings.policies.dispatch_order(is_scarce));
--- a/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
@@ -146,6 +146,6 @@
         let open = self.batches.values();
         let waiting = open.map(|open| open.batch.waiting()).sum();
         let running = self.batches.values().map(|open| open.runs.len()).sum();
-        telemetry::items(self.service.as_str(), waiting, running);
+        telemetry::items(self.term.subject.name(), waiting, running);
     }
 }
--- /dev/null
+++ b/crates/sloetrail-serving/src/owner/service_owner/other_batches/tests.rs
@@ -0,0 +1,38 @@
+use super::OtherBatches;
+use sloetrail_batch::BatchHeader;
+use sloetrail_types::{AllowedRegions, RegionName, ServiceName, WeightVersion};
+
+fn head(model: &str, oldest_version: u64, run_target_ms: u64) -> BatchHeader {
+    BatchHeader {
+        service: ServiceName::from("models"),
+        host: "a.example".to_owned(),
+        total: 8,
+        body_rows: 1,
+        accepted_at_ms: 1_000,
+        max_attempts: 1,
+        retention_ms: 30_000,
+        single_version: false,
+        run_target_ms,
+        priority: 5,
+        tenant: None,
+        tenant_priority: None,
+        allowed_regions: AllowedRegions::only([RegionName::from("north")]),
+        model: Some(model.to_owned()),
+        oldest_version: WeightVersion(oldest_version),
+    }
+}
+
+#[test]
+fn batches_of_others_count_for_their_model_until_they_end_or_their_time_is_over() {
+    let mut others = OtherBatches::default();
+    others.insert("b1".to_owned(), head("m", 3, 5_000));
+    others.insert("b2".to_owned(), head("m", 4, 0));
+    others.insert("b3".to_owned(), head("n", 9, 0));
+    assert_eq!(others.items("m", 5_999), 16);
+    assert_eq!(others.items("m", 6_000), 8, "the first is past its target");
+    assert_eq!(others.items("m", 31_000), 0);
+    assert_eq!(others.demanded_version("m"), Some(WeightVersion(4)));
+    others.retain(|id| id != "b2");
+    assert_eq!(others.demanded_version("m"), Some(WeightVersion(3)));
+    assert_eq!(others.demanded_version("unknown"), None);
+}
--- a/crates/sloetrail-serving/src/owner/service_owner/supply.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/supply.rs
@@ -88,6 +88,7 @@
     pub(super) fn drive_supply(&mut self) {
         let supply = self.context.engine_supply.clone();
         let is_on = self.context.settings.policies.order_engines;
+        let is_on = is_on && self.set.is_in_charge_of_engines();
         let Some(supply) = supply.filter(|_| is_on) else {
             return;
         };
--- a/crates/sloetrail-serving/src/owner/service_owner/versions.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/versions.rs
@@ -8,7 +8,7 @@
 use crate::owner::event::{OrderEnd, OwnerEvent};
 use crate::owner::rollout_plan::{ModelTarget, concurrent_changes, plan};
 use crate::owner::weights::OrderTask;
-use sloetrail_batch::Batch;
+use sloetrail_batch::{Batch, BatchHeader};
 use sloetrail_types::WeightVersion;
 use std::sync::Arc;
 use std::time::Duration;
@@ -43,6 +43,9 @@
 
     /// Gives the orders that are due, within a window that was committed before.
     pub(super) fn drive_weights(&mut self) {
+        if !self.set.is_in_charge_of_engines() {
+            return;
+        }
         let least = self.context.settings.bounds.concurrent_loads;
         let concurrent = concurrent_changes(self.engines.len(), least);
         let targets = self.model_targets();
@@ -133,7 +136,9 @@
         let open = self.batches.values();
         let of_model = open.filter(|open| open.batch.model.as_deref() == Some(model));
         let demanded = of_model.map(|open| open.batch.oldest_version).max();
-        WeightVersion(expected).max(demanded.unwrap_or_default())
+        let by_others = self.others.demanded_version(model);
+        let demanded = demanded.max(by_others).unwrap_or_default();
+        WeightVersion(expected).max(demanded)
     }
 
     /// What the engines are shared out by. A model of which no batch was seen counts as
@@ -159,18 +164,29 @@
             .collect()
     }
 
-    /// Notes how far behind the newest version a batch allows its samples to be, and
-    /// how much work it is.
+    /// Notes that a batch has come, and how far behind the newest version it allows its
+    /// samples to be.
+    pub(super) fn note_demand(
+        &mut self,
+        model: &str,
+        oldest_version: WeightVersion,
+        header: &BatchHeader,
+    ) {
+        self.weights_due = true;
+        self.supply.note_batch(model, header);
+        let published = Arc::clone(&self.context.in_force.borrow().published);
+        if let Some(published) = published.get(model) {
+            let lag = published.0.saturating_sub(oldest_version.0);
+            self.lags.insert(model.to_owned(), lag);
+        }
+    }
+
+    /// Notes what a batch demands, and how much work it is.
     pub(super) fn note_batch(&mut self, batch: &Batch) {
         let Some(model) = &batch.model else {
             return;
         };
-        self.supply.note_batch(model, &batch.header);
-        let published = Arc::clone(&self.context.in_force.borrow().published);
-        if let Some(published) = published.get(model) {
-            let lag = published.0.saturating_sub(batch.oldest_version.0);
-            self.lags.insert(model.clone(), lag);
-        }
+        self.note_demand(model, batch.oldest_version, &batch.header);
         let tokens: u64 = batch.items().iter().map(|item| item.expected_length).sum();
         let work = (tokens as f64).max(1.0);
         let known = self.work.entry(model.clone()).or_insert(work);
--- a/crates/sloetrail-serving/src/relay/message.rs
+++ b/crates/sloetrail-serving/src/relay/message.rs
@@ -1,5 +1,6 @@
 //! What a node and the one that carries its calls say to each other.
 
+use crate::rows;
 use crate::table::{Changes, Commit, CommitError, KeyRange, Page, ReadError, Transaction};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -68,7 +69,36 @@
     Changes(Result<Changes, ReadError>),
 }
 
+/// Tables of what callers sent and of what was made of it.
+const CONTENT_TABLES: [&str; 3] = [rows::SUBMISSIONS, rows::CHECKPOINTS, rows::RESULTS];
+
+/// Which nodes may carry a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Reach {
+    /// Those of the caller's own region.
+    OwnRegion,
+    /// All.
+    Anywhere,
+}
+
 impl TableCall {
+    /// Which nodes may carry it. What callers sent, and what was made of it, stays in the
+    /// region of the node that they sent it to or that works on it. So do leases: a holder
+    /// whose results nobody may carry must not keep its lease with the help of others.
+    pub(super) fn reach(&self) -> Reach {
+        let is_bound = match self {
+            TableCall::Commit(transaction) => transaction
+                .tables()
+                .any(|table| table == rows::LEASES || CONTENT_TABLES.contains(&table)),
+            TableCall::Scan(range) => CONTENT_TABLES.contains(&range.table.as_str()),
+            TableCall::Changes { table, .. } => CONTENT_TABLES.contains(&table.as_str()),
+        };
+        match is_bound {
+            true => Reach::OwnRegion,
+            false => Reach::Anywhere,
+        }
+    }
+
     /// The answer when the call has left this node and nothing came back.
     pub(super) fn without_answer(&self) -> TableAnswer {
         match self {
--- a/crates/sloetrail-serving/src/relay/message/tests.rs
+++ b/crates/sloetrail-serving/src/relay/message/tests.rs
@@ -1,4 +1,5 @@
-use super::{TableAnswer, TableCall, decode, encode};
+use super::{Reach, TableAnswer, TableCall, decode, encode};
+use crate::rows;
 use crate::table::{Commit, CommitError, KeyRange, ReadError, RowAddress, Transaction};
 use bytes::Bytes;
 use proptest::prelude::*;
@@ -53,3 +54,29 @@
         let _ = decode::<TableAnswer>(&bytes);
     }
 }
+
+#[test]
+fn what_callers_sent_and_leases_stay_in_the_own_region_and_all_else_does_not() {
+    let put = |table| {
+        let address = RowAddress::new(table, "p", "k");
+        TableCall::Commit(Transaction::new().put(address, "v"))
+    };
+    let fenced = Transaction::new().require(rows::fence("s"), None);
+    assert_eq!(TableCall::Commit(fenced).reach(), Reach::OwnRegion);
+    for table in [rows::SUBMISSIONS, rows::CHECKPOINTS, rows::RESULTS] {
+        assert_eq!(put(table).reach(), Reach::OwnRegion);
+        let scan = TableCall::Scan(KeyRange::all(table, "p"));
+        assert_eq!(scan.reach(), Reach::OwnRegion);
+        let changes = TableCall::Changes {
+            table: table.to_owned(),
+            since: RowVersion(1),
+            wait_ms: 0,
+        };
+        assert_eq!(changes.reach(), Reach::OwnRegion);
+    }
+    for table in [rows::ENDS, rows::NODES, rows::USAGE_PIECES] {
+        assert_eq!(put(table).reach(), Reach::Anywhere);
+    }
+    let leases = TableCall::Scan(KeyRange::all(rows::LEASES, rows::OWNERS));
+    assert_eq!(leases.reach(), Reach::Anywhere, "every node follows them");
+}
--- a/crates/sloetrail-serving/src/relay/mod.rs
+++ b/crates/sloetrail-serving/src/relay/mod.rs
@@ -8,7 +8,8 @@
 //! What keeps this safe: calls carry the conditions that the table judges, so a call
 //! that is carried twice or late does what a call without an answer may do anyway; a
 //! node carries calls only on its own direct way, never on, so that none goes round in a
-//! circle; and a caller shows the token that the carrying node has put into the table,
+//! circle; what callers sent, and what was made of it, goes only through nodes of the own
+//! region ([`message`]); and a caller shows the token that the carrying node has put into the table,
 //! so that only who reads the table is served, and never by a later life of an address.
 //!
 //! The same nodes watch over each other's owners ([`liveness`]): a few of them ask the
@@ -44,6 +45,7 @@
         let entry = peers::PeerEntry {
             address,
             zone: settings.zone().clone(),
+            region: settings.topology.own_region().cloned(),
             candidate_rank: settings.candidate_rank,
             token: token.clone(),
             clock_lead: None,
--- a/crates/sloetrail-serving/src/relay/peers.rs
+++ b/crates/sloetrail-serving/src/relay/peers.rs
@@ -1,7 +1,7 @@
 //! Which other nodes there are, and which one carries calls for this one.
 
 use super::message::{
-    CALLS_PATH, CarriedCall, MESSAGE_VERSION, TableAnswer, TableCall, decode, encode,
+    CALLS_PATH, CarriedCall, MESSAGE_VERSION, Reach, TableAnswer, TableCall, decode, encode,
 };
 use crate::events::{self, Event};
 use crate::follow::{FollowPace, Pacing, ViewReceiver, follow};
@@ -15,9 +15,9 @@
 use http::{HeaderValue, Method, Request};
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
-use sloetrail_types::{NodeId, ZoneName};
+use sloetrail_types::{Distance, NodeId, RegionName, Topology, ZoneName};
 use sloetrail_usage::ClockLead;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -52,6 +52,9 @@
     pub(super) address: SocketAddr,
     /// Its zone.
     pub(super) zone: ZoneName,
+    /// The region of its zone; nothing if that is not known.
+    #[serde(default)]
+    pub(super) region: Option<RegionName>,
     /// Its rank among candidates for a lease.
     pub(super) candidate_rank: u32,
     /// What a caller must show: it knows the row, and means this life of the node.
@@ -90,7 +93,7 @@
 /// The other nodes.
 pub(crate) struct Peers {
     pub(super) own_name: String,
-    own_zone: ZoneName,
+    topology: Topology,
     pub(super) entries: ViewReceiver,
     connections: Arc<ConnectionPool>,
     state: Mutex<PeerState>,
@@ -101,7 +104,8 @@
     /// The peer that is asked first.
     current: Option<String>,
     failed_at: HashMap<String, Instant>,
-    helpless_until: Option<Instant>,
+    /// Until when peers that may carry such calls are not asked.
+    helpless_until: BTreeMap<Reach, Instant>,
     /// Calls in a row that peers left without any answer.
     silences: u32,
 }
@@ -159,20 +163,21 @@
         };
         Self {
             own_name: settings.node.clone(),
-            own_zone: settings.zone().clone(),
+            topology: settings.topology.clone(),
             entries: follow(Arc::clone(table), rows::NODES, rows::NODES, pace),
             connections: Arc::new(ConnectionPool::new()),
             state: Mutex::default(),
         }
     }
 
-    /// The table's answer to a call, if a peer can get one. A transaction that a peer may
-    /// have carried out is not given to another one: its outcome is unknown.
+    /// The table's answer to a call, if a peer that may carry it can get one. A transaction
+    /// that a peer may have carried out is not given to another one: its outcome is unknown.
     pub(super) async fn carry(&self, call: TableCall) -> Option<TableAnswer> {
-        if self.is_helpless() {
+        let reach = call.reach();
+        if self.is_helpless(reach) {
             return None;
         }
-        for (name, entry) in self.in_order() {
+        for (name, entry) in self.in_order(reach) {
             let asked = self.ask(&entry, &call).await;
             if asked.is_err() {
                 self.state().note_silence();
@@ -191,7 +196,7 @@
                 return Some(answer);
             }
         }
-        self.note_helpless();
+        self.note_helpless(reach);
         None
     }
 
@@ -204,15 +209,16 @@
         }
     }
 
-    /// The peers to ask: the one that helped last, then others, those of the own zone
-    /// first and those that failed lately last.
-    pub(super) fn in_order(&self) -> Vec<(String, PeerEntry)> {
+    /// The peers to ask: the one that helped last, then others, the nearest first and those
+    /// that failed lately last.
+    pub(super) fn in_order(&self, reach: Reach) -> Vec<(String, PeerEntry)> {
         let view = self.entries.borrow().clone();
         let others = view.rows.iter().filter(|(name, _)| **name != self.own_name);
         let mut peers: Vec<(String, PeerEntry)> = others
             .filter_map(|(name, row)| {
                 Some((name.clone(), serde_json::from_slice(&row.value).ok()?))
             })
+            .filter(|(_, entry)| self.may_carry(entry, reach))
             .collect();
         peers.shuffle(&mut rand::rng());
         let state = self.state();
@@ -221,12 +227,24 @@
             let failed_at = state.failed_at.get(name);
             let has_failed = failed_at.is_some_and(|at| now < *at + FAILED_PAUSE);
             let is_current = state.current.as_ref() == Some(name);
-            (has_failed, !is_current, entry.zone != self.own_zone)
+            (has_failed, !is_current, self.distance(entry))
         });
         peers.truncate(PEERS_ASKED_MOST);
         peers
     }
 
+    fn may_carry(&self, entry: &PeerEntry, reach: Reach) -> bool {
+        match reach {
+            Reach::OwnRegion => self.distance(entry) < Distance::Elsewhere,
+            Reach::Anywhere => true,
+        }
+    }
+
+    fn distance(&self, entry: &PeerEntry) -> Distance {
+        self.topology
+            .distance_to(&entry.zone, entry.region.as_ref())
+    }
+
     async fn ask(&self, entry: &PeerEntry, call: &TableCall) -> Result<TableAnswer, SendFailure> {
         let held = match call {
             TableCall::Changes { wait_ms, .. } => Duration::from_millis(*wait_ms),
@@ -293,12 +311,13 @@
         }
     }
 
-    fn note_helpless(&self) {
-        self.state().helpless_until = Some(Instant::now() + HELPLESS_PAUSE);
+    fn note_helpless(&self, reach: Reach) {
+        let until = Instant::now() + HELPLESS_PAUSE;
+        self.state().helpless_until.insert(reach, until);
     }
 
-    fn is_helpless(&self) -> bool {
-        let until = self.state().helpless_until;
+    fn is_helpless(&self, reach: Reach) -> bool {
+        let until = self.state().helpless_until.get(&reach).copied();
         until.is_some_and(|until| Instant::now() < until)
     }
 
--- a/crates/sloetrail-serving/src/relay/probe.rs
+++ b/crates/sloetrail-serving/src/relay/probe.rs
@@ -1,12 +1,12 @@
 //! Probes of another node: whether a life of it answers, from here or from elsewhere.
 
-use super::message::{LIFE_PATH, MESSAGE_VERSION, PROBE_PATH, ProbeCall, decode, encode};
+use super::message::{LIFE_PATH, MESSAGE_VERSION, PROBE_PATH, ProbeCall, Reach, decode, encode};
 use super::peers::{PeerEntry, Peers, node_name};
 use crate::http::SendFailure;
 use crate::table::Row;
 use http::Method;
 use serde::{Deserialize, Serialize};
-use sloetrail_types::{Epoch, NodeId, digest};
+use sloetrail_types::{AllowedRegions, Epoch, NodeId, digest};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -69,7 +69,7 @@
             return ProbeOutcome::Alive;
         };
         let holder = node_name(life);
-        let mut others = self.in_order().into_iter();
+        let mut others = self.in_order(Reach::Anywhere).into_iter();
         let Some((_, other)) = others.rfind(|(name, _)| name != holder) else {
             return ProbeOutcome::Alive;
         };
@@ -86,14 +86,21 @@
         seen.unwrap_or(ProbeOutcome::Alive)
     }
 
-    /// True if this node is among the few that watch over the holder of a lease. Which
-    /// ones they are changes with each term; small machines are not among them.
-    pub(crate) fn watches_over(&self, holder: &NodeId, epoch: Epoch) -> bool {
+    /// True if this node is among the few of these regions that watch over the holder of a
+    /// lease. Which ones they are changes with each term; small machines are not among them.
+    pub(crate) fn watches_over(
+        &self,
+        holder: &NodeId,
+        epoch: Epoch,
+        regions: &AllowedRegions,
+    ) -> bool {
         let view = self.entries.borrow();
         let entry = |row: &Row| serde_json::from_slice::<PeerEntry>(&row.value).ok();
         let candidates = view.rows.iter().filter(|(name, row)| {
-            let rank = entry(row).map(|entry| entry.candidate_rank);
-            name.as_str() != node_name(holder) && rank == Some(0)
+            let may_compete = entry(row).is_some_and(|entry| {
+                entry.candidate_rank == 0 && regions.allows(entry.region.as_ref())
+            });
+            name.as_str() != node_name(holder) && may_compete
         });
         let mut drawn: Vec<(u64, &String)> = candidates
             .map(|(name, _)| (digest(format!("{}/{name}", epoch.0).as_bytes()), name))
--- a/crates/sloetrail-serving/src/settings.rs
+++ b/crates/sloetrail-serving/src/settings.rs
@@ -143,7 +143,7 @@
         service: &ServiceName,
     ) -> Option<ColdBudget> {
         let bears = configuration.cold_bounds(service).per_second?;
-        let owners = usize::from(configuration.rollout_services().contains(service));
+        let owners = configuration.batch_regions(service).len();
         let live = usize::from(configuration.has_live_requests(service));
         Some(ColdBudget {
             bears,
--- a/crates/sloetrail-serving/src/supervisor.rs
+++ b/crates/sloetrail-serving/src/supervisor.rs
@@ -1,9 +1,11 @@
 //! Which leases this node keeps: one for each kind of work that one node at a time does.
 
 use crate::context::NodeContext;
-use crate::leases::{LeaseKeeper, LeaseSubject, TermWork};
+use crate::leases::{BatchSet, LeaseKeeper, LeaseSubject, TermWork};
 use crate::owner::BatchesWork;
 use crate::usage::UsageWork;
+use sloetrail_routing::ServingConfiguration;
+use sloetrail_types::RegionName;
 use std::collections::HashMap;
 use std::sync::Arc;
 use tokio::task::JoinHandle;
@@ -28,12 +30,13 @@
     let mut in_force = context.in_force.clone();
     loop {
         let configuration = in_force.borrow_and_update().configuration.clone();
-        let services = configuration.map(|configuration| configuration.rollout_services());
-        for service in services.unwrap_or_default() {
-            let subject = LeaseSubject::Batches(service.clone());
+        let own_region = context.settings.topology.own_region();
+        let sets = configuration.map(|configuration| own_sets(&configuration, own_region));
+        for set in sets.unwrap_or_default() {
+            let subject = LeaseSubject::Batches(set.clone());
             keepers.entry(subject.clone()).or_insert_with(|| {
                 let context = Arc::clone(&context);
-                start(subject, Arc::new(BatchesWork { context, service }))
+                start(subject, Arc::new(BatchesWork { context, set }))
             });
         }
         tokio::select! {
@@ -46,3 +49,17 @@
         let _ = keeper.await;
     }
 }
+
+/// The batches that a node of this region may own.
+fn own_sets(
+    configuration: &ServingConfiguration,
+    own_region: Option<&RegionName>,
+) -> Vec<BatchSet> {
+    let services = configuration.rollout_services().into_iter();
+    let sets = services.flat_map(|service| {
+        let regions = configuration.batch_regions(&service).into_iter();
+        regions.map(move |regions| BatchSet::new(service.clone(), regions))
+    });
+    sets.filter(|set| set.regions().allows(own_region))
+        .collect()
+}
--- a/crates/sloetrail-serving/src/table.rs
+++ b/crates/sloetrail-serving/src/table.rs
@@ -88,6 +88,14 @@
         self
     }
 
+    /// The tables whose rows it writes, deletes or looks at.
+    pub fn tables(&self) -> impl Iterator<Item = &str> {
+        let conditions = self.conditions.iter().map(|condition| &condition.address);
+        let puts = self.puts.iter().map(|(address, _)| address);
+        let addresses = conditions.chain(puts).chain(&self.deletes);
+        addresses.map(|address| address.table.as_str())
+    }
+
     /// Deletes a row.
     #[must_use]
     pub fn delete(mut self, address: RowAddress) -> Self {
--- /dev/null
+++ b/crates/sloetrail-serving/tests/regions.rs
@@ -0,0 +1,331 @@
+//! Work that is bound to regions: where it runs, who owns it and who carries it, also while
+//! back ends and nodes fail.
+
+mod support;
+
+use serde_json::{Value, json};
+use sloetrail_serving::table_client::TableClient;
+use sloetrail_serving_testkit::client::{Answer, batch, with_reward};
+use sloetrail_serving_testkit::cluster::{Cluster, HOST, MODEL, eventually, usual_routes};
+use sloetrail_serving_testkit::engine::{EngineFault, EngineStandIn};
+use sloetrail_serving_testkit::table::LinkTransport;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use support::{assert_each_once, items, live, native_cluster};
+
+const PACE: Duration = Duration::from_millis(10);
+/// Zones, with their regions.
+const NORTH_ZONE: &str = "zone-a";
+const NORTH_ZONE_TWO: &str = "zone-c";
+const SOUTH_ZONE: &str = "zone-b";
+const NORTH_KEY: &str = "north-key";
+const SOUTH_KEY: &str = "south-key";
+/// A refusal that waits for nothing takes a few milliseconds; the routes' target, a tenth of
+/// which it might have waited, is two seconds.
+const AT_ONCE: Duration = Duration::from_millis(150);
+
+/// The usual routes, those of these names bound to a region.
+fn bound_routes(names: &[&str], region: &str) -> Value {
+    let mut routes = usual_routes();
+    for route in routes.as_array_mut().expect("a list") {
+        route["target_latency_ms"] = json!(2_000);
+        if names.iter().any(|name| route["name"] == *name) {
+            route["allowed_regions"] = json!([region]);
+        }
+    }
+    routes
+}
+
+/// Back ends of both services in both regions, and no nodes yet.
+async fn cluster(routes: Value) -> Cluster {
+    let mut cluster =
+        native_cluster().with_table(|link| TableClient::new(Arc::new(LinkTransport(link))));
+    let regions = [
+        (NORTH_ZONE, "north"),
+        (NORTH_ZONE_TWO, "north"),
+        (SOUTH_ZONE, "south"),
+    ];
+    let regions = regions.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
+    cluster.regions = regions.into();
+    cluster.configure(routes);
+    for zone in [NORTH_ZONE, SOUTH_ZONE] {
+        cluster.add_application(zone).await;
+        cluster.add_engine_in(zone, PACE).await;
+    }
+    cluster
+}
+
+async fn add_nodes(cluster: &mut Cluster, nodes: &[(&str, &str)]) {
+    for (name, zone) in nodes {
+        let node = cluster.add_node_in(zone, name).await;
+        cluster.wait_ready(node).await;
+    }
+}
+
+fn back_end(cluster: &Cluster, service: &str, zone: &str) -> Arc<EngineStandIn> {
+    let mut back_ends = cluster.engines.iter();
+    let found = back_ends.find(|engine| engine.service == service && engine.zone == zone);
+    Arc::clone(found.expect("one in each zone"))
+}
+
+fn runs_in(cluster: &Cluster, zone: &str) -> usize {
+    let here = cluster.engines.iter().filter(|engine| engine.zone == zone);
+    here.map(|engine| engine.runs().len()).sum()
+}
+
+/// The holder of a lease, as its row names it.
+fn holder(cluster: &Cluster, subject: &str) -> Option<String> {
+    let rows = cluster.table.rows("sloetrail_leases");
+    let key = format!("lease/{subject}");
+    let row = rows.iter().find(|row| row.address.key == key)?;
+    let record: Value = serde_json::from_slice(&row.value).ok()?;
+    let holder = record["holder"].as_str()?;
+    Some(holder.split('/').next()?.to_owned())
+}
+
+async fn wait_holder(cluster: &Cluster, subject: &str) -> String {
+    eventually("somebody holds the lease", || async {
+        holder(cluster, subject)
+    })
+    .await
+}
+
+fn assert_refused_at_once(answer: &Answer, began: Instant) {
+    let took = began.elapsed();
+    assert_eq!(answer.status, 503, "{}", answer.text());
+    assert_eq!(answer.json()["code"], 1101, "{}", answer.text());
+    assert!(answer.headers.contains_key("retry-after"));
+    assert!(took < AT_ONCE, "refused after {took:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_live_request_reaches_back_ends_of_its_region_alone_also_when_these_fail() {
+    let mut cluster = cluster(bound_routes(&["live", "events"], "south")).await;
+    add_nodes(&mut cluster, &[("node-1", NORTH_ZONE)]).await;
+    for number in 0..10 {
+        let answer = live(&cluster, 0, "/live/x", &format!("r{number}")).await;
+        assert_eq!(answer.expect("an answer").status, 200);
+    }
+    let south = back_end(&cluster, "application", SOUTH_ZONE);
+    south.set_fault(EngineFault::Fails, Some(3));
+    live(&cluster, 0, "/live/x", "fails").await.expect("answer");
+    south.set_fault(EngineFault::None, None);
+    south.set_draining();
+    cluster.list(&south);
+    let is_known = || async {
+        let answer = live(&cluster, 0, "/live/x", "drains").await?;
+        (answer.status == 503).then_some(())
+    };
+    eventually("the node knows that it drains", is_known).await;
+    for path in ["/live/x", "/events/x"] {
+        let began = Instant::now();
+        let answer = live(&cluster, 0, path, "refused").await.expect("an answer");
+        assert_refused_at_once(&answer, began);
+    }
+    assert_eq!(runs_in(&cluster, NORTH_ZONE), 0);
+    assert!(runs_in(&cluster, SOUTH_ZONE) >= 11);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_batch_stays_in_its_region_and_waits_while_no_node_of_it_is_left() {
+    const NODES: [(&str, &str); 3] = [
+        ("node-1", NORTH_ZONE),
+        ("node-2", SOUTH_ZONE),
+        ("node-3", SOUTH_ZONE),
+    ];
+    const ITEMS: usize = 30;
+    let mut cluster = cluster(bound_routes(&["rollout"], "south")).await;
+    add_nodes(&mut cluster, &NODES).await;
+    let first = wait_holder(&cluster, "models@south").await;
+    assert_ne!(first, "node-1");
+    let work = batch(&items(ITEMS, 60), MODEL, 1);
+    let answer = cluster.submit(0, "b1", &work).await.expect("an answer");
+    assert_eq!(answer.status, 202, "{}", answer.text());
+    cluster.wait_results(0, "b1", 1).await;
+    let owner = NODES.iter().position(|(name, _)| *name == first);
+    cluster.nodes[owner.expect("a node")].kill();
+    let is_replaced = || async {
+        let holder = holder(&cluster, "models@south")?;
+        (holder != first).then_some(holder)
+    };
+    assert_ne!(
+        eventually("it is replaced", is_replaced).await,
+        "node-1",
+        "it lies in the other region"
+    );
+    cluster.nodes[1].kill();
+    cluster.nodes[2].kill();
+    let left = cluster.read(0, "b1", 0).await.expect("a page");
+    let listed = left["results"].as_array().expect("a list").len();
+    assert!(listed < ITEMS, "{listed} are listed before nobody is left");
+    // Three times as long as a lease lasts.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let later = cluster.read(0, "b1", 0).await.expect("a page");
+    assert_eq!(later["results"].as_array().expect("a list").len(), listed);
+    add_nodes(&mut cluster, &[("node-4", SOUTH_ZONE)]).await;
+    assert_each_once(&cluster.wait_results(0, "b1", ITEMS).await, ITEMS);
+    assert_eq!(wait_holder(&cluster, "models@south").await, "node-4");
+    assert_eq!(runs_in(&cluster, NORTH_ZONE), 0);
+    let submissions = cluster.nodes[0].link.uses_of("sloetrail_submissions");
+    assert_eq!(submissions.reads, 0, "the node only took the submission");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn batches_of_regions_that_have_none_in_common_run_at_once() {
+    let mut cluster = cluster(usual_routes()).await;
+    cluster.tenants = Some(json!([
+        {"name": "north", "api_keys": [NORTH_KEY], "allowed_regions": ["north"]},
+        {"name": "south", "api_keys": [SOUTH_KEY], "allowed_regions": ["south"]},
+    ]));
+    cluster.configure(usual_routes());
+    add_nodes(
+        &mut cluster,
+        &[("node-1", NORTH_ZONE), ("node-2", SOUTH_ZONE)],
+    )
+    .await;
+    assert_eq!(wait_holder(&cluster, "models@north").await, "node-1");
+    assert_eq!(wait_holder(&cluster, "models@south").await, "node-2");
+    let sides = [("b-north", NORTH_KEY, 1), ("b-south", SOUTH_KEY, 0)];
+    for (id, key, node) in sides {
+        cluster.api_key = Some(key.to_owned());
+        let answer = cluster
+            .submit(node, id, &batch(&items(12, 20), MODEL, 1))
+            .await;
+        assert_eq!(answer.expect("an answer").status, 202);
+    }
+    for (id, key, node) in sides {
+        cluster.api_key = Some(key.to_owned());
+        assert_each_once(&cluster.wait_results(node, id, 12).await, 12);
+    }
+    for (tenant, zone) in [("north", NORTH_ZONE), ("south", SOUTH_ZONE)] {
+        let runs = back_end(&cluster, "models", zone).runs();
+        assert!(runs.len() >= 12);
+        let is_own = |tenant_of_run: Option<&str>| tenant_of_run == Some(tenant);
+        assert!(runs.iter().all(|run| is_own(run.tenant.as_deref())));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_route_and_tenant_allow_nowhere_is_refused_at_once_and_leaves_nothing() {
+    let mut cluster = cluster(usual_routes()).await;
+    cluster.tenants = Some(json!([
+        {"name": "north", "api_keys": [NORTH_KEY], "allowed_regions": ["north"]},
+    ]));
+    cluster.configure(bound_routes(
+        &["live", "once", "events", "rollout"],
+        "south",
+    ));
+    cluster.api_key = Some(NORTH_KEY.to_owned());
+    add_nodes(&mut cluster, &[("node-1", NORTH_ZONE)]).await;
+    let began = Instant::now();
+    let work = batch(&items(3, 5), MODEL, 1);
+    let answer = cluster.submit(0, "b1", &work).await.expect("an answer");
+    assert_refused_at_once(&answer, began);
+    let names = cluster.names();
+    for path in ["/live/x", "/once/x", "/events/x"] {
+        let call = sloetrail_serving_testkit::client::Call::new(http::Method::POST, HOST, path)
+            .header(&names.request_id, "r1")
+            .header(&names.deadline_ms, "1500")
+            .body("question");
+        let began = Instant::now();
+        let answer = cluster.keyed(call).send(cluster.nodes[0].callers).await;
+        assert_refused_at_once(&answer.expect("an answer"), began);
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    for table in ["sloetrail_batches", "sloetrail_submissions"] {
+        assert!(cluster.table.rows(table).is_empty(), "{table}");
+    }
+    assert_eq!(
+        runs_in(&cluster, NORTH_ZONE) + runs_in(&cluster, SOUTH_ZONE),
+        0
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_batch_is_owned_where_its_reward_calls_may_be_made() {
+    let mut cluster = cluster(bound_routes(&["live"], "south")).await;
+    add_nodes(
+        &mut cluster,
+        &[("node-1", NORTH_ZONE), ("node-2", SOUTH_ZONE)],
+    )
+    .await;
+    wait_holder(&cluster, "models@south").await;
+    let rewarded = items(6, 5).into_iter().map(|item| with_reward(item, HOST));
+    let work = batch(&rewarded.collect::<Vec<Value>>(), MODEL, 1);
+    let answer = cluster.submit(1, "b1", &work).await.expect("an answer");
+    assert_eq!(answer.status, 202, "{}", answer.text());
+    assert_each_once(&cluster.wait_results(1, "b1", 6).await, 6);
+    assert_eq!(runs_in(&cluster, NORTH_ZONE), 0);
+    let submissions = cluster.nodes[0].link.uses_of("sloetrail_submissions");
+    assert_eq!((submissions.reads, submissions.writes), (0, 0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn only_the_owner_of_unbound_batches_gives_orders_and_it_heeds_bound_ones() {
+    let mut cluster = cluster(bound_routes(&["rollout"], "south")).await;
+    add_nodes(&mut cluster, &[("node-1", NORTH_ZONE)]).await;
+    assert_eq!(wait_holder(&cluster, "models").await, "node-1");
+    add_nodes(&mut cluster, &[("node-2", SOUTH_ZONE)]).await;
+    assert_eq!(wait_holder(&cluster, "models@south").await, "node-2");
+    cluster.publish(2);
+    let work = batch(&items(20, 40), MODEL, 2);
+    let answer = cluster.submit(0, "b1", &work).await.expect("an answer");
+    assert_eq!(answer.status, 202, "{}", answer.text());
+    let south = back_end(&cluster, "models", SOUTH_ZONE);
+    let is_ordered = || async { (south.version(MODEL) == 2).then_some(()) };
+    eventually("its engine has the version", is_ordered).await;
+    // Engines write their rows anew; the owner of the batch learns of the version there.
+    cluster.list(&south);
+    assert_each_once(&cluster.wait_results(0, "b1", 20).await, 20);
+    let orders: Vec<String> = cluster
+        .engines
+        .iter()
+        .flat_map(|engine| engine.orders())
+        .map(|record| record.order.holder)
+        .collect();
+    assert!(!orders.is_empty());
+    assert!(orders.iter().all(|holder| holder == "node-1"), "{orders:?}");
+    let windows = cluster.table.rows("sloetrail_order_windows");
+    assert!(windows.iter().all(|row| row.address.key == "models"));
+    assert_eq!(holder(&cluster, "models").as_deref(), Some("node-1"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_submissions_of_a_node_that_is_cut_off_are_carried_in_its_region_alone() {
+    const NODES: [(&str, &str); 4] = [
+        ("node-1", NORTH_ZONE),
+        ("node-2", NORTH_ZONE_TWO),
+        ("node-3", SOUTH_ZONE),
+        ("node-4", SOUTH_ZONE),
+    ];
+    const SUBMISSIONS: &str = "sloetrail_submissions";
+    let mut cluster = cluster(usual_routes()).await;
+    cluster.peers = true;
+    add_nodes(&mut cluster, &NODES).await;
+    // The nodes look at the rows of the others every few seconds.
+    tokio::time::sleep(Duration::from_millis(5_500)).await;
+    cluster.nodes[0].link.set_cut(true);
+    for number in 0..6 {
+        let id = format!("b{number}");
+        let is_taken = || async {
+            let answer = cluster
+                .submit(0, &id, &batch(&items(2, 3), MODEL, 1))
+                .await?;
+            (answer.status == 202).then_some(())
+        };
+        eventually("the batch is taken", is_taken).await;
+    }
+    let writes = |node: usize| cluster.nodes[node].link.uses_of(SUBMISSIONS).writes;
+    assert!(writes(1) >= 6);
+    assert_eq!((writes(2), writes(3)), (0, 0));
+    cluster.nodes[1].kill();
+    let refused = cluster
+        .submit(0, "b9", &batch(&items(2, 3), MODEL, 1))
+        .await
+        .expect("an answer");
+    assert!(matches!(refused.status.as_u16(), 503 | 504));
+    let rows = cluster.table.rows(SUBMISSIONS);
+    assert!(rows.iter().all(|row| !row.address.key.starts_with("b9/")));
+    let writes = |node: usize| cluster.nodes[node].link.uses_of(SUBMISSIONS).writes;
+    assert_eq!((writes(2), writes(3)), (0, 0));
+}
--- a/crates/sloetrail-types/src/regions.rs
+++ b/crates/sloetrail-types/src/regions.rs
@@ -3,6 +3,7 @@
 use crate::{RegionName, ZoneName};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::{self, Display, Formatter};
 
 /// How far something is from a node. Nearer ones are less.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -51,9 +52,14 @@
 
     /// How far a zone is from the node.
     pub fn distance(&self, zone: &ZoneName) -> Distance {
+        self.distance_to(zone, self.region_of(zone))
+    }
+
+    /// How far something is from the node that tells its own zone and region.
+    pub fn distance_to(&self, zone: &ZoneName, region: Option<&RegionName>) -> Distance {
         if *zone == self.zone {
             Distance::SameZone
-        } else if self.regions.is_empty() || self.is_own_region(self.region_of(zone)) {
+        } else if self.regions.is_empty() || self.is_own_region(region) {
             Distance::SameRegion
         } else {
             Distance::Elsewhere
@@ -123,3 +129,17 @@
         self.0.iter().flatten()
     }
 }
+
+/// The regions joined by plus signs; `everywhere` or `nowhere` where there is none to name.
+impl Display for AllowedRegions {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        if self.is_everywhere() {
+            return formatter.write_str("everywhere");
+        }
+        if self.is_nowhere() {
+            return formatter.write_str("nowhere");
+        }
+        let names: Vec<&str> = self.names().map(RegionName::as_str).collect();
+        formatter.write_str(&names.join("+"))
+    }
+}
--- a/crates/sloetrail-types/src/regions_tests.rs
+++ b/crates/sloetrail-types/src/regions_tests.rs
@@ -48,3 +48,10 @@
     assert!(topology().allows(&only(&["b"]), &ZoneName::from("b1")));
     assert!(!topology().allows(&only(&["b"]), &ZoneName::from("a1")));
 }
+
+#[test]
+fn regions_are_shown_in_one_order_whatever_order_they_were_given_in() {
+    assert_eq!(only(&["b", "a"]).to_string(), "a+b");
+    assert_eq!(AllowedRegions::everywhere().to_string(), "everywhere");
+    assert_eq!(only(&[]).to_string(), "nowhere");
+}
