--- a/crates/sloetrail-routing/src/configuration.rs
+++ b/crates/sloetrail-routing/src/configuration.rs
@@ -255,19 +255,25 @@
         of_tenants.chain(of_nobody).collect()
     }
 
-    /// The restrictions that reward calls may bring: they go by routes of live requests.
+    /// The restrictions that reward calls may bring.
     fn reward_regions(&self) -> BTreeSet<&AllowedRegions> {
-        let live = self
+        let rewards = self
             .routes
             .iter()
-            .filter(|route| route.kind != RouteKind::Rollout);
-        live.map(|route| &route.allowed_regions)
+            .filter(|route| route.takes_reward_calls());
+        rewards
+            .map(|route| &route.allowed_regions)
             .filter(|regions| !regions.is_everywhere())
             .collect()
     }
 }
 
 impl Route {
+    /// True if reward calls may go by it: those that are answered at once and as a whole.
+    pub fn takes_reward_calls(&self) -> bool {
+        matches!(self.kind, RouteKind::Idempotent | RouteKind::NonIdempotent)
+    }
+
     fn check(raw: RawRoute) -> Result<Self, ConfigurationError> {
         let route = match raw.name.is_empty() {
             true => format!("{}{}", raw.host, raw.path_prefix),
--- a/crates/sloetrail-serving/src/gateway/regions.rs
+++ b/crates/sloetrail-serving/src/gateway/regions.rs
@@ -60,10 +60,12 @@
     regions
 }
 
-/// The regions of a reward call: those of its route. Without a route it is not made.
+/// The regions of a reward call: those of its route. Other routes than those that take such
+/// calls bind no batch, so that each of their restrictions need not have an owner.
 fn of_reward(configuration: &ServingConfiguration, reward: &RewardCall) -> AllowedRegions {
     let path = reward.path.split('?').next().unwrap_or(&reward.path);
     let route = configuration.routes.find(&reward.host, path);
+    let route = route.filter(|route| route.takes_reward_calls());
     route.map_or_else(AllowedRegions::everywhere, |route| {
         route.allowed_regions.clone()
     })
--- a/crates/sloetrail-serving/src/gateway/submit.rs
+++ b/crates/sloetrail-serving/src/gateway/submit.rs
@@ -258,6 +258,9 @@
     }
 
     async fn wait_for_table(&self) -> Result<(), Hindrance> {
+        if self.context.table.is_isolated() {
+            return Err(Hindrance::Isolated);
+        }
         if self.context.table.is_answering() {
             return Ok(());
         }
--- a/crates/sloetrail-serving/src/gateway/submit/waiting.rs
+++ b/crates/sloetrail-serving/src/gateway/submit/waiting.rs
@@ -28,7 +28,8 @@
 pub(super) enum Hindrance {
     /// The table has not come back in the time that there was.
     OutageLasts,
-    /// No other node can be reached either: another one may well reach the table.
+    /// No other node that may help can be reached either: another one may well reach the
+    /// table.
     Isolated,
     /// Too many submissions wait here already. The newest is refused, since it has the
     /// most time left to ask elsewhere.
@@ -41,7 +42,7 @@
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
             Self::OutageLasts => "the table does not answer",
-            Self::Isolated => "this node reaches neither the table nor other nodes",
+            Self::Isolated => "this node reaches neither the table nor a node that may help",
             Self::TooManyWait => "too many batches wait for the table",
             Self::NotTaken => "the table did not take it",
         })
--- a/crates/sloetrail-serving/src/lib.rs
+++ b/crates/sloetrail-serving/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub mod back_end;
 mod batch_rows;
+mod cold_budgets;
 mod context;
 pub mod dialect;
 pub mod directory;
--- a/crates/sloetrail-serving/src/owner/engines/tests.rs
+++ b/crates/sloetrail-serving/src/owner/engines/tests.rs
@@ -5,7 +5,9 @@
 use crate::owner::engine::Demand;
 use crate::owner::publications::Publications;
 use crate::owner::rollout_plan::{ModelTarget, concurrent_changes, plan};
-use sloetrail_types::{EngineId, ServiceName, WeightVersion, ZoneName};
+use sloetrail_types::{
+    AllowedRegions, EngineId, RegionName, ServiceName, Topology, WeightVersion, ZoneName,
+};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -442,3 +444,23 @@
     let other = pick(&pool).expect("an engine with nothing to do");
     assert_ne!(other, used_last, "work is spread all the same");
 }
+
+#[test]
+fn engines_outside_the_allowed_regions_are_not_there_for_the_owner() {
+    let mut directory = directory(3, &[]);
+    let regions = [("z", "north"), ("y", "south")];
+    let regions = regions.map(|(zone, region)| (ZoneName::from(zone), RegionName::from(region)));
+    let elsewhere = directory.back_ends.values_mut().next().expect("one");
+    Arc::make_mut(elsewhere).zone = ZoneName::from("y");
+    let elsewhere = elsewhere.id.clone();
+    let topology = Topology::new(ZoneName::from("z"), regions.into());
+    let north = AllowedRegions::only([RegionName::from("north")]);
+    let service = ServiceName::from("models");
+    let mut bound = EnginePool::within(topology.clone(), north);
+    bound.take_directory(&directory, &service);
+    assert_eq!(bound.len(), 2);
+    assert!(bound.get(&elsewhere).is_none());
+    let mut unbound = EnginePool::within(topology, AllowedRegions::everywhere());
+    unbound.take_directory(&directory, &service);
+    assert_eq!(unbound.len(), 3);
+}
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -25,7 +25,7 @@
 use crate::leases::{BatchSet, OrderWindow, Term};
 use crate::rows;
 use sloetrail_batch::{Batch, BatchId, ItemId, ItemIndex, LengthModel, Transcript};
-use sloetrail_types::{EngineId, ServiceName};
+use sloetrail_types::{EngineId, ServiceName, ZoneName};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -225,12 +225,16 @@
         };
         let evacuations = &in_force.evacuations;
         let lasts = configuration.cold_bounds(&self.service).lasts;
-        let tolerance = self.context.settings.cold;
-        let budget = tolerance.budget(configuration, &self.service);
+        let settings = &self.context.settings;
+        let budgets = settings.cold.budgets(configuration, &self.service);
+        let budget = |zone: &ZoneName| {
+            let region = settings.topology.region_of(zone);
+            budgets.as_ref().map(|budgets| budgets.of_region(region))
+        };
         self.engines.set_sparing(|back_end| Sparing {
             evacuated: evacuations.covers(&back_end.zone),
             cold_until: directory.cold_until(back_end, evacuations, lasts),
-            budget,
+            budget: budget(&back_end.zone),
         });
     }
 
--- a/crates/sloetrail-serving/src/relay/peers.rs
+++ b/crates/sloetrail-serving/src/relay/peers.rs
@@ -173,7 +173,10 @@
     /// The table's answer to a call, if a peer that may carry it can get one. A transaction
     /// that a peer may have carried out is not given to another one: its outcome is unknown.
     pub(super) async fn carry(&self, call: TableCall) -> Option<TableAnswer> {
-        let reach = call.reach();
+        let reach = match self.topology.has_regions() {
+            true => call.reach(),
+            false => Reach::Anywhere,
+        };
         if self.is_helpless(reach) {
             return None;
         }
@@ -326,6 +329,11 @@
         self.state().are_silent()
     }
 
+    /// True while peers carry this node's calls, but none of its own region can.
+    pub(super) fn are_far_away(&self) -> bool {
+        self.is_helping() && self.is_helpless(Reach::OwnRegion)
+    }
+
     /// True while a peer carries this node's calls.
     pub(super) fn is_helping(&self) -> bool {
         self.state().current.is_some()
--- a/crates/sloetrail-serving/src/relay/table.rs
+++ b/crates/sloetrail-serving/src/relay/table.rs
@@ -31,6 +31,11 @@
         self.peers.carry(call()).await
     }
 
+    /// True if peers of other regions carry calls and those of the own region cannot.
+    fn is_alone_in_region(&self) -> bool {
+        !self.direct.is_answering() && self.peers.are_far_away()
+    }
+
     /// A read by a peer, if the direct way is known not to work; otherwise directly, and
     /// by a peer if the direct way turns out not to work meanwhile.
     async fn read<Answer>(
@@ -71,7 +76,8 @@
     }
 
     fn is_isolated(&self) -> bool {
-        !self.direct.is_answering() && self.peers.are_silent()
+        let is_cut_off = !self.direct.is_answering() && self.peers.are_silent();
+        is_cut_off || self.is_alone_in_region()
     }
 
     async fn absence(&self) {
@@ -82,10 +88,13 @@
         self.direct.returned().await;
     }
 
+    /// A transaction that no peer of the region can carry while others help is not done: the
+    /// direct way is known not to work, and its outcome there would be unknown.
     async fn commit(&self, transaction: &Transaction) -> Result<Commit, CommitError> {
         let call = || TableCall::Commit(transaction.clone());
         match self.carried(call).await {
             Some(TableAnswer::Commit(answer)) => answer,
+            _ if self.is_alone_in_region() => Err(CommitError::NotDone),
             _ => self.direct.commit(transaction).await,
         }
     }
--- a/crates/sloetrail-serving/src/service_pools.rs
+++ b/crates/sloetrail-serving/src/service_pools.rs
@@ -1,6 +1,7 @@
 //! The choice of a back end for a live request.
 
 use crate::back_end::BackEnd;
+use crate::cold_budgets::ColdBudgets;
 use crate::directory::Directory;
 use crate::loss_backoff::LossBackoff;
 use crate::operator::InForce;
@@ -267,7 +268,7 @@
     /// How long one is cold after it started.
     lasts: Duration,
     /// What cold ones may get; nothing means as much as warm ones.
-    budget: Option<ColdBudget>,
+    budgets: Option<ColdBudgets>,
 }
 
 impl Spared {
@@ -275,12 +276,12 @@
         let Some(configuration) = &state.in_force.configuration else {
             return Self {
                 lasts: Duration::ZERO,
-                budget: None,
+                budgets: None,
             };
         };
         Self {
             lasts: configuration.cold_bounds(service).lasts,
-            budget: state.cold.budget(configuration, service),
+            budgets: state.cold.budgets(configuration, service),
         }
     }
 
@@ -294,9 +295,12 @@
         let evacuations = &state.in_force.evacuations;
         let until = directory.cold_until(back_end, evacuations, self.lasts)?;
         let left = until.saturating_duration_since(Instant::now());
-        let bound = self
-            .budget
-            .map(|budget| state.live_bound(&budget, &back_end.id));
+        let region = state.topology.region_of(&back_end.zone);
+        let budget = self
+            .budgets
+            .as_ref()
+            .map(|budgets| budgets.of_region(region));
+        let bound = budget.map(|budget| state.live_bound(&budget, &back_end.id));
         Some(ColdEngine {
             until: now.after(left),
             bound,
--- a/crates/sloetrail-serving/src/settings.rs
+++ b/crates/sloetrail-serving/src/settings.rs
@@ -1,8 +1,8 @@
 //! Settings of a serving node: raw ones as they are read, typed ones once checked.
 
+use crate::cold_budgets::ColdBudgets;
 use crate::policies::Policies;
 use serde::Deserialize;
-use sloetrail_balance::ColdBudget;
 use sloetrail_routing::ServingConfiguration;
 use sloetrail_types::{NodeId, RegionName, ServiceName, Topology, ZoneName};
 use sloetrail_usage::{ReportSchedule, Windows};
@@ -135,20 +135,19 @@
         })
     }
 
-    /// What the cold back ends of a service may get, and how many ways lead to them;
-    /// nothing if they bear as much as warm ones.
-    pub(crate) fn budget(
+    /// What the cold back ends of a service may get; nothing if they bear as much as warm
+    /// ones.
+    pub(crate) fn budgets(
         &self,
         configuration: &ServingConfiguration,
         service: &ServiceName,
-    ) -> Option<ColdBudget> {
+    ) -> Option<ColdBudgets> {
         let bears = configuration.cold_bounds(service).per_second?;
-        let owners = configuration.batch_regions(service).len();
-        let live = usize::from(configuration.has_live_requests(service));
-        Some(ColdBudget {
+        Some(ColdBudgets {
             bears,
             most: bears * self.excess + self.slack,
-            ways: owners + live,
+            owners: configuration.batch_regions(service),
+            has_live_requests: configuration.has_live_requests(service),
         })
     }
 }
--- a/crates/sloetrail-serving/src/table.rs
+++ b/crates/sloetrail-serving/src/table.rs
@@ -245,7 +245,7 @@
     }
 
     /// True if the table does not answer this node and no other node can be reached that
-    /// might know more: it may well answer others.
+    /// might know more, or none that may carry what callers send: it may well answer others.
     fn is_isolated(&self) -> bool {
         false
     }
--- a/crates/sloetrail-serving/tests/regions.rs
+++ b/crates/sloetrail-serving/tests/regions.rs
@@ -261,7 +261,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn only_the_owner_of_unbound_batches_gives_orders_and_it_heeds_bound_ones() {
+async fn only_the_owner_of_unbound_batches_gives_orders() {
     let mut cluster = cluster(bound_routes(&["rollout"], "south")).await;
     add_nodes(&mut cluster, &[("node-1", NORTH_ZONE)]).await;
     assert_eq!(wait_holder(&cluster, "models").await, "node-1");
@@ -319,11 +319,19 @@
     assert!(writes(1) >= 6);
     assert_eq!((writes(2), writes(3)), (0, 0));
     cluster.nodes[1].kill();
-    let refused = cluster
-        .submit(0, "b9", &batch(&items(2, 3), MODEL, 1))
-        .await
-        .expect("an answer");
-    assert!(matches!(refused.status.as_u16(), 503 | 504));
+    // By then the others carry what may leave the region.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    for _ in 0..3 {
+        let began = Instant::now();
+        let refused = cluster
+            .submit(0, "b9", &batch(&items(2, 3), MODEL, 1))
+            .await
+            .expect("an answer");
+        assert_eq!(refused.status, 503, "{}", refused.text());
+        assert_eq!(refused.json()["kind"], "not_run");
+        assert!(refused.headers.contains_key("retry-after"));
+        assert!(began.elapsed() < Duration::from_millis(500), "at once");
+    }
     let rows = cluster.table.rows(SUBMISSIONS);
     assert!(rows.iter().all(|row| !row.address.key.starts_with("b9/")));
     let writes = |node: usize| cluster.nodes[node].link.uses_of(SUBMISSIONS).writes;
--- a/crates/sloetrail-types/src/regions.rs
+++ b/crates/sloetrail-types/src/regions.rs
@@ -35,6 +35,11 @@
         Self::new(zone, BTreeMap::new())
     }
 
+    /// True if the deployment has regions; otherwise all zones count as one.
+    pub fn has_regions(&self) -> bool {
+        !self.regions.is_empty()
+    }
+
     /// The node's own zone.
     pub fn zone(&self) -> &ZoneName {
         &self.zone
@@ -59,7 +64,7 @@
     pub fn distance_to(&self, zone: &ZoneName, region: Option<&RegionName>) -> Distance {
         if *zone == self.zone {
             Distance::SameZone
-        } else if self.regions.is_empty() || self.is_own_region(region) {
+        } else if !self.has_regions() || self.is_own_region(region) {
             Distance::SameRegion
         } else {
             Distance::Elsewhere
