Bound batches are finished by nodes that never saw the configuration that bound them

Cause: keepers were started for the sets of the configuration in force alone. A node that starts after a configuration has dropped a set kept no lease for it; with the earlier nodes of the region gone its batches waited for ever.

Ruled out: sets from the heads of batches (every node would follow these for it; the lease rows every node follows anyway).

--- a/crates/sloetrail-serving/src/leases/subject.rs
+++ b/crates/sloetrail-serving/src/leases/subject.rs
@@ -2,7 +2,7 @@
 
 use super::Term;
 use futures_util::future::BoxFuture;
-use sloetrail_types::{AllowedRegions, ServiceName};
+use sloetrail_types::{AllowedRegions, RegionName, ServiceName};
 
 /// What a lease is for.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -57,6 +57,13 @@
         }
     }
 
+    /// The batches that a lease of this name is for; nothing unless they are bound.
+    pub(crate) fn of_bound_lease(name: &str) -> Option<Self> {
+        let (service, regions) = name.split_once('@')?;
+        let regions = AllowedRegions::only(regions.split('+').map(RegionName::from));
+        Some(Self::new(ServiceName::from(service), regions))
+    }
+
     /// The service that runs them.
     pub(crate) fn service(&self) -> &ServiceName {
         &self.service
--- a/crates/sloetrail-serving/src/leases/subject/tests.rs
+++ b/crates/sloetrail-serving/src/leases/subject/tests.rs
@@ -11,6 +11,10 @@
     let only = |names: [&str; 2]| AllowedRegions::only(names.map(RegionName::from));
     assert_eq!(lease_name(AllowedRegions::everywhere()), "models");
     assert_eq!(lease_name(only(["south", "north"])), "models@north+south");
+    let set = BatchSet::of_bound_lease("models@north+south").expect("bound");
+    assert_eq!(set.regions(), &only(["north", "south"]));
+    assert_eq!(LeaseSubject::Batches(set).name(), "models@north+south");
+    assert_eq!(BatchSet::of_bound_lease("models"), None);
     assert_eq!(
         lease_name(only(["north", "south"])),
         lease_name(only(["south", "north"]))
--- a/crates/sloetrail-serving/src/rows.rs
+++ b/crates/sloetrail-serving/src/rows.rs
@@ -51,6 +51,11 @@
     RowAddress::new(LEASES, OWNERS, format!("lease/{subject}"))
 }
 
+/// What a lease is for, by its key; nothing if the key is of another row.
+pub fn subject_of_lease(key: &str) -> Option<&str> {
+    key.strip_prefix("lease/")
+}
+
 /// The fence of a lease: written only when the holder changes.
 pub fn fence(subject: &str) -> RowAddress {
     RowAddress::new(LEASES, OWNERS, format!("fence/{subject}"))
