--- a/crates/sloetrail-serving/src/relay/probe.rs
+++ b/crates/sloetrail-serving/src/relay/probe.rs
@@ -1,12 +1,12 @@
 //! Probes of another node: whether a life of it answers, from here or from elsewhere.
 
-use super::message::{LIFE_PATH, MESSAGE_VERSION, PROBE_PATH, ProbeCall, decode, encode};
+use super::message::{LIFE_PATH, MESSAGE_VERSION, PROBE_PATH, ProbeCall, Reach, decode, encode};
 use super::peers::{PeerEntry, Peers, node_name};
 use crate::http::SendFailure;
 use crate::table::Row;
 use http::Method;
 use serde::{Deserialize, Serialize};
-use sloetrail_types::{Epoch, NodeId, digest};
+use sloetrail_types::{AllowedRegions, Epoch, NodeId, digest};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -72,7 +72,7 @@
             return ProbeOutcome::Alive;
         };
         let holder = node_name(life);
-        let mut others = self.in_order().into_iter();
+        let mut others = self.in_order(Reach::Anywhere).into_iter();
         let Some((_, other)) = others.rfind(|(name, _)| name != holder) else {
             return ProbeOutcome::Alive;
         };
@@ -89,11 +89,16 @@
         seen.unwrap_or(ProbeOutcome::Alive)
     }
 
-    /// True if this node is among the few that watch over the holder of a lease. Which
-    /// ones they are changes with each term; small machines are not among them, and those
-    /// near the table go before others: one of them becomes the next holder, and an owner
-    /// near the table opens batches and lists results two to six answers sooner.
-    pub(crate) fn watches_over(&self, holder: &NodeId, epoch: Epoch) -> bool {
+    /// True if this node is among the few of these regions that watch over the holder of a
+    /// lease. Which ones they are changes with each term; small machines are not among them,
+    /// and those near the table go before others: one of them becomes the next holder, and
+    /// an owner near the table opens batches and lists results two to six answers sooner.
+    pub(crate) fn watches_over(
+        &self,
+        holder: &NodeId,
+        epoch: Epoch,
+        regions: &AllowedRegions,
+    ) -> bool {
         let view = self.entries.borrow();
         let entry = |row: &Row| serde_json::from_slice::<PeerEntry>(&row.value).ok();
         let known = view
@@ -101,7 +106,11 @@
             .iter()
             .filter_map(|(name, row)| Some((name, entry(row)?)));
         let candidates = known
-            .filter(|(name, entry)| name.as_str() != node_name(holder) && entry.candidate_rank == 0)
+            .filter(|(name, entry)| {
+                let is_other = name.as_str() != node_name(holder);
+                let may_compete = regions.allows(entry.region.as_ref());
+                is_other && may_compete && entry.candidate_rank == 0
+            })
             .map(|(name, entry)| Candidate {
                 name,
                 table_time_us: entry.table_time_us,
