Connections that fall silent: one that was kept and says nothing condemns those kept with it

Cause: kept connections may fall silent for good, all at once, without a reset. Every one of them cost a time-out of its own: a live request and its hedges met one after the other, a run waited 2.5 s for its head, three calls to the table at once made the node see an outage.

Ruled out: a probe before each use (a round trip for every request); sockets' keep-alive alone (a connection used every second is never at rest); a retry inside the store's client (the wait for the silent connection would be learnt as the table's answer time); a patience with the table that does not grow after such a silence (a table that is slow to write would then never be waited for long enough; a test holds that).

Change: `ConnectionPool::condemn` closes what has rested since before a request that got no byte over a kept connection (no head in time, given up after 50 ms or more, or an answer that came no further for a second). A connection that has answered since vouches for those opened after it, so an address that is merely slow does not lose what is sound. `Reuse` replaces the flag: a further attempt uses only what has answered since the first was sent; a request that may not repeat uses none, also at its later attempts, and neither does a series that may not be taken up. `SendFailure::KeptSilent` tells such a silence from one of the peer: reads of the table, probes of nodes and runs go again over a new connection within the call, commits are unknown once, and none of these counts as the table's or the peer's absence. Metric `sloetrail_connections_condemned_total`, event `connections_condemned`.

--- a/crates/sloetrail-serving-testkit/src/engine.rs
+++ b/crates/sloetrail-serving-testkit/src/engine.rs
@@ -99,6 +99,7 @@
     orders: Vec<OrderRecord>,
     late_orders: Vec<ReadOrder>,
     draining: bool,
+    listed_address: SocketAddr,
     cold_until: Option<Instant>,
     arrivals: Vec<Instant>,
     resets: CancellationToken,
@@ -154,12 +155,13 @@
         pace: Duration,
     ) -> Arc<Self> {
         let listener = TcpListener::bind(address).await.expect("a free port");
+        let address = listener.local_addr().expect("bound");
         let number = NEXT_ID.fetch_add(1, Ordering::Relaxed);
         let engine = Arc::new(Self {
             id: format!("engine-{number}"),
             service: service.to_owned(),
             zone: zone.to_owned(),
-            address: listener.local_addr().expect("bound"),
+            address,
             slots: 8,
             load_time: Duration::from_millis(80),
             wire,
@@ -177,6 +179,7 @@
                 orders: Vec::new(),
                 late_orders: Vec::new(),
                 draining: false,
+                listed_address: address,
                 cold_until: None,
                 arrivals: Vec::new(),
                 resets: CancellationToken::new(),
@@ -192,12 +195,17 @@
         self.address
     }
 
+    /// Lists itself from now on at another address, such as that of a proxy before it.
+    pub fn set_listed_address(&self, address: SocketAddr) {
+        self.state().listed_address = address;
+    }
+
     /// What it lists of itself.
     pub fn listing(&self) -> Listing {
         let state = self.state();
         Listing {
             service: self.service.clone(),
-            address: self.address.to_string(),
+            address: state.listed_address.to_string(),
             zone: self.zone.clone(),
             slots: self.slots,
             draining: state.draining,
--- a/crates/sloetrail-serving-testkit/src/table.rs
+++ b/crates/sloetrail-serving-testkit/src/table.rs
@@ -6,7 +6,7 @@
     Change, Changes, Commit, CommitError, KeyRange, Page, ReadError, Row, RowAddress, Table,
     TableLimits, Transaction,
 };
-use sloetrail_serving::table_client::TableTransport;
+use sloetrail_serving::table_client::{Called, TableTransport};
 use sloetrail_types::RowVersion;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -408,14 +408,14 @@
         &self,
         transaction: &Transaction,
         patience: Duration,
-    ) -> Result<Commit, CommitError> {
+    ) -> Called<Commit, CommitError> {
         let commit = tokio::time::timeout(patience, self.0.commit(transaction)).await;
-        commit.unwrap_or(Err(CommitError::Unknown))
+        Ok(commit.unwrap_or(Err(CommitError::Unknown))?)
     }
 
-    async fn scan(&self, range: &KeyRange, patience: Duration) -> Result<Page, ReadError> {
+    async fn scan(&self, range: &KeyRange, patience: Duration) -> Called<Page, ReadError> {
         let page = tokio::time::timeout(patience, self.0.scan(range)).await;
-        page.unwrap_or(Err(ReadError::Unavailable))
+        Ok(page.unwrap_or(Err(ReadError::Unavailable))?)
     }
 
     async fn changes(
@@ -424,10 +424,10 @@
         since: RowVersion,
         wait: Duration,
         patience: Duration,
-    ) -> Result<Changes, ReadError> {
+    ) -> Called<Changes, ReadError> {
         let asking = self.0.changes(table, since, wait);
         let changes = tokio::time::timeout(wait + patience, asking).await;
-        changes.unwrap_or(Err(ReadError::Unavailable))
+        Ok(changes.unwrap_or(Err(ReadError::Unavailable))?)
     }
 }
 
--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -48,6 +48,15 @@
         /// What was wrong with them.
         detail: &'a str,
     },
+    /// A connection stayed silent, and those kept to the same address before were closed.
+    ConnectionsCondemned {
+        /// The address.
+        address: &'a str,
+        /// What showed the silence.
+        cause: &'a str,
+        /// How many were closed.
+        connections: usize,
+    },
     /// Something that the node relies on does not answer.
     DependencyLost {
         /// What.
--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -14,6 +14,7 @@
             | Event::NodeStopping { .. }
             | Event::NodeStopped { .. }
             | Event::SettingsReloaded { .. }
+            | Event::ConnectionsCondemned { .. }
             | Event::ProcessPaused { .. }
             | Event::LinesDropped { .. } => "node",
             Event::DependencyLost { .. }
--- a/crates/sloetrail-serving/src/gateway/attempt.rs
+++ b/crates/sloetrail-serving/src/gateway/attempt.rs
@@ -3,7 +3,7 @@
 use super::headers;
 use crate::back_end::BackEnd;
 use crate::dialect::HeaderNames;
-use crate::http::{ConnectionPool, Exchange, SendFailure, WholeAnswer, WholeBody};
+use crate::http::{ConnectionPool, Exchange, Reuse, SendFailure, WholeAnswer, WholeBody};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use sloetrail_balance::AttemptOutcome;
@@ -105,7 +105,7 @@
     names: &HeaderNames,
     outgoing: &Outgoing,
     back_end: &BackEnd,
-    reuse: bool,
+    reuse: Reuse,
     answer_limit: usize,
     deadline: Instant,
 ) -> AttemptResult {
@@ -163,7 +163,7 @@
     match failure {
         SendFailure::NotSent => AttemptResult::NotSent,
         SendFailure::Lost => AttemptResult::Lost,
-        SendFailure::OutOfTime => AttemptResult::OutOfTime,
+        SendFailure::OutOfTime | SendFailure::KeptSilent => AttemptResult::OutOfTime,
         SendFailure::TooLarge => AttemptResult::TooLarge,
     }
 }
--- a/crates/sloetrail-serving/src/gateway/live.rs
+++ b/crates/sloetrail-serving/src/gateway/live.rs
@@ -8,7 +8,7 @@
 use super::attempt::{AttemptResult, Outgoing, attempt};
 use crate::context::NodeContext;
 use crate::events::{self, Event};
-use crate::http::WholeAnswer;
+use crate::http::{Reuse, WholeAnswer};
 use crate::service_pools::Place;
 use crate::telemetry;
 use crate::usage::BegunRequest;
@@ -79,6 +79,8 @@
     began: Instant,
     pending: FuturesUnordered<BoxFuture<'static, Attempted>>,
     tried: BTreeSet<EngineId>,
+    /// The connections that the next attempt may use.
+    reuse: Reuse,
     sends: usize,
     may_have_run: usize,
     failed_answers: usize,
@@ -95,6 +97,7 @@
             began: Instant::now(),
             pending: FuturesUnordered::new(),
             tried: BTreeSet::new(),
+            reuse: self.reuse(),
             sends: 0,
             may_have_run: 0,
             failed_answers: 0,
@@ -116,6 +119,13 @@
         self.context.pools.may_serve(&self.service, &self.regions)
     }
 
+    fn reuse(&self) -> Reuse {
+        match self.is_repeatable() {
+            true => Reuse::Any,
+            false => Reuse::Never,
+        }
+    }
+
     fn is_repeatable(&self) -> bool {
         self.route.kind == RouteKind::Idempotent
     }
@@ -215,7 +225,9 @@
             begun.sent(send);
         }
         let outgoing = self.call.outgoing.clone();
-        let reuse = self.call.is_repeatable();
+        let reuse = self.reuse;
+        // While this one has no answer, the next must not meet the same silence.
+        self.reuse = reuse.after_try_at(Instant::now());
         let deadline = self.call.deadline;
         let running = async move {
             let began = Instant::now();
--- a/crates/sloetrail-serving/src/gateway/stream.rs
+++ b/crates/sloetrail-serving/src/gateway/stream.rs
@@ -13,7 +13,7 @@
 use crate::context::NodeContext;
 use crate::event_stream::EventParser;
 use crate::events::{self, Event};
-use crate::http::{AnswerBody, Exchange, SendFailure, WholeAnswer};
+use crate::http::{AnswerBody, Exchange, Reuse, SendFailure, WholeAnswer};
 use crate::service_pools::Place;
 use crate::usage::BegunRequest;
 use bytes::Bytes;
@@ -87,6 +87,8 @@
 struct Source {
     call: LiveCall,
     tried: BTreeSet<EngineId>,
+    /// The connections that the next attempt may use.
+    reuse: Reuse,
     may_have_run: usize,
     sends: usize,
     last_event: Option<u64>,
@@ -108,6 +110,10 @@
         let last_event = headers::number(&call.outgoing.headers, &names.last_event_id);
         Self {
             begun: call.begun_request(),
+            reuse: match call.route.resumable {
+                true => Reuse::Within(SILENCE_LIMIT),
+                false => Reuse::Never,
+            },
             call,
             tried: BTreeSet::new(),
             may_have_run: 0,
@@ -137,9 +143,12 @@
             };
             self.tried.insert(place.back_end().id.clone());
             self.sends += 1;
+            let began = Instant::now();
             match self.try_back_end(place).await {
                 Ok(opening) => return opening,
                 Err(result) => {
+                    // The next one must not meet the same silence.
+                    self.reuse = self.reuse.after_try_at(began);
                     if !result.is_proved_not_run() {
                         self.may_have_run += 1;
                     }
@@ -227,8 +236,8 @@
         let request = build_request(&outgoing, place.back_end(), names, deadline)
             .ok_or(AttemptResult::NotSent)?;
         let address = place.back_end().address;
-        let reuse = self.call.route.resumable;
-        let exchange = Exchange::send(&context.connections, address, request, reuse, deadline)
+        let connections = &context.connections;
+        let exchange = Exchange::send(connections, address, request, self.reuse, deadline)
             .await
             .map_err(judge_failure)?;
         match judge_head(exchange.status, &exchange.headers, names, &outgoing) {
--- a/crates/sloetrail-serving/src/http/connections.rs
+++ b/crates/sloetrail-serving/src/http/connections.rs
@@ -1,7 +1,16 @@
-//! Kept connections to back ends.
+//! Kept connections, to back ends, other nodes and the table.
+//!
+//! Connections may fall silent for good without a reset while new ones work, and then those
+//! of one address do so together. A connection on which nothing comes in time therefore
+//! condemns those that were at rest meanwhile. An address that is merely slow is not made
+//! to pay for it: a connection that has answered meanwhile vouches for all that were opened
+//! after it, and each request without an answer closes only what rested since before it.
 
 use super::WholeBody;
+use super::reuse::Reuse;
 use super::socket;
+use crate::events::{self, Event};
+use crate::telemetry;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use std::collections::HashMap;
@@ -19,11 +28,42 @@
 
 pub(crate) type Sender = SendRequest<WholeBody>;
 
+/// A connection between two requests.
+pub(crate) struct Connection {
+    /// Where requests go in.
+    pub(crate) sender: Sender,
+    opened_at: Instant,
+}
+
 struct Kept {
-    sender: Sender,
+    connection: Connection,
+    /// When its last answer had come.
+    kept_at: Instant,
     usable_until: Instant,
 }
 
+/// What showed that a connection is silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Silence {
+    /// No head came in time.
+    NoHead,
+    /// The request was given up without a byte of an answer.
+    GivenUp,
+    /// An answer came no further.
+    WithinAnswer,
+}
+
+impl Silence {
+    /// A word for metrics.
+    fn word(self) -> &'static str {
+        match self {
+            Silence::NoHead => "no_head",
+            Silence::GivenUp => "given_up",
+            Silence::WithinAnswer => "within_answer",
+        }
+    }
+}
+
 /// Connections that rest between requests, by address.
 #[derive(Default)]
 pub struct ConnectionPool {
@@ -36,32 +76,72 @@
         Self::default()
     }
 
-    /// A connection that rests, the one used last first.
-    pub(crate) fn take(&self, address: SocketAddr) -> Option<Sender> {
+    /// A connection that rests and that may be used, the one used last first.
+    pub(crate) fn take(&self, address: SocketAddr, reuse: Reuse) -> Option<Connection> {
+        let answered_since = match reuse {
+            Reuse::Never => return None,
+            Reuse::Any | Reuse::Within(_) => None,
+            Reuse::AnsweredSince(moment) => Some(moment),
+        };
         let now = Instant::now();
         let mut kept = self.kept.lock().expect("not poisoned");
         let resting = kept.get_mut(&address)?;
-        while let Some(connection) = resting.pop() {
-            if connection.usable_until > now && connection.sender.is_ready() {
-                return Some(connection.sender);
+        while let Some(last) = resting.last() {
+            if answered_since.is_some_and(|moment| last.kept_at <= moment) {
+                return None;
+            }
+            let last = resting.pop()?;
+            if last.usable_until > now && last.connection.sender.is_ready() {
+                return Some(last.connection);
             }
         }
         None
     }
 
     /// Keeps a connection for as long as its peer does.
-    pub(crate) fn keep(&self, address: SocketAddr, sender: Sender, idle: Option<Duration>) {
+    pub(crate) fn keep(&self, address: SocketAddr, connection: Connection, idle: Option<Duration>) {
         let idle = idle.unwrap_or(IDLE_DEFAULT);
-        if sender.is_closed() || idle <= IDLE_MARGIN {
+        if connection.sender.is_closed() || idle <= IDLE_MARGIN {
             return;
         }
-        let usable_until = Instant::now() + (idle - IDLE_MARGIN);
+        let now = Instant::now();
         let mut kept = self.kept.lock().expect("not poisoned");
         let resting = kept.entry(address).or_default();
         if resting.len() < KEPT_PER_ADDRESS {
             resting.push(Kept {
-                sender,
-                usable_until,
+                connection,
+                kept_at: now,
+                usable_until: now + (idle - IDLE_MARGIN),
+            });
+        }
+    }
+
+    /// A connection to an address has been silent since a moment. Those that have rested
+    /// since before it are closed, but for those that a connection vouches for which was
+    /// opened before them and has answered since.
+    pub(crate) fn condemn(&self, address: SocketAddr, since: Instant, silence: Silence) {
+        let closed = {
+            let mut kept = self.kept.lock().expect("not poisoned");
+            let Some(resting) = kept.get_mut(&address) else {
+                return;
+            };
+            let have_answered = resting.iter().filter(|kept| kept.kept_at > since);
+            let vouched_for_from = have_answered.map(|kept| kept.connection.opened_at).min();
+            let is_sound = |kept: &Kept| {
+                let is_vouched_for =
+                    vouched_for_from.is_some_and(|from| kept.connection.opened_at >= from);
+                kept.kept_at > since || is_vouched_for
+            };
+            let before = resting.len();
+            resting.retain(is_sound);
+            before - resting.len()
+        };
+        if closed > 0 {
+            telemetry::connections_condemned(silence.word(), closed as u64);
+            events::emit(&Event::ConnectionsCondemned {
+                address: &address.to_string(),
+                cause: silence.word(),
+                connections: closed,
             });
         }
     }
@@ -71,7 +151,7 @@
         let now = Instant::now();
         let mut kept = self.kept.lock().expect("not poisoned");
         for resting in kept.values_mut() {
-            resting.retain(|kept| kept.usable_until > now && !kept.sender.is_closed());
+            resting.retain(|kept| kept.usable_until > now && !kept.connection.sender.is_closed());
         }
         kept.retain(|_, resting| !resting.is_empty());
     }
@@ -83,7 +163,7 @@
 }
 
 /// Opens a connection; nothing if the peer cannot be reached in time.
-pub(crate) async fn connect(address: SocketAddr, deadline: Instant) -> Option<Sender> {
+pub(crate) async fn connect(address: SocketAddr, deadline: Instant) -> Option<Connection> {
     let limit = deadline.min(Instant::now() + CONNECT_TIMEOUT);
     let connecting = TcpStream::connect(address);
     let stream = tokio::time::timeout_at(limit, connecting)
@@ -96,5 +176,11 @@
         .await
         .ok()?;
     tokio::spawn(connection);
-    Some(sender)
+    Some(Connection {
+        sender,
+        opened_at: Instant::now(),
+    })
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sloetrail-serving/src/http/exchange.rs
+++ b/crates/sloetrail-serving/src/http/exchange.rs
@@ -1,7 +1,8 @@
 //! One request to a back end and its answer.
 
 use super::WholeBody;
-use super::connections::{self, ConnectionPool, Sender};
+use super::connections::{self, Connection, ConnectionPool, Sender, Silence};
+use super::reuse::Reuse;
 use bytes::{Bytes, BytesMut};
 use http::header::{CONNECTION, CONTENT_LENGTH};
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -12,6 +13,14 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// A request that is given up sooner than this says nothing of its connection: callers leave
+/// at any moment, and answers of tens of milliseconds are ordinary.
+const GIVEN_UP_LEAST: Duration = Duration::from_millis(50);
+/// An answer that is given up says something of its connection if nothing has come for this
+/// long: the pieces of a series follow each other within tens of milliseconds, and within a
+/// second while an engine loads weights.
+const WITHIN_ANSWER_LEAST: Duration = Duration::from_millis(1_000);
+
 /// Why there is no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendFailure {
@@ -21,6 +30,9 @@
     Lost,
     /// The deadline came first; the connection is closed.
     OutOfTime,
+    /// No head came in time over a connection that had been kept. It is closed, and so are
+    /// those that rested with it: a further try goes over a new one.
+    KeptSilent,
     /// The answer is larger than allowed.
     TooLarge,
 }
@@ -48,63 +60,66 @@
 /// The body of an answer. Dropped before its end, it closes the connection.
 pub struct AnswerBody {
     incoming: Incoming,
+    peer: Peer,
+    /// When something of the answer came last.
+    heard_at: Instant,
+    has_ended: bool,
+    /// The connection, if it may be kept after the answer.
     connection: Option<Connection>,
+    idle: Option<Duration>,
 }
 
-struct Connection {
+/// Where a request goes, and the connections that are kept to it.
+#[derive(Clone)]
+struct Peer {
     pool: Arc<ConnectionPool>,
     address: SocketAddr,
-    sender: Sender,
-    idle: Option<Duration>,
 }
 
 impl Exchange {
-    /// Sends a request, on a kept connection if there is one and `reuse` allows it.
+    /// Sends a request, on a kept connection if there is one that `reuse` allows.
     /// A kept connection that turns out to be closed before the request left is
     /// replaced by a new one.
     pub async fn send(
         pool: &Arc<ConnectionPool>,
         address: SocketAddr,
         mut request: Request<WholeBody>,
-        reuse: bool,
+        reuse: Reuse,
         deadline: Instant,
     ) -> Result<Self, SendFailure> {
-        let kept = reuse.then(|| pool.take(address)).flatten();
-        if let Some(mut sender) = kept {
-            match send_on(&mut sender, request, deadline).await {
-                Ok(response) => return Ok(Self::new(pool, address, sender, response)),
+        let peer = Peer {
+            pool: Arc::clone(pool),
+            address,
+        };
+        if let Some(mut kept) = pool.take(address, reuse) {
+            match send_on_kept(&peer, &mut kept, request, reuse.head_due(deadline)).await {
+                Ok(response) => return Ok(Self::new(peer, kept, response)),
                 Err((Some(unsent), _)) => request = unsent,
                 Err((None, failure)) => return Err(failure),
             }
         }
         let connected = connections::connect(address, deadline).await;
-        let mut sender = connected.ok_or(SendFailure::NotSent)?;
-        match send_on(&mut sender, request, deadline).await {
-            Ok(response) => Ok(Self::new(pool, address, sender, response)),
+        let mut connection = connected.ok_or(SendFailure::NotSent)?;
+        match send_on(&mut connection.sender, request, deadline).await {
+            Ok(response) => Ok(Self::new(peer, connection, response)),
             Err((_, failure)) => Err(failure),
         }
     }
 
-    fn new(
-        pool: &Arc<ConnectionPool>,
-        address: SocketAddr,
-        sender: Sender,
-        response: Response<Incoming>,
-    ) -> Self {
+    fn new(peer: Peer, connection: Connection, response: Response<Incoming>) -> Self {
         let (head, incoming) = response.into_parts();
-        let connection = may_be_kept(&head.headers).then(|| Connection {
-            pool: Arc::clone(pool),
-            address,
-            sender,
+        let body = AnswerBody {
+            incoming,
+            peer,
+            heard_at: Instant::now(),
+            has_ended: false,
+            connection: may_be_kept(&head.headers).then_some(connection),
             idle: keep_alive_time(&head.headers),
-        });
+        };
         Self {
             status: head.status,
             headers: head.headers,
-            body: AnswerBody {
-                incoming,
-                connection,
-            },
+            body,
         }
     }
 
@@ -158,14 +173,20 @@
     /// The next bytes, or nothing at the proper end.
     pub async fn next_piece(&mut self) -> Result<Option<Bytes>, SendFailure> {
         loop {
-            match self.incoming.frame().await {
+            let frame = self.incoming.frame().await;
+            self.heard_at = Instant::now();
+            match frame {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         return Ok(Some(data));
                     }
                 }
-                Some(Err(_)) => return Err(SendFailure::Lost),
+                Some(Err(_)) => {
+                    self.has_ended = true;
+                    return Err(SendFailure::Lost);
+                }
                 None => {
+                    self.has_ended = true;
                     self.keep_connection();
                     return Ok(None);
                 }
@@ -175,19 +196,65 @@
 
     fn keep_connection(&mut self) {
         if let Some(connection) = self.connection.take() {
-            let Connection {
-                pool,
-                address,
-                sender,
-                idle,
-            } = connection;
-            pool.keep(address, sender, idle);
+            let Peer { pool, address } = &self.peer;
+            pool.keep(*address, connection, self.idle);
+        }
+    }
+}
+
+impl Drop for AnswerBody {
+    fn drop(&mut self) {
+        if !self.has_ended && self.heard_at.elapsed() >= WITHIN_ANSWER_LEAST {
+            self.peer.condemn(self.heard_at, Silence::WithinAnswer);
+        }
+    }
+}
+
+impl Peer {
+    fn condemn(&self, since: Instant, silence: Silence) {
+        self.pool.condemn(self.address, since, silence);
+    }
+}
+
+/// Watches over a request on a kept connection until something comes. Dropped before, it
+/// was given up.
+struct KeptWatch<'a> {
+    peer: &'a Peer,
+    sent_at: Instant,
+    is_over: bool,
+}
+
+impl Drop for KeptWatch<'_> {
+    fn drop(&mut self) {
+        if !self.is_over && self.sent_at.elapsed() >= GIVEN_UP_LEAST {
+            self.peer.condemn(self.sent_at, Silence::GivenUp);
         }
     }
 }
 
 type Unsent = Option<Request<WholeBody>>;
 
+async fn send_on_kept(
+    peer: &Peer,
+    kept: &mut Connection,
+    request: Request<WholeBody>,
+    head_due: Instant,
+) -> Result<Response<Incoming>, (Unsent, SendFailure)> {
+    let mut watch = KeptWatch {
+        peer,
+        sent_at: Instant::now(),
+        is_over: false,
+    };
+    let sent = send_on(&mut kept.sender, request, head_due).await;
+    watch.is_over = true;
+    let has_waited = watch.sent_at.elapsed() >= GIVEN_UP_LEAST;
+    if has_waited && matches!(sent, Err((None, SendFailure::OutOfTime))) {
+        peer.condemn(watch.sent_at, Silence::NoHead);
+        return Err((None, SendFailure::KeptSilent));
+    }
+    sent
+}
+
 async fn send_on(
     sender: &mut Sender,
     request: Request<WholeBody>,
--- a/crates/sloetrail-serving/src/http/mod.rs
+++ b/crates/sloetrail-serving/src/http/mod.rs
@@ -3,11 +3,13 @@
 mod connections;
 mod exchange;
 mod listener;
+mod reuse;
 mod socket;
 
 pub use connections::ConnectionPool;
 pub use exchange::{AnswerBody, Exchange, SendFailure, WholeAnswer};
 pub use listener::{ConnectionTracker, ListenerSettings, serve_connections};
+pub use reuse::Reuse;
 
 /// The body of a request or answer that is held whole.
 pub type WholeBody = http_body_util::Full<bytes::Bytes>;
--- /dev/null
+++ b/crates/sloetrail-serving/src/http/reuse.rs
@@ -0,0 +1,38 @@
+//! Whether a request may go over a connection that was kept.
+
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Which kept connections a request may go over. A kept connection may have fallen silent
+/// while it rested; a request on it is then lost from sight, and may still run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reuse {
+    /// None: the request may not repeat, so it may not be lost from sight.
+    Never,
+    /// Any; it is waited for as long as for a new one.
+    Any,
+    /// Any, if the head of the answer comes within this time.
+    Within(Duration),
+    /// One that has answered since this moment: an earlier try went over a connection that
+    /// has not answered, and those that rested with it may be silent too.
+    AnsweredSince(Instant),
+}
+
+impl Reuse {
+    /// What a further try may use, after one that was begun at this moment.
+    #[must_use]
+    pub fn after_try_at(self, began: Instant) -> Self {
+        match self {
+            Reuse::Never => Reuse::Never,
+            Reuse::Any | Reuse::Within(_) | Reuse::AnsweredSince(_) => Reuse::AnsweredSince(began),
+        }
+    }
+
+    /// By when the head must have come over a kept connection.
+    pub(super) fn head_due(self, deadline: Instant) -> Instant {
+        match self {
+            Reuse::Within(time) => deadline.min(Instant::now() + time),
+            Reuse::Never | Reuse::Any | Reuse::AnsweredSince(_) => deadline,
+        }
+    }
+}
--- a/crates/sloetrail-serving/src/owner/run.rs
+++ b/crates/sloetrail-serving/src/owner/run.rs
@@ -6,7 +6,7 @@
 use crate::event_stream::{EventParser, StreamEvent};
 use crate::gateway::attempt::{AttemptResult, Outgoing, build_request, judge_failure, judge_head};
 use crate::gateway::{caller, headers};
-use crate::http::{AnswerBody, Exchange};
+use crate::http::{AnswerBody, Exchange, Reuse, SendFailure};
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use sloetrail_batch::{SubmittedItem, Transcript, TranscriptEvent};
@@ -172,15 +172,17 @@
             .await
     }
 
+    /// Opens the run. An item may run again, so that one on a kept connection that says
+    /// nothing is opened anew at the same engine.
     async fn open(&self, due: Instant) -> Result<Exchange, RunOutcome> {
-        let spec = &self.spec;
-        let names = spec.context.dialect.headers();
+        let names = self.spec.context.dialect.headers();
         let outgoing = self.outgoing();
-        let deadline = Instant::now() + RUN_TIME;
-        let request = build_request(&outgoing, &spec.back_end, names, deadline)
-            .ok_or(RunOutcome::Impossible)?;
-        let address = spec.back_end.address;
-        let sent = Exchange::send(&spec.context.connections, address, request, true, due).await;
+        let began = Instant::now();
+        let reuse = Reuse::Within(SILENCE_LIMIT);
+        let mut sent = self.send(&outgoing, reuse, due).await?;
+        if let Err(SendFailure::KeptSilent) = sent {
+            sent = self.send(&outgoing, reuse.after_try_at(began), due).await?;
+        }
         let exchange = sent.map_err(|failure| run_outcome(&judge_failure(failure)))?;
         match judge_head(exchange.status, &exchange.headers, names, &outgoing) {
             Some(result) => Err(run_outcome(&result)),
@@ -188,6 +190,21 @@
         }
     }
 
+    async fn send(
+        &self,
+        outgoing: &Outgoing,
+        reuse: Reuse,
+        due: Instant,
+    ) -> Result<Result<Exchange, SendFailure>, RunOutcome> {
+        let spec = &self.spec;
+        let names = spec.context.dialect.headers();
+        let deadline = Instant::now() + RUN_TIME;
+        let request = build_request(outgoing, &spec.back_end, names, deadline)
+            .ok_or(RunOutcome::Impossible)?;
+        let (connections, address) = (&spec.context.connections, spec.back_end.address);
+        Ok(Exchange::send(connections, address, request, reuse, due).await)
+    }
+
     fn outgoing(&self) -> Outgoing {
         let spec = &self.spec;
         let names = spec.context.dialect.headers();
--- a/crates/sloetrail-serving/src/owner/weights.rs
+++ b/crates/sloetrail-serving/src/owner/weights.rs
@@ -9,7 +9,7 @@
 use crate::dialect::EngineCall;
 use crate::events::{self, Event};
 use crate::gateway::headers;
-use crate::http::{Exchange, SendFailure, WholeAnswer, WholeBody};
+use crate::http::{Exchange, Reuse, SendFailure, WholeAnswer, WholeBody};
 use crate::leases::Term;
 use crate::telemetry;
 use http::header::CONTENT_TYPE;
@@ -107,7 +107,7 @@
         let deadline = Instant::now() + CALL_TIME;
         let address = self.back_end.address;
         let pool = &self.context.connections;
-        let exchange = Exchange::send(pool, address, request, true, deadline).await?;
+        let exchange = Exchange::send(pool, address, request, Reuse::Any, deadline).await?;
         exchange.whole(ANSWER_BYTES, deadline).await
     }
 }
--- a/crates/sloetrail-serving/src/relay/peers.rs
+++ b/crates/sloetrail-serving/src/relay/peers.rs
@@ -5,7 +5,7 @@
 };
 use crate::events::{self, Event};
 use crate::follow::{FollowPace, Pacing, ViewReceiver, follow};
-use crate::http::{ConnectionPool, Exchange, SendFailure, WholeBody};
+use crate::http::{ConnectionPool, Exchange, Reuse, SendFailure, WholeBody};
 use crate::rows;
 use crate::settings::ServingSettings;
 use crate::table::{KeyRange, ReadError, Table, Transaction, scan_all};
@@ -174,7 +174,11 @@
         }
         for (name, entry) in self.in_order() {
             let asked = self.ask(&entry, &call).await;
-            if asked.is_err() {
+            // A kept connection that is silent says nothing of the peer.
+            if asked
+                .as_ref()
+                .is_err_and(|failure| *failure != SendFailure::KeptSilent)
+            {
                 self.state().note_silence();
             }
             let (answer, cause) = match asked {
@@ -243,11 +247,40 @@
         decode(&answer).ok_or(SendFailure::Lost)
     }
 
+    /// Sends a request that may repeat: once more over a new connection, with as much time,
+    /// if a kept one says nothing.
+    pub(super) async fn send_repeatable(
+        &self,
+        address: SocketAddr,
+        request: (Method, &'static str, Vec<u8>),
+        time: Duration,
+    ) -> Result<Bytes, SendFailure> {
+        let began = Instant::now();
+        let first = self.send_over(address, request.clone(), Reuse::Any, began + time);
+        match first.await {
+            Err(SendFailure::KeptSilent) => {
+                let (reuse, deadline) = (Reuse::AnsweredSince(began), Instant::now() + time);
+                self.send_over(address, request, reuse, deadline).await
+            }
+            answered => answered,
+        }
+    }
+
     /// Sends a request to a peer and reads its answer.
     pub(super) async fn send(
+        &self,
+        address: SocketAddr,
+        request: (Method, &'static str, Vec<u8>),
+        deadline: Instant,
+    ) -> Result<Bytes, SendFailure> {
+        self.send_over(address, request, Reuse::Any, deadline).await
+    }
+
+    async fn send_over(
         &self,
         address: SocketAddr,
         (method, path, body): (Method, &'static str, Vec<u8>),
+        reuse: Reuse,
         deadline: Instant,
     ) -> Result<Bytes, SendFailure> {
         let mut request = Request::new(WholeBody::from(body));
@@ -257,7 +290,7 @@
             request.headers_mut().insert(HOST, host);
         }
         let pool = &self.connections;
-        let exchange = Exchange::send(pool, address, request, true, deadline).await?;
+        let exchange = Exchange::send(pool, address, request, reuse, deadline).await?;
         let answer = exchange.whole(ANSWER_BYTES, deadline).await?;
         self.state().note_answered();
         match answer.status.is_success() {
--- a/crates/sloetrail-serving/src/relay/peers/tests.rs
+++ b/crates/sloetrail-serving/src/relay/peers/tests.rs
@@ -1,4 +1,15 @@
-use super::PeerState;
+use super::{PeerState, Peers};
+use crate::follow::TableView;
+use crate::http::ConnectionPool;
+use crate::relay::probe::ProbeOutcome;
+use sloetrail_types::{NodeId, RowVersion, ZoneName};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 #[test]
@@ -34,3 +45,64 @@
     assert!(!state.are_silent(), "the next outage may strike everybody");
     assert_eq!(state.note_direct(), None);
 }
+
+const LIFE: &str = "other/1";
+
+/// A peer that says which life it is, until its connections of now fall silent.
+async fn peer(silences: watch::Receiver<u64>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let mut silences = silences.clone();
+            silences.mark_unchanged();
+            tokio::spawn(tell_life(stream, silences));
+        }
+    });
+    address
+}
+
+async fn tell_life(mut stream: TcpStream, silences: watch::Receiver<u64>) {
+    let mut request = [0; 4096];
+    let length = LIFE.len();
+    let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{LIFE}");
+    while stream.read(&mut request).await.is_ok_and(|read| read > 0) {
+        if silences.has_changed().unwrap_or(true) {
+            std::future::pending::<()>().await;
+        }
+        // A prober that has gone is no matter here.
+        let _ = stream.write_all(answer.as_bytes()).await;
+    }
+}
+
+fn peers() -> Peers {
+    let (_, entries) = watch::channel(Arc::new(TableView {
+        rows: BTreeMap::new(),
+        version: RowVersion(0),
+        confirmed_at: None,
+        asked_at: None,
+        interruptions: 0,
+    }));
+    Peers {
+        own_name: "own".to_owned(),
+        own_zone: ZoneName::new("zone-a"),
+        entries,
+        connections: Arc::new(ConnectionPool::new()),
+        state: Mutex::default(),
+    }
+}
+
+#[tokio::test]
+async fn a_peer_behind_a_silent_connection_is_found_alive_over_a_new_one() {
+    let (silences, receiver) = watch::channel(0);
+    let address = peer(receiver).await;
+    let (peers, life) = (peers(), NodeId::new(LIFE));
+    assert_eq!(peers.probe(&life, address).await, ProbeOutcome::Alive);
+    silences.send_modify(|count| *count += 1);
+    let began = Instant::now();
+    assert_eq!(peers.probe(&life, address).await, ProbeOutcome::Alive);
+    assert!(began.elapsed() < Duration::from_millis(300), "one time-out");
+    let began = Instant::now();
+    assert_eq!(peers.probe(&life, address).await, ProbeOutcome::Alive);
+    assert!(began.elapsed() < Duration::from_millis(100), "none");
+}
--- a/crates/sloetrail-serving/src/relay/probe.rs
+++ b/crates/sloetrail-serving/src/relay/probe.rs
@@ -41,14 +41,14 @@
 impl Peers {
     /// Whether a life of a node answers at an address.
     pub(super) async fn probe(&self, life: &NodeId, address: SocketAddr) -> ProbeOutcome {
-        let deadline = Instant::now() + PROBE_TIME;
         let request = (Method::GET, LIFE_PATH, Vec::new());
-        match self.send(address, request, deadline).await {
+        let began = Instant::now();
+        match self.send_repeatable(address, request, PROBE_TIME).await {
             Ok(answer) if answer == life.as_str().as_bytes() => ProbeOutcome::Alive,
             // Another life of the node answers.
             Ok(_) => ProbeOutcome::Gone,
             Err(SendFailure::OutOfTime) => ProbeOutcome::Silent,
-            Err(_) if Instant::now() >= deadline => ProbeOutcome::Silent,
+            Err(_) if began.elapsed() >= PROBE_TIME => ProbeOutcome::Silent,
             Err(_) => ProbeOutcome::Gone,
         }
     }
@@ -79,9 +79,12 @@
             life: life.clone(),
             address,
         });
-        let deadline = Instant::now() + PROBE_TIME * 2;
         let request = (Method::POST, PROBE_PATH, message);
-        let answer = self.send(other.address, request, deadline).await.ok();
+        let time = PROBE_TIME * 2;
+        let answer = self
+            .send_repeatable(other.address, request, time)
+            .await
+            .ok();
         let seen = answer.and_then(|answer| decode(&answer));
         seen.unwrap_or(ProbeOutcome::Alive)
     }
--- a/crates/sloetrail-serving/src/table_client.rs
+++ b/crates/sloetrail-serving/src/table_client.rs
@@ -5,6 +5,11 @@
 //! second when it is slow. [`Patience`] learns it from the answers that come. A table
 //! that does not answer at all is probed, and calls that wait when it is back are given
 //! up: their answers are lost.
+//!
+//! A kept connection may be silent for good while the table answers over others. A call on
+//! one is no sign that the table is away, and a read goes again, over a new connection; a
+//! commit may have taken effect, which its caller is told. The next call is waited for
+//! longer all the same: the table may have turned slow.
 
 mod patience;
 mod presence;
@@ -29,6 +34,30 @@
 const PROBE_PERIOD_LATER: Duration = Duration::from_millis(1_000);
 const PROBE_OFTEN_FOR: Duration = Duration::from_secs(10);
 const PROBE_PATIENCE: Duration = Duration::from_millis(1_500);
+/// The outcome of a call on a connection that was silent, for metrics.
+const SILENT_CONNECTION: &str = "silent_connection";
+
+/// A call over a transport that failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallFailed<Failure> {
+    /// How it failed.
+    pub failure: Failure,
+    /// True if nothing came over a connection that had been kept. That says something of
+    /// the connection and nothing of the table; the next call goes over a new one.
+    pub on_silent_connection: bool,
+}
+
+impl<Failure> From<Failure> for CallFailed<Failure> {
+    fn from(failure: Failure) -> Self {
+        Self {
+            failure,
+            on_silent_connection: false,
+        }
+    }
+}
+
+/// What became of a call over a transport.
+pub type Called<Answer, Failure> = Result<Answer, CallFailed<Failure>>;
 
 /// A way to the table that gives a call up after the time that it is told.
 #[async_trait]
@@ -44,10 +73,10 @@
         &self,
         transaction: &Transaction,
         patience: Duration,
-    ) -> Result<Commit, CommitError>;
+    ) -> Called<Commit, CommitError>;
 
     /// Reads a range.
-    async fn scan(&self, range: &KeyRange, patience: Duration) -> Result<Page, ReadError>;
+    async fn scan(&self, range: &KeyRange, patience: Duration) -> Called<Page, ReadError>;
 
     /// The changes of a table since a version, as soon as there is one, or none after
     /// `wait`; `patience` comes on top.
@@ -57,7 +86,7 @@
         since: RowVersion,
         wait: Duration,
         patience: Duration,
-    ) -> Result<Changes, ReadError>;
+    ) -> Called<Changes, ReadError>;
 }
 
 /// The table over a transport.
@@ -150,11 +179,20 @@
     }
 }
 
-fn read_word<Answer>(result: &Result<Answer, ReadError>) -> &'static str {
-    match result {
+fn is_on_silent_connection<Answer, Failure>(called: &Called<Answer, Failure>) -> bool {
+    called
+        .as_ref()
+        .is_err_and(|failed| failed.on_silent_connection)
+}
+
+fn read_word<Answer>(called: &Called<Answer, ReadError>) -> &'static str {
+    match called {
         Ok(_) => "done",
-        Err(ReadError::Unavailable) => "unavailable",
-        Err(ReadError::HistoryLost) => "history_lost",
+        Err(failed) if failed.on_silent_connection => SILENT_CONNECTION,
+        Err(failed) => match failed.failure {
+            ReadError::Unavailable => "unavailable",
+            ReadError::HistoryLost => "history_lost",
+        },
     }
 }
 
@@ -193,60 +231,94 @@
     async fn commit(&self, transaction: &Transaction) -> Result<Commit, CommitError> {
         let began = Instant::now();
         let patience = patience_of(&self.writes);
-        let result = tokio::select! {
-            result = self.transport.commit(transaction, patience) => result,
-            () = self.returned() => Err(CommitError::Unknown),
+        let called = tokio::select! {
+            called = self.transport.commit(transaction, patience) => called,
+            () = self.returned() => Err(CommitError::Unknown.into()),
         };
         let took = began.elapsed();
-        let outcome = match &result {
+        let outcome = match &called {
             Ok(Commit::Done(_)) => "done",
             Ok(Commit::Conflict(_)) => "conflict",
-            Err(CommitError::NotDone) => "not_done",
-            Err(CommitError::Unknown) => "unknown",
+            Err(failed) if failed.on_silent_connection => SILENT_CONNECTION,
+            Err(failed) if failed.failure == CommitError::NotDone => "not_done",
+            Err(_) => "unknown",
         };
-        learn(&self.writes, result.is_ok(), took, patience);
-        self.note_presence(result.is_ok());
         telemetry::table_call_ended("commit", outcome, took);
-        result
+        learn(&self.writes, called.is_ok(), took, patience);
+        if !is_on_silent_connection(&called) {
+            self.note_presence(called.is_ok());
+        }
+        called.map_err(|failed| failed.failure)
     }
 
     async fn scan(&self, range: &KeyRange) -> Result<Page, ReadError> {
+        let mut called = self.try_scan(range).await;
+        if is_on_silent_connection(&called) {
+            called = self.try_scan(range).await;
+        }
+        called.map_err(|failed| failed.failure)
+    }
+
+    async fn changes(
+        &self,
+        table: &str,
+        since: RowVersion,
+        wait: Duration,
+    ) -> Result<Changes, ReadError> {
+        let mut called = self.try_changes(table, since, wait).await;
+        if is_on_silent_connection(&called) {
+            called = self.try_changes(table, since, wait).await;
+        }
+        called.map_err(|failed| failed.failure)
+    }
+}
+
+impl TableClient {
+    async fn try_scan(&self, range: &KeyRange) -> Called<Page, ReadError> {
         let began = Instant::now();
         let patience = patience_of(&self.reads);
-        let result = tokio::select! {
-            result = self.transport.scan(range, patience) => result,
-            () = self.returned() => Err(ReadError::Unavailable),
+        let called = tokio::select! {
+            called = self.transport.scan(range, patience) => called,
+            () = self.returned() => Err(ReadError::Unavailable.into()),
         };
         let took = began.elapsed();
-        learn(&self.reads, result.is_ok(), took, patience);
-        self.note_presence(result.is_ok());
-        telemetry::table_call_ended("scan", read_word(&result), took);
-        result
+        telemetry::table_call_ended("scan", read_word(&called), took);
+        learn(&self.reads, called.is_ok(), took, patience);
+        if !is_on_silent_connection(&called) {
+            self.note_presence(called.is_ok());
+        }
+        called
     }
 
-    async fn changes(
+    async fn try_changes(
         &self,
         table: &str,
         since: RowVersion,
         wait: Duration,
-    ) -> Result<Changes, ReadError> {
+    ) -> Called<Changes, ReadError> {
         let began = Instant::now();
         let patience = patience_of(&self.reads);
-        let result = tokio::select! {
-            result = self.transport.changes(table, since, wait, patience) => result,
-            () = self.returned() => Err(ReadError::Unavailable),
+        let called = tokio::select! {
+            called = self.transport.changes(table, since, wait, patience) => called,
+            () = self.returned() => Err(ReadError::Unavailable.into()),
         };
         let took = began.elapsed();
-        if result.is_err() && took >= wait + patience {
+        telemetry::table_call_ended("changes", read_word(&called), took);
+        if called.is_err() && took >= wait + patience {
             learn(&self.reads, false, patience, patience);
         }
-        if result.is_ok() {
+        if is_on_silent_connection(&called) {
+            return called;
+        }
+        if called.is_ok() {
             let mut reads = self.reads.lock().expect("not poisoned");
             reads.note_held_answer(took, wait);
         }
-        self.note_presence(!matches!(result, Err(ReadError::Unavailable)));
-        telemetry::table_call_ended("changes", read_word(&result), began.elapsed());
-        result
+        let is_answered = !called
+            .as_ref()
+            .is_err_and(|failed| failed.failure == ReadError::Unavailable);
+        self.note_presence(is_answered);
+        called
     }
 }
 
--- a/crates/sloetrail-serving/src/table_client/tests.rs
+++ b/crates/sloetrail-serving/src/table_client/tests.rs
@@ -1,4 +1,4 @@
-use super::{Patience, Presence, PresenceChange, TableClient, TableTransport};
+use super::{CallFailed, Called, Patience, Presence, PresenceChange, TableClient, TableTransport};
 use crate::table::{
     Changes, Commit, CommitError, KeyRange, Page, ReadError, Table, TableLimits, Transaction,
 };
@@ -124,13 +124,15 @@
         None
     }
 
-    async fn commit(&self, _: &Transaction, patience: Duration) -> Result<Commit, CommitError> {
+    async fn commit(&self, _: &Transaction, patience: Duration) -> Called<Commit, CommitError> {
         let answer: Result<RowVersion, ReadError> = self.answer(patience).await;
-        answer.map(Commit::Done).map_err(|_| CommitError::Unknown)
+        answer
+            .map(Commit::Done)
+            .map_err(|_| CommitError::Unknown.into())
     }
 
-    async fn scan(&self, _: &KeyRange, patience: Duration) -> Result<Page, ReadError> {
-        self.answer(patience).await
+    async fn scan(&self, _: &KeyRange, patience: Duration) -> Called<Page, ReadError> {
+        Ok(self.answer(patience).await?)
     }
 
     async fn changes(
@@ -139,8 +141,8 @@
         _: RowVersion,
         wait: Duration,
         patience: Duration,
-    ) -> Result<Changes, ReadError> {
-        self.answer(wait + patience).await
+    ) -> Called<Changes, ReadError> {
+        Ok(self.answer(wait + patience).await?)
     }
 }
 
@@ -177,3 +179,78 @@
     assert!(table.is_answering());
     assert!(table.scan(&range).await.is_ok());
 }
+
+/// A table whose answers take a time, over connections that were all kept.
+struct SlowTable {
+    answer_time: Duration,
+}
+
+impl SlowTable {
+    async fn answer<Answer: Default, Failure>(
+        &self,
+        patience: Duration,
+        failure: Failure,
+    ) -> Called<Answer, Failure> {
+        tokio::time::sleep(patience.min(self.answer_time)).await;
+        match patience >= self.answer_time {
+            true => Ok(Answer::default()),
+            false => Err(CallFailed {
+                failure,
+                on_silent_connection: true,
+            }),
+        }
+    }
+}
+
+#[async_trait]
+impl TableTransport for SlowTable {
+    fn limits(&self) -> TableLimits {
+        TableLimits {
+            row_bytes: 1,
+            transaction_entries: 1,
+            transaction_bytes: 1,
+        }
+    }
+
+    fn now_ms(&self) -> Option<u64> {
+        None
+    }
+
+    async fn commit(&self, _: &Transaction, patience: Duration) -> Called<Commit, CommitError> {
+        let answer = self.answer(patience, CommitError::Unknown).await;
+        answer.map(Commit::Done)
+    }
+
+    async fn scan(&self, _: &KeyRange, patience: Duration) -> Called<Page, ReadError> {
+        self.answer(patience, ReadError::Unavailable).await
+    }
+
+    async fn changes(
+        &self,
+        _: &str,
+        _: RowVersion,
+        wait: Duration,
+        patience: Duration,
+    ) -> Called<Changes, ReadError> {
+        let answer = self.answer(patience, ReadError::Unavailable);
+        tokio::time::timeout(wait + patience, answer)
+            .await
+            .unwrap_or(Err(ReadError::Unavailable.into()))
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_table_that_is_slow_over_kept_connections_is_waited_for_and_not_taken_as_away() {
+    let answer_time = milliseconds(500);
+    let table = TableClient::new(Arc::new(SlowTable { answer_time }));
+    let mut commits = 0;
+    while table.commit(&Transaction::new()).await.is_err() {
+        assert!(table.is_answering());
+        commits += 1;
+    }
+    assert_eq!(commits, 2, "150 and 300 ms are too short, 600 ms are not");
+    let range = KeyRange::all("t", "p");
+    assert!(table.scan(&range).await.is_err(), "150 and 300 ms");
+    assert!(table.scan(&range).await.is_ok());
+    assert!(table.is_answering());
+}
--- a/crates/sloetrail-serving/src/telemetry.rs
+++ b/crates/sloetrail-serving/src/telemetry.rs
@@ -93,6 +93,11 @@
     histogram!("sloetrail_table_call_seconds", "call" => call).record(took);
 }
 
+/// Kept connections were closed because one to the same address was silent.
+pub(crate) fn connections_condemned(cause: &'static str, count: u64) {
+    counter!("sloetrail_connections_condemned_total", "cause" => cause).increment(count);
+}
+
 /// An order was given to an engine.
 pub(crate) fn order_given(outcome: &'static str) {
     counter!("sloetrail_orders_total", "outcome" => outcome).increment(1);
