Callers that leave: their end is seen also while bytes beyond their request wait

Cause: the HTTP library drops the answer that is being made when the caller closes, but it sees the end only while its buffer is empty. A caller that sent anything beyond its request (a line end, a further request) was not seen to go: a live request ran on for 1.7 s, a series of events for 4.7 s, a submission that waited for the table was committed after its caller had left. Found by tests with sockets for each place where a call waits.

Ruled out: half-closed sockets (the library takes them as closed, and goes on doing so; said in the module); a body of which half came (nothing is begun and its bytes are given back, as the test shows without the change); a peek at the socket (it does not see an end behind unread bytes).

Change: `CallerStream` shares the socket with `CallerEnd`, which asks the system for the end beside the bytes. `sloetrail_requests_abandoned_total` counts requests whose sender left.

--- /dev/null
+++ b/crates/sloetrail-serving/src/http/caller_stream.rs
@@ -0,0 +1,114 @@
+//! A caller's connection whose end is seen while nothing is read from it.
+//!
+//! The HTTP library reads no further while it holds bytes beyond the request that it is at,
+//! and so does not see that the caller has gone. The system reports the end beside the
+//! bytes, whether these are read or not.
+
+use socket2::SockRef;
+use std::io::{self, ErrorKind, IoSlice};
+use std::net::Shutdown;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::net::TcpStream;
+
+/// How often the end is looked for while there are bytes that nobody reads: a fifth of the
+/// half second within which the work for a caller that left must have ended.
+const LOOK_PERIOD: Duration = Duration::from_millis(100);
+
+/// A caller's connection.
+pub(super) struct CallerStream(Arc<TcpStream>);
+
+/// Tells when the caller sends nothing more.
+pub(super) struct CallerEnd(Arc<TcpStream>);
+
+impl CallerStream {
+    /// A connection and what tells its end.
+    pub(super) fn new(stream: TcpStream) -> (Self, CallerEnd) {
+        let stream = Arc::new(stream);
+        (Self(Arc::clone(&stream)), CallerEnd(stream))
+    }
+}
+
+impl CallerEnd {
+    /// Waits until the caller has closed the connection, or its side of it.
+    pub(super) async fn reached(&self) {
+        loop {
+            match self.0.ready(Interest::READABLE).await {
+                Ok(ready) if !ready.is_read_closed() => {}
+                // A socket that cannot be asked is of no use any more.
+                Ok(_) | Err(_) => return,
+            }
+            tokio::time::sleep(LOOK_PERIOD).await;
+        }
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.0.poll_read_ready(context))?;
+            match self.0.try_read(buffer.initialize_unfilled()) {
+                Ok(length) => {
+                    buffer.advance(length);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+}
+
+impl CallerStream {
+    fn poll_write_with(
+        &self,
+        context: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(context))?;
+            match write(&self.0) {
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_with(context, |stream| stream.try_write(bytes))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        pieces: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_with(context, |stream| stream.try_write_vectored(pieces))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // What is written is with the system.
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.0).shutdown(Shutdown::Write))
+    }
+}
--- a/crates/sloetrail-serving/src/http/listener.rs
+++ b/crates/sloetrail-serving/src/http/listener.rs
@@ -1,7 +1,13 @@
 //! Connections from callers: accepted, bounded in time and size, and ended in an
 //! orderly way when the node stops.
+//!
+//! What is done for a caller ends with its connection: the answer that is being made is
+//! dropped, and with it all that it waits for. A caller that closes only its own side of
+//! the connection counts as gone.
 
+use super::caller_stream::CallerStream;
 use super::socket;
+use crate::telemetry;
 use http::{Request, Response};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
@@ -94,13 +100,14 @@
     AnswerBody::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     socket::configure(&stream);
+    let (stream, caller_end) = CallerStream::new(stream);
     let _open = Counted::new(&tracker.connections);
     let requests = Arc::clone(&tracker.requests);
     let service = service_fn(move |request| {
-        let (handler, busy) = (handler.clone(), Counted::new(&requests));
+        let (handler, busy) = (handler.clone(), Unanswered::new(&requests));
         async move {
             let answer = handler(request).await;
-            drop(busy);
+            busy.end();
             Ok::<_, Infallible>(answer)
         }
     });
@@ -112,11 +119,42 @@
     tokio::pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => return,
+        () = caller_end.reached() => return,
         () = tracker.stopping.cancelled() => {}
     }
     connection.as_mut().graceful_shutdown();
-    // An error here is the caller's own end of the connection.
-    let _ = connection.await;
+    tokio::select! {
+        // An error here is the caller's own end of the connection.
+        _ = connection => {}
+        () = caller_end.reached() => {}
+    }
+}
+
+/// A request without an answer yet. Dropped before that, its sender has gone.
+struct Unanswered {
+    _busy: Counted,
+    is_answered: bool,
+}
+
+impl Unanswered {
+    fn new(counter: &Arc<AtomicUsize>) -> Self {
+        Self {
+            _busy: Counted::new(counter),
+            is_answered: false,
+        }
+    }
+
+    fn end(mut self) {
+        self.is_answered = true;
+    }
+}
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            telemetry::request_abandoned();
+        }
+    }
 }
 
 struct Counted(Arc<AtomicUsize>);
--- a/crates/sloetrail-serving/src/http/mod.rs
+++ b/crates/sloetrail-serving/src/http/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 towards callers and back ends.
 
+mod caller_stream;
 mod connections;
 mod exchange;
 mod listener;
--- a/crates/sloetrail-serving/src/telemetry.rs
+++ b/crates/sloetrail-serving/src/telemetry.rs
@@ -59,6 +59,11 @@
     histogram!("sloetrail_request_seconds", "route" => route).record(took);
 }
 
+/// The sender of a request closed its connection before it had an answer.
+pub(crate) fn request_abandoned() {
+    counter!("sloetrail_requests_abandoned_total").increment(1);
+}
+
 /// An attempt at a back end has ended.
 pub(crate) fn attempt_ended(service: &str, outcome: &'static str, took: Duration) {
     let service = SERVICES.bounded(service);
