Refusals and waits: from when a place may be had, not from shares of the target

Cause: a request waited for a place for 0.2 of its target (series: 0.25, 100 ms at least) and a refused caller was told to return after half of it, whatever was known: with all back ends left alone for up to 2 s after losses it was held in vain and sent back into the pause, and all that were refused together came back together.

Change: `ServicePools::place_outlook` tells how long all back ends are still left alone, the ordinary answer time and how many requests run; `gateway::place_wait` decides without I/O. A wait lasts until an ordinary answer has been seen to free a place, and only while the own answer still comes within the target; otherwise the refusal is immediate. Retry-After is the end of the shortest pause or an ordinary answer time, spread out, within the third of the caller's time that it heeds.

--- a/crates/sloetrail-serving/src/gateway/live.rs
+++ b/crates/sloetrail-serving/src/gateway/live.rs
@@ -6,6 +6,7 @@
 //! only after proof that it has not run. What is given up is answered at once.
 
 use super::attempt::{AttemptResult, Outgoing, attempt};
+use super::place_wait::{self, PlaceOutlook, PlaceWait};
 use crate::context::NodeContext;
 use crate::events::{self, Event};
 use crate::http::{Reuse, WholeAnswer};
@@ -29,14 +30,10 @@
 /// The same while most answers take longer: a second answer still comes about in time.
 const HEDGE_SHARE_MOST: f64 = 0.8;
 const HEDGE_LEAST: Duration = Duration::from_millis(20);
-/// Part of the latency target for which a request waits for a free back end.
-const WAIT_SHARE: f64 = 0.2;
-const WAIT_STEP: Duration = Duration::from_millis(15);
 /// With less time than this an attempt is not worth beginning.
 const TIME_LEAST: Duration = Duration::from_millis(5);
 /// Attempts that were proved not to run are not counted, but they are bounded.
 const SENDS_LIMIT: usize = 8;
-const RETRY_AFTER_SHARE: f64 = 0.5;
 
 /// A live request with its route.
 pub(crate) struct LiveCall {
@@ -75,8 +72,7 @@
 
 struct Run<'a> {
     call: &'a LiveCall,
-    /// When the first attempt could be made.
-    began: Instant,
+    wait: PlaceWait,
     pending: FuturesUnordered<BoxFuture<'static, Attempted>>,
     tried: BTreeSet<EngineId>,
     /// The connections that the next attempt may use.
@@ -94,7 +90,7 @@
     pub(crate) async fn run(&self) -> LiveOutcome {
         let run = Run {
             call: self,
-            began: Instant::now(),
+            wait: PlaceWait::default(),
             pending: FuturesUnordered::new(),
             tried: BTreeSet::new(),
             reuse: self.reuse(),
@@ -114,9 +110,26 @@
         Some(BegunRequest::new(usage, self.tenant.as_ref()?))
     }
 
-    /// False if no back end of the allowed regions takes work: waiting does not help then.
-    pub(crate) fn may_be_served(&self) -> bool {
-        self.context.pools.may_serve(&self.service, &self.regions)
+    /// Waits for a moment if a place is likely to come free soon; false if it is not.
+    pub(crate) async fn wait_for_place(&self, wait: &mut PlaceWait) -> bool {
+        let outlook = self.place_outlook();
+        let target = self.route.latency_target;
+        let Some(next_look) = wait.next_look(Instant::now(), outlook, target) else {
+            return false;
+        };
+        tokio::time::sleep_until(next_look).await;
+        true
+    }
+
+    /// When a caller that is refused should come back.
+    pub(crate) fn retry_after(&self) -> Duration {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        place_wait::retry_after(self.place_outlook(), left, rand::random())
+    }
+
+    fn place_outlook(&self) -> Option<PlaceOutlook> {
+        let pools = &self.context.pools;
+        pools.place_outlook(&self.service, &self.regions)
     }
 
     fn reuse(&self) -> Reuse {
@@ -138,7 +151,6 @@
 impl Run<'_> {
     async fn run_to_end(mut self) -> LiveOutcome {
         self.call.context.pause_guard.settled().await;
-        self.began = Instant::now();
         let hedge_after = self.hedge_after();
         let mut next_hedge = Instant::now();
         loop {
@@ -190,10 +202,9 @@
         is_safe && self.has_attempts_left() && left > TIME_LEAST
     }
 
-    /// Starts an attempt; if no back end has room, waits for one for a small part
-    /// of the latency target. False if there is none.
+    /// Starts an attempt; if no back end has room, waits while a place is likely to come
+    /// free soon. False if there is none.
     async fn start_or_wait(&mut self) -> bool {
-        let wait_until = self.began + self.call.share_of_target(WAIT_SHARE);
         loop {
             if self.start() {
                 return true;
@@ -203,10 +214,10 @@
             if self.start() {
                 return true;
             }
-            if Instant::now() + WAIT_STEP > wait_until || !self.call.may_be_served() {
+            let is_late = Instant::now() + TIME_LEAST >= self.call.deadline;
+            if is_late || !self.call.wait_for_place(&mut self.wait).await {
                 return false;
             }
-            tokio::time::sleep(WAIT_STEP).await;
         }
     }
 
@@ -339,7 +350,7 @@
         if possible > 0 {
             return problem;
         }
-        let retry_after = self.call.share_of_target(RETRY_AFTER_SHARE);
+        let retry_after = self.call.retry_after();
         problem.with_retry_after_ms(retry_after.as_millis() as u64)
     }
 
--- a/crates/sloetrail-serving/src/gateway/mod.rs
+++ b/crates/sloetrail-serving/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod known_batch;
 pub(crate) mod live;
 pub(crate) mod message;
+pub(crate) mod place_wait;
 pub(crate) mod read;
 pub(crate) mod stream;
 pub(crate) mod submit;
--- /dev/null
+++ b/crates/sloetrail-serving/src/gateway/place_wait/tests.rs
@@ -0,0 +1,100 @@
+use super::{PlaceOutlook, PlaceWait, retry_after};
+use std::time::Duration;
+use tokio::time::Instant;
+
+const fn milliseconds(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// All places are taken, by this many requests of this node.
+fn full(answer_time: u64, running: usize) -> Option<PlaceOutlook> {
+    Some(PlaceOutlook {
+        paused_for: None,
+        answer_time: Some(milliseconds(answer_time)),
+        running,
+    })
+}
+
+fn paused(time: u64, answer_time: u64) -> Option<PlaceOutlook> {
+    Some(PlaceOutlook {
+        paused_for: Some(milliseconds(time)),
+        answer_time: Some(milliseconds(answer_time)),
+        running: 0,
+    })
+}
+
+/// How long a request waits while nothing changes.
+fn waited(outlook: Option<PlaceOutlook>, latency_target: u64) -> Duration {
+    let began = Instant::now();
+    let mut now = began;
+    let mut wait = PlaceWait::default();
+    while let Some(next) = wait.next_look(now, outlook, milliseconds(latency_target)) {
+        assert!(next > now);
+        now = next;
+    }
+    now - began
+}
+
+#[test]
+fn a_place_that_comes_free_in_the_ordinary_course_is_waited_for() {
+    let waited = waited(full(60, 8), 200);
+    assert!(waited > milliseconds(40), "{waited:?}");
+    assert!(
+        waited <= milliseconds(75),
+        "an answer and a look: {waited:?}"
+    );
+}
+
+#[test]
+fn nothing_is_waited_for_that_could_not_be_answered_within_the_target() {
+    assert_eq!(waited(full(300, 8), 200), Duration::ZERO);
+    assert!(waited(full(150, 8), 200) <= milliseconds(50));
+}
+
+#[test]
+fn a_pause_is_waited_for_if_it_ends_within_an_ordinary_answer() {
+    assert!(waited(paused(20, 25), 150) >= milliseconds(15));
+    assert_eq!(waited(paused(480, 25), 150), Duration::ZERO);
+    assert_eq!(waited(paused(60, 25), 150), Duration::ZERO);
+}
+
+#[test]
+fn without_a_back_end_nothing_is_waited_for() {
+    assert_eq!(waited(None, 10_000), Duration::ZERO);
+}
+
+#[test]
+fn the_wait_is_one_over_all_attempts() {
+    let began = Instant::now();
+    let target = milliseconds(400);
+    let mut wait = PlaceWait::default();
+    assert!(wait.next_look(began, full(100, 8), target).is_some());
+    let later = began + milliseconds(200);
+    assert_eq!(wait.next_look(later, full(100, 8), target), None);
+}
+
+#[test]
+fn a_refused_caller_comes_back_when_a_place_is_likely_and_not_together_with_others() {
+    let left = milliseconds(2_000);
+    let early = retry_after(full(60, 8), left, 0.0);
+    let late = retry_after(full(60, 8), left, 1.0);
+    assert_eq!((early, late), (milliseconds(60), milliseconds(120)));
+    let pause = retry_after(paused(480, 60), left, 0.0);
+    assert_eq!(pause, milliseconds(480), "not before the pause is over");
+}
+
+#[test]
+fn a_return_lies_within_what_callers_heed_of_their_time() {
+    let left = milliseconds(900);
+    for outlook in [paused(2_000, 60), paused(250, 60), None] {
+        assert_eq!(retry_after(outlook, left, 1.0), left / 3);
+        let early = retry_after(outlook, left, 0.0);
+        assert!(early < left / 3, "spread out all the same");
+        assert!(
+            early >= milliseconds(240),
+            "as near to the pause's end as is heeded"
+        );
+    }
+    let none_left = retry_after(None, Duration::ZERO, 0.5);
+    assert!(none_left > Duration::ZERO);
+}
--- a/crates/sloetrail-serving/src/gateway/stream.rs
+++ b/crates/sloetrail-serving/src/gateway/stream.rs
@@ -10,6 +10,7 @@
 };
 use super::headers;
 use super::live::LiveCall;
+use super::place_wait::PlaceWait;
 use crate::context::NodeContext;
 use crate::event_stream::EventParser;
 use crate::events::{self, Event};
@@ -32,10 +33,6 @@
 /// How long a back end may be silent within a series before it counts as lost.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
 const SENDS_LIMIT: usize = 8;
-/// Part of the latency target for which a series waits for a back end.
-const WAIT_SHARE: f64 = 0.25;
-const WAIT_LEAST: Duration = Duration::from_millis(100);
-const WAIT_STEP: Duration = Duration::from_millis(15);
 
 /// What a streaming request is answered with.
 pub(crate) enum StreamOutcome {
@@ -159,15 +156,13 @@
         Opening::Failed(self.problem(last))
     }
 
-    /// A back end that was not tried yet, or else one that was, if there is one before
-    /// the caller has waited too long.
+    /// A back end that was not tried yet, or else one that was, if a place comes free soon.
     async fn acquire_or_wait(&mut self) -> Option<Place> {
         let context = self.context();
         let LiveCall {
             service, regions, ..
         } = &self.call;
-        let target = self.call.route.latency_target;
-        let wait_until = Instant::now() + target.mul_f64(WAIT_SHARE).max(WAIT_LEAST);
+        let mut wait = PlaceWait::default();
         loop {
             if let Some(place) = context.pools.acquire(service, regions, &self.tried) {
                 return Some(place);
@@ -176,10 +171,9 @@
             if let Some(place) = context.pools.acquire(service, regions, &self.tried) {
                 return Some(place);
             }
-            if Instant::now() + WAIT_STEP > wait_until || !self.call.may_be_served() {
+            if !self.call.wait_for_place(&mut wait).await {
                 return None;
             }
-            tokio::time::sleep(WAIT_STEP).await;
         }
     }
 
@@ -255,8 +249,9 @@
         if self.may_have_run > 0 {
             return Problem::new(ResultCode::EngineLost, detail);
         }
-        let retry_after = self.call.route.latency_target.as_millis() as u64 / 2;
-        Problem::new(ResultCode::NoEngine, detail).with_retry_after_ms(retry_after)
+        let retry_after = self.call.retry_after();
+        let problem = Problem::new(ResultCode::NoEngine, detail);
+        problem.with_retry_after_ms(retry_after.as_millis() as u64)
     }
 
     fn pieces(self, place: Place, body: AnswerBody) -> BoxStream<'static, io::Result<Bytes>> {
--- a/crates/sloetrail-serving/src/loss_backoff.rs
+++ b/crates/sloetrail-serving/src/loss_backoff.rs
@@ -8,7 +8,8 @@
 use tokio::time::Instant;
 
 const PAUSE_FIRST: Duration = Duration::from_millis(60);
-const PAUSE_AFTER_REFUSAL: Duration = Duration::from_millis(20);
+/// How long a back end that was full is left alone.
+pub(crate) const PAUSE_AFTER_REFUSAL: Duration = Duration::from_millis(20);
 const DOUBLINGS_LIMIT: u32 = 5;
 /// Losses closer together than this have one cause and count once.
 const SAME_CAUSE: Duration = Duration::from_millis(50);
@@ -52,6 +53,12 @@
         self.until.is_none_or(|until| now >= until)
     }
 
+    /// How much longer the back end is left alone; nothing if it may be tried.
+    pub(crate) fn left(&self, now: Instant) -> Option<Duration> {
+        let until = self.until.filter(|until| now < *until)?;
+        Some(until - now)
+    }
+
     /// True if the last try was a loss or a refusal.
     pub(crate) fn is_suspect(&self) -> bool {
         self.until.is_some()
--- a/crates/sloetrail-serving/src/service_pools.rs
+++ b/crates/sloetrail-serving/src/service_pools.rs
@@ -2,6 +2,7 @@
 
 use crate::back_end::BackEnd;
 use crate::directory::Directory;
+use crate::gateway::place_wait::PlaceOutlook;
 use crate::loss_backoff::LossBackoff;
 use crate::operator::InForce;
 use crate::relay::peers::Peers;
@@ -115,12 +116,33 @@
         state.directory = directory;
     }
 
-    /// True if a back end of a service takes work in the allowed regions, whether or not it
-    /// has room now. Without one, waiting does not help a request.
-    pub(crate) fn may_serve(&self, service: &ServiceName, regions: &AllowedRegions) -> bool {
+    /// When a place may be had at a back end of a service in the allowed regions; nothing if
+    /// none takes work there.
+    pub(crate) fn place_outlook(
+        &self,
+        service: &ServiceName,
+        regions: &AllowedRegions,
+    ) -> Option<PlaceOutlook> {
         let state = self.state.lock().expect("not poisoned");
-        let balancer = state.balancers.get(service);
-        balancer.is_some_and(|balancer| balancer.may_serve(regions))
+        let balancer = state.balancers.get(service)?;
+        if !balancer.may_serve(regions) {
+            return None;
+        }
+        let now = Instant::now();
+        let pauses = state.directory.of_service(service).filter_map(|back_end| {
+            let takes_work =
+                !back_end.draining && !state.in_force.evacuations.covers(&back_end.zone);
+            let is_allowed = state.topology.allows(regions, &back_end.zone);
+            let losses = state.losses.get(&back_end.id);
+            let pause = losses.and_then(|losses| losses.left(now));
+            (takes_work && is_allowed).then_some(pause.unwrap_or_default())
+        });
+        let soonest = pauses.min().unwrap_or_default();
+        Some(PlaceOutlook {
+            paused_for: (!soonest.is_zero()).then_some(soonest),
+            answer_time: state.answer_times.get(service).map(LatencyQuantile::time),
+            running: balancer.in_flight(),
+        })
     }
 
     /// Chooses a back end of a service that has room, lies in one of the allowed regions
