Waits end before the caller's time does; runs that fall silent midway are tested

A look for a place could come up to 10 ms after the request's time was over, so that a back end got a request without time; such a wait is not begun now.

--- a/crates/sloetrail-serving/src/gateway/live.rs
+++ b/crates/sloetrail-serving/src/gateway/live.rs
@@ -117,6 +117,9 @@
         let Some(next_look) = wait.next_look(Instant::now(), outlook, target) else {
             return false;
         };
+        if next_look + TIME_LEAST >= self.deadline {
+            return false;
+        }
         tokio::time::sleep_until(next_look).await;
         true
     }
@@ -214,8 +217,7 @@
             if self.start() {
                 return true;
             }
-            let is_late = Instant::now() + TIME_LEAST >= self.call.deadline;
-            if is_late || !self.call.wait_for_place(&mut self.wait).await {
+            if !self.call.wait_for_place(&mut self.wait).await {
                 return false;
             }
         }
--- a/crates/sloetrail-serving/tests/silent_connections.rs
+++ b/crates/sloetrail-serving/tests/silent_connections.rs
@@ -210,6 +210,38 @@
     assert!(proxied.engine.runs().len() >= ITEMS * 3);
 }
 
+/// Runs whose connections fall silent midway go on after the 1.5 s over new connections, and
+/// meet no second silence.
+#[tokio::test(flavor = "multi_thread")]
+async fn runs_that_fall_silent_midway_condemn_the_connections_at_rest() {
+    const ITEMS: usize = 4;
+    const PACE: Duration = Duration::from_millis(30);
+    let proxied = proxied(1, PACE).await;
+    let submit = |id: &'static str, count: usize, events: u64| {
+        let batch = batch(&items(count, events), MODEL, 1);
+        let cluster = &proxied.cluster;
+        async move {
+            let answer = cluster.submit(0, id, &batch).await;
+            assert_eq!(answer.expect("an answer").status, 202);
+            cluster.wait_results(0, id, count).await;
+        }
+    };
+    submit("rests", ITEMS * 2, 2).await;
+    let silencing = async {
+        tokio::time::sleep(PACE * 10).await;
+        proxied.silence_all();
+    };
+    let began = Instant::now();
+    tokio::join!(submit("met-midway", ITEMS, 30), silencing);
+    let took = began.elapsed();
+    // The text takes 0.9 s.
+    assert!(took < Duration::from_millis(3_200), "{took:?}: one silence");
+    let began = Instant::now();
+    submit("after", ITEMS * 2, 2).await;
+    let took = began.elapsed();
+    assert!(took < Duration::from_millis(1_000), "{took:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_back_end_that_is_merely_slow_keeps_its_connections() {
     const ROUNDS: usize = 10;
