--- a/crates/sloetrail-serving/src/telemetry.rs
+++ b/crates/sloetrail-serving/src/telemetry.rs
@@ -59,6 +59,11 @@
     histogram!("sloetrail_request_seconds", "route" => route).record(took);
 }
 
+/// The sender of a request closed its connection before it had an answer.
+pub(crate) fn request_abandoned() {
+    counter!("sloetrail_requests_abandoned_total").increment(1);
+}
+
 /// An attempt at a back end has ended.
 pub(crate) fn attempt_ended(service: &str, outcome: &'static str, took: Duration) {
     let service = SERVICES.bounded(service);
@@ -93,6 +98,11 @@
     histogram!("sloetrail_table_call_seconds", "call" => call).record(took);
 }
 
+/// Kept connections were closed because one to the same address was silent.
+pub(crate) fn connections_condemned(cause: &'static str, count: u64) {
+    counter!("sloetrail_connections_condemned_total", "cause" => cause).increment(count);
+}
+
 /// An order was given to an engine.
 pub(crate) fn order_given(outcome: &'static str) {
     counter!("sloetrail_orders_total", "outcome" => outcome).increment(1);
