Merge repair: the test of peers gives its zone as a topology

Cause: two parts changed the same type. Ruled out: -. Change: the test's value, not what it checks. Measured: the workspace's targets compile.

--- a/crates/sloetrail-serving/src/relay/peers/tests.rs
+++ b/crates/sloetrail-serving/src/relay/peers/tests.rs
@@ -2,7 +2,7 @@
 use crate::follow::TableView;
 use crate::http::ConnectionPool;
 use crate::relay::probe::ProbeOutcome;
-use sloetrail_types::{NodeId, RowVersion, ZoneName};
+use sloetrail_types::{NodeId, RowVersion, Topology, ZoneName};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -85,7 +85,7 @@
     }));
     Peers {
         own_name: "own".to_owned(),
-        own_zone: ZoneName::new("zone-a"),
+        topology: Topology::of_zone(ZoneName::new("zone-a")),
         entries,
         connections: Arc::new(ConnectionPool::new()),
         state: Mutex::default(),
