A back end that is listed again takes work, and what it was sent still counts

Cause: found by reading. An engine whose row lapsed (it does while the table is away) while a request of this node ran there was marked as leaving for good, though listed again. One at rest was dropped with its window over the last sends, so a cold one could get its bound twice in a second. And may_serve said that waiting helps where other nodes alone may send to a cold back end.

Change: 'not listed' is a state of its own, which ends; an entry stays until its sends no longer count; may_serve leaves out cold engines of which this node has no part. Rows that say 'leaving' still hold for life (the old test stands).

--- a/crates/sloetrail-balance/src/balancer.rs
+++ b/crates/sloetrail-balance/src/balancer.rs
@@ -95,15 +95,16 @@
         }
     }
 
-    /// Takes in the machine list: it adds engines, marks leavers and drops the
-    /// rest. Once marked, an engine stays a leaver whatever the list says later.
-    pub fn set_engines(&mut self, listed: Vec<ListedEngine>) {
+    /// Takes in the machine list: it adds engines, marks leavers and drops the rest, once
+    /// nothing runs there and what was sent there no longer counts. Once marked, an engine
+    /// stays a leaver whatever the list says later; one that was not listed for a while
+    /// takes work again.
+    pub fn set_engines(&mut self, now: Timestamp, listed: Vec<ListedEngine>) {
         let ids: BTreeSet<EngineId> = listed.iter().map(|engine| engine.id.clone()).collect();
-        self.engines
-            .retain(|id, entry| ids.contains(id) || entry.in_flight > 0);
-        for (id, entry) in &mut self.engines {
-            entry.leaving |= !ids.contains(id);
-        }
+        self.engines.retain(|id, entry| {
+            entry.listed = ids.contains(id);
+            entry.listed || entry.in_flight > 0 || entry.sends.is_in_use(now)
+        });
         for engine in listed {
             let concurrency = self.settings.engine_concurrency;
             let preference = rendezvous_weight(&self.settings.node, engine.id.as_str());
@@ -180,13 +181,13 @@
             .count()
     }
 
-    /// True if an engine of the allowed regions takes work, whether or not it has room now.
-    /// Without one, waiting does not help a request.
-    pub fn may_serve(&self, regions: &AllowedRegions) -> bool {
+    /// True if an engine of the allowed regions takes work of this node, whether or not it
+    /// has room now. Without one, waiting does not help a request.
+    pub fn may_serve(&self, now: Timestamp, regions: &AllowedRegions) -> bool {
         let topology = &self.settings.topology;
         self.engines
             .values()
-            .any(|entry| entry.takes_work() && topology.allows(regions, &entry.zone))
+            .any(|entry| entry.may_serve(now) && topology.allows(regions, &entry.zone))
     }
 
     /// Requests in flight from this node.
--- a/crates/sloetrail-balance/src/entry.rs
+++ b/crates/sloetrail-balance/src/entry.rs
@@ -1,6 +1,6 @@
 //! What a node knows of one engine.
 
-use crate::{ColdEngine, ConcurrencyLimit, SendWindow};
+use crate::{ColdEngine, ConcurrencyLimit, SendBound, SendWindow};
 use sloetrail_types::{Timestamp, WeightVersion, ZoneName};
 use std::time::Duration;
 
@@ -63,6 +63,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Entry {
     pub(crate) zone: ZoneName,
+    /// False while the list does not have it: what runs there goes on.
+    pub(crate) listed: bool,
     pub(crate) leaving: bool,
     /// True if nothing is to be sent to its zone for now.
     pub(crate) evacuated: bool,
@@ -85,6 +87,7 @@
     pub(crate) fn new(zone: ZoneName, leaving: bool, concurrency: usize, preference: u64) -> Self {
         Self {
             zone,
+            listed: true,
             leaving,
             evacuated: false,
             cold: None,
@@ -119,9 +122,22 @@
             && newer_than(self.refused_at)
     }
 
-    /// True unless it leaves or its zone is evacuated.
+    /// True unless it is not listed or leaves, or its zone is evacuated.
     pub(crate) fn takes_work(&self) -> bool {
-        !self.leaving && !self.evacuated
+        self.listed && !self.leaving && !self.evacuated
+    }
+
+    /// True if this node may send it something now or soon: not if it is cold and other
+    /// nodes send it all that it bears.
+    pub(crate) fn may_serve(&self, now: Timestamp) -> bool {
+        let bound = self.bound(now);
+        self.takes_work() && bound.is_none_or(|bound| bound.most > 0)
+    }
+
+    /// What this node may send it now; nothing if that is not bounded.
+    fn bound(&self, now: Timestamp) -> Option<SendBound> {
+        let cold = self.cold.filter(|_| self.is_cold(now))?;
+        cold.bound
     }
 
     /// True if it is cold now.
@@ -135,8 +151,7 @@
             WorkClass::Live => limit,
             WorkClass::Sample => (limit - limit / SHARE_KEPT_FOR_LIVE).max(1),
         };
-        let bound = self.cold.filter(|_| self.is_cold(now));
-        let bound = bound.and_then(|cold| cold.bound);
+        let bound = self.bound(now);
         let is_spared = bound.is_some_and(|bound| !self.sends.has_room(now, bound));
         self.in_flight < places && !is_spared
     }
--- a/crates/sloetrail-balance/src/send_window.rs
+++ b/crates/sloetrail-balance/src/send_window.rs
@@ -11,6 +11,10 @@
 /// has to be spared bears them.
 const SENDS_KEPT: usize = 256;
 
+/// How long the sends to a back end that is no longer listed are remembered: it may be
+/// listed again within the second that bounds are about.
+const KEPT_FOR: Duration = Duration::from_millis(1_100);
+
 /// So many sends in any span of this length.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SendBound {
@@ -60,6 +64,12 @@
         within.count() < bound.most.min(SENDS_KEPT)
     }
 
+    /// True if it was sent something so lately that a bound in seconds may count it.
+    pub fn is_in_use(&self, now: Timestamp) -> bool {
+        let last = self.sends.back();
+        last.is_some_and(|at| now.since(*at) < KEPT_FOR)
+    }
+
     /// Takes in a send.
     pub fn note(&mut self, now: Timestamp) {
         if self.sends.len() >= SENDS_KEPT {
--- a/crates/sloetrail-balance/src/tests.rs
+++ b/crates/sloetrail-balance/src/tests.rs
@@ -24,11 +24,14 @@
         view_freshness: Duration::from_millis(1_000),
         engine_concurrency: 4,
     });
-    balancer.set_engines(vec![
-        listed("near-1", "hfj", false),
-        listed("near-2", "hfj", false),
-        listed("far", "rvk", false),
-    ]);
+    balancer.set_engines(
+        Timestamp(0),
+        vec![
+            listed("near-1", "hfj", false),
+            listed("near-2", "hfj", false),
+            listed("far", "rvk", false),
+        ],
+    );
     balancer
 }
 
@@ -150,12 +153,27 @@
 fn a_leaving_engine_stays_out_even_if_the_list_forgets() {
     let mut balancer = balancer();
     let id = EngineId::from("near-1");
-    balancer.set_engines(vec![listed("near-1", "hfj", true)]);
-    balancer.set_engines(vec![listed("near-1", "hfj", false)]);
+    balancer.set_engines(Timestamp(0), vec![listed("near-1", "hfj", true)]);
+    balancer.set_engines(Timestamp(0), vec![listed("near-1", "hfj", false)]);
     balancer.report(&id, report(100, ReportedState::Serving, 0));
     assert_eq!(choose(&mut balancer, 200), None);
 }
 
+/// A row that lapses while the list's keeper is away comes back; what ran meanwhile must
+/// not cost the engine its place.
+#[test]
+fn an_engine_that_was_not_listed_for_a_while_takes_work_again() {
+    let mut balancer = balancer();
+    let id = EngineId::from("near-1");
+    balancer.report(&id, report(100, ReportedState::Serving, 0));
+    assert_eq!(choose(&mut balancer, 150), Some(id.clone()));
+    balancer.set_engines(Timestamp(160), Vec::new());
+    assert_eq!(choose(&mut balancer, 170), None);
+    balancer.set_engines(Timestamp(180), vec![listed("near-1", "hfj", false)]);
+    balancer.report(&id, report(180, ReportedState::Serving, 0));
+    assert_eq!(choose(&mut balancer, 190), Some(id));
+}
+
 #[test]
 fn a_lost_engine_stays_out_until_it_is_heard_from_again() {
     let mut balancer = balancer();
--- a/crates/sloetrail-balance/src/tests/places.rs
+++ b/crates/sloetrail-balance/src/tests/places.rs
@@ -38,7 +38,7 @@
         view_freshness: Duration::from_secs(600),
         engine_concurrency: 8,
     });
-    balancer.set_engines(engines);
+    balancer.set_engines(Timestamp(200), engines);
     for (id, _) in ENGINES {
         let report = report(100, ReportedState::Serving, 0);
         balancer.report(&EngineId::from(id), report);
@@ -75,10 +75,10 @@
     let mut balancer = serving(engines.clone());
     assert_eq!(choose(&mut balancer, 200).as_deref(), Some("own"));
     mark(&mut engines, "own", |engine| engine.evacuated = true);
-    balancer.set_engines(engines.clone());
+    balancer.set_engines(Timestamp(200), engines.clone());
     assert_eq!(choose(&mut balancer, 200).as_deref(), Some("near"));
     mark(&mut engines, "near", |engine| engine.leaving = true);
-    balancer.set_engines(engines.clone());
+    balancer.set_engines(Timestamp(200), engines.clone());
     let far = choose(&mut balancer, 200).expect("one elsewhere");
     assert!(far.starts_with("far"), "{far}");
 }
@@ -91,13 +91,13 @@
     }
     let mut balancer = serving(engines);
     assert_eq!(choose(&mut balancer, 200), None);
-    assert!(!balancer.may_serve(&EVERYWHERE));
-    balancer.set_engines(listed());
+    assert!(!balancer.may_serve(Timestamp(200), &EVERYWHERE));
+    balancer.set_engines(Timestamp(200), listed());
     assert_eq!(choose(&mut balancer, 200).as_deref(), Some("own"));
     let mut leaving = listed();
     mark(&mut leaving, "own", |engine| engine.leaving = true);
-    balancer.set_engines(leaving);
-    balancer.set_engines(listed());
+    balancer.set_engines(Timestamp(200), leaving);
+    balancer.set_engines(Timestamp(200), listed());
     assert_eq!(choose(&mut balancer, 200).as_deref(), Some("near"));
 }
 
@@ -110,7 +110,8 @@
         assert!(chosen.starts_with("far"), "{chosen}");
     }
     assert_eq!(choose_in(&mut balancer, &only("c"), 200), None);
-    assert!(balancer.may_serve(&only("b")) && !balancer.may_serve(&only("c")));
+    assert!(balancer.may_serve(Timestamp(200), &only("b")));
+    assert!(!balancer.may_serve(Timestamp(200), &only("c")));
 }
 
 #[test]
@@ -126,7 +127,7 @@
     for (id, _) in &ENGINES[1..] {
         mark(&mut engines, id, |engine| engine.leaving = true);
     }
-    balancer.set_engines(engines);
+    balancer.set_engines(Timestamp(200), engines);
     let chosen: Vec<bool> = (0..12)
         .map(|step| choose(&mut balancer, 300 + step * 100).is_some())
         .collect();
@@ -140,6 +141,42 @@
     assert_eq!(warm.count(), 5, "a warm engine is not spared");
 }
 
+#[test]
+fn what_was_sent_counts_although_the_engine_was_not_listed_in_between() {
+    let cold = ColdEngine {
+        until: Timestamp(30_000),
+        bound: Some(SendBound::per_second(2.0)),
+    };
+    let mut own = ListedEngine::ready(EngineId::from("own"), ZoneName::from("a1"));
+    own.cold = Some(cold);
+    let mut balancer = serving(vec![own.clone()]);
+    let first = (0..5).filter(|_| choose(&mut balancer, 200).is_some());
+    assert_eq!(first.count(), 2);
+    balancer.set_engines(Timestamp(300), Vec::new());
+    assert_eq!(choose(&mut balancer, 310), None);
+    balancer.set_engines(Timestamp(400), vec![own]);
+    let news = report(400, ReportedState::Serving, 0);
+    balancer.report(&EngineId::from("own"), news);
+    assert_eq!(choose(&mut balancer, 500), None);
+    assert!(choose(&mut balancer, 1_400).is_some());
+}
+
+#[test]
+fn waiting_does_not_help_where_other_nodes_send_a_cold_engine_all_that_it_bears() {
+    let cold = |bound| ColdEngine {
+        until: Timestamp(3_000),
+        bound: Some(bound),
+    };
+    let mut own = ListedEngine::ready(EngineId::from("own"), ZoneName::from("a1"));
+    own.cold = Some(cold(SendBound::NONE));
+    let mut balancer = serving(vec![own.clone()]);
+    assert!(!balancer.may_serve(Timestamp(200), &EVERYWHERE));
+    assert!(balancer.may_serve(Timestamp(3_000), &EVERYWHERE));
+    own.cold = Some(cold(SendBound::per_second(1.0)));
+    balancer.set_engines(Timestamp(200), vec![own]);
+    assert!(balancer.may_serve(Timestamp(200), &EVERYWHERE));
+}
+
 #[test]
 fn any_span_of_the_bound_holds_no_more_sends() {
     let bound = SendBound::per_second(7.9);
--- a/crates/sloetrail-lab/src/experiment/simulation.rs
+++ b/crates/sloetrail-lab/src/experiment/simulation.rs
@@ -90,7 +90,7 @@
             engine_concurrency: settings.engine_capacity * 4 / 3 + 1,
         });
         let listed = |id: &EngineId| ListedEngine::ready(id.clone(), zone.clone());
-        balancer.set_engines(ids.iter().map(listed).collect());
+        balancer.set_engines(Timestamp(0), ids.iter().map(listed).collect());
         let limits = Limits {
             staleness_bound: settings.staleness_bound,
             unfinished_limit: usize::MAX,
--- a/crates/sloetrail-node/src/gateway/pool.rs
+++ b/crates/sloetrail-node/src/gateway/pool.rs
@@ -82,7 +82,8 @@
     }
 
     pub(crate) fn set_engines(&self, listed: Vec<ListedEngine>) {
-        self.choice().balancer.set_engines(listed);
+        let now = self.clock.now();
+        self.choice().balancer.set_engines(now, listed);
         self.freed.notify_waiters();
     }
 
--- a/crates/sloetrail-serving/src/service_pools.rs
+++ b/crates/sloetrail-serving/src/service_pools.rs
@@ -118,9 +118,10 @@
     /// True if a back end of a service takes work in the allowed regions, whether or not it
     /// has room now. Without one, waiting does not help a request.
     pub(crate) fn may_serve(&self, service: &ServiceName, regions: &AllowedRegions) -> bool {
+        let now = self.now();
         let state = self.state.lock().expect("not poisoned");
         let balancer = state.balancers.get(service);
-        balancer.is_some_and(|balancer| balancer.may_serve(regions))
+        balancer.is_some_and(|balancer| balancer.may_serve(now, regions))
     }
 
     /// Chooses a back end of a service that has room, lies in one of the allowed regions
@@ -217,7 +218,7 @@
                 engine_concurrency: concurrency,
             })
         });
-        balancer.set_engines(listed);
+        balancer.set_engines(now, listed);
         let instant = Instant::now();
         for back_end in back_ends {
             let losses = self.losses.entry(back_end.id.clone()).or_default();
