An owner sends warm engines items first, and keeps what it sent to one that vanished

Cause: found by reading. design/13 says that warm back ends go first; pick took the emptiest, so an engine that returned cold got the next items at once, and long texts were moved to cold engines by the pace that they had before. An engine at rest that was not listed for a moment lost its window over the last sends, and could get its bound twice in a second.

Change: pick ranks cold engines after warm ones of the same kind; moves leave them out; an engine stays known until its sends no longer count.

--- a/crates/sloetrail-serving/src/owner/engine.rs
+++ b/crates/sloetrail-serving/src/owner/engine.rs
@@ -168,12 +168,21 @@
         !self.back_end.draining && !self.sparing.evacuated
     }
 
+    /// True if the engine is known to be cold.
+    pub(super) fn is_cold(&self, now: Instant) -> bool {
+        self.sparing.cold_until.is_some_and(|until| now < until)
+    }
+
+    /// True if something runs there, or was sent there so lately that it still counts.
+    pub(super) fn is_in_use(&self, now: Instant) -> bool {
+        self.running > 0 || self.sends.is_in_use(self.timestamp(now))
+    }
+
     /// What may be sent to the engine now; nothing if that is not bounded.
     fn send_bound(&self, now: Instant) -> Option<SendBound> {
         let budget = self.sparing.budget?;
-        let is_cold = self.sparing.cold_until.is_some_and(|until| now < until);
         let is_new = now < self.taken_in_at + TAKEN_IN_FOR;
-        Some(match is_cold || is_new {
+        Some(match self.is_cold(now) || is_new {
             true => budget.owner_bound(),
             false => budget.unnoticed_bound(),
         })
--- a/crates/sloetrail-serving/src/owner/engines.rs
+++ b/crates/sloetrail-serving/src/owner/engines.rs
@@ -51,13 +51,14 @@
                 }
             }
         }
+        let now = Instant::now();
         self.engines.retain(|id, engine| {
             let row = directory.back_ends.get(id);
             let is_listed = row.is_some_and(|row| row.service == *service);
             if !is_listed {
                 engine.mark_gone();
             }
-            is_listed || engine.running > 0
+            is_listed || engine.is_in_use(now)
         });
     }
 
@@ -75,8 +76,8 @@
     }
 
     /// The engine that takes an item with this demand, or none. Engines that are
-    /// kept up to date for the model go first, then the fastest ones, and of engines
-    /// that are about as fast those with least to do. Of several the one goes first that
+    /// kept up to date for the model go first, then warm ones, then the fastest ones, and
+    /// of engines that are about as fast those with least to do. Of several the one goes first that
     /// was used last, since a connection to it is kept.
     pub(super) fn pick(
         &self,
@@ -99,6 +100,7 @@
             (
                 !assigned,
                 engine.is_slow(),
+                engine.is_cold(now),
                 grade,
                 engine.running,
                 used_last,
@@ -107,12 +109,13 @@
         best.map(|(id, _)| id.clone())
     }
 
-    /// Engines that are not slow, meet a demand and have a free place, with their
-    /// paces; the fastest first. Engines whose pace is not known are left out.
+    /// Engines that are neither slow nor cold, meet a demand and have a free place, with
+    /// their paces; the fastest first. Engines whose pace is not known are left out.
     pub(super) fn free_engines(&self, demand: Demand<'_>, now: Instant) -> Vec<FreeEngine> {
         let able = self.engines.iter().filter(|(_, engine)| {
             let assigned = demand.model.is_none_or(|model| engine.is_assigned(model));
-            assigned && !engine.is_slow() && engine.can_take(demand, now)
+            let is_ordinary = !engine.is_slow() && !engine.is_cold(now);
+            assigned && is_ordinary && engine.can_take(demand, now)
         });
         let mut free: Vec<FreeEngine> = able
             .filter_map(|(id, engine)| {
@@ -126,11 +129,12 @@
         free
     }
 
-    /// Free places of engines that are not slow and meet a demand.
+    /// Free places of engines that are neither slow nor cold and meet a demand.
     pub(super) fn fast_places(&self, demand: Demand<'_>, now: Instant) -> usize {
         self.engines
             .values()
-            .filter(|engine| !engine.is_slow() && engine.can_take(demand, now))
+            .filter(|engine| !engine.is_slow() && !engine.is_cold(now))
+            .filter(|engine| engine.can_take(demand, now))
             .map(|engine| engine.free_places(now))
             .sum()
     }
