--- a/crates/sloetrail-serving/src/directory.rs
+++ b/crates/sloetrail-serving/src/directory.rs
@@ -155,3 +155,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sloetrail-serving/src/operator.rs
+++ b/crates/sloetrail-serving/src/operator.rs
@@ -40,7 +40,7 @@
     }
 
     /// Takes in the zones that are evacuated now; true if they changed.
-    fn take(&mut self, zones: BTreeSet<ZoneName>) -> bool {
+    pub(crate) fn take(&mut self, zones: BTreeSet<ZoneName>) -> bool {
         if zones == self.zones {
             return false;
         }
@@ -154,3 +154,6 @@
     }
     changed
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/sloetrail-serving/src/operator/tests.rs
@@ -0,0 +1,79 @@
+//! Evacuations as they are asked for, withdrawn and asked for again.
+
+use super::{Evacuations, InForce, take_evacuations};
+use crate::follow::TableView;
+use crate::native_dialect::NativeDialect;
+use crate::table::{Row, RowAddress};
+use bytes::Bytes;
+use sloetrail_types::{RowVersion, ZoneName};
+use std::collections::BTreeSet;
+use std::time::Duration;
+use tokio::time::{Instant, advance};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn zones(names: &[&str]) -> BTreeSet<ZoneName> {
+    names.iter().map(|name| ZoneName::from(*name)).collect()
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_withdrawal_is_dated_once_and_only_for_its_zone() {
+    let (north, south) = (ZoneName::from("north"), ZoneName::from("south"));
+    let mut evacuations = Evacuations::default();
+    assert!(evacuations.take(zones(&["north", "south"])));
+    assert!(evacuations.covers(&north) && evacuations.covers(&south));
+    assert_eq!(evacuations.withdrawn_at(&north), None);
+    advance(SECOND).await;
+    let withdrawn_at = Instant::now();
+    assert!(evacuations.take(zones(&["south"])));
+    assert!(!evacuations.covers(&north) && evacuations.covers(&south));
+    assert_eq!(evacuations.count(), 1);
+    advance(SECOND).await;
+    assert!(!evacuations.take(zones(&["south"])), "nothing has changed");
+    assert_eq!(evacuations.withdrawn_at(&north), Some(withdrawn_at));
+    assert_eq!(evacuations.withdrawn_at(&south), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_zone_that_is_evacuated_again_is_covered_and_dated_anew_afterwards() {
+    let north = ZoneName::from("north");
+    let mut evacuations = Evacuations::default();
+    for _ in 0..2 {
+        evacuations.take(zones(&["north"]));
+        assert!(evacuations.covers(&north));
+        advance(SECOND).await;
+        evacuations.take(zones(&[]));
+        assert_eq!(evacuations.withdrawn_at(&north), Some(Instant::now()));
+        advance(SECOND).await;
+    }
+}
+
+fn table(keys: &[&str]) -> TableView {
+    let row = |key: &&str| {
+        let row = Row {
+            address: RowAddress::new("configuration", "", *key),
+            value: Bytes::from_static(b"{}"),
+            version: RowVersion(1),
+        };
+        ((*key).to_owned(), row)
+    };
+    TableView {
+        rows: keys.iter().map(row).collect(),
+        version: RowVersion(1),
+        confirmed_at: None,
+        asked_at: None,
+        interruptions: 0,
+    }
+}
+
+#[test]
+fn the_rows_tell_which_zones_are_evacuated() {
+    let dialect = NativeDialect::default();
+    let mut in_force = InForce::default();
+    let asked = table(&["evacuations/north", "versions/north", "configuration"]);
+    assert!(take_evacuations(&mut in_force, &asked, &dialect));
+    assert_eq!(in_force.evacuations.zones, zones(&["north"]));
+    assert!(!take_evacuations(&mut in_force, &asked, &dialect));
+    assert!(take_evacuations(&mut in_force, &table(&[]), &dialect));
+    assert_eq!(in_force.evacuations.count(), 0);
+}
