Engines of an evacuated zone count for how many there were from the beginning

Cause: found by reading. The floor that is written down once, below which no engines are given back, left evacuated zones out: an evacuation at the first batch would have had engines given back for ever that nobody had ordered. Orders planned before an evacuation were still given for its zone.

Change: the floor counts every engine that does not leave; planned orders of a zone that is evacuated meanwhile are dropped.

--- a/crates/sloetrail-serving/src/owner/service_owner/supply.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/supply.rs
@@ -101,7 +101,7 @@
         if !self.context.table.is_answering() {
             self.supply.scaler.note_held_up(now);
         }
-        let Some(floor) = self.floor(&bounds) else {
+        let Some(floor) = self.floor() else {
             return;
         };
         if self.supply.planned.is_empty() && !self.supply.is_ordering {
@@ -116,9 +116,12 @@
         service.scaling.clone()
     }
 
-    /// How many engines there were before any were ordered, once the table has told.
-    fn floor(&mut self, bounds: &ScalingBounds) -> Option<usize> {
-        let engines: usize = self.engines_by_zone(bounds).values().sum();
+    /// How many engines there were before any were ordered, those of evacuated zones
+    /// included, once the table has told.
+    fn floor(&mut self) -> Option<usize> {
+        let engines = self.engines.iter();
+        let engines = engines.filter(|(_, engine)| !engine.back_end.draining);
+        let engines = engines.count();
         // Before the first batch the engines may still be on their way.
         let is_in_use = engines > 0 && !self.supply.accepted_at_ms.is_empty();
         match self.supply.floor {
@@ -187,6 +190,9 @@
 
     /// Gives the planned orders, within a window that was committed before.
     fn order_supply(&mut self, supply: Arc<dyn EngineSupply>) {
+        let evacuations = Arc::clone(&self.context.in_force.borrow().evacuations);
+        let planned = &mut self.supply.planned;
+        planned.retain(|order| !evacuations.covers(&order.zone));
         if self.supply.planned.is_empty() {
             return;
         }
--- a/crates/sloetrail-serving/tests/supply.rs
+++ b/crates/sloetrail-serving/tests/supply.rs
@@ -119,3 +119,23 @@
     let has_ended = || async { (lease(&cluster)?["epoch"] != epoch).then_some(()) };
     eventually("another term has begun", has_ended).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_number_of_engines_of_an_evacuated_zone_is_left_alone() {
+    let (mut cluster, book) = cluster(true).await;
+    let spared = cluster
+        .add_engine_in("zone-b", Duration::from_millis(5))
+        .await;
+    cluster.evacuate("zone-b");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    work_until_ordered(&cluster, 0, &book, MUCH).await;
+    let records = book.records();
+    assert!(!records.is_empty(), "engines are ordered elsewhere");
+    let zones = records.iter().map(|record| record.order.zone.as_str());
+    assert!(zones.clone().all(|zone| zone == "zone-a"), "{records:?}");
+    assert!(records[0].order.engines > ENGINES, "{records:?}");
+    assert!(spared.arrivals().is_empty());
+    let floors = cluster.table.rows("sloetrail_engine_floors");
+    let all = ENGINES + 1;
+    assert_eq!(floors[0].value, all.to_string(), "its engines count");
+}
