--- a/crates/sloetrail-serving/src/pause_guard/tests.rs
+++ b/crates/sloetrail-serving/src/pause_guard/tests.rs
@@ -1,5 +1,10 @@
-use super::Wakefulness;
+use super::{PauseGuard, Wakefulness};
+use crate::follow::TableView;
+use sloetrail_types::RowVersion;
+use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 const fn milliseconds(count: u64) -> Duration {
@@ -39,3 +44,31 @@
     assert!(!wakefulness.is_settled(woken + milliseconds(499), None));
     assert!(wakefulness.is_settled(woken + milliseconds(500), None));
 }
+
+fn view(asked_at: Option<Instant>) -> Arc<TableView> {
+    Arc::new(TableView {
+        rows: BTreeMap::new(),
+        version: RowVersion(1),
+        confirmed_at: asked_at,
+        asked_at,
+        interruptions: 0,
+    })
+}
+
+#[tokio::test]
+async fn after_a_pause_both_the_directory_and_the_operators_rows_must_have_answered() {
+    let asked_before = Some(Instant::now());
+    let (directory, directory_view) = watch::channel(view(asked_before));
+    let (operator, operator_view) = watch::channel(view(asked_before));
+    let guard = PauseGuard::start([directory_view, operator_view]);
+    assert!(guard.is_settled());
+    // The whole process stands still.
+    std::thread::sleep(milliseconds(900));
+    assert!(!guard.is_settled());
+    std::thread::sleep(milliseconds(5));
+    let asked_since = Some(Instant::now());
+    directory.send_replace(view(asked_since));
+    assert!(!guard.is_settled(), "the operator's rows are old");
+    operator.send_replace(view(asked_since));
+    assert!(guard.is_settled());
+}
