A node that does not know the others sends a cold back end nothing

Cause: found by reading. What a cold back end bears is dealt out among the nodes whose rows were read. A node that had just started had read none, took itself for the only one and used the whole part; three did so together. Parts were only dealt anew when the directory or what is in force had changed.

Change: nothing is sent to cold back ends until the rows that were read name this node (up to 5 s after its start); the pools look every 0.5 s whether nodes have come or gone.

Not shown by a test: the look every 0.5 s (every answer of the test's table makes the directory newer, which has the same effect), and the frozen node by the guard's second row alone (a unit test shows that).

--- a/crates/sloetrail-serving/src/service_pools.rs
+++ b/crates/sloetrail-serving/src/service_pools.rs
@@ -19,13 +19,17 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::Instant;
+use tokio::time::{Instant, MissedTickBehavior};
 
 /// How long a back end may be chosen without news of it. The directory is silent
 /// while the table is down, which must not stop live requests; a back end that is
 /// gone is found out by the first attempt.
 const VIEW_FRESHNESS: Duration = Duration::from_secs(600);
 
+/// How often it is looked whether other nodes have come or gone, among which what a cold
+/// back end bears is dealt out. Their rows are read every five seconds.
+const SENDERS_PERIOD: Duration = Duration::from_millis(500);
+
 /// The back ends of every service, as this node sees them.
 pub struct ServicePools {
     origin: Instant,
@@ -36,8 +40,11 @@
     node: String,
     topology: Topology,
     cold: ColdTolerance,
-    /// The other nodes, among which what a cold back end bears is dealt out.
+    /// The other nodes, among which what a cold back end bears is dealt out. Without them
+    /// this node counts as the only one.
     peers: Option<Arc<Peers>>,
+    /// The names of all nodes when the pools were last brought up to date.
+    senders: Vec<String>,
     random: StdRng,
     directory: Arc<Directory>,
     in_force: Arc<InForce>,
@@ -60,6 +67,7 @@
                 topology: settings.topology.clone(),
                 cold: settings.cold,
                 peers,
+                senders: Vec::new(),
                 random: StdRng::seed_from_u64(seed),
                 directory: Arc::default(),
                 in_force: Arc::default(),
@@ -70,34 +78,53 @@
         })
     }
 
-    /// Keeps the pools in step with the directory and with what is in force.
+    /// Keeps the pools in step with the directory, with what is in force and with which
+    /// nodes there are.
     pub(crate) fn follow(
         self: &Arc<Self>,
         mut directory: watch::Receiver<Arc<Directory>>,
         mut in_force: watch::Receiver<Arc<InForce>>,
     ) {
         let pools = Arc::downgrade(self);
+        let mut look = tokio::time::interval(SENDERS_PERIOD);
+        look.set_missed_tick_behavior(MissedTickBehavior::Delay);
         tokio::spawn(async move {
             loop {
-                tokio::select! {
-                    changed = directory.changed() => if changed.is_err() { return },
-                    changed = in_force.changed() => if changed.is_err() { return },
-                }
+                let is_look = tokio::select! {
+                    changed = directory.changed() => match changed {
+                        Ok(()) => false,
+                        Err(_) => return,
+                    },
+                    changed = in_force.changed() => match changed {
+                        Ok(()) => false,
+                        Err(_) => return,
+                    },
+                    _ = look.tick() => true,
+                };
                 let Some(pools) = pools.upgrade() else {
                     return;
                 };
+                if is_look && !pools.have_senders_changed() {
+                    continue;
+                }
                 let listed = directory.borrow_and_update().clone();
                 pools.take(listed, in_force.borrow_and_update().clone());
             }
         });
     }
 
+    fn have_senders_changed(&self) -> bool {
+        let state = self.state.lock().expect("not poisoned");
+        state.senders != state.current_senders()
+    }
+
     /// Takes in the directory and what is in force. Being listed counts as news of a back
     /// end, except of one that is left alone after a loss.
     fn take(&self, directory: Arc<Directory>, in_force: Arc<InForce>) {
         let now = self.now();
         let mut state = self.state.lock().expect("not poisoned");
         state.in_force = in_force;
+        state.senders = state.current_senders();
         let mut listed: HashMap<ServiceName, Vec<&Arc<BackEnd>>> = HashMap::new();
         for back_end in directory.back_ends.values() {
             listed
@@ -244,11 +271,19 @@
         }
     }
 
-    /// What this node's live requests may send to a cold back end.
+    /// The names of all nodes, this one included once it has registered.
+    fn current_senders(&self) -> Vec<String> {
+        let peers = self.peers.as_ref();
+        peers.map(|peers| peers.names()).unwrap_or_default()
+    }
+
+    /// What this node's live requests may send to a cold back end: nothing while the nodes'
+    /// rows that were read do not name this one, for the others' part is not known then.
     fn live_bound(&self, budget: &ColdBudget, back_end: &EngineId) -> SendBound {
-        let names = self.peers.as_ref().map(|peers| peers.names());
-        let names = names.unwrap_or_default();
-        let senders = names.iter().map(String::as_str);
+        if self.peers.is_some() && !self.senders.contains(&self.node) {
+            return SendBound::NONE;
+        }
+        let senders = self.senders.iter().map(String::as_str);
         budget.live_bound(back_end.as_str(), &self.node, senders)
     }
 
--- /dev/null
+++ b/crates/sloetrail-serving/tests/evacuation.rs
@@ -0,0 +1,234 @@
+//! Zones that are evacuated, and taken back: nothing new reaches their back ends meanwhile,
+//! whatever happens to the table and to nodes.
+
+mod support;
+
+use sloetrail_serving_testkit::client::batch;
+use sloetrail_serving_testkit::cluster::{Cluster, MODEL, eventually, usual_routes};
+use sloetrail_serving_testkit::engine::EngineStandIn;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use support::{
+    assert_each_once, items, lease_holder, live, most_in_a_second, native_cluster, tolerance,
+};
+
+/// The zone of the nodes.
+const OWN: &str = "zone-a";
+const OTHER: &str = "zone-b";
+/// Time for the nodes to hear of an evacuation, which takes a few milliseconds.
+const HEARD: Duration = Duration::from_millis(300);
+/// What is refused at once is answered within this time.
+const AT_ONCE: Duration = Duration::from_millis(100);
+
+/// Back ends of one zone.
+struct Zone {
+    application: Arc<EngineStandIn>,
+    engine: Arc<EngineStandIn>,
+}
+
+impl Zone {
+    async fn start(cluster: &mut Cluster, zone: &str, pace: Duration) -> Self {
+        Self {
+            application: cluster.add_application(zone).await,
+            engine: cluster.add_engine_in(zone, pace).await,
+        }
+    }
+
+    /// How many requests and items have come so far.
+    fn arrivals(&self) -> usize {
+        self.application.arrivals().len() + self.engine.arrivals().len()
+    }
+}
+
+async fn add_nodes(cluster: &mut Cluster, count: usize) {
+    for number in 1..=count {
+        let node = cluster.add_node(&format!("node-{number}")).await;
+        cluster.wait_ready(node).await;
+    }
+}
+
+/// Nodes in a zone with back ends, and back ends in another one.
+async fn cluster_of_two_zones(nodes: usize, pace: Duration) -> (Cluster, Zone, Zone) {
+    let mut cluster = native_cluster();
+    let own = Zone::start(&mut cluster, OWN, pace).await;
+    let other = Zone::start(&mut cluster, OTHER, pace).await;
+    add_nodes(&mut cluster, nodes).await;
+    (cluster, own, other)
+}
+
+async fn submit(cluster: &Cluster, node: usize, id: &str, count: usize, events: u64) {
+    let work = batch(&items(count, events), MODEL, 1);
+    let answer = cluster.submit(node, id, &work).await;
+    assert_eq!(answer.expect("an answer").status, 202);
+}
+
+/// Waits until so many items run at an engine at least.
+async fn wait_running(engine: &EngineStandIn, count: usize) {
+    let is_busy = || async { (engine.runs().len() >= count).then_some(()) };
+    eventually("items run there", is_busy).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_new_reaches_an_evacuated_zone_and_what_runs_there_ends_whole() {
+    let (cluster, own, other) = cluster_of_two_zones(1, Duration::from_millis(20)).await;
+    submit(&cluster, 0, "b1", 40, 40).await;
+    wait_running(&own.engine, 8).await;
+    assert_eq!(
+        live(&cluster, 0, "/live/x", "r0")
+            .await
+            .expect("an answer")
+            .status,
+        200
+    );
+    assert_eq!(
+        own.application.arrivals().len(),
+        1,
+        "the own zone goes first"
+    );
+    cluster.evacuate(OWN);
+    tokio::time::sleep(HEARD).await;
+    let before = own.arrivals();
+    submit(&cluster, 0, "b2", 10, 5).await;
+    for number in 0..20 {
+        let answer = live(&cluster, 0, "/live/x", &format!("r1-{number}")).await;
+        assert_eq!(answer.expect("an answer").status, 200);
+    }
+    assert_each_once(&cluster.wait_results(0, "b1", 40).await, 40);
+    assert_each_once(&cluster.wait_results(0, "b2", 10).await, 10);
+    assert_eq!(own.arrivals(), before, "nothing further is sent there");
+    assert_eq!(other.application.arrivals().len(), 20);
+    let runs = own.engine.runs();
+    assert!(
+        runs.iter().all(|run| run.finished && !run.abandoned),
+        "{runs:?}"
+    );
+    cluster.publish(2);
+    let is_ordered = || async { (other.engine.version(MODEL) == 2).then_some(()) };
+    eventually("the other zone has the weights", is_ordered).await;
+    assert!(own.engine.orders().is_empty(), "no orders go there either");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn work_returns_after_the_withdrawal_no_faster_than_cold_back_ends_bear() {
+    const COLD: Duration = Duration::from_millis(2_000);
+    const BEARS: usize = 4;
+    let mut cluster = native_cluster();
+    cluster.cold = Some((COLD.as_secs_f64(), BEARS as f64));
+    // Warm engines get the most less what a second owner may send: 28 a second.
+    cluster.cold_tolerance = tolerance(1.0, 28.0);
+    cluster.configure(usual_routes());
+    let own = Zone::start(&mut cluster, OWN, Duration::from_millis(2)).await;
+    add_nodes(&mut cluster, 1).await;
+    cluster.evacuate(OWN);
+    tokio::time::sleep(HEARD).await;
+    submit(&cluster, 0, "b1", 60, 2).await;
+    assert_eq!(own.arrivals(), 0);
+    let withdrawn_at = Instant::now();
+    cluster.withdraw_evacuation(OWN);
+    let mut answered = 0;
+    while withdrawn_at.elapsed() < COLD {
+        let answer = live(&cluster, 0, "/live/x", "r").await.expect("an answer");
+        answered += usize::from(answer.status == 200);
+    }
+    assert_each_once(&cluster.wait_results(0, "b1", 60).await, 60);
+    for engine in [&own.application, &own.engine] {
+        let arrivals = engine.arrivals();
+        let while_cold = arrivals.into_iter().filter(|at| *at - withdrawn_at < COLD);
+        let while_cold: Vec<Instant> = while_cold.collect();
+        assert!(
+            while_cold.len() > BEARS,
+            "work returns: {}",
+            while_cold.len()
+        );
+        let most = most_in_a_second(while_cold);
+        assert!(most <= BEARS, "{most} of {BEARS} a second");
+    }
+    assert!(answered > BEARS, "{answered} live requests were served");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn with_every_zone_evacuated_live_requests_are_refused_at_once_and_batches_wait() {
+    let (cluster, own, other) = cluster_of_two_zones(1, Duration::from_millis(5)).await;
+    cluster.evacuate(OWN);
+    cluster.evacuate(OTHER);
+    tokio::time::sleep(HEARD).await;
+    for path in ["/live/x", "/once/x", "/events/x"] {
+        let began = Instant::now();
+        let answer = live(&cluster, 0, path, "r1").await.expect("an answer");
+        assert!(began.elapsed() < AT_ONCE, "{path}: {:?}", began.elapsed());
+        assert_eq!(answer.status, 503, "{path}");
+        assert_eq!(answer.json()["code"], 1101, "{path}");
+        assert!(answer.headers.contains_key("retry-after"), "{path}");
+    }
+    submit(&cluster, 0, "b1", 10, 5).await;
+    tokio::time::sleep(HEARD).await;
+    assert_eq!(own.arrivals() + other.arrivals(), 0, "nothing has run");
+    cluster.withdraw_evacuation(OTHER);
+    assert_each_once(&cluster.wait_results(0, "b1", 10).await, 10);
+    let answer = live(&cluster, 0, "/live/x", "r2").await.expect("an answer");
+    assert_eq!(answer.status, 200);
+    assert_eq!(own.arrivals(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_evacuation_holds_while_the_table_is_away_and_through_the_loss_of_the_owner() {
+    let (mut cluster, own, other) = cluster_of_two_zones(2, Duration::from_millis(20)).await;
+    let owner = lease_holder(&cluster).await;
+    let left = 1 - owner;
+    submit(&cluster, left, "b1", 40, 40).await;
+    wait_running(&own.engine, 8).await;
+    cluster.evacuate(OWN);
+    tokio::time::sleep(HEARD).await;
+    let before = own.arrivals();
+    cluster.table.set_down(true);
+    cluster.nodes[owner].kill();
+    for number in 0..10 {
+        let answer = live(&cluster, left, "/live/x", &format!("r{number}")).await;
+        assert_eq!(answer.expect("an answer").status, 200);
+    }
+    // Withdrawn while nobody can hear it, and asked for again.
+    cluster.withdraw_evacuation(OWN);
+    cluster.evacuate(OWN);
+    cluster.table.forget_history();
+    cluster.table.set_down(false);
+    assert_each_once(&cluster.wait_results(left, "b1", 40).await, 40);
+    assert_eq!(own.arrivals(), before, "nothing further is sent there");
+    assert!(other.arrivals() >= 10);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_withdrawal_that_nobody_could_hear_is_in_force_once_the_table_is_back() {
+    let (cluster, own, _other) = cluster_of_two_zones(1, Duration::from_millis(5)).await;
+    cluster.evacuate(OWN);
+    tokio::time::sleep(HEARD).await;
+    cluster.table.set_down(true);
+    cluster.withdraw_evacuation(OWN);
+    tokio::time::sleep(HEARD).await;
+    live(&cluster, 0, "/live/x", "r1").await.expect("an answer");
+    assert_eq!(own.arrivals(), 0, "the last state known holds");
+    cluster.table.forget_history();
+    cluster.table.set_down(false);
+    let returns = || async {
+        live(&cluster, 0, "/live/x", "r2").await?;
+        (own.arrivals() > 0).then_some(())
+    };
+    eventually("work returns", returns).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_was_frozen_over_the_evacuation_sends_nothing_there_on_waking() {
+    const FROZEN: Duration = Duration::from_millis(1_500);
+    let (cluster, own, other) = cluster_of_two_zones(1, Duration::from_millis(20)).await;
+    submit(&cluster, 0, "b1", 40, 20).await;
+    wait_running(&own.engine, 8).await;
+    cluster.nodes[0].freeze(FROZEN);
+    tokio::time::sleep(HEARD).await;
+    let before = own.arrivals();
+    cluster.evacuate(OWN);
+    let calls = (0..5).map(|_| live(&cluster, 0, "/live/x", "r"));
+    let answers = futures_util::future::join_all(calls).await;
+    assert!(answers.iter().flatten().count() > 0, "it answers on waking");
+    assert_each_once(&cluster.wait_results(0, "b1", 40).await, 40);
+    assert_eq!(own.arrivals(), before, "nothing further is sent there");
+    assert!(other.arrivals() > 0);
+}
--- a/crates/sloetrail-serving/tests/support/mod.rs
+++ b/crates/sloetrail-serving/tests/support/mod.rs
@@ -3,12 +3,13 @@
 use http::Method;
 use serde_json::Value;
 use sloetrail_serving::native_dialect::NativeDialect;
+use sloetrail_serving::settings::RawColdSettings;
 use sloetrail_serving_testkit::client::{Answer, Call, item};
 use sloetrail_serving_testkit::cluster::{Cluster, HOST, eventually};
 use sloetrail_serving_testkit::wire::NativeWire;
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A cluster in the product's own dialect.
 pub fn native_cluster() -> Cluster {
@@ -78,3 +79,20 @@
     };
     eventually("somebody holds the lease", found).await
 }
+
+/// How much more than they bear cold back ends may get.
+#[allow(dead_code, reason = "not every test file needs it")]
+pub fn tolerance(excess: f64, slack: f64) -> Option<RawColdSettings> {
+    Some(RawColdSettings { excess, slack })
+}
+
+/// The most arrivals in any second.
+#[allow(dead_code, reason = "not every test file needs it")]
+pub fn most_in_a_second(mut arrivals: Vec<Instant>) -> usize {
+    arrivals.sort();
+    let within = |first: &Instant| {
+        let second = *first..*first + Duration::from_secs(1);
+        arrivals.iter().filter(|at| second.contains(at)).count()
+    };
+    arrivals.iter().map(within).max().unwrap_or_default()
+}
