--- a/crates/sloetrail-serving-testkit/src/client.rs
+++ b/crates/sloetrail-serving-testkit/src/client.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 
 const CALL_TIME: Duration = Duration::from_secs(10);
 
@@ -81,7 +82,8 @@
         self
     }
 
-    /// Makes the call on a new connection; nothing if no whole answer comes.
+    /// Makes the call on a new connection; nothing if no whole answer comes. The connection
+    /// is closed at the end, and when the call is dropped.
     pub async fn send(&self, address: SocketAddr) -> Option<Answer> {
         tokio::time::timeout(CALL_TIME, self.try_send(address))
             .await
@@ -91,13 +93,14 @@
     async fn try_send(&self, address: SocketAddr) -> Option<Answer> {
         let stream = TcpStream::connect(address).await.ok()?;
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-        let driving = tokio::spawn(connection);
+        let mut driving = JoinSet::new();
+        driving.spawn(connection);
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.path.parse().ok()?;
         *request.headers_mut() = self.headers.clone();
         let response = sender.send_request(request).await.ok();
-        let answer = match response {
+        match response {
             Some(response) => {
                 let (head, body) = response.into_parts();
                 body.collect().await.ok().map(|body| Answer {
@@ -107,9 +110,7 @@
                 })
             }
             None => None,
-        };
-        driving.abort();
-        answer
+        }
     }
 }
 
--- a/crates/sloetrail-serving-testkit/src/engine.rs
+++ b/crates/sloetrail-serving-testkit/src/engine.rs
@@ -75,6 +75,8 @@
     pub finished: bool,
     /// True once the sender had gone before the end.
     pub abandoned: bool,
+    /// When it ended, whole or not.
+    pub ended: Option<Instant>,
 }
 
 /// An order that came.
@@ -99,16 +101,17 @@
     orders: Vec<OrderRecord>,
     late_orders: Vec<ReadOrder>,
     draining: bool,
-    cold_until: Option<Instant>,
+    /// When it began to be cold, and for how long.
+    colds: Vec<(Instant, Duration)>,
     arrivals: Vec<Instant>,
     resets: CancellationToken,
 }
 
 impl State {
     fn cold_left(&self) -> Duration {
-        let until = self.cold_until;
-        until.map_or(Duration::ZERO, |until| {
-            until.saturating_duration_since(Instant::now())
+        let last = self.colds.last();
+        last.map_or(Duration::ZERO, |(began, time)| {
+            time.saturating_sub(began.elapsed())
         })
     }
 }
@@ -177,7 +180,7 @@
                 orders: Vec::new(),
                 late_orders: Vec::new(),
                 draining: false,
-                cold_until: None,
+                colds: Vec::new(),
                 arrivals: Vec::new(),
                 resets: CancellationToken::new(),
             }),
@@ -220,7 +223,12 @@
 
     /// Is cold from now on for a while, and says so when it is listed again.
     pub fn set_cold(&self, time: Duration) {
-        self.state().cold_until = Some(Instant::now() + time);
+        self.state().colds.push((Instant::now(), time));
+    }
+
+    /// When it began to be cold each time, and for how long.
+    pub fn colds(&self) -> Vec<(Instant, Duration)> {
+        self.state().colds.clone()
     }
 
     /// When requests came, those that were refused included, but not those meant for
@@ -252,6 +260,13 @@
         self.state().runs.clone()
     }
 
+    /// The runs of one request.
+    pub fn runs_of(&self, id: &str) -> Vec<RunRecord> {
+        let state = self.state();
+        let runs = state.runs.iter();
+        runs.filter(|run| run.id == id).cloned().collect()
+    }
+
     /// Orders that came.
     pub fn orders(&self) -> Vec<OrderRecord> {
         self.state().orders.clone()
@@ -485,6 +500,7 @@
             began: Instant::now(),
             finished: false,
             abandoned: false,
+            ended: None,
         });
         RecordGuard {
             engine: Arc::clone(self),
--- a/crates/sloetrail-serving-testkit/src/engine/series.rs
+++ b/crates/sloetrail-serving-testkit/src/engine/series.rs
@@ -5,6 +5,7 @@
 use hyper::body::Frame;
 use std::io;
 use std::sync::Arc;
+use std::time::Instant;
 
 /// The record of a run; one that is dropped before its end was abandoned.
 pub(super) struct RecordGuard {
@@ -18,6 +19,7 @@
         let mut state = self.engine.state();
         let record = &mut state.runs[self.index];
         record.abandoned = !record.finished;
+        record.ended = Some(Instant::now());
     }
 }
 
