--- a/crates/sloetrail-serving/src/owner/reward.rs
+++ b/crates/sloetrail-serving/src/owner/reward.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, HeaderValue, Method};
 use sloetrail_batch::RewardCall;
 use sloetrail_routing::{Route, WeightedChoice};
-use sloetrail_types::ServiceName;
+use sloetrail_types::{AllowedRegions, ServiceName};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -28,15 +28,15 @@
     Cancelled,
 }
 
-/// Makes a reward call until it gives a score, has failed as often as its route
+/// Makes a reward call for an item of a batch that is bound to these regions until it gives a score, has failed as often as its route
 /// allows, or is given up.
 pub(super) async fn score(
     context: &Arc<NodeContext>,
     item: &str,
-    reward: &RewardCall,
+    (reward, regions): (&RewardCall, &AllowedRegions),
     cancel: &CancellationToken,
 ) -> RewardOutcome {
-    let scoring = score_until_settled(context, item, reward);
+    let scoring = score_until_settled(context, item, (reward, regions));
     tokio::select! {
         outcome = scoring => outcome,
         () = cancel.cancelled() => RewardOutcome::Cancelled,
@@ -46,11 +46,11 @@
 async fn score_until_settled(
     context: &Arc<NodeContext>,
     item: &str,
-    reward: &RewardCall,
+    (reward, regions): (&RewardCall, &AllowedRegions),
 ) -> RewardOutcome {
     let mut failures = 0;
     loop {
-        let call = prepare(context, reward);
+        let call = prepare(context, reward, regions);
         let outcome = match &call {
             Some(call) => {
                 let outcome = call.run().await;
@@ -87,14 +87,18 @@
     }
 }
 
-fn prepare(context: &Arc<NodeContext>, reward: &RewardCall) -> Option<LiveCall> {
+fn prepare(
+    context: &Arc<NodeContext>,
+    reward: &RewardCall,
+    regions: &AllowedRegions,
+) -> Option<LiveCall> {
     let configuration = context.configuration()?;
     let path = reward.path.split('?').next().unwrap_or(&reward.path);
     let route = configuration.routes.find(&reward.host, path)?;
     Some(LiveCall {
         context: Arc::clone(context),
         service: choose_service(route, &reward.id)?,
-        regions: route.allowed_regions.clone(),
+        regions: scoring_regions(&route.allowed_regions, regions),
         outgoing: outgoing(context, reward),
         tenant: None,
         deadline: Instant::now() + route.timeout,
@@ -102,6 +106,17 @@
     })
 }
 
+/// Where a text may be scored: in the regions of the reward call's route, and of these in
+/// those of its batch. A batch whose regions have none in common with the route's was
+/// accepted all the same; the route's bind then.
+fn scoring_regions(of_route: &AllowedRegions, of_batch: &AllowedRegions) -> AllowedRegions {
+    let common = of_route.and(of_batch);
+    match common.is_nowhere() {
+        true => of_route.clone(),
+        false => common,
+    }
+}
+
 /// A service by weight, drawn from the call's id.
 fn choose_service(route: &Route, id: &str) -> Option<ServiceName> {
     let offset = sloetrail_types::digest(id.as_bytes()) as f64 / u64::MAX as f64;
--- a/crates/sloetrail-serving/src/owner/service_owner/results.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/results.rs
@@ -109,11 +109,12 @@
         let cancel = open.cancel.child_token();
         let sender = self.sender.clone();
         let batch = id.clone();
+        let regions = open.batch.header.allowed_regions.clone();
         tokio::spawn(async move {
             let Some(reward) = &submitted.reward else {
                 return;
             };
-            let outcome = score(&context, &submitted.id, reward, &cancel).await;
+            let outcome = score(&context, &submitted.id, (reward, &regions), &cancel).await;
             // The owner may be gone; then nobody needs it.
             let _ = sender.send(OwnerEvent::RewardEnded(batch, index, outcome));
         });
--- a/crates/sloetrail-serving/src/relay/peers.rs
+++ b/crates/sloetrail-serving/src/relay/peers.rs
@@ -108,6 +108,7 @@
     topology: Topology,
     pub(super) entries: ViewReceiver,
     connections: Arc<ConnectionPool>,
+    started_at: Instant,
     state: Mutex<PeerState>,
 }
 
@@ -178,6 +179,7 @@
             topology: settings.topology.clone(),
             entries: follow(Arc::clone(table), rows::NODES, rows::NODES, pace),
             connections: Arc::new(ConnectionPool::new()),
+            started_at: Instant::now(),
             state: Mutex::default(),
         }
     }
@@ -332,9 +334,14 @@
         }
     }
 
-    /// The names of the nodes that have registered, this one included.
-    pub(crate) fn names(&self) -> Vec<String> {
-        self.entries.borrow().rows.keys().cloned().collect()
+    /// The names of the nodes that have registered, this one included; nothing before this
+    /// node is among them and has read them once more since its start. Until then nodes that
+    /// started together may each take themselves for the only one.
+    pub(crate) fn names(&self) -> Option<Vec<String>> {
+        let view = self.entries.borrow();
+        let is_read_again = self.started_at.elapsed() >= FOLLOW_PAUSE + FOLLOW_WAIT;
+        let is_known = is_read_again && view.rows.contains_key(&self.own_name);
+        is_known.then(|| view.rows.keys().cloned().collect())
     }
 
     /// Where the node of a life listens for others, as its row says.
--- a/crates/sloetrail-serving/src/relay/peers/tests.rs
+++ b/crates/sloetrail-serving/src/relay/peers/tests.rs
@@ -88,6 +88,7 @@
         topology: Topology::of_zone(ZoneName::new("zone-a")),
         entries,
         connections: Arc::new(ConnectionPool::new()),
+        started_at: Instant::now(),
         state: Mutex::default(),
     }
 }
--- a/crates/sloetrail-serving/src/service_pools.rs
+++ b/crates/sloetrail-serving/src/service_pools.rs
@@ -297,13 +297,13 @@
     /// The names of all nodes, this one included once it has registered.
     fn current_senders(&self) -> Vec<String> {
         let peers = self.peers.as_ref();
-        peers.map(|peers| peers.names()).unwrap_or_default()
+        peers.and_then(|peers| peers.names()).unwrap_or_default()
     }
 
     /// What this node's live requests may send to a cold back end: nothing while the nodes'
     /// rows that were read do not name this one, for the others' part is not known then.
     fn live_bound(&self, budget: &ColdBudget, back_end: &EngineId) -> SendBound {
-        if self.peers.is_some() && !self.senders.contains(&self.node) {
+        if self.peers.is_some() && self.senders.is_empty() {
             return SendBound::NONE;
         }
         let senders = self.senders.iter().map(String::as_str);
--- a/crates/sloetrail-serving/tests/regions.rs
+++ b/crates/sloetrail-serving/tests/regions.rs
@@ -282,6 +282,23 @@
     assert_eq!((submissions.reads, submissions.writes), (0, 0));
 }
 
+/// What is scored was made for a batch that is bound: the call's own route need not be.
+#[tokio::test(flavor = "multi_thread")]
+async fn texts_of_a_bound_batch_are_scored_in_its_regions() {
+    let mut cluster = cluster(bound_routes(&["rollout"], "south")).await;
+    add_nodes(&mut cluster, &[("node-1", SOUTH_ZONE)]).await;
+    wait_holder(&cluster, "models@south").await;
+    // The nearest back end refuses, so that calls would go to another region if they might.
+    let near = back_end(&cluster, "application", SOUTH_ZONE);
+    near.set_fault(EngineFault::Refuses, Some(4));
+    let rewarded = items(6, 5).into_iter().map(|item| with_reward(item, HOST));
+    let work = batch(&rewarded.collect::<Vec<Value>>(), MODEL, 1);
+    let answer = cluster.submit(0, "b1", &work).await.expect("an answer");
+    assert_eq!(answer.status, 202, "{}", answer.text());
+    assert_each_once(&cluster.wait_results(0, "b1", 6).await, 6);
+    assert_eq!(runs_in(&cluster, NORTH_ZONE), 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn only_the_owner_of_unbound_batches_gives_orders() {
     let mut cluster = cluster(bound_routes(&["rollout"], "south")).await;
