A batch that runs is not told that it does not when it is sent again

Cause: a submission whose route and tenant have no region in common was refused with 1101, "not run", before the table was asked. One that an earlier configuration accepted runs all the same, and its repeat was told that it does not.

Ruled out: repeats whose route or tenant is bound to other regions meanwhile: they reach the commit, meet the head there and are accepted again.

Change: such a submission reads the head, once. Absent: the refusal as before. If the table does not tell: 1207, which promises nothing. The body is not kept.

--- a/crates/sloetrail-serving/src/gateway/front.rs
+++ b/crates/sloetrail-serving/src/gateway/front.rs
@@ -120,10 +120,9 @@
         };
         let regions = match regions::allowed(&route, tenant.as_deref()) {
             Ok(regions) => regions,
-            Err(problem) => {
+            Err(refusal) => {
                 log.regions = Some(AllowedRegions::only([]));
-                log.failed(&problem, 0);
-                return problem_response(&problem);
+                return self.allowed_nowhere(&log, &route, refusal, body).await;
             }
         };
         log.regions = Some(regions.clone());
@@ -163,6 +162,33 @@
         }
     }
 
+    /// Answers a call that may be served nowhere: with the refusal, unless it is a batch that
+    /// was accepted under another configuration.
+    async fn allowed_nowhere(
+        &self,
+        log: &CallLog<'_>,
+        route: &Route,
+        refusal: Problem,
+        body: Incoming,
+    ) -> CallerResponse {
+        let known = match route.kind {
+            RouteKind::Rollout => {
+                submit::accepted_before(&self.context, log.request, log.deadline).await
+            }
+            _ => Ok(None),
+        };
+        let problem = match known {
+            Ok(Some(header)) => {
+                skip_body(body, log.deadline).await;
+                return submit::accept_again(log.request, &header, log.received);
+            }
+            Ok(None) => refusal,
+            Err(unknown) => unknown,
+        };
+        log.failed(&problem, 0);
+        problem_response(&problem)
+    }
+
     /// The earlier of the caller's and the route's time; now if neither is known.
     fn deadline(&self, headers: &HeaderMap, route: Option<&Route>, received: Instant) -> Instant {
         let names = self.context.dialect.headers();
@@ -271,6 +297,14 @@
     }
 }
 
+/// Reads a body that is not needed, without keeping it, so that a caller that is still
+/// sending gets its answer.
+async fn skip_body(mut body: Incoming, deadline: Instant) {
+    let reading = async { while let Some(Ok(_)) = body.frame().await {} };
+    // A caller that sends on past its time reads no answer either.
+    let _ = tokio::time::timeout_at(deadline, reading).await;
+}
+
 async fn live_answer(call: LiveCall, log: &CallLog<'_>) -> CallerResponse {
     let outcome = call.run().await;
     match outcome.answer {
--- a/crates/sloetrail-serving/src/gateway/submit.rs
+++ b/crates/sloetrail-serving/src/gateway/submit.rs
@@ -10,8 +10,10 @@
 //! submission that meets one therefore waits for its end, for a part of the caller's
 //! time ([`waiting`]), and is then refused with the time to come back.
 
+mod repeat;
 mod waiting;
 
+pub(crate) use self::repeat::{accept_again, accepted_before};
 pub(crate) use self::waiting::WaitingSubmissions;
 
 use self::waiting::{Hindrance, wait_for_table};
--- a/crates/sloetrail-serving/tests/regions.rs
+++ b/crates/sloetrail-serving/tests/regions.rs
@@ -10,6 +10,7 @@
 use sloetrail_serving_testkit::engine::{EngineFault, EngineStandIn};
 use sloetrail_serving_testkit::table::LinkTransport;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 use support::{assert_each_once, items, live, native_cluster};
 
@@ -376,3 +377,48 @@
     let writes = |node: usize| cluster.nodes[node].link.uses_of(SUBMISSIONS).writes;
     assert_eq!((writes(2), writes(3)), (0, 0));
 }
+
+/// A batch follows the configuration that accepted it, also when it is sent again.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_accepted_batch_that_is_allowed_nowhere_any_more_is_never_told_that_it_does_not_run() {
+    const ITEMS: usize = 30;
+    let mut cluster = cluster(usual_routes()).await;
+    cluster.tenants = Some(json!([
+        {"name": "north", "api_keys": [NORTH_KEY], "allowed_regions": ["north"]},
+    ]));
+    cluster.configure(usual_routes());
+    cluster.api_key = Some(NORTH_KEY.to_owned());
+    add_nodes(&mut cluster, &[("node-1", NORTH_ZONE)]).await;
+    wait_holder(&cluster, "models@north").await;
+    // The holder of the leases reads the heads all the time; this one does not.
+    add_nodes(&mut cluster, &[("node-2", NORTH_ZONE)]).await;
+    let work = batch(&items(ITEMS, 60), MODEL, 1);
+    let answer = cluster.submit(1, "b1", &work).await.expect("an answer");
+    assert_eq!(answer.status, 202, "{}", answer.text());
+    cluster.configure(bound_routes(&["rollout"], "south"));
+    let tries = AtomicUsize::new(0);
+    let is_refused = || async {
+        // Each try is a batch of its own: one that was accepted is accepted again.
+        let id = format!("new-{}", tries.fetch_add(1, Ordering::Relaxed));
+        let answer = cluster.submit(1, &id, &work).await?;
+        (answer.status == 503).then_some(())
+    };
+    eventually("no batch is accepted any more", is_refused).await;
+    let heads = || cluster.nodes[1].link.uses_of("sloetrail_batches").reads;
+    let before = heads();
+    let repeated = cluster.submit(1, "b1", &work).await.expect("an answer");
+    assert_eq!(repeated.status, 202, "{}", repeated.text());
+    assert_eq!(heads() - before, 1);
+    let before = heads();
+    let began = Instant::now();
+    let refused = cluster.submit(1, "b3", &work).await.expect("an answer");
+    assert_refused_at_once(&refused, began);
+    assert!(heads() - before <= 1);
+    cluster.table.set_down(true);
+    for _ in 0..3 {
+        let answer = cluster.submit(1, "b1", &work).await.expect("an answer");
+        assert_ne!(answer.json()["kind"], "not_run", "{}", answer.text());
+    }
+    cluster.table.set_down(false);
+    assert_each_once(&cluster.wait_results(1, "b1", ITEMS).await, ITEMS);
+}
