Further attempts are chosen on what is known after a freeze

Cause: a live request waited for the table's confirmation only when it began. A hedge or a retry of one that was pending while the process stood still chose at once on waking, on beliefs from before; so did a series or a request that waited for a place.

Change: every choice of a back end waits until the beliefs are settled, and none is made once the time is over. While nothing was frozen this costs the look that was there.

--- a/crates/sloetrail-serving/src/gateway/live.rs
+++ b/crates/sloetrail-serving/src/gateway/live.rs
@@ -110,6 +110,13 @@
         Some(BegunRequest::new(usage, self.tenant.as_ref()?))
     }
 
+    /// Waits until this moment, and then until back ends may be chosen: the process may have
+    /// stood still while an attempt was pending.
+    async fn choice_due(&self, from: Instant) {
+        tokio::time::sleep_until(from).await;
+        self.context.pause_guard.settled().await;
+    }
+
     /// Waits for a moment if a place is likely to come free soon; false if it is not.
     pub(crate) async fn wait_for_place(&self, wait: &mut PlaceWait) -> bool {
         let outlook = self.place_outlook();
@@ -153,7 +160,7 @@
 
 impl Run<'_> {
     async fn run_to_end(mut self) -> LiveOutcome {
-        self.call.context.pause_guard.settled().await;
+        let call = self.call;
         let hedge_after = self.hedge_after();
         let mut next_hedge = Instant::now();
         loop {
@@ -173,7 +180,7 @@
                         return outcome;
                     }
                 }
-                () = tokio::time::sleep_until(next_hedge), if may_hedge => {
+                () = call.choice_due(next_hedge), if may_hedge => {
                     self.start();
                     next_hedge = Instant::now() + hedge_after;
                 }
@@ -206,9 +213,13 @@
     }
 
     /// Starts an attempt; if no back end has room, waits while a place is likely to come
-    /// free soon. False if there is none.
+    /// free soon. False if there is none, or if the time is over once back ends may be chosen.
     async fn start_or_wait(&mut self) -> bool {
         loop {
+            self.call.context.pause_guard.settled().await;
+            if !self.may_try_again() {
+                return false;
+            }
             if self.start() {
                 return true;
             }
--- a/crates/sloetrail-serving/src/gateway/stream.rs
+++ b/crates/sloetrail-serving/src/gateway/stream.rs
@@ -133,7 +133,6 @@
 
     async fn connect(&mut self) -> Opening {
         let mut last = None;
-        self.call.context.pause_guard.settled().await;
         while self.may_try() {
             let Some(place) = self.acquire_or_wait().await else {
                 break;
@@ -164,6 +163,10 @@
         } = &self.call;
         let mut wait = PlaceWait::default();
         loop {
+            context.pause_guard.settled().await;
+            if !self.may_try() {
+                return None;
+            }
             if let Some(place) = context.pools.acquire(service, regions, &self.tried) {
                 return Some(place);
             }
--- a/crates/sloetrail-serving/tests/evacuation.rs
+++ b/crates/sloetrail-serving/tests/evacuation.rs
@@ -3,9 +3,10 @@
 
 mod support;
 
-use sloetrail_serving_testkit::client::batch;
-use sloetrail_serving_testkit::cluster::{Cluster, MODEL, eventually, usual_routes};
-use sloetrail_serving_testkit::engine::EngineStandIn;
+use http::Method;
+use sloetrail_serving_testkit::client::{Call, batch};
+use sloetrail_serving_testkit::cluster::{Cluster, HOST, MODEL, eventually, usual_routes};
+use sloetrail_serving_testkit::engine::{EngineFault, EngineStandIn};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use support::{
@@ -237,3 +238,44 @@
     assert_eq!(own.arrivals(), before, "nothing further is sent there");
     assert!(other.arrivals() > 0);
 }
+
+/// Sends a request whose first attempt at the own zone is pending when the node freezes, and
+/// has the other zone evacuated meanwhile. Returns how many requests came there.
+async fn sent_elsewhere_after_a_freeze(
+    path: &str,
+    body: &'static str,
+    fault: EngineFault,
+) -> usize {
+    const FROZEN: Duration = Duration::from_millis(1_500);
+    const STANDS_STILL: Duration = Duration::from_millis(100);
+    let (cluster, own, other) = cluster_of_two_zones(1, Duration::from_millis(5)).await;
+    own.application.set_fault(fault, None);
+    let names = cluster.names();
+    let asking = Call::new(Method::POST, HOST, path)
+        .header(&names.request_id, "r1")
+        .header(&names.deadline_ms, "4000")
+        .body(body);
+    let freezing = async {
+        let has_come = || async { (!own.application.arrivals().is_empty()).then_some(()) };
+        eventually("the request has come", has_come).await;
+        cluster.nodes[0].freeze(FROZEN);
+        tokio::time::sleep(STANDS_STILL).await;
+        cluster.evacuate(OTHER);
+    };
+    tokio::join!(asking.send(cluster.nodes[0].callers), freezing);
+    other.application.arrivals().len()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_pending_over_a_freeze_is_not_sent_again_to_a_zone_evacuated_meanwhile() {
+    let sent = sent_elsewhere_after_a_freeze("/live/x", "question", EngineFault::Silent).await;
+    assert_eq!(sent, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_series_that_broke_off_in_a_freeze_is_not_taken_up_in_a_zone_evacuated_meanwhile() {
+    // At 5 ms an event it breaks off while the node stands still.
+    let fault = EngineFault::BreaksOff(60);
+    let sent = sent_elsewhere_after_a_freeze("/events/x", "events=200", fault).await;
+    assert_eq!(sent, 0);
+}
