A run is sent only to an engine that is known to take work now

Cause: a run was sent to the engine that the owner had chosen, also when the process stood still in between, and when a kept connection had been silent for 1.5 s and the run was opened anew: the engine might leave or its zone be evacuated by then.

Change: just before each send the run looks whether the engine is listed, does not leave, lies in no evacuated zone, and whether the beliefs are settled. Otherwise nothing is sent and the item waits again (outcome "held back"); the engine is not judged by it.

Ruled out: waiting in the run until the beliefs are settled: the engine may be the wrong one then. Not covered: a freeze while the connection is being opened.

--- a/crates/sloetrail-serving/src/owner/run.rs
+++ b/crates/sloetrail-serving/src/owner/run.rs
@@ -110,6 +110,9 @@
     Silent,
     /// The engine's weights are too old, or not the only ones allowed.
     WrongVersion,
+    /// Nothing was sent: the engine takes no work any more, or whether it does is not known
+    /// since the process stood still.
+    HeldBack,
     /// The owner gave it up.
     Cancelled,
 }
@@ -127,6 +130,7 @@
             RunOutcome::Lost => "lost",
             RunOutcome::Silent => "silent",
             RunOutcome::WrongVersion => "wrong version",
+            RunOutcome::HeldBack => "held back",
             RunOutcome::Cancelled => "cancelled",
         }
     }
@@ -197,6 +201,9 @@
         due: Instant,
     ) -> Result<Result<Exchange, SendFailure>, RunOutcome> {
         let spec = &self.spec;
+        if !self.takes_work() {
+            return Err(RunOutcome::HeldBack);
+        }
         let names = spec.context.dialect.headers();
         let deadline = Instant::now() + RUN_TIME;
         let request = build_request(outgoing, &spec.back_end, names, deadline)
@@ -205,6 +212,19 @@
         Ok(Exchange::send(connections, address, request, reuse, due).await)
     }
 
+    /// True if the engine, which was chosen some time ago, is known to take work now.
+    fn takes_work(&self) -> bool {
+        let RunSpec {
+            context, back_end, ..
+        } = &self.spec;
+        let directory = context.directory.borrow();
+        let listed = directory.back_ends.get(&back_end.id);
+        let stays = listed.is_some_and(|listed| !listed.draining);
+        let in_force = context.in_force.borrow();
+        let is_evacuated = in_force.evacuations.covers(&back_end.zone);
+        stays && !is_evacuated && context.pause_guard.is_settled()
+    }
+
     fn outgoing(&self) -> Outgoing {
         let spec = &self.spec;
         let names = spec.context.dialect.headers();
--- a/crates/sloetrail-serving/src/owner/service_owner/results.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/results.rs
@@ -92,7 +92,7 @@
             | RunOutcome::Lost
             | RunOutcome::Silent => engine.lost(),
             RunOutcome::Whole | RunOutcome::Failed | RunOutcome::Impossible => engine.finished(),
-            RunOutcome::Cancelled => {}
+            RunOutcome::HeldBack | RunOutcome::Cancelled => {}
         }
     }
 
--- a/crates/sloetrail-serving/tests/silent_connections.rs
+++ b/crates/sloetrail-serving/tests/silent_connections.rs
@@ -210,6 +210,33 @@
     assert!(proxied.engine.runs().len() >= ITEMS * 3);
 }
 
+/// A run that met the silence is not sent again to an engine whose zone is evacuated meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_run_is_not_repeated_where_an_evacuation_was_asked_for_during_the_silence() {
+    const ITEMS: usize = 6;
+    const MET: Duration = Duration::from_millis(300);
+    /// The silence of 1.5 s, and a little.
+    const REPEATED: Duration = Duration::from_millis(2_200);
+    let proxied = proxied(1, Duration::from_millis(5)).await;
+    let cluster = &proxied.cluster;
+    let work = batch(&items(ITEMS, 5), MODEL, 1);
+    for id in ["before", "meets-it"] {
+        let answer = cluster.submit(0, id, &work).await;
+        assert_eq!(answer.expect("an answer").status, 202);
+        if id == "before" {
+            cluster.wait_results(0, id, ITEMS).await;
+            proxied.silence_all();
+        }
+    }
+    tokio::time::sleep(MET).await;
+    let before = proxied.engine.arrivals().len();
+    cluster.evacuate("zone-a");
+    tokio::time::sleep(REPEATED).await;
+    assert_eq!(proxied.engine.arrivals().len(), before);
+    cluster.withdraw_evacuation("zone-a");
+    cluster.wait_results(0, "meets-it", ITEMS).await;
+}
+
 /// Runs whose connections fall silent midway go on after the 1.5 s over new connections, and
 /// meet no second silence.
 #[tokio::test(flavor = "multi_thread")]
