Bound batches are deleted by their own owner

Cause: deleting a batch past its time reads its rows to learn their keys, and with them the submission, the texts that were kept and the results. The owner of the unbound batches did this for all batches of the service, in whatever region it was.

Ruled out: asking the table for keys alone: it has no such question. Deleting by the keys that a head implies: pieces of results and checkpoints are not counted there.

Change: each owner deletes the batches of its own set, within its own term.

Measured: the test of what an owner deletes is red when the regions are not heeded (the unbound owner takes the bound batch as well), green with the change.

--- a/crates/sloetrail-serving/src/leases/subject.rs
+++ b/crates/sloetrail-serving/src/leases/subject.rs
@@ -2,6 +2,7 @@
 
 use super::Term;
 use futures_util::future::BoxFuture;
+use sloetrail_batch::BatchHeader;
 use sloetrail_types::{AllowedRegions, RegionName, ServiceName};
 
 /// What a lease is for.
@@ -64,6 +65,11 @@
         Some(Self::new(ServiceName::from(service), regions))
     }
 
+    /// True if a batch is one of them.
+    pub(crate) fn holds(&self, header: &BatchHeader) -> bool {
+        header.service == self.service && header.allowed_regions == self.regions
+    }
+
     /// The service that runs them.
     pub(crate) fn service(&self) -> &ServiceName {
         &self.service
@@ -75,7 +81,7 @@
     }
 
     /// True for the batches that may be anywhere. Their owner alone is in charge of the
-    /// engines: it orders weights and numbers, and deletes what is past its time.
+    /// engines: it orders weights and numbers.
     pub(crate) fn is_in_charge_of_engines(&self) -> bool {
         self.regions.is_everywhere()
     }
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -168,13 +168,12 @@
             if std::mem::take(&mut self.weights_due) {
                 self.drive_weights();
             }
-            let is_in_charge = self.set.is_in_charge_of_engines();
-            if is_in_charge && swept_at.elapsed() > SWEEP_PERIOD {
+            if swept_at.elapsed() > SWEEP_PERIOD {
                 swept_at = Instant::now();
                 let view = batches.borrow().clone();
                 tokio::spawn(sweeper::sweep(
                     Arc::clone(&self.context),
-                    self.service.clone(),
+                    self.set.clone(),
                     self.term.clone(),
                     view,
                 ));
--- a/crates/sloetrail-serving/src/owner/service_owner/batches.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/batches.rs
@@ -52,7 +52,7 @@
                 true => BatchOrigin::ThisTerm,
                 false => BatchOrigin::EarlierTerm,
             };
-            match header.allowed_regions == *self.set.regions() {
+            match self.set.holds(&header) {
                 true => self.begin_loading(id.clone(), header, origin),
                 false => self.note_other(id.clone(), header),
             }
--- a/crates/sloetrail-serving/src/owner/sweeper.rs
+++ b/crates/sloetrail-serving/src/owner/sweeper.rs
@@ -1,12 +1,15 @@
 //! Deleting batches that nobody may read any more.
+//!
+//! Rows are read to be deleted, with what they hold. So each owner deletes the batches of its
+//! own set: the rows of bound ones come to nodes of their regions alone.
 
 use crate::batch_rows::decode_header;
 use crate::context::NodeContext;
 use crate::follow::TableView;
-use crate::leases::Term;
+use crate::leases::{BatchSet, Term};
 use crate::rows;
 use crate::table::{Commit, KeyRange, RowAddress, Transaction, scan_all};
-use sloetrail_types::ServiceName;
+use sloetrail_batch::BatchId;
 use std::sync::Arc;
 
 /// Rows are kept this much longer than readers were promised.
@@ -14,10 +17,10 @@
 /// Batches deleted in one round, so that a round stays small.
 const BATCHES_A_ROUND: usize = 8;
 
-/// Deletes a few batches of a service that are past their time.
+/// Deletes a few batches of a set that are past their time.
 pub(super) async fn sweep(
     context: Arc<NodeContext>,
-    service: ServiceName,
+    set: BatchSet,
     term: Term,
     batches: Arc<TableView>,
 ) {
@@ -25,19 +28,31 @@
         return;
     };
     let kept_ms = context.settings.bounds.batch_status.as_millis() as u64 + MARGIN_MS;
-    let past_its_time = batches.rows.iter().filter(|(_, row)| {
-        decode_header(&row.value).is_some_and(|header| {
-            let kept_ms = kept_ms.max(header.retention_ms + MARGIN_MS);
-            header.service == service && now_ms > header.accepted_at_ms + kept_ms
-        })
-    });
-    for (id, _) in past_its_time.take(BATCHES_A_ROUND) {
+    for id in past_their_time(&batches, &set, now_ms, kept_ms) {
         if !delete(&context, &term, id).await {
             return;
         }
     }
 }
 
+/// A few batches of a set that were kept for this time, and for that of their readers.
+fn past_their_time<'a>(
+    batches: &'a TableView,
+    set: &BatchSet,
+    now_ms: u64,
+    kept_ms: u64,
+) -> Vec<&'a BatchId> {
+    let rows = batches.rows.iter();
+    let past_their_time = rows.filter(|(_, row)| {
+        decode_header(&row.value).is_some_and(|header| {
+            let kept_ms = kept_ms.max(header.retention_ms + MARGIN_MS);
+            set.holds(&header) && now_ms > header.accepted_at_ms + kept_ms
+        })
+    });
+    let ids = past_their_time.map(|(id, _)| id);
+    ids.take(BATCHES_A_ROUND).collect()
+}
+
 /// Deletes a batch, its head last, so that a broken deletion is taken up again. What the
 /// owner wrote is deleted within its term; the rest cannot change any more.
 async fn delete(context: &NodeContext, term: &Term, id: &str) -> bool {
@@ -75,3 +90,6 @@
     let page = scan_all(&*context.table, range).await.ok()?;
     Some(page.rows.into_iter().map(|row| row.address).collect())
 }
+
+#[cfg(test)]
+mod tests;
