Owners of sets that no configuration names count where cold back ends are shared

Cause: what a cold back end bears was dealt out among the owners of the sets of regions that the configuration in force gives. The owner of a set of an earlier one goes on with its batches and sends there too, so all together could exceed the bound.

Change: the lease rows tell which sets have or had an owner (`LeasedSets`, kept up in one place). A set counts as long as its lease row is there.

Measured: the test of the shares is red without the leased sets (one way in place of two), green with them.

--- a/crates/sloetrail-serving/src/cold_budgets/tests.rs
+++ b/crates/sloetrail-serving/src/cold_budgets/tests.rs
@@ -1,5 +1,13 @@
 use super::ColdBudgets;
-use sloetrail_types::{AllowedRegions, RegionName};
+use crate::follow::TableView;
+use crate::leases::LeasedSets;
+use crate::rows;
+use crate::settings::ColdTolerance;
+use crate::table::Row;
+use bytes::Bytes;
+use serde_json::json;
+use sloetrail_routing::ServingConfiguration;
+use sloetrail_types::{AllowedRegions, RegionName, RowVersion, ServiceName};
 
 #[test]
 fn a_back_end_is_shared_by_live_requests_and_the_owners_that_may_use_its_region() {
@@ -25,3 +33,41 @@
     assert_eq!(ways(None), 2, "nothing that is bound goes there");
     assert_eq!(budgets.of_region(None).bears, 8.0);
 }
+
+/// The owner of batches that an earlier configuration bound sends there as well.
+#[test]
+fn the_owner_of_a_set_that_no_configuration_names_any_more_has_its_share() {
+    let configuration = json!({
+        "version": 1,
+        "routes": [{"name": "rollout", "host": "a.example", "path_prefix": "/r/",
+                    "kind": "rollout", "timeout_ms": 5000, "target_latency_ms": 400,
+                    "max_attempts": 3, "service": "models", "allowed_regions": ["south"]}],
+        "services": [{"name": "models", "max_conns": 100, "cold_s": 3, "cold_per_s": 8}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 1_000_000},
+    });
+    let configuration = configuration.to_string();
+    let configuration = ServingConfiguration::parse(configuration.as_bytes()).expect("valid");
+    let address = rows::lease("models@north");
+    let row = Row {
+        address: address.clone(),
+        value: Bytes::new(),
+        version: RowVersion(1),
+    };
+    let leases = TableView {
+        rows: [(address.key, row)].into(),
+        version: RowVersion(1),
+        confirmed_at: None,
+        asked_at: None,
+        interruptions: 0,
+    };
+    let ways = |leased: &LeasedSets, region: &str| {
+        let models = ServiceName::from("models");
+        let budgets = ColdTolerance::default().budgets(&configuration, leased, &models);
+        let region = RegionName::from(region);
+        budgets.expect("bounded").of_region(Some(&region)).ways
+    };
+    let leased = LeasedSets::of_view(&leases);
+    assert_eq!(ways(&LeasedSets::default(), "north"), 1);
+    assert_eq!(ways(&leased, "north"), 2);
+    assert_eq!(ways(&leased, "south"), 2, "the owners that are configured");
+}
--- a/crates/sloetrail-serving/src/context.rs
+++ b/crates/sloetrail-serving/src/context.rs
@@ -5,6 +5,7 @@
 use crate::engine_supply::EngineSupply;
 use crate::follow::{FleetSize, FollowPace, ViewReceiver};
 use crate::http::ConnectionPool;
+use crate::leases::LeasedSets;
 use crate::operator::InForce;
 use crate::pause_guard::PauseGuard;
 use crate::relay::peers::Peers;
@@ -28,6 +29,8 @@
     pub(crate) in_force: watch::Receiver<Arc<InForce>>,
     pub(crate) directory: watch::Receiver<Arc<Directory>>,
     pub(crate) leases: ViewReceiver,
+    /// Sets of bound batches that have, or had, an owner.
+    pub(crate) leased_sets: watch::Receiver<Arc<LeasedSets>>,
     /// How often the leases are asked for.
     pub(crate) lease_pace: FollowPace,
     pub(crate) fleet: FleetSize,
--- /dev/null
+++ b/crates/sloetrail-serving/src/leases/leased_sets/tests.rs
@@ -0,0 +1,57 @@
+use super::{LeasedSets, watch_leased_sets};
+use crate::follow::TableView;
+use crate::rows;
+use crate::table::Row;
+use bytes::Bytes;
+use sloetrail_types::{AllowedRegions, RegionName, RowVersion, ServiceName};
+use std::sync::Arc;
+use tokio::sync::watch;
+
+/// A view of the leases of these names, each with its fence.
+fn view(subjects: &[&str], version: u64) -> Arc<TableView> {
+    let addresses = subjects
+        .iter()
+        .flat_map(|subject| [rows::lease(subject), rows::fence(subject)]);
+    let rows = addresses.map(|address| {
+        let row = Row {
+            address: address.clone(),
+            value: Bytes::new(),
+            version: RowVersion(version),
+        };
+        (address.key, row)
+    });
+    Arc::new(TableView {
+        rows: rows.collect(),
+        version: RowVersion(version),
+        confirmed_at: None,
+        asked_at: None,
+        interruptions: 0,
+    })
+}
+
+fn north() -> AllowedRegions {
+    AllowedRegions::only([RegionName::from("north")])
+}
+
+#[test]
+fn only_bound_sets_of_the_service_count() {
+    let subjects = ["models", "models@north", "others@south", "*usage-reports"];
+    let sets = LeasedSets::of_view(&view(&subjects, 1));
+    let models = ServiceName::from("models");
+    let of_service = sets.regions_of(&models);
+    assert_eq!(of_service.collect::<Vec<_>>(), [&north()]);
+    assert_eq!(sets.iter().count(), 2);
+}
+
+#[tokio::test]
+async fn a_new_set_is_told_and_a_renewal_is_not() {
+    let (leases, leases_view) = watch::channel(view(&["models"], 1));
+    let mut sets = watch_leased_sets(leases_view);
+    leases.send_replace(view(&["models", "models@north"], 2));
+    sets.changed().await.expect("it is told");
+    assert_eq!(sets.borrow_and_update().iter().count(), 1);
+    leases.send_replace(view(&["models", "models@north"], 3));
+    tokio::task::yield_now().await;
+    tokio::task::yield_now().await;
+    assert!(!sets.has_changed().expect("it is kept up"));
+}
--- a/crates/sloetrail-serving/src/leases/mod.rs
+++ b/crates/sloetrail-serving/src/leases/mod.rs
@@ -8,12 +8,14 @@
 //! ([`order_window`]). A few nodes watch over each holder ([`owner_watch`]).
 
 mod keeper;
+mod leased_sets;
 mod order_window;
 mod owner_watch;
 mod subject;
 mod term;
 
 pub(crate) use keeper::LeaseKeeper;
+pub(crate) use leased_sets::{LeasedSets, watch_leased_sets};
 pub(crate) use order_window::OrderWindow;
 pub(crate) use subject::{BatchSet, LeaseSubject, TermWork};
 pub(crate) use term::Term;
--- a/crates/sloetrail-serving/src/leases/subject.rs
+++ b/crates/sloetrail-serving/src/leases/subject.rs
@@ -37,7 +37,7 @@
 ///
 /// Invariant: the name follows from the service and the regions. It is the service's for
 /// the batches that may be anywhere; no name of a service or region holds an `@` or a `+`.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct BatchSet {
     service: ServiceName,
     regions: AllowedRegions,
--- a/crates/sloetrail-serving/src/node.rs
+++ b/crates/sloetrail-serving/src/node.rs
@@ -9,6 +9,7 @@
 use crate::gateway::front::Front;
 use crate::gateway::message::{empty_response, whole_body};
 use crate::http::{ConnectionPool, ConnectionTracker, ListenerSettings, serve_connections};
+use crate::leases::watch_leased_sets;
 use crate::operator::watch_operator;
 use crate::pause_guard::PauseGuard;
 use crate::relay::{self, peers::Peers};
@@ -211,7 +212,8 @@
     let in_force = watch_operator(operator_view, Arc::clone(&dialect));
     let senders = peers.clone();
     let pools = ServicePools::new(&settings, senders, seed);
-    pools.follow(directory.clone(), in_force.clone());
+    let leased_sets = watch_leased_sets(leases.clone());
+    pools.follow(directory.clone(), in_force.clone(), leased_sets.clone());
     let usage = usage_schedule.map(|schedule| {
         let (table, leases) = (Arc::clone(&table), leases.clone());
         NodeUsage::new(
@@ -232,6 +234,7 @@
         pools,
         directory,
         leases,
+        leased_sets,
         lease_pace: paces.leases,
         fleet,
         pause_guard,
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -140,6 +140,7 @@
         let mut ends = self.follow(rows::ENDS);
         let mut directory = self.context.directory.clone();
         let mut in_force = self.context.in_force.clone();
+        let mut leased_sets = self.context.leased_sets.clone();
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut swept_at = Instant::now();
@@ -160,6 +161,10 @@
                     self.spare_engines();
                     self.assign_models();
                 }
+                Ok(()) = leased_sets.changed() => {
+                    leased_sets.mark_unchanged();
+                    self.spare_engines();
+                }
                 Ok(()) = batches.changed() => self.take_batches(&mut batches, &mut ends),
                 Ok(()) = ends.changed() => self.take_batches(&mut batches, &mut ends),
                 _ = tick.tick() => self.on_tick(),
@@ -225,7 +230,8 @@
         let evacuations = &in_force.evacuations;
         let lasts = configuration.cold_bounds(&self.service).lasts;
         let settings = &self.context.settings;
-        let budgets = settings.cold.budgets(configuration, &self.service);
+        let leased = self.context.leased_sets.borrow().clone();
+        let budgets = settings.cold.budgets(configuration, &leased, &self.service);
         let budget = |zone: &ZoneName| {
             let region = settings.topology.region_of(zone);
             budgets.as_ref().map(|budgets| budgets.of_region(region))
--- a/crates/sloetrail-serving/src/service_pools.rs
+++ b/crates/sloetrail-serving/src/service_pools.rs
@@ -4,6 +4,7 @@
 use crate::cold_budgets::ColdBudgets;
 use crate::directory::Directory;
 use crate::gateway::place_wait::PlaceOutlook;
+use crate::leases::LeasedSets;
 use crate::loss_backoff::LossBackoff;
 use crate::operator::InForce;
 use crate::relay::peers::Peers;
@@ -50,6 +51,7 @@
     random: StdRng,
     directory: Arc<Directory>,
     in_force: Arc<InForce>,
+    leased_sets: Arc<LeasedSets>,
     balancers: HashMap<ServiceName, Balancer>,
     answer_times: HashMap<ServiceName, LatencyQuantile>,
     losses: BTreeMap<EngineId, LossBackoff>,
@@ -73,6 +75,7 @@
                 random: StdRng::seed_from_u64(seed),
                 directory: Arc::default(),
                 in_force: Arc::default(),
+                leased_sets: Arc::default(),
                 balancers: HashMap::new(),
                 answer_times: HashMap::new(),
                 losses: BTreeMap::new(),
@@ -81,11 +84,12 @@
     }
 
     /// Keeps the pools in step with the directory, with what is in force and with which
-    /// nodes there are.
+    /// nodes and owners there are.
     pub(crate) fn follow(
         self: &Arc<Self>,
         mut directory: watch::Receiver<Arc<Directory>>,
         mut in_force: watch::Receiver<Arc<InForce>>,
+        mut leased_sets: watch::Receiver<Arc<LeasedSets>>,
     ) {
         let pools = Arc::downgrade(self);
         let mut look = tokio::time::interval(SENDERS_PERIOD);
@@ -101,6 +105,10 @@
                         Ok(()) => false,
                         Err(_) => return,
                     },
+                    changed = leased_sets.changed() => match changed {
+                        Ok(()) => false,
+                        Err(_) => return,
+                    },
                     _ = look.tick() => true,
                 };
                 let Some(pools) = pools.upgrade() else {
@@ -110,7 +118,8 @@
                     continue;
                 }
                 let listed = directory.borrow_and_update().clone();
-                pools.take(listed, in_force.borrow_and_update().clone());
+                let leased = leased_sets.borrow_and_update().clone();
+                pools.take(listed, in_force.borrow_and_update().clone(), leased);
             }
         });
     }
@@ -120,12 +129,18 @@
         state.senders != state.current_senders()
     }
 
-    /// Takes in the directory and what is in force. Being listed counts as news of a back
-    /// end, except of one that is left alone after a loss.
-    fn take(&self, directory: Arc<Directory>, in_force: Arc<InForce>) {
+    /// Takes in the directory, what is in force and which owners there are. Being listed
+    /// counts as news of a back end, except of one that is left alone after a loss.
+    fn take(
+        &self,
+        directory: Arc<Directory>,
+        in_force: Arc<InForce>,
+        leased_sets: Arc<LeasedSets>,
+    ) {
         let now = self.now();
         let mut state = self.state.lock().expect("not poisoned");
         state.in_force = in_force;
+        state.leased_sets = leased_sets;
         state.senders = state.current_senders();
         let mut listed: HashMap<ServiceName, Vec<&Arc<BackEnd>>> = HashMap::new();
         for back_end in directory.back_ends.values() {
@@ -339,7 +354,9 @@
         };
         Self {
             lasts: configuration.cold_bounds(service).lasts,
-            budgets: state.cold.budgets(configuration, service),
+            budgets: state
+                .cold
+                .budgets(configuration, &state.leased_sets, service),
         }
     }
 
--- a/crates/sloetrail-serving/src/settings.rs
+++ b/crates/sloetrail-serving/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a serving node: raw ones as they are read, typed ones once checked.
 
 use crate::cold_budgets::ColdBudgets;
+use crate::leases::LeasedSets;
 use crate::policies::Policies;
 use serde::Deserialize;
 use sloetrail_routing::ServingConfiguration;
@@ -136,17 +137,20 @@
     }
 
     /// What the cold back ends of a service may get; nothing if they bear as much as warm
-    /// ones.
+    /// ones. Owners of sets that the configuration names no more send there too.
     pub(crate) fn budgets(
         &self,
         configuration: &ServingConfiguration,
+        leased: &LeasedSets,
         service: &ServiceName,
     ) -> Option<ColdBudgets> {
         let bears = configuration.cold_bounds(service).per_second?;
+        let mut owners = configuration.batch_regions(service);
+        owners.extend(leased.regions_of(service).cloned());
         Some(ColdBudgets {
             bears,
             most: bears * self.excess + self.slack,
-            owners: configuration.batch_regions(service),
+            owners,
             has_live_requests: configuration.has_live_requests(service),
         })
     }
