Engines are not given back while other owners have batches at work

Cause: the owner that orders engines counts what it runs itself. Beside bound batches, which others run at the same engines, its load looked low, and it gave back engines that these need.

Ruled out: counting the items of bound batches that are not yet listed: only rows that hold their texts tell which are, and these may not come to a node of another region. Counting whole batches as running: a batch that is done early would order engines for the rest of its time.

Change: while the heads tell that another owner may have a batch at work, the load counts as incomplete, as it does while the table is away: engines may be added, none is given back.

--- a/crates/sloetrail-scaling/src/scaler.rs
+++ b/crates/sloetrail-scaling/src/scaler.rs
@@ -63,8 +63,8 @@
     period: Option<Duration>,
     first_batch_at: Option<Timestamp>,
     last_batch_at: Option<Timestamp>,
-    /// When work was last held up by something else than the number of engines.
-    held_up_at: Option<Timestamp>,
+    /// When the load that is noted was last not all.
+    load_incomplete_at: Option<Timestamp>,
     not_before: Timestamp,
 }
 
@@ -96,10 +96,11 @@
         }
     }
 
-    /// Work is held up by something else than the number of engines: a load that is low for
-    /// that reason does not tell how many are needed.
-    pub fn note_held_up(&mut self, now: Timestamp) {
-        self.held_up_at = Some(now);
+    /// The load that is noted is not all: work is held up by something else than the number of
+    /// engines, or others run work that is not counted. A load that is low for that reason
+    /// does not tell how many engines are needed.
+    pub fn note_load_incomplete(&mut self, now: Timestamp) {
+        self.load_incomplete_at = Some(now);
     }
 
     /// A step is whole, after this part of the time that it has.
@@ -164,9 +165,9 @@
     }
 
     /// True once the load was seen for a whole horizon, since the first batch and since
-    /// work was held up.
+    /// the load was last not all.
     fn has_seen_enough(&self, now: Timestamp) -> bool {
-        let since = self.first_batch_at.max(self.held_up_at);
+        let since = self.first_batch_at.max(self.load_incomplete_at);
         let horizon = self.horizon();
         since.is_some_and(|at| now.since(at) >= horizon) && !self.steps.is_empty()
     }
--- a/crates/sloetrail-scaling/src/tests.rs
+++ b/crates/sloetrail-scaling/src/tests.rs
@@ -113,7 +113,9 @@
     let mut service = Service::new(20);
     service.run(30, 60, 0.7);
     for _ in 0..6 {
-        service.scaler.note_held_up(Timestamp(service.now_ms));
+        service
+            .scaler
+            .note_load_incomplete(Timestamp(service.now_ms));
         service.run(1, 0, 0.7);
     }
     service.run(7, 20, 0.7);
--- a/crates/sloetrail-serving/src/owner/service_owner/other_batches.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/other_batches.rs
@@ -28,11 +28,17 @@
     /// known: a batch counts whole for as long as it may take.
     pub(super) fn items(&self, model: &str, now_ms: u64) -> usize {
         let open = self.of_model(model);
-        open.filter(|header| now_ms < header.accepted_at_ms + expected_ms(header))
+        open.filter(|header| is_at_work(header, now_ms))
             .map(|header| header.total)
             .sum()
     }
 
+    /// True if items of some of them may be running or waiting now.
+    pub(super) fn are_at_work(&self, now_ms: u64) -> bool {
+        let mut heads = self.heads.values();
+        heads.any(|header| is_at_work(header, now_ms))
+    }
+
     /// The newest of the versions from which on the batches of a model take samples.
     pub(super) fn demanded_version(&self, model: &str) -> Option<WeightVersion> {
         let open = self.of_model(model);
@@ -45,6 +51,10 @@
     }
 }
 
+fn is_at_work(header: &BatchHeader, now_ms: u64) -> bool {
+    now_ms < header.accepted_at_ms + expected_ms(header)
+}
+
 /// How long after its acceptance a batch may be at work.
 fn expected_ms(header: &BatchHeader) -> u64 {
     match header.run_target_ms {
--- a/crates/sloetrail-serving/src/owner/service_owner/supply.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/supply.rs
@@ -99,8 +99,9 @@
         let open = self.batches.values();
         let running = open.map(|open| open.runs.len()).sum();
         self.supply.scaler.note_load(now, running);
-        if !self.context.table.is_answering() {
-            self.supply.scaler.note_held_up(now);
+        let now_ms = self.context.table.now_ms().unwrap_or_default();
+        if !self.context.table.is_answering() || self.others.are_at_work(now_ms) {
+            self.supply.scaler.note_load_incomplete(now);
         }
         let Some(floor) = self.floor() else {
             return;
--- a/crates/sloetrail-serving/tests/supply.rs
+++ b/crates/sloetrail-serving/tests/supply.rs
@@ -22,6 +22,12 @@
 const SEEN: Duration = Duration::from_secs(11);
 
 async fn cluster(scaling: bool) -> (Cluster, Arc<SupplyBook>) {
+    let (mut cluster, book) = configured(scaling);
+    start(&mut cluster).await;
+    (cluster, book)
+}
+
+fn configured(scaling: bool) -> (Cluster, Arc<SupplyBook>) {
     let book = SupplyBook::new();
     let mut cluster = native_cluster();
     cluster.engine_supply = Some(Arc::<SupplyBook>::clone(&book));
@@ -29,6 +35,10 @@
         cluster.scaling = Some(json!({"min": 1, "max": 8, "boot_s": 0.2}));
     }
     cluster.configure(usual_routes());
+    (cluster, book)
+}
+
+async fn start(cluster: &mut Cluster) {
     cluster.add_application("zone-a").await;
     for _ in 0..ENGINES {
         cluster.add_engine(Duration::from_millis(5)).await;
@@ -37,7 +47,6 @@
         let node = cluster.add_node(name).await;
         cluster.wait_ready(node).await;
     }
-    (cluster, book)
 }
 
 /// Submits batches, one after the other, until there is an order or the time is over.
@@ -139,3 +148,40 @@
     let all = ENGINES + 1;
     assert_eq!(floors[0].value, all.to_string(), "its engines count");
 }
+
+/// The owner that orders does not see how many places bound batches take.
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_are_not_given_back_while_another_owner_has_batches_at_work() {
+    const FREE_KEY: &str = "key-of-free";
+    const BOUND_KEY: &str = "key-of-bound";
+    let (mut cluster, book) = configured(true);
+    cluster.regions = [("zone-a".to_owned(), "north".to_owned())].into();
+    cluster.tenants = Some(json!([
+        {"name": "free", "api_keys": [FREE_KEY]},
+        {"name": "bound", "api_keys": [BOUND_KEY], "allowed_regions": ["north"]},
+    ]));
+    let mut routes = usual_routes();
+    for route in routes.as_array_mut().expect("a list") {
+        if route["name"] == "rollout" {
+            route["run_target_ms"] = json!(60_000);
+        }
+    }
+    cluster.configure(routes);
+    start(&mut cluster).await;
+    cluster.api_key = Some(FREE_KEY.to_owned());
+    work_until_ordered(&cluster, 0, &book, MUCH).await;
+    let before = book.records().len();
+    assert!(before > 0, "busy engines get more");
+    for _ in 0..4 {
+        cluster.add_engine(Duration::from_millis(5)).await;
+    }
+    cluster.api_key = Some(BOUND_KEY.to_owned());
+    let work = batch(&items(1, 60), MODEL, 1);
+    let answer = cluster.submit(0, "bound", &work).await;
+    assert_eq!(answer.expect("an answer").status, 202);
+    cluster.wait_results(0, "bound", 1).await;
+    cluster.api_key = Some(FREE_KEY.to_owned());
+    work_until_ordered(&cluster, 0, &book, LITTLE).await;
+    let records = book.records();
+    assert_eq!(records.len(), before, "{records:?}");
+}
