Bound work that can go nowhere says why in the log; tests of regions with little in them

Cause: a node whose own region is not known competes for no bound batches, and said nothing of it. A live request that no back end of its regions may serve was logged like one that found them full.

Change: `own_region_unknown` with the number of sets; the refusal names the regions.

Measured: new tests, green also before this change but for what is logged: a small node alone in a region owns its batches; a node without regions refuses bound calls at once and runs no bound batch, which waits for a node that knows them; so it is while the only zone of a region is evacuated, until that is withdrawn.

--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -117,6 +117,14 @@
         /// True if it is asked for, false if it was withdrawn.
         evacuated: bool,
     },
+    /// The configuration binds batches to regions, and this node does not know in which one it
+    /// lies: it owns none of them.
+    OwnRegionUnknown {
+        /// Its zone.
+        zone: &'a str,
+        /// How many sets of bound batches there are.
+        sets: usize,
+    },
     /// A back end joined, left or changed its state.
     BackEndChanged {
         /// The back end.
--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -25,7 +25,8 @@
             | Event::ConfigurationRefused { .. }
             | Event::RowUnreadable { .. }
             | Event::VersionPublished { .. }
-            | Event::EvacuationChanged { .. } => "config",
+            | Event::EvacuationChanged { .. }
+            | Event::OwnRegionUnknown { .. } => "config",
             Event::BackEndChanged { .. } | Event::PaceChanged { .. } => "engine",
             Event::RequestAnswered { .. }
             | Event::RequestFailed { .. }
--- a/crates/sloetrail-serving/src/gateway/live.rs
+++ b/crates/sloetrail-serving/src/gateway/live.rs
@@ -350,6 +350,10 @@
             (true, Some(word)) => {
                 format!("service {service}: {word} at the last of {}", self.asked())
             }
+            (true, None) if self.call.place_outlook().is_none() => {
+                let regions = &self.call.regions;
+                format!("service {service}: no back end takes work; regions: {regions}")
+            }
             (true, None) => format!("service {service}: no back end has room"),
         };
         let code = match (possible > 0, is_late) {
--- a/crates/sloetrail-serving/src/supervisor.rs
+++ b/crates/sloetrail-serving/src/supervisor.rs
@@ -1,11 +1,12 @@
 //! Which leases this node keeps: one for each kind of work that one node at a time does.
 
 use crate::context::NodeContext;
+use crate::events::{self, Event};
 use crate::leases::{BatchSet, LeaseKeeper, LeaseSubject, TermWork};
 use crate::owner::BatchesWork;
 use crate::usage::UsageWork;
 use sloetrail_routing::ServingConfiguration;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
@@ -28,13 +29,16 @@
     }
     let mut in_force = context.in_force.clone();
     let mut leased_sets = context.leased_sets.clone();
+    let mut sets_told = 0;
     loop {
         let configuration = in_force.borrow_and_update().configuration.clone();
         let configured = configuration.map(|configuration| configured_sets(&configuration));
         let configured = configured.into_iter().flatten();
         let leased = Arc::clone(&leased_sets.borrow_and_update());
         let own_region = context.settings.topology.own_region();
-        for set in configured.chain(leased.iter().cloned()) {
+        let sets: BTreeSet<BatchSet> = configured.chain(leased.iter().cloned()).collect();
+        tell_unknown_region(&context, &sets, &mut sets_told);
+        for set in sets {
             if !set.regions().allows(own_region) {
                 continue;
             }
@@ -56,6 +60,21 @@
     }
 }
 
+/// Tells that this node competes for no bound batches since its region is not known, once for
+/// each number of them.
+fn tell_unknown_region(context: &NodeContext, sets: &BTreeSet<BatchSet>, told: &mut usize) {
+    let topology = &context.settings.topology;
+    let bound = sets.iter().filter(|set| !set.regions().is_everywhere());
+    let count = bound.count();
+    if topology.own_region().is_none() && count != *told {
+        *told = count;
+        events::emit(&Event::OwnRegionUnknown {
+            zone: topology.zone().as_str(),
+            sets: count,
+        });
+    }
+}
+
 /// The batches that there may be under a configuration.
 fn configured_sets(configuration: &ServingConfiguration) -> Vec<BatchSet> {
     let services = configuration.rollout_services().into_iter();
--- a/crates/sloetrail-serving/tests/regions.rs
+++ b/crates/sloetrail-serving/tests/regions.rs
@@ -422,3 +422,72 @@
     cluster.table.set_down(false);
     assert_each_once(&cluster.wait_results(1, "b1", ITEMS).await, ITEMS);
 }
+
+async fn submit_bound(cluster: &Cluster, node: usize, id: &str, count: usize) {
+    let work = batch(&items(count, 5), MODEL, 1);
+    let answer = cluster.submit(node, id, &work).await.expect("an answer");
+    assert_eq!(answer.status, 202, "{}", answer.text());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_small_node_owns_the_batches_of_a_region_where_there_is_no_other() {
+    const SMALL: f64 = 0.12;
+    let mut cluster = cluster(bound_routes(&["rollout"], "south")).await;
+    add_nodes(&mut cluster, &[("node-1", NORTH_ZONE)]).await;
+    cluster.processor_share = Some(SMALL);
+    add_nodes(&mut cluster, &[("node-2", SOUTH_ZONE)]).await;
+    assert_eq!(wait_holder(&cluster, "models@south").await, "node-2");
+    submit_bound(&cluster, 0, "b1", 6).await;
+    assert_each_once(&cluster.wait_results(0, "b1", 6).await, 6);
+    assert_eq!(runs_in(&cluster, NORTH_ZONE), 0);
+}
+
+/// The configuration names regions that the settings of the node say nothing of.
+#[tokio::test(flavor = "multi_thread")]
+async fn bound_work_goes_nowhere_from_a_node_that_knows_no_regions() {
+    const WAITED: Duration = Duration::from_millis(1_500);
+    let mut cluster = cluster(bound_routes(&["rollout", "live", "events"], "south")).await;
+    let regions = std::mem::take(&mut cluster.regions);
+    add_nodes(&mut cluster, &[("node-1", SOUTH_ZONE)]).await;
+    for path in ["/live/x", "/events/x"] {
+        let began = Instant::now();
+        let answer = live(&cluster, 0, path, "refused").await.expect("an answer");
+        assert_refused_at_once(&answer, began);
+    }
+    submit_bound(&cluster, 0, "b1", 6).await;
+    tokio::time::sleep(WAITED).await;
+    assert_eq!(holder(&cluster, "models@south"), None);
+    assert_eq!(
+        runs_in(&cluster, NORTH_ZONE) + runs_in(&cluster, SOUTH_ZONE),
+        0
+    );
+    cluster.regions = regions;
+    add_nodes(&mut cluster, &[("node-2", SOUTH_ZONE)]).await;
+    assert_each_once(&cluster.wait_results(0, "b1", 6).await, 6);
+    assert_eq!(runs_in(&cluster, NORTH_ZONE), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn while_the_only_zone_of_a_region_is_evacuated_calls_are_refused_and_batches_wait() {
+    const HEARD: Duration = Duration::from_millis(300);
+    const WAITED: Duration = Duration::from_millis(1_000);
+    let mut cluster = cluster(bound_routes(&["rollout", "live", "events"], "south")).await;
+    add_nodes(&mut cluster, &[("node-1", SOUTH_ZONE)]).await;
+    wait_holder(&cluster, "models@south").await;
+    cluster.evacuate(SOUTH_ZONE);
+    tokio::time::sleep(HEARD).await;
+    for path in ["/live/x", "/events/x"] {
+        let began = Instant::now();
+        let answer = live(&cluster, 0, path, "refused").await.expect("an answer");
+        assert_refused_at_once(&answer, began);
+    }
+    submit_bound(&cluster, 0, "b1", 6).await;
+    tokio::time::sleep(WAITED).await;
+    assert_eq!(
+        runs_in(&cluster, NORTH_ZONE) + runs_in(&cluster, SOUTH_ZONE),
+        0
+    );
+    cluster.withdraw_evacuation(SOUTH_ZONE);
+    assert_each_once(&cluster.wait_results(0, "b1", 6).await, 6);
+    assert_eq!(runs_in(&cluster, NORTH_ZONE), 0);
+}
