--- a/crates/sloetrail-serving/src/owner/reward.rs
+++ b/crates/sloetrail-serving/src/owner/reward.rs
@@ -28,8 +28,8 @@
     Cancelled,
 }
 
-/// Makes a reward call for an item of a batch that is bound to these regions until it gives a score, has failed as often as its route
-/// allows, or is given up.
+/// Makes a reward call for an item of a batch that is bound to these regions until it gives a
+/// score, has failed as often as its route allows, or is given up.
 pub(super) async fn score(
     context: &Arc<NodeContext>,
     item: &str,
--- a/crates/sloetrail-serving/tests/regions.rs
+++ b/crates/sloetrail-serving/tests/regions.rs
@@ -491,3 +491,35 @@
     assert_each_once(&cluster.wait_results(0, "b1", 6).await, 6);
     assert_eq!(runs_in(&cluster, NORTH_ZONE), 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_batch_whose_tenant_is_bound_elsewhere_by_now_is_accepted_again_and_stays() {
+    const ITEMS: usize = 30;
+    let tenant = |region: &str| {
+        json!([
+            {"name": "moving", "api_keys": [NORTH_KEY], "allowed_regions": [region]},
+        ])
+    };
+    let mut cluster = cluster(usual_routes()).await;
+    cluster.tenants = Some(tenant("north"));
+    cluster.configure(usual_routes());
+    cluster.api_key = Some(NORTH_KEY.to_owned());
+    add_nodes(
+        &mut cluster,
+        &[("node-1", NORTH_ZONE), ("node-2", SOUTH_ZONE)],
+    )
+    .await;
+    wait_holder(&cluster, "models@north").await;
+    let work = batch(&items(ITEMS, 60), MODEL, 1);
+    let answer = cluster.submit(0, "b1", &work).await.expect("an answer");
+    assert_eq!(answer.status, 202, "{}", answer.text());
+    cluster.tenants = Some(tenant("south"));
+    cluster.configure(usual_routes());
+    assert_eq!(wait_holder(&cluster, "models@south").await, "node-2");
+    for node in [0, 1] {
+        let repeated = cluster.submit(node, "b1", &work).await.expect("an answer");
+        assert_eq!(repeated.status, 202, "{}", repeated.text());
+    }
+    assert_each_once(&cluster.wait_results(0, "b1", ITEMS).await, ITEMS);
+    assert_eq!(runs_in(&cluster, SOUTH_ZONE), 0);
+}
