--- a/crates/sloetrail-serving/src/supervisor.rs
+++ b/crates/sloetrail-serving/src/supervisor.rs
@@ -1,22 +1,16 @@
 //! Which leases this node keeps: one for each kind of work that one node at a time does.
 
 use crate::context::NodeContext;
-use crate::follow::TableView;
+use crate::events::{self, Event};
 use crate::leases::{BatchSet, LeaseKeeper, LeaseSubject, TermWork};
 use crate::owner::BatchesWork;
-use crate::rows;
 use crate::usage::UsageWork;
 use sloetrail_routing::ServingConfiguration;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-/// How often the leases are looked at for some that this node does not compete for yet. A
-/// batch that waits for that has lost its owner and all other nodes of its regions before.
-const LEASES_PERIOD: Duration = Duration::from_secs(1);
-
 /// Runs a keeper for each lease that is needed, until the node stops; then gives every
 /// lease up. `usage` is present where usage is to be reported.
 pub(crate) async fn supervise(
@@ -34,12 +28,17 @@
         keepers.insert(subject.clone(), start(subject, Arc::new(usage)));
     }
     let mut in_force = context.in_force.clone();
+    let mut leased_sets = context.leased_sets.clone();
+    let mut sets_told = 0;
     loop {
         let configuration = in_force.borrow_and_update().configuration.clone();
         let configured = configuration.map(|configuration| configured_sets(&configuration));
-        let sets = configured.into_iter().flatten();
+        let configured = configured.into_iter().flatten();
+        let leased = Arc::clone(&leased_sets.borrow_and_update());
         let own_region = context.settings.topology.own_region();
-        for set in sets.chain(leased_sets(&context.leases.borrow())) {
+        let sets: BTreeSet<BatchSet> = configured.chain(leased.iter().cloned()).collect();
+        tell_unknown_region(&context, &sets, &mut sets_told);
+        for set in sets {
             if !set.regions().allows(own_region) {
                 continue;
             }
@@ -51,7 +50,7 @@
         }
         tokio::select! {
             Ok(()) = in_force.changed() => {}
-            () = tokio::time::sleep(LEASES_PERIOD) => {}
+            Ok(()) = leased_sets.changed() => {}
             () = stopping.cancelled() => break,
         }
     }
@@ -61,6 +60,21 @@
     }
 }
 
+/// Tells that this node competes for no bound batches since its region is not known, once for
+/// each number of them.
+fn tell_unknown_region(context: &NodeContext, sets: &BTreeSet<BatchSet>, told: &mut usize) {
+    let topology = &context.settings.topology;
+    let bound = sets.iter().filter(|set| !set.regions().is_everywhere());
+    let count = bound.count();
+    if topology.own_region().is_none() && count != *told {
+        *told = count;
+        events::emit(&Event::OwnRegionUnknown {
+            zone: topology.zone().as_str(),
+            sets: count,
+        });
+    }
+}
+
 /// The batches that there may be under a configuration.
 fn configured_sets(configuration: &ServingConfiguration) -> Vec<BatchSet> {
     let services = configuration.rollout_services().into_iter();
@@ -70,11 +84,3 @@
     });
     sets.collect()
 }
-
-/// Bound batches that had an owner before. Some may be open that were accepted under a
-/// configuration which this node has not seen.
-fn leased_sets(leases: &TableView) -> Vec<BatchSet> {
-    let subjects = leases.rows.keys();
-    let subjects = subjects.filter_map(|key| rows::subject_of_lease(key));
-    subjects.filter_map(BatchSet::of_bound_lease).collect()
-}
