A run that is opened anew after a silence counts as a send

Only the choice of the engine was counted, so an engine that was merely slow got both and the bound of a cold engine could be exceeded (up to twice what the owner may send).

Ruled out: live requests, series and reward calls (each attempt is a choice of the balancer and counted there); `Exchange::send` itself, which takes a new connection only with the request that the library hands back unsent.

Change: the window of an engine's sends is shared with its runs; a repeat is counted there, or not made if the engine does not bear it as a cold one.

Test: cold, runs_that_are_opened_anew_count_as_sends.

--- a/crates/sloetrail-serving/src/owner/engine.rs
+++ b/crates/sloetrail-serving/src/owner/engine.rs
@@ -1,11 +1,12 @@
 //! One engine, as the owner of its service sees it.
 
+use super::engine_sends::EngineSends;
 use super::pace::PaceMeter;
 use crate::back_end::BackEnd;
 use crate::events::{self, Event};
 use crate::loss_backoff::LossBackoff;
-use sloetrail_balance::{ColdBudget, SendBound, SendWindow};
-use sloetrail_types::{Timestamp, WeightVersion};
+use sloetrail_balance::{ColdBudget, SendBound};
+use sloetrail_types::WeightVersion;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -70,7 +71,7 @@
     losses: LossBackoff,
     sparing: Sparing,
     /// What this owner sent it last.
-    sends: SendWindow,
+    sends: Arc<EngineSends>,
     /// When this owner took it in.
     taken_in_at: Instant,
 }
@@ -102,7 +103,7 @@
             finished_at: None,
             losses: LossBackoff::default(),
             sparing: Sparing::default(),
-            sends: SendWindow::default(),
+            sends: Arc::new(EngineSends::new(now)),
             taken_in_at: now,
         }
     }
@@ -175,7 +176,7 @@
 
     /// True if something runs there, or was sent there so lately that it still counts.
     pub(super) fn is_in_use(&self, now: Instant) -> bool {
-        self.running > 0 || self.sends.is_in_use(self.timestamp(now))
+        self.running > 0 || self.sends.is_in_use(now)
     }
 
     /// What may be sent to the engine now; nothing if that is not bounded.
@@ -191,13 +192,18 @@
     /// True if the engine bears one more item at this moment.
     fn bears_more(&self, now: Instant) -> bool {
         let bound = self.send_bound(now);
-        bound.is_none_or(|bound| self.sends.has_room(self.timestamp(now), bound))
+        bound.is_none_or(|bound| self.sends.has_room(now, bound))
     }
 
-    /// Time since this owner took the engine in, on a clock that counts a freeze.
-    fn timestamp(&self, now: Instant) -> Timestamp {
-        let since = now.saturating_duration_since(self.taken_in_at);
-        Timestamp(since.as_millis() as u64)
+    /// Where runs count what they send the engine again.
+    pub(super) fn sends(&self) -> Arc<EngineSends> {
+        Arc::clone(&self.sends)
+    }
+
+    /// What may be sent again by a run that has met a silence; nothing if that is not
+    /// bounded. The engine may have turned cold meanwhile.
+    pub(super) fn repeat_bound(&self) -> Option<SendBound> {
+        self.sparing.budget.map(|budget| budget.owner_bound())
     }
 
     /// True if the engine takes work and was not lost or did not refuse just now.
@@ -251,7 +257,7 @@
     pub(super) fn started(&mut self) {
         self.running += 1;
         let now = Instant::now();
-        self.sends.note(self.timestamp(now));
+        self.sends.note(now);
         if self.is_slow {
             self.probed_at = now;
             self.pace.reset();
--- a/crates/sloetrail-serving/src/owner/mod.rs
+++ b/crates/sloetrail-serving/src/owner/mod.rs
@@ -10,6 +10,7 @@
 mod assignment;
 mod committer;
 mod engine;
+mod engine_sends;
 mod engines;
 mod event;
 mod item_story;
--- a/crates/sloetrail-serving/src/owner/run.rs
+++ b/crates/sloetrail-serving/src/owner/run.rs
@@ -1,5 +1,6 @@
 //! One run of an item at an engine.
 
+use super::engine_sends::EngineSends;
 use super::pace::PaceMeter;
 use crate::back_end::BackEnd;
 use crate::context::NodeContext;
@@ -9,6 +10,7 @@
 use crate::http::{AnswerBody, Exchange, Reuse, SendFailure};
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use sloetrail_balance::SendBound;
 use sloetrail_batch::{SubmittedItem, Transcript, TranscriptEvent};
 use sloetrail_types::{TenantName, WeightVersion};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -35,6 +37,9 @@
     pub(super) oldest_version: WeightVersion,
     pub(super) single_version: bool,
     pub(super) priority: u8,
+    /// What the owner has sent the engine, and how much of it may be sent again.
+    pub(super) sends: Arc<EngineSends>,
+    pub(super) repeat_bound: Option<SendBound>,
     pub(super) pace: Arc<PaceMeter>,
     pub(super) progress: Arc<RunProgress>,
     pub(super) cancel: CancellationToken,
@@ -173,14 +178,15 @@
     }
 
     /// Opens the run. An item may run again, so that one on a kept connection that says
-    /// nothing is opened anew at the same engine.
+    /// nothing is opened anew at the same engine, if that bears one more: the engine may
+    /// only be slow, and then both arrive.
     async fn open(&self, due: Instant) -> Result<Exchange, RunOutcome> {
         let names = self.spec.context.dialect.headers();
         let outgoing = self.outgoing();
         let began = Instant::now();
         let reuse = Reuse::Within(SILENCE_LIMIT);
         let mut sent = self.send(&outgoing, reuse, due).await?;
-        if let Err(SendFailure::KeptSilent) = sent {
+        if matches!(sent, Err(SendFailure::KeptSilent)) && self.may_send_again() {
             sent = self.send(&outgoing, reuse.after_try_at(began), due).await?;
         }
         let exchange = sent.map_err(|failure| run_outcome(&judge_failure(failure)))?;
@@ -190,6 +196,16 @@
         }
     }
 
+    /// Counts one more send to the engine; false if the engine does not bear it now.
+    fn may_send_again(&self) -> bool {
+        let RunSpec {
+            sends,
+            repeat_bound,
+            ..
+        } = &self.spec;
+        sends.note_within(Instant::now(), *repeat_bound)
+    }
+
     async fn send(
         &self,
         outgoing: &Outgoing,
--- a/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
@@ -104,6 +104,8 @@
             oldest_version: open.batch.oldest_version,
             single_version: open.batch.header.single_version,
             priority,
+            sends: engine.sends(),
+            repeat_bound: engine.repeat_bound(),
             pace: Arc::clone(&engine.pace),
             progress: Arc::clone(&run.progress),
             cancel: run.cancel.clone(),
--- a/crates/sloetrail-serving/tests/cold.rs
+++ b/crates/sloetrail-serving/tests/cold.rs
@@ -102,6 +102,30 @@
     assert!(most <= FROM_ONE, "{most} of {FROM_ONE} a second");
 }
 
+/// Runs over kept connections that say nothing are opened anew at the same engine; the engine
+/// may have got the first opening too.
+#[tokio::test(flavor = "multi_thread")]
+async fn runs_that_are_opened_anew_count_as_sends() {
+    let (cluster, engine) = cluster_of_one_engine(1).await;
+    engine.set_pace(Duration::from_millis(50));
+    submit(&cluster, 0, FROM_ONE).await;
+    cluster.wait_results(0, "b1", FROM_ONE).await;
+    let kept_from = Instant::now();
+    engine.set_cold(Duration::from_secs(8));
+    cluster.list(&engine);
+    engine.set_fault(EngineFault::Silent, None);
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    let work = batch(&items(40, 2), MODEL, 1);
+    let answer = cluster.submit(0, "b2", &work).await;
+    assert_eq!(answer.expect("an answer").status, 202);
+    let later = || engine.arrivals().into_iter().filter(|at| *at > kept_from);
+    let met_again = || async { (later().count() > 2 * FROM_ONE).then_some(()) };
+    eventually("runs are opened anew", met_again).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let most = most_in_a_second(later().collect());
+    assert!(most <= FROM_ONE, "{most} of {FROM_ONE} a second");
+}
+
 /// Makes live requests at every node, many more than the back end bears.
 async fn ask_every_node(cluster: &Cluster, time: Duration) -> usize {
     let began = Instant::now();
