Texts wait for their scores in a queue of the owner

Cause: each whole text made its reward call by itself and again every 80 ms. Hundreds at a few applications took all places that the node may have there, in no order: callers' requests were refused beside them, a young batch was scored as soon as an old one, and while applications were paused every text asked on ('no engine', once per text and 80 ms).

Ruled out: back ends are not flooded with sends while they refuse (their own pause of 20 ms bounds that); what is saved there are tries and log lines.

Change: owner::reward_queue, free of I/O. Under way at a time: the places of the back ends that take work (Balancer::places), less those kept for callers as for samples. Groups that the trainer waits for first, then the order of batches, then arrival. A text that finds no place keeps its turn and its lane rests 80 ms with one probe after it; a text that failed rests by itself. New gauge sloetrail_scores_waiting.

--- a/crates/sloetrail-balance/src/balancer.rs
+++ b/crates/sloetrail-balance/src/balancer.rs
@@ -190,6 +190,19 @@
             .any(|entry| entry.may_serve(now) && topology.allows(regions, &entry.zone))
     }
 
+    /// How many requests of a class this node may have at a time at the engines of the
+    /// allowed regions that may be chosen now.
+    pub fn places(&self, now: Timestamp, regions: &AllowedRegions, class: WorkClass) -> usize {
+        let freshness = self.settings.view_freshness;
+        let topology = &self.settings.topology;
+        let able = self.engines.values().filter(|entry| {
+            entry.may_be_chosen(now, freshness)
+                && !entry.is_spared(now)
+                && topology.allows(regions, &entry.zone)
+        });
+        able.map(|entry| entry.places(class)).sum()
+    }
+
     /// Requests in flight from this node.
     pub fn in_flight(&self) -> usize {
         self.engines.values().map(|entry| entry.in_flight).sum()
--- a/crates/sloetrail-balance/src/entry.rs
+++ b/crates/sloetrail-balance/src/entry.rs
@@ -146,14 +146,22 @@
     }
 
     pub(crate) fn has_room(&self, now: Timestamp, class: WorkClass) -> bool {
+        self.in_flight < self.places(class) && !self.is_spared(now)
+    }
+
+    /// How many requests of a class this node may have there at a time.
+    pub(crate) fn places(&self, class: WorkClass) -> usize {
         let limit = self.limit.current();
-        let places = match class {
+        match class {
             WorkClass::Live => limit,
             WorkClass::Sample => (limit - limit / SHARE_KEPT_FOR_LIVE).max(1),
-        };
+        }
+    }
+
+    /// True if it is cold and this node has sent it all that it may for now.
+    pub(crate) fn is_spared(&self, now: Timestamp) -> bool {
         let bound = self.bound(now);
-        let is_spared = bound.is_some_and(|bound| !self.sends.has_room(now, bound));
-        self.in_flight < places && !is_spared
+        bound.is_some_and(|bound| !self.sends.has_room(now, bound))
     }
 
     /// Load in parts of capacity: what others had there at the report, and what
--- a/crates/sloetrail-batch/src/batch.rs
+++ b/crates/sloetrail-batch/src/batch.rs
@@ -121,6 +121,11 @@
         self.wanted[index] || !self.order.wanted_first
     }
 
+    /// True if the item's group is among those that the trainer waits for first.
+    pub fn is_in_wanted_group(&self, index: ItemIndex) -> bool {
+        self.wanted[index]
+    }
+
     /// The item to run next, if one waits.
     pub fn peek(&self) -> Option<ItemIndex> {
         self.queue.last().copied()
--- a/crates/sloetrail-serving/src/owner/event.rs
+++ b/crates/sloetrail-serving/src/owner/event.rs
@@ -2,6 +2,7 @@
 
 use super::loading::LoadedBatch;
 use super::reward::RewardOutcome;
+use super::reward_queue::Scoring;
 use super::run::RunOutcome;
 use crate::back_end::{EngineStatus, OrderAnswer};
 use crate::leases::OrderWindow;
@@ -28,8 +29,8 @@
         /// How long it took.
         took: Duration,
     },
-    /// A text has been scored, or could not be.
-    RewardEnded(BatchId, ItemIndex, RewardOutcome),
+    /// A try to score a text has ended.
+    RewardEnded(Scoring, RewardOutcome),
     /// A result was committed.
     Committed(Committed),
     /// The window for orders was opened, or could not be.
--- a/crates/sloetrail-serving/src/owner/mod.rs
+++ b/crates/sloetrail-serving/src/owner/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! The holder of the lease of such a [`BatchSet`] ([`crate::leases`]) runs a
 //! [`service_owner::ServiceOwner`]: it loads the open batches from the table, sends items
-//! to engines ([`run`]), has whole texts scored ([`reward`]), commits results in groups
+//! to engines ([`run`]), has whole texts scored ([`reward_queue`], [`reward`]), commits results in groups
 //! ([`committer`]) and brings the engines to the published versions ([`rollout_plan`],
 //! [`weights`]). Only the owner of the batches that may be anywhere gives orders to engines.
 
@@ -19,6 +19,7 @@
 mod place_usage;
 mod publications;
 mod reward;
+mod reward_queue;
 mod rollout_plan;
 mod run;
 mod service_owner;
--- a/crates/sloetrail-serving/src/owner/reward.rs
+++ b/crates/sloetrail-serving/src/owner/reward.rs
@@ -1,90 +1,125 @@
-//! Scoring a whole text: a live request to another service.
+//! Scoring a whole text: a live request to another service, once for each turn that it gets
+//! ([`super::reward_queue`]).
 
+use super::reward_queue::Lane;
 use crate::context::NodeContext;
 use crate::events::{self, Event};
 use crate::gateway::attempt::Outgoing;
 use crate::gateway::headers;
 use crate::gateway::live::LiveCall;
+use crate::http::WholeAnswer;
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderMap, HeaderValue, Method};
 use sloetrail_batch::RewardCall;
-use sloetrail_routing::{Route, WeightedChoice};
+use sloetrail_routing::{Route, ServingConfiguration, WeightedChoice};
 use sloetrail_types::{AllowedRegions, ServiceName};
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-const PAUSE: Duration = Duration::from_millis(80);
-
-/// How scoring ended.
+/// How one try to score a text ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum RewardOutcome {
     /// The signature of the answer.
     Scored(String),
-    /// The call failed as often as its route allows.
-    Failed,
+    /// There is no score.
+    NoScore(RewardFailure),
     /// The owner gave it up.
     Cancelled,
 }
 
-/// Makes a reward call for an item of a batch that is bound to these regions until it gives a score, has failed as often as its route
-/// allows, or is given up.
+/// What a try that gave no score tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct RewardFailure {
+    /// Answers that say that the call itself failed.
+    pub(super) failed_answers: usize,
+    /// With so many of these the call is given up.
+    pub(super) allowed: usize,
+    /// True if nothing was sent, since no back end had a place.
+    pub(super) found_no_place: bool,
+}
+
+/// The place among texts that are to be scored, for an item of a batch that is bound to these
+/// regions.
+pub(super) fn lane(context: &NodeContext, reward: &RewardCall, regions: &AllowedRegions) -> Lane {
+    let configuration = context.configuration();
+    let route = configuration
+        .as_ref()
+        .and_then(|configuration| find_route(configuration, reward));
+    Lane {
+        service: route.and_then(|route| choose_service(route, &reward.id)),
+        regions: match route {
+            Some(route) => scoring_regions(&route.allowed_regions, regions),
+            None => regions.clone(),
+        },
+    }
+}
+
+/// Makes a reward call once, as often as its route allows, for an item of a batch that is
+/// bound to these regions; `failures` are those before.
 pub(super) async fn score(
     context: &Arc<NodeContext>,
     item: &str,
     (reward, regions): (&RewardCall, &AllowedRegions),
+    failures: usize,
     cancel: &CancellationToken,
 ) -> RewardOutcome {
-    let scoring = score_until_settled(context, item, (reward, regions));
+    let scoring = try_to_score(context, item, (reward, regions), failures);
     tokio::select! {
         outcome = scoring => outcome,
         () = cancel.cancelled() => RewardOutcome::Cancelled,
     }
 }
 
-async fn score_until_settled(
+async fn try_to_score(
     context: &Arc<NodeContext>,
     item: &str,
     (reward, regions): (&RewardCall, &AllowedRegions),
+    failures: usize,
 ) -> RewardOutcome {
-    let mut failures = 0;
-    loop {
-        let call = prepare(context, reward, regions);
-        let outcome = match &call {
-            Some(call) => {
-                let outcome = call.run().await;
-                failures += outcome.failed_answers;
-                outcome.answer.map_err(|problem| problem.title)
+    let mut failure = RewardFailure {
+        failed_answers: 0,
+        allowed: usize::MAX,
+        found_no_place: true,
+    };
+    let word = match prepare(context, reward, regions) {
+        None => "no route".to_owned(),
+        Some(call) => {
+            let outcome = call.run().await;
+            failure.failed_answers = outcome.failed_answers;
+            failure.allowed = call.route.max_attempts;
+            failure.found_no_place = outcome.attempts == 0;
+            match outcome.answer {
+                Ok(answer) => match score_of(context, &answer) {
+                    Some(score) => return RewardOutcome::Scored(score),
+                    None => answer.status.as_str().to_owned(),
+                },
+                Err(problem) => problem.title,
             }
-            None => Err("no route".to_owned()),
-        };
-        if let Ok(answer) = &outcome
-            && answer.status.is_success()
-        {
-            let name = &context.dialect.headers().signature;
-            if let Some(signature) = headers::text(&answer.headers, name) {
-                return RewardOutcome::Scored(signature.to_owned());
-            }
-        }
-        let word = match &outcome {
-            Ok(answer) => answer.status.as_str().to_owned(),
-            Err(title) => title.clone(),
-        };
-        events::emit(&Event::RewardFailed {
-            item,
-            reward: &reward.id,
-            failures,
-            outcome: &word,
-        });
-        let allowed = call
-            .as_ref()
-            .map_or(usize::MAX, |call| call.route.max_attempts);
-        if failures >= allowed {
-            return RewardOutcome::Failed;
         }
-        tokio::time::sleep(PAUSE).await;
-    }
+    };
+    events::emit(&Event::RewardFailed {
+        item,
+        reward: &reward.id,
+        failures: failures + failure.failed_answers,
+        outcome: &word,
+    });
+    RewardOutcome::NoScore(failure)
+}
+
+/// The score that an answer gives, if it gives one.
+fn score_of(context: &NodeContext, answer: &WholeAnswer) -> Option<String> {
+    let name = &context.dialect.headers().signature;
+    let signature = headers::text(&answer.headers, name).map(str::to_owned);
+    signature.filter(|_| answer.status.is_success())
+}
+
+fn find_route<'a>(
+    configuration: &'a ServingConfiguration,
+    reward: &RewardCall,
+) -> Option<&'a Arc<Route>> {
+    let path = reward.path.split('?').next().unwrap_or(&reward.path);
+    configuration.routes.find(&reward.host, path)
 }
 
 fn prepare(
@@ -93,8 +128,7 @@
     regions: &AllowedRegions,
 ) -> Option<LiveCall> {
     let configuration = context.configuration()?;
-    let path = reward.path.split('?').next().unwrap_or(&reward.path);
-    let route = configuration.routes.find(&reward.host, path)?;
+    let route = find_route(&configuration, reward)?;
     Some(LiveCall {
         context: Arc::clone(context),
         service: choose_service(route, &reward.id)?,
--- /dev/null
+++ b/crates/sloetrail-serving/src/owner/reward_queue/tests.rs
@@ -0,0 +1,125 @@
+use super::{Lane, PAUSE, Rank, RewardQueue, Scoring, Tried};
+use sloetrail_types::{AllowedRegions, ServiceName};
+use std::time::Duration;
+use tokio::time::Instant;
+
+fn lane(service: &str) -> Lane {
+    Lane {
+        service: Some(ServiceName::from(service)),
+        regions: AllowedRegions::default(),
+    }
+}
+
+fn text_in(service: &str, batch: &str, index: usize, is_extra: bool, accepted: u64) -> Scoring {
+    let rank = Rank {
+        is_extra,
+        batch: (1, 1, accepted),
+    };
+    Scoring::new(batch.into(), index, lane(service), rank)
+}
+
+fn text(index: usize) -> Scoring {
+    text_in("app", "b1", index, false, 1)
+}
+
+fn queue(texts: impl IntoIterator<Item = Scoring>) -> RewardQueue {
+    let mut queue = RewardQueue::default();
+    texts.into_iter().for_each(|text| queue.push(text));
+    queue
+}
+
+fn start(queue: &mut RewardQueue, now: Instant, places: usize) -> Vec<usize> {
+    let started = queue.start(now, |_| places);
+    started.iter().map(|text| text.index).collect()
+}
+
+#[test]
+fn no_more_are_under_way_than_there_are_places() {
+    let now = Instant::now();
+    let mut queue = queue((0..300).map(text));
+    let started = queue.start(now, |_| 5);
+    assert_eq!(started.len(), 5);
+    assert_eq!(start(&mut queue, now, 5), [0_usize; 0]);
+    for text in started.into_iter().take(2) {
+        queue.tried(now, text, Tried::Settled);
+    }
+    assert_eq!(start(&mut queue, now, 5), [5, 6]);
+    assert_eq!(start(&mut queue, now, 3), [0_usize; 0], "places have gone");
+    assert_eq!(queue.waiting(), 293);
+}
+
+#[test]
+fn groups_that_a_trainer_waits_for_go_first_then_the_oldest() {
+    let now = Instant::now();
+    let mut queue = queue([
+        text_in("app", "young", 0, true, 1),
+        text_in("app", "young", 1, false, 9),
+        text_in("app", "old", 2, false, 2),
+        text_in("app", "old", 3, false, 2),
+    ]);
+    assert_eq!(start(&mut queue, now, 9), [2, 3, 1, 0]);
+}
+
+#[test]
+fn while_there_is_no_place_one_asks_now_and_then_and_none_loses_its_turn() {
+    let now = Instant::now();
+    let mut queue = queue((0..300).map(text));
+    let mut asked = 0;
+    let end = now + Duration::from_secs(1);
+    let mut moment = now;
+    while moment < end {
+        for text in queue.start(moment, |_| 0) {
+            assert_eq!(text.index, 0);
+            asked += 1;
+            queue.tried(moment, text, Tried::FoundNoPlace);
+        }
+        moment += Duration::from_millis(1);
+    }
+    assert!((10..=13).contains(&asked), "{asked} in a second");
+    assert_eq!(queue.waiting(), 300);
+    let first = start(&mut queue, end + PAUSE, 3);
+    assert_eq!(first, [0, 1, 2], "places are there again");
+}
+
+#[test]
+fn a_text_that_failed_rests_and_holds_nobody_up() {
+    let now = Instant::now();
+    let mut queue = queue((0..3).map(text));
+    for text in queue.start(now, |_| 1) {
+        queue.tried(now, text, Tried::Failed);
+    }
+    assert_eq!(start(&mut queue, now, 2), [1, 2]);
+    assert_eq!(queue.next_due(now), Some(now + PAUSE));
+    assert_eq!(start(&mut queue, now + PAUSE / 2, 9), [0_usize; 0]);
+    assert_eq!(start(&mut queue, now + PAUSE, 9), [0]);
+}
+
+#[test]
+fn a_service_without_places_holds_no_other_one_up() {
+    let now = Instant::now();
+    let mut queue = queue([
+        text_in("away", "b1", 0, false, 1),
+        text_in("app", "b1", 1, false, 1),
+        text_in("app", "b1", 2, false, 1),
+    ]);
+    for text in queue.start(now, |lane| usize::from(lane.service != Some("away".into()))) {
+        let tried = match text.index {
+            0 => Tried::FoundNoPlace,
+            _ => Tried::Settled,
+        };
+        queue.tried(now, text, tried);
+    }
+    assert_eq!(start(&mut queue, now, 1), [2]);
+}
+
+#[test]
+fn what_needs_no_score_any_more_is_dropped() {
+    let now = Instant::now();
+    let mut queue = queue((0..4).map(text));
+    for text in queue.start(now, |_| 1) {
+        queue.tried(now, text, Tried::Failed);
+    }
+    queue.retain(|text| text.index == 3);
+    assert_eq!(queue.waiting(), 1);
+    assert_eq!(start(&mut queue, now + PAUSE, 9), [3]);
+}
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -5,6 +5,7 @@
 mod other_batches;
 mod relocation;
 mod results;
+mod scoring;
 mod supply;
 mod texts;
 mod versions;
@@ -18,6 +19,7 @@
 use super::item_story::ItemStory;
 use super::place_usage::PlaceUsage;
 use super::publications::Publications;
+use super::reward_queue::RewardQueue;
 use super::run::RunProgress;
 use super::sweeper;
 use crate::context::NodeContext;
@@ -84,6 +86,8 @@
     carried: BTreeMap<ItemId, Transcript>,
     /// By model, how many versions behind the newest one its last batch allows.
     lags: BTreeMap<String, u64>,
+    /// Whole texts that are to be scored.
+    rewards: RewardQueue,
     usage: PlaceUsage,
     lengths: LengthModel,
     publications: Publications,
@@ -101,6 +105,14 @@
     kept_at: Instant,
 }
 
+/// Waits until texts may be scored again that rest now.
+async fn scores_due(due: Option<Instant>) {
+    match due {
+        Some(due) => tokio::time::sleep_until(due).await,
+        None => std::future::pending().await,
+    }
+}
+
 impl ServiceOwner {
     pub(super) fn new(context: Arc<NodeContext>, set: BatchSet, term: Term) -> Self {
         let (sender, events) = mpsc::unbounded_channel();
@@ -120,6 +132,7 @@
             others: OtherBatches::default(),
             carried: BTreeMap::new(),
             lags: BTreeMap::new(),
+            rewards: RewardQueue::default(),
             usage: PlaceUsage::default(),
             lengths: LengthModel::default(),
             publications: Publications::default(),
@@ -163,8 +176,10 @@
                 Ok(()) = batches.changed() => self.take_batches(&mut batches, &mut ends),
                 Ok(()) = ends.changed() => self.take_batches(&mut batches, &mut ends),
                 _ = tick.tick() => self.on_tick(),
+                () = scores_due(self.rewards.next_due(Instant::now())) => {}
             }
             self.fill();
+            self.score_texts();
             if std::mem::take(&mut self.weights_due) {
                 self.drive_weights();
             }
@@ -264,9 +279,7 @@
                 transcript,
                 took,
             } => self.run_ended(&batch, index, &engine, (outcome, transcript), took),
-            OwnerEvent::RewardEnded(batch, index, outcome) => {
-                self.reward_ended(&batch, index, outcome);
-            }
+            OwnerEvent::RewardEnded(scoring, outcome) => self.reward_ended(scoring, outcome),
             OwnerEvent::Committed(committed) => self.committed(committed),
             OwnerEvent::WindowAnswered(window) => self.window_answered(window),
             OwnerEvent::FloorRead(floor) => self.floor_read(floor),
@@ -294,6 +307,7 @@
         self.move_from_slow_engines(now);
         self.move_long_texts(now);
         self.expire_items();
+        self.drop_scored();
         self.tell_items();
         self.drive_supply();
         let is_fast = self.context.table.ordinary_time() < KEEP_TABLE_TIME;
--- a/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
@@ -149,5 +149,6 @@
         let waiting = open.map(|open| open.batch.waiting()).sum();
         let running = self.batches.values().map(|open| open.runs.len()).sum();
         telemetry::items(self.term.subject.name(), waiting, running);
+        telemetry::scores_waiting(self.term.subject.name(), self.rewards.waiting());
     }
 }
--- a/crates/sloetrail-serving/src/owner/service_owner/results.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/results.rs
@@ -1,17 +1,15 @@
-//! What becomes of a run: its engine judged, the text scored, the result listed.
+//! What becomes of a run: its engine judged, the result listed.
 
 use super::ServiceOwner;
 use crate::events::{self, Event};
 use crate::owner::committer::CommitRequest;
-use crate::owner::event::{Committed, OwnerEvent};
-use crate::owner::reward::{RewardOutcome, score};
+use crate::owner::event::Committed;
 use crate::owner::run::RunOutcome;
 use crate::telemetry;
 use sloetrail_batch::{
     BatchId, DeathCause, ItemIndex, ItemState, ListedResult, ResultState, RunFailure, Transcript,
 };
 use sloetrail_types::EngineId;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -96,46 +94,7 @@
         }
     }
 
-    pub(super) fn begin_reward(&mut self, id: &BatchId, index: ItemIndex) {
-        let Some(open) = self.batches.get(id) else {
-            return;
-        };
-        let submitted = Arc::clone(&open.batch.item(index).submitted);
-        if submitted.reward.is_none() {
-            self.succeed(id, index, None);
-            return;
-        }
-        let context = Arc::clone(&self.context);
-        let cancel = open.cancel.child_token();
-        let sender = self.sender.clone();
-        let batch = id.clone();
-        let regions = open.batch.header.allowed_regions.clone();
-        tokio::spawn(async move {
-            let Some(reward) = &submitted.reward else {
-                return;
-            };
-            let outcome = score(&context, &submitted.id, (reward, &regions), &cancel).await;
-            // The owner may be gone; then nobody needs it.
-            let _ = sender.send(OwnerEvent::RewardEnded(batch, index, outcome));
-        });
-    }
-
-    pub(super) fn reward_ended(&mut self, id: &BatchId, index: ItemIndex, outcome: RewardOutcome) {
-        let is_rewarding = self
-            .batches
-            .get(id)
-            .is_some_and(|open| open.batch.item(index).state == ItemState::Rewarding);
-        if !is_rewarding {
-            return;
-        }
-        match outcome {
-            RewardOutcome::Scored(score) => self.succeed(id, index, Some(score)),
-            RewardOutcome::Failed => self.give_up(id, index, DeathCause::RewardFailed),
-            RewardOutcome::Cancelled => {}
-        }
-    }
-
-    fn succeed(&mut self, id: &BatchId, index: ItemIndex, score: Option<String>) {
+    pub(super) fn succeed(&mut self, id: &BatchId, index: ItemIndex, score: Option<String>) {
         if let Some(open) = self.batches.get_mut(id) {
             let story = open.stories.entry(index).or_default();
             story.scored(Instant::now());
--- /dev/null
+++ b/crates/sloetrail-serving/src/owner/service_owner/scoring.rs
@@ -0,0 +1,114 @@
+//! Whole texts: scored in the order of their queue, then listed.
+
+use super::ServiceOwner;
+use crate::owner::event::OwnerEvent;
+use crate::owner::reward::{self, RewardFailure, RewardOutcome};
+use crate::owner::reward_queue::{Lane, Rank, Scoring, Tried};
+use sloetrail_batch::{BatchId, DeathCause, ItemIndex, ItemState};
+use std::sync::Arc;
+use tokio::time::Instant;
+
+impl ServiceOwner {
+    /// Lets a whole text wait for its score, or lists it if it needs none.
+    pub(super) fn begin_reward(&mut self, id: &BatchId, index: ItemIndex) {
+        let Some(open) = self.batches.get(id) else {
+            return;
+        };
+        let header = &open.batch.header;
+        let Some(call) = &open.batch.item(index).submitted.reward else {
+            self.succeed(id, index, None);
+            return;
+        };
+        let lane = reward::lane(&self.context, call, &header.allowed_regions);
+        let rank = Rank {
+            is_extra: !open.batch.is_in_wanted_group(index),
+            batch: header.urgency(),
+        };
+        self.rewards
+            .push(Scoring::new(id.clone(), index, lane, rank));
+    }
+
+    /// Has as many texts scored as there are places for.
+    pub(super) fn score_texts(&mut self) {
+        let context = Arc::clone(&self.context);
+        let places = |lane: &Lane| match &lane.service {
+            Some(service) => context.pools.places_beside_callers(service, &lane.regions),
+            None => 0,
+        };
+        for scoring in self.rewards.start(Instant::now(), places) {
+            self.score(scoring);
+        }
+    }
+
+    /// Drops the texts whose batch has ended, or that were given up.
+    pub(super) fn drop_scored(&mut self) {
+        let batches = &self.batches;
+        self.rewards.retain(|scoring| {
+            let open = batches.get(&scoring.batch);
+            open.is_some_and(|open| open.needs_score(scoring.index))
+        });
+    }
+
+    fn score(&mut self, scoring: Scoring) {
+        let open = self.batches.get(&scoring.batch);
+        let Some(open) = open.filter(|open| open.needs_score(scoring.index)) else {
+            self.rewards.tried(Instant::now(), scoring, Tried::Settled);
+            return;
+        };
+        let submitted = Arc::clone(&open.batch.item(scoring.index).submitted);
+        let regions = open.batch.header.allowed_regions.clone();
+        let cancel = open.cancel.child_token();
+        let context = Arc::clone(&self.context);
+        let sender = self.sender.clone();
+        tokio::spawn(async move {
+            let outcome = match &submitted.reward {
+                Some(call) => {
+                    let failures = scoring.failures;
+                    let call = (call, &regions);
+                    reward::score(&context, &submitted.id, call, failures, &cancel).await
+                }
+                None => RewardOutcome::Cancelled,
+            };
+            // The owner may be gone; then nobody needs it.
+            let _ = sender.send(OwnerEvent::RewardEnded(scoring, outcome));
+        });
+    }
+
+    pub(super) fn reward_ended(&mut self, mut scoring: Scoring, outcome: RewardOutcome) {
+        let now = Instant::now();
+        let open = self.batches.get(&scoring.batch);
+        let is_needed = open.is_some_and(|open| open.needs_score(scoring.index));
+        let (id, index) = (scoring.batch.clone(), scoring.index);
+        let failure = match outcome {
+            RewardOutcome::NoScore(failure) if is_needed => failure,
+            settled => {
+                self.rewards.tried(now, scoring, Tried::Settled);
+                if let (RewardOutcome::Scored(score), true) = (settled, is_needed) {
+                    self.succeed(&id, index, Some(score));
+                }
+                return;
+            }
+        };
+        scoring.failures += failure.failed_answers;
+        if scoring.failures >= failure.allowed {
+            self.rewards.tried(now, scoring, Tried::Settled);
+            self.give_up(&id, index, DeathCause::RewardFailed);
+            return;
+        }
+        self.rewards.tried(now, scoring, tried(failure));
+    }
+}
+
+impl super::OpenBatch {
+    /// True if an item's text is whole and has no score yet.
+    fn needs_score(&self, index: ItemIndex) -> bool {
+        self.batch.item(index).state == ItemState::Rewarding
+    }
+}
+
+fn tried(failure: RewardFailure) -> Tried {
+    match failure.found_no_place {
+        true => Tried::FoundNoPlace,
+        false => Tried::Failed,
+    }
+}
--- a/crates/sloetrail-serving/src/service_pools.rs
+++ b/crates/sloetrail-serving/src/service_pools.rs
@@ -174,6 +174,23 @@
         })
     }
 
+    /// How many requests this node may have at a time at the back ends of a service in the
+    /// allowed regions, beside what is kept for callers' requests. Those that are left alone
+    /// after a loss or a refusal do not count.
+    pub(crate) fn places_beside_callers(
+        &self,
+        service: &ServiceName,
+        regions: &AllowedRegions,
+    ) -> usize {
+        let now = self.now();
+        let mut state = self.state.lock().expect("not poisoned");
+        state.readmit(service, now);
+        let balancer = state.balancers.get(service);
+        balancer.map_or(0, |balancer| {
+            balancer.places(now, regions, WorkClass::Sample)
+        })
+    }
+
     /// Chooses a back end of a service that has room, lies in one of the allowed regions
     /// and is not excluded.
     pub(crate) fn acquire(
--- a/crates/sloetrail-serving/src/telemetry.rs
+++ b/crates/sloetrail-serving/src/telemetry.rs
@@ -136,6 +136,12 @@
     gauge!("sloetrail_items_running", "service" => service).set(running as f64);
 }
 
+/// Whole texts of a service's items that wait to be scored.
+pub(crate) fn scores_waiting(service: &str, waiting: usize) {
+    let service = SERVICES.bounded(service);
+    gauge!("sloetrail_scores_waiting", "service" => service).set(waiting as f64);
+}
+
 /// What the node believes and how old it is, set when the figures are asked for.
 pub(crate) struct Beliefs {
     pub(crate) configuration_revision: u64,
