Refused while the caller can come back; a series that has begun waits

Cause: a request waited for a place up to 5 ms before its deadline, so that one with a short time-out, or that had come back, was refused with less left than its Retry-After. A series waited anew at each of up to eight tries; one that broke off midway had the short wait of one that has not begun, and was cut off though its caller can neither be refused nor come back.

Ruled out: refusing at once whenever the target is missed by attempts before: its caller would be served later still.

Change: the wait ends while three answer times are left (one is told as Retry-After, two remain); what cannot wait that long is refused at once. One wait over all tries of a series that has not begun. One that has begun looks for a back end for as long as it has time.

Tests: place_wait a_request_is_refused_while_its_caller_can_come_back and streams a_series_that_breaks_off_waits_for_a_back_end_to_go_on, both red with the rule taken out ("20ms of 55ms"; no whole answer). live (15), streams (5) and callers_that_leave (6) pass.

--- a/crates/sloetrail-serving/src/gateway/live.rs
+++ b/crates/sloetrail-serving/src/gateway/live.rs
@@ -6,7 +6,7 @@
 //! only after proof that it has not run. What is given up is answered at once.
 
 use super::attempt::{AttemptResult, Outgoing, attempt};
-use super::place_wait::{self, PlaceOutlook, PlaceWait};
+use super::place_wait::{self, PlaceOutlook, PlaceWait, WaitBounds};
 use crate::context::NodeContext;
 use crate::events::{self, Event};
 use crate::http::{Reuse, WholeAnswer};
@@ -113,13 +113,14 @@
     /// Waits for a moment if a place is likely to come free soon; false if it is not.
     pub(crate) async fn wait_for_place(&self, wait: &mut PlaceWait) -> bool {
         let outlook = self.place_outlook();
-        let target = self.route.latency_target;
-        let Some(next_look) = wait.next_look(Instant::now(), outlook, target) else {
-            return false;
+        let now = Instant::now();
+        let bounds = WaitBounds {
+            latency_target: self.route.latency_target,
+            left: self.deadline.saturating_duration_since(now),
         };
-        if next_look + TIME_LEAST >= self.deadline {
+        let Some(next_look) = wait.next_look(now, outlook, bounds) else {
             return false;
-        }
+        };
         tokio::time::sleep_until(next_look).await;
         true
     }
--- a/crates/sloetrail-serving/src/gateway/place_wait.rs
+++ b/crates/sloetrail-serving/src/gateway/place_wait.rs
@@ -3,8 +3,12 @@
 //!
 //! Places come free all the time at a busy application, one for each answer. So a request
 //! waits while a place is likely to come free soon: until an ordinary answer has been seen to
-//! free one, and only as long as its own answer still comes within the latency target. What cannot be
-//! had by then is refused at once, with the time after which a return has a good chance.
+//! free one, and only as long as its own answer still comes within the latency target. It is
+//! refused while its caller has time enough to come back. What cannot be had by then is
+//! refused at once, with the time after which a return has a good chance.
+//!
+//! A series of which events were passed on cannot be refused any more, and its caller cannot
+//! come back: it waits for as long as it has time.
 
 use crate::loss_backoff::PAUSE_AFTER_REFUSAL;
 use std::time::Duration;
@@ -52,6 +56,15 @@
     }
 }
 
+/// What a request's wait is bounded by.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WaitBounds {
+    /// The time within which its route's answers should come.
+    pub(crate) latency_target: Duration,
+    /// The time until its final answer is due.
+    pub(crate) left: Duration,
+}
+
 /// A request's wait for places, over all its attempts.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct PlaceWait {
@@ -64,18 +77,27 @@
         &mut self,
         now: Instant,
         outlook: Option<PlaceOutlook>,
-        latency_target: Duration,
+        bounds: WaitBounds,
     ) -> Option<Instant> {
         let outlook = outlook?;
         let answer_time = outlook.answer_time();
-        let in_target = latency_target.saturating_sub(answer_time);
-        let longest = (answer_time + LOOK_PERIOD).min(in_target);
+        let in_target = bounds.latency_target.saturating_sub(answer_time);
+        // Of three answer times a caller waits one and has two left for its return.
+        let to_return = bounds.left.saturating_sub(answer_time * HEEDED_DIVISOR);
+        let longest = (answer_time + LOOK_PERIOD).min(in_target).min(to_return);
         let until = *self.until.get_or_insert(now + longest);
         let had_by = now + outlook.soonest().max(LOOK_PERIOD);
         (had_by <= until).then_some(now + LOOK_PERIOD)
     }
 }
 
+/// When to look for a place again to go on with a series of which events were passed on;
+/// nothing once its time is over.
+pub(crate) fn next_look_midway(now: Instant, deadline: Instant) -> Option<Instant> {
+    let next = now + LOOK_PERIOD;
+    (next < deadline).then_some(next)
+}
+
 /// When a caller that is refused should come back: once a place is likely to be had, within
 /// the time that it has left. `spread`, drawn between zero and one, keeps callers that were
 /// refused together from coming back together.
--- a/crates/sloetrail-serving/src/gateway/place_wait/tests.rs
+++ b/crates/sloetrail-serving/src/gateway/place_wait/tests.rs
@@ -1,4 +1,4 @@
-use super::{PlaceOutlook, PlaceWait, retry_after};
+use super::{PlaceOutlook, PlaceWait, WaitBounds, next_look_midway, retry_after};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -23,12 +23,24 @@
     })
 }
 
-/// How long a request waits while nothing changes.
+fn bounds(latency_target: u64, left: u64) -> WaitBounds {
+    WaitBounds {
+        latency_target: milliseconds(latency_target),
+        left: milliseconds(left),
+    }
+}
+
+/// How long a request with much time waits while nothing changes.
 fn waited(outlook: Option<PlaceOutlook>, latency_target: u64) -> Duration {
+    waited_of(outlook, bounds(latency_target, 10_000))
+}
+
+/// How long a request waits while nothing changes.
+fn waited_of(outlook: Option<PlaceOutlook>, bounds: WaitBounds) -> Duration {
     let began = Instant::now();
     let mut now = began;
     let mut wait = PlaceWait::default();
-    while let Some(next) = wait.next_look(now, outlook, milliseconds(latency_target)) {
+    while let Some(next) = wait.next_look(now, outlook, bounds) {
         assert!(next > now);
         now = next;
     }
@@ -66,7 +78,7 @@
 #[test]
 fn the_wait_is_one_over_all_attempts() {
     let began = Instant::now();
-    let target = milliseconds(400);
+    let target = bounds(400, 10_000);
     let mut wait = PlaceWait::default();
     assert!(wait.next_look(began, full(100, 8), target).is_some());
     let later = began + milliseconds(200);
@@ -98,3 +110,36 @@
     let none_left = retry_after(None, Duration::ZERO, 0.5);
     assert!(none_left > Duration::ZERO);
 }
+
+#[test]
+fn a_request_is_refused_while_its_caller_can_come_back() {
+    const ANSWER: u64 = 60;
+    for left in [130, 180, 200, 230, 250, 400] {
+        let waited = waited_of(full(ANSWER, 8), bounds(400, left));
+        let left_then = milliseconds(left) - waited;
+        let heeded = left_then / 3;
+        let told = retry_after(full(ANSWER, 8), left_then, 1.0);
+        assert!(told <= heeded, "{told:?} of {left_then:?}");
+        let is_short = milliseconds(left) < milliseconds(3 * ANSWER);
+        assert!(
+            is_short || heeded >= milliseconds(ANSWER),
+            "an answer time to come back: {left_then:?}"
+        );
+        assert!(
+            !is_short || waited.is_zero(),
+            "nothing is gained: {waited:?}"
+        );
+    }
+}
+
+#[test]
+fn a_series_that_is_under_way_waits_to_its_end_and_no_longer() {
+    let began = Instant::now();
+    let deadline = began + milliseconds(500);
+    let mut now = began;
+    while let Some(next) = next_look_midway(now, deadline) {
+        assert!(next > now);
+        now = next;
+    }
+    assert!(now < deadline && now > deadline - milliseconds(40));
+}
--- a/crates/sloetrail-serving/src/gateway/stream.rs
+++ b/crates/sloetrail-serving/src/gateway/stream.rs
@@ -10,7 +10,7 @@
 };
 use super::headers;
 use super::live::LiveCall;
-use super::place_wait::PlaceWait;
+use super::place_wait::{self, PlaceWait};
 use crate::context::NodeContext;
 use crate::event_stream::EventParser;
 use crate::events::{self, Event};
@@ -89,6 +89,8 @@
     may_have_run: usize,
     sends: usize,
     last_event: Option<u64>,
+    /// True once events were passed on to the caller.
+    has_passed_on: bool,
     /// A series began with its first event.
     begun: Option<BegunRequest>,
 }
@@ -116,6 +118,7 @@
             may_have_run: 0,
             sends: 0,
             last_event,
+            has_passed_on: false,
         }
     }
 
@@ -133,9 +136,10 @@
 
     async fn connect(&mut self) -> Opening {
         let mut last = None;
+        let mut wait = PlaceWait::default();
         self.call.context.pause_guard.settled().await;
         while self.may_try() {
-            let Some(place) = self.acquire_or_wait().await else {
+            let Some(place) = self.acquire_or_wait(&mut wait).await else {
                 break;
             };
             self.tried.insert(place.back_end().id.clone());
@@ -157,12 +161,11 @@
     }
 
     /// A back end that was not tried yet, or else one that was, if a place comes free soon.
-    async fn acquire_or_wait(&mut self) -> Option<Place> {
+    async fn acquire_or_wait(&mut self, wait: &mut PlaceWait) -> Option<Place> {
         let context = self.context();
         let LiveCall {
             service, regions, ..
         } = &self.call;
-        let mut wait = PlaceWait::default();
         loop {
             if let Some(place) = context.pools.acquire(service, regions, &self.tried) {
                 return Some(place);
@@ -171,12 +174,25 @@
             if let Some(place) = context.pools.acquire(service, regions, &self.tried) {
                 return Some(place);
             }
-            if !self.call.wait_for_place(&mut wait).await {
+            let may_come = match self.has_passed_on {
+                true => self.wait_midway().await,
+                false => self.call.wait_for_place(wait).await,
+            };
+            if !may_come {
                 return None;
             }
         }
     }
 
+    async fn wait_midway(&self) -> bool {
+        let deadline = self.call.deadline;
+        let Some(next_look) = place_wait::next_look_midway(Instant::now(), deadline) else {
+            return false;
+        };
+        tokio::time::sleep_until(next_look).await;
+        true
+    }
+
     async fn try_back_end(&mut self, place: Place) -> Result<Opening, AttemptResult> {
         let began = Instant::now();
         let result = self.exchange(&place).await;
@@ -315,6 +331,7 @@
                 return Err(SendFailure::Lost);
             }
             self.source.last_event = event.id.or(self.source.last_event);
+            self.source.has_passed_on = true;
             passed_on.extend_from_slice(event.raw.as_bytes());
         }
         Ok(Bytes::from(passed_on))
--- a/crates/sloetrail-serving/tests/streams.rs
+++ b/crates/sloetrail-serving/tests/streams.rs
@@ -66,6 +66,27 @@
     );
 }
 
+/// Its caller has the beginning and can neither be refused nor come back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_series_that_breaks_off_waits_for_a_back_end_to_go_on() {
+    let mut cluster = native_cluster();
+    let application = cluster.add_application("zone-a").await;
+    application.set_pace(Duration::from_millis(50));
+    let node = cluster.add_node("node-1").await;
+    cluster.wait_ready(node).await;
+    application.set_fault(EngineFault::BreaksOff(4), Some(1));
+    let away_for_a_while = async {
+        tokio::time::sleep(Duration::from_millis(75)).await;
+        cluster.unlist(&application);
+        tokio::time::sleep(Duration::from_millis(800)).await;
+        cluster.list(&application);
+    };
+    let series = events(&cluster, "/events/x", "events=9");
+    let (answer, ()) = tokio::join!(series, away_for_a_while);
+    let answer = answer.expect("a whole answer");
+    assert_eq!(numbers(&answer), (1..=9).collect::<Vec<u64>>());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_series_that_may_not_go_on_elsewhere_does_not_look_whole() {
     let mut cluster = cluster().await;
