Refusals cost no connections

Cause: after any attempt, also one that was refused, the next one used only connections that had answered since, and so opened one. And a refusal's body was not read, which closed its connection. Back ends pay for each new one.

Ruled out: hedges.

Change: only silence restricts the next attempt. The rest of a refusal is read beside (4 KiB, 100 ms), so that its connection is kept, for live requests, series and runs. A series that falls silent midway goes on over a connection that has answered since, as one that has not begun.

--- a/crates/sloetrail-serving/src/gateway/attempt.rs
+++ b/crates/sloetrail-serving/src/gateway/attempt.rs
@@ -65,6 +65,11 @@
         )
     }
 
+    /// True if nothing came back: the connection may have fallen silent, and others with it.
+    pub(crate) fn is_silence(&self) -> bool {
+        matches!(self, AttemptResult::OutOfTime)
+    }
+
     /// A word for logs.
     pub(crate) fn word(&self) -> &'static str {
         match self {
@@ -117,18 +122,35 @@
         Ok(exchange) => exchange,
         Err(failure) => return judge_failure(failure),
     };
-    if let Some(result) = judge_head(exchange.status, &exchange.headers, names, outgoing) {
-        return result;
-    }
+    let exchange = match judged_by_head(exchange, names, outgoing) {
+        Ok(exchange) => exchange,
+        Err(result) => return result,
+    };
     match exchange.whole(answer_limit, deadline).await {
         Ok(answer) => judge_answer(answer, names),
         Err(failure) => judge_failure(failure),
     }
 }
 
+/// An answer whose body tells the rest, or what its head has settled.
+pub(crate) fn judged_by_head(
+    exchange: Exchange,
+    names: &HeaderNames,
+    outgoing: &Outgoing,
+) -> Result<Exchange, AttemptResult> {
+    match judge_head(exchange.status, &exchange.headers, names, outgoing) {
+        None => Ok(exchange),
+        Some(AttemptResult::NotRun) => {
+            exchange.discard();
+            Err(AttemptResult::NotRun)
+        }
+        Some(result) => Err(result),
+    }
+}
+
 /// What the head alone settles: an answer to another request, or one that says that
 /// the request was not run.
-pub(crate) fn judge_head(
+fn judge_head(
     status: StatusCode,
     head: &HeaderMap,
     names: &HeaderNames,
--- a/crates/sloetrail-serving/src/gateway/live.rs
+++ b/crates/sloetrail-serving/src/gateway/live.rs
@@ -77,6 +77,8 @@
     tried: BTreeSet<EngineId>,
     /// The connections that the next attempt may use.
     reuse: Reuse,
+    /// True once an attempt has ended in silence.
+    has_met_silence: bool,
     sends: usize,
     may_have_run: usize,
     failed_answers: usize,
@@ -94,6 +96,7 @@
             pending: FuturesUnordered::new(),
             tried: BTreeSet::new(),
             reuse: self.reuse(),
+            has_met_silence: false,
             sends: 0,
             may_have_run: 0,
             failed_answers: 0,
@@ -285,6 +288,11 @@
         }
         place.end(result.outcome());
         self.last_result = Some(result.word());
+        self.has_met_silence |= result.is_silence();
+        if self.pending.is_empty() && !self.has_met_silence {
+            // Each attempt had its answer, or was closed: no connection is silent.
+            self.reuse = self.call.reuse();
+        }
         if let AttemptResult::Answered(_) = &result {
             let pools = &self.call.context.pools;
             pools.note_answer(&self.call.service, took);
--- a/crates/sloetrail-serving/src/gateway/stream.rs
+++ b/crates/sloetrail-serving/src/gateway/stream.rs
@@ -6,7 +6,7 @@
 //! the caller's connection is broken off, so that the answer does not look whole.
 
 use super::attempt::{
-    AttemptResult, Outgoing, build_request, judge_answer, judge_failure, judge_head,
+    AttemptResult, Outgoing, build_request, judge_answer, judge_failure, judged_by_head,
 };
 use super::headers;
 use super::live::LiveCall;
@@ -148,8 +148,10 @@
             match self.try_back_end(place).await {
                 Ok(opening) => return opening,
                 Err(result) => {
-                    // The next one must not meet the same silence.
-                    self.reuse = self.reuse.after_try_at(began);
+                    if result.is_silence() {
+                        // The next one must not meet the same silence.
+                        self.reuse = self.reuse.after_try_at(began);
+                    }
                     if !result.is_proved_not_run() {
                         self.may_have_run += 1;
                     }
@@ -250,10 +252,7 @@
         let exchange = Exchange::send(connections, address, request, self.reuse, deadline)
             .await
             .map_err(judge_failure)?;
-        match judge_head(exchange.status, &exchange.headers, names, &outgoing) {
-            Some(result) => Err(result),
-            None => Ok(exchange),
-        }
+        judged_by_head(exchange, names, &outgoing)
     }
 
     fn problem(&self, last: Option<&'static str>) -> Problem {
@@ -340,6 +339,10 @@
     async fn resume(&mut self, failure: SendFailure) -> bool {
         let result = judge_failure(failure);
         self.end_place(result.outcome());
+        if result.is_silence() {
+            // Other connections may have fallen silent at the same moment.
+            self.source.reuse = self.source.reuse.after_try_at(Instant::now());
+        }
         if !self.source.call.route.resumable {
             return false;
         }
--- a/crates/sloetrail-serving/src/http/exchange.rs
+++ b/crates/sloetrail-serving/src/http/exchange.rs
@@ -21,6 +21,11 @@
 /// second while an engine loads weights.
 const WITHIN_ANSWER_LEAST: Duration = Duration::from_millis(1_000);
 
+/// The most of an answer that is read only to keep its connection: refusals are a line.
+const DISCARD_BYTES: usize = 4 * 1024;
+/// How long this may take: the body of a refusal comes with its head.
+const DISCARD_TIME: Duration = Duration::from_millis(100);
+
 /// Why there is no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendFailure {
@@ -128,6 +133,16 @@
         self.body
     }
 
+    /// Reads the rest of an answer that nobody needs, so that its connection is kept. A new
+    /// one would cost the back end more.
+    pub fn discard(self) {
+        let until = Instant::now() + DISCARD_TIME;
+        tokio::spawn(async move {
+            // One that is long or slow is closed.
+            let _ = self.whole(DISCARD_BYTES, until).await;
+        });
+    }
+
     /// Reads the body to its end.
     pub async fn whole(self, limit: usize, deadline: Instant) -> Result<WholeAnswer, SendFailure> {
         self.collect(limit, || deadline).await
