--- a/crates/sloetrail-serving/src/gateway/attempt.rs
+++ b/crates/sloetrail-serving/src/gateway/attempt.rs
@@ -122,35 +122,27 @@
         Ok(exchange) => exchange,
         Err(failure) => return judge_failure(failure),
     };
-    let exchange = match judged_by_head(exchange, names, outgoing) {
-        Ok(exchange) => exchange,
-        Err(result) => return result,
-    };
+    if let Some(result) = judge_head(exchange.status, &exchange.headers, names, outgoing) {
+        return settle_by_head(exchange, result);
+    }
     match exchange.whole(answer_limit, deadline).await {
         Ok(answer) => judge_answer(answer, names),
         Err(failure) => judge_failure(failure),
     }
 }
 
-/// An answer whose body tells the rest, or what its head has settled.
-pub(crate) fn judged_by_head(
-    exchange: Exchange,
-    names: &HeaderNames,
-    outgoing: &Outgoing,
-) -> Result<Exchange, AttemptResult> {
-    match judge_head(exchange.status, &exchange.headers, names, outgoing) {
-        None => Ok(exchange),
-        Some(AttemptResult::NotRun) => {
-            exchange.discard();
-            Err(AttemptResult::NotRun)
-        }
-        Some(result) => Err(result),
+/// Ends an exchange of which the head has settled the result. The connection over which a back
+/// end has refused is kept.
+pub(crate) fn settle_by_head(exchange: Exchange, result: AttemptResult) -> AttemptResult {
+    if matches!(result, AttemptResult::NotRun) {
+        exchange.discard();
     }
+    result
 }
 
 /// What the head alone settles: an answer to another request, or one that says that
 /// the request was not run.
-fn judge_head(
+pub(crate) fn judge_head(
     status: StatusCode,
     head: &HeaderMap,
     names: &HeaderNames,
--- a/crates/sloetrail-serving/src/gateway/stream.rs
+++ b/crates/sloetrail-serving/src/gateway/stream.rs
@@ -6,7 +6,7 @@
 //! the caller's connection is broken off, so that the answer does not look whole.
 
 use super::attempt::{
-    AttemptResult, Outgoing, build_request, judge_answer, judge_failure, judged_by_head,
+    AttemptResult, Outgoing, build_request, judge_answer, judge_failure, judge_head, settle_by_head,
 };
 use super::headers;
 use super::live::LiveCall;
@@ -252,7 +252,10 @@
         let exchange = Exchange::send(connections, address, request, self.reuse, deadline)
             .await
             .map_err(judge_failure)?;
-        judged_by_head(exchange, names, &outgoing)
+        match judge_head(exchange.status, &exchange.headers, names, &outgoing) {
+            Some(result) => Err(settle_by_head(exchange, result)),
+            None => Ok(exchange),
+        }
     }
 
     fn problem(&self, last: Option<&'static str>) -> Problem {
--- a/crates/sloetrail-serving/src/owner/run.rs
+++ b/crates/sloetrail-serving/src/owner/run.rs
@@ -6,7 +6,7 @@
 use crate::context::NodeContext;
 use crate::event_stream::{EventParser, StreamEvent};
 use crate::gateway::attempt::{
-    AttemptResult, Outgoing, build_request, judge_failure, judged_by_head,
+    AttemptResult, Outgoing, build_request, judge_failure, judge_head, settle_by_head,
 };
 use crate::gateway::{caller, headers};
 use crate::http::{AnswerBody, Exchange, Reuse, SendFailure};
@@ -192,8 +192,10 @@
             sent = self.send(&outgoing, reuse.after_try_at(began), due).await?;
         }
         let exchange = sent.map_err(|failure| run_outcome(&judge_failure(failure)))?;
-        let judged = judged_by_head(exchange, names, &outgoing);
-        judged.map_err(|result| run_outcome(&result))
+        match judge_head(exchange.status, &exchange.headers, names, &outgoing) {
+            Some(result) => Err(run_outcome(&settle_by_head(exchange, result))),
+            None => Ok(exchange),
+        }
     }
 
     /// Counts one more send to the engine; false if the engine does not bear it now.
