--- a/crates/sloetrail-serving/src/gateway/attempt.rs
+++ b/crates/sloetrail-serving/src/gateway/attempt.rs
@@ -65,6 +65,11 @@
         )
     }
 
+    /// True if nothing came back: the connection may have fallen silent, and others with it.
+    pub(crate) fn is_silence(&self) -> bool {
+        matches!(self, AttemptResult::OutOfTime)
+    }
+
     /// A word for logs.
     pub(crate) fn word(&self) -> &'static str {
         match self {
@@ -118,7 +123,7 @@
         Err(failure) => return judge_failure(failure),
     };
     if let Some(result) = judge_head(exchange.status, &exchange.headers, names, outgoing) {
-        return result;
+        return settle_by_head(exchange, result);
     }
     match exchange.whole(answer_limit, deadline).await {
         Ok(answer) => judge_answer(answer, names),
@@ -126,6 +131,15 @@
     }
 }
 
+/// Ends an exchange of which the head has settled the result. The connection over which a back
+/// end has refused is kept.
+pub(crate) fn settle_by_head(exchange: Exchange, result: AttemptResult) -> AttemptResult {
+    if matches!(result, AttemptResult::NotRun) {
+        exchange.discard();
+    }
+    result
+}
+
 /// What the head alone settles: an answer to another request, or one that says that
 /// the request was not run.
 pub(crate) fn judge_head(
--- a/crates/sloetrail-serving/src/gateway/live.rs
+++ b/crates/sloetrail-serving/src/gateway/live.rs
@@ -6,7 +6,7 @@
 //! only after proof that it has not run. What is given up is answered at once.
 
 use super::attempt::{AttemptResult, Outgoing, attempt};
-use super::place_wait::{self, PlaceOutlook, PlaceWait};
+use super::place_wait::{self, PlaceOutlook, PlaceWait, WaitBounds};
 use crate::context::NodeContext;
 use crate::events::{self, Event};
 use crate::http::{Reuse, WholeAnswer};
@@ -77,6 +77,8 @@
     tried: BTreeSet<EngineId>,
     /// The connections that the next attempt may use.
     reuse: Reuse,
+    /// True once an attempt has ended in silence.
+    has_met_silence: bool,
     sends: usize,
     may_have_run: usize,
     failed_answers: usize,
@@ -94,6 +96,7 @@
             pending: FuturesUnordered::new(),
             tried: BTreeSet::new(),
             reuse: self.reuse(),
+            has_met_silence: false,
             sends: 0,
             may_have_run: 0,
             failed_answers: 0,
@@ -120,13 +123,14 @@
     /// Waits for a moment if a place is likely to come free soon; false if it is not.
     pub(crate) async fn wait_for_place(&self, wait: &mut PlaceWait) -> bool {
         let outlook = self.place_outlook();
-        let target = self.route.latency_target;
-        let Some(next_look) = wait.next_look(Instant::now(), outlook, target) else {
-            return false;
+        let now = Instant::now();
+        let bounds = WaitBounds {
+            latency_target: self.route.latency_target,
+            left: self.deadline.saturating_duration_since(now),
         };
-        if next_look + TIME_LEAST >= self.deadline {
+        let Some(next_look) = wait.next_look(now, outlook, bounds) else {
             return false;
-        }
+        };
         tokio::time::sleep_until(next_look).await;
         true
     }
@@ -295,6 +299,11 @@
         }
         place.end(result.outcome());
         self.last_result = Some(result.word());
+        self.has_met_silence |= result.is_silence();
+        if self.pending.is_empty() && !self.has_met_silence {
+            // Each attempt had its answer, or was closed: no connection is silent.
+            self.reuse = self.call.reuse();
+        }
         if let AttemptResult::Answered(_) = &result {
             let pools = &self.call.context.pools;
             pools.note_answer(&self.call.service, took);
--- a/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
@@ -104,6 +104,8 @@
             oldest_version: open.batch.oldest_version,
             single_version: open.batch.header.single_version,
             priority,
+            sends: engine.sends(),
+            repeat_bound: engine.repeat_bound(),
             pace: Arc::clone(&engine.pace),
             progress: Arc::clone(&run.progress),
             cancel: run.cancel.clone(),
@@ -147,5 +149,6 @@
         let waiting = open.map(|open| open.batch.waiting()).sum();
         let running = self.batches.values().map(|open| open.runs.len()).sum();
         telemetry::items(self.term.subject.name(), waiting, running);
+        telemetry::scores_waiting(self.term.subject.name(), self.rewards.waiting());
     }
 }
