Tests of engines: split by concern; those of regions beside their module

Cause: one file of 558 lines held the tests of picking, pace, assignment, orders and cold engines; the tests of regions lay beside the crate's root instead of their module. No assertion is changed.

--- /dev/null
+++ b/crates/sloetrail-serving/src/owner/engines/tests/cold.rs
@@ -0,0 +1,81 @@
+//! Engines that are cold, or may be.
+
+use super::{any_item, directory, pool, set_pace};
+use crate::owner::engine::Sparing;
+use crate::owner::engines::EnginePool;
+use sloetrail_balance::ColdBudget;
+use sloetrail_types::{EngineId, ServiceName};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// What is allowed is 16 a second, 7 of them to a cold engine.
+const BUDGET: ColdBudget = ColdBudget {
+    bears: 7.9,
+    most: 16.85,
+    ways: 1,
+};
+
+fn spare(pool: &mut EnginePool, cold: &[&EngineId], until: Instant) {
+    pool.set_sparing(|back_end| Sparing {
+        evacuated: false,
+        cold_until: cold.contains(&&back_end.id).then_some(until),
+        budget: Some(BUDGET),
+    });
+}
+
+/// Sends items to the only engine until it takes no more; how many it took.
+fn send_all(pool: &mut EnginePool) -> usize {
+    let mut sent = 0;
+    while let Some(id) = pool.pick(any_item(), Instant::now(), true) {
+        let engine = pool.get_mut(&id).expect("known");
+        engine.started();
+        engine.running -= 1;
+        sent += 1;
+    }
+    sent
+}
+
+#[test]
+fn warm_engines_go_first_and_texts_are_not_moved_to_cold_ones() {
+    let mut pool = pool(2);
+    let (cold, warm) = (EngineId::new("e0"), EngineId::new("e1"));
+    set_pace(&pool, &cold, 40);
+    set_pace(&pool, &warm, 52);
+    let now = Instant::now();
+    spare(&mut pool, &[&cold], now + Duration::from_secs(5));
+    pool.get_mut(&warm).expect("known").started();
+    assert_eq!(pool.pick(any_item(), now, true), Some(warm.clone()));
+    let targets = pool.free_engines(any_item(), now);
+    let targets: Vec<EngineId> = targets.into_iter().map(|engine| engine.id).collect();
+    assert_eq!(targets, vec![warm.clone()]);
+    assert_eq!(pool.fast_places(any_item(), now), 7);
+    for _ in 0..7 {
+        pool.get_mut(&warm).expect("known").started();
+    }
+    assert_eq!(pool.pick(any_item(), now, true), Some(cold));
+}
+
+#[test]
+fn an_engine_that_vanishes_and_returns_gets_no_second_share() {
+    let mut pool = pool(1);
+    let until = Instant::now() + Duration::from_secs(5);
+    let id = EngineId::new("e0");
+    spare(&mut pool, &[&id], until);
+    assert_eq!(send_all(&mut pool), 7);
+    let service = ServiceName::from("models");
+    pool.take_directory(&directory(0, &[]), &service);
+    assert_eq!(send_all(&mut pool), 0, "it is not listed");
+    pool.take_directory(&directory(1, &[]), &service);
+    spare(&mut pool, &[&id], until);
+    assert_eq!(send_all(&mut pool), 0, "it had its share");
+}
+
+#[test]
+fn an_engine_that_was_taken_in_just_now_counts_as_cold_and_later_may_be_so_unnoticed() {
+    let mut pool = pool(1);
+    let until = Instant::now();
+    spare(&mut pool, &[], until);
+    assert_eq!(send_all(&mut pool), 7);
+    std::thread::sleep(Duration::from_millis(1_250));
+    assert_eq!(send_all(&mut pool), 9);
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/owner/engines/tests/picking.rs
@@ -0,0 +1,98 @@
+//! Which engine takes an item.
+
+use super::{any_item, directory, pool, set_pace};
+use crate::owner::engine::Demand;
+use crate::owner::engines::EnginePool;
+use sloetrail_types::{
+    AllowedRegions, EngineId, RegionName, ServiceName, Topology, WeightVersion, ZoneName,
+};
+use std::sync::Arc;
+use tokio::time::Instant;
+
+#[test]
+fn a_faster_engine_takes_an_item_though_another_is_emptier() {
+    let mut pool = pool(2);
+    let (fast, slow) = (EngineId::new("e0"), EngineId::new("e1"));
+    set_pace(&pool, &fast, 40);
+    set_pace(&pool, &slow, 52);
+    pool.get_mut(&fast).expect("known").started();
+    let now = Instant::now();
+    assert_eq!(pool.pick(any_item(), now, true), Some(fast));
+    assert_eq!(pool.pick(any_item(), now, false), Some(slow));
+}
+
+#[test]
+fn of_engines_that_are_about_as_fast_the_emptiest_takes_an_item() {
+    let mut pool = pool(2);
+    let (fast, other) = (EngineId::new("e0"), EngineId::new("e1"));
+    set_pace(&pool, &fast, 40);
+    set_pace(&pool, &other, 41);
+    pool.get_mut(&fast).expect("known").started();
+    assert_eq!(pool.pick(any_item(), Instant::now(), true), Some(other));
+}
+
+#[test]
+fn a_place_that_is_kept_for_a_moved_item_is_not_given_to_another() {
+    let mut pool = pool(1);
+    let id = EngineId::new("e0");
+    set_pace(&pool, &id, 40);
+    let now = Instant::now();
+    for _ in 0..7 {
+        pool.get_mut(&id).expect("known").started();
+    }
+    assert_eq!(pool.free_engines(any_item(), now).len(), 1);
+    pool.get_mut(&id).expect("known").keep_place(now);
+    assert_eq!(pool.pick(any_item(), now, true), None);
+    assert!(pool.free_engines(any_item(), now).is_empty());
+    pool.release_place(Some(&id));
+    assert_eq!(pool.pick(any_item(), now, true), Some(id));
+}
+
+#[test]
+fn an_engine_that_is_too_old_or_changing_takes_nothing() {
+    let pool = pool(3);
+    let demand = |oldest: u64| Demand {
+        model: Some("a"),
+        oldest_version: WeightVersion(oldest),
+    };
+    assert!(pool.pick(demand(1), Instant::now(), true).is_some());
+    assert_eq!(pool.pick(demand(2), Instant::now(), true), None);
+}
+
+#[test]
+fn of_engines_with_as_much_to_do_the_one_that_was_used_last_goes_first() {
+    let mut pool = pool(9);
+    let demand = Demand {
+        model: Some("a"),
+        oldest_version: WeightVersion(1),
+    };
+    let of_model = pool.iter().filter(|(_, engine)| engine.is_assigned("a"));
+    let ids: Vec<EngineId> = of_model.map(|(id, _)| id.clone()).collect();
+    let used_last = ids.last().expect("some").clone();
+    pool.get_mut(&used_last).expect("known").finished();
+    let pick = |pool: &EnginePool| pool.pick(demand, Instant::now(), true);
+    assert_eq!(pick(&pool), Some(used_last.clone()));
+    pool.get_mut(&used_last).expect("known").started();
+    let other = pick(&pool).expect("an engine with nothing to do");
+    assert_ne!(other, used_last, "work is spread all the same");
+}
+
+#[test]
+fn engines_outside_the_allowed_regions_are_not_there_for_the_owner() {
+    let mut directory = directory(3, &[]);
+    let regions = [("z", "north"), ("y", "south")];
+    let regions = regions.map(|(zone, region)| (ZoneName::from(zone), RegionName::from(region)));
+    let elsewhere = directory.back_ends.values_mut().next().expect("one");
+    Arc::make_mut(elsewhere).zone = ZoneName::from("y");
+    let elsewhere = elsewhere.id.clone();
+    let topology = Topology::new(ZoneName::from("z"), regions.into());
+    let north = AllowedRegions::only([RegionName::from("north")]);
+    let service = ServiceName::from("models");
+    let mut bound = EnginePool::within(topology.clone(), north);
+    bound.take_directory(&directory, &service);
+    assert_eq!(bound.len(), 2);
+    assert!(bound.get(&elsewhere).is_none());
+    let mut unbound = EnginePool::within(topology, AllowedRegions::everywhere());
+    unbound.take_directory(&directory, &service);
+    assert_eq!(unbound.len(), 3);
+}
--- a/crates/sloetrail-types/src/lib.rs
+++ b/crates/sloetrail-types/src/lib.rs
@@ -20,7 +20,5 @@
 pub use segment::{Segment, oldest_version, segments_cover};
 pub use time::Timestamp;
 
-#[cfg(test)]
-mod regions_tests;
 #[cfg(test)]
 mod tests;
--- a/crates/sloetrail-types/src/regions.rs
+++ b/crates/sloetrail-types/src/regions.rs
@@ -148,3 +148,6 @@
         formatter.write_str(&names.join("+"))
     }
 }
+
+#[cfg(test)]
+mod tests;
