Test kit: engine, cluster and table split by concern

Change: engine/{fault,records,orders,connection}.rs, cluster/{configuration,node_process}.rs, table/link.rs; Transaction::addresses; docs and units for what lacked them. No behaviour or assertion is changed.

--- a/crates/sloetrail-serving-testkit/src/cluster.rs
+++ b/crates/sloetrail-serving-testkit/src/cluster.rs
@@ -1,11 +1,18 @@
 //! Nodes, table and back ends put together.
 
+mod configuration;
+mod node_process;
+
+pub use configuration::{usual_configuration, usual_routes};
+pub use node_process::NodeProcess;
+
 use crate::client::{Answer, Call, submission};
 use crate::engine::EngineStandIn;
 use crate::table::{MemoryTable, TableLink};
 use crate::wire::EngineWire;
 use http::Method;
 use serde_json::{Value, json};
+use sloetrail_serving::ControlServices;
 use sloetrail_serving::dialect::{Dialect, HeaderNames};
 use sloetrail_serving::engine_supply::EngineSupply;
 use sloetrail_serving::policies::Policies;
@@ -14,15 +21,11 @@
 };
 use sloetrail_serving::table::{RowAddress, Table};
 use sloetrail_serving::usage::UsageRecipient;
-use sloetrail_serving::{ControlServices, ServingNode};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
-use tokio::runtime::{Builder, Handle};
-use tokio::sync::oneshot;
 
 /// The host of every route.
 pub const HOST: &str = "a.example";
@@ -33,102 +36,17 @@
 /// The only model.
 pub const MODEL: &str = "m";
 
+/// Short, so that a takeover is soon over.
 const LEASE_MS: u64 = 500;
+/// Longer than a lease, as the settings of the product are by default.
 const ORDER_GAP_MS: u64 = 800;
+/// The pause between two tries of [`eventually`].
 const STEP: Duration = Duration::from_millis(15);
+/// How long [`eventually`] tries: several takeovers on a busy machine.
 const PATIENCE: Duration = Duration::from_secs(20);
 
 static NEXT_LIFE: AtomicU64 = AtomicU64::new(1);
 
-/// A node in a thread and a runtime of its own, which end with it as a process does.
-pub struct NodeProcess {
-    /// Where callers reach it.
-    pub callers: SocketAddr,
-    /// Where its readiness is asked.
-    pub ready: SocketAddr,
-    /// Its way to the table.
-    pub link: Arc<TableLink>,
-    runtime: Handle,
-    kill: Option<oneshot::Sender<()>>,
-    stop: Option<oneshot::Sender<()>>,
-    thread: Option<JoinHandle<()>>,
-}
-
-impl NodeProcess {
-    /// Ends it at once, as a kill does.
-    pub fn kill(&mut self) {
-        self.kill.take();
-        if let Some(thread) = self.thread.take() {
-            // A node that panicked has ended as well.
-            let _ = thread.join();
-        }
-    }
-
-    /// Tells it to stop in an orderly way; it ends once it says that it has.
-    pub fn stop(&mut self) {
-        if let Some(stop) = self.stop.take() {
-            // A node that was killed cannot be stopped.
-            let _ = stop.send(());
-        }
-    }
-
-    /// Stops it from running for a while, as a frozen process does.
-    pub fn freeze(&self, time: Duration) {
-        self.runtime.spawn(async move { std::thread::sleep(time) });
-    }
-
-    /// True once it has ended.
-    pub fn has_ended(&self) -> bool {
-        self.thread.as_ref().is_none_or(JoinHandle::is_finished)
-    }
-}
-
-impl Drop for NodeProcess {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
-/// What a node needs to start.
-struct NodeStart {
-    settings: ServingSettings,
-    table: Arc<dyn Table>,
-    dialect: Arc<dyn Dialect>,
-    services: ControlServices,
-    started: oneshot::Sender<(SocketAddr, SocketAddr, Handle)>,
-    stopped: oneshot::Receiver<()>,
-    killed: oneshot::Receiver<()>,
-}
-
-impl NodeStart {
-    fn run(self) {
-        let runtime = Builder::new_current_thread()
-            .enable_all()
-            .build()
-            .expect("a runtime");
-        let killed = self.killed;
-        let serving = async move {
-            let (settings, services) = (self.settings, self.services);
-            let node = ServingNode::start(settings, self.table, self.dialect, services);
-            let node = node.await.expect("starts");
-            let runtime = Handle::current();
-            let started = (node.callers_address(), node.ready_address(), runtime);
-            self.started.send(started).expect("awaited");
-            match self.stopped.await {
-                Ok(()) => node.stop().await,
-                Err(_) => std::future::pending().await,
-            }
-        };
-        runtime.block_on(async move {
-            tokio::select! {
-                () = serving => {}
-                _ = killed => {}
-            }
-        });
-        runtime.shutdown_background();
-    }
-}
-
 /// Nodes, table and back ends.
 pub struct Cluster {
     /// The table.
@@ -224,15 +142,7 @@
 
     /// Writes a configuration under a version of the caller's choice.
     pub fn write_configuration(&self, version: u64, routes: Value) {
-        let mut configuration = json!({
-            "version": version, "routes": routes,
-            "services": [
-                {"name": APPLICATION, "max_conns": 100},
-                {"name": MODELS, "max_conns": 100,
-                 "engine": {"slots": 8, "models": [{"name": MODEL}]}},
-            ],
-            "limits": {"max_header_bytes": 16384, "max_body_bytes": 1_000_000},
-        });
+        let mut configuration = usual_configuration(version, &routes);
         if let Some(scaling) = &self.scaling {
             configuration["services"][1]["scaling"] = scaling.clone();
         }
@@ -322,16 +232,31 @@
 
     /// Starts a node in a zone.
     pub async fn add_node_in(&mut self, zone: &str, name: &str) -> usize {
-        let raw = RawServingSettings {
+        let raw = self.raw_settings(zone, name);
+        let life = NEXT_LIFE.fetch_add(1, Ordering::Relaxed);
+        let settings = ServingSettings::check(raw, life).expect("sound settings");
+        let link = TableLink::new(Arc::clone(&self.table));
+        let table = (self.wrap)(Arc::clone(&link));
+        let dialect = Arc::clone(&self.dialect);
+        let services = ControlServices {
+            usage_recipient: self.recipient.clone(),
+            engine_supply: self.engine_supply.clone(),
+        };
+        let node = NodeProcess::start(settings, link, table, dialect, services).await;
+        self.nodes.push(node);
+        self.nodes.len() - 1
+    }
+
+    fn raw_settings(&self, zone: &str, name: &str) -> RawServingSettings {
+        let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        RawServingSettings {
             node: name.to_owned(),
             zone: zone.to_owned(),
             regions: Some(self.regions.clone()),
             cold: self.cold_tolerance,
-            callers_address: "127.0.0.1:0".parse().expect("an address"),
-            ready_address: "127.0.0.1:0".parse().expect("an address"),
-            peer_address: self
-                .peers
-                .then(|| "127.0.0.1:0".parse().expect("an address")),
+            callers_address: any,
+            ready_address: any,
+            peer_address: self.peers.then_some(any),
             metrics_address: None,
             lease_ms: Some(self.lease_ms),
             order_gap_ms: Some(ORDER_GAP_MS),
@@ -342,50 +267,12 @@
             processor_share: self.processor_share,
             policies: Policies::default(),
             usage: self.usage,
-        };
-        let life = NEXT_LIFE.fetch_add(1, Ordering::Relaxed);
-        let settings = ServingSettings::check(raw, life).expect("sound settings");
-        let link = TableLink::new(Arc::clone(&self.table));
-        let table = (self.wrap)(Arc::clone(&link));
-        let dialect = Arc::clone(&self.dialect);
-        let (stop, stopped) = oneshot::channel();
-        let (kill, killed) = oneshot::channel();
-        let (started, addresses) = oneshot::channel();
-        let start = NodeStart {
-            settings,
-            table,
-            dialect,
-            services: ControlServices {
-                usage_recipient: self.recipient.clone(),
-                engine_supply: self.engine_supply.clone(),
-            },
-            started,
-            stopped,
-            killed,
-        };
-        let thread = std::thread::spawn(move || start.run());
-        let (callers, ready, runtime) = addresses.await.expect("the node starts");
-        self.nodes.push(NodeProcess {
-            callers,
-            ready,
-            link,
-            runtime,
-            kill: Some(kill),
-            stop: Some(stop),
-            thread: Some(thread),
-        });
-        self.nodes.len() - 1
+        }
     }
 
     /// Waits until a node says that it is ready.
     pub async fn wait_ready(&self, node: usize) {
-        let call = Call::new(Method::GET, HOST, "/v1/ready");
-        let address = self.nodes[node].ready;
-        let is_ready = || async {
-            let answer = call.send(address).await?;
-            (answer.status == 200).then_some(())
-        };
-        eventually("the node is ready", is_ready).await;
+        wait_until_ready(self.nodes[node].ready).await;
     }
 
     /// Submits a batch once; nothing if no answer comes.
@@ -442,22 +329,14 @@
     }
 }
 
-/// The usual routes: live ones to the application, a rollout to the models.
-pub fn usual_routes() -> Value {
-    json!([
-        {"name": "live", "host": HOST, "path_prefix": "/live/", "kind": "idempotent",
-         "timeout_ms": 2000, "target_latency_ms": 200, "max_attempts": 3,
-         "service": APPLICATION},
-        {"name": "once", "host": HOST, "path_prefix": "/once/", "kind": "non_idempotent",
-         "timeout_ms": 2000, "target_latency_ms": 200, "max_attempts": 3,
-         "service": APPLICATION},
-        {"name": "events", "host": HOST, "path_prefix": "/events/", "kind": "stream",
-         "timeout_ms": 5000, "target_latency_ms": 200, "max_attempts": 3,
-         "resumable": true, "service": APPLICATION},
-        {"name": "rollout", "host": HOST, "path_prefix": "/rollout/", "kind": "rollout",
-         "timeout_ms": 5000, "target_latency_ms": 400, "run_target_ms": 5000,
-         "retain_s": 30, "max_attempts": 3, "service": MODELS},
-    ])
+/// Waits until the node that tells its readiness at an address is ready.
+pub async fn wait_until_ready(address: SocketAddr) {
+    let call = Call::new(Method::GET, HOST, "/v1/ready");
+    let is_ready = || async {
+        let answer = call.send(address).await?;
+        (answer.status == 200).then_some(())
+    };
+    eventually("the node is ready", is_ready).await;
 }
 
 /// Tries until there is a result.
--- /dev/null
+++ b/crates/sloetrail-serving-testkit/src/engine/connection.rs
@@ -0,0 +1,213 @@
+//! Connections to a back end, and how it answers the requests on them.
+
+use super::records::RecordGuard;
+use super::series::Series;
+use super::{EngineFault, EngineStandIn};
+use bytes::Bytes;
+use futures_util::stream;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use std::convert::Infallible;
+use std::io;
+use std::sync::Arc;
+use std::time::Instant;
+use tokio::net::TcpListener;
+
+/// The body of an answer, at once or as a series.
+pub(super) type EngineBody = UnsyncBoxBody<Bytes, io::Error>;
+
+impl EngineStandIn {
+    /// Answers connections until the back end is crashed.
+    pub(super) async fn serve(self: Arc<Self>, listener: TcpListener) {
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = self.stopped.cancelled() => return,
+            };
+            let Ok((stream, _)) = accepted else {
+                continue;
+            };
+            let engine = Arc::clone(&self);
+            let reset = self.state().resets.clone();
+            tokio::spawn(async move {
+                let answering = Arc::clone(&engine);
+                let service = service_fn(move |request| {
+                    let engine = Arc::clone(&answering);
+                    async move { engine.answer(request).await }
+                });
+                let connection = hyper::server::conn::http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service);
+                tokio::select! {
+                    _ = connection => {}
+                    () = reset.cancelled() => {}
+                }
+            });
+        }
+    }
+
+    /// Answers a request that is meant for this instance.
+    async fn answer(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<EngineBody>, io::Error> {
+        let (head, body) = request.into_parts();
+        let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+        let names = self.wire.headers();
+        let expected = text(&head.headers, &names.expected_instance);
+        if expected.is_some_and(|expected| expected != self.id) {
+            return Ok(self.plain(StatusCode::MISDIRECTED_REQUEST));
+        }
+        if head.method == Method::GET && head.uri.path() == self.wire.status_path() {
+            return Ok(self.tell_status());
+        }
+        if head.uri.path() == self.wire.order_path() {
+            return self.take_order(&body).await;
+        }
+        self.run(head, body).await
+    }
+
+    fn tell_status(&self) -> Response<EngineBody> {
+        let state = self.state();
+        let status = self
+            .wire
+            .status(&state.versions, state.busy, state.orders_taken);
+        Response::new(whole(status.to_string()))
+    }
+
+    /// Runs a request, unless a fault keeps it from that.
+    async fn run(
+        self: Arc<Self>,
+        head: http::request::Parts,
+        body: Bytes,
+    ) -> Result<Response<EngineBody>, io::Error> {
+        let names = self.wire.headers();
+        let id = text(&head.headers, &names.request_id).unwrap_or_default();
+        self.state().arrivals.push(Instant::now());
+        let fault = self.take_fault();
+        if fault == EngineFault::Refuses {
+            return Ok(self.refusal());
+        }
+        let record = self.note_run(&head, &id);
+        if let Some(outcome) = self.outcome_of(fault, &id).await {
+            return outcome;
+        }
+        let Some(events) = wanted_events(&body) else {
+            let pace = self.state().pace;
+            tokio::time::sleep(pace).await;
+            self.note_end(record);
+            return Ok(self.signed(StatusCode::OK, &id));
+        };
+        let break_after = match fault {
+            EngineFault::BreaksOff(count) => Some(count),
+            _ => None,
+        };
+        Ok(self.series(record, &id, events, break_after))
+    }
+
+    /// What a fault makes of a request that has begun to run; nothing if it runs on.
+    async fn outcome_of(
+        &self,
+        fault: EngineFault,
+        id: &str,
+    ) -> Option<Result<Response<EngineBody>, io::Error>> {
+        let answer = match fault {
+            EngineFault::AnswerLost => return Some(Err(io::Error::other("the answer is lost"))),
+            EngineFault::Silent => std::future::pending().await,
+            EngineFault::OutOfTime => self.signed(StatusCode::GATEWAY_TIMEOUT, id),
+            EngineFault::Overloaded => self.signed(StatusCode::TOO_MANY_REQUESTS, id),
+            EngineFault::Fails => self.signed(StatusCode::INTERNAL_SERVER_ERROR, id),
+            EngineFault::Impossible => self.signed(StatusCode::UNPROCESSABLE_ENTITY, id),
+            EngineFault::Crossed => self.signed(StatusCode::OK, "another"),
+            EngineFault::None
+            | EngineFault::Refuses
+            | EngineFault::BreaksOff(_)
+            | EngineFault::OrdersLate(_) => return None,
+        };
+        Some(Ok(answer))
+    }
+
+    /// A series of events whose data names the item, the event and the version.
+    fn series(
+        self: Arc<Self>,
+        record: RecordGuard,
+        id: &str,
+        events: u64,
+        break_after: Option<usize>,
+    ) -> Response<EngineBody> {
+        let names = self.wire.headers();
+        let version = self.current_version();
+        let first = record.first_event;
+        let mut response = self.signed(StatusCode::OK, id);
+        let headers = response.headers_mut();
+        headers.insert(names.weight_version.clone(), HeaderValue::from(version));
+        let source = Series {
+            engine: self,
+            record: Some(record),
+            id: id.to_owned(),
+            next: first,
+            last: events,
+            version,
+            left: break_after,
+            field: names.weight_version.as_str().to_owned(),
+        };
+        let pieces = stream::unfold(source, Series::next);
+        *response.body_mut() = StreamBody::new(pieces).boxed_unsync();
+        response
+    }
+
+    /// Says that the request was not run.
+    fn refusal(&self) -> Response<EngineBody> {
+        let mut refusal = self.plain(StatusCode::SERVICE_UNAVAILABLE);
+        let names = self.wire.headers();
+        let value = HeaderValue::from_static("1");
+        refusal.headers_mut().insert(names.not_run, value);
+        refusal
+    }
+
+    /// An answer without a body that names the back end.
+    pub(super) fn plain(&self, status: StatusCode) -> Response<EngineBody> {
+        let mut response = Response::new(whole(String::new()));
+        *response.status_mut() = status;
+        let names = self.wire.headers();
+        if let Ok(id) = HeaderValue::from_str(&self.id) {
+            response.headers_mut().insert(names.instance, id);
+        }
+        response
+    }
+
+    /// An answer to a request, with its id and a signature.
+    fn signed(&self, status: StatusCode, id: &str) -> Response<EngineBody> {
+        let names = self.wire.headers();
+        let mut response = self.plain(status);
+        *response.body_mut() = whole(format!("answer to {id}"));
+        let headers = response.headers_mut();
+        if let Ok(echo) = HeaderValue::from_str(id) {
+            headers.insert(names.request_id, echo);
+        }
+        if let Ok(signature) = HeaderValue::from_str(&format!("signed {id}")) {
+            headers.insert(names.signature, signature);
+        }
+        response
+    }
+}
+
+/// A body `events=N` asks for a series of N events.
+fn wanted_events(body: &[u8]) -> Option<u64> {
+    let text = std::str::from_utf8(body).ok()?;
+    text.strip_prefix("events=")?.parse().ok()
+}
+
+/// The text of a header, if it is there.
+pub(super) fn text(headers: &HeaderMap, name: &HeaderName) -> Option<String> {
+    let value = headers.get(name)?.to_str().ok()?;
+    Some(value.to_owned())
+}
+
+fn whole(text: String) -> EngineBody {
+    let never = |never: Infallible| match never {};
+    Full::new(Bytes::from(text)).map_err(never).boxed_unsync()
+}
--- /dev/null
+++ b/crates/sloetrail-serving-testkit/src/engine/orders.rs
@@ -0,0 +1,66 @@
+//! Orders to use another version, and how they are carried out.
+
+use super::connection::EngineBody;
+use super::{EngineFault, EngineStandIn, LOAD_TIME, OrderRecord};
+use crate::wire::ReadOrder;
+use http::{Response, StatusCode};
+use std::io;
+use std::sync::Arc;
+use std::time::Instant;
+
+impl EngineStandIn {
+    /// Answers an order, and carries it out if it is in turn.
+    pub(super) async fn take_order(
+        self: Arc<Self>,
+        body: &[u8],
+    ) -> Result<Response<EngineBody>, io::Error> {
+        let Some(order) = self.wire.order(body) else {
+            return Ok(self.plain(StatusCode::BAD_REQUEST));
+        };
+        if let EngineFault::OrdersLate(after) = self.take_fault() {
+            let engine = Arc::clone(&self);
+            self.state().late_orders.push(order.clone());
+            tokio::spawn(async move {
+                tokio::time::sleep(after).await;
+                engine.carry_out(order);
+            });
+            return Err(io::Error::other("the answer is lost"));
+        }
+        let status = self.carry_out(order);
+        Ok(self.plain(status))
+    }
+
+    /// Carries an order out after the time that loading takes; the answer to it at once.
+    fn carry_out(self: &Arc<Self>, order: ReadOrder) -> StatusCode {
+        let mut state = self.state();
+        let current = state
+            .versions
+            .get(&order.model)
+            .copied()
+            .unwrap_or_default();
+        let status = if current == order.version {
+            StatusCode::OK
+        } else if state.busy || state.orders_taken != order.orders_taken {
+            StatusCode::CONFLICT
+        } else {
+            state.busy = true;
+            state.orders_taken += 1;
+            StatusCode::ACCEPTED
+        };
+        state.orders.push(OrderRecord {
+            order: order.clone(),
+            at: Instant::now(),
+            status: status.as_u16(),
+        });
+        if status == StatusCode::ACCEPTED {
+            let engine = Arc::clone(self);
+            tokio::spawn(async move {
+                tokio::time::sleep(LOAD_TIME).await;
+                let mut state = engine.state();
+                state.versions.insert(order.model, order.version);
+                state.busy = false;
+            });
+        }
+        status
+    }
+}
--- a/crates/sloetrail-serving-testkit/src/engine/series.rs
+++ b/crates/sloetrail-serving-testkit/src/engine/series.rs
@@ -1,27 +1,11 @@
 //! The events of a run, made one after the other at the engine's pace.
 
 use super::EngineStandIn;
+use super::records::RecordGuard;
 use bytes::Bytes;
 use hyper::body::Frame;
 use std::io;
 use std::sync::Arc;
-use std::time::Instant;
-
-/// The record of a run; one that is dropped before its end was abandoned.
-pub(super) struct RecordGuard {
-    pub(super) engine: Arc<EngineStandIn>,
-    pub(super) index: usize,
-    pub(super) first_event: u64,
-}
-
-impl Drop for RecordGuard {
-    fn drop(&mut self) {
-        let mut state = self.engine.state();
-        let record = &mut state.runs[self.index];
-        record.abandoned = !record.finished;
-        record.ended = Some(Instant::now());
-    }
-}
 
 /// A series of events that is being made.
 pub(super) struct Series {
--- a/crates/sloetrail-serving-testkit/src/silencing_proxy.rs
+++ b/crates/sloetrail-serving-testkit/src/silencing_proxy.rs
@@ -7,6 +7,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+/// Bytes that are copied at a time.
 const BUFFER_BYTES: usize = 16 * 1024;
 
 /// The proxy.
--- /dev/null
+++ b/crates/sloetrail-serving-testkit/src/table/link.rs
@@ -0,0 +1,280 @@
+//! The way of one node to the table.
+
+use super::{CommitFault, MemoryTable};
+use async_trait::async_trait;
+use sloetrail_serving::table::{
+    Change, Changes, Commit, CommitError, KeyRange, Page, ReadError, Row, RowAddress, Table,
+    TableLimits, Transaction,
+};
+use sloetrail_serving::table_client::{Called, TableTransport};
+use sloetrail_types::RowVersion;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// How long an answer takes where a test does not say otherwise, in milliseconds.
+const ANSWER_MS: u64 = 1;
+/// How long a call hangs that is not answered.
+const TIMEOUT: Duration = Duration::from_millis(150);
+/// The rows of a page: few enough that tests with many rows read several.
+const PAGE_ROWS: usize = 50;
+
+/// What has gone over a link to one table.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LinkUse {
+    /// Transactions that write to it.
+    pub writes: usize,
+    /// Reads of ranges.
+    pub reads: usize,
+}
+
+/// One node's way to the table; it can be cut.
+pub struct TableLink {
+    table: Arc<MemoryTable>,
+    uses: Mutex<BTreeMap<String, LinkUse>>,
+    cut: AtomicBool,
+    answer_ms: AtomicU64,
+    held: watch::Sender<bool>,
+}
+
+impl TableLink {
+    /// A way to a table.
+    pub fn new(table: Arc<MemoryTable>) -> Arc<Self> {
+        let (held, _) = watch::channel(false);
+        Arc::new(Self {
+            table,
+            uses: Mutex::default(),
+            held,
+            cut: AtomicBool::new(false),
+            answer_ms: AtomicU64::new(ANSWER_MS),
+        })
+    }
+
+    /// What has gone over the link to a table, calls that were carried for others included.
+    pub fn uses_of(&self, table: &str) -> LinkUse {
+        let uses = self.uses.lock().expect("not poisoned");
+        uses.get(table).copied().unwrap_or_default()
+    }
+
+    fn note_writes(&self, transaction: &Transaction) {
+        let mut uses = self.uses.lock().expect("not poisoned");
+        let tables: BTreeSet<&String> = transaction.puts.iter().map(|(at, _)| &at.table).collect();
+        for table in tables {
+            uses.entry(table.clone()).or_default().writes += 1;
+        }
+    }
+
+    fn note_read(&self, table: &str) {
+        let mut uses = self.uses.lock().expect("not poisoned");
+        uses.entry(table.to_owned()).or_default().reads += 1;
+    }
+
+    /// How long answers take from now on.
+    pub fn set_answer_time(&self, time: Duration) {
+        let milliseconds = time.as_millis() as u64;
+        self.answer_ms.store(milliseconds, Ordering::SeqCst);
+    }
+
+    /// Whether calls are held: they are answered once they no longer are.
+    pub fn set_held(&self, held: bool) {
+        self.held.send_replace(held);
+    }
+
+    async fn answer_time(&self) {
+        let mut held = self.held.subscribe();
+        // The sender lives as long as the link.
+        let _ = held.wait_for(|held| !*held).await;
+        let milliseconds = self.answer_ms.load(Ordering::SeqCst);
+        tokio::time::sleep(Duration::from_millis(milliseconds)).await;
+    }
+
+    /// Whether the way is cut.
+    pub fn set_cut(&self, cut: bool) {
+        self.cut.store(cut, Ordering::SeqCst);
+        self.table.changed.send_modify(|_| {});
+    }
+
+    fn is_silent(&self) -> bool {
+        self.cut.load(Ordering::SeqCst) || self.table.is_down()
+    }
+
+    async fn reach(&self) -> Result<(), ReadError> {
+        self.answer_time().await;
+        if self.is_silent() {
+            tokio::time::sleep(TIMEOUT).await;
+            return Err(ReadError::Unavailable);
+        }
+        Ok(())
+    }
+
+    fn changes_since(&self, name: &str, since: u64) -> Result<Changes, ReadError> {
+        let state = self.table.state();
+        if since < state.forgotten_before {
+            return Err(ReadError::HistoryLost);
+        }
+        let newer = state.history.iter().filter(|(version, change)| {
+            let address = match change {
+                Change::Written(row) => &row.address,
+                Change::Deleted(address) => address,
+            };
+            *version > since && address.table == name
+        });
+        Ok(Changes {
+            changes: newer.map(|(_, change)| change.clone()).collect(),
+            version: RowVersion(state.version),
+        })
+    }
+}
+
+#[async_trait]
+impl Table for TableLink {
+    fn limits(&self) -> TableLimits {
+        TableLimits {
+            row_bytes: 4_096,
+            transaction_entries: 40,
+            transaction_bytes: 64 * 1_024,
+        }
+    }
+
+    fn now_ms(&self) -> Option<u64> {
+        let ahead_ms = self.table.ahead_ms.load(Ordering::SeqCst);
+        Some(1_000_000 + ahead_ms + self.table.began.elapsed().as_millis() as u64)
+    }
+
+    async fn commit(&self, transaction: &Transaction) -> Result<Commit, CommitError> {
+        self.answer_time().await;
+        if self.cut.load(Ordering::SeqCst) {
+            tokio::time::sleep(TIMEOUT).await;
+            return Err(CommitError::Unknown);
+        }
+        self.note_writes(transaction);
+        if !lies_in_one_partition(transaction) {
+            return Err(CommitError::NotDone);
+        }
+        match self.table.take_fault(transaction) {
+            CommitFault::None => return Ok(self.table.judge(transaction)),
+            CommitFault::Refused => return Err(CommitError::NotDone),
+            CommitFault::Slow(time) => {
+                tokio::time::sleep(time).await;
+                return Ok(self.table.judge(transaction));
+            }
+            CommitFault::LostOnTheWay => {}
+            CommitFault::DoneUnanswered => {
+                self.table.judge(transaction);
+            }
+            CommitFault::DoneLate(after) => {
+                let (table, late) = (Arc::clone(&self.table), transaction.clone());
+                std::thread::spawn(move || {
+                    std::thread::sleep(after);
+                    table.judge(&late);
+                });
+            }
+        }
+        tokio::time::sleep(TIMEOUT).await;
+        Err(CommitError::Unknown)
+    }
+
+    async fn scan(&self, range: &KeyRange) -> Result<Page, ReadError> {
+        self.reach().await?;
+        self.note_read(&range.table);
+        let state = self.table.state();
+        let limit = range.limit.unwrap_or(PAGE_ROWS).min(PAGE_ROWS);
+        let within = |address: &RowAddress| {
+            address.table == range.table
+                && address.partition == range.partition
+                && address.key >= range.from
+                && range.to.as_ref().is_none_or(|to| address.key < *to)
+        };
+        let mut found = state.rows.iter().filter(|(address, _)| within(address));
+        let rows: Vec<Row> = found
+            .by_ref()
+            .take(limit)
+            .map(|(address, (value, version))| Row {
+                address: address.clone(),
+                value: value.clone(),
+                version: RowVersion(*version),
+            })
+            .collect();
+        Ok(Page {
+            rows,
+            more: found.next().is_some(),
+            version: RowVersion(state.version),
+        })
+    }
+
+    async fn changes(
+        &self,
+        table: &str,
+        since: RowVersion,
+        wait: Duration,
+    ) -> Result<Changes, ReadError> {
+        self.reach().await?;
+        let mut changed = self.table.changed.subscribe();
+        let give_up_at = tokio::time::Instant::now() + wait;
+        loop {
+            if self.is_silent() {
+                tokio::time::sleep(TIMEOUT).await;
+                return Err(ReadError::Unavailable);
+            }
+            let changes = self.changes_since(table, since.0)?;
+            let is_over = tokio::time::Instant::now() >= give_up_at;
+            if !changes.changes.is_empty() || is_over {
+                self.answer_time().await;
+                return self.changes_since(table, since.0);
+            }
+            // Either something changes or the time is over; the loop looks again.
+            let _ = tokio::time::timeout_at(give_up_at, changed.changed()).await;
+        }
+    }
+}
+
+/// A node's way to the table as a transport, which gives a call up after a time.
+pub struct LinkTransport(pub Arc<TableLink>);
+
+#[async_trait]
+impl TableTransport for LinkTransport {
+    fn limits(&self) -> TableLimits {
+        self.0.limits()
+    }
+
+    fn now_ms(&self) -> Option<u64> {
+        self.0.now_ms()
+    }
+
+    async fn commit(
+        &self,
+        transaction: &Transaction,
+        patience: Duration,
+    ) -> Called<Commit, CommitError> {
+        let commit = tokio::time::timeout(patience, self.0.commit(transaction)).await;
+        Ok(commit.unwrap_or(Err(CommitError::Unknown))?)
+    }
+
+    async fn scan(&self, range: &KeyRange, patience: Duration) -> Called<Page, ReadError> {
+        let page = tokio::time::timeout(patience, self.0.scan(range)).await;
+        Ok(page.unwrap_or(Err(ReadError::Unavailable))?)
+    }
+
+    async fn changes(
+        &self,
+        table: &str,
+        since: RowVersion,
+        wait: Duration,
+        patience: Duration,
+    ) -> Called<Changes, ReadError> {
+        let asking = self.0.changes(table, since, wait);
+        let changes = tokio::time::timeout(wait + patience, asking).await;
+        Ok(changes.unwrap_or(Err(ReadError::Unavailable))?)
+    }
+}
+
+/// As the platform's store demands of a transaction that does not say otherwise.
+fn lies_in_one_partition(transaction: &Transaction) -> bool {
+    let mut addresses = transaction.addresses();
+    let Some(first) = addresses.next() else {
+        return true;
+    };
+    addresses.all(|address| address.partition == first.partition)
+}
--- a/crates/sloetrail-serving/src/table.rs
+++ b/crates/sloetrail-serving/src/table.rs
@@ -88,12 +88,16 @@
         self
     }
 
-    /// The tables whose rows it writes, deletes or looks at.
-    pub fn tables(&self) -> impl Iterator<Item = &str> {
+    /// The rows that it writes, deletes or looks at.
+    pub fn addresses(&self) -> impl Iterator<Item = &RowAddress> {
         let conditions = self.conditions.iter().map(|condition| &condition.address);
         let puts = self.puts.iter().map(|(address, _)| address);
-        let addresses = conditions.chain(puts).chain(&self.deletes);
-        addresses.map(|address| address.table.as_str())
+        conditions.chain(puts).chain(&self.deletes)
+    }
+
+    /// The tables of these rows.
+    pub fn tables(&self) -> impl Iterator<Item = &str> {
+        self.addresses().map(|address| address.table.as_str())
     }
 
     /// Deletes a row.
