One copy of what tests and bounds wrote again

Cause: the tests' submit-and-assert, the cluster over the table client, the empty view, the route that may not be taken up and the target of a quiet model stood up to ten times; the bound of less than one send a second stood in live_bound as in SendBound::per_second; a span was written out three times and its sum with the margin once more. Change: support::{accepted, submit_items, client_cluster}, TableView::empty, needs_few, use_version, rewarded_batch, assert_ends_when_left; live_bound uses per_second, which does the same for every rate above zero (a configuration has no other: cold_bounds leaves them out). Where a submission is not accepted the test now also prints the answer. No assertion is changed.

--- a/crates/sloetrail-balance/src/cold_share.rs
+++ b/crates/sloetrail-balance/src/cold_share.rs
@@ -4,7 +4,6 @@
 
 use crate::SendBound;
 use sloetrail_types::rendezvous_weight;
-use std::time::Duration;
 
 /// What a cold back end of a service may get in any second, and how many ways lead to it.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -53,6 +52,7 @@
         let drawn = rate.floor().max(1.0) as usize;
         let own_weight = rendezvous_weight(own, back_end);
         let mut others = 0;
+        // Those of the others that are drawn sooner than this node.
         let mut before = 0;
         for sender in senders.filter(|sender| *sender != own) {
             others += 1;
@@ -62,14 +62,6 @@
             return SendBound::NONE;
         }
         let sharing = drawn.min(others + 1);
-        let each = rate / sharing as f64;
-        match each >= 1.0 {
-            true => SendBound::per_second(each),
-            // Only where the back end bears less than one a second.
-            false => SendBound {
-                most: 1,
-                span: Duration::try_from_secs_f64(1.0 / each).unwrap_or(Duration::MAX),
-            },
-        }
+        SendBound::per_second(rate / sharing as f64)
     }
 }
--- a/crates/sloetrail-balance/src/send_window.rs
+++ b/crates/sloetrail-balance/src/send_window.rs
@@ -10,10 +10,11 @@
 /// Sends that are remembered. More than this in a second need no bound: no back end that
 /// has to be spared bears them.
 const SENDS_KEPT: usize = 256;
-
+/// The span that bounds are about, but those of less than one send a second.
+const SECOND: Duration = Duration::from_secs(1);
 /// How long the sends to a back end that is no longer listed are remembered: it may be
 /// listed again within the second that bounds are about.
-const KEPT_FOR: Duration = Duration::from_millis(1_100);
+const KEPT_FOR: Duration = SECOND.saturating_add(ARRIVAL_MARGIN);
 
 /// So many sends in any span of this length.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,7 +29,7 @@
     /// No sends at all.
     pub const NONE: Self = Self {
         most: 0,
-        span: Duration::from_secs(1),
+        span: SECOND,
     };
 
     /// As many sends in any second, or one in any longer span where that is less than one.
@@ -39,7 +40,7 @@
         match rate >= 1.0 {
             true => Self {
                 most: rate.floor() as usize,
-                span: Duration::from_secs(1),
+                span: SECOND,
             },
             false => Self {
                 most: 1,
--- a/crates/sloetrail-serving/src/directory/tests.rs
+++ b/crates/sloetrail-serving/src/directory/tests.rs
@@ -7,7 +7,6 @@
 use crate::table::{Row, RowAddress};
 use serde_json::json;
 use sloetrail_types::{EngineId, RowVersion, ZoneName};
-use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::time::{Instant, advance};
 
@@ -36,11 +35,8 @@
 
 fn empty(version: u64) -> TableView {
     TableView {
-        rows: BTreeMap::new(),
         version: RowVersion(version),
-        confirmed_at: None,
-        asked_at: None,
-        interruptions: 0,
+        ..TableView::empty()
     }
 }
 
--- a/crates/sloetrail-serving/src/follow.rs
+++ b/crates/sloetrail-serving/src/follow.rs
@@ -38,7 +38,8 @@
 }
 
 impl TableView {
-    fn empty() -> Self {
+    /// The view of a table that was not read yet.
+    pub(crate) fn empty() -> Self {
         Self {
             rows: BTreeMap::new(),
             version: RowVersion(0),
@@ -117,8 +118,8 @@
     }
 
     /// Lets changes gather. After an answer or a pause that took too long, because this
-    /// process or the table stood still, the next question goes out at once, and
-    /// this and the one after are answered at once.
+    /// process or the table stood still, the next question goes out at once, and it and the
+    /// one after it are not held open.
     async fn pause(&mut self) {
         let asked_at = self.sender.borrow().asked_at;
         let late_from = self.pace.wait.now() + LATE_ANSWER;
--- a/crates/sloetrail-serving/src/operator/tests.rs
+++ b/crates/sloetrail-serving/src/operator/tests.rs
@@ -59,10 +59,7 @@
     };
     TableView {
         rows: keys.iter().map(row).collect(),
-        version: RowVersion(1),
-        confirmed_at: None,
-        asked_at: None,
-        interruptions: 0,
+        ..TableView::empty()
     }
 }
 
--- a/crates/sloetrail-serving/src/owner/engines/tests/orders.rs
+++ b/crates/sloetrail-serving/src/owner/engines/tests/orders.rs
@@ -8,6 +8,23 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// The target of a quiet model: a tenth of its engines is enough for its batches.
+fn needs_few(published: u64, needed: u64) -> ModelTarget {
+    ModelTarget {
+        ready_share: 0.1,
+        newest_share: 0.5,
+        ..target("a", published, needed)
+    }
+}
+
+/// Lets engines use a version of their model.
+fn use_version(pool: &mut EnginePool, ids: &[EngineId], version: u64) {
+    for id in ids {
+        let engine = pool.get_mut(id).expect("known");
+        engine.note_version("a", WeightVersion(version), "test");
+    }
+}
+
 #[test]
 fn orders_are_planned_a_few_at_a_time() {
     let pool = pool(9);
@@ -28,10 +45,8 @@
 #[test]
 fn engines_that_no_batch_can_use_change_before_those_that_lag_behind() {
     let mut pool = pool(36);
-    for id in of_model(&pool, "a") {
-        let engine = pool.get_mut(&id).expect("known");
-        engine.note_version("a", WeightVersion(3), "test");
-    }
+    let ids = of_model(&pool, "a");
+    use_version(&mut pool, &ids, 3);
     let targets = [target("a", 4, 3), target("b", 4, 3), target("c", 4, 3)];
     let concurrent = concurrent_changes(36, 2);
     assert_eq!(concurrent, 8, "a fifth of the engines");
@@ -94,16 +109,9 @@
             engine.note_version("a", WeightVersion(2), "test");
             engine.is_being_ordered = false;
         }
-        // A quiet service: a tenth of its engines is enough for its batches.
-        let needs_few = ModelTarget {
-            ready_share: 0.1,
-            newest_share: 0.5,
-            ..target("a", 2, 1)
-        };
-        let to_all = target("a", 2, 1);
         let wanted = match publications.stays("a", now) {
-            true => to_all,
-            false => needs_few,
+            true => target("a", 2, 1),
+            false => needs_few(2, 1),
         };
         for order in plan(&pool, &[wanted], concurrent_changes(ENGINES, 2), now) {
             let engine = pool.get_mut(&order.engine).expect("known");
@@ -134,12 +142,7 @@
 #[test]
 fn engines_that_a_model_does_not_need_keep_the_version_that_they_have() {
     let pool = pool(300);
-    let needs_few = ModelTarget {
-        ready_share: 0.1,
-        newest_share: 0.5,
-        ..target("a", 4, 4)
-    };
-    let orders = plan(&pool, &[needs_few], 300, Instant::now());
+    let orders = plan(&pool, &[needs_few(4, 4)], 300, Instant::now());
     assert_eq!(orders.len(), 10, "a tenth of a hundred");
 }
 
@@ -147,19 +150,11 @@
 fn lost_engines_are_replaced_by_those_that_were_not_needed() {
     let mut pool = pool(300);
     let ids = of_model(&pool, "a");
-    for id in &ids[..10] {
-        let engine = pool.get_mut(id).expect("known");
-        engine.note_version("a", WeightVersion(4), "test");
-    }
+    use_version(&mut pool, &ids[..10], 4);
     for id in &ids[..3] {
         pool.get_mut(id).expect("known").lost();
     }
-    let needs_few = ModelTarget {
-        ready_share: 0.1,
-        newest_share: 0.5,
-        ..target("a", 4, 4)
-    };
-    let orders = plan(&pool, &[needs_few], 300, Instant::now());
+    let orders = plan(&pool, &[needs_few(4, 4)], 300, Instant::now());
     assert_eq!(orders.len(), 3);
 }
 
@@ -167,16 +162,8 @@
 fn engines_that_are_not_needed_do_not_keep_the_others_from_newer_versions() {
     let mut pool = pool(300);
     let ids = of_model(&pool, "a");
-    for id in &ids[..10] {
-        let engine = pool.get_mut(id).expect("known");
-        engine.note_version("a", WeightVersion(3), "test");
-    }
-    let needs_few = ModelTarget {
-        ready_share: 0.1,
-        newest_share: 0.5,
-        ..target("a", 4, 3)
-    };
-    let orders = plan(&pool, &[needs_few], 300, Instant::now());
+    use_version(&mut pool, &ids[..10], 3);
+    let orders = plan(&pool, &[needs_few(4, 3)], 300, Instant::now());
     assert_eq!(orders.len(), 5, "half of the ten that are ready");
     assert!(orders.iter().all(|order| ids[..10].contains(&order.engine)));
 }
--- a/crates/sloetrail-serving/src/pause_guard/tests.rs
+++ b/crates/sloetrail-serving/src/pause_guard/tests.rs
@@ -1,7 +1,5 @@
 use super::{PauseGuard, Wakefulness};
 use crate::follow::TableView;
-use sloetrail_types::RowVersion;
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -47,11 +45,9 @@
 
 fn view(asked_at: Option<Instant>) -> Arc<TableView> {
     Arc::new(TableView {
-        rows: BTreeMap::new(),
-        version: RowVersion(1),
         confirmed_at: asked_at,
         asked_at,
-        interruptions: 0,
+        ..TableView::empty()
     })
 }
 
--- a/crates/sloetrail-serving/tests/batches.rs
+++ b/crates/sloetrail-serving/tests/batches.rs
@@ -4,12 +4,12 @@
 
 use serde_json::Value;
 use sloetrail_serving_testkit::client::{batch, item, with_reward};
-use sloetrail_serving_testkit::cluster::{Cluster, HOST, MODEL, eventually};
+use sloetrail_serving_testkit::cluster::{HOST, MODEL, eventually};
 use sloetrail_serving_testkit::engine::{EngineFault, RunRecord};
 use sloetrail_serving_testkit::table::CommitFault;
 use std::collections::BTreeSet;
 use std::time::Duration;
-use support::{native_cluster, usual_cluster};
+use support::{accepted, native_cluster, usual_cluster};
 
 const PACE: Duration = Duration::from_millis(4);
 
@@ -57,11 +57,6 @@
     }
 }
 
-async fn accepted(cluster: &Cluster, node: usize, id: &str, batch: &Value) {
-    let answer = cluster.submit(node, id, batch).await.expect("an answer");
-    assert_eq!(answer.status, 202, "{}", answer.text());
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn a_batch_taken_at_one_node_is_read_whole_at_another() {
     let cluster = usual_cluster(PACE).await;
--- a/crates/sloetrail-serving/tests/callers_that_leave.rs
+++ b/crates/sloetrail-serving/tests/callers_that_leave.rs
@@ -3,14 +3,11 @@
 mod support;
 
 use http::HeaderName;
-use sloetrail_serving::table_client::TableClient;
 use sloetrail_serving_testkit::client::{Call, batch};
 use sloetrail_serving_testkit::cluster::{APPLICATION, Cluster, HOST, MODEL, eventually};
 use sloetrail_serving_testkit::engine::EngineFault;
-use sloetrail_serving_testkit::table::LinkTransport;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
-use support::{items, live, native_cluster};
+use support::{client_cluster, items, live, native_cluster};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -97,6 +94,15 @@
     engines.map(|engine| engine.arrivals().len()).sum()
 }
 
+/// Leaves a request that has reached back ends, and asserts that all that runs is closed.
+async fn assert_ends_when_left(cluster: &Cluster, leaving: Leaving, path: &str, body: &str) {
+    let caller = Caller::ask(cluster, path, "r1", body).await;
+    tokio::time::sleep(UNDER_WAY).await;
+    assert!(arrivals(cluster) > 0);
+    let _open = caller.leave(leaving).await;
+    assert_ends(cluster, leaving).await;
+}
+
 /// Asserts that all that runs is closed in time, and that nothing is begun afterwards.
 async fn assert_ends(cluster: &Cluster, leaving: Leaving) {
     let left_at = Instant::now();
@@ -120,11 +126,7 @@
         for engine in &cluster.engines {
             engine.set_pace(Duration::from_secs(5));
         }
-        let caller = Caller::ask(&cluster, "/live/x", "r1", "question").await;
-        tokio::time::sleep(UNDER_WAY).await;
-        assert!(arrivals(&cluster) > 0);
-        let _open = caller.leave(leaving).await;
-        assert_ends(&cluster, leaving).await;
+        assert_ends_when_left(&cluster, leaving, "/live/x", "question").await;
     }
 }
 
@@ -168,11 +170,7 @@
         for engine in &cluster.engines {
             engine.set_fault(EngineFault::Silent, None);
         }
-        let caller = Caller::ask(&cluster, "/events/x", "s1", "events=5").await;
-        tokio::time::sleep(UNDER_WAY).await;
-        assert!(arrivals(&cluster) > 0);
-        let _open = caller.leave(leaving).await;
-        assert_ends(&cluster, leaving).await;
+        assert_ends_when_left(&cluster, leaving, "/events/x", "events=5").await;
     }
 }
 
@@ -198,8 +196,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_submission_that_waits_for_the_table_is_not_accepted() {
     for leaving in WAYS {
-        let mut cluster =
-            native_cluster().with_table(|link| TableClient::new(Arc::new(LinkTransport(link))));
+        let mut cluster = client_cluster();
         cluster.add_engine(Duration::from_millis(5)).await;
         let node = cluster.add_node("node-1").await;
         cluster.wait_ready(node).await;
--- a/crates/sloetrail-serving/tests/cold.rs
+++ b/crates/sloetrail-serving/tests/cold.rs
@@ -3,13 +3,12 @@
 
 mod support;
 
-use sloetrail_serving_testkit::client::batch;
-use sloetrail_serving_testkit::cluster::{Cluster, MODEL, eventually, usual_routes};
+use sloetrail_serving_testkit::cluster::{Cluster, eventually, usual_routes};
 use sloetrail_serving_testkit::engine::{EngineFault, EngineStandIn};
 use sloetrail_serving_testkit::table::CommitFault;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use support::{items, lease_holder, live, most_in_a_second, native_cluster, tolerance};
+use support::{lease_holder, live, most_in_a_second, native_cluster, submit_items, tolerance};
 
 /// Requests a second that cold back ends bear, and the most that may reach one.
 const BEARS: usize = 8;
@@ -40,12 +39,6 @@
     cluster
 }
 
-async fn submit(cluster: &Cluster, node: usize, count: usize) {
-    let work = batch(&items(count, 2), MODEL, 1);
-    let answer = cluster.submit(node, "b1", &work).await;
-    assert_eq!(answer.expect("an answer").status, 202);
-}
-
 async fn wait_arrivals(engine: &EngineStandIn, count: usize) {
     let have_come = || async { (engine.arrivals().len() >= count).then_some(()) };
     eventually("items reach the engine", have_come).await;
@@ -58,7 +51,7 @@
     engine.set_fault(EngineFault::Refuses, Some(FROM_ONE + 2));
     cluster.unlist(&engine);
     tokio::time::sleep(Duration::from_millis(200)).await;
-    submit(&cluster, 0, 40).await;
+    submit_items(&cluster, 0, "b1", 40, 2).await;
     cluster.list(&engine);
     wait_arrivals(&engine, 3 * FROM_ONE).await;
     let most = most_in_a_second(engine.arrivals());
@@ -71,7 +64,7 @@
     let owner = lease_holder(&cluster).await;
     // The first second, in which a new owner counts each engine as cold, is over.
     tokio::time::sleep(Duration::from_millis(1_200)).await;
-    submit(&cluster, 1 - owner, 60).await;
+    submit_items(&cluster, 1 - owner, "b1", 60, 2).await;
     wait_arrivals(&engine, FROM_ONE).await;
     cluster.nodes[owner].kill();
     let killed_at = Instant::now();
@@ -89,7 +82,7 @@
     engine.set_cold(Duration::from_secs(5));
     cluster.list(&engine);
     tokio::time::sleep(Duration::from_millis(1_200)).await;
-    submit(&cluster, 0, 60).await;
+    submit_items(&cluster, 0, "b1", 60, 2).await;
     wait_arrivals(&engine, FROM_ONE).await;
     for _ in 0..3 {
         tokio::time::sleep(Duration::from_millis(60)).await;
--- a/crates/sloetrail-serving/tests/evacuation.rs
+++ b/crates/sloetrail-serving/tests/evacuation.rs
@@ -3,13 +3,12 @@
 
 mod support;
 
-use sloetrail_serving_testkit::client::batch;
 use sloetrail_serving_testkit::cluster::{Cluster, MODEL, eventually, usual_routes};
 use sloetrail_serving_testkit::engine::EngineStandIn;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use support::{
-    assert_each_once, items, lease_holder, live, most_in_a_second, native_cluster, tolerance,
+    assert_each_once, lease_holder, live, most_in_a_second, native_cluster, submit_items, tolerance,
 };
 
 /// The zone of the nodes.
@@ -56,12 +55,6 @@
     (cluster, own, other)
 }
 
-async fn submit(cluster: &Cluster, node: usize, id: &str, count: usize, events: u64) {
-    let work = batch(&items(count, events), MODEL, 1);
-    let answer = cluster.submit(node, id, &work).await;
-    assert_eq!(answer.expect("an answer").status, 202);
-}
-
 /// Waits until so many items run at an engine at least.
 async fn wait_running(engine: &EngineStandIn, count: usize) {
     let is_busy = || async { (engine.runs().len() >= count).then_some(()) };
@@ -71,7 +64,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn nothing_new_reaches_an_evacuated_zone_and_what_runs_there_ends_whole() {
     let (cluster, own, other) = cluster_of_two_zones(1, Duration::from_millis(20)).await;
-    submit(&cluster, 0, "b1", 40, 40).await;
+    submit_items(&cluster, 0, "b1", 40, 40).await;
     wait_running(&own.engine, 8).await;
     assert_eq!(
         live(&cluster, 0, "/live/x", "r0")
@@ -88,7 +81,7 @@
     cluster.evacuate(OWN);
     tokio::time::sleep(HEARD).await;
     let before = own.arrivals();
-    submit(&cluster, 0, "b2", 10, 5).await;
+    submit_items(&cluster, 0, "b2", 10, 5).await;
     for number in 0..20 {
         let answer = live(&cluster, 0, "/live/x", &format!("r1-{number}")).await;
         assert_eq!(answer.expect("an answer").status, 200);
@@ -121,7 +114,7 @@
     add_nodes(&mut cluster, 1).await;
     cluster.evacuate(OWN);
     tokio::time::sleep(HEARD).await;
-    submit(&cluster, 0, "b1", 60, 2).await;
+    submit_items(&cluster, 0, "b1", 60, 2).await;
     assert_eq!(own.arrivals(), 0);
     let withdrawn_at = Instant::now();
     cluster.withdraw_evacuation(OWN);
@@ -160,7 +153,7 @@
         assert_eq!(answer.json()["code"], 1101, "{path}");
         assert!(answer.headers.contains_key("retry-after"), "{path}");
     }
-    submit(&cluster, 0, "b1", 10, 5).await;
+    submit_items(&cluster, 0, "b1", 10, 5).await;
     tokio::time::sleep(HEARD).await;
     assert_eq!(own.arrivals() + other.arrivals(), 0, "nothing has run");
     cluster.withdraw_evacuation(OTHER);
@@ -175,7 +168,7 @@
     let (mut cluster, own, other) = cluster_of_two_zones(2, Duration::from_millis(20)).await;
     let owner = lease_holder(&cluster).await;
     let left = 1 - owner;
-    submit(&cluster, left, "b1", 40, 40).await;
+    submit_items(&cluster, left, "b1", 40, 40).await;
     wait_running(&own.engine, 8).await;
     cluster.evacuate(OWN);
     tokio::time::sleep(HEARD).await;
@@ -221,7 +214,7 @@
     /// Three rounds of 0.4 s on an idle machine.
     const DONE: Duration = Duration::from_millis(6_000);
     let (cluster, own, other) = cluster_of_two_zones(1, Duration::from_millis(20)).await;
-    submit(&cluster, 0, "b1", 40, 20).await;
+    submit_items(&cluster, 0, "b1", 40, 20).await;
     wait_running(&own.engine, 8).await;
     cluster.nodes[0].freeze(FROZEN);
     tokio::time::sleep(HEARD).await;
--- a/crates/sloetrail-serving/tests/regions.rs
+++ b/crates/sloetrail-serving/tests/regions.rs
@@ -4,14 +4,12 @@
 mod support;
 
 use serde_json::{Value, json};
-use sloetrail_serving::table_client::TableClient;
 use sloetrail_serving_testkit::client::{Answer, batch, with_reward};
 use sloetrail_serving_testkit::cluster::{Cluster, HOST, MODEL, eventually, usual_routes};
 use sloetrail_serving_testkit::engine::{EngineFault, EngineStandIn};
-use sloetrail_serving_testkit::table::LinkTransport;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use support::{assert_each_once, items, live, native_cluster};
+use support::{accepted, assert_each_once, client_cluster, items, live, submit_items};
 
 const PACE: Duration = Duration::from_millis(10);
 /// Zones, with their regions.
@@ -36,10 +34,15 @@
     routes
 }
 
+/// A batch of six items that are scored.
+fn rewarded_batch() -> Value {
+    let rewarded = items(6, 5).into_iter().map(|item| with_reward(item, HOST));
+    batch(&rewarded.collect::<Vec<Value>>(), MODEL, 1)
+}
+
 /// Back ends of both services in both regions, and no nodes yet.
 async fn cluster(routes: Value) -> Cluster {
-    let mut cluster =
-        native_cluster().with_table(|link| TableClient::new(Arc::new(LinkTransport(link))));
+    let mut cluster = client_cluster();
     let regions = [
         (NORTH_ZONE, "north"),
         (NORTH_ZONE_TWO, "north"),
@@ -138,9 +141,7 @@
     add_nodes(&mut cluster, &NODES).await;
     let first = wait_holder(&cluster, "models@south").await;
     assert_ne!(first, "node-1");
-    let work = batch(&items(ITEMS, 60), MODEL, 1);
-    let answer = cluster.submit(0, "b1", &work).await.expect("an answer");
-    assert_eq!(answer.status, 202, "{}", answer.text());
+    submit_items(&cluster, 0, "b1", ITEMS, 60).await;
     cluster.wait_results(0, "b1", 1).await;
     let owner = NODES.iter().position(|(name, _)| *name == first);
     cluster.nodes[owner.expect("a node")].kill();
@@ -180,9 +181,7 @@
     )
     .await;
     assert_eq!(wait_holder(&cluster, "models@south").await, "node-2");
-    let work = batch(&items(ITEMS, 60), MODEL, 1);
-    let answer = cluster.submit(0, "b1", &work).await.expect("an answer");
-    assert_eq!(answer.status, 202, "{}", answer.text());
+    submit_items(&cluster, 0, "b1", ITEMS, 60).await;
     cluster.wait_results(0, "b1", 1).await;
     cluster.nodes[1].kill();
     cluster.configure(usual_routes());
@@ -210,10 +209,7 @@
     let sides = [("b-north", NORTH_KEY, 1), ("b-south", SOUTH_KEY, 0)];
     for (id, key, node) in sides {
         cluster.api_key = Some(key.to_owned());
-        let answer = cluster
-            .submit(node, id, &batch(&items(12, 20), MODEL, 1))
-            .await;
-        assert_eq!(answer.expect("an answer").status, 202);
+        submit_items(&cluster, node, id, 12, 20).await;
     }
     for (id, key, node) in sides {
         cluster.api_key = Some(key.to_owned());
@@ -272,10 +268,8 @@
     )
     .await;
     wait_holder(&cluster, "models@south").await;
-    let rewarded = items(6, 5).into_iter().map(|item| with_reward(item, HOST));
-    let work = batch(&rewarded.collect::<Vec<Value>>(), MODEL, 1);
-    let answer = cluster.submit(1, "b1", &work).await.expect("an answer");
-    assert_eq!(answer.status, 202, "{}", answer.text());
+    let work = rewarded_batch();
+    accepted(&cluster, 1, "b1", &work).await;
     assert_each_once(&cluster.wait_results(1, "b1", 6).await, 6);
     assert_eq!(runs_in(&cluster, NORTH_ZONE), 0);
     let submissions = cluster.nodes[0].link.uses_of("sloetrail_submissions");
@@ -291,10 +285,8 @@
     // The nearest back end refuses, so that calls would go to another region if they might.
     let near = back_end(&cluster, "application", SOUTH_ZONE);
     near.set_fault(EngineFault::Refuses, Some(4));
-    let rewarded = items(6, 5).into_iter().map(|item| with_reward(item, HOST));
-    let work = batch(&rewarded.collect::<Vec<Value>>(), MODEL, 1);
-    let answer = cluster.submit(0, "b1", &work).await.expect("an answer");
-    assert_eq!(answer.status, 202, "{}", answer.text());
+    let work = rewarded_batch();
+    accepted(&cluster, 0, "b1", &work).await;
     assert_each_once(&cluster.wait_results(0, "b1", 6).await, 6);
     assert_eq!(runs_in(&cluster, NORTH_ZONE), 0);
 }
@@ -308,8 +300,7 @@
     assert_eq!(wait_holder(&cluster, "models@south").await, "node-2");
     cluster.publish(2);
     let work = batch(&items(20, 40), MODEL, 2);
-    let answer = cluster.submit(0, "b1", &work).await.expect("an answer");
-    assert_eq!(answer.status, 202, "{}", answer.text());
+    accepted(&cluster, 0, "b1", &work).await;
     let south = back_end(&cluster, "models", SOUTH_ZONE);
     let is_ordered = || async { (south.version(MODEL) == 2).then_some(()) };
     eventually("its engine has the version", is_ordered).await;
--- a/crates/sloetrail-serving/tests/relay.rs
+++ b/crates/sloetrail-serving/tests/relay.rs
@@ -5,15 +5,12 @@
 use http::Method;
 use serde::Serialize;
 use serde_json::Value;
-use sloetrail_serving::table_client::TableClient;
 use sloetrail_serving_testkit::client::{Call, batch};
 use sloetrail_serving_testkit::cluster::{Cluster, HOST, MODEL, eventually};
-use sloetrail_serving_testkit::table::LinkTransport;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
-use support::{assert_each_once, items, lease, lease_holder, native_cluster};
+use support::{assert_each_once, client_cluster, items, lease, lease_holder};
 
 /// As on an ordinary deployment: an absence of the table is known after 0.4 s.
 const LEASE_MS: u64 = 1_500;
@@ -21,8 +18,7 @@
 
 /// Three nodes that carry calls for one another, ready, with their rows known.
 async fn cluster_of_peers() -> Cluster {
-    let mut cluster =
-        native_cluster().with_table(|link| TableClient::new(Arc::new(LinkTransport(link))));
+    let mut cluster = client_cluster();
     cluster.peers = true;
     cluster.lease_ms = LEASE_MS;
     cluster.add_application("zone-a").await;
--- a/crates/sloetrail-serving/tests/silent_connections.rs
+++ b/crates/sloetrail-serving/tests/silent_connections.rs
@@ -4,14 +4,17 @@
 
 use futures_util::future::join_all;
 use http::Method;
+use serde_json::json;
 use sloetrail_serving_testkit::client::{Answer, Call, batch};
-use sloetrail_serving_testkit::cluster::{APPLICATION, Cluster, HOST, MODEL, MODELS, eventually};
+use sloetrail_serving_testkit::cluster::{
+    APPLICATION, Cluster, HOST, MODEL, MODELS, eventually, usual_routes,
+};
 use sloetrail_serving_testkit::engine::EngineStandIn;
 use sloetrail_serving_testkit::silencing_proxy::SilencingProxy;
 use sloetrail_serving_testkit::wire::NativeWire;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use support::{items, live, native_cluster};
+use support::{accepted, items, live, native_cluster};
 
 /// The routes' latency target.
 const TARGET: Duration = Duration::from_millis(200);
@@ -166,14 +169,11 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_series_that_may_not_be_taken_up_never_meets_it() {
     let mut proxied = proxied(1, Duration::from_millis(5)).await;
-    proxied.cluster.configure(serde_json::json!([
-        {"name": "live", "host": HOST, "path_prefix": "/live/", "kind": "idempotent",
-         "timeout_ms": 2000, "target_latency_ms": 200, "max_attempts": 3,
-         "service": APPLICATION},
-        {"name": "events", "host": HOST, "path_prefix": "/events/", "kind": "stream",
-         "timeout_ms": 5000, "target_latency_ms": 200, "max_attempts": 3,
-         "service": APPLICATION},
-    ]));
+    let mut routes = usual_routes();
+    for route in routes.as_array_mut().expect("a list") {
+        route["resumable"] = json!(false);
+    }
+    proxied.cluster.configure(routes);
     tokio::time::sleep(Duration::from_millis(300)).await;
     proxied.use_all().await;
     proxied.silence_all();
@@ -193,8 +193,7 @@
     let submit = |id: &'static str| async {
         let began = Instant::now();
         let batch = batch(&items(ITEMS, 5), MODEL, 1);
-        let answer = proxied.cluster.submit(0, id, &batch).await;
-        assert_eq!(answer.expect("an answer").status, 202);
+        accepted(&proxied.cluster, 0, id, &batch).await;
         proxied.cluster.wait_results(0, id, ITEMS).await;
         began.elapsed()
     };
@@ -221,8 +220,7 @@
         let batch = batch(&items(count, events), MODEL, 1);
         let cluster = &proxied.cluster;
         async move {
-            let answer = cluster.submit(0, id, &batch).await;
-            assert_eq!(answer.expect("an answer").status, 202);
+            accepted(cluster, 0, id, &batch).await;
             cluster.wait_results(0, id, count).await;
         }
     };
--- a/crates/sloetrail-serving/tests/submissions.rs
+++ b/crates/sloetrail-serving/tests/submissions.rs
@@ -3,13 +3,10 @@
 mod support;
 
 use serde_json::Value;
-use sloetrail_serving::table_client::TableClient;
 use sloetrail_serving_testkit::client::{Answer, batch, item, submission};
 use sloetrail_serving_testkit::cluster::{Cluster, HOST, MODEL};
-use sloetrail_serving_testkit::table::LinkTransport;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
-use support::native_cluster;
+use support::client_cluster;
 
 /// Long enough for a node to know that the table does not answer.
 const KNOWN_AFTER: Duration = Duration::from_millis(1_500);
@@ -18,8 +15,7 @@
 
 /// One node with an engine, whose calls to the table know of its absence.
 async fn cluster_of_one(body_budget_bytes: Option<usize>) -> Cluster {
-    let mut cluster =
-        native_cluster().with_table(|link| TableClient::new(Arc::new(LinkTransport(link))));
+    let mut cluster = client_cluster();
     cluster.body_budget_bytes = body_budget_bytes;
     cluster.add_application("zone-a").await;
     cluster.add_engine(Duration::from_millis(4)).await;
--- a/crates/sloetrail-serving/tests/supply.rs
+++ b/crates/sloetrail-serving/tests/supply.rs
@@ -5,12 +5,11 @@
 
 use serde_json::json;
 use sloetrail_serving::engine_supply::SupplyAnswer;
-use sloetrail_serving_testkit::client::batch;
-use sloetrail_serving_testkit::cluster::{Cluster, MODEL, MODELS, eventually, usual_routes};
+use sloetrail_serving_testkit::cluster::{Cluster, MODELS, eventually, usual_routes};
 use sloetrail_serving_testkit::supply::SupplyBook;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use support::{items, lease, lease_holder, native_cluster};
+use support::{lease, lease_holder, native_cluster, submit_items};
 
 /// As the cluster's nodes are set up.
 const ORDER_GAP: Duration = Duration::from_millis(800);
@@ -46,9 +45,7 @@
     let before = book.records().len();
     while began.elapsed() < SEEN && book.records().len() == before {
         let id = format!("b-{node}-{}", began.elapsed().as_millis());
-        let work = batch(&items(count, 60), MODEL, 1);
-        let answer = cluster.submit(node, &id, &work).await;
-        assert_eq!(answer.expect("an answer").status, 202);
+        submit_items(cluster, node, &id, count, 60).await;
         cluster.wait_results(node, &id, count).await;
         cluster.end(node, &id).await;
         tokio::time::sleep(Duration::from_millis(20)).await;
--- a/crates/sloetrail-serving/tests/support/mod.rs
+++ b/crates/sloetrail-serving/tests/support/mod.rs
@@ -4,8 +4,10 @@
 use serde_json::Value;
 use sloetrail_serving::native_dialect::NativeDialect;
 use sloetrail_serving::settings::RawColdSettings;
-use sloetrail_serving_testkit::client::{Answer, Call, item};
-use sloetrail_serving_testkit::cluster::{Cluster, HOST, eventually};
+use sloetrail_serving::table_client::TableClient;
+use sloetrail_serving_testkit::client::{Answer, Call, batch, item};
+use sloetrail_serving_testkit::cluster::{Cluster, HOST, MODEL, eventually};
+use sloetrail_serving_testkit::table::LinkTransport;
 use sloetrail_serving_testkit::wire::NativeWire;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -16,6 +18,13 @@
     Cluster::new(Arc::new(NativeWire), Arc::new(NativeDialect::default()))
 }
 
+/// A cluster in that dialect whose nodes reach the table through a client, which gives
+/// calls up.
+#[allow(dead_code, reason = "not every test file needs it")]
+pub fn client_cluster() -> Cluster {
+    native_cluster().with_table(|link| TableClient::new(Arc::new(LinkTransport(link))))
+}
+
 /// A cluster with two nodes, two applications and two engines, ready.
 #[allow(dead_code, reason = "not every test file needs it")]
 pub async fn usual_cluster(pace: Duration) -> Cluster {
@@ -50,6 +59,20 @@
     (0..count).map(item).collect()
 }
 
+/// Submits a batch, which must be accepted.
+#[allow(dead_code, reason = "not every test file needs it")]
+pub async fn accepted(cluster: &Cluster, node: usize, id: &str, batch: &Value) {
+    let answer = cluster.submit(node, id, batch).await.expect("an answer");
+    assert_eq!(answer.status, 202, "{}", answer.text());
+}
+
+/// Submits a batch of so many items of so many events, which must be accepted.
+#[allow(dead_code, reason = "not every test file needs it")]
+pub async fn submit_items(cluster: &Cluster, node: usize, id: &str, count: usize, events: u64) {
+    let work = batch(&items(count, events), MODEL, 1);
+    accepted(cluster, node, id, &work).await;
+}
+
 /// Asserts that each of `count` items is listed, once.
 #[allow(dead_code, reason = "not every test file needs it")]
 pub fn assert_each_once(results: &[Value], count: usize) {
--- a/crates/sloetrail-serving/tests/tenants.rs
+++ b/crates/sloetrail-serving/tests/tenants.rs
@@ -5,14 +5,11 @@
 
 use http::Method;
 use serde_json::{Value, json};
-use sloetrail_serving::table_client::TableClient;
 use sloetrail_serving_testkit::client::{Answer, Call, batch, with_reward};
 use sloetrail_serving_testkit::cluster::{Cluster, HOST, MODEL, eventually, usual_routes};
 use sloetrail_serving_testkit::engine::RunRecord;
-use sloetrail_serving_testkit::table::LinkTransport;
-use std::sync::Arc;
 use std::time::Duration;
-use support::{assert_each_once, items, native_cluster};
+use support::{accepted, assert_each_once, client_cluster, items, submit_items};
 
 const PACE: Duration = Duration::from_millis(5);
 const NORTH: &str = "north-key";
@@ -38,8 +35,7 @@
 }
 
 async fn cluster() -> Cluster {
-    let mut cluster =
-        native_cluster().with_table(|link| TableClient::new(Arc::new(LinkTransport(link))));
+    let mut cluster = client_cluster();
     cluster.tenants = Some(tenants(&[NORTH]));
     cluster.configure(routes());
     cluster.add_application("zone-a").await;
@@ -142,8 +138,7 @@
         *item = with_reward(item.clone(), HOST);
         item["reward"]["path"] = json!("/open/score");
     }
-    let answer = cluster.submit(0, "b1", &batch(&items, MODEL, 1)).await;
-    assert_eq!(answer.expect("an answer").status, 202);
+    accepted(&cluster, 0, "b1", &batch(&items, MODEL, 1)).await;
     assert_each_once(&cluster.wait_results(0, "b1", 4).await, 4);
     for run in runs(&cluster) {
         let expected = (!run.id.starts_with("reward-")).then_some("north");
@@ -156,10 +151,7 @@
 async fn a_batch_does_not_exist_for_another_tenant() {
     let mut cluster = cluster().await;
     cluster.api_key = Some(NORTH.to_owned());
-    let answer = cluster
-        .submit(0, "b1", &batch(&items(2, 3), MODEL, 1))
-        .await;
-    assert_eq!(answer.expect("an answer").status, 202);
+    submit_items(&cluster, 0, "b1", 2, 3).await;
     cluster.wait_results(0, "b1", 2).await;
     for (key, status, code) in [
         (Some(SOUTH), 404, 1009),
@@ -194,10 +186,7 @@
     let is_in_force = || async { (second.send(callers).await?.status == 200).then_some(()) };
     eventually("the second key is in force", is_in_force).await;
     cluster.api_key = Some(NORTH.to_owned());
-    let answer = cluster
-        .submit(0, "b1", &batch(&items(6, 40), MODEL, 1))
-        .await;
-    assert_eq!(answer.expect("an answer").status, 202);
+    submit_items(&cluster, 0, "b1", 6, 40).await;
     cluster.tenants = Some(tenants(&["north-second"]));
     cluster.configure(routes());
     let first = call(&cluster, "/live/x", "r2", Some(NORTH));
--- a/crates/sloetrail-serving/tests/usage.rs
+++ b/crates/sloetrail-serving/tests/usage.rs
@@ -5,16 +5,15 @@
 
 use serde_json::json;
 use sloetrail_serving::settings::RawUsageSettings;
-use sloetrail_serving::table_client::TableClient;
 use sloetrail_serving_testkit::client::{Call, batch, with_reward};
 use sloetrail_serving_testkit::cluster::{Cluster, HOST, MODEL, eventually, usual_routes};
 use sloetrail_serving_testkit::engine::EngineFault;
-use sloetrail_serving_testkit::table::{CommitFault, LinkTransport};
+use sloetrail_serving_testkit::table::CommitFault;
 use sloetrail_serving_testkit::usage::{ReportBook, ReportFault};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
-use support::{assert_each_once, items, native_cluster};
+use support::{accepted, assert_each_once, client_cluster, items};
 
 /// As the cluster's nodes are set up.
 const ORDER_GAP: Duration = Duration::from_millis(800);
@@ -26,8 +25,7 @@
 
 async fn cluster(nodes: &[&str]) -> (Cluster, Arc<ReportBook>) {
     let book = ReportBook::new();
-    let mut cluster =
-        native_cluster().with_table(|link| TableClient::new(Arc::new(LinkTransport(link))));
+    let mut cluster = client_cluster();
     cluster.tenants = Some(json!([
         {"name": "north", "api_keys": ["north-key"]},
         {"name": "south", "api_keys": ["south-key"]},
@@ -187,8 +185,7 @@
         .into_iter()
         .map(|item| with_reward(item, HOST))
         .collect();
-    let answer = cluster.submit(0, "b1", &batch(&scored, MODEL, 1)).await;
-    assert_eq!(answer.expect("an answer").status, 202);
+    accepted(&cluster, 0, "b1", &batch(&scored, MODEL, 1)).await;
     assert_each_once(&cluster.wait_results(0, "b1", 4).await, 4);
     wait_reported(&book, "north", 1).await;
     wait_later_windows(&book, 3).await;
