--- a/crates/sloetrail-serving/src/table_client.rs
+++ b/crates/sloetrail-serving/src/table_client.rs
@@ -185,6 +185,20 @@
         .is_err_and(|failed| failed.on_silent_connection)
 }
 
+/// The outcome of a transaction, for metrics.
+fn commit_word(called: &Called<Commit, CommitError>) -> &'static str {
+    match called {
+        Ok(Commit::Done(_)) => "done",
+        Ok(Commit::Conflict(_)) => "conflict",
+        Err(failed) if failed.on_silent_connection => SILENT_CONNECTION,
+        Err(failed) => match failed.failure {
+            CommitError::NotDone => "not_done",
+            CommitError::Unknown => "unknown",
+        },
+    }
+}
+
+/// The outcome of a read, for metrics.
 fn read_word<Answer>(called: &Called<Answer, ReadError>) -> &'static str {
     match called {
         Ok(_) => "done",
@@ -236,14 +250,7 @@
             () = self.returned() => Err(CommitError::Unknown.into()),
         };
         let took = began.elapsed();
-        let outcome = match &called {
-            Ok(Commit::Done(_)) => "done",
-            Ok(Commit::Conflict(_)) => "conflict",
-            Err(failed) if failed.on_silent_connection => SILENT_CONNECTION,
-            Err(failed) if failed.failure == CommitError::NotDone => "not_done",
-            Err(_) => "unknown",
-        };
-        telemetry::table_call_ended("commit", outcome, took);
+        telemetry::table_call_ended("commit", commit_word(&called), took);
         learn(&self.writes, called.is_ok(), took, patience);
         if !is_on_silent_connection(&called) {
             self.note_presence(called.is_ok());
@@ -274,6 +281,7 @@
 }
 
 impl TableClient {
+    /// Reads a range once, over whatever connection there is.
     async fn try_scan(&self, range: &KeyRange) -> Called<Page, ReadError> {
         let began = Instant::now();
         let patience = patience_of(&self.reads);
@@ -290,6 +298,7 @@
         called
     }
 
+    /// Asks for changes once, over whatever connection there is.
     async fn try_changes(
         &self,
         table: &str,
