--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -26,7 +26,9 @@
             | Event::RowUnreadable { .. }
             | Event::VersionPublished { .. }
             | Event::EvacuationChanged { .. } => "config",
-            Event::BackEndChanged { .. } | Event::PaceChanged { .. } => "engine",
+            Event::BackEndChanged { .. }
+            | Event::PaceChanged { .. }
+            | Event::EnginesOrdered { .. } => "engine",
             Event::RequestAnswered { .. }
             | Event::RequestFailed { .. }
             | Event::AttemptFailed { .. } => "gateway",
@@ -46,7 +48,6 @@
                 "lease"
             }
             Event::OrderGiven { .. } | Event::VersionInForce { .. } => "weights",
-            Event::EnginesOrdered { .. } => "engine",
             Event::UsageReported { .. }
             | Event::UsageLeft { .. }
             | Event::WallClockAgreed { .. } => "usage",
--- a/crates/sloetrail-serving/src/node.rs
+++ b/crates/sloetrail-serving/src/node.rs
@@ -5,7 +5,7 @@
 use crate::directory::watch_directory;
 use crate::engine_supply::EngineSupply;
 use crate::events::{self, Event};
-use crate::follow::{FleetSize, FollowPaces, follow};
+use crate::follow::{FleetSize, FollowPaces, ViewReceiver, follow};
 use crate::gateway::front::Front;
 use crate::gateway::message::{empty_response, whole_body};
 use crate::http::{ConnectionPool, ConnectionTracker, ListenerSettings, serve_connections};
@@ -103,15 +103,7 @@
             serve_metrics(&context, listen(address).await?, tracker.clone());
         }
         tokio::spawn(keep_house(Arc::clone(&context)));
-        let usage = reports.and_then(|(_, recipient)| {
-            let usage = Arc::clone(context.usage.as_ref()?);
-            tokio::spawn(Arc::clone(&usage).run());
-            Some(UsageWork {
-                context: Arc::clone(&context),
-                usage,
-                recipient,
-            })
-        });
+        let usage = reports.and_then(|(_, recipient)| start_usage(&context, recipient));
         let owners = supervise(Arc::clone(&context), usage, stopping.clone());
         let owners = tokio::spawn(owners);
         Ok(Self {
@@ -162,6 +154,20 @@
     }
 }
 
+/// Starts to count what tenants use; the work of reporting it.
+fn start_usage(
+    context: &Arc<NodeContext>,
+    recipient: Arc<dyn UsageRecipient>,
+) -> Option<UsageWork> {
+    let usage = Arc::clone(context.usage.as_ref()?);
+    tokio::spawn(Arc::clone(&usage).run());
+    Some(UsageWork {
+        context: Arc::clone(context),
+        usage,
+        recipient,
+    })
+}
+
 /// The table, which other nodes reach for this one while it cannot.
 async fn relayed(
     settings: &ServingSettings,
@@ -177,6 +183,35 @@
     }
 }
 
+/// The rows of the table that every node follows.
+struct Views {
+    operator: ViewReceiver,
+    directory: ViewReceiver,
+    leases: ViewReceiver,
+}
+
+impl Views {
+    fn follow(table: &Arc<dyn Table>, dialect: &dyn Dialect, paces: FollowPaces) -> Self {
+        let sources = dialect.sources().clone();
+        let configuration = sources.configuration;
+        Self {
+            operator: follow(
+                Arc::clone(table),
+                configuration.table,
+                configuration.partition,
+                paces.operator,
+            ),
+            directory: follow(
+                Arc::clone(table),
+                sources.directory_table,
+                "",
+                paces.directory,
+            ),
+            leases: follow(Arc::clone(table), rows::LEASES, rows::OWNERS, paces.leases),
+        }
+    }
+}
+
 fn build_context(
     settings: ServingSettings,
     (table, peers): (Arc<dyn Table>, Option<Arc<Peers>>),
@@ -184,36 +219,18 @@
     usage_schedule: Option<ReportSchedule>,
     engine_supply: Option<Arc<dyn EngineSupply>>,
 ) -> NodeContext {
-    let sources = dialect.sources().clone();
     let fleet = FleetSize::default();
     let paces = FollowPaces::new(&fleet, &settings.bounds);
-    let operator_view = follow(
-        Arc::clone(&table),
-        sources.configuration.table,
-        sources.configuration.partition,
-        paces.operator,
-    );
-    let directory_view = follow(
-        Arc::clone(&table),
-        sources.directory_table,
-        "",
-        paces.directory,
-    );
-    let leases = follow(
-        Arc::clone(&table),
-        rows::LEASES,
-        rows::OWNERS,
-        paces.leases.clone(),
-    );
-    let pause_guard = PauseGuard::start([directory_view.clone(), operator_view.clone()]);
-    let directory = watch_directory(directory_view, Arc::clone(&dialect), fleet.clone());
+    let lease_pace = paces.leases.clone();
+    let views = Views::follow(&table, &*dialect, paces);
+    let pause_guard = PauseGuard::start([views.directory.clone(), views.operator.clone()]);
+    let directory = watch_directory(views.directory, Arc::clone(&dialect), fleet.clone());
     let seed = digest(settings.instance.as_str().as_bytes());
-    let in_force = watch_operator(operator_view, Arc::clone(&dialect));
-    let senders = peers.clone();
-    let pools = ServicePools::new(&settings, senders, seed);
+    let in_force = watch_operator(views.operator, Arc::clone(&dialect));
+    let pools = ServicePools::new(&settings, peers.clone(), seed);
     pools.follow(directory.clone(), in_force.clone());
     let usage = usage_schedule.map(|schedule| {
-        let (table, leases) = (Arc::clone(&table), leases.clone());
+        let (table, leases) = (Arc::clone(&table), views.leases.clone());
         NodeUsage::new(
             schedule,
             settings.instance.clone(),
@@ -231,8 +248,8 @@
         dialect,
         pools,
         directory,
-        leases,
-        lease_pace: paces.leases,
+        leases: views.leases,
+        lease_pace,
         fleet,
         pause_guard,
         usage,
