Balance tests of cold engines apart; a route's services and the keys of leases have one copy

Cause: tests of send windows and cold budgets stood among those of places; whether a route leads to a service was asked in two places, the prefix of lease keys written twice; a name shadowed another clock's. Change: tests/cold.rs, Route::leads_to, LEASE_KEYS, names. No assertion is changed.

--- a/crates/sloetrail-balance/src/tests.rs
+++ b/crates/sloetrail-balance/src/tests.rs
@@ -9,6 +9,7 @@
 use std::sync::LazyLock;
 use std::time::Duration;
 
+mod cold;
 mod places;
 
 static EVERYWHERE: LazyLock<AllowedRegions> = LazyLock::new(AllowedRegions::everywhere);
--- a/crates/sloetrail-routing/src/configuration.rs
+++ b/crates/sloetrail-routing/src/configuration.rs
@@ -197,10 +197,8 @@
 
     /// True if live requests go to a service: a route of another kind than batches does.
     pub fn has_live_requests(&self, service: &ServiceName) -> bool {
-        self.routes.iter().any(|route| {
-            let serves = route.services.iter().any(|part| part.service == *service);
-            serves && route.kind != RouteKind::Rollout
-        })
+        let mut routes = self.routes.iter();
+        routes.any(|route| route.leads_to(service) && route.kind != RouteKind::Rollout)
     }
 
     /// The services whose batches need an owner: those that a rollout route names.
@@ -237,10 +235,8 @@
     }
 
     fn rollout_routes(&self, service: &ServiceName) -> impl Iterator<Item = &Route> {
-        self.routes.iter().map(|route| &**route).filter(|route| {
-            let serves = route.services.iter().any(|part| part.service == *service);
-            serves && route.kind == RouteKind::Rollout
-        })
+        let routes = self.routes.iter().map(|route| &**route);
+        routes.filter(|route| route.leads_to(service) && route.kind == RouteKind::Rollout)
     }
 
     /// The regions in which requests of a route may be served, for each caller that there
@@ -269,6 +265,11 @@
 }
 
 impl Route {
+    /// True if requests of the route may go to a service.
+    pub fn leads_to(&self, service: &ServiceName) -> bool {
+        self.services.iter().any(|part| part.service == *service)
+    }
+
     /// True if reward calls may go by it: those that are answered at once and as a whole.
     pub fn takes_reward_calls(&self) -> bool {
         matches!(self.kind, RouteKind::Idempotent | RouteKind::NonIdempotent)
--- a/crates/sloetrail-routing/src/tests.rs
+++ b/crates/sloetrail-routing/src/tests.rs
@@ -216,11 +216,11 @@
 
 #[test]
 fn what_cold_back_ends_bear_is_read_and_figures_that_cannot_be_used_are_left_out() {
-    let service = |name: &str, cold_s: Value, per_second: Value| json!({"name": name, "cold_s": cold_s, "cold_per_s": per_second});
+    let service = |name: &str, cold_s: f64, per_second: f64| json!({"name": name, "cold_s": cold_s, "cold_per_s": per_second});
     let configuration = parse(&json!({
         "version": 1, "routes": [route("/a/", "one")],
-        "services": [service("one", json!(3.0), json!(7.9)), service("two", json!(3.0), json!(0.0)),
-                     service("three", json!(-1.0), json!(-2.0)), {"name": "four"}],
+        "services": [service("one", 3.0, 7.9), service("two", 3.0, 0.0),
+                     service("three", -1.0, -2.0), {"name": "four"}],
     }))
     .expect("sound");
     let bounds = |name| configuration.cold_bounds(&ServiceName::from(name));
--- a/crates/sloetrail-serving/src/rows.rs
+++ b/crates/sloetrail-serving/src/rows.rs
@@ -41,6 +41,8 @@
 /// How many engines each service had before any were ordered.
 pub const ENGINE_FLOORS: &str = "sloetrail_engine_floors";
 
+/// What the keys of leases begin with.
+const LEASE_KEYS: &str = "lease/";
 /// Digits of a window's number: keys sort as the windows follow one another.
 const WINDOW_DIGITS: usize = 20;
 const POSITION_DIGITS: usize = 8;
@@ -48,12 +50,12 @@
 
 /// A lease, by the name of what it is for: renewed several times a second.
 pub fn lease(subject: &str) -> RowAddress {
-    RowAddress::new(LEASES, OWNERS, format!("lease/{subject}"))
+    RowAddress::new(LEASES, OWNERS, format!("{LEASE_KEYS}{subject}"))
 }
 
 /// What a lease is for, by its key; nothing if the key is of another row.
 pub fn subject_of_lease(key: &str) -> Option<&str> {
-    key.strip_prefix("lease/")
+    key.strip_prefix(LEASE_KEYS)
 }
 
 /// The fence of a lease: written only when the holder changes.
--- a/crates/sloetrail-serving/src/service_pools.rs
+++ b/crates/sloetrail-serving/src/service_pools.rs
@@ -157,13 +157,13 @@
         if !balancer.may_serve(now, regions) {
             return None;
         }
-        let now = Instant::now();
+        let instant = Instant::now();
         let pauses = state.directory.of_service(service).filter_map(|back_end| {
             let takes_work =
                 !back_end.draining && !state.in_force.evacuations.covers(&back_end.zone);
             let is_allowed = state.topology.allows(regions, &back_end.zone);
             let losses = state.losses.get(&back_end.id);
-            let pause = losses.and_then(|losses| losses.left(now));
+            let pause = losses.and_then(|losses| losses.left(instant));
             (takes_work && is_allowed).then_some(pause.unwrap_or_default())
         });
         let soonest = pauses.min().unwrap_or_default();
@@ -330,6 +330,7 @@
 }
 
 impl Spared {
+    /// What is in force for a service.
     fn new(state: &State, service: &ServiceName) -> Self {
         let Some(configuration) = &state.in_force.configuration else {
             return Self {
@@ -343,6 +344,7 @@
         }
     }
 
+    /// How a back end is to be spared; nothing if it is warm.
     fn cold(
         &self,
         state: &State,
