Test: calls that meet silent connections together do not make the table count as away

Cause: with the two conditions on silent connections taken out of TableClient all its own tests stayed green; only the adapter's silent_link saw it (two of its four tests failed). Change: a test of the client alone, for commits and for scans. Result: red without the condition in commit, red without that in try_scan, green with both; 8 tests of table_client pass.

--- a/crates/sloetrail-serving/src/table_client/tests.rs
+++ b/crates/sloetrail-serving/src/table_client/tests.rs
@@ -3,6 +3,7 @@
     Changes, Commit, CommitError, KeyRange, Page, ReadError, Table, TableLimits, Transaction,
 };
 use async_trait::async_trait;
+use futures_util::future::join_all;
 use sloetrail_types::RowVersion;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -213,3 +214,20 @@
     assert!(table.scan(&range).await.is_ok());
     assert!(table.is_answering());
 }
+
+#[tokio::test(start_paused = true)]
+async fn calls_that_meet_silent_connections_together_are_no_sign_that_the_table_is_away() {
+    const TOGETHER: usize = 8;
+    let table = TableClient::new(Arc::new(LateTable {
+        answer_time: milliseconds(10_000),
+        over_kept_connections: true,
+        ..LateTable::default()
+    }));
+    let (transaction, range) = (Transaction::new(), KeyRange::all("t", "p"));
+    let commits = join_all((0..TOGETHER).map(|_| table.commit(&transaction))).await;
+    assert!(commits.iter().all(Result::is_err));
+    assert!(table.is_answering(), "commits");
+    let scans = join_all((0..TOGETHER).map(|_| table.scan(&range))).await;
+    assert!(scans.iter().all(Result::is_err));
+    assert!(table.is_answering(), "scans");
+}
