--- a/crates/sloetrail-serving/tests/cold.rs
+++ b/crates/sloetrail-serving/tests/cold.rs
@@ -10,8 +10,9 @@
 use std::time::{Duration, Instant};
 use support::{lease_holder, live, most_in_a_second, native_cluster, submit_items, tolerance};
 
-/// Requests a second that cold back ends bear, and the most that may reach one.
+/// Requests a second that cold back ends bear.
 const BEARS: usize = 8;
+/// The most that may reach one: a factor, and requests in any second.
 const EXCESS: f64 = 1.5;
 const MOST: usize = 12;
 /// What one sender may send to a cold one: half of the most.
