Readers of results are kept until the groups that their trainer waits for are whole

It reads twice a second, was answered at once with results that complete nothing, and was away when the last one came; with two steps open at a time and 8.9 s for two steps of 4 s it falls further behind at each. Ruled out: commits of the end (20 to 100 ms); listing by whole groups, which loses finished texts when an owner dies. Change: entries from the one on that completes what the trainer waits for are marked in their rows; groups that an earlier batch left over count as waited for. A node keeps a reader that gives a waiting time until a marked entry comes, at most for that time, and for half a second at most once the batch is due. Results are looked for every 60 ms, from where the last look ended.

--- a/crates/sloetrail-batch/src/batch.rs
+++ b/crates/sloetrail-batch/src/batch.rs
@@ -26,6 +26,8 @@
     /// For each item whether its group is among those waited for.
     wanted: Vec<bool>,
     groups: GroupProgress,
+    /// The same, with the results that are on their way into the list.
+    groups_queued: GroupProgress,
     order: DispatchOrder,
 }
 
@@ -84,7 +86,7 @@
             })
             .collect();
         let wanted = wanted_items(&items, groups_wanted, carried);
-        let groups = GroupProgress::new(&items, groups_wanted);
+        let groups = GroupProgress::new(&items, groups_wanted, carried);
         let mut batch = Self {
             id,
             header,
@@ -93,6 +95,7 @@
             queue: (0..items.len()).collect(),
             items,
             wanted,
+            groups_queued: groups.clone(),
             groups,
             order: DispatchOrder::default(),
         };
@@ -211,23 +214,35 @@
     /// The result of an item whose text is whole, with its score if it has a reward
     /// call; the item then waits for the commit.
     pub fn succeed(&mut self, index: ItemIndex, score: Option<String>) -> ListedResult {
-        let item = &mut self.items[index];
-        item.state = ItemState::Committing;
+        let groups_are_whole = self.queue_for_list(index);
+        let item = &self.items[index];
         ListedResult {
             id: item.submitted.id.clone(),
             state: ResultState::Succeeded,
             text: item.transcript.text(),
             versions: item.transcript.versions(),
             score,
+            groups_are_whole,
         }
     }
 
     /// The result of an item that is given up; it then waits for the commit.
     pub fn give_up(&mut self, index: ItemIndex) -> ListedResult {
         self.queue.retain(|waiting| *waiting != index);
+        let groups_are_whole = self.queue_for_list(index);
+        ListedResult {
+            groups_are_whole,
+            ..ListedResult::dead(self.items[index].submitted.id.clone())
+        }
+    }
+
+    /// An item's result gets its position. True if with those before it the groups that
+    /// the trainer waits for are whole.
+    fn queue_for_list(&mut self, index: ItemIndex) -> bool {
         let item = &mut self.items[index];
         item.state = ItemState::Committing;
-        ListedResult::dead(item.submitted.id.clone())
+        self.groups_queued.listed(index, item.transcript.len());
+        self.groups_queued.are_whole()
     }
 
     /// An item's result is in the list. True if it completes the groups that the trainer
@@ -238,8 +253,12 @@
         if item.state == ItemState::Listed {
             return false;
         }
+        let was_queued = item.state == ItemState::Committing;
         item.state = ItemState::Listed;
         let transcript = std::mem::take(&mut item.transcript);
+        if !was_queued {
+            self.groups_queued.listed(index, transcript.len());
+        }
         self.groups.listed(index, transcript.len())
     }
 
--- a/crates/sloetrail-batch/src/groups.rs
+++ b/crates/sloetrail-batch/src/groups.rs
@@ -5,7 +5,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// How far the groups of a batch have come. A group is whole once all its items are
-/// listed.
+/// listed. A trainer waits for as many whole groups as it wants, and for each group that an
+/// earlier batch left over.
 #[derive(Clone, Debug)]
 pub struct GroupProgress {
     /// For each item the place of its group.
@@ -13,12 +14,16 @@
     groups: Vec<Group>,
     wanted: usize,
     whole: usize,
+    /// Groups that an earlier batch left over and that are not whole.
+    carried_left: usize,
     /// The most events of an item of a whole group.
     longest: usize,
 }
 
 #[derive(Clone, Debug, Default)]
 struct Group {
+    /// True if an earlier batch left it over.
+    is_carried: bool,
     /// Items that are not listed.
     left: usize,
     /// The most events of a listed item.
@@ -26,7 +31,7 @@
 }
 
 impl GroupProgress {
-    pub(crate) fn new(items: &[Item], wanted: Option<usize>) -> Self {
+    pub(crate) fn new(items: &[Item], wanted: Option<usize>, carried: &BTreeSet<ItemId>) -> Self {
         let mut places: BTreeMap<&str, usize> = BTreeMap::new();
         let mut groups: Vec<Group> = Vec::new();
         let mut group_of_item = Vec::with_capacity(items.len());
@@ -36,11 +41,13 @@
                 groups.len() - 1
             });
             groups[place].left += 1;
+            groups[place].is_carried |= carried.contains(&item.submitted.id);
             group_of_item.push(place);
         }
         Self {
             wanted: wanted.unwrap_or(groups.len()),
             group_of_item,
+            carried_left: groups.iter().filter(|group| group.is_carried).count(),
             groups,
             whole: 0,
             longest: 0,
@@ -50,6 +57,7 @@
     /// An item with so many events was listed. True if this completes the groups that
     /// are waited for.
     pub(crate) fn listed(&mut self, index: ItemIndex, events: usize) -> bool {
+        let were_whole = self.are_whole();
         let group = &mut self.groups[self.group_of_item[index]];
         group.left = group.left.saturating_sub(1);
         group.longest = group.longest.max(events);
@@ -57,8 +65,14 @@
             return false;
         }
         self.whole += 1;
+        self.carried_left -= usize::from(group.is_carried);
         self.longest = self.longest.max(group.longest);
-        self.whole == self.wanted
+        !were_whole && self.are_whole()
+    }
+
+    /// True if all groups that the trainer waits for are whole.
+    pub fn are_whole(&self) -> bool {
+        self.whole >= self.wanted && self.carried_left == 0
     }
 
     /// How many groups the trainer waits for.
--- a/crates/sloetrail-batch/src/result.rs
+++ b/crates/sloetrail-batch/src/result.rs
@@ -30,6 +30,14 @@
     /// The signature of the reward call's answer.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub score: Option<String>,
+    /// True if with this entry and those before it all groups that the trainer waits for
+    /// are whole. Kept with the entry and not told to readers.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub groups_are_whole: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 /// The answer to a reader of a batch.
@@ -59,6 +67,7 @@
             text: String::new(),
             versions: Vec::new(),
             score: None,
+            groups_are_whole: false,
         }
     }
 
--- a/crates/sloetrail-batch/src/tests.rs
+++ b/crates/sloetrail-batch/src/tests.rs
@@ -106,6 +106,39 @@
     assert_eq!((batch.groups().whole(), batch.groups().wanted()), (3, 2));
 }
 
+#[test]
+fn a_step_is_whole_once_the_groups_that_were_left_over_are_whole_as_well() {
+    let mut batch = batch(three_groups(), 2, &["c1"]);
+    let whole: Vec<bool> = (0..6).map(|index| batch.listed(index)).collect();
+    assert_eq!(whole, [false, false, false, false, false, true]);
+}
+
+#[test]
+fn results_tell_from_which_position_on_the_groups_are_whole() {
+    let mut batch = batch(three_groups(), 2, &[]);
+    let results: Vec<ListedResult> = [0, 1, 4]
+        .map(|index| batch.succeed(index, None))
+        .into_iter()
+        .chain([2, 3].map(|index| batch.give_up(index)))
+        .chain([batch.succeed(5, None)])
+        .collect();
+    let whole: Vec<bool> = results
+        .iter()
+        .map(|result| result.groups_are_whole)
+        .collect();
+    assert_eq!(whole, [false, false, false, false, true, true]);
+}
+
+#[test]
+fn a_new_owner_counts_what_is_listed_already() {
+    let mut batch = batch(three_groups(), 2, &[]);
+    for index in [0, 1, 2] {
+        batch.listed(index);
+    }
+    assert!(batch.succeed(3, None).groups_are_whole);
+    assert!(batch.listed(3), "the step is told when it is in the list");
+}
+
 #[test]
 fn wanted_groups_go_first_and_of_these_the_longest_items() {
     let mut batch = batch(three_groups(), 2, &[]);
--- a/crates/sloetrail-serving/src/gateway/mod.rs
+++ b/crates/sloetrail-serving/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub(crate) mod message;
 pub(crate) mod place_wait;
 pub(crate) mod read;
+mod reading_time;
 mod regions;
 pub(crate) mod stream;
 pub(crate) mod submit;
--- a/crates/sloetrail-serving/src/gateway/read.rs
+++ b/crates/sloetrail-serving/src/gateway/read.rs
@@ -6,6 +6,7 @@
 
 use super::known_batch::{header_of, table_unavailable};
 use super::message::{CallerResponse, json_response, problem_response, whole_body};
+use super::reading_time::{PAGE_BYTES, ReadingTime};
 use crate::batch_rows::{read_results, read_submission};
 use crate::context::NodeContext;
 use http::StatusCode;
@@ -15,13 +16,12 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// How often results are looked for while a reader waits for some.
-const POLL_PERIOD: Duration = Duration::from_millis(120);
-const WAIT_LIMIT: Duration = Duration::from_millis(1_000);
-/// Bytes of text in one answer.
-const PAGE_BYTES: usize = 900_000;
+/// How often results are looked for while a reader waits for some: what completes a step is
+/// told 30 ms after it was listed on average, at one small read of the table a look.
+const LOOK_PERIOD: Duration = Duration::from_millis(60);
 
-/// Answers a reader of results from `position` on, waiting for some up to `wait`.
+/// Answers a reader of results from `position` on, waiting for some that it can use up to
+/// `wait`.
 pub(crate) async fn results(
     context: &NodeContext,
     id: &str,
@@ -45,27 +45,41 @@
     position: usize,
     wait: Duration,
 ) -> Result<ResultPage, Problem> {
-    let give_up_at = Instant::now() + wait.min(WAIT_LIMIT);
+    let began = Instant::now();
     // Both at once: it saves an answer of the table, 28 ms where that is in another region.
-    let (header, mut listed) = tokio::join!(
+    let (header, listed) = tokio::join!(
         header_of(context, id, caller),
         read_results(&*context.table, id, position)
     );
     let header = header?;
+    let time = match context.settings.policies.gather_results {
+        true => ReadingTime::new(began, wait, &header, context.table.now_ms()),
+        false => ReadingTime::for_any_result(began, wait),
+    };
+    let mut known = listed.map_err(|_| table_unavailable())?;
     loop {
-        let known = listed.map_err(|_| table_unavailable())?;
-        let is_last_look = Instant::now() + POLL_PERIOD > give_up_at;
-        let nothing_can_come = position >= header.total;
-        if !known.is_empty() || is_last_look || nothing_can_come {
-            let results = fitting(known);
-            return Ok(ResultPage {
-                total: header.total,
-                next: position + results.len(),
-                results,
-            });
+        let next = position + known.len();
+        let next_look = Instant::now() + LOOK_PERIOD;
+        if next >= header.total || next_look > time.kept_until(&known) {
+            return Ok(page(position, header.total, known));
+        }
+        tokio::time::sleep_until(next_look).await;
+        match read_results(&*context.table, id, next).await {
+            Ok(more) => known.extend(more),
+            Err(_) if known.is_empty() => return Err(table_unavailable()),
+            // What is known is told now: the table may stay away for longer.
+            Err(_) => return Ok(page(position, header.total, known)),
         }
-        tokio::time::sleep(POLL_PERIOD).await;
-        listed = read_results(&*context.table, id, position).await;
+    }
+}
+
+/// An answer with as many results as it may hold.
+fn page(position: usize, total: usize, known: Vec<ListedResult>) -> ResultPage {
+    let results = fitting(known);
+    ResultPage {
+        total,
+        next: position + results.len(),
+        results,
     }
 }
 
@@ -77,7 +91,15 @@
         *index == 0 || bytes <= PAGE_BYTES
     };
     let fitting = listed.into_iter().enumerate().take_while(fits);
-    fitting.map(|(_, result)| result).collect()
+    fitting.map(|(_, result)| as_told(result)).collect()
+}
+
+/// An entry as readers see it.
+fn as_told(result: ListedResult) -> ListedResult {
+    ListedResult {
+        groups_are_whole: false,
+        ..result
+    }
 }
 
 /// Answers with the body of an item.
--- a/crates/sloetrail-serving/src/policies.rs
+++ b/crates/sloetrail-serving/src/policies.rs
@@ -33,6 +33,9 @@
     /// The owner of a service orders more engines while steps are late or places are busy,
     /// and gives them back later.
     pub order_engines: bool,
+    /// A reader that gives a waiting time is kept until the groups that its trainer waits for
+    /// are whole; otherwise until there is any result.
+    pub gather_results: bool,
 }
 
 impl Default for Policies {
@@ -48,6 +51,7 @@
             watch_owners: true,
             hedge_by_answer_times: true,
             order_engines: true,
+            gather_results: true,
         }
     }
 }
