--- a/crates/sloetrail-lab/src/fleet/local.rs
+++ b/crates/sloetrail-lab/src/fleet/local.rs
@@ -10,7 +10,7 @@
 use sloetrail_config::{Bounds, NodeSettings};
 use sloetrail_history::EventBody;
 use sloetrail_node::messages::{ApplyAccepted, ApplyRequest};
-use sloetrail_node::{Node, NodeError, NodeSockets, Roles};
+use sloetrail_node::{Node, NodeError, NodeSockets};
 use sloetrail_types::{ApplyId, EngineId, NodeId, ZoneName};
 use snafu::{ResultExt, Snafu};
 use std::time::Duration;
@@ -151,7 +151,7 @@
             gossip_address: Some(sockets.gossip_address()),
             state: MachineState::Live,
         });
-        let node = Node::start_on(sockets, settings, Roles::default());
+        let node = Node::start_on(sockets, settings);
         self.book.add(BookEntry {
             node: id.clone(),
             zone,
--- a/crates/sloetrail-node/src/lib.rs
+++ b/crates/sloetrail-node/src/lib.rs
@@ -29,4 +29,4 @@
 
 pub use api::messages;
 pub use logging::{LogFormat, LoggingError, start_logging};
-pub use node::{Node, NodeError, NodeSockets, Roles};
+pub use node::{Node, NodeError, NodeSockets};
--- a/crates/sloetrail-node/src/node.rs
+++ b/crates/sloetrail-node/src/node.rs
@@ -45,24 +45,11 @@
     },
 }
 
-/// What a node does besides membership and the shared documents.
-#[derive(Clone, Copy, Debug)]
-pub struct Roles {
-    /// It may own runs and services.
-    pub owner: bool,
-}
-
-impl Default for Roles {
-    fn default() -> Self {
-        Self { owner: true }
-    }
-}
-
 /// A running node.
 pub struct Node {
     state: Arc<NodeState>,
     server: JoinHandle<()>,
-    leases: Option<JoinHandle<()>>,
+    leases: JoinHandle<()>,
     http_address: SocketAddr,
     gossip_address: SocketAddr,
 }
@@ -104,13 +91,13 @@
 
 impl Node {
     /// Starts a node on the addresses of its settings.
-    pub async fn start(settings: NodeSettings, roles: Roles) -> Result<Self, NodeError> {
+    pub async fn start(settings: NodeSettings) -> Result<Self, NodeError> {
         let sockets = NodeSockets::bind(settings.http_address, settings.gossip_address).await?;
-        Ok(Self::start_on(sockets, settings, roles))
+        Ok(Self::start_on(sockets, settings))
     }
 
     /// Starts a node on sockets that are bound already.
-    pub fn start_on(sockets: NodeSockets, settings: NodeSettings, roles: Roles) -> Self {
+    pub fn start_on(sockets: NodeSockets, settings: NodeSettings) -> Self {
         let http_address = sockets.http_address();
         let gossip_address = sockets.gossip_address();
         let (gossip, outbox) = mpsc::unbounded_channel();
@@ -124,9 +111,7 @@
         tokio::spawn(keep_configuration(Arc::clone(&state)));
         tokio::spawn(observe_engines(Arc::clone(&state)));
         tokio::spawn(become_ready(Arc::clone(&state)));
-        let leases = roles
-            .owner
-            .then(|| tokio::spawn(keep_leases(Arc::clone(&state))));
+        let leases = tokio::spawn(keep_leases(Arc::clone(&state)));
         log::info!(target: "node", "Node {} serves {http_address}.", state.settings.node);
         Self {
             state,
@@ -190,9 +175,7 @@
         let outgoing = self.state.membership().leave(self.state.now());
         self.state.send_all(outgoing);
         let drain_timeout = self.state.settings.bounds.drain_timeout;
-        if let Some(leases) = self.leases {
-            let _ = tokio::time::timeout(drain_timeout, leases).await;
-        }
+        let _ = tokio::time::timeout(drain_timeout, self.leases).await;
         let drained = self.state.lifecycle.drained();
         if tokio::time::timeout(drain_timeout, drained).await.is_err() {
             log::warn!(target: "node", "Requests were still in flight at the drain timeout.");
@@ -207,9 +190,7 @@
     pub fn abort(self) {
         self.state.cancel.cancel();
         self.server.abort();
-        if let Some(leases) = self.leases {
-            leases.abort();
-        }
+        self.leases.abort();
     }
 }
 
--- a/crates/sloetraild/src/main.rs
+++ b/crates/sloetraild/src/main.rs
@@ -10,7 +10,7 @@
 use clap::ArgMatches;
 use log::LevelFilter;
 use sloetrail_config::{ConfigError, NodeSettings};
-use sloetrail_node::{LogFormat, Node, Roles, start_logging};
+use sloetrail_node::{LogFormat, Node, start_logging};
 use sloetrail_result::ResultCode;
 use std::process::ExitCode;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -82,7 +82,7 @@
             return ExitCode::from(EXIT_START);
         }
     };
-    match Node::start(settings, Roles::default()).await {
+    match Node::start(settings).await {
         Ok(node) => {
             // With port zero in the settings, this is how the ports become known.
             println!(
