Whatever goes to a back end is judged once more between connecting and sending

Cause: a back end is chosen, then a connection is opened, then the request is sent. A process that is stopped in between wakes with a connection that came about meanwhile and sends to a back end that has left, or whose zone was evacuated, while it stood still.

Ruled out: the tests' back ends were chosen before the pause (nothing is chosen while the guard is not settled); a run of an item looked again, but before connecting.

Change: BackEndConnections is the only way to send to a back end: live requests, further attempts, series, reward calls, items and orders. It asks before connecting and once there is a connection whether the table has confirmed the beliefs since the process last woke and whether the back end takes work by them. If not, the request comes back unsent ("held back"), is proved not to have run, and is chosen for anew; the back end is not blamed. The look of a run of an item moves there.

The look before connecting saves connections to back ends that have begun to leave.

--- a/crates/sloetrail-balance/src/entry.rs
+++ b/crates/sloetrail-balance/src/entry.rs
@@ -50,7 +50,7 @@
     Lost,
     /// It answered, but not with a whole answer.
     Failed,
-    /// The caller went away; it says nothing of the engine.
+    /// The caller went away, or nothing was sent; it says nothing of the engine.
     Abandoned,
 }
 
--- a/crates/sloetrail-serving-testkit/src/lib.rs
+++ b/crates/sloetrail-serving-testkit/src/lib.rs
@@ -4,12 +4,13 @@
 //! one [`table::TableLink`] a node. [`engine::EngineStandIn`] is a back end that runs
 //! items and live requests and writes down what it was asked. [`cluster::Cluster`] puts
 //! nodes, table and back ends together; each node has a runtime of its own, so that it
-//! can be killed at any moment. [`silencing_proxy::SilencingProxy`] stands between two of
-//! them. [`usage::ReportBook`] takes reports of usage, [`supply::SupplyBook`] orders for
+//! can be killed at any moment. [`silencing_proxy::SilencingProxy`] and
+//! [`congested_proxy::CongestedProxy`] stand between two of them. [`usage::ReportBook`] takes reports of usage, [`supply::SupplyBook`] orders for
 //! engines. [`client`] makes calls as callers and trainers do.
 
 pub mod client;
 pub mod cluster;
+pub mod congested_proxy;
 pub mod engine;
 pub mod silencing_proxy;
 pub mod supply;
--- /dev/null
+++ b/crates/sloetrail-serving/src/back_end_connections.rs
@@ -0,0 +1,86 @@
+//! The one way to send something to a back end.
+//!
+//! A back end is chosen some time before a request leaves: a connection to it may have to be
+//! opened, and the process may stand still meanwhile and wake after the back end has left or
+//! its zone was evacuated. So whatever is sent is judged once more between connecting and
+//! sending, by beliefs that were confirmed since the process last woke.
+
+use crate::back_end::BackEnd;
+use crate::directory::Directory;
+use crate::http::{ConnectionPool, Exchange, Reuse, SendFailure, WholeBody};
+use crate::operator::InForce;
+use crate::pause_guard::PauseGuard;
+use http::Request;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// The connections to back ends, and what tells whether these take work.
+pub(crate) struct BackEndConnections {
+    pool: Arc<ConnectionPool>,
+    directory: watch::Receiver<Arc<Directory>>,
+    in_force: watch::Receiver<Arc<InForce>>,
+    pause_guard: Arc<PauseGuard>,
+}
+
+impl BackEndConnections {
+    /// No connections so far.
+    pub(crate) fn new(
+        directory: watch::Receiver<Arc<Directory>>,
+        in_force: watch::Receiver<Arc<InForce>>,
+        pause_guard: Arc<PauseGuard>,
+    ) -> Self {
+        Self {
+            pool: Arc::new(ConnectionPool::new()),
+            directory,
+            in_force,
+            pause_guard,
+        }
+    }
+
+    /// Sends a request to a back end that takes work at the moment at which it leaves.
+    pub(crate) async fn send(
+        &self,
+        back_end: &BackEnd,
+        request: Request<WholeBody>,
+        reuse: Reuse,
+        deadline: Instant,
+    ) -> Result<Exchange, SendFailure> {
+        let takes_work = || self.takes_work(back_end);
+        // Before connecting too: a connection that is not used costs the back end as much.
+        let sent = match takes_work() {
+            true => {
+                let (pool, address) = (&self.pool, back_end.address);
+                Exchange::send_if(pool, address, request, reuse, deadline, &takes_work).await
+            }
+            false => Err(SendFailure::HeldBack),
+        };
+        if matches!(sent, Err(SendFailure::HeldBack)) {
+            // Who chooses back ends may be about to learn what has held this one back.
+            tokio::task::yield_now().await;
+        }
+        sent
+    }
+
+    /// True if a back end, which was chosen some time ago, is known to take work now.
+    fn takes_work(&self, back_end: &BackEnd) -> bool {
+        if !self.pause_guard.is_settled() {
+            return false;
+        }
+        let directory = self.directory.borrow();
+        let listed = directory.back_ends.get(&back_end.id);
+        let stays = listed.is_some_and(|listed| !listed.draining);
+        stays && !self.in_force.borrow().evacuations.covers(&back_end.zone)
+    }
+
+    /// Closes every connection that rests at an address.
+    pub(crate) fn forget(&self, address: SocketAddr) {
+        self.pool.forget(address);
+    }
+
+    /// Drops what is too old to be used; called now and then.
+    pub(crate) fn sweep(&self) {
+        self.pool.sweep();
+    }
+}
--- a/crates/sloetrail-serving/src/context.rs
+++ b/crates/sloetrail-serving/src/context.rs
@@ -1,10 +1,10 @@
 //! What the parts of a node share.
 
+use crate::back_end_connections::BackEndConnections;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::engine_supply::EngineSupply;
 use crate::follow::{FleetSize, FollowPace, ViewReceiver};
-use crate::http::ConnectionPool;
 use crate::leases::LeasedSets;
 use crate::operator::InForce;
 use crate::pause_guard::PauseGuard;
@@ -24,7 +24,7 @@
     /// The other nodes, if nodes help each other out.
     pub(crate) peers: Option<Arc<Peers>>,
     pub(crate) dialect: Arc<dyn Dialect>,
-    pub(crate) connections: Arc<ConnectionPool>,
+    pub(crate) connections: BackEndConnections,
     pub(crate) pools: Arc<ServicePools>,
     pub(crate) in_force: watch::Receiver<Arc<InForce>>,
     pub(crate) directory: watch::Receiver<Arc<Directory>>,
--- a/crates/sloetrail-serving/src/gateway/attempt.rs
+++ b/crates/sloetrail-serving/src/gateway/attempt.rs
@@ -2,12 +2,12 @@
 
 use super::headers;
 use crate::back_end::BackEnd;
+use crate::back_end_connections::BackEndConnections;
 use crate::dialect::HeaderNames;
-use crate::http::{ConnectionPool, Exchange, Reuse, SendFailure, WholeAnswer, WholeBody};
+use crate::http::{Exchange, Reuse, SendFailure, WholeAnswer, WholeBody};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use sloetrail_balance::AttemptOutcome;
-use std::sync::Arc;
 use tokio::time::Instant;
 
 /// A request as it goes to a back end, without what an attempt adds.
@@ -35,6 +35,8 @@
     WrongInstance,
     /// The request did not leave this node.
     NotSent,
+    /// The request did not leave this node: its back end takes no work any more.
+    HeldBack,
     /// The connection broke, or the answer was cut, unsigned or of another request.
     Lost,
     /// No answer came in time.
@@ -54,6 +56,7 @@
                 AttemptOutcome::Lost
             }
             AttemptResult::OutOfTime => AttemptOutcome::Failed,
+            AttemptResult::HeldBack => AttemptOutcome::Abandoned,
         }
     }
 
@@ -61,7 +64,10 @@
     pub(crate) fn is_proved_not_run(&self) -> bool {
         matches!(
             self,
-            AttemptResult::NotRun | AttemptResult::WrongInstance | AttemptResult::NotSent
+            AttemptResult::NotRun
+                | AttemptResult::WrongInstance
+                | AttemptResult::NotSent
+                | AttemptResult::HeldBack
         )
     }
 
@@ -78,6 +84,7 @@
             AttemptResult::NotRun => "not run",
             AttemptResult::WrongInstance => "wrong instance",
             AttemptResult::NotSent => "not sent",
+            AttemptResult::HeldBack => "held back",
             AttemptResult::Lost => "lost",
             AttemptResult::OutOfTime => "out of time",
             AttemptResult::TooLarge => "too large",
@@ -106,7 +113,7 @@
 
 /// Sends one attempt and reads its whole answer.
 pub(crate) async fn attempt(
-    connections: &Arc<ConnectionPool>,
+    connections: &BackEndConnections,
     names: &HeaderNames,
     outgoing: &Outgoing,
     back_end: &BackEnd,
@@ -117,8 +124,7 @@
     let Some(request) = build_request(outgoing, back_end, names, deadline) else {
         return AttemptResult::NotSent;
     };
-    let sent = Exchange::send(connections, back_end.address, request, reuse, deadline).await;
-    let exchange = match sent {
+    let exchange = match connections.send(back_end, request, reuse, deadline).await {
         Ok(exchange) => exchange,
         Err(failure) => return judge_failure(failure),
     };
@@ -176,6 +182,7 @@
 pub(crate) fn judge_failure(failure: SendFailure) -> AttemptResult {
     match failure {
         SendFailure::NotSent => AttemptResult::NotSent,
+        SendFailure::HeldBack => AttemptResult::HeldBack,
         SendFailure::Lost => AttemptResult::Lost,
         SendFailure::OutOfTime | SendFailure::KeptSilent => AttemptResult::OutOfTime,
         SendFailure::TooLarge => AttemptResult::TooLarge,
--- a/crates/sloetrail-serving/src/gateway/stream.rs
+++ b/crates/sloetrail-serving/src/gateway/stream.rs
@@ -250,11 +250,9 @@
         let deadline = self.call.deadline;
         let request = build_request(&outgoing, place.back_end(), names, deadline)
             .ok_or(AttemptResult::NotSent)?;
-        let address = place.back_end().address;
         let connections = &context.connections;
-        let exchange = Exchange::send(connections, address, request, self.reuse, deadline)
-            .await
-            .map_err(judge_failure)?;
+        let sending = connections.send(place.back_end(), request, self.reuse, deadline);
+        let exchange = sending.await.map_err(judge_failure)?;
         match judge_head(exchange.status, &exchange.headers, names, &outgoing) {
             Some(result) => Err(settle_by_head(exchange, result)),
             None => Ok(exchange),
--- a/crates/sloetrail-serving/src/http/exchange.rs
+++ b/crates/sloetrail-serving/src/http/exchange.rs
@@ -31,6 +31,8 @@
 pub enum SendFailure {
     /// The request did not leave this node.
     NotSent,
+    /// The request did not leave this node, since it may not be sent any more.
+    HeldBack,
     /// The connection broke, or what came back was no answer.
     Lost,
     /// The deadline came first; the connection is closed.
@@ -86,17 +88,34 @@
     /// A kept connection that turns out to be closed before the request left is
     /// replaced by a new one.
     pub async fn send(
+        pool: &Arc<ConnectionPool>,
+        address: SocketAddr,
+        request: Request<WholeBody>,
+        reuse: Reuse,
+        deadline: Instant,
+    ) -> Result<Self, SendFailure> {
+        Self::send_if(pool, address, request, reuse, deadline, &|| true).await
+    }
+
+    /// The same for a request that may have to be held back. `may_leave` is asked each time
+    /// that there is a connection and the request is about to leave: time may have passed
+    /// since it was decided to send it.
+    pub async fn send_if(
         pool: &Arc<ConnectionPool>,
         address: SocketAddr,
         mut request: Request<WholeBody>,
         reuse: Reuse,
         deadline: Instant,
+        may_leave: &(dyn Fn() -> bool + Sync),
     ) -> Result<Self, SendFailure> {
         let peer = Peer {
             pool: Arc::clone(pool),
             address,
         };
         if let Some(mut kept) = pool.take(address, reuse) {
+            if !may_leave() {
+                return Err(SendFailure::HeldBack);
+            }
             match send_on_kept(&peer, &mut kept, request, reuse.head_due(deadline)).await {
                 Ok(response) => return Ok(Self::new(peer, kept, response)),
                 Err((Some(unsent), _)) => request = unsent,
@@ -105,6 +124,9 @@
         }
         let connected = connections::connect(address, deadline).await;
         let mut connection = connected.ok_or(SendFailure::NotSent)?;
+        if !may_leave() {
+            return Err(SendFailure::HeldBack);
+        }
         match send_on(&mut connection.sender, request, deadline).await {
             Ok(response) => Ok(Self::new(peer, connection, response)),
             Err((_, failure)) => Err(failure),
--- a/crates/sloetrail-serving/src/lib.rs
+++ b/crates/sloetrail-serving/src/lib.rs
@@ -14,6 +14,7 @@
 //! [`table::Table`].
 
 pub mod back_end;
+mod back_end_connections;
 mod batch_rows;
 mod cold_budgets;
 mod context;
--- a/crates/sloetrail-serving/src/node.rs
+++ b/crates/sloetrail-serving/src/node.rs
@@ -1,5 +1,6 @@
 //! A serving node: its parts put together, from start to an orderly stop.
 
+use crate::back_end_connections::BackEndConnections;
 use crate::context::NodeContext;
 use crate::dialect::Dialect;
 use crate::directory::watch_directory;
@@ -8,7 +9,7 @@
 use crate::follow::{FleetSize, FollowPaces, ViewReceiver, follow};
 use crate::gateway::front::Front;
 use crate::gateway::message::{empty_response, whole_body};
-use crate::http::{ConnectionPool, ConnectionTracker, ListenerSettings, serve_connections};
+use crate::http::{ConnectionTracker, ListenerSettings, serve_connections};
 use crate::leases::watch_leased_sets;
 use crate::operator::watch_operator;
 use crate::pause_guard::PauseGuard;
@@ -241,9 +242,14 @@
             fleet.clone(),
         )
     });
+    let connections = BackEndConnections::new(
+        directory.clone(),
+        in_force.clone(),
+        Arc::clone(&pause_guard),
+    );
     NodeContext {
         in_force,
-        connections: Arc::new(ConnectionPool::new()),
+        connections,
         settings,
         table,
         peers,
--- a/crates/sloetrail-serving/src/owner/run.rs
+++ b/crates/sloetrail-serving/src/owner/run.rs
@@ -219,28 +219,12 @@
         due: Instant,
     ) -> Result<Result<Exchange, SendFailure>, RunOutcome> {
         let spec = &self.spec;
-        if !self.takes_work() {
-            return Err(RunOutcome::HeldBack);
-        }
         let names = spec.context.dialect.headers();
         let deadline = Instant::now() + RUN_TIME;
         let request = build_request(outgoing, &spec.back_end, names, deadline)
             .ok_or(RunOutcome::Impossible)?;
-        let (connections, address) = (&spec.context.connections, spec.back_end.address);
-        Ok(Exchange::send(connections, address, request, reuse, due).await)
-    }
-
-    /// True if the engine, which was chosen some time ago, is known to take work now.
-    fn takes_work(&self) -> bool {
-        let RunSpec {
-            context, back_end, ..
-        } = &self.spec;
-        let directory = context.directory.borrow();
-        let listed = directory.back_ends.get(&back_end.id);
-        let stays = listed.is_some_and(|listed| !listed.draining);
-        let in_force = context.in_force.borrow();
-        let is_evacuated = in_force.evacuations.covers(&back_end.zone);
-        stays && !is_evacuated && context.pause_guard.is_settled()
+        let connections = &spec.context.connections;
+        Ok(connections.send(&spec.back_end, request, reuse, due).await)
     }
 
     fn outgoing(&self) -> Outgoing {
@@ -361,6 +345,7 @@
         AttemptResult::NotRun => RunOutcome::NotRun,
         AttemptResult::WrongInstance => RunOutcome::WrongInstance,
         AttemptResult::NotSent => RunOutcome::NotSent,
+        AttemptResult::HeldBack => RunOutcome::HeldBack,
         AttemptResult::OutOfTime => RunOutcome::Silent,
         AttemptResult::RanAndFailed(_) => RunOutcome::Failed,
         AttemptResult::Answered(_) | AttemptResult::Lost | AttemptResult::TooLarge => {
--- a/crates/sloetrail-serving/src/owner/weights.rs
+++ b/crates/sloetrail-serving/src/owner/weights.rs
@@ -9,7 +9,7 @@
 use crate::dialect::EngineCall;
 use crate::events::{self, Event};
 use crate::gateway::headers;
-use crate::http::{Exchange, Reuse, SendFailure, WholeAnswer, WholeBody};
+use crate::http::{Reuse, SendFailure, WholeAnswer, WholeBody};
 use crate::leases::Term;
 use crate::telemetry;
 use http::header::CONTENT_TYPE;
@@ -105,9 +105,9 @@
         headers::set_text(sent, &http::header::HOST, &host);
         sent.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         let deadline = Instant::now() + CALL_TIME;
-        let address = self.back_end.address;
-        let pool = &self.context.connections;
-        let exchange = Exchange::send(pool, address, request, Reuse::Any, deadline).await?;
+        let connections = &self.context.connections;
+        let sending = connections.send(&self.back_end, request, Reuse::Any, deadline);
+        let exchange = sending.await?;
         exchange.whole(ANSWER_BYTES, deadline).await
     }
 }
