A question held open is asked anew once its connection is found silent

Cause: a node's questions to the table are held open for a second or more. When the connections to the table fall silent together, another call finds that out within its time-out and goes on over a new connection, but the questions that are held open on the others wait for the rest of their time and a time-out: the node's beliefs are late by as much.

Ruled out: giving them up with any call that has no answer. A table that is only slow would then be asked everything again by every node, over new connections, just while it is slow.

Change: http::silence takes a request without an answer as a suspicion, and an answer over a connection that was opened since, sooner than the silence lasted, as its confirmation. Counted and logged as connections condemned with the cause held_open. When a connection was heard of last is kept with the connection.

--- a/crates/sloetrail-serving/src/http/connections.rs
+++ b/crates/sloetrail-serving/src/http/connections.rs
@@ -8,6 +8,7 @@
 
 use super::WholeBody;
 use super::reuse::Reuse;
+use super::silence::SilenceWatch;
 use super::socket;
 use crate::events::{self, Event};
 use crate::telemetry;
@@ -33,12 +34,12 @@
     /// Where requests go in.
     pub(crate) sender: Sender,
     opened_at: Instant,
+    /// When something came over it last: it was opened, or an answer had come.
+    pub(super) heard_at: Instant,
 }
 
 struct Kept {
     connection: Connection,
-    /// When its last answer had come.
-    kept_at: Instant,
     usable_until: Instant,
 }
 
@@ -51,6 +52,8 @@
     GivenUp,
     /// An answer came no further.
     WithinAnswer,
+    /// A request was held open on it, and others showed that it must be silent.
+    HeldOpen,
 }
 
 impl Silence {
@@ -60,6 +63,7 @@
             Silence::NoHead => "no_head",
             Silence::GivenUp => "given_up",
             Silence::WithinAnswer => "within_answer",
+            Silence::HeldOpen => "held_open",
         }
     }
 }
@@ -68,6 +72,7 @@
 #[derive(Default)]
 pub struct ConnectionPool {
     kept: Mutex<HashMap<SocketAddr, Vec<Kept>>>,
+    silence: SilenceWatch,
 }
 
 impl ConnectionPool {
@@ -80,14 +85,14 @@
     pub(crate) fn take(&self, address: SocketAddr, reuse: Reuse) -> Option<Connection> {
         let answered_since = match reuse {
             Reuse::Never => return None,
-            Reuse::Any | Reuse::Within(_) => None,
+            Reuse::Any | Reuse::Within(_) | Reuse::UntilFoundSilent => None,
             Reuse::AnsweredSince(moment) => Some(moment),
         };
         let now = Instant::now();
         let mut kept = self.kept.lock().expect("not poisoned");
         let resting = kept.get_mut(&address)?;
         while let Some(last) = resting.last() {
-            if answered_since.is_some_and(|moment| last.kept_at <= moment) {
+            if answered_since.is_some_and(|moment| last.connection.heard_at <= moment) {
                 return None;
             }
             let last = resting.pop()?;
@@ -99,18 +104,24 @@
     }
 
     /// Keeps a connection for as long as its peer does.
-    pub(crate) fn keep(&self, address: SocketAddr, connection: Connection, idle: Option<Duration>) {
+    pub(crate) fn keep(
+        &self,
+        address: SocketAddr,
+        mut connection: Connection,
+        idle: Option<Duration>,
+    ) {
+        self.silence.note_answer(address, connection.opened_at);
         let idle = idle.unwrap_or(IDLE_DEFAULT);
         if connection.sender.is_closed() || idle <= IDLE_MARGIN {
             return;
         }
         let now = Instant::now();
+        connection.heard_at = now;
         let mut kept = self.kept.lock().expect("not poisoned");
         let resting = kept.entry(address).or_default();
         if resting.len() < KEPT_PER_ADDRESS {
             resting.push(Kept {
                 connection,
-                kept_at: now,
                 usable_until: now + (idle - IDLE_MARGIN),
             });
         }
@@ -120,32 +131,36 @@
     /// since before it are closed, but for those that a connection vouches for which was
     /// opened before them and has answered since.
     pub(crate) fn condemn(&self, address: SocketAddr, since: Instant, silence: Silence) {
+        self.silence.suspect(address, since);
         let closed = {
             let mut kept = self.kept.lock().expect("not poisoned");
             let Some(resting) = kept.get_mut(&address) else {
                 return;
             };
-            let have_answered = resting.iter().filter(|kept| kept.kept_at > since);
+            let have_answered = resting
+                .iter()
+                .filter(|kept| kept.connection.heard_at > since);
             let vouched_for_from = have_answered.map(|kept| kept.connection.opened_at).min();
             let is_sound = |kept: &Kept| {
                 let is_vouched_for =
                     vouched_for_from.is_some_and(|from| kept.connection.opened_at >= from);
-                kept.kept_at > since || is_vouched_for
+                kept.connection.heard_at > since || is_vouched_for
             };
             let before = resting.len();
             resting.retain(is_sound);
             before - resting.len()
         };
         if closed > 0 {
-            telemetry::connections_condemned(silence.word(), closed as u64);
-            events::emit(&Event::ConnectionsCondemned {
-                address: &address.to_string(),
-                cause: silence.word(),
-                connections: closed,
-            });
+            tell_condemned(address, silence, closed);
         }
     }
 
+    /// Waits until others have shown that a connection which is in use must be silent.
+    pub(super) async fn found_silent(&self, address: SocketAddr, heard_at: Instant) {
+        self.silence.found(address, heard_at).await;
+        tell_condemned(address, Silence::HeldOpen, 1);
+    }
+
     /// Drops what is too old to be used; called now and then.
     pub fn sweep(&self) {
         let now = Instant::now();
@@ -154,6 +169,8 @@
             resting.retain(|kept| kept.usable_until > now && !kept.connection.sender.is_closed());
         }
         kept.retain(|_, resting| !resting.is_empty());
+        drop(kept);
+        self.silence.sweep();
     }
 
     /// Closes every connection that rests at an address.
@@ -162,6 +179,15 @@
     }
 }
 
+fn tell_condemned(address: SocketAddr, silence: Silence, connections: usize) {
+    telemetry::connections_condemned(silence.word(), connections as u64);
+    events::emit(&Event::ConnectionsCondemned {
+        address: &address.to_string(),
+        cause: silence.word(),
+        connections,
+    });
+}
+
 /// Opens a connection; nothing if the peer cannot be reached in time.
 pub(crate) async fn connect(address: SocketAddr, deadline: Instant) -> Option<Connection> {
     let limit = deadline.min(Instant::now() + CONNECT_TIMEOUT);
@@ -176,9 +202,11 @@
         .await
         .ok()?;
     tokio::spawn(connection);
+    let now = Instant::now();
     Some(Connection {
         sender,
-        opened_at: Instant::now(),
+        opened_at: now,
+        heard_at: now,
     })
 }
 
--- a/crates/sloetrail-serving/src/http/exchange.rs
+++ b/crates/sloetrail-serving/src/http/exchange.rs
@@ -37,8 +37,9 @@
     Lost,
     /// The deadline came first; the connection is closed.
     OutOfTime,
-    /// No head came in time over a connection that had been kept. It is closed, and so are
-    /// those that rested with it: a further try goes over a new one.
+    /// No head came in time over a connection that had been kept, or others showed that it
+    /// must be silent. It is closed, and so are those that rested with it: a further try goes
+    /// over a new one.
     KeptSilent,
     /// The answer is larger than allowed.
     TooLarge,
@@ -116,7 +117,7 @@
             if !may_leave() {
                 return Err(SendFailure::HeldBack);
             }
-            match send_on_kept(&peer, &mut kept, request, reuse.head_due(deadline)).await {
+            match send_on_kept(&peer, &mut kept, request, reuse, deadline).await {
                 Ok(response) => return Ok(Self::new(peer, kept, response)),
                 Err((Some(unsent), _)) => request = unsent,
                 Err((None, failure)) => return Err(failure),
@@ -127,7 +128,7 @@
         if !may_leave() {
             return Err(SendFailure::HeldBack);
         }
-        match send_on(&mut connection.sender, request, deadline).await {
+        match send_on(&peer, &mut connection, request, reuse, deadline).await {
             Ok(response) => Ok(Self::new(peer, connection, response)),
             Err((_, failure)) => Err(failure),
         }
@@ -275,14 +276,16 @@
     peer: &Peer,
     kept: &mut Connection,
     request: Request<WholeBody>,
-    head_due: Instant,
+    reuse: Reuse,
+    deadline: Instant,
 ) -> Result<Response<Incoming>, (Unsent, SendFailure)> {
     let mut watch = KeptWatch {
         peer,
         sent_at: Instant::now(),
         is_over: false,
     };
-    let sent = send_on(&mut kept.sender, request, head_due).await;
+    let head_due = reuse.head_due(deadline);
+    let sent = send_on(peer, kept, request, reuse, head_due).await;
     watch.is_over = true;
     let has_waited = watch.sent_at.elapsed() >= GIVEN_UP_LEAST;
     if has_waited && matches!(sent, Err((None, SendFailure::OutOfTime))) {
@@ -292,7 +295,27 @@
     sent
 }
 
+/// Sends a request, and gives it up early if that is allowed and others show that the
+/// connection must be silent.
 async fn send_on(
+    peer: &Peer,
+    connection: &mut Connection,
+    request: Request<WholeBody>,
+    reuse: Reuse,
+    deadline: Instant,
+) -> Result<Response<Incoming>, (Unsent, SendFailure)> {
+    let heard_at = connection.heard_at;
+    let sending = wait_for_head(&mut connection.sender, request, deadline);
+    if reuse != Reuse::UntilFoundSilent {
+        return sending.await;
+    }
+    tokio::select! {
+        sent = sending => sent,
+        () = peer.pool.found_silent(peer.address, heard_at) => Err((None, SendFailure::KeptSilent)),
+    }
+}
+
+async fn wait_for_head(
     sender: &mut Sender,
     request: Request<WholeBody>,
     deadline: Instant,
--- a/crates/sloetrail-serving/src/http/mod.rs
+++ b/crates/sloetrail-serving/src/http/mod.rs
@@ -5,6 +5,7 @@
 mod exchange;
 mod listener;
 mod reuse;
+mod silence;
 mod socket;
 
 pub use connections::ConnectionPool;
--- a/crates/sloetrail-serving/src/http/reuse.rs
+++ b/crates/sloetrail-serving/src/http/reuse.rs
@@ -13,6 +13,9 @@
     Any,
     /// Any, if the head of the answer comes within this time.
     Within(Duration),
+    /// Any, for a request that may repeat and that its peer may hold open: it is given up once
+    /// other connections to the address show that this one must be silent.
+    UntilFoundSilent,
     /// One that has answered since this moment: an earlier try went over a connection that
     /// has not answered, and those that rested with it may be silent too.
     AnsweredSince(Instant),
@@ -24,7 +27,9 @@
     pub fn after_try_at(self, began: Instant) -> Self {
         match self {
             Reuse::Never => Reuse::Never,
-            Reuse::Any | Reuse::Within(_) | Reuse::AnsweredSince(_) => Reuse::AnsweredSince(began),
+            Reuse::Any | Reuse::Within(_) | Reuse::UntilFoundSilent | Reuse::AnsweredSince(_) => {
+                Reuse::AnsweredSince(began)
+            }
         }
     }
 
@@ -32,7 +37,9 @@
     pub(super) fn head_due(self, deadline: Instant) -> Instant {
         match self {
             Reuse::Within(time) => deadline.min(Instant::now() + time),
-            Reuse::Never | Reuse::Any | Reuse::AnsweredSince(_) => deadline,
+            Reuse::Never | Reuse::Any | Reuse::UntilFoundSilent | Reuse::AnsweredSince(_) => {
+                deadline
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/sloetrail-serving/src/http/silence/tests.rs
@@ -0,0 +1,72 @@
+use super::SilenceWatch;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, timeout};
+
+const ADDRESS: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 1_000);
+/// How long a request waited in vain.
+const SILENCE: Duration = Duration::from_millis(150);
+const SOON: Duration = Duration::from_millis(5);
+
+/// Has a request held open on a connection that was heard last `heard_before` the moment since
+/// which another one is suspected. An answer comes over a connection that was opened
+/// `opened_after` that moment, and `answered_after` it was opened. True if the request was told.
+async fn is_told(heard_before: Duration, opened_after: Duration, answered_after: Duration) -> bool {
+    let silence = SilenceWatch::default();
+    let heard_at = Instant::now();
+    let found = silence.found(ADDRESS, heard_at);
+    let answering = async {
+        sleep(heard_before).await;
+        let since = Instant::now();
+        sleep(SILENCE).await;
+        silence.suspect(ADDRESS, since);
+        let opened_at = since + opened_after;
+        tokio::time::sleep_until(opened_at.max(Instant::now()) + answered_after).await;
+        silence.note_answer(ADDRESS, opened_at);
+    };
+    let (told, ()) = tokio::join!(timeout(SILENCE * 10, found), answering);
+    told.is_ok()
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_quick_answer_over_a_new_connection_tells() {
+    assert!(is_told(SOON, SILENCE, SOON).await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_slow_answer_over_a_new_connection_does_not() {
+    assert!(!is_told(SOON, SILENCE, SILENCE * 2).await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_over_a_connection_from_before_does_not() {
+    assert!(!is_told(SOON * 2, Duration::ZERO, SOON).await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_was_heard_of_since_is_left_alone() {
+    let silence = SilenceWatch::default();
+    let since = Instant::now();
+    sleep(SOON).await;
+    let heard_at = Instant::now();
+    let found = silence.found(ADDRESS, heard_at);
+    let answering = async {
+        sleep(SILENCE).await;
+        silence.suspect(ADDRESS, since);
+        let opened_at = Instant::now();
+        sleep(SOON).await;
+        silence.note_answer(ADDRESS, opened_at);
+    };
+    let (told, ()) = tokio::join!(timeout(SILENCE * 10, found), answering);
+    assert!(told.is_err());
+}
+
+#[tokio::test(start_paused = true)]
+async fn addresses_at_which_nothing_is_held_open_are_forgotten() {
+    let silence = SilenceWatch::default();
+    let held = timeout(SOON, silence.found(ADDRESS, Instant::now()));
+    assert!(held.await.is_err());
+    silence.sweep();
+    assert!(silence.addresses.lock().expect("not poisoned").is_empty());
+}
