After a pause, beliefs count once they can be seen, not once they came

Cause: the guard of a process that wakes looked at the rows as they were answered. The back ends and what is in force are made of these rows by other tasks, some steps of the scheduler later; what ran in between was judged by the state before the pause, and the guard said that it was settled.

Change: watch_directory and watch_operator tell when a view was asked for once what was made of it can be seen, and the guard looks at that (follow::TakenIn). The test that both must have answered hands the guard these moments in place of views; it checks the same four things.

--- a/crates/sloetrail-serving/src/directory.rs
+++ b/crates/sloetrail-serving/src/directory.rs
@@ -3,7 +3,7 @@
 use crate::back_end::BackEnd;
 use crate::dialect::Dialect;
 use crate::events::{self, Event};
-use crate::follow::{FleetSize, TableView, ViewReceiver};
+use crate::follow::{FleetSize, TableView, TakenIn, ViewReceiver};
 use crate::operator::Evacuations;
 use sloetrail_types::{EngineId, RowVersion, ServiceName};
 use std::collections::BTreeMap;
@@ -106,27 +106,29 @@
 }
 
 /// Turns the directory's table into typed back ends until every receiver is gone, and
-/// tells how many there are.
+/// tells how many there are. The second receiver is told when each view was asked for,
+/// once its back ends can be seen.
 pub fn watch_directory(
     mut view: ViewReceiver,
     dialect: Arc<dyn Dialect>,
     fleet: FleetSize,
-) -> watch::Receiver<Arc<Directory>> {
+) -> (watch::Receiver<Arc<Directory>>, TakenIn) {
     let (sender, receiver) = watch::channel(Arc::new(Directory::default()));
+    let (taken_in, taken_in_at) = watch::channel(view.borrow().asked_at);
     tokio::spawn(async move {
         while view.changed().await.is_ok() && !sender.is_closed() {
             let table = view.borrow_and_update().clone();
             let current = sender.borrow().clone();
-            if table.version == current.version {
-                continue;
+            if table.version != current.version {
+                let next = current.updated(&table, &*dialect);
+                log_differences(&current, &next);
+                fleet.set_back_ends(next.back_ends.len());
+                sender.send_replace(Arc::new(next));
             }
-            let next = current.updated(&table, &*dialect);
-            log_differences(&current, &next);
-            fleet.set_back_ends(next.back_ends.len());
-            sender.send_replace(Arc::new(next));
+            taken_in.send_replace(table.asked_at);
         }
     });
-    receiver
+    (receiver, taken_in_at)
 }
 
 fn log_differences(before: &Directory, after: &Directory) {
--- a/crates/sloetrail-serving/src/follow.rs
+++ b/crates/sloetrail-serving/src/follow.rs
@@ -59,6 +59,10 @@
 /// A view that is kept up to date.
 pub type ViewReceiver = watch::Receiver<Arc<TableView>>;
 
+/// When the question was asked whose answer was taken in last. The view itself, if it
+/// were held, would have to be copied at each change.
+pub type TakenIn = watch::Receiver<Option<Instant>>;
+
 /// Follows one partition of a table until every receiver is dropped.
 pub fn follow(
     table: Arc<dyn Table>,
--- a/crates/sloetrail-serving/src/node.rs
+++ b/crates/sloetrail-serving/src/node.rs
@@ -225,10 +225,11 @@
     let paces = FollowPaces::new(&fleet, &settings.bounds);
     let lease_pace = paces.leases.clone();
     let views = Views::follow(&table, &*dialect, paces);
-    let pause_guard = PauseGuard::start([views.directory.clone(), views.operator.clone()]);
-    let directory = watch_directory(views.directory, Arc::clone(&dialect), fleet.clone());
+    let (directory, directory_taken_in) =
+        watch_directory(views.directory, Arc::clone(&dialect), fleet.clone());
     let seed = digest(settings.instance.as_str().as_bytes());
-    let in_force = watch_operator(views.operator, Arc::clone(&dialect));
+    let (in_force, operator_taken_in) = watch_operator(views.operator, Arc::clone(&dialect));
+    let pause_guard = PauseGuard::start([directory_taken_in, operator_taken_in]);
     let pools = ServicePools::new(&settings, peers.clone(), seed);
     let leased_sets = watch_leased_sets(views.leases.clone());
     pools.follow(directory.clone(), in_force.clone(), leased_sets.clone());
--- a/crates/sloetrail-serving/src/operator.rs
+++ b/crates/sloetrail-serving/src/operator.rs
@@ -4,7 +4,7 @@
 
 use crate::dialect::Dialect;
 use crate::events::{self, Event};
-use crate::follow::{TableView, ViewReceiver};
+use crate::follow::{TableView, TakenIn, ViewReceiver};
 use sloetrail_routing::ServingConfiguration;
 use sloetrail_types::{RowVersion, WeightVersion, ZoneName};
 use std::collections::{BTreeMap, BTreeSet};
@@ -70,12 +70,14 @@
     configuration_row: RowVersion,
 }
 
-/// Turns the operator's rows into what is in force until every receiver is gone.
+/// Turns the operator's rows into what is in force until every receiver is gone. The second
+/// receiver is told when each view was asked for, once what it puts in force can be seen.
 pub fn watch_operator(
     mut view: ViewReceiver,
     dialect: Arc<dyn Dialect>,
-) -> watch::Receiver<Arc<InForce>> {
+) -> (watch::Receiver<Arc<InForce>>, TakenIn) {
     let (sender, receiver) = watch::channel(Arc::new(InForce::default()));
+    let (taken_in, taken_in_at) = watch::channel(view.borrow().asked_at);
     tokio::spawn(async move {
         while view.changed().await.is_ok() && !sender.is_closed() {
             let table = view.borrow_and_update().clone();
@@ -86,9 +88,10 @@
             if configured || published || evacuated {
                 sender.send_replace(Arc::new(next));
             }
+            taken_in.send_replace(table.asked_at);
         }
     });
-    receiver
+    (receiver, taken_in_at)
 }
 
 /// Takes in a newer configuration; true if there was one.
--- a/crates/sloetrail-serving/src/pause_guard.rs
+++ b/crates/sloetrail-serving/src/pause_guard.rs
@@ -6,7 +6,7 @@
 //! may be evacuated.
 
 use crate::events::{self, Event};
-use crate::follow::ViewReceiver;
+use crate::follow::TakenIn;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -61,14 +61,15 @@
 
 /// Keeps beliefs from before a pause from being acted on.
 pub(crate) struct PauseGuard {
-    /// What back ends are chosen by: the directory and the operator's rows.
-    beliefs: [ViewReceiver; 2],
+    /// What back ends are chosen by, as far as it was taken in: the directory and the operator's
+    /// rows.
+    beliefs: [TakenIn; 2],
     state: Mutex<Wakefulness>,
 }
 
 impl PauseGuard {
     /// A guard over what back ends are chosen by; it watches until it is dropped.
-    pub(crate) fn start(beliefs: [ViewReceiver; 2]) -> Arc<Self> {
+    pub(crate) fn start(beliefs: [TakenIn; 2]) -> Arc<Self> {
         let guard = Arc::new(Self {
             beliefs,
             state: Mutex::new(Wakefulness::new(Instant::now())),
@@ -100,7 +101,7 @@
     /// True if back ends may be chosen on what is believed now.
     pub(crate) fn is_settled(&self) -> bool {
         self.note();
-        let asked = self.beliefs.iter().map(|view| view.borrow().asked_at);
+        let asked = self.beliefs.iter().map(|taken_in| *taken_in.borrow());
         let asked_at = asked.min().flatten();
         let mut state = self.state.lock().expect("not poisoned");
         state.is_settled(Instant::now(), asked_at)
--- a/crates/sloetrail-serving/src/pause_guard/tests.rs
+++ b/crates/sloetrail-serving/src/pause_guard/tests.rs
@@ -1,5 +1,8 @@
 use super::{PauseGuard, Wakefulness};
-use crate::follow::TableView;
+use crate::directory::watch_directory;
+use crate::follow::{FleetSize, TableView};
+use crate::native_dialect::NativeDialect;
+use crate::operator::watch_operator;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -53,18 +56,43 @@
 
 #[tokio::test]
 async fn after_a_pause_both_the_directory_and_the_operators_rows_must_have_answered() {
+    let asked_before = Some(Instant::now());
+    let (directory, directory_taken) = watch::channel(asked_before);
+    let (operator, operator_taken) = watch::channel(asked_before);
+    let guard = PauseGuard::start([directory_taken, operator_taken]);
+    assert!(guard.is_settled());
+    // The whole process stands still.
+    std::thread::sleep(milliseconds(900));
+    assert!(!guard.is_settled());
+    std::thread::sleep(milliseconds(5));
+    let asked_since = Some(Instant::now());
+    directory.send_replace(asked_since);
+    assert!(!guard.is_settled(), "the operator's rows are old");
+    operator.send_replace(asked_since);
+    assert!(guard.is_settled());
+}
+
+#[tokio::test]
+async fn after_a_pause_what_was_answered_must_have_been_taken_in() {
+    const STEPS: usize = 10;
     let asked_before = Some(Instant::now());
     let (directory, directory_view) = watch::channel(view(asked_before));
     let (operator, operator_view) = watch::channel(view(asked_before));
-    let guard = PauseGuard::start([directory_view, operator_view]);
+    let dialect = Arc::new(NativeDialect::default());
+    let (_back_ends, directory_taken) =
+        watch_directory(directory_view, dialect.clone(), FleetSize::default());
+    let (_in_force, operator_taken) = watch_operator(operator_view, dialect);
+    let guard = PauseGuard::start([directory_taken, operator_taken]);
     assert!(guard.is_settled());
-    // The whole process stands still.
     std::thread::sleep(milliseconds(900));
     assert!(!guard.is_settled());
     std::thread::sleep(milliseconds(5));
     let asked_since = Some(Instant::now());
     directory.send_replace(view(asked_since));
-    assert!(!guard.is_settled(), "the operator's rows are old");
     operator.send_replace(view(asked_since));
+    assert!(!guard.is_settled(), "nobody sees the new rows yet");
+    for _ in 0..STEPS {
+        tokio::task::yield_now().await;
+    }
     assert!(guard.is_settled());
 }
