--- a/crates/sloetrail-serving/src/http/exchange.rs
+++ b/crates/sloetrail-serving/src/http/exchange.rs
@@ -31,12 +31,15 @@
 pub enum SendFailure {
     /// The request did not leave this node.
     NotSent,
+    /// The request did not leave this node, since it may not be sent any more.
+    HeldBack,
     /// The connection broke, or what came back was no answer.
     Lost,
     /// The deadline came first; the connection is closed.
     OutOfTime,
-    /// No head came in time over a connection that had been kept. It is closed, and so are
-    /// those that rested with it: a further try goes over a new one.
+    /// No head came in time over a connection that had been kept, or others showed that it
+    /// must be silent. It is closed, and so are those that rested with it: a further try goes
+    /// over a new one.
     KeptSilent,
     /// The answer is larger than allowed.
     TooLarge,
@@ -86,18 +89,35 @@
     /// A kept connection that turns out to be closed before the request left is
     /// replaced by a new one.
     pub async fn send(
+        pool: &Arc<ConnectionPool>,
+        address: SocketAddr,
+        request: Request<WholeBody>,
+        reuse: Reuse,
+        deadline: Instant,
+    ) -> Result<Self, SendFailure> {
+        Self::send_if(pool, address, request, reuse, deadline, &|| true).await
+    }
+
+    /// The same for a request that may have to be held back. `may_leave` is asked each time
+    /// that there is a connection and the request is about to leave: time may have passed
+    /// since it was decided to send it.
+    pub async fn send_if(
         pool: &Arc<ConnectionPool>,
         address: SocketAddr,
         mut request: Request<WholeBody>,
         reuse: Reuse,
         deadline: Instant,
+        may_leave: &(dyn Fn() -> bool + Sync),
     ) -> Result<Self, SendFailure> {
         let peer = Peer {
             pool: Arc::clone(pool),
             address,
         };
         if let Some(mut kept) = pool.take(address, reuse) {
-            match send_on_kept(&peer, &mut kept, request, reuse.head_due(deadline)).await {
+            if !may_leave() {
+                return Err(SendFailure::HeldBack);
+            }
+            match send_on_kept(&peer, &mut kept, request, reuse, deadline).await {
                 Ok(response) => return Ok(Self::new(peer, kept, response)),
                 Err((Some(unsent), _)) => request = unsent,
                 Err((None, failure)) => return Err(failure),
@@ -105,7 +125,10 @@
         }
         let connected = connections::connect(address, deadline).await;
         let mut connection = connected.ok_or(SendFailure::NotSent)?;
-        match send_on(&mut connection.sender, request, deadline).await {
+        if !may_leave() {
+            return Err(SendFailure::HeldBack);
+        }
+        match send_on(&peer, &mut connection, request, reuse, deadline).await {
             Ok(response) => Ok(Self::new(peer, connection, response)),
             Err((_, failure)) => Err(failure),
         }
@@ -253,14 +276,16 @@
     peer: &Peer,
     kept: &mut Connection,
     request: Request<WholeBody>,
-    head_due: Instant,
+    reuse: Reuse,
+    deadline: Instant,
 ) -> Result<Response<Incoming>, (Unsent, SendFailure)> {
     let mut watch = KeptWatch {
         peer,
         sent_at: Instant::now(),
         is_over: false,
     };
-    let sent = send_on(&mut kept.sender, request, head_due).await;
+    let head_due = reuse.head_due(deadline);
+    let sent = send_on(peer, kept, request, reuse, head_due).await;
     watch.is_over = true;
     let has_waited = watch.sent_at.elapsed() >= GIVEN_UP_LEAST;
     if has_waited && matches!(sent, Err((None, SendFailure::OutOfTime))) {
@@ -270,7 +295,27 @@
     sent
 }
 
+/// Sends a request, and gives it up early if that is allowed and others show that the
+/// connection must be silent.
 async fn send_on(
+    peer: &Peer,
+    connection: &mut Connection,
+    request: Request<WholeBody>,
+    reuse: Reuse,
+    deadline: Instant,
+) -> Result<Response<Incoming>, (Unsent, SendFailure)> {
+    let heard_at = connection.heard_at;
+    let sending = wait_for_head(&mut connection.sender, request, deadline);
+    if reuse != Reuse::UntilFoundSilent {
+        return sending.await;
+    }
+    tokio::select! {
+        sent = sending => sent,
+        () = peer.pool.found_silent(peer.address, heard_at) => Err((None, SendFailure::KeptSilent)),
+    }
+}
+
+async fn wait_for_head(
     sender: &mut Sender,
     request: Request<WholeBody>,
     deadline: Instant,
--- a/crates/sloetrail-serving/src/node.rs
+++ b/crates/sloetrail-serving/src/node.rs
@@ -1,5 +1,6 @@
 //! A serving node: its parts put together, from start to an orderly stop.
 
+use crate::back_end_connections::BackEndConnections;
 use crate::context::NodeContext;
 use crate::dialect::Dialect;
 use crate::directory::watch_directory;
@@ -8,7 +9,7 @@
 use crate::follow::{FleetSize, FollowPaces, ViewReceiver, follow};
 use crate::gateway::front::Front;
 use crate::gateway::message::{empty_response, whole_body};
-use crate::http::{ConnectionPool, ConnectionTracker, ListenerSettings, serve_connections};
+use crate::http::{ConnectionTracker, ListenerSettings, serve_connections};
 use crate::leases::watch_leased_sets;
 use crate::operator::watch_operator;
 use crate::pause_guard::PauseGuard;
@@ -224,10 +225,11 @@
     let paces = FollowPaces::new(&fleet, &settings.bounds);
     let lease_pace = paces.leases.clone();
     let views = Views::follow(&table, &*dialect, paces);
-    let pause_guard = PauseGuard::start([views.directory.clone(), views.operator.clone()]);
-    let directory = watch_directory(views.directory, Arc::clone(&dialect), fleet.clone());
+    let (directory, directory_taken_in) =
+        watch_directory(views.directory, Arc::clone(&dialect), fleet.clone());
     let seed = digest(settings.instance.as_str().as_bytes());
-    let in_force = watch_operator(views.operator, Arc::clone(&dialect));
+    let (in_force, operator_taken_in) = watch_operator(views.operator, Arc::clone(&dialect));
+    let pause_guard = PauseGuard::start([directory_taken_in, operator_taken_in]);
     let pools = ServicePools::new(&settings, peers.clone(), seed);
     let leased_sets = watch_leased_sets(views.leases.clone());
     pools.follow(directory.clone(), in_force.clone(), leased_sets.clone());
@@ -241,9 +243,14 @@
             fleet.clone(),
         )
     });
+    let connections = BackEndConnections::new(
+        directory.clone(),
+        in_force.clone(),
+        Arc::clone(&pause_guard),
+    );
     NodeContext {
         in_force,
-        connections: Arc::new(ConnectionPool::new()),
+        connections,
         settings,
         table,
         peers,
