Bound work orders engines: its owners tell what it takes, by a row among the leases

Cause: the number of engines followed the runs of the owner of unbound batches. It knew from the heads that bound batches were there, but not how many places they took; so bound work alone ordered nothing, and while it was open no engine was given back.

Ruled out: the demand in the lease's record (its renewal would wait for the owner's loop, and the record would no longer be one for all kinds of work); a table of its own (another one to follow); shares of the total by region (engines would move with every burst).

Change: each owner of bound batches keeps a row `demand/SERVICE@REGIONS` among the leases (mean of busy places, places wanted, longest step, epoch, time), written within its fence, at most every 2 s and only if it changed or would age; 12 s without a newer one and it counts no more, but for the time in which the table was away. The owner that orders reads it from the view of the leases that every node follows. `FleetScaler` decides by zone: the total from all work, and a lower bound for the zones of each set from what runs there. Steps of bound work count too. A batch whose owner has not told of it yet makes the load incomplete, so that nothing is given back. Only nodes that may order engines, and only sets with work, write: half a call a second for each at most, no further read.

The test engines_are_not_given_back_while_another_owner_has_batches_at_work is replaced: it held that no engine is given back until the time of a bound batch is over, also if its only item was listed long before, since nothing was known of it. Its successor asks for both: none is given back while 20 items of a bound batch run, and some are once they are done.

--- a/crates/sloetrail-scaling/src/lib.rs
+++ b/crates/sloetrail-scaling/src/lib.rs
@@ -9,11 +9,17 @@
 //! start. So the number follows the work of the last few steps with room to spare: up at
 //! once, down slowly, and never down while steps take most of their time.
 //!
+//! Where part of the work is bound to regions, a [`FleetScaler`] decides by zone: one
+//! scaler for all work, and one for each set of regions, which keeps or raises the numbers
+//! of its zones.
+//!
 //! Nothing here does I/O or reads a clock.
 
+mod fleet;
 mod scaler;
 mod spread;
 
+pub use fleet::{BoundWork, BoundWorks, FleetScaler, ZoneNow, ZonesNow};
 pub use scaler::{EnginesNow, Scaler};
 pub use spread::{ScalingBounds, spread};
 
--- a/crates/sloetrail-scaling/src/scaler.rs
+++ b/crates/sloetrail-scaling/src/scaler.rs
@@ -122,10 +122,8 @@
             return None;
         }
         let wanted = self.wanted(now, engines);
-        let least = bounds.least * engines.zones;
-        let most = bounds.most * engines.zones;
         let wanted = wanted.max(floor.min(engines.engines));
-        let wanted = wanted.clamp(least, most.max(least));
+        let wanted = within_bounds(wanted, engines, bounds);
         if wanted == engines.engines {
             return None;
         }
@@ -137,8 +135,32 @@
         Some(wanted)
     }
 
+    /// The number of engines that the work needs now, without a pause after the last change;
+    /// none for work that is over and where there is no engine to judge by.
+    pub(crate) fn needed(
+        &self,
+        now: Timestamp,
+        engines: EnginesNow,
+        bounds: &ScalingBounds,
+    ) -> usize {
+        if !self.is_in_use(now) || engines.engines == 0 {
+            return 0;
+        }
+        within_bounds(self.wanted(now, engines), engines, bounds)
+    }
+
+    /// True if the last change may still be under way.
+    pub(crate) fn is_pausing(&self, now: Timestamp) -> bool {
+        now < self.not_before
+    }
+
+    /// Engines were ordered without a decision of this scaler.
+    pub(crate) fn pause_for_growth(&mut self, now: Timestamp, bounds: &ScalingBounds) {
+        self.not_before = now.after(CHANGE_PAUSE + bounds.boot_time);
+    }
+
     /// Nothing is known of a service that has had no batch, or none for long.
-    fn is_in_use(&self, now: Timestamp) -> bool {
+    pub(crate) fn is_in_use(&self, now: Timestamp) -> bool {
         let last = self.last_batch_at;
         last.is_some_and(|at| now.since(at) <= self.horizon())
     }
@@ -184,6 +206,12 @@
     }
 }
 
+fn within_bounds(wanted: usize, engines: EnginesNow, bounds: &ScalingBounds) -> usize {
+    let least = bounds.least * engines.zones;
+    let most = bounds.most * engines.zones;
+    wanted.clamp(least, most.max(least))
+}
+
 fn limited_growth(current: usize, wanted: usize) -> usize {
     wanted.min((current as f64 * GROWTH_MOST).ceil() as usize)
 }
--- a/crates/sloetrail-scaling/src/spread.rs
+++ b/crates/sloetrail-scaling/src/spread.rs
@@ -25,22 +25,33 @@
 }
 
 /// Spreads engines evenly, so that the loss of a zone costs no more than its share; what
-/// cannot be divided goes to the cheapest zones. No zone gets fewer than the least or more
-/// than the most.
+/// cannot be divided goes to the cheapest zones. A zone gets at least what `least` names for
+/// it, also if these are more than the total; no zone gets fewer than the least or more than
+/// the most of the bounds.
 pub fn spread(
     total: usize,
     zones: &[ZoneName],
     bounds: &ScalingBounds,
+    least: &BTreeMap<ZoneName, usize>,
 ) -> BTreeMap<ZoneName, usize> {
     let mut cheapest_first: Vec<&ZoneName> = zones.iter().collect();
     cheapest_first.sort_by(|left, right| bounds.price(left).total_cmp(&bounds.price(right)));
-    let mut left = total;
-    let mut shares = BTreeMap::new();
-    for (index, zone) in cheapest_first.iter().enumerate() {
-        let share = left.div_ceil(cheapest_first.len() - index);
-        let share = share.min(bounds.most).max(bounds.least);
-        left = left.saturating_sub(share);
-        shares.insert((*zone).clone(), share);
+    let first = |zone: &ZoneName| {
+        let own = least.get(zone).copied().unwrap_or_default();
+        own.min(bounds.most).max(bounds.least)
+    };
+    let mut shares: Vec<(&ZoneName, usize)> = cheapest_first
+        .into_iter()
+        .map(|zone| (zone, first(zone)))
+        .collect();
+    let given: usize = shares.iter().map(|(_, share)| share).sum();
+    for _ in given..total {
+        let open = shares.iter_mut().filter(|(_, share)| *share < bounds.most);
+        let Some((_, share)) = open.min_by_key(|(_, share)| *share) else {
+            break;
+        };
+        *share += 1;
     }
-    shares
+    let shares = shares.into_iter();
+    shares.map(|(zone, share)| (zone.clone(), share)).collect()
 }
--- a/crates/sloetrail-scaling/src/tests.rs
+++ b/crates/sloetrail-scaling/src/tests.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+mod fleet;
+
 const TICK_MS: u64 = 100;
 const PERIOD: Duration = Duration::from_secs(4);
 
@@ -165,7 +167,7 @@
 fn engines_are_spread_evenly_and_the_rest_goes_to_the_cheapest_zones() {
     let zones: Vec<ZoneName> = ["a", "b", "c"].map(ZoneName::from).into();
     let shares = |total: usize| {
-        let shares = spread(total, &zones, &bounds());
+        let shares = spread(total, &zones, &bounds(), &BTreeMap::new());
         ["a", "b", "c"].map(|zone| shares[&ZoneName::from(zone)])
     };
     assert_eq!(shares(18), [6, 6, 6]);
@@ -173,7 +175,7 @@
     assert_eq!(shares(20), [7, 6, 7]);
     assert_eq!(shares(0), [1, 1, 1]);
     assert_eq!(shares(100), [24, 24, 24]);
-    assert_eq!(spread(5, &[], &bounds()), BTreeMap::new());
+    assert_eq!(spread(5, &[], &bounds(), &BTreeMap::new()), BTreeMap::new());
 }
 
 #[test]
--- /dev/null
+++ b/crates/sloetrail-scaling/src/tests/fleet.rs
@@ -0,0 +1,163 @@
+//! The engines of a service part of whose work is bound to regions.
+
+use super::{PERIOD, TICK_MS};
+use crate::{BoundWork, BoundWorks, FleetScaler, ScalingBounds, ZoneNow, ZonesNow, spread};
+use sloetrail_types::{AllowedRegions, RegionName, Timestamp, ZoneName};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const SLOTS: usize = 6;
+
+fn bounds() -> ScalingBounds {
+    ScalingBounds {
+        least: 1,
+        most: 12,
+        boot_time: Duration::from_secs(4),
+        zone_prices: BTreeMap::new(),
+    }
+}
+
+fn only(names: &[&str]) -> AllowedRegions {
+    AllowedRegions::only(names.iter().map(|name| RegionName::from(*name)))
+}
+
+/// Two zones in the north and one in the south; orders are carried out at once.
+struct Service {
+    scaler: FleetScaler,
+    zones: ZonesNow,
+    floor: usize,
+    now_ms: u64,
+    orders: usize,
+}
+
+impl Service {
+    fn new(engines: usize) -> Self {
+        let zones = [("n1", "north"), ("n2", "north"), ("s1", "south")];
+        let zone = |region: &str| ZoneNow {
+            region: Some(RegionName::from(region)),
+            engines,
+            busy: 0,
+        };
+        let zones = zones.map(|(name, region)| (ZoneName::from(name), zone(region)));
+        Self {
+            scaler: FleetScaler::default(),
+            zones: zones.into(),
+            floor: 3,
+            now_ms: 1_000,
+            orders: 0,
+        }
+    }
+
+    fn engines(&self, zone: &str) -> usize {
+        self.zones[&ZoneName::from(zone)].engines
+    }
+
+    fn all(&self) -> [usize; 3] {
+        ["n1", "n2", "s1"].map(|zone| self.engines(zone))
+    }
+
+    /// Goes on for some seconds with a batch every four; bound work takes the places that it
+    /// wants as far as the engines of its regions have them.
+    fn run(&mut self, seconds: u64, regions: &AllowedRegions, wanted: usize, step_share: f64) {
+        let end_ms = self.now_ms + seconds * 1_000;
+        while self.now_ms < end_ms {
+            let now = Timestamp(self.now_ms);
+            let own = self.zones.values();
+            let own = own.filter(|zone| regions.allows(zone.region.as_ref()));
+            let places = own.map(|zone| zone.engines).sum::<usize>() * SLOTS;
+            let work = BoundWork {
+                busy: wanted.min(places),
+                wanted,
+            };
+            let works: BoundWorks = [(regions.clone(), work)].into();
+            if self.now_ms.is_multiple_of(PERIOD.as_millis() as u64) {
+                self.scaler.note_batch(now, Some(PERIOD));
+                self.scaler.note_bound_step(now, regions, step_share);
+            }
+            self.scaler.note_load(now, &self.zones, &works);
+            let decided = self
+                .scaler
+                .decide(now, &self.zones, SLOTS, &bounds(), self.floor);
+            for (zone, engines) in decided.into_iter().flatten() {
+                let state = self.zones.get_mut(&zone).expect("a zone that there is");
+                self.orders += usize::from(state.engines != engines);
+                state.engines = engines;
+            }
+            self.now_ms += TICK_MS;
+        }
+    }
+}
+
+#[test]
+fn bound_work_raises_the_zones_of_its_regions_and_no_other() {
+    let mut service = Service::new(2);
+    service.run(60, &only(&["north"]), 36, 0.7);
+    let [n1, n2, s1] = service.all();
+    assert!(
+        n1 + n2 >= 12,
+        "half of the places are busy: {:?}",
+        service.all()
+    );
+    assert!(n1.abs_diff(n2) <= 1, "{:?}", service.all());
+    assert!(s1 <= 2, "{:?}", service.all());
+    let orders = service.orders;
+    service.run(60, &only(&["north"]), 36, 0.7);
+    assert_eq!(service.orders, orders, "it stays: {:?}", service.all());
+}
+
+#[test]
+fn zones_go_down_again_once_bound_work_has_ended() {
+    let mut service = Service::new(2);
+    service.run(60, &only(&["north"]), 36, 0.7);
+    service.run(180, &only(&["north"]), 0, 0.7);
+    let total: usize = service.all().iter().sum();
+    assert!(total <= 4, "{:?}", service.all());
+}
+
+#[test]
+fn late_steps_of_bound_work_raise_their_zones_alone() {
+    let mut service = Service::new(6);
+    service.run(20, &only(&["south"]), 16, 1.2);
+    let [n1, n2, s1] = service.all();
+    assert!(s1 > 6, "{:?}", service.all());
+    assert!(n1 <= 6 && n2 <= 6, "{:?}", service.all());
+}
+
+#[test]
+fn the_most_of_a_zone_is_kept() {
+    let mut service = Service::new(2);
+    service.run(120, &only(&["south"]), 1_000, 1.5);
+    assert_eq!(service.engines("s1"), 12);
+}
+
+#[test]
+fn nothing_is_given_back_while_the_load_is_not_all() {
+    let mut service = Service::new(2);
+    service.run(60, &only(&["north"]), 36, 0.7);
+    let before = service.all();
+    for _ in 0..20 {
+        let now = Timestamp(service.now_ms);
+        service.scaler.note_load_incomplete(now);
+        service.run(1, &only(&["north"]), 0, 0.7);
+    }
+    assert_eq!(service.all(), before);
+}
+
+#[test]
+fn work_of_a_region_without_engines_orders_nothing() {
+    let mut service = Service::new(2);
+    service.run(30, &only(&["west"]), 10, 0.7);
+    assert!(service.all().iter().all(|engines| *engines <= 2));
+}
+
+#[test]
+fn what_zones_need_is_kept_when_a_number_is_spread() {
+    let zones: Vec<ZoneName> = ["a", "b", "c"].map(ZoneName::from).into();
+    let least = [(ZoneName::from("b"), 5), (ZoneName::from("c"), 40)].into();
+    let shares = spread(20, &zones, &bounds(), &least);
+    let shares = ["a", "b", "c"].map(|zone| shares[&ZoneName::from(zone)]);
+    assert_eq!(shares, [3, 5, 12]);
+    let few = spread(2, &zones, &bounds(), &least);
+    let few = ["a", "b", "c"].map(|zone| few[&ZoneName::from(zone)]);
+    assert_eq!(few, [1, 5, 12]);
+}
--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -419,6 +419,21 @@
         /// The median of all engines.
         median_us: u64,
     },
+    /// The owner of bound batches told what these take of the engines.
+    DemandTold {
+        /// The name of its lease.
+        service: &'a str,
+        /// Places that they took on average since the last time.
+        busy: usize,
+        /// Places that they would take if there were enough.
+        wanted: usize,
+        /// The longest step since then, in percent of its time.
+        step_percent: Option<u32>,
+        /// The epoch of the owner.
+        epoch: u64,
+        /// What became of the row.
+        outcome: &'a str,
+    },
     /// A number of engines was ordered for a zone.
     EnginesOrdered {
         /// The service.
--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -29,6 +29,7 @@
             | Event::OwnRegionUnknown { .. } => "config",
             Event::BackEndChanged { .. }
             | Event::PaceChanged { .. }
+            | Event::DemandTold { .. }
             | Event::EnginesOrdered { .. } => "engine",
             Event::RequestAnswered { .. }
             | Event::RequestFailed { .. }
--- a/crates/sloetrail-serving/src/owner/event.rs
+++ b/crates/sloetrail-serving/src/owner/event.rs
@@ -42,6 +42,8 @@
     FloorRead(Option<usize>),
     /// The number of engines was ordered, or could not be.
     SupplyAnswered(SupplyAnswered),
+    /// What the batches take of the engines was written down, or could not be.
+    DemandWritten(DemandWritten),
 }
 
 /// A result that was committed.
@@ -77,3 +79,25 @@
     /// A later holder has given orders already.
     pub(super) fenced: bool,
 }
+
+/// What became of a row that tells what the batches take of the engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum DemandWritten {
+    /// It is in the table.
+    Done,
+    /// It may not be.
+    Unknown,
+    /// A later holder has the lease.
+    Fenced,
+}
+
+impl DemandWritten {
+    /// A word for logs.
+    pub(super) fn word(self) -> &'static str {
+        match self {
+            DemandWritten::Done => "written",
+            DemandWritten::Unknown => "no answer",
+            DemandWritten::Fenced => "fenced",
+        }
+    }
+}
--- a/crates/sloetrail-serving/src/owner/mod.rs
+++ b/crates/sloetrail-serving/src/owner/mod.rs
@@ -5,7 +5,8 @@
 //! [`service_owner::ServiceOwner`]: it loads the open batches from the table, sends items
 //! to engines ([`run`]), has whole texts scored ([`reward_queue`], [`reward`]), commits results in groups
 //! ([`committer`]) and brings the engines to the published versions ([`rollout_plan`],
-//! [`weights`]). Only the owner of the batches that may be anywhere gives orders to engines.
+//! [`weights`]). Only the owner of the batches that may be anywhere gives orders to engines; the
+//! others tell it what their batches take ([`place_demand`]).
 
 mod assignment;
 mod committer;
@@ -16,6 +17,7 @@
 mod item_story;
 mod loading;
 mod pace;
+mod place_demand;
 mod place_usage;
 mod publications;
 mod reward;
--- /dev/null
+++ b/crates/sloetrail-serving/src/owner/place_demand/heard.rs
@@ -0,0 +1,110 @@
+//! What the owners of bound batches have told of their demand.
+
+use super::{DEMAND_LASTS, DemandRow};
+use crate::follow::TableView;
+use crate::leases::BatchSet;
+use crate::rows;
+use sloetrail_scaling::{BoundWork, BoundWorks};
+use sloetrail_types::{AllowedRegions, RowVersion, ServiceName};
+use std::collections::BTreeMap;
+
+/// A step of bound work that an owner has told.
+#[derive(Clone, Debug, PartialEq)]
+pub(in crate::owner) struct BoundStep {
+    /// The regions that the work is bound to.
+    pub(in crate::owner) regions: AllowedRegions,
+    /// The part of its time that it took.
+    pub(in crate::owner) share: f64,
+}
+
+/// The demand rows of a service, as the view of the lease rows has them.
+#[derive(Debug, Default)]
+pub(in crate::owner) struct HeardDemands {
+    rows: BTreeMap<AllowedRegions, DemandRow>,
+    /// The version of each row by its key, also of those that cannot be read.
+    versions: BTreeMap<String, RowVersion>,
+    /// When the table was last known not to answer: nobody could write until then.
+    table_away_ms: u64,
+}
+
+impl HeardDemands {
+    /// The table does not answer now; rows do not age meanwhile.
+    pub(in crate::owner) fn note_table_away(&mut self, now_ms: u64) {
+        self.table_away_ms = now_ms;
+    }
+
+    /// Takes in the rows of a service; the steps that are told in new ones.
+    pub(in crate::owner) fn take_view(
+        &mut self,
+        view: &TableView,
+        service: &ServiceName,
+    ) -> Vec<BoundStep> {
+        let mut steps = Vec::new();
+        for (key, set) in demand_keys(view) {
+            let Some(row) = view.rows.get(key) else {
+                continue;
+            };
+            let is_known = self.versions.get(key) == Some(&row.version);
+            if set.service() != service || is_known {
+                continue;
+            }
+            self.versions.insert(key.clone(), row.version);
+            let regions = set.regions().clone();
+            match DemandRow::decode(key, &row.value) {
+                Some(heard) => steps.extend(self.take_row(regions, heard)),
+                None => drop(self.rows.remove(&regions)),
+            }
+        }
+        steps
+    }
+
+    fn take_row(&mut self, regions: AllowedRegions, row: DemandRow) -> Option<BoundStep> {
+        self.rows.insert(regions.clone(), row);
+        let percent = row.demand.step_percent?;
+        Some(BoundStep {
+            regions,
+            share: f64::from(percent) / 100.0,
+        })
+    }
+
+    /// What bound work takes now, as far as its owners are heard of.
+    pub(in crate::owner) fn works(&self, now_ms: u64) -> BoundWorks {
+        let current = self.rows.iter();
+        let current = current.filter(|(_, row)| self.is_current(row, now_ms));
+        let work = |row: &DemandRow| BoundWork {
+            busy: row.demand.busy,
+            wanted: row.demand.wanted,
+        };
+        current
+            .map(|(regions, row)| (regions.clone(), work(row)))
+            .collect()
+    }
+
+    /// True if the owner of a set has told what its batches take, with those that were
+    /// accepted at `since_ms`.
+    pub(in crate::owner) fn covers(
+        &self,
+        regions: &AllowedRegions,
+        since_ms: u64,
+        now_ms: u64,
+    ) -> bool {
+        let row = self.rows.get(regions);
+        row.is_some_and(|row| row.at_ms >= since_ms && self.is_current(row, now_ms))
+    }
+
+    /// A row without demand holds until its owner writes another one.
+    fn is_current(&self, row: &DemandRow, now_ms: u64) -> bool {
+        let since_ms = row.at_ms.max(self.table_away_ms);
+        let age_ms = now_ms.saturating_sub(since_ms);
+        row.demand.is_idle() || u128::from(age_ms) <= DEMAND_LASTS.as_millis()
+    }
+}
+
+/// The keys of demand rows, with the sets that they are of.
+fn demand_keys(view: &TableView) -> impl Iterator<Item = (&String, BatchSet)> {
+    let keys = view.rows.keys();
+    keys.filter_map(|key| {
+        let name = rows::subject_of_place_demand(key)?;
+        Some((key, BatchSet::of_bound_lease(name)?))
+    })
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/owner/place_demand/reporter.rs
@@ -0,0 +1,99 @@
+//! When the owner of bound batches reports what they take.
+
+use super::{DEMAND_PACE, DEMAND_REFRESH, PlaceDemand, StoredDemand};
+use tokio::time::Instant;
+
+/// Gathers what the batches of an owner take, and tells when a row is due.
+#[derive(Debug)]
+pub(in crate::owner) struct DemandReporter {
+    busy_sum: usize,
+    looks: usize,
+    wanted: usize,
+    step_percent: Option<u32>,
+    period_began: Instant,
+    /// The row that is being written.
+    in_flight: Option<PlaceDemand>,
+}
+
+impl DemandReporter {
+    /// A reporter of a new owner. Its first row is due after a period: until then it loads
+    /// batches, and the row of the owner before it holds.
+    pub(in crate::owner) fn new(now: Instant) -> Self {
+        Self {
+            busy_sum: 0,
+            looks: 0,
+            wanted: 0,
+            step_percent: None,
+            period_began: now,
+            in_flight: None,
+        }
+    }
+
+    /// Takes in how many items run, and how many would if there were places; called at even
+    /// times.
+    pub(in crate::owner) fn note(&mut self, running: usize, wanted: usize) {
+        self.busy_sum += running;
+        self.looks += 1;
+        self.wanted = wanted;
+    }
+
+    /// A step is whole, after this part of the time that it had.
+    pub(in crate::owner) fn note_step(&mut self, share: f64) {
+        let percent = (share * 100.0).ceil().clamp(0.0, f64::from(u32::MAX)) as u32;
+        self.step_percent = self.step_percent.max(Some(percent));
+    }
+
+    /// True if it is time to look whether a row is to be written.
+    pub(in crate::owner) fn is_due(&self, now: Instant) -> bool {
+        let period = now.saturating_duration_since(self.period_began);
+        self.in_flight.is_none() && period >= DEMAND_PACE
+    }
+
+    /// Ends a period; the demand to be written, if it is other than the one that is stored,
+    /// or that one would age out.
+    pub(in crate::owner) fn end_period(
+        &mut self,
+        now: Instant,
+        now_ms: u64,
+        stored: StoredDemand,
+    ) -> Option<PlaceDemand> {
+        let demand = PlaceDemand {
+            busy: self.busy_sum.div_ceil(self.looks.max(1)),
+            wanted: self.wanted,
+            step_percent: self.step_percent,
+        };
+        self.period_began = now;
+        self.busy_sum = 0;
+        self.looks = 0;
+        // Steps are told one by one, also if two took the same time.
+        if demand.step_percent.is_none() && is_current(demand, stored, now_ms) {
+            return None;
+        }
+        self.step_percent = None;
+        self.in_flight = Some(demand);
+        Some(demand)
+    }
+
+    /// The row was written, or was not. Steps that it told are told again in the latter case.
+    pub(in crate::owner) fn written(&mut self, is_done: bool) {
+        let Some(demand) = self.in_flight.take() else {
+            return;
+        };
+        if !is_done {
+            self.step_percent = self.step_percent.max(demand.step_percent);
+        }
+    }
+}
+
+/// True if what is stored tells the same, and will not age out before the next period ends.
+fn is_current(demand: PlaceDemand, stored: StoredDemand, now_ms: u64) -> bool {
+    match stored {
+        StoredDemand::Absent => demand.is_idle(),
+        StoredDemand::Unreadable => false,
+        StoredDemand::Row(row) => {
+            let age_ms = u128::from(now_ms.saturating_sub(row.at_ms));
+            let is_young = age_ms < DEMAND_REFRESH.as_millis();
+            row.demand == demand && (demand.is_idle() || is_young)
+        }
+    }
+}
--- /dev/null
+++ b/crates/sloetrail-serving/src/owner/place_demand/tests.rs
@@ -0,0 +1,225 @@
+use super::{
+    DEMAND_LASTS, DEMAND_PACE, DemandReporter, DemandRow, HeardDemands, PlaceDemand, StoredDemand,
+};
+use crate::follow::TableView;
+use crate::rows;
+use crate::table::Row;
+use bytes::Bytes;
+use sloetrail_types::{AllowedRegions, RegionName, RowVersion, ServiceName};
+use std::time::Duration;
+use tokio::time::Instant;
+
+const NAME: &str = "models@north";
+const AT_MS: u64 = 100_000;
+
+fn north() -> AllowedRegions {
+    AllowedRegions::only([RegionName::from("north")])
+}
+
+fn demand(busy: usize) -> PlaceDemand {
+    PlaceDemand {
+        busy,
+        wanted: busy,
+        step_percent: None,
+    }
+}
+
+fn row(demand: PlaceDemand, epoch: u64, at_ms: u64) -> DemandRow {
+    DemandRow {
+        demand,
+        epoch,
+        at_ms,
+    }
+}
+
+fn put(view: &mut TableView, name: &str, version: u64, value: Bytes) {
+    let address = rows::place_demand(name);
+    let row = Row {
+        address: address.clone(),
+        value,
+        version: RowVersion(version),
+    };
+    view.rows.insert(address.key, row);
+}
+
+fn heard(rows: &[(&str, DemandRow)]) -> HeardDemands {
+    let mut view = TableView::empty();
+    for (name, row) in rows {
+        put(&mut view, name, 1, row.encode());
+    }
+    let mut heard = HeardDemands::default();
+    heard.take_view(&view, &ServiceName::from("models"));
+    heard
+}
+
+fn due(
+    reporter: &mut DemandReporter,
+    now: Instant,
+    now_ms: u64,
+    stored: StoredDemand,
+) -> Option<PlaceDemand> {
+    let is_due = reporter.is_due(now);
+    is_due
+        .then(|| reporter.end_period(now, now_ms, stored))
+        .flatten()
+}
+
+fn after(time: Duration) -> u64 {
+    AT_MS + time.as_millis() as u64
+}
+
+fn known(row: Option<DemandRow>) -> StoredDemand {
+    row.map_or(StoredDemand::Absent, StoredDemand::Row)
+}
+
+fn busy(heard: &HeardDemands, now_ms: u64) -> usize {
+    heard.works(now_ms).values().map(|work| work.busy).sum()
+}
+
+#[test]
+fn a_row_is_written_when_the_demand_changes_and_again_before_it_ages_out() {
+    let began = Instant::now();
+    let mut reporter = DemandReporter::new(began);
+    let mut stored: Option<DemandRow> = None;
+    let mut written = Vec::new();
+    for tick in 0..400_u64 {
+        let at = Duration::from_millis(tick * 100);
+        let running = if (50..250).contains(&tick) { 7 } else { 0 };
+        reporter.note(running, running);
+        let now_ms = after(at);
+        if let Some(demand) = due(&mut reporter, began + at, now_ms, known(stored)) {
+            reporter.written(true);
+            stored = Some(row(demand, 1, now_ms));
+            written.push((tick, demand));
+        }
+        let heard = heard(
+            &stored
+                .map(|row| (NAME, row))
+                .into_iter()
+                .collect::<Vec<_>>(),
+        );
+        let is_known = tick < 50 + 20 || running == 0 || busy(&heard, now_ms) > 0;
+        assert!(is_known, "{tick}: {written:?}");
+    }
+    let gaps = written.windows(2).map(|pair| pair[1].0 - pair[0].0);
+    assert!(gaps.min() >= Some(20), "{written:?}");
+    assert!(written.len() <= 8, "{written:?}");
+    assert_eq!(written[0].1.wanted, 7, "nothing before there is work");
+    let last = written.last().expect("some").1;
+    assert!(last.is_idle(), "{written:?}");
+}
+
+#[test]
+fn a_new_owner_leaves_the_row_before_it_alone_for_a_period_and_then_corrects_it() {
+    let began = Instant::now();
+    let mut reporter = DemandReporter::new(began);
+    let stored = StoredDemand::Row(row(demand(9), 4, AT_MS));
+    reporter.note(0, 0);
+    let early = began + DEMAND_PACE / 2;
+    assert_eq!(due(&mut reporter, early, AT_MS, stored), None);
+    let first = due(&mut reporter, began + DEMAND_PACE, AT_MS, stored);
+    assert_eq!(first, Some(PlaceDemand::default()));
+    let again = began + DEMAND_PACE * 3;
+    assert_eq!(due(&mut reporter, again, AT_MS, stored), None, "in flight");
+}
+
+#[test]
+fn a_row_that_cannot_be_read_is_written_over_and_an_idle_owner_leaves_the_others_alone() {
+    let began = Instant::now();
+    let idle = PlaceDemand::default();
+    let later = began + DEMAND_PACE;
+    let late = after(DEMAND_LASTS * 10);
+    let told = |stored| due(&mut DemandReporter::new(began), later, late, stored);
+    assert_eq!(told(StoredDemand::Unreadable), Some(idle));
+    assert_eq!(told(StoredDemand::Absent), None);
+    assert_eq!(told(StoredDemand::Row(row(idle, 1, AT_MS))), None);
+}
+
+#[test]
+fn a_step_is_told_once_and_again_if_the_row_was_not_written() {
+    let began = Instant::now();
+    let mut reporter = DemandReporter::new(began);
+    reporter.note(3, 3);
+    reporter.note_step(0.5);
+    reporter.note_step(1.021);
+    let first = due(
+        &mut reporter,
+        began + DEMAND_PACE,
+        AT_MS,
+        StoredDemand::Absent,
+    );
+    assert_eq!(first.and_then(|demand| demand.step_percent), Some(103));
+    reporter.written(false);
+    reporter.note(3, 3);
+    let second = due(
+        &mut reporter,
+        began + DEMAND_PACE * 2,
+        AT_MS,
+        StoredDemand::Absent,
+    );
+    assert_eq!(second.and_then(|demand| demand.step_percent), Some(103));
+    reporter.written(true);
+    reporter.note(3, 3);
+    let third = due(
+        &mut reporter,
+        began + DEMAND_PACE * 3,
+        AT_MS,
+        StoredDemand::Absent,
+    );
+    assert_eq!(third.and_then(|demand| demand.step_percent), None);
+}
+
+#[test]
+fn the_row_of_a_dead_owner_ages_out_but_not_while_the_table_is_away() {
+    let mut heard = heard(&[(NAME, row(demand(5), 1, AT_MS))]);
+    let just = Duration::from_millis(1);
+    assert_eq!(busy(&heard, after(DEMAND_LASTS)), 5);
+    assert_eq!(busy(&heard, after(DEMAND_LASTS + just)), 0);
+    assert!(!heard.covers(&north(), AT_MS, after(DEMAND_LASTS + just)));
+    heard.note_table_away(after(DEMAND_LASTS));
+    assert_eq!(busy(&heard, after(DEMAND_LASTS * 2)), 5);
+    assert_eq!(busy(&heard, after(DEMAND_LASTS * 2 + just)), 0);
+}
+
+#[test]
+fn a_row_without_demand_holds_but_does_not_cover_batches_that_came_after_it() {
+    let heard = heard(&[(NAME, row(PlaceDemand::default(), 1, AT_MS))]);
+    let late = after(DEMAND_LASTS * 10);
+    assert!(heard.covers(&north(), AT_MS, late));
+    assert!(!heard.covers(&north(), AT_MS + 1, late));
+}
+
+#[test]
+fn a_later_owners_row_takes_the_place_of_the_one_before() {
+    let service = ServiceName::from("models");
+    let mut view = TableView::empty();
+    let mut heard = HeardDemands::default();
+    put(&mut view, NAME, 1, row(demand(5), 1, AT_MS).encode());
+    heard.take_view(&view, &service);
+    let late = PlaceDemand {
+        step_percent: Some(120),
+        ..demand(2)
+    };
+    put(&mut view, NAME, 2, row(late, 2, AT_MS).encode());
+    let steps = heard.take_view(&view, &service);
+    assert_eq!(steps.len(), 1);
+    assert!((steps[0].share - 1.2).abs() < 1e-9);
+    assert!(heard.take_view(&view, &service).is_empty(), "told once");
+    assert_eq!(busy(&heard, AT_MS), 2);
+}
+
+#[test]
+fn rows_of_other_services_and_rows_that_cannot_be_read_do_not_count() {
+    let service = ServiceName::from("models");
+    let mut view = TableView::empty();
+    let encoded = row(demand(5), 1, AT_MS).encode();
+    put(&mut view, "others@north", 1, encoded.clone());
+    put(&mut view, NAME, 1, encoded);
+    let mut heard = HeardDemands::default();
+    heard.take_view(&view, &service);
+    assert_eq!(busy(&heard, AT_MS), 5);
+    put(&mut view, NAME, 2, Bytes::from_static(b"?"));
+    heard.take_view(&view, &service);
+    assert_eq!(busy(&heard, AT_MS), 0);
+    assert!(!heard.covers(&north(), 0, AT_MS));
+}
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -1,6 +1,7 @@
 //! The owner of a service, for one term: its loop, and the batches that it has open.
 
 mod batches;
+mod demand;
 mod dispatch;
 mod other_batches;
 mod relocation;
@@ -17,6 +18,7 @@
 use super::engines::EnginePool;
 use super::event::OwnerEvent;
 use super::item_story::ItemStory;
+use super::place_demand::DemandReporter;
 use super::place_usage::PlaceUsage;
 use super::publications::Publications;
 use super::reward_queue::RewardQueue;
@@ -98,6 +100,8 @@
     window: OrderWindow,
     window_is_opening: bool,
     supply: SupplyState,
+    /// What the batches take of the engines, if another owner orders these.
+    demand: DemandReporter,
     events: mpsc::UnboundedReceiver<OwnerEvent>,
     sender: mpsc::UnboundedSender<OwnerEvent>,
     commits: mpsc::UnboundedSender<CommitRequest>,
@@ -141,6 +145,7 @@
             window: OrderWindow::default(),
             window_is_opening: false,
             supply: SupplyState::default(),
+            demand: DemandReporter::new(Instant::now()),
             events,
             sender,
             commits,
@@ -289,6 +294,7 @@
             OwnerEvent::WindowAnswered(window) => self.window_answered(window),
             OwnerEvent::FloorRead(floor) => self.floor_read(floor),
             OwnerEvent::SupplyAnswered(answer) => self.supply_answered(answer),
+            OwnerEvent::DemandWritten(written) => self.demand_written(written),
             OwnerEvent::OrderEnded(end) => {
                 self.weights_due = true;
                 self.order_ended(end);
@@ -315,6 +321,7 @@
         self.drop_scored();
         self.tell_items();
         self.drive_supply();
+        self.tell_demand();
         let is_fast = self.context.table.ordinary_time() < KEEP_TABLE_TIME;
         if is_fast && now.saturating_duration_since(self.kept_at) >= KEEP_PERIOD {
             self.kept_at = now;
--- a/crates/sloetrail-serving/src/owner/service_owner/other_batches.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/other_batches.rs
@@ -33,10 +33,10 @@
             .sum()
     }
 
-    /// True if items of some of them may be running or waiting now.
-    pub(super) fn are_at_work(&self, now_ms: u64) -> bool {
+    /// True if items of some of them for which this is true may be running or waiting now.
+    pub(super) fn any_at_work(&self, now_ms: u64, is_meant: impl Fn(&BatchHeader) -> bool) -> bool {
         let mut heads = self.heads.values();
-        heads.any(|header| is_at_work(header, now_ms))
+        heads.any(|header| is_at_work(header, now_ms) && is_meant(header))
     }
 
     /// The newest of the versions from which on the batches of a model take samples.
--- a/crates/sloetrail-serving/src/owner/service_owner/results.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/results.rs
@@ -155,7 +155,8 @@
         };
         if open.batch.listed(committed.index) {
             let age = open.opened_age + open.opened_at.elapsed();
-            self.supply.note_step(&open.batch.header, age);
+            let header = open.batch.header.clone();
+            self.note_step(&header, age);
             self.tell_step(&committed.batch, committed.index);
         }
     }
--- a/crates/sloetrail-serving/src/owner/service_owner/supply.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/supply.rs
@@ -7,11 +7,12 @@
 use crate::lease_holder::LeaseHolder;
 use crate::leases::{OrderWindow, Term};
 use crate::owner::event::{OwnerEvent, SupplyAnswered};
+use crate::owner::place_demand::HeardDemands;
 use crate::rows;
 use crate::table::{Commit, read_row};
 use crate::telemetry;
 use sloetrail_batch::BatchHeader;
-use sloetrail_scaling::{EnginesNow, Scaler, ScalingBounds, spread};
+use sloetrail_scaling::{FleetScaler, ScalingBounds, ZoneNow, ZonesNow};
 use sloetrail_types::{ServiceName, Timestamp, ZoneName};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -36,7 +37,9 @@
 /// What the owner knows of the number of its engines.
 pub(super) struct SupplyState {
     origin: Instant,
-    scaler: Scaler,
+    scaler: FleetScaler,
+    /// What bound batches take, as their owners tell it.
+    heard: HeardDemands,
     /// By model, when its last batch was accepted, in milliseconds of the table's clock.
     accepted_at_ms: BTreeMap<String, u64>,
     /// How many engines there were before any were ordered.
@@ -50,7 +53,8 @@
     fn default() -> Self {
         Self {
             origin: Instant::now(),
-            scaler: Scaler::default(),
+            scaler: FleetScaler::default(),
+            heard: HeardDemands::default(),
             accepted_at_ms: BTreeMap::new(),
             floor: Floor::Unknown(Instant::now()),
             planned: Vec::new(),
@@ -73,45 +77,73 @@
             .map(Duration::from_millis);
         self.scaler.note_batch(self.now(), since_previous);
     }
+}
 
+impl ServiceOwner {
     /// The groups that a trainer waits for are whole.
     pub(super) fn note_step(&mut self, header: &BatchHeader, age: Duration) {
-        if header.run_target_ms > 0 {
-            let share = age.as_millis() as f64 / header.run_target_ms as f64;
-            self.scaler.note_step(self.now(), share);
+        if header.run_target_ms == 0 || self.scaling_bounds().is_none() {
+            return;
+        }
+        let share = age.as_millis() as f64 / header.run_target_ms as f64;
+        match self.set.is_in_charge_of_engines() {
+            true => self.supply.scaler.note_step(self.supply.now(), share),
+            false => self.demand.note_step(share),
         }
     }
-}
 
-impl ServiceOwner {
-    /// Takes in what the engines do, and orders another number of them if one is wanted.
-    pub(super) fn drive_supply(&mut self) {
+    /// Who takes orders for engines, if the deployment lets anybody order some for the
+    /// service.
+    pub(super) fn engine_supply(&self) -> Option<(Arc<dyn EngineSupply>, ScalingBounds)> {
         let supply = self.context.engine_supply.clone();
         let is_on = self.context.settings.policies.order_engines;
-        let is_on = is_on && self.set.is_in_charge_of_engines();
-        let Some(supply) = supply.filter(|_| is_on) else {
+        supply.filter(|_| is_on).zip(self.scaling_bounds())
+    }
+
+    /// Takes in what the engines do, and orders another number of them if one is wanted.
+    pub(super) fn drive_supply(&mut self) {
+        if !self.set.is_in_charge_of_engines() {
             return;
-        };
-        let Some(bounds) = self.scaling_bounds() else {
+        }
+        let Some((supply, bounds)) = self.engine_supply() else {
             return;
         };
         let now = self.supply.now();
-        let open = self.batches.values();
-        let running = open.map(|open| open.runs.len()).sum();
-        self.supply.scaler.note_load(now, running);
-        let now_ms = self.context.table.now_ms().unwrap_or_default();
-        if !self.context.table.is_answering() || self.others.are_at_work(now_ms) {
-            self.supply.scaler.note_load_incomplete(now);
-        }
+        let zones = self.zones_now(&bounds);
+        self.note_supply_load(now, &zones);
         let Some(floor) = self.floor() else {
             return;
         };
         if self.supply.planned.is_empty() && !self.supply.is_ordering {
-            self.supply.planned = self.plan_supply(now, &bounds, floor);
+            self.supply.planned = self.plan_supply(now, &zones, &bounds, floor);
         }
         self.order_supply(supply);
     }
 
+    fn note_supply_load(&mut self, now: Timestamp, zones: &ZonesNow) {
+        let now_ms = self.context.table.now_ms().unwrap_or_default();
+        let is_answering = self.context.table.is_answering();
+        if !is_answering {
+            self.supply.heard.note_table_away(now_ms);
+        }
+        let leases = self.context.leases.borrow().clone();
+        let steps = self.supply.heard.take_view(&leases, &self.service);
+        let heard = &self.supply.heard;
+        let works = heard.works(now_ms);
+        let is_untold = |header: &BatchHeader| {
+            !heard.covers(&header.allowed_regions, header.accepted_at_ms, now_ms)
+        };
+        let is_complete = is_answering && !self.others.any_at_work(now_ms, is_untold);
+        let scaler = &mut self.supply.scaler;
+        scaler.note_load(now, zones, &works);
+        for step in steps {
+            scaler.note_bound_step(now, &step.regions, step.share);
+        }
+        if !is_complete {
+            scaler.note_load_incomplete(now);
+        }
+    }
+
     fn scaling_bounds(&self) -> Option<ScalingBounds> {
         let configuration = self.context.configuration()?;
         let service = configuration.services.get(&self.service)?;
@@ -150,22 +182,16 @@
     fn plan_supply(
         &mut self,
         now: Timestamp,
+        zones: &ZonesNow,
         bounds: &ScalingBounds,
         floor: usize,
     ) -> Vec<SupplyOrder> {
-        let zones = self.engines_by_zone(bounds);
         let slots = self.engines.iter().map(|(_, engine)| engine.back_end.slots);
-        let engines_now = EnginesNow {
-            engines: zones.values().sum(),
-            slots: slots.max().unwrap_or(1),
-            zones: zones.len(),
-        };
-        let Some(wanted) = self.supply.scaler.decide(now, engines_now, bounds, floor) else {
-            return Vec::new();
-        };
-        let names: Vec<ZoneName> = zones.keys().cloned().collect();
-        let shares = spread(wanted, &names, bounds).into_iter();
-        let changed = shares.filter(|(zone, engines)| zones.get(zone) != Some(engines));
+        let slots = slots.max().unwrap_or(1);
+        let scaler = &mut self.supply.scaler;
+        let shares = scaler.decide(now, zones, slots, bounds, floor);
+        let shares = shares.into_iter().flatten();
+        let changed = shares.filter(|(zone, engines)| zones[zone].engines != *engines);
         changed
             .map(|(zone, engines)| SupplyOrder {
                 service: self.service.clone(),
@@ -175,15 +201,31 @@
             .collect()
     }
 
-    /// Engines that take work, by zone. A zone that has lost all of its engines is there
-    /// as long as it has a price. A zone that is evacuated is left out: its number stays as
-    /// it is, and what is needed is ordered elsewhere.
-    fn engines_by_zone(&self, bounds: &ScalingBounds) -> BTreeMap<ZoneName, usize> {
+    /// Engines that take work, by zone, and the places that own items take there. A zone that
+    /// has lost all of its engines is there as long as it has a price. A zone that is
+    /// evacuated is left out: its number stays as it is, and what is needed is ordered
+    /// elsewhere.
+    fn zones_now(&self, bounds: &ScalingBounds) -> ZonesNow {
+        let topology = &self.context.settings.topology;
+        let empty = |zone: &ZoneName| ZoneNow {
+            region: topology.region_of(zone).cloned(),
+            engines: 0,
+            busy: 0,
+        };
         let priced = bounds.zone_prices.keys();
-        let mut zones: BTreeMap<ZoneName, usize> = priced.map(|zone| (zone.clone(), 0)).collect();
+        let mut zones: ZonesNow = priced.map(|zone| (zone.clone(), empty(zone))).collect();
         for (_, engine) in self.engines.iter() {
-            let count = zones.entry(engine.back_end.zone.clone()).or_default();
-            *count += usize::from(engine.takes_work());
+            let zone = &engine.back_end.zone;
+            let state = zones.entry(zone.clone()).or_insert_with(|| empty(zone));
+            state.engines += usize::from(engine.takes_work());
+        }
+        let runs = self.batches.values().flat_map(|open| open.runs.values());
+        for run in runs {
+            let engine = self.engines.get(&run.engine);
+            let zone = engine.and_then(|engine| zones.get_mut(&engine.back_end.zone));
+            if let Some(zone) = zone {
+                zone.busy += 1;
+            }
         }
         let evacuations = Arc::clone(&self.context.in_force.borrow().evacuations);
         zones.retain(|zone, _| !evacuations.covers(zone));
--- a/crates/sloetrail-serving/src/rows.rs
+++ b/crates/sloetrail-serving/src/rows.rs
@@ -43,6 +43,8 @@
 
 /// What the keys of leases begin with.
 const LEASE_KEYS: &str = "lease/";
+/// What the keys of demands begin with.
+const PLACE_DEMAND_KEYS: &str = "demand/";
 /// Digits of a window's number: keys sort as the windows follow one another.
 const WINDOW_DIGITS: usize = 20;
 const POSITION_DIGITS: usize = 8;
@@ -63,6 +65,17 @@
     RowAddress::new(LEASES, OWNERS, format!("fence/{subject}"))
 }
 
+/// What the bound batches of a set take of the engines. It lies with the leases, which every
+/// node follows.
+pub fn place_demand(subject: &str) -> RowAddress {
+    RowAddress::new(LEASES, OWNERS, format!("{PLACE_DEMAND_KEYS}{subject}"))
+}
+
+/// The lease whose batches a demand is of, by its key; nothing if the key is of another row.
+pub fn subject_of_place_demand(key: &str) -> Option<&str> {
+    key.strip_prefix(PLACE_DEMAND_KEYS)
+}
+
 /// Until when the holder of a lease may give orders.
 pub fn order_window(subject: &str) -> RowAddress {
     RowAddress::new(ORDER_WINDOWS, OWNERS, subject)
--- a/crates/sloetrail-serving/tests/supply.rs
+++ b/crates/sloetrail-serving/tests/supply.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 use sloetrail_serving::engine_supply::SupplyAnswer;
 use sloetrail_serving_testkit::cluster::{Cluster, MODELS, eventually, usual_routes};
-use sloetrail_serving_testkit::supply::SupplyBook;
+use sloetrail_serving_testkit::supply::{SupplyBook, SupplyRecord};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use support::{lease, lease_holder, native_cluster, submit_items};
@@ -146,11 +146,14 @@
     assert_eq!(floors[0].value, all.to_string(), "its engines count");
 }
 
-/// The owner that orders does not see how many places bound batches take.
+/// The owner of bound batches tells how many places these take, and that they are done.
 #[tokio::test(flavor = "multi_thread")]
-async fn engines_are_not_given_back_while_another_owner_has_batches_at_work() {
+async fn engines_are_given_back_only_once_the_batches_of_another_owner_are_done() {
     const FREE_KEY: &str = "key-of-free";
     const BOUND_KEY: &str = "key-of-bound";
+    /// Items that keep most places busy for longer than the load is looked at.
+    const BOUND_ITEMS: usize = 20;
+    const LONG: u64 = 3_500;
     let (mut cluster, book) = configured(true);
     cluster.regions = [("zone-a".to_owned(), "north".to_owned())].into();
     cluster.tenants = Some(json!([
@@ -172,11 +175,22 @@
     for _ in 0..4 {
         cluster.add_engine(Duration::from_millis(5)).await;
     }
+    let engines = ENGINES + 4;
     cluster.api_key = Some(BOUND_KEY.to_owned());
-    submit_items(&cluster, 0, "bound", 1, 60).await;
-    cluster.wait_results(0, "bound", 1).await;
+    submit_items(&cluster, 0, "bound", BOUND_ITEMS, LONG).await;
     cluster.api_key = Some(FREE_KEY.to_owned());
     work_until_ordered(&cluster, 0, &book, LITTLE).await;
-    let records = book.records();
-    assert_eq!(records.len(), before, "{records:?}");
+    let records = book.records().split_off(before);
+    let is_fewer = |record: &SupplyRecord| record.order.engines < engines;
+    assert!(!records.iter().any(is_fewer), "{records:?}");
+    // It is not ended, and its time is not over: its owner tells that nothing runs.
+    cluster.api_key = Some(BOUND_KEY.to_owned());
+    cluster.wait_results(0, "bound", BOUND_ITEMS).await;
+    cluster.api_key = Some(FREE_KEY.to_owned());
+    let done = book.records().len();
+    for _ in 0..2 {
+        work_until_ordered(&cluster, 0, &book, LITTLE).await;
+    }
+    let records = book.records().split_off(done);
+    assert!(records.iter().any(is_fewer), "{records:?}");
 }
