Evacuations as operators see them: what still runs in a zone, when the last of it ended

Cause: the log told when an evacuation was in force on a node, and a gauge how many zones were; what still ran in a zone, and when a zone was free of it, had to be put together from the lines of each request and item.

Ruled out: the balancers' and owners' own counts (an engine that has left the directory is forgotten there, with what runs on it); rows in the table (calls for what a node knows).

Change: `zone_work` counts what a node has running by zone, with a guard in the place of a live request and one in the run of an item. `evacuation_settled` is written when the last of it has ended in an evacuated zone, at once where nothing ran. Gauges `sloetrail_evacuation_seconds` and `sloetrail_evacuation_running` for zones that were evacuated in this life of the node, at most 64 of them apart.

--- a/crates/sloetrail-cli/src/arguments.rs
+++ b/crates/sloetrail-cli/src/arguments.rs
@@ -123,6 +123,19 @@
                 .after_help("Example: sloetrail usage node-1.log node-2.log")
                 .arg(logs()),
         )
+        .subcommand(
+            Command::new("zones")
+                .about("Tells where the evacuation of zones stands, from the metrics of several nodes")
+                .after_help("Example: sloetrail zones 127.0.0.1:9464 127.0.0.2:9464")
+                .arg(
+                    Arg::new("addresses")
+                        .required(true)
+                        .num_args(1..)
+                        .value_name("METRICS_ADDRESS")
+                        .value_parser(value_parser!(SocketAddr))
+                        .help("The metrics addresses of nodes"),
+                ),
+        )
         .subcommand(
             Command::new("check")
                 .about("Judges a recorded history, invariant by invariant")
--- a/crates/sloetrail-cli/src/main.rs
+++ b/crates/sloetrail-cli/src/main.rs
@@ -15,10 +15,12 @@
 mod failure;
 mod log_files;
 mod log_story;
+mod node_metrics;
 mod orders;
 mod reports;
 mod step_report;
 mod usage_report;
+mod zones;
 
 use clap::ArgMatches;
 use failure::Failure;
@@ -53,6 +55,7 @@
         Some(("explain-request", matches)) => explain_request::explain_request(matches, as_json),
         Some(("step-report", matches)) => step_report::step_report(matches, as_json),
         Some(("usage", matches)) => usage_report::usage_report(matches, as_json),
+        Some(("zones", matches)) => zones::zones(matches, as_json).await,
         Some(("check", matches)) => check::check(matches, as_json),
         Some(("replay", matches)) => check::replay(matches, as_json),
         _ => unreachable!("clap asks for a subcommand"),
--- /dev/null
+++ b/crates/sloetrail-cli/src/zones.rs
@@ -0,0 +1,114 @@
+//! `zones`: where the evacuation of zones stands, from the metrics of several nodes.
+
+use crate::failure::Failure;
+use crate::node_metrics::{self, Answer, Sample};
+use clap::ArgMatches;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::net::SocketAddr;
+
+const SECONDS: &str = "sloetrail_evacuation_seconds";
+const RUNNING: &str = "sloetrail_evacuation_running";
+
+/// A zone that is evacuated, as far as the nodes that answered tell.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+struct EvacuatedZone {
+    /// Nodes on which the evacuation is in force.
+    nodes: usize,
+    /// The longest that it has been in force on one of them.
+    seconds: f64,
+    /// Live requests and reward calls that still run there.
+    live: u64,
+    /// Items of batches that still run there.
+    items: u64,
+}
+
+/// All evacuated zones.
+#[derive(Debug, Default, PartialEq, Serialize)]
+struct ZonesReport {
+    zones: BTreeMap<String, EvacuatedZone>,
+    /// Nodes that answered.
+    answered: usize,
+    /// Nodes that did not, and why.
+    silent: BTreeMap<SocketAddr, String>,
+}
+
+/// Prints where evacuations stand.
+pub(crate) async fn zones(matches: &ArgMatches, as_json: bool) -> Result<(), Failure> {
+    let addresses = matches.get_many::<SocketAddr>("addresses");
+    let addresses: Vec<SocketAddr> = addresses.into_iter().flatten().copied().collect();
+    let report = gather(node_metrics::ask(&addresses).await);
+    if report.answered == 0 {
+        let reasons = report.silent.iter();
+        let reasons: Vec<String> = reasons
+            .map(|(address, reason)| format!("{address}: {reason}"))
+            .collect();
+        return Err(Failure::unreachable(reasons.join("; ")));
+    }
+    match as_json {
+        true => println!("{}", serde_json::json!({ "evacuations": report })),
+        false => print!("{}", as_text(&report)),
+    }
+    Ok(())
+}
+
+fn gather(answers: BTreeMap<SocketAddr, Answer>) -> ZonesReport {
+    let mut report = ZonesReport::default();
+    for (address, answer) in answers {
+        match answer {
+            Ok(samples) => {
+                report.answered += 1;
+                take_node(&mut report.zones, &samples);
+            }
+            Err(reason) => {
+                report.silent.insert(address, reason);
+            }
+        }
+    }
+    report
+}
+
+/// Takes in one node. What runs in a zone whose evacuation is not in force there, or no
+/// more, does not count.
+fn take_node(zones: &mut BTreeMap<String, EvacuatedZone>, samples: &[Sample]) {
+    let in_force = samples.iter().filter(|sample| sample.name == SECONDS);
+    for sample in in_force.filter(|sample| sample.value > 0.0) {
+        let Some(name) = sample.labels.get("zone") else {
+            continue;
+        };
+        let zone = zones.entry(name.clone()).or_default();
+        zone.nodes += 1;
+        zone.seconds = zone.seconds.max(sample.value);
+        zone.live += running(samples, name, "live");
+        zone.items += running(samples, name, "items");
+    }
+}
+
+fn running(samples: &[Sample], zone: &str, kind: &str) -> u64 {
+    let is_meant = |sample: &&Sample| {
+        let label = |name: &str| sample.labels.get(name).map(String::as_str);
+        sample.name == RUNNING && label("zone") == Some(zone) && label("kind") == Some(kind)
+    };
+    let found = samples.iter().find(is_meant);
+    found.map_or(0, |sample| sample.value as u64)
+}
+
+fn as_text(report: &ZonesReport) -> String {
+    let mut text = String::from("zone, in force on, since, live, items\n");
+    for (name, zone) in &report.zones {
+        // Memory takes every write.
+        let _ = writeln!(
+            text,
+            "{name} {} of {} nodes {:.1} s {} {}",
+            zone.nodes, report.answered, zone.seconds, zone.live, zone.items
+        );
+    }
+    for (address, reason) in &report.silent {
+        let _ = writeln!(text, "{address} did not answer: {reason}");
+    }
+    text
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/sloetrail-cli/tests/commands.rs
+++ b/crates/sloetrail-cli/tests/commands.rs
@@ -64,6 +64,34 @@
     drop(listener);
     let output = sloetrail(&["get", "--node", &address]);
     assert_eq!(output.status.code(), Some(3));
+    let output = sloetrail(&["zones", &address]);
+    assert_eq!(output.status.code(), Some(3));
+}
+
+#[test]
+fn evacuated_zones_are_told_from_the_metrics_of_the_nodes_that_answer() {
+    use std::io::{Read, Write};
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("bound").to_string();
+    let node = std::thread::spawn(move || {
+        let (mut caller, _) = listener.accept().expect("a caller");
+        let mut question = [0; 1_024];
+        let length = caller.read(&mut question).expect("a question");
+        let body = "sloetrail_evacuation_seconds{zone=\"north\"} 4.5\n\
+            sloetrail_evacuation_running{zone=\"north\",kind=\"items\"} 3\n";
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        caller.write_all(head.as_bytes()).expect("it is taken");
+        caller.write_all(body.as_bytes()).expect("it is taken");
+        String::from_utf8_lossy(&question[..length]).into_owned()
+    });
+    let output = sloetrail(&["zones", &address]);
+    assert!(output.status.success());
+    assert_eq!(
+        stdout(&output),
+        "zone, in force on, since, live, items\nnorth 1 of 1 nodes 4.5 s 0 3\n"
+    );
+    let question = node.join().expect("it was asked");
+    assert!(question.starts_with("GET /metrics HTTP/1.1"), "{question}");
 }
 
 #[test]
--- a/crates/sloetrail-serving-testkit/src/cluster.rs
+++ b/crates/sloetrail-serving-testkit/src/cluster.rs
@@ -82,6 +82,8 @@
     pub tenants: Option<Value>,
     /// The key that the calls of this type carry.
     pub api_key: Option<String>,
+    /// Where the next node that is added tells its metrics.
+    pub metrics_address: Option<SocketAddr>,
     wire: Arc<dyn EngineWire>,
     dialect: Arc<dyn Dialect>,
     /// Turns a way to the table into the table that a node is given.
@@ -109,6 +111,7 @@
             scaling: None,
             tenants: None,
             api_key: None,
+            metrics_address: None,
             wire,
             dialect,
             wrap: Box::new(|link| link),
@@ -257,7 +260,7 @@
             callers_address: any,
             ready_address: any,
             peer_address: self.peers.then_some(any),
-            metrics_address: None,
+            metrics_address: self.metrics_address,
             lease_ms: Some(self.lease_ms),
             order_gap_ms: Some(ORDER_GAP_MS),
             grace_s: Some(4.0),
--- a/crates/sloetrail-serving/src/context.rs
+++ b/crates/sloetrail-serving/src/context.rs
@@ -13,6 +13,7 @@
 use crate::settings::ServingSettings;
 use crate::table::Table;
 use crate::usage::NodeUsage;
+use crate::zone_work::ZoneWork;
 use sloetrail_routing::{RequestLimits, ServingConfiguration};
 use std::sync::Arc;
 use tokio::sync::watch;
@@ -34,6 +35,8 @@
     /// How often the leases are asked for.
     pub(crate) lease_pace: FollowPace,
     pub(crate) fleet: FleetSize,
+    /// What runs at back ends, by zone.
+    pub(crate) zone_work: Arc<ZoneWork>,
     pub(crate) pause_guard: Arc<PauseGuard>,
     /// Counts what tenants use, where that is to be reported.
     pub(crate) usage: Option<Arc<NodeUsage>>,
--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -117,6 +117,13 @@
         /// True if it is asked for, false if it was withdrawn.
         evacuated: bool,
     },
+    /// Nothing that this node sent to the back ends of an evacuated zone runs there any more.
+    EvacuationSettled {
+        /// The zone.
+        zone: &'a str,
+        /// How long after the evacuation was in force here, in milliseconds.
+        after_ms: u64,
+    },
     /// The configuration binds batches to regions, and this node does not know in which one it
     /// lies: it owns none of them.
     OwnRegionUnknown {
--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -26,6 +26,7 @@
             | Event::RowUnreadable { .. }
             | Event::VersionPublished { .. }
             | Event::EvacuationChanged { .. }
+            | Event::EvacuationSettled { .. }
             | Event::OwnRegionUnknown { .. } => "config",
             Event::BackEndChanged { .. }
             | Event::PaceChanged { .. }
--- a/crates/sloetrail-serving/src/lib.rs
+++ b/crates/sloetrail-serving/src/lib.rs
@@ -45,5 +45,6 @@
 pub mod table_clock;
 mod telemetry;
 pub mod usage;
+mod zone_work;
 
 pub use node::{ControlServices, ServingNode, StartError};
--- a/crates/sloetrail-serving/src/node.rs
+++ b/crates/sloetrail-serving/src/node.rs
@@ -20,6 +20,7 @@
 use crate::table::Table;
 use crate::telemetry::{self, Beliefs};
 use crate::usage::{NodeUsage, UsageRecipient, UsageWork};
+use crate::zone_work::ZoneWork;
 use http::StatusCode;
 use sloetrail_types::digest;
 use sloetrail_usage::ReportSchedule;
@@ -228,7 +229,8 @@
     let directory = watch_directory(views.directory, Arc::clone(&dialect), fleet.clone());
     let seed = digest(settings.instance.as_str().as_bytes());
     let in_force = watch_operator(views.operator, Arc::clone(&dialect));
-    let pools = ServicePools::new(&settings, peers.clone(), seed);
+    let zone_work = ZoneWork::start(in_force.clone());
+    let pools = ServicePools::new(&settings, peers.clone(), Arc::clone(&zone_work), seed);
     let leased_sets = watch_leased_sets(views.leases.clone());
     pools.follow(directory.clone(), in_force.clone(), leased_sets.clone());
     let usage = usage_schedule.map(|schedule| {
@@ -254,6 +256,7 @@
         leased_sets,
         lease_pace,
         fleet,
+        zone_work,
         pause_guard,
         usage,
         engine_supply,
@@ -321,6 +324,7 @@
     Beliefs {
         configuration_revision: configuration.map_or(0, |known| known.revision.0),
         directory_version: context.directory.borrow().version.0,
+        zones: context.zone_work.evacuated(),
         zones_evacuated: context.in_force.borrow().evacuations.count(),
         back_ends_cold: context.directory.borrow().cold_count(Instant::now()),
         lease_view_age: context.leases.borrow().age(Instant::now()),
--- a/crates/sloetrail-serving/src/operator.rs
+++ b/crates/sloetrail-serving/src/operator.rs
@@ -34,6 +34,11 @@
         self.withdrawn_at.get(zone).copied()
     }
 
+    /// The zones that are evacuated.
+    pub(crate) fn zones(&self) -> impl Iterator<Item = &ZoneName> {
+        self.zones.iter()
+    }
+
     /// How many zones are evacuated.
     pub fn count(&self) -> usize {
         self.zones.len()
--- a/crates/sloetrail-serving/src/owner/run.rs
+++ b/crates/sloetrail-serving/src/owner/run.rs
@@ -10,6 +10,7 @@
 };
 use crate::gateway::{caller, headers};
 use crate::http::{AnswerBody, Exchange, Reuse, SendFailure};
+use crate::zone_work::WorkKind;
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use sloetrail_balance::SendBound;
@@ -147,6 +148,8 @@
 /// progress.
 pub(super) async fn run_item(spec: RunSpec) -> RunOutcome {
     let cancel = spec.cancel.clone();
+    let zone_work = &spec.context.zone_work;
+    let _running = zone_work.begin(&spec.back_end.zone, WorkKind::Item);
     let mut run = Run {
         last_event_at: None,
         spec,
--- a/crates/sloetrail-serving/src/service_pools.rs
+++ b/crates/sloetrail-serving/src/service_pools.rs
@@ -9,6 +9,7 @@
 use crate::operator::InForce;
 use crate::relay::peers::Peers;
 use crate::settings::{ColdTolerance, ServingSettings};
+use crate::zone_work::{RunningInZone, WorkKind, ZoneWork};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use sloetrail_balance::{
@@ -36,6 +37,7 @@
 /// The back ends of every service, as this node sees them.
 pub struct ServicePools {
     origin: Instant,
+    zone_work: Arc<ZoneWork>,
     state: Mutex<State>,
 }
 
@@ -62,10 +64,12 @@
     pub(crate) fn new(
         settings: &ServingSettings,
         peers: Option<Arc<Peers>>,
+        zone_work: Arc<ZoneWork>,
         seed: u64,
     ) -> Arc<Self> {
         Arc::new(Self {
             origin: Instant::now(),
+            zone_work,
             state: Mutex::new(State {
                 node: settings.node.clone(),
                 topology: settings.topology.clone(),
@@ -236,6 +240,7 @@
             return None;
         };
         Some(Place {
+            _running: self.zone_work.begin(&back_end.zone, WorkKind::Live),
             pools: Arc::clone(self),
             back_end,
             directory_version: directory.version,
@@ -419,6 +424,7 @@
     back_end: Arc<BackEnd>,
     directory_version: RowVersion,
     ended: bool,
+    _running: RunningInZone,
 }
 
 impl Place {
--- a/crates/sloetrail-serving/src/telemetry.rs
+++ b/crates/sloetrail-serving/src/telemetry.rs
@@ -4,8 +4,10 @@
 //! and routes are those of the configuration, and of these only the first
 //! [`LABEL_VALUES_LIMIT`] are told apart; the others count as `other`.
 
+use crate::zone_work::ZoneCounts;
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use sloetrail_types::ZoneName;
 use std::collections::BTreeSet;
 use std::sync::{Mutex, OnceLock};
 use std::time::Duration;
@@ -21,6 +23,7 @@
 static HANDLE: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
 static ROUTES: LabelValues = LabelValues::new();
 static SERVICES: LabelValues = LabelValues::new();
+static ZONES: LabelValues = LabelValues::new();
 
 /// Starts the recorder of this process; later calls change nothing.
 pub(crate) fn start() {
@@ -146,6 +149,8 @@
 pub(crate) struct Beliefs {
     pub(crate) configuration_revision: u64,
     pub(crate) directory_version: u64,
+    /// Zones that are evacuated, or were in this life of the node.
+    pub(crate) zones: Vec<(ZoneName, ZoneCounts)>,
     pub(crate) zones_evacuated: usize,
     pub(crate) back_ends_cold: usize,
     pub(crate) lease_view_age: Option<Duration>,
@@ -158,6 +163,7 @@
     gauge!("sloetrail_configuration_revision").set(beliefs.configuration_revision as f64);
     gauge!("sloetrail_directory_version").set(beliefs.directory_version as f64);
     gauge!("sloetrail_zones_evacuated").set(beliefs.zones_evacuated as f64);
+    beliefs.zones.iter().for_each(evacuated_zone);
     gauge!("sloetrail_back_ends_cold").set(beliefs.back_ends_cold as f64);
     gauge!("sloetrail_requests_in_flight").set(beliefs.requests as f64);
     gauge!("sloetrail_connections_open").set(beliefs.connections as f64);
@@ -166,6 +172,17 @@
     }
 }
 
+/// Where the evacuation of a zone stands on this node; zero seconds means that it is not in
+/// force, or no more.
+fn evacuated_zone((zone, counts): &(ZoneName, ZoneCounts)) {
+    let zone = ZONES.bounded(zone.as_str());
+    let seconds = counts.evacuated_for.unwrap_or_default().as_secs_f64();
+    let (live, items) = (counts.live as f64, counts.items as f64);
+    gauge!("sloetrail_evacuation_seconds", "zone" => zone.clone()).set(seconds);
+    gauge!("sloetrail_evacuation_running", "zone" => zone.clone(), "kind" => "live").set(live);
+    gauge!("sloetrail_evacuation_running", "zone" => zone, "kind" => "items").set(items);
+}
+
 /// Lines of the log that were not written.
 pub(crate) fn lines_dropped(cause: &'static str, count: u64) {
     counter!("sloetrail_log_lines_dropped_total", "cause" => cause).increment(count);
--- a/crates/sloetrail-serving/tests/evacuation.rs
+++ b/crates/sloetrail-serving/tests/evacuation.rs
@@ -7,6 +7,7 @@
 use sloetrail_serving_testkit::client::Call;
 use sloetrail_serving_testkit::cluster::{Cluster, HOST, MODEL, eventually, usual_routes};
 use sloetrail_serving_testkit::engine::{EngineFault, EngineStandIn};
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use support::{
@@ -103,6 +104,40 @@
     assert!(own.engine.orders().is_empty(), "no orders go there either");
 }
 
+/// A gauge of a node, by its name with labels; nothing if it is not told.
+async fn gauge(metrics: SocketAddr, name: &str) -> Option<f64> {
+    let answer = Call::new(Method::GET, HOST, "/metrics").send(metrics).await;
+    let text = answer.expect("an answer").text();
+    let mut lines = text.lines();
+    let value = lines.find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+    value.map(|value| value.parse().expect("a number"))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_metrics_tell_what_still_runs_in_an_evacuated_zone_until_nothing_does() {
+    const SECONDS: &str = "sloetrail_evacuation_seconds{zone=\"zone-a\"}";
+    const ITEMS: &str = "sloetrail_evacuation_running{zone=\"zone-a\",kind=\"items\"}";
+    let mut cluster = native_cluster();
+    let own = Zone::start(&mut cluster, OWN, Duration::from_millis(20)).await;
+    let free = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let metrics = free.local_addr().expect("an address");
+    drop(free);
+    cluster.metrics_address = Some(metrics);
+    add_nodes(&mut cluster, 1).await;
+    submit_items(&cluster, 0, "b1", 4, 100).await;
+    wait_running(&own.engine, 4).await;
+    assert_eq!(gauge(metrics, SECONDS).await, None, "never evacuated");
+    cluster.evacuate(OWN);
+    let in_force = || async { gauge(metrics, SECONDS).await.filter(|age| *age > 0.0) };
+    eventually("it is in force", in_force).await;
+    assert_eq!(gauge(metrics, ITEMS).await, Some(4.0));
+    cluster.wait_results(0, "b1", 4).await;
+    assert_eq!(gauge(metrics, ITEMS).await, Some(0.0));
+    cluster.withdraw_evacuation(OWN);
+    let withdrawn = || async { gauge(metrics, SECONDS).await.filter(|age| *age == 0.0) };
+    eventually("it is withdrawn", withdrawn).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn work_returns_after_the_withdrawal_no_faster_than_cold_back_ends_bear() {
     const COLD: Duration = Duration::from_millis(2_000);
