Demand of bound work: all own runs count, aged rows tell no steps, and a test counts the calls

The load of unbound work was summed over the zones that take orders, so runs in an evacuated zone, or at engines that have left the directory, no longer counted; a new owner that orders took the step of a row of any age for a late one; and that deployments without bound batches make no further call was asserted by the absence of a row only.

Ruled out: counting the zones that are left out among the engines (their number is to be left as it is).

Change: `FleetScaler::note_load` is told the unbound items that run, as before the change to zones; steps of rows that have aged are left out; a test whose table keeps every key that is read or written and every table that is followed.

--- a/crates/sloetrail-scaling/src/fleet.rs
+++ b/crates/sloetrail-scaling/src/fleet.rs
@@ -46,9 +46,16 @@
         self.whole.note_batch(now, since_previous);
     }
 
-    /// Takes in what the engines do; called at even times.
-    pub fn note_load(&mut self, now: Timestamp, zones: &ZonesNow, works: &BoundWorks) {
-        let unbound: usize = zones.values().map(|zone| zone.busy).sum();
+    /// Takes in what the engines do; called at even times. `unbound` is how many items run
+    /// that are not bound to regions: also those in zones that are left out of `zones`, for
+    /// they will come again elsewhere.
+    pub fn note_load(
+        &mut self,
+        now: Timestamp,
+        unbound: usize,
+        zones: &ZonesNow,
+        works: &BoundWorks,
+    ) {
         let bound: usize = works.values().map(|work| work.busy).sum();
         self.whole.note_load(now, unbound + bound);
         for (regions, work) in works {
--- a/crates/sloetrail-scaling/src/tests/fleet.rs
+++ b/crates/sloetrail-scaling/src/tests/fleet.rs
@@ -74,7 +74,7 @@
                 self.scaler.note_batch(now, Some(PERIOD));
                 self.scaler.note_bound_step(now, regions, step_share);
             }
-            self.scaler.note_load(now, &self.zones, &works);
+            self.scaler.note_load(now, 0, &self.zones, &works);
             let decided = self
                 .scaler
                 .decide(now, &self.zones, SLOTS, &bounds(), self.floor);
@@ -161,3 +161,20 @@
     let few = ["a", "b", "c"].map(|zone| few[&ZoneName::from(zone)]);
     assert_eq!(few, [1, 5, 12]);
 }
+
+#[test]
+fn unbound_items_in_zones_that_are_left_out_count_for_the_number_of_all_engines() {
+    let mut service = Service::new(2);
+    service.zones.remove(&ZoneName::from("s1"));
+    let now = Timestamp(service.now_ms);
+    let places = 4 * SLOTS;
+    service.scaler.note_batch(now, None);
+    service
+        .scaler
+        .note_load(now, places, &service.zones, &BoundWorks::new());
+    let decided = service
+        .scaler
+        .decide(now, &service.zones, SLOTS, &bounds(), 0)
+        .expect("all places would be busy");
+    assert_eq!(decided.values().sum::<usize>(), 6, "{decided:?}");
+}
--- a/crates/sloetrail-serving/src/owner/place_demand/heard.rs
+++ b/crates/sloetrail-serving/src/owner/place_demand/heard.rs
@@ -33,11 +33,13 @@
         self.table_away_ms = now_ms;
     }
 
-    /// Takes in the rows of a service; the steps that are told in new ones.
+    /// Takes in the rows of a service; the steps that are told in new ones, unless these are
+    /// as old as those that count no more.
     pub(in crate::owner) fn take_view(
         &mut self,
         view: &TableView,
         service: &ServiceName,
+        now_ms: u64,
     ) -> Vec<BoundStep> {
         let mut steps = Vec::new();
         for (key, set) in demand_keys(view) {
@@ -51,16 +53,22 @@
             self.versions.insert(key.clone(), row.version);
             let regions = set.regions().clone();
             match DemandRow::decode(key, &row.value) {
-                Some(heard) => steps.extend(self.take_row(regions, heard)),
+                Some(heard) => steps.extend(self.take_row(regions, heard, now_ms)),
                 None => drop(self.rows.remove(&regions)),
             }
         }
         steps
     }
 
-    fn take_row(&mut self, regions: AllowedRegions, row: DemandRow) -> Option<BoundStep> {
+    fn take_row(
+        &mut self,
+        regions: AllowedRegions,
+        row: DemandRow,
+        now_ms: u64,
+    ) -> Option<BoundStep> {
         self.rows.insert(regions.clone(), row);
-        let percent = row.demand.step_percent?;
+        let percent = row.demand.step_percent;
+        let percent = percent.filter(|_| self.is_current(&row, now_ms))?;
         Some(BoundStep {
             regions,
             share: f64::from(percent) / 100.0,
--- a/crates/sloetrail-serving/src/owner/place_demand/tests.rs
+++ b/crates/sloetrail-serving/src/owner/place_demand/tests.rs
@@ -48,7 +48,7 @@
         put(&mut view, name, 1, row.encode());
     }
     let mut heard = HeardDemands::default();
-    heard.take_view(&view, &ServiceName::from("models"));
+    heard.take_view(&view, &ServiceName::from("models"), AT_MS);
     heard
 }
 
@@ -195,19 +195,36 @@
     let mut view = TableView::empty();
     let mut heard = HeardDemands::default();
     put(&mut view, NAME, 1, row(demand(5), 1, AT_MS).encode());
-    heard.take_view(&view, &service);
+    heard.take_view(&view, &service, AT_MS);
     let late = PlaceDemand {
         step_percent: Some(120),
         ..demand(2)
     };
     put(&mut view, NAME, 2, row(late, 2, AT_MS).encode());
-    let steps = heard.take_view(&view, &service);
+    let steps = heard.take_view(&view, &service, AT_MS);
     assert_eq!(steps.len(), 1);
     assert!((steps[0].share - 1.2).abs() < 1e-9);
-    assert!(heard.take_view(&view, &service).is_empty(), "told once");
+    assert!(
+        heard.take_view(&view, &service, AT_MS).is_empty(),
+        "told once"
+    );
     assert_eq!(busy(&heard, AT_MS), 2);
 }
 
+#[test]
+fn a_new_owner_that_orders_takes_no_steps_from_rows_that_have_aged() {
+    let mut view = TableView::empty();
+    let late = PlaceDemand {
+        step_percent: Some(120),
+        ..demand(2)
+    };
+    put(&mut view, NAME, 1, row(late, 1, AT_MS).encode());
+    let now_ms = after(DEMAND_LASTS * 2);
+    let mut heard = HeardDemands::default();
+    let steps = heard.take_view(&view, &ServiceName::from("models"), now_ms);
+    assert!(steps.is_empty(), "{steps:?}");
+}
+
 #[test]
 fn rows_of_other_services_and_rows_that_cannot_be_read_do_not_count() {
     let service = ServiceName::from("models");
@@ -216,10 +233,10 @@
     put(&mut view, "others@north", 1, encoded.clone());
     put(&mut view, NAME, 1, encoded);
     let mut heard = HeardDemands::default();
-    heard.take_view(&view, &service);
+    heard.take_view(&view, &service, AT_MS);
     assert_eq!(busy(&heard, AT_MS), 5);
     put(&mut view, NAME, 2, Bytes::from_static(b"?"));
-    heard.take_view(&view, &service);
+    heard.take_view(&view, &service, AT_MS);
     assert_eq!(busy(&heard, AT_MS), 0);
     assert!(!heard.covers(&north(), 0, AT_MS));
 }
--- a/crates/sloetrail-serving/src/owner/service_owner/supply.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/supply.rs
@@ -127,15 +127,16 @@
             self.supply.heard.note_table_away(now_ms);
         }
         let leases = self.context.leases.borrow().clone();
-        let steps = self.supply.heard.take_view(&leases, &self.service);
+        let steps = self.supply.heard.take_view(&leases, &self.service, now_ms);
         let heard = &self.supply.heard;
         let works = heard.works(now_ms);
         let is_untold = |header: &BatchHeader| {
             !heard.covers(&header.allowed_regions, header.accepted_at_ms, now_ms)
         };
         let is_complete = is_answering && !self.others.any_at_work(now_ms, is_untold);
+        let running = self.batches.values().map(|open| open.runs.len()).sum();
         let scaler = &mut self.supply.scaler;
-        scaler.note_load(now, zones, &works);
+        scaler.note_load(now, running, zones, &works);
         for step in steps {
             scaler.note_bound_step(now, &step.regions, step.share);
         }
--- a/crates/sloetrail-serving/tests/supply.rs
+++ b/crates/sloetrail-serving/tests/supply.rs
@@ -3,11 +3,17 @@
 
 mod support;
 
+use async_trait::async_trait;
 use serde_json::json;
 use sloetrail_serving::engine_supply::SupplyAnswer;
+use sloetrail_serving::table::{
+    Changes, Commit, CommitError, KeyRange, Page, ReadError, Table, TableLimits, Transaction,
+};
 use sloetrail_serving_testkit::cluster::{Cluster, MODELS, eventually, usual_routes};
 use sloetrail_serving_testkit::supply::{SupplyBook, SupplyRecord};
-use std::sync::Arc;
+use sloetrail_types::RowVersion;
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use support::{lease, lease_holder, native_cluster, submit_items};
 
@@ -91,6 +97,82 @@
     assert_eq!(floors[0].value, ENGINES.to_string());
 }
 
+/// Hands calls on, and keeps which rows they are about.
+struct RecordingTable {
+    inner: Arc<dyn Table>,
+    keys: Arc<Mutex<BTreeSet<String>>>,
+    followed: Arc<Mutex<BTreeSet<String>>>,
+}
+
+#[async_trait]
+impl Table for RecordingTable {
+    fn limits(&self) -> TableLimits {
+        self.inner.limits()
+    }
+
+    fn now_ms(&self) -> Option<u64> {
+        self.inner.now_ms()
+    }
+
+    async fn commit(&self, transaction: &Transaction) -> Result<Commit, CommitError> {
+        let keys = transaction.addresses().map(|address| address.key.clone());
+        self.keys.lock().expect("not poisoned").extend(keys);
+        self.inner.commit(transaction).await
+    }
+
+    async fn scan(&self, range: &KeyRange) -> Result<Page, ReadError> {
+        let key = range.from.clone();
+        self.keys.lock().expect("not poisoned").insert(key);
+        self.inner.scan(range).await
+    }
+
+    async fn changes(
+        &self,
+        table: &str,
+        since: RowVersion,
+        wait: Duration,
+    ) -> Result<Changes, ReadError> {
+        let name = table.to_owned();
+        self.followed.lock().expect("not poisoned").insert(name);
+        self.inner.changes(table, since, wait).await
+    }
+}
+
+/// An owner of bound batches would have told their demand twice in this time.
+const DEMAND_TOLD: Duration = Duration::from_secs(5);
+/// The tables of the product that nodes follow, beside those of the operator and of back ends.
+const FOLLOWED: [&str; 3] = ["sloetrail_batches", "sloetrail_ends", "sloetrail_leases"];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn without_bound_batches_nobody_calls_the_table_about_their_demand() {
+    let (mut cluster, book) = configured(true);
+    let keys = Arc::new(Mutex::new(BTreeSet::new()));
+    let followed = Arc::new(Mutex::new(BTreeSet::new()));
+    let recorded = (Arc::clone(&keys), Arc::clone(&followed));
+    cluster = cluster.with_table(move |link| {
+        Arc::new(RecordingTable {
+            inner: link,
+            keys: Arc::clone(&recorded.0),
+            followed: Arc::clone(&recorded.1),
+        })
+    });
+    start(&mut cluster).await;
+    let began = Instant::now();
+    while began.elapsed() < DEMAND_TOLD {
+        work_until_ordered(&cluster, 0, &book, MUCH).await;
+    }
+    assert!(!book.records().is_empty(), "engines are ordered");
+    let keys = keys.lock().expect("not poisoned").clone();
+    assert!(keys.contains("lease/models"), "{keys:?}");
+    let about_demand = keys.iter().any(|key| key.contains("demand"));
+    assert!(!about_demand, "{keys:?}");
+    let followed = followed.lock().expect("not poisoned").clone();
+    let own = followed
+        .iter()
+        .filter(|table| table.starts_with("sloetrail_"));
+    assert_eq!(own.map(String::as_str).collect::<Vec<_>>(), FOLLOWED);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn engines_that_were_ordered_are_given_back_when_they_have_nothing_to_do() {
     let (mut cluster, book) = cluster(true).await;
