The test of an evacuated zone's metrics has items that run longer

Cause: its four items took two seconds; on a machine that stands still for that long they might be done before the evacuation is seen to be in force.

Ruled out: asking only for 'some' items, which would be less strict.

Change: 150 events an item in place of 100, three seconds.

Measured: tests/evacuation.rs 9 of 9, three times beside a load of 18; so were tests/bound_supply.rs (6 of 6) and tests/supply.rs (8 of 8).

--- a/crates/sloetrail-serving/tests/evacuation.rs
+++ b/crates/sloetrail-serving/tests/evacuation.rs
@@ -124,7 +124,7 @@
     drop(free);
     cluster.metrics_address = Some(metrics);
     add_nodes(&mut cluster, 1).await;
-    submit_items(&cluster, 0, "b1", 4, 100).await;
+    submit_items(&cluster, 0, "b1", 4, 150).await;
     wait_running(&own.engine, 4).await;
     assert_eq!(gauge(metrics, SECONDS).await, None, "never evacuated");
     cluster.evacuate(OWN);
