--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -117,6 +117,13 @@
         /// True if it is asked for, false if it was withdrawn.
         evacuated: bool,
     },
+    /// Nothing that this node sent to the back ends of an evacuated zone runs there any more.
+    EvacuationSettled {
+        /// The zone.
+        zone: &'a str,
+        /// How long after the evacuation was in force here, in milliseconds.
+        after_ms: u64,
+    },
     /// The configuration binds batches to regions, and this node does not know in which one it
     /// lies: it owns none of them.
     OwnRegionUnknown {
@@ -419,6 +426,21 @@
         /// The median of all engines.
         median_us: u64,
     },
+    /// The owner of bound batches told what these take of the engines.
+    DemandTold {
+        /// The name of its lease.
+        service: &'a str,
+        /// Places that they took on average since the last time.
+        busy: usize,
+        /// Places that they would take if there were enough.
+        wanted: usize,
+        /// The longest step since then, in percent of its time.
+        step_percent: Option<u32>,
+        /// The epoch of the owner.
+        epoch: u64,
+        /// What became of the row.
+        outcome: &'a str,
+    },
     /// A number of engines was ordered for a zone.
     EnginesOrdered {
         /// The service.
--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -26,9 +26,11 @@
             | Event::RowUnreadable { .. }
             | Event::VersionPublished { .. }
             | Event::EvacuationChanged { .. }
+            | Event::EvacuationSettled { .. }
             | Event::OwnRegionUnknown { .. } => "config",
             Event::BackEndChanged { .. }
             | Event::PaceChanged { .. }
+            | Event::DemandTold { .. }
             | Event::EnginesOrdered { .. } => "engine",
             Event::RequestAnswered { .. }
             | Event::RequestFailed { .. }
