Tenants and routes take turns at the places of a service

Cause: live requests that found no place each looked again every 15 ms by themselves, so a place went to whoever looked first: a tenant with 40 callers got nearly all of them, and a more urgent route no more than another. The owner of batches started all items of the batch that was accepted first, whosever it was.

Ruled out: places reserved for tenants (holds back while places are free); an order by turning newcomers down alone, without waking the first (a place stays empty until its next look); deficit round robin for items (counts starts, not the time that places are held); strict rank without a floor (a kind could be shut out). A rate of tenants: no configuration carries one.

Change: a queue for each service (sloetrail-balance: PlaceQueue, TenantShares, ServedShares), free of I/O: urgency, then the tenant with the least under way, then age; a kind that is served less than a third as often as all goes first. A place that comes free is offered to the first that may use it. Waits are those of place_wait; a tenant beyond its share reckons with those before it. The owner takes batches of one rank by tenant (owner::batch_turns). BatchHeader::urgency uses the new type Urgency. Tests of place_wait name the new field of PlaceOutlook, nothing else in them changed; the reward queue's write its rank as Urgency.

--- a/crates/sloetrail-balance/src/balancer.rs
+++ b/crates/sloetrail-balance/src/balancer.rs
@@ -190,6 +190,11 @@
             .any(|entry| entry.may_serve(now) && topology.allows(regions, &entry.zone))
     }
 
+    /// True if an engine could be chosen for this demand now.
+    pub fn has_place(&self, now: Timestamp, demand: Demand<'_>) -> bool {
+        self.able(now, demand).next().is_some()
+    }
+
     /// How many requests of a class this node may have at a time at the engines of the
     /// allowed regions that may be chosen now.
     pub fn places(&self, now: Timestamp, regions: &AllowedRegions, class: WorkClass) -> usize {
@@ -208,20 +213,29 @@
         self.engines.values().map(|entry| entry.in_flight).sum()
     }
 
-    /// The engines that may be chosen and have room: warm ones before cold ones, and of
-    /// these the nearest.
-    fn nearest_candidates(&self, now: Timestamp, demand: Demand<'_>) -> Vec<EngineId> {
+    /// The engines that may be chosen and have room.
+    fn able<'a>(
+        &'a self,
+        now: Timestamp,
+        demand: Demand<'a>,
+    ) -> impl Iterator<Item = (&'a EngineId, &'a Entry)> {
         let freshness = self.settings.view_freshness;
         let topology = &self.settings.topology;
-        let able = self.engines.iter().filter(|(id, entry)| {
+        self.engines.iter().filter(move |(id, entry)| {
             entry.may_be_chosen(now, freshness)
                 && entry.has_room(now, demand.class)
-                && !demand.excluded.contains(id)
+                && !demand.excluded.contains(*id)
                 && topology.allows(demand.regions, &entry.zone)
-        });
+        })
+    }
+
+    /// The engines that may be chosen and have room: warm ones before cold ones, and of
+    /// these the nearest.
+    fn nearest_candidates(&self, now: Timestamp, demand: Demand<'_>) -> Vec<EngineId> {
+        let topology = &self.settings.topology;
         let mut nearest: Option<(bool, Distance)> = None;
         let mut candidates = Vec::new();
-        for (id, entry) in able {
+        for (id, entry) in self.able(now, demand) {
             let rank = (entry.is_cold(now), topology.distance(&entry.zone));
             if nearest.is_some_and(|nearest| rank > nearest) {
                 continue;
--- a/crates/sloetrail-balance/src/lib.rs
+++ b/crates/sloetrail-balance/src/lib.rs
@@ -6,23 +6,29 @@
 //! Engines of the own zone go first, then those of the own region; cold ones come last and
 //! get no more than a [`SendBound`], dealt out by a [`ColdBudget`].
 //! [`ConcurrencyLimit`] bounds what one node sends one engine, [`RetryBudget`]
-//! what a service's retries may add to its load.
+//! what a service's retries may add to its load. While places are short a [`PlaceQueue`]
+//! says who gets the next one, and [`TenantShares`] which tenant's turn it is.
 
 mod balancer;
 mod cold_share;
 mod concurrency_limit;
 mod entry;
 mod latency_quantile;
+mod place_queue;
 mod retry_budget;
 mod send_window;
+mod served_shares;
+mod tenant_shares;
 
 pub use balancer::{Balancer, BalancerSettings, ColdEngine, Demand, ListedEngine};
 pub use cold_share::ColdBudget;
 pub use concurrency_limit::ConcurrencyLimit;
 pub use entry::{AttemptOutcome, EngineReport, ReportedState, WorkClass};
 pub use latency_quantile::LatencyQuantile;
+pub use place_queue::{PlaceQueue, PlaceRequest, PlaceTicket};
 pub use retry_budget::RetryBudget;
 pub use send_window::{SendBound, SendWindow};
+pub use tenant_shares::{TenantShares, TenantTurn, WorkOwner};
 
 #[cfg(test)]
 mod tests;
--- a/crates/sloetrail-balance/src/tests.rs
+++ b/crates/sloetrail-balance/src/tests.rs
@@ -10,7 +10,10 @@
 use std::time::Duration;
 
 mod cold;
+mod place_queue;
 mod places;
+mod served_shares;
+mod tenant_shares;
 
 static EVERYWHERE: LazyLock<AllowedRegions> = LazyLock::new(AllowedRegions::everywhere);
 
--- a/crates/sloetrail-batch/src/header.rs
+++ b/crates/sloetrail-batch/src/header.rs
@@ -1,7 +1,7 @@
 //! The durable head of a batch.
 
 use serde::{Deserialize, Serialize};
-use sloetrail_types::{AllowedRegions, ServiceName, TenantName, WeightVersion};
+use sloetrail_types::{AllowedRegions, ServiceName, TenantName, Urgency, WeightVersion};
 
 const ID_LENGTH_LIMIT: usize = 100;
 
@@ -54,9 +54,9 @@
 impl BatchHeader {
     /// The order among batches: the rank of the tenant, where it has one, goes before
     /// that of the route; then the batch that was accepted first.
-    pub fn urgency(&self) -> (u8, u8, u64) {
-        let rank = self.tenant_priority.unwrap_or(self.priority);
-        (rank, self.priority, self.accepted_at_ms)
+    pub fn urgency(&self) -> (Urgency, u64) {
+        let urgency = Urgency::new(self.tenant_priority, self.priority);
+        (urgency, self.accepted_at_ms)
     }
 }
 
--- a/crates/sloetrail-routing/src/configuration.rs
+++ b/crates/sloetrail-routing/src/configuration.rs
@@ -2,9 +2,9 @@
 
 use crate::error::{BadPrefixSnafu, BadWeightsSnafu, NoServiceSnafu, UnknownKindSnafu};
 use crate::raw::{RawConfiguration, RawLimits, RawRoute, RawScaling, RawService};
-use crate::{ConfigurationError, RouteTable, Tenants};
+use crate::{ConfigurationError, RouteTable, Tenant, Tenants};
 use sloetrail_scaling::ScalingBounds;
-use sloetrail_types::{AllowedRegions, RegionName, Revision, ServiceName, ZoneName};
+use sloetrail_types::{AllowedRegions, RegionName, Revision, ServiceName, Urgency, ZoneName};
 use snafu::ensure;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -270,6 +270,12 @@
         self.services.iter().any(|part| part.service == *service)
     }
 
+    /// How urgent a caller's requests are: the rank of a tenant goes before the route's.
+    pub fn urgency(&self, tenant: Option<&Tenant>) -> Urgency {
+        let rank = tenant.and_then(|tenant| tenant.priority);
+        Urgency::new(rank, self.priority)
+    }
+
     /// True if reward calls may go by it: those that are answered at once and as a whole.
     pub fn takes_reward_calls(&self) -> bool {
         matches!(self.kind, RouteKind::Idempotent | RouteKind::NonIdempotent)
--- a/crates/sloetrail-serving/src/gateway/front.rs
+++ b/crates/sloetrail-serving/src/gateway/front.rs
@@ -152,6 +152,7 @@
             service,
             regions,
             tenant: tenant.as_ref().map(|tenant| tenant.name.clone()),
+            urgency: route.urgency(tenant.as_deref()),
             outgoing: self.outgoing(head, request_id, tenant.as_deref(), body),
             deadline,
             route: Arc::clone(&route),
--- a/crates/sloetrail-serving/src/gateway/live.rs
+++ b/crates/sloetrail-serving/src/gateway/live.rs
@@ -10,6 +10,7 @@
 use crate::context::NodeContext;
 use crate::events::{self, Event};
 use crate::http::{Reuse, WholeAnswer};
+use crate::place_turns::PlaceSeeker;
 use crate::service_pools::Place;
 use crate::telemetry;
 use crate::usage::BegunRequest;
@@ -17,9 +18,10 @@
 use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
 use http::StatusCode;
+use sloetrail_balance::PlaceRequest;
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_routing::{Route, RouteKind};
-use sloetrail_types::{AllowedRegions, EngineId, ServiceName, TenantName};
+use sloetrail_types::{AllowedRegions, EngineId, ServiceName, TenantName, Urgency};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -45,6 +47,8 @@
     pub(crate) outgoing: Outgoing,
     /// Whose use it counts as; nothing for calls of the node itself.
     pub(crate) tenant: Option<TenantName>,
+    /// How urgent it is among those that wait for a place.
+    pub(crate) urgency: Urgency,
     /// When its final answer is due.
     pub(crate) deadline: Instant,
 }
@@ -72,6 +76,7 @@
 
 struct Run<'a> {
     call: &'a LiveCall,
+    seeker: PlaceSeeker,
     wait: PlaceWait,
     pending: FuturesUnordered<BoxFuture<'static, Attempted>>,
     tried: BTreeSet<EngineId>,
@@ -92,6 +97,7 @@
     pub(crate) async fn run(&self) -> LiveOutcome {
         let run = Run {
             call: self,
+            seeker: self.place_seeker(),
             wait: PlaceWait::default(),
             pending: FuturesUnordered::new(),
             tried: BTreeSet::new(),
@@ -120,30 +126,65 @@
         self.context.pause_guard.settled().await;
     }
 
-    /// Waits for a moment if a place is likely to come free soon; false if it is not.
-    pub(crate) async fn wait_for_place(&self, wait: &mut PlaceWait) -> bool {
-        let outlook = self.place_outlook();
+    /// The search for places at back ends that may serve the request.
+    pub(crate) fn place_seeker(&self) -> PlaceSeeker {
+        let request = PlaceRequest {
+            urgency: self.urgency,
+            tenant: self.tenant.clone(),
+            regions: self.regions.clone(),
+        };
+        PlaceSeeker::new(&self.context.pools, &self.service, request)
+    }
+
+    /// Waits for its turn, for a moment at most, if a place is likely to come free soon; false
+    /// if it is not.
+    pub(crate) async fn wait_for_place(
+        &self,
+        seeker: &mut PlaceSeeker,
+        wait: &mut PlaceWait,
+    ) -> bool {
+        let outlook = self.place_outlook(seeker);
+        let is_held_back = outlook.is_some_and(|outlook| outlook.held_back_by > 0);
         let now = Instant::now();
         let bounds = WaitBounds {
             latency_target: self.route.latency_target,
             left: self.deadline.saturating_duration_since(now),
         };
-        let Some(next_look) = wait.next_look(now, outlook, bounds) else {
+        let next_look = wait.next_look(now, outlook, bounds);
+        if is_held_back {
+            telemetry::tenant_held_back(self.service.as_str(), next_look.is_some());
+        }
+        let Some(next_look) = next_look else {
             return false;
         };
-        tokio::time::sleep_until(next_look).await;
+        seeker.wait_until(next_look).await;
         true
     }
 
     /// When a caller that is refused should come back.
-    pub(crate) fn retry_after(&self) -> Duration {
+    pub(crate) fn retry_after(&self, seeker: &PlaceSeeker) -> Duration {
         let left = self.deadline.saturating_duration_since(Instant::now());
-        place_wait::retry_after(self.place_outlook(), left, rand::random())
+        place_wait::retry_after(self.place_outlook(seeker), left, rand::random())
     }
 
-    fn place_outlook(&self) -> Option<PlaceOutlook> {
-        let pools = &self.context.pools;
-        pools.place_outlook(&self.service, &self.regions)
+    /// Why no place was had, for people.
+    pub(crate) fn no_place(&self, seeker: &PlaceSeeker) -> String {
+        let (service, regions) = (&self.service, &self.regions);
+        match self
+            .place_outlook(seeker)
+            .map(|outlook| outlook.held_back_by)
+        {
+            None => format!("service {service}: no back end takes work; regions: {regions}"),
+            Some(0) => format!("service {service}: no back end has room"),
+            Some(first) => format!(
+                "service {service}: no back end has room; the tenant has more than its share \
+                 under way, and {first} requests go first"
+            ),
+        }
+    }
+
+    fn place_outlook(&self, seeker: &PlaceSeeker) -> Option<PlaceOutlook> {
+        self.context.pools.place_outlook(seeker)
     }
 
     fn reuse(&self) -> Reuse {
@@ -232,7 +273,10 @@
             if self.start() {
                 return true;
             }
-            if !self.call.wait_for_place(&mut self.wait).await {
+            let Self {
+                call, seeker, wait, ..
+            } = self;
+            if !call.wait_for_place(seeker, wait).await {
                 return false;
             }
         }
@@ -240,10 +284,7 @@
 
     fn start(&mut self) -> bool {
         let context = Arc::clone(&self.call.context);
-        let LiveCall {
-            service, regions, ..
-        } = self.call;
-        let Some(place) = context.pools.acquire(service, regions, &self.tried) else {
+        let Some(place) = self.seeker.acquire(&self.tried) else {
             return false;
         };
         self.tried.insert(place.back_end().id.clone());
@@ -359,11 +400,7 @@
             (true, Some(word)) => {
                 format!("service {service}: {word} at the last of {}", self.asked())
             }
-            (true, None) if self.call.place_outlook().is_none() => {
-                let regions = &self.call.regions;
-                format!("service {service}: no back end takes work; regions: {regions}")
-            }
-            (true, None) => format!("service {service}: no back end has room"),
+            (true, None) => self.call.no_place(&self.seeker),
         };
         let code = match (possible > 0, is_late) {
             (true, true) => ResultCode::EngineTimeout,
@@ -376,7 +413,7 @@
         if possible > 0 {
             return problem;
         }
-        let retry_after = self.call.retry_after();
+        let retry_after = self.call.retry_after(&self.seeker);
         problem.with_retry_after_ms(retry_after.as_millis() as u64)
     }
 
--- a/crates/sloetrail-serving/src/gateway/place_wait.rs
+++ b/crates/sloetrail-serving/src/gateway/place_wait.rs
@@ -5,7 +5,9 @@
 //! waits while a place is likely to come free soon: until an ordinary answer has been seen to
 //! free one, and only as long as its own answer still comes within the latency target. It is
 //! refused while its caller has time enough to come back. What cannot be had by then is
-//! refused at once, with the time after which a return has a good chance.
+//! refused at once, with the time after which a return has a good chance. A request whose
+//! tenant has more than its share under way counts those that go before it, so that it is
+//! refused before others are.
 //!
 //! A series of which events were passed on cannot be refused any more, and its caller cannot
 //! come back: it waits for as long as it has time.
@@ -40,6 +42,9 @@
     pub(crate) answer_time: Option<Duration>,
     /// Requests of this node that run there, each of which frees a place.
     pub(crate) running: usize,
+    /// Requests that get a place first because this one's tenant has more than its share
+    /// under way; zero while it has not.
+    pub(crate) held_back_by: usize,
 }
 
 impl PlaceOutlook {
@@ -52,7 +57,9 @@
     fn soonest(&self) -> Duration {
         let running = u32::try_from(self.running).unwrap_or(u32::MAX);
         let next_answer = self.answer_time() / running.max(1);
-        self.paused_for.unwrap_or(next_answer)
+        let first = u32::try_from(self.held_back_by).unwrap_or(u32::MAX);
+        let own_turn = next_answer.saturating_mul(first.saturating_add(1));
+        self.paused_for.unwrap_or(own_turn)
     }
 }
 
--- a/crates/sloetrail-serving/src/gateway/place_wait/tests.rs
+++ b/crates/sloetrail-serving/src/gateway/place_wait/tests.rs
@@ -12,6 +12,7 @@
         paused_for: None,
         answer_time: Some(milliseconds(answer_time)),
         running,
+        held_back_by: 0,
     })
 }
 
@@ -20,6 +21,7 @@
         paused_for: Some(milliseconds(time)),
         answer_time: Some(milliseconds(answer_time)),
         running: 0,
+        held_back_by: 0,
     })
 }
 
--- a/crates/sloetrail-serving/src/gateway/stream.rs
+++ b/crates/sloetrail-serving/src/gateway/stream.rs
@@ -15,6 +15,7 @@
 use crate::event_stream::EventParser;
 use crate::events::{self, Event};
 use crate::http::{AnswerBody, Exchange, Reuse, SendFailure, WholeAnswer};
+use crate::place_turns::PlaceSeeker;
 use crate::service_pools::Place;
 use crate::usage::BegunRequest;
 use bytes::Bytes;
@@ -83,6 +84,7 @@
 
 struct Source {
     call: LiveCall,
+    seeker: PlaceSeeker,
     tried: BTreeSet<EngineId>,
     /// The connections that the next attempt may use.
     reuse: Reuse,
@@ -109,6 +111,7 @@
         let last_event = headers::number(&call.outgoing.headers, &names.last_event_id);
         Self {
             begun: call.begun_request(),
+            seeker: call.place_seeker(),
             reuse: match call.route.resumable {
                 true => Reuse::Within(SILENCE_LIMIT),
                 false => Reuse::Never,
@@ -164,37 +167,36 @@
     /// A back end that was not tried yet, or else one that was, if a place comes free soon.
     async fn acquire_or_wait(&mut self, wait: &mut PlaceWait) -> Option<Place> {
         let context = self.context();
-        let LiveCall {
-            service, regions, ..
-        } = &self.call;
         loop {
             context.pause_guard.settled().await;
             if !self.may_try() {
-                return None;
+                break;
             }
-            if let Some(place) = context.pools.acquire(service, regions, &self.tried) {
+            if let Some(place) = self.seeker.acquire(&self.tried) {
                 return Some(place);
             }
             self.tried.clear();
-            if let Some(place) = context.pools.acquire(service, regions, &self.tried) {
+            if let Some(place) = self.seeker.acquire(&self.tried) {
                 return Some(place);
             }
             let may_come = match self.has_passed_on {
                 true => self.wait_midway().await,
-                false => self.call.wait_for_place(wait).await,
+                false => self.call.wait_for_place(&mut self.seeker, wait).await,
             };
             if !may_come {
-                return None;
+                break;
             }
         }
+        self.seeker.leave();
+        None
     }
 
-    async fn wait_midway(&self) -> bool {
+    async fn wait_midway(&mut self) -> bool {
         let deadline = self.call.deadline;
         let Some(next_look) = place_wait::next_look_midway(Instant::now(), deadline) else {
             return false;
         };
-        tokio::time::sleep_until(next_look).await;
+        self.seeker.wait_until(next_look).await;
         true
     }
 
@@ -263,14 +265,14 @@
 
     fn problem(&self, last: Option<&'static str>) -> Problem {
         let service = &self.call.service;
-        let detail = format!(
-            "service {service}: the last attempt was {}",
-            last.unwrap_or("not made")
-        );
+        let detail = match last {
+            Some(word) => format!("service {service}: the last attempt was {word}"),
+            None => self.call.no_place(&self.seeker),
+        };
         if self.may_have_run > 0 {
             return Problem::new(ResultCode::EngineLost, detail);
         }
-        let retry_after = self.call.retry_after();
+        let retry_after = self.call.retry_after(&self.seeker);
         let problem = Problem::new(ResultCode::NoEngine, detail);
         problem.with_retry_after_ms(retry_after.as_millis() as u64)
     }
--- a/crates/sloetrail-serving/src/lib.rs
+++ b/crates/sloetrail-serving/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod operator;
 mod owner;
 mod pause_guard;
+mod place_turns;
 pub mod policies;
 mod relay;
 mod retry_pause;
--- /dev/null
+++ b/crates/sloetrail-serving/src/owner/batch_turns/tests.rs
@@ -0,0 +1,100 @@
+//! Who goes next among batches, as the owner asks for it.
+
+use super::BatchTurns;
+use sloetrail_balance::TenantShares;
+use sloetrail_batch::{BatchHeader, BatchId};
+use sloetrail_types::{AllowedRegions, ServiceName, TenantName, WeightVersion};
+use std::collections::BTreeMap;
+
+fn header(tenant: &str, priority: u8, accepted_at_ms: u64) -> BatchHeader {
+    BatchHeader {
+        service: ServiceName::from("models"),
+        host: "a.example".to_owned(),
+        total: 8,
+        body_rows: 1,
+        accepted_at_ms,
+        max_attempts: 1,
+        retention_ms: 0,
+        single_version: false,
+        run_target_ms: 0,
+        priority,
+        tenant: Some(TenantName::from(tenant)),
+        tenant_priority: None,
+        allowed_regions: AllowedRegions::everywhere(),
+        model: None,
+        oldest_version: WeightVersion(0),
+    }
+}
+
+/// The order in which items of these batches start at so many places.
+fn order(
+    shares: &mut TenantShares,
+    batches: &[(&str, BatchHeader, usize)],
+    places: usize,
+) -> Vec<String> {
+    let ids: Vec<BatchId> = batches.iter().map(|(id, _, _)| (*id).into()).collect();
+    let mut left: BTreeMap<&str, usize> =
+        batches.iter().map(|(id, _, items)| (*id, *items)).collect();
+    let mut started = Vec::new();
+    let headers = batches.iter().map(|(_, header, _)| header);
+    BatchTurns::new(shares, ids.iter().zip(headers)).run(|id| {
+        let items = left.get_mut(id.as_str()).expect("known");
+        if *items == 0 || started.len() == places {
+            return false;
+        }
+        *items -= 1;
+        started.push(id.to_string());
+        true
+    });
+    started
+}
+
+#[test]
+fn items_of_tenants_take_turns_though_one_has_submitted_many() {
+    let batches = [
+        ("flood-1", header("flood", 5, 1), 10),
+        ("flood-2", header("flood", 5, 2), 10),
+        ("other", header("other", 5, 3), 2),
+    ];
+    let order = order(&mut TenantShares::default(), &batches, 6);
+    let expected = ["flood-1", "other", "flood-1", "other", "flood-1", "flood-1"];
+    assert_eq!(order, expected);
+}
+
+#[test]
+fn within_a_tenant_the_batch_that_was_accepted_first_goes_first() {
+    let batches = [
+        ("a-late", header("one", 5, 9), 2),
+        ("b-early", header("one", 5, 4), 2),
+    ];
+    let order = order(&mut TenantShares::default(), &batches, 4);
+    assert_eq!(order, ["b-early", "b-early", "a-late", "a-late"]);
+}
+
+#[test]
+fn a_more_urgent_batch_goes_first_whatever_its_tenant_has_under_way() {
+    let mut shares = TenantShares::default();
+    let busy = Some(TenantName::from("busy"));
+    shares.recount([(&busy, 6)].into_iter());
+    let batches = [
+        ("patient", header("idle", 5, 1), 2),
+        ("urgent", header("busy", 0, 2), 2),
+    ];
+    let order = order(&mut shares, &batches, 3);
+    assert_eq!(order, ["urgent", "urgent", "patient"]);
+}
+
+#[test]
+fn one_place_goes_from_tenant_to_tenant() {
+    let batches = [
+        ("flood", header("flood", 5, 1), 10),
+        ("other", header("other", 5, 2), 10),
+    ];
+    let mut shares = TenantShares::default();
+    let mut started = Vec::new();
+    for _ in 0..4 {
+        shares.recount(std::iter::empty());
+        started.extend(order(&mut shares, &batches, 1));
+    }
+    assert_eq!(started, ["flood", "other", "flood", "other"]);
+}
--- a/crates/sloetrail-serving/src/owner/mod.rs
+++ b/crates/sloetrail-serving/src/owner/mod.rs
@@ -8,6 +8,7 @@
 //! [`weights`]). Only the owner of the batches that may be anywhere gives orders to engines.
 
 mod assignment;
+mod batch_turns;
 mod committer;
 mod engine;
 mod engine_sends;
--- a/crates/sloetrail-serving/src/owner/reward_queue.rs
+++ b/crates/sloetrail-serving/src/owner/reward_queue.rs
@@ -6,7 +6,7 @@
 //! the oldest. While there is no place at all, one text at a time asks now and then.
 
 use sloetrail_batch::{BatchId, ItemIndex};
-use sloetrail_types::{AllowedRegions, ServiceName};
+use sloetrail_types::{AllowedRegions, ServiceName, Urgency};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -58,7 +58,7 @@
     /// False if the trainer waits for the text's group.
     pub(super) is_extra: bool,
     /// The order among batches.
-    pub(super) batch: (u8, u8, u64),
+    pub(super) batch: (Urgency, u64),
 }
 
 /// What became of one try at a score.
--- a/crates/sloetrail-serving/src/owner/reward_queue/tests.rs
+++ b/crates/sloetrail-serving/src/owner/reward_queue/tests.rs
@@ -1,5 +1,5 @@
 use super::{Lane, PAUSE, Rank, RewardQueue, Scoring, Tried};
-use sloetrail_types::{AllowedRegions, ServiceName};
+use sloetrail_types::{AllowedRegions, ServiceName, Urgency};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -13,7 +13,7 @@
 fn text_in(service: &str, batch: &str, index: usize, is_extra: bool, accepted: u64) -> Scoring {
     let rank = Rank {
         is_extra,
-        batch: (1, 1, accepted),
+        batch: (Urgency::new(None, 1), accepted),
     };
     Scoring::new(batch.into(), index, lane(service), rank)
 }
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -26,6 +26,7 @@
 use crate::follow::{FollowPace, ViewReceiver, follow};
 use crate::leases::{BatchSet, OrderWindow, Term};
 use crate::rows;
+use sloetrail_balance::TenantShares;
 use sloetrail_batch::{Batch, BatchId, ItemId, ItemIndex, LengthModel, Transcript};
 use sloetrail_types::{EngineId, ServiceName, ZoneName};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -78,6 +79,8 @@
     term: Term,
     engines: EnginePool,
     batches: BTreeMap<BatchId, OpenBatch>,
+    /// What tenants have under way at the engines, brought up to date before items start.
+    shares: TenantShares,
     /// Batches that are open, being loaded, ended or unusable.
     known: HashSet<BatchId>,
     /// Those of other owners of the service.
@@ -128,6 +131,7 @@
             set,
             term,
             batches: BTreeMap::new(),
+            shares: TenantShares::default(),
             known: HashSet::new(),
             others: OtherBatches::default(),
             carried: BTreeMap::new(),
--- a/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
@@ -2,6 +2,7 @@
 
 use super::{ActiveRun, ServiceOwner};
 use crate::events::{self, Event};
+use crate::owner::batch_turns::BatchTurns;
 use crate::owner::engine::Demand;
 use crate::owner::event::OwnerEvent;
 use crate::owner::run::{RunProgress, RunSpec, run_item};
@@ -20,21 +21,25 @@
 
 impl ServiceOwner {
     /// Starts items while there are engines for them: first the items of groups that
-    /// trainers wait for, of all batches by rank and age, then the others.
+    /// trainers wait for, of all batches in their turns, then the others.
     pub(super) fn fill(&mut self) {
         if !self.context.pause_guard.is_settled() {
             return;
         }
+        let mut shares = std::mem::take(&mut self.shares);
+        let open = self.batches.values();
+        let under_way = open.map(|open| (&open.batch.header.tenant, open.runs.len()));
+        shares.recount(under_way);
         for wanted in [true, false] {
             let open = self.batches.iter();
-            let mut order: Vec<_> = open
-                .map(|(id, open)| (open.batch.header.urgency(), id.clone()))
-                .collect();
-            order.sort();
-            for (_, id) in order {
-                while self.start_next(&id, wanted) {}
-            }
+            let headers = open.map(|(id, open)| (id, &open.batch.header));
+            let turns = BatchTurns::new(&mut shares, headers);
+            turns.run(|id| self.start_next(id, wanted));
+        }
+        if self.batches.is_empty() {
+            shares.forget_idle();
         }
+        self.shares = shares;
     }
 
     pub(super) fn priority(&self, wanted: bool) -> u8 {
--- a/crates/sloetrail-serving/src/service_pools.rs
+++ b/crates/sloetrail-serving/src/service_pools.rs
@@ -7,13 +7,14 @@
 use crate::leases::LeasedSets;
 use crate::loss_backoff::LossBackoff;
 use crate::operator::InForce;
+use crate::place_turns::{PlaceSeeker, PlaceTurns};
 use crate::relay::peers::Peers;
 use crate::settings::{ColdTolerance, ServingSettings};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use sloetrail_balance::{
     AttemptOutcome, Balancer, BalancerSettings, ColdBudget, ColdEngine, Demand, EngineReport,
-    LatencyQuantile, ListedEngine, ReportedState, SendBound, WorkClass,
+    LatencyQuantile, ListedEngine, ReportedState, SendBound, WorkClass, WorkOwner,
 };
 use sloetrail_types::{
     AllowedRegions, EngineId, RowVersion, ServiceName, Timestamp, Topology, WeightVersion,
@@ -53,6 +54,7 @@
     in_force: Arc<InForce>,
     leased_sets: Arc<LeasedSets>,
     balancers: HashMap<ServiceName, Balancer>,
+    turns: HashMap<ServiceName, PlaceTurns>,
     answer_times: HashMap<ServiceName, LatencyQuantile>,
     losses: BTreeMap<EngineId, LossBackoff>,
 }
@@ -77,6 +79,7 @@
                 in_force: Arc::default(),
                 leased_sets: Arc::default(),
                 balancers: HashMap::new(),
+                turns: HashMap::new(),
                 answer_times: HashMap::new(),
                 losses: BTreeMap::new(),
             }),
@@ -159,13 +162,10 @@
         state.directory = directory;
     }
 
-    /// When a place may be had at a back end of a service in the allowed regions; nothing if
-    /// none takes work there.
-    pub(crate) fn place_outlook(
-        &self,
-        service: &ServiceName,
-        regions: &AllowedRegions,
-    ) -> Option<PlaceOutlook> {
+    /// When a request may have a place at a back end in its allowed regions; nothing if none
+    /// takes work there.
+    pub(crate) fn place_outlook(&self, seeker: &PlaceSeeker) -> Option<PlaceOutlook> {
+        let (service, regions) = (seeker.service(), &seeker.request().regions);
         let now = self.now();
         let state = self.state.lock().expect("not poisoned");
         let balancer = state.balancers.get(service)?;
@@ -186,6 +186,7 @@
             paused_for: (!soonest.is_zero()).then_some(soonest),
             answer_time: state.answer_times.get(service).map(LatencyQuantile::time),
             running: balancer.in_flight(),
+            held_back_by: state.held_back_by(seeker),
         })
     }
 
@@ -206,17 +207,20 @@
         })
     }
 
-    /// Chooses a back end of a service that has room, lies in one of the allowed regions
-    /// and is not excluded.
+    /// Chooses a back end that has room, lies in one of the allowed regions and is not
+    /// excluded, unless it is another one's turn.
     pub(crate) fn acquire(
         self: &Arc<Self>,
-        service: &ServiceName,
-        regions: &AllowedRegions,
+        seeker: &PlaceSeeker,
         excluded: &BTreeSet<EngineId>,
     ) -> Option<Place> {
+        let (service, tenant) = (seeker.service(), &seeker.request().tenant);
         let now = self.now();
         let mut state = self.state.lock().expect("not poisoned");
         state.readmit(service, now);
+        if !state.is_turn_of(seeker, excluded, now) {
+            return None;
+        }
         let State {
             random,
             directory,
@@ -224,25 +228,41 @@
             ..
         } = &mut *state;
         let balancer = balancers.get_mut(service)?;
-        let demand = Demand {
-            class: WorkClass::Live,
-            excluded,
-            regions,
-        };
-        let id = balancer.choose(now, random, demand)?;
+        let regions = &seeker.request().regions;
+        let id = balancer.choose(now, random, live_demand(excluded, regions))?;
         let back_end = directory.back_ends.get(&id).cloned();
         let Some(back_end) = back_end else {
             balancer.finish(now, &id, AttemptOutcome::Abandoned);
             return None;
         };
+        let directory_version = directory.version;
+        state.turns(service).began(seeker);
         Some(Place {
             pools: Arc::clone(self),
             back_end,
-            directory_version: directory.version,
+            tenant: tenant.clone(),
+            directory_version,
             ended: false,
         })
     }
 
+    /// Works on the queue of those that wait for a place at a service.
+    pub(crate) fn with_turns<Outcome>(
+        &self,
+        service: &ServiceName,
+        work: impl FnOnce(&mut PlaceTurns) -> Outcome,
+    ) -> Outcome {
+        let mut state = self.state.lock().expect("not poisoned");
+        work(state.turns(service))
+    }
+
+    /// Offers a place of a service, if there is one, to the first that waits and may use it.
+    pub(crate) fn wake_first(&self, service: &ServiceName) {
+        let now = self.now();
+        let mut state = self.state.lock().expect("not poisoned");
+        state.wake_first(service, now);
+    }
+
     /// A back end of a service has answered after this time.
     pub(crate) fn note_answer(&self, service: &ServiceName, took: Duration) {
         let mut state = self.state.lock().expect("not poisoned");
@@ -260,13 +280,15 @@
         known.map(LatencyQuantile::time).unwrap_or_default()
     }
 
-    fn finish(&self, back_end: &BackEnd, outcome: AttemptOutcome) {
+    fn finish(&self, back_end: &BackEnd, tenant: &WorkOwner, outcome: AttemptOutcome) {
         let now = self.now();
         let mut state = self.state.lock().expect("not poisoned");
         state.note_outcome(&back_end.id, outcome);
         if let Some(balancer) = state.balancers.get_mut(&back_end.service) {
             balancer.finish(now, &back_end.id, outcome);
         }
+        state.turns(&back_end.service).ended(tenant);
+        state.wake_first(&back_end.service, now);
     }
 
     fn now(&self) -> Timestamp {
@@ -326,6 +348,56 @@
         }
     }
 
+    /// The queue of those that wait for a place at a service.
+    fn turns(&mut self, service: &ServiceName) -> &mut PlaceTurns {
+        if !self.turns.contains_key(service) {
+            self.turns.insert(service.clone(), PlaceTurns::default());
+        }
+        self.turns.get_mut(service).expect("it was inserted")
+    }
+
+    /// False if a place that this request could have is another one's.
+    fn is_turn_of(
+        &self,
+        seeker: &PlaceSeeker,
+        excluded: &BTreeSet<EngineId>,
+        now: Timestamp,
+    ) -> bool {
+        let Some(turns) = self.turns.get(seeker.service()) else {
+            return true;
+        };
+        let Some(balancer) = self.balancers.get(seeker.service()) else {
+            return true;
+        };
+        let demand = live_demand(excluded, &seeker.request().regions);
+        if turns.is_empty() || !balancer.has_place(now, demand) {
+            return true;
+        }
+        let nothing = BTreeSet::new();
+        turns.is_turn_of(seeker, now, |regions| {
+            balancer.has_place(now, live_demand(&nothing, regions))
+        })
+    }
+
+    fn wake_first(&mut self, service: &ServiceName, now: Timestamp) {
+        let (balancer, turns) = (self.balancers.get(service), self.turns.get_mut(service));
+        let (Some(balancer), Some(turns)) = (balancer, turns) else {
+            return;
+        };
+        if turns.is_empty() {
+            return;
+        }
+        let nothing = BTreeSet::new();
+        turns.wake_first(now, |regions| {
+            balancer.has_place(now, live_demand(&nothing, regions))
+        });
+    }
+
+    fn held_back_by(&self, seeker: &PlaceSeeker) -> usize {
+        let turns = self.turns.get(seeker.service());
+        turns.map_or(0, |turns| turns.held_back_by(seeker))
+    }
+
     /// The names of all nodes, this one included once it has registered.
     fn current_senders(&self) -> Vec<String> {
         let peers = self.peers.as_ref();
@@ -402,6 +474,14 @@
     }
 }
 
+fn live_demand<'a>(excluded: &'a BTreeSet<EngineId>, regions: &'a AllowedRegions) -> Demand<'a> {
+    Demand {
+        class: WorkClass::Live,
+        excluded,
+        regions,
+    }
+}
+
 /// The news that a back end is listed.
 fn listed_report(back_end: &BackEnd, now: Timestamp) -> EngineReport {
     EngineReport {
@@ -417,6 +497,8 @@
 pub struct Place {
     pools: Arc<ServicePools>,
     back_end: Arc<BackEnd>,
+    /// Whose request it was taken for.
+    tenant: WorkOwner,
     directory_version: RowVersion,
     ended: bool,
 }
@@ -435,14 +517,15 @@
     /// Ends the request there.
     pub fn end(mut self, outcome: AttemptOutcome) {
         self.ended = true;
-        self.pools.finish(&self.back_end, outcome);
+        self.pools.finish(&self.back_end, &self.tenant, outcome);
     }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
         if !self.ended {
-            self.pools.finish(&self.back_end, AttemptOutcome::Abandoned);
+            let outcome = AttemptOutcome::Abandoned;
+            self.pools.finish(&self.back_end, &self.tenant, outcome);
         }
     }
 }
--- a/crates/sloetrail-serving/src/telemetry.rs
+++ b/crates/sloetrail-serving/src/telemetry.rs
@@ -72,6 +72,15 @@
     histogram!("sloetrail_attempt_seconds", "service" => service).record(took);
 }
 
+/// A request found no place and others go first, since its tenant has more than its share
+/// under way.
+pub(crate) fn tenant_held_back(service: &str, may_wait: bool) {
+    let service = SERVICES.bounded(service);
+    let outcome = if may_wait { "waits" } else { "refused" };
+    counter!("sloetrail_tenants_held_back_total", "service" => service, "outcome" => outcome)
+        .increment(1);
+}
+
 /// A batch was answered: `accepted`, `repeated` or `refused`.
 pub(crate) fn batch_answered(outcome: &'static str, took: Duration) {
     counter!("sloetrail_batches_total", "outcome" => outcome).increment(1);
--- a/crates/sloetrail-types/src/lib.rs
+++ b/crates/sloetrail-types/src/lib.rs
@@ -9,6 +9,7 @@
 mod regions;
 mod segment;
 mod time;
+mod urgency;
 
 pub use counters::{Epoch, Revision, RowVersion, SequenceNumber, StepNumber, WeightVersion};
 pub use digest::{digest, rendezvous_weight};
@@ -19,6 +20,7 @@
 pub use regions::{AllowedRegions, Distance, Topology};
 pub use segment::{Segment, oldest_version, segments_cover};
 pub use time::Timestamp;
+pub use urgency::Urgency;
 
 #[cfg(test)]
 mod tests;
