Wrong keys write few lines

Cause: each refused key wrote a line, and each look-up copied the key.

Ruled out: no line at all (an operator looks for 1010 in the log); a limit on all refusals (the others are few and each tells something).

Change: request_failed with code 1010 is thinned to 20 lines a second as ordinary lines are, and counted in lines_dropped; a key is looked up without a copy.

--- a/crates/sloetrail-routing/src/tenants.rs
+++ b/crates/sloetrail-routing/src/tenants.rs
@@ -8,6 +8,7 @@
 use crate::raw::RawTenant;
 use sloetrail_types::{AllowedRegions, TenantName};
 use snafu::ensure;
+use std::borrow::Borrow;
 use std::collections::{BTreeSet, HashMap};
 use std::fmt;
 use std::sync::Arc;
@@ -19,6 +20,13 @@
 #[derive(Clone, PartialEq, Eq, Hash)]
 struct ApiKey(String);
 
+/// A key is looked up as it was sent, without a copy.
+impl Borrow<str> for ApiKey {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+
 impl fmt::Debug for ApiKey {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str("ApiKey(hidden)")
@@ -102,6 +110,6 @@
 
     /// The tenant that a key belongs to.
     pub fn of_key(&self, key: &str) -> Option<&Arc<Tenant>> {
-        self.by_key.get(&ApiKey(key.to_owned()))
+        self.by_key.get(key)
     }
 }
--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -3,7 +3,8 @@
 //! Each event is one JSON line. The lines go through a bounded queue to one writer
 //! thread, so that a reader of standard output that stops does not stop the node;
 //! what does not fit is counted and said in a later line. Ordinary successes are
-//! thinned by a limit a second; failures and refusals are not.
+//! thinned by a limit a second, and so are refusals of unknown keys; other failures and
+//! refusals are not.
 
 mod part;
 mod rate_limiter;
--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -2,8 +2,9 @@
 
 use super::Event;
 use super::rate_limiter::RateLimiter;
+use sloetrail_result::ResultCode;
 
-/// Lines a second of one kind of ordinary event.
+/// Lines a second of one kind of ordinary event, and of refused keys.
 const ORDINARY_LINES_PER_SECOND: u32 = 20;
 
 impl Event<'_> {
@@ -60,6 +61,10 @@
     pub(super) fn limiter(&self) -> Option<&'static RateLimiter> {
         match self {
             Event::RequestAnswered { .. } => Some(&REQUESTS_ANSWERED),
+            // Anybody can send wrong keys, as many as they like.
+            Event::RequestFailed { code, .. } if *code == ResultCode::UnknownApiKey.number() => {
+                Some(&KEYS_REFUSED)
+            }
             Event::ItemStarted { .. } => Some(&ITEMS_STARTED),
             Event::ItemListed { .. } => Some(&ITEMS_LISTED),
             Event::ItemMoved { .. } => Some(&ITEMS_MOVED),
@@ -69,6 +74,7 @@
 }
 
 static REQUESTS_ANSWERED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
+static KEYS_REFUSED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
 static ITEMS_STARTED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
 static ITEMS_LISTED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
 static ITEMS_MOVED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
@@ -77,6 +83,7 @@
 pub(super) fn take_thinned() -> u64 {
     let limiters = [
         &REQUESTS_ANSWERED,
+        &KEYS_REFUSED,
         &ITEMS_STARTED,
         &ITEMS_LISTED,
         &ITEMS_MOVED,
--- /dev/null
+++ b/crates/sloetrail-serving/tests/wrong_keys_log.rs
@@ -0,0 +1,82 @@
+//! Wrong keys by the hundred do not fill the log, and no key is in it. One test, since a
+//! process has one log.
+
+mod support;
+
+use http::Method;
+use log::LevelFilter;
+use serde_json::json;
+use sloetrail_serving::events;
+use sloetrail_serving_testkit::client::Call;
+use sloetrail_serving_testkit::cluster::{HOST, usual_routes};
+use std::io::{self, Write};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use support::native_cluster;
+
+const RIGHT: &str = "right-secret";
+const CALLS: usize = 600;
+/// Lines of refused keys in one second, as for ordinary lines.
+const LINES_PER_SECOND: usize = 20;
+
+/// What was logged.
+#[derive(Clone, Default)]
+struct Log(Arc<Mutex<Vec<u8>>>);
+
+impl Log {
+    fn text(&self) -> String {
+        let bytes = self.0.lock().expect("not poisoned");
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+}
+
+impl Write for Log {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0
+            .lock()
+            .expect("not poisoned")
+            .extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_keys_are_thinned_out_in_the_log_and_no_key_is_in_it() {
+    let log = Log::default();
+    events::start_with(LevelFilter::Info, "node-1", log.clone()).expect("the first start");
+    let mut cluster = native_cluster();
+    cluster.tenants = Some(json!([{"name": "north", "api_keys": [RIGHT]}]));
+    cluster.configure(usual_routes());
+    cluster.add_application("zone-a").await;
+    let node = cluster.add_node("node-1").await;
+    cluster.wait_ready(node).await;
+    let names = cluster.names();
+    let call = |key: &str| {
+        Call::new(Method::POST, HOST, "/live/x")
+            .header(&names.deadline_ms, "1500")
+            .header(&names.api_key, key)
+    };
+    let began = Instant::now();
+    for number in 0..CALLS {
+        let wrong = call(&format!("wrong-secret-{number}"));
+        let answer = wrong.send(cluster.nodes[0].callers).await;
+        assert_eq!(answer.expect("an answer").status, 401);
+    }
+    let seconds = began.elapsed().as_secs() as usize + 2;
+    let right = call(RIGHT).send(cluster.nodes[0].callers).await;
+    assert_eq!(right.expect("an answer").status, 200);
+    events::flush(Duration::from_secs(5));
+    let text = log.text();
+    let refused = text.lines().filter(|line| line.contains("\"code\":1010"));
+    let refused = refused.count();
+    assert!(refused > 0, "the first ones are told");
+    assert!(
+        refused <= seconds * LINES_PER_SECOND,
+        "{refused} lines in {seconds} s"
+    );
+    assert!(!text.contains("secret"));
+}
