--- a/crates/sloetrail-serving/src/gateway/place_wait/tests.rs
+++ b/crates/sloetrail-serving/src/gateway/place_wait/tests.rs
@@ -49,6 +49,27 @@
     now - began
 }
 
+/// Back ends that are full, and requests that go before this one.
+fn held_back(answer_time: u64, running: usize, held_back_by: usize) -> Option<PlaceOutlook> {
+    let outlook = full(answer_time, running)?;
+    Some(PlaceOutlook {
+        held_back_by,
+        ..outlook
+    })
+}
+
+#[test]
+fn a_request_that_is_held_back_waits_only_if_its_turn_comes_in_time() {
+    let usual = waited(full(60, 8), 200);
+    let in_time = waited(held_back(60, 8, 3), 200);
+    assert_eq!(in_time, milliseconds(60), "a place comes free each 7.5 ms");
+    assert!(in_time < usual, "not longer than others: {usual:?}");
+    assert_eq!(waited(held_back(60, 8, 20), 200), Duration::ZERO);
+    let left = milliseconds(3_000);
+    let later = retry_after(held_back(60, 8, 20), left, 0.5);
+    assert!(later > retry_after(full(60, 8), left, 0.5));
+}
+
 #[test]
 fn a_place_that_comes_free_in_the_ordinary_course_is_waited_for() {
     let waited = waited(full(60, 8), 200);
