--- a/crates/sloetrail-serving/src/owner/mod.rs
+++ b/crates/sloetrail-serving/src/owner/mod.rs
@@ -9,6 +9,7 @@
 //! others tell it what their batches take ([`place_demand`]).
 
 mod assignment;
+mod batch_turns;
 mod committer;
 mod engine;
 mod engine_sends;
