Serving node: claims of idempotency keys, ids from the node, the configuration's version on answers

Cause: on the serving node a request that may not repeat ran at most once for each sending only. Sent again after a lost answer, to this node or another, it ran twice. A request without an id went out with an empty one, so that the echo of a back end proved nothing. No answer told the version of the configuration that it was given under.

Change: gateway/claims: a row for each key, absent before the first attempt, in one transaction with a row of its time; the row names life and number of the sending, so that Commit::Conflict settles a lost answer; the outcome is written once it is known. 1107 while the table does not settle it, 1011 for another request under the key, 1201 for an outcome that is not known. Claims are content and stay in the own region. HeaderNames::idempotency_key and configuration_version are optional; the platform names neither, has no claims and makes no call for them. RequestId gives an id where none came; a batch is still named by its trainer alone. A planned stop waits for answers that are being stored.

--- a/crates/sloetrail-result/src/code.rs
+++ b/crates/sloetrail-result/src/code.rs
@@ -70,6 +70,7 @@
     UnknownRoute = 1008, NotRun, 404, "unknown route", "No route of the configuration in force has this host and path.", "Check the host and the path.";
     UnknownBatch = 1009, NotRun, 404, "unknown batch", "No batch of this id was accepted, or it was forgotten after its time.", "Check the id.";
     UnknownApiKey = 1010, NotRun, 401, "unknown api key", "The request carries no key, or one that belongs to no tenant of the configuration in force.", "Send a key of your tenant.";
+    KeyReused = 1011, NotRun, 422, "key reused", "The idempotency key was sent with another request before.", "Send each request under a key of its own.";
     NoEngine = 1101, NotRun, 503, "no engine", "No engine of the service may take work now.", "Ask again after the time given.";
     QueueFull = 1102, NotRun, 503, "queue full", "The service's queue on this node is full.", "Ask again after the time given.";
     QueueDeadline = 1103, NotRun, 503, "queue deadline", "The request would not reach an engine before its deadline.", "Ask again after the time given.";
--- a/crates/sloetrail-serving/src/context.rs
+++ b/crates/sloetrail-serving/src/context.rs
@@ -4,6 +4,7 @@
 use crate::directory::Directory;
 use crate::engine_supply::EngineSupply;
 use crate::follow::{FleetSize, FollowPace, ViewReceiver};
+use crate::gateway::claims::Claims;
 use crate::http::ConnectionPool;
 use crate::leases::LeasedSets;
 use crate::operator::InForce;
@@ -23,6 +24,8 @@
     pub(crate) table: Arc<dyn Table>,
     /// The other nodes, if nodes help each other out.
     pub(crate) peers: Option<Arc<Peers>>,
+    /// The claims of idempotency keys, where the dialect names these.
+    pub(crate) claims: Option<Arc<Claims>>,
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) connections: Arc<ConnectionPool>,
     pub(crate) pools: Arc<ServicePools>,
--- a/crates/sloetrail-serving/src/dialect.rs
+++ b/crates/sloetrail-serving/src/dialect.rs
@@ -43,6 +43,12 @@
     pub api_key: HeaderName,
     /// The tenant, as back ends are told it.
     pub tenant: HeaderName,
+    /// The key under which a request that may not repeat runs at most once, however often and
+    /// to whatever node it is sent; without a name no request has one.
+    pub idempotency_key: Option<HeaderName>,
+    /// The version of the configuration that a call was answered under; without a name it is
+    /// not told.
+    pub configuration_version: Option<HeaderName>,
 }
 
 impl HeaderNames {
@@ -63,6 +69,8 @@
             length_hint: HeaderName::from_static("sloetrail-length-hint"),
             api_key: HeaderName::from_static("sloetrail-api-key"),
             tenant: HeaderName::from_static("sloetrail-tenant"),
+            idempotency_key: Some(HeaderName::from_static("idempotency-key")),
+            configuration_version: Some(HeaderName::from_static("sloetrail-configuration-version")),
         }
     }
 }
--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -190,6 +190,21 @@
         /// The version of the directory that named the back end.
         directory_version: u64,
     },
+    /// What became of a keyed request could not be written to the claim of its key: repeats
+    /// are told that the outcome is not known.
+    ClaimLeft {
+        /// The request.
+        request: &'a str,
+        /// What was to be written: `released` or `answered`.
+        state: &'a str,
+        /// Why it was not.
+        cause: &'a str,
+    },
+    /// Claims of idempotency keys were deleted after their time.
+    ClaimsDeleted {
+        /// How many.
+        claims: usize,
+    },
     /// A batch was accepted, or found accepted before.
     BatchAccepted {
         /// The batch.
--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -32,7 +32,9 @@
             | Event::EnginesOrdered { .. } => "engine",
             Event::RequestAnswered { .. }
             | Event::RequestFailed { .. }
-            | Event::AttemptFailed { .. } => "gateway",
+            | Event::AttemptFailed { .. }
+            | Event::ClaimLeft { .. }
+            | Event::ClaimsDeleted { .. } => "gateway",
             Event::BatchAccepted { .. }
             | Event::BatchWaits { .. }
             | Event::BatchRefused { .. }
--- a/crates/sloetrail-serving/src/gateway/caller.rs
+++ b/crates/sloetrail-serving/src/gateway/caller.rs
@@ -68,7 +68,8 @@
     }
 }
 
-/// Replaces the caller's key, and what it says of its tenant, by the tenant's name.
+/// Replaces the caller's key, and what it says of its tenant, by the tenant's name. The
+/// idempotency key ends here too.
 pub(crate) fn set_tenant(
     headers: &mut HeaderMap,
     names: &HeaderNames,
@@ -76,6 +77,9 @@
 ) {
     headers.remove(&names.api_key);
     headers.remove(&names.tenant);
+    if let Some(name) = &names.idempotency_key {
+        headers.remove(name);
+    }
     if let Some(tenant) = tenant {
         headers::set_text(headers, &names.tenant, tenant.as_str());
     }
--- /dev/null
+++ b/crates/sloetrail-serving/src/gateway/claims/sweep/tests.rs
@@ -0,0 +1,34 @@
+use super::deletion;
+use crate::rows;
+use crate::table::Row;
+use bytes::Bytes;
+use sloetrail_types::RowVersion;
+
+#[test]
+fn a_claim_is_deleted_only_while_its_time_is_as_it_was_read() {
+    let claim = rows::claim(0xabc);
+    let time = Row {
+        address: rows::claim_time(&claim, 1_000),
+        value: Bytes::new(),
+        version: RowVersion(7),
+    };
+    let transaction = deletion(std::slice::from_ref(&time));
+    assert_eq!(transaction.deletes, [time.address.clone(), claim]);
+    let [condition] = transaction.conditions.as_slice() else {
+        panic!("one condition");
+    };
+    assert_eq!(condition.address, time.address);
+    assert_eq!(condition.version, Some(RowVersion(7)));
+}
+
+#[test]
+fn times_sort_as_they_follow_one_another() {
+    let claim = rows::claim(0xabc);
+    let partition = 0xabc_u128 % u128::from(rows::CLAIM_PARTITIONS);
+    let range = rows::claim_times_until(partition as u8, 1_000);
+    let end = range.to.expect("an end");
+    assert_eq!(claim.partition, range.partition);
+    assert!(rows::claim_time(&claim, 999).key < end);
+    assert!(rows::claim_time(&claim, 1_000).key >= end);
+    assert!(rows::claim_time(&claim, 10_000).key >= end);
+}
--- a/crates/sloetrail-serving/src/gateway/front.rs
+++ b/crates/sloetrail-serving/src/gateway/front.rs
@@ -5,10 +5,15 @@
 use super::body_budget::{BodyBudget, HeldBytes};
 use super::call_log::CallLog;
 use super::caller::{self, KeyDemand};
+use super::claims::{Claimed, KeyedSending, Sending};
 use super::headers;
 use super::live::LiveCall;
-use super::message::{CallerResponse, problem_response, stream_body, whole_body, with_request_id};
+use super::message::{
+    CallerResponse, problem_response, stream_body, whole_body, with_configuration_version,
+    with_request_id,
+};
 use super::regions;
+use super::request_id::RequestId;
 use super::stream::{self, StreamOutcome};
 use super::submit::{self, SubmissionCall, WaitingSubmissions};
 use crate::context::NodeContext;
@@ -19,7 +24,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use sloetrail_result::{Problem, ResultCode};
-use sloetrail_routing::{Route, RouteKind, Tenant, WeightedChoice};
+use sloetrail_routing::{Route, RouteKind, ServingConfiguration, Tenant, WeightedChoice};
 use sloetrail_types::{AllowedRegions, ServiceName};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
@@ -66,35 +71,50 @@
         let received = Instant::now();
         let (head, body) = request.into_parts();
         let names = self.context.dialect.headers();
-        let request_id = headers::text(&head.headers, &names.request_id)
-            .unwrap_or_default()
-            .to_owned();
+        let request_id = RequestId::of(&head.headers, names);
         let response = self.dispatch(head, body, &request_id, received).await;
-        with_request_id(response, names, &request_id)
+        with_request_id(response, names, request_id.as_str())
     }
 
     async fn dispatch(
         &self,
         head: Parts,
         body: Incoming,
-        request_id: &str,
+        request_id: &RequestId,
         received: Instant,
     ) -> CallerResponse {
         let Some(configuration) = self.context.configuration() else {
             let problem = Problem::new(ResultCode::NodeNotReady, "no configuration yet");
             return problem_response(&problem.with_retry_after_ms(NOT_READY_RETRY_MS));
         };
+        let names = self.context.dialect.headers();
+        let version = configuration.revision;
+        let response = self
+            .answer_under(&configuration, head, body, request_id, received)
+            .await;
+        with_configuration_version(response, names, version)
+    }
+
+    /// Answers a call under the configuration that is in force as it begins.
+    async fn answer_under(
+        &self,
+        configuration: &ServingConfiguration,
+        head: Parts,
+        body: Incoming,
+        request_id: &RequestId,
+        received: Instant,
+    ) -> CallerResponse {
         if let Some(call) = BatchCall::read(&self.context, &head) {
             return call
-                .answer(&self.context, &configuration, &head.headers)
+                .answer(&self.context, configuration, &head.headers)
                 .await;
         }
         let host = headers::host(&head.headers);
         let found = configuration.routes.find(host, head.uri.path());
         let deadline = self.deadline(&head.headers, found.map(|route| &**route), received);
         let mut log = CallLog {
-            configuration: &configuration,
-            request: request_id,
+            configuration,
+            request: request_id.as_str(),
             route: "-",
             regions: None,
             received,
@@ -111,7 +131,7 @@
             true => KeyDemand::Optional,
             false => KeyDemand::Needed,
         };
-        let tenant = match caller::identify(&self.context, &configuration, &head.headers, demand) {
+        let tenant = match caller::identify(&self.context, configuration, &head.headers, demand) {
             Ok(tenant) => tenant,
             Err(problem) => {
                 log.failed(&problem, 0);
@@ -122,7 +142,8 @@
             Ok(regions) => regions,
             Err(refusal) => {
                 log.regions = Some(AllowedRegions::only([]));
-                return self.allowed_nowhere(&log, &route, refusal, body).await;
+                let id = request_id.of_batch();
+                return self.allowed_nowhere(&log, &route, id, refusal, body).await;
             }
         };
         log.regions = Some(regions.clone());
@@ -136,7 +157,7 @@
         };
         if route.kind == RouteKind::Rollout {
             let submitted = Submitted {
-                id: request_id,
+                id: request_id.of_batch(),
                 tenant: tenant.as_deref(),
                 regions,
                 body,
@@ -147,18 +168,49 @@
             let problem = Problem::new(ResultCode::NoEngine, "the route has no service");
             return problem_response(&problem);
         };
+        let tenant = tenant.as_deref();
+        let sending = Sending {
+            route: &route,
+            tenant: tenant.map(|tenant| &tenant.name),
+            headers: &head.headers,
+            deadline,
+        };
+        let keyed = KeyedSending::read(sending, self.context.dialect.headers());
         let call = LiveCall {
             context: Arc::clone(&self.context),
             service,
             regions,
-            tenant: tenant.as_ref().map(|tenant| tenant.name.clone()),
-            outgoing: self.outgoing(head, request_id, tenant.as_deref(), body),
+            tenant: tenant.map(|tenant| tenant.name.clone()),
+            claim: None,
+            outgoing: self.outgoing(head, request_id, tenant, body),
             deadline,
             route: Arc::clone(&route),
         };
-        match route.kind {
-            RouteKind::Stream => stream_answer(call, &log).await,
-            _ => live_answer(call, &log).await,
+        self.live(call, keyed, &log).await
+    }
+
+    /// Answers a live request, once its key is claimed if it runs under one.
+    async fn live(
+        &self,
+        mut call: LiveCall,
+        keyed: Result<Option<KeyedSending>, Problem>,
+        log: &CallLog<'_>,
+    ) -> CallerResponse {
+        match self.claim(keyed, &call.outgoing).await {
+            Ok(Claimed::NotNeeded) => {}
+            Ok(Claimed::ToSend(claim)) => call.claim = Some(claim),
+            Ok(Claimed::Answered(answer)) => {
+                log.answered(answer.status.as_u16(), None, 0);
+                return passed_on(answer);
+            }
+            Err(problem) => {
+                log.failed(&problem, 0);
+                return problem_response(&problem);
+            }
+        }
+        match call.route.kind {
+            RouteKind::Stream => stream_answer(call, log).await,
+            _ => live_answer(call, log).await,
         }
     }
 
@@ -168,19 +220,18 @@
         &self,
         log: &CallLog<'_>,
         route: &Route,
+        batch: &str,
         refusal: Problem,
         body: Incoming,
     ) -> CallerResponse {
         let known = match route.kind {
-            RouteKind::Rollout => {
-                submit::accepted_before(&self.context, log.request, log.deadline).await
-            }
+            RouteKind::Rollout => submit::accepted_before(&self.context, batch, log.deadline).await,
             _ => Ok(None),
         };
         let problem = match known {
             Ok(Some(header)) => {
                 skip_body(body, log.deadline).await;
-                return submit::accept_again(log.request, &header, log.received);
+                return submit::accept_again(batch, &header, log.received);
             }
             Ok(None) => refusal,
             Err(unknown) => unknown,
@@ -274,11 +325,24 @@
         submit::submit(&self.context, &self.waiting, call).await
     }
 
-    /// A caller's request as it goes to a back end: with the tenant in place of its key.
+    /// Claims the key of a request, if it runs under one.
+    async fn claim(
+        &self,
+        keyed: Result<Option<KeyedSending>, Problem>,
+        outgoing: &Outgoing,
+    ) -> Result<Claimed, Problem> {
+        match (keyed?, &self.context.claims) {
+            (Some(keyed), Some(claims)) => claims.claim(keyed, outgoing).await,
+            _ => Ok(Claimed::NotNeeded),
+        }
+    }
+
+    /// A caller's request as it goes to a back end: with the tenant in place of its key, and
+    /// with an id.
     fn outgoing(
         &self,
         head: Parts,
-        request_id: &str,
+        request_id: &RequestId,
         tenant: Option<&Tenant>,
         body: Bytes,
     ) -> Outgoing {
@@ -287,8 +351,9 @@
         let path_and_query = path_and_query.map_or_else(|| "/".to_owned(), ToString::to_string);
         let mut sent = headers::end_to_end(&head.headers);
         caller::set_tenant(&mut sent, names, tenant.map(|tenant| &tenant.name));
+        headers::set_text(&mut sent, &names.request_id, request_id.as_str());
         Outgoing {
-            request_id: request_id.to_owned(),
+            request_id: request_id.as_str().to_owned(),
             method: head.method,
             path_and_query,
             headers: sent,
@@ -307,6 +372,9 @@
 
 async fn live_answer(call: LiveCall, log: &CallLog<'_>) -> CallerResponse {
     let outcome = call.run().await;
+    if let Some(claim) = &call.claim {
+        claim.end(outcome.answer.as_ref());
+    }
     match outcome.answer {
         Ok(answer) => {
             let status = answer.status.as_u16();
@@ -321,7 +389,12 @@
 }
 
 async fn stream_answer(call: LiveCall, log: &CallLog<'_>) -> CallerResponse {
-    match stream::open(call).await {
+    let claim = call.claim.clone();
+    let outcome = stream::open(call).await;
+    if let (Some(claim), Some(end)) = (claim, outcome.whole()) {
+        claim.end(end);
+    }
+    match outcome {
         StreamOutcome::Events {
             status,
             headers: head,
--- a/crates/sloetrail-serving/src/gateway/live.rs
+++ b/crates/sloetrail-serving/src/gateway/live.rs
@@ -6,6 +6,7 @@
 //! only after proof that it has not run. What is given up is answered at once.
 
 use super::attempt::{AttemptResult, Outgoing, attempt};
+use super::claims::Claim;
 use super::place_wait::{self, PlaceOutlook, PlaceWait, WaitBounds};
 use crate::context::NodeContext;
 use crate::events::{self, Event};
@@ -45,6 +46,8 @@
     pub(crate) outgoing: Outgoing,
     /// Whose use it counts as; nothing for calls of the node itself.
     pub(crate) tenant: Option<TenantName>,
+    /// The claim of its key, if it runs under one.
+    pub(crate) claim: Option<Arc<Claim>>,
     /// When its final answer is due.
     pub(crate) deadline: Instant,
 }
@@ -113,6 +116,13 @@
         Some(BegunRequest::new(usage, self.tenant.as_ref()?))
     }
 
+    /// The request is being sent to a back end.
+    pub(crate) fn note_send(&self) {
+        if let Some(claim) = &self.claim {
+            claim.note_send();
+        }
+    }
+
     /// Waits until this moment, and then until back ends may be chosen: the process may have
     /// stood still while an attempt was pending.
     async fn choice_due(&self, from: Instant) {
@@ -247,6 +257,7 @@
             return false;
         };
         self.tried.insert(place.back_end().id.clone());
+        self.call.note_send();
         self.sends += 1;
         let send = self.sends;
         if let Some(begun) = &mut self.begun {
--- a/crates/sloetrail-serving/src/gateway/message.rs
+++ b/crates/sloetrail-serving/src/gateway/message.rs
@@ -10,6 +10,7 @@
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::Frame;
 use sloetrail_result::{PROBLEM_CONTENT_TYPE, Problem};
+use sloetrail_types::Revision;
 use std::io;
 
 /// The body of an answer to a caller.
@@ -63,6 +64,19 @@
     response
 }
 
+/// Adds the version of the configuration that a call was answered under, where it is told.
+pub(crate) fn with_configuration_version(
+    mut response: CallerResponse,
+    names: &HeaderNames,
+    version: Revision,
+) -> CallerResponse {
+    if let Some(name) = &names.configuration_version {
+        let value = HeaderValue::from(version.0);
+        response.headers_mut().insert(name, value);
+    }
+    response
+}
+
 /// Adds the request's id to an answer.
 pub(crate) fn with_request_id(
     mut response: CallerResponse,
--- a/crates/sloetrail-serving/src/gateway/stream.rs
+++ b/crates/sloetrail-serving/src/gateway/stream.rs
@@ -53,6 +53,17 @@
     Problem(Problem),
 }
 
+impl StreamOutcome {
+    /// The final answer, unless it is a series whose end is not known yet.
+    pub(crate) fn whole(&self) -> Option<Result<&WholeAnswer, &Problem>> {
+        match self {
+            StreamOutcome::Events { .. } => None,
+            StreamOutcome::Whole(answer) => Some(Ok(answer)),
+            StreamOutcome::Problem(problem) => Some(Err(problem)),
+        }
+    }
+}
+
 struct Open {
     place: Place,
     status: StatusCode,
@@ -142,6 +153,7 @@
                 break;
             };
             self.tried.insert(place.back_end().id.clone());
+            self.call.note_send();
             self.sends += 1;
             let began = Instant::now();
             match self.try_back_end(place).await {
--- a/crates/sloetrail-serving/src/native_dialect.rs
+++ b/crates/sloetrail-serving/src/native_dialect.rs
@@ -23,6 +23,15 @@
     sources: SourceRows,
 }
 
+impl NativeDialect {
+    /// The same dialect with other names of headers.
+    #[must_use]
+    pub fn with_headers(mut self, headers: HeaderNames) -> Self {
+        self.headers = headers;
+        self
+    }
+}
+
 impl Default for NativeDialect {
     fn default() -> Self {
         Self {
--- a/crates/sloetrail-serving/src/node.rs
+++ b/crates/sloetrail-serving/src/node.rs
@@ -6,6 +6,7 @@
 use crate::engine_supply::EngineSupply;
 use crate::events::{self, Event};
 use crate::follow::{FleetSize, FollowPaces, ViewReceiver, follow};
+use crate::gateway::claims::{Claims, sweep};
 use crate::gateway::front::Front;
 use crate::gateway::message::{empty_response, whole_body};
 use crate::http::{ConnectionPool, ConnectionTracker, ListenerSettings, serve_connections};
@@ -104,6 +105,10 @@
             serve_metrics(&context, listen(address).await?, tracker.clone());
         }
         tokio::spawn(keep_house(Arc::clone(&context)));
+        if context.claims.is_some() {
+            let (table, fleet) = (Arc::clone(&context.table), context.fleet.clone());
+            tokio::spawn(sweep::keep_swept(table, fleet));
+        }
         let usage = reports.and_then(|(_, recipient)| start_usage(&context, recipient));
         let owners = supervise(Arc::clone(&context), usage, stopping.clone());
         let owners = tokio::spawn(owners);
@@ -117,6 +122,12 @@
         })
     }
 
+    /// True while callers are connected or what became of their keys is being written.
+    fn has_work_left(&self) -> bool {
+        let claims = self.context.claims.as_ref();
+        self.callers.connections() > 0 || claims.is_some_and(|claims| claims.open_writes() > 0)
+    }
+
     /// Where callers reach the node.
     pub fn callers_address(&self) -> SocketAddr {
         self.callers_address
@@ -129,7 +140,7 @@
 
     /// Stops in an orderly way: not ready, leases given up, connections taken for a
     /// little longer, requests finished.
-    pub async fn stop(self) {
+    pub async fn stop(mut self) {
         let began = Instant::now();
         events::emit(&Event::NodeStopping {
             requests: self.callers.requests(),
@@ -139,10 +150,10 @@
         let grace = self.context.settings.bounds.grace;
         let give_up_at = began + grace.saturating_sub(GRACE_MARGIN);
         // The keepers give their leases up; without the table they run out.
-        let _ = tokio::time::timeout_at(give_up_at, self.owners).await;
+        let _ = tokio::time::timeout_at(give_up_at, &mut self.owners).await;
         tokio::time::sleep_until(give_up_at.min(began + LINGER)).await;
         self.callers.stop();
-        while self.callers.connections() > 0 && Instant::now() < give_up_at {
+        while self.has_work_left() && Instant::now() < give_up_at {
             tokio::time::sleep(STOP_STEP).await;
         }
         if let Some(usage) = &self.context.usage {
@@ -241,7 +252,10 @@
             fleet.clone(),
         )
     });
+    let has_keys = dialect.headers().idempotency_key.is_some();
+    let claims = has_keys.then(|| Claims::new(&settings, Arc::clone(&table)));
     NodeContext {
+        claims,
         in_force,
         connections: Arc::new(ConnectionPool::new()),
         settings,
--- a/crates/sloetrail-serving/src/owner/reward.rs
+++ b/crates/sloetrail-serving/src/owner/reward.rs
@@ -135,6 +135,7 @@
         regions: scoring_regions(&route.allowed_regions, regions),
         outgoing: outgoing(context, reward),
         tenant: None,
+        claim: None,
         deadline: Instant::now() + route.timeout,
         route: Arc::clone(route),
     })
--- a/crates/sloetrail-serving/src/relay/message.rs
+++ b/crates/sloetrail-serving/src/relay/message.rs
@@ -70,7 +70,12 @@
 }
 
 /// Tables of what callers sent and of what was made of it.
-const CONTENT_TABLES: [&str; 3] = [rows::SUBMISSIONS, rows::CHECKPOINTS, rows::RESULTS];
+const CONTENT_TABLES: [&str; 4] = [
+    rows::SUBMISSIONS,
+    rows::CHECKPOINTS,
+    rows::RESULTS,
+    rows::CLAIMS,
+];
 
 /// Which nodes may carry a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/sloetrail-serving/src/relay/message/tests.rs
+++ b/crates/sloetrail-serving/src/relay/message/tests.rs
@@ -63,7 +63,12 @@
     };
     let fenced = Transaction::new().require(rows::fence("s"), None);
     assert_eq!(TableCall::Commit(fenced).reach(), Reach::OwnRegion);
-    for table in [rows::SUBMISSIONS, rows::CHECKPOINTS, rows::RESULTS] {
+    for table in [
+        rows::SUBMISSIONS,
+        rows::CHECKPOINTS,
+        rows::RESULTS,
+        rows::CLAIMS,
+    ] {
         assert_eq!(put(table).reach(), Reach::OwnRegion);
         let scan = TableCall::Scan(KeyRange::all(table, "p"));
         assert_eq!(scan.reach(), Reach::OwnRegion);
@@ -74,7 +79,12 @@
         };
         assert_eq!(changes.reach(), Reach::OwnRegion);
     }
-    for table in [rows::ENDS, rows::NODES, rows::USAGE_PIECES] {
+    for table in [
+        rows::ENDS,
+        rows::NODES,
+        rows::USAGE_PIECES,
+        rows::CLAIM_TIMES,
+    ] {
         assert_eq!(put(table).reach(), Reach::Anywhere);
     }
     let leases = TableCall::Scan(KeyRange::all(rows::LEASES, rows::OWNERS));
--- a/crates/sloetrail-serving/src/rows.rs
+++ b/crates/sloetrail-serving/src/rows.rs
@@ -2,7 +2,8 @@
 //!
 //! What an owner writes lies in one partition, since each of its transactions holds the
 //! fence; what callers submit and end lies in another. A partition takes one transaction
-//! after the other, so neither waits for the other while the table is slow.
+//! after the other, so neither waits for the other while the table is slow. Claims of keys
+//! lie in several partitions of their own.
 
 use crate::table::{KeyRange, RowAddress};
 use sloetrail_types::{NodeId, ServiceName};
@@ -41,10 +42,24 @@
 /// How many engines each service had before any were ordered.
 pub const ENGINE_FLOORS: &str = "sloetrail_engine_floors";
 
+/// The claims of idempotency keys, with the answers of their requests.
+pub const CLAIMS: &str = "sloetrail_claims";
+
+/// When each claim may be deleted, in the order of time. It holds nothing of a request, so
+/// that whoever deletes old claims need not read them.
+pub const CLAIM_TIMES: &str = "sloetrail_claim_times";
+
+/// Partitions of claims. A partition takes one transaction after the other, each some
+/// milliseconds; so many bear a few thousand keyed requests a second.
+pub const CLAIM_PARTITIONS: u8 = 16;
+
 /// What the keys of leases begin with.
 const LEASE_KEYS: &str = "lease/";
 /// Digits of a window's number: keys sort as the windows follow one another.
 const WINDOW_DIGITS: usize = 20;
+/// Digits of a time in milliseconds and of a digest in hexadecimal.
+const TIME_DIGITS: usize = 20;
+const DIGEST_DIGITS: usize = 32;
 const POSITION_DIGITS: usize = 8;
 const PART_DIGITS: usize = 3;
 
@@ -157,6 +172,36 @@
     under(CHECKPOINTS, OWNERS, id)
 }
 
+/// The claim of an idempotency key, by the key's digest.
+pub fn claim(digest: u128) -> RowAddress {
+    let partition = claim_partition((digest % u128::from(CLAIM_PARTITIONS)) as u8);
+    RowAddress::new(CLAIMS, partition, format!("{digest:0DIGEST_DIGITS$x}"))
+}
+
+/// The row that tells when a claim may be deleted, by the table's clock.
+pub fn claim_time(claim: &RowAddress, delete_at_ms: u64) -> RowAddress {
+    let key = format!("{delete_at_ms:0TIME_DIGITS$}/{}", claim.key);
+    RowAddress::new(CLAIM_TIMES, &claim.partition, key)
+}
+
+/// The times of the claims of a partition that may be deleted now.
+pub fn claim_times_until(partition: u8, now_ms: u64) -> KeyRange {
+    KeyRange {
+        to: Some(format!("{now_ms:0TIME_DIGITS$}")),
+        ..KeyRange::all(CLAIM_TIMES, claim_partition(partition))
+    }
+}
+
+/// The claim that a row of times speaks of; nothing if it is none.
+pub fn claim_of_time(time: &RowAddress) -> Option<RowAddress> {
+    let (_, key) = time.key.split_once('/')?;
+    Some(RowAddress::new(CLAIMS, &time.partition, key))
+}
+
+fn claim_partition(number: u8) -> String {
+    format!("{CLAIMS}/{number:x}")
+}
+
 /// The position that a result's key names.
 pub fn position_of(key: &str) -> Option<usize> {
     key.split('/').nth(1)?.parse().ok()
--- a/crates/sloetrail-serving/src/settings.rs
+++ b/crates/sloetrail-serving/src/settings.rs
@@ -16,6 +16,9 @@
 const ORDER_GAP_DEFAULT_MS: u64 = 3_000;
 const GRACE_DEFAULT_S: f64 = 8.0;
 const BATCH_STATUS_DEFAULT_S: f64 = 120.0;
+/// A day: what public interfaces with such keys promise, and longer than a phone that was away
+/// for a night keeps a request.
+const CLAIMS_KEPT_DEFAULT_S: f64 = 86_400.0;
 const CONCURRENT_LOADS_DEFAULT: usize = 2;
 const BODY_BUDGET_DEFAULT: usize = 64 * 1024 * 1024;
 
@@ -64,6 +67,8 @@
     pub grace_s: Option<f64>,
     /// How long a batch may be read after its submission, in seconds.
     pub batch_status_s: Option<f64>,
+    /// How long the claim of an idempotency key is kept after its request was due, in seconds.
+    pub claims_kept_s: Option<f64>,
     /// Engines that change their weights at a time.
     pub concurrent_loads: Option<usize>,
     /// Bytes that the bodies of all requests may take together.
@@ -237,6 +242,8 @@
     pub grace: Duration,
     /// How long a batch may be read after its submission.
     pub batch_status: Duration,
+    /// How long the claim of an idempotency key is kept after its request was due.
+    pub claims_kept: Duration,
     /// Engines that change their weights at a time.
     pub concurrent_loads: usize,
     /// Bytes that the bodies of all requests may take together.
@@ -252,6 +259,7 @@
             order_gap: milliseconds(raw.order_gap_ms, ORDER_GAP_DEFAULT_MS),
             grace: seconds(raw.grace_s, GRACE_DEFAULT_S, "grace_s")?,
             batch_status: seconds(raw.batch_status_s, BATCH_STATUS_DEFAULT_S, "batch_status_s")?,
+            claims_kept: seconds(raw.claims_kept_s, CLAIMS_KEPT_DEFAULT_S, "claims_kept_s")?,
             concurrent_loads: raw.concurrent_loads.unwrap_or(CONCURRENT_LOADS_DEFAULT),
             body_budget_bytes: raw.body_budget_bytes.unwrap_or(BODY_BUDGET_DEFAULT),
         };
@@ -262,12 +270,18 @@
     fn validate(&self) -> Result<(), SettingsError> {
         const LEASE_LEAST: Duration = Duration::from_millis(300);
         const GRACE_LEAST: Duration = Duration::from_millis(500);
+        /// Far longer than a process stands still or a write is under way.
+        const CLAIMS_KEPT_LEAST: Duration = Duration::from_secs(60);
         let too_short = |field| OutOfBoundsSnafu {
             field,
             message: "is too short",
         };
         ensure!(self.lease >= LEASE_LEAST, too_short("lease_ms"));
         ensure!(self.grace >= GRACE_LEAST, too_short("grace_s"));
+        ensure!(
+            self.claims_kept >= CLAIMS_KEPT_LEAST,
+            too_short("claims_kept_s")
+        );
         ensure!(
             self.concurrent_loads > 0,
             OutOfBoundsSnafu {
--- a/crates/sloetrail-serving/src/telemetry.rs
+++ b/crates/sloetrail-serving/src/telemetry.rs
@@ -72,6 +72,11 @@
     histogram!("sloetrail_attempt_seconds", "service" => service).record(took);
 }
 
+/// A keyed request met the claims: it has claimed its key, or was answered by an earlier claim.
+pub(crate) fn key_claimed(outcome: &'static str) {
+    counter!("sloetrail_claims_total", "outcome" => outcome).increment(1);
+}
+
 /// A batch was answered: `accepted`, `repeated` or `refused`.
 pub(crate) fn batch_answered(outcome: &'static str, took: Duration) {
     counter!("sloetrail_batches_total", "outcome" => outcome).increment(1);
--- a/crates/sloetrail-types/src/lib.rs
+++ b/crates/sloetrail-types/src/lib.rs
@@ -11,7 +11,7 @@
 mod time;
 
 pub use counters::{Epoch, Revision, RowVersion, SequenceNumber, StepNumber, WeightVersion};
-pub use digest::{digest, rendezvous_weight};
+pub use digest::{digest, digest_of_parts, rendezvous_weight};
 pub use names::{
     ApplyId, EngineId, NodeId, RegionName, RequestId, RunName, SampleId, ServiceName, TenantName,
     TransactionId, ZoneName,
--- a/crates/sloetrail-types/src/tests.rs
+++ b/crates/sloetrail-types/src/tests.rs
@@ -32,3 +32,13 @@
     assert_eq!(Timestamp(5).since(Timestamp(9)), Duration::ZERO);
     assert_eq!(Timestamp(9).since(Timestamp(5)), Duration::from_millis(4));
 }
+
+#[test]
+fn a_digest_of_parts_tells_where_they_are_cut() {
+    use crate::digest_of_parts;
+    let whole = digest_of_parts(&[b"ab", b"c"]);
+    assert_eq!(whole, digest_of_parts(&[b"ab", b"c"]));
+    assert_ne!(whole, digest_of_parts(&[b"a", b"bc"]));
+    assert_ne!(whole, digest_of_parts(&[b"abc"]));
+    assert_ne!(whole, digest_of_parts(&[b"ab", b"c", b""]));
+}
