--- a/crates/sloetrail-serving/src/owner/reward.rs
+++ b/crates/sloetrail-serving/src/owner/reward.rs
@@ -136,6 +136,7 @@
         outgoing: outgoing(context, reward),
         tenant: None,
         urgency: route.urgency(None),
+        claim: None,
         deadline: Instant::now() + route.timeout,
         route: Arc::clone(route),
     })
--- a/crates/sloetrail-serving/src/telemetry.rs
+++ b/crates/sloetrail-serving/src/telemetry.rs
@@ -84,6 +84,11 @@
         .increment(1);
 }
 
+/// A keyed request met the claims: it has claimed its key, or was answered by an earlier claim.
+pub(crate) fn key_claimed(outcome: &'static str) {
+    counter!("sloetrail_claims_total", "outcome" => outcome).increment(1);
+}
+
 /// A batch was answered: `accepted`, `repeated` or `refused`.
 pub(crate) fn batch_answered(outcome: &'static str, took: Duration) {
     counter!("sloetrail_batches_total", "outcome" => outcome).increment(1);
--- a/crates/sloetrail-types/src/lib.rs
+++ b/crates/sloetrail-types/src/lib.rs
@@ -12,7 +12,7 @@
 mod urgency;
 
 pub use counters::{Epoch, Revision, RowVersion, SequenceNumber, StepNumber, WeightVersion};
-pub use digest::{digest, rendezvous_weight};
+pub use digest::{digest, digest_of_parts, rendezvous_weight};
 pub use names::{
     ApplyId, EngineId, NodeId, RegionName, RequestId, RunName, SampleId, ServiceName, TenantName,
     TransactionId, ZoneName,
