check: a sample must end where an engine said that its text ended

Cause: I1 knew each token that was produced, but not where a text ended, so that a record without its last event was as good as a whole one.

Ruled out: taking the highest produced token of a prompt as its end (a resumed or repeated generation that broke off would count as an end, and a lost last event that was never produced again would not show).

Change: the engine stand-in records the end of each text with its number of tokens (TextEnded), before anybody is told. I1 compares each sample with it. A recording without any such word says "not checked for" in its verdict and in the JSON (not_checked); `faults`, which writes it itself, then fails.

--- a/crates/sloetrail-history/src/checks/samples.rs
+++ b/crates/sloetrail-history/src/checks/samples.rs
@@ -15,10 +15,52 @@
     token: u32,
 }
 
+/// What a recording without any engine's word on ends cannot show.
+const LAST_EVENT: &str =
+    "a sample's last event: the recording holds no engine's word where texts ended";
+
+/// Where the engines said that texts ended.
+struct TextEnds<'a> {
+    /// By prompt, the numbers of tokens at which an engine ended the text.
+    lengths: BTreeMap<&'a str, BTreeSet<u32>>,
+}
+
+impl<'a> TextEnds<'a> {
+    fn of(history: &'a [Event]) -> Self {
+        let mut lengths: BTreeMap<&str, BTreeSet<u32>> = BTreeMap::new();
+        for event in history {
+            if let EventBody::TextEnded { prompt, tokens, .. } = &event.body {
+                lengths.entry(prompt).or_default().insert(*tokens);
+            }
+        }
+        Self { lengths }
+    }
+
+    /// True if the recording is of engines that did not write ends.
+    fn are_unknown(&self) -> bool {
+        self.lengths.is_empty()
+    }
+
+    /// Why a record that ends after so many tokens is not the whole text.
+    fn missing_end(&self, sample: &SampleId, prompt: &str, tokens: u32) -> Option<String> {
+        if self.are_unknown() {
+            return None;
+        }
+        let Some(lengths) = self.lengths.get(prompt) else {
+            return Some(format!("sample {sample}: no engine ended its text"));
+        };
+        (!lengths.contains(&tokens)).then(|| {
+            format!("sample {sample} ends after {tokens} tokens, by the engines after {lengths:?}")
+        })
+    }
+}
+
 /// I1: each token of a sample was produced at its place by the engine and the
-/// version that the record names for it, and the record leaves no token out.
+/// version that the record names for it, and the record leaves no token out: it ends where
+/// an engine said that the text ended.
 pub(super) fn exact_versions(history: &[Event]) -> Verdict {
     let produced = produced_tokens(history);
+    let ends = TextEnds::of(history);
     let mut verdict = Verdict::new(Invariant::I1);
     for event in history {
         if let EventBody::SampleTaken {
@@ -28,9 +70,14 @@
             ..
         } = &event.body
         {
-            verdict.judge(wrong_segment(&produced, sample, prompt, segments));
+            let wrong = wrong_segment(&produced, sample, prompt, segments);
+            let tokens: usize = segments.iter().map(|segment| segment.tokens.len()).sum();
+            verdict.judge(wrong.or_else(|| ends.missing_end(sample, prompt, tokens as u32)));
         }
     }
+    if verdict.checked > 0 && ends.are_unknown() {
+        verdict.leave_unchecked(LAST_EVENT);
+    }
     verdict
 }
 
--- a/crates/sloetrail-history/src/event.rs
+++ b/crates/sloetrail-history/src/event.rs
@@ -148,6 +148,15 @@
         /// The tokens.
         tokens: Vec<u32>,
     },
+    /// A back end came to the end of a sample's text. Recorded before anybody is told.
+    TextEnded {
+        /// The back end.
+        engine: EngineId,
+        /// The prompt.
+        prompt: String,
+        /// How many tokens the whole text has, those of earlier engines included.
+        tokens: u32,
+    },
     /// A back end was marked as leaving, by an order or on the machine list.
     EngineLeaving {
         /// The back end.
--- a/crates/sloetrail-history/src/tests.rs
+++ b/crates/sloetrail-history/src/tests.rs
@@ -73,7 +73,19 @@
     )
 }
 
-fn truth() -> Vec<Event> {
+fn text_ended(engine: &str, tokens: u32) -> Event {
+    at(
+        1,
+        EventBody::TextEnded {
+            engine: EngineId::from(engine),
+            prompt: "dial".to_owned(),
+            tokens,
+        },
+    )
+}
+
+/// What was produced, without the engine's word that the text ended.
+fn truth_without_end() -> Vec<Event> {
     vec![
         produced("a", 2, 0, &[10, 11, 12]),
         produced("a", 3, 3, &[13, 14]),
@@ -81,6 +93,19 @@
     ]
 }
 
+fn truth() -> Vec<Event> {
+    with(truth_without_end(), vec![text_ended("b", 6)])
+}
+
+/// A record of the whole text.
+fn true_record() -> Vec<HandedSegment> {
+    vec![
+        handed("a", 2, 0, &[10, 11, 12]),
+        handed("a", 3, 3, &[13, 14]),
+        handed("b", 3, 5, &[15]),
+    ]
+}
+
 fn with(mut events: Vec<Event>, more: Vec<Event>) -> Vec<Event> {
     events.extend(more);
     events
@@ -88,12 +113,46 @@
 
 #[test]
 fn i1_a_true_record_holds() {
-    let segments = vec![
-        handed("a", 2, 0, &[10, 11, 12]),
-        handed("a", 3, 3, &[13, 14]),
-        handed("b", 3, 5, &[15]),
-    ];
-    assert_held(Invariant::I1, &with(truth(), vec![taken("s", 1, segments)]));
+    let history = with(truth(), vec![taken("s", 1, true_record())]);
+    assert_held(Invariant::I1, &history);
+    let verdict = verdict_of(Invariant::I1, &history);
+    assert!(verdict.not_checked.is_empty(), "{verdict}");
+}
+
+#[test]
+fn i1_catches_a_record_whose_last_event_was_taken_out() {
+    let mut segments = true_record();
+    segments.pop();
+    assert_violated(Invariant::I1, &with(truth(), vec![taken("s", 1, segments)]));
+    let mut segments = true_record();
+    segments[1].tokens.pop();
+    segments.pop();
+    assert_violated(Invariant::I1, &with(truth(), vec![taken("s", 1, segments)]));
+}
+
+#[test]
+fn i1_catches_a_text_that_no_engine_ended() {
+    let mut history = with(truth_without_end(), vec![taken("s", 1, true_record())]);
+    history.push(at(
+        1,
+        EventBody::TextEnded {
+            engine: EngineId::from("a"),
+            prompt: "another".to_owned(),
+            tokens: 6,
+        },
+    ));
+    assert_violated(Invariant::I1, &history);
+}
+
+#[test]
+fn i1_says_that_a_recording_without_ends_is_not_checked_for_them() {
+    let history = with(truth_without_end(), vec![taken("s", 1, true_record())]);
+    let verdict = verdict_of(Invariant::I1, &history);
+    assert!(verdict.holds(), "what can be looked at is sound: {verdict}");
+    assert!(!verdict.holds_in_full(), "{verdict}");
+    let told = verdict.to_string();
+    assert!(told.contains("not checked for"), "{told}");
+    assert!(told.contains("last event"), "{told}");
 }
 
 #[test]
--- a/crates/sloetrail-history/src/verdict.rs
+++ b/crates/sloetrail-history/src/verdict.rs
@@ -70,6 +70,9 @@
     pub checked: u64,
     /// What breaks it.
     pub violations: Vec<Violation>,
+    /// What the recording does not tell, so that it could not be looked at.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub not_checked: Vec<String>,
 }
 
 impl Verdict {
@@ -79,9 +82,15 @@
             invariant,
             checked: 0,
             violations: Vec::new(),
+            not_checked: Vec::new(),
         }
     }
 
+    /// Says that the recording does not tell what is needed to look at something.
+    pub(crate) fn leave_unchecked(&mut self, what: &str) {
+        self.not_checked.push(what.to_owned());
+    }
+
     /// Counts one thing looked at; `broken` gives the reason if it is wrong.
     pub(crate) fn judge(&mut self, broken: Option<String>) {
         self.checked += 1;
@@ -93,6 +102,11 @@
     pub fn holds(&self) -> bool {
         self.checked > 0 && self.violations.is_empty()
     }
+
+    /// True only if it holds and the recording told all that there is to look at.
+    pub fn holds_in_full(&self) -> bool {
+        self.holds() && self.not_checked.is_empty()
+    }
 }
 
 impl fmt::Display for Verdict {
@@ -108,6 +122,9 @@
             ),
             None if self.checked == 0 => write!(formatter, "{invariant} unchecked"),
             None => write!(formatter, "{invariant} held checked={}", self.checked),
-        }
+        }?;
+        self.not_checked
+            .iter()
+            .try_for_each(|what| write!(formatter, " (not checked for {what})"))
     }
 }
--- a/crates/sloetrail-lab/src/commands/faults/run.rs
+++ b/crates/sloetrail-lab/src/commands/faults/run.rs
@@ -294,10 +294,11 @@
     println!("applies accepted={}", report.applies);
 }
 
-/// Prints the verdicts; true if all hold.
+/// Prints the verdicts; true if all hold and the run's own recording told all that there is
+/// to look at.
 pub(super) fn print_verdicts(verdicts: &[Verdict]) -> bool {
     for verdict in verdicts {
         println!("{verdict}");
     }
-    verdicts.iter().all(Verdict::holds)
+    verdicts.iter().all(Verdict::holds_in_full)
 }
--- a/crates/sloetrail-lab/src/standins/engine/batch.rs
+++ b/crates/sloetrail-lab/src/standins/engine/batch.rs
@@ -241,6 +241,13 @@
             first_token,
             tokens: tokens.clone(),
         });
+        if has_ended {
+            self.history.record(EventBody::TextEnded {
+                engine: self.engine.clone(),
+                prompt: generation.prompt.clone(),
+                tokens: end,
+            });
+        }
         let chunk = Chunk {
             request: generation.request.clone(),
             first_token,
--- a/crates/sloetrail-lab/tests/engine_stand_in.rs
+++ b/crates/sloetrail-lab/tests/engine_stand_in.rs
@@ -6,6 +6,7 @@
     ChunkStream, EngineClient, GenerateRequest, HttpClient, Order, OrderCommand, OrderOutcome,
     Priority,
 };
+use sloetrail_history::EventBody;
 use sloetrail_lab::history_log::HistoryLog;
 use sloetrail_lab::standins::engine::{
     CacheChange, EngineKind, EngineSettings, EngineStandIn, KvState, PrefixCache,
@@ -18,6 +19,10 @@
 const WAIT: Duration = Duration::from_secs(10);
 
 async fn engine() -> EngineStandIn {
+    engine_that_records(HistoryLog::in_memory()).await
+}
+
+async fn engine_that_records(history: HistoryLog) -> EngineStandIn {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let settings = EngineSettings::assumed(
         EngineId::from("engine"),
@@ -25,7 +30,7 @@
         EngineKind::Model,
         any,
     );
-    EngineStandIn::start(any, settings, HistoryLog::in_memory(), 1)
+    EngineStandIn::start(any, settings, history, 1)
         .await
         .expect("the engine starts")
 }
@@ -93,6 +98,26 @@
     assert_eq!(resumed, rest);
 }
 
+#[tokio::test]
+async fn the_end_of_a_text_is_recorded_with_its_number_of_tokens() {
+    let history = HistoryLog::in_memory();
+    let engine = engine_that_records(history.clone()).await;
+    let mut stream = start(&engine, &request("whole", Vec::new())).await;
+    let mut tokens = Vec::new();
+    while let Some(chunk) = stream.next().await.expect("a chunk") {
+        tokens.extend(chunk.tokens);
+    }
+    let mut resumed = start(&engine, &request("rest", tokens[..10].to_vec())).await;
+    while resumed.next().await.expect("a chunk").is_some() {}
+    let events = history.events();
+    let ends = events.iter().filter_map(|event| match &event.body {
+        EventBody::TextEnded { prompt, tokens, .. } => Some((prompt.as_str(), *tokens as usize)),
+        _ => None,
+    });
+    let whole = ("read the dial", tokens.len());
+    assert_eq!(ends.collect::<Vec<_>>(), [whole, whole]);
+}
+
 #[tokio::test]
 async fn a_cancelled_stream_frees_its_place() {
     let engine = engine().await;
