Results name the engine and the version of each part of their text

Cause: a listed result of the serving node had only the set of versions; which engine made which events (segments, as the older node tells them) was not kept.

Ruled out: the engine with each event in the stored checkpoint (the id once an event, where a piece that is larger than a row is dropped); a second list of engines beside the events in the transcript (two things to keep in step when texts are joined, cut and taken over).

Change: each event of a transcript names its engine, where the dialect tells segments; a checkpoint stores that as joined segments; a listed result keeps them. The platform's dialect tells none: its answers and rows are as before.

--- a/crates/sloetrail-batch/src/batch.rs
+++ b/crates/sloetrail-batch/src/batch.rs
@@ -223,6 +223,7 @@
             versions: item.transcript.versions(),
             score,
             groups_are_whole,
+            segments: item.transcript.segments(),
         }
     }
 
--- a/crates/sloetrail-batch/src/checkpoint.rs
+++ b/crates/sloetrail-batch/src/checkpoint.rs
@@ -1,14 +1,15 @@
 //! Texts that are kept in the table while they are made, so that a new owner goes on
 //! after the last event that was kept.
 
-use crate::{ItemIndex, Transcript, TranscriptEvent};
+use crate::segment::{name_engines, segments_of};
+use crate::{ItemIndex, TextSegment, Transcript, TranscriptEvent};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// A piece of an item's text. The pieces of one generation follow each other; a text
 /// that begins anew has the next generation.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Checkpoint {
     /// The item's place in its submission.
     pub index: ItemIndex,
@@ -20,17 +21,44 @@
     pub events: Vec<TranscriptEvent>,
 }
 
+/// The stored form of a piece.
+#[derive(Serialize, Deserialize)]
+struct StoredCheckpoint<Events> {
+    index: ItemIndex,
+    generation: u32,
+    offset: usize,
+    events: Events,
+    /// The engines of the events; empty where they are not told.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    segments: Vec<TextSegment>,
+}
+
 impl Checkpoint {
     /// The stored form.
     pub fn to_stored(&self) -> Bytes {
+        let stored = StoredCheckpoint {
+            index: self.index,
+            generation: self.generation,
+            offset: self.offset,
+            events: &self.events,
+            segments: segments_of(&self.events),
+        };
         let mut encoded = Vec::new();
-        ciborium::into_writer(self, &mut encoded).expect("memory takes every write");
+        ciborium::into_writer(&stored, &mut encoded).expect("memory takes every write");
         Bytes::from(encoded)
     }
 
     /// Reads the stored form; nothing if it cannot be read.
     pub fn from_stored(stored: &[u8]) -> Option<Self> {
-        ciborium::from_reader(stored).ok()
+        let stored: StoredCheckpoint<Vec<TranscriptEvent>> = ciborium::from_reader(stored).ok()?;
+        let mut events = stored.events;
+        name_engines(&mut events, &stored.segments);
+        Some(Self {
+            index: stored.index,
+            generation: stored.generation,
+            offset: stored.offset,
+            events,
+        })
     }
 }
 
--- a/crates/sloetrail-batch/src/lib.rs
+++ b/crates/sloetrail-batch/src/lib.rs
@@ -20,7 +20,9 @@
 mod item;
 mod length_model;
 mod result;
+mod segment;
 mod submission;
+mod told_result;
 mod transcript;
 
 pub use batch::{Batch, DispatchOrder};
@@ -29,8 +31,10 @@
 pub use header::{BatchHeader, BatchId, is_usable_id};
 pub use item::{DeathCause, Item, ItemIndex, ItemState, RunFailure};
 pub use length_model::LengthModel;
-pub use result::{ListedResult, ResultPage, ResultState, StoredResultError};
+pub use result::{ListedResult, ResultState, StoredResultError};
+pub use segment::TextSegment;
 pub use submission::{ItemId, RewardCall, Submission, SubmissionError, SubmittedItem};
+pub use told_result::{ReaderDemand, ResultPage, ToldResult, ToldState};
 pub use transcript::{Transcript, TranscriptError, TranscriptEvent};
 
 #[cfg(test)]
--- a/crates/sloetrail-batch/src/result.rs
+++ b/crates/sloetrail-batch/src/result.rs
@@ -1,6 +1,6 @@
 //! What a batch lists, and how the table keeps it.
 
-use crate::ItemId;
+use crate::{ItemId, TextSegment};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use sloetrail_types::WeightVersion;
@@ -34,23 +34,15 @@
     /// are whole. Kept with the entry and not told to readers.
     #[serde(default, skip_serializing_if = "is_false")]
     pub groups_are_whole: bool,
+    /// Which engine made which events, in order. Kept only where the dialect tells it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub segments: Vec<TextSegment>,
 }
 
 fn is_false(value: &bool) -> bool {
     !value
 }
 
-/// The answer to a reader of a batch.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ResultPage {
-    /// How many items the batch has.
-    pub total: usize,
-    /// The position from which to read on.
-    pub next: usize,
-    /// The results from the position asked for.
-    pub results: Vec<ListedResult>,
-}
-
 /// A stored result that cannot be read.
 #[derive(Debug, Snafu)]
 #[snafu(display("a stored result cannot be read: {source}"))]
@@ -68,9 +60,21 @@
             versions: Vec::new(),
             score: None,
             groups_are_whole: false,
+            segments: Vec::new(),
         }
     }
 
+    /// The oldest version that made an event. An event whose engine named none counts as
+    /// older than every version.
+    pub fn oldest_version(&self) -> WeightVersion {
+        let of_segments = self
+            .segments
+            .iter()
+            .map(|segment| segment.version.unwrap_or_default());
+        let named = self.versions.iter().copied();
+        named.chain(of_segments).min().unwrap_or_default()
+    }
+
     /// The stored form, cut into rows of at most `row_bytes`.
     pub fn to_rows(&self, row_bytes: usize) -> Vec<Bytes> {
         let mut encoded = Vec::new();
--- a/crates/sloetrail-batch/src/tests.rs
+++ b/crates/sloetrail-batch/src/tests.rs
@@ -62,6 +62,7 @@
         number,
         data: data.to_owned(),
         version: Some(WeightVersion(version)),
+        engine: None,
     }
 }
 
--- a/crates/sloetrail-batch/src/transcript.rs
+++ b/crates/sloetrail-batch/src/transcript.rs
@@ -1,7 +1,9 @@
 //! The text of a sample while it is made.
 
+use crate::TextSegment;
+use crate::segment::segments_of;
 use serde::{Deserialize, Serialize};
-use sloetrail_types::WeightVersion;
+use sloetrail_types::{EngineId, WeightVersion};
 use snafu::Snafu;
 
 /// One event of a text.
@@ -13,6 +15,10 @@
     pub data: String,
     /// The version of the weights that made it, by the engine's own word.
     pub version: Option<WeightVersion>,
+    /// The engine that made it, where that is told. Kept with the events of a checkpoint
+    /// as segments.
+    #[serde(skip)]
+    pub engine: Option<EngineId>,
 }
 
 /// Consecutive events of one sample, perhaps from several runs that continued
@@ -77,6 +83,11 @@
         versions
     }
 
+    /// Which engine made which events, in order; empty if no event names its engine.
+    pub fn segments(&self) -> Vec<TextSegment> {
+        segments_of(&self.events)
+    }
+
     /// True if each event was made under `oldest` or newer weights.
     pub fn is_fresh(&self, oldest: WeightVersion) -> bool {
         self.events
--- a/crates/sloetrail-serving-testkit/src/engine.rs
+++ b/crates/sloetrail-serving-testkit/src/engine.rs
@@ -7,10 +7,10 @@
 mod series;
 
 pub use fault::EngineFault;
-pub use records::{OrderRecord, RunRecord};
+pub use records::{EventRecord, OrderRecord, RunRecord};
 
 use crate::wire::{EngineWire, Listing, ReadOrder};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -33,6 +33,7 @@
     fault_count: Option<usize>,
     pace: Duration,
     runs: Vec<RunRecord>,
+    events: BTreeSet<EventRecord>,
     orders: Vec<OrderRecord>,
     late_orders: Vec<ReadOrder>,
     draining: bool,
@@ -54,6 +55,7 @@
             fault_count: None,
             pace,
             runs: Vec::new(),
+            events: BTreeSet::new(),
             orders: Vec::new(),
             late_orders: Vec::new(),
             draining: false,
@@ -206,6 +208,11 @@
         runs.filter(|run| run.id == id).cloned().collect()
     }
 
+    /// Events that it made.
+    pub fn events(&self) -> BTreeSet<EventRecord> {
+        self.state().events.clone()
+    }
+
     /// Orders that came.
     pub fn orders(&self) -> Vec<OrderRecord> {
         self.state().orders.clone()
--- a/crates/sloetrail-serving-testkit/src/engine/records.rs
+++ b/crates/sloetrail-serving-testkit/src/engine/records.rs
@@ -34,6 +34,17 @@
     pub ended: Option<Instant>,
 }
 
+/// An event that was made.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct EventRecord {
+    /// The item's id.
+    pub id: String,
+    /// Its number.
+    pub number: u64,
+    /// The version of the weights that made it.
+    pub version: u64,
+}
+
 /// An order that came.
 #[derive(Clone, Debug)]
 pub struct OrderRecord {
@@ -90,6 +101,16 @@
         }
     }
 
+    /// Writes down that an event was made, before anybody is told.
+    pub(super) fn note_event(&self, id: &str, number: u64, version: u64) {
+        let id = id.to_owned();
+        self.state().events.insert(EventRecord {
+            id,
+            number,
+            version,
+        });
+    }
+
     /// Writes down that the answer of a request was sent whole.
     pub(super) fn note_end(&self, record: RecordGuard) {
         let mut state = self.state();
--- a/crates/sloetrail-serving-testkit/src/engine/series.rs
+++ b/crates/sloetrail-serving-testkit/src/engine/series.rs
@@ -51,6 +51,7 @@
         }
         let (number, id) = (self.next, &self.id);
         text.push_str(&format!("id: {number}\ndata: {id}/{number}/{version}\n\n"));
+        self.engine.note_event(id, number, version);
         self.next += 1;
         Some((Ok(Frame::data(Bytes::from(text))), self))
     }
--- a/crates/sloetrail-serving/src/dialect.rs
+++ b/crates/sloetrail-serving/src/dialect.rs
@@ -131,6 +131,12 @@
     /// The paths of batches.
     fn paths(&self) -> &CallerPaths;
 
+    /// True if listed results name which engine made which events of a text. Where they do
+    /// not, the engines are not kept either.
+    fn tells_segments(&self) -> bool {
+        false
+    }
+
     /// Where the rows lie that others write.
     fn sources(&self) -> &SourceRows;
 
--- a/crates/sloetrail-serving/src/gateway/read.rs
+++ b/crates/sloetrail-serving/src/gateway/read.rs
@@ -10,7 +10,7 @@
 use crate::batch_rows::{read_results, read_submission};
 use crate::context::NodeContext;
 use http::StatusCode;
-use sloetrail_batch::{ListedResult, ResultPage, Submission};
+use sloetrail_batch::{ListedResult, ReaderDemand, ResultPage, Submission, ToldResult};
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_routing::Tenant;
 use std::time::Duration;
@@ -46,6 +46,10 @@
     wait: Duration,
 ) -> Result<ResultPage, Problem> {
     let began = Instant::now();
+    let demand = ReaderDemand {
+        segments: context.dialect.tells_segments(),
+        oldest_version: None,
+    };
     // Both at once: it saves an answer of the table, 28 ms where that is in another region.
     let (header, listed) = tokio::join!(
         header_of(context, id, caller),
@@ -61,21 +65,26 @@
         let next = position + known.len();
         let next_look = Instant::now() + LOOK_PERIOD;
         if next >= header.total || next_look > time.kept_until(&known) {
-            return Ok(page(position, header.total, known));
+            return Ok(page(position, header.total, known, demand));
         }
         tokio::time::sleep_until(next_look).await;
         match read_results(&*context.table, id, next).await {
             Ok(more) => known.extend(more),
             Err(_) if known.is_empty() => return Err(table_unavailable()),
             // What is known is told now: the table may stay away for longer.
-            Err(_) => return Ok(page(position, header.total, known)),
+            Err(_) => return Ok(page(position, header.total, known, demand)),
         }
     }
 }
 
 /// An answer with as many results as it may hold.
-fn page(position: usize, total: usize, known: Vec<ListedResult>) -> ResultPage {
-    let results = fitting(known);
+fn page(
+    position: usize,
+    total: usize,
+    known: Vec<ListedResult>,
+    demand: ReaderDemand,
+) -> ResultPage {
+    let results = fitting(known, demand);
     ResultPage {
         total,
         next: position + results.len(),
@@ -84,22 +93,17 @@
 }
 
 /// As many results as one answer may hold, at least one.
-fn fitting(listed: Vec<ListedResult>) -> Vec<ListedResult> {
+fn fitting(listed: Vec<ListedResult>, demand: ReaderDemand) -> Vec<ToldResult> {
     let mut bytes = 0;
-    let fits = |(index, result): &(usize, ListedResult)| {
+    let fits = |(index, result): &(usize, ToldResult)| {
         bytes += result.text.len();
         *index == 0 || bytes <= PAGE_BYTES
     };
-    let fitting = listed.into_iter().enumerate().take_while(fits);
-    fitting.map(|(_, result)| as_told(result)).collect()
-}
-
-/// An entry as readers see it.
-fn as_told(result: ListedResult) -> ListedResult {
-    ListedResult {
-        groups_are_whole: false,
-        ..result
-    }
+    let told = listed
+        .into_iter()
+        .map(|result| ToldResult::new(result, demand));
+    let fitting = told.enumerate().take_while(fits);
+    fitting.map(|(_, result)| result).collect()
 }
 
 /// Answers with the body of an item.
--- a/crates/sloetrail-serving/src/native_dialect.rs
+++ b/crates/sloetrail-serving/src/native_dialect.rs
@@ -82,6 +82,10 @@
         &self.paths
     }
 
+    fn tells_segments(&self) -> bool {
+        true
+    }
+
     fn sources(&self) -> &SourceRows {
         &self.sources
     }
--- a/crates/sloetrail-serving/src/owner/run.rs
+++ b/crates/sloetrail-serving/src/owner/run.rs
@@ -14,7 +14,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use sloetrail_balance::SendBound;
 use sloetrail_batch::{SubmittedItem, Transcript, TranscriptEvent};
-use sloetrail_types::{TenantName, WeightVersion};
+use sloetrail_types::{EngineId, TenantName, WeightVersion};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -342,10 +342,17 @@
             number,
             data,
             version,
+            engine: self.told_engine(),
         };
         state.transcript.push(event).is_ok()
     }
 
+    /// The engine, if readers are told which one made what.
+    fn told_engine(&self) -> Option<EngineId> {
+        let tells_segments = self.spec.context.dialect.tells_segments();
+        tells_segments.then(|| self.spec.back_end.id.clone())
+    }
+
     /// Takes in the version that makes the events from here on; false if it may not.
     fn take_version(&self, version: WeightVersion) -> bool {
         let mut state = self.spec.progress.state();
