Readers may name the oldest version that their trainer takes now

Ruled out: withdrawal by the owner, way (a): a second durable state for each item and a write for each pull. A header in place of the query parameter: HeaderNames names what all dialects have. Leaving an unreadable version out, as an unreadable position is: the reader would be handed what it must not use.

Change: the product's own dialect names a query parameter, oldest_version. The node that hands a page over lists an older result by id as too_old, without text, score and segments; positions hold and no row changes. A version that cannot be read is refused (1003). The decision is logged (results_too_old). The platform's dialect has no such parameter.

--- a/crates/sloetrail-serving/src/dialect.rs
+++ b/crates/sloetrail-serving/src/dialect.rs
@@ -137,6 +137,12 @@
         false
     }
 
+    /// The query parameter with which a reader of results names the oldest version that its
+    /// trainer takes now; absent where readers cannot.
+    fn oldest_version_parameter(&self) -> Option<&str> {
+        None
+    }
+
     /// Where the rows lie that others write.
     fn sources(&self) -> &SourceRows;
 
--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -308,6 +308,17 @@
         /// How long the commit took, in milliseconds.
         commit_ms: u64,
     },
+    /// A reader was told of results without their texts, which are older than it takes.
+    ResultsTooOld {
+        /// The batch.
+        batch: &'a str,
+        /// The position from which it read.
+        position: usize,
+        /// How many of the results.
+        results: usize,
+        /// The oldest version that it takes.
+        oldest_version: u64,
+    },
     /// The groups that a trainer waits for are whole. The parts of the age, which add
     /// up to it, are those of the item that was listed last.
     StepWhole {
--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -43,6 +43,7 @@
             | Event::ItemMoved { .. }
             | Event::ItemDead { .. }
             | Event::ItemListed { .. }
+            | Event::ResultsTooOld { .. }
             | Event::StepWhole { .. }
             | Event::RewardFailed { .. } => "batch",
             Event::LeaseTaken { .. } | Event::OwnerFoundGone { .. } | Event::LeaseLost { .. } => {
--- a/crates/sloetrail-serving/src/gateway/batch_call.rs
+++ b/crates/sloetrail-serving/src/gateway/batch_call.rs
@@ -8,7 +8,10 @@
 use crate::context::NodeContext;
 use http::request::Parts;
 use http::{HeaderMap, Method};
+use sloetrail_batch::ReaderDemand;
+use sloetrail_result::{Problem, ResultCode};
 use sloetrail_routing::ServingConfiguration;
+use sloetrail_types::WeightVersion;
 use std::time::Duration;
 
 /// Query parameters.
@@ -24,6 +27,8 @@
         id: &'a str,
         position: usize,
         wait: Duration,
+        /// The oldest version that the reader's trainer takes now, as it wrote it.
+        oldest_version: Option<&'a str>,
     },
     /// The body of an item.
     ItemBody { id: &'a str, item: &'a str },
@@ -47,6 +52,10 @@
                     id,
                     position: position.unwrap_or_default(),
                     wait: Duration::from_millis(wait),
+                    oldest_version: context
+                        .dialect
+                        .oldest_version_parameter()
+                        .and_then(|name| query_value(query, name)),
                 });
             }
         }
@@ -73,14 +82,40 @@
         let caller = caller.as_deref();
         match self {
             BatchCall::End { id } => submit::end(context, id, caller).await,
-            BatchCall::Results { id, position, wait } => {
-                read::results(context, id, caller, position, wait).await
-            }
+            BatchCall::Results {
+                id,
+                position,
+                wait,
+                oldest_version,
+            } => match reader_demand(context, oldest_version) {
+                Ok(demand) => read::results(context, id, caller, position, wait, demand).await,
+                Err(problem) => problem_response(&problem),
+            },
             BatchCall::ItemBody { id, item } => read::item_body(context, id, caller, item).await,
         }
     }
 }
 
+/// What a reader takes. A version that cannot be read is refused: without it the reader would
+/// be handed texts that its trainer must not use.
+fn reader_demand(
+    context: &NodeContext,
+    oldest_version: Option<&str>,
+) -> Result<ReaderDemand, Problem> {
+    let oldest_version = oldest_version.map(parse_version).transpose()?;
+    Ok(ReaderDemand {
+        segments: context.dialect.tells_segments(),
+        oldest_version,
+    })
+}
+
+fn parse_version(text: &str) -> Result<WeightVersion, Problem> {
+    text.parse().map(WeightVersion).map_err(|error| {
+        let detail = format!("the oldest version {text:?} is no number: {error}");
+        Problem::new(ResultCode::MalformedRequest, detail)
+    })
+}
+
 fn query_value<'a>(query: &'a str, name: &str) -> Option<&'a str> {
     query
         .split('&')
--- a/crates/sloetrail-serving/src/gateway/read.rs
+++ b/crates/sloetrail-serving/src/gateway/read.rs
@@ -9,8 +9,9 @@
 use super::reading_time::{PAGE_BYTES, ReadingTime};
 use crate::batch_rows::{read_results, read_submission};
 use crate::context::NodeContext;
+use crate::events::{self, Event};
 use http::StatusCode;
-use sloetrail_batch::{ListedResult, ReaderDemand, ResultPage, Submission, ToldResult};
+use sloetrail_batch::{ListedResult, ReaderDemand, ResultPage, Submission, ToldResult, ToldState};
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_routing::Tenant;
 use std::time::Duration;
@@ -21,16 +22,18 @@
 const LOOK_PERIOD: Duration = Duration::from_millis(60);
 
 /// Answers a reader of results from `position` on, waiting for some that it can use up to
-/// `wait`.
+/// `wait`. What is older than the reader takes is told without its text.
 pub(crate) async fn results(
     context: &NodeContext,
     id: &str,
     caller: Option<&Tenant>,
     position: usize,
     wait: Duration,
+    demand: ReaderDemand,
 ) -> CallerResponse {
-    match try_results(context, id, caller, position, wait).await {
+    match try_results(context, id, caller, position, wait, demand).await {
         Ok(page) => {
+            note_too_old(id, position, &page, demand);
             let body = serde_json::to_vec(&page).unwrap_or_default();
             json_response(StatusCode::OK, body)
         }
@@ -38,18 +41,30 @@
     }
 }
 
+/// Logs that a reader was refused texts that are older than it takes.
+fn note_too_old(id: &str, position: usize, page: &ResultPage, demand: ReaderDemand) {
+    let told = page.results.iter();
+    let too_old = told.filter(|result| result.state == ToldState::TooOld);
+    let results = too_old.count();
+    if results > 0 {
+        events::emit(&Event::ResultsTooOld {
+            batch: id,
+            position,
+            results,
+            oldest_version: demand.oldest_version.unwrap_or_default().0,
+        });
+    }
+}
+
 async fn try_results(
     context: &NodeContext,
     id: &str,
     caller: Option<&Tenant>,
     position: usize,
     wait: Duration,
+    demand: ReaderDemand,
 ) -> Result<ResultPage, Problem> {
     let began = Instant::now();
-    let demand = ReaderDemand {
-        segments: context.dialect.tells_segments(),
-        oldest_version: None,
-    };
     // Both at once: it saves an answer of the table, 28 ms where that is in another region.
     let (header, listed) = tokio::join!(
         header_of(context, id, caller),
--- a/crates/sloetrail-serving/src/native_dialect.rs
+++ b/crates/sloetrail-serving/src/native_dialect.rs
@@ -15,6 +15,7 @@
 
 const PUBLISHED_VERSIONS: &str = "versions/";
 const EVACUATIONS: &str = "evacuations/";
+const OLDEST_VERSION: &str = "oldest_version";
 
 /// The product's own dialect.
 pub struct NativeDialect {
@@ -86,6 +87,10 @@
         true
     }
 
+    fn oldest_version_parameter(&self) -> Option<&str> {
+        Some(OLDEST_VERSION)
+    }
+
     fn sources(&self) -> &SourceRows {
         &self.sources
     }
