--- a/crates/sloetrail-serving/src/dialect.rs
+++ b/crates/sloetrail-serving/src/dialect.rs
@@ -139,6 +139,18 @@
     /// The paths of batches.
     fn paths(&self) -> &CallerPaths;
 
+    /// True if listed results name which engine made which events of a text. Where they do
+    /// not, the engines are not kept either.
+    fn tells_segments(&self) -> bool {
+        false
+    }
+
+    /// The query parameter with which a reader of results names the oldest version that its
+    /// trainer takes now; absent where readers cannot.
+    fn oldest_version_parameter(&self) -> Option<&str> {
+        None
+    }
+
     /// Where the rows lie that others write.
     fn sources(&self) -> &SourceRows;
 
--- a/crates/sloetrail-serving/src/gateway/read.rs
+++ b/crates/sloetrail-serving/src/gateway/read.rs
@@ -9,8 +9,9 @@
 use super::reading_time::{PAGE_BYTES, ReadingTime};
 use crate::batch_rows::{read_results, read_submission};
 use crate::context::NodeContext;
+use crate::events::{self, Event};
 use http::StatusCode;
-use sloetrail_batch::{ListedResult, ResultPage, Submission};
+use sloetrail_batch::{ListedResult, ReaderDemand, ResultPage, Submission, ToldResult, ToldState};
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_routing::Tenant;
 use std::time::Duration;
@@ -21,16 +22,18 @@
 const LOOK_PERIOD: Duration = Duration::from_millis(60);
 
 /// Answers a reader of results from `position` on, waiting for some that it can use up to
-/// `wait`.
+/// `wait`. What is older than the reader takes is told without its text.
 pub(crate) async fn results(
     context: &NodeContext,
     id: &str,
     caller: Option<&Tenant>,
     position: usize,
     wait: Duration,
+    demand: ReaderDemand,
 ) -> CallerResponse {
-    match try_results(context, id, caller, position, wait).await {
+    match try_results(context, id, caller, position, wait, demand).await {
         Ok(page) => {
+            note_too_old(id, position, &page, demand);
             let body = serde_json::to_vec(&page).unwrap_or_default();
             json_response(StatusCode::OK, body)
         }
@@ -38,12 +41,28 @@
     }
 }
 
+/// Logs that a reader was refused texts that are older than it takes.
+fn note_too_old(id: &str, position: usize, page: &ResultPage, demand: ReaderDemand) {
+    let told = page.results.iter();
+    let too_old = told.filter(|result| result.state == ToldState::TooOld);
+    let results = too_old.count();
+    if results > 0 {
+        events::emit(&Event::ResultsTooOld {
+            batch: id,
+            position,
+            results,
+            oldest_version: demand.oldest_version.unwrap_or_default().0,
+        });
+    }
+}
+
 async fn try_results(
     context: &NodeContext,
     id: &str,
     caller: Option<&Tenant>,
     position: usize,
     wait: Duration,
+    demand: ReaderDemand,
 ) -> Result<ResultPage, Problem> {
     let began = Instant::now();
     // Both at once: it saves an answer of the table, 28 ms where that is in another region.
@@ -61,21 +80,26 @@
         let next = position + known.len();
         let next_look = Instant::now() + LOOK_PERIOD;
         if next >= header.total || next_look > time.kept_until(&known) {
-            return Ok(page(position, header.total, known));
+            return Ok(page(position, header.total, known, demand));
         }
         tokio::time::sleep_until(next_look).await;
         match read_results(&*context.table, id, next).await {
             Ok(more) => known.extend(more),
             Err(_) if known.is_empty() => return Err(table_unavailable()),
             // What is known is told now: the table may stay away for longer.
-            Err(_) => return Ok(page(position, header.total, known)),
+            Err(_) => return Ok(page(position, header.total, known, demand)),
         }
     }
 }
 
 /// An answer with as many results as it may hold.
-fn page(position: usize, total: usize, known: Vec<ListedResult>) -> ResultPage {
-    let results = fitting(known);
+fn page(
+    position: usize,
+    total: usize,
+    known: Vec<ListedResult>,
+    demand: ReaderDemand,
+) -> ResultPage {
+    let results = fitting(known, demand);
     ResultPage {
         total,
         next: position + results.len(),
@@ -84,22 +108,17 @@
 }
 
 /// As many results as one answer may hold, at least one.
-fn fitting(listed: Vec<ListedResult>) -> Vec<ListedResult> {
+fn fitting(listed: Vec<ListedResult>, demand: ReaderDemand) -> Vec<ToldResult> {
     let mut bytes = 0;
-    let fits = |(index, result): &(usize, ListedResult)| {
+    let fits = |(index, result): &(usize, ToldResult)| {
         bytes += result.text.len();
         *index == 0 || bytes <= PAGE_BYTES
     };
-    let fitting = listed.into_iter().enumerate().take_while(fits);
-    fitting.map(|(_, result)| as_told(result)).collect()
-}
-
-/// An entry as readers see it.
-fn as_told(result: ListedResult) -> ListedResult {
-    ListedResult {
-        groups_are_whole: false,
-        ..result
-    }
+    let told = listed
+        .into_iter()
+        .map(|result| ToldResult::new(result, demand));
+    let fitting = told.enumerate().take_while(fits);
+    fitting.map(|(_, result)| result).collect()
 }
 
 /// Answers with the body of an item.
--- a/crates/sloetrail-serving/src/native_dialect.rs
+++ b/crates/sloetrail-serving/src/native_dialect.rs
@@ -15,6 +15,7 @@
 
 const PUBLISHED_VERSIONS: &str = "versions/";
 const EVACUATIONS: &str = "evacuations/";
+const OLDEST_VERSION: &str = "oldest_version";
 
 /// The product's own dialect.
 pub struct NativeDialect {
@@ -91,6 +92,14 @@
         &self.paths
     }
 
+    fn tells_segments(&self) -> bool {
+        true
+    }
+
+    fn oldest_version_parameter(&self) -> Option<&str> {
+        Some(OLDEST_VERSION)
+    }
+
     fn sources(&self) -> &SourceRows {
         &self.sources
     }
