The look of one that waits for a place does not grow with those that wait

Cause: each look of each waiting request (every 15 ms, two more when it is refused) asked whether its tenant is beyond its share, and for that put the tenants of all that wait into a set: work with the square of those that wait, under the lock of all services, also where no tenants are configured.

Ruled out: the count of those that go before a request: it is made only for a tenant beyond its share, whose requests are refused once so many go before them that their turn would come too late.

Change: the queue counts how many of each tenant wait as they join and leave.

--- a/crates/sloetrail-balance/src/place_queue.rs
+++ b/crates/sloetrail-balance/src/place_queue.rs
@@ -54,10 +54,36 @@
     ticket: PlaceTicket,
 }
 
+/// How many requests of each tenant wait; none is held that has none.
+#[derive(Debug, Default)]
+struct WaitingTenants(BTreeMap<WorkOwner, usize>);
+
+impl WaitingTenants {
+    fn joined(&mut self, tenant: &WorkOwner) {
+        match self.0.get_mut(tenant) {
+            Some(count) => *count += 1,
+            None => {
+                self.0.insert(tenant.clone(), 1);
+            }
+        }
+    }
+
+    fn left(&mut self, tenant: &WorkOwner) {
+        let Some(count) = self.0.get_mut(tenant) else {
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            self.0.remove(tenant);
+        }
+    }
+}
+
 /// Those that wait for a place at one service, and what its tenants have under way.
 #[derive(Debug, Default)]
 pub struct PlaceQueue {
     waiting: BTreeMap<PlaceTicket, Waiting>,
+    tenants: WaitingTenants,
     shares: TenantShares,
     served: ServedShares,
     last_ticket: u64,
@@ -73,17 +99,21 @@
     /// with that its age.
     pub fn join(&mut self, request: &PlaceRequest, ticket: Option<PlaceTicket>) -> PlaceTicket {
         let ticket = ticket.unwrap_or_else(|| self.next_ticket());
-        let waiting = self.waiting.entry(ticket).or_insert_with(|| Waiting {
+        let waiting = Waiting {
             request: request.clone(),
             offered_at: None,
-        });
-        waiting.offered_at = None;
+        };
+        if self.waiting.insert(ticket, waiting).is_none() {
+            self.tenants.joined(&request.tenant);
+        }
         ticket
     }
 
     /// Takes a request out, if it waits.
     pub fn leave(&mut self, ticket: PlaceTicket) {
-        self.waiting.remove(&ticket);
+        if let Some(left) = self.waiting.remove(&ticket) {
+            self.tenants.left(&left.request.tenant);
+        }
         if self.waiting.is_empty() {
             self.shares.forget_idle();
         }
@@ -140,9 +170,8 @@
         if self.waiting.is_empty() {
             return 0;
         }
-        let waiting = self.waiting.values();
-        let tenants = waiting.map(|waiting| &waiting.request.tenant);
-        if !self.shares.is_beyond_share(&request.tenant, tenants) {
+        let waiting = self.tenants.0.keys();
+        if !self.shares.is_beyond_share(&request.tenant, waiting) {
             return 0;
         }
         let own = self.turn(request, ticket);
--- a/crates/sloetrail-balance/src/tests/place_queue.rs
+++ b/crates/sloetrail-balance/src/tests/place_queue.rs
@@ -2,6 +2,7 @@
 
 use crate::{PlaceQueue, PlaceRequest, PlaceTicket};
 use sloetrail_types::{AllowedRegions, RegionName, TenantName, Timestamp, Urgency};
+use std::time::{Duration, Instant};
 
 const NOW: Timestamp = Timestamp(1_000);
 
@@ -161,3 +162,20 @@
     }
     assert_eq!(queue.offer(NOW, anywhere), Some(first));
 }
+
+#[test]
+fn the_look_of_one_that_waits_does_not_take_longer_the_more_wait_beside_it() {
+    const WAITING: usize = 10_000;
+    let mut queue = PlaceQueue::default();
+    let nobody = PlaceRequest {
+        tenant: None,
+        ..request("-", 5)
+    };
+    let tickets: Vec<PlaceTicket> = (0..WAITING).map(|_| joined(&mut queue, &nobody)).collect();
+    let began = Instant::now();
+    for ticket in tickets {
+        assert_eq!(queue.held_back_by(&nobody, Some(ticket)), 0);
+    }
+    let took = began.elapsed();
+    assert!(took < Duration::from_secs(1), "{took:?}");
+}
