A place that nobody freed is offered as one that was freed

Cause: who does not look (its caller reads nothing, so that its future is not polled) is passed over 15 ms after an offer, and offers were made only where a place was freed or one that waited left. A place that came otherwise (a back end is new, a pause after a loss is over) was kept for such a one: those that looked were turned down for it, and where nothing ran nobody freed anything either, so all waited until the first of them gave up. One that does look learned of the place at its own next look only, up to 15 ms later.

Ruled out: an end of the waiting by itself: a series midway that nobody reads stays in the queue until its connection ends.

Change: who is turned down offers the place to the one that it was turned down for, which is woken.

Measured: place_turns: one_that_does_not_look_holds_up_nobody_though_no_place_was_freed, red with the offer taken out, green with it. By reading, not measured: the place that stands empty for less long.

--- a/crates/sloetrail-serving/src/place_turns.rs
+++ b/crates/sloetrail-serving/src/place_turns.rs
@@ -64,17 +64,23 @@
         }
     }
 
-    /// True if a request may take a place now.
-    pub(crate) fn is_turn_of(
-        &self,
+    /// True if a request may take a place now. Otherwise the place is offered to the first,
+    /// since it may have come without one being freed: the first is woken, and passed over
+    /// if it does not take it.
+    pub(crate) fn ask_turn(
+        &mut self,
         seeker: &PlaceSeeker,
         now: Timestamp,
-        can_serve: impl FnMut(&AllowedRegions) -> bool,
+        mut can_serve: impl FnMut(&AllowedRegions) -> bool,
     ) -> bool {
         let PlaceSeeker {
             request, ticket, ..
         } = seeker;
-        self.queue.is_turn_of(request, *ticket, now, can_serve)
+        let is_turn = self.queue.is_turn_of(request, *ticket, now, &mut can_serve);
+        if !is_turn {
+            self.wake_first(now, can_serve);
+        }
+        is_turn
     }
 
     /// How many that wait go before a request whose tenant is beyond its share.
@@ -164,3 +170,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sloetrail-serving/src/service_pools.rs
+++ b/crates/sloetrail-serving/src/service_pools.rs
@@ -222,7 +222,7 @@
         let now = self.now();
         let mut state = self.state.lock().expect("not poisoned");
         state.readmit(service, now);
-        if !state.is_turn_of(seeker, excluded, now) {
+        if !state.ask_turn(seeker, excluded, now) {
             return None;
         }
         let State {
@@ -361,17 +361,16 @@
         self.turns.get_mut(service).expect("it was inserted")
     }
 
-    /// False if a place that this request could have is another one's.
-    fn is_turn_of(
-        &self,
+    /// False if a place that this request could have is another one's, which is told so.
+    fn ask_turn(
+        &mut self,
         seeker: &PlaceSeeker,
         excluded: &BTreeSet<EngineId>,
         now: Timestamp,
     ) -> bool {
-        let Some(turns) = self.turns.get(seeker.service()) else {
-            return true;
-        };
-        let Some(balancer) = self.balancers.get(seeker.service()) else {
+        let service = seeker.service();
+        let (balancer, turns) = (self.balancers.get(service), self.turns.get_mut(service));
+        let (Some(balancer), Some(turns)) = (balancer, turns) else {
             return true;
         };
         let demand = live_demand(excluded, &seeker.request().regions);
@@ -379,7 +378,7 @@
             return true;
         }
         let nothing = BTreeSet::new();
-        turns.is_turn_of(seeker, now, |regions| {
+        turns.ask_turn(seeker, now, |regions| {
             balancer.has_place(now, live_demand(&nothing, regions))
         })
     }
