Batches that have nothing to start cost one look each

Cause: the turns of batches looked through all candidates for each item that started and for each batch that had none to start: work with the square of the batches, twice at each event of the owner.

Ruled out: the order itself: which batch is next depends on its rank, its tenant and its age alone.

Change: batches lie by rank and tenant in the order of acceptance; only the first of each tenant of the most urgent rank that is left are compared.

--- a/crates/sloetrail-serving/src/owner/batch_turns.rs
+++ b/crates/sloetrail-serving/src/owner/batch_turns.rs
@@ -7,19 +7,23 @@
 use sloetrail_balance::{TenantShares, WorkOwner};
 use sloetrail_batch::{BatchHeader, BatchId};
 use sloetrail_types::Urgency;
+use std::collections::{BTreeMap, VecDeque};
 
-/// A batch with items that may be started.
+/// A batch with items that may be started. The least was accepted first.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
 struct Candidate {
-    urgency: Urgency,
     accepted_at_ms: u64,
-    tenant: WorkOwner,
     id: BatchId,
 }
 
+/// The batches of one rank, those of each tenant in the order of their acceptance. No tenant
+/// is held that has none.
+type Rank = BTreeMap<WorkOwner, VecDeque<Candidate>>;
+
 /// The batches that have not been found to have nothing to start.
 pub(super) struct BatchTurns<'a> {
     shares: &'a mut TenantShares,
-    candidates: Vec<Candidate>,
+    ranks: BTreeMap<Urgency, Rank>,
 }
 
 impl<'a> BatchTurns<'a> {
@@ -28,43 +32,54 @@
         shares: &'a mut TenantShares,
         batches: impl Iterator<Item = (&'b BatchId, &'b BatchHeader)>,
     ) -> Self {
-        let candidates = batches.map(|(id, header)| {
+        let mut ranks: BTreeMap<Urgency, Rank> = BTreeMap::new();
+        for (id, header) in batches {
             let (urgency, accepted_at_ms) = header.urgency();
-            Candidate {
-                urgency,
-                accepted_at_ms,
-                tenant: header.tenant.clone(),
-                id: id.clone(),
-            }
-        });
-        let mut candidates: Vec<Candidate> = candidates.collect();
-        candidates.sort_by(|left, right| {
-            let key = |one: &Candidate| (one.urgency, one.accepted_at_ms);
-            key(left).cmp(&key(right)).then(left.id.cmp(&right.id))
-        });
-        Self { shares, candidates }
+            let rank = ranks.entry(urgency).or_default();
+            let of_tenant = rank.entry(header.tenant.clone()).or_default();
+            let id = id.clone();
+            of_tenant.push_back(Candidate { accepted_at_ms, id });
+        }
+        for of_tenant in ranks.values_mut().flat_map(Rank::values_mut) {
+            of_tenant.make_contiguous().sort();
+        }
+        Self { shares, ranks }
     }
 
     /// Calls `start` for the batch whose turn it is, until none has an item to start. `start`
     /// says whether it started one; a batch that has none is not asked again.
-    pub(super) fn run(mut self, mut start: impl FnMut(&BatchId) -> bool) {
-        while let Some(next) = self.next() {
-            let candidate = &self.candidates[next];
-            match start(&candidate.id) {
-                true => self.shares.began(&candidate.tenant),
-                false => {
-                    self.candidates.remove(next);
+    pub(super) fn run(self, mut start: impl FnMut(&BatchId) -> bool) {
+        let Self { shares, ranks } = self;
+        for mut rank in ranks.into_values() {
+            while let Some((tenant, id)) = next(shares, &rank) {
+                if start(id) {
+                    shares.began(tenant);
+                    continue;
                 }
+                let tenant = tenant.clone();
+                remove_first(&mut rank, &tenant);
             }
         }
     }
+}
+
+/// The batch whose turn it is in a rank, with its tenant. Of tenants whose turn it is alike,
+/// the one whose batch was accepted first.
+fn next<'b>(shares: &TenantShares, rank: &'b Rank) -> Option<(&'b WorkOwner, &'b BatchId)> {
+    let firsts = rank
+        .iter()
+        .filter_map(|(tenant, of_tenant)| Some((tenant, of_tenant.front()?)));
+    let next = firsts.min_by_key(|(tenant, first)| (shares.turn(tenant), *first));
+    next.map(|(tenant, first)| (tenant, &first.id))
+}
 
-    /// Of equals the first in the list, which is the oldest.
-    fn next(&self) -> Option<usize> {
-        let turn = |one: &Candidate| (one.urgency, self.shares.turn(&one.tenant));
-        let candidates = self.candidates.iter().enumerate();
-        let next = candidates.min_by_key(|(_, candidate)| turn(candidate));
-        next.map(|(index, _)| index)
+fn remove_first(rank: &mut Rank, tenant: &WorkOwner) {
+    let Some(of_tenant) = rank.get_mut(tenant) else {
+        return;
+    };
+    of_tenant.pop_front();
+    if of_tenant.is_empty() {
+        rank.remove(tenant);
     }
 }
 
--- a/crates/sloetrail-serving/src/owner/batch_turns/tests.rs
+++ b/crates/sloetrail-serving/src/owner/batch_turns/tests.rs
@@ -5,6 +5,7 @@
 use sloetrail_batch::{BatchHeader, BatchId};
 use sloetrail_types::{AllowedRegions, ServiceName, TenantName, WeightVersion};
 use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
 fn header(tenant: &str, priority: u8, accepted_at_ms: u64) -> BatchHeader {
     BatchHeader {
@@ -98,3 +99,24 @@
     }
     assert_eq!(started, ["flood", "other", "flood", "other"]);
 }
+
+#[test]
+fn batches_that_have_nothing_to_start_cost_no_more_than_a_look_each() {
+    const BATCHES: u64 = 10_000;
+    let tenants = ["one", "two", "three"].iter().cycle();
+    let batches = (0..BATCHES).zip(tenants);
+    let headers: Vec<(BatchId, BatchHeader)> = batches
+        .map(|(number, tenant)| (number.to_string(), header(tenant, 5, number)))
+        .collect();
+    let mut shares = TenantShares::default();
+    let began = Instant::now();
+    let mut looks = 0;
+    let batches = headers.iter().map(|(id, header)| (id, header));
+    BatchTurns::new(&mut shares, batches).run(|_| {
+        looks += 1;
+        false
+    });
+    let took = began.elapsed();
+    assert_eq!(looks, BATCHES);
+    assert!(took < Duration::from_secs(1), "{took:?}");
+}
