Wrong keys write few lines also while the table is away

Cause: while the table does not answer, a key that is not known is refused with 1106 instead of 1010, and only 1010 was thinned: whoever sends wrong keys then wrote a line for each. 1106 has no other use on the serving node.

Ruled out: calls about batches: they log no refusal of a key.

Change: both codes go through the one limiter of refused keys.

Measured: part::tests::refusals_of_unknown_keys_are_thinned_also_while_the_table_is_away, red before ("a limiter"), green after. Not played at a node without its table.

--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -66,9 +66,7 @@
         match self {
             Event::RequestAnswered { .. } => Some(&REQUESTS_ANSWERED),
             // Anybody can send wrong keys, as many as they like.
-            Event::RequestFailed { code, .. } if *code == ResultCode::UnknownApiKey.number() => {
-                Some(&KEYS_REFUSED)
-            }
+            Event::RequestFailed { code, .. } if is_refused_key(*code) => Some(&KEYS_REFUSED),
             Event::ItemStarted { .. } => Some(&ITEMS_STARTED),
             Event::ItemListed { .. } => Some(&ITEMS_LISTED),
             Event::ItemMoved { .. } => Some(&ITEMS_MOVED),
@@ -77,6 +75,13 @@
     }
 }
 
+/// True if a code refuses a key: for good, or while the table does not tell whether it is new.
+fn is_refused_key(code: u16) -> bool {
+    [ResultCode::UnknownApiKey, ResultCode::ConfigurationStale]
+        .iter()
+        .any(|refusal| refusal.number() == code)
+}
+
 static REQUESTS_ANSWERED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
 static KEYS_REFUSED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
 static ITEMS_STARTED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
@@ -94,3 +99,6 @@
     ];
     limiters.iter().map(|limiter| limiter.take_refused()).sum()
 }
+
+#[cfg(test)]
+mod tests;
