Requests that no back end may serve do not put their kind before others

Cause: every request that ended without a place counted as not served, also one whose regions have no back end that takes work. A tenant bound to such a region, which sends on, made its kind "short": all other requests of that kind then went before the more urgent ones at the places of other regions, though nobody had taken places from them.

Ruled out: not counting what is refused at once: that is how those are refused that are shut out.

Change: a miss counts only if a back end that takes work may serve the request as it ends.

Measured: place_turns: what_no_back_end_may_serve_does_not_put_its_kind_before_others, red before (the patient request was offered the place), green after. The test is of a service without back ends, not of a region without them; both are told by Balancer::may_serve.

--- a/crates/sloetrail-serving/src/place_turns.rs
+++ b/crates/sloetrail-serving/src/place_turns.rs
@@ -42,8 +42,8 @@
         }
     }
 
-    /// A request ended without ever having had a place.
-    fn missed(&mut self, seeker: &PlaceSeeker) {
+    /// A request ended without ever having had a place, though there are some.
+    pub(crate) fn missed(&mut self, seeker: &PlaceSeeker) {
         self.queue.note_served(seeker.request.urgency, false);
     }
 
@@ -165,8 +165,7 @@
     fn drop(&mut self) {
         self.leave();
         if !self.has_had_place {
-            self.pools
-                .with_turns(&self.service, |turns| turns.missed(self));
+            self.pools.note_missed(self);
         }
     }
 }
--- a/crates/sloetrail-serving/src/place_turns/tests.rs
+++ b/crates/sloetrail-serving/src/place_turns/tests.rs
@@ -48,3 +48,23 @@
     assert!(!turns.ask_turn(&looking, NOW, anywhere));
     assert!(turns.ask_turn(&looking, LATER, anywhere));
 }
+
+#[test]
+fn what_no_back_end_may_serve_does_not_put_its_kind_before_others() {
+    const REQUESTS: usize = 20;
+    let pools = pools();
+    for _ in 0..REQUESTS {
+        let urgent = Urgency::new(None, URGENT);
+        pools.with_turns(&ServiceName::from("maps"), |turns| {
+            turns.queue.note_served(urgent, true);
+        });
+        drop(seeker(&pools, PATIENT));
+    }
+    let (urgent, patient) = (seeker(&pools, URGENT), seeker(&pools, PATIENT));
+    let (offered, first) = pools.with_turns(&ServiceName::from("maps"), |turns| {
+        let first = turns.join(&urgent);
+        turns.join(&patient);
+        (turns.queue.offer(NOW, anywhere), first)
+    });
+    assert_eq!(offered, Some(first));
+}
--- a/crates/sloetrail-serving/src/service_pools.rs
+++ b/crates/sloetrail-serving/src/service_pools.rs
@@ -261,6 +261,18 @@
         work(state.turns(service))
     }
 
+    /// A request ended without ever having had a place. One that no back end may serve says
+    /// nothing of how the places that there are were shared out.
+    pub(crate) fn note_missed(&self, seeker: &PlaceSeeker) {
+        let (service, regions) = (seeker.service(), &seeker.request().regions);
+        let now = self.now();
+        let mut state = self.state.lock().expect("not poisoned");
+        let balancer = state.balancers.get(service);
+        if balancer.is_some_and(|balancer| balancer.may_serve(now, regions)) {
+            state.turns(service).missed(seeker);
+        }
+    }
+
     /// Offers a place of a service, if there is one, to the first that waits and may use it.
     pub(crate) fn wake_first(&self, service: &ServiceName) {
         let now = self.now();
