A node that stops sees the writes of claims from their beginning

Cause: a write of what became of a key counted as open only once its task first ran. Between the end of a call and then, a node that stops saw neither a connection nor an open write and could end: the answer was not kept, or a key that had not been used stayed claimed.

Ruled out: the order of the two questions in has_work_left: both are asked in one moment, and between two tasks neither was true.

Change: a write is open from when it is made, before its task is spawned; the same for claiming.

Measured: claims::claim::tests, a_node_that_stops_sees_the_write_of_an_answer_from_the_moment_of_its_end and ..._that_a_key_is_given_back_from_the_moment_of_its_drop, both red before (0 open writes), green after; an_answer_that_is_not_kept_is_no_write green before and after.

--- a/crates/sloetrail-serving/src/gateway/claims/claim.rs
+++ b/crates/sloetrail-serving/src/gateway/claims/claim.rs
@@ -103,3 +103,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/sloetrail-serving/src/gateway/claims/claim/tests.rs
@@ -0,0 +1,117 @@
+//! What a claim does as it ends, before any of its writes has run.
+
+use super::super::Claims;
+use super::super::record::{ClaimRecord, ClaimState, RequestIdentity};
+use super::super::writes::Base;
+use super::Claim;
+use crate::http::WholeAnswer;
+use crate::rows;
+use crate::table::{
+    Changes, Commit, CommitError, KeyRange, Page, ReadError, Table, TableLimits, Transaction,
+};
+use async_trait::async_trait;
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode};
+use sloetrail_types::{NodeId, RowVersion};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize};
+use std::time::Duration;
+
+/// A table that answers nothing.
+struct SilentTable;
+
+#[async_trait]
+impl Table for SilentTable {
+    fn limits(&self) -> TableLimits {
+        TableLimits {
+            row_bytes: 4_096,
+            transaction_entries: 8,
+            transaction_bytes: 4_096,
+        }
+    }
+
+    fn now_ms(&self) -> Option<u64> {
+        Some(0)
+    }
+
+    async fn commit(&self, _: &Transaction) -> Result<Commit, CommitError> {
+        std::future::pending().await
+    }
+
+    async fn scan(&self, _: &KeyRange) -> Result<Page, ReadError> {
+        std::future::pending().await
+    }
+
+    async fn changes(&self, _: &str, _: RowVersion, _: Duration) -> Result<Changes, ReadError> {
+        std::future::pending().await
+    }
+}
+
+fn claims() -> Arc<Claims> {
+    Arc::new(Claims {
+        table: Arc::new(SilentTable),
+        claimant: NodeId::from("node-1"),
+        kept: Duration::from_secs(60),
+        next_number: AtomicU64::new(1),
+        open_writes: AtomicUsize::new(0),
+    })
+}
+
+fn claim(claims: &Arc<Claims>) -> Claim {
+    let record = ClaimRecord {
+        claimant: claims.claimant.clone(),
+        number: 1,
+        request: RequestIdentity {
+            tenant: None,
+            route: "once".to_owned(),
+            digest: 1,
+        },
+        due_ms: 2_000,
+        delete_at_ms: 62_000,
+        state: ClaimState::Running,
+    };
+    let base = Base {
+        version: RowVersion(1),
+        delete_at_ms: record.delete_at_ms,
+    };
+    let claims = Arc::clone(claims);
+    Claim::new(claims, "r1".to_owned(), rows::claim(1), record, base)
+}
+
+fn answer() -> WholeAnswer {
+    WholeAnswer {
+        status: StatusCode::OK,
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+    }
+}
+
+#[tokio::test]
+async fn a_node_that_stops_sees_the_write_of_an_answer_from_the_moment_of_its_end() {
+    let claims = claims();
+    let claim = claim(&claims);
+    claim.note_send();
+    claim.end(Ok(&answer()));
+    assert_eq!(claims.open_writes(), 1);
+}
+
+#[tokio::test]
+async fn a_node_that_stops_sees_that_a_key_is_given_back_from_the_moment_of_its_drop() {
+    let claims = claims();
+    drop(claim(&claims));
+    assert_eq!(claims.open_writes(), 1);
+}
+
+#[tokio::test]
+async fn an_answer_that_is_not_kept_is_no_write() {
+    let claims = claims();
+    let too_large = WholeAnswer {
+        body: Bytes::from(vec![0; 5_000]),
+        ..answer()
+    };
+    let claim = claim(&claims);
+    claim.note_send();
+    claim.end(Ok(&too_large));
+    drop(claim);
+    assert_eq!(claims.open_writes(), 0);
+}
--- a/crates/sloetrail-serving/src/gateway/claims/writes.rs
+++ b/crates/sloetrail-serving/src/gateway/claims/writes.rs
@@ -28,8 +28,8 @@
 /// The row that a write replaces.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Base {
-    version: RowVersion,
-    delete_at_ms: u64,
+    pub(super) version: RowVersion,
+    pub(super) delete_at_ms: u64,
 }
 
 /// How a claim was settled.
@@ -49,6 +49,7 @@
     base: Option<Base>,
     /// A transaction got no answer: it may still take effect.
     is_outcome_unknown: bool,
+    _open: OpenWrite,
 }
 
 /// The attempts at writing what became of a claim.
@@ -58,9 +59,11 @@
     address: RowAddress,
     record: ClaimRecord,
     base: Option<Base>,
+    _open: OpenWrite,
 }
 
-/// Counts a write as open until it is dropped.
+/// Counts a write as open until it is dropped, also before it first runs: a node that stops
+/// waits for it.
 struct OpenWrite(Arc<Claims>);
 
 impl OpenWrite {
@@ -85,6 +88,7 @@
         record: ClaimRecord,
     ) -> Self {
         Self {
+            _open: OpenWrite::begin(&claims),
             claims,
             request,
             address,
@@ -97,7 +101,6 @@
     /// Claims the key and tells how that was settled. A claim that nobody takes any more is
     /// given back, and so is one that may still be written.
     pub(super) async fn run(mut self, give_up_at: Instant, answer: oneshot::Sender<Settled>) {
-        let _open = OpenWrite::begin(&self.claims);
         if let Some(settled) = self.settle(give_up_at, &answer).await {
             // What nobody takes is dropped, and a claim gives itself back then.
             let _ = answer.send(settled);
@@ -194,6 +197,7 @@
         base: Option<Base>,
     ) -> Self {
         Self {
+            _open: OpenWrite::begin(&claims),
             claims,
             request,
             address,
@@ -209,7 +213,6 @@
 
     /// Tries until the table has judged, for a bounded time.
     pub(super) async fn run(mut self) {
-        let _open = OpenWrite::begin(&self.claims);
         let give_up_at = Instant::now() + ENDING_TIME;
         loop {
             let transaction = transaction(&self.address, &self.record, self.base);
