A caller that leaves after proof that nothing has run may use its key again

Cause: a claim that was dropped gave its key back only while nothing had been sent.

Ruled out: the answers that the node gives itself: those already follow the proofs.

Change: a claim counts the sendings that may have run; one that is proved not to have run is taken off again. Live requests and series alike.

--- a/crates/sloetrail-serving/src/gateway/claims/claim.rs
+++ b/crates/sloetrail-serving/src/gateway/claims/claim.rs
@@ -8,20 +8,22 @@
 use crate::table::RowAddress;
 use sloetrail_result::{Kind, Problem};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 /// A key that this node has claimed for a request.
 ///
-/// Dropped before anything was sent, it frees the key: the caller has left. Dropped later it
-/// leaves the claim as it is, since the request may have run.
+/// Dropped while nothing that was sent can have run, it frees the key: the caller has left.
+/// Dropped otherwise it leaves the claim as it is, since the request may have run.
 pub(crate) struct Claim {
     claims: Arc<Claims>,
     request: String,
     address: RowAddress,
     record: ClaimRecord,
     base: Base,
-    /// True until something is sent, or it is known what became of the request.
-    is_unsent: AtomicBool,
+    /// Sendings to back ends that are not proved not to have run.
+    possible_runs: AtomicUsize,
+    /// True once it is known what became of the request.
+    has_ended: AtomicBool,
 }
 
 impl Claim {
@@ -38,17 +40,24 @@
             address,
             record,
             base,
-            is_unsent: AtomicBool::new(true),
+            possible_runs: AtomicUsize::new(0),
+            has_ended: AtomicBool::new(false),
         }
     }
 
     /// The request is being sent to a back end.
     pub(crate) fn note_send(&self) {
-        self.is_unsent.store(false, Ordering::SeqCst);
+        self.possible_runs.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// A sending that was noted is proved not to have run.
+    pub(crate) fn note_not_run(&self) {
+        self.possible_runs.fetch_sub(1, Ordering::SeqCst);
     }
 
     /// The request has its final answer: a back end's, or the node's own.
     pub(crate) fn end(&self, answer: Result<&WholeAnswer, &Problem>) {
+        self.has_ended.store(true, Ordering::SeqCst);
         match answer {
             Ok(answer) => self.answered(answer),
             Err(problem) => self.failed(problem),
@@ -57,7 +66,6 @@
 
     /// Keeps a back end's answer, which repeats get.
     fn answered(&self, answer: &WholeAnswer) {
-        self.note_send();
         let state = ClaimState::Answered(StoredAnswer::of(answer));
         let ending = self.ending(state);
         let (bytes, limit) = (ending.row_bytes(), self.claims.table.limits().row_bytes);
@@ -75,7 +83,6 @@
     /// The node itself answers the request. If that proves that nothing ran, the key is free
     /// again; otherwise repeats are told that the outcome is not known.
     fn failed(&self, problem: &Problem) {
-        self.note_send();
         if problem.kind == Kind::NotRun {
             tokio::spawn(self.ending(ClaimState::Released).run());
         }
@@ -94,7 +101,7 @@
 
 impl Drop for Claim {
     fn drop(&mut self) {
-        if !*self.is_unsent.get_mut() {
+        if *self.has_ended.get_mut() || *self.possible_runs.get_mut() > 0 {
             return;
         }
         // Without a runtime the node is ending, and leaves the claim as a killed one does.
--- a/crates/sloetrail-serving/src/gateway/claims/claim/tests.rs
+++ b/crates/sloetrail-serving/src/gateway/claims/claim/tests.rs
@@ -115,3 +115,26 @@
     drop(claim);
     assert_eq!(claims.open_writes(), 0);
 }
+
+#[tokio::test]
+async fn a_key_is_given_back_if_all_that_was_sent_is_proved_not_to_have_run() {
+    let claims = claims();
+    let claim = claim(&claims);
+    claim.note_send();
+    claim.note_not_run();
+    claim.note_send();
+    claim.note_not_run();
+    drop(claim);
+    assert_eq!(claims.open_writes(), 1);
+}
+
+#[tokio::test]
+async fn a_key_stays_claimed_if_one_sending_may_have_run() {
+    let claims = claims();
+    let claim = claim(&claims);
+    claim.note_send();
+    claim.note_not_run();
+    claim.note_send();
+    drop(claim);
+    assert_eq!(claims.open_writes(), 0);
+}
--- a/crates/sloetrail-serving/src/gateway/live.rs
+++ b/crates/sloetrail-serving/src/gateway/live.rs
@@ -129,6 +129,13 @@
         }
     }
 
+    /// A sending to a back end is proved not to have run.
+    pub(crate) fn note_not_run(&self) {
+        if let Some(claim) = &self.claim {
+            claim.note_not_run();
+        }
+    }
+
     /// Waits until this moment, and then until back ends may be chosen: the process may have
     /// stood still while an attempt was pending.
     async fn choice_due(&self, from: Instant) {
@@ -360,11 +367,7 @@
             let pools = &self.call.context.pools;
             pools.note_answer(&self.call.service, took);
         }
-        if !result.is_proved_not_run() {
-            self.may_have_run += 1;
-        } else if let Some(begun) = &mut self.begun {
-            begun.not_run(send);
-        }
+        self.count(&result, send);
         match result {
             AttemptResult::Answered(answer) => Some(self.outcome(Ok(answer), Some(back_end))),
             AttemptResult::RanAndFailed(answer) => {
@@ -377,6 +380,18 @@
         }
     }
 
+    /// Counts an attempt that has ended by whether it may have run.
+    fn count(&mut self, result: &AttemptResult, send: usize) {
+        if !result.is_proved_not_run() {
+            self.may_have_run += 1;
+            return;
+        }
+        self.call.note_not_run();
+        if let Some(begun) = &mut self.begun {
+            begun.not_run(send);
+        }
+    }
+
     fn log_attempt(&self, place: &Place, result: &AttemptResult, took: Duration) {
         if matches!(result, AttemptResult::Answered(_)) {
             return;
--- a/crates/sloetrail-serving/src/gateway/stream.rs
+++ b/crates/sloetrail-serving/src/gateway/stream.rs
@@ -166,8 +166,9 @@
                         // The next one must not meet the same silence.
                         self.reuse = self.reuse.after_try_at(began);
                     }
-                    if !result.is_proved_not_run() {
-                        self.may_have_run += 1;
+                    match result.is_proved_not_run() {
+                        true => self.call.note_not_run(),
+                        false => self.may_have_run += 1,
                     }
                     last = Some(result.word());
                 }
--- a/crates/sloetrail-serving/tests/claims.rs
+++ b/crates/sloetrail-serving/tests/claims.rs
@@ -503,7 +503,11 @@
 
 /// Makes the usual call at the first node and leaves after this time.
 async fn call_and_leave(cluster: &Cluster, after: Duration) {
-    let call = Keyed::default().call(cluster);
+    send_and_leave(cluster, &Keyed::default(), after).await;
+}
+
+async fn send_and_leave(cluster: &Cluster, keyed: &Keyed, after: Duration) {
+    let call = keyed.call(cluster);
     let sending = call.send(cluster.nodes[0].callers);
     let left = tokio::time::timeout(after, sending).await;
     assert!(left.is_err(), "the caller left before its answer");
@@ -520,6 +524,40 @@
     assert_eq!(runs_at(&cluster, PATH), 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_after_proof_that_nothing_has_run_may_come_again() {
+    let cluster = usual_cluster(PACE).await;
+    for engine in &cluster.engines {
+        engine.set_fault(EngineFault::Refuses, None);
+    }
+    // Some may leave just while one more sending is under way, which may have run.
+    let keys = ["k0", "k1", "k2", "k3", "k4", "k5", "k6", "k7", "k8", "k9"];
+    let keyed = keys.map(|key| Keyed {
+        key,
+        path: format!("/once/{key}"),
+        ..again("r2")
+    });
+    for first in &keyed {
+        // Refused at once, it waits for a place for 115 ms at least.
+        send_and_leave(&cluster, first, Duration::from_millis(70)).await;
+    }
+    for engine in &cluster.engines {
+        engine.set_fault(EngineFault::None, None);
+    }
+    eventually("a key is free again", || async {
+        for repeated in &keyed {
+            if repeated.send(&cluster, 1).await.status == 200 {
+                return Some(());
+            }
+        }
+        None
+    })
+    .await;
+    for repeated in &keyed {
+        assert!(runs_at(&cluster, &repeated.path) <= 1);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_that_leaves_while_its_request_runs_does_not_make_it_run_again() {
     let cluster = usual_cluster(PACE).await;
