The entry of calls and the opening of a series read in shorter steps

Ruled out: logging the refusal of a route without a service, and the whole answer of a route of series: both write no line today, and this commit changes no behaviour.

Change: a call goes through answer_under (route), answer_on_route (caller, regions, body) and live; one function refuses and logs; KeyDemand::on says what a route demands; judge_whole and Open::new in stream.

--- a/crates/sloetrail-serving/src/gateway/caller.rs
+++ b/crates/sloetrail-serving/src/gateway/caller.rs
@@ -9,7 +9,7 @@
 use http::HeaderMap;
 use sloetrail_batch::BatchHeader;
 use sloetrail_result::{Problem, ResultCode};
-use sloetrail_routing::{ServingConfiguration, Tenant};
+use sloetrail_routing::{Route, ServingConfiguration, Tenant};
 use sloetrail_types::TenantName;
 use std::sync::Arc;
 
@@ -26,6 +26,16 @@
     Optional,
 }
 
+impl KeyDemand {
+    /// What callers of a route have to show.
+    pub(crate) fn on(route: &Route) -> Self {
+        match route.is_public {
+            true => KeyDemand::Optional,
+            false => KeyDemand::Needed,
+        }
+    }
+}
+
 /// The tenant that a caller belongs to; nothing if it need not belong to one.
 ///
 /// A key that is not known is refused, unless this node cannot learn of new keys just
--- a/crates/sloetrail-serving/src/gateway/front.rs
+++ b/crates/sloetrail-serving/src/gateway/front.rs
@@ -45,10 +45,19 @@
     seed: f64,
 }
 
-/// A batch as its caller sent it.
-struct Submitted<'a> {
-    id: &'a str,
+/// A call as it was received, before its body was read.
+struct ReceivedCall<'a> {
+    head: Parts,
+    body: Incoming,
+    request_id: &'a RequestId,
+    received: Instant,
+}
+
+/// A call of a known caller, with its body.
+struct AdmittedCall<'a> {
+    request_id: &'a RequestId,
     tenant: Option<&'a Tenant>,
+    /// Where it may be served.
     regions: AllowedRegions,
     body: Bytes,
 }
@@ -72,26 +81,24 @@
         let (head, body) = request.into_parts();
         let names = self.context.dialect.headers();
         let request_id = RequestId::of(&head.headers, names);
-        let response = self.dispatch(head, body, &request_id, received).await;
+        let call = ReceivedCall {
+            head,
+            body,
+            request_id: &request_id,
+            received,
+        };
+        let response = self.dispatch(call).await;
         with_request_id(response, names, request_id.as_str())
     }
 
-    async fn dispatch(
-        &self,
-        head: Parts,
-        body: Incoming,
-        request_id: &RequestId,
-        received: Instant,
-    ) -> CallerResponse {
+    async fn dispatch(&self, call: ReceivedCall<'_>) -> CallerResponse {
         let Some(configuration) = self.context.configuration() else {
             let problem = Problem::new(ResultCode::NodeNotReady, "no configuration yet");
             return problem_response(&problem.with_retry_after_ms(NOT_READY_RETRY_MS));
         };
         let names = self.context.dialect.headers();
         let version = configuration.revision;
-        let response = self
-            .answer_under(&configuration, head, body, request_id, received)
-            .await;
+        let response = self.answer_under(&configuration, call).await;
         with_configuration_version(response, names, version)
     }
 
@@ -99,99 +106,111 @@
     async fn answer_under(
         &self,
         configuration: &ServingConfiguration,
-        head: Parts,
-        body: Incoming,
-        request_id: &RequestId,
-        received: Instant,
+        call: ReceivedCall<'_>,
     ) -> CallerResponse {
-        if let Some(call) = BatchCall::read(&self.context, &head) {
-            return call
+        let head = &call.head;
+        if let Some(about_batch) = BatchCall::read(&self.context, head) {
+            return about_batch
                 .answer(&self.context, configuration, &head.headers)
                 .await;
         }
         let host = headers::host(&head.headers);
         let found = configuration.routes.find(host, head.uri.path());
-        let deadline = self.deadline(&head.headers, found.map(|route| &**route), received);
+        let deadline = self.deadline(&head.headers, found.map(|route| &**route), call.received);
         let mut log = CallLog {
             configuration,
-            request: request_id.as_str(),
+            request: call.request_id.as_str(),
             route: "-",
             regions: None,
-            received,
+            received: call.received,
             deadline,
         };
-        let Some(route) = found.map(Arc::clone) else {
+        let Some(route) = found else {
             let detail = format!("{host}{}", head.uri.path());
-            let problem = Problem::new(ResultCode::UnknownRoute, detail);
-            log.failed(&problem, 0);
-            return problem_response(&problem);
+            return refused(&Problem::new(ResultCode::UnknownRoute, detail), &log);
         };
         log.route = &route.name;
-        let demand = match route.is_public {
-            true => KeyDemand::Optional,
-            false => KeyDemand::Needed,
-        };
-        let tenant = match caller::identify(&self.context, configuration, &head.headers, demand) {
+        self.answer_on_route(route, call, log).await
+    }
+
+    /// Answers a call on its route, once it is known whose it is and where it may be served.
+    async fn answer_on_route(
+        &self,
+        route: &Arc<Route>,
+        call: ReceivedCall<'_>,
+        mut log: CallLog<'_>,
+    ) -> CallerResponse {
+        let (context, request_id) = (&self.context, call.request_id);
+        let demand = KeyDemand::on(route);
+        let identified = caller::identify(context, log.configuration, &call.head.headers, demand);
+        let tenant = match identified {
             Ok(tenant) => tenant,
-            Err(problem) => {
-                log.failed(&problem, 0);
-                return problem_response(&problem);
-            }
+            Err(problem) => return refused(&problem, &log),
         };
-        let regions = match regions::allowed(&route, tenant.as_deref()) {
+        let regions = match regions::allowed(route, tenant.as_deref()) {
             Ok(regions) => regions,
             Err(refusal) => {
                 log.regions = Some(AllowedRegions::only([]));
-                let id = request_id.of_batch();
-                return self.allowed_nowhere(&log, &route, id, refusal, body).await;
+                let batch = request_id.of_batch();
+                return self
+                    .allowed_nowhere(&log, route, batch, refusal, call.body)
+                    .await;
             }
         };
         log.regions = Some(regions.clone());
         let mut held = self.bodies.begin();
-        let body = match self.read_body(body, &mut held, deadline).await {
+        let body = match self.read_body(call.body, &mut held, log.deadline).await {
             Ok(body) => body,
-            Err(problem) => {
-                log.failed(&problem, 0);
-                return problem_response(&problem);
-            }
+            Err(problem) => return refused(&problem, &log),
         };
-        if route.kind == RouteKind::Rollout {
-            let submitted = Submitted {
-                id: request_id.of_batch(),
-                tenant: tenant.as_deref(),
-                regions,
-                body,
-            };
-            return self.submission(&log, &route, submitted).await;
+        let admitted = AdmittedCall {
+            request_id,
+            tenant: tenant.as_deref(),
+            regions,
+            body,
+        };
+        match route.kind {
+            RouteKind::Rollout => self.submission(&log, route, admitted).await,
+            _ => self.live(&log, route, call.head, admitted).await,
         }
-        let Some(service) = self.choose_service(&route) else {
+    }
+
+    /// Answers a call that goes to a back end while its caller waits.
+    async fn live(
+        &self,
+        log: &CallLog<'_>,
+        route: &Arc<Route>,
+        head: Parts,
+        admitted: AdmittedCall<'_>,
+    ) -> CallerResponse {
+        let Some(service) = self.choose_service(route) else {
             let problem = Problem::new(ResultCode::NoEngine, "the route has no service");
             return problem_response(&problem);
         };
-        let tenant = tenant.as_deref();
+        let tenant = admitted.tenant;
         let sending = Sending {
-            route: &route,
+            route,
             tenant: tenant.map(|tenant| &tenant.name),
             headers: &head.headers,
-            deadline,
+            deadline: log.deadline,
         };
         let keyed = KeyedSending::read(sending, self.context.dialect.headers());
         let call = LiveCall {
             context: Arc::clone(&self.context),
             service,
-            regions,
+            regions: admitted.regions,
             tenant: tenant.map(|tenant| tenant.name.clone()),
             urgency: route.urgency(tenant),
             claim: None,
-            outgoing: self.outgoing(head, request_id, tenant, body),
-            deadline,
-            route: Arc::clone(&route),
+            outgoing: self.outgoing(head, admitted.request_id, tenant, admitted.body),
+            deadline: log.deadline,
+            route: Arc::clone(route),
         };
-        self.live(call, keyed, &log).await
+        self.run(call, keyed, log).await
     }
 
-    /// Answers a live request, once its key is claimed if it runs under one.
-    async fn live(
+    /// Runs a live request, once its key is claimed if it runs under one.
+    async fn run(
         &self,
         mut call: LiveCall,
         keyed: Result<Option<KeyedSending>, Problem>,
@@ -204,10 +223,7 @@
                 log.answered(answer.status.as_u16(), None, 0);
                 return passed_on(answer);
             }
-            Err(problem) => {
-                log.failed(&problem, 0);
-                return problem_response(&problem);
-            }
+            Err(problem) => return refused(&problem, log),
         }
         match call.route.kind {
             RouteKind::Stream => stream_answer(call, log).await,
@@ -237,8 +253,7 @@
             Ok(None) => refusal,
             Err(unknown) => unknown,
         };
-        log.failed(&problem, 0);
-        problem_response(&problem)
+        refused(&problem, log)
     }
 
     /// The earlier of the caller's and the route's time; now if neither is known.
@@ -306,7 +321,7 @@
         &self,
         log: &CallLog<'_>,
         route: &Route,
-        submitted: Submitted<'_>,
+        submitted: AdmittedCall<'_>,
     ) -> CallerResponse {
         let Some(service) = submit::batch_service(&route.services) else {
             let problem = Problem::new(ResultCode::NoEngine, "the route has no service");
@@ -316,7 +331,7 @@
             configuration: log.configuration,
             route,
             service,
-            id: submitted.id,
+            id: submitted.request_id.of_batch(),
             tenant: submitted.tenant,
             regions: submitted.regions,
             body: submitted.body,
@@ -371,6 +386,12 @@
     let _ = tokio::time::timeout_at(deadline, reading).await;
 }
 
+/// The node's own answer to a call that it does not run.
+fn refused(problem: &Problem, log: &CallLog<'_>) -> CallerResponse {
+    log.failed(problem, 0);
+    problem_response(problem)
+}
+
 async fn live_answer(call: LiveCall, log: &CallLog<'_>) -> CallerResponse {
     let outcome = call.run().await;
     if let Some(claim) = &call.claim {
@@ -409,10 +430,7 @@
             response
         }
         StreamOutcome::Whole(answer) => passed_on(answer),
-        StreamOutcome::Problem(problem) => {
-            log.failed(&problem, 0);
-            problem_response(&problem)
-        }
+        StreamOutcome::Problem(problem) => refused(&problem, log),
     }
 }
 
--- a/crates/sloetrail-serving/src/gateway/live.rs
+++ b/crates/sloetrail-serving/src/gateway/live.rs
@@ -36,7 +36,7 @@
 /// With less time than this an attempt is not worth beginning.
 const TIME_LEAST: Duration = Duration::from_millis(5);
 /// Attempts that were proved not to run are not counted, but they are bounded.
-const SENDS_LIMIT: usize = 8;
+pub(super) const SENDS_LIMIT: usize = 8;
 
 /// A live request with its route.
 pub(crate) struct LiveCall {
--- a/crates/sloetrail-serving/src/gateway/stream.rs
+++ b/crates/sloetrail-serving/src/gateway/stream.rs
@@ -9,7 +9,7 @@
     AttemptResult, Outgoing, build_request, judge_answer, judge_failure, judge_head, settle_by_head,
 };
 use super::headers;
-use super::live::LiveCall;
+use super::live::{LiveCall, SENDS_LIMIT};
 use super::place_wait::{self, PlaceWait};
 use crate::context::NodeContext;
 use crate::event_stream::EventParser;
@@ -33,7 +33,6 @@
 
 /// How long a back end may be silent within a series before it counts as lost.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
-const SENDS_LIMIT: usize = 8;
 
 /// What a streaming request is answered with.
 pub(crate) enum StreamOutcome {
@@ -72,6 +71,17 @@
     body: AnswerBody,
 }
 
+impl Open {
+    fn new(place: Place, exchange: Exchange) -> Self {
+        Self {
+            place,
+            status: exchange.status,
+            headers: exchange.headers.clone(),
+            body: exchange.into_body(),
+        }
+    }
+}
+
 enum Opening {
     Events(Box<Open>),
     Refused(WholeAnswer),
@@ -215,35 +225,21 @@
 
     async fn try_back_end(&mut self, place: Place) -> Result<Opening, AttemptResult> {
         let began = Instant::now();
-        let result = self.exchange(&place).await;
-        let failure = match result {
+        let result = match self.exchange(&place).await {
             Ok(exchange) if exchange.status.is_success() => {
                 self.may_have_run += 1;
-                let (status, headers) = (exchange.status, exchange.headers.clone());
-                let body = exchange.into_body();
-                return Ok(Opening::Events(Box::new(Open {
-                    place,
-                    status,
-                    headers,
-                    body,
-                })));
-            }
-            Ok(exchange) => {
-                let context = &self.call.context;
-                let limit = context.answer_limit();
-                let whole = exchange.whole(limit, self.call.deadline).await;
-                let names = context.dialect.headers();
-                let judged = whole.map(|answer| judge_answer(answer, names));
-                match judged.unwrap_or_else(judge_failure) {
-                    AttemptResult::Answered(answer) => {
-                        place.end(AttemptOutcome::Answered);
-                        return Ok(Opening::Refused(answer));
-                    }
-                    failure => failure,
-                }
+                return Ok(Opening::Events(Box::new(Open::new(place, exchange))));
             }
+            Ok(exchange) => self.judge_whole(exchange).await,
             Err(result) => result,
         };
+        let failure = match result {
+            AttemptResult::Answered(answer) => {
+                place.end(AttemptOutcome::Answered);
+                return Ok(Opening::Refused(answer));
+            }
+            failure => failure,
+        };
         events::emit(&Event::AttemptFailed {
             request: &self.call.outgoing.request_id,
             back_end: place.back_end().id.as_str(),
@@ -255,6 +251,16 @@
         Err(failure)
     }
 
+    /// Reads an answer that is no series, and tells what it says.
+    async fn judge_whole(&self, exchange: Exchange) -> AttemptResult {
+        let context = &self.call.context;
+        let limit = context.answer_limit();
+        match exchange.whole(limit, self.call.deadline).await {
+            Ok(answer) => judge_answer(answer, context.dialect.headers()),
+            Err(failure) => judge_failure(failure),
+        }
+    }
+
     async fn exchange(&self, place: &Place) -> Result<Exchange, AttemptResult> {
         let context = &self.call.context;
         let names = context.dialect.headers();
