A repeat gets its answer also after its route was renamed

Cause: the identity of a keyed request held the name of its route, which the operator may change. A repeat of a request that had run was then refused as another request under the same key (1011), and its caller might have chosen a new key and run it twice. Ruled out: method, path and body alone: two hosts would meet. Change: the host of the request in place of the route's name. Measured: claims: a_repeat_gets_its_answer_also_after_its_route_was_renamed, red with the name of the route, green with the host; the whole file passes.

--- a/crates/sloetrail-serving/src/gateway/claims.rs
+++ b/crates/sloetrail-serving/src/gateway/claims.rs
@@ -18,6 +18,7 @@
 use self::record::{ClaimRecord, ClaimState, RequestIdentity, Verdict};
 use self::writes::{Claiming, Settled};
 use super::attempt::Outgoing;
+use super::headers;
 use super::known_batch::RETRY_AFTER;
 use crate::dialect::HeaderNames;
 use crate::http::WholeAnswer;
@@ -73,7 +74,7 @@
 pub(crate) struct KeyedSending {
     key: IdempotencyKey,
     tenant: Option<TenantName>,
-    route: String,
+    host: String,
     deadline: Instant,
 }
 
@@ -198,7 +199,7 @@
         Ok(key.map(|key| Self {
             key,
             tenant: sending.tenant.cloned(),
-            route: sending.route.name.clone(),
+            host: headers::host(sending.headers).to_ascii_lowercase(),
             deadline: sending.deadline,
         }))
     }
@@ -220,7 +221,7 @@
     ];
     RequestIdentity {
         tenant: sending.tenant.clone(),
-        route: sending.route.clone(),
+        host: sending.host.clone(),
         digest: digest_of_parts(&parts),
     }
 }
--- a/crates/sloetrail-serving/src/gateway/claims/claim/tests.rs
+++ b/crates/sloetrail-serving/src/gateway/claims/claim/tests.rs
@@ -63,7 +63,7 @@
         number: 1,
         request: RequestIdentity {
             tenant: None,
-            route: "once".to_owned(),
+            host: "a.example".to_owned(),
             digest: 1,
         },
         due_ms: 2_000,
--- a/crates/sloetrail-serving/src/gateway/claims/record.rs
+++ b/crates/sloetrail-serving/src/gateway/claims/record.rs
@@ -30,8 +30,9 @@
 pub(super) struct RequestIdentity {
     /// Whose it is.
     pub(super) tenant: Option<TenantName>,
-    /// The name of its route.
-    pub(super) route: String,
+    /// The host that it was sent to. The name of its route is not asked for: the operator may
+    /// change it while callers send again what has run.
+    pub(super) host: String,
     /// A digest of its method, path and body.
     pub(super) digest: u128,
 }
--- a/crates/sloetrail-serving/src/gateway/claims/record/tests.rs
+++ b/crates/sloetrail-serving/src/gateway/claims/record/tests.rs
@@ -13,7 +13,7 @@
         number,
         request: RequestIdentity {
             tenant: None,
-            route: "once".to_owned(),
+            host: "a.example".to_owned(),
             digest: u128::MAX - 7,
         },
         due_ms: NOW_MS + 300,
@@ -89,7 +89,7 @@
 fn another_request_gets_nothing_of_the_claim_whatever_its_state() {
     let mut others = [asking(), asking(), asking()];
     others[0].request.digest = 1;
-    others[1].request.route = "other".to_owned();
+    others[1].request.host = "other.example".to_owned();
     others[2].request.tenant = Some(TenantName::from("a"));
     for state in every_state() {
         for other in &others {
--- a/crates/sloetrail-serving/tests/claims.rs
+++ b/crates/sloetrail-serving/tests/claims.rs
@@ -586,6 +586,30 @@
     assert_eq!(runs_at(&cluster, PATH), 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeat_gets_its_answer_also_after_its_route_was_renamed() {
+    let mut cluster = usual_cluster(PACE).await;
+    let first = again("r1").send(&cluster, 0).await;
+    assert_eq!(first.status, 200);
+    let mut routes = usual_routes();
+    routes[1]["name"] = json!("renamed");
+    routes.as_array_mut().expect("routes").push(json!(
+        {"name": "new", "host": HOST, "path_prefix": "/new/", "kind": "idempotent",
+         "timeout_ms": 2000, "target_latency_ms": 200, "max_attempts": 3,
+         "service": sloetrail_serving_testkit::cluster::APPLICATION}
+    ));
+    cluster.configure(routes);
+    eventually("the renamed route is in force", || async {
+        let answer = live(&cluster, 1, "/new/x", "r0").await?;
+        (answer.status != 404).then_some(())
+    })
+    .await;
+    let repeat = again("r2").send(&cluster, 1).await;
+    assert_eq!(repeat.status, 200, "{}", repeat.text());
+    assert_eq!(repeat.text(), first.text());
+    assert_eq!(runs_at(&cluster, PATH), 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_series_of_events_that_may_not_repeat_begins_once() {
     let mut cluster = usual_cluster(PACE).await;
