A demand row that has aged out stays so when the table was away later

Cause: the time at which the table was last away stood for all rows. So each row that had aged out long before, of an owner that is gone or of a set that nobody has any more, counted again for 12 s after every absence of the table: places that nobody takes, and with a new owner of the orders a step that was late once, for which engines are ordered.

Ruled out: taking the time of absences off each age (a row that was 5 s old would last 7 s after the return, less than a lease and its successor's first row take); deleting rows of owners that are gone (their owner would have to do it).

Change: each row has the moment from which it ages; an absence moves it only while the row still counts.

--- a/crates/sloetrail-serving/src/owner/place_demand/heard.rs
+++ b/crates/sloetrail-serving/src/owner/place_demand/heard.rs
@@ -20,17 +20,42 @@
 /// The demand rows of a service, as the view of the lease rows has them.
 #[derive(Debug, Default)]
 pub(in crate::owner) struct HeardDemands {
-    rows: BTreeMap<AllowedRegions, DemandRow>,
+    rows: BTreeMap<AllowedRegions, HeardRow>,
     /// The version of each row by its key, also of those that cannot be read.
     versions: BTreeMap<String, RowVersion>,
-    /// When the table was last known not to answer: nobody could write until then.
-    table_away_ms: u64,
+}
+
+/// A row, and how long it counts.
+#[derive(Clone, Copy, Debug)]
+struct HeardRow {
+    row: DemandRow,
+    /// From when on the row ages: when it was written, or, if the table was away while it
+    /// counted, when the table was last known not to answer. Nobody could write until then.
+    ages_from_ms: u64,
+}
+
+impl HeardRow {
+    fn new(row: DemandRow) -> Self {
+        Self {
+            row,
+            ages_from_ms: row.at_ms,
+        }
+    }
+
+    /// A row without demand holds until its owner writes another one.
+    fn is_current(&self, now_ms: u64) -> bool {
+        let age_ms = now_ms.saturating_sub(self.ages_from_ms);
+        self.row.demand.is_idle() || u128::from(age_ms) <= DEMAND_LASTS.as_millis()
+    }
 }
 
 impl HeardDemands {
-    /// The table does not answer now; rows do not age meanwhile.
+    /// The table does not answer now; rows that count do not age meanwhile.
     pub(in crate::owner) fn note_table_away(&mut self, now_ms: u64) {
-        self.table_away_ms = now_ms;
+        let rows = self.rows.values_mut();
+        for heard in rows.filter(|heard| heard.is_current(now_ms)) {
+            heard.ages_from_ms = heard.ages_from_ms.max(now_ms);
+        }
     }
 
     /// Takes in the rows of a service; the steps that are told in new ones, unless these are
@@ -66,9 +91,10 @@
         row: DemandRow,
         now_ms: u64,
     ) -> Option<BoundStep> {
-        self.rows.insert(regions.clone(), row);
+        let heard = HeardRow::new(row);
+        self.rows.insert(regions.clone(), heard);
         let percent = row.demand.step_percent;
-        let percent = percent.filter(|_| self.is_current(&row, now_ms))?;
+        let percent = percent.filter(|_| heard.is_current(now_ms))?;
         Some(BoundStep {
             regions,
             share: f64::from(percent) / 100.0,
@@ -78,13 +104,13 @@
     /// What bound work takes now, as far as its owners are heard of.
     pub(in crate::owner) fn works(&self, now_ms: u64) -> BoundWorks {
         let current = self.rows.iter();
-        let current = current.filter(|(_, row)| self.is_current(row, now_ms));
-        let work = |row: &DemandRow| BoundWork {
-            busy: row.demand.busy,
-            wanted: row.demand.wanted,
+        let current = current.filter(|(_, heard)| heard.is_current(now_ms));
+        let work = |heard: &HeardRow| BoundWork {
+            busy: heard.row.demand.busy,
+            wanted: heard.row.demand.wanted,
         };
         current
-            .map(|(regions, row)| (regions.clone(), work(row)))
+            .map(|(regions, heard)| (regions.clone(), work(heard)))
             .collect()
     }
 
@@ -96,15 +122,8 @@
         since_ms: u64,
         now_ms: u64,
     ) -> bool {
-        let row = self.rows.get(regions);
-        row.is_some_and(|row| row.at_ms >= since_ms && self.is_current(row, now_ms))
-    }
-
-    /// A row without demand holds until its owner writes another one.
-    fn is_current(&self, row: &DemandRow, now_ms: u64) -> bool {
-        let since_ms = row.at_ms.max(self.table_away_ms);
-        let age_ms = now_ms.saturating_sub(since_ms);
-        row.demand.is_idle() || u128::from(age_ms) <= DEMAND_LASTS.as_millis()
+        let heard = self.rows.get(regions);
+        heard.is_some_and(|heard| heard.row.at_ms >= since_ms && heard.is_current(now_ms))
     }
 }
 
--- a/crates/sloetrail-serving/src/owner/place_demand/tests.rs
+++ b/crates/sloetrail-serving/src/owner/place_demand/tests.rs
@@ -240,3 +240,29 @@
     assert_eq!(busy(&heard, AT_MS), 0);
     assert!(!heard.covers(&north(), 0, AT_MS));
 }
+
+#[test]
+fn a_row_that_has_aged_out_stays_so_when_the_table_was_away_later() {
+    let mut heard = heard(&[(NAME, row(demand(5), 1, AT_MS))]);
+    let away = after(DEMAND_LASTS * 10);
+    assert_eq!(busy(&heard, away), 0);
+    heard.note_table_away(away);
+    assert_eq!(busy(&heard, away), 0, "its owner had ceased to write before");
+    assert!(!heard.covers(&north(), AT_MS, away));
+}
+
+#[test]
+fn an_aged_row_tells_no_step_to_a_new_owner_just_after_the_table_was_away() {
+    let mut view = TableView::empty();
+    let late = PlaceDemand {
+        step_percent: Some(120),
+        ..demand(2)
+    };
+    put(&mut view, NAME, 1, row(late, 1, AT_MS).encode());
+    let away = after(DEMAND_LASTS * 10);
+    let mut heard = HeardDemands::default();
+    heard.note_table_away(away);
+    let steps = heard.take_view(&view, &ServiceName::from("models"), away);
+    assert!(steps.is_empty(), "{steps:?}");
+    assert_eq!(busy(&heard, away), 0);
+}
