A table that turns slow keeps readers no longer than they wait

Cause: a look for further results that was begun within a reader's time was waited for to its end. Where the table answers slowly, or its link is silent, the reader stayed for as long as the read's patience beyond its time, with results in hand that it could have had.

Ruled out: breaking the read off (after 50 ms that counts as a sign of silent connections to the table and closes those at rest); no look in the last part of the time (what completes a step would wait for the next read).

Change: a look is waited for until the reader's time is over and 90 ms more, then what is known is told, also if that is nothing. The read runs in a task of its own to its end: one task for each look, no further call.

--- a/crates/sloetrail-serving/src/gateway/read.rs
+++ b/crates/sloetrail-serving/src/gateway/read.rs
@@ -13,12 +13,16 @@
 use sloetrail_batch::{ListedResult, ResultPage, Submission};
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_routing::Tenant;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
 /// How often results are looked for while a reader waits for some: what completes a step is
 /// told 30 ms after it was listed on average, at one small read of the table a look.
 const LOOK_PERIOD: Duration = Duration::from_millis(60);
+/// How long the last look may take beyond the time of the reader: three answers of a table in
+/// another region (28 ms).
+const LAST_LOOK: Duration = Duration::from_millis(90);
 
 /// Answers a reader of results from `position` on, waiting for some that it can use up to
 /// `wait`.
@@ -60,19 +64,43 @@
     loop {
         let next = position + known.len();
         let next_look = Instant::now() + LOOK_PERIOD;
-        if next >= header.total || next_look > time.kept_until(&known) {
+        let kept_until = time.kept_until(&known);
+        if next >= header.total || next_look > kept_until {
             return Ok(page(position, header.total, known));
         }
         tokio::time::sleep_until(next_look).await;
-        match read_results(&*context.table, id, next).await {
-            Ok(more) => known.extend(more),
-            Err(_) if known.is_empty() => return Err(table_unavailable()),
+        match look(context, id, next, kept_until + LAST_LOOK).await {
+            Look::Answered(more) => known.extend(more),
+            Look::Failed if known.is_empty() => return Err(table_unavailable()),
             // What is known is told now: the table may stay away for longer.
-            Err(_) => return Ok(page(position, header.total, known)),
+            Look::Failed | Look::TooSlow => return Ok(page(position, header.total, known)),
         }
     }
 }
 
+/// What came of looking for further results.
+enum Look {
+    /// These are there.
+    Answered(Vec<ListedResult>),
+    /// The table did not tell.
+    Failed,
+    /// The table had not told when the time was over.
+    TooSlow,
+}
+
+/// Looks for results from a position on, for no longer than `until`. The read itself goes on
+/// to its end: one that is broken off would count as a sign of silent connections.
+async fn look(context: &NodeContext, id: &str, position: usize, until: Instant) -> Look {
+    let (table, id) = (Arc::clone(&context.table), id.to_owned());
+    let reading = tokio::spawn(async move { read_results(&*table, &id, position).await });
+    match tokio::time::timeout_at(until, reading).await {
+        Ok(Ok(Ok(results))) => Look::Answered(results),
+        // The table client tells why; a read that panics says so itself.
+        Ok(Ok(Err(_)) | Err(_)) => Look::Failed,
+        Err(_) => Look::TooSlow,
+    }
+}
+
 /// An answer with as many results as it may hold.
 fn page(position: usize, total: usize, known: Vec<ListedResult>) -> ResultPage {
     let results = fitting(known);
--- a/crates/sloetrail-serving/tests/reading.rs
+++ b/crates/sloetrail-serving/tests/reading.rs
@@ -99,3 +99,43 @@
     assert_eq!(answer.status, 200);
     assert_eq!(ids(&answer).len(), 3);
 }
+
+/// Longer than any reader may be kept, shorter than calls of the table are waited for.
+const SLOW: Duration = Duration::from_millis(1_600);
+/// What a reader is kept for beyond its time, on a busy machine.
+const MARGIN: Duration = Duration::from_millis(400);
+
+/// How long a reader from `after` on is kept by a node whose table becomes slow meanwhile.
+async fn kept_while_the_table_turns_slow(cluster: &Cluster, after: usize) -> (Answer, Duration) {
+    let began = Instant::now();
+    let reading = read_waiting(cluster, "b1", after, WAIT);
+    let turning_slow = async {
+        tokio::time::sleep(WAIT / 5).await;
+        cluster.nodes[0].link.set_answer_time(SLOW);
+    };
+    let (answer, ()) = tokio::join!(reading, turning_slow);
+    (answer, began.elapsed())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_reader_with_results_is_kept_no_longer_than_it_waits_by_a_table_that_turns_slow() {
+    let cluster = usual_cluster(PACE * 10).await;
+    accepted(&cluster, 0, "b1", &step()).await;
+    wait_listed(&cluster, "b1", 3).await;
+    let (answer, kept) = kept_while_the_table_turns_slow(&cluster, 0).await;
+    assert_eq!(answer.status, 200);
+    assert_eq!(ids(&answer).len(), 3);
+    assert!(kept < WAIT + MARGIN, "{kept:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_reader_without_results_is_kept_no_longer_than_it_waits_by_a_table_that_turns_slow() {
+    let cluster = usual_cluster(PACE * 10).await;
+    accepted(&cluster, 0, "b1", &step()).await;
+    wait_listed(&cluster, "b1", 3).await;
+    let (answer, kept) = kept_while_the_table_turns_slow(&cluster, 3).await;
+    assert_eq!(answer.status, 200);
+    assert!(ids(&answer).is_empty());
+    assert_eq!(answer.json()["next"], 3);
+    assert!(kept < WAIT + MARGIN, "{kept:?}");
+}
