An evacuation that has settled is told once

Cause: evacuation_settled was written each time that a count of an evacuated zone fell to none. A place or a run that was begun on beliefs of a moment before, and held back before it was sent, so wrote the line anew, with a later after_ms, though the zone had been free of work since the first one.

Ruled out: counting only what was sent (the count would have to begin within the write; what is between choice and write would be missed).

Change: the book remembers that a zone was told to be settled until it is evacuated anew. What begins after that cannot be sent: the evacuation is in force by then for the judgement before each send, and what was judged sooner is counted already. Where a zone is withdrawn and evacuated again before the counts hear of the withdrawal, what ran in between is not told of; the gauges tell it.

Measured: what_is_held_back_after_a_zone_was_settled_tells_nothing failed before (told again, 2 s for 1 s); unit tests of zone_work 4 of 4 after.

--- a/crates/sloetrail-serving/src/zone_work/book.rs
+++ b/crates/sloetrail-serving/src/zone_work/book.rs
@@ -38,6 +38,9 @@
     live: usize,
     items: usize,
     evacuated_since: Option<Instant>,
+    /// It was told that nothing runs there any more since it was evacuated. What begins
+    /// after that is held back before it is sent.
+    is_settled: bool,
     has_been_evacuated: bool,
 }
 
@@ -49,10 +52,15 @@
         }
     }
 
-    fn settled(&self, zone: &ZoneName, now: Instant) -> Option<Settled> {
+    /// What is to be told if the zone is evacuated and the last has just ended there.
+    fn settle(&mut self, zone: &ZoneName, now: Instant) -> Option<Settled> {
         let since = self.evacuated_since?;
         let is_empty = self.live == 0 && self.items == 0;
-        is_empty.then(|| Settled {
+        if self.is_settled || !is_empty {
+            return None;
+        }
+        self.is_settled = true;
+        Some(Settled {
             zone: zone.clone(),
             after: now.saturating_duration_since(since),
         })
@@ -82,7 +90,7 @@
         let state = self.zones.get_mut(zone)?;
         let count = state.count(kind);
         *count = count.saturating_sub(1);
-        state.settled(zone, now)
+        state.settle(zone, now)
     }
 
     /// Takes in which zones are evacuated; those of the new ones in which nothing runs.
@@ -104,8 +112,9 @@
                 continue;
             }
             state.evacuated_since = Some(now);
+            state.is_settled = false;
             state.has_been_evacuated = true;
-            settled.extend(state.settled(zone, now));
+            settled.extend(state.settle(zone, now));
         }
         settled
     }
--- a/crates/sloetrail-serving/src/zone_work/book/tests.rs
+++ b/crates/sloetrail-serving/src/zone_work/book/tests.rs
@@ -64,3 +64,19 @@
     let counts = ZoneCounts::default();
     assert_eq!(book.evacuated(began), [(zone("a"), counts)]);
 }
+
+#[test]
+fn what_is_held_back_after_a_zone_was_settled_tells_nothing() {
+    let began = Instant::now();
+    let mut book = ZoneBook::default();
+    book.begin(&zone("a"), WorkKind::Item);
+    book.take_evacuated([zone("a")].iter(), began);
+    let last = book.end(&zone("a"), WorkKind::Item, began + SECOND);
+    assert_eq!(last, Some(settled("a", SECOND)));
+    book.begin(&zone("a"), WorkKind::Live);
+    let held_back = book.end(&zone("a"), WorkKind::Live, began + SECOND * 2);
+    assert_eq!(held_back, None, "it was told once");
+    book.take_evacuated([].iter(), began + SECOND * 3);
+    let again = book.take_evacuated([zone("a")].iter(), began + SECOND * 4);
+    assert_eq!(again, [settled("a", Duration::ZERO)]);
+}
