Test: no engine is given back while nobody tells what a bound batch takes

Cause: the test that held that nothing is given back while another owner's batch may be at work was replaced by one whose batch has an owner that tells of it. What holds without such an owner was left to unit tests of the parts; nothing failed where the owner that orders took no notice of batches untold.

Ruled out: the old test as it was (its batch was done, and its owner tells so).

Change: a batch bound to a region without a node; the setting is shared with the test that replaced the old one, which checks what it did.

--- a/crates/sloetrail-serving/src/owner/place_demand/tests.rs
+++ b/crates/sloetrail-serving/src/owner/place_demand/tests.rs
@@ -247,7 +247,11 @@
     let away = after(DEMAND_LASTS * 10);
     assert_eq!(busy(&heard, away), 0);
     heard.note_table_away(away);
-    assert_eq!(busy(&heard, away), 0, "its owner had ceased to write before");
+    assert_eq!(
+        busy(&heard, away),
+        0,
+        "its owner had ceased to write before"
+    );
     assert!(!heard.covers(&north(), AT_MS, away));
 }
 
--- a/crates/sloetrail-serving/tests/supply.rs
+++ b/crates/sloetrail-serving/tests/supply.rs
@@ -228,19 +228,19 @@
     assert_eq!(floors[0].value, all.to_string(), "its engines count");
 }
 
-/// The owner of bound batches tells how many places these take, and that they are done.
-#[tokio::test(flavor = "multi_thread")]
-async fn engines_are_given_back_only_once_the_batches_of_another_owner_are_done() {
-    const FREE_KEY: &str = "key-of-free";
-    const BOUND_KEY: &str = "key-of-bound";
-    /// Items that keep most places busy for longer than the load is looked at.
-    const BOUND_ITEMS: usize = 20;
-    const LONG: u64 = 3_500;
+const FREE_KEY: &str = "key-of-free";
+const BOUND_KEY: &str = "key-of-bound";
+
+/// A cluster in the region north, one of whose tenants is bound to a region, and whose engines
+/// have become more than a little work needs.
+async fn with_more_engines_than_the_work_needs(bound_to: &str) -> (Cluster, Arc<SupplyBook>) {
     let (mut cluster, book) = configured(true);
-    cluster.regions = [("zone-a".to_owned(), "north".to_owned())].into();
+    cluster.regions = [("zone-a", "north"), ("zone-b", "south")]
+        .map(|(zone, region)| (zone.to_owned(), region.to_owned()))
+        .into();
     cluster.tenants = Some(json!([
         {"name": "free", "api_keys": [FREE_KEY]},
-        {"name": "bound", "api_keys": [BOUND_KEY], "allowed_regions": ["north"]},
+        {"name": "bound", "api_keys": [BOUND_KEY], "allowed_regions": [bound_to]},
     ]));
     let mut routes = usual_routes();
     for route in routes.as_array_mut().expect("a list") {
@@ -252,11 +252,34 @@
     start(&mut cluster).await;
     cluster.api_key = Some(FREE_KEY.to_owned());
     work_until_ordered(&cluster, 0, &book, MUCH).await;
-    let before = book.records().len();
-    assert!(before > 0, "busy engines get more");
+    assert!(!book.records().is_empty(), "busy engines get more");
     for _ in 0..4 {
         cluster.add_engine(Duration::from_millis(5)).await;
     }
+    (cluster, book)
+}
+
+/// No node is in the region south, so nobody owns the batch and tells of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_engine_is_given_back_while_nobody_tells_what_a_bound_batch_takes() {
+    let (mut cluster, book) = with_more_engines_than_the_work_needs("south").await;
+    let before = book.records().len();
+    cluster.api_key = Some(BOUND_KEY.to_owned());
+    submit_items(&cluster, 0, "bound", 1, 60).await;
+    cluster.api_key = Some(FREE_KEY.to_owned());
+    work_until_ordered(&cluster, 0, &book, LITTLE).await;
+    let records = book.records();
+    assert_eq!(records.len(), before, "{records:?}");
+}
+
+/// The owner of bound batches tells how many places these take, and that they are done.
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_are_given_back_only_once_the_batches_of_another_owner_are_done() {
+    /// Items that keep most places busy for longer than the load is looked at.
+    const BOUND_ITEMS: usize = 20;
+    const LONG: u64 = 3_500;
+    let (mut cluster, book) = with_more_engines_than_the_work_needs("north").await;
+    let before = book.records().len();
     let engines = ENGINES + 4;
     cluster.api_key = Some(BOUND_KEY.to_owned());
     submit_items(&cluster, 0, "bound", BOUND_ITEMS, LONG).await;
