Pools of back ends and tests of claims in shorter files

Ruled out: a change of behaviour. Change: what the pools know lies in service_pools/state.rs; the tests of claims under failure have a file of their own, and what they share with the others lies in the test kit. One bound on time is measured by the test kit's stopwatch.

--- a/crates/sloetrail-serving-testkit/src/lib.rs
+++ b/crates/sloetrail-serving-testkit/src/lib.rs
@@ -7,13 +7,14 @@
 //! can be killed at any moment. [`silencing_proxy::SilencingProxy`] and
 //! [`congested_proxy::CongestedProxy`] stand between two of them. [`usage::ReportBook`] takes
 //! reports of usage, [`supply::SupplyBook`] orders for engines. [`client`] makes calls as
-//! callers and trainers do. [`stopwatch::Stopwatch`] tells how long something took, without
+//! callers and trainers do, [`keyed::Keyed`] those with idempotency keys. [`stopwatch::Stopwatch`] tells how long something took, without
 //! what a busy machine adds.
 
 pub mod client;
 pub mod cluster;
 pub mod congested_proxy;
 pub mod engine;
+pub mod keyed;
 pub mod silencing_proxy;
 pub mod stopwatch;
 pub mod supply;
--- a/crates/sloetrail-serving/src/service_pools.rs
+++ b/crates/sloetrail-serving/src/service_pools.rs
@@ -1,36 +1,27 @@
 //! The choice of a back end for a live request.
 
+mod state;
+
+use self::state::{State, live_demand};
 use crate::back_end::BackEnd;
-use crate::cold_budgets::ColdBudgets;
 use crate::directory::Directory;
 use crate::gateway::place_wait::PlaceOutlook;
 use crate::leases::LeasedSets;
-use crate::loss_backoff::LossBackoff;
 use crate::operator::InForce;
 use crate::place_turns::{PlaceSeeker, PlaceTurns};
 use crate::relay::peers::Peers;
-use crate::settings::{ColdTolerance, ServingSettings};
+use crate::settings::ServingSettings;
 use crate::zone_work::{RunningInZone, WorkKind, ZoneWork};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use sloetrail_balance::{
-    AttemptOutcome, Balancer, BalancerSettings, ColdBudget, ColdEngine, Demand, EngineReport,
-    LatencyQuantile, ListedEngine, ReportedState, SendBound, WorkClass, WorkOwner,
-};
-use sloetrail_types::{
-    AllowedRegions, EngineId, RowVersion, ServiceName, Timestamp, Topology, WeightVersion,
-};
+use sloetrail_balance::{AttemptOutcome, LatencyQuantile, WorkClass, WorkOwner};
+use sloetrail_types::{AllowedRegions, EngineId, RowVersion, ServiceName, Timestamp};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::{Instant, MissedTickBehavior};
 
-/// How long a back end may be chosen without news of it. The directory is silent
-/// while the table is down, which must not stop live requests; a back end that is
-/// gone is found out by the first attempt.
-const VIEW_FRESHNESS: Duration = Duration::from_secs(600);
-
 /// How often it is looked whether other nodes have come or gone, among which what a cold
 /// back end bears is dealt out. Their rows are read every five seconds.
 const SENDERS_PERIOD: Duration = Duration::from_millis(500);
@@ -42,25 +33,6 @@
     state: Mutex<State>,
 }
 
-struct State {
-    node: String,
-    topology: Topology,
-    cold: ColdTolerance,
-    /// The other nodes, among which what a cold back end bears is dealt out. Without them
-    /// this node counts as the only one.
-    peers: Option<Arc<Peers>>,
-    /// The names of all nodes when the pools were last brought up to date.
-    senders: Vec<String>,
-    random: StdRng,
-    directory: Arc<Directory>,
-    in_force: Arc<InForce>,
-    leased_sets: Arc<LeasedSets>,
-    balancers: HashMap<ServiceName, Balancer>,
-    turns: HashMap<ServiceName, PlaceTurns>,
-    answer_times: HashMap<ServiceName, LatencyQuantile>,
-    losses: BTreeMap<EngineId, LossBackoff>,
-}
-
 impl ServicePools {
     /// Pools of a node without back ends.
     pub(crate) fn new(
@@ -313,202 +285,6 @@
     }
 }
 
-impl State {
-    fn take_service(
-        &mut self,
-        now: Timestamp,
-        directory: &Directory,
-        service: ServiceName,
-        back_ends: &[&Arc<BackEnd>],
-    ) {
-        let most_slots = back_ends.iter().map(|back_end| back_end.slots).max();
-        let concurrency = most_slots.unwrap_or(1).max(1);
-        let spared = Spared::new(self, &service);
-        let listed = back_ends.iter().map(|back_end| ListedEngine {
-            leaving: back_end.draining,
-            evacuated: self.in_force.evacuations.covers(&back_end.zone),
-            cold: spared.cold(self, directory, back_end, now),
-            ..ListedEngine::ready(back_end.id.clone(), back_end.zone.clone())
-        });
-        let listed: Vec<ListedEngine> = listed.collect();
-        let balancer = self.balancers.entry(service).or_insert_with(|| {
-            Balancer::new(BalancerSettings {
-                node: self.node.clone(),
-                topology: self.topology.clone(),
-                view_freshness: VIEW_FRESHNESS,
-                engine_concurrency: concurrency,
-            })
-        });
-        balancer.set_engines(now, listed);
-        let instant = Instant::now();
-        for back_end in back_ends {
-            let losses = self.losses.entry(back_end.id.clone()).or_default();
-            if losses.is_over(instant) {
-                balancer.report(&back_end.id, listed_report(back_end, now));
-            }
-        }
-        let losses = &mut self.losses;
-        losses.retain(|id, _| directory.back_ends.contains_key(id));
-    }
-
-    /// Lets the back ends of a service be tried again whose pause after a loss is over.
-    fn readmit(&mut self, service: &ServiceName, now: Timestamp) {
-        let instant = Instant::now();
-        let Some(balancer) = self.balancers.get_mut(service) else {
-            return;
-        };
-        for back_end in self.directory.of_service(service) {
-            let losses = self.losses.get(&back_end.id);
-            if losses.is_some_and(|losses| losses.is_suspect() && losses.is_over(instant)) {
-                balancer.report(&back_end.id, listed_report(back_end, now));
-            }
-        }
-    }
-
-    /// The queue of those that wait for a place at a service.
-    fn turns(&mut self, service: &ServiceName) -> &mut PlaceTurns {
-        if !self.turns.contains_key(service) {
-            self.turns.insert(service.clone(), PlaceTurns::default());
-        }
-        self.turns.get_mut(service).expect("it was inserted")
-    }
-
-    /// False if a place that this request could have is another one's, which is told so.
-    fn ask_turn(
-        &mut self,
-        seeker: &PlaceSeeker,
-        excluded: &BTreeSet<EngineId>,
-        now: Timestamp,
-    ) -> bool {
-        let service = seeker.service();
-        let (balancer, turns) = (self.balancers.get(service), self.turns.get_mut(service));
-        let (Some(balancer), Some(turns)) = (balancer, turns) else {
-            return true;
-        };
-        let demand = live_demand(excluded, &seeker.request().regions);
-        if turns.is_empty() || !balancer.has_place(now, demand) {
-            return true;
-        }
-        let nothing = BTreeSet::new();
-        turns.ask_turn(seeker, now, |regions| {
-            balancer.has_place(now, live_demand(&nothing, regions))
-        })
-    }
-
-    fn wake_first(&mut self, service: &ServiceName, now: Timestamp) {
-        let (balancer, turns) = (self.balancers.get(service), self.turns.get_mut(service));
-        let (Some(balancer), Some(turns)) = (balancer, turns) else {
-            return;
-        };
-        if turns.is_empty() {
-            return;
-        }
-        let nothing = BTreeSet::new();
-        turns.wake_first(now, |regions| {
-            balancer.has_place(now, live_demand(&nothing, regions))
-        });
-    }
-
-    fn held_back_by(&self, seeker: &PlaceSeeker) -> usize {
-        let turns = self.turns.get(seeker.service());
-        turns.map_or(0, |turns| turns.held_back_by(seeker))
-    }
-
-    /// The names of all nodes, this one included once it has registered.
-    fn current_senders(&self) -> Vec<String> {
-        let peers = self.peers.as_ref();
-        peers.and_then(|peers| peers.names()).unwrap_or_default()
-    }
-
-    /// What this node's live requests may send to a cold back end: nothing while the nodes'
-    /// rows that were read do not name this one, for the others' part is not known then.
-    fn live_bound(&self, budget: &ColdBudget, back_end: &EngineId) -> SendBound {
-        if self.peers.is_some() && self.senders.is_empty() {
-            return SendBound::NONE;
-        }
-        let senders = self.senders.iter().map(String::as_str);
-        budget.live_bound(back_end.as_str(), &self.node, senders)
-    }
-
-    fn note_outcome(&mut self, id: &EngineId, outcome: AttemptOutcome) {
-        let losses = self.losses.entry(id.clone()).or_default();
-        match outcome {
-            AttemptOutcome::Lost => losses.note_loss(Instant::now()),
-            AttemptOutcome::Refused => losses.note_refusal(Instant::now()),
-            AttemptOutcome::Answered => losses.note_success(),
-            AttemptOutcome::Failed | AttemptOutcome::Abandoned => {}
-        }
-    }
-}
-
-/// How the cold back ends of a service are spared.
-struct Spared {
-    /// How long one is cold after it started.
-    lasts: Duration,
-    /// What cold ones may get; nothing means as much as warm ones.
-    budgets: Option<ColdBudgets>,
-}
-
-impl Spared {
-    /// What is in force for a service.
-    fn new(state: &State, service: &ServiceName) -> Self {
-        let Some(configuration) = &state.in_force.configuration else {
-            return Self {
-                lasts: Duration::ZERO,
-                budgets: None,
-            };
-        };
-        Self {
-            lasts: configuration.cold_bounds(service).lasts,
-            budgets: state
-                .cold
-                .budgets(configuration, &state.leased_sets, service),
-        }
-    }
-
-    /// How a back end is to be spared; nothing if it is warm.
-    fn cold(
-        &self,
-        state: &State,
-        directory: &Directory,
-        back_end: &BackEnd,
-        now: Timestamp,
-    ) -> Option<ColdEngine> {
-        let evacuations = &state.in_force.evacuations;
-        let until = directory.cold_until(back_end, evacuations, self.lasts)?;
-        let left = until.saturating_duration_since(Instant::now());
-        let region = state.topology.region_of(&back_end.zone);
-        let budget = self
-            .budgets
-            .as_ref()
-            .map(|budgets| budgets.of_region(region));
-        let bound = budget.map(|budget| state.live_bound(&budget, &back_end.id));
-        Some(ColdEngine {
-            until: now.after(left),
-            bound,
-        })
-    }
-}
-
-fn live_demand<'a>(excluded: &'a BTreeSet<EngineId>, regions: &'a AllowedRegions) -> Demand<'a> {
-    Demand {
-        class: WorkClass::Live,
-        excluded,
-        regions,
-    }
-}
-
-/// The news that a back end is listed.
-fn listed_report(back_end: &BackEnd, now: Timestamp) -> EngineReport {
-    EngineReport {
-        observed_at: now,
-        state: ReportedState::Serving,
-        load: 0,
-        capacity: back_end.slots as u32,
-        version: WeightVersion(0),
-    }
-}
-
 /// A place on a back end. Dropping it without an outcome says nothing of the back end.
 pub struct Place {
     pools: Arc<ServicePools>,
--- /dev/null
+++ b/crates/sloetrail-serving/tests/claims_under_failure.rs
@@ -0,0 +1,359 @@
+//! Keyed requests run at most once also when nodes die or stop, the table is away or its
+//! answers are lost, and callers leave.
+
+mod support;
+
+use sloetrail_serving_testkit::cluster::{Cluster, eventually};
+use sloetrail_serving_testkit::engine::EngineFault;
+use sloetrail_serving_testkit::keyed::{
+    CLAIMS, KEY_IN_PROGRESS, Keyed, PACE, PATH, TABLE_UNAVAILABLE, again, answered, assert_code,
+    assert_not_run, claim_is_written, runs, runs_at,
+};
+use sloetrail_serving_testkit::stopwatch::Stopwatch;
+use sloetrail_serving_testkit::table::{CommitFault, LinkUse};
+use std::time::Duration;
+use support::{client_cluster, live, usual_cluster};
+
+/// A claim that the table does not settle is waited for 900 ms of the route's two seconds.
+const AT_ONCE: Duration = Duration::from_millis(450);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_answer_of_the_table_to_the_claim_is_settled() {
+    let faults = [
+        CommitFault::DoneUnanswered,
+        CommitFault::LostOnTheWay,
+        CommitFault::DoneLate(Duration::from_millis(400)),
+        CommitFault::Refused,
+    ];
+    for fault in faults {
+        let cluster = usual_cluster(PACE).await;
+        cluster.table.set_commit_fault_on(CLAIMS, fault, 1);
+        let answer = Keyed::default().send(&cluster, 0).await;
+        assert_eq!(answer.status, 200, "{fault:?}: {}", answer.text());
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let repeated = answered(&cluster, 1, "r2").await;
+        assert_eq!(repeated.body, answer.body, "{fault:?}");
+        assert_eq!(runs_at(&cluster, PATH), 1, "{fault:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claim_that_is_not_settled_in_time_is_refused_as_not_run_and_given_back() {
+    let faults = [
+        CommitFault::DoneUnanswered,
+        CommitFault::DoneLate(Duration::from_millis(600)),
+        CommitFault::LostOnTheWay,
+        CommitFault::Refused,
+    ];
+    for fault in faults {
+        let cluster = usual_cluster(PACE).await;
+        cluster.table.set_commit_fault_on(CLAIMS, fault, 1_000);
+        for node in &cluster.nodes {
+            node.link.set_answer_time(Duration::from_millis(300));
+        }
+        let answer = Keyed::default().send(&cluster, 0).await;
+        assert_not_run(&answer, TABLE_UNAVAILABLE);
+        assert!(answer.headers.contains_key("retry-after"), "{fault:?}");
+        assert_eq!(runs_at(&cluster, PATH), 0, "{fault:?}");
+        cluster.table.set_commit_fault(CommitFault::None, None);
+        for node in &cluster.nodes {
+            node.link.set_answer_time(Duration::from_millis(1));
+        }
+        answered(&cluster, 1, "r2").await;
+        assert_eq!(runs_at(&cluster, PATH), 1, "{fault:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn without_the_table_keyed_requests_are_refused_as_not_run_and_others_go_on() {
+    let cluster = usual_cluster(PACE).await;
+    cluster.table.set_down(true);
+    let refused = Keyed::default().send(&cluster, 0).await;
+    assert_eq!(refused.status, 503);
+    assert_not_run(&refused, TABLE_UNAVAILABLE);
+    assert!(refused.headers.contains_key("retry-after"));
+    let unkeyed = live(&cluster, 0, "/once/unkeyed", "r2").await;
+    assert_eq!(unkeyed.expect("an answer").status, 200);
+    let repeatable = Keyed {
+        path: "/live/x".to_owned(),
+        ..Keyed::default()
+    };
+    assert_eq!(repeatable.send(&cluster, 0).await.status, 200);
+    assert_eq!(runs_at(&cluster, PATH), 0);
+    cluster.table.set_down(false);
+    answered(&cluster, 0, "r3").await;
+    assert_eq!(runs_at(&cluster, PATH), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_is_killed_between_claim_and_send_leaves_a_key_that_never_runs() {
+    let mut cluster = usual_cluster(PACE).await;
+    // The claim is there and its answer is not: nothing can have been sent.
+    cluster
+        .table
+        .set_commit_fault_on(CLAIMS, CommitFault::DoneUnanswered, 1);
+    let call = Keyed::default().call(&cluster);
+    let address = cluster.nodes[0].callers;
+    let sent = tokio::spawn(async move { call.send(address).await });
+    claim_is_written(&cluster).await;
+    cluster.nodes[0].kill();
+    assert!(sent.await.expect("no panic").is_none(), "no answer came");
+    // Also once the request's two seconds are over.
+    for _ in 0..4 {
+        let repeated = again("r2").send(&cluster, 1).await;
+        assert_code(&repeated, KEY_IN_PROGRESS);
+        assert_eq!(repeated.json()["kind"], "outcome_unknown");
+        tokio::time::sleep(Duration::from_millis(900)).await;
+    }
+    assert_eq!(runs_at(&cluster, PATH), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_is_killed_between_send_and_stored_answer_leaves_an_unknown_outcome() {
+    let mut cluster = usual_cluster(PACE).await;
+    for engine in &cluster.engines {
+        engine.set_pace(Duration::from_millis(300));
+    }
+    let call = Keyed::default().call(&cluster);
+    let address = cluster.nodes[0].callers;
+    let sent = tokio::spawn(async move { call.send(address).await });
+    runs(&cluster).await;
+    cluster.nodes[0].kill();
+    assert!(sent.await.expect("no panic").is_none(), "no answer came");
+    // Also once the request's two seconds are over.
+    for _ in 0..4 {
+        let repeated = again("r2").send(&cluster, 1).await;
+        assert_code(&repeated, KEY_IN_PROGRESS);
+        tokio::time::sleep(Duration::from_millis(900)).await;
+    }
+    assert_eq!(runs_at(&cluster, PATH), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_is_killed_after_its_answer_and_before_it_is_stored_runs_nothing_again() {
+    let mut cluster = usual_cluster(PACE).await;
+    for engine in &cluster.engines {
+        engine.set_pace(Duration::from_millis(200));
+    }
+    let call = Keyed::default().call(&cluster);
+    let address = cluster.nodes[0].callers;
+    let sent = tokio::spawn(async move { call.send(address).await });
+    runs(&cluster).await;
+    let lost = CommitFault::LostOnTheWay;
+    cluster.table.set_commit_fault_on(CLAIMS, lost, 1_000);
+    let answer = sent.await.expect("no panic").expect("an answer");
+    assert_eq!(answer.status, 200);
+    cluster.nodes[0].kill();
+    cluster.table.set_commit_fault(CommitFault::None, None);
+    assert_code(&again("r2").send(&cluster, 1).await, KEY_IN_PROGRESS);
+    assert_eq!(runs_at(&cluster, PATH), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_is_stored_although_answers_of_the_table_are_lost() {
+    let faults = [
+        CommitFault::DoneUnanswered,
+        CommitFault::LostOnTheWay,
+        CommitFault::Refused,
+        CommitFault::DoneLate(Duration::from_millis(400)),
+    ];
+    for fault in faults {
+        let cluster = usual_cluster(PACE).await;
+        for engine in &cluster.engines {
+            engine.set_pace(Duration::from_millis(200));
+        }
+        let call = Keyed::default().call(&cluster);
+        let address = cluster.nodes[0].callers;
+        let sent = tokio::spawn(async move { call.send(address).await });
+        runs(&cluster).await;
+        cluster.table.set_commit_fault_on(CLAIMS, fault, 1);
+        let answer = sent.await.expect("no panic").expect("an answer");
+        assert_eq!(answer.status, 200, "{fault:?}");
+        let repeated = answered(&cluster, 1, "r2").await;
+        assert_eq!(repeated.body, answer.body, "{fault:?}");
+        assert_eq!(runs_at(&cluster, PATH), 1, "{fault:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_stops_in_order_stores_the_answers_that_it_gave() {
+    let mut cluster = usual_cluster(PACE).await;
+    for engine in &cluster.engines {
+        engine.set_pace(Duration::from_millis(300));
+    }
+    let call = Keyed::default().call(&cluster);
+    let address = cluster.nodes[0].callers;
+    let sent = tokio::spawn(async move { call.send(address).await });
+    runs(&cluster).await;
+    let refused = CommitFault::Refused;
+    cluster.table.set_commit_fault_on(CLAIMS, refused, 1_000);
+    cluster.nodes[0].stop();
+    // A node without work ends 2.5 s after it was told to, this one before 3.3 s.
+    tokio::time::sleep(Duration::from_millis(2_600)).await;
+    cluster.table.set_commit_fault(CommitFault::None, None);
+    assert_eq!(sent.await.expect("no panic").expect("whole").status, 200);
+    eventually("the node has ended", || async {
+        cluster.nodes[0].has_ended().then_some(())
+    })
+    .await;
+    let repeated = again("r2").send(&cluster, 1).await;
+    assert_eq!(repeated.text(), "answer to r1");
+    assert_eq!(runs_at(&cluster, PATH), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_whose_request_was_refused_as_not_run_may_be_used_again() {
+    let cluster = usual_cluster(PACE).await;
+    for engine in &cluster.engines {
+        engine.set_fault(EngineFault::Refuses, None);
+    }
+    let refused = Keyed::default().send(&cluster, 0).await;
+    assert_eq!(refused.json()["kind"], "not_run", "{}", refused.text());
+    for engine in &cluster.engines {
+        engine.set_fault(EngineFault::None, None);
+    }
+    answered(&cluster, 1, "r2").await;
+    assert_eq!(runs_at(&cluster, PATH), 1);
+    let repeated = answered(&cluster, 0, "r3").await;
+    assert_eq!(repeated.text(), "answer to r2");
+    assert_eq!(runs_at(&cluster, PATH), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unknown_outcome_is_unknown_to_repeats_too() {
+    for fault in [EngineFault::AnswerLost, EngineFault::Crossed] {
+        let cluster = usual_cluster(PACE).await;
+        for engine in &cluster.engines {
+            engine.set_fault(fault, None);
+        }
+        let first = Keyed::default().send(&cluster, 0).await;
+        assert_eq!(first.json()["kind"], "outcome_unknown", "{fault:?}");
+        for engine in &cluster.engines {
+            engine.set_fault(EngineFault::None, None);
+        }
+        assert_code(&again("r2").send(&cluster, 1).await, KEY_IN_PROGRESS);
+        assert_eq!(runs_at(&cluster, PATH), 1, "{fault:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claim_is_carried_by_nodes_of_the_own_region_alone() {
+    const NODES: [(&str, &str); 3] = [
+        ("node-1", "zone-a"),
+        ("node-2", "zone-c"),
+        ("node-3", "zone-b"),
+    ];
+    let mut cluster = client_cluster();
+    cluster.peers = true;
+    let regions = [
+        ("zone-a", "north"),
+        ("zone-c", "north"),
+        ("zone-b", "south"),
+    ];
+    let regions = regions.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
+    cluster.regions = regions.into();
+    cluster.add_application("zone-a").await;
+    for (name, zone) in NODES {
+        let node = cluster.add_node_in(zone, name).await;
+        cluster.wait_ready(node).await;
+    }
+    // The nodes look at the rows of the others every few seconds.
+    tokio::time::sleep(Duration::from_millis(5_500)).await;
+    cluster.nodes[0].link.set_cut(true);
+    answered(&cluster, 0, "r1").await;
+    assert!(cluster.nodes[1].link.uses_of(CLAIMS).writes > 0);
+    cluster.nodes[1].kill();
+    // By then the other carries what may leave the region.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    for path in ["/once/a", "/once/b", "/once/c"] {
+        let other = Keyed {
+            key: path,
+            path: path.to_owned(),
+            ..Keyed::default()
+        };
+        let watch = Stopwatch::start();
+        let refused = other.send(&cluster, 0).await;
+        let took = watch.elapsed();
+        assert_not_run(&refused, TABLE_UNAVAILABLE);
+        assert!(took < AT_ONCE, "refused after {took:?}");
+        assert_eq!(refused.json()["retry_after_ms"], 150, "another node can");
+        assert_eq!(runs_at(&cluster, path), 0);
+    }
+    let unkeyed = live(&cluster, 0, "/once/unkeyed", "r2").await;
+    assert_eq!(unkeyed.expect("an answer").status, 200);
+    assert_eq!(cluster.nodes[2].link.uses_of(CLAIMS), LinkUse::default());
+}
+
+/// Makes the usual call at the first node and leaves after this time.
+async fn call_and_leave(cluster: &Cluster, after: Duration) {
+    send_and_leave(cluster, &Keyed::default(), after).await;
+}
+
+async fn send_and_leave(cluster: &Cluster, keyed: &Keyed, after: Duration) {
+    let call = keyed.call(cluster);
+    let sending = call.send(cluster.nodes[0].callers);
+    let left = tokio::time::timeout(after, sending).await;
+    assert!(left.is_err(), "the caller left before its answer");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_before_anything_was_sent_may_come_again() {
+    let cluster = usual_cluster(PACE).await;
+    let slow = CommitFault::Slow(Duration::from_millis(500));
+    cluster.table.set_commit_fault_on(CLAIMS, slow, 1);
+    call_and_leave(&cluster, Duration::from_millis(150)).await;
+    claim_is_written(&cluster).await;
+    answered(&cluster, 1, "r2").await;
+    assert_eq!(runs_at(&cluster, PATH), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_after_proof_that_nothing_has_run_may_come_again() {
+    let cluster = usual_cluster(PACE).await;
+    for engine in &cluster.engines {
+        engine.set_fault(EngineFault::Refuses, None);
+    }
+    // Some may leave just while one more sending is under way, which may have run.
+    let keys = ["k0", "k1", "k2", "k3", "k4", "k5", "k6", "k7", "k8", "k9"];
+    let keyed = keys.map(|key| Keyed {
+        key,
+        path: format!("/once/{key}"),
+        ..again("r2")
+    });
+    for first in &keyed {
+        // Refused at once, it waits for a place for 115 ms at least.
+        send_and_leave(&cluster, first, Duration::from_millis(70)).await;
+    }
+    for engine in &cluster.engines {
+        engine.set_fault(EngineFault::None, None);
+    }
+    eventually("a key is free again", || async {
+        for repeated in &keyed {
+            if repeated.send(&cluster, 1).await.status == 200 {
+                return Some(());
+            }
+        }
+        None
+    })
+    .await;
+    for repeated in &keyed {
+        assert!(runs_at(&cluster, &repeated.path) <= 1);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_while_its_request_runs_does_not_make_it_run_again() {
+    let cluster = usual_cluster(PACE).await;
+    for engine in &cluster.engines {
+        engine.set_pace(Duration::from_secs(5));
+    }
+    call_and_leave(&cluster, Duration::from_millis(400)).await;
+    assert_eq!(runs_at(&cluster, PATH), 1);
+    for engine in &cluster.engines {
+        engine.set_pace(PACE);
+    }
+    for node in [0, 1] {
+        assert_code(&again("r2").send(&cluster, node).await, KEY_IN_PROGRESS);
+    }
+    assert_eq!(runs_at(&cluster, PATH), 1);
+}
