--- a/crates/sloetrail-serving/src/owner/service_owner/relocation.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/relocation.rs
@@ -22,6 +22,10 @@
 const RUN_LEAST: Duration = Duration::from_millis(400);
 /// A text that has moved stays for this long: paces vary with the load.
 const STAY_LEAST: Duration = Duration::from_millis(1_500);
+/// A text is moved only if it has at least this share of what the longest of its batch has
+/// left. The batch is done no sooner if another one is, and each move closes a connection and
+/// has the text read again.
+const CRITICAL_SHARE: f64 = 0.75;
 
 /// A run that would be done sooner elsewhere.
 struct Candidate {
@@ -33,6 +37,11 @@
 }
 
 impl Candidate {
+    /// The time that it takes where it runs, in microseconds.
+    fn time_left(&self) -> f64 {
+        self.pace as f64 * self.remaining
+    }
+
     /// The time that going on at an engine saves, if it is clearly faster.
     fn gain_at(&self, engine: &FreeEngine) -> Option<Duration> {
         let is_clear = self.pace as f64 > engine.pace as f64 * PACE_STEP;
@@ -83,7 +92,7 @@
                     candidate(&open.batch, *index, run, &self.engines, &self.lengths, now)
                 })
                 .collect();
-            candidates.sort_by(|left, right| right.remaining.total_cmp(&left.remaining));
+            keep_critical(&mut candidates);
             let mut target = free.next();
             for candidate in candidates {
                 let Some(engine) = &target else {
@@ -142,6 +151,14 @@
     }
 }
 
+/// Leaves the texts that decide when their batch is done, the longest first.
+fn keep_critical(candidates: &mut Vec<Candidate>) {
+    let times = candidates.iter().map(Candidate::time_left);
+    let critical = times.fold(0.0, f64::max) * CRITICAL_SHARE;
+    candidates.retain(|candidate| candidate.time_left() >= critical);
+    candidates.sort_by(|left, right| right.time_left().total_cmp(&left.time_left()));
+}
+
 fn candidate(
     batch: &Batch,
     index: ItemIndex,
@@ -168,3 +185,6 @@
         pace,
     })
 }
+
+#[cfg(test)]
+mod tests;
