A node of a large fleet holds a part of the directory, an owner as much as its batches need

Dividing the owner by model was not built: a part of the engines does for all models. Change: an index row tells where ranges of a hundred rows begin; rendezvous hashing of a node's name says which it reads, 600 rows at first. It wants more when a service has few back ends among them, none has a place, or its batches need more places; all of them where it decides how many engines there are. Directories of less than a thousand rows are held whole as before. Without an index, nodes that start together read one after the other over four seconds until one has written it. Requests that are kept from back ends are not let go by the software of a part. Tests: rows read and held at 2,000 to 100,000 back ends, mass restart, first start, growth, torn and absurd indexes.

--- a/crates/sloetrail-serving/src/cold_budgets/tests.rs
+++ b/crates/sloetrail-serving/src/cold_budgets/tests.rs
@@ -1,4 +1,5 @@
 use super::ColdBudgets;
+use crate::directory_index::KeyRanges;
 use crate::follow::TableView;
 use crate::leases::LeasedSets;
 use crate::rows;
@@ -54,6 +55,7 @@
         version: RowVersion(1),
     };
     let leases = TableView {
+        ranges: KeyRanges::whole(),
         rows: [(address.key, row)].into(),
         version: RowVersion(1),
         confirmed_at: None,
--- a/crates/sloetrail-serving/src/context.rs
+++ b/crates/sloetrail-serving/src/context.rs
@@ -3,9 +3,10 @@
 use crate::back_end_connections::BackEndConnections;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
+use crate::directory_interest::DirectoryInterest;
 use crate::ended_lives::EndedReceiver;
 use crate::engine_supply::EngineSupply;
-use crate::follow::{FleetSize, FollowPace, ViewReceiver};
+use crate::follow::{FleetSize, FollowPace, TakenIn, ViewReceiver};
 use crate::gateway::claims::Claims;
 use crate::leases::LeasedSets;
 use crate::operator::InForce;
@@ -34,6 +35,11 @@
     pub(crate) pools: Arc<ServicePools>,
     pub(crate) in_force: watch::Receiver<Arc<InForce>>,
     pub(crate) directory: watch::Receiver<Arc<Directory>>,
+    /// When the directory and the operator's rows were asked for that are in force.
+    pub(crate) directory_taken_in: TakenIn,
+    pub(crate) operator_taken_in: TakenIn,
+    /// How much of the directory this node wants to hold.
+    pub(crate) directory_interest: Arc<DirectoryInterest>,
     /// Lives of back ends after which another one began.
     pub(crate) ended_lives: EndedReceiver,
     pub(crate) leases: ViewReceiver,
--- a/crates/sloetrail-serving/src/directory.rs
+++ b/crates/sloetrail-serving/src/directory.rs
@@ -31,6 +31,10 @@
     pub back_ends: BTreeMap<EngineId, Arc<BackEnd>>,
     /// The version up to which changes are taken in.
     pub version: RowVersion,
+    /// True if no back end is left out that the table lists.
+    pub(crate) is_whole: bool,
+    /// How many rows the table has, as far as the part that is held tells.
+    pub(crate) rows_in_all: usize,
     /// Until when back ends are cold that said so.
     cold_until: BTreeMap<EngineId, BootInstant>,
     /// The rows by their keys. One that cannot be read is not read again until it changes. They are
@@ -83,6 +87,8 @@
     fn updated(&self, view: &TableView, dialect: &dyn Dialect) -> Self {
         let mut next = Self {
             version: view.version,
+            is_whole: view.ranges.is_whole(),
+            rows_in_all: view.ranges.rows_in_all(view.rows.len()),
             ended: Arc::clone(&self.ended),
             ..Self::default()
         };
@@ -201,10 +207,10 @@
         while view.changed().await.is_ok() && !sender.is_closed() {
             let table = view.borrow_and_update().clone();
             let current = sender.borrow().clone();
-            if table.version != current.version {
+            if table.version != current.version || table.ranges.is_whole() != current.is_whole {
                 let next = current.updated(&table, &*dialect);
                 log_differences(&current, &next);
-                fleet.set_back_ends(next.back_ends.len());
+                fleet.set_back_ends(next.rows_in_all);
                 sender.send_replace(Arc::new(next));
             }
             taken_in.send_replace(table.asked_at);
--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -210,6 +210,13 @@
         /// `-` if it has not run.
         digest: &'a str,
     },
+    /// The directory was read anew, or more of it than before.
+    DirectoryRead {
+        /// Rows that are held.
+        rows: usize,
+        /// True if these are all.
+        whole: bool,
+    },
     /// Another life of a back end has begun under the same name: what ran in the one before is
     /// lost.
     BackEndRestarted {
--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -32,6 +32,7 @@
             | Event::OwnRegionUnknown { .. } => "config",
             Event::BackEndChanged { .. }
             | Event::BackEndRestarted { .. }
+            | Event::DirectoryRead { .. }
             | Event::BackEndCrashed { .. }
             | Event::PaceChanged { .. }
             | Event::DemandTold { .. }
--- a/crates/sloetrail-serving/src/follow.rs
+++ b/crates/sloetrail-serving/src/follow.rs
@@ -1,12 +1,15 @@
 //! Following a table: its rows in memory, kept up to date by its changes.
 
+mod held;
 mod pace;
 
+pub(crate) use held::HeldReading;
 pub use pace::{FleetSize, FollowPace, FollowPaces, OwnedService, Pacing};
 
+use crate::directory_index::KeyRanges;
 use crate::events::{self, Event};
 use crate::retry_pause::RetryPause;
-use crate::table::{Change, Changes, KeyRange, ReadError, Row, Table, scan_all};
+use crate::table::{Change, Changes, KeyRange, ReadError, Row, RowAddress, Table, scan_all};
 use sloetrail_clock::BootInstant;
 use sloetrail_types::RowVersion;
 use std::collections::BTreeMap;
@@ -22,11 +25,16 @@
 /// noticed that it stood still, and then does not count as asked since.
 const HURRIED_QUESTIONS: u32 = 2;
 
+/// How long a table that may be about to be filled is left alone.
+const FIRST_ROWS_PAUSE: Duration = Duration::from_millis(250);
+
 /// A table's rows as of one moment.
 #[derive(Clone, Debug)]
 pub struct TableView {
     /// The rows of the partition that is followed, by key.
     pub rows: BTreeMap<String, Row>,
+    /// Which keys these are; others are left out.
+    pub(crate) ranges: KeyRanges,
     /// The version up to which changes are taken in.
     pub version: RowVersion,
     /// When the table last confirmed the view; nothing before the first time.
@@ -42,6 +50,7 @@
     pub(crate) fn empty() -> Self {
         Self {
             rows: BTreeMap::new(),
+            ranges: KeyRanges::whole(),
             version: RowVersion(0),
             confirmed_at: None,
             asked_at: None,
@@ -69,13 +78,33 @@
     name: impl Into<String>,
     partition: impl Into<String>,
     pace: FollowPace,
+) -> ViewReceiver {
+    start(table, (name.into(), partition.into()), pace, None)
+}
+
+/// Follows as much of the directory as a node wants, until every receiver is dropped.
+pub(crate) fn follow_directory(
+    table: Arc<dyn Table>,
+    name: impl Into<String>,
+    pace: FollowPace,
+    held: HeldReading,
+) -> ViewReceiver {
+    start(table, (name.into(), String::new()), pace, Some(held))
+}
+
+fn start(
+    table: Arc<dyn Table>,
+    (name, partition): (String, String),
+    pace: FollowPace,
+    held: Option<HeldReading>,
 ) -> ViewReceiver {
     let (sender, receiver) = watch::channel(Arc::new(TableView::empty()));
     let follower = Follower {
         table,
-        name: name.into(),
-        partition: partition.into(),
+        name,
+        partition,
         pace,
+        held,
         sender,
         interrupted: false,
         hurried: 0,
@@ -84,11 +113,21 @@
     receiver
 }
 
+/// What a step of a follower has come to.
+enum Progress {
+    /// The view is as the table was.
+    UpToDate,
+    /// More rows are wanted than the view holds.
+    MoreWanted,
+}
+
 struct Follower {
     table: Arc<dyn Table>,
     name: String,
     partition: String,
     pace: FollowPace,
+    /// Present if only a part of the rows may be wanted.
+    held: Option<HeldReading>,
     sender: watch::Sender<Arc<TableView>>,
     interrupted: bool,
     /// So many of the next questions are to be answered at once, with or without changes:
@@ -98,21 +137,21 @@
 
 impl Follower {
     async fn run(mut self) {
+        let mut held = self.held.take();
         let mut must_read_all = true;
         let mut retry = RetryPause::new();
         while !self.sender.is_closed() {
             let step = match must_read_all {
-                true => self.read_all().await,
-                false => self.read_changes().await,
+                true => self.read_all(held.as_mut()).await,
+                false => self.read_changes(held.as_mut()).await,
             };
             match step {
-                Ok(()) => {
-                    must_read_all = false;
+                Ok(Progress::UpToDate) => {
                     retry.reset();
                     self.note_answer();
-                    self.pause().await;
+                    must_read_all = self.rest(held.as_mut()).await;
                 }
-                Err(ReadError::HistoryLost) => must_read_all = true,
+                Ok(Progress::MoreWanted) | Err(ReadError::HistoryLost) => must_read_all = true,
                 Err(ReadError::Unavailable) => {
                     self.note_interruption();
                     retry.wait(&*self.table).await;
@@ -121,6 +160,23 @@
         }
     }
 
+    /// Pauses between two questions. True if the next one must be for all rows that are
+    /// wanted.
+    async fn rest(&mut self, held: Option<&mut HeldReading>) -> bool {
+        let Some(held) = held else {
+            self.pause().await;
+            return false;
+        };
+        if self.sender.borrow().rows.is_empty() && held.awaits_first_rows() {
+            tokio::time::sleep(FIRST_ROWS_PAUSE).await;
+            return true;
+        }
+        tokio::select! {
+            () = held.wants_more() => true,
+            () = self.pause() => false,
+        }
+    }
+
     /// Lets changes gather. After an answer or a pause that took too long, because this
     /// process or the table stood still, the next question goes out at once, and it and the
     /// one after it are not held open.
@@ -139,19 +195,29 @@
         }
     }
 
-    async fn read_all(&mut self) -> Result<(), ReadError> {
+    async fn read_all(&self, held: Option<&mut HeldReading>) -> Result<Progress, ReadError> {
         let asked_at = BootInstant::now();
-        let range = KeyRange::all(&self.name, &self.partition);
-        let page = scan_all(&*self.table, range).await?;
+        let (page, ranges) = match held {
+            Some(held) => held.read(&*self.table, &self.name).await?.into_parts(),
+            None => {
+                let range = KeyRange::all(&self.name, &self.partition);
+                let page = scan_all(&*self.table, range).await?;
+                (page, KeyRanges::whole())
+            }
+        };
         let rows = page.rows.into_iter();
         self.publish(asked_at, |view| {
             view.rows = rows.map(|row| (row.address.key.clone(), row)).collect();
+            view.ranges = ranges;
             view.version = page.version;
         });
-        Ok(())
+        Ok(Progress::UpToDate)
     }
 
-    async fn read_changes(&mut self) -> Result<(), ReadError> {
+    async fn read_changes(
+        &mut self,
+        held: Option<&mut HeldReading>,
+    ) -> Result<Progress, ReadError> {
         let asked_at = BootInstant::now();
         let since = self.sender.borrow().version;
         let wait = match self.hurried {
@@ -159,10 +225,19 @@
             _ => Duration::ZERO,
         };
         self.hurried = self.hurried.saturating_sub(1);
-        let changes = self.table.changes(&self.name, since, wait).await?;
+        let more_wanted = async {
+            match held {
+                Some(held) => held.wants_more().await,
+                None => std::future::pending().await,
+            }
+        };
+        let changes = tokio::select! {
+            changes = self.table.changes(&self.name, since, wait) => changes?,
+            () = more_wanted => return Ok(Progress::MoreWanted),
+        };
         let partition = self.partition.clone();
         self.publish(asked_at, |view| apply(view, changes, &partition));
-        Ok(())
+        Ok(Progress::UpToDate)
     }
 
     fn publish(&self, asked_at: BootInstant, change: impl FnOnce(&mut TableView)) {
@@ -193,12 +268,15 @@
 }
 
 fn apply(view: &mut TableView, changes: Changes, partition: &str) {
+    let ranges = view.ranges.clone();
+    let is_held =
+        |address: &RowAddress| address.partition == partition && ranges.contains(&address.key);
     for change in changes.changes {
         match change {
-            Change::Written(row) if row.address.partition == partition => {
+            Change::Written(row) if is_held(&row.address) => {
                 view.rows.insert(row.address.key.clone(), row);
             }
-            Change::Deleted(address) if address.partition == partition => {
+            Change::Deleted(address) if is_held(&address) => {
                 view.rows.remove(&address.key);
             }
             Change::Written(_) | Change::Deleted(_) => {}
--- a/crates/sloetrail-serving/src/leases/leased_sets/tests.rs
+++ b/crates/sloetrail-serving/src/leases/leased_sets/tests.rs
@@ -1,4 +1,5 @@
 use super::{LeasedSets, watch_leased_sets};
+use crate::directory_index::KeyRanges;
 use crate::follow::TableView;
 use crate::rows;
 use crate::table::Row;
@@ -21,6 +22,7 @@
         (address.key, row)
     });
     Arc::new(TableView {
+        ranges: KeyRanges::whole(),
         rows: rows.collect(),
         version: RowVersion(version),
         confirmed_at: None,
--- a/crates/sloetrail-serving/src/lib.rs
+++ b/crates/sloetrail-serving/src/lib.rs
@@ -20,6 +20,8 @@
 mod context;
 pub mod dialect;
 pub mod directory;
+mod directory_index;
+mod directory_interest;
 mod ended_lives;
 pub mod engine_supply;
 mod event_stream;
--- a/crates/sloetrail-serving/src/node.rs
+++ b/crates/sloetrail-serving/src/node.rs
@@ -4,10 +4,11 @@
 use crate::context::NodeContext;
 use crate::dialect::Dialect;
 use crate::directory::watch_directory;
+use crate::directory_interest::{DirectoryInterest, keep_enough};
 use crate::ended_lives::watch_ended_lives;
 use crate::engine_supply::EngineSupply;
 use crate::events::{self, Event};
-use crate::follow::{FleetSize, FollowPaces, ViewReceiver, follow};
+use crate::follow::{FleetSize, FollowPaces, HeldReading, ViewReceiver, follow, follow_directory};
 use crate::gateway::claims::{Claims, sweep};
 use crate::gateway::front::Front;
 use crate::gateway::message::{empty_response, whole_body};
@@ -209,7 +210,12 @@
 }
 
 impl Views {
-    fn follow(table: &Arc<dyn Table>, dialect: &dyn Dialect, paces: FollowPaces) -> Self {
+    fn follow(
+        table: &Arc<dyn Table>,
+        dialect: &dyn Dialect,
+        paces: FollowPaces,
+        held: HeldReading,
+    ) -> Self {
         let sources = dialect.sources().clone();
         let configuration = sources.configuration;
         Self {
@@ -219,11 +225,11 @@
                 configuration.partition,
                 paces.operator,
             ),
-            directory: follow(
+            directory: follow_directory(
                 Arc::clone(table),
                 sources.directory_table,
-                "",
                 paces.directory,
+                held,
             ),
             leases: follow(Arc::clone(table), rows::LEASES, rows::OWNERS, paces.leases),
         }
@@ -240,11 +246,19 @@
     let fleet = FleetSize::default();
     let paces = FollowPaces::new(&fleet, &settings.bounds);
     let lease_pace = paces.leases.clone();
-    let views = Views::follow(&table, &*dialect, paces);
+    let directory_interest = Arc::new(DirectoryInterest::default());
+    let held = HeldReading::new(&settings.node, Arc::clone(&directory_interest));
+    let views = Views::follow(&table, &*dialect, paces, held);
     let (directory, directory_taken_in) =
         watch_directory(views.directory, Arc::clone(&dialect), fleet.clone());
     let seed = digest(settings.instance.as_str().as_bytes());
     let (in_force, operator_taken_in) = watch_operator(views.operator, Arc::clone(&dialect));
+    keep_enough(
+        Arc::clone(&directory_interest),
+        settings.topology.clone(),
+        directory.clone(),
+        in_force.clone(),
+    );
     let ended_lives = watch_ended_lives(directory.clone());
     let (quarantine, crashes_taken_in) = Quarantine::start(
         &settings,
@@ -252,10 +266,19 @@
         (directory.clone(), ended_lives.clone()),
         views.leases.clone(),
     );
-    let beliefs = [directory_taken_in, operator_taken_in, crashes_taken_in];
+    let beliefs = [
+        directory_taken_in.clone(),
+        operator_taken_in.clone(),
+        crashes_taken_in,
+    ];
     let pause_guard = PauseGuard::start(beliefs);
     let zone_work = ZoneWork::start(in_force.clone());
-    let pools = ServicePools::new(&settings, peers.clone(), Arc::clone(&zone_work), seed);
+    let pools = ServicePools::new(
+        &settings,
+        (peers.clone(), Arc::clone(&directory_interest)),
+        Arc::clone(&zone_work),
+        seed,
+    );
     let leased_sets = watch_leased_sets(views.leases.clone());
     pools.follow(directory.clone(), in_force.clone(), leased_sets.clone());
     let usage = usage_schedule.map(|schedule| {
@@ -287,6 +310,9 @@
         ended_lives,
         quarantine,
         directory,
+        directory_taken_in,
+        operator_taken_in,
+        directory_interest,
         leases: views.leases,
         leased_sets,
         lease_pace,
@@ -364,12 +390,18 @@
 
 fn beliefs(context: &NodeContext, callers: &ConnectionTracker) -> Beliefs {
     let configuration = context.configuration();
+    let directory = Arc::clone(&context.directory.borrow());
+    let age = |asked_at: Option<BootInstant>| asked_at.map(|at| at.elapsed());
     Beliefs {
         configuration_revision: configuration.map_or(0, |known| known.revision.0),
-        directory_version: context.directory.borrow().version.0,
+        directory_version: directory.version.0,
+        back_ends_held: directory.back_ends.len(),
+        back_ends_listed: directory.rows_in_all,
+        directory_age: age(*context.directory_taken_in.borrow()),
+        operator_age: age(*context.operator_taken_in.borrow()),
         zones: context.zone_work.evacuated(),
         zones_evacuated: context.in_force.borrow().evacuations.count(),
-        back_ends_cold: context.directory.borrow().cold_count(BootInstant::now()),
+        back_ends_cold: directory.cold_count(BootInstant::now()),
         requests_held: context.quarantine.judgement().held().count(),
         lease_view_age: context.leases.borrow().age(BootInstant::now()),
         requests: callers.requests(),
--- a/crates/sloetrail-serving/src/owner/engines.rs
+++ b/crates/sloetrail-serving/src/owner/engines.rs
@@ -207,6 +207,19 @@
             .sum()
     }
 
+    /// True if the engines that can be used have so many places, free or not.
+    pub(super) fn has_places(&self, wanted: usize, now: BootInstant) -> bool {
+        let usable = self.engines.values().filter(|engine| engine.is_usable(now));
+        let mut places = 0;
+        for engine in usable {
+            if places >= wanted {
+                break;
+            }
+            places += engine.back_end.slots;
+        }
+        places >= wanted
+    }
+
     /// One engine.
     pub(super) fn get(&self, id: &EngineId) -> Option<&Engine> {
         self.engines.get(id)
--- a/crates/sloetrail-serving/src/owner/engines/tests/picking.rs
+++ b/crates/sloetrail-serving/src/owner/engines/tests/picking.rs
@@ -63,6 +63,17 @@
     );
 }
 
+/// An owner that holds a part of the engines wants more once these have too few places.
+#[test]
+fn places_at_engines_that_take_no_work_are_no_places() {
+    let mut pool = pool(4);
+    let now = BootInstant::now();
+    assert!(pool.has_places(32, now) && !pool.has_places(33, now));
+    pool.get_mut(&EngineId::new("e2")).expect("known").lost();
+    pool.take_directory(&directory(4, &[0]), &ServiceName::from("models"));
+    assert!(pool.has_places(16, now) && !pool.has_places(17, now));
+}
+
 #[test]
 fn a_place_that_is_kept_for_a_moved_item_is_not_given_to_another() {
     let mut pool = pool(1);
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -49,6 +49,11 @@
 /// Texts are not kept while the table is slower than this: results go first.
 const KEEP_TABLE_TIME: Duration = Duration::from_millis(100);
 
+/// Places at engines that an owner holds for each item that runs at a time. Half of a model's
+/// engines change their weights while its items run at the others. Where the directory is held
+/// whole there are no more to be had.
+const PLACES_FOR_ITEM: usize = 2;
+
 struct ActiveRun {
     engine: EngineId,
     cancel: CancellationToken,
@@ -375,6 +380,7 @@
 
     fn note_usage(&mut self) {
         let now_ms = self.context.table.now_ms().unwrap_or_default();
+        let mut at_a_time = 0;
         for model in self.models() {
             let open = self.batches.values();
             let of_model = open.filter(|open| open.batch.model.as_ref() == Some(&model));
@@ -387,9 +393,14 @@
                 items.all += of_batch.all;
                 items.at_a_time += of_batch.at_a_time;
             }
+            at_a_time += items.at_a_time;
             let places = self.engines.places_of(&model);
             self.usage.note(&model, items, places);
         }
+        let enough = at_a_time * PLACES_FOR_ITEM;
+        if !self.engines.has_places(enough, BootInstant::now()) {
+            self.context.directory_interest.want_more();
+        }
     }
 
     /// Finds out how many items of each batch are worth running at a time, and which decide
--- a/crates/sloetrail-serving/src/owner/service_owner/supply.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/supply.rs
@@ -108,6 +108,12 @@
         let Some((supply, bounds)) = self.engine_supply() else {
             return;
         };
+        // Numbers that are decided from a part of the engines are wrong, and the first of them
+        // stays.
+        if !self.context.directory.borrow().is_whole {
+            self.context.directory_interest.want_all();
+            return;
+        }
         let now = self.supply.now();
         let zones = self.zones_now(&bounds);
         self.note_supply_load(now, &zones);
--- a/crates/sloetrail-serving/src/owner/sweeper/tests.rs
+++ b/crates/sloetrail-serving/src/owner/sweeper/tests.rs
@@ -1,5 +1,6 @@
 use super::{BATCHES_A_ROUND, past_their_time};
 use crate::batch_rows::encode_header;
+use crate::directory_index::KeyRanges;
 use crate::follow::TableView;
 use crate::leases::BatchSet;
 use crate::rows;
@@ -43,6 +44,7 @@
         ((*id).to_owned(), row)
     });
     TableView {
+        ranges: KeyRanges::whole(),
         rows: rows.collect(),
         version: RowVersion(1),
         confirmed_at: None,
--- a/crates/sloetrail-serving/src/place_turns/tests.rs
+++ b/crates/sloetrail-serving/src/place_turns/tests.rs
@@ -22,7 +22,12 @@
         "callers_address": "127.0.0.1:1", "ready_address": "127.0.0.1:2",
     });
     let settings = ServingSettings::parse(settings.to_string().as_bytes(), 1).expect("sound");
-    ServicePools::new(&settings, None, Arc::new(ZoneWork::default()), 1)
+    ServicePools::new(
+        &settings,
+        (None, Arc::default()),
+        Arc::new(ZoneWork::default()),
+        1,
+    )
 }
 
 fn seeker(pools: &Arc<ServicePools>, priority: u8) -> PlaceSeeker {
--- a/crates/sloetrail-serving/src/quarantine/mod.rs
+++ b/crates/sloetrail-serving/src/quarantine/mod.rs
@@ -223,9 +223,13 @@
     }
 
     /// The versions of the software of the back ends of a service that take work; nothing if
-    /// one of them does not tell.
+    /// one of them does not tell, or if only a part of the directory is held: others may use
+    /// other software.
     fn software_in_use(&self, service: &ServiceName) -> Option<BTreeSet<String>> {
         let directory = self.directory.borrow();
+        if !directory.is_whole {
+            return None;
+        }
         let back_ends = directory.of_service(service);
         let back_ends = back_ends.filter(|back_end| !back_end.draining);
         back_ends
--- a/crates/sloetrail-serving/src/relay/peers/tests.rs
+++ b/crates/sloetrail-serving/src/relay/peers/tests.rs
@@ -1,4 +1,5 @@
 use super::{PeerState, Peers};
+use crate::directory_index::KeyRanges;
 use crate::follow::TableView;
 use crate::http::ConnectionPool;
 use crate::relay::probe::ProbeOutcome;
@@ -78,6 +79,7 @@
 
 fn peers() -> Peers {
     let (_, entries) = watch::channel(Arc::new(TableView {
+        ranges: KeyRanges::whole(),
         rows: BTreeMap::new(),
         version: RowVersion(0),
         confirmed_at: None,
--- a/crates/sloetrail-serving/src/rows.rs
+++ b/crates/sloetrail-serving/src/rows.rs
@@ -40,6 +40,9 @@
 /// The report of usage that was committed last.
 pub const USAGE_REPORTS: &str = "sloetrail_usage_reports";
 
+/// Which keys the directory of back ends has, in outline.
+pub const DIRECTORY_INDEX: &str = "sloetrail_directory_index";
+
 /// How many engines each service had before any were ordered.
 pub const ENGINE_FLOORS: &str = "sloetrail_engine_floors";
 
@@ -153,6 +156,11 @@
     format!("{:0WINDOW_DIGITS$}", window.0)
 }
 
+/// The index of the directory. Its partition is the table's own: any node may write it.
+pub fn directory_index() -> RowAddress {
+    RowAddress::new(DIRECTORY_INDEX, DIRECTORY_INDEX, "keys")
+}
+
 /// How many engines a service had before any were ordered.
 pub fn engine_floor(service: &ServiceName) -> RowAddress {
     RowAddress::new(ENGINE_FLOORS, OWNERS, service.as_str())
--- a/crates/sloetrail-serving/src/service_pools.rs
+++ b/crates/sloetrail-serving/src/service_pools.rs
@@ -5,6 +5,7 @@
 use self::state::{State, live_demand};
 use crate::back_end::BackEnd;
 use crate::directory::Directory;
+use crate::directory_interest::DirectoryInterest;
 use crate::gateway::place_wait::PlaceOutlook;
 use crate::leases::LeasedSets;
 use crate::operator::InForce;
@@ -31,6 +32,8 @@
 pub struct ServicePools {
     origin: BootInstant,
     zone_work: Arc<ZoneWork>,
+    /// Told when none of the back ends that are held has a place.
+    interest: Arc<DirectoryInterest>,
     state: Mutex<State>,
 }
 
@@ -38,13 +41,14 @@
     /// Pools of a node without back ends.
     pub(crate) fn new(
         settings: &ServingSettings,
-        peers: Option<Arc<Peers>>,
+        (peers, interest): (Option<Arc<Peers>>, Arc<DirectoryInterest>),
         zone_work: Arc<ZoneWork>,
         seed: u64,
     ) -> Arc<Self> {
         Arc::new(Self {
             origin: BootInstant::now(),
             zone_work,
+            interest,
             state: Mutex::new(State {
                 node: settings.node.clone(),
                 topology: settings.topology.clone(),
@@ -206,7 +210,11 @@
         } = &mut *state;
         let balancer = balancers.get_mut(service)?;
         let regions = &seeker.request().regions;
-        let id = balancer.choose(now, random, live_demand(excluded, regions))?;
+        let chosen = balancer.choose(now, random, live_demand(excluded, regions));
+        let Some(id) = chosen else {
+            self.interest.want_more();
+            return None;
+        };
         let back_end = directory.back_ends.get(&id).cloned();
         let Some(back_end) = back_end else {
             balancer.finish(now, &id, AttemptOutcome::Abandoned);
--- a/crates/sloetrail-serving/src/telemetry.rs
+++ b/crates/sloetrail-serving/src/telemetry.rs
@@ -179,6 +179,12 @@
     pub(crate) zones: Vec<(ZoneName, ZoneCounts)>,
     pub(crate) zones_evacuated: usize,
     pub(crate) back_ends_cold: usize,
+    /// Back ends that the node knows, and how many the directory lists as far as it can tell.
+    pub(crate) back_ends_held: usize,
+    pub(crate) back_ends_listed: usize,
+    /// When the questions were asked whose answers are in force.
+    pub(crate) directory_age: Option<Duration>,
+    pub(crate) operator_age: Option<Duration>,
     /// Requests that are kept from back ends.
     pub(crate) requests_held: usize,
     pub(crate) lease_view_age: Option<Duration>,
@@ -193,6 +199,14 @@
     gauge!("sloetrail_zones_evacuated").set(beliefs.zones_evacuated as f64);
     beliefs.zones.iter().for_each(evacuated_zone);
     gauge!("sloetrail_back_ends_cold").set(beliefs.back_ends_cold as f64);
+    gauge!("sloetrail_back_ends_held").set(beliefs.back_ends_held as f64);
+    gauge!("sloetrail_back_ends_listed").set(beliefs.back_ends_listed as f64);
+    if let Some(age) = beliefs.directory_age {
+        gauge!("sloetrail_directory_view_age_seconds").set(age.as_secs_f64());
+    }
+    if let Some(age) = beliefs.operator_age {
+        gauge!("sloetrail_operator_view_age_seconds").set(age.as_secs_f64());
+    }
     gauge!("sloetrail_requests_held").set(beliefs.requests_held as f64);
     gauge!("sloetrail_requests_in_flight").set(beliefs.requests as f64);
     gauge!("sloetrail_connections_open").set(beliefs.connections as f64);
