Batches are bounded in width only where places are plentiful

Cause: where a step's work fills its engines, a place that is left free on purpose is lost. Change: a model's batches are bounded, and their short items sent where connections rest, only while its open items would take half of its places at most.

--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -49,6 +49,10 @@
 /// Texts are not kept while the table is slower than this: results go first.
 const KEEP_TABLE_TIME: Duration = Duration::from_millis(100);
 
+/// A model's places are plentiful while its open items would take this part of them at most:
+/// half of its engines may be changing their weights.
+const PLENTIFUL_FACTOR: usize = 2;
+
 /// Places at engines that an owner holds for each item that runs at a time. Half of a model's
 /// engines change their weights while its items run at the others. Where the directory is held
 /// whole there are no more to be had.
@@ -404,13 +408,27 @@
     }
 
     /// Finds out how many items of each batch are worth running at a time, and which decide
-    /// when it is done.
+    /// when it is done. Where places are not plentiful, none is left free on purpose, and each
+    /// item goes to the fastest engine: it is work that ends a step there, not its longest text.
     fn look_ahead(&mut self) {
         if !self.context.settings.policies.bounded_batch_width {
             return;
         }
+        let mut items: BTreeMap<Option<String>, usize> = BTreeMap::new();
+        for open in self.batches.values() {
+            *items.entry(open.batch.model.clone()).or_default() += open.items().all;
+        }
+        let engines = &self.engines;
+        let is_plentiful = |(model, items): (&Option<String>, &usize)| {
+            let places = model.as_deref().map_or(0, |model| engines.places_of(model));
+            (model.clone(), items * PLENTIFUL_FACTOR <= places)
+        };
+        let plentiful: BTreeMap<Option<String>, bool> = items.iter().map(is_plentiful).collect();
         for open in self.batches.values_mut() {
-            open.look_ahead(&self.lengths);
+            match plentiful.get(&open.batch.model) {
+                Some(true) => open.look_ahead(&self.lengths),
+                Some(false) | None => open.outlook = BatchOutlook::default(),
+            }
         }
     }
 
--- a/crates/sloetrail-serving/src/owner/service_owner/batches.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/batches.rs
@@ -115,7 +115,7 @@
         };
         // The committer ends only with the term.
         let _ = self.commits.send(opened);
-        let mut open = OpenBatch {
+        let open = OpenBatch {
             batch,
             runs: HashMap::new(),
             outlook: BatchOutlook::default(),
@@ -125,10 +125,8 @@
             opened_age: Duration::from_millis(age_ms),
             stories: HashMap::new(),
         };
-        if self.context.settings.policies.bounded_batch_width {
-            open.look_ahead(&self.lengths);
-        }
         self.batches.insert(id, open);
+        self.look_ahead();
     }
 
     /// Goes on with texts that an ended batch left over, if their versions fit and
