--- a/crates/sloetrail-serving/tests/evacuation.rs
+++ b/crates/sloetrail-serving/tests/evacuation.rs
@@ -120,7 +120,9 @@
     const ITEMS: &str = "sloetrail_evacuation_running{zone=\"zone-a\",kind=\"items\"}";
     let mut cluster = native_cluster();
     let own = Zone::start(&mut cluster, OWN, Duration::from_millis(20)).await;
-    let free = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    // At an address of its own: the node binds its other ports, and opens connections, at
+    // 127.0.0.1, where the system may hand out a port again that was just given back.
+    let free = TcpListener::bind("127.0.0.2:0").expect("a free port");
     let metrics = free.local_addr().expect("an address");
     drop(free);
     cluster.metrics_address = Some(metrics);
--- a/crates/sloetrail-serving/tests/quarantine_under_failure.rs
+++ b/crates/sloetrail-serving/tests/quarantine_under_failure.rs
@@ -121,8 +121,10 @@
     }
 }
 
+/// At an address of its own: the node binds its other ports at 127.0.0.1, where the system may
+/// hand out a port again that was just given back.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let listener = TcpListener::bind("127.0.0.2:0").expect("a free port");
     listener.local_addr().expect("bound")
 }
 
