A view that has grown far beyond what is wanted is cut down to a part of the directory

Cause: the part of the directory was taken at the first read alone. Change: a view of twice as many rows as are wanted, and of 2,000 at least, keeps ranges by rendezvous hashing; a fiftieth of the nodes write the index of what they have seen, and again when it has doubled.

--- a/crates/sloetrail-serving/src/directory.rs
+++ b/crates/sloetrail-serving/src/directory.rs
@@ -207,7 +207,8 @@
         while view.changed().await.is_ok() && !sender.is_closed() {
             let table = view.borrow_and_update().clone();
             let current = sender.borrow().clone();
-            if table.version != current.version || table.ranges.is_whole() != current.is_whole {
+            let is_cut_down = table.rows.len() != current.rows.len();
+            if table.version != current.version || is_cut_down {
                 let next = current.updated(&table, &*dialect);
                 log_differences(&current, &next);
                 fleet.set_back_ends(next.rows_in_all);
--- a/crates/sloetrail-serving/src/directory_index.rs
+++ b/crates/sloetrail-serving/src/directory_index.rs
@@ -16,10 +16,8 @@
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
 
-/// Rows of a range. A node holds several, so that the loss of a few of them is not the loss
-/// of what lies side by side in the order of keys.
-const RANGE_ROWS: usize = 100;
-/// The most ranges: with 250 the row has some 4 KB, a sixteenth of what a table takes.
+/// The most ranges: with 250 the row has some 4 KB, a sixteenth of what a table takes, and a
+/// node of a directory of ten thousand rows holds fifteen of them.
 const RANGES_MOST: usize = 250;
 
 /// Where the ranges of a directory begin.
@@ -35,7 +33,7 @@
     /// The index of a directory with these keys, which rise.
     pub(crate) fn of_keys<'a>(keys: impl ExactSizeIterator<Item = &'a String>) -> Self {
         let rows = keys.len();
-        let range_rows = RANGE_ROWS.max(rows.div_ceil(RANGES_MOST));
+        let range_rows = rows.div_ceil(RANGES_MOST).max(1);
         let starts = keys.step_by(range_rows).skip(1);
         Self {
             rows,
@@ -131,6 +129,17 @@
         after > 0 && self.spans[after - 1].contains(key)
     }
 
+    /// As many of these ranges as hold so many rows, if they hold `held` together; a node
+    /// always leaves out the same ones.
+    pub(crate) fn cut_down(&self, node: &str, wanted: usize, held: usize) -> Self {
+        let per_range = held.div_ceil(self.spans.len().max(1)).max(1);
+        let mut spans = self.spans.clone();
+        spans.sort_by_key(|span| Reverse(rendezvous_weight(node, &span.from)));
+        spans.truncate(wanted.div_ceil(per_range));
+        spans.sort_by(|left, right| left.from.cmp(&right.from));
+        Self { spans, of: self.of }
+    }
+
     /// How many rows there are in all, if so many are held.
     pub(crate) fn rows_in_all(&self, held: usize) -> usize {
         match self.spans.is_empty() {
--- a/crates/sloetrail-serving/src/follow.rs
+++ b/crates/sloetrail-serving/src/follow.rs
@@ -25,9 +25,6 @@
 /// noticed that it stood still, and then does not count as asked since.
 const HURRIED_QUESTIONS: u32 = 2;
 
-/// How long a table that may be about to be filled is left alone.
-const FIRST_ROWS_PAUSE: Duration = Duration::from_millis(250);
-
 /// A table's rows as of one moment.
 #[derive(Clone, Debug)]
 pub struct TableView {
@@ -167,10 +164,15 @@
             self.pause().await;
             return false;
         };
-        if self.sender.borrow().rows.is_empty() && held.awaits_first_rows() {
-            tokio::time::sleep(FIRST_ROWS_PAUSE).await;
-            return true;
+        let view = Arc::clone(&self.sender.borrow());
+        if let Some(ranges) = held.fewer_ranges(&view) {
+            drop(view);
+            self.hold_only(ranges);
         }
+        let view = Arc::clone(&self.sender.borrow());
+        held.keep_index(&*self.table, &view).await;
+        // A view that is held while it changes is copied.
+        drop(view);
         tokio::select! {
             () = held.wants_more() => true,
             () = self.pause() => false,
@@ -240,6 +242,15 @@
         Ok(Progress::UpToDate)
     }
 
+    /// Leaves out what lies outside of some ranges.
+    fn hold_only(&self, ranges: KeyRanges) {
+        self.sender.send_modify(|current| {
+            let view = Arc::make_mut(current);
+            view.rows.retain(|key, _| ranges.contains(key));
+            view.ranges = ranges;
+        });
+    }
+
     fn publish(&self, asked_at: BootInstant, change: impl FnOnce(&mut TableView)) {
         self.sender.send_modify(|current| {
             let view = Arc::make_mut(current);
--- a/crates/sloetrail-serving/src/follow/held.rs
+++ b/crates/sloetrail-serving/src/follow/held.rs
@@ -3,6 +3,7 @@
 use crate::directory_index::{DirectoryIndex, KeyRanges};
 use crate::directory_interest::DirectoryInterest;
 use crate::events::{self, Event};
+use crate::follow::TableView;
 use crate::rows;
 use crate::table::{KeyRange, Page, ReadError, Row, Table, Transaction, read_row, scan_all};
 use sloetrail_clock::BootInstant;
@@ -20,9 +21,13 @@
 /// come over the table's link.
 const FIRST_READS_WITHIN: Duration = Duration::from_secs(4);
 
-/// How long after its start a node looks for the first back ends by reading, not by asking
-/// for changes: the answers to that hold every back end that is listed meanwhile.
-const FIRST_ROWS_WITHIN: Duration = Duration::from_secs(3);
+/// A view that has grown to so many times the rows that are wanted is cut down to these. Back
+/// ends that start after the nodes come as changes, which tell every node of all of them.
+const GROWN_FACTOR: usize = 2;
+
+/// The share of the nodes that write the index of a directory that has grown: some of them
+/// live, and few find that another one was sooner.
+const WRITERS_SHARE: f64 = 0.02;
 
 /// What is needed to read a part of a directory.
 pub(crate) struct HeldReading {
@@ -30,6 +35,9 @@
     interest: Arc<DirectoryInterest>,
     wanted: watch::Receiver<usize>,
     began: BootInstant,
+    /// The index of a directory that has grown since it was read.
+    own_index: Option<DirectoryIndex>,
+    is_index_written: bool,
 }
 
 /// What was read, and which part of the directory it is.
@@ -52,6 +60,8 @@
             wanted: interest.wanted(),
             interest,
             began: BootInstant::now(),
+            own_index: None,
+            is_index_written: false,
         }
     }
 
@@ -62,9 +72,47 @@
         }
     }
 
-    /// True if a directory without a row may only be one that is about to be filled.
-    pub(super) fn awaits_first_rows(&self) -> bool {
-        self.began.elapsed() < FIRST_ROWS_WITHIN
+    /// The ranges that are enough for a view that holds far more rows than are wanted.
+    pub(super) fn fewer_ranges(&mut self, view: &TableView) -> Option<KeyRanges> {
+        let wanted = *self.wanted.borrow();
+        let held = view.rows.len();
+        let most = match view.ranges.is_whole() {
+            true => wanted.max(PART_FROM),
+            false => wanted,
+        };
+        if held <= most.saturating_mul(GROWN_FACTOR) {
+            return None;
+        }
+        let ranges = match view.ranges.is_whole() {
+            true => {
+                let index = DirectoryIndex::of_keys(view.rows.keys());
+                let ranges = index.ranges_for(&self.node, wanted);
+                self.own_index = Some(index);
+                ranges
+            }
+            false => view.ranges.cut_down(&self.node, wanted, held),
+        };
+        self.interest.grant(wanted, ranges.is_whole());
+        Some(ranges)
+    }
+
+    /// Writes the index of a directory that has grown under this node's eyes, if it is one of
+    /// the nodes that do, and again whenever it is twice as large.
+    pub(super) async fn keep_index(&mut self, table: &dyn Table, view: &TableView) {
+        let is_writer = self.turn() < FIRST_READS_WITHIN.mul_f64(WRITERS_SHARE);
+        let Some(index) = self.own_index.as_mut().filter(|_| is_writer) else {
+            return;
+        };
+        let rows = view.ranges.rows_in_all(view.rows.len());
+        if self.is_index_written && !index.is_outdated(rows) {
+            return;
+        }
+        index.rows = rows;
+        // A table that cannot be read now is asked again when the directory has grown.
+        if let Ok(known) = read_index(table).await {
+            write(table, index, known.map(|(_, version)| version)).await;
+            self.is_index_written = true;
+        }
     }
 
     /// Reads as much of a directory as is wanted.
@@ -176,8 +224,11 @@
     }
     let keys: Vec<String> = listed.iter().map(|row| row.address.key.clone()).collect();
     let index = DirectoryIndex::of_keys(keys.iter());
+    write(table, &index, known.map(|(_, version)| version)).await;
+}
+
+async fn write(table: &dyn Table, index: &DirectoryIndex, version: Option<RowVersion>) {
     let address = rows::directory_index();
-    let version = known.map(|(_, version)| version);
     let transaction = Transaction::new()
         .require(address.clone(), version)
         .put(address, index.encode());
