Another part of an unchanged directory is passed on

Cause: whoever finds too few back ends in the part asks for more and looks again when the directory changes; a larger part without another row, at the same version, was no change, so that asking stopped (found by reading the diff). Change: the directory is told anew when its ranges differ. Test: directory, red before.

--- a/crates/sloetrail-serving/src/directory.rs
+++ b/crates/sloetrail-serving/src/directory.rs
@@ -2,6 +2,7 @@
 
 use crate::back_end::BackEnd;
 use crate::dialect::Dialect;
+use crate::directory_index::KeyRanges;
 use crate::ended_lives::{EndedLives, LifeEnd};
 use crate::events::{self, Event};
 use crate::follow::{FleetSize, TableView, TakenIn, ViewReceiver};
@@ -33,6 +34,8 @@
     pub version: RowVersion,
     /// True if no back end is left out that the table lists.
     pub(crate) is_whole: bool,
+    /// Which part of the directory it is; nothing before it was read.
+    ranges: Option<KeyRanges>,
     /// How many rows the table has, as far as the part that is held tells.
     pub(crate) rows_in_all: usize,
     /// Until when back ends are cold that said so.
@@ -88,6 +91,7 @@
         let mut next = Self {
             version: view.version,
             is_whole: view.ranges.is_whole(),
+            ranges: Some(view.ranges.clone()),
             rows_in_all: view.ranges.rows_in_all(view.rows.len()),
             ended: Arc::clone(&self.ended),
             ..Self::default()
@@ -207,8 +211,9 @@
         while view.changed().await.is_ok() && !sender.is_closed() {
             let table = view.borrow_and_update().clone();
             let current = sender.borrow().clone();
-            let is_cut_down = table.rows.len() != current.rows.len();
-            if table.version != current.version || is_cut_down {
+            // Who asked for more waits for the answer also if it brings no row.
+            let has_other_part = current.ranges.as_ref() != Some(&table.ranges);
+            if table.version != current.version || has_other_part {
                 let next = current.updated(&table, &*dialect);
                 log_differences(&current, &next);
                 fleet.set_back_ends(next.rows_in_all);
--- a/crates/sloetrail-serving/src/directory/tests.rs
+++ b/crates/sloetrail-serving/src/directory/tests.rs
@@ -1,14 +1,17 @@
 //! Until when back ends are cold, by their rows and by evacuations that were withdrawn.
 
-use super::Directory;
-use crate::follow::TableView;
+use super::{Directory, watch_directory};
+use crate::directory_index::{DirectoryIndex, KeyRanges};
+use crate::follow::{FleetSize, TableView};
 use crate::native_dialect::NativeDialect;
 use crate::operator::Evacuations;
 use crate::table::{Row, RowAddress};
 use serde_json::json;
 use sloetrail_clock::BootInstant;
 use sloetrail_types::{EngineId, RowVersion, ZoneName};
+use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::advance;
 
 const LASTS: Duration = Duration::from_secs(4);
@@ -195,3 +198,21 @@
     println!("a changed entry among {BACK_ENDS}: {each:?}");
     assert!(each < std::time::Duration::from_millis(20), "{each:?}");
 }
+
+/// Who asked for more of the directory looks again once it has come, also if it has no row.
+#[tokio::test(start_paused = true)]
+async fn another_part_of_an_unchanged_table_is_passed_on() {
+    let part =
+        DirectoryIndex::of_keys(["e1".to_owned(), "e2".to_owned()].iter()).ranges_for("n", 1);
+    assert!(!part.is_whole());
+    let view = |ranges: KeyRanges| Arc::new(TableView { ranges, ..empty(7) });
+    let (sender, receiver) = watch::channel(Arc::new(TableView::empty()));
+    let dialect = Arc::new(NativeDialect::default());
+    let (mut directory, _taken_in) = watch_directory(receiver, dialect, FleetSize::default());
+    for ranges in [part, KeyRanges::whole()] {
+        let is_whole = ranges.is_whole();
+        sender.send_replace(view(ranges));
+        directory.changed().await.expect("it is told");
+        assert_eq!(directory.borrow_and_update().is_whole, is_whole);
+    }
+}
