A retention beyond 64 bits of milliseconds stays long

All items of an accepted batch that ran longer than the margin of two seconds were listed as dead.

Cause: the header of a batch kept times as bare u64 and its readers added them.

Change: TimeSpan, a time from outside of at most ten years, held at the maximum when it is read or converted, and Timestamp, whose sums saturate. BatchHeader keeps both and alone computes when a batch is due and expires; the stored names and the unit stay, so rows are readable both ways, and a row of an earlier build with a huge number is read by the same rule. Counters have no successor beyond their last number.

Why ten years: sums of some of them with a time of the table's clock fit 64 bits of milliseconds, microseconds and nanoseconds.

--- a/crates/sloetrail-batch/src/header.rs
+++ b/crates/sloetrail-batch/src/header.rs
@@ -1,7 +1,9 @@
 //! The stored header of a batch.
 
 use serde::{Deserialize, Serialize};
-use sloetrail_types::{AllowedRegions, ServiceName, TenantName, Urgency, WeightVersion};
+use sloetrail_types::{
+    AllowedRegions, ServiceName, TenantName, TimeSpan, Timestamp, Urgency, WeightVersion, bounded,
+};
 
 const MAX_ID_BYTES: usize = 100;
 
@@ -14,20 +16,25 @@
     pub service: ServiceName,
     /// The `Host` header sent with each item.
     pub host: String,
+    #[serde(deserialize_with = "bounded::count")]
     pub total: usize,
     /// The number of rows that store the submission.
+    #[serde(deserialize_with = "bounded::count")]
     pub body_rows: usize,
-    /// The time of acceptance on the table's clock.
-    pub accepted_at_ms: u64,
+    /// The time of acceptance on the table's clock. Zero if unknown.
+    #[serde(rename = "accepted_at_ms")]
+    pub accepted_at: Timestamp,
     /// The number of failed runs after which an item is dead.
+    #[serde(deserialize_with = "bounded::count")]
     pub max_attempts: usize,
     /// The time after acceptance at which unfinished items expire.
-    pub retention_ms: u64,
+    #[serde(rename = "retention_ms")]
+    pub retention: TimeSpan,
     /// True if all tokens of a sample must come from one weight version.
     pub single_version: bool,
     /// The target time from acceptance to a complete batch. Zero if unknown.
-    #[serde(default)]
-    pub run_target_ms: u64,
+    #[serde(default, rename = "run_target_ms")]
+    pub run_target: TimeSpan,
     /// The priority of the route. Zero is the most urgent.
     #[serde(default)]
     pub priority: u8,
@@ -50,9 +57,19 @@
 
 impl BatchHeader {
     /// Returns the sort key among batches: the urgency, then the time of acceptance.
-    pub fn urgency(&self) -> (Urgency, u64) {
+    pub fn urgency(&self) -> (Urgency, Timestamp) {
         let urgency = Urgency::new(self.tenant_priority, self.priority);
-        (urgency, self.accepted_at_ms)
+        (urgency, self.accepted_at)
+    }
+
+    /// Returns when unfinished items expire, on the table's clock.
+    pub fn expires_at(&self) -> Timestamp {
+        self.accepted_at.after(self.retention.duration())
+    }
+
+    /// Returns when the batch should be complete, on the table's clock.
+    pub fn due_at(&self) -> Timestamp {
+        self.accepted_at.after(self.run_target.duration())
     }
 }
 
--- a/crates/sloetrail-batch/src/tests.rs
+++ b/crates/sloetrail-batch/src/tests.rs
@@ -3,7 +3,7 @@
     Submission, Transcript, TranscriptEvent, is_usable_id, join_checkpoints,
 };
 use serde_json::{Value, json};
-use sloetrail_types::{AllowedRegions, ServiceName, WeightVersion};
+use sloetrail_types::{AllowedRegions, ServiceName, TimeSpan, Timestamp, WeightVersion};
 use std::collections::BTreeSet;
 
 fn header(total: usize) -> BatchHeader {
@@ -12,11 +12,11 @@
         host: "a.example".to_owned(),
         total,
         body_rows: 1,
-        accepted_at_ms: 0,
+        accepted_at: Timestamp(0),
         max_attempts: 2,
-        retention_ms: 40_000,
+        retention: TimeSpan::from_millis(40_000),
         single_version: false,
-        run_target_ms: 7_500,
+        run_target: TimeSpan::from_millis(7_500),
         priority: 1,
         tenant: None,
         tenant_priority: None,
@@ -289,7 +289,7 @@
     let ranked = |tenant_priority, priority, accepted_at_ms| BatchHeader {
         tenant_priority,
         priority,
-        accepted_at_ms,
+        accepted_at: Timestamp(accepted_at_ms),
         ..header(1)
     };
     let urgent_tenant = ranked(Some(0), 3, 9);
@@ -315,3 +315,22 @@
     assert_eq!(read, header(3));
     assert!(read.allowed_regions.is_everywhere());
 }
+
+/// Rows of an earlier build may hold numbers that the configuration did not bound.
+#[test]
+fn stored_header_with_huge_numbers_is_read_within_their_ranges() {
+    let stored = json!({
+        "service": "models", "host": "a.example", "total": u64::MAX, "body_rows": 2,
+        "accepted_at_ms": 1_000, "max_attempts": u64::MAX, "retention_ms": u64::MAX,
+        "run_target_ms": u64::MAX, "single_version": false,
+    });
+    let header: BatchHeader = serde_json::from_value(stored).expect("a header");
+    assert_eq!(header.retention, TimeSpan::MAX);
+    assert_eq!((header.total, header.max_attempts), (1_000_000, 1_000_000));
+    let ten_years = TimeSpan::MAX.as_millis();
+    assert_eq!(header.expires_at(), Timestamp(1_000 + ten_years));
+    assert_eq!(header.due_at(), Timestamp(1_000 + ten_years));
+    let written = serde_json::to_value(&header).expect("encodes");
+    assert_eq!(written["retention_ms"], json!(ten_years));
+    assert_eq!(written["accepted_at_ms"], json!(1_000));
+}
--- a/crates/sloetrail-serving/src/gateway/result_wait.rs
+++ b/crates/sloetrail-serving/src/gateway/result_wait.rs
@@ -6,6 +6,7 @@
 
 use sloetrail_batch::{BatchHeader, ListedResult};
 use sloetrail_clock::BootInstant;
+use sloetrail_types::Timestamp;
 use std::time::Duration;
 
 const MAX_WAIT: Duration = Duration::from_millis(1_000);
@@ -32,9 +33,9 @@
         header: &BatchHeader,
         now_ms: Option<u64>,
     ) -> Self {
-        let due_at_ms = header.accepted_at_ms + header.run_target_ms;
-        let due_in_ms = now_ms.map_or(0, |now_ms| due_at_ms.saturating_sub(now_ms));
-        let due_in = Duration::from_millis(due_in_ms);
+        let due_in = now_ms.map_or(Duration::ZERO, |now_ms| {
+            header.due_at().since(Timestamp(now_ms))
+        });
         Self {
             started_at,
             wait: wait.min(MAX_WAIT),
--- a/crates/sloetrail-serving/src/gateway/result_wait/tests.rs
+++ b/crates/sloetrail-serving/src/gateway/result_wait/tests.rs
@@ -1,7 +1,7 @@
 use super::{MAX_PAGE_BYTES, MAX_WAIT, READ_INTERVAL, ResultWait};
 use sloetrail_batch::{BatchHeader, ListedResult};
 use sloetrail_clock::BootInstant;
-use sloetrail_types::{AllowedRegions, ServiceName, WeightVersion};
+use sloetrail_types::{AllowedRegions, ServiceName, TimeSpan, Timestamp, WeightVersion};
 use std::time::Duration;
 
 const ACCEPTED_AT_MS: u64 = 10_000;
@@ -14,11 +14,11 @@
         host: "a.example".to_owned(),
         total: 8,
         body_rows: 1,
-        accepted_at_ms: ACCEPTED_AT_MS,
+        accepted_at: Timestamp(ACCEPTED_AT_MS),
         max_attempts: 2,
-        retention_ms: 40_000,
+        retention: TimeSpan::from_millis(40_000),
         single_version: false,
-        run_target_ms: RUN_TARGET_MS,
+        run_target: TimeSpan::from_millis(RUN_TARGET_MS),
         priority: 1,
         tenant: None,
         tenant_priority: None,
--- a/crates/sloetrail-serving/src/gateway/submit.rs
+++ b/crates/sloetrail-serving/src/gateway/submit.rs
@@ -31,7 +31,7 @@
 use sloetrail_clock::BootInstant;
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_routing::{Route, ServingConfiguration, Tenant, WeightedService};
-use sloetrail_types::{AllowedRegions, ServiceName};
+use sloetrail_types::{AllowedRegions, ServiceName, Timestamp};
 use std::time::Duration;
 
 /// Maximum retry delay if the outage outlasts the wait. The retry waits for the table as well,
@@ -136,11 +136,11 @@
         host: route.host.clone(),
         total: items,
         body_rows: parts.len(),
-        accepted_at_ms: context.table.now_ms().unwrap_or_default(),
+        accepted_at: Timestamp(context.table.now_ms().unwrap_or_default()),
         max_attempts: route.max_attempts,
-        retention_ms: route.retention.as_millis() as u64,
+        retention: route.retention.into(),
         single_version: route.single_version,
-        run_target_ms: route.run_target.as_millis() as u64,
+        run_target: route.run_target.into(),
         priority: route.priority,
         tenant: call.tenant.map(|tenant| tenant.name.clone()),
         tenant_priority: call.tenant.and_then(|tenant| tenant.priority),
--- a/crates/sloetrail-serving/src/owner/batch_scheduler.rs
+++ b/crates/sloetrail-serving/src/owner/batch_scheduler.rs
@@ -6,13 +6,13 @@
 
 use sloetrail_balance::{TenantShares, WorkTenant};
 use sloetrail_batch::{BatchHeader, BatchId};
-use sloetrail_types::Urgency;
+use sloetrail_types::{Timestamp, Urgency};
 use std::collections::{BTreeMap, VecDeque};
 
 /// A batch that may have items to start, ordered by time of acceptance.
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 struct QueuedBatch {
-    accepted_at_ms: u64,
+    accepted_at: Timestamp,
     id: BatchId,
 }
 
@@ -33,11 +33,11 @@
     ) -> Self {
         let mut queues_by_urgency: BTreeMap<Urgency, UrgencyQueues> = BTreeMap::new();
         for (id, header) in batches {
-            let (urgency, accepted_at_ms) = header.urgency();
+            let (urgency, accepted_at) = header.urgency();
             let queues = queues_by_urgency.entry(urgency).or_default();
             let tenant_queue = queues.entry(header.tenant.clone()).or_default();
             let id = id.clone();
-            tenant_queue.push_back(QueuedBatch { accepted_at_ms, id });
+            tenant_queue.push_back(QueuedBatch { accepted_at, id });
         }
         for tenant_queue in queues_by_urgency
             .values_mut()
--- a/crates/sloetrail-serving/src/owner/batch_scheduler/tests.rs
+++ b/crates/sloetrail-serving/src/owner/batch_scheduler/tests.rs
@@ -1,7 +1,9 @@
 use super::BatchScheduler;
 use sloetrail_balance::TenantShares;
 use sloetrail_batch::{BatchHeader, BatchId};
-use sloetrail_types::{AllowedRegions, ServiceName, TenantName, WeightVersion};
+use sloetrail_types::{
+    AllowedRegions, ServiceName, TenantName, TimeSpan, Timestamp, WeightVersion,
+};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -11,11 +13,11 @@
         host: "a.example".to_owned(),
         total: 8,
         body_rows: 1,
-        accepted_at_ms,
+        accepted_at: Timestamp(accepted_at_ms),
         max_attempts: 1,
-        retention_ms: 0,
+        retention: TimeSpan::default(),
         single_version: false,
-        run_target_ms: 0,
+        run_target: TimeSpan::default(),
         priority,
         tenant: Some(TenantName::from(tenant)),
         tenant_priority: None,
--- a/crates/sloetrail-serving/src/owner/reward_queue.rs
+++ b/crates/sloetrail-serving/src/owner/reward_queue.rs
@@ -7,7 +7,7 @@
 
 use sloetrail_batch::{BatchId, ItemIndex};
 use sloetrail_clock::BootInstant;
-use sloetrail_types::{AllowedRegions, ServiceName, Urgency};
+use sloetrail_types::{AllowedRegions, ServiceName, Timestamp, Urgency};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -59,7 +59,7 @@
     /// False if the text's group is required.
     pub(super) is_optional: bool,
     /// Urgency of the batch, then its acceptance time.
-    pub(super) batch: (Urgency, u64),
+    pub(super) batch: (Urgency, Timestamp),
 }
 
 /// Outcome of an attempt, as far as the queue is concerned.
--- a/crates/sloetrail-serving/src/owner/reward_queue/tests.rs
+++ b/crates/sloetrail-serving/src/owner/reward_queue/tests.rs
@@ -1,6 +1,6 @@
 use super::{RETRY_DELAY, Rank, RewardQueue, ScoringOutcome, ScoringTarget, ScoringTask};
 use sloetrail_clock::BootInstant;
-use sloetrail_types::{AllowedRegions, ServiceName, Urgency};
+use sloetrail_types::{AllowedRegions, ServiceName, Timestamp, Urgency};
 use std::time::Duration;
 
 fn scoring_target(service: &str) -> ScoringTarget {
@@ -19,7 +19,7 @@
 ) -> ScoringTask {
     let rank = Rank {
         is_optional,
-        batch: (Urgency::new(None, 1), accepted),
+        batch: (Urgency::new(None, 1), Timestamp(accepted)),
     };
     ScoringTask::new(batch.into(), index, scoring_target(service), rank)
 }
--- a/crates/sloetrail-serving/src/owner/service_owner/batches.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/batches.rs
@@ -9,13 +9,14 @@
 use crate::owner::loading::{BatchOrigin, BatchToLoad, LoadedBatch, load};
 use sloetrail_batch::{Batch, BatchEstimate, BatchHeader, BatchId, DeathCause, ItemId, ItemIndex};
 use sloetrail_clock::BootInstant;
+use sloetrail_types::{Timestamp, whole_millis};
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
 
 /// Delay between the end of an item's retention and its expiry.
-const RETENTION_MARGIN_MS: u64 = 2_000;
+const RETENTION_MARGIN: Duration = Duration::from_secs(2);
 /// Leftover texts are discarded when a batch ends while there are more than this.
 const MAX_LEFTOVER_TEXTS: usize = 20_000;
 
@@ -94,14 +95,14 @@
             self.known_batches.remove(&id);
             return;
         };
-        let now_ms = self.context.table.now_ms().unwrap_or_default();
-        let age_ms = now_ms.saturating_sub(batch.header.accepted_at_ms);
+        let now = Timestamp(self.context.table.now_ms().unwrap_or_default());
+        let age = now.since(batch.header.accepted_at);
         events::emit(&Event::BatchOpened {
             batch: &id,
             items: batch.items().len(),
             listed,
             epoch: self.term.epoch.0,
-            age_ms,
+            age_ms: whole_millis(age),
             regions: &self.set.regions().to_string(),
         });
         let is_scarce = self.usage.is_scarce(batch.model.as_deref());
@@ -122,7 +123,7 @@
             checkpointed_events,
             cancel: CancellationToken::new(),
             opened_at: BootInstant::now(),
-            age_at_open: Duration::from_millis(age_ms),
+            age_at_open: age,
             timelines: HashMap::new(),
         };
         self.batches.insert(id, open);
@@ -175,13 +176,13 @@
     }
 
     pub(super) fn expire_items(&mut self) {
-        let Some(now_ms) = self.context.table.now_ms() else {
+        let Some(now) = self.context.table.now_ms().map(Timestamp) else {
             return;
         };
         let is_expired = |open: &OpenBatch| {
             let header = &open.batch.header;
-            let retained_until = header.accepted_at_ms + header.retention_ms + RETENTION_MARGIN_MS;
-            header.accepted_at_ms > 0 && now_ms > retained_until
+            let is_known = header.accepted_at > Timestamp::default();
+            is_known && now > header.expires_at().after(RETENTION_MARGIN)
         };
         let expired: Vec<BatchId> = self
             .batches
--- a/crates/sloetrail-serving/src/owner/service_owner/other_batches.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/other_batches.rs
@@ -4,7 +4,7 @@
 //! reading their items.
 
 use sloetrail_batch::{BatchHeader, BatchId};
-use sloetrail_types::WeightVersion;
+use sloetrail_types::{Timestamp, WeightVersion};
 use std::collections::BTreeMap;
 
 #[derive(Default)]
@@ -48,16 +48,13 @@
     }
 }
 
+/// True if the batch may have running or waiting items.
 fn may_be_active(header: &BatchHeader, now_ms: u64) -> bool {
-    now_ms < header.accepted_at_ms + active_for_ms(header)
-}
-
-/// How long after its acceptance a batch may have running or waiting items.
-fn active_for_ms(header: &BatchHeader) -> u64 {
-    match header.run_target_ms {
-        0 => header.retention_ms,
-        target => target,
-    }
+    let active_until = match header.run_target.is_zero() {
+        true => header.expires_at(),
+        false => header.due_at(),
+    };
+    Timestamp(now_ms) < active_until
 }
 
 #[cfg(test)]
--- a/crates/sloetrail-serving/src/owner/service_owner/other_batches/tests.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/other_batches/tests.rs
@@ -1,6 +1,8 @@
 use super::OtherBatches;
 use sloetrail_batch::BatchHeader;
-use sloetrail_types::{AllowedRegions, RegionName, ServiceName, WeightVersion};
+use sloetrail_types::{
+    AllowedRegions, RegionName, ServiceName, TimeSpan, Timestamp, WeightVersion,
+};
 
 fn head(model: &str, oldest_version: u64, run_target_ms: u64) -> BatchHeader {
     BatchHeader {
@@ -8,11 +10,11 @@
         host: "a.example".to_owned(),
         total: 8,
         body_rows: 1,
-        accepted_at_ms: 1_000,
+        accepted_at: Timestamp(1_000),
         max_attempts: 1,
-        retention_ms: 30_000,
+        retention: TimeSpan::from_millis(30_000),
         single_version: false,
-        run_target_ms,
+        run_target: TimeSpan::from_millis(run_target_ms),
         priority: 5,
         tenant: None,
         tenant_priority: None,
--- a/crates/sloetrail-serving/src/owner/service_owner/supply.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/supply.rs
@@ -40,7 +40,7 @@
     /// Slot demand of region-bound batches, as reported by their owners.
     received: ReceivedDemands,
     /// By model, when its last batch was accepted, by the table's clock.
-    accepted_at_ms: BTreeMap<String, u64>,
+    accepted_at: BTreeMap<String, Timestamp>,
     baseline: EngineBaseline,
     /// Orders that wait for an open order window.
     planned: Vec<SupplyOrder>,
@@ -53,7 +53,7 @@
             origin: BootInstant::now(),
             scaler: FleetScaler::default(),
             received: ReceivedDemands::default(),
-            accepted_at_ms: BTreeMap::new(),
+            accepted_at: BTreeMap::new(),
             baseline: EngineBaseline::Unknown(BootInstant::now()),
             planned: Vec::new(),
             is_ordering: false,
@@ -67,11 +67,11 @@
     }
 
     pub(super) fn record_batch(&mut self, model: &str, header: &BatchHeader) {
-        let accepted_at_ms = header.accepted_at_ms;
-        let before = self.accepted_at_ms.insert(model.to_owned(), accepted_at_ms);
+        let accepted_at = header.accepted_at;
+        let before = self.accepted_at.insert(model.to_owned(), accepted_at);
         let since_previous = before
-            .and_then(|before| accepted_at_ms.checked_sub(before))
-            .map(Duration::from_millis);
+            .filter(|before| *before <= accepted_at)
+            .map(|before| accepted_at.since(before));
         self.scaler.record_batch(self.now(), since_previous);
     }
 }
@@ -79,10 +79,10 @@
 impl ServiceOwner {
     /// Records the time that a batch took until its required groups were complete.
     pub(super) fn record_step(&mut self, header: &BatchHeader, age: Duration) {
-        if header.run_target_ms == 0 || self.scaling_bounds().is_none() {
+        if header.run_target.is_zero() || self.scaling_bounds().is_none() {
             return;
         }
-        let share = age.as_millis() as f64 / header.run_target_ms as f64;
+        let share = age.as_millis() as f64 / header.run_target.as_millis() as f64;
         match self.set.controls_engine_count() {
             true => self.supply.scaler.record_step(self.supply.now(), share),
             false => self.demand.record_step(share),
@@ -136,7 +136,7 @@
         let received = &self.supply.received;
         let works = received.bound_work(now_ms);
         let is_unreported = |header: &BatchHeader| {
-            !received.covers(&header.allowed_regions, header.accepted_at_ms, now_ms)
+            !received.covers(&header.allowed_regions, header.accepted_at.0, now_ms)
         };
         let is_complete = is_answering && !self.other_batches.any_active(now_ms, is_unreported);
         let running = self.batches.values().map(|open| open.runs.len()).sum();
@@ -163,7 +163,7 @@
         let engines = engines.filter(|(_, engine)| !engine.back_end.draining);
         let engines = engines.count();
         // Before the first batch, engines may still be starting.
-        let is_in_use = engines > 0 && !self.supply.accepted_at_ms.is_empty();
+        let is_in_use = engines > 0 && !self.supply.accepted_at.is_empty();
         match self.supply.baseline {
             EngineBaseline::Known(baseline) => return Some(baseline),
             EngineBaseline::Unknown(from) if is_in_use && BootInstant::now() >= from => {}
--- a/crates/sloetrail-serving/src/owner/sweeper.rs
+++ b/crates/sloetrail-serving/src/owner/sweeper.rs
@@ -10,10 +10,12 @@
 use crate::rows;
 use crate::table::{Commit, KeyRange, RowAddress, Transaction, scan_all};
 use sloetrail_batch::BatchId;
+use sloetrail_types::Timestamp;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Rows are kept this much longer than the promised retention.
-const RETENTION_MARGIN_MS: u64 = 60_000;
+const RETENTION_MARGIN: Duration = Duration::from_secs(60);
 const MAX_BATCHES_PER_SWEEP: usize = 8;
 
 /// Deletes up to `MAX_BATCHES_PER_SWEEP` expired batches of a set.
@@ -23,31 +25,31 @@
     term: Term,
     batches: Arc<TableView>,
 ) {
-    let Some(now_ms) = context.table.now_ms() else {
+    let Some(now) = context.table.now_ms().map(Timestamp) else {
         return;
     };
-    let min_retention_ms =
-        context.settings.bounds.batch_status.as_millis() as u64 + RETENTION_MARGIN_MS;
-    for id in expired_batches(&batches, &set, now_ms, min_retention_ms) {
+    let min_retention = context.settings.bounds.batch_status + RETENTION_MARGIN;
+    for id in expired_batches(&batches, &set, now, min_retention) {
         if !delete(&context, &term, id).await {
             return;
         }
     }
 }
 
-/// Up to `MAX_BATCHES_PER_SWEEP` batches of a set whose age exceeds both `min_retention_ms` and
-/// their own retention.
+/// Up to `MAX_BATCHES_PER_SWEEP` batches of a set whose age exceeds both `min_retention` and their
+/// own retention with its margin.
 fn expired_batches<'a>(
     batches: &'a TableView,
     set: &BatchSet,
-    now_ms: u64,
-    min_retention_ms: u64,
+    now: Timestamp,
+    min_retention: Duration,
 ) -> Vec<&'a BatchId> {
     let rows = batches.rows.iter();
     let expired = rows.filter(|(_, row)| {
         decode_header(&row.value).is_some_and(|header| {
-            let retention_ms = min_retention_ms.max(header.retention_ms + RETENTION_MARGIN_MS);
-            set.holds(&header) && now_ms > header.accepted_at_ms + retention_ms
+            let own_retention = header.retention.duration() + RETENTION_MARGIN;
+            let retained_until = header.accepted_at.after(own_retention.max(min_retention));
+            set.holds(&header) && now > retained_until
         })
     });
     let ids = expired.map(|(id, _)| id);
--- a/crates/sloetrail-serving/src/owner/sweeper/tests.rs
+++ b/crates/sloetrail-serving/src/owner/sweeper/tests.rs
@@ -6,9 +6,13 @@
 use crate::rows;
 use crate::table::Row;
 use sloetrail_batch::BatchHeader;
-use sloetrail_types::{AllowedRegions, RegionName, RowVersion, ServiceName, WeightVersion};
+use sloetrail_types::{
+    AllowedRegions, RegionName, RowVersion, ServiceName, TimeSpan, Timestamp, WeightVersion,
+    whole_millis,
+};
+use std::time::Duration;
 
-const MIN_RETENTION_MS: u64 = 10_000;
+const MIN_RETENTION: Duration = Duration::from_secs(10);
 
 fn north() -> AllowedRegions {
     AllowedRegions::only([RegionName::from("north")])
@@ -20,11 +24,11 @@
         host: "a.example".to_owned(),
         total: 8,
         body_rows: 1,
-        accepted_at_ms: 1_000,
+        accepted_at: Timestamp(1_000),
         max_attempts: 1,
-        retention_ms: 0,
+        retention: TimeSpan::default(),
         single_version: false,
-        run_target_ms: 0,
+        run_target: TimeSpan::default(),
         priority: 5,
         tenant: None,
         tenant_priority: None,
@@ -62,7 +66,7 @@
     ]);
     let swept = |regions: AllowedRegions, now_ms: u64| {
         let set = BatchSet::new(ServiceName::from("models"), regions);
-        let ids = expired_batches(&batches, &set, now_ms, MIN_RETENTION_MS);
+        let ids = expired_batches(&batches, &set, Timestamp(now_ms), MIN_RETENTION);
         ids.into_iter().cloned().collect::<Vec<String>>()
     };
     // Batches are retained for an additional minute.
@@ -70,7 +74,7 @@
     assert_eq!(swept(AllowedRegions::everywhere(), expired_at_ms), ["free"]);
     assert_eq!(swept(north(), expired_at_ms), ["bound"]);
     assert!(
-        swept(north(), 1_000 + MIN_RETENTION_MS).is_empty(),
+        swept(north(), 1_000 + whole_millis(MIN_RETENTION)).is_empty(),
         "not yet"
     );
 }
@@ -85,6 +89,6 @@
         .map(|id| (id.as_str(), header("models", north())));
     let batches = view(&headers.collect::<Vec<_>>());
     let set = BatchSet::new(ServiceName::from("models"), north());
-    let swept = expired_batches(&batches, &set, u64::MAX, MIN_RETENTION_MS);
+    let swept = expired_batches(&batches, &set, Timestamp(u64::MAX), MIN_RETENTION);
     assert_eq!(swept.len(), MAX_BATCHES_PER_SWEEP);
 }
--- /dev/null
+++ b/crates/sloetrail-serving/tests/edge_numbers.rs
@@ -0,0 +1,60 @@
+//! Numbers at the edges of their types, from the configuration, callers, trainers and back ends:
+//! a large number stays large and stops no part of a node.
+
+mod support;
+
+use serde_json::{Value, json};
+use sloetrail_serving_testkit::cluster::{Cluster, eventually, usual_routes};
+use std::time::Duration;
+use support::{live, submit_items, usual_cluster};
+
+const EVENT_INTERVAL: Duration = Duration::from_millis(5);
+/// Events of an item that takes longer than expired items are still run.
+const LONG_ITEM_EVENTS: u64 = 600;
+
+/// Applies the usual routes with one field of the rollout route replaced, and waits until all
+/// nodes have it. A new route tells that the configuration is in force.
+async fn configure_rollout(cluster: &mut Cluster, field: &str, value: Value) {
+    let mut routes = usual_routes();
+    routes[3][field] = value;
+    let list = routes.as_array_mut().expect("a list");
+    let mut probe = list[0].clone();
+    probe["name"] = json!("probe");
+    probe["path_prefix"] = json!("/probe/");
+    list.push(probe);
+    cluster.configure(routes);
+    for node in [0, 1] {
+        let is_in_force = || async {
+            let answer = live(cluster, node, "/probe/x", "r").await?;
+            (answer.status == 200).then_some(())
+        };
+        eventually("the configuration is in force", is_in_force).await;
+    }
+}
+
+fn assert_all_succeeded(results: &[Value], count: usize) {
+    assert_eq!(results.len(), count);
+    for result in results {
+        assert_eq!(result["state"], "succeeded", "{result}");
+    }
+}
+
+/// Guards against a retention whose milliseconds wrap around: accepted items were listed as dead.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_outlive_the_shortest_retention_if_it_is_configured_huge() {
+    let mut cluster = usual_cluster(EVENT_INTERVAL).await;
+    // In 64 bits, its milliseconds wrap around to 384.
+    configure_rollout(&mut cluster, "retain_s", json!(1.844_674_407_370_955e16)).await;
+    submit_items(&cluster, 0, "b1", 6, LONG_ITEM_EVENTS).await;
+    assert_all_succeeded(&cluster.wait_results(1, "b1", 6).await, 6);
+}
+
+/// Guards against a target whose sum with the time of acceptance overflows: readers waited for
+/// no result, or the owner's task ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn batch_with_a_huge_run_target_is_run_and_read() {
+    let mut cluster = usual_cluster(EVENT_INTERVAL).await;
+    configure_rollout(&mut cluster, "run_target_ms", json!(u64::MAX)).await;
+    submit_items(&cluster, 0, "b1", 6, 20).await;
+    assert_all_succeeded(&cluster.wait_results(1, "b1", 6).await, 6);
+}
--- a/crates/sloetrail-types/src/counters.rs
+++ b/crates/sloetrail-types/src/counters.rs
@@ -13,9 +13,10 @@
         pub struct $name(pub u64);
 
         impl $name {
+            /// Returns the next number, or the last one if there is no next.
             #[must_use]
             pub fn next(self) -> Self {
-                Self(self.0 + 1)
+                Self(self.0.saturating_add(1))
             }
         }
 
--- a/crates/sloetrail-types/src/lib.rs
+++ b/crates/sloetrail-types/src/lib.rs
@@ -3,6 +3,7 @@
 //! Names are newtypes over opaque strings and counters are newtypes over `u64`,
 //! so that a weight version cannot be passed as a configuration revision.
 
+pub mod bounded;
 mod counters;
 mod digest;
 mod names;
@@ -19,7 +20,7 @@
 };
 pub use regions::{AllowedRegions, Distance, Topology};
 pub use segment::{Segment, oldest_version, segments_cover};
-pub use time::Timestamp;
+pub use time::{TimeSpan, Timestamp, whole_millis};
 pub use urgency::Urgency;
 
 #[cfg(test)]
--- a/crates/sloetrail-types/src/tests.rs
+++ b/crates/sloetrail-types/src/tests.rs
@@ -1,4 +1,6 @@
-use crate::{EngineId, Segment, Timestamp, WeightVersion, oldest_version, segments_cover};
+use crate::{
+    EngineId, Segment, TimeSpan, Timestamp, WeightVersion, bounded, oldest_version, segments_cover,
+};
 use std::time::Duration;
 
 fn segment(version: u64, first_token: u32, last_token: u32) -> Segment {
@@ -42,3 +44,54 @@
     assert_ne!(expected, digest_of_parts(&[b"abc"]));
     assert_ne!(expected, digest_of_parts(&[b"ab", b"c", b""]));
 }
+
+#[test]
+fn time_spans_are_held_at_their_maximum() {
+    assert_eq!(TimeSpan::new(Duration::MAX), TimeSpan::MAX);
+    assert_eq!(TimeSpan::from_millis(u64::MAX), TimeSpan::MAX);
+    for seconds in [1.844_674_407_370_955e16, 1e226, f64::MAX, f64::INFINITY] {
+        assert_eq!(TimeSpan::from_secs_f64(seconds), Some(TimeSpan::MAX));
+    }
+    assert_eq!(TimeSpan::from_secs_f64(-0.5), None);
+    assert_eq!(TimeSpan::from_secs_f64(f64::NAN), None);
+    let short = TimeSpan::from_secs_f64(1.5).expect("a time");
+    assert_eq!(short.duration(), Duration::from_millis(1_500));
+}
+
+#[test]
+fn stored_time_spans_are_whole_milliseconds_and_bounded() {
+    let stored = serde_json::to_string(&TimeSpan::from_millis(40_000)).expect("encodes");
+    assert_eq!(stored, "40000");
+    let read: TimeSpan = serde_json::from_str("18446744073709551615").expect("a number");
+    assert_eq!(read, TimeSpan::MAX);
+}
+
+#[test]
+fn sums_of_timestamps_and_durations_saturate() {
+    let latest = Timestamp(u64::MAX);
+    assert_eq!(latest.after(TimeSpan::MAX.duration()), latest);
+    assert_eq!(Timestamp(5).after(Duration::MAX), latest);
+    assert_eq!(Timestamp(5).before(Duration::MAX), Timestamp(0));
+    assert_eq!(
+        Timestamp(5_000).before(Duration::from_secs(2)),
+        Timestamp(3_000)
+    );
+}
+
+#[test]
+fn counts_and_lengths_are_held_at_their_maximum() {
+    #[derive(serde::Deserialize)]
+    struct Message {
+        #[serde(deserialize_with = "bounded::count")]
+        count: usize,
+        #[serde(deserialize_with = "bounded::length")]
+        length: u64,
+    }
+    let huge = r#"{"count": 18446744073709551615, "length": 18446744073709551615}"#;
+    let message: Message = serde_json::from_str(huge).expect("numbers");
+    assert_eq!(
+        (message.count, message.length),
+        (bounded::MAX_COUNT, bounded::MAX_LENGTH)
+    );
+    assert!(serde_json::from_str::<Message>(r#"{"count": -1, "length": 1}"#).is_err());
+}
