Numbers of a configuration are held in their ranges and reported

What callers and operators saw: a row with a route's retain_s of 1.8e19 or 1e226 panicked in ServingConfiguration::parse (Duration::from_secs_f64) and ended the task that applies the operator's rows, at every node at once. The nodes went on with what they had and never applied a later configuration, version or evacuation; a node that started found no configuration. No log line, no metric. Short of that, cold_s, boot_s and the like became zero.

Cause: the numbers of the raw form were converted field by field, each with a rule of its own: panic, wrap, zero, default.

Change: one rule, in sloetrail_types::bounded: a number above its maximum is held at the maximum. It is weighed against rejecting: the platform has accepted the row by then, one number would keep all its routes and tenants out of force, and what an operator means by a huge number is "as long as possible". Integers beyond 64 bits are numbers too. What was lenient for negative seconds, rates and prices stays so (they count as absent), what was refused for negative or broken integers stays refused. Settings follow the same rule. The operator is told: configuration_number_held with field, given and used value, a gauge of such numbers in force, a counter of refused configurations, and a refusal that names the path of the field in place of line and column alone.

The validation moves to a module of its own; configuration.rs keeps types and queries.

--- a/crates/sloetrail-routing/src/configuration.rs
+++ b/crates/sloetrail-routing/src/configuration.rs
@@ -1,27 +1,15 @@
 //! Validated serving configuration.
 
-use crate::error::{InvalidPrefixSnafu, InvalidWeightsSnafu, NoServiceSnafu, UnknownKindSnafu};
-use crate::raw::{RawConfiguration, RawLimits, RawRoute, RawScaling, RawService};
+use crate::raw::{RawConfiguration, RawLimits};
+use crate::validation::Validation;
 use crate::{ConfigurationError, RouteTable, Tenant, Tenants};
 use sloetrail_scaling::ScalingBounds;
-use sloetrail_types::{AllowedRegions, RegionName, Revision, ServiceName, Urgency, ZoneName};
-use snafu::ensure;
+use sloetrail_types::bounded::HeldNumber;
+use sloetrail_types::{AllowedRegions, Revision, ServiceName, Urgency};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
-const DEFAULT_LATENCY_TARGET: Duration = Duration::from_millis(500);
-const DEFAULT_RUN_TARGET: Duration = Duration::from_secs(60);
-const DEFAULT_RETENTION: Duration = Duration::from_secs(600);
-const DEFAULT_PRIORITY: u8 = 5;
-const DEFAULT_SLOTS: usize = 8;
-const DEFAULT_MAX_CONNECTIONS: usize = 100;
-const DEFAULT_MAX_HEADER_BYTES: usize = 16 * 1024;
-const DEFAULT_MAX_BODY_BYTES: usize = 32 * 1024 * 1024;
-const DEFAULT_HEADER_TIMEOUT: Duration = Duration::from_secs(3);
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-
 pub type RouteName = String;
 
 /// How the requests of a route may be run and answered.
@@ -123,20 +111,7 @@
 
 impl Default for RequestLimits {
     fn default() -> Self {
-        Self::from(RawLimits::default())
-    }
-}
-
-impl From<RawLimits> for RequestLimits {
-    fn from(raw: RawLimits) -> Self {
-        let milliseconds =
-            |value: Option<u64>, default: Duration| value.map_or(default, Duration::from_millis);
-        Self {
-            header_bytes: raw.max_header_bytes.unwrap_or(DEFAULT_MAX_HEADER_BYTES),
-            body_bytes: raw.max_body_bytes.unwrap_or(DEFAULT_MAX_BODY_BYTES),
-            header_timeout: milliseconds(raw.header_timeout_ms, DEFAULT_HEADER_TIMEOUT),
-            idle_timeout: milliseconds(raw.idle_timeout_ms, DEFAULT_IDLE_TIMEOUT),
-        }
+        Validation::default().limits(RawLimits::default())
     }
 }
 
@@ -150,6 +125,8 @@
     pub limits: RequestLimits,
     /// None if callers need no key.
     pub tenants: Option<Tenants>,
+    /// Numbers that were outside their ranges and are not used as written.
+    pub held_numbers: Vec<HeldNumber>,
 }
 
 impl ServingConfiguration {
@@ -169,28 +146,44 @@
     }
 
     /// Parses and validates the JSON form.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the JSON is malformed, a field has the wrong type, or a route or a
+    /// tenant is invalid. Numbers above their maximum are held at it, see
+    /// [`Self::held_numbers`].
     pub fn parse(json: &[u8]) -> Result<Self, ConfigurationError> {
-        let raw: RawConfiguration =
-            serde_json::from_slice(json).map_err(|error| ConfigurationError::unreadable(&error))?;
+        let mut deserializer = serde_json::Deserializer::from_slice(json);
+        let raw = serde_path_to_error::deserialize(&mut deserializer)
+            .map_err(|error| ConfigurationError::unreadable(&error))?;
+        deserializer
+            .end()
+            .map_err(|error| ConfigurationError::malformed(&error))?;
         Self::check(raw)
     }
 
-    /// Validates a parsed configuration.
+    /// Validates a parsed configuration, see [`Self::parse`].
     pub fn check(raw: RawConfiguration) -> Result<Self, ConfigurationError> {
+        let mut validation = Validation::default();
         let routes: Result<Vec<Arc<Route>>, ConfigurationError> = raw
             .routes
             .into_iter()
-            .map(|route| Route::check(route).map(Arc::new))
+            .map(|route| validation.route(route).map(Arc::new))
             .collect();
-        let services = raw.services.into_iter().map(ServingService::from);
+        let routes = RouteTable::new(routes?);
+        let services = raw.services.into_iter();
+        let services = services.map(|service| validation.service(service));
+        let services = services.map(|service| (service.name.clone(), service));
+        let services = services.collect();
+        let limits = validation.limits(raw.limits);
+        let tenants = raw.tenants.map(|tenants| validation.tenants(tenants));
         Ok(Self {
             revision: Revision(raw.version),
-            routes: RouteTable::new(routes?),
-            services: services
-                .map(|service| (service.name.clone(), service))
-                .collect(),
-            limits: RequestLimits::from(raw.limits),
-            tenants: raw.tenants.map(Tenants::check).transpose()?,
+            routes,
+            services,
+            limits,
+            tenants: tenants.transpose()?,
+            held_numbers: validation.into_held_numbers(),
         })
     }
 
@@ -286,126 +279,4 @@
     pub fn takes_reward_calls(&self) -> bool {
         matches!(self.kind, RouteKind::Idempotent | RouteKind::NonIdempotent)
     }
-
-    fn check(raw: RawRoute) -> Result<Self, ConfigurationError> {
-        let route = match raw.name.is_empty() {
-            true => format!("{}{}", raw.host, raw.path_prefix),
-            false => raw.name.clone(),
-        };
-        let prefix = &raw.path_prefix;
-        ensure!(
-            prefix.starts_with('/') && prefix.ends_with('/'),
-            InvalidPrefixSnafu { route, prefix }
-        );
-        let kind = parse_kind(&route, &raw.kind)?;
-        let services = weighted_services(&route, &raw)?;
-        let milliseconds =
-            |value: Option<u64>, default: Duration| value.map_or(default, Duration::from_millis);
-        Ok(Self {
-            name: route,
-            host: raw.host.to_ascii_lowercase(),
-            path_prefix: raw.path_prefix,
-            kind,
-            timeout: milliseconds(raw.timeout_ms, DEFAULT_TIMEOUT),
-            latency_target: milliseconds(raw.target_latency_ms, DEFAULT_LATENCY_TARGET),
-            priority: raw.priority.unwrap_or(DEFAULT_PRIORITY),
-            services,
-            max_attempts: raw.max_attempts.unwrap_or(1).max(1),
-            resumable: raw.resumable,
-            single_version: raw.single_version,
-            run_target: milliseconds(raw.run_target_ms, DEFAULT_RUN_TARGET),
-            retention: raw
-                .retain_s
-                .filter(|seconds| seconds.is_finite() && *seconds >= 0.0)
-                .map_or(DEFAULT_RETENTION, Duration::from_secs_f64),
-            is_public: raw.public,
-            allowed_regions: parse_allowed_regions(raw.allowed_regions),
-        })
-    }
-}
-
-fn parse_kind(route: &str, kind: &str) -> Result<RouteKind, ConfigurationError> {
-    match kind {
-        "idempotent" => Ok(RouteKind::Idempotent),
-        "non_idempotent" => Ok(RouteKind::NonIdempotent),
-        "stream" => Ok(RouteKind::Stream),
-        "rollout" => Ok(RouteKind::Rollout),
-        kind => UnknownKindSnafu { route, kind }.fail(),
-    }
-}
-
-fn weighted_services(
-    route: &str,
-    raw: &RawRoute,
-) -> Result<Vec<WeightedService>, ConfigurationError> {
-    if let Some(parts) = raw
-        .weighted_backends
-        .as_ref()
-        .filter(|parts| !parts.is_empty())
-    {
-        let valid = parts
-            .iter()
-            .all(|part| part.weight.is_finite() && part.weight >= 0.0);
-        let total: f64 = parts.iter().map(|part| part.weight).sum();
-        ensure!(valid && total > 0.0, InvalidWeightsSnafu { route });
-        let weighted = parts.iter().map(|part| WeightedService {
-            service: ServiceName::new(part.service.clone()),
-            weight: part.weight,
-        });
-        return Ok(weighted.collect());
-    }
-    let Some(service) = &raw.service else {
-        return NoServiceSnafu { route }.fail();
-    };
-    Ok(vec![WeightedService {
-        service: ServiceName::new(service.clone()),
-        weight: 1.0,
-    }])
-}
-
-impl From<RawService> for ServingService {
-    fn from(raw: RawService) -> Self {
-        let model = raw.engine.map(|engine| ModelService {
-            slots: engine.slots.unwrap_or(DEFAULT_SLOTS).max(1),
-            models: engine.models.into_iter().map(|model| model.name).collect(),
-        });
-        Self {
-            name: ServiceName::new(raw.name),
-            max_connections: raw.max_conns.unwrap_or(DEFAULT_MAX_CONNECTIONS),
-            model,
-            scaling: raw.scaling.map(scaling_bounds),
-            cold: cold_bounds(raw.cold_s, raw.cold_per_s),
-        }
-    }
-}
-
-/// An empty list allows all regions, as a missing one does.
-pub(crate) fn parse_allowed_regions(names: Option<Vec<String>>) -> AllowedRegions {
-    match names.filter(|names| !names.is_empty()) {
-        Some(names) => AllowedRegions::only(names.into_iter().map(RegionName::new)),
-        None => AllowedRegions::everywhere(),
-    }
-}
-
-/// Replaces an invalid duration by zero and an invalid rate by none.
-fn cold_bounds(seconds: Option<f64>, per_second: Option<f64>) -> ColdBounds {
-    let cold_duration = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
-    ColdBounds {
-        cold_duration: cold_duration.unwrap_or_default(),
-        per_second: per_second.filter(|rate| rate.is_finite() && *rate > 0.0),
-    }
-}
-
-/// Replaces an invalid boot time by zero and omits invalid prices.
-fn scaling_bounds(raw: RawScaling) -> ScalingBounds {
-    let prices = raw.zone_prices.into_iter();
-    let valid = prices.filter(|(_, price)| price.is_finite() && *price >= 0.0);
-    ScalingBounds {
-        min_per_zone: raw.min,
-        max_per_zone: raw.max.max(raw.min),
-        boot_time: Duration::try_from_secs_f64(raw.boot_s).unwrap_or_default(),
-        zone_prices: valid
-            .map(|(zone, price)| (ZoneName::new(zone), price))
-            .collect(),
-    }
 }
--- a/crates/sloetrail-routing/src/error.rs
+++ b/crates/sloetrail-routing/src/error.rs
@@ -8,8 +8,12 @@
 #[snafu(visibility(pub(crate)))]
 pub enum ConfigurationError {
     /// Does not include the parser's message, which may quote API keys.
-    #[snafu(display("invalid configuration at line {line}, column {column}: {reason}"))]
+    #[snafu(display(
+        "invalid configuration at line {line}, column {column}, field {field}: {reason}"
+    ))]
     Unreadable {
+        /// The path of the field; a dot stands for the whole configuration.
+        field: String,
         /// Counted from one.
         line: usize,
         /// Counted from one.
@@ -42,8 +46,18 @@
 }
 
 impl ConfigurationError {
-    pub(crate) fn unreadable(error: &serde_json::Error) -> Self {
+    pub(crate) fn unreadable(error: &serde_path_to_error::Error<serde_json::Error>) -> Self {
+        Self::at_field(error.path().to_string(), error.inner())
+    }
+
+    /// The error of JSON that continues after its end.
+    pub(crate) fn malformed(error: &serde_json::Error) -> Self {
+        Self::at_field(".".to_owned(), error)
+    }
+
+    fn at_field(field: String, error: &serde_json::Error) -> Self {
         Self::Unreadable {
+            field,
             line: error.line(),
             column: error.column(),
             reason: match error.classify() {
--- a/crates/sloetrail-routing/src/lib.rs
+++ b/crates/sloetrail-routing/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod raw;
 mod route_table;
 mod tenants;
+mod validation;
 mod weighted_choice;
 
 pub use configuration::{
--- a/crates/sloetrail-routing/src/raw.rs
+++ b/crates/sloetrail-routing/src/raw.rs
@@ -3,6 +3,7 @@
 //! Unknown fields are ignored, so that a configuration of a newer writer can be read.
 
 use serde::Deserialize;
+use sloetrail_types::bounded::{optional_whole_number, whole_number};
 use std::collections::BTreeMap;
 
 /// A complete configuration. It does not implement `Debug`, which would expose API keys.
@@ -27,7 +28,8 @@
     #[serde(default)]
     pub api_keys: Vec<String>,
     /// Takes precedence over the priority of the route; zero is the most urgent.
-    pub priority: Option<u8>,
+    #[serde(default, deserialize_with = "optional_whole_number")]
+    pub priority: Option<u64>,
     /// Regions that may serve the tenant's requests; absent or empty means all.
     #[serde(default)]
     pub allowed_regions: Option<Vec<String>>,
@@ -45,17 +47,21 @@
     /// `idempotent`, `non_idempotent`, `stream` or `rollout`.
     pub kind: String,
     /// Maximum time that a request may be pending, in milliseconds.
+    #[serde(default, deserialize_with = "optional_whole_number")]
     pub timeout_ms: Option<u64>,
     /// Target latency of an answer, in milliseconds.
+    #[serde(default, deserialize_with = "optional_whole_number")]
     pub target_latency_ms: Option<u64>,
     /// Zero is the most urgent.
-    pub priority: Option<u8>,
+    #[serde(default, deserialize_with = "optional_whole_number")]
+    pub priority: Option<u64>,
     /// The only service of the route. Ignored if `weighted_backends` is set.
     pub service: Option<String>,
     /// The services of the route with their shares.
     pub weighted_backends: Option<Vec<RawWeightedService>>,
     /// Maximum number of back ends that one request may be sent to.
-    pub max_attempts: Option<usize>,
+    #[serde(default, deserialize_with = "optional_whole_number")]
+    pub max_attempts: Option<u64>,
     /// Whether an interrupted answer may be resumed at another back end.
     #[serde(default)]
     pub resumable: bool,
@@ -63,6 +69,7 @@
     #[serde(default)]
     pub single_version: bool,
     /// Target time from the submission of a batch to its completion, in milliseconds.
+    #[serde(default, deserialize_with = "optional_whole_number")]
     pub run_target_ms: Option<u64>,
     /// Time after submission from which an item may be abandoned, in seconds.
     pub retain_s: Option<f64>,
@@ -86,7 +93,8 @@
 pub struct RawService {
     pub name: String,
     /// Maximum number of connections that one back end accepts from all nodes together.
-    pub max_conns: Option<usize>,
+    #[serde(default, deserialize_with = "optional_whole_number")]
+    pub max_conns: Option<u64>,
     /// Present if the back ends are model engines.
     pub engine: Option<RawEngine>,
     /// Present if the number of back ends may be scaled.
@@ -104,10 +112,11 @@
 #[derive(Clone, Debug, Deserialize)]
 pub struct RawScaling {
     /// Minimum number per zone.
-    #[serde(default)]
-    pub min: usize,
+    #[serde(default, deserialize_with = "whole_number")]
+    pub min: u64,
     /// Maximum number per zone.
-    pub max: usize,
+    #[serde(deserialize_with = "whole_number")]
+    pub max: u64,
     /// Time that a back end takes to start, in seconds.
     #[serde(default)]
     pub boot_s: f64,
@@ -120,7 +129,8 @@
 #[derive(Clone, Debug, Deserialize)]
 pub struct RawEngine {
     /// Requests that one engine runs concurrently.
-    pub slots: Option<usize>,
+    #[serde(default, deserialize_with = "optional_whole_number")]
+    pub slots: Option<u64>,
     /// Models that the engines have loaded.
     #[serde(default)]
     pub models: Vec<RawModel>,
@@ -134,10 +144,14 @@
 /// Limits on callers' requests and connections.
 #[derive(Clone, Debug, Default, Deserialize)]
 pub struct RawLimits {
-    pub max_header_bytes: Option<usize>,
-    pub max_body_bytes: Option<usize>,
+    #[serde(default, deserialize_with = "optional_whole_number")]
+    pub max_header_bytes: Option<u64>,
+    #[serde(default, deserialize_with = "optional_whole_number")]
+    pub max_body_bytes: Option<u64>,
     /// Maximum time to receive the header of a request, in milliseconds.
+    #[serde(default, deserialize_with = "optional_whole_number")]
     pub header_timeout_ms: Option<u64>,
     /// Maximum time that a connection may be idle, in milliseconds.
+    #[serde(default, deserialize_with = "optional_whole_number")]
     pub idle_timeout_ms: Option<u64>,
 }
--- a/crates/sloetrail-routing/src/tenants.rs
+++ b/crates/sloetrail-routing/src/tenants.rs
@@ -3,9 +3,9 @@
 //! Keys are secrets: the debug form of [`ApiKey`] hides them, and errors do not contain them.
 
 use crate::ConfigurationError;
-use crate::configuration::parse_allowed_regions;
 use crate::error::{DuplicateKeySnafu, DuplicateTenantSnafu, ShortKeySnafu, UnnamedTenantSnafu};
 use crate::raw::RawTenant;
+use crate::validation::parse_allowed_regions;
 use sloetrail_types::{AllowedRegions, TenantName};
 use snafu::ensure;
 use std::borrow::Borrow;
@@ -50,13 +50,17 @@
 }
 
 impl Tenants {
-    /// Validates the tenants of a configuration.
+    /// Validates the tenants of a configuration. `check_priority` is called with the name of a
+    /// tenant and its priority.
     ///
     /// # Errors
     ///
     /// Returns an error if a name is empty or used twice, or if a key is too short or belongs
     /// to two tenants.
-    pub(crate) fn check(raw: Vec<RawTenant>) -> Result<Self, ConfigurationError> {
+    pub(crate) fn check(
+        raw: Vec<RawTenant>,
+        mut check_priority: impl FnMut(&str, Option<u64>) -> Option<u8>,
+    ) -> Result<Self, ConfigurationError> {
         let mut names = BTreeSet::new();
         let mut by_key: HashMap<ApiKey, Arc<Tenant>> = HashMap::new();
         for RawTenant {
@@ -71,6 +75,7 @@
                 names.insert(name.clone()),
                 DuplicateTenantSnafu { tenant: name }
             );
+            let priority = check_priority(&name, priority);
             let tenant = Arc::new(Tenant {
                 name: TenantName::new(name),
                 priority,
--- a/crates/sloetrail-routing/src/tests.rs
+++ b/crates/sloetrail-routing/src/tests.rs
@@ -1,6 +1,6 @@
 use crate::{ColdBounds, ConfigurationError, RouteKind, ServingConfiguration, WeightedChoice};
 use serde_json::{Value, json};
-use sloetrail_types::{AllowedRegions, RegionName, ServiceName};
+use sloetrail_types::{AllowedRegions, RegionName, ServiceName, TimeSpan, bounded};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -289,3 +289,101 @@
         "everywhere east north+south south"
     );
 }
+
+/// A configuration with every numeric field, all of them set to the same number.
+fn all_numbers(number: &Value) -> Value {
+    let live = json!({
+        "name": "live", "host": "a.example", "path_prefix": "/a/", "kind": "idempotent",
+        "weighted_backends": [{"service": "one", "weight": number},
+                              {"service": "models", "weight": number}],
+        "timeout_ms": number, "target_latency_ms": number, "priority": number,
+        "max_attempts": number, "run_target_ms": number, "retain_s": number,
+    });
+    json!({
+        "version": 7,
+        "routes": [live],
+        "services": [
+            {"name": "one", "max_conns": number, "cold_s": number, "cold_per_s": number},
+            {"name": "models", "max_conns": number,
+             "engine": {"slots": number, "models": [{"name": "m"}]},
+             "scaling": {"min": number, "max": number, "boot_s": number,
+                         "zone_prices": {"a": number}}},
+        ],
+        "limits": {"max_header_bytes": number, "max_body_bytes": number,
+                   "header_timeout_ms": number, "idle_timeout_ms": number},
+        "tenants": [{"name": "north", "api_keys": ["north-key-1"], "priority": number}],
+    })
+}
+
+/// Guards against conversions of large numbers that panic or turn them into small ones.
+#[test]
+fn numbers_above_their_maximum_are_held_at_it() {
+    let large = [
+        json!(u64::MAX),
+        json!(i64::MAX),
+        json!(1.844_674_407_370_955_2e19),
+        json!(1e226),
+        json!(f64::MAX),
+    ];
+    for number in large {
+        let configuration = parse(&all_numbers(&number)).expect("in force");
+        let ten_years = TimeSpan::MAX.duration();
+        let route = configuration.routes.find("a.example", "/a/").expect("one");
+        for time in [
+            route.timeout,
+            route.latency_target,
+            route.run_target,
+            route.retention,
+            configuration.limits.header_timeout,
+            configuration.limits.idle_timeout,
+        ] {
+            assert_eq!(time, ten_years, "{number}");
+        }
+        assert_eq!(route.max_attempts, bounded::MAX_COUNT, "{number}");
+        assert_eq!(route.priority, u8::MAX, "{number}");
+        let cold = configuration.cold_bounds(&"one".into());
+        assert_eq!(cold.cold_duration, ten_years, "{number}");
+        assert_eq!(cold.per_second, Some(bounded::MAX_RATE), "{number}");
+        let models = &configuration.services[&"models".into()];
+        assert_eq!(models.max_connections, bounded::MAX_COUNT, "{number}");
+        let scaling = models.scaling.as_ref().expect("given");
+        assert_eq!(scaling.max_per_zone, bounded::MAX_COUNT, "{number}");
+        assert_eq!(scaling.boot_time, ten_years, "{number}");
+        assert!(scaling.zone_prices[&"a".into()].is_finite(), "{number}");
+        assert_eq!(configuration.limits.body_bytes, bounded::MAX_BYTES);
+        let mut choice = WeightedChoice::new(0.3);
+        assert!(choice.next(&route.services).is_some(), "{number}");
+        assert_eq!(configuration.held_numbers.len(), 22, "{number}");
+    }
+}
+
+#[test]
+fn held_numbers_name_the_field_and_both_values() {
+    let mut long = route("/a/", "one");
+    long["name"] = json!("long");
+    long["retain_s"] = json!(1e226);
+    long["timeout_ms"] = json!(2_000);
+    let configuration = parse(&json!({"version": 1, "routes": [long]})).expect("in force");
+    let [held] = configuration.held_numbers.as_slice() else {
+        panic!("{:?}", configuration.held_numbers);
+    };
+    assert_eq!(held.field, "route long: retain_s");
+    assert_eq!(held.used, "315360000");
+    assert!(held.given.starts_with('1'), "{}", held.given);
+}
+
+#[test]
+fn field_of_a_wrong_type_is_named_without_its_value() {
+    let mut wrong = route("/a/", "one");
+    wrong["timeout_ms"] = json!("soon-secret");
+    let error = parse(&json!({"version": 1, "routes": [wrong]})).expect_err("refused");
+    let text = error.to_string();
+    assert!(text.contains("routes[0].timeout_ms"), "{text}");
+    assert!(!text.contains("soon-secret"), "{text}");
+    for number in [json!(-1), json!(1.5)] {
+        let mut wrong = route("/a/", "one");
+        wrong["max_attempts"] = number;
+        let error = parse(&json!({"version": 1, "routes": [wrong]})).expect_err("refused");
+        assert!(error.to_string().contains("routes[0].max_attempts"));
+    }
+}
--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -82,6 +82,14 @@
         tenant: &'a str,
         revision: u64,
     },
+    /// A number of the configuration in force is outside its range and is not used as written.
+    ConfigurationNumberHeld {
+        /// The path of the field.
+        field: &'a str,
+        given: &'a str,
+        used: &'a str,
+        revision: u64,
+    },
     /// A configuration is invalid; the previous one stays in force.
     ConfigurationRefused {
         /// The version of the row that contains the configuration.
--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -23,6 +23,7 @@
             | Event::RelayBegan { .. }
             | Event::RelayEnded { .. } => "table",
             Event::ConfigurationInForce { .. }
+            | Event::ConfigurationNumberHeld { .. }
             | Event::ConfigurationRefused { .. }
             | Event::RegionsExclude { .. }
             | Event::RowUnreadable { .. }
--- a/crates/sloetrail-serving/src/node.rs
+++ b/crates/sloetrail-serving/src/node.rs
@@ -395,7 +395,8 @@
     let directory = Arc::clone(&context.directory.borrow());
     let age = |requested_at: Option<BootInstant>| requested_at.map(|at| at.elapsed());
     NodeGauges {
-        configuration_revision: configuration.map_or(0, |known| known.revision.0),
+        configuration_revision: configuration.as_ref().map_or(0, |known| known.revision.0),
+        configuration_numbers_held: configuration.map_or(0, |known| known.held_numbers.len()),
         directory_version: directory.version.0,
         back_ends_known: directory.back_ends.len(),
         back_ends_listed: directory.total_rows,
--- a/crates/sloetrail-serving/src/operator.rs
+++ b/crates/sloetrail-serving/src/operator.rs
@@ -7,6 +7,7 @@
 use crate::dialect::Dialect;
 use crate::events::{self, Event};
 use crate::follow::{LastApplied, TableView, ViewReceiver};
+use crate::telemetry;
 use sloetrail_clock::BootInstant;
 use sloetrail_routing::ServingConfiguration;
 use sloetrail_types::{RowVersion, WeightVersion, ZoneName};
@@ -16,6 +17,8 @@
 
 /// Region conflicts logged for one configuration.
 const MAX_REPORTED_CONFLICTS: usize = 100;
+/// Held numbers logged for one configuration.
+const MAX_REPORTED_NUMBERS: usize = 100;
 
 /// The newest published version of each model.
 pub type PublishedVersions = BTreeMap<String, WeightVersion>;
@@ -114,6 +117,7 @@
     let configuration = match ServingConfiguration::parse(&row.value) {
         Ok(configuration) => configuration,
         Err(error) => {
+            telemetry::configuration_refused();
             events::emit(&Event::ConfigurationRefused {
                 row_version: row.version.0,
                 detail: &error.to_string(),
@@ -130,6 +134,7 @@
         routes: configuration.routes.iter().count(),
     });
     emit_region_conflicts(&configuration);
+    emit_held_numbers(&configuration);
     in_force.configuration = Some(Arc::new(configuration));
     true
 }
@@ -149,6 +154,18 @@
     }
 }
 
+/// Logs the numbers that are not used as the operator wrote them.
+fn emit_held_numbers(configuration: &ServingConfiguration) {
+    for held in configuration.held_numbers.iter().take(MAX_REPORTED_NUMBERS) {
+        events::emit(&Event::ConfigurationNumberHeld {
+            field: &held.field,
+            given: &held.given,
+            used: &held.used,
+            revision: configuration.revision.0,
+        });
+    }
+}
+
 /// Applies the evacuated zones. Returns true if they have changed.
 fn apply_evacuations(in_force: &mut InForce, table: &TableView, dialect: &dyn Dialect) -> bool {
     let keys = table.rows.keys();
--- a/crates/sloetrail-serving/src/settings.rs
+++ b/crates/sloetrail-serving/src/settings.rs
@@ -5,9 +5,10 @@
 use crate::policies::Policies;
 use serde::Deserialize;
 use sloetrail_routing::ServingConfiguration;
-use sloetrail_types::{NodeId, RegionName, ServiceName, Topology, ZoneName};
+use sloetrail_types::bounded::{MAX_BYTES, MAX_COUNT, MAX_RATE, MAX_RATIO};
+use sloetrail_types::{NodeId, RegionName, ServiceName, TimeSpan, Topology, ZoneName};
 use sloetrail_usage::{ReportSchedule, Windows};
-use snafu::{ResultExt, Snafu, ensure};
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -33,7 +34,8 @@
     },
 }
 
-/// Settings as written in JSON. Unknown fields are ignored.
+/// Settings as written in JSON. Unknown fields are ignored, and numbers above their maximum are
+/// held at it, as [`sloetrail_types::bounded`] says.
 #[derive(Clone, Debug, Deserialize)]
 pub struct RawServingSettings {
     pub node: String,
@@ -130,8 +132,8 @@
             }
         );
         Ok(Self {
-            excess: raw.excess,
-            slack: raw.slack,
+            excess: raw.excess.min(MAX_RATIO),
+            slack: raw.slack.min(MAX_RATE),
         })
     }
 
@@ -243,8 +245,11 @@
 
 impl ServingBounds {
     fn check(raw: &RawServingSettings) -> Result<Self, SettingsError> {
-        let milliseconds =
-            |value: Option<u64>, default| Duration::from_millis(value.unwrap_or(default));
+        let milliseconds = |value: Option<u64>, default| {
+            TimeSpan::from_millis(value.unwrap_or(default)).duration()
+        };
+        let concurrent_loads = raw.concurrent_loads.unwrap_or(DEFAULT_CONCURRENT_LOADS);
+        let body_budget_bytes = raw.body_budget_bytes.unwrap_or(DEFAULT_BODY_BUDGET_BYTES);
         let bounds = Self {
             lease: milliseconds(raw.lease_ms, DEFAULT_LEASE_MS),
             order_gap: milliseconds(raw.order_gap_ms, DEFAULT_ORDER_GAP_MS),
@@ -256,8 +261,8 @@
                 "claims_kept_s",
             )?,
             quarantine: seconds(raw.quarantine_s, DEFAULT_QUARANTINE_S, "quarantine_s")?,
-            concurrent_loads: raw.concurrent_loads.unwrap_or(DEFAULT_CONCURRENT_LOADS),
-            body_budget_bytes: raw.body_budget_bytes.unwrap_or(DEFAULT_BODY_BUDGET_BYTES),
+            concurrent_loads: concurrent_loads.min(MAX_COUNT),
+            body_budget_bytes: body_budget_bytes.min(MAX_BYTES),
         };
         bounds.validate()?;
         Ok(bounds)
@@ -308,9 +313,10 @@
     default: f64,
     field: &'static str,
 ) -> Result<Duration, SettingsError> {
-    let message = "must be a time in seconds";
-    Duration::try_from_secs_f64(value.unwrap_or(default))
-        .map_err(|_| OutOfBoundsSnafu { field, message }.build())
+    let message = "must be a time in seconds, zero or more";
+    TimeSpan::from_secs_f64(value.unwrap_or(default))
+        .map(TimeSpan::duration)
+        .context(OutOfBoundsSnafu { field, message })
 }
 
 impl ServingSettings {
--- a/crates/sloetrail-serving/src/telemetry.rs
+++ b/crates/sloetrail-serving/src/telemetry.rs
@@ -128,6 +128,11 @@
     counter!("sloetrail_connections_condemned_total", "cause" => cause).increment(count);
 }
 
+/// Counts a configuration that is invalid and not put in force.
+pub(crate) fn configuration_refused() {
+    counter!("sloetrail_configurations_refused_total").increment(1);
+}
+
 /// Counts an order to an engine to change its weight version.
 pub(crate) fn order_given(outcome: &'static str) {
     counter!("sloetrail_orders_total", "outcome" => outcome).increment(1);
@@ -169,6 +174,8 @@
 /// State of the node and its age, collected for each scrape.
 pub(crate) struct NodeGauges {
     pub(crate) configuration_revision: u64,
+    /// Numbers of the configuration in force that are not used as written.
+    pub(crate) configuration_numbers_held: usize,
     pub(crate) directory_version: u64,
     /// Zones that are or were evacuated during this incarnation of the node.
     pub(crate) zones: Vec<(ZoneName, ZoneCounts)>,
@@ -189,6 +196,7 @@
 
 pub(crate) fn set_node_gauges(gauges: &NodeGauges) {
     gauge!("sloetrail_configuration_revision").set(gauges.configuration_revision as f64);
+    gauge!("sloetrail_configuration_numbers_held").set(gauges.configuration_numbers_held as f64);
     gauge!("sloetrail_directory_version").set(gauges.directory_version as f64);
     gauge!("sloetrail_zones_evacuated").set(gauges.zones_evacuated as f64);
     gauges.zones.iter().for_each(set_evacuation_gauges);
