A batch with huge length hints does not stop its service

What callers saw: a trainer that sent items with tokens (or the header of the length hint) near 2^64 ended the owner's task of the service where sums are checked: the lease was renewed, nothing ran, and no batch of the service got a result any more. A release build wraps instead, so that the plan of weight changes and the order of items (a signed conversion) treated the longest texts as the shortest.

Cause: expected lengths were summed as the trainer sent them (service_owner/versions.rs, batch.rs).

Change: Batch::new, which every batch goes through, holds a hint at bounded::MAX_LENGTH. A million items at the maximum still fit a signed sum.

--- a/crates/sloetrail-batch/src/batch.rs
+++ b/crates/sloetrail-batch/src/batch.rs
@@ -5,7 +5,7 @@
 use crate::{
     BatchHeader, BatchId, ItemId, ListedResult, ResultState, Submission, SubmittedItem, Transcript,
 };
-use sloetrail_types::WeightVersion;
+use sloetrail_types::{WeightVersion, bounded};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -73,7 +73,7 @@
             .items
             .into_iter()
             .map(|submitted| Item {
-                expected_length: expected_length(&submitted),
+                expected_length: expected_length(&submitted).min(bounded::MAX_LENGTH),
                 submitted: Arc::new(submitted),
                 state: ItemState::Waiting,
                 transcript: Transcript::default(),
--- a/crates/sloetrail-serving/tests/edge_numbers.rs
+++ b/crates/sloetrail-serving/tests/edge_numbers.rs
@@ -4,9 +4,10 @@
 mod support;
 
 use serde_json::{Value, json};
-use sloetrail_serving_testkit::cluster::{Cluster, eventually, usual_routes};
+use sloetrail_serving_testkit::client::batch;
+use sloetrail_serving_testkit::cluster::{Cluster, MODEL, eventually, usual_routes};
 use std::time::Duration;
-use support::{live, submit_items, usual_cluster};
+use support::{accepted, items, live, submit_items, usual_cluster};
 
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
 /// Events of an item that takes longer than expired items are still run.
@@ -58,3 +59,30 @@
     submit_items(&cluster, 0, "b1", 6, 20).await;
     assert_all_succeeded(&cluster.wait_results(1, "b1", 6).await, 6);
 }
+
+/// Guards against length hints whose sum overflows: the owner's task ended, and all batches of
+/// the service stood still.
+#[tokio::test(flavor = "multi_thread")]
+async fn batch_with_huge_length_hints_is_run_with_the_others() {
+    let cluster = usual_cluster(EVENT_INTERVAL).await;
+    let mut hinted = items(6, 20);
+    for item in &mut hinted {
+        item["tokens"] = json!(u64::MAX);
+    }
+    accepted(&cluster, 0, "hinted", &batch(&hinted, MODEL, 1)).await;
+    assert_all_succeeded(&cluster.wait_results(1, "hinted", 6).await, 6);
+    submit_items(&cluster, 0, "usual", 6, 20).await;
+    assert_all_succeeded(&cluster.wait_results(1, "usual", 6).await, 6);
+}
+
+/// Guards against a version whose successor overflows.
+#[tokio::test(flavor = "multi_thread")]
+async fn largest_weight_version_is_ordered_and_used() {
+    let cluster = usual_cluster(EVENT_INTERVAL).await;
+    cluster.publish(u64::MAX);
+    let work = batch(&items(6, 20), MODEL, u64::MAX);
+    accepted(&cluster, 0, "b1", &work).await;
+    let results = cluster.wait_results(1, "b1", 6).await;
+    assert_all_succeeded(&results, 6);
+    assert_eq!(results[0]["versions"], json!([u64::MAX]));
+}
