A stream after the largest event number is answered

What callers saw: with Last-Event-ID, the comparison of the next event's number with `last + 1` overflowed. Where sums are checked the connection ended without an answer; a release build took event 0 for the successor.

Evidence: stream_after_the_largest_event_number_is_answered, added here, failed on ("the connection ended without an answer"). There the stand-in of a back end overflowed first, at the same sum; the same sums stand in stream.rs and transcript.rs and are found by reading, not by a run that got past the stand-in. All three are mended.

Change: the last number has no successor. An event after it breaks the stream as any wrong number does.

Measured: the test passes.

--- a/crates/sloetrail-batch/src/transcript.rs
+++ b/crates/sloetrail-batch/src/transcript.rs
@@ -41,7 +41,7 @@
     /// next.
     pub fn push(&mut self, event: TranscriptEvent) -> Result<(), TranscriptError> {
         if let Some(last) = self.last_number()
-            && event.number != last + 1
+            && last.checked_add(1) != Some(event.number)
         {
             let number = event.number;
             return Err(TranscriptError { last, number });
--- a/crates/sloetrail-serving-testkit/src/engine/records.rs
+++ b/crates/sloetrail-serving-testkit/src/engine/records.rs
@@ -91,7 +91,7 @@
         RecordGuard {
             engine: Arc::clone(self),
             index: state.runs.len() - 1,
-            first_event: last_event.map_or(1, |last| last + 1),
+            first_event: last_event.map_or(1, |last| last.saturating_add(1)),
         }
     }
 
--- a/crates/sloetrail-serving/src/gateway/stream.rs
+++ b/crates/sloetrail-serving/src/gateway/stream.rs
@@ -27,7 +27,7 @@
 use sloetrail_balance::AttemptOutcome;
 use sloetrail_clock::BootInstant;
 use sloetrail_result::{Problem, ResultCode};
-use sloetrail_types::EngineId;
+use sloetrail_types::{EngineId, whole_millis};
 use std::collections::BTreeSet;
 use std::io;
 use std::sync::Arc;
@@ -322,7 +322,7 @@
         let retry_after = self.call.retry_after(&self.waiter);
         let code = self.call.no_engine_code(&self.waiter);
         let problem = Problem::new(code, detail);
-        problem.with_retry_after_ms(retry_after.as_millis() as u64)
+        problem.with_retry_after_ms(whole_millis(retry_after))
     }
 
     fn into_events(
@@ -411,7 +411,7 @@
         let mut forwarded = Vec::new();
         for event in events {
             let follows = match (self.source.last_event, event.id) {
-                (Some(last), Some(id)) => id == last + 1,
+                (Some(last), Some(id)) => last.checked_add(1) == Some(id),
                 _ => true,
             };
             if !follows {
--- a/crates/sloetrail-serving/tests/edge_numbers.rs
+++ b/crates/sloetrail-serving/tests/edge_numbers.rs
@@ -3,9 +3,10 @@
 
 mod support;
 
+use http::Method;
 use serde_json::{Value, json};
-use sloetrail_serving_testkit::client::batch;
-use sloetrail_serving_testkit::cluster::{Cluster, MODEL, eventually, usual_routes};
+use sloetrail_serving_testkit::client::{Call, batch};
+use sloetrail_serving_testkit::cluster::{Cluster, HOST, MODEL, eventually, usual_routes};
 use std::time::Duration;
 use support::{accepted, items, live, submit_items, usual_cluster};
 
@@ -86,3 +87,20 @@
     assert_all_succeeded(&results, 6);
     assert_eq!(results[0]["versions"], json!([u64::MAX]));
 }
+
+/// Guards against an event number whose successor overflows: the connection ended without an
+/// answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_after_the_largest_event_number_is_answered() {
+    let cluster = usual_cluster(EVENT_INTERVAL).await;
+    let names = cluster.names();
+    let call = Call::new(Method::POST, HOST, "/events/x")
+        .header(&names.request_id, "r1")
+        .header(&names.deadline_ms, "1500")
+        .header(&names.last_event_id, &u64::MAX.to_string())
+        .body("events=3");
+    let answer = call.send(cluster.nodes[0].callers).await;
+    assert!(answer.is_some(), "the connection ended without an answer");
+    let answer = live(&cluster, 0, "/live/x", "r2").await.expect("an answer");
+    assert_eq!(answer.status, 200);
+}
