Times in rows are timestamps whose sums saturate

What callers saw: on a route with timeout_ms near 2^64, a keyed request whose caller sent such a deadline got no answer (claims.rs:171, "attempt to add with overflow"). In a release build the due time of the claim and the time of its deletion wrapped into the past: its row could be swept at once, and the key, that must run once, was free again.

Cause: due and deletion times, ends of trials and of order windows, the table's clock and the windows of usage were sums of bare u64 or i64 from rows, headers and the store's answers. Reproduced on with calls_with_the_longest_deadlines_and_waits_are_answered, added here: no answer, panic at claims.rs:171. The wrapped claim of a release build is by reading, not run.

Change: claims, trials, order windows and the usage schedule use Timestamp and its saturating sums; their stored names and units stay. The table's clock and the offset of the wall clock convert and add within i64 and saturate, so that a store's clock beyond it is late and not negative. Counts in rows of slot demand, engine baselines and the directory index are held in range; counts of usage add up without wrapping. `as_millis() as u64` is gone from the serving node in favour of whole_millis, which saturates.

--- a/crates/sloetrail-lease/src/record.rs
+++ b/crates/sloetrail-lease/src/record.rs
@@ -28,7 +28,7 @@
     /// Returns this record with its renewal counter advanced.
     pub fn renewed(&self) -> Self {
         Self {
-            renewal: self.renewal + 1,
+            renewal: self.renewal.saturating_add(1),
             ..self.clone()
         }
     }
--- a/crates/sloetrail-serving/src/directory_index.rs
+++ b/crates/sloetrail-serving/src/directory_index.rs
@@ -10,7 +10,7 @@
 
 use crate::table::KeyRange;
 use serde::{Deserialize, Serialize};
-use sloetrail_types::rendezvous_weight;
+use sloetrail_types::{bounded, rendezvous_weight};
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
 
@@ -21,6 +21,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct DirectoryIndex {
     /// The number of rows in the directory when the index was built.
+    #[serde(deserialize_with = "bounded::count")]
     pub(crate) rows: usize,
     /// The first keys of all ranges except the first, in ascending order.
     starts: Vec<String>,
--- a/crates/sloetrail-serving/src/events/writer.rs
+++ b/crates/sloetrail-serving/src/events/writer.rs
@@ -6,6 +6,7 @@
 use log::LevelFilter;
 use serde::Serialize;
 use serde_json::value::RawValue;
+use sloetrail_types::whole_millis;
 use snafu::Snafu;
 use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -142,5 +143,5 @@
 fn unix_time_ms() -> u64 {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
-        .map_or(0, |elapsed| elapsed.as_millis() as u64)
+        .map_or(0, |elapsed| whole_millis(elapsed))
 }
--- a/crates/sloetrail-serving/src/gateway/attempt.rs
+++ b/crates/sloetrail-serving/src/gateway/attempt.rs
@@ -12,6 +12,7 @@
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use sloetrail_balance::AttemptOutcome;
 use sloetrail_clock::BootInstant;
+use sloetrail_types::whole_millis;
 use std::sync::Arc;
 
 /// A request to a back end, without the headers that each attempt adds.
@@ -108,7 +109,7 @@
     *request.uri_mut() = outgoing.path_and_query.parse::<Uri>().ok()?;
     let mut sent = outgoing.headers.clone();
     headers::set_text(&mut sent, &names.expected_instance, &back_end.instance);
-    headers::set_number(&mut sent, &names.deadline_ms, remaining.as_millis() as u64);
+    headers::set_number(&mut sent, &names.deadline_ms, whole_millis(remaining));
     *request.headers_mut() = sent;
     Some(request)
 }
--- a/crates/sloetrail-serving/src/gateway/batch_lookup.rs
+++ b/crates/sloetrail-serving/src/gateway/batch_lookup.rs
@@ -7,6 +7,7 @@
 use sloetrail_batch::BatchHeader;
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_routing::Tenant;
+use sloetrail_types::whole_millis;
 use std::time::Duration;
 
 /// Retry delay after a call that the table refused or did not answer, and for callers of an
@@ -37,5 +38,5 @@
 /// Problem for a call that needs the table while the table does not answer.
 pub(crate) fn table_unavailable() -> Problem {
     Problem::new(ResultCode::TableUnavailable, "the table does not answer")
-        .with_retry_after_ms(RETRY_AFTER.as_millis() as u64)
+        .with_retry_after_ms(whole_millis(RETRY_AFTER))
 }
--- a/crates/sloetrail-serving/src/gateway/call_log.rs
+++ b/crates/sloetrail-serving/src/gateway/call_log.rs
@@ -5,7 +5,7 @@
 use sloetrail_clock::BootInstant;
 use sloetrail_result::Problem;
 use sloetrail_routing::ServingConfiguration;
-use sloetrail_types::{AllowedRegions, EngineId};
+use sloetrail_types::{AllowedRegions, EngineId, whole_millis};
 
 /// Data about a call in progress for its log event and metrics.
 pub(crate) struct CallLog<'a> {
@@ -30,7 +30,7 @@
             status,
             back_end: back_end.map_or("-", |id| id.as_str()),
             attempts,
-            took_ms: took.as_millis() as u64,
+            took_ms: whole_millis(took),
             revision: self.configuration.revision.0,
         });
     }
@@ -47,8 +47,8 @@
             status: problem.status,
             code: problem.code,
             attempts,
-            took_ms: took.as_millis() as u64,
-            left_ms: remaining.as_millis() as u64,
+            took_ms: whole_millis(took),
+            left_ms: whole_millis(remaining),
             revision: self.configuration.revision.0,
             regions: regions.as_deref().unwrap_or("-"),
             detail: &problem.detail,
--- a/crates/sloetrail-serving/src/gateway/claims.rs
+++ b/crates/sloetrail-serving/src/gateway/claims.rs
@@ -32,7 +32,7 @@
 use sloetrail_clock::BootInstant;
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_routing::{Route, RouteKind};
-use sloetrail_types::{NodeId, TenantName, digest_of_parts};
+use sloetrail_types::{NodeId, TenantName, Timestamp, digest_of_parts, whole_millis};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -126,12 +126,12 @@
         outgoing: &OutgoingRequest,
     ) -> Result<KeyClaimOutcome, Problem> {
         let now_ms = self.table.now_ms().filter(|_| self.is_table_available());
-        let Some(now_ms) = now_ms else {
+        let Some(now) = now_ms.map(Timestamp) else {
             return Err(self.unavailable());
         };
         let remaining = keyed.deadline.saturating_duration_since(BootInstant::now());
         let claim_deadline = BootInstant::now() + remaining.mul_f64(MAX_CLAIM_TIME_SHARE);
-        let record = self.record(&keyed, outgoing, now_ms, remaining);
+        let record = self.record(&keyed, outgoing, now, remaining);
         let digest = keyed.key.digest(keyed.tenant.as_ref());
         let address = rows::claim(digest);
         let (request, claims) = (outgoing.request_id.clone(), Arc::clone(self));
@@ -165,16 +165,16 @@
         &self,
         keyed: &KeyedRequest,
         outgoing: &OutgoingRequest,
-        now_ms: u64,
+        now: Timestamp,
         remaining: Duration,
     ) -> ClaimRecord {
-        let due_ms = now_ms + remaining.as_millis() as u64;
+        let due_at = now.after(remaining);
         ClaimRecord {
             claimant: self.claimant.clone(),
             number: self.next_number.fetch_add(1, Ordering::Relaxed),
             request: request_identity(keyed, outgoing),
-            due_ms,
-            delete_at_ms: due_ms + self.retention.as_millis() as u64,
+            due_at,
+            delete_at: due_at.after(self.retention),
             state: ClaimState::Running,
         }
     }
@@ -243,7 +243,7 @@
             let retry_after =
                 remaining.clamp(MIN_IN_PROGRESS_RETRY_AFTER, MAX_IN_PROGRESS_RETRY_AFTER);
             let problem = Problem::new(ResultCode::KeyInProgress, detail);
-            Err(problem.with_retry_after_ms(retry_after.as_millis() as u64))
+            Err(problem.with_retry_after_ms(whole_millis(retry_after)))
         }
         ClaimDecision::OutcomeUnknown => {
             let detail = "the request with this key may have run, but its answer is not stored";
@@ -257,7 +257,7 @@
 fn unavailable(retry_after: Duration) -> Problem {
     let detail = "the table did not confirm the claim of the key in time; this call was not run";
     Problem::new(ResultCode::TableUnavailable, detail)
-        .with_retry_after_ms(retry_after.as_millis() as u64)
+        .with_retry_after_ms(whole_millis(retry_after))
 }
 
 /// Label of a claim's outcome in metrics.
--- a/crates/sloetrail-serving/src/gateway/claims/claim/tests.rs
+++ b/crates/sloetrail-serving/src/gateway/claims/claim/tests.rs
@@ -12,7 +12,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
-use sloetrail_types::{NodeId, RowVersion};
+use sloetrail_types::{NodeId, RowVersion, Timestamp};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize};
 use std::time::Duration;
@@ -66,13 +66,13 @@
             host: "a.example".to_owned(),
             digest: 1,
         },
-        due_ms: 2_000,
-        delete_at_ms: 62_000,
+        due_at: Timestamp(2_000),
+        delete_at: Timestamp(62_000),
         state: ClaimState::Running,
     };
     let base = BaseVersion {
         version: RowVersion(1),
-        delete_at_ms: record.delete_at_ms,
+        delete_at: record.delete_at,
     };
     let claims = Arc::clone(claims);
     Claim::new(claims, "r1".to_owned(), rows::claim(1), record, base)
--- a/crates/sloetrail-serving/src/gateway/claims/record.rs
+++ b/crates/sloetrail-serving/src/gateway/claims/record.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use serde::{Deserialize, Serialize};
-use sloetrail_types::{NodeId, TenantName};
+use sloetrail_types::{NodeId, TenantName, Timestamp};
 use std::time::Duration;
 
 /// The row of a claim.
@@ -17,9 +17,11 @@
     pub(super) number: u64,
     pub(super) request: RequestIdentity,
     /// Time by which the request's final answer is due, by the table's clock.
-    pub(super) due_ms: u64,
+    #[serde(rename = "due_ms")]
+    pub(super) due_at: Timestamp,
     /// Time from which the row may be deleted, by the table's clock.
-    pub(super) delete_at_ms: u64,
+    #[serde(rename = "delete_at_ms")]
+    pub(super) delete_at: Timestamp,
     pub(super) state: ClaimState,
 }
 
@@ -75,7 +77,7 @@
 
 impl ClaimRecord {
     /// Decides what this row means for `candidate`, a claim of the same key.
-    pub(super) fn decide(&self, candidate: &ClaimRecord, now_ms: u64) -> ClaimDecision {
+    pub(super) fn decide(&self, candidate: &ClaimRecord, now: Timestamp) -> ClaimDecision {
         if self.is_same_call(candidate) {
             return ClaimDecision::OwnClaim;
         }
@@ -85,8 +87,8 @@
         match &self.state {
             ClaimState::Released => ClaimDecision::Available,
             ClaimState::Answered(answer) => ClaimDecision::Answered(answer.clone()),
-            ClaimState::Running if now_ms < self.due_ms => ClaimDecision::InProgress {
-                remaining: Duration::from_millis(self.due_ms - now_ms),
+            ClaimState::Running if now < self.due_at => ClaimDecision::InProgress {
+                remaining: self.due_at.since(now),
             },
             ClaimState::Running => ClaimDecision::OutcomeUnknown,
         }
--- a/crates/sloetrail-serving/src/gateway/claims/record/tests.rs
+++ b/crates/sloetrail-serving/src/gateway/claims/record/tests.rs
@@ -2,10 +2,10 @@
 use crate::http::CompleteAnswer;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, StatusCode};
-use sloetrail_types::{NodeId, TenantName};
+use sloetrail_types::{NodeId, TenantName, Timestamp};
 use std::time::Duration;
 
-const NOW_MS: u64 = 5_000;
+const NOW: Timestamp = Timestamp(5_000);
 
 fn record(claimant: &str, number: u64, state: ClaimState) -> ClaimRecord {
     ClaimRecord {
@@ -16,8 +16,8 @@
             host: "a.example".to_owned(),
             digest: u128::MAX - 7,
         },
-        due_ms: NOW_MS + 300,
-        delete_at_ms: NOW_MS + 90_000,
+        due_at: NOW.after(Duration::from_millis(300)),
+        delete_at: NOW.after(Duration::from_secs(90)),
         state,
     }
 }
@@ -51,7 +51,7 @@
 fn a_row_of_the_same_call_is_its_own_claim() {
     for state in all_states() {
         let row = record("node-2/1", 1, state);
-        assert_eq!(row.decide(&candidate(), NOW_MS), ClaimDecision::OwnClaim);
+        assert_eq!(row.decide(&candidate(), NOW), ClaimDecision::OwnClaim);
     }
 }
 
@@ -61,7 +61,7 @@
         let row = record(claimant, number, ClaimState::Running);
         let remaining = Duration::from_millis(300);
         assert_eq!(
-            row.decide(&candidate(), NOW_MS),
+            row.decide(&candidate(), NOW),
             ClaimDecision::InProgress { remaining },
             "{claimant} {number}"
         );
@@ -71,25 +71,20 @@
 #[test]
 fn an_overdue_claim_never_becomes_available() {
     let row = record("node-1/1", 1, ClaimState::Running);
-    for now_ms in [row.due_ms, row.due_ms + 1, row.delete_at_ms, u64::MAX] {
-        assert_eq!(
-            row.decide(&candidate(), now_ms),
-            ClaimDecision::OutcomeUnknown
-        );
+    let later = row.due_at.after(Duration::from_millis(1));
+    for now in [row.due_at, later, row.delete_at, Timestamp(u64::MAX)] {
+        assert_eq!(row.decide(&candidate(), now), ClaimDecision::OutcomeUnknown);
     }
 }
 
 #[test]
 fn released_claims_are_available_and_answered_claims_replay() {
     let released = record("node-1/1", 1, ClaimState::Released);
-    assert_eq!(
-        released.decide(&candidate(), NOW_MS),
-        ClaimDecision::Available
-    );
+    assert_eq!(released.decide(&candidate(), NOW), ClaimDecision::Available);
     let stored = StoredAnswer::of(&answer());
     let answered = record("node-1/1", 1, ClaimState::Answered(stored.clone()));
     assert_eq!(
-        answered.decide(&candidate(), NOW_MS),
+        answered.decide(&candidate(), NOW),
         ClaimDecision::Answered(stored)
     );
 }
@@ -103,7 +98,7 @@
     for state in all_states() {
         for other in &others {
             let row = record("node-1/1", 1, state.clone());
-            assert_eq!(row.decide(other, NOW_MS), ClaimDecision::RequestMismatch);
+            assert_eq!(row.decide(other, NOW), ClaimDecision::RequestMismatch);
         }
     }
 }
--- a/crates/sloetrail-serving/src/gateway/claims/sweep/tests.rs
+++ b/crates/sloetrail-serving/src/gateway/claims/sweep/tests.rs
@@ -2,13 +2,13 @@
 use crate::rows;
 use crate::table::Row;
 use bytes::Bytes;
-use sloetrail_types::RowVersion;
+use sloetrail_types::{RowVersion, Timestamp};
 
 #[test]
 fn claims_are_deleted_only_if_expiry_is_unchanged() {
     let claim = rows::claim(0xabc);
     let time = Row {
-        address: rows::claim_expiry(&claim, 1_000),
+        address: rows::claim_expiry(&claim, Timestamp(1_000)),
         value: Bytes::new(),
         version: RowVersion(7),
     };
@@ -28,7 +28,7 @@
     let range = rows::expired_claims_until(partition as u8, 1_000);
     let end = range.to.expect("an end");
     assert_eq!(claim.partition, range.partition);
-    assert!(rows::claim_expiry(&claim, 999).key < end);
-    assert!(rows::claim_expiry(&claim, 1_000).key >= end);
-    assert!(rows::claim_expiry(&claim, 10_000).key >= end);
+    assert!(rows::claim_expiry(&claim, Timestamp(999)).key < end);
+    assert!(rows::claim_expiry(&claim, Timestamp(1_000)).key >= end);
+    assert!(rows::claim_expiry(&claim, Timestamp(10_000)).key >= end);
 }
--- a/crates/sloetrail-serving/src/gateway/claims/writes.rs
+++ b/crates/sloetrail-serving/src/gateway/claims/writes.rs
@@ -13,7 +13,7 @@
 use crate::rows;
 use crate::table::{Commit, CommitError, Row, RowAddress, Transaction};
 use sloetrail_clock::BootInstant;
-use sloetrail_types::RowVersion;
+use sloetrail_types::{RowVersion, Timestamp};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -30,7 +30,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct BaseVersion {
     pub(super) version: RowVersion,
-    pub(super) delete_at_ms: u64,
+    pub(super) delete_at: Timestamp,
 }
 
 /// Result of an attempt to claim a key.
@@ -158,13 +158,14 @@
         let Some(record) = ClaimRecord::decode(&row.value) else {
             return Some(ClaimSettlement::Existing(ClaimDecision::OutcomeUnknown));
         };
-        let now_ms = self.claims.table.now_ms().unwrap_or(record.due_ms);
-        match record.decide(&self.record, now_ms) {
+        let now_ms = self.claims.table.now_ms();
+        let now = now_ms.map_or(record.due_at, Timestamp);
+        match record.decide(&self.record, now) {
             ClaimDecision::OwnClaim => Some(self.acquired(row.version)),
             ClaimDecision::Available => {
                 self.base = Some(BaseVersion {
                     version: row.version,
-                    delete_at_ms: record.delete_at_ms,
+                    delete_at: record.delete_at,
                 });
                 None
             }
@@ -175,7 +176,7 @@
     fn acquired(&self, version: RowVersion) -> ClaimSettlement {
         let base = BaseVersion {
             version,
-            delete_at_ms: self.record.delete_at_ms,
+            delete_at: self.record.delete_at,
         };
         ClaimSettlement::Acquired(Arc::new(Claim::new(
             Arc::clone(&self.claims),
@@ -245,7 +246,7 @@
         let is_running = record.state == ClaimState::Running;
         (is_own && is_running).then_some(BaseVersion {
             version: row.version,
-            delete_at_ms: record.delete_at_ms,
+            delete_at: record.delete_at,
         })
     }
 
@@ -270,14 +271,14 @@
     base: Option<BaseVersion>,
 ) -> Transaction {
     let version = base.map(|base| base.version);
-    let time = rows::claim_expiry(address, record.delete_at_ms);
+    let time = rows::claim_expiry(address, record.delete_at);
     let transaction = Transaction::new()
         .require(address.clone(), version)
         .put(address.clone(), record.encode())
         .put(time, Vec::new());
     match base {
-        Some(base) if base.delete_at_ms != record.delete_at_ms => {
-            transaction.delete(rows::claim_expiry(address, base.delete_at_ms))
+        Some(base) if base.delete_at != record.delete_at => {
+            transaction.delete(rows::claim_expiry(address, base.delete_at))
         }
         _ => transaction,
     }
--- a/crates/sloetrail-serving/src/gateway/live.rs
+++ b/crates/sloetrail-serving/src/gateway/live.rs
@@ -24,7 +24,7 @@
 use sloetrail_clock::BootInstant;
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_routing::{Route, RouteKind};
-use sloetrail_types::{AllowedRegions, EngineId, ServiceName, TenantName, Urgency};
+use sloetrail_types::{AllowedRegions, EngineId, ServiceName, TenantName, Urgency, whole_millis};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -150,7 +150,7 @@
             request: &self.outgoing.request_id,
             back_end: slot.back_end().id.as_str(),
             outcome: result.as_str(),
-            took_ms: took.as_millis() as u64,
+            took_ms: whole_millis(took),
             directory_version: slot.directory_version().0,
             digest: &digest.map_or_else(|| "-".to_owned(), |digest| digest.to_string()),
         });
@@ -494,7 +494,7 @@
             return problem;
         }
         let retry_after = self.call.retry_after(&self.waiter);
-        problem.with_retry_after_ms(retry_after.as_millis() as u64)
+        problem.with_retry_after_ms(whole_millis(retry_after))
     }
 
     /// Lists the back ends tried, for error messages.
--- a/crates/sloetrail-serving/src/gateway/regions.rs
+++ b/crates/sloetrail-serving/src/gateway/regions.rs
@@ -3,7 +3,7 @@
 use sloetrail_batch::{RewardCall, Submission};
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_routing::{Route, ServingConfiguration, Tenant};
-use sloetrail_types::AllowedRegions;
+use sloetrail_types::{AllowedRegions, whole_millis};
 use std::time::Duration;
 
 /// Retry delay if no region is allowed. Only a new configuration, which takes seconds to come
@@ -35,7 +35,7 @@
 }
 
 fn no_region(detail: String) -> Problem {
-    let retry_after = NO_REGION_RETRY_DELAY.as_millis() as u64;
+    let retry_after = whole_millis(NO_REGION_RETRY_DELAY);
     Problem::new(ResultCode::AllowedNowhere, detail).with_retry_after_ms(retry_after)
 }
 
--- a/crates/sloetrail-serving/src/gateway/submit.rs
+++ b/crates/sloetrail-serving/src/gateway/submit.rs
@@ -31,7 +31,7 @@
 use sloetrail_clock::BootInstant;
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_routing::{Route, ServingConfiguration, Tenant, WeightedService};
-use sloetrail_types::{AllowedRegions, ServiceName, Timestamp};
+use sloetrail_types::{AllowedRegions, ServiceName, Timestamp, whole_millis};
 use std::time::Duration;
 
 /// Maximum retry delay if the outage outlasts the wait. The retry waits for the table as well,
@@ -95,7 +95,7 @@
                 items: accepted.items,
                 repeated: matches!(accepted.acceptance, Acceptance::Repeated),
                 regions: &accepted.regions.to_string(),
-                took_ms: started_at.elapsed().as_millis() as u64,
+                took_ms: whole_millis(started_at.elapsed()),
             });
             empty_response(StatusCode::ACCEPTED)
         }
@@ -283,7 +283,7 @@
             | AcceptanceError::TooManyWaiting
             | AcceptanceError::NotCommitted => RETRY_AFTER,
         };
-        Problem::new(code, detail).with_retry_after_ms(retry_after.as_millis() as u64)
+        Problem::new(code, detail).with_retry_after_ms(whole_millis(retry_after))
     }
 
     fn outage_retry_after(&self) -> Duration {
--- a/crates/sloetrail-serving/src/gateway/submit/resubmission.rs
+++ b/crates/sloetrail-serving/src/gateway/submit/resubmission.rs
@@ -13,6 +13,7 @@
 use sloetrail_batch::{BatchHeader, is_usable_id};
 use sloetrail_clock::BootInstant;
 use sloetrail_result::{Problem, ResultCode};
+use sloetrail_types::whole_millis;
 
 /// Returns the header of an accepted batch, with one read of the table. None if there is none.
 ///
@@ -39,7 +40,7 @@
 
 fn unconfirmed(id: &str) -> Problem {
     let detail = format!("the table did not answer whether batch {id} was accepted before");
-    let retry_after = RETRY_AFTER.as_millis() as u64;
+    let retry_after = whole_millis(RETRY_AFTER);
     Problem::new(ResultCode::BatchUnconfirmed, detail).with_retry_after_ms(retry_after)
 }
 
@@ -57,7 +58,7 @@
         items: header.total,
         repeated: true,
         regions: &header.allowed_regions.to_string(),
-        took_ms: took.as_millis() as u64,
+        took_ms: whole_millis(took),
     });
     empty_response(StatusCode::ACCEPTED)
 }
--- a/crates/sloetrail-serving/src/leases/manager.rs
+++ b/crates/sloetrail-serving/src/leases/manager.rs
@@ -11,7 +11,7 @@
 use rand::Rng;
 use sloetrail_clock::BootInstant;
 use sloetrail_lease::{LeaseAction, LeaseRecord, LeaseWatcher, ObservedLease};
-use sloetrail_types::{Epoch, NodeId, RowVersion, Timestamp};
+use sloetrail_types::{Epoch, NodeId, RowVersion, Timestamp, whole_millis};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -280,7 +280,7 @@
                     service: self.resource.name(),
                     epoch: epoch.0,
                     previous: previous.as_deref().unwrap_or("-"),
-                    unchanged_ms: unchanged.as_millis() as u64,
+                    unchanged_ms: whole_millis(unchanged),
                 });
                 telemetry::set_lease_epoch(self.resource.name(), epoch.0);
                 self.begin_term(epoch, version);
@@ -360,7 +360,7 @@
 
     fn timestamp(&self, at: BootInstant) -> Timestamp {
         let since_origin = at.saturating_duration_since(self.origin);
-        Timestamp(since_origin.as_millis() as u64)
+        Timestamp(whole_millis(since_origin))
     }
 }
 
--- a/crates/sloetrail-serving/src/leases/order_window.rs
+++ b/crates/sloetrail-serving/src/leases/order_window.rs
@@ -13,6 +13,7 @@
 use crate::table::{Commit, Table, read_row};
 use serde::{Deserialize, Serialize};
 use sloetrail_clock::BootInstant;
+use sloetrail_types::Timestamp;
 use std::time::Duration;
 
 const WINDOW: Duration = Duration::from_millis(500);
@@ -28,8 +29,9 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct StoredWindow {
     node: String,
-    /// End of the window in milliseconds of the table's clock.
-    until_ms: u64,
+    /// End of the window on the table's clock.
+    #[serde(rename = "until_ms")]
+    until: Timestamp,
 }
 
 /// The order window of one term.
@@ -38,7 +40,7 @@
     open_until: Option<BootInstant>,
     /// When the gap after the predecessor's window has passed, on the table's clock. None until
     /// it has been read.
-    not_before_ms: Option<u64>,
+    not_before: Option<Timestamp>,
     /// Duration of the last commit of a window.
     commit_time: Duration,
 }
@@ -62,17 +64,17 @@
     /// Opens or extends the window, unless the gap after the predecessor's window has not
     /// passed yet.
     pub(crate) async fn open(&mut self, context: &NodeContext, term: &Term) {
-        let Some(now_ms) = context.table.now_ms() else {
+        let Some(now) = context.table.now_ms().map(Timestamp) else {
             return;
         };
-        if !self.is_past_gap(context, term, now_ms).await {
+        if !self.is_past_gap(context, term, now).await {
             return;
         }
         let started_at = BootInstant::now();
         let length = (WINDOW + self.commit_time * COMMIT_TIME_FACTOR).min(MAX_WINDOW);
         let window = StoredWindow {
             node: context.settings.node.clone(),
-            until_ms: now_ms + (length + CLOCK_MARGIN).as_millis() as u64,
+            until: now.after(length + CLOCK_MARGIN),
         };
         let value = serde_json::to_vec(&window).unwrap_or_default();
         let address = rows::order_window(term.resource.name());
@@ -87,29 +89,28 @@
         }
     }
 
-    async fn is_past_gap(&mut self, context: &NodeContext, term: &Term, now_ms: u64) -> bool {
-        if self.not_before_ms.is_none() {
-            self.not_before_ms = not_before_ms(context, term).await;
+    async fn is_past_gap(&mut self, context: &NodeContext, term: &Term, now: Timestamp) -> bool {
+        if self.not_before.is_none() {
+            self.not_before = not_before(context, term).await;
         }
-        self.not_before_ms
-            .is_some_and(|not_before_ms| now_ms >= not_before_ms)
+        self.not_before.is_some_and(|not_before| now >= not_before)
     }
 }
 
 /// Returns when this term's owner may start to give orders, on the table's clock. None if the
 /// predecessor's window cannot be read.
-async fn not_before_ms(context: &NodeContext, term: &Term) -> Option<u64> {
+async fn not_before(context: &NodeContext, term: &Term) -> Option<Timestamp> {
     let table: &dyn Table = &*context.table;
     let row = read_row(table, &rows::order_window(term.resource.name()))
         .await
         .ok()?;
     let Some(row) = row else {
-        return Some(0);
+        return Some(Timestamp::default());
     };
     let window: StoredWindow = serde_json::from_slice(&row.value).ok()?;
     if window.node == context.settings.node {
-        return Some(0);
+        return Some(Timestamp::default());
     }
     let gap = context.settings.bounds.order_gap;
-    Some(window.until_ms + gap.as_millis() as u64)
+    Some(window.until.after(gap))
 }
--- a/crates/sloetrail-serving/src/leases/owner_watch.rs
+++ b/crates/sloetrail-serving/src/leases/owner_watch.rs
@@ -6,7 +6,7 @@
 use crate::relay::peers::Peers;
 use crate::relay::probe::ProbeOutcome;
 use sloetrail_clock::BootInstant;
-use sloetrail_types::{AllowedRegions, Epoch, NodeId};
+use sloetrail_types::{AllowedRegions, Epoch, NodeId, whole_millis};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinHandle;
@@ -112,7 +112,7 @@
             events::emit(&Event::OwnerFoundGone {
                 holder: holder.as_str(),
                 seen: outcome.as_str(),
-                silent_ms: alive_at.elapsed().as_millis() as u64,
+                silent_ms: whole_millis(alive_at.elapsed()),
             });
             return;
         }
--- a/crates/sloetrail-serving/src/owner/engine_sends.rs
+++ b/crates/sloetrail-serving/src/owner/engine_sends.rs
@@ -5,7 +5,7 @@
 
 use sloetrail_balance::{SendBound, SendWindow};
 use sloetrail_clock::BootInstant;
-use sloetrail_types::Timestamp;
+use sloetrail_types::{Timestamp, whole_millis};
 use std::sync::{Mutex, MutexGuard};
 
 /// The send window of an owner for one engine, shared with its runs.
@@ -51,7 +51,7 @@
 
     fn timestamp(&self, now: BootInstant) -> Timestamp {
         let since = now.saturating_duration_since(self.origin);
-        Timestamp(since.as_millis() as u64)
+        Timestamp(whole_millis(since))
     }
 
     fn window(&self) -> MutexGuard<'_, SendWindow> {
--- a/crates/sloetrail-serving/src/owner/service_owner/relocation.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/relocation.rs
@@ -11,7 +11,7 @@
 use crate::owner::engines::{EnginePool, FreeEngine, SIMILAR_INTERVAL_FACTOR};
 use sloetrail_batch::{Batch, BatchId, ItemIndex, LengthModel};
 use sloetrail_clock::BootInstant;
-use sloetrail_types::EngineId;
+use sloetrail_types::{EngineId, whole_millis};
 use std::time::Duration;
 
 /// Minimum time that a move must save, to cover processing the prefix again.
@@ -113,7 +113,7 @@
                     from: run.engine.as_str(),
                     to: engine.id.as_str(),
                     remaining_events: candidate.remaining as u64,
-                    gain_ms: gain.as_millis() as u64,
+                    gain_ms: whole_millis(gain),
                 });
                 run.move_target = Some(engine.id.clone());
                 run.cancel.cancel();
--- a/crates/sloetrail-serving/src/owner/service_owner/results.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/results.rs
@@ -10,7 +10,7 @@
     BatchId, DeathCause, ItemIndex, ItemState, ListedResult, ResultState, RunFailure, Transcript,
 };
 use sloetrail_clock::BootInstant;
-use sloetrail_types::EngineId;
+use sloetrail_types::{EngineId, whole_millis};
 use std::time::Duration;
 
 impl ServiceOwner {
@@ -54,7 +54,7 @@
             back_end: engine.as_str(),
             outcome: outcome.as_str(),
             events: transcript.len(),
-            took_ms: took.as_millis() as u64,
+            took_ms: whole_millis(took),
         });
         open.batch.set_transcript(index, transcript);
         if outcome == RunOutcome::WrongVersion && open.batch.header.single_version {
@@ -165,7 +165,7 @@
             batch: &committed.batch,
             position: committed.position,
             versions: &versions,
-            commit_ms: committed.took.as_millis() as u64,
+            commit_ms: whole_millis(committed.took),
         });
         let Some(open) = self.batches.get_mut(&committed.batch) else {
             return;
@@ -213,5 +213,5 @@
 }
 
 fn milliseconds(time: Duration) -> u64 {
-    time.as_millis() as u64
+    whole_millis(time)
 }
--- a/crates/sloetrail-serving/src/owner/service_owner/supply.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/supply.rs
@@ -14,7 +14,7 @@
 use sloetrail_batch::BatchHeader;
 use sloetrail_clock::BootInstant;
 use sloetrail_scaling::{FleetScaler, ScalingBounds, ZoneLoad, ZoneLoads};
-use sloetrail_types::{ServiceName, Timestamp, ZoneName};
+use sloetrail_types::{ServiceName, Timestamp, ZoneName, bounded, whole_millis};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -63,7 +63,7 @@
 
 impl SupplyState {
     fn now(&self) -> Timestamp {
-        Timestamp(self.origin.elapsed().as_millis() as u64)
+        Timestamp(whole_millis(self.origin.elapsed()))
     }
 
     pub(super) fn record_batch(&mut self, model: &str, header: &BatchHeader) {
@@ -284,7 +284,8 @@
     let address = rows::engine_baseline(service);
     let row = read_row(&*context.table, &address).await.ok()?;
     if let Some(row) = row {
-        return serde_json::from_slice(&row.value).ok();
+        let baseline: usize = serde_json::from_slice(&row.value).ok()?;
+        return Some(baseline.min(bounded::MAX_COUNT));
     }
     let transaction = term.transaction().require(address.clone(), None);
     let transaction = transaction.put(address, engines.to_string());
--- a/crates/sloetrail-serving/src/owner/slot_demand.rs
+++ b/crates/sloetrail-serving/src/owner/slot_demand.rs
@@ -14,6 +14,7 @@
 use crate::rows;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use sloetrail_types::bounded;
 use std::time::Duration;
 
 /// Minimum time between two writes of an owner. Engine orders are at least 3 s apart.
@@ -28,8 +29,10 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct SlotDemand {
     /// Mean number of slots in use since the last row, rounded up.
+    #[serde(deserialize_with = "bounded::count")]
     pub(super) busy: usize,
     /// Slots that the items would use now if enough were free.
+    #[serde(deserialize_with = "bounded::count")]
     pub(super) wanted: usize,
     /// Duration of the longest step completed since the last row, in percent of its target.
     pub(super) step_percent: Option<u32>,
--- a/crates/sloetrail-serving/src/quarantine/crash_registry.rs
+++ b/crates/sloetrail-serving/src/quarantine/crash_registry.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use sloetrail_quarantine::{Clearance, CrashAssessment, CrashReport, assess};
-use sloetrail_types::RowVersion;
+use sloetrail_types::{RowVersion, Timestamp};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -93,9 +93,7 @@
 
     /// Assesses requests by the entries that are not older than `retention`.
     pub(super) fn assess(&self, now_ms: Option<u64>, retention: Duration) -> CrashAssessment {
-        let since_ms = now_ms
-            .unwrap_or_default()
-            .saturating_sub(retention.as_millis() as u64);
+        let since_ms = Timestamp(now_ms.unwrap_or_default()).before(retention).0;
         let stored = self
             .stored
             .values()
@@ -123,7 +121,7 @@
         now_ms: u64,
         retention: Duration,
     ) -> Vec<(String, RowVersion)> {
-        let since_ms = now_ms.saturating_sub(retention.as_millis() as u64);
+        let since_ms = Timestamp(now_ms).before(retention).0;
         let mut by_age: Vec<(u64, &String, RowVersion)> = self
             .stored
             .iter()
--- a/crates/sloetrail-serving/src/quarantine/permission.rs
+++ b/crates/sloetrail-serving/src/quarantine/permission.rs
@@ -8,7 +8,7 @@
     QuarantinedRequest, RequestDigest, RequestStatus, Suspect, TRIAL_DELAY,
 };
 use sloetrail_result::{Problem, ResultCode};
-use sloetrail_types::ServiceName;
+use sloetrail_types::{ServiceName, whole_millis};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -105,7 +105,7 @@
             }
         };
         let problem = Problem::new(ResultCode::RequestQuarantined, detail);
-        Some(problem.with_retry_after_ms(remaining.as_millis() as u64))
+        Some(problem.with_retry_after_ms(whole_millis(remaining)))
     }
 
     /// Starts to track an attempt of the request at a back end.
--- a/crates/sloetrail-serving/src/quarantine/trial.rs
+++ b/crates/sloetrail-serving/src/quarantine/trial.rs
@@ -11,20 +11,22 @@
 use serde::{Deserialize, Serialize};
 use sloetrail_clock::BootInstant;
 use sloetrail_quarantine::{RequestDigest, Suspect};
+use sloetrail_types::Timestamp;
 
 /// The latest trial of a service.
 #[derive(Debug, Serialize, Deserialize)]
 struct StoredTrial {
     digest: RequestDigest,
-    /// When the trial ends, in milliseconds of the table's clock.
-    until_ms: u64,
+    /// When the trial ends, on the table's clock.
+    #[serde(rename = "until_ms")]
+    until: Timestamp,
 }
 
 impl Quarantine {
     /// Starts a trial of a request. Returns false if another trial is in progress or the
     /// table does not confirm the write.
     pub(super) async fn begin_trial(&self, suspect: &Suspect, until: BootInstant) -> bool {
-        let Some(now_ms) = self.table.now_ms() else {
+        let Some(now) = self.table.now_ms().map(Timestamp) else {
             return false;
         };
         let address = rows::trial(&suspect.service);
@@ -32,13 +34,13 @@
         let current = known
             .as_ref()
             .and_then(|row| serde_json::from_slice::<StoredTrial>(&row.value).ok());
-        if current.is_some_and(|trial| now_ms < trial.until_ms) {
+        if current.is_some_and(|trial| now < trial.until) {
             return false;
         }
         let remaining = until.saturating_duration_since(BootInstant::now());
         let trial = StoredTrial {
             digest: suspect.digest,
-            until_ms: now_ms + remaining.as_millis() as u64,
+            until: now.after(remaining),
         };
         let value = serde_json::to_vec(&trial).unwrap_or_default();
         let transaction = Transaction::new()
--- a/crates/sloetrail-serving/src/relay/probe.rs
+++ b/crates/sloetrail-serving/src/relay/probe.rs
@@ -134,7 +134,7 @@
     let nearest = times.flatten().min().unwrap_or_default();
     candidates.sort_by_cached_key(|candidate| {
         let response_time = candidate.table_time_us;
-        let is_near = response_time.is_some_and(|time| time <= nearest * NEAR_FACTOR);
+        let is_near = response_time.is_some_and(|time| time <= nearest.saturating_mul(NEAR_FACTOR));
         let rank = digest(format!("{}/{}", epoch.0, candidate.name).as_bytes());
         (!is_near, rank)
     });
--- a/crates/sloetrail-serving/src/relay/table.rs
+++ b/crates/sloetrail-serving/src/relay/table.rs
@@ -6,7 +6,7 @@
     Changes, Commit, CommitError, KeyRange, Page, ReadError, Table, TableLimits, Transaction,
 };
 use async_trait::async_trait;
-use sloetrail_types::RowVersion;
+use sloetrail_types::{RowVersion, whole_millis};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -117,7 +117,7 @@
         let call = || TableCall::Changes {
             table: table.to_owned(),
             since,
-            wait_ms: wait.as_millis() as u64,
+            wait_ms: whole_millis(wait),
         };
         let direct = self.direct.changes(table, since, wait);
         self.read(call, direct, |answer| match answer {
--- a/crates/sloetrail-serving/src/rows.rs
+++ b/crates/sloetrail-serving/src/rows.rs
@@ -6,7 +6,7 @@
 //! Claims of idempotency keys are spread over several partitions.
 
 use crate::table::{KeyRange, RowAddress};
-use sloetrail_types::{NodeId, ServiceName};
+use sloetrail_types::{NodeId, ServiceName, Timestamp};
 use sloetrail_usage::WindowNumber;
 use std::ops::Range;
 
@@ -243,8 +243,8 @@
 }
 
 /// The row with the time, by the table's clock, at which a claim may be deleted.
-pub fn claim_expiry(claim: &RowAddress, delete_at_ms: u64) -> RowAddress {
-    let key = format!("{delete_at_ms:0TIME_DIGITS$}/{}", claim.key);
+pub fn claim_expiry(claim: &RowAddress, delete_at: Timestamp) -> RowAddress {
+    let key = format!("{:0TIME_DIGITS$}/{}", delete_at.0, claim.key);
     RowAddress::new(CLAIM_TIMES, &claim.partition, key)
 }
 
--- a/crates/sloetrail-serving/src/service_pools.rs
+++ b/crates/sloetrail-serving/src/service_pools.rs
@@ -17,7 +17,7 @@
 use rand::rngs::StdRng;
 use sloetrail_balance::{AttemptOutcome, LatencyQuantile, WorkClass, WorkTenant};
 use sloetrail_clock::BootInstant;
-use sloetrail_types::{AllowedRegions, EngineId, RowVersion, ServiceName, Timestamp};
+use sloetrail_types::{AllowedRegions, EngineId, RowVersion, ServiceName, Timestamp, whole_millis};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -289,7 +289,7 @@
     }
 
     fn now(&self) -> Timestamp {
-        Timestamp(self.origin.elapsed().as_millis() as u64)
+        Timestamp(whole_millis(self.origin.elapsed()))
     }
 }
 
--- a/crates/sloetrail-serving/src/suspension_guard.rs
+++ b/crates/sloetrail-serving/src/suspension_guard.rs
@@ -7,6 +7,7 @@
 use crate::events::{self, Event};
 use crate::follow::LastApplied;
 use sloetrail_clock::BootInstant;
+use sloetrail_types::whole_millis;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -93,7 +94,7 @@
             .record_tick(BootInstant::now());
         if let Some(suspended_for) = suspended_for {
             events::emit(&Event::ProcessPaused {
-                paused_ms: suspended_for.as_millis() as u64,
+                paused_ms: whole_millis(suspended_for),
             });
         }
     }
--- a/crates/sloetrail-serving/src/table_clock.rs
+++ b/crates/sloetrail-serving/src/table_clock.rs
@@ -4,6 +4,7 @@
 //! answer with the shortest delay gives the most accurate offset, which is the largest one.
 
 use sloetrail_clock::BootInstant;
+use sloetrail_types::whole_millis;
 use std::time::Duration;
 
 /// Length of a sampling window. An offset is used for one to two windows, which bounds the error
@@ -38,18 +39,21 @@
             self.window_started_at = at;
             self.max_offsets_ms = [None, self.max_offsets_ms[0]];
         }
-        let offset_ms = table_ms as i64 - self.local_ms(at);
+        let table_ms = i64::try_from(table_ms).unwrap_or(i64::MAX);
+        let offset_ms = table_ms.saturating_sub(self.local_ms(at));
         self.max_offsets_ms[0] = self.max_offsets_ms[0].max(Some(offset_ms));
     }
 
     /// Returns the table's time at a local time. None before the first answer.
     pub fn at(&self, at: BootInstant) -> Option<u64> {
         let offset_ms = self.max_offsets_ms[0].max(self.max_offsets_ms[1])?;
-        Some((self.local_ms(at) + offset_ms).max(0) as u64)
+        let table_ms = self.local_ms(at).saturating_add(offset_ms);
+        Some(u64::try_from(table_ms).unwrap_or_default())
     }
 
     fn local_ms(&self, at: BootInstant) -> i64 {
-        at.saturating_duration_since(self.origin).as_millis() as i64
+        let local_ms = whole_millis(at.saturating_duration_since(self.origin));
+        i64::try_from(local_ms).unwrap_or(i64::MAX)
     }
 }
 
--- a/crates/sloetrail-serving/src/usage/node_usage.rs
+++ b/crates/sloetrail-serving/src/usage/node_usage.rs
@@ -9,7 +9,7 @@
 use crate::telemetry;
 use bytes::Bytes;
 use sloetrail_clock::BootInstant;
-use sloetrail_types::{NodeId, TenantName};
+use sloetrail_types::{NodeId, TenantName, whole_millis};
 use sloetrail_usage::{ReportSchedule, UsageCounter, UsagePiece};
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -189,7 +189,7 @@
             state.move_long_requests(cutoff);
         }
         for (started_at, tenant) in std::mem::take(&mut state.pending) {
-            let age = now.saturating_duration_since(started_at).as_millis() as u64;
+            let age = whole_millis(now.saturating_duration_since(started_at));
             let window = windows.at(wall_ms.saturating_sub(age));
             state.counter.count(window, &tenant);
         }
--- a/crates/sloetrail-serving/src/usage/reporter.rs
+++ b/crates/sloetrail-serving/src/usage/reporter.rs
@@ -314,8 +314,8 @@
 /// of earlier windows. The latter may include pieces that were counted but not deleted.
 fn log_uncounted(window: WindowNumber, pieces: &[UsagePiece], others: u64) {
     let late = pieces.iter().filter(|piece| piece.window < window);
-    let late_requests: u64 = late.flat_map(|piece| piece.counts.values()).sum();
-    let requests = late_requests + others;
+    let late_counts = late.flat_map(|piece| piece.counts.values());
+    let requests = late_counts.fold(others, |total, count| total.saturating_add(*count));
     if requests > 0 {
         events::emit(&Event::UsageLeft {
             window: window.0,
--- a/crates/sloetrail-serving/src/usage/wall_clock.rs
+++ b/crates/sloetrail-serving/src/usage/wall_clock.rs
@@ -6,6 +6,7 @@
 use crate::follow::TableView;
 use crate::rows;
 use crate::table::Table;
+use sloetrail_types::whole_millis;
 use sloetrail_usage::ClockOffset;
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -13,7 +14,7 @@
 pub(crate) fn measured_offset(table: &dyn Table) -> Option<ClockOffset> {
     let table_ms = table.now_ms()?;
     let wall = SystemTime::now().duration_since(UNIX_EPOCH).ok()?;
-    Some(ClockOffset::between(wall.as_millis() as u64, table_ms))
+    Some(ClockOffset::between(whole_millis(wall), table_ms))
 }
 
 /// Reads the agreed offset from the lease table.
--- a/crates/sloetrail-serving/src/zone_work.rs
+++ b/crates/sloetrail-serving/src/zone_work.rs
@@ -8,7 +8,7 @@
 use crate::events::{self, Event};
 use crate::operator::InForce;
 use sloetrail_clock::BootInstant;
-use sloetrail_types::ZoneName;
+use sloetrail_types::{ZoneName, whole_millis};
 use std::sync::{Arc, Mutex, MutexGuard};
 use tokio::sync::watch;
 
@@ -78,6 +78,6 @@
 fn emit_drained(drained: &DrainedZone) {
     events::emit(&Event::EvacuationSettled {
         zone: drained.zone.as_str(),
-        after_ms: drained.after.as_millis() as u64,
+        after_ms: whole_millis(drained.after),
     });
 }
--- a/crates/sloetrail-serving/tests/edge_numbers.rs
+++ b/crates/sloetrail-serving/tests/edge_numbers.rs
@@ -104,3 +104,29 @@
     let answer = live(&cluster, 0, "/live/x", "r2").await.expect("an answer");
     assert_eq!(answer.status, 200);
 }
+
+/// Guards against a caller's deadline or wait that overflows a sum of times.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_with_the_longest_deadlines_and_waits_are_answered() {
+    let mut cluster = usual_cluster(EVENT_INTERVAL).await;
+    let mut routes = usual_routes();
+    for route in routes.as_array_mut().expect("a list") {
+        route["timeout_ms"] = json!(u64::MAX);
+        route["target_latency_ms"] = json!(u64::MAX);
+    }
+    cluster.configure(routes);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let names = cluster.names();
+    for path in ["/live/x", "/once/x", "/events/x"] {
+        let mut call = Call::new(Method::POST, HOST, path)
+            .header(&names.request_id, path)
+            .header(&names.deadline_ms, &u64::MAX.to_string())
+            .header(&names.wait_ms, &u64::MAX.to_string());
+        if let Some(key) = &names.idempotency_key {
+            call = call.header(key, &format!("key{}", path.len()));
+        }
+        let answer = call.body("events=3").send(cluster.nodes[0].callers).await;
+        let status = answer.map(|answer| answer.status.as_u16());
+        assert_eq!(status, Some(200), "{path}");
+    }
+}
--- a/crates/sloetrail-usage/src/clock.rs
+++ b/crates/sloetrail-usage/src/clock.rs
@@ -10,7 +10,8 @@
 impl ClockOffset {
     /// Returns the offset between two simultaneous readings.
     pub fn between(wall_ms: u64, table_ms: u64) -> Self {
-        Self(wall_ms as i64 - table_ms as i64)
+        let signed = |millis| i64::try_from(millis).unwrap_or(i64::MAX);
+        Self(signed(wall_ms).saturating_sub(signed(table_ms)))
     }
 
     /// Converts a time of the table's clock to wall-clock time.
--- a/crates/sloetrail-usage/src/report.rs
+++ b/crates/sloetrail-usage/src/report.rs
@@ -21,13 +21,15 @@
         let mut counts = TenantCounts::new();
         for piece in pieces.into_iter().filter(|piece| piece.window == window) {
             for (tenant, count) in &piece.counts {
-                *counts.entry(tenant.clone()).or_default() += count;
+                let total = counts.entry(tenant.clone()).or_default();
+                *total = total.saturating_add(*count);
             }
         }
         Self { window, counts }
     }
 
     pub fn total_requests(&self) -> u64 {
-        self.counts.values().sum()
+        let counts = self.counts.values();
+        counts.fold(0, |total, count| total.saturating_add(*count))
     }
 }
--- a/crates/sloetrail-usage/src/schedule.rs
+++ b/crates/sloetrail-usage/src/schedule.rs
@@ -4,6 +4,7 @@
 //! table. After an outage of the table the delay is longer, but never beyond the due time.
 
 use crate::window::{WindowNumber, Windows};
+use sloetrail_types::Timestamp;
 use std::time::Duration;
 
 /// Fraction of the time between the end of a window and its due time for which pieces are
@@ -43,8 +44,7 @@
     /// Returns the first window to report when no report exists yet. It covers requests that
     /// started before the first lease holder, unless their report would be overdue.
     pub fn first(&self, wall_ms: u64) -> WindowNumber {
-        let due_after_ms = self.due_after.as_millis() as u64;
-        self.windows.at(wall_ms.saturating_sub(due_after_ms))
+        self.windows.at(Timestamp(wall_ms).before(self.due_after).0)
     }
 
     /// Returns how long after the end of a window pieces are awaited.
@@ -60,15 +60,15 @@
         wall_ms: u64,
         answering_for: Duration,
     ) -> ReportAction {
-        let end_ms = self.windows.end_ms(window);
-        let after_end = |time: Duration| end_ms + time.as_millis() as u64;
-        let settled_ms = after_end(self.settle_time());
-        if wall_ms < settled_ms {
-            return ReportAction::Wait(Duration::from_millis(settled_ms - wall_ms));
+        let now = Timestamp(wall_ms);
+        let end = Timestamp(self.windows.end_ms(window));
+        let settled_at = end.after(self.settle_time());
+        if now < settled_at {
+            return ReportAction::Wait(settled_at.since(now));
         }
-        let latest_ms = after_end(self.due_after.saturating_sub(DUE_MARGIN));
+        let latest = end.after(self.due_after.saturating_sub(DUE_MARGIN));
         let recovery = RECOVERY_TIME.saturating_sub(answering_for);
-        let remaining = Duration::from_millis(latest_ms.saturating_sub(wall_ms));
+        let remaining = latest.since(now);
         match recovery.min(remaining) {
             Duration::ZERO => ReportAction::Report(window),
             wait => ReportAction::Wait(wait),
--- a/crates/sloetrail-usage/src/window.rs
+++ b/crates/sloetrail-usage/src/window.rs
@@ -1,6 +1,7 @@
 //! Fixed-length windows of wall-clock time.
 
 use serde::{Deserialize, Serialize};
+use sloetrail_types::whole_millis;
 use std::time::Duration;
 
 /// The index of a window. Window `k` starts at `k` times the window length after the Unix epoch.
@@ -11,9 +12,10 @@
 pub struct WindowNumber(pub u64);
 
 impl WindowNumber {
+    /// Returns the next window, or the last one if there is no next.
     #[must_use]
     pub fn next(self) -> Self {
-        Self(self.0 + 1)
+        Self(self.0.saturating_add(1))
     }
 }
 
@@ -27,7 +29,7 @@
     /// Lengths below one millisecond are rounded up.
     pub fn new(length: Duration) -> Self {
         Self {
-            length_ms: (length.as_millis() as u64).max(1),
+            length_ms: whole_millis(length).max(1),
         }
     }
 
@@ -38,6 +40,6 @@
 
     /// Returns the end of a window in Unix milliseconds.
     pub fn end_ms(self, window: WindowNumber) -> u64 {
-        (window.0 + 1).saturating_mul(self.length_ms)
+        window.next().0.saturating_mul(self.length_ms)
     }
 }
