--- a/crates/sloetrail-serving/src/directory.rs
+++ b/crates/sloetrail-serving/src/directory.rs
@@ -8,6 +8,7 @@
 use crate::follow::{FleetSize, LastApplied, TableView, ViewReceiver};
 use crate::operator::Evacuations;
 use crate::table::Row;
+use crate::tasks::{self, Panicked};
 use sloetrail_clock::BootInstant;
 use sloetrail_types::{EngineId, RowVersion, ServiceName};
 use std::collections::BTreeMap;
@@ -182,47 +183,75 @@
 }
 
 fn decode(dialect: &dyn Dialect, key: &str, value: &[u8]) -> Option<BackEnd> {
-    match dialect.back_end(key, value) {
-        Ok(back_end) => Some(back_end),
-        Err(error) => {
-            events::emit(&Event::RowUnreadable {
-                table: &dialect.sources().directory_table,
-                key,
-                detail: &error.message,
-            });
-            None
-        }
-    }
+    let decoded = tasks::catch_sync("directory row", || dialect.back_end(key, value));
+    let detail = match decoded {
+        Ok(Ok(back_end)) => return Some(back_end),
+        Ok(Err(error)) => error.message,
+        Err(Panicked) => "the decoder panicked".to_owned(),
+    };
+    events::emit(&Event::RowUnreadable {
+        table: &dialect.sources().directory_table,
+        key,
+        detail: &detail,
+    });
+    None
 }
 
 /// Decodes each view of the directory table until every receiver is dropped, and updates the
 /// fleet size. The second receiver gets the request time of each view after its back ends are
 /// published.
 pub fn watch_directory(
-    mut view: ViewReceiver,
+    view: ViewReceiver,
     dialect: Arc<dyn Dialect>,
     fleet: FleetSize,
 ) -> (watch::Receiver<Arc<Directory>>, LastApplied) {
     let (sender, receiver) = watch::channel(Arc::new(Directory::default()));
     let (applied, last_applied) = watch::channel(view.borrow().requested_at);
-    tokio::spawn(async move {
-        while view.changed().await.is_ok() && !sender.is_closed() {
-            let table = view.borrow_and_update().clone();
-            let current = sender.borrow().clone();
-            // Published even without new rows: whoever demanded more of the directory waits for it.
-            let has_other_ranges = current.ranges.as_ref() != Some(&table.ranges);
-            if table.version != current.version || has_other_ranges {
-                let next = current.updated(&table, &*dialect);
-                log_differences(&current, &next);
-                fleet.set_back_ends(next.total_rows);
-                sender.send_replace(Arc::new(next));
-            }
-            applied.send_replace(table.requested_at);
-        }
+    let publisher = Arc::new(DirectoryPublisher {
+        dialect,
+        fleet,
+        sender,
+        applied,
+    });
+    tasks::spawn_part("directory", move || {
+        Arc::clone(&publisher).run(view.clone())
     });
     (receiver, last_applied)
 }
 
+/// Decodes views of the directory table and publishes them.
+struct DirectoryPublisher {
+    dialect: Arc<dyn Dialect>,
+    fleet: FleetSize,
+    sender: watch::Sender<Arc<Directory>>,
+    /// The request time of the view that was published last.
+    applied: watch::Sender<Option<BootInstant>>,
+}
+
+impl DirectoryPublisher {
+    async fn run(self: Arc<Self>, mut view: ViewReceiver) {
+        while view.changed().await.is_ok() && !self.sender.is_closed() {
+            let table = view.borrow_and_update().clone();
+            self.publish(&table);
+            self.applied.send_replace(table.requested_at);
+        }
+    }
+
+    /// Publishes a changed view. Other ranges count as a change even without new rows: whoever
+    /// demanded more of the directory waits for it.
+    fn publish(&self, table: &TableView) {
+        let current = self.sender.borrow().clone();
+        let has_other_ranges = current.ranges.as_ref() != Some(&table.ranges);
+        if table.version == current.version && !has_other_ranges {
+            return;
+        }
+        let next = current.updated(table, &*self.dialect);
+        log_differences(&current, &next);
+        self.fleet.set_back_ends(next.total_rows);
+        self.sender.send_replace(Arc::new(next));
+    }
+}
+
 fn log_differences(before: &Directory, after: &Directory) {
     let state = |back_end: &BackEnd| match (back_end.draining, back_end.cold_remaining.is_zero()) {
         (true, _) => "draining",
--- a/crates/sloetrail-serving/src/ended_incarnations.rs
+++ b/crates/sloetrail-serving/src/ended_incarnations.rs
@@ -6,6 +6,7 @@
 //! for a timeout.
 
 use crate::directory::Directory;
+use crate::tasks;
 use sloetrail_types::EngineId;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -56,26 +57,34 @@
 
 /// Publishes the directory's ended incarnations until every receiver is dropped.
 pub(crate) fn watch_ended_incarnations(
-    mut directory: watch::Receiver<Arc<Directory>>,
+    directory: watch::Receiver<Arc<Directory>>,
 ) -> EndedIncarnationsReceiver {
     let (sender, receiver) = watch::channel(Arc::clone(directory.borrow().ended()));
-    tokio::spawn(async move {
-        loop {
-            tokio::select! {
-                changed = directory.changed() => if changed.is_err() { return },
-                () = sender.closed() => return,
-            }
-            let ended = Arc::clone(directory.borrow_and_update().ended());
-            sender.send_if_modified(|current| {
-                let has_changed = !Arc::ptr_eq(current, &ended);
-                *current = ended;
-                has_changed
-            });
-        }
+    let sender = Arc::new(sender);
+    tasks::spawn_part("ended incarnations", move || {
+        publish_ended(directory.clone(), Arc::clone(&sender))
     });
     receiver
 }
 
+async fn publish_ended(
+    mut directory: watch::Receiver<Arc<Directory>>,
+    sender: Arc<watch::Sender<Arc<EndedIncarnations>>>,
+) {
+    loop {
+        tokio::select! {
+            changed = directory.changed() => if changed.is_err() { return },
+            () = sender.closed() => return,
+        }
+        let ended = Arc::clone(directory.borrow_and_update().ended());
+        sender.send_if_modified(|current| {
+            let has_changed = !Arc::ptr_eq(current, &ended);
+            *current = ended;
+            has_changed
+        });
+    }
+}
+
 /// Completes once a newer incarnation of the same back end is known.
 pub(crate) async fn wait_until_ended(mut ended: EndedIncarnationsReceiver, incarnation: &EngineId) {
     let is_known =
--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -35,6 +35,12 @@
         /// Requests in flight, which are cut off.
         requests: usize,
     },
+    /// A task of the node has panicked.
+    TaskPanicked {
+        task: &'a str,
+        /// The source location; empty if unknown.
+        at: &'a str,
+    },
     /// The settings file was read again.
     SettingsReloaded {
         outcome: &'a str,
--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -14,6 +14,7 @@
             Event::NodeStarted { .. }
             | Event::NodeStopping { .. }
             | Event::NodeStopped { .. }
+            | Event::TaskPanicked { .. }
             | Event::SettingsReloaded { .. }
             | Event::ConnectionsCondemned { .. }
             | Event::ProcessPaused { .. }
--- a/crates/sloetrail-serving/src/events/rate_limiter.rs
+++ b/crates/sloetrail-serving/src/events/rate_limiter.rs
@@ -1,6 +1,6 @@
 //! Rate limiter for log lines.
 
-use std::sync::Mutex;
+use parking_lot::Mutex;
 use std::time::{Duration, Instant};
 
 const WINDOW: Duration = Duration::from_secs(1);
@@ -32,7 +32,7 @@
 
     pub(super) fn admit(&self) -> bool {
         let now = Instant::now();
-        let mut state = self.state.lock().expect("not poisoned");
+        let mut state = self.state.lock();
         let is_over = |started_at: Instant| now.saturating_duration_since(started_at) >= WINDOW;
         if state.window_started_at.is_none_or(is_over) {
             state.window_started_at = Some(now);
@@ -48,7 +48,7 @@
 
     /// Returns the number of lines refused since the last call.
     pub(super) fn take_refused(&self) -> u64 {
-        let mut state = self.state.lock().expect("not poisoned");
+        let mut state = self.state.lock();
         std::mem::take(&mut state.refused)
     }
 }
--- a/crates/sloetrail-serving/src/events/writer.rs
+++ b/crates/sloetrail-serving/src/events/writer.rs
@@ -143,5 +143,5 @@
 fn unix_time_ms() -> u64 {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
-        .map_or(0, |elapsed| whole_millis(elapsed))
+        .map_or(0, whole_millis)
 }
--- a/crates/sloetrail-serving/src/follow.rs
+++ b/crates/sloetrail-serving/src/follow.rs
@@ -10,12 +10,13 @@
 use crate::events::{self, Event};
 use crate::retry_backoff::RetryBackoff;
 use crate::table::{Change, Changes, KeyRange, ReadError, Row, RowAddress, Table, scan_all};
+use crate::tasks;
 use sloetrail_clock::BootInstant;
 use sloetrail_types::RowVersion;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::{Mutex, watch};
 
 /// A poll that ends this long after its timeout, or a delay that overruns by this much, means that
 /// this process or the table was suspended.
@@ -105,7 +106,11 @@
         interrupted: false,
         immediate_polls: 0,
     };
-    tokio::spawn(follower.run());
+    let follower = Arc::new(Mutex::new(follower));
+    tasks::spawn_part("table follower", move || {
+        let follower = Arc::clone(&follower);
+        async move { follower.lock().await.run().await }
+    });
     receiver
 }
 
@@ -130,20 +135,26 @@
 }
 
 impl Follower {
-    async fn run(mut self) {
+    /// Follows the table until every receiver is dropped. Reads all rows first.
+    async fn run(&mut self) {
         let mut subset = self.subset.take();
+        self.follow(subset.as_mut()).await;
+        self.subset = subset;
+    }
+
+    async fn follow(&mut self, mut subset: Option<&mut SubsetReader>) {
         let mut must_read_all = true;
         let mut retry = RetryBackoff::new();
         while !self.sender.is_closed() {
             let step = match must_read_all {
-                true => self.read_all(subset.as_mut()).await,
-                false => self.read_changes(subset.as_mut()).await,
+                true => self.read_all(subset.as_deref_mut()).await,
+                false => self.read_changes(subset.as_deref_mut()).await,
             };
             match step {
                 Ok(Progress::UpToDate) => {
                     retry.reset();
                     self.record_answer();
-                    must_read_all = self.wait_for_next_poll(subset.as_mut()).await;
+                    must_read_all = self.wait_for_next_poll(subset.as_deref_mut()).await;
                 }
                 Ok(Progress::NeedsMoreRows) | Err(ReadError::HistoryLost) => must_read_all = true,
                 Err(ReadError::Unavailable) => {
--- a/crates/sloetrail-serving/src/gateway/call_handler.rs
+++ b/crates/sloetrail-serving/src/gateway/call_handler.rs
@@ -23,12 +23,13 @@
 use http::{HeaderMap, Request, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use parking_lot::Mutex;
 use sloetrail_clock::BootInstant;
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_routing::{Route, RouteKind, ServingConfiguration, Tenant, WeightedChoice};
 use sloetrail_types::{AllowedRegions, ServiceName};
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Answers are due this long before the caller's timeout.
@@ -321,7 +322,7 @@
         if let [only] = route.services.as_slice() {
             return Some(only.service.clone());
         }
-        let mut choices = self.service_choices.lock().expect("not poisoned");
+        let mut choices = self.service_choices.lock();
         let choice = choices
             .entry(route.name.clone())
             .or_insert_with(|| WeightedChoice::new(self.choice_seed));
--- a/crates/sloetrail-serving/src/gateway/claims.rs
+++ b/crates/sloetrail-serving/src/gateway/claims.rs
@@ -27,6 +27,7 @@
 use crate::rows;
 use crate::settings::ServingSettings;
 use crate::table::Table;
+use crate::tasks;
 use crate::telemetry;
 use http::HeaderMap;
 use sloetrail_clock::BootInstant;
@@ -138,7 +139,7 @@
         let claim_write = ClaimWrite::new(claims, request, address, record);
         // Runs detached from the caller, so that an abandoned claim is still released.
         let (sender, receiver) = oneshot::channel();
-        tokio::spawn(claim_write.run(claim_deadline, sender));
+        tasks::spawn("claim write", claim_write.run(claim_deadline, sender));
         match sloetrail_clock::timeout_at(claim_deadline, receiver).await {
             Ok(Ok(ClaimSettlement::Acquired(claim))) => Ok(KeyClaimOutcome::Acquired(claim)),
             Ok(Ok(ClaimSettlement::Existing(decision))) => outcome_of(decision),
--- a/crates/sloetrail-serving/src/gateway/claims/claim.rs
+++ b/crates/sloetrail-serving/src/gateway/claims/claim.rs
@@ -6,6 +6,7 @@
 use crate::events::{self, Event};
 use crate::http::CompleteAnswer;
 use crate::table::RowAddress;
+use crate::tasks;
 use sloetrail_result::{Kind, Problem};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -80,14 +81,15 @@
             });
             return;
         }
-        tokio::spawn(outcome_write.run());
+        tasks::spawn("claim outcome write", outcome_write.run());
     }
 
     /// Releases the key if the problem proves that nothing ran. Otherwise repeats are answered
     /// that the outcome is unknown.
     fn release_if_not_run(&self, problem: &Problem) {
         if problem.kind == Kind::NotRun {
-            tokio::spawn(self.outcome_write(ClaimState::Released).run());
+            let release = self.outcome_write(ClaimState::Released);
+            tasks::spawn("claim outcome write", release.run());
         }
     }
 
--- a/crates/sloetrail-serving/src/gateway/read.rs
+++ b/crates/sloetrail-serving/src/gateway/read.rs
@@ -10,6 +10,7 @@
 use crate::batch_rows::{read_results, read_submission};
 use crate::context::NodeContext;
 use crate::events::{self, Event};
+use crate::tasks;
 use http::StatusCode;
 use sloetrail_batch::{
     ListedResult, ReaderDemand, ReportedResult, ReportedResultState, ResultPage, Submission,
@@ -117,11 +118,13 @@
     until: BootInstant,
 ) -> PollOutcome {
     let (table, id) = (Arc::clone(&context.table), id.to_owned());
-    let reading = tokio::spawn(async move { read_results(&*table, &id, position).await });
+    let reading = tasks::spawn("result read", async move {
+        read_results(&*table, &id, position).await
+    });
     match sloetrail_clock::timeout_at(until, reading).await {
-        Ok(Ok(Ok(results))) => PollOutcome::Answered(results),
-        // The table client logs the cause of a failure, the panic hook that of a panic.
-        Ok(Ok(Err(_)) | Err(_)) => PollOutcome::Failed,
+        Ok(Ok(Ok(Ok(results)))) => PollOutcome::Answered(results),
+        // The table client logs the cause of a failure.
+        Ok(Ok(Ok(Err(_)) | Err(_)) | Err(_)) => PollOutcome::Failed,
         Err(_) => PollOutcome::TimedOut,
     }
 }
--- a/crates/sloetrail-serving/src/http/connections.rs
+++ b/crates/sloetrail-serving/src/http/connections.rs
@@ -12,14 +12,16 @@
 use super::socket;
 use super::unresponsive::UnresponsiveWatch;
 use crate::events::{self, Event};
+use crate::tasks;
 use crate::telemetry;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
 use sloetrail_clock::BootInstant;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Mutex;
+
 use std::time::Duration;
 use tokio::net::TcpStream;
 
@@ -88,7 +90,7 @@
             Reuse::RespondedSince(moment) => Some(moment),
         };
         let now = BootInstant::now();
-        let mut idle = self.idle.lock().expect("not poisoned");
+        let mut idle = self.idle.lock();
         let idle_connections = idle.get_mut(&address)?;
         while let Some(last) = idle_connections.last() {
             if responded_after.is_some_and(|moment| last.connection.received_at <= moment) {
@@ -105,7 +107,7 @@
     /// Returns whether a usable idle connection to the address exists.
     pub(crate) fn has_idle(&self, address: SocketAddr) -> bool {
         let now = BootInstant::now();
-        let idle = self.idle.lock().expect("not poisoned");
+        let idle = self.idle.lock();
         let mut idle_connections = idle.get(&address).into_iter().flatten();
         idle_connections.any(|idle| idle.usable_until > now && !idle.connection.sender.is_closed())
     }
@@ -125,7 +127,7 @@
         }
         let now = BootInstant::now();
         connection.received_at = now;
-        let mut idle = self.idle.lock().expect("not poisoned");
+        let mut idle = self.idle.lock();
         let idle_connections = idle.entry(address).or_default();
         if idle_connections.len() < MAX_IDLE_PER_ADDRESS {
             idle_connections.push(IdleConnection {
@@ -141,7 +143,7 @@
     pub(crate) fn evict(&self, address: SocketAddr, since: BootInstant, sign: UnresponsiveSign) {
         self.unresponsive.suspect(address, since);
         let closed = {
-            let mut idle = self.idle.lock().expect("not poisoned");
+            let mut idle = self.idle.lock();
             let Some(idle_connections) = idle.get_mut(&address) else {
                 return;
             };
@@ -172,7 +174,7 @@
     /// Removes expired and closed connections. Must be called periodically.
     pub fn sweep(&self) {
         let now = BootInstant::now();
-        let mut idle = self.idle.lock().expect("not poisoned");
+        let mut idle = self.idle.lock();
         for idle_connections in idle.values_mut() {
             idle_connections
                 .retain(|idle| idle.usable_until > now && !idle.connection.sender.is_closed());
@@ -184,7 +186,7 @@
 
     /// Closes all idle connections to an address.
     pub fn forget(&self, address: SocketAddr) {
-        self.idle.lock().expect("not poisoned").remove(&address);
+        self.idle.lock().remove(&address);
     }
 }
 
@@ -230,7 +232,7 @@
         .handshake(TokioIo::new(stream))
         .await
         .ok()?;
-    tokio::spawn(connection);
+    tasks::spawn("back end connection", connection);
     let now = BootInstant::now();
     Some(Connection {
         sender,
--- a/crates/sloetrail-serving/src/http/exchange.rs
+++ b/crates/sloetrail-serving/src/http/exchange.rs
@@ -3,6 +3,7 @@
 use super::FullBody;
 use super::connections::{self, Connection, ConnectionPool, Sender, UnresponsiveSign};
 use super::reuse::Reuse;
+use crate::tasks;
 use bytes::{Bytes, BytesMut};
 use http::header::{CONNECTION, CONTENT_LENGTH};
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -149,7 +150,7 @@
     /// can be reused.
     pub fn discard(self) {
         let until = BootInstant::now() + DISCARD_TIMEOUT;
-        tokio::spawn(async move {
+        tasks::spawn("discarded answer", async move {
             // A long or slow body closes the connection instead.
             let _ = self.read_to_end(MAX_DISCARD_BYTES, until).await;
         });
--- a/crates/sloetrail-serving/src/http/listener.rs
+++ b/crates/sloetrail-serving/src/http/listener.rs
@@ -5,6 +5,7 @@
 
 use super::caller_stream::CallerStream;
 use super::socket;
+use crate::tasks;
 use crate::telemetry;
 use http::{Request, Response};
 use hyper::body::{Body, Incoming};
@@ -58,9 +59,30 @@
     }
 }
 
-/// Accepts connections and serves their requests until `tracker` is stopped.
-pub async fn serve_connections<Handler, Answer, AnswerBody>(
+/// Spawns a task that accepts connections and serves their requests until `tracker` is stopped.
+/// `settings` are read for each connection.
+pub fn spawn_listener<Settings, Handler, Answer, AnswerBody>(
     listener: TcpListener,
+    settings: Settings,
+    tracker: ConnectionTracker,
+    handler: Handler,
+) where
+    Settings: Fn() -> ListenerSettings + Clone + Send + 'static,
+    Handler: Fn(Request<Incoming>) -> Answer + Clone + Send + Sync + 'static,
+    Answer: Future<Output = Response<AnswerBody>> + Send + 'static,
+    AnswerBody: Body + Send + 'static,
+    AnswerBody::Data: Send,
+    AnswerBody::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let listener = Arc::new(listener);
+    tasks::spawn_part("listener", move || {
+        let (listener, settings) = (Arc::clone(&listener), settings.clone());
+        serve_connections(listener, settings, tracker.clone(), handler.clone())
+    });
+}
+
+async fn serve_connections<Handler, Answer, AnswerBody>(
+    listener: Arc<TcpListener>,
     settings: impl Fn() -> ListenerSettings,
     tracker: ConnectionTracker,
     handler: Handler,
@@ -81,7 +103,7 @@
             continue;
         };
         let connection = serve_connection(stream, settings(), tracker.clone(), handler.clone());
-        tokio::spawn(connection);
+        tasks::spawn("caller connection", connection);
     }
 }
 
--- a/crates/sloetrail-serving/src/http/mod.rs
+++ b/crates/sloetrail-serving/src/http/mod.rs
@@ -11,7 +11,7 @@
 pub use connections::ConnectionPool;
 pub(crate) use connections::{Listening, probe_listener};
 pub use exchange::{AnswerBody, CompleteAnswer, Exchange, SendFailure};
-pub use listener::{ConnectionTracker, ListenerSettings, serve_connections};
+pub use listener::{ConnectionTracker, ListenerSettings, spawn_listener};
 pub use reuse::Reuse;
 
 /// A request or response body held completely in memory.
--- a/crates/sloetrail-serving/src/http/unresponsive.rs
+++ b/crates/sloetrail-serving/src/http/unresponsive.rs
@@ -5,10 +5,11 @@
 //! connection then had its response in less time, existing connections are unresponsive while
 //! the peer still responds. Long polls on connections without any response since then fail.
 
+use parking_lot::Mutex;
 use sloetrail_clock::BootInstant;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Mutex;
+
 use std::time::Duration;
 use tokio::sync::watch;
 
@@ -35,7 +36,7 @@
 impl UnresponsiveWatch {
     /// Records that a request sent at `since` has no response.
     pub(super) fn suspect(&self, address: SocketAddr, since: BootInstant) {
-        let mut addresses = self.addresses.lock().expect("not poisoned");
+        let mut addresses = self.addresses.lock();
         if let Some(watched) = addresses.get_mut(&address) {
             watched.suspicion = Some(Suspicion {
                 since,
@@ -48,7 +49,7 @@
     /// connection, in less time than the request without a response waited, confirms the
     /// suspicion. Any other response clears it.
     pub(super) fn record_response(&self, address: SocketAddr, opened_at: BootInstant) {
-        let mut addresses = self.addresses.lock().expect("not poisoned");
+        let mut addresses = self.addresses.lock();
         let Some(watched) = addresses.get_mut(&address) else {
             return;
         };
@@ -64,7 +65,7 @@
     /// unresponsive.
     pub(super) async fn wait(&self, address: SocketAddr, received_at: BootInstant) {
         let mut unresponsive_since = {
-            let mut addresses = self.addresses.lock().expect("not poisoned");
+            let mut addresses = self.addresses.lock();
             let watched = addresses.entry(address).or_default();
             watched.unresponsive_since.subscribe()
         };
@@ -78,7 +79,7 @@
 
     /// Removes addresses without pending long polls.
     pub(super) fn sweep(&self) {
-        let mut addresses = self.addresses.lock().expect("not poisoned");
+        let mut addresses = self.addresses.lock();
         addresses.retain(|_, watched| watched.unresponsive_since.receiver_count() > 0);
     }
 }
--- a/crates/sloetrail-serving/src/http/unresponsive/tests.rs
+++ b/crates/sloetrail-serving/src/http/unresponsive/tests.rs
@@ -74,5 +74,5 @@
     let pending = timeout(SOON, watch.wait(ADDRESS, BootInstant::now()));
     assert!(pending.await.is_err());
     watch.sweep();
-    assert!(watch.addresses.lock().expect("not poisoned").is_empty());
+    assert!(watch.addresses.lock().is_empty());
 }
--- a/crates/sloetrail-serving/src/leases/leased_sets.rs
+++ b/crates/sloetrail-serving/src/leases/leased_sets.rs
@@ -6,6 +6,7 @@
 use super::BatchSet;
 use crate::follow::{TableView, ViewReceiver};
 use crate::rows;
+use crate::tasks;
 use sloetrail_types::{AllowedRegions, ServiceName};
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -42,24 +43,29 @@
 pub(crate) fn watch_leased_sets(mut leases: ViewReceiver) -> watch::Receiver<Arc<LeasedSets>> {
     let first = LeasedSets::from_view(&leases.borrow_and_update());
     let (sender, receiver) = watch::channel(Arc::new(first));
-    tokio::spawn(async move {
-        loop {
-            tokio::select! {
-                changed = leases.changed() => if changed.is_err() { return },
-                () = sender.closed() => return,
-            }
-            let sets = LeasedSets::from_view(&leases.borrow_and_update());
-            sender.send_if_modified(|current| {
-                let has_changed = **current != sets;
-                if has_changed {
-                    *current = Arc::new(sets);
-                }
-                has_changed
-            });
-        }
+    let sender = Arc::new(sender);
+    tasks::spawn_part("leased sets", move || {
+        publish_sets(leases.clone(), Arc::clone(&sender))
     });
     receiver
 }
 
+async fn publish_sets(mut leases: ViewReceiver, sender: Arc<watch::Sender<Arc<LeasedSets>>>) {
+    loop {
+        tokio::select! {
+            changed = leases.changed() => if changed.is_err() { return },
+            () = sender.closed() => return,
+        }
+        let sets = LeasedSets::from_view(&leases.borrow_and_update());
+        sender.send_if_modified(|current| {
+            let has_changed = **current != sets;
+            if has_changed {
+                *current = Arc::new(sets);
+            }
+            has_changed
+        });
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/sloetrail-serving/src/leases/manager.rs
+++ b/crates/sloetrail-serving/src/leases/manager.rs
@@ -30,6 +30,9 @@
 const CONFIRMATION_ANSWER_TIMES: u32 = 4;
 const CANDIDATE_DELAY_STEPS: u32 = 8;
 const MAX_CANDIDATE_DELAY: Duration = Duration::from_secs(2);
+/// How long a node whose term ended by a panic leaves the lease to others. Longer than a lease
+/// usually lasts.
+const PANIC_BACKOFF: Duration = Duration::from_secs(3);
 
 struct ActiveTerm {
     term: Term,
@@ -40,6 +43,12 @@
     _owned: Option<OwnedServiceGuard>,
 }
 
+impl Drop for ActiveTerm {
+    fn drop(&mut self) {
+        self.term.ended.cancel();
+    }
+}
+
 pub(crate) struct LeaseManager {
     context: Arc<NodeContext>,
     resource: LeaseResource,
@@ -55,6 +64,8 @@
     /// Random position of this candidate among those that see the lease expire.
     candidate_delay_step: u32,
     active_term: Option<ActiveTerm>,
+    /// This node does not compete for the lease before this time.
+    no_candidate_until: Option<BootInstant>,
     /// Probes the holder while it is another node.
     owner_watch: OwnerWatch,
 }
@@ -80,6 +91,7 @@
             confirmed_at: None,
             candidate_delay_step: 0,
             active_term: None,
+            no_candidate_until: None,
             owner_watch: OwnerWatch::default(),
         }
     }
@@ -111,6 +123,9 @@
                 None => return,
             },
         };
+        if self.is_backing_off() {
+            return;
+        }
         let own_lease = self.take_over_from_own_node();
         let action = match own_lease.or_else(|| self.take_over_from_gone_holder()) {
             Some(action) => Some(action),
@@ -127,6 +142,12 @@
         }
     }
 
+    /// Returns whether this node leaves the lease to others after a term that ended by a panic.
+    fn is_backing_off(&self) -> bool {
+        let until = self.no_candidate_until;
+        self.active_term.is_none() && until.is_some_and(|until| BootInstant::now() < until)
+    }
+
     /// Returns how long the lease lasts without a renewal. It is extended while the table is
     /// slow, since renewals then take longer to commit and to be seen.
     fn lease_duration(&self) -> Duration {
@@ -201,9 +222,14 @@
         if is_own_epoch && !active_term.term.ended.is_cancelled() {
             return;
         }
-        let cause = match is_own_epoch {
-            true => "a write was fenced off",
-            false => "another holder is in the lease row",
+        let has_failed = active_term.term.failed.is_cancelled();
+        if has_failed {
+            self.no_candidate_until = Some(BootInstant::now() + PANIC_BACKOFF);
+        }
+        let cause = match (is_own_epoch, has_failed) {
+            (_, true) => "a task of the term panicked",
+            (true, false) => "a write was fenced off",
+            (false, false) => "another holder is in the lease row",
         };
         self.end_active_term(cause);
     }
@@ -308,9 +334,11 @@
             fence,
             releasing: CancellationToken::new(),
             ended: CancellationToken::new(),
+            failed: CancellationToken::new(),
             confirmed_at,
         };
-        let task = tokio::spawn(self.task.run(term.clone()));
+        let (task, task_term) = (Arc::clone(&self.task), term.clone());
+        let task = term.spawn("lease task", async move { task.run(task_term).await });
         let uses_min_interval = self.task.uses_min_poll_interval();
         self.active_term = Some(ActiveTerm {
             term,
@@ -339,12 +367,12 @@
 
     /// Releases the lease, so that another node can acquire it before it expires.
     async fn release(&mut self) {
-        let Some(active_term) = self.active_term.take() else {
+        let Some(mut active_term) = self.active_term.take() else {
             return;
         };
         active_term.term.releasing.cancel();
         // A task that does not stop in time is abandoned.
-        let _ = tokio::time::timeout(RELEASE_TIMEOUT, active_term.task).await;
+        let _ = tokio::time::timeout(RELEASE_TIMEOUT, &mut active_term.task).await;
         active_term.term.ended.cancel();
         if let Some(action) = self.watcher.release() {
             let transaction = write_lease(&self.resource, &action);
--- a/crates/sloetrail-serving/src/leases/owner_watch.rs
+++ b/crates/sloetrail-serving/src/leases/owner_watch.rs
@@ -5,6 +5,7 @@
 use crate::relay::liveness::{Liveness, LivenessDecision};
 use crate::relay::peers::Peers;
 use crate::relay::probe::ProbeOutcome;
+use crate::tasks;
 use sloetrail_clock::BootInstant;
 use sloetrail_types::{AllowedRegions, Epoch, NodeId, whole_millis};
 use std::sync::Arc;
@@ -83,7 +84,13 @@
     let peers = context.peers.as_ref()?;
     let is_enabled = context.settings.policies.watch_owners;
     let is_watcher = is_enabled && peers.is_watcher_of(&term.holder, term.epoch, regions);
-    is_watcher.then(|| tokio::spawn(probe_until_gone(Arc::clone(peers), term.holder.clone())))
+    is_watcher.then(|| {
+        let (peers, holder) = (Arc::clone(peers), term.holder.clone());
+        // A panic must not end the task, because its end means that the holder is gone.
+        tasks::spawn_part("owner probes", move || {
+            probe_until_gone(Arc::clone(&peers), holder.clone())
+        })
+    })
 }
 
 /// Probes the holder until it is found to be gone.
--- a/crates/sloetrail-serving/src/lib.rs
+++ b/crates/sloetrail-serving/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod table;
 pub mod table_client;
 pub mod table_clock;
+pub mod tasks;
 mod telemetry;
 pub mod usage;
 mod zone_work;
--- a/crates/sloetrail-serving/src/node.rs
+++ b/crates/sloetrail-serving/src/node.rs
@@ -11,7 +11,7 @@
 use crate::gateway::call_handler::CallHandler;
 use crate::gateway::claims::{Claims, sweep};
 use crate::gateway::response::{empty_response, full_body};
-use crate::http::{ConnectionTracker, ListenerSettings, serve_connections};
+use crate::http::{ConnectionTracker, ListenerSettings, spawn_listener};
 use crate::leases::watch_leased_sets;
 use crate::operator::watch_operator;
 use crate::quarantine::{self, Quarantine};
@@ -23,6 +23,7 @@
 use crate::supervisor::supervise;
 use crate::suspension_guard::SuspensionGuard;
 use crate::table::Table;
+use crate::tasks;
 use crate::telemetry::{self, NodeGauges};
 use crate::usage::{NodeUsage, UsageRecipient, UsageReportTask};
 use crate::zone_work::ZoneWork;
@@ -107,16 +108,9 @@
         if let Some(address) = context.settings.metrics_address {
             serve_metrics(&context, listen(address).await?, tracker.clone());
         }
-        tokio::spawn(run_housekeeping(Arc::clone(&context)));
-        let (quarantine, fleet) = (Arc::clone(&context.quarantine), context.fleet.clone());
-        tokio::spawn(quarantine::run_row_sweeper(quarantine, fleet));
-        if context.claims.is_some() {
-            let (table, fleet) = (Arc::clone(&context.table), context.fleet.clone());
-            tokio::spawn(sweep::run_sweeper(table, fleet));
-        }
+        start_periodic_work(&context);
         let usage = reports.and_then(|(_, recipient)| start_usage(&context, recipient));
-        let owners = supervise(Arc::clone(&context), usage, stopping.clone());
-        let owners = tokio::spawn(owners);
+        let owners = start_supervisor(&context, usage, &stopping);
         Ok(Self {
             context,
             callers: tracker,
@@ -170,13 +164,46 @@
     }
 }
 
+/// Starts the work that is repeated at intervals.
+fn start_periodic_work(context: &Arc<NodeContext>) {
+    let housekeeping = Arc::clone(context);
+    tasks::spawn_part("housekeeping", move || {
+        run_housekeeping(Arc::clone(&housekeeping))
+    });
+    let (quarantine, fleet) = (Arc::clone(&context.quarantine), context.fleet.clone());
+    tasks::spawn_part("quarantine sweeper", move || {
+        quarantine::run_row_sweeper(Arc::clone(&quarantine), fleet.clone())
+    });
+    if context.claims.is_some() {
+        let (table, fleet) = (Arc::clone(&context.table), context.fleet.clone());
+        tasks::spawn_part("claim sweeper", move || {
+            sweep::run_sweeper(Arc::clone(&table), fleet.clone())
+        });
+    }
+}
+
+fn start_supervisor(
+    context: &Arc<NodeContext>,
+    usage: Option<UsageReportTask>,
+    stopping: &CancellationToken,
+) -> JoinHandle<()> {
+    let (context, stopping) = (Arc::clone(context), stopping.clone());
+    let usage = usage.map(Arc::new);
+    let managers = Arc::default();
+    tasks::spawn_part("supervisor", move || {
+        let (context, managers) = (Arc::clone(&context), Arc::clone(&managers));
+        supervise(context, usage.clone(), managers, stopping.clone())
+    })
+}
+
 /// Starts counting usage and returns the task that reports it.
 fn start_usage(
     context: &Arc<NodeContext>,
     recipient: Arc<dyn UsageRecipient>,
 ) -> Option<UsageReportTask> {
     let usage = Arc::clone(context.usage.as_ref()?);
-    tokio::spawn(Arc::clone(&usage).run());
+    let counted = Arc::clone(&usage);
+    tasks::spawn_part("usage counts", move || Arc::clone(&counted).run());
     Some(UsageReportTask {
         context: Arc::clone(context),
         usage,
@@ -338,11 +365,10 @@
             idle_timeout: limits.idle_timeout,
         }
     };
-    let serving = serve_connections(listener, settings, tracker, move |request| {
+    spawn_listener(listener, settings, tracker, move |request| {
         let call_handler = Arc::clone(&call_handler);
         async move { call_handler.answer(request).await }
     });
-    tokio::spawn(serving);
 }
 
 /// Serves the readiness check. The node is ready once it has read a configuration, the back ends
@@ -354,7 +380,7 @@
         idle_timeout: Duration::from_secs(15),
     };
     let tracker = ConnectionTracker::default();
-    let serving = serve_connections(listener, settings, tracker, move |_| {
+    spawn_listener(listener, settings, tracker, move |_| {
         let knows_back_ends = !context.directory.borrow().back_ends.is_empty();
         let knows_requests = context.leases.borrow().confirmed_at.is_some();
         let is_ready = context.configuration().is_some()
@@ -367,7 +393,6 @@
         };
         async move { empty_response(status) }
     });
-    tokio::spawn(serving);
 }
 
 /// Serves metrics, and the quarantined requests under a separate path.
@@ -378,7 +403,7 @@
         idle_timeout: Duration::from_secs(15),
     };
     let tracker = ConnectionTracker::default();
-    let serving = serve_connections(listener, settings, tracker, move |request| {
+    spawn_listener(listener, settings, tracker, move |request| {
         let (method, path) = (request.method(), request.uri().path());
         let answer = context.quarantine.answer_operator(method, path);
         let response = answer.unwrap_or_else(|| {
@@ -387,7 +412,6 @@
         });
         async move { response }
     });
-    tokio::spawn(serving);
 }
 
 fn node_gauges(context: &NodeContext, callers: &ConnectionTracker) -> NodeGauges {
--- a/crates/sloetrail-serving/src/operator.rs
+++ b/crates/sloetrail-serving/src/operator.rs
@@ -7,6 +7,7 @@
 use crate::dialect::Dialect;
 use crate::events::{self, Event};
 use crate::follow::{LastApplied, TableView, ViewReceiver};
+use crate::tasks::{self, Panicked};
 use crate::telemetry;
 use sloetrail_clock::BootInstant;
 use sloetrail_routing::ServingConfiguration;
@@ -83,27 +84,65 @@
 /// Applies the operator's rows until every receiver is gone. The second receiver yields the
 /// request time of the last view whose content the first receiver shows.
 pub fn watch_operator(
-    mut view: ViewReceiver,
+    view: ViewReceiver,
     dialect: Arc<dyn Dialect>,
 ) -> (watch::Receiver<Arc<InForce>>, LastApplied) {
     let (sender, receiver) = watch::channel(Arc::new(InForce::default()));
     let (applied, applied_at) = watch::channel(view.borrow().requested_at);
-    tokio::spawn(async move {
-        while view.changed().await.is_ok() && !sender.is_closed() {
-            let table = view.borrow_and_update().clone();
-            let mut next = InForce::clone(&sender.borrow());
-            let configured = apply_configuration(&mut next, &table, &*dialect);
-            let published = apply_versions(&mut next, &table, &*dialect);
-            let evacuated = apply_evacuations(&mut next, &table, &*dialect);
-            if configured || published || evacuated {
-                sender.send_replace(Arc::new(next));
-            }
-            applied.send_replace(table.requested_at);
-        }
+    let publisher = Arc::new(InForcePublisher {
+        dialect,
+        sender,
+        applied,
+    });
+    tasks::spawn_part("operator rows", move || {
+        Arc::clone(&publisher).run(view.clone())
     });
     (receiver, applied_at)
 }
 
+/// Applies views of the operator's rows and publishes the state in force.
+struct InForcePublisher {
+    dialect: Arc<dyn Dialect>,
+    sender: watch::Sender<Arc<InForce>>,
+    /// The request time of the view that was applied last.
+    applied: watch::Sender<Option<BootInstant>>,
+}
+
+impl InForcePublisher {
+    async fn run(self: Arc<Self>, mut view: ViewReceiver) {
+        while view.changed().await.is_ok() && !self.sender.is_closed() {
+            let table = view.borrow_and_update().clone();
+            self.apply(&table);
+            self.applied.send_replace(table.requested_at);
+        }
+    }
+
+    /// Applies configuration, versions and evacuations apart from each other: rows that cannot be
+    /// applied keep none of the others out of force.
+    fn apply(&self, table: &TableView) {
+        let mut next = InForce::clone(&self.sender.borrow());
+        let dialect = &*self.dialect;
+        let configured = apply_part("configuration", || {
+            apply_configuration(&mut next, table, dialect)
+        });
+        let published = apply_part("published versions", || {
+            apply_versions(&mut next, table, dialect)
+        });
+        let evacuated = apply_part("evacuations", || {
+            apply_evacuations(&mut next, table, dialect)
+        });
+        if configured || published || evacuated {
+            self.sender.send_replace(Arc::new(next));
+        }
+    }
+}
+
+/// Returns whether a part has changed what is in force. After a panic, what it applied before is
+/// published.
+fn apply_part(name: &'static str, apply: impl FnOnce() -> bool) -> bool {
+    tasks::catch_sync(name, apply).unwrap_or(true)
+}
+
 /// Applies a newer configuration. Returns true if there was one.
 fn apply_configuration(in_force: &mut InForce, table: &TableView, dialect: &dyn Dialect) -> bool {
     let address = &dialect.sources().configuration;
@@ -114,13 +153,13 @@
         return false;
     }
     in_force.configuration_row = row.version;
-    let configuration = match ServingConfiguration::parse(&row.value) {
+    let configuration = match parse_configuration(&row.value) {
         Ok(configuration) => configuration,
-        Err(error) => {
+        Err(detail) => {
             telemetry::configuration_refused();
             events::emit(&Event::ConfigurationRefused {
                 row_version: row.version.0,
-                detail: &error.to_string(),
+                detail: &detail,
             });
             return false;
         }
@@ -139,6 +178,15 @@
     true
 }
 
+/// Returns the reason if the configuration is refused.
+fn parse_configuration(json: &[u8]) -> Result<ServingConfiguration, String> {
+    let parsed = tasks::catch_sync("configuration parser", || ServingConfiguration::parse(json));
+    match parsed {
+        Ok(parsed) => parsed.map_err(|error| error.to_string()),
+        Err(Panicked) => Err("the parser panicked".to_owned()),
+    }
+}
+
 /// Logs the routes and tenants that have no region in common, so that the mistake is found before
 /// a request is refused.
 fn emit_region_conflicts(configuration: &ServingConfiguration) {
@@ -169,7 +217,11 @@
 /// Applies the evacuated zones. Returns true if they have changed.
 fn apply_evacuations(in_force: &mut InForce, table: &TableView, dialect: &dyn Dialect) -> bool {
     let keys = table.rows.keys();
-    let zones: BTreeSet<ZoneName> = keys.filter_map(|key| dialect.evacuated_zone(key)).collect();
+    let decode = |key: &String| {
+        let zone = tasks::catch_sync("evacuation", || dialect.evacuated_zone(key));
+        zone.unwrap_or(None)
+    };
+    let zones: BTreeSet<ZoneName> = keys.filter_map(decode).collect();
     if zones == in_force.evacuations.zones {
         return false;
     }
@@ -180,7 +232,8 @@
 fn apply_versions(in_force: &mut InForce, table: &TableView, dialect: &dyn Dialect) -> bool {
     let mut changed = false;
     for (key, row) in &table.rows {
-        let Some(published) = dialect.published_version(key, &row.value) else {
+        let decode = || dialect.published_version(key, &row.value);
+        let Ok(Some(published)) = tasks::catch_sync("published version", decode) else {
             continue;
         };
         let known = in_force.published.get(&published.model).copied();
--- a/crates/sloetrail-serving/src/owner/engine_sends.rs
+++ b/crates/sloetrail-serving/src/owner/engine_sends.rs
@@ -3,10 +3,10 @@
 //! Most sends are counted when an item is dispatched. A run that repeats its request at the same
 //! engine counts that as well, since the first request may have arrived.
 
+use parking_lot::{Mutex, MutexGuard};
 use sloetrail_balance::{SendBound, SendWindow};
 use sloetrail_clock::BootInstant;
 use sloetrail_types::{Timestamp, whole_millis};
-use std::sync::{Mutex, MutexGuard};
 
 /// The send window of an owner for one engine, shared with its runs.
 #[derive(Debug)]
@@ -55,6 +55,6 @@
     }
 
     fn window(&self) -> MutexGuard<'_, SendWindow> {
-        self.window.lock().expect("not poisoned")
+        self.window.lock()
     }
 }
--- a/crates/sloetrail-serving/src/owner/reward.rs
+++ b/crates/sloetrail-serving/src/owner/reward.rs
@@ -62,6 +62,16 @@
 
 /// Makes a reward call for an item of a batch that is bound to `regions`, with as many attempts
 /// as the route allows. `failures` counts the failed answers of earlier calls, for the log.
+impl RewardFailure {
+    /// An attempt that ended without an answer, which is not counted against the call.
+    pub(super) const INTERRUPTED: Self = Self {
+        failed_answers: 0,
+        max_failures: usize::MAX,
+        found_no_slot: false,
+        is_withheld: false,
+    };
+}
+
 pub(super) async fn score(
     context: &Arc<NodeContext>,
     item: &str,
--- a/crates/sloetrail-serving/src/owner/run.rs
+++ b/crates/sloetrail-serving/src/owner/run.rs
@@ -15,11 +15,12 @@
 use crate::zone_work::WorkKind;
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use parking_lot::{Mutex, MutexGuard};
 use sloetrail_balance::SendBound;
 use sloetrail_batch::{SubmittedItem, Transcript, TranscriptEvent};
 use sloetrail_clock::BootInstant;
 use sloetrail_types::{EngineId, TenantName, WeightVersion};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
 
@@ -91,7 +92,7 @@
     }
 
     fn state(&self) -> MutexGuard<'_, ProgressState> {
-        self.state.lock().expect("not poisoned")
+        self.state.lock()
     }
 }
 
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -30,6 +30,7 @@
 use crate::follow::{PollTiming, ViewReceiver, follow};
 use crate::leases::{BatchSet, OrderWindow, Term};
 use crate::rows;
+use crate::tasks;
 use sloetrail_balance::TenantShares;
 use sloetrail_batch::{Batch, BatchEstimate, BatchId, ItemId, ItemIndex, LengthModel, Transcript};
 use sloetrail_clock::BootInstant;
@@ -170,7 +171,7 @@
         let committing =
             commit_results(Arc::clone(&context), term.clone(), requests, sender.clone());
         Self {
-            committing: tokio::spawn(committing),
+            committing: term.spawn("result committer", committing),
             checkpointed_at: BootInstant::now(),
             engines: EnginePool::within_regions(
                 context.settings.topology.clone(),
@@ -247,12 +248,9 @@
             if swept_at.elapsed() > SWEEP_INTERVAL {
                 swept_at = BootInstant::now();
                 let view = batches.borrow().clone();
-                tokio::spawn(sweeper::sweep(
-                    Arc::clone(&self.context),
-                    self.set.clone(),
-                    self.term.clone(),
-                    view,
-                ));
+                let (context, set) = (Arc::clone(&self.context), self.set.clone());
+                let sweep = sweeper::sweep(context, set, self.term.clone(), view);
+                tasks::spawn("batch sweeper", sweep);
             }
         }
         self.cancel_runs();
--- a/crates/sloetrail-serving/src/owner/service_owner/batches.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/batches.rs
@@ -7,6 +7,7 @@
 use crate::owner::committer::CommitRequest;
 use crate::owner::event::OwnerEvent;
 use crate::owner::loading::{BatchOrigin, BatchToLoad, LoadedBatch, load};
+use crate::tasks;
 use sloetrail_batch::{Batch, BatchEstimate, BatchHeader, BatchId, DeathCause, ItemId, ItemIndex};
 use sloetrail_clock::BootInstant;
 use sloetrail_types::{Timestamp, whole_millis};
@@ -82,8 +83,10 @@
         let leftover_ids: BTreeSet<ItemId> = self.leftover_texts.keys().cloned().collect();
         let ended = self.term.ended.clone();
         let sender = self.sender.clone();
-        tokio::spawn(async move {
-            let loaded = load(&context, &to_load, &leftover_ids, &ended).await;
+        tasks::spawn("batch loading", async move {
+            let loading = load(&context, &to_load, &leftover_ids, &ended);
+            // A batch that was not loaded is loaded again with the next change.
+            let loaded = tasks::catch("batch loading", loading).await.unwrap_or(None);
             // The receiver is gone if the term has ended.
             let _ = sender.send(OwnerEvent::BatchLoaded(to_load.id, Box::new(loaded)));
         });
--- a/crates/sloetrail-serving/src/owner/service_owner/demand.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/demand.rs
@@ -39,7 +39,7 @@
         };
         let (context, term) = (Arc::clone(&self.context), self.term.clone());
         let sender = self.sender.clone();
-        tokio::spawn(async move {
+        self.term.spawn("slot demand", async move {
             let outcome = write_demand(&context, &term, &row).await;
             // The receiver is gone if the term has ended.
             let _ = sender.send(OwnerEvent::DemandWritten(outcome));
--- a/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
@@ -7,7 +7,8 @@
 use crate::owner::engine::ModelRequirement;
 use crate::owner::engines::EnginePreference;
 use crate::owner::event::OwnerEvent;
-use crate::owner::run::{RunProgress, RunSpec, run_item};
+use crate::owner::run::{RunOutcome, RunProgress, RunSpec, run_item};
+use crate::tasks;
 use crate::telemetry;
 use sloetrail_batch::{BatchId, ItemIndex};
 use sloetrail_clock::BootInstant;
@@ -168,10 +169,12 @@
 
     fn spawn_run(&self, batch: BatchId, index: ItemIndex, engine: EngineId, spec: RunSpec) {
         let sender = self.sender.clone();
-        tokio::spawn(async move {
+        tasks::spawn("item run", async move {
             let started_at = BootInstant::now();
             let progress = Arc::clone(&spec.progress);
-            let outcome = run_item(spec).await;
+            let outcome = tasks::catch("item run", run_item(spec)).await;
+            // The item is run again, after a delay at this engine.
+            let outcome = outcome.unwrap_or(RunOutcome::Lost);
             let ended = OwnerEvent::RunEnded {
                 batch,
                 index,
--- a/crates/sloetrail-serving/src/owner/service_owner/quarantined_items.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/quarantined_items.rs
@@ -95,7 +95,7 @@
         self.quarantined.is_trial_pending = true;
         let (key, mut permit) = (key.clone(), permit.clone());
         let sender = self.sender.clone();
-        tokio::spawn(async move {
+        self.term.spawn("trial", async move {
             permit
                 .acquire_trial(BootInstant::now() + TRIAL_TIMEOUT)
                 .await;
--- a/crates/sloetrail-serving/src/owner/service_owner/scoring.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/scoring.rs
@@ -4,6 +4,7 @@
 use crate::owner::event::OwnerEvent;
 use crate::owner::reward::{self, RewardFailure, RewardOutcome};
 use crate::owner::reward_queue::{Rank, ScoringOutcome, ScoringTarget, ScoringTask};
+use crate::tasks;
 use sloetrail_batch::{BatchId, DeathCause, ItemIndex, ItemState};
 use sloetrail_clock::BootInstant;
 use std::sync::Arc;
@@ -61,12 +62,15 @@
         let cancel = open.cancel.child_token();
         let context = Arc::clone(&self.context);
         let sender = self.sender.clone();
-        tokio::spawn(async move {
+        tasks::spawn("scoring", async move {
             let outcome = match &submitted.reward {
                 Some(call) => {
                     let failures = scoring.failures;
                     let call = (call, &regions);
-                    reward::score(&context, &submitted.id, call, failures, &cancel).await
+                    let score = reward::score(&context, &submitted.id, call, failures, &cancel);
+                    let outcome = tasks::catch("scoring", score).await;
+                    // The text is scored again; the panic says nothing about the call.
+                    outcome.unwrap_or(RewardOutcome::NoScore(RewardFailure::INTERRUPTED))
                 }
                 None => RewardOutcome::Cancelled,
             };
--- a/crates/sloetrail-serving/src/owner/service_owner/supply.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/supply.rs
@@ -172,7 +172,7 @@
         self.supply.baseline = EngineBaseline::BeingRead;
         let (context, term) = (Arc::clone(&self.context), self.term.clone());
         let (service, sender) = (self.service.clone(), self.sender.clone());
-        tokio::spawn(async move {
+        self.term.spawn("engine baseline", async move {
             let baseline = read_or_record_baseline(&context, &term, &service, engines).await;
             // The receiver is gone if the term has ended.
             let _ = sender.send(OwnerEvent::BaselineRead(baseline));
@@ -258,7 +258,7 @@
             owner: self.term.holder(&self.context.settings),
         };
         let sender = self.sender.clone();
-        tokio::spawn(async move {
+        self.term.spawn("engine orders", async move {
             let outcome = task.run().await;
             // The receiver is gone if the term has ended.
             let _ = sender.send(OwnerEvent::SupplyOrdersEnded(outcome));
--- a/crates/sloetrail-serving/src/owner/service_owner/versions.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/versions.rs
@@ -72,7 +72,7 @@
                 send_before: BootInstant::now() + ORDER_SEND_TIMEOUT,
                 events: self.sender.clone(),
             };
-            tokio::spawn(task.run());
+            self.term.spawn("weight order", task.run());
         }
     }
 
@@ -85,7 +85,7 @@
         let context = Arc::clone(&self.context);
         let term = self.term.clone();
         let sender = self.sender.clone();
-        tokio::spawn(async move {
+        self.term.spawn("order window", async move {
             window.open(&context, &term).await;
             // The receiver is gone if the term has ended.
             let _ = sender.send(OwnerEvent::WindowOpenEnded(window));
--- a/crates/sloetrail-serving/src/quarantine/crash_watch.rs
+++ b/crates/sloetrail-serving/src/quarantine/crash_watch.rs
@@ -10,11 +10,12 @@
 use crate::ended_incarnations::{EndedIncarnationsReceiver, IncarnationEnd};
 use crate::http::{Listening, probe_listener};
 use crate::telemetry;
+use parking_lot::Mutex;
 use sloetrail_clock::BootInstant;
 use sloetrail_quarantine::RequestDigest;
 use sloetrail_types::EngineId;
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
 
@@ -124,7 +125,7 @@
             return None;
         }
         let now = BootInstant::now();
-        let mut state = self.state.lock().expect("not poisoned");
+        let mut state = self.state.lock();
         state.expire(now);
         let before = state.losses.get(&back_end.id).map(|known| known.stage);
         let known = state.losses_of(back_end, now);
@@ -150,7 +151,7 @@
     /// Records that a request was abandoned that may still be running at a back end.
     pub(super) fn record_abandoned_run(&self, back_end: &BackEnd, request: RequestDigest) {
         let now = BootInstant::now();
-        let mut state = self.state.lock().expect("not poisoned");
+        let mut state = self.state.lock();
         state.expire(now);
         let abandoned = state.abandoned.entry(back_end.id.clone()).or_default();
         if abandoned.len() < MAX_REQUESTS_PER_CRASH {
@@ -162,7 +163,7 @@
     /// abandoned there.
     pub(super) fn record_unreached(&self, back_end: &BackEnd) -> Option<CrashCheck> {
         let now = BootInstant::now();
-        let mut state = self.state.lock().expect("not poisoned");
+        let mut state = self.state.lock();
         state.expire(now);
         let is_known = state.losses.contains_key(&back_end.id);
         let was_abandoned = state.abandoned.contains_key(&back_end.id);
@@ -191,7 +192,7 @@
             seen = probe_listener(back_end.address).await;
         }
         if seen != Listening::No {
-            let mut state = self.state.lock().expect("not poisoned");
+            let mut state = self.state.lock();
             let known = state.losses.get_mut(&back_end.id);
             let probing = known.filter(|known| known.stage == Stage::Probing);
             if let Some(known) = probing {
@@ -199,14 +200,14 @@
             }
             return None;
         }
-        let mut state = self.state.lock().expect("not poisoned");
+        let mut state = self.state.lock();
         Some(Self::crashed(&mut state, back_end))
     }
 
     /// Returns the crashes of back ends that have restarted under the same name since.
     pub(super) fn take_ended_crashes(&self) -> Vec<(BackEnd, Crash)> {
         let ended = self.ended.borrow().clone();
-        let mut state = self.state.lock().expect("not poisoned");
+        let mut state = self.state.lock();
         state.expire(BootInstant::now());
         let has_crashed = |known: &Losses| {
             let end = ended.end_of(&known.back_end.id);
--- a/crates/sloetrail-serving/src/quarantine/mod.rs
+++ b/crates/sloetrail-serving/src/quarantine/mod.rs
@@ -36,6 +36,8 @@
 use crate::rows;
 use crate::settings::ServingSettings;
 use crate::table::Table;
+use crate::tasks;
+use parking_lot::{Mutex, RwLock};
 use sloetrail_clock::BootInstant;
 use sloetrail_quarantine::{
     Clearance, CrashAssessment, CrashReport, RequestDigest, RequestStatus, Suspect,
@@ -43,7 +45,7 @@
 use sloetrail_types::{NodeId, ServiceName};
 use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, RwLock};
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 use tokio::sync::watch;
 
@@ -86,8 +88,18 @@
             next_row: AtomicU64::new(1),
         });
         let following = Arc::downgrade(&quarantine);
-        tokio::spawn(follow(following, leases, applied));
-        tokio::spawn(follow_ended(Arc::downgrade(&quarantine), ended));
+        let applied = Arc::new(applied);
+        tasks::spawn_part("quarantine rows", move || {
+            follow(
+                Weak::clone(&following),
+                leases.clone(),
+                Arc::clone(&applied),
+            )
+        });
+        let following = Arc::downgrade(&quarantine);
+        tasks::spawn_part("crashes of ended incarnations", move || {
+            follow_ended(Weak::clone(&following), ended.clone())
+        });
         (quarantine, applied_at)
     }
 
@@ -153,7 +165,7 @@
     }
 
     pub(crate) fn assessment(&self) -> Arc<CrashAssessment> {
-        Arc::clone(&self.assessment.read().expect("not poisoned"))
+        Arc::clone(&self.assessment.read())
     }
 
     fn clear(&self, suspect: Suspect) {
@@ -167,7 +179,7 @@
 
     fn confirm_crash(self: &Arc<Self>, back_end: &BackEnd, check: crash_watch::CrashCheck) {
         let (quarantine, back_end) = (Arc::clone(self), back_end.clone());
-        tokio::spawn(async move {
+        tasks::spawn("crash check", async move {
             if let Some(crash) = quarantine.crashes.confirm_crash(&back_end, check).await {
                 quarantine.report(&back_end, crash);
             }
@@ -203,7 +215,7 @@
     fn record_entry(&self, address: crate::table::RowAddress, entry: Entry) {
         let value = entry.value();
         {
-            let mut registry = self.registry.lock().expect("not poisoned");
+            let mut registry = self.registry.lock();
             registry.add_unconfirmed(address.key.clone(), entry);
             self.assess(&registry);
         }
@@ -212,7 +224,7 @@
 
     fn apply_view(&self) {
         let view = self.leases.borrow().clone();
-        let mut registry = self.registry.lock().expect("not poisoned");
+        let mut registry = self.registry.lock();
         if registry.apply_view(&view) {
             self.assess(&registry);
         }
@@ -220,7 +232,7 @@
 
     fn assess(&self, registry: &CrashRegistry) {
         let next = Arc::new(registry.assess(self.table.now_ms(), self.retention));
-        let mut current = self.assessment.write().expect("not poisoned");
+        let mut current = self.assessment.write();
         emit_changes(&current, &next);
         *current = next;
     }
@@ -242,9 +254,9 @@
 }
 
 async fn follow(
-    quarantine: std::sync::Weak<Quarantine>,
+    quarantine: Weak<Quarantine>,
     mut leases: ViewReceiver,
-    applied: watch::Sender<Option<BootInstant>>,
+    applied: Arc<watch::Sender<Option<BootInstant>>>,
 ) {
     while leases.changed().await.is_ok() {
         let requested_at = leases.borrow_and_update().requested_at;
@@ -258,10 +270,7 @@
 
 /// Reports crashes of back ends that restarted under the same name before their address was
 /// probed.
-async fn follow_ended(
-    quarantine: std::sync::Weak<Quarantine>,
-    mut ended: EndedIncarnationsReceiver,
-) {
+async fn follow_ended(quarantine: Weak<Quarantine>, mut ended: EndedIncarnationsReceiver) {
     while ended.changed().await.is_ok() {
         ended.mark_unchanged();
         let Some(quarantine) = quarantine.upgrade() else {
--- a/crates/sloetrail-serving/src/quarantine/sweep.rs
+++ b/crates/sloetrail-serving/src/quarantine/sweep.rs
@@ -32,7 +32,7 @@
             return;
         };
         let expired_rows = {
-            let registry = self.registry.lock().expect("not poisoned");
+            let registry = self.registry.lock();
             registry.expired_rows(now_ms, self.retention)
         };
         for rows in expired_rows.chunks(MAX_ROWS_PER_TRANSACTION) {
--- a/crates/sloetrail-serving/src/quarantine/writer.rs
+++ b/crates/sloetrail-serving/src/quarantine/writer.rs
@@ -2,9 +2,11 @@
 
 use crate::retry_backoff::RetryBackoff;
 use crate::table::{Commit, RowAddress, Table, Transaction};
+use crate::tasks;
 use bytes::Bytes;
+use parking_lot::Mutex;
 use std::collections::VecDeque;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use tokio::sync::Notify;
 
 /// Rows that wait for the table. Beyond this count the oldest are dropped, and count at this node
@@ -28,10 +30,13 @@
     pub(super) fn start(table: Arc<dyn Table>) -> Self {
         let queue = Arc::new(Queue::default());
         let writer = Self(Arc::clone(&queue));
-        tokio::spawn(async move {
-            loop {
-                write_all(&*table, &queue).await;
-                queue.added.notified().await;
+        tasks::spawn_part("quarantine writer", move || {
+            let (table, queue) = (Arc::clone(&table), Arc::clone(&queue));
+            async move {
+                loop {
+                    write_all(&*table, &queue).await;
+                    queue.added.notified().await;
+                }
             }
         });
         writer
@@ -39,7 +44,7 @@
 
     /// Queues a row. Drops the oldest one if the queue is full.
     pub(super) fn write(&self, address: RowAddress, value: Bytes) {
-        let mut pending = self.0.pending.lock().expect("not poisoned");
+        let mut pending = self.0.pending.lock();
         pending.push_back((address, value));
         if pending.len() > MAX_PENDING_ROWS {
             pending.pop_front();
@@ -73,7 +78,7 @@
 
 impl Queue {
     fn next_rows(&self) -> Vec<(RowAddress, Bytes)> {
-        let pending = self.pending.lock().expect("not poisoned");
+        let pending = self.pending.lock();
         pending
             .iter()
             .take(MAX_ROWS_PER_TRANSACTION)
@@ -82,7 +87,7 @@
     }
 
     fn remove(&self, rows: &[(RowAddress, Bytes)]) {
-        let mut pending = self.pending.lock().expect("not poisoned");
+        let mut pending = self.pending.lock();
         pending.retain(|(address, _)| rows.iter().all(|(written, _)| written != address));
     }
 }
--- a/crates/sloetrail-serving/src/relay/mod.rs
+++ b/crates/sloetrail-serving/src/relay/mod.rs
@@ -29,6 +29,7 @@
 use self::peers::Peers;
 use crate::settings::ServingSettings;
 use crate::table::Table;
+use crate::tasks;
 use std::sync::Arc;
 use tokio::net::TcpListener;
 
@@ -49,15 +50,14 @@
             clock_lead: None,
             table_time_us: None,
         };
-        tokio::spawn(peers::register(
-            Arc::clone(&direct),
-            settings.node.clone(),
-            entry,
-        ));
+        let (table, node) = (Arc::clone(&direct), settings.node.clone());
+        tasks::spawn_part("peer registration", move || {
+            peers::register(Arc::clone(&table), node.clone(), entry.clone())
+        });
     }
     let peers = Arc::new(Peers::follow(settings, &direct));
     let server = server::PeerServer::new(settings, Arc::clone(&direct), &peers, token);
-    tokio::spawn(server.serve(listener));
+    server.serve(listener);
     let table = table::RelayedTable::new(direct, Arc::clone(&peers));
     (Arc::new(table), peers)
 }
--- a/crates/sloetrail-serving/src/relay/peers.rs
+++ b/crates/sloetrail-serving/src/relay/peers.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use http::header::HOST;
 use http::{HeaderValue, Method, Request};
+use parking_lot::{Mutex, MutexGuard};
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use sloetrail_clock::BootInstant;
@@ -20,7 +21,7 @@
 use sloetrail_usage::ClockOffset;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Nodes that start together contend for the table.
@@ -397,7 +398,7 @@
     }
 
     fn state(&self) -> MutexGuard<'_, PeerState> {
-        self.state.lock().expect("not poisoned")
+        self.state.lock()
     }
 }
 
--- a/crates/sloetrail-serving/src/relay/server.rs
+++ b/crates/sloetrail-serving/src/relay/server.rs
@@ -6,7 +6,7 @@
 };
 use super::peers::Peers;
 use crate::gateway::response::{CallerResponse, empty_response, full_body};
-use crate::http::{ConnectionTracker, ListenerSettings, serve_connections};
+use crate::http::{ConnectionTracker, ListenerSettings, spawn_listener};
 use crate::settings::ServingSettings;
 use crate::table::Table;
 use bytes::Bytes;
@@ -52,8 +52,8 @@
         }
     }
 
-    /// Serves until the process ends.
-    pub(super) async fn serve(self, listener: TcpListener) {
+    /// Starts to serve, until the process ends.
+    pub(super) fn serve(self, listener: TcpListener) {
         let server = Arc::new(self);
         let settings = || ListenerSettings {
             header_bytes: MAX_HEADER_BYTES,
@@ -64,7 +64,7 @@
             let server = Arc::clone(&server);
             async move { server.answer(request).await }
         };
-        serve_connections(listener, settings, tracker, handler).await;
+        spawn_listener(listener, settings, tracker, handler);
     }
 
     async fn answer(&self, request: Request<Incoming>) -> CallerResponse {
--- a/crates/sloetrail-serving/src/service_pools.rs
+++ b/crates/sloetrail-serving/src/service_pools.rs
@@ -12,14 +12,16 @@
 use crate::settings::ServingSettings;
 use crate::slot_waiter::{ServiceSlotQueue, SlotWaiter};
 use crate::subset_demand::SubsetDemand;
+use crate::tasks;
 use crate::zone_work::{WorkKind, ZoneWork, ZoneWorkGuard};
+use parking_lot::Mutex;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use sloetrail_balance::{AttemptOutcome, LatencyQuantile, WorkClass, WorkTenant};
 use sloetrail_clock::BootInstant;
 use sloetrail_types::{AllowedRegions, EngineId, RowVersion, ServiceName, Timestamp, whole_millis};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
@@ -37,6 +39,39 @@
     state: Mutex<State>,
 }
 
+/// What the pools follow.
+struct PoolChanges {
+    directory: watch::Receiver<Arc<Directory>>,
+    in_force: watch::Receiver<Arc<InForce>>,
+    leased_sets: watch::Receiver<Arc<LeasedSets>>,
+}
+
+impl PoolChanges {
+    /// Applies changes until the pools or a sender are gone.
+    async fn apply_to(mut self, pools: Weak<ServicePools>) {
+        let mut sender_check = tokio::time::interval(SENDER_CHECK_INTERVAL);
+        sender_check.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            let (changed, is_sender_check) = tokio::select! {
+                changed = self.directory.changed() => (changed, false),
+                changed = self.in_force.changed() => (changed, false),
+                changed = self.leased_sets.changed() => (changed, false),
+                _ = sender_check.tick() => (Ok(()), true),
+            };
+            let (Ok(()), Some(pools)) = (changed, pools.upgrade()) else {
+                return;
+            };
+            if is_sender_check && !pools.have_senders_changed() {
+                continue;
+            }
+            let listed = self.directory.borrow_and_update().clone();
+            let in_force = self.in_force.borrow_and_update().clone();
+            let leased = self.leased_sets.borrow_and_update().clone();
+            pools.update(listed, in_force, leased);
+        }
+    }
+}
+
 impl ServicePools {
     /// Pools without back ends.
     pub(crate) fn new(
@@ -71,45 +106,23 @@
     /// and the set of nodes.
     pub(crate) fn follow(
         self: &Arc<Self>,
-        mut directory: watch::Receiver<Arc<Directory>>,
-        mut in_force: watch::Receiver<Arc<InForce>>,
-        mut leased_sets: watch::Receiver<Arc<LeasedSets>>,
+        directory: watch::Receiver<Arc<Directory>>,
+        in_force: watch::Receiver<Arc<InForce>>,
+        leased_sets: watch::Receiver<Arc<LeasedSets>>,
     ) {
         let pools = Arc::downgrade(self);
-        let mut sender_check = tokio::time::interval(SENDER_CHECK_INTERVAL);
-        sender_check.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        tokio::spawn(async move {
-            loop {
-                let is_sender_check = tokio::select! {
-                    changed = directory.changed() => match changed {
-                        Ok(()) => false,
-                        Err(_) => return,
-                    },
-                    changed = in_force.changed() => match changed {
-                        Ok(()) => false,
-                        Err(_) => return,
-                    },
-                    changed = leased_sets.changed() => match changed {
-                        Ok(()) => false,
-                        Err(_) => return,
-                    },
-                    _ = sender_check.tick() => true,
-                };
-                let Some(pools) = pools.upgrade() else {
-                    return;
-                };
-                if is_sender_check && !pools.have_senders_changed() {
-                    continue;
-                }
-                let listed = directory.borrow_and_update().clone();
-                let leased = leased_sets.borrow_and_update().clone();
-                pools.update(listed, in_force.borrow_and_update().clone(), leased);
-            }
+        tasks::spawn_part("service pools", move || {
+            let changes = PoolChanges {
+                directory: directory.clone(),
+                in_force: in_force.clone(),
+                leased_sets: leased_sets.clone(),
+            };
+            changes.apply_to(Weak::clone(&pools))
         });
     }
 
     fn have_senders_changed(&self) -> bool {
-        let state = self.state.lock().expect("not poisoned");
+        let state = self.state.lock();
         state.senders != state.current_senders()
     }
 
@@ -122,7 +135,7 @@
         leased_sets: Arc<LeasedSets>,
     ) {
         let now = self.now();
-        let mut state = self.state.lock().expect("not poisoned");
+        let mut state = self.state.lock();
         state.in_force = in_force;
         state.leased_sets = leased_sets;
         state.senders = state.current_senders();
@@ -148,7 +161,7 @@
     pub(crate) fn slot_wait_estimate(&self, waiter: &SlotWaiter) -> Option<SlotWaitEstimate> {
         let (service, regions) = (waiter.service(), &waiter.request().regions);
         let now = self.now();
-        let state = self.state.lock().expect("not poisoned");
+        let state = self.state.lock();
         let balancer = state.balancers.get(service)?;
         if !balancer.may_serve(now, regions) {
             return None;
@@ -179,7 +192,7 @@
     /// after a loss or a refusal don't count.
     pub(crate) fn sample_slots(&self, service: &ServiceName, regions: &AllowedRegions) -> usize {
         let now = self.now();
-        let mut state = self.state.lock().expect("not poisoned");
+        let mut state = self.state.lock();
         state.readmit(service, now);
         let balancer = state.balancers.get(service);
         balancer.map_or(0, |balancer| {
@@ -196,7 +209,7 @@
     ) -> Option<SlotPermit> {
         let (service, tenant) = (waiter.service(), &waiter.request().tenant);
         let now = self.now();
-        let mut state = self.state.lock().expect("not poisoned");
+        let mut state = self.state.lock();
         state.readmit(service, now);
         if !state.may_take_slot(waiter, excluded, now) {
             return None;
@@ -237,7 +250,7 @@
         service: &ServiceName,
         work: impl FnOnce(&mut ServiceSlotQueue) -> Outcome,
     ) -> Outcome {
-        let mut state = self.state.lock().expect("not poisoned");
+        let mut state = self.state.lock();
         work(state.slot_queue(service))
     }
 
@@ -246,7 +259,7 @@
     pub(crate) fn record_unserved(&self, waiter: &SlotWaiter) {
         let (service, regions) = (waiter.service(), &waiter.request().regions);
         let now = self.now();
-        let mut state = self.state.lock().expect("not poisoned");
+        let mut state = self.state.lock();
         let balancer = state.balancers.get(service);
         if balancer.is_some_and(|balancer| balancer.may_serve(now, regions)) {
             state.slot_queue(service).record_unserved(waiter);
@@ -256,13 +269,13 @@
     /// Offers a free slot of a service, if any, to the first waiting request that may use it.
     pub(crate) fn wake_first(&self, service: &ServiceName) {
         let now = self.now();
-        let mut state = self.state.lock().expect("not poisoned");
+        let mut state = self.state.lock();
         state.wake_first(service, now);
     }
 
     /// Records the answer time of a back end of a service.
     pub(crate) fn record_answer_time(&self, service: &ServiceName, took: Duration) {
-        let mut state = self.state.lock().expect("not poisoned");
+        let mut state = self.state.lock();
         state
             .answer_times
             .entry(service.clone())
@@ -272,14 +285,14 @@
 
     /// The 90th percentile of the answer times of a service; zero if unknown.
     pub(crate) fn answer_time(&self, service: &ServiceName) -> Duration {
-        let state = self.state.lock().expect("not poisoned");
+        let state = self.state.lock();
         let known = state.answer_times.get(service);
         known.map(LatencyQuantile::estimate).unwrap_or_default()
     }
 
     fn finish(&self, back_end: &BackEnd, tenant: &WorkTenant, outcome: AttemptOutcome) {
         let now = self.now();
-        let mut state = self.state.lock().expect("not poisoned");
+        let mut state = self.state.lock();
         state.record_outcome(&back_end.id, outcome);
         if let Some(balancer) = state.balancers.get_mut(&back_end.service) {
             balancer.finish(now, &back_end.id, outcome);
--- a/crates/sloetrail-serving/src/subset_demand.rs
+++ b/crates/sloetrail-serving/src/subset_demand.rs
@@ -10,6 +10,7 @@
 
 use crate::directory::Directory;
 use crate::operator::InForce;
+use crate::tasks;
 use sloetrail_routing::ServingConfiguration;
 use sloetrail_types::{ServiceName, Topology};
 use std::sync::Arc;
@@ -76,30 +77,40 @@
 
 /// Spawns a task that demands more rows while a service has too few back ends among the known rows.
 pub(crate) fn watch_subset_coverage(
+    demand: Arc<SubsetDemand>,
+    topology: Topology,
+    directory: watch::Receiver<Arc<Directory>>,
+    in_force: watch::Receiver<Arc<InForce>>,
+) {
+    tasks::spawn_part("directory coverage", move || {
+        let (demand, topology) = (Arc::clone(&demand), topology.clone());
+        demand_until_covered(demand, topology, directory.clone(), in_force.clone())
+    });
+}
+
+async fn demand_until_covered(
     demand: Arc<SubsetDemand>,
     topology: Topology,
     mut directory: watch::Receiver<Arc<Directory>>,
     mut in_force: watch::Receiver<Arc<InForce>>,
 ) {
-    tokio::spawn(async move {
-        loop {
-            let changed = tokio::select! {
-                changed = directory.changed() => changed,
-                changed = in_force.changed() => changed,
-            };
-            if changed.is_err() {
-                return;
-            }
-            let known = directory.borrow_and_update().clone();
-            let configuration = in_force.borrow_and_update().configuration.clone();
-            let has_enough = known.covers_all
-                || configuration
-                    .is_none_or(|configuration| has_enough(&known, &configuration, &topology));
-            if !has_enough {
-                demand.demand_more();
-            }
+    loop {
+        let changed = tokio::select! {
+            changed = directory.changed() => changed,
+            changed = in_force.changed() => changed,
+        };
+        if changed.is_err() {
+            return;
         }
-    });
+        let known = directory.borrow_and_update().clone();
+        let configuration = in_force.borrow_and_update().configuration.clone();
+        let has_enough = known.covers_all
+            || configuration
+                .is_none_or(|configuration| has_enough(&known, &configuration, &topology));
+        if !has_enough {
+            demand.demand_more();
+        }
+    }
 }
 
 fn has_enough(
--- a/crates/sloetrail-serving/src/supervisor.rs
+++ b/crates/sloetrail-serving/src/supervisor.rs
@@ -4,28 +4,40 @@
 use crate::events::{self, Event};
 use crate::leases::{BatchSet, LeaseManager, LeaseResource, LeaseTask};
 use crate::owner::BatchOwnerTask;
+use crate::tasks;
 use crate::usage::UsageReportTask;
 use sloetrail_routing::ServingConfiguration;
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
+use tokio::sync::Mutex;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
+/// The running lease managers.
+///
+/// Invariant: at most one manager for each resource, also after the supervisor was started again.
+pub(crate) type LeaseManagers = HashMap<LeaseResource, JoinHandle<()>>;
+
 /// Runs a lease manager for each required lease until the node stops, then waits until all of
 /// them have released their leases. `usage` is None if usage is not reported.
 pub(crate) async fn supervise(
     context: Arc<NodeContext>,
-    usage: Option<UsageReportTask>,
+    usage: Option<Arc<UsageReportTask>>,
+    managers: Arc<Mutex<LeaseManagers>>,
     stopping: CancellationToken,
 ) {
-    let mut managers: HashMap<LeaseResource, JoinHandle<()>> = HashMap::new();
+    let mut managers = managers.lock().await;
     let start = |resource: LeaseResource, task: Arc<dyn LeaseTask>| {
-        let manager = LeaseManager::new(Arc::clone(&context), resource, task);
-        tokio::spawn(manager.run(stopping.clone()))
+        let (context, stopping) = (Arc::clone(&context), stopping.clone());
+        tasks::spawn_part("lease manager", move || {
+            let (context, task) = (Arc::clone(&context), Arc::clone(&task));
+            LeaseManager::new(context, resource.clone(), task).run(stopping.clone())
+        })
     };
     if let Some(usage) = usage {
         let resource = LeaseResource::UsageReports;
-        managers.insert(resource.clone(), start(resource, Arc::new(usage)));
+        let manager = managers.entry(resource.clone());
+        manager.or_insert_with(|| start(resource, usage));
     }
     let mut in_force = context.in_force.clone();
     let mut leased_sets = context.leased_sets.clone();
@@ -54,8 +66,8 @@
             () = stopping.cancelled() => break,
         }
     }
-    for (_, manager) in managers {
-        // A manager that panicked holds no lease to release.
+    for (_, manager) in managers.drain() {
+        // Fails only if the runtime shuts down.
         let _ = manager.await;
     }
 }
--- a/crates/sloetrail-serving/src/suspension_guard.rs
+++ b/crates/sloetrail-serving/src/suspension_guard.rs
@@ -6,9 +6,11 @@
 
 use crate::events::{self, Event};
 use crate::follow::LastApplied;
+use crate::tasks;
+use parking_lot::Mutex;
 use sloetrail_clock::BootInstant;
 use sloetrail_types::whole_millis;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 const TICK: Duration = Duration::from_millis(100);
@@ -76,22 +78,21 @@
             state: Mutex::new(SuspensionDetector::new(BootInstant::now())),
         });
         let watched = Arc::downgrade(&guard);
-        tokio::spawn(async move {
-            while let Some(guard) = watched.upgrade() {
-                guard.record_tick();
-                drop(guard);
-                tokio::time::sleep(TICK).await;
+        tasks::spawn_part("suspension guard", move || {
+            let watched = Weak::clone(&watched);
+            async move {
+                while let Some(guard) = watched.upgrade() {
+                    guard.record_tick();
+                    drop(guard);
+                    tokio::time::sleep(TICK).await;
+                }
             }
         });
         guard
     }
 
     fn record_tick(&self) {
-        let suspended_for = self
-            .state
-            .lock()
-            .expect("not poisoned")
-            .record_tick(BootInstant::now());
+        let suspended_for = self.state.lock().record_tick(BootInstant::now());
         if let Some(suspended_for) = suspended_for {
             events::emit(&Event::ProcessPaused {
                 paused_ms: whole_millis(suspended_for),
@@ -104,7 +105,7 @@
         self.record_tick();
         let request_times = self.sources.iter().map(|applied| *applied.borrow());
         let requested_at = request_times.min().flatten();
-        let mut state = self.state.lock().expect("not poisoned");
+        let mut state = self.state.lock();
         state.is_settled(BootInstant::now(), requested_at)
     }
 
--- a/crates/sloetrail-serving/src/suspension_tests.rs
+++ b/crates/sloetrail-serving/src/suspension_tests.rs
@@ -45,6 +45,7 @@
         fence: RowVersion(1),
         releasing: CancellationToken::new(),
         ended: CancellationToken::new(),
+        failed: CancellationToken::new(),
         confirmed_at,
     };
     let lease = Duration::from_millis(1_500);
--- a/crates/sloetrail-serving/src/table_client.rs
+++ b/crates/sloetrail-serving/src/table_client.rs
@@ -19,12 +19,14 @@
 use crate::table::{
     Changes, Commit, CommitError, KeyRange, Page, ReadError, Table, TableLimits, Transaction,
 };
+use crate::tasks;
 use crate::telemetry;
 use async_trait::async_trait;
 use availability::{Availability, AvailabilityChange};
+use parking_lot::Mutex;
 use sloetrail_clock::BootInstant;
 use sloetrail_types::RowVersion;
-use std::sync::{Arc, Mutex, Weak};
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 use tokio::sync::watch;
 
@@ -120,14 +122,16 @@
     /// Fails the calls in flight when it recovers, because they will not be answered.
     fn record_call(&self, answered: bool) {
         let change = {
-            let mut availability = self.availability.lock().expect("not poisoned");
+            let mut availability = self.availability.lock();
             availability.record_call(BootInstant::now(), answered)
         };
         match change {
             Some(AvailabilityChange::Lost) => {
                 self.outages.send_modify(|count| *count += 1);
                 if let Some(this) = self.this.upgrade() {
-                    tokio::spawn(this.probe_until_it_answers());
+                    tasks::spawn_part("table probes", move || {
+                        Arc::clone(&this).probe_until_it_answers()
+                    });
                 }
             }
             Some(AvailabilityChange::Recovered) => self.recoveries.send_modify(|count| *count += 1),
@@ -140,7 +144,7 @@
         let started_at = BootInstant::now();
         while !self.is_answering() {
             let probing = Arc::clone(&self);
-            tokio::spawn(async move {
+            tasks::spawn("table probe", async move {
                 let range = KeyRange {
                     limit: Some(1),
                     ..KeyRange::all(rows::LEASES, rows::OWNERS)
@@ -160,7 +164,7 @@
 }
 
 fn timeout_of(timeout: &Mutex<AdaptiveTimeout>) -> Duration {
-    timeout.lock().expect("not poisoned").timeout()
+    timeout.lock().timeout()
 }
 
 /// Updates an adaptive timeout after a call. A call that failed before its timeout has no effect.
@@ -170,7 +174,7 @@
     took: Duration,
     timeout: Duration,
 ) {
-    let mut adaptive = adaptive.lock().expect("not poisoned");
+    let mut adaptive = adaptive.lock();
     if was_answered {
         adaptive.record_answer(took);
     } else if took >= timeout {
@@ -220,14 +224,12 @@
     }
 
     fn typical_latency(&self) -> Duration {
-        let of = |timeout: &Mutex<AdaptiveTimeout>| {
-            timeout.lock().expect("not poisoned").typical_latency()
-        };
+        let of = |timeout: &Mutex<AdaptiveTimeout>| timeout.lock().typical_latency();
         of(&self.writes).max(of(&self.reads))
     }
 
     fn is_answering(&self) -> bool {
-        let availability = self.availability.lock().expect("not poisoned");
+        let availability = self.availability.lock();
         availability.is_answering()
     }
 
@@ -321,7 +323,7 @@
             return result;
         }
         if result.is_ok() {
-            let mut reads = self.reads.lock().expect("not poisoned");
+            let mut reads = self.reads.lock();
             reads.record_long_poll_answer(took, wait);
         }
         let is_answered = !result
--- a/crates/sloetrail-serving/src/telemetry.rs
+++ b/crates/sloetrail-serving/src/telemetry.rs
@@ -7,9 +7,10 @@
 use crate::zone_work::ZoneCounts;
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use parking_lot::Mutex;
 use sloetrail_types::ZoneName;
 use std::collections::BTreeSet;
-use std::sync::{Mutex, OnceLock};
+use std::sync::OnceLock;
 use std::time::Duration;
 
 /// Maximum number of distinct values of a label.
@@ -133,6 +134,11 @@
     counter!("sloetrail_configurations_refused_total").increment(1);
 }
 
+/// Counts a panic of a task.
+pub(crate) fn task_panicked(task: &'static str) {
+    counter!("sloetrail_task_panics_total", "task" => task).increment(1);
+}
+
 /// Counts an order to an engine to change its weight version.
 pub(crate) fn order_given(outcome: &'static str) {
     counter!("sloetrail_orders_total", "outcome" => outcome).increment(1);
@@ -244,7 +250,7 @@
     }
 
     fn bounded(&self, value: &str) -> String {
-        let mut known = self.known.lock().expect("not poisoned");
+        let mut known = self.known.lock();
         if known.contains(value) {
             return value.to_owned();
         }
--- a/crates/sloetrail-serving/src/usage/node_usage.rs
+++ b/crates/sloetrail-serving/src/usage/node_usage.rs
@@ -8,11 +8,12 @@
 use crate::table::{Commit, CommitError, Table, Transaction};
 use crate::telemetry;
 use bytes::Bytes;
+use parking_lot::{Mutex, MutexGuard};
 use sloetrail_clock::BootInstant;
 use sloetrail_types::{NodeId, TenantName, whole_millis};
 use sloetrail_usage::{ReportSchedule, UsageCounter, UsagePiece};
 use std::collections::{HashMap, VecDeque};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Bounds the counts that a killed node loses.
@@ -197,7 +198,7 @@
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().expect("not poisoned")
+        self.state.lock()
     }
 }
 
--- a/crates/sloetrail-serving/src/zone_work.rs
+++ b/crates/sloetrail-serving/src/zone_work.rs
@@ -7,9 +7,11 @@
 pub(crate) use self::tracker::{WorkKind, ZoneCounts};
 use crate::events::{self, Event};
 use crate::operator::InForce;
+use crate::tasks;
+use parking_lot::{Mutex, MutexGuard};
 use sloetrail_clock::BootInstant;
 use sloetrail_types::{ZoneName, whole_millis};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Weak};
 use tokio::sync::watch;
 
 /// The running work of this node, shared between tasks.
@@ -18,21 +20,25 @@
     tracker: Mutex<ZoneWorkTracker>,
 }
 
+async fn track_evacuations(work: Weak<ZoneWork>, mut in_force: watch::Receiver<Arc<InForce>>) {
+    while in_force.changed().await.is_ok() {
+        let Some(work) = work.upgrade() else {
+            return;
+        };
+        let evacuations = Arc::clone(&in_force.borrow_and_update().evacuations);
+        let now = BootInstant::now();
+        let drained = work.tracker().set_evacuated(evacuations.zones(), now);
+        drained.iter().for_each(emit_drained);
+    }
+}
+
 impl ZoneWork {
     /// Starts to track evacuations until the sender of `in_force` is dropped.
-    pub(crate) fn start(mut in_force: watch::Receiver<Arc<InForce>>) -> Arc<Self> {
+    pub(crate) fn start(in_force: watch::Receiver<Arc<InForce>>) -> Arc<Self> {
         let work = Arc::new(Self::default());
         let followed = Arc::downgrade(&work);
-        tokio::spawn(async move {
-            while in_force.changed().await.is_ok() {
-                let Some(work) = followed.upgrade() else {
-                    return;
-                };
-                let evacuations = Arc::clone(&in_force.borrow_and_update().evacuations);
-                let now = BootInstant::now();
-                let drained = work.tracker().set_evacuated(evacuations.zones(), now);
-                drained.iter().for_each(emit_drained);
-            }
+        tasks::spawn_part("zone work", move || {
+            track_evacuations(Weak::clone(&followed), in_force.clone())
         });
         work
     }
@@ -53,7 +59,7 @@
     }
 
     fn tracker(&self) -> MutexGuard<'_, ZoneWorkTracker> {
-        self.tracker.lock().expect("not poisoned")
+        self.tracker.lock()
     }
 }
 
--- a/crates/sloetrail-serving/tests/support/mod.rs
+++ b/crates/sloetrail-serving/tests/support/mod.rs
@@ -4,6 +4,8 @@
 pub mod fragile;
 #[allow(dead_code, reason = "not every test file needs it")]
 pub mod log_reader;
+#[allow(dead_code, reason = "not every test file needs it")]
+pub mod panicking;
 
 use http::Method;
 use serde_json::Value;
