Settings follow the range rule, and a file can be checked before it is applied

Nobody could check a serving configuration before applying it.

`sloetrail check-configuration FILE` parses a serving configuration as a node does and prints the numbers that are not used as written, or the field of an error.

--- a/crates/sloetrail-cli/src/arguments.rs
+++ b/crates/sloetrail-cli/src/arguments.rs
@@ -23,6 +23,12 @@
                 .after_help("Example: sloetrail validate examples/maelir.toml")
                 .arg(file_arg()),
         )
+        .subcommand(
+            Command::new("check-configuration")
+                .about("Checks a configuration of serving nodes and prints the numbers that are not used as written")
+                .after_help("Example: sloetrail check-configuration configuration.json")
+                .arg(file_arg()),
+        )
         .subcommand(
             Command::new("plan")
                 .about("Shows what an apply would change")
--- a/crates/sloetrail-cli/src/main.rs
+++ b/crates/sloetrail-cli/src/main.rs
@@ -18,6 +18,7 @@
 mod log_timeline;
 mod node_metrics;
 mod reports;
+mod serving_configuration;
 mod step_report;
 mod usage_report;
 mod zones;
@@ -56,6 +57,7 @@
         Some(("step-report", matches)) => step_report::step_report(matches, as_json),
         Some(("usage", matches)) => usage_report::usage_report(matches, as_json),
         Some(("zones", matches)) => zones::zones(matches, as_json).await,
+        Some(("check-configuration", matches)) => serving_configuration::check(matches, as_json),
         Some(("check", matches)) => check::check(matches, as_json),
         Some(("replay", matches)) => check::replay(matches, as_json),
         _ => unreachable!("clap requires a known subcommand"),
--- a/crates/sloetrail-cli/tests/commands.rs
+++ b/crates/sloetrail-cli/tests/commands.rs
@@ -208,3 +208,40 @@
         Some(2)
     );
 }
+
+#[test]
+fn serving_configuration_with_a_huge_number_is_valid_and_the_number_is_named() {
+    let route = r#"{"name": "r1", "host": "a.example", "path_prefix": "/a/", "kind": "rollout",
+                    "service": "models", "retain_s": 1e30}"#;
+    let path = file_with(
+        "huge.json",
+        &format!(r#"{{"version": 1, "routes": [{route}]}}"#),
+    );
+    let output = sloetrail(&["check-configuration", &path.display().to_string()]);
+    assert_eq!(output.status.code(), Some(0));
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(
+        text.contains("route r1: retain_s: 315360000 is used"),
+        "{text}"
+    );
+    let output = sloetrail(&[
+        "--output",
+        "json",
+        "check-configuration",
+        &path.display().to_string(),
+    ]);
+    let report: serde_json::Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    assert_eq!(report["held"][0]["used"], "315360000");
+}
+
+#[test]
+fn field_of_a_wrong_type_in_a_serving_configuration_is_named() {
+    let path = file_with(
+        "wrong.json",
+        r#"{"version": 1, "limits": {"max_body_bytes": "much"}}"#,
+    );
+    let output = sloetrail(&["check-configuration", &path.display().to_string()]);
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(text.contains("limits.max_body_bytes"), "{text}");
+}
--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -35,6 +35,13 @@
         /// Requests in flight, which are cut off.
         requests: usize,
     },
+    /// A number of the settings is outside its range and is not used as written.
+    SettingsNumberHeld {
+        /// The path of the field.
+        field: &'a str,
+        given: &'a str,
+        used: &'a str,
+    },
     /// A task of the node has panicked.
     TaskPanicked {
         task: &'a str,
--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -14,6 +14,7 @@
             Event::NodeStarted { .. }
             | Event::NodeStopping { .. }
             | Event::NodeStopped { .. }
+            | Event::SettingsNumberHeld { .. }
             | Event::TaskPanicked { .. }
             | Event::SettingsReloaded { .. }
             | Event::ConnectionsCondemned { .. }
--- a/crates/sloetrail-serving/src/node.rs
+++ b/crates/sloetrail-serving/src/node.rs
@@ -90,6 +90,13 @@
             instance: settings.instance.as_str(),
             version: env!("CARGO_PKG_VERSION"),
         });
+        for held in &settings.held_numbers {
+            events::emit(&Event::SettingsNumberHeld {
+                field: &held.field,
+                given: &held.given,
+                used: &held.used,
+            });
+        }
         telemetry::start();
         let (table, peers) = with_relay(&settings, table).await?;
         let callers = listen(settings.callers_address).await?;
--- a/crates/sloetrail-serving/src/settings.rs
+++ b/crates/sloetrail-serving/src/settings.rs
@@ -5,8 +5,8 @@
 use crate::policies::Policies;
 use serde::Deserialize;
 use sloetrail_routing::ServingConfiguration;
-use sloetrail_types::bounded::{MAX_BYTES, MAX_COUNT, MAX_RATE, MAX_RATIO};
-use sloetrail_types::{NodeId, RegionName, ServiceName, TimeSpan, Topology, ZoneName};
+use sloetrail_types::bounded::{HeldNumber, MAX_RATE, MAX_RATIO, NumberCheck};
+use sloetrail_types::{NodeId, RegionName, ServiceName, Topology, ZoneName};
 use sloetrail_usage::{ReportSchedule, Windows};
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
 use std::collections::BTreeMap;
@@ -116,7 +116,7 @@
 }
 
 impl ColdTolerance {
-    fn check(raw: RawColdSettings) -> Result<Self, SettingsError> {
+    fn check(raw: RawColdSettings, numbers: &mut NumberCheck) -> Result<Self, SettingsError> {
         ensure!(
             raw.excess.is_finite() && raw.excess >= 1.0,
             OutOfBoundsSnafu {
@@ -132,8 +132,12 @@
             }
         );
         Ok(Self {
-            excess: raw.excess.min(MAX_RATIO),
-            slack: raw.slack.min(MAX_RATE),
+            excess: numbers
+                .at_most("cold.excess", raw.excess, MAX_RATIO)
+                .unwrap_or(raw.excess),
+            slack: numbers
+                .at_most("cold.slack", raw.slack, MAX_RATE)
+                .unwrap_or(raw.slack),
         })
     }
 
@@ -175,11 +179,11 @@
 }
 
 impl UsageSettings {
-    fn check(raw: RawUsageSettings) -> Result<Self, SettingsError> {
+    fn check(raw: RawUsageSettings, numbers: &mut NumberCheck) -> Result<Self, SettingsError> {
         const MIN_DURATION: Duration = Duration::from_millis(100);
         let settings = Self {
-            window: seconds(Some(raw.window_s), 0.0, "usage.window_s")?,
-            due_after: seconds(Some(raw.due_s), 0.0, "usage.due_s")?,
+            window: seconds(numbers, "usage.window_s", raw.window_s)?,
+            due_after: seconds(numbers, "usage.due_s", raw.due_s)?,
         };
         for (time, field) in [
             (settings.window, "usage.window_s"),
@@ -220,6 +224,8 @@
     /// Schedule of usage reports; None disables them.
     pub usage: Option<UsageSettings>,
     pub cold: ColdTolerance,
+    /// Numbers that were above their maximum and are not used as written.
+    pub held_numbers: Vec<HeldNumber>,
 }
 
 /// Timeouts, retention times and capacity limits.
@@ -244,25 +250,33 @@
 }
 
 impl ServingBounds {
-    fn check(raw: &RawServingSettings) -> Result<Self, SettingsError> {
-        let milliseconds = |value: Option<u64>, default| {
-            TimeSpan::from_millis(value.unwrap_or(default)).duration()
-        };
-        let concurrent_loads = raw.concurrent_loads.unwrap_or(DEFAULT_CONCURRENT_LOADS);
-        let body_budget_bytes = raw.body_budget_bytes.unwrap_or(DEFAULT_BODY_BUDGET_BYTES);
+    fn check(raw: &RawServingSettings, numbers: &mut NumberCheck) -> Result<Self, SettingsError> {
+        let concurrent_loads = raw.concurrent_loads.unwrap_or(DEFAULT_CONCURRENT_LOADS) as u64;
+        let body_budget_bytes = raw.body_budget_bytes.unwrap_or(DEFAULT_BODY_BUDGET_BYTES) as u64;
         let bounds = Self {
-            lease: milliseconds(raw.lease_ms, DEFAULT_LEASE_MS),
-            order_gap: milliseconds(raw.order_gap_ms, DEFAULT_ORDER_GAP_MS),
-            grace: seconds(raw.grace_s, DEFAULT_GRACE_S, "grace_s")?,
-            batch_status: seconds(raw.batch_status_s, DEFAULT_BATCH_STATUS_S, "batch_status_s")?,
+            lease: numbers.millis("lease_ms", raw.lease_ms.unwrap_or(DEFAULT_LEASE_MS)),
+            order_gap: numbers.millis(
+                "order_gap_ms",
+                raw.order_gap_ms.unwrap_or(DEFAULT_ORDER_GAP_MS),
+            ),
+            grace: seconds(numbers, "grace_s", raw.grace_s.unwrap_or(DEFAULT_GRACE_S))?,
+            batch_status: seconds(
+                numbers,
+                "batch_status_s",
+                raw.batch_status_s.unwrap_or(DEFAULT_BATCH_STATUS_S),
+            )?,
             claim_retention: seconds(
-                raw.claims_kept_s,
-                DEFAULT_CLAIM_RETENTION_S,
+                numbers,
                 "claims_kept_s",
+                raw.claims_kept_s.unwrap_or(DEFAULT_CLAIM_RETENTION_S),
+            )?,
+            quarantine: seconds(
+                numbers,
+                "quarantine_s",
+                raw.quarantine_s.unwrap_or(DEFAULT_QUARANTINE_S),
             )?,
-            quarantine: seconds(raw.quarantine_s, DEFAULT_QUARANTINE_S, "quarantine_s")?,
-            concurrent_loads: concurrent_loads.min(MAX_COUNT),
-            body_budget_bytes: body_budget_bytes.min(MAX_BYTES),
+            concurrent_loads: numbers.count("concurrent_loads", concurrent_loads, 0),
+            body_budget_bytes: numbers.bytes("body_budget_bytes", body_budget_bytes),
         };
         bounds.validate()?;
         Ok(bounds)
@@ -309,13 +323,13 @@
 }
 
 fn seconds(
-    value: Option<f64>,
-    default: f64,
+    numbers: &mut NumberCheck,
     field: &'static str,
+    seconds: f64,
 ) -> Result<Duration, SettingsError> {
     let message = "must be a time in seconds, zero or more";
-    TimeSpan::from_secs_f64(value.unwrap_or(default))
-        .map(TimeSpan::duration)
+    numbers
+        .seconds(field, seconds)
         .context(OutOfBoundsSnafu { field, message })
 }
 
@@ -336,7 +350,14 @@
                 message: "must not be empty and must not contain a slash"
             }
         );
-        let bounds = ServingBounds::check(&raw)?;
+        let mut numbers = NumberCheck::default();
+        let bounds = ServingBounds::check(&raw, &mut numbers)?;
+        let usage = raw
+            .usage
+            .map(|usage| UsageSettings::check(usage, &mut numbers));
+        let cold = raw
+            .cold
+            .map(|cold| ColdTolerance::check(cold, &mut numbers));
         Ok(Self {
             instance: NodeId::new(format!("{}/{incarnation:016x}", raw.node)),
             node: raw.node,
@@ -348,10 +369,9 @@
             candidate_rank: candidate_rank(raw.processor_share),
             bounds,
             policies: raw.policies,
-            usage: raw.usage.map(UsageSettings::check).transpose()?,
-            cold: raw
-                .cold
-                .map_or(Ok(ColdTolerance::default()), ColdTolerance::check)?,
+            usage: usage.transpose()?,
+            cold: cold.transpose()?.unwrap_or_default(),
+            held_numbers: numbers.into_held(),
         })
     }
 
