--- a/crates/sloetrail-serving-testkit/src/client.rs
+++ b/crates/sloetrail-serving-testkit/src/client.rs
@@ -84,15 +84,24 @@
     }
 
     async fn try_send(&self, address: SocketAddr) -> Option<Answer> {
-        let stream = TcpStream::connect(address).await.ok()?;
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-        let mut connection_task = JoinSet::new();
-        connection_task.spawn(connection);
+        let mut connection = OpenConnection::open(address).await?;
+        self.try_send_over(&mut connection).await
+    }
+
+    /// Sends the call on an open connection. None if no complete response arrives in time; the
+    /// connection must not be used again then.
+    pub async fn send_over(&self, connection: &mut OpenConnection) -> Option<Answer> {
+        tokio::time::timeout(CALL_TIMEOUT, self.try_send_over(connection))
+            .await
+            .ok()?
+    }
+
+    async fn try_send_over(&self, connection: &mut OpenConnection) -> Option<Answer> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.path.parse().ok()?;
         *request.headers_mut() = self.headers.clone();
-        let response = sender.send_request(request).await.ok();
+        let response = connection.sender.send_request(request).await.ok();
         match response {
             Some(response) => {
                 let (head, body) = response.into_parts();
@@ -107,6 +116,31 @@
     }
 }
 
+/// A connection for any number of calls, closed on drop.
+pub struct OpenConnection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    _connection_task: JoinSet<Result<(), hyper::Error>>,
+}
+
+impl OpenConnection {
+    /// Connects. None if the address does not accept the connection.
+    pub async fn open(address: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect(address).await.ok()?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let mut connection_task = JoinSet::new();
+        connection_task.spawn(connection);
+        Some(Self {
+            sender,
+            _connection_task: connection_task,
+        })
+    }
+
+    /// True if the other side has closed the connection.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
+
 /// A batch item in the JSON form that trainers submit.
 pub fn item(id: &str, group: &str, events: u64) -> Value {
     json!({
--- a/crates/sloetrail-serving/tests/edge_numbers.rs
+++ b/crates/sloetrail-serving/tests/edge_numbers.rs
@@ -130,3 +130,15 @@
         assert_eq!(status, Some(200), "{path}");
     }
 }
+
+/// Guards against a position beyond all results that overflows a sum.
+#[tokio::test(flavor = "multi_thread")]
+async fn results_after_the_largest_position_are_an_empty_page() {
+    let cluster = usual_cluster(EVENT_INTERVAL).await;
+    submit_items(&cluster, 0, "b1", 3, 5).await;
+    cluster.wait_results(0, "b1", 3).await;
+    for position in [usize::MAX, usize::MAX - 1, 1_000_000_000] {
+        let page = cluster.read(1, "b1", position).await.expect("a page");
+        assert_eq!(page["results"], json!([]), "{position}");
+    }
+}
