The node's assembly and its endpoints in files of their own

Its start, periodic work and stop stay; the assembly of the context and the three addresses that it serves move, unchanged but for one constant in place of two equal listener settings.

--- a/crates/sloetrail-serving/src/node.rs
+++ b/crates/sloetrail-serving/src/node.rs
@@ -1,36 +1,25 @@
-//! A serving node: assembly of its components, start and graceful stop.
+//! A serving node: its start, its periodic work and its graceful stop.
 
-use crate::back_end_connections::BackEndConnections;
+mod assembly;
+mod endpoints;
+
+use self::assembly::build_context;
+use self::endpoints::{serve_callers, serve_metrics, serve_ready};
 use crate::context::NodeContext;
 use crate::dialect::Dialect;
-use crate::directory::watch_directory;
-use crate::ended_incarnations::watch_ended_incarnations;
 use crate::engine_supply::EngineSupply;
 use crate::events::{self, Event};
-use crate::follow::{FleetSize, PollTimings, SubsetReader, ViewReceiver, follow, follow_directory};
-use crate::gateway::call_handler::CallHandler;
-use crate::gateway::claims::{Claims, sweep};
-use crate::gateway::response::{empty_response, full_body};
-use crate::http::{ConnectionTracker, ListenerSettings, spawn_listener};
-use crate::leases::watch_leased_sets;
-use crate::operator::watch_operator;
-use crate::quarantine::{self, Quarantine};
+use crate::gateway::claims::sweep;
+use crate::http::ConnectionTracker;
+use crate::quarantine;
 use crate::relay::{self, peers::Peers};
-use crate::rows;
-use crate::service_pools::ServicePools;
 use crate::settings::ServingSettings;
-use crate::subset_demand::{SubsetDemand, watch_subset_coverage};
 use crate::supervisor::supervise;
-use crate::suspension_guard::SuspensionGuard;
 use crate::table::Table;
 use crate::tasks;
-use crate::telemetry::{self, NodeGauges};
-use crate::usage::{NodeUsage, UsageRecipient, UsageReportTask};
-use crate::zone_work::ZoneWork;
-use http::StatusCode;
+use crate::telemetry;
+use crate::usage::{UsageRecipient, UsageReportTask};
 use sloetrail_clock::BootInstant;
-use sloetrail_types::digest;
-use sloetrail_usage::ReportSchedule;
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -234,215 +223,6 @@
     }
 }
 
-/// Views of the table rows that every node follows.
-struct Views {
-    operator: ViewReceiver,
-    directory: ViewReceiver,
-    leases: ViewReceiver,
-}
-
-impl Views {
-    fn follow(
-        table: &Arc<dyn Table>,
-        dialect: &dyn Dialect,
-        timings: PollTimings,
-        subset_reader: SubsetReader,
-    ) -> Self {
-        let sources = dialect.sources().clone();
-        let configuration = sources.configuration;
-        Self {
-            operator: follow(
-                Arc::clone(table),
-                configuration.table,
-                configuration.partition,
-                timings.operator,
-            ),
-            directory: follow_directory(
-                Arc::clone(table),
-                sources.directory_table,
-                timings.directory,
-                subset_reader,
-            ),
-            leases: follow(
-                Arc::clone(table),
-                rows::LEASES,
-                rows::OWNERS,
-                timings.leases,
-            ),
-        }
-    }
-}
-
-fn build_context(
-    settings: ServingSettings,
-    (table, peers): (Arc<dyn Table>, Option<Arc<Peers>>),
-    dialect: Arc<dyn Dialect>,
-    usage_schedule: Option<ReportSchedule>,
-    engine_supply: Option<Arc<dyn EngineSupply>>,
-) -> NodeContext {
-    let fleet = FleetSize::default();
-    let timings = PollTimings::new(&fleet, &settings.bounds);
-    let lease_poll_timing = timings.leases.clone();
-    let subset_demand = Arc::new(SubsetDemand::default());
-    let subset_reader = SubsetReader::new(&settings.node, Arc::clone(&subset_demand));
-    let views = Views::follow(&table, &*dialect, timings, subset_reader);
-    let (directory, directory_applied) =
-        watch_directory(views.directory, Arc::clone(&dialect), fleet.clone());
-    let seed = digest(settings.instance.as_str().as_bytes());
-    let (in_force, operator_applied) = watch_operator(views.operator, Arc::clone(&dialect));
-    watch_subset_coverage(
-        Arc::clone(&subset_demand),
-        settings.topology.clone(),
-        directory.clone(),
-        in_force.clone(),
-    );
-    let ended_incarnations = watch_ended_incarnations(directory.clone());
-    let (quarantine, crashes_applied) = Quarantine::start(
-        &settings,
-        Arc::clone(&table),
-        (directory.clone(), ended_incarnations.clone()),
-        views.leases.clone(),
-    );
-    let applied = [
-        directory_applied.clone(),
-        operator_applied.clone(),
-        crashes_applied,
-    ];
-    let suspension_guard = SuspensionGuard::start(applied);
-    let zone_work = ZoneWork::start(in_force.clone());
-    let pools = ServicePools::new(
-        &settings,
-        (peers.clone(), Arc::clone(&subset_demand)),
-        Arc::clone(&zone_work),
-        seed,
-    );
-    let leased_sets = watch_leased_sets(views.leases.clone());
-    pools.follow(directory.clone(), in_force.clone(), leased_sets.clone());
-    let usage = usage_schedule.map(|schedule| {
-        let (table, leases) = (Arc::clone(&table), views.leases.clone());
-        NodeUsage::new(
-            schedule,
-            settings.instance.clone(),
-            table,
-            leases,
-            fleet.clone(),
-        )
-    });
-    let connections = BackEndConnections::new(
-        directory.clone(),
-        in_force.clone(),
-        Arc::clone(&suspension_guard),
-    );
-    let has_keys = dialect.headers().idempotency_key.is_some();
-    let claims = has_keys.then(|| Claims::new(&settings, Arc::clone(&table)));
-    NodeContext {
-        claims,
-        in_force,
-        connections,
-        settings,
-        table,
-        peers,
-        dialect,
-        pools,
-        ended_incarnations,
-        quarantine,
-        directory,
-        directory_applied,
-        operator_applied,
-        subset_demand,
-        leases: views.leases,
-        leased_sets,
-        lease_poll_timing,
-        fleet,
-        zone_work,
-        suspension_guard,
-        usage,
-        engine_supply,
-    }
-}
-
-fn serve_callers(context: &Arc<NodeContext>, listener: TcpListener, tracker: ConnectionTracker) {
-    let seed = digest(context.settings.instance.as_str().as_bytes()) as f64 / u64::MAX as f64;
-    let call_handler = Arc::new(CallHandler::new(Arc::clone(context), seed));
-    let context = Arc::clone(context);
-    let settings = move || {
-        let limits = context.limits();
-        ListenerSettings {
-            header_bytes: limits.header_bytes,
-            idle_timeout: limits.idle_timeout,
-        }
-    };
-    spawn_listener(listener, settings, tracker, move |request| {
-        let call_handler = Arc::clone(&call_handler);
-        async move { call_handler.answer(request).await }
-    });
-}
-
-/// Serves the readiness check. The node is ready once it has read a configuration, the back ends
-/// and the quarantined requests, until it stops.
-fn serve_ready(context: &Arc<NodeContext>, listener: TcpListener, stopping: CancellationToken) {
-    let context = Arc::clone(context);
-    let settings = || ListenerSettings {
-        header_bytes: 8 * 1024,
-        idle_timeout: Duration::from_secs(15),
-    };
-    let tracker = ConnectionTracker::default();
-    spawn_listener(listener, settings, tracker, move |_| {
-        let knows_back_ends = !context.directory.borrow().back_ends.is_empty();
-        let knows_requests = context.leases.borrow().confirmed_at.is_some();
-        let is_ready = context.configuration().is_some()
-            && knows_back_ends
-            && knows_requests
-            && !stopping.is_cancelled();
-        let status = match is_ready {
-            true => StatusCode::OK,
-            false => StatusCode::SERVICE_UNAVAILABLE,
-        };
-        async move { empty_response(status) }
-    });
-}
-
-/// Serves metrics, and the quarantined requests under a separate path.
-fn serve_metrics(context: &Arc<NodeContext>, listener: TcpListener, callers: ConnectionTracker) {
-    let context = Arc::clone(context);
-    let settings = || ListenerSettings {
-        header_bytes: 8 * 1024,
-        idle_timeout: Duration::from_secs(15),
-    };
-    let tracker = ConnectionTracker::default();
-    spawn_listener(listener, settings, tracker, move |request| {
-        let (method, path) = (request.method(), request.uri().path());
-        let answer = context.quarantine.answer_operator(method, path);
-        let response = answer.unwrap_or_else(|| {
-            telemetry::set_node_gauges(&node_gauges(&context, &callers));
-            http::Response::new(full_body(telemetry::render()))
-        });
-        async move { response }
-    });
-}
-
-fn node_gauges(context: &NodeContext, callers: &ConnectionTracker) -> NodeGauges {
-    let configuration = context.configuration();
-    let directory = Arc::clone(&context.directory.borrow());
-    let age = |requested_at: Option<BootInstant>| requested_at.map(|at| at.elapsed());
-    NodeGauges {
-        configuration_revision: configuration.as_ref().map_or(0, |known| known.revision.0),
-        configuration_numbers_held: configuration.map_or(0, |known| known.held_numbers.len()),
-        directory_version: directory.version.0,
-        back_ends_known: directory.back_ends.len(),
-        back_ends_listed: directory.total_rows,
-        directory_age: age(*context.directory_applied.borrow()),
-        operator_age: age(*context.operator_applied.borrow()),
-        zones: context.zone_work.evacuated_zones(),
-        zones_evacuated: context.in_force.borrow().evacuations.count(),
-        back_ends_cold: directory.cold_count(BootInstant::now()),
-        requests_quarantined: context.quarantine.assessment().quarantined().count(),
-        lease_view_age: context.leases.borrow().age(BootInstant::now()),
-        requests: callers.requests(),
-        connections: callers.connections(),
-    }
-}
-
 async fn run_housekeeping(context: Arc<NodeContext>) {
     loop {
         tokio::time::sleep(HOUSEKEEPING_PERIOD).await;
