A failed write does not end the log of a node

What operators saw: one error of standard output, such as a full disk behind it, ended the thread that writes the log, and the node never logged again: lines went into the queue until it was full. Found in the search for tasks that end without a word.

Change: the lines of the failed write are counted as dropped (cause `unwritten`), and later lines are written.

--- a/crates/sloetrail-serving/src/events/writer.rs
+++ b/crates/sloetrail-serving/src/events/writer.rs
@@ -118,6 +118,8 @@
     }
 }
 
+/// Writes queued lines until the sender is dropped. Lines that cannot be written are counted as
+/// dropped.
 fn write_lines(receiver: &Receiver<String>, mut output: impl Write) {
     while let Ok(line) = receiver.recv() {
         let mut text = line;
@@ -129,12 +131,12 @@
             text.push('\n');
             lines += 1;
         }
-        if output
+        let written = output
             .write_all(text.as_bytes())
-            .and_then(|()| output.flush())
-            .is_err()
-        {
-            return;
+            .and_then(|()| output.flush());
+        if written.is_err() {
+            // Standard output may accept later lines.
+            telemetry::lines_dropped("unwritten", lines);
         }
         WRITTEN.fetch_add(lines, Ordering::Release);
     }
@@ -145,3 +147,6 @@
         .duration_since(UNIX_EPOCH)
         .map_or(0, whole_millis)
 }
+
+#[cfg(test)]
+mod tests;
