Operators hear of outdated configurations; panic lines are limited

A configuration whose revision is not higher than that in force was passed over without a word, also each one after a slip to a revision near 2^64: now configuration_outdated names both revisions. task_panicked is limited to 20 lines a second, as row_unreadable is: a row that stays may make each of its readings panic (one run of the tests wrote 16,000 such lines). The error of a directory row names the field that is out of range, the range and what came.

Measured: the log test covers configuration_outdated; tests of the operations page, decoding, restarts and the unit tests pass.

--- a/crates/sloetrail-serving/src/back_end.rs
+++ b/crates/sloetrail-serving/src/back_end.rs
@@ -36,22 +36,24 @@
 const MAX_COLD_TIME: Duration = Duration::from_secs(86_400);
 
 impl BackEnd {
-    /// Returns the back end if its numbers are in range. Rows may come from other writers, and
-    /// huge numbers would overflow sums over back ends.
+    /// Returns the back end if its numbers are in range. A back end that claims more than it can
+    /// have is not to be trusted with work, so its numbers are not held at their maximum.
     ///
     /// # Errors
     ///
     /// If the slot count or the cold time is out of range.
     pub fn checked(self) -> Result<Self, DialectError> {
-        let is_valid =
-            (1..=MAX_SLOTS).contains(&self.slots) && self.cold_remaining <= MAX_COLD_TIME;
-        match is_valid {
-            true => Ok(self),
-            false => Err(DialectError {
-                message: "slots must be 1 to 100000, and the remaining cold time at most one day"
-                    .to_owned(),
-            }),
-        }
+        let (slots, cold_remaining) = (self.slots, self.cold_remaining);
+        let message = if !(1..=MAX_SLOTS).contains(&slots) {
+            format!("slots must be 1 to {MAX_SLOTS}, got {slots}")
+        } else if cold_remaining > MAX_COLD_TIME {
+            format!(
+                "the remaining cold time must be at most {MAX_COLD_TIME:?}, got {cold_remaining:?}"
+            )
+        } else {
+            return Ok(self);
+        };
+        Err(DialectError { message })
     }
 }
 
--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -103,6 +103,12 @@
         used: &'a str,
         revision: u64,
     },
+    /// A configuration is not newer than the one in force, which stays in force.
+    ConfigurationOutdated {
+        revision: u64,
+        /// The revision in force.
+        in_force: u64,
+    },
     /// A configuration is invalid; the previous one stays in force.
     ConfigurationRefused {
         /// The version of the row that contains the configuration.
--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -26,6 +26,7 @@
             | Event::RelayEnded { .. } => "table",
             Event::ConfigurationInForce { .. }
             | Event::ConfigurationNumberHeld { .. }
+            | Event::ConfigurationOutdated { .. }
             | Event::ConfigurationRefused { .. }
             | Event::RegionsExclude { .. }
             | Event::RowUnreadable { .. }
@@ -79,6 +80,8 @@
             Event::RequestFailed { code, .. } if is_refused_key(*code) => Some(&KEYS_REFUSED),
             // Other writers of the table can write any number of malformed rows.
             Event::RowUnreadable { .. } => Some(&ROWS_UNREADABLE),
+            // A row that stays may make each of its readings panic.
+            Event::TaskPanicked { .. } => Some(&TASKS_PANICKED),
             Event::ItemStarted { .. } => Some(&ITEMS_STARTED),
             Event::ItemListed { .. } => Some(&ITEMS_LISTED),
             Event::ItemMoved { .. } => Some(&ITEMS_MOVED),
@@ -97,6 +100,7 @@
 static REQUESTS_ANSWERED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
 static KEYS_REFUSED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
 static ROWS_UNREADABLE: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
+static TASKS_PANICKED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
 static ITEMS_STARTED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
 static ITEMS_LISTED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
 static ITEMS_MOVED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
@@ -110,6 +114,7 @@
         &ITEMS_LISTED,
         &ITEMS_MOVED,
         &ROWS_UNREADABLE,
+        &TASKS_PANICKED,
     ];
     limiters.iter().map(|limiter| limiter.take_refused()).sum()
 }
--- a/crates/sloetrail-serving/src/operator.rs
+++ b/crates/sloetrail-serving/src/operator.rs
@@ -164,8 +164,13 @@
             return false;
         }
     };
-    let current = in_force.configuration.as_ref();
-    if current.is_some_and(|current| current.revision >= configuration.revision) {
+    if let Some(current) = &in_force.configuration
+        && current.revision >= configuration.revision
+    {
+        events::emit(&Event::ConfigurationOutdated {
+            revision: configuration.revision.0,
+            in_force: current.revision.0,
+        });
         return false;
     }
     events::emit(&Event::ConfigurationInForce {
--- a/crates/sloetrail-serving/tests/panic_log.rs
+++ b/crates/sloetrail-serving/tests/panic_log.rs
@@ -61,6 +61,15 @@
     })
     .await;
     assert!(!reader.text().contains("a-secret-of-the-row"));
+    cluster.write_configuration(1, usual_routes());
+    eventually("the outdated configuration is reported", || async {
+        let outdated = reader.decisions("configuration_outdated");
+        outdated
+            .iter()
+            .any(|outdated| outdated["revision"] == 1)
+            .then_some(())
+    })
+    .await;
     let answer = Call::new(Method::GET, HOST, "/metrics").send(metrics).await;
     let text = answer.expect("an answer").text();
     let has_line = |start: &str| text.lines().any(|line| line.starts_with(start));
