A follower that is started again keeps to its part of the directory

After a panic a follower of a part of the directory read all of it, since the part went with the panicked run. It is kept beside the follower now.

Measured: unit tests of follow, tests of panics and configuration pass. By reading: no test makes a follower of a part panic.

--- a/crates/sloetrail-serving/src/follow.rs
+++ b/crates/sloetrail-serving/src/follow.rs
@@ -101,15 +101,17 @@
         name,
         partition,
         timing,
-        subset,
         sender,
         interrupted: false,
         immediate_polls: 0,
     };
-    let follower = Arc::new(Mutex::new(follower));
+    let state = Arc::new(Mutex::new((follower, subset)));
     tasks::spawn_part("table follower", move || {
-        let follower = Arc::clone(&follower);
-        async move { follower.lock().await.run().await }
+        let state = Arc::clone(&state);
+        async move {
+            let (follower, subset) = &mut *state.lock().await;
+            follower.run(subset.as_mut()).await;
+        }
     });
     receiver
 }
@@ -126,8 +128,6 @@
     name: String,
     partition: String,
     timing: PollTiming,
-    /// Present if the view may be a subset of the rows.
-    subset: Option<SubsetReader>,
     sender: watch::Sender<Arc<TableView>>,
     interrupted: bool,
     /// The number of next polls that don't wait for a change, because the view may be outdated.
@@ -135,14 +135,9 @@
 }
 
 impl Follower {
-    /// Follows the table until every receiver is dropped. Reads all rows first.
-    async fn run(&mut self) {
-        let mut subset = self.subset.take();
-        self.follow(subset.as_mut()).await;
-        self.subset = subset;
-    }
-
-    async fn follow(&mut self, mut subset: Option<&mut SubsetReader>) {
+    /// Follows the table until every receiver is dropped. Reads all rows first, or those that
+    /// `subset` demands.
+    async fn run(&mut self, mut subset: Option<&mut SubsetReader>) {
         let mut must_read_all = true;
         let mut retry = RetryBackoff::new();
         while !self.sender.is_closed() {
