--- a/crates/sloetrail-types/src/bounded.rs
+++ b/crates/sloetrail-types/src/bounded.rs
@@ -35,15 +35,6 @@
     usize::deserialize(deserializer).map(|count| count.min(MAX_COUNT))
 }
 
-/// Deserializes the length hint of a text.
-///
-/// # Errors
-///
-/// If the value is not an unsigned integer of 64 bits.
-pub fn length<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
-    u64::deserialize(deserializer).map(|length| length.min(MAX_LENGTH))
-}
-
 /// Deserializes an unsigned integer of any size; one beyond 64 bits becomes `u64::MAX`. Accepts
 /// floating-point numbers without a fraction.
 ///
--- a/crates/sloetrail-types/src/tests.rs
+++ b/crates/sloetrail-types/src/tests.rs
@@ -79,19 +79,14 @@
 }
 
 #[test]
-fn counts_and_lengths_are_held_at_their_maximum() {
+fn counts_are_held_at_their_maximum() {
     #[derive(serde::Deserialize)]
     struct Message {
         #[serde(deserialize_with = "bounded::count")]
         count: usize,
-        #[serde(deserialize_with = "bounded::length")]
-        length: u64,
     }
-    let huge = r#"{"count": 18446744073709551615, "length": 18446744073709551615}"#;
-    let message: Message = serde_json::from_str(huge).expect("numbers");
-    assert_eq!(
-        (message.count, message.length),
-        (bounded::MAX_COUNT, bounded::MAX_LENGTH)
-    );
-    assert!(serde_json::from_str::<Message>(r#"{"count": -1, "length": 1}"#).is_err());
+    let huge = r#"{"count": 18446744073709551615}"#;
+    let message: Message = serde_json::from_str(huge).expect("a number");
+    assert_eq!(message.count, bounded::MAX_COUNT);
+    assert!(serde_json::from_str::<Message>(r#"{"count": -1}"#).is_err());
 }
