A region-bound batch gets an engine, though slow or of another model

Cause: the plan of weight changes leaves out slow engines and knows no regions. An engine of another model in the region was left out as well, so that a bound batch could also wait for ever behind an engine that is kept up to date with other models; found by reading while looking for the same fault elsewhere.

Change: before all other orders, the plan looks at each model and region set of the open bound batches. If no engine there has a version that they accept or is changing, the best one there is ordered, whether slow or not.

Result: with the new step of the plan taken out, slow_engine_is_updated_if_it_is_the_only_one_of_a_region and engine_of_another_model_is_updated_if_a_region_has_no_other fail; with it all tests of the owner pass.

--- a/crates/sloetrail-serving/src/owner/engine.rs
+++ b/crates/sloetrail-serving/src/owner/engine.rs
@@ -206,6 +206,12 @@
         self.takes_work() && self.losses.is_over(now) && now >= self.refused_until
     }
 
+    /// True if a weight order may be sent to the engine now.
+    pub(super) fn may_be_ordered(&self, now: BootInstant) -> bool {
+        let is_changing = self.change.is_some() || self.has_order_in_flight;
+        self.is_usable(now) && !is_changing && now >= self.order_not_before
+    }
+
     /// True if the engine can run an item now. A slow engine gets one item per probe interval.
     pub(super) fn can_take(&self, requirement: ModelRequirement<'_>, now: BootInstant) -> bool {
         let has_room = match self.is_slow {
--- a/crates/sloetrail-serving/src/owner/engines.rs
+++ b/crates/sloetrail-serving/src/owner/engines.rs
@@ -253,6 +253,17 @@
         self.engines.iter()
     }
 
+    /// The engines in the given regions.
+    pub(super) fn iter_in_regions<'a>(
+        &'a self,
+        regions: &'a AllowedRegions,
+    ) -> impl Iterator<Item = (&'a EngineId, &'a Engine)> {
+        let topology = self.allowed_regions.as_ref().map(|(topology, _)| topology);
+        self.iter().filter(move |(_, engine)| {
+            topology.is_none_or(|topology| topology.allows(regions, &engine.back_end.zone))
+        })
+    }
+
     pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = (&EngineId, &mut Engine)> {
         self.engines.iter_mut()
     }
--- a/crates/sloetrail-serving/src/owner/engines/tests.rs
+++ b/crates/sloetrail-serving/src/owner/engines/tests.rs
@@ -1,4 +1,5 @@
 mod assignment;
+mod bound_batches;
 mod cold;
 mod orders;
 mod picking;
--- a/crates/sloetrail-serving/src/owner/engines/tests/orders.rs
+++ b/crates/sloetrail-serving/src/owner/engines/tests/orders.rs
@@ -26,7 +26,7 @@
 fn plan_is_limited_to_concurrent_changes() {
     let pool = pool(9);
     let now = BootInstant::now();
-    let orders = plan(&pool, &[target("b", 4, 4)], 2, now);
+    let orders = plan(&pool, &[target("b", 4, 4)], &[], 2, now);
     assert_eq!(orders.len(), 2);
     assert!(
         orders
@@ -47,7 +47,7 @@
     let targets = [target("a", 4, 3), target("b", 4, 3), target("c", 4, 3)];
     let concurrent = max_concurrent_changes(36, 2);
     assert_eq!(concurrent, 8, "a fifth of the engines");
-    let orders = plan(&pool, &targets, concurrent, BootInstant::now());
+    let orders = plan(&pool, &targets, &[], concurrent, BootInstant::now());
     let of = |model: &str| orders.iter().filter(|order| order.model == model).count();
     assert_eq!(
         (of("a"), of("b"), of("c")),
@@ -59,9 +59,9 @@
 #[test]
 fn half_of_usable_engines_stay_in_service() {
     let pool = pool(6);
-    let orders = plan(&pool, &[target("a", 2, 1)], 6, BootInstant::now());
+    let orders = plan(&pool, &[target("a", 2, 1)], &[], 6, BootInstant::now());
     assert_eq!(orders.len(), 1, "one of two engines");
-    let orders = plan(&pool, &[target("a", 2, 2)], 6, BootInstant::now());
+    let orders = plan(&pool, &[target("a", 2, 2)], &[], 6, BootInstant::now());
     assert_eq!(orders.len(), 2, "neither engine is usable");
 }
 
@@ -91,7 +91,7 @@
     let targets = MODELS.map(|model| target(model, 2, 1));
     let concurrent = max_concurrent_changes(MANY_ENGINES, 2);
     let planned = min_duration(|| {
-        let orders = plan(&pool, &targets, concurrent, BootInstant::now());
+        let orders = plan(&pool, &targets, &[], concurrent, BootInstant::now());
         assert_eq!(orders.len(), MANY_ENGINES / 5);
     });
     assert!(planned < assigned, "{planned:?}, {assigned:?}");
@@ -153,6 +153,7 @@
         for order in plan(
             &pool,
             &[model_target],
+            &[],
             max_concurrent_changes(ENGINES, 2),
             now,
         ) {
@@ -172,7 +173,7 @@
             newest_share: 0.5,
             ..target("a", version, version - 1)
         };
-        let orders = plan(&pool, &[half_newest], 24, BootInstant::now());
+        let orders = plan(&pool, &[half_newest], &[], 24, BootInstant::now());
         assert_eq!(
             orders.len(),
             4,
@@ -188,7 +189,7 @@
 #[test]
 fn unneeded_engines_keep_their_version() {
     let pool = pool(300);
-    let orders = plan(&pool, &[needs_few(4, 4)], 300, BootInstant::now());
+    let orders = plan(&pool, &[needs_few(4, 4)], &[], 300, BootInstant::now());
     assert_eq!(orders.len(), 10, "a tenth of 100 engines");
 }
 
@@ -200,7 +201,7 @@
     for id in &ids[..3] {
         pool.get_mut(id).expect("known").record_loss();
     }
-    let orders = plan(&pool, &[needs_few(4, 4)], 300, BootInstant::now());
+    let orders = plan(&pool, &[needs_few(4, 4)], &[], 300, BootInstant::now());
     assert_eq!(orders.len(), 3);
 }
 
@@ -209,7 +210,7 @@
     let mut pool = pool(300);
     let ids = engines_of_model(&pool, "a");
     set_version(&mut pool, &ids[..10], 3);
-    let orders = plan(&pool, &[needs_few(4, 3)], 300, BootInstant::now());
+    let orders = plan(&pool, &[needs_few(4, 3)], &[], 300, BootInstant::now());
     assert_eq!(orders.len(), 5, "half of the ten ready engines");
     assert!(orders.iter().all(|order| ids[..10].contains(&order.engine)));
 }
--- a/crates/sloetrail-serving/src/owner/engines/tests/slow_engines.rs
+++ b/crates/sloetrail-serving/src/owner/engines/tests/slow_engines.rs
@@ -52,7 +52,7 @@
     make_slow(&mut pool, &slow);
     let now = BootInstant::now() + Duration::from_secs(5);
     let targets = MODELS.map(|model| target(model, 2, 1));
-    let orders = plan(&pool, &targets, 9, now);
+    let orders = plan(&pool, &targets, &[], 9, now);
     assert!(orders.iter().all(|order| !slow.contains(&order.engine)));
     let requirement = ModelRequirement {
         model: Some("a"),
--- a/crates/sloetrail-serving/src/owner/mod.rs
+++ b/crates/sloetrail-serving/src/owner/mod.rs
@@ -10,6 +10,7 @@
 
 mod assignment;
 mod batch_scheduler;
+mod bound_demand;
 mod committer;
 mod engine;
 mod engine_sends;
--- a/crates/sloetrail-serving/src/owner/service_owner/other_batches.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/other_batches.rs
@@ -3,8 +3,9 @@
 //! The owner that orders weight versions and engines takes these batches into account without
 //! reading their items.
 
+use crate::owner::bound_demand::BoundDemand;
 use sloetrail_batch::{BatchHeader, BatchId};
-use sloetrail_types::{Timestamp, WeightVersion};
+use sloetrail_types::{AllowedRegions, Timestamp, WeightVersion};
 use std::collections::BTreeMap;
 
 #[derive(Default)]
@@ -42,6 +43,27 @@
         open.map(|header| header.oldest_version).max()
     }
 
+    /// The models that open batches need in restricted regions.
+    pub(super) fn bound_demands(&self) -> Vec<BoundDemand> {
+        let mut oldest_versions: BTreeMap<(&str, &AllowedRegions), WeightVersion> = BTreeMap::new();
+        for header in self.headers.values() {
+            let Some(model) = &header.model else {
+                continue;
+            };
+            let key = (model.as_str(), &header.allowed_regions);
+            let oldest_version = oldest_versions.entry(key).or_default();
+            *oldest_version = header.oldest_version.max(*oldest_version);
+        }
+        let demands = oldest_versions.into_iter();
+        demands
+            .map(|((model, regions), oldest_version)| BoundDemand {
+                model: model.to_owned(),
+                regions: regions.clone(),
+                oldest_version,
+            })
+            .collect()
+    }
+
     fn of_model(&self, model: &str) -> impl Iterator<Item = &BatchHeader> {
         let headers = self.headers.values();
         headers.filter(move |header| header.model.as_deref() == Some(model))
--- a/crates/sloetrail-serving/src/owner/service_owner/other_batches/tests.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/other_batches/tests.rs
@@ -43,3 +43,23 @@
     assert_eq!(others.demanded_version("m"), Some(WeightVersion(3)));
     assert_eq!(others.demanded_version("unknown"), None);
 }
+
+/// Guards against an order for each batch, and against one for a version that a batch refuses.
+#[test]
+fn bound_demands_are_one_for_each_model_and_region_set() {
+    let mut others = OtherBatches::default();
+    others.insert("b1".to_owned(), head("m", 3, 0));
+    others.insert("b2".to_owned(), head("m", 5, 0));
+    others.insert("b3".to_owned(), head("n", 1, 0));
+    let without_model = BatchHeader {
+        model: None,
+        ..head("m", 9, 0)
+    };
+    others.insert("b4".to_owned(), without_model);
+    let demands: Vec<(String, u64)> = others
+        .bound_demands()
+        .into_iter()
+        .map(|demand| (demand.model, demand.oldest_version.0))
+        .collect();
+    assert_eq!(demands, [("m".to_owned(), 5), ("n".to_owned(), 1)]);
+}
--- a/crates/sloetrail-serving/src/owner/service_owner/versions.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/versions.rs
@@ -49,7 +49,9 @@
         let min_concurrent = self.context.settings.bounds.concurrent_loads;
         let concurrent = max_concurrent_changes(self.engines.len(), min_concurrent);
         let targets = self.model_targets();
-        let orders = plan(&self.engines, &targets, concurrent, BootInstant::now());
+        let bound_demands = self.other_batches.bound_demands();
+        let now = BootInstant::now();
+        let orders = plan(&self.engines, &targets, &bound_demands, concurrent, now);
         if orders.is_empty() {
             return;
         }
--- a/crates/sloetrail-serving/src/owner/weight_update_plan.rs
+++ b/crates/sloetrail-serving/src/owner/weight_update_plan.rs
@@ -4,8 +4,10 @@
 //! Engines that the next batch of their model cannot use go first, starting with the model with
 //! the smallest usable share. Engines that can be used but lag behind follow; at most half of a
 //! model's engines change at a time. A model that needs only part of its slots gets each version
-//! on only part of its engines.
+//! on only part of its engines. Before all others go engines without which a region-bound batch
+//! cannot run ([`BoundDemand`]).
 
+use super::bound_demand::BoundDemand;
 use super::engine::Engine;
 use super::engines::EnginePool;
 use super::event::PlannedOrder;
@@ -47,6 +49,7 @@
 pub(super) fn plan(
     pool: &EnginePool,
     targets: &[ModelTarget],
+    bound_demands: &[BoundDemand],
     concurrent: usize,
     now: BootInstant,
 ) -> Vec<PlannedOrder> {
@@ -55,23 +58,42 @@
     if free == 0 {
         return Vec::new();
     }
+    let mut orders = plan_bound(pool, targets, bound_demands, free, now);
     let mut queues: Vec<ModelQueue> = targets
         .iter()
-        .map(|target| ModelQueue::new(pool, target, now))
+        .map(|target| ModelQueue::new(pool, target, &orders, now))
         .collect();
-    (0..free)
-        .map_while(|_| {
-            let candidates = queues
-                .iter_mut()
-                .filter(|queue| queue.next_priority().is_some());
-            candidates
-                .min_by_key(|queue| queue.next_priority())?
-                .take_next()
-        })
-        .collect()
+    let others = (orders.len()..free).map_while(|_| {
+        let candidates = queues
+            .iter_mut()
+            .filter(|queue| queue.next_priority().is_some());
+        candidates
+            .min_by_key(|queue| queue.next_priority())?
+            .take_next()
+    });
+    orders.extend(others);
+    orders
+}
+
+/// Returns the orders that region-bound batches depend on, at most `free`.
+fn plan_bound(
+    pool: &EnginePool,
+    targets: &[ModelTarget],
+    bound_demands: &[BoundDemand],
+    free: usize,
+    now: BootInstant,
+) -> Vec<PlannedOrder> {
+    let mut orders = Vec::new();
+    for demand in bound_demands {
+        if orders.len() >= free {
+            break;
+        }
+        orders.extend(demand.plan_order(pool, targets, &orders, now));
+    }
+    orders
 }
 
-fn is_changing(engine: &Engine) -> bool {
+pub(super) fn is_changing(engine: &Engine) -> bool {
     engine.change.is_some() || engine.has_order_in_flight
 }
 
@@ -117,7 +139,13 @@
 }
 
 impl<'a> ModelQueue<'a> {
-    fn new(pool: &'a EnginePool, target: &'a ModelTarget, now: BootInstant) -> Self {
+    /// Engines in `ordered` get no second order.
+    fn new(
+        pool: &'a EnginePool,
+        target: &'a ModelTarget,
+        ordered: &[PlannedOrder],
+        now: BootInstant,
+    ) -> Self {
         let mut queue = Self {
             target,
             assigned: 0,
@@ -129,7 +157,8 @@
             lagging: Vec::new(),
         };
         for (id, engine) in pool.iter() {
-            if engine.takes_work() && engine.is_assigned(&target.model) {
+            let is_ordered = ordered.iter().any(|order| order.engine == *id);
+            if engine.takes_work() && engine.is_assigned(&target.model) && !is_ordered {
                 queue.add(id, engine, now);
             }
         }
@@ -149,11 +178,8 @@
         self.ready += usize::from(is_served && engine.is_usable(now) && !engine.is_slow());
         let is_newest = version >= self.target.published;
         self.newest += usize::from(is_newest || is_changing(engine));
-        let is_due = engine.is_usable(now)
-            && !engine.is_slow()
-            && version < self.target.published
-            && !is_changing(engine)
-            && now >= engine.order_not_before;
+        let is_due =
+            engine.may_be_ordered(now) && !engine.is_slow() && version < self.target.published;
         if !is_due {
             return;
         }
