Lasting event intervals of engines, and the capacity of a model's engines

Cause: the interval of an engine follows its last few events, so that other work on its machine for half a second ranks a fast engine below a slow one, and nothing tells how many events the engines of a model can make.

The pool sums the events per second of the usable engines of a model, told as a metric. Nothing decides by it yet.

--- a/crates/sloetrail-serving/src/owner/engine.rs
+++ b/crates/sloetrail-serving/src/owner/engine.rs
@@ -25,6 +25,7 @@
 /// How long a newly added engine counts as cold. Sends of a previous owner are unknown to this
 /// one and no longer count after this time.
 const NEW_ENGINE_COLD_TIME: Duration = Duration::from_millis(1_100);
+const MICROS_PER_SECOND: f64 = 1e6;
 /// A version change that takes longer is ordered again.
 const VERSION_CHANGE_TIMEOUT: Duration = Duration::from_millis(4_000);
 
@@ -256,6 +257,14 @@
         self.is_slow
     }
 
+    /// Events per second that the engine makes with all slots in use. If its lasting interval is
+    /// unknown, `default_interval_us` applies; None if that is unknown too.
+    pub(super) fn capacity(&self, default_interval_us: Option<u64>) -> Option<f64> {
+        let known_us = self.event_interval.lasting_microseconds();
+        let interval_us = known_us.or(default_interval_us)?.max(1);
+        Some(self.back_end.slots as f64 * MICROS_PER_SECOND / interval_us as f64)
+    }
+
     /// Records an item that is sent to the engine.
     pub(super) fn record_start(&mut self) {
         self.running += 1;
--- a/crates/sloetrail-serving/src/owner/engines.rs
+++ b/crates/sloetrail-serving/src/owner/engines.rs
@@ -2,6 +2,7 @@
 
 use super::assignment::{ModelShare, assign_models};
 use super::engine::{Engine, ModelRequirement, SendLimits};
+use super::event_interval::EventIntervalMeter;
 use crate::back_end::BackEnd;
 use crate::directory::Directory;
 use sloetrail_clock::BootInstant;
@@ -198,9 +199,16 @@
 
     /// The median event interval of engines that take work; None if none is known.
     fn median_event_interval_us(&self) -> Option<u64> {
+        self.median_interval_us(EventIntervalMeter::microseconds)
+    }
+
+    fn median_interval_us(
+        &self,
+        interval_us: impl Fn(&EventIntervalMeter) -> Option<u64>,
+    ) -> Option<u64> {
         let engines = self.engines.values().filter(|engine| engine.takes_work());
         let mut intervals_us: Vec<u64> = engines
-            .filter_map(|engine| engine.event_interval.microseconds())
+            .filter_map(|engine| interval_us(&engine.event_interval))
             .collect();
         intervals_us.sort_unstable();
         intervals_us
@@ -208,6 +216,20 @@
             .copied()
     }
 
+    /// Events per second that the usable engines assigned to a model make with all slots in use,
+    /// from lasting intervals. An engine without one counts with the median; zero if none is known.
+    pub(super) fn capacity_of(&self, model: &str, now: BootInstant) -> f64 {
+        let median_us = self.median_lasting_interval_us();
+        let engines = self.engines.values();
+        let usable = engines.filter(|engine| engine.is_assigned(model) && engine.is_usable(now));
+        usable.filter_map(|engine| engine.capacity(median_us)).sum()
+    }
+
+    /// The median lasting interval of engines that take work; None if none is known.
+    fn median_lasting_interval_us(&self) -> Option<u64> {
+        self.median_interval_us(EventIntervalMeter::lasting_microseconds)
+    }
+
     /// Slots, free or not, of the engines that are assigned to a model and not slow.
     pub(super) fn slots_for_model(&self, model: &str) -> usize {
         let engines = self.engines.values();
--- a/crates/sloetrail-serving/src/owner/engines/tests.rs
+++ b/crates/sloetrail-serving/src/owner/engines/tests.rs
@@ -1,5 +1,6 @@
 mod assignment;
 mod bound_batches;
+mod capacity;
 mod cold;
 mod orders;
 mod picking;
--- a/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
@@ -189,6 +189,11 @@
     }
 
     pub(super) fn report_item_counts(&self) {
+        let now = BootInstant::now();
+        for model in self.models() {
+            let capacity = self.engines.capacity_of(&model, now);
+            telemetry::model_capacity(self.term.resource.name(), &model, capacity);
+        }
         let open = self.batches.values();
         let waiting = open.map(|open| open.batch.waiting()).sum();
         let running = self.batches.values().map(|open| open.runs.len()).sum();
--- a/crates/sloetrail-serving/src/telemetry.rs
+++ b/crates/sloetrail-serving/src/telemetry.rs
@@ -1,7 +1,7 @@
 //! Metrics of the node, served in the Prometheus text format.
 //!
-//! Label values are bounded: kinds of calls and outcomes are fixed; of the services, routes and
-//! zones only the first [`MAX_LABEL_VALUES`] have a value of their own, the others count as
+//! Label values are bounded: kinds of calls and outcomes are fixed; of the services, routes, models
+//! and zones only the first [`MAX_LABEL_VALUES`] have a value of their own, the others count as
 //! `other`.
 
 use crate::zone_work::ZoneCounts;
@@ -24,6 +24,7 @@
 static HANDLE: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
 static ROUTES: LabelValues = LabelValues::new();
 static SERVICES: LabelValues = LabelValues::new();
+static MODELS: LabelValues = LabelValues::new();
 static ZONES: LabelValues = LabelValues::new();
 
 /// Installs the recorder of this process; later calls have no effect.
@@ -171,6 +172,14 @@
     gauge!("sloetrail_items_running", "service" => service).set(running as f64);
 }
 
+/// Sets the events per second that the engines assigned to a model make with all slots in use.
+pub(crate) fn model_capacity(service: &str, model: &str, events_per_second: f64) {
+    let service = SERVICES.bounded(service);
+    let model = MODELS.bounded(model);
+    let labels = [("service", service), ("model", model)];
+    gauge!("sloetrail_model_capacity_events_per_second", &labels).set(events_per_second);
+}
+
 /// Sets the number of complete texts of a service that wait for their scores.
 pub(crate) fn scores_waiting(service: &str, waiting: usize) {
     let service = SERVICES.bounded(service);
