The step report tells the use of slots, and waits beside free engines

Cause: steps wait up to seven seconds for a slot, and nothing tells whether engines of other models stood free in that time, nor how full each model's engines were.

Change: the owner adds up, for each batch, the time in which its items waited while only engines of other models had free slots (step_whole), and logs waiting, running and free slots by model once a second while items wait (items_waiting). step-report shows both.

--- a/crates/sloetrail-cli/src/step_report.rs
+++ b/crates/sloetrail-cli/src/step_report.rs
@@ -37,6 +37,8 @@
     parts: StepParts,
     /// Lower bound of the age: decode time of the longest text on the fastest engine.
     least_ms: u64,
+    /// Time in which items of the step waited while only engines of other models had free slots.
+    free_elsewhere_ms: u64,
     /// Item whose result was listed last.
     last_item: String,
     /// Number of runs of that item under the last owner.
@@ -65,6 +67,20 @@
     age_ms: u64,
     /// Sum of the lower bounds of completed steps.
     least_ms: u64,
+    /// Sum over completed steps.
+    free_elsewhere_ms: u64,
+    /// Use of slots while items waited, by model.
+    slots: BTreeMap<String, SlotUse>,
+}
+
+/// Sums over the log lines of a model with waiting items, at most one a second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+struct SlotUse {
+    lines: u64,
+    running: u64,
+    waiting: u64,
+    free: u64,
+    free_of_others: u64,
 }
 
 /// Prints the breakdown of steps found in log files.
@@ -80,8 +96,10 @@
 
 fn gather<'a>(logs: impl IntoIterator<Item = &'a str>) -> StepReport {
     let mut steps: BTreeMap<String, Step> = BTreeMap::new();
+    let mut report = StepReport::default();
     let lines = logs.into_iter().flat_map(str::lines);
     for line in lines.filter_map(LogLine::parse) {
+        report.add_slot_use(&line);
         let Some(batch) = line.field("batch").map(str::to_owned) else {
             continue;
         };
@@ -89,7 +107,6 @@
         step.batch = batch;
         apply_line(step, &line);
     }
-    let mut report = StepReport::default();
     for step in steps.into_values() {
         // Skips batches whose acceptance and opening are both missing from the logs.
         if step.accepted_at_ms.is_some() || step.openings > 0 {
@@ -125,6 +142,7 @@
                     committing_ms: part("committing_ms"),
                 },
                 least_ms: part("least_ms"),
+                free_elsewhere_ms: part("free_elsewhere_ms"),
                 last_item: line.field("item").unwrap_or_default().to_owned(),
                 runs: part("runs"),
             });
@@ -138,10 +156,27 @@
         if let Some(completed) = &step.whole {
             self.age_ms += completed.age_ms;
             self.least_ms += completed.least_ms;
+            self.free_elsewhere_ms += completed.free_elsewhere_ms;
             self.sums.add(&completed.parts);
         }
         self.steps.push(step);
     }
+
+    fn add_slot_use(&mut self, line: &LogLine) {
+        let Some(model) = line
+            .field("model")
+            .filter(|_| line.event() == "items_waiting")
+        else {
+            return;
+        };
+        let number = |name: &str| line.decision.get(name).and_then(Value::as_u64);
+        let slots = self.slots.entry(model.to_owned()).or_default();
+        slots.lines += 1;
+        slots.running += number("running").unwrap_or_default();
+        slots.waiting += number("waiting").unwrap_or_default();
+        slots.free += number("free").unwrap_or_default();
+        slots.free_of_others += number("free_of_others").unwrap_or_default();
+    }
 }
 
 impl StepParts {
@@ -174,7 +209,7 @@
     // Writing to a `String` is infallible.
     let _ = writeln!(
         text,
-        "{:<18} {:>8} {:>6} {:>6} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>5}",
+        "{:<18} {:>8} {:>6} {:>6} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>9} {:>5}",
         "batch",
         "at",
         "items",
@@ -187,6 +222,7 @@
         "scoring",
         "commit",
         "least",
+        "elsewhere",
         "runs"
     );
     for step in &report.steps {
@@ -204,9 +240,14 @@
         for (_, part) in completed.parts.named() {
             let _ = write!(text, "{part:>7} ");
         }
-        let _ = writeln!(text, "{:>7} {:>5}", completed.least_ms, completed.runs);
+        let _ = writeln!(
+            text,
+            "{:>7} {:>9} {:>5}",
+            completed.least_ms, completed.free_elsewhere_ms, completed.runs
+        );
     }
     write_summary(&mut text, report);
+    write_slot_use(&mut text, report);
     text
 }
 
@@ -222,12 +263,29 @@
     let means = parts.map(|(name, sum)| format!("{name} {}", sum / completed));
     let _ = writeln!(
         text,
-        "mean age {} ms ({}), least {} ms",
+        "mean age {} ms ({}), least {} ms, elsewhere {} ms",
         report.age_ms / completed,
         means.join(", "),
-        report.least_ms / completed
+        report.least_ms / completed,
+        report.free_elsewhere_ms / completed
     );
 }
 
+fn write_slot_use(text: &mut String, report: &StepReport) {
+    for (model, slots) in &report.slots {
+        let mean = |sum: u64| sum / slots.lines.max(1);
+        let _ = writeln!(
+            text,
+            "model {model}: items waited in {} s; then on average {} ran, {} waited, {} slots of \
+             its engines and {} of others were free",
+            slots.lines,
+            mean(slots.running),
+            mean(slots.waiting),
+            mean(slots.free),
+            mean(slots.free_of_others)
+        );
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/sloetrail-cli/src/step_report/tests.rs
+++ b/crates/sloetrail-cli/src/step_report/tests.rs
@@ -11,7 +11,7 @@
         "opened_ms": opened_ms, "item": "i7", "wanted": true, "waiting_ms": 10,
         "running_ms": age_ms - opened_ms - 60, "between_runs_ms": 5, "scoring_ms": 30,
         "committing_ms": 15, "runs": 2, "events_made": 40, "longest_events": 50,
-        "least_ms": 1_800, "epoch": 3})
+        "least_ms": 1_800, "free_elsewhere_ms": 700, "epoch": 3})
 }
 
 fn logs() -> [String; 2] {
@@ -23,6 +23,10 @@
         json!({"event": "batch_opened", "batch": batch, "items": 8, "listed": listed,
             "epoch": 1, "age_ms": 70})
     };
+    let waiting = |waiting: u64, free_of_others: u64| {
+        json!({"event": "items_waiting", "service": "s", "model": "m", "waiting": waiting,
+            "running": 16, "free": 0, "free_of_others": free_of_others})
+    };
     let first = [
         line(1_000, "n1", accepted("b1")),
         line(1_050, "n1", opened("b1", 0)),
@@ -33,6 +37,8 @@
     let second = [
         line(3_000, "n2", completed("b1", 2_000, 50)),
         line(7_000, "n2", opened("b2", 3)),
+        line(7_100, "n2", waiting(30, 4)),
+        line(8_100, "n2", waiting(10, 8)),
         line(
             7_200,
             "n2",
--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -348,6 +348,17 @@
         /// The oldest version that the reader accepts.
         oldest_version: u64,
     },
+    /// Items of a model wait for slots.
+    ItemsWaiting {
+        service: &'a str,
+        model: &'a str,
+        waiting: usize,
+        running: usize,
+        /// Free slots of the engines assigned to the model.
+        free: usize,
+        /// Free slots of the engines assigned to other models.
+        free_of_others: usize,
+    },
     /// The groups that a trainer requires are complete. The parts of the age add up to it and are
     /// those of the item that was listed last.
     StepWhole {
@@ -364,6 +375,9 @@
         wanted: bool,
         /// From the opening of the batch to the item's first run.
         waiting_ms: u64,
+        /// Time in which items of the batch waited while only engines of other models had free
+        /// slots.
+        free_elsewhere_ms: u64,
         /// The time on engines.
         running_ms: u64,
         /// The time between runs.
--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -60,6 +60,7 @@
             | Event::ItemDead { .. }
             | Event::ItemListed { .. }
             | Event::ResultsTooOld { .. }
+            | Event::ItemsWaiting { .. }
             | Event::StepWhole { .. }
             | Event::RewardFailed { .. } => "batch",
             Event::LeaseTaken { .. } | Event::OwnerFoundGone { .. } | Event::LeaseLost { .. } => {
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -8,6 +8,7 @@
 mod relocation;
 mod results;
 mod scoring;
+mod slot_report;
 mod supply;
 mod texts;
 mod versions;
@@ -81,6 +82,8 @@
     opened_at: BootInstant,
     age_at_open: Duration,
     timelines: HashMap<ItemIndex, ItemTimeline>,
+    /// Time in which items waited while only engines of other models had free slots.
+    waited_with_free_engines: Duration,
 }
 
 impl OpenBatch {
@@ -154,6 +157,7 @@
     commits: mpsc::UnboundedSender<CommitRequest>,
     committing: JoinHandle<()>,
     checkpointed_at: BootInstant,
+    slots_reported_at: BootInstant,
 }
 
 /// Sleeps until `due`; forever if it is None.
@@ -173,6 +177,7 @@
         Self {
             committing: term.spawn("result committer", committing),
             checkpointed_at: BootInstant::now(),
+            slots_reported_at: BootInstant::now(),
             engines: EnginePool::within_regions(
                 context.settings.topology.clone(),
                 set.regions().clone(),
@@ -371,6 +376,7 @@
         self.expire_items();
         self.drop_unneeded_scorings();
         self.report_item_counts();
+        self.report_slots(now);
         self.scale_engines();
         self.report_demand();
         let is_fast = self.context.table.typical_latency() < MAX_CHECKPOINT_TABLE_LATENCY;
