Each version goes to half of a model's engines while slots are scarce

Cause: with scarce slots, the share of engines that take each version grew to all of them, although a version serves two steps of a trainer. Each change stalls the texts of an engine for about 0.9 s.

Change: while a model's slots are scarce and its batches accept the version before the newest, half of its engines take each version and the others the next one. Engines with the least running work change first, and slow engines, which are not updated, no longer count towards the share. Versions that last long go to all engines as before. Policy assign_by_backlog.

Result: in the test of the plan, 24 of 48 engines change for each version, and 24 accept the next batch when a version is published.

--- a/crates/sloetrail-serving/src/owner/engines/tests.rs
+++ b/crates/sloetrail-serving/src/owner/engines/tests.rs
@@ -4,6 +4,7 @@
 mod cold;
 mod orders;
 mod picking;
+mod scarce_orders;
 mod slow_engines;
 
 use super::{EnginePool, EnginePreference};
@@ -102,6 +103,7 @@
         min_usable: WeightVersion(needed),
         ready_share: 1.0,
         newest_share: 1.0,
+        slots_are_scarce: false,
     }
 }
 
--- a/crates/sloetrail-serving/src/owner/service_owner/versions.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/versions.rs
@@ -7,7 +7,9 @@
 use crate::owner::engine::VersionChangeInFlight;
 use crate::owner::event::{OwnerEvent, WeightOrderOutcome};
 use crate::owner::order_task::OrderTask;
-use crate::owner::weight_update_plan::{ModelTarget, max_concurrent_changes, plan};
+use crate::owner::weight_update_plan::{
+    ModelTarget, max_concurrent_changes, plan, scarce_newest_share,
+};
 use sloetrail_batch::{Batch, BatchHeader};
 use sloetrail_clock::BootInstant;
 use sloetrail_types::WeightVersion;
@@ -114,9 +116,13 @@
     fn model_target(&mut self, model: String, published: WeightVersion) -> ModelTarget {
         let now = BootInstant::now();
         self.publications.record(&model, published, now);
-        let (ready_share, newest_share) = match self.publications.is_long_lived(&model, now) {
-            true => (1.0, 1.0),
-            false => (
+        let policy = self.context.settings.policies.assign_by_backlog;
+        let slots_are_scarce = policy && self.usage.is_scarce(Some(&model));
+        let is_long_lived = self.publications.is_long_lived(&model, now);
+        let (ready_share, newest_share) = match (is_long_lived, slots_are_scarce) {
+            (true, _) => (1.0, 1.0),
+            (false, true) => (1.0, scarce_newest_share(self.version_lag(&model))),
+            (false, false) => (
                 self.usage.ready_share(&model),
                 self.usage.newest_share(&model),
             ),
@@ -127,18 +133,20 @@
             published,
             ready_share,
             newest_share,
+            slots_are_scarce,
         }
     }
 
+    /// How many versions behind the newest the last batch of a model allowed.
+    fn version_lag(&self, model: &str) -> u64 {
+        let lag = self.version_lags.get(model).copied();
+        lag.unwrap_or(DEFAULT_VERSION_LAG)
+    }
+
     /// The oldest version that both the open batches of a model and its next batch can use. The
     /// next batch is expected to allow the same lag as the last one.
     fn needed_version(&self, model: &str, published: WeightVersion) -> WeightVersion {
-        let lag = self
-            .version_lags
-            .get(model)
-            .copied()
-            .unwrap_or(DEFAULT_VERSION_LAG);
-        let expected = published.0.saturating_sub(lag);
+        let expected = published.0.saturating_sub(self.version_lag(model));
         let open = self.batches.values();
         let of_model = open.filter(|open| open.batch.model.as_deref() == Some(model));
         let demanded = of_model.map(|open| open.batch.oldest_version).max();
--- a/crates/sloetrail-serving/src/owner/weight_update_plan.rs
+++ b/crates/sloetrail-serving/src/owner/weight_update_plan.rs
@@ -6,6 +6,10 @@
 //! model's engines change at a time. A model that needs only part of its slots gets each version
 //! on only part of its engines. Before all others go engines without which a region-bound batch
 //! cannot run ([`BoundDemand`]).
+//!
+//! While slots are scarce, a change costs engine time that the open batches need. Each version then
+//! goes to the share of engines that keeps a model's next batch served ([`scarce_newest_share`]),
+//! and engines with the least running work change first.
 
 use super::bound_demand::BoundDemand;
 use super::engine::Engine;
@@ -20,6 +24,9 @@
 /// Lagging engines of a model change only while fewer than one in this many are changing.
 const USABLE_CHANGING_DIVISOR: usize = 2;
 const PER_THOUSAND: usize = 1_000;
+/// Share of a model's engines that get each version if it serves at least two steps. The others get
+/// the next one, so that they do not all have to change when it is published.
+const ALTERNATING_SHARE: f64 = 0.5;
 /// Minimum number of ready engines of a model without load, so that its next batch can start at
 /// once even if an engine is lost.
 const MIN_READY_ENGINES: usize = 3;
@@ -38,6 +45,18 @@
     /// Share of the ready engines that should have the newest version. The others keep their
     /// version while batches can use it.
     pub(super) newest_share: f64,
+    /// True while the model's slots are scarce: engines with the least running work change first,
+    /// and slow engines do not count towards the shares, since they are not updated.
+    pub(super) slots_are_scarce: bool,
+}
+
+/// Returns the share of a model's engines that get each version while slots are scarce, if its
+/// batches accept versions up to `version_lag` behind the newest.
+pub(super) fn scarce_newest_share(version_lag: u64) -> f64 {
+    match version_lag {
+        0 => 1.0,
+        _ => ALTERNATING_SHARE,
+    }
 }
 
 /// Returns how many of `engines` may change at a time, at least `minimum`.
@@ -126,6 +145,8 @@
 struct ModelQueue<'a> {
     target: &'a ModelTarget,
     assigned: usize,
+    /// Assigned engines that are slow.
+    slow: usize,
     /// Engines that are usable or changing.
     served: usize,
     /// Served engines that were not recently lost, did not recently refuse, and are not slow.
@@ -149,6 +170,7 @@
         let mut queue = Self {
             target,
             assigned: 0,
+            slow: 0,
             served: 0,
             ready: 0,
             newest: 0,
@@ -163,7 +185,10 @@
             }
         }
         for due in [&mut queue.unusable, &mut queue.lagging] {
-            due.sort_by_key(|due| Reverse((due.version, due.running)));
+            match target.slots_are_scarce {
+                true => due.sort_by_key(|due| Reverse((due.running, due.version))),
+                false => due.sort_by_key(|due| Reverse((due.version, due.running))),
+            }
         }
         queue
     }
@@ -172,12 +197,14 @@
         let version = engine.version(&self.target.model);
         let is_usable = version >= self.target.min_usable;
         self.assigned += 1;
+        self.slow += usize::from(engine.is_slow());
         self.changing += usize::from(is_changing(engine));
         let is_served = is_usable || is_changing(engine);
         self.served += usize::from(is_served);
         self.ready += usize::from(is_served && engine.is_usable(now) && !engine.is_slow());
         let is_newest = version >= self.target.published;
-        self.newest += usize::from(is_newest || is_changing(engine));
+        let is_eligible = !(self.target.slots_are_scarce && engine.is_slow());
+        self.newest += usize::from(is_eligible && (is_newest || is_changing(engine)));
         let is_due =
             engine.may_be_ordered(now) && !engine.is_slow() && version < self.target.published;
         if !is_due {
@@ -220,8 +247,17 @@
     }
 
     fn target_ready(&self) -> usize {
-        let ready = share_of(self.assigned, self.target.ready_share);
-        ready.max(MIN_READY_ENGINES).min(self.assigned)
+        let eligible = self.eligible();
+        let ready = share_of(eligible, self.target.ready_share);
+        ready.max(MIN_READY_ENGINES).min(eligible)
+    }
+
+    /// Number of engines of which the target shares are taken.
+    fn eligible(&self) -> usize {
+        match self.target.slots_are_scarce {
+            true => self.assigned - self.slow,
+            false => self.assigned,
+        }
     }
 
     fn target_newest(&self) -> usize {
--- a/crates/sloetrail-serving/src/policies.rs
+++ b/crates/sloetrail-serving/src/policies.rs
@@ -37,6 +37,9 @@
     /// Answers a long poll for results once the groups that its trainer requires are complete,
     /// instead of on the first result.
     pub gather_results: bool,
+    /// While slots are scarce, assigns engines to models by capacity and backlog, and gives each
+    /// version only to the engines that the next batch of its model needs.
+    pub assign_by_backlog: bool,
 }
 
 impl Default for Policies {
@@ -54,6 +57,7 @@
             hedge_by_answer_times: true,
             order_engines: true,
             gather_results: true,
+            assign_by_backlog: true,
         }
     }
 }
