Engines are shared among models by capacity and open work while slots are scarce

Cause: shares were counted in engines and followed the usual size of a model's batches. Slow engines counted like fast ones, and engines of a model that was nearly done stayed with it while batches of another model waited.

Change: while slots of any model are scarce, the work of a model is the events left of its open required items, and those of its next batch if its trainer's rhythm lets it come before the open work ends. On each tick engines go from the model that finishes first to the one that finishes last, if the difference exceeds the measured duration of a change; at most one in ten a second. A model keeps some engines for its next step. Event engine_reassigned, metrics sloetrail_model_time_to_finish_seconds and sloetrail_engines_reassigned_total.

Result: unit tests of the decision; no run of the service under load yet.

--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -430,6 +430,17 @@
         /// The source of this knowledge.
         source: &'a str,
     },
+    /// An engine was reassigned to a model that finishes its work later, while slots are scarce.
+    EngineReassigned {
+        service: &'a str,
+        back_end: &'a str,
+        from: &'a str,
+        to: &'a str,
+        /// Time that the previous model now takes to finish its work.
+        from_finish_ms: u64,
+        /// Time that the new model now takes to finish its work.
+        to_finish_ms: u64,
+    },
     /// An engine became much slower than the others, or caught up with them.
     PaceChanged {
         back_end: &'a str,
--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -65,7 +65,9 @@
             Event::LeaseTaken { .. } | Event::OwnerFoundGone { .. } | Event::LeaseLost { .. } => {
                 "lease"
             }
-            Event::OrderGiven { .. } | Event::VersionInForce { .. } => "weights",
+            Event::OrderGiven { .. }
+            | Event::VersionInForce { .. }
+            | Event::EngineReassigned { .. } => "weights",
             Event::UsageReported { .. }
             | Event::UsageLeft { .. }
             | Event::WallClockAgreed { .. } => "usage",
--- a/crates/sloetrail-serving/src/owner/assignment.rs
+++ b/crates/sloetrail-serving/src/owner/assignment.rs
@@ -3,7 +3,7 @@
 //! Engines are shared among models in proportion to the work of their batches. Slow engines
 //! are not counted. An unassigned engine gets the model whose newest version it is closest to,
 //! so that a new owner keeps the assignments of its predecessor. Then as few engines as
-//! possible are reassigned.
+//! possible are reassigned. While slots are scarce, [`super::backlog_assignment`] reassigns instead.
 
 use super::engine::Engine;
 use sloetrail_types::{EngineId, WeightVersion};
@@ -22,6 +22,17 @@
 
 /// Assigns a model to each engine that takes work.
 pub(super) fn assign_models(engines: &mut BTreeMap<EngineId, Engine>, shares: &[ModelShare]) {
+    if let Some(mut counts) = assign_unassigned(engines, shares) {
+        rebalance(engines, shares, &mut counts);
+    }
+}
+
+/// Assigns a model to each engine that takes work and has none of these models. Returns the number
+/// of engines by model, slow ones not counted. None if an engine is left without a model.
+pub(super) fn assign_unassigned(
+    engines: &mut BTreeMap<EngineId, Engine>,
+    shares: &[ModelShare],
+) -> Option<Vec<usize>> {
     let mut counts = vec![0; shares.len()];
     for engine in engines.values_mut() {
         let model = engine.assigned.as_deref().and_then(|assigned| {
@@ -37,13 +48,11 @@
         .values_mut()
         .filter(|engine| engine.assigned.is_none() && engine.takes_work());
     for engine in unassigned {
-        let Some(best) = closest_model(engine, shares, &counts) else {
-            return;
-        };
+        let best = closest_model(engine, shares, &counts)?;
         engine.assigned = Some(shares[best].model.clone());
         counts[best] += usize::from(!engine.is_slow());
     }
-    rebalance(engines, shares, &mut counts);
+    Some(counts)
 }
 
 /// Index of the model whose newest version is the fewest versions ahead of the engine's. Ties
--- a/crates/sloetrail-serving/src/owner/engine.rs
+++ b/crates/sloetrail-serving/src/owner/engine.rs
@@ -54,6 +54,8 @@
     /// The last known version of each model.
     pub(super) versions: BTreeMap<String, WeightVersion>,
     pub(super) change: Option<VersionChangeInFlight>,
+    /// Duration of the last completed change, until it is taken.
+    change_duration: Option<Duration>,
     /// The model whose versions the engine is kept up to date with.
     pub(super) assigned: Option<String>,
     /// True while a status or order call is in flight.
@@ -91,6 +93,7 @@
             event_interval: Arc::default(),
             versions: back_end.versions.clone(),
             change: None,
+            change_duration: None,
             assigned: None,
             has_order_in_flight: false,
             order_not_before: now,
@@ -142,7 +145,8 @@
             .as_ref()
             .is_some_and(|change| change.model == model && version >= change.version);
         if is_done {
-            self.change = None;
+            let change = self.change.take();
+            self.change_duration = change.map(|change| change.accepted_at.elapsed());
         }
         events::emit(&Event::VersionInForce {
             back_end: self.back_end.id.as_str(),
@@ -152,6 +156,11 @@
         });
     }
 
+    /// Returns the duration of the last completed change, once.
+    pub(super) fn take_change_duration(&mut self) -> Option<Duration> {
+        self.change_duration.take()
+    }
+
     /// The last known version of a model; zero if unknown.
     pub(super) fn version(&self, model: &str) -> WeightVersion {
         self.versions.get(model).copied().unwrap_or_default()
--- a/crates/sloetrail-serving/src/owner/engines.rs
+++ b/crates/sloetrail-serving/src/owner/engines.rs
@@ -1,8 +1,10 @@
 //! The engines of a service that its owner uses.
 
-use super::assignment::{ModelShare, assign_models};
+use super::assignment::{ModelShare, assign_models, assign_unassigned};
+use super::backlog_assignment::{Reassignment, ReassignmentBounds, reassign_by_backlog};
 use super::engine::{Engine, ModelRequirement, SendLimits};
 use super::event_interval::EventIntervalMeter;
+use super::model_backlog::ModelBacklog;
 use crate::back_end::BackEnd;
 use crate::directory::Directory;
 use sloetrail_clock::BootInstant;
@@ -102,6 +104,21 @@
         assign_models(&mut self.engines, shares);
     }
 
+    /// Assigns a model to each engine that takes work and has none.
+    pub(super) fn assign_unassigned(&mut self, shares: &[ModelShare]) {
+        assign_unassigned(&mut self.engines, shares);
+    }
+
+    /// Reassigns engines from models that finish early to models that finish late.
+    pub(super) fn reassign_by_backlog(
+        &mut self,
+        backlogs: &[ModelBacklog],
+        bounds: ReassignmentBounds,
+        now: BootInstant,
+    ) -> Vec<Reassignment> {
+        reassign_by_backlog(&mut self.engines, backlogs, bounds, now)
+    }
+
     /// Returns the engine for an item, or None if no engine can take it. Engines rank by: assigned
     /// to the model, not slow, warm, `preference`, fewest items running, and last finished most
     /// recently, since their connection is likely still open. `is_connected` returns whether an
@@ -226,7 +243,7 @@
     }
 
     /// The median lasting interval of engines that take work; None if none is known.
-    fn median_lasting_interval_us(&self) -> Option<u64> {
+    pub(super) fn median_lasting_interval_us(&self) -> Option<u64> {
         self.median_interval_us(EventIntervalMeter::lasting_microseconds)
     }
 
--- a/crates/sloetrail-serving/src/owner/engines/tests.rs
+++ b/crates/sloetrail-serving/src/owner/engines/tests.rs
@@ -4,6 +4,7 @@
 mod cold;
 mod orders;
 mod picking;
+mod reassignment;
 mod scarce_orders;
 mod slow_engines;
 
--- a/crates/sloetrail-serving/src/owner/engines/tests/orders.rs
+++ b/crates/sloetrail-serving/src/owner/engines/tests/orders.rs
@@ -65,7 +65,7 @@
     assert_eq!(orders.len(), 2, "neither engine is usable");
 }
 
-const MANY_ENGINES: usize = 3_000;
+pub(super) const MANY_ENGINES: usize = 3_000;
 
 /// The shortest time of several runs, which filters out load on the machine.
 fn min_duration(work: impl Fn()) -> Duration {
@@ -78,7 +78,7 @@
     times.min().expect("at least one run")
 }
 
-fn assignment_time() -> Duration {
+pub(super) fn assignment_time() -> Duration {
     min_duration(|| drop(pool(MANY_ENGINES)))
 }
 
@@ -100,7 +100,7 @@
 /// Guards against quadratic work: for the same number of engines, a hundred small pools take a
 /// hundredth of it.
 #[test]
-fn assignment_time_is_not_quadratic_in_engines() {
+pub(super) fn assignment_time_is_not_quadratic_in_engines() {
     const POOLS: usize = 100;
     /// Cache misses alone cause a ratio of up to two.
     const MAX_RATIO: u32 = 5;
--- a/crates/sloetrail-serving/src/owner/mod.rs
+++ b/crates/sloetrail-serving/src/owner/mod.rs
@@ -9,6 +9,7 @@
 //! engines; the other owners report their slot demand to it ([`slot_demand`]).
 
 mod assignment;
+mod backlog_assignment;
 mod batch_scheduler;
 mod bound_demand;
 mod committer;
@@ -19,6 +20,7 @@
 mod event_interval;
 mod item_timeline;
 mod loading;
+mod model_backlog;
 mod order_task;
 mod publications;
 mod reward;
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -1,5 +1,6 @@
 //! The owner of a batch set during one lease term: its event loop and open batches.
 
+mod backlog;
 mod batches;
 mod demand;
 mod dispatch;
@@ -12,6 +13,7 @@
 mod texts;
 mod versions;
 
+use self::backlog::BacklogState;
 use self::other_batches::OtherBatches;
 use self::quarantined_items::QuarantinedItems;
 use self::supply::SupplyState;
@@ -142,6 +144,7 @@
     publications: Publications,
     /// By model, a moving average of the expected tokens of its batches.
     expected_tokens: BTreeMap<String, f64>,
+    backlog: BacklogState,
     /// True if something that weight orders depend on has changed.
     weights_due: bool,
     window: OrderWindow,
@@ -193,6 +196,7 @@
             quarantined: QuarantinedItems::default(),
             publications: Publications::default(),
             expected_tokens: BTreeMap::new(),
+            backlog: BacklogState::default(),
             weights_due: true,
             window: OrderWindow::default(),
             is_opening_window: false,
@@ -314,7 +318,10 @@
     fn assign_models(&mut self) {
         self.weights_due = true;
         let shares = self.model_shares();
-        self.engines.assign(&shares);
+        match self.assigns_by_backlog() {
+            true => self.engines.assign_unassigned(&shares),
+            false => self.engines.assign(&shares),
+        }
     }
 
     fn models(&self) -> Vec<String> {
@@ -365,6 +372,7 @@
         if slow_apart && self.engines.update_slow_engines() {
             self.assign_models();
         }
+        self.reassign_by_backlog(now);
         self.move_from_slow_engines(now);
         self.move_long_texts(now);
         self.release_quarantined_items();
--- a/crates/sloetrail-serving/src/telemetry.rs
+++ b/crates/sloetrail-serving/src/telemetry.rs
@@ -180,6 +180,20 @@
     gauge!("sloetrail_model_capacity_events_per_second", &labels).set(events_per_second);
 }
 
+/// Sets how long the engines of a model take for its work; zero while engines are not shared by it.
+pub(crate) fn model_time_to_finish(service: &str, model: &str, seconds: f64) {
+    let service = SERVICES.bounded(service);
+    let model = MODELS.bounded(model);
+    let labels = [("service", service), ("model", model)];
+    gauge!("sloetrail_model_time_to_finish_seconds", &labels).set(seconds);
+}
+
+/// Counts an engine that was reassigned to another model.
+pub(crate) fn engine_reassigned(service: &str) {
+    let service = SERVICES.bounded(service);
+    counter!("sloetrail_engines_reassigned_total", "service" => service).increment(1);
+}
+
 /// Sets the number of complete texts of a service that wait for their scores.
 pub(crate) fn scores_waiting(service: &str, waiting: usize) {
     let service = SERVICES.bounded(service);
