--- a/crates/sloetrail-serving-testkit/src/cluster.rs
+++ b/crates/sloetrail-serving-testkit/src/cluster.rs
@@ -74,6 +74,7 @@
     pub api_key: Option<String>,
     /// Where the next node serves its metrics.
     pub metrics_address: Option<SocketAddr>,
+    pub policies: Policies,
     wire: Arc<dyn EngineWire>,
     dialect: Arc<dyn Dialect>,
     /// Builds the table client of a node from its link.
@@ -102,6 +103,7 @@
             tenants: None,
             api_key: None,
             metrics_address: None,
+            policies: Policies::default(),
             wire,
             dialect,
             wrap: Box::new(|link| link),
@@ -259,7 +261,7 @@
             concurrent_loads: None,
             body_budget_bytes: self.body_budget_bytes,
             processor_share: self.processor_share,
-            policies: Policies::default(),
+            policies: self.policies,
             usage: self.usage,
         }
     }
