--- a/crates/sloetrail-serving-testkit/src/cluster.rs
+++ b/crates/sloetrail-serving-testkit/src/cluster.rs
@@ -75,6 +75,8 @@
     /// Where the next node serves its metrics.
     pub metrics_address: Option<SocketAddr>,
     pub policies: Policies,
+    /// Models of the engines besides [`MODEL`].
+    pub other_models: Vec<&'static str>,
     wire: Arc<dyn EngineWire>,
     dialect: Arc<dyn Dialect>,
     /// Builds the table client of a node from its link.
@@ -104,6 +106,7 @@
             api_key: None,
             metrics_address: None,
             policies: Policies::default(),
+            other_models: Vec::new(),
             wire,
             dialect,
             wrap: Box::new(|link| link),
@@ -140,6 +143,9 @@
         if let Some(scaling) = &self.scaling {
             configuration["services"][1]["scaling"] = scaling.clone();
         }
+        let models = self.models().into_iter();
+        let models: Vec<Value> = models.map(|name| json!({"name": name})).collect();
+        configuration["services"][1]["engine"]["models"] = json!(models);
         if let Some(tenants) = &self.tenants {
             configuration["tenants"] = tenants.clone();
         }
@@ -188,7 +194,13 @@
 
     /// Starts an engine of [`MODELS`].
     pub async fn add_engine_in(&mut self, zone: &str, event_interval: Duration) -> Arc<FakeEngine> {
-        self.add(MODELS, zone, &[MODEL], event_interval).await
+        let models = self.models();
+        self.add(MODELS, zone, &models, event_interval).await
+    }
+
+    fn models(&self) -> Vec<&'static str> {
+        let others = self.other_models.iter().copied();
+        std::iter::once(MODEL).chain(others).collect()
     }
 
     async fn add(
--- a/crates/sloetrail-serving/src/owner/engines/tests/scarce_orders.rs
+++ b/crates/sloetrail-serving/src/owner/engines/tests/scarce_orders.rs
@@ -120,3 +120,28 @@
     let orders = publish(&mut pool, &scarce_target(2, 1));
     assert_eq!(orders.len(), (ENGINES - 16) / 2);
 }
+
+/// Guards against a newest batch that waits because engines of other models change first: half of
+/// its model's engines accept it within the time of two changes.
+#[test]
+fn half_of_a_models_engines_accept_its_newest_batch_within_two_changes() {
+    let mut pool = pool(ENGINES);
+    let other = |model: &str| ModelTarget {
+        model: model.to_owned(),
+        ..scarce_target(2, 1)
+    };
+    let targets = [scarce_target(5, 1), other("b"), other("c")];
+    let concurrent = max_concurrent_changes(ENGINES, 2);
+    for _ in 0..2 {
+        let orders = plan(&pool, &targets, &[], concurrent, BootInstant::now());
+        for order in &orders {
+            let engine = pool.get_mut(&order.engine).expect("known");
+            engine.record_version(&order.model, order.version, "test");
+        }
+    }
+    let assigned = engines_of_model(&pool, "a");
+    let accepting = assigned
+        .iter()
+        .filter(|id| pool.get(id).expect("known").version("a").0 >= 4);
+    assert!(accepting.count() >= assigned.len() / 2);
+}
