--- a/crates/sloetrail-serving/src/owner/engines/tests/orders.rs
+++ b/crates/sloetrail-serving/src/owner/engines/tests/orders.rs
@@ -100,7 +100,7 @@
 /// Guards against quadratic work: for the same number of engines, a hundred small pools take a
 /// hundredth of it.
 #[test]
-pub(super) fn assignment_time_is_not_quadratic_in_engines() {
+fn assignment_time_is_not_quadratic_in_engines() {
     const POOLS: usize = 100;
     /// Cache misses alone cause a ratio of up to two.
     const MAX_RATIO: u32 = 5;
