Engine time of tenants as an order of turns

Cause: tenants take turns by items in flight. While slots are short, a tenant with long texts so has most of the engine time.

Change: TenantShares also keeps a decaying sum of slot time for each tenant (half-life 10 s) and orders by it on request. Items in flight count with an expected run time, since their slots are given away already. The order by items in flight is unchanged.

--- a/crates/sloetrail-balance/src/tests/tenant_shares.rs
+++ b/crates/sloetrail-balance/src/tests/tenant_shares.rs
@@ -3,6 +3,7 @@
 use crate::{TenantShares, WorkTenant};
 use sloetrail_types::TenantName;
 use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
 
 fn tenant(name: &str) -> WorkTenant {
     Some(TenantName::from(name))
@@ -192,3 +193,48 @@
     let (least, rotated) = (least_in_flight(&long, 8), round_robin(&long, 8));
     assert_eq!((least["other"], rotated["other"]), (20, 58));
 }
+
+/// Guards against a tenant whose texts are long having most of the engine time, and against a
+/// lasting debt for it.
+#[test]
+fn engine_time_orders_tenants_and_is_forgotten() {
+    let mut shares = TenantShares::default();
+    let (much, little) = (tenant("much"), tenant("little"));
+    let used = [
+        (&much, Duration::from_secs(8)),
+        (&little, Duration::from_secs(1)),
+    ];
+    shares.record_engine_time(Duration::ZERO, used.into_iter());
+    let order =
+        |shares: &TenantShares, tenant| shares.order_by_engine_time(tenant, Duration::from_secs(2));
+    assert!(order(&shares, &little) < order(&shares, &much));
+    for _ in 0..3 {
+        shares.record_start(&little);
+    }
+    assert!(order(&shares, &little) < order(&shares, &much));
+    shares.record_start(&little);
+    assert!(
+        order(&shares, &much) < order(&shares, &little),
+        "work in flight counts"
+    );
+    shares.recount(std::iter::empty());
+    shares.record_engine_time(Duration::from_secs(30), std::iter::empty());
+    let now = [(&little, Duration::from_millis(1_500))];
+    shares.record_engine_time(Duration::ZERO, now.into_iter());
+    assert!(
+        order(&shares, &much) < order(&shares, &little),
+        "earlier use decays"
+    );
+    shares.record_engine_time(Duration::from_secs(3_600), std::iter::empty());
+    assert_eq!(order(&shares, &much), order(&shares, &tenant("unknown")));
+}
+
+/// Guards against a change of the order of live requests and of batches without triage.
+#[test]
+fn engine_time_does_not_change_the_order_by_work_in_flight() {
+    let mut shares = shares(&[("much", 2), ("little", 1)]);
+    let little = tenant("little");
+    let used = [(&little, Duration::from_secs(1_000))];
+    shares.record_engine_time(Duration::ZERO, used.into_iter());
+    assert!(shares.order_of(&little) < shares.order_of(&tenant("much")));
+}
