Classes of a batch's groups when not all can be in time

Cause: when more work is open than fits before it is due, all groups of a batch run concurrently and end late together.

Change: triage() chooses the groups with the least remaining work, up to a budget of events, as in time; the others are late. Carried groups are required even if there are more of them than the trainer asks for. Without triage the order is as before.

--- a/crates/sloetrail-batch/src/groups.rs
+++ b/crates/sloetrail-batch/src/groups.rs
@@ -4,13 +4,16 @@
 use crate::submission::ItemId;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// The index of a group in its batch, in order of submission.
+pub type GroupIndex = usize;
+
 /// Progress of the groups of a batch. A group is complete once all its items are listed.
 /// A trainer waits for a number of complete groups, and for each group carried over from an
 /// earlier batch.
 #[derive(Clone, Debug)]
 pub struct GroupProgress {
     /// The index into `groups` of each item's group.
-    group_of_item: Vec<usize>,
+    group_of_item: Vec<GroupIndex>,
     groups: Vec<Group>,
     required: usize,
     completed: usize,
@@ -75,6 +78,21 @@
         self.completed >= self.required && self.carried_remaining == 0
     }
 
+    /// The group of an item.
+    pub fn group_of(&self, index: ItemIndex) -> GroupIndex {
+        self.group_of_item[index]
+    }
+
+    /// The number of groups, complete or not.
+    pub(crate) fn count(&self) -> usize {
+        self.groups.len()
+    }
+
+    /// Returns true if the item's group is carried over from an earlier batch.
+    pub(crate) fn is_carried(&self, index: ItemIndex) -> bool {
+        self.groups[self.group_of(index)].is_carried
+    }
+
     /// The number of groups that the trainer waits for.
     pub fn required(&self) -> usize {
         self.required
--- a/crates/sloetrail-batch/src/header.rs
+++ b/crates/sloetrail-batch/src/header.rs
@@ -71,6 +71,20 @@
     pub fn due_at(&self) -> Timestamp {
         self.accepted_at.after(self.run_target.duration())
     }
+
+    /// Returns true if the batch has a due time: its route has a run target and the time of
+    /// acceptance is known.
+    pub fn has_due_time(&self) -> bool {
+        !self.run_target.is_zero() && self.accepted_at > Timestamp::default()
+    }
+
+    /// Returns when the batch has to end: its due time or, without one, its expiry.
+    pub fn ends_by(&self) -> Timestamp {
+        match self.has_due_time() {
+            true => self.due_at(),
+            false => self.expires_at(),
+        }
+    }
 }
 
 /// Returns true if an id is valid for a batch or an item. Ids become part of row keys.
--- a/crates/sloetrail-batch/src/lib.rs
+++ b/crates/sloetrail-batch/src/lib.rs
@@ -24,11 +24,12 @@
 mod segment;
 mod submission;
 mod transcript;
+mod triage;
 
 pub use batch::{Batch, DispatchOrder};
 pub use batch_estimate::BatchEstimate;
 pub use checkpoint::{Checkpoint, join_checkpoints};
-pub use groups::GroupProgress;
+pub use groups::{GroupIndex, GroupProgress};
 pub use header::{BatchHeader, BatchId, is_usable_id};
 pub use item::{DeathCause, Item, ItemIndex, ItemState, RunFailure};
 pub use length_model::LengthModel;
@@ -37,6 +38,7 @@
 pub use segment::TextSegment;
 pub use submission::{ItemId, RewardCall, Submission, SubmissionError, SubmittedItem};
 pub use transcript::{Transcript, TranscriptError, TranscriptEvent};
+pub use triage::{BatchWork, DispatchClass, EventBudget, GroupWork, TriagedGroups, triage};
 
 #[cfg(test)]
 mod tests;
