Order and triage of batches when capacity is short

Cause: at four times the load nearly all open groups are processed concurrently and end late.

Change: on each tick the owner distributes a model's capacity over its batches by urgency and due time, with an equal share for each tenant, and sets the classes of their groups (policy triage_groups). Items go by class within an urgency, one start in eight goes to a late group while one waits, and tenants take turns by engine time while a model is under triage. Two gauges and the event triage_changed show it.

--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -440,6 +440,20 @@
         /// The median event interval of all engines.
         median_us: u64,
     },
+    /// The required work of a model no longer fits before it is due, or fits again.
+    TriageChanged {
+        /// The name of the lease.
+        service: &'a str,
+        model: &'a str,
+        /// True if groups are classified from now on.
+        active: bool,
+        /// Batches with a due time.
+        batches: usize,
+        /// Incomplete required groups that are expected to be complete when due.
+        in_time: usize,
+        /// Incomplete required groups that are not.
+        late: usize,
+    },
     /// The owner of bound batches reported their slot demand.
     DemandTold {
         /// The name of the lease.
--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -54,6 +54,7 @@
             | Event::BatchRefused { .. }
             | Event::BatchEnded { .. }
             | Event::BatchOpened { .. }
+            | Event::TriageChanged { .. }
             | Event::ItemStarted { .. }
             | Event::ItemInterrupted { .. }
             | Event::ItemMoved { .. }
--- /dev/null
+++ b/crates/sloetrail-serving/src/owner/capacity_plan/tests.rs
@@ -0,0 +1,151 @@
+mod series;
+
+use super::{ModelCapacity, OpenWork, plan_capacity};
+use sloetrail_batch::{BatchWork, GroupWork};
+use sloetrail_types::{Timestamp, Urgency};
+use std::time::{Duration, Instant};
+
+const NOW: Timestamp = Timestamp(100_000);
+
+/// Ten slots with an event each 10 ms.
+const CAPACITY: ModelCapacity = ModelCapacity {
+    events_per_second: 1_000.0,
+    event_interval: Duration::from_millis(10),
+};
+
+/// A batch with `groups` waiting groups of 100 events, due some time after now.
+fn open(id: &str, priority: u8, due_in: Duration, groups: usize) -> OpenWork {
+    let groups = (0..groups).map(|group| GroupWork {
+        group,
+        waiting_events: 100.0,
+        running_events: 0.0,
+        longest_text: 25.0,
+        items: 4,
+    });
+    OpenWork {
+        id: id.to_owned(),
+        urgency: Urgency::new(None, priority),
+        tenant: None,
+        ends_by: NOW.after(due_in),
+        has_due_time: true,
+        work: BatchWork {
+            groups: groups.collect(),
+            running_texts: Vec::new(),
+            waiting_items: 0,
+        },
+    }
+}
+
+/// The number of groups in time of each batch, in the order in which capacity is distributed.
+fn in_time(open: Vec<OpenWork>) -> Vec<(String, usize)> {
+    let plan = plan_capacity(open, CAPACITY, NOW);
+    let batches = plan.batches.into_iter();
+    batches
+        .map(|(id, groups)| (id, groups.in_time_count()))
+        .collect()
+}
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn named(expected: &[(&str, usize)]) -> Vec<(String, usize)> {
+    let owned = |(id, groups): &(&str, usize)| ((*id).to_owned(), *groups);
+    expected.iter().map(owned).collect()
+}
+
+#[test]
+fn work_that_fits_is_all_in_time() {
+    let plan = plan_capacity(vec![open("a", 5, seconds(8), 80)], CAPACITY, NOW);
+    assert!(plan.fits);
+    let plan = plan_capacity(vec![open("a", 5, seconds(8), 81)], CAPACITY, NOW);
+    assert!(!plan.fits);
+}
+
+/// The budget for groups in time excludes what late groups start meanwhile.
+#[test]
+fn groups_beyond_the_capacity_are_late_at_two_and_four_times_the_load() {
+    for load in [2, 4] {
+        let expected = named(&[("a", 70)]);
+        assert_eq!(in_time(vec![open("a", 5, seconds(8), 80 * load)]), expected);
+    }
+}
+
+/// Guards against a batch that is due later taking the capacity of one that is due earlier.
+#[test]
+fn batches_use_the_capacity_in_order_of_due_time() {
+    let batches = vec![
+        open("late", 5, seconds(16), 200),
+        open("early", 5, seconds(8), 50),
+    ];
+    assert_eq!(in_time(batches), named(&[("early", 50), ("late", 90)]));
+}
+
+/// Guards against capacity that is reserved for work that cannot be in time anyway.
+#[test]
+fn batch_past_its_due_time_leaves_the_capacity_to_others() {
+    let batches = vec![
+        open("past", 5, Duration::ZERO, 100),
+        open("next", 5, seconds(8), 100),
+    ];
+    assert_eq!(in_time(batches), named(&[("past", 0), ("next", 70)]));
+}
+
+#[test]
+fn more_urgent_batch_uses_the_capacity_before_one_that_is_due_earlier() {
+    let batches = vec![
+        open("early", 5, seconds(8), 100),
+        open("urgent", 1, seconds(9), 40),
+    ];
+    assert_eq!(in_time(batches), named(&[("urgent", 40), ("early", 30)]));
+}
+
+/// Guards against capacity that is given away twice, to running texts and to waiting items.
+#[test]
+fn running_texts_of_any_batch_keep_their_slots() {
+    let mut earlier = open("earlier", 5, Duration::ZERO, 0);
+    earlier.work.running_texts = vec![300.0, 10_000.0];
+    // 300 events, and the 800 that the longer text can gain in 8 s.
+    let batches = vec![earlier.clone(), open("next", 5, seconds(8), 100)];
+    assert_eq!(in_time(batches), named(&[("earlier", 0), ("next", 60)]));
+}
+
+#[test]
+fn batch_without_due_time_is_not_classified() {
+    let mut unbounded = open("unbounded", 5, seconds(1), 1_000);
+    unbounded.has_due_time = false;
+    let plan = plan_capacity(vec![unbounded], CAPACITY, NOW);
+    assert!(plan.fits && plan.batches.is_empty());
+}
+
+/// Guards against a panic or a plan without groups for due times and lengths out of the ordinary.
+#[test]
+fn extreme_times_and_lengths_are_planned() {
+    let century = Duration::from_secs(100 * 365 * 24 * 3_600);
+    let mut endless = open("endless", 5, seconds(8), 1);
+    endless.work.groups[0].waiting_events = f64::MAX;
+    endless.work.running_texts = vec![f64::MAX, f64::MAX];
+    let batches = vec![open("far", 5, century, 1_000), endless];
+    let plan = plan_capacity(batches, CAPACITY, Timestamp(u64::MAX));
+    let groups = plan.batches.iter();
+    let groups = groups.map(|(_, groups)| groups.in_time_count() + groups.late.len());
+    assert_eq!(groups.sum::<usize>(), 1_001);
+}
+
+/// Guards against a cost that grows with the square of batches or texts: planned ten times a
+/// second.
+#[test]
+fn cost_of_planning_is_not_quadratic() {
+    const TEXTS_PER_BATCH: usize = 2_000;
+    let batches = (0..100).map(|number| {
+        let mut open = open(&number.to_string(), 5, seconds(number), 256);
+        open.work.running_texts = (0..TEXTS_PER_BATCH).map(|text| text as f64).collect();
+        open
+    });
+    let batches: Vec<OpenWork> = batches.collect();
+    let started_at = Instant::now();
+    let plan = plan_capacity(batches, CAPACITY, NOW);
+    let elapsed = started_at.elapsed();
+    assert!(!plan.fits);
+    assert!(elapsed < Duration::from_secs(1), "{elapsed:?}");
+}
--- a/crates/sloetrail-serving/src/owner/engines.rs
+++ b/crates/sloetrail-serving/src/owner/engines.rs
@@ -226,7 +226,7 @@
     }
 
     /// The median lasting interval of engines that take work; None if none is known.
-    fn median_lasting_interval_us(&self) -> Option<u64> {
+    pub(super) fn median_lasting_interval_us(&self) -> Option<u64> {
         self.median_interval_us(EventIntervalMeter::lasting_microseconds)
     }
 
--- a/crates/sloetrail-serving/src/owner/mod.rs
+++ b/crates/sloetrail-serving/src/owner/mod.rs
@@ -11,6 +11,7 @@
 mod assignment;
 mod batch_scheduler;
 mod bound_demand;
+mod capacity_plan;
 mod committer;
 mod engine;
 mod engine_sends;
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -10,11 +10,13 @@
 mod scoring;
 mod supply;
 mod texts;
+mod triage;
 mod versions;
 
 use self::other_batches::OtherBatches;
 use self::quarantined_items::QuarantinedItems;
 use self::supply::SupplyState;
+use self::triage::TriageState;
 use super::committer::{CommitRequest, commit_results};
 use super::engine::SendLimits;
 use super::engines::EnginePool;
@@ -126,6 +128,7 @@
     batches: BTreeMap<BatchId, OpenBatch>,
     /// Items in flight by tenant, recounted before each dispatch.
     shares: TenantShares,
+    triage: TriageState,
     /// Batches that are open, loading, ended or owned by another owner.
     known_batches: HashSet<BatchId>,
     other_batches: OtherBatches,
@@ -183,6 +186,7 @@
             term,
             batches: BTreeMap::new(),
             shares: TenantShares::default(),
+            triage: TriageState::new(BootInstant::now()),
             known_batches: HashSet::new(),
             other_batches: OtherBatches::default(),
             leftover_texts: BTreeMap::new(),
@@ -361,6 +365,7 @@
         self.record_slot_usage();
         self.set_dispatch_orders();
         self.update_estimates();
+        self.update_triage(now);
         let slow_apart = self.context.settings.policies.slow_engines_apart;
         if slow_apart && self.engines.update_slow_engines() {
             self.assign_models();
--- a/crates/sloetrail-serving/src/owner/service_owner/batches.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/batches.rs
@@ -131,6 +131,7 @@
         };
         self.batches.insert(id, open);
         self.update_estimates();
+        self.update_triage(BootInstant::now());
     }
 
     /// Continues leftover texts of an ended batch, if their versions are acceptable and the item
--- a/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
@@ -3,16 +3,18 @@
 use super::{ActiveRun, OpenBatch, ServiceOwner};
 use crate::back_end::BackEnd;
 use crate::events::{self, Event};
-use crate::owner::batch_scheduler::BatchScheduler;
+use crate::owner::batch_scheduler::{BatchScheduler, StartOutcome, TurnRule};
 use crate::owner::engine::ModelRequirement;
 use crate::owner::engines::EnginePreference;
 use crate::owner::event::OwnerEvent;
 use crate::owner::run::{RunOutcome, RunProgress, RunSpec, run_item};
 use crate::tasks;
 use crate::telemetry;
-use sloetrail_batch::{BatchId, ItemIndex};
+use sloetrail_balance::TenantShares;
+use sloetrail_batch::{BatchHeader, BatchId, DispatchClass, ItemIndex};
 use sloetrail_clock::BootInstant;
 use sloetrail_types::EngineId;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 /// Priorities at the engine of items in required groups and of other items. Lower values run
@@ -25,7 +27,8 @@
 
 impl ServiceOwner {
     /// Starts items while engines have free slots: first the required items of all batches in
-    /// turn, then the other items.
+    /// turn, then the other items. Under triage, the items of one urgency go by class before the
+    /// next urgency.
     pub(super) fn dispatch_items(&mut self) {
         if !self.context.suspension_guard.is_settled() {
             return;
@@ -34,11 +37,9 @@
         let open = self.batches.values();
         let in_flight = open.map(|open| (&open.batch.header.tenant, open.runs.len()));
         shares.recount(in_flight);
-        for required in [true, false] {
-            let open = self.batches.iter();
-            let headers = open.map(|(id, open)| (id, &open.batch.header));
-            let scheduler = BatchScheduler::new(&mut shares, headers);
-            scheduler.run(|id| self.start_next_item(id, required));
+        match self.triage.turn_rule() {
+            TurnRule::ItemsInFlight => self.dispatch_required_first(&mut shares),
+            rule @ TurnRule::EngineTime { .. } => self.dispatch_by_class(&mut shares, rule),
         }
         if self.batches.is_empty() {
             shares.forget_idle();
@@ -46,6 +47,30 @@
         self.shares = shares;
     }
 
+    fn dispatch_required_first(&mut self, shares: &mut TenantShares) {
+        for class in [DispatchClass::InTime, DispatchClass::NotRequired] {
+            let headers = batch_headers(&self.batches);
+            let scheduler = BatchScheduler::new(shares, TurnRule::ItemsInFlight, headers);
+            scheduler.run(|id| {
+                let next = self
+                    .batches
+                    .get(id)
+                    .and_then(|open| open.batch.next_class());
+                next == Some(class) && self.start_next_item(id, class) == StartOutcome::Started
+            });
+        }
+    }
+
+    fn dispatch_by_class(&mut self, shares: &mut TenantShares, rule: TurnRule) {
+        let mut starts_since_late = std::mem::take(&mut self.triage.starts_since_late);
+        let headers = batch_headers(&self.batches);
+        let scheduler = BatchScheduler::new(shares, rule, headers);
+        scheduler.run_by_class(&mut starts_since_late, |id, class| {
+            self.start_next_item(id, class)
+        });
+        self.triage.starts_since_late = starts_since_late;
+    }
+
     pub(super) fn priority(&self, required: bool) -> u8 {
         let lease = self.context.settings.bounds.lease;
         match required {
@@ -55,20 +80,19 @@
         }
     }
 
-    /// Starts the next item of a batch. False if no item waits or no engine can take it.
-    fn start_next_item(&mut self, id: &BatchId, required: bool) -> bool {
-        let priority = self.priority(required);
-        self.set_aside_quarantined(id);
+    /// Starts the next item of a class of a batch.
+    fn start_next_item(&mut self, id: &BatchId, class: DispatchClass) -> StartOutcome {
+        let priority = self.priority(class != DispatchClass::NotRequired);
+        self.set_aside_quarantined(id, class);
         let Some(open) = self.batches.get(id) else {
-            return false;
+            return StartOutcome::NoItem;
         };
         if open.has_enough_runs() {
-            return false;
-        }
-        let next = open.batch.peek();
-        if next.is_none_or(|index| open.batch.is_required(index) != required) {
-            return false;
+            return StartOutcome::NoRoom;
         }
+        let Some(next) = open.batch.next_of_class(class) else {
+            return StartOutcome::NoItem;
+        };
         let requirement = ModelRequirement {
             model: open.batch.model.as_deref(),
             oldest_version: open.batch.oldest_version,
@@ -81,16 +105,19 @@
             .engines
             .pick(requirement, now, preference, is_connected);
         let Some(engine_id) = picked else {
-            return false;
+            return StartOutcome::NoRoom;
         };
-        next.is_some_and(|index| self.start_item_on(id, index, engine_id, priority))
+        match self.start_item_on(id, next, engine_id, priority) {
+            true => StartOutcome::Started,
+            false => StartOutcome::NoItem,
+        }
     }
 
     /// Returns how to choose an engine for an item.
-    fn preference(&self, open: &OpenBatch, index: Option<ItemIndex>) -> EnginePreference {
+    fn preference(&self, open: &OpenBatch, index: ItemIndex) -> EnginePreference {
         let policies = self.context.settings.policies;
-        let item = index.map(|index| open.batch.item(index));
-        let is_critical = item.is_some_and(|item| open.estimate.is_critical(item, &self.lengths));
+        let item = open.batch.item(index);
+        let is_critical = open.estimate.is_critical(item, &self.lengths);
         match policies.prefer_fast_engines {
             false => EnginePreference::LeastLoaded,
             true if is_critical || !policies.bounded_batch_width => EnginePreference::Fastest,
@@ -201,3 +228,10 @@
         telemetry::scores_waiting(self.term.resource.name(), self.rewards.waiting());
     }
 }
+
+fn batch_headers(
+    batches: &BTreeMap<BatchId, OpenBatch>,
+) -> impl Iterator<Item = (&BatchId, &BatchHeader)> {
+    let open = batches.iter();
+    open.map(|(id, open)| (id, &open.batch.header))
+}
--- a/crates/sloetrail-serving/src/owner/service_owner/quarantined_items.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/quarantined_items.rs
@@ -4,10 +4,10 @@
 //! A quarantined item is set aside from the queue of its batch, so that it does not block the
 //! items behind it. It returns to the queue when it is released or when a trial is granted.
 
-use super::ServiceOwner;
+use super::{OpenBatch, ServiceOwner};
 use crate::owner::event::OwnerEvent;
 use crate::quarantine::{Permission, QuarantinePermit, RequestIdentity};
-use sloetrail_batch::{BatchId, ItemIndex};
+use sloetrail_batch::{BatchId, DispatchClass, ItemIndex};
 use sloetrail_clock::BootInstant;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -44,12 +44,16 @@
         Some(QuarantinePermit::new(quarantine, &self.service, identity))
     }
 
-    /// Sets the quarantined items at the head of a batch's queue aside.
-    pub(super) fn set_aside_quarantined(&mut self, id: &BatchId) {
+    /// Sets the quarantined items aside that are next of their class in a batch's queue.
+    pub(super) fn set_aside_quarantined(&mut self, id: &BatchId, class: DispatchClass) {
         if self.context.quarantine.assessment().is_empty(&self.service) {
             return;
         }
-        while let Some(index) = self.batches.get(id).and_then(|open| open.batch.peek()) {
+        let next = |batches: &BTreeMap<BatchId, OpenBatch>| {
+            let open = batches.get(id)?;
+            open.batch.next_of_class(class)
+        };
+        while let Some(index) = next(&self.batches) {
             let Some(permit) = self.quarantine_permit(id, index) else {
                 return;
             };
--- a/crates/sloetrail-serving/src/policies.rs
+++ b/crates/sloetrail-serving/src/policies.rs
@@ -37,6 +37,9 @@
     /// Answers a long poll for results once the groups that its trainer requires are complete,
     /// instead of on the first result.
     pub gather_results: bool,
+    /// Chooses which required groups to complete by the due time while not all of them fit, and
+    /// runs the others after them, one after another.
+    pub triage_groups: bool,
 }
 
 impl Default for Policies {
@@ -54,6 +57,7 @@
             hedge_by_answer_times: true,
             order_engines: true,
             gather_results: true,
+            triage_groups: true,
         }
     }
 }
--- a/crates/sloetrail-serving/src/telemetry.rs
+++ b/crates/sloetrail-serving/src/telemetry.rs
@@ -180,6 +180,17 @@
     gauge!("sloetrail_model_capacity_events_per_second", &labels).set(events_per_second);
 }
 
+/// Sets the number of incomplete required groups of an owned service in a class, and the number of
+/// batches whose groups are classified.
+pub(crate) fn triage(service: &str, in_time: usize, late: usize, batches: usize) {
+    let service = SERVICES.bounded(service);
+    for (class, groups) in [("in_time", in_time), ("late", late)] {
+        let labels = [("service", service.clone()), ("class", class.into())];
+        gauge!("sloetrail_groups_by_class", &labels).set(groups as f64);
+    }
+    gauge!("sloetrail_batches_under_triage", "service" => service).set(batches as f64);
+}
+
 /// Sets the number of complete texts of a service that wait for their scores.
 pub(crate) fn scores_waiting(service: &str, waiting: usize) {
     let service = SERVICES.bounded(service);
