--- a/crates/sloetrail-serving/src/owner/capacity_plan.rs
+++ b/crates/sloetrail-serving/src/owner/capacity_plan.rs
@@ -56,17 +56,26 @@
 ) -> CapacityPlan {
     open.sort_by(|left, right| left.order().cmp(&right.order()));
     let running = RunningTexts::new(&open);
-    let budgets = |share| {
-        let of_batch = |work: &OpenWork| capacity.budget(work, &running, now, share);
-        open.iter().map(of_batch).collect()
-    };
-    let all = distribute(&open, budgets(1.0));
+    let free: Vec<EventBudget> = open
+        .iter()
+        .map(|work| capacity.budget(work, &running, now))
+        .collect();
+    // All groups in time form one set, so that the longest texts of a batch go first.
+    let all = free.iter().map(|budget| EventBudget {
+        slots: f64::MAX,
+        ..*budget
+    });
+    let all = distribute(&open, all);
     let batches = open.iter().zip(&all);
     let mut with_due_time = batches.filter(|(work, _)| work.has_due_time);
     let fits = with_due_time.all(|(_, groups)| groups.late.is_empty());
+    let for_in_time = free.iter().map(|budget| EventBudget {
+        waiting: budget.waiting * IN_TIME_SHARE,
+        ..*budget
+    });
     let groups = match fits {
         true => all,
-        false => distribute(&open, budgets(IN_TIME_SHARE)),
+        false => distribute(&open, for_in_time),
     };
     let batches = open.into_iter().zip(groups);
     let with_due_time = batches.filter(|(work, _)| work.has_due_time);
@@ -85,28 +94,21 @@
 }
 
 impl ModelCapacity {
-    /// What the engines can generate for a batch if no other batch has waiting items. `share` is
-    /// the share of the capacity that waiting items of groups in time may use.
-    fn budget(
-        &self,
-        work: &OpenWork,
-        running: &RunningTexts,
-        now: Timestamp,
-        share: f64,
-    ) -> EventBudget {
+    /// What the engines can generate for a batch if no other batch has waiting items.
+    fn budget(&self, work: &OpenWork, running: &RunningTexts, now: Timestamp) -> EventBudget {
         let time_left = work.ends_by.since(now).as_secs_f64();
         let per_text = time_left / self.event_interval.as_secs_f64();
         let free = self.events_per_second * time_left - running.events_within(per_text);
         EventBudget {
             per_text,
-            waiting: free.max(0.0) * share,
+            waiting: free.max(0.0),
             slots: self.events_per_second * self.event_interval.as_secs_f64(),
         }
     }
 }
 
 /// Classifies the groups of batches in order. `budgets` are those of the batches without others.
-fn distribute(open: &[OpenWork], budgets: Vec<EventBudget>) -> Vec<TriagedGroups> {
+fn distribute(open: &[OpenWork], budgets: impl Iterator<Item = EventBudget>) -> Vec<TriagedGroups> {
     let mut groups = Vec::new();
     let mut reserved_events = 0.0;
     let mut rest = open.iter().zip(budgets).peekable();
