--- a/crates/sloetrail-batch/src/batch/queue.rs
+++ b/crates/sloetrail-batch/src/batch/queue.rs
@@ -25,11 +25,6 @@
         }
     }
 
-    /// Returns true if the groups are classified.
-    pub fn is_triaged(&self) -> bool {
-        self.triage.is_some()
-    }
-
     fn group_ranks(&self, triaged: &TriagedGroups) -> Vec<GroupRank> {
         let not_required = GroupRank {
             class: DispatchClass::NotRequired,
@@ -93,6 +88,16 @@
         &queue[start..end]
     }
 
+    /// Returns the waiting items of the set of groups, or of the late group, that is next in a
+    /// class. Any of them may go first without breaking the order of sets and late groups.
+    pub fn next_set_of_class(&self, class: DispatchClass) -> &[ItemIndex] {
+        let waiting = self.waiting_of_class(class);
+        let position = |index: &ItemIndex| self.rank_of(*index).position;
+        let next = waiting.last().map(position);
+        let start = waiting.partition_point(|index| Some(position(index)) > next);
+        &waiting[start..]
+    }
+
     /// Returns the item of a class to dispatch next, or None if none waits.
     pub fn next_of_class(&self, class: DispatchClass) -> Option<ItemIndex> {
         self.waiting_of_class(class).last().copied()
--- a/crates/sloetrail-serving/src/owner/capacity_plan/tests.rs
+++ b/crates/sloetrail-serving/src/owner/capacity_plan/tests.rs
@@ -2,7 +2,7 @@
 
 use super::{ModelCapacity, OpenWork, plan_capacity};
 use sloetrail_batch::{BatchWork, GroupWork};
-use sloetrail_types::{Timestamp, Urgency};
+use sloetrail_types::{TenantName, Timestamp, Urgency};
 use std::time::{Duration, Instant};
 
 const NOW: Timestamp = Timestamp(100_000);
@@ -110,6 +110,61 @@
     assert_eq!(in_time(batches), named(&[("earlier", 0), ("next", 60)]));
 }
 
+fn of_tenant(tenant: &str, work: OpenWork) -> OpenWork {
+    let tenant = Some(TenantName::from(tenant));
+    OpenWork { tenant, ..work }
+}
+
+/// Guards against the tenant whose batch is due first having all groups in time.
+#[test]
+fn tenants_of_one_urgency_share_the_capacity_equally() {
+    let batches = vec![
+        of_tenant("a", open("a", 5, seconds(8), 100)),
+        of_tenant("b", open("b", 5, seconds(8), 100)),
+    ];
+    assert_eq!(in_time(batches), named(&[("a", 35), ("b", 35)]));
+}
+
+/// Guards against capacity that no group is in time with, since its tenant has too little work, and
+/// against unused capacity that is given away twice.
+#[test]
+fn capacity_that_a_tenant_leaves_goes_to_the_others() {
+    let batches = vec![
+        of_tenant("a", open("a", 5, seconds(8), 100)),
+        of_tenant("b", open("b", 5, seconds(8), 10)),
+        of_tenant("c", open("c", 5, seconds(8), 100)),
+    ];
+    let expected = [("a", 37), ("b", 10), ("c", 23)];
+    assert_eq!(in_time(batches), named(&expected));
+}
+
+/// Guards against unused capacity before a due time that is taken from a batch due later.
+#[test]
+fn unused_capacity_does_not_displace_groups_of_later_batches() {
+    let batches = vec![
+        of_tenant("a", open("a", 5, seconds(8), 100)),
+        of_tenant("b", open("b", 5, seconds(9), 39)),
+    ];
+    // 78 groups fit by the later due time, of which each tenant can use 39.
+    assert_eq!(in_time(batches), named(&[("a", 39), ("b", 39)]));
+}
+
+/// Guards against sets that each use all slots, of which several tenants have one at a time.
+#[test]
+fn sets_of_groups_use_the_slots_that_a_tenant_can_have() {
+    let plan = |batches| plan_capacity(batches, CAPACITY, NOW).batches;
+    let alone = plan(vec![open("a", 5, seconds(8), 100)]);
+    // Ten slots, and four items a group.
+    assert_eq!(alone[0].1.in_time[0].len(), 3);
+    let two = plan(vec![
+        of_tenant("a", open("a", 5, seconds(8), 100)),
+        of_tenant("b", open("b", 5, seconds(8), 100)),
+    ]);
+    assert_eq!(two[0].1.in_time[0].len(), 2);
+    let fitting = plan(vec![open("a", 5, seconds(8), 20)]);
+    assert_eq!(fitting[0].1.in_time.len(), 1, "the longest texts go first");
+}
+
 #[test]
 fn batch_without_due_time_is_not_classified() {
     let mut unbounded = open("unbounded", 5, seconds(1), 1_000);
