--- a/crates/sloetrail-batch/src/batch.rs
+++ b/crates/sloetrail-batch/src/batch.rs
@@ -1,9 +1,13 @@
 //! The state of an open batch at the owner of its service.
 
+mod queue;
+
+use self::queue::GroupRank;
 use crate::groups::{GroupProgress, required_items};
 use crate::item::{DeathCause, Item, ItemIndex, ItemState, MAX_IMPOSSIBLE_ANSWERS, RunFailure};
 use crate::{
-    BatchHeader, BatchId, ItemId, ListedResult, ResultState, Submission, SubmittedItem, Transcript,
+    BatchHeader, BatchId, DispatchClass, ItemId, ListedResult, ResultState, Submission,
+    SubmittedItem, Transcript,
 };
 use sloetrail_types::{WeightVersion, bounded};
 use std::collections::BTreeSet;
@@ -26,6 +30,8 @@
     /// Group progress that also counts results whose commit is pending.
     groups_with_pending: GroupProgress,
     order: DispatchOrder,
+    /// The rank of each group. None without triage.
+    triage: Option<Vec<GroupRank>>,
 }
 
 /// The order in which the items of a batch are dispatched to engines.
@@ -95,6 +101,7 @@
             groups_with_pending: groups.clone(),
             groups,
             order: DispatchOrder::default(),
+            triage: None,
         };
         batch.sort_queue();
         batch
@@ -115,7 +122,7 @@
     /// Returns true if the item's group is required, or if the dispatch order does not
     /// prefer required groups.
     pub fn is_required(&self, index: ItemIndex) -> bool {
-        self.required[index] || !self.order.required_first
+        self.class_of(index) != DispatchClass::NotRequired
     }
 
     /// Returns true if the item's group is required, whatever the dispatch order.
@@ -309,20 +316,4 @@
             .iter()
             .all(|item| item.state == ItemState::Listed)
     }
-
-    /// Sorts the queue in reverse dispatch order. If the dispatch order prefers required
-    /// groups, the other items follow with the opposite ranking.
-    fn sort_queue(&mut self) {
-        let (items, required, order) = (&self.items, &self.required, self.order);
-        self.queue.sort_by_key(|index| {
-            let rank = match order.longest_first {
-                true => items[*index].expected_length as i64,
-                false => -(*index as i64),
-            };
-            match required[*index] || !order.required_first {
-                true => (1, rank),
-                false => (0, -rank),
-            }
-        });
-    }
 }
--- a/crates/sloetrail-serving/src/owner/mod.rs
+++ b/crates/sloetrail-serving/src/owner/mod.rs
@@ -12,6 +12,7 @@
 mod backlog_assignment;
 mod batch_scheduler;
 mod bound_demand;
+mod capacity_plan;
 mod committer;
 mod engine;
 mod engine_sends;
--- a/crates/sloetrail-serving/src/policies.rs
+++ b/crates/sloetrail-serving/src/policies.rs
@@ -40,6 +40,9 @@
     /// While slots are scarce, assigns engines to models by capacity and backlog, and gives each
     /// version only to the engines that the next batch of its model needs.
     pub assign_by_backlog: bool,
+    /// Chooses which required groups to complete by the due time while not all of them fit, and
+    /// runs the others after them, one after another.
+    pub triage_groups: bool,
 }
 
 impl Default for Policies {
@@ -58,6 +61,7 @@
             order_engines: true,
             gather_results: true,
             assign_by_backlog: true,
+            triage_groups: true,
         }
     }
 }
