A batch that can be complete a little late is not divided by triage

Cause: triage divided each batch whose required work did not fit before its due time.

Change: a batch whose required work can be complete until half of its run target after its due time stays whole, in order of due time. Only others are divided.

--- a/crates/sloetrail-batch/src/header.rs
+++ b/crates/sloetrail-batch/src/header.rs
@@ -6,6 +6,8 @@
 };
 
 const MAX_ID_BYTES: usize = 100;
+/// A complete batch is of use until this part of its run target after its due time.
+const LATENESS_DIVISOR: u32 = 2;
 
 /// The id of a batch, chosen by the trainer.
 pub type BatchId = String;
@@ -78,6 +80,13 @@
         !self.run_target.is_zero() && self.accepted_at > Timestamp::default()
     }
 
+    /// Returns until when a complete batch is of use to its trainer. Trainers wait for a step that
+    /// is late, but not much longer than they had planned.
+    pub fn useful_until(&self) -> Timestamp {
+        let lateness = self.run_target.duration() / LATENESS_DIVISOR;
+        self.ends_by().after(lateness)
+    }
+
     /// Returns when the batch has to end: its due time or, without one, its expiry.
     pub fn ends_by(&self) -> Timestamp {
         match self.has_due_time() {
--- a/crates/sloetrail-serving/src/owner/capacity_plan.rs
+++ b/crates/sloetrail-serving/src/owner/capacity_plan.rs
@@ -2,7 +2,10 @@
 //! is available before they are due.
 //!
 //! Batches are taken in order of urgency and, within one urgency, of due time. Each can use the
-//! capacity until its due time that running texts and the batches before it leave.
+//! capacity that running texts and the batches before it leave. A batch that can be complete a
+//! little after its due time is not divided: its trainer waits for all required groups, and a
+//! step that ends a little late delays it less than one that is left unfinished. Of any other
+//! batch, the groups that can be in time go first.
 
 use sloetrail_balance::WorkTenant;
 use sloetrail_batch::{BatchId, BatchWork, EventBudget, TriagedGroups, triage};
@@ -24,6 +27,8 @@
     pub(super) tenant: WorkTenant,
     /// The due time, or the expiry of a batch without due time.
     pub(super) ends_by: Timestamp,
+    /// The time by which a complete batch is still of use to its trainer; at least `ends_by`.
+    pub(super) useful_until: Timestamp,
     /// True if groups that cannot be complete by `ends_by` are classified as late.
     pub(super) has_due_time: bool,
     pub(super) work: BatchWork,
@@ -41,7 +46,7 @@
 /// The classes of the groups of a model's batches.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct CapacityPlan {
-    /// True if all required work of batches with a due time fits before it.
+    /// True if all batches with a due time can be complete while they are of use.
     pub(super) fits: bool,
     /// The groups of each batch that has a due time.
     pub(super) batches: Vec<(BatchId, TriagedGroups)>,
@@ -56,23 +61,15 @@
 ) -> CapacityPlan {
     open.sort_by(|left, right| left.order().cmp(&right.order()));
     let running = RunningTexts::new(&open);
-    let free: Vec<EventBudget> = open
+    let free: Vec<BatchBudget> = open
         .iter()
         .map(|work| capacity.budget(work, &running, now))
         .collect();
-    // All groups in time form one set, so that the longest texts of a batch go first.
-    let all = free.iter().map(|budget| EventBudget {
-        slots: f64::MAX,
-        ..*budget
-    });
-    let all = distribute(&open, all);
+    let all = distribute(&open, free.iter().copied());
     let batches = open.iter().zip(&all);
     let mut with_due_time = batches.filter(|(work, _)| work.has_due_time);
     let fits = with_due_time.all(|(_, groups)| groups.late.is_empty());
-    let for_in_time = free.iter().map(|budget| EventBudget {
-        waiting: budget.waiting * IN_TIME_SHARE,
-        ..*budget
-    });
+    let for_in_time = free.iter().map(|budget| budget.scaled(IN_TIME_SHARE));
     let groups = match fits {
         true => all,
         false => distribute(&open, for_in_time),
@@ -93,10 +90,51 @@
     }
 }
 
+/// What engines can generate for a batch.
+#[derive(Clone, Copy, Debug)]
+struct BatchBudget {
+    /// Until the batch has to end.
+    in_time: EventBudget,
+    /// While a complete batch is of use.
+    useful: EventBudget,
+}
+
+impl BatchBudget {
+    fn scaled(&self, share: f64) -> Self {
+        let scaled = |budget: EventBudget| EventBudget {
+            waiting: budget.waiting * share,
+            ..budget
+        };
+        Self {
+            in_time: scaled(self.in_time),
+            useful: scaled(self.useful),
+        }
+    }
+
+    /// The budget without what other batches have reserved.
+    fn without(&self, reserved_events: f64) -> Self {
+        let rest = |budget: EventBudget| EventBudget {
+            waiting: (budget.waiting - reserved_events).max(0.0),
+            ..budget
+        };
+        Self {
+            in_time: rest(self.in_time),
+            useful: rest(self.useful),
+        }
+    }
+}
+
 impl ModelCapacity {
+    fn budget(&self, work: &OpenWork, running: &RunningTexts, now: Timestamp) -> BatchBudget {
+        BatchBudget {
+            in_time: self.budget_until(work.ends_by, running, now),
+            useful: self.budget_until(work.useful_until, running, now),
+        }
+    }
+
     /// What the engines can generate for a batch if no other batch has waiting items.
-    fn budget(&self, work: &OpenWork, running: &RunningTexts, now: Timestamp) -> EventBudget {
-        let time_left = work.ends_by.since(now).as_secs_f64();
+    fn budget_until(&self, end: Timestamp, running: &RunningTexts, now: Timestamp) -> EventBudget {
+        let time_left = end.since(now).as_secs_f64();
         let per_text = time_left / self.event_interval.as_secs_f64();
         let free = self.events_per_second * time_left - running.events_within(per_text);
         EventBudget {
@@ -108,7 +146,7 @@
 }
 
 /// Classifies the groups of batches in order. `budgets` are those of the batches without others.
-fn distribute(open: &[OpenWork], budgets: impl Iterator<Item = EventBudget>) -> Vec<TriagedGroups> {
+fn distribute(open: &[OpenWork], budgets: impl Iterator<Item = BatchBudget>) -> Vec<TriagedGroups> {
     let mut groups = Vec::new();
     let mut reserved_events = 0.0;
     let mut rest = open.iter().zip(budgets).peekable();
@@ -116,8 +154,7 @@
         let urgency = first.urgency;
         let mut level = Vec::new();
         while let Some((work, budget)) = rest.next_if(|(work, _)| work.urgency == urgency) {
-            let waiting = (budget.waiting - reserved_events).max(0.0);
-            level.push((work, EventBudget { waiting, ..budget }));
+            level.push((work, budget.without(reserved_events)));
         }
         let of_level = distribute_level(&level);
         let in_time_events = of_level.iter().map(|groups| groups.in_time_waiting_events);
@@ -129,7 +166,7 @@
 
 /// Classifies the groups of batches of one urgency. Each tenant can use an equal share of the
 /// capacity. What a tenant leaves goes to the batches in order.
-fn distribute_level(level: &[(&OpenWork, EventBudget)]) -> Vec<TriagedGroups> {
+fn distribute_level(level: &[(&OpenWork, BatchBudget)]) -> Vec<TriagedGroups> {
     let with_work = level
         .iter()
         .filter(|(work, _)| !work.work.groups.is_empty());
@@ -141,16 +178,16 @@
     let mut groups = Vec::new();
     for (work, budget) in level {
         let of_tenant = of_tenants.entry(&work.tenant).or_default();
-        let fair = budget.waiting / tenants - *of_tenant;
-        let fair_budget = EventBudget {
-            waiting: fair.min(budget.waiting - total),
+        let fair = |budget: EventBudget| EventBudget {
+            waiting: (budget.waiting / tenants - *of_tenant).min(budget.waiting - total),
             slots: budget.slots / tenants,
-            ..*budget
+            ..budget
         };
-        let triaged = triage(&work.work.groups, fair_budget);
+        let triaged = complete_batch(work, fair(budget.useful))
+            .unwrap_or_else(|| triage(&work.work.groups, fair(budget.in_time)));
         *of_tenant += triaged.in_time_waiting_events;
         total += triaged.in_time_waiting_events;
-        unused.push(budget.waiting - total);
+        unused.push(budget.in_time.waiting - total);
         groups.push(triaged);
     }
     if tenants > 1.0 {
@@ -159,10 +196,21 @@
     groups
 }
 
+/// Returns all groups of a batch as one set in time, so that its longest texts go first. None if
+/// they do not fit in the budget.
+fn complete_batch(work: &OpenWork, budget: EventBudget) -> Option<TriagedGroups> {
+    let one_set = EventBudget {
+        slots: f64::MAX,
+        ..budget
+    };
+    let triaged = triage(&work.work.groups, one_set);
+    triaged.late.is_empty().then_some(triaged)
+}
+
 /// Gives unused capacity to batches in order. What a batch takes also reduces that of all later
 /// ones, so it can take at most the least of these.
 fn distribute_unused(
-    level: &[(&OpenWork, EventBudget)],
+    level: &[(&OpenWork, BatchBudget)],
     mut unused: Vec<f64>,
     tenants: f64,
     groups: &mut [TriagedGroups],
@@ -178,8 +226,8 @@
         let before = groups.in_time_waiting_events;
         let larger_budget = EventBudget {
             waiting: before + unused - taken,
-            slots: budget.slots / tenants,
-            ..*budget
+            slots: budget.in_time.slots / tenants,
+            ..budget.in_time
         };
         *groups = triage(&work.work.groups, larger_budget);
         taken += groups.in_time_waiting_events - before;
--- a/crates/sloetrail-serving/src/owner/capacity_plan/tests.rs
+++ b/crates/sloetrail-serving/src/owner/capacity_plan/tests.rs
@@ -27,6 +27,7 @@
         urgency: Urgency::new(None, priority),
         tenant: None,
         ends_by: NOW.after(due_in),
+        useful_until: NOW.after(due_in),
         has_due_time: true,
         work: BatchWork {
             groups: groups.collect(),
@@ -71,6 +72,35 @@
     }
 }
 
+/// Guards against a step that could end a little late, but is left unfinished for the groups of
+/// another one, so that its trainer waits until it gives up.
+#[test]
+fn batch_that_can_be_complete_while_it_is_of_use_is_not_divided() {
+    let useful_for = |open: OpenWork, seconds: u64| OpenWork {
+        useful_until: NOW.after(Duration::from_secs(seconds)),
+        ..open
+    };
+    let earlier = useful_for(open("earlier", 5, seconds(1), 20), 4);
+    let plan = plan_capacity(vec![earlier.clone()], CAPACITY, NOW);
+    assert!(plan.fits, "20 groups take two seconds");
+    let later = useful_for(open("later", 5, seconds(8), 200), 12);
+    let plan = plan_capacity(vec![earlier, later], CAPACITY, NOW);
+    assert!(!plan.fits);
+    let in_time: Vec<usize> = plan
+        .batches
+        .iter()
+        .map(|(_, groups)| groups.in_time_count())
+        .collect();
+    assert_eq!(in_time, [20, 50], "70 groups fit beside late ones");
+    let late = useful_for(open("late", 5, seconds(1), 60), 4);
+    let plan = plan_capacity(vec![late], CAPACITY, NOW);
+    assert_eq!(
+        plan.batches[0].1.in_time_count(),
+        8,
+        "what fits in one second"
+    );
+}
+
 /// Guards against a batch that is due later taking the capacity of one that is due earlier.
 #[test]
 fn batches_use_the_capacity_in_order_of_due_time() {
--- a/crates/sloetrail-serving/src/owner/capacity_plan/tests/series.rs
+++ b/crates/sloetrail-serving/src/owner/capacity_plan/tests/series.rs
@@ -207,6 +207,7 @@
             urgency: step.batch.header.urgency().0,
             tenant: step.batch.header.tenant.clone(),
             ends_by: step.batch.header.ends_by(),
+            useful_until: step.batch.header.ends_by(),
             has_due_time: true,
             work: step
                 .batch
--- a/crates/sloetrail-serving/src/owner/service_owner/triage.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/triage.rs
@@ -238,6 +238,7 @@
         urgency,
         tenant: header.tenant.clone(),
         ends_by: header.ends_by(),
+        useful_until: header.useful_until(),
         has_due_time: header.has_due_time(),
         work: open.batch.remaining_work(lengths, generated)?,
     })
