Waiting items of one class of a batch

Cause: a slot at a slow engine is to take another item than the next one, but not one of a less important class.

Change: Batch::waiting_in_class lists the waiting items of the class of the next one, in dispatch order. Today the classes are required and other items.

--- a/crates/sloetrail-batch/src/batch.rs
+++ b/crates/sloetrail-batch/src/batch.rs
@@ -128,6 +128,14 @@
         self.queue.last().copied()
     }
 
+    /// Returns the waiting items of the same class as the next one, in dispatch order. Items of
+    /// one class may be dispatched in another order.
+    pub fn waiting_in_class(&self) -> impl Iterator<Item = ItemIndex> {
+        let class = self.peek().map(|next| self.is_required(next));
+        let waiting = self.queue.iter().rev().copied();
+        waiting.take_while(move |index| Some(self.is_required(*index)) == class)
+    }
+
     pub fn waiting(&self) -> usize {
         self.queue.len()
     }
--- a/crates/sloetrail-batch/src/tests.rs
+++ b/crates/sloetrail-batch/src/tests.rs
@@ -91,6 +91,30 @@
     );
 }
 
+/// Guards against a free slot that takes an item of a less important class because of its length.
+#[test]
+fn waiting_items_of_a_class_exclude_those_of_the_next_class() {
+    let mut batch = batch(three_groups(), 2, &[]);
+    let in_class = |batch: &Batch| {
+        let waiting = batch.waiting_in_class();
+        let ids = waiting.map(|index| batch.item(index).submitted.id.clone());
+        ids.collect::<Vec<String>>()
+    };
+    assert_eq!(
+        in_class(&batch),
+        ["a2", "c1", "b1", "b2", "a1", "c2"],
+        "without preference, all are of one class"
+    );
+    batch.set_dispatch_order(REQUIRED_FIRST);
+    assert_eq!(in_class(&batch), ["c1", "b1", "b2", "c2"]);
+    for index in [2, 3, 4, 5] {
+        assert!(batch.start(index), "in another order than the queue's");
+    }
+    assert_eq!(in_class(&batch), ["a1", "a2"]);
+    dispatch_all(&mut batch);
+    assert!(in_class(&batch).is_empty());
+}
+
 #[test]
 fn items_without_length_order_keep_submission_order() {
     let mut batch = batch(three_groups(), 2, &[]);
