Texts are matched to engines by lasting speed while slots are scarce

Cause: while all slots are in use, the longest text of a batch goes to whichever engine frees first, also one at half the speed; an engine over twice as slow as the median gets a probe every 1.5 s and stands idle otherwise; half a second of other work changes the rank of an engine; and texts are moved although they would end in time where they are.

Change, policy match_engine_speed, while slots of a model are scarce: - Engines rank by lasting interval. - A slot at an engine more than 1.5 times slower than the median takes the shortest waiting text of the class of the next one. Any other slot takes the first in dispatch order that is expected to end before the due time. - An engine gets only probes if its lasting interval is over three times the median and the momentary one agrees, or if the momentary one is over four times the median for 2 s. - A text moves only if it would be late where it is, and if the gain is above twice the cost. Slowness of the engine alone cancels no run. - Metrics count moves and withheld moves by cause. The median of the intervals is selected instead of sorted, since it is needed twice for each start.

No load was measured.

--- a/crates/sloetrail-serving/src/owner/engine.rs
+++ b/crates/sloetrail-serving/src/owner/engine.rs
@@ -1,7 +1,10 @@
 //! State that the owner of a service keeps for one engine.
 
+mod scarce;
+
 use super::engine_sends::EngineSends;
 use super::event_interval::EventIntervalMeter;
+use super::scarce_slowness::ScarceSlowness;
 use crate::back_end::BackEnd;
 use crate::events::{self, Event};
 use crate::loss_backoff::LossBackoff;
@@ -60,6 +63,7 @@
     pub(super) has_order_in_flight: bool,
     pub(super) order_not_before: BootInstant,
     is_slow: bool,
+    scarce_slowness: ScarceSlowness,
     /// End of the reservation for an item that moves to this engine.
     slot_reserved_until: Option<BootInstant>,
     probed_at: BootInstant,
@@ -95,6 +99,7 @@
             has_order_in_flight: false,
             order_not_before: now,
             is_slow: false,
+            scarce_slowness: ScarceSlowness::default(),
             slot_reserved_until: None,
             probed_at: now,
             refused_until: now,
@@ -323,6 +328,11 @@
             true => factor > RECOVERED_FACTOR,
             false => factor > SLOW_FACTOR,
         };
+        self.set_slow(is_slow, interval_us, median)
+    }
+
+    /// Returns true if the engine became slow or recovered.
+    fn set_slow(&mut self, is_slow: bool, interval_us: u64, median_us: u64) -> bool {
         if is_slow == self.is_slow {
             return false;
         }
@@ -332,7 +342,7 @@
             back_end: self.back_end.id.as_str(),
             slow: is_slow,
             pace_us: interval_us,
-            median_us: median,
+            median_us,
         });
         true
     }
--- a/crates/sloetrail-serving/src/owner/engines.rs
+++ b/crates/sloetrail-serving/src/owner/engines.rs
@@ -1,5 +1,7 @@
 //! The engines of a service that its owner uses.
 
+mod lasting_speed;
+
 use super::assignment::{ModelShare, assign_models};
 use super::engine::{Engine, ModelRequirement, SendLimits};
 use super::event_interval::EventIntervalMeter;
@@ -19,6 +21,9 @@
 pub(super) enum EnginePreference {
     /// The fastest, then the least loaded. For items that determine when their batch ends.
     Fastest,
+    /// The fastest by lasting interval, then the least loaded. For scarce slots, where a text
+    /// outlasts a momentary slowness.
+    FastestLasting,
     /// Engines with an idle connection, then the least loaded. For items that finish before the
     /// longest one of their batch on any engine. Avoids opening a connection for them.
     Connected,
@@ -119,6 +124,7 @@
             .filter(|(_, engine)| engine.can_take(requirement, now));
         let median = match preference {
             EnginePreference::Fastest => self.median_event_interval_us(),
+            EnginePreference::FastestLasting => self.median_lasting_interval_us(),
             EnginePreference::Connected | EnginePreference::LeastLoaded => None,
         };
         let best = able.min_by_key(|(_, engine)| {
@@ -130,6 +136,9 @@
                 EnginePreference::Fastest => {
                     interval_grade(engine.event_interval.microseconds(), median)
                 }
+                EnginePreference::FastestLasting => {
+                    interval_grade(engine.event_interval.lasting_microseconds(), median)
+                }
                 EnginePreference::Connected => {
                     let has_connection =
                         engine.may_have_idle_connection() && is_connected(&engine.back_end);
@@ -155,6 +164,15 @@
         &self,
         requirement: ModelRequirement<'_>,
         now: BootInstant,
+    ) -> Vec<FreeEngine> {
+        self.free_engines_by(requirement, now, EventIntervalMeter::microseconds)
+    }
+
+    fn free_engines_by(
+        &self,
+        requirement: ModelRequirement<'_>,
+        now: BootInstant,
+        interval_us: impl Fn(&EventIntervalMeter) -> Option<u64>,
     ) -> Vec<FreeEngine> {
         let able = self.engines.iter().filter(|(_, engine)| {
             let assigned = requirement
@@ -167,7 +185,7 @@
             .filter_map(|(id, engine)| {
                 Some(FreeEngine {
                     id: id.clone(),
-                    event_interval_us: engine.event_interval.microseconds()?,
+                    event_interval_us: interval_us(&engine.event_interval)?,
                 })
             })
             .collect();
@@ -210,10 +228,9 @@
         let mut intervals_us: Vec<u64> = engines
             .filter_map(|engine| interval_us(&engine.event_interval))
             .collect();
-        intervals_us.sort_unstable();
-        intervals_us
-            .get(intervals_us.len().checked_sub(1)? / 2)
-            .copied()
+        let middle = intervals_us.len().checked_sub(1)? / 2;
+        let (_, median_us, _) = intervals_us.select_nth_unstable(middle);
+        Some(*median_us)
     }
 
     /// Events per second that the usable engines assigned to a model make with all slots in use,
@@ -293,11 +310,7 @@
     /// Updates which of the engines that take work are slow. Returns true if any engine became slow
     /// or recovered. An engine without another to compare it with is not slow.
     pub(super) fn update_slow_engines(&mut self) -> bool {
-        let working = || self.engines.values().filter(|engine| engine.takes_work());
-        let with_interval =
-            working().filter(|engine| engine.event_interval.microseconds().is_some());
-        let is_comparable = with_interval.count() >= working().count().min(2);
-        let Some(median) = self.median_event_interval_us().filter(|_| is_comparable) else {
+        let Some(median) = self.comparable_median_us() else {
             return false;
         };
         let mut has_changed = false;
@@ -307,6 +320,15 @@
         }
         has_changed
     }
+
+    /// The median event interval; None if too few engines have one to compare them.
+    fn comparable_median_us(&self) -> Option<u64> {
+        let working = || self.engines.values().filter(|engine| engine.takes_work());
+        let with_interval =
+            working().filter(|engine| engine.event_interval.microseconds().is_some());
+        let is_comparable = with_interval.count() >= working().count().min(2);
+        self.median_event_interval_us().filter(|_| is_comparable)
+    }
 }
 
 #[cfg(test)]
--- a/crates/sloetrail-serving/src/owner/engines/tests.rs
+++ b/crates/sloetrail-serving/src/owner/engines/tests.rs
@@ -2,6 +2,7 @@
 mod bound_batches;
 mod capacity;
 mod cold;
+mod lasting_speed;
 mod orders;
 mod picking;
 mod slow_engines;
--- a/crates/sloetrail-serving/src/owner/mod.rs
+++ b/crates/sloetrail-serving/src/owner/mod.rs
@@ -24,9 +24,12 @@
 mod reward;
 mod reward_queue;
 mod run;
+mod scarce_move;
+mod scarce_slowness;
 mod service_owner;
 mod slot_demand;
 mod slot_usage;
+mod speed_match;
 mod sweeper;
 mod weight_update_plan;
 
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -3,11 +3,13 @@
 mod batches;
 mod demand;
 mod dispatch;
+mod late_texts;
 mod other_batches;
 mod quarantined_items;
 mod relocation;
 mod results;
 mod scoring;
+mod speed_matching;
 mod supply;
 mod texts;
 mod versions;
@@ -69,6 +71,8 @@
     has_moved: bool,
     /// The engine on which the item continues after this run has been closed.
     move_target: Option<EngineId>,
+    /// True if a move of this run was withheld and counted.
+    is_move_withheld: bool,
 }
 
 struct OpenBatch {
@@ -362,11 +366,12 @@
         self.set_dispatch_orders();
         self.update_estimates();
         let slow_apart = self.context.settings.policies.slow_engines_apart;
-        if slow_apart && self.engines.update_slow_engines() {
+        if slow_apart && self.update_slow_engines(now) {
             self.assign_models();
         }
         self.move_from_slow_engines(now);
         self.move_long_texts(now);
+        self.move_late_texts(now);
         self.release_quarantined_items();
         self.expire_items();
         self.drop_unneeded_scorings();
--- a/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
@@ -83,7 +83,8 @@
         let Some(engine_id) = picked else {
             return false;
         };
-        next.is_some_and(|index| self.start_item_on(id, index, engine_id, priority))
+        let index = self.item_for_engine(id, &engine_id);
+        index.is_some_and(|index| self.start_item_on(id, index, engine_id, priority))
     }
 
     /// Returns how to choose an engine for an item.
@@ -93,6 +94,9 @@
         let is_critical = item.is_some_and(|item| open.estimate.is_critical(item, &self.lengths));
         match policies.prefer_fast_engines {
             false => EnginePreference::LeastLoaded,
+            true if self.matches_speed(open.batch.model.as_deref()) => {
+                EnginePreference::FastestLasting
+            }
             true if is_critical || !policies.bounded_batch_width => EnginePreference::Fastest,
             true => EnginePreference::Connected,
         }
@@ -132,6 +136,7 @@
             started_at: BootInstant::now(),
             has_moved: false,
             move_target: None,
+            is_move_withheld: false,
         };
         let spec = RunSpec {
             context: Arc::clone(&self.context),
--- a/crates/sloetrail-serving/src/owner/service_owner/quarantined_items.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/quarantined_items.rs
@@ -46,28 +46,36 @@
 
     /// Sets the quarantined items at the head of a batch's queue aside.
     pub(super) fn set_aside_quarantined(&mut self, id: &BatchId) {
-        if self.context.quarantine.assessment().is_empty(&self.service) {
-            return;
-        }
         while let Some(index) = self.batches.get(id).and_then(|open| open.batch.peek()) {
-            let Some(permit) = self.quarantine_permit(id, index) else {
-                return;
-            };
-            let key = (id.clone(), index);
-            if permit.is_on_trial() {
-                self.quarantined.on_trial.insert(key, permit);
+            if !self.set_aside_if_quarantined(id, index) {
                 return;
             }
-            if permit.is_open() {
-                return;
-            }
-            self.quarantined.items.insert(key, permit);
-            if let Some(open) = self.batches.get_mut(id) {
-                open.batch.remove_from_queue(index);
-            }
         }
     }
 
+    /// Sets a waiting item aside if it is quarantined. Returns true if it was set aside.
+    pub(super) fn set_aside_if_quarantined(&mut self, id: &BatchId, index: ItemIndex) -> bool {
+        if self.context.quarantine.assessment().is_empty(&self.service) {
+            return false;
+        }
+        let Some(permit) = self.quarantine_permit(id, index) else {
+            return false;
+        };
+        let key = (id.clone(), index);
+        if permit.is_on_trial() {
+            self.quarantined.on_trial.insert(key, permit);
+            return false;
+        }
+        if permit.is_open() {
+            return false;
+        }
+        self.quarantined.items.insert(key, permit);
+        if let Some(open) = self.batches.get_mut(id) {
+            open.batch.remove_from_queue(index);
+        }
+        true
+    }
+
     /// Returns released items to their queues and requests a trial for one item that is eligible.
     pub(super) fn release_quarantined_items(&mut self) {
         let batches = &self.batches;
--- a/crates/sloetrail-serving/src/owner/service_owner/relocation.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/relocation.rs
@@ -3,19 +3,23 @@
 //! A step ends when its longest texts are complete, and by then most slots are free. A text is
 //! moved to a faster engine with a free slot if the saved time outweighs the cost of processing
 //! its prefix again. A slot is reserved on the target, the run is closed, and the item continues
-//! on the target after its last event.
+//! on the target after its last event. While slots are scarce, the rules of `late_texts` apply
+//! instead.
 
-use super::{ActiveRun, ServiceOwner};
+use super::{ActiveRun, OpenBatch, ServiceOwner};
 use crate::events::{self, Event};
 use crate::owner::engine::ModelRequirement;
 use crate::owner::engines::{EnginePool, FreeEngine, SIMILAR_INTERVAL_FACTOR};
+use crate::owner::event_interval::EventIntervalMeter;
+use crate::owner::scarce_move::WithheldMove;
+use crate::telemetry;
 use sloetrail_batch::{Batch, BatchId, ItemIndex, LengthModel};
 use sloetrail_clock::BootInstant;
 use sloetrail_types::{EngineId, whole_millis};
 use std::time::Duration;
 
 /// Minimum time that a move must save, to cover processing the prefix again.
-const MIN_GAIN: Duration = Duration::from_millis(250);
+pub(super) const MIN_GAIN: Duration = Duration::from_millis(250);
 /// Minimum duration of a run before its first move. Until then the engine's event interval reflects
 /// earlier runs.
 const MIN_RUN_TIME: Duration = Duration::from_millis(400);
@@ -26,17 +30,17 @@
 const MIN_CRITICAL_SHARE: f64 = 0.75;
 
 /// A run that may be moved.
-struct Candidate {
-    index: ItemIndex,
+pub(super) struct Candidate {
+    pub(super) index: ItemIndex,
     /// Expected number of events that remain.
-    remaining: f64,
+    pub(super) remaining: f64,
     /// Event interval of the current engine.
-    event_interval_us: u64,
+    pub(super) event_interval_us: u64,
 }
 
 impl Candidate {
     /// Expected time until completion on the current engine.
-    fn time_left_us(&self) -> f64 {
+    pub(super) fn time_left_us(&self) -> f64 {
         self.event_interval_us as f64 * self.remaining
     }
 
@@ -56,7 +60,11 @@
     /// Cancels runs on slow engines while fast engines have free slots. The items continue there
     /// from the text so far.
     pub(super) fn move_from_slow_engines(&mut self, now: BootInstant) {
-        for open in self.batches.values() {
+        let matches_speed = self.context.settings.policies.match_engine_speed;
+        let service = self.service.as_str();
+        for open in self.batches.values_mut() {
+            let model = open.batch.model.as_deref();
+            let is_withheld = matches_speed && self.usage.is_scarce(model);
             let requirement = ModelRequirement {
                 model: open.batch.model.as_deref(),
                 oldest_version: open.batch.oldest_version,
@@ -65,13 +73,19 @@
                 continue;
             }
             let mut slots = self.engines.free_fast_slots(requirement, now);
-            for run in open.runs.values() {
+            for run in open.runs.values_mut() {
                 let engine = self.engines.get(&run.engine);
                 let is_slow = engine.is_some_and(|engine| engine.is_slow());
-                if slots > 0 && is_slow && !run.cancel.is_cancelled() {
-                    run.cancel.cancel();
-                    slots -= 1;
+                if slots == 0 || !is_slow || run.cancel.is_cancelled() {
+                    continue;
+                }
+                slots -= 1;
+                if is_withheld {
+                    run.withhold_move(service, WithheldMove::SlowEngine);
+                    continue;
                 }
+                telemetry::item_moved(service, "slow_engine");
+                run.cancel.cancel();
             }
         }
     }
@@ -79,10 +93,16 @@
     /// Closes the runs of long texts that would complete sooner on a faster engine with a free
     /// slot.
     pub(super) fn move_long_texts(&mut self, now: BootInstant) {
-        if !self.context.settings.policies.move_long_texts {
+        let policies = self.context.settings.policies;
+        if !policies.move_long_texts {
             return;
         }
+        let service = self.service.as_str();
         for (id, open) in &mut self.batches {
+            let model = open.batch.model.as_deref();
+            if policies.match_engine_speed && self.usage.is_scarce(model) {
+                continue;
+            }
             let requirement = ModelRequirement {
                 model: open.batch.model.as_deref(),
                 oldest_version: open.batch.oldest_version,
@@ -91,7 +111,9 @@
             let runs = open.runs.iter();
             let mut candidates: Vec<Candidate> = runs
                 .filter_map(|(index, run)| {
-                    candidate(&open.batch, *index, run, &self.engines, &self.lengths, now)
+                    let (engines, lengths) = (&self.engines, &self.lengths);
+                    let interval_us = EventIntervalMeter::microseconds;
+                    candidate(&open.batch, *index, run, engines, lengths, now, interval_us)
                 })
                 .collect();
             retain_critical(&mut candidates);
@@ -104,22 +126,8 @@
                 let Some(gain) = gain.filter(|gain| *gain >= MIN_GAIN) else {
                     continue;
                 };
-                let Some(run) = open.runs.get_mut(&candidate.index) else {
-                    continue;
-                };
-                events::emit(&Event::ItemMoved {
-                    item: &open.batch.item(candidate.index).submitted.id,
-                    batch: id,
-                    from: run.engine.as_str(),
-                    to: engine.id.as_str(),
-                    remaining_events: candidate.remaining as u64,
-                    gain_ms: whole_millis(gain),
-                });
-                run.move_target = Some(engine.id.clone());
-                run.cancel.cancel();
-                if let Some(engine) = self.engines.get_mut(&engine.id) {
-                    engine.reserve_slot(now);
-                }
+                telemetry::item_moved(service, "long_text");
+                close_for_move(id, open, &mut self.engines, &candidate, engine, gain, now);
                 target = free.next();
             }
         }
@@ -153,6 +161,34 @@
     }
 }
 
+/// Closes the run of a text so that it continues on `target`, where a slot is reserved for it.
+pub(super) fn close_for_move(
+    id: &BatchId,
+    open: &mut OpenBatch,
+    engines: &mut EnginePool,
+    text: &Candidate,
+    target: &FreeEngine,
+    gain: Duration,
+    now: BootInstant,
+) {
+    let Some(run) = open.runs.get_mut(&text.index) else {
+        return;
+    };
+    events::emit(&Event::ItemMoved {
+        item: &open.batch.item(text.index).submitted.id,
+        batch: id,
+        from: run.engine.as_str(),
+        to: target.id.as_str(),
+        remaining_events: text.remaining as u64,
+        gain_ms: whole_millis(gain),
+    });
+    run.move_target = Some(target.id.clone());
+    run.cancel.cancel();
+    if let Some(engine) = engines.get_mut(&target.id) {
+        engine.reserve_slot(now);
+    }
+}
+
 /// Retains the texts that determine when their batch completes, sorted by remaining time, longest
 /// first.
 fn retain_critical(candidates: &mut Vec<Candidate>) {
@@ -163,13 +199,14 @@
 }
 
 /// None if the run is too recent, cancelled, or its remaining time cannot be estimated yet.
-fn candidate(
+pub(super) fn candidate(
     batch: &Batch,
     index: ItemIndex,
     run: &ActiveRun,
     engines: &EnginePool,
     lengths: &LengthModel,
     now: BootInstant,
+    interval_us: impl Fn(&EventIntervalMeter) -> Option<u64>,
 ) -> Option<Candidate> {
     let min_run_time = match run.has_moved {
         true => MIN_STAY,
@@ -179,7 +216,7 @@
     if is_recent || run.cancel.is_cancelled() {
         return None;
     }
-    let event_interval_us = engines.get(&run.engine)?.event_interval.microseconds()?;
+    let event_interval_us = interval_us(&engines.get(&run.engine)?.event_interval)?;
     let generated = run.progress.event_count();
     let hint = batch.item(index).expected_length;
     let remaining = lengths.remaining_events(hint, generated)?;
--- /dev/null
+++ b/crates/sloetrail-serving/src/owner/service_owner/speed_matching.rs
@@ -0,0 +1,66 @@
+//! Applies the matching of texts to engines by speed while slots are scarce.
+
+use super::{OpenBatch, ServiceOwner};
+use crate::owner::speed_match::{WaitingText, choose_text};
+use sloetrail_batch::{BatchId, ItemIndex, LengthModel};
+use sloetrail_clock::BootInstant;
+use sloetrail_types::EngineId;
+use std::time::Duration;
+
+impl OpenBatch {
+    /// Time until the batch is due, zero afterwards. None if its route has no run target.
+    pub(super) fn time_left(&self) -> Option<Duration> {
+        let run_target = self.batch.header.run_target.duration();
+        (!run_target.is_zero()).then(|| run_target.saturating_sub(self.age()))
+    }
+
+    /// The waiting texts that may be dispatched instead of the next one, in dispatch order.
+    fn waiting_texts(&self, lengths: &LengthModel) -> impl Iterator<Item = WaitingText> {
+        self.batch.waiting_in_class().map(|index| {
+            let item = self.batch.item(index);
+            let (hint, generated) = (item.expected_length, item.transcript.len());
+            WaitingText {
+                index,
+                remaining_units: lengths.remaining_units(hint, generated),
+                remaining_events: lengths.remaining_events(hint, generated),
+            }
+        })
+    }
+}
+
+impl ServiceOwner {
+    /// True if texts of a model are matched to engines by speed.
+    pub(super) fn matches_speed(&self, model: Option<&str>) -> bool {
+        self.context.settings.policies.match_engine_speed && self.usage.is_scarce(model)
+    }
+
+    /// The waiting item of a batch for a free slot at an engine: the next one unless texts are
+    /// matched to engines. None if no item waits.
+    pub(super) fn item_for_engine(&mut self, id: &BatchId, engine: &EngineId) -> Option<ItemIndex> {
+        let open = self.batches.get(id)?;
+        let next = open.batch.peek();
+        if !self.matches_speed(open.batch.model.as_deref()) {
+            return next;
+        }
+        let speed = self.engines.speed(engine);
+        loop {
+            let open = self.batches.get(id)?;
+            let texts = open.waiting_texts(&self.lengths);
+            let index = choose_text(texts, speed, open.time_left())?;
+            // The next item has been checked. Another one may be quarantined.
+            if Some(index) == next || !self.set_aside_if_quarantined(id, index) {
+                return Some(index);
+            }
+        }
+    }
+
+    /// Updates which engines are slow. Returns true if any became slow or recovered.
+    pub(super) fn update_slow_engines(&mut self, now: BootInstant) -> bool {
+        match self.context.settings.policies.match_engine_speed {
+            true => self
+                .engines
+                .update_slow_engines_by_scarcity(now, |model| self.usage.is_scarce(Some(model))),
+            false => self.engines.update_slow_engines(),
+        }
+    }
+}
--- a/crates/sloetrail-serving/src/policies.rs
+++ b/crates/sloetrail-serving/src/policies.rs
@@ -37,6 +37,9 @@
     /// Answers a long poll for results once the groups that its trainer requires are complete,
     /// instead of on the first result.
     pub gather_results: bool,
+    /// While slots are scarce, matches texts to engines by lasting speed: slower engines run the
+    /// shortest texts, and a text is moved only if it would be late.
+    pub match_engine_speed: bool,
 }
 
 impl Default for Policies {
@@ -54,6 +57,7 @@
             hedge_by_answer_times: true,
             order_engines: true,
             gather_results: true,
+            match_engine_speed: true,
         }
     }
 }
--- a/crates/sloetrail-serving/src/telemetry.rs
+++ b/crates/sloetrail-serving/src/telemetry.rs
@@ -180,6 +180,19 @@
     gauge!("sloetrail_model_capacity_events_per_second", &labels).set(events_per_second);
 }
 
+/// Counts a run that is closed so that its text continues at another engine.
+pub(crate) fn item_moved(service: &str, cause: &'static str) {
+    let service = SERVICES.bounded(service);
+    counter!("sloetrail_items_moved_total", "service" => service, "cause" => cause).increment(1);
+}
+
+/// Counts a run that stays where it is, although its text would end earlier at another engine.
+pub(crate) fn item_move_withheld(service: &str, cause: &'static str) {
+    let service = SERVICES.bounded(service);
+    counter!("sloetrail_item_moves_withheld_total", "service" => service, "cause" => cause)
+        .increment(1);
+}
+
 /// Sets the number of complete texts of a service that wait for their scores.
 pub(crate) fn scores_waiting(service: &str, waiting: usize) {
     let service = SERVICES.bounded(service);
