Tests of moves while slots are scarce, with an in-process cluster

Change: one test has the last texts of a batch run at a slower engine and end in time, another has them overdue. The first must close no run, the second must continue texts elsewhere.

That the due time is respected by the new rule is guarded by the unit test only.

--- a/crates/sloetrail-serving/src/owner/service_owner/late_texts.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/late_texts.rs
@@ -1,7 +1,7 @@
 //! Moves running texts that would be late to faster engines while slots are scarce.
 
 use super::relocation::{Candidate, MIN_GAIN, candidate, close_for_move};
-use super::{OpenBatch, ServiceOwner};
+use super::{ActiveRun, OpenBatch, ServiceOwner};
 use crate::owner::engine::ModelRequirement;
 use crate::owner::engines::{EnginePool, FreeEngine};
 use crate::owner::event_interval::EventIntervalMeter;
@@ -45,7 +45,11 @@
                         close_for_move(id, open, engines, &text, target, gain, now);
                         free.next();
                     }
-                    MoveDecision::Withheld(cause) => open.withhold_move(&text, service, cause),
+                    MoveDecision::Withheld(cause) => {
+                        if let Some(run) = open.runs.get_mut(&text.index) {
+                            run.withhold_move(service, cause);
+                        }
+                    }
                     MoveDecision::NoGain => {}
                 }
             }
@@ -53,16 +57,7 @@
     }
 }
 
-impl OpenBatch {
-    /// Counts a withheld move, once for each run.
-    fn withhold_move(&mut self, text: &Candidate, service: &str, cause: WithheldMove) {
-        if let Some(run) = self.runs.get_mut(&text.index) {
-            run.withhold_move(service, cause);
-        }
-    }
-}
-
-impl super::ActiveRun {
+impl ActiveRun {
     /// Counts a withheld move, once for each run.
     pub(super) fn withhold_move(&mut self, service: &str, cause: WithheldMove) {
         if !std::mem::replace(&mut self.is_move_withheld, true) {
--- a/crates/sloetrail-serving/tests/engine_speeds.rs
+++ b/crates/sloetrail-serving/tests/engine_speeds.rs
@@ -3,11 +3,11 @@
 mod support;
 
 use sloetrail_serving_testkit::client::{batch, item};
-use sloetrail_serving_testkit::cluster::MODEL;
+use sloetrail_serving_testkit::cluster::{Cluster, MODEL, usual_routes};
 use sloetrail_serving_testkit::engine::{FakeEngine, RunRecord};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use support::{accepted, assert_each_once, native_cluster};
+use support::{accepted, assert_each_once, native_cluster, submit_items};
 
 const ITEMS: usize = 440;
 const MIN_EVENTS: usize = 10;
@@ -75,3 +75,53 @@
         "no run is cancelled because its engine is slow"
     );
 }
+
+/// Runs a batch of equally long texts with this run target on two fast engines and a slower one,
+/// which has the last texts. Returns the cluster and the slower engine.
+async fn run_batch_on_mixed_engines(run_target_ms: u64, events: u64) -> (Cluster, Arc<FakeEngine>) {
+    const TEXTS: usize = 180;
+    let mut cluster = native_cluster();
+    let mut routes = usual_routes();
+    for route in routes.as_array_mut().expect("routes") {
+        if route["name"] == "rollout" {
+            route["run_target_ms"] = run_target_ms.into();
+        }
+    }
+    cluster.configure(routes);
+    cluster.add_application("zone-a").await;
+    cluster.add_engine(FAST).await;
+    cluster.add_engine(FAST).await;
+    let slower = cluster.add_engine(SLOWER).await;
+    let node = cluster.add_node("node-1").await;
+    cluster.wait_ready(node).await;
+    submit_items(&cluster, node, "b1", TEXTS, events).await;
+    let results = cluster.wait_results(node, "b1", TEXTS).await;
+    assert_each_once(&results, TEXTS);
+    (cluster, slower)
+}
+
+fn abandoned_runs(engine: &FakeEngine) -> usize {
+    let runs = engine.runs();
+    runs.iter().filter(|run| run.abandoned).count()
+}
+
+/// Load: slots are scarce, and the last texts run on a slower engine while slots of faster ones
+/// become free. Guards against interrupting texts that end before their batch is due.
+#[tokio::test(flavor = "multi_thread")]
+async fn texts_that_end_in_time_stay_at_a_slower_engine_while_slots_are_scarce() {
+    // 1.5 s at the slower engine. Slots remain scarce for about 2 s once few texts run.
+    let (_cluster, slower) = run_batch_on_mixed_engines(60_000, 30).await;
+    assert!(slower.runs().len() >= 16, "{} runs", slower.runs().len());
+    assert_eq!(abandoned_runs(&slower), 0);
+}
+
+/// Load: as above, but the batch is overdue. Guards against texts that stay at a slower engine
+/// although they would end much sooner at a faster one.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_texts_move_to_faster_engines_while_slots_are_scarce() {
+    let (cluster, slower) = run_batch_on_mixed_engines(4_000, 40).await;
+    assert!(abandoned_runs(&slower) > 0);
+    let runs = cluster.engines.iter().flat_map(|engine| engine.runs());
+    let continued = runs.filter(|run| run.last_event.is_some()).count();
+    assert!(continued > 0, "the texts continue after their last event");
+}
