--- a/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
@@ -107,7 +107,10 @@
         let Some(engine_id) = picked else {
             return StartOutcome::NoRoom;
         };
-        match self.start_item_on(id, next, engine_id, priority) {
+        let index = self.item_for_engine(id, class, &engine_id);
+        let has_started =
+            index.is_some_and(|index| self.start_item_on(id, index, engine_id, priority));
+        match has_started {
             true => StartOutcome::Started,
             false => StartOutcome::NoItem,
         }
@@ -120,6 +123,9 @@
         let is_critical = open.estimate.is_critical(item, &self.lengths);
         match policies.prefer_fast_engines {
             false => EnginePreference::LeastLoaded,
+            true if self.matches_speed(open.batch.model.as_deref()) => {
+                EnginePreference::FastestLasting
+            }
             true if is_critical || !policies.bounded_batch_width => EnginePreference::Fastest,
             true => EnginePreference::Connected,
         }
@@ -159,6 +165,7 @@
             started_at: BootInstant::now(),
             has_moved: false,
             move_target: None,
+            is_move_withheld: false,
         };
         let spec = RunSpec {
             context: Arc::clone(&self.context),
--- a/crates/sloetrail-serving/src/policies.rs
+++ b/crates/sloetrail-serving/src/policies.rs
@@ -43,6 +43,9 @@
     /// Chooses which required groups to complete by the due time while not all of them fit, and
     /// runs the others after them, one after another.
     pub triage_groups: bool,
+    /// While slots are scarce, matches texts to engines by lasting speed: slower engines run the
+    /// shortest texts, and a text is moved only if it would be late.
+    pub match_engine_speed: bool,
 }
 
 impl Default for Policies {
@@ -62,6 +65,7 @@
             gather_results: true,
             assign_by_backlog: true,
             triage_groups: true,
+            match_engine_speed: true,
         }
     }
 }
