Work that a batch's required groups still need

The backlog ahead of a new batch is what open batches still have to run before their trainers have the groups that they wait for.

--- a/crates/sloetrail-batch/src/groups.rs
+++ b/crates/sloetrail-batch/src/groups.rs
@@ -80,6 +80,25 @@
         self.required
     }
 
+    /// The number of groups that are required beyond the complete ones.
+    pub(crate) fn required_remaining(&self) -> usize {
+        self.required.saturating_sub(self.completed)
+    }
+
+    /// The index of an item's group.
+    pub(crate) fn group_of(&self, index: ItemIndex) -> usize {
+        self.group_of_item[index]
+    }
+
+    /// The indexes of the incomplete groups, and whether each is carried over from an earlier
+    /// batch.
+    pub(crate) fn incomplete(&self) -> impl Iterator<Item = (usize, bool)> {
+        let groups = self.groups.iter().enumerate();
+        groups
+            .filter(|(_, group)| group.remaining > 0)
+            .map(|(index, group)| (index, group.is_carried))
+    }
+
     /// The number of complete groups.
     pub fn completed(&self) -> usize {
         self.completed
--- a/crates/sloetrail-batch/src/length_model.rs
+++ b/crates/sloetrail-batch/src/length_model.rs
@@ -68,6 +68,11 @@
         events.map_or(units as f64, |events| events * self.mean.exp())
     }
 
+    /// The units of the hints per event. None until enough texts have finished.
+    pub fn units_per_event(&self) -> Option<f64> {
+        (self.texts >= MIN_TEXTS).then(|| self.mean.exp())
+    }
+
     /// Returns the average factor between hint and length. 1.0 if hints are exact.
     pub fn hint_error(&self) -> f64 {
         self.deviation.exp()
--- a/crates/sloetrail-batch/src/lib.rs
+++ b/crates/sloetrail-batch/src/lib.rs
@@ -20,6 +20,7 @@
 mod item;
 mod length_model;
 mod reported_result;
+mod required_work;
 mod result;
 mod segment;
 mod submission;
