Batches whose work could not begin before they are due are refused

Batches that together need more engine time than there is before they are due were all accepted and ended late together. The owner of a batch set now writes its open required work to a row of the lease table while that is long, and the accepting node refuses a batch of a route with a run target (503, code 1114) while the work that goes before it takes longer than its run target. Without a fresh report everything is accepted as before. The decision and the times of the writes have unit tests; all of them pass, as do those of the operations page and of submissions.

--- a/crates/sloetrail-result/src/code.rs
+++ b/crates/sloetrail-result/src/code.rs
@@ -81,6 +81,7 @@
     RequestQuarantined = 1111, NotRun, 503, "request quarantined", "Back ends have crashed under this request one after the other; it is kept from them.", "Do not repeat it before the time given; an operator can release it by its digest.";
     AllowedNowhere = 1112, NotRun, 503, "allowed nowhere", "Route and tenant allow no region in common: no engine may ever serve the request.", "Correct the regions in the configuration; asking again does not help before.";
     NoAllowedEngine = 1113, NotRun, 503, "no allowed engine", "No engine of the service takes work now in the regions where the request is allowed.", "Ask again after the time given; engines of other regions may be free and are not used.";
+    BacklogTooLong = 1114, NotRun, 503, "backlog too long", "The open work of the batch's model takes longer than until the batch is due.", "Send the same batch again after the time given.";
     KeyInProgress = 1201, OutcomeUnknown, 409, "key in progress", "A request with this key is being run, or its outcome was lost.", "Ask again with the same key; it will not run twice.";
     EngineLost = 1202, OutcomeUnknown, 502, "engine lost", "The engine was lost after the request was sent.", "Look whether it took effect before repeating it.";
     EngineTimeout = 1203, OutcomeUnknown, 504, "engine timeout", "The engine did not answer before the deadline.", "Look whether it took effect before repeating it.";
--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -454,6 +454,18 @@
         /// The outcome of the write.
         outcome: &'a str,
     },
+    /// The owner of batches reported how long their open work takes.
+    BacklogReported {
+        /// The name of the lease.
+        service: &'a str,
+        /// The number of models whose open work is long.
+        models: usize,
+        /// The longest time to finish of a model.
+        max_ms: u64,
+        epoch: u64,
+        /// The outcome of the write.
+        outcome: &'a str,
+    },
     /// A number of engines was ordered for a zone.
     EnginesOrdered {
         service: &'a str,
--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -40,6 +40,7 @@
             | Event::BackEndCrashed { .. }
             | Event::PaceChanged { .. }
             | Event::DemandTold { .. }
+            | Event::BacklogReported { .. }
             | Event::EnginesOrdered { .. } => "engine",
             Event::RequestAnswered { .. }
             | Event::RequestFailed { .. }
--- a/crates/sloetrail-serving/src/gateway/call_handler.rs
+++ b/crates/sloetrail-serving/src/gateway/call_handler.rs
@@ -15,7 +15,7 @@
     with_request_id,
 };
 use super::stream::{self, StreamOutcome};
-use super::submit::{self, SubmissionCall, WaitingSubmissions};
+use super::submit::{self, SubmissionCall, SubmissionState};
 use crate::context::NodeContext;
 use crate::http::CompleteAnswer;
 use bytes::{Bytes, BytesMut};
@@ -43,7 +43,7 @@
     /// The choice among the services of each route, by the route's name.
     service_choices: Mutex<HashMap<String, WeightedChoice>>,
     body_budget: BodyBudget,
-    waiting_submissions: WaitingSubmissions,
+    submissions: SubmissionState,
     choice_seed: f64,
 }
 
@@ -69,7 +69,7 @@
         let body_budget_bytes = context.settings.bounds.body_budget_bytes;
         Self {
             body_budget: BodyBudget::new(body_budget_bytes),
-            waiting_submissions: WaitingSubmissions::new(body_budget_bytes),
+            submissions: SubmissionState::new(body_budget_bytes),
             context,
             service_choices: Mutex::default(),
             choice_seed,
@@ -351,7 +351,7 @@
             received: log.received,
             deadline: log.deadline,
         };
-        submit::submit(&self.context, &self.waiting_submissions, call).await
+        submit::submit(&self.context, &self.submissions, call).await
     }
 
     /// Claims the request's idempotency key, if it has one.
--- a/crates/sloetrail-serving/src/gateway/submit.rs
+++ b/crates/sloetrail-serving/src/gateway/submit.rs
@@ -8,20 +8,28 @@
 //!
 //! A submission during an outage of the table waits for the outage to end, for a share of
 //! the caller's time ([`waiting`]). It is then refused with a retry delay.
+//!
+//! A batch whose work could not begin before it is due is refused before anything is written
+//! ([`admission`]).
 
+mod admission;
+mod admission_control;
 mod resubmission;
+mod unsettled;
 mod waiting;
 
 pub(crate) use self::resubmission::{confirm_accepted_batch, find_accepted_batch};
-pub(crate) use self::waiting::WaitingSubmissions;
 
-use self::waiting::{AcceptanceError, wait_for_table};
+use self::admission::SubmittedBatch;
+use self::admission_control::AdmissionControl;
+use self::waiting::{AcceptanceError, WaitingSubmissions, wait_for_table};
 use super::batch_lookup::{RETRY_AFTER, find_header, table_unavailable};
 use super::regions;
 use super::response::{CallerResponse, empty_response, problem_response};
 use crate::batch_rows::encode_header;
 use crate::context::NodeContext;
 use crate::events::{self, Event};
+use crate::length_hint::hinted_length;
 use crate::rows;
 use crate::table::{Commit, CommitError, Transaction};
 use crate::telemetry;
@@ -29,7 +37,7 @@
 use http::StatusCode;
 use sloetrail_batch::{BatchHeader, Submission, is_usable_id};
 use sloetrail_clock::BootInstant;
-use sloetrail_result::{Problem, ResultCode};
+use sloetrail_result::{Kind, Problem, ResultCode};
 use sloetrail_routing::{Route, ServingConfiguration, Tenant, WeightedService};
 use sloetrail_types::{AllowedRegions, ServiceName, Timestamp, whole_millis};
 use std::time::Duration;
@@ -57,6 +65,32 @@
     regions: AllowedRegions,
 }
 
+impl AcceptedBatch {
+    fn repeated(header: &BatchHeader) -> Self {
+        Self {
+            acceptance: Acceptance::Repeated,
+            items: header.total,
+            regions: header.allowed_regions.clone(),
+        }
+    }
+}
+
+/// What a node keeps on the submissions to it.
+pub(crate) struct SubmissionState {
+    waiting: WaitingSubmissions,
+    admission: AdmissionControl,
+}
+
+impl SubmissionState {
+    /// `body_budget_bytes` is the budget for all request bodies of the node.
+    pub(crate) fn new(body_budget_bytes: usize) -> Self {
+        Self {
+            waiting: WaitingSubmissions::new(body_budget_bytes),
+            admission: AdmissionControl::default(),
+        }
+    }
+}
+
 pub(crate) struct SubmissionCall<'a> {
     pub(crate) configuration: &'a ServingConfiguration,
     pub(crate) route: &'a Route,
@@ -76,12 +110,12 @@
 /// Accepts or refuses a submission, and logs the outcome.
 pub(crate) async fn submit(
     context: &NodeContext,
-    waiting: &WaitingSubmissions,
+    state: &SubmissionState,
     call: SubmissionCall<'_>,
 ) -> CallerResponse {
     let (id, service) = (call.id, call.service);
     let started_at = BootInstant::now();
-    let outcome = accept(context, waiting, &call).await;
+    let outcome = accept(context, state, &call).await;
     match outcome {
         Ok(accepted) => {
             let outcome_label = match accepted.acceptance {
@@ -113,7 +147,7 @@
 
 async fn accept(
     context: &NodeContext,
-    waiting: &WaitingSubmissions,
+    state: &SubmissionState,
     call: &SubmissionCall<'_>,
 ) -> Result<AcceptedBatch, Problem> {
     let SubmissionCall {
@@ -128,6 +162,8 @@
     let items = submission.items.len();
     let regions = regions::for_batch(call.configuration, &call.regions, &submission);
     let (model, oldest_version) = (submission.model.clone(), submission.min_version);
+    let hint_header = &context.dialect.headers().length_hint;
+    let required_units = submission.required_units(|item| hinted_length(item, hint_header));
     // Frees the parsed form: only the body is retained while the submission waits for the table.
     drop(submission);
     let parts = split_body(body, context.table.limits().row_bytes);
@@ -148,17 +184,33 @@
         model,
         oldest_version: oldest_version.unwrap_or_default(),
     };
+    let admission = &state.admission;
+    let is_refusing = context.settings.policies.refuse_unservable;
+    let batch = SubmittedBatch::new(&header, required_units).filter(|_| is_refusing);
+    if let Some(batch) = &batch
+        && let Some(accepted) = admission.check(context, call, &header, batch).await?
+    {
+        return Ok(AcceptedBatch::repeated(&accepted));
+    }
     let transactions = transactions(context, id, &parts, &header);
     let commit = BatchCommit {
         context,
-        waiting,
+        waiting: &state.waiting,
         id,
         body_bytes: body.len(),
         acceptance_deadline: acceptance_deadline(call.received, call.deadline),
         deadline: call.deadline,
         is_outcome_unknown: false,
     };
-    let acceptance = commit.run(&transactions).await?;
+    let open_submission = admission.unsettled.begin(id);
+    let outcome = commit.run(&transactions).await;
+    if !matches!(&outcome, Err(problem) if problem.kind != Kind::NotRun) {
+        open_submission.settle();
+    }
+    let acceptance = outcome?;
+    if let (Acceptance::New, Some(batch)) = (&acceptance, batch) {
+        admission.record_accepted(&header, batch);
+    }
     Ok(AcceptedBatch {
         acceptance,
         items,
--- a/crates/sloetrail-serving/src/leases/resource.rs
+++ b/crates/sloetrail-serving/src/leases/resource.rs
@@ -68,6 +68,11 @@
         header.service == self.service && header.allowed_regions == self.regions
     }
 
+    /// The name of the lease.
+    pub(crate) fn name(&self) -> &str {
+        &self.name
+    }
+
     pub(crate) fn service(&self) -> &ServiceName {
         &self.service
     }
--- a/crates/sloetrail-serving/src/lib.rs
+++ b/crates/sloetrail-serving/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod http;
 pub mod lease_holder;
 mod leases;
+mod length_hint;
 mod loss_backoff;
 pub mod native_dialect;
 mod node;
--- a/crates/sloetrail-serving/src/owner/event.rs
+++ b/crates/sloetrail-serving/src/owner/event.rs
@@ -37,7 +37,9 @@
     /// Orders for engine counts ended.
     SupplyOrdersEnded(SupplyOrdersOutcome),
     /// A write of the set's slot demand ended.
-    DemandWritten(DemandWriteOutcome),
+    DemandWritten(ReportWriteOutcome),
+    /// A write of the set's backlog ended.
+    BacklogWritten(ReportWriteOutcome),
 }
 
 pub(super) struct Committed {
@@ -72,9 +74,9 @@
     pub(super) fenced: bool,
 }
 
-/// Outcome of a write of a slot demand row.
+/// Outcome of a write of a slot demand row or a backlog row.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum DemandWriteOutcome {
+pub(super) enum ReportWriteOutcome {
     Done,
     /// The table did not answer; the row may or may not be written.
     Unknown,
@@ -82,13 +84,13 @@
     Fenced,
 }
 
-impl DemandWriteOutcome {
+impl ReportWriteOutcome {
     /// The label in log events.
     pub(super) fn as_str(self) -> &'static str {
         match self {
-            DemandWriteOutcome::Done => "written",
-            DemandWriteOutcome::Unknown => "no answer",
-            DemandWriteOutcome::Fenced => "fenced",
+            ReportWriteOutcome::Done => "written",
+            ReportWriteOutcome::Unknown => "no answer",
+            ReportWriteOutcome::Fenced => "fenced",
         }
     }
 }
--- a/crates/sloetrail-serving/src/owner/loading.rs
+++ b/crates/sloetrail-serving/src/owner/loading.rs
@@ -2,6 +2,7 @@
 
 use crate::batch_rows::{CheckpointedWork, read_checkpointed_work, read_results, read_submission};
 use crate::context::NodeContext;
+use crate::length_hint::hinted_length;
 use crate::table::{ReadError, Table};
 use sloetrail_batch::{
     Batch, BatchHeader, BatchId, ItemId, ItemIndex, ItemState, Submission, SubmittedItem,
@@ -64,15 +65,8 @@
     let Ok(submission) = Submission::parse(&stored) else {
         return Ok(None);
     };
-    let hint = &context.dialect.headers().length_hint;
-    let expected_length = |item: &SubmittedItem| {
-        let hinted = item
-            .headers
-            .iter()
-            .find(|(name, _)| name.eq_ignore_ascii_case(hint.as_str()))
-            .and_then(|(_, value)| value.trim().parse().ok());
-        hinted.unwrap_or(item.tokens)
-    };
+    let hint_header = &context.dialect.headers().length_hint;
+    let expected_length = |item: &SubmittedItem| hinted_length(item, hint_header);
     let header = header.clone();
     let mut batch = Batch::new(id.clone(), header, submission, expected_length, carried);
     let listed = match origin {
--- a/crates/sloetrail-serving/src/owner/mod.rs
+++ b/crates/sloetrail-serving/src/owner/mod.rs
@@ -7,8 +7,11 @@
 //! groups ([`committer`]) and brings engines to the published weight versions
 //! ([`weight_update_plan`], [`order_task`]). Only the owner of unbound batches sends orders to
 //! engines; the other owners report their slot demand to it ([`slot_demand`]).
+//! While open work is long, an owner reports it to the nodes that accept batches
+//! ([`backlog_report`]).
 
 mod assignment;
+pub(crate) mod backlog_report;
 mod batch_scheduler;
 mod bound_demand;
 mod committer;
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -1,5 +1,6 @@
 //! The owner of a batch set during one lease term: its event loop and open batches.
 
+mod backlog;
 mod batches;
 mod demand;
 mod dispatch;
@@ -15,6 +16,7 @@
 use self::other_batches::OtherBatches;
 use self::quarantined_items::QuarantinedItems;
 use self::supply::SupplyState;
+use super::backlog_report::{BacklogReporter, RecentCapacities};
 use super::committer::{CommitRequest, commit_results};
 use super::engine::SendLimits;
 use super::engines::EnginePool;
@@ -149,6 +151,9 @@
     supply: SupplyState,
     /// Reports slot demand if another owner controls the engine count.
     demand: DemandReporter,
+    /// Reports the backlog to the nodes that accept batches.
+    backlog_reporter: BacklogReporter,
+    recent_capacities: RecentCapacities,
     events: mpsc::UnboundedReceiver<OwnerEvent>,
     sender: mpsc::UnboundedSender<OwnerEvent>,
     commits: mpsc::UnboundedSender<CommitRequest>,
@@ -198,6 +203,8 @@
             is_opening_window: false,
             supply: SupplyState::default(),
             demand: DemandReporter::new(BootInstant::now()),
+            backlog_reporter: BacklogReporter::new(BootInstant::now()),
+            recent_capacities: RecentCapacities::default(),
             events,
             sender,
             commits,
@@ -344,6 +351,7 @@
             OwnerEvent::BaselineRead(baseline) => self.baseline_read(baseline),
             OwnerEvent::SupplyOrdersEnded(outcome) => self.supply_orders_ended(outcome),
             OwnerEvent::DemandWritten(outcome) => self.demand_written(outcome),
+            OwnerEvent::BacklogWritten(outcome) => self.backlog_written(outcome),
             OwnerEvent::OrderEnded(end) => {
                 self.weights_due = true;
                 self.order_ended(end);
@@ -373,6 +381,7 @@
         self.report_item_counts();
         self.scale_engines();
         self.report_demand();
+        self.report_backlog();
         let is_fast = self.context.table.typical_latency() < MAX_CHECKPOINT_TABLE_LATENCY;
         if is_fast && now.saturating_duration_since(self.checkpointed_at) >= CHECKPOINT_INTERVAL {
             self.checkpointed_at = now;
--- a/crates/sloetrail-serving/src/owner/service_owner/batches.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/batches.rs
@@ -160,6 +160,9 @@
             return;
         };
         open.cancel.cancel();
+        if !open.batch.groups().is_complete() {
+            self.count_if_late(&open.batch.header, open.age());
+        }
         for (index, run) in &open.runs {
             open.batch.set_transcript(*index, run.progress.transcript());
         }
--- a/crates/sloetrail-serving/src/owner/service_owner/demand.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/demand.rs
@@ -4,7 +4,7 @@
 use crate::context::NodeContext;
 use crate::events::{self, Event};
 use crate::leases::Term;
-use crate::owner::event::{DemandWriteOutcome, OwnerEvent};
+use crate::owner::event::{OwnerEvent, ReportWriteOutcome};
 use crate::owner::slot_demand::{DemandRow, StoredDemand};
 use crate::rows;
 use crate::table::Commit;
@@ -57,22 +57,22 @@
         decoded.map_or(StoredDemand::Unreadable, StoredDemand::Row)
     }
 
-    pub(super) fn demand_written(&mut self, outcome: DemandWriteOutcome) {
+    pub(super) fn demand_written(&mut self, outcome: ReportWriteOutcome) {
         self.demand
-            .record_write(outcome == DemandWriteOutcome::Done);
-        if outcome == DemandWriteOutcome::Fenced {
+            .record_write(outcome == ReportWriteOutcome::Done);
+        if outcome == ReportWriteOutcome::Fenced {
             self.term.ended.cancel();
         }
     }
 }
 
-async fn write_demand(context: &NodeContext, term: &Term, row: &DemandRow) -> DemandWriteOutcome {
+async fn write_demand(context: &NodeContext, term: &Term, row: &DemandRow) -> ReportWriteOutcome {
     let address = rows::slot_demand(term.resource.name());
     let transaction = term.transaction().put(address, row.encode());
     let outcome = match context.table.commit(&transaction).await {
-        Ok(Commit::Done(_)) => DemandWriteOutcome::Done,
-        Ok(Commit::Conflict(_)) => DemandWriteOutcome::Fenced,
-        Err(_) => DemandWriteOutcome::Unknown,
+        Ok(Commit::Done(_)) => ReportWriteOutcome::Done,
+        Ok(Commit::Conflict(_)) => ReportWriteOutcome::Fenced,
+        Err(_) => ReportWriteOutcome::Unknown,
     };
     events::emit(&Event::DemandTold {
         service: term.resource.name(),
--- a/crates/sloetrail-serving/src/owner/service_owner/results.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/results.rs
@@ -174,6 +174,7 @@
             let age = open.age_at_open + open.opened_at.elapsed();
             let header = open.batch.header.clone();
             self.record_step(&header, age);
+            self.count_if_late(&header, age);
             self.report_step(&committed.batch, committed.index);
         }
     }
--- a/crates/sloetrail-serving/src/policies.rs
+++ b/crates/sloetrail-serving/src/policies.rs
@@ -37,6 +37,8 @@
     /// Answers a long poll for results once the groups that its trainer requires are complete,
     /// instead of on the first result.
     pub gather_results: bool,
+    /// Refuses a batch at once if the open work of its model takes longer than until it is due.
+    pub refuse_unservable: bool,
 }
 
 impl Default for Policies {
@@ -54,6 +56,7 @@
             hedge_by_answer_times: true,
             order_engines: true,
             gather_results: true,
+            refuse_unservable: true,
         }
     }
 }
--- a/crates/sloetrail-serving/src/rows.rs
+++ b/crates/sloetrail-serving/src/rows.rs
@@ -56,6 +56,7 @@
 pub const CLAIM_PARTITIONS: u8 = 16;
 
 const LEASE_KEY_PREFIX: &str = "lease/";
+const BACKLOG_KEY_PREFIX: &str = "backlog/";
 const SLOT_DEMAND_KEY_PREFIX: &str = "demand/";
 /// Prefix of the keys of crashes and clearances.
 const CRASH_KEY_PREFIX: &str = "crash/";
@@ -95,6 +96,11 @@
     key.strip_prefix(SLOT_DEMAND_KEY_PREFIX)
 }
 
+/// The backlog of a batch set. It is stored with the leases, which every node follows.
+pub fn backlog(lease: &str) -> RowAddress {
+    RowAddress::new(LEASES, OWNERS, format!("{BACKLOG_KEY_PREFIX}{lease}"))
+}
+
 /// A crash of a back end, reported by an incarnation of a node. It is stored with the leases,
 /// which every node follows; each crash is written once to its own row.
 pub fn crash_report(instance: &NodeId, number: u64) -> RowAddress {
--- a/crates/sloetrail-serving/src/telemetry.rs
+++ b/crates/sloetrail-serving/src/telemetry.rs
@@ -108,6 +108,30 @@
     histogram!("sloetrail_batch_acceptance_seconds").record(took);
 }
 
+/// Counts a batch that was refused because of the backlog of its model.
+pub(crate) fn batch_unservable(service: &str) {
+    let service = SERVICES.bounded(service);
+    counter!("sloetrail_batches_unservable_total", "service" => service).increment(1);
+}
+
+/// Counts a batch that was refused because of a backlog that ended in time for it.
+pub(crate) fn batch_refused_in_error(service: &str) {
+    let service = SERVICES.bounded(service);
+    counter!("sloetrail_batches_refused_in_error_total", "service" => service).increment(1);
+}
+
+/// Counts an accepted batch whose required groups were not complete when it was due.
+pub(crate) fn batch_not_in_time(service: &str) {
+    let service = SERVICES.bounded(service);
+    counter!("sloetrail_batches_not_in_time_total", "service" => service).increment(1);
+}
+
+/// Sets the age of the backlog report that was used for the last decision on a batch.
+pub(crate) fn backlog_report_used(service: &str, age: Duration) {
+    let service = SERVICES.bounded(service);
+    gauge!("sloetrail_backlog_report_age_seconds", "service" => service).set(age.as_secs_f64());
+}
+
 pub(crate) fn run_ended(service: &str, outcome: &'static str, took: Duration) {
     let service = SERVICES.bounded(service);
     counter!("sloetrail_runs_total", "service" => service.clone(), "outcome" => outcome)
