--- a/crates/sloetrail-serving/tests/admission.rs
+++ b/crates/sloetrail-serving/tests/admission.rs
@@ -200,6 +200,27 @@
     assert_eq!(answer.status, 202, "{}", answer.text());
 }
 
+/// Guards against the answer "not run" while the table does not tell whether the batch was stored.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_backlog_refuses_nothing_while_the_table_does_not_answer() {
+    let cluster = cluster().await;
+    warm_up(&cluster).await;
+    make_backlog(&cluster).await;
+    assert_refused(&submit(&cluster, 0, "b1", SHORT).await);
+    cluster.table.set_down(true);
+    let answer = submit(&cluster, 0, "b1", SHORT).await;
+    let code = &answer.json()["code"];
+    assert!(code.is_u64() && *code != BACKLOG_TOO_LONG, "{code}");
+    cluster.table.set_down(false);
+    end_backlog(&cluster).await;
+    let is_accepted = || async {
+        let answer = submit(&cluster, 0, "b1", SHORT).await;
+        (answer.status == 202).then_some(())
+    };
+    eventually("the batch is accepted", is_accepted).await;
+    cluster.wait_results(0, "b1", SHORT.0).await;
+}
+
 /// Guards against refusing batches for the backlog of an owner that is gone.
 #[tokio::test(flavor = "multi_thread")]
 async fn batches_are_accepted_after_the_owner_is_lost() {
