--- a/crates/sloetrail-serving/src/gateway/submit/admission_control.rs
+++ b/crates/sloetrail-serving/src/gateway/submit/admission_control.rs
@@ -1,6 +1,6 @@
 //! Refuses batches whose work could not begin before they are due, from the backlog that the
-//! owner of their set reports. Everything kept here may be lost with the process: batches are then
-//! accepted as without a report.
+//! owner of their set reports. What is kept here may be lost with the process: the report alone
+//! counts then, and refusals in error are not counted.
 
 use super::admission::{Admission, RefusedBatch, SubmittedBatch, decide, retry_after};
 use super::unsettled::UnsettledSubmissions;
@@ -17,8 +17,8 @@
 use sloetrail_types::whole_millis;
 use std::collections::{BTreeMap, VecDeque};
 
-/// Accepted and refused batches kept for each set, the latest ones. More are submitted to one node
-/// within the validity of a report only if they are tiny.
+/// Accepted and refused batches kept for each set, the latest ones. Without
+/// the earlier ones, a batch is accepted rather than refused.
 const MAX_KEPT_BATCHES: usize = 256;
 
 /// What this node knows of the batches submitted to it.
