--- a/crates/sloetrail-serving-testkit/src/cluster.rs
+++ b/crates/sloetrail-serving-testkit/src/cluster.rs
@@ -72,9 +72,9 @@
     pub tenants: Option<Value>,
     /// The API key that [`Self::with_api_key`] adds to calls.
     pub api_key: Option<String>,
+    pub policies: Policies,
     /// Where the next node serves its metrics.
     pub metrics_address: Option<SocketAddr>,
-    pub policies: Policies,
     /// Models of the engines besides [`MODEL`].
     pub other_models: Vec<&'static str>,
     wire: Arc<dyn EngineWire>,
@@ -104,8 +104,8 @@
             scaling: None,
             tenants: None,
             api_key: None,
-            metrics_address: None,
             policies: Policies::default(),
+            metrics_address: None,
             other_models: Vec::new(),
             wire,
             dialect,
--- a/crates/sloetrail-serving/src/gateway/submit.rs
+++ b/crates/sloetrail-serving/src/gateway/submit.rs
@@ -8,43 +8,47 @@
 //!
 //! A submission during an outage of the table waits for the outage to end, for a share of
 //! the caller's time ([`waiting`]). It is then refused with a retry delay.
+//!
+//! A batch whose work could not begin before it is due is refused before anything is written
+//! ([`admission`]).
 
+mod admission;
+mod admission_control;
+mod batch_commit;
 mod resubmission;
+mod unsettled;
 mod waiting;
 
 pub(crate) use self::resubmission::{confirm_accepted_batch, find_accepted_batch};
-pub(crate) use self::waiting::WaitingSubmissions;
 
-use self::waiting::{AcceptanceError, wait_for_table};
-use super::batch_lookup::{RETRY_AFTER, find_header, table_unavailable};
+use self::admission::SubmittedBatch;
+use self::admission_control::AdmissionControl;
+use self::batch_commit::BatchCommit;
+use self::waiting::WaitingSubmissions;
+use super::batch_lookup::{find_header, table_unavailable};
 use super::regions;
 use super::response::{CallerResponse, empty_response, problem_response};
 use crate::batch_rows::encode_header;
 use crate::context::NodeContext;
 use crate::events::{self, Event};
+use crate::length_hint::hinted_length;
 use crate::rows;
-use crate::table::{Commit, CommitError, Transaction};
+use crate::table::{CommitError, Transaction};
 use crate::telemetry;
 use bytes::Bytes;
 use http::StatusCode;
 use sloetrail_batch::{BatchHeader, Submission, is_usable_id};
 use sloetrail_clock::BootInstant;
-use sloetrail_result::{Problem, ResultCode};
+use sloetrail_result::{Kind, Problem, ResultCode};
 use sloetrail_routing::{Route, ServingConfiguration, Tenant, WeightedService};
 use sloetrail_types::{AllowedRegions, ServiceName, Timestamp, whole_millis};
-use std::time::Duration;
 
-/// Maximum retry delay if the outage outlasts the wait. The retry waits for the table as well,
-/// so a short delay suffices.
-const MAX_OUTAGE_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 /// Maximum retry delay as a share of the caller's remaining time. Callers ignore a delay of more
 /// than a third of it.
 const MAX_RETRY_AFTER_SHARE: f64 = 0.25;
 /// Time limit of an acceptance as a share of the time until its deadline. Under half, so that the
 /// caller can retry once at another node.
 const MAX_ACCEPTANCE_TIME_SHARE: f64 = 0.45;
-/// Delay between attempts at a failed transaction.
-const COMMIT_RETRY_INTERVAL: Duration = Duration::from_millis(25);
 
 enum Acceptance {
     New,
@@ -57,6 +61,32 @@
     regions: AllowedRegions,
 }
 
+impl AcceptedBatch {
+    fn repeated(header: &BatchHeader) -> Self {
+        Self {
+            acceptance: Acceptance::Repeated,
+            items: header.total,
+            regions: header.allowed_regions.clone(),
+        }
+    }
+}
+
+/// What a node keeps on the submissions to it.
+pub(crate) struct SubmissionState {
+    waiting: WaitingSubmissions,
+    admission: AdmissionControl,
+}
+
+impl SubmissionState {
+    /// `body_budget_bytes` is the budget for all request bodies of the node.
+    pub(crate) fn new(body_budget_bytes: usize) -> Self {
+        Self {
+            waiting: WaitingSubmissions::new(body_budget_bytes),
+            admission: AdmissionControl::default(),
+        }
+    }
+}
+
 pub(crate) struct SubmissionCall<'a> {
     pub(crate) configuration: &'a ServingConfiguration,
     pub(crate) route: &'a Route,
@@ -76,12 +106,12 @@
 /// Accepts or refuses a submission, and logs the outcome.
 pub(crate) async fn submit(
     context: &NodeContext,
-    waiting: &WaitingSubmissions,
+    state: &SubmissionState,
     call: SubmissionCall<'_>,
 ) -> CallerResponse {
     let (id, service) = (call.id, call.service);
     let started_at = BootInstant::now();
-    let outcome = accept(context, waiting, &call).await;
+    let outcome = accept(context, state, &call).await;
     match outcome {
         Ok(accepted) => {
             let outcome_label = match accepted.acceptance {
@@ -113,7 +143,7 @@
 
 async fn accept(
     context: &NodeContext,
-    waiting: &WaitingSubmissions,
+    state: &SubmissionState,
     call: &SubmissionCall<'_>,
 ) -> Result<AcceptedBatch, Problem> {
     let SubmissionCall {
@@ -128,6 +158,8 @@
     let items = submission.items.len();
     let regions = regions::for_batch(call.configuration, &call.regions, &submission);
     let (model, oldest_version) = (submission.model.clone(), submission.min_version);
+    let hint_header = &context.dialect.headers().length_hint;
+    let required_units = submission.required_units(|item| hinted_length(item, hint_header));
     // Frees the parsed form: only the body is retained while the submission waits for the table.
     drop(submission);
     let parts = split_body(body, context.table.limits().row_bytes);
@@ -148,17 +180,33 @@
         model,
         oldest_version: oldest_version.unwrap_or_default(),
     };
+    let admission = &state.admission;
+    let is_refusing = context.settings.policies.refuse_unservable;
+    let batch = SubmittedBatch::new(&header, required_units).filter(|_| is_refusing);
+    if let Some(batch) = &batch
+        && let Some(accepted) = admission.check(context, call, &header, batch).await?
+    {
+        return Ok(AcceptedBatch::repeated(&accepted));
+    }
     let transactions = transactions(context, id, &parts, &header);
     let commit = BatchCommit {
         context,
-        waiting,
+        waiting: &state.waiting,
         id,
         body_bytes: body.len(),
         acceptance_deadline: acceptance_deadline(call.received, call.deadline),
         deadline: call.deadline,
         is_outcome_unknown: false,
     };
-    let acceptance = commit.run(&transactions).await?;
+    let open_submission = admission.unsettled.begin(id);
+    let outcome = commit.run(&transactions).await;
+    if !matches!(&outcome, Err(problem) if problem.kind != Kind::NotRun) {
+        open_submission.settle();
+    }
+    let acceptance = outcome?;
+    if let (Acceptance::New, Some(batch)) = (&acceptance, batch) {
+        admission.record_accepted(&header, batch);
+    }
     Ok(AcceptedBatch {
         acceptance,
         items,
@@ -210,88 +258,6 @@
     all
 }
 
-/// Commits the transactions of one batch, with retries.
-struct BatchCommit<'a> {
-    context: &'a NodeContext,
-    waiting: &'a WaitingSubmissions,
-    id: &'a str,
-    body_bytes: usize,
-    acceptance_deadline: BootInstant,
-    deadline: BootInstant,
-    /// True if an attempt got no answer and may still take effect.
-    is_outcome_unknown: bool,
-}
-
-impl BatchCommit<'_> {
-    async fn run(mut self, transactions: &[Transaction]) -> Result<Acceptance, Problem> {
-        let mut acceptance = Acceptance::New;
-        for transaction in transactions {
-            if let Commit::Conflict(_) = self.commit(transaction).await? {
-                acceptance = Acceptance::Repeated;
-            }
-        }
-        Ok(acceptance)
-    }
-
-    /// Retries until the table commits or rejects the transaction, or the deadline has passed.
-    /// Sends nothing while the table is known not to answer.
-    async fn commit(&mut self, transaction: &Transaction) -> Result<Commit, Problem> {
-        loop {
-            if let Err(error) = self.wait_for_table().await {
-                return Err(self.refusal(error));
-            }
-            match self.context.table.commit(transaction).await {
-                Ok(commit) => return Ok(commit),
-                Err(error) => self.is_outcome_unknown |= error == CommitError::Unknown,
-            }
-            if BootInstant::now() + COMMIT_RETRY_INTERVAL >= self.acceptance_deadline {
-                return Err(self.refusal(AcceptanceError::NotCommitted));
-            }
-            tokio::time::sleep(COMMIT_RETRY_INTERVAL).await;
-        }
-    }
-
-    async fn wait_for_table(&self) -> Result<(), AcceptanceError> {
-        if self.context.table.is_isolated() {
-            return Err(AcceptanceError::Isolated);
-        }
-        if self.context.table.is_answering() {
-            return Ok(());
-        }
-        events::emit(&Event::BatchWaits { batch: self.id });
-        let table = &*self.context.table;
-        wait_for_table(
-            table,
-            self.waiting,
-            self.body_bytes,
-            self.acceptance_deadline,
-        )
-        .await
-    }
-
-    /// Problem for a batch that was not committed. Its kind is `not_run` only if no attempt may
-    /// still take effect.
-    fn refusal(&self, error: AcceptanceError) -> Problem {
-        let code = match self.is_outcome_unknown {
-            true => ResultCode::BatchUnconfirmed,
-            false => ResultCode::TableUnavailable,
-        };
-        let detail = format!("batch {}: {error}", self.id);
-        let retry_after = match error {
-            AcceptanceError::OutagePersists => self.outage_retry_after(),
-            AcceptanceError::Isolated
-            | AcceptanceError::TooManyWaiting
-            | AcceptanceError::NotCommitted => RETRY_AFTER,
-        };
-        Problem::new(code, detail).with_retry_after_ms(whole_millis(retry_after))
-    }
-
-    fn outage_retry_after(&self) -> Duration {
-        let remaining = self.deadline.saturating_duration_since(BootInstant::now());
-        MAX_OUTAGE_RETRY_AFTER.min(remaining.mul_f64(MAX_RETRY_AFTER_SHARE))
-    }
-}
-
 /// Ends a batch: items without a listed result need not run any more.
 pub(crate) async fn end(
     context: &NodeContext,
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -1,6 +1,7 @@
 //! The owner of a batch set during one lease term: its event loop and open batches.
 
 mod backlog;
+mod backlog_reporting;
 mod batches;
 mod demand;
 mod dispatch;
@@ -22,6 +23,7 @@
 use self::quarantined_items::QuarantinedItems;
 use self::supply::SupplyState;
 use self::triage::TriageState;
+use super::backlog_report::{BacklogReporter, RecentCapacities};
 use super::committer::{CommitRequest, commit_results};
 use super::engine::SendLimits;
 use super::engines::EnginePool;
@@ -100,14 +102,16 @@
     }
 
     fn update_estimate(&mut self, lengths: &LengthModel) {
-        let runs = &self.runs;
-        let generated = |index| {
-            let run: Option<&ActiveRun> = runs.get(&index);
-            run.map_or(0, |run| run.progress.event_count())
-        };
+        let generated = |index| self.generated_events(index);
         self.estimate = self.batch.estimate(lengths, self.age(), generated);
     }
 
+    /// The events of a running item's text; zero if the item does not run.
+    fn generated_events(&self, index: ItemIndex) -> usize {
+        let run = self.runs.get(&index);
+        run.map_or(0, |run| run.progress.event_count())
+    }
+
     fn items(&self) -> OpenItems {
         let all = self.batch.waiting() + self.runs.len();
         OpenItems {
@@ -162,6 +166,9 @@
     supply: SupplyState,
     /// Reports slot demand if another owner controls the engine count.
     demand: DemandReporter,
+    /// Reports the backlog to the nodes that accept batches.
+    backlog_reporter: BacklogReporter,
+    recent_capacities: RecentCapacities,
     events: mpsc::UnboundedReceiver<OwnerEvent>,
     sender: mpsc::UnboundedSender<OwnerEvent>,
     commits: mpsc::UnboundedSender<CommitRequest>,
@@ -215,6 +222,8 @@
             is_opening_window: false,
             supply: SupplyState::default(),
             demand: DemandReporter::new(BootInstant::now()),
+            backlog_reporter: BacklogReporter::new(BootInstant::now()),
+            recent_capacities: RecentCapacities::default(),
             events,
             sender,
             commits,
@@ -364,6 +373,7 @@
             OwnerEvent::BaselineRead(baseline) => self.baseline_read(baseline),
             OwnerEvent::SupplyOrdersEnded(outcome) => self.supply_orders_ended(outcome),
             OwnerEvent::DemandWritten(outcome) => self.demand_written(outcome),
+            OwnerEvent::BacklogWritten(outcome) => self.backlog_written(outcome),
             OwnerEvent::OrderEnded(end) => {
                 self.weights_due = true;
                 self.order_ended(end);
@@ -397,6 +407,7 @@
         self.report_slots(now);
         self.scale_engines();
         self.report_demand();
+        self.report_backlog();
         let is_fast = self.context.table.typical_latency() < MAX_CHECKPOINT_TABLE_LATENCY;
         if is_fast && now.saturating_duration_since(self.checkpointed_at) >= CHECKPOINT_INTERVAL {
             self.checkpointed_at = now;
--- a/crates/sloetrail-serving/src/owner/service_owner/backlog.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/backlog.rs
@@ -84,10 +84,7 @@
         let mut events = rhythms.events_of_items(model, other_items, &self.lengths);
         let open = self.batches.values();
         for open in open.filter(|open| open.batch.model.as_deref() == Some(model)) {
-            let generated = |index| {
-                let run = open.runs.get(&index);
-                run.map_or(0, |run| run.progress.event_count())
-            };
+            let generated = |index| open.generated_events(index);
             events += open_events(&open.batch, &self.lengths, generated)?;
         }
         Some(events)
--- a/crates/sloetrail-serving/src/owner/service_owner/triage.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/triage.rs
@@ -4,7 +4,7 @@
 //! All state is derived from the open batches, so a new owner reaches the same classes once it
 //! knows the event intervals and text lengths.
 
-use super::{ActiveRun, OpenBatch, ServiceOwner};
+use super::{OpenBatch, ServiceOwner};
 use crate::events::{self, Event};
 use crate::owner::batch_scheduler::{StartsSinceLate, TurnRule};
 use crate::owner::capacity_plan::{CapacityPlan, ModelCapacity, OpenWork, plan_capacity};
@@ -228,10 +228,7 @@
 
 fn open_work(open: &OpenBatch, lengths: &LengthModel) -> Option<OpenWork> {
     let header = &open.batch.header;
-    let generated = |index| {
-        let run: Option<&ActiveRun> = open.runs.get(&index);
-        run.map_or(0, |run| run.progress.event_count())
-    };
+    let generated = |index| open.generated_events(index);
     let (urgency, _) = header.urgency();
     Some(OpenWork {
         id: open.batch.id.clone(),
--- a/crates/sloetrail-serving/src/policies.rs
+++ b/crates/sloetrail-serving/src/policies.rs
@@ -46,6 +46,8 @@
     /// While slots are scarce, matches texts to engines by lasting speed: slower engines run the
     /// shortest texts, and a text is moved only if it would be late.
     pub match_engine_speed: bool,
+    /// Refuses a batch at once if the open work of its model takes longer than until it is due.
+    pub refuse_unservable: bool,
 }
 
 impl Default for Policies {
@@ -66,6 +68,7 @@
             assign_by_backlog: true,
             triage_groups: true,
             match_engine_speed: true,
+            refuse_unservable: true,
         }
     }
 }
