Triage is held also while the capacity is unknown for a moment

Cause: triage ended at once when no engine was usable, for example in the 40 ms after refusals, or when the open items fell to the number of slots, and began again on a later tick, with an event each time.

Change: both cases end triage after the same second as work that fits.

--- a/crates/sloetrail-serving/src/owner/service_owner/triage.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/triage.rs
@@ -133,14 +133,14 @@
         totals: &mut TriageTotals,
     ) {
         let capacity = self.model_capacity(model, now);
-        let capacity = capacity.filter(|_| self.are_slots_short(model));
         let Some((capacity, open)) = capacity.zip(self.model_work(model)) else {
             self.apply_plan(model, None, now);
             return;
         };
         let waiting_items: usize = open.iter().map(|open| open.work.waiting_items).sum();
         let waiting_events: f64 = open.iter().map(|open| open.work.waiting_events()).sum();
-        let plan = plan_capacity(open, capacity, table_now);
+        let mut plan = plan_capacity(open, capacity, table_now);
+        plan.fits |= !self.are_slots_short(model);
         if self.apply_plan(model, Some(&plan), now) {
             totals.add(&plan);
             totals.waiting_items += waiting_items;
@@ -189,16 +189,14 @@
     }
 
     /// Sets the classes of a model's groups, or removes them if the model is not under triage.
-    /// Returns whether it is.
+    /// Returns whether it is. Without a plan, the classes stay for as long as triage is held.
     fn apply_plan(&mut self, model: &str, plan: Option<&CapacityPlan>, now: BootInstant) -> bool {
         let was_active = self.triage.active.contains_key(model);
-        let is_active = match plan {
-            Some(plan) => self.triage.record_plan(model, plan.fits, now),
-            None => {
-                self.triage.active.remove(model);
-                false
-            }
-        };
+        let fits = plan.is_none_or(|plan| plan.fits);
+        let is_active = self.triage.record_plan(model, fits, now);
+        if is_active && plan.is_none() {
+            return true;
+        }
         let batches = plan.map_or(&[][..], |plan| &plan.batches);
         let groups_by_batch: BTreeMap<&str, &TriagedGroups> = batches
             .iter()
@@ -242,3 +240,6 @@
         work: open.batch.remaining_work(lengths, generated)?,
     })
 }
+
+#[cfg(test)]
+mod tests;
