Idle engines of other models run the items of a model whose slots are scarce

Cause: the batches of different models come at different times.

Change: while slots are scarce, an engine whose own model has no waiting items and half of whose slots are free also gets the version of a model with waiting items, within the limit on concurrent changes. It stays assigned to its model.

--- a/crates/sloetrail-serving/src/owner/engine.rs
+++ b/crates/sloetrail-serving/src/owner/engine.rs
@@ -221,6 +221,12 @@
         self.takes_work() && self.losses.is_over(now) && now >= self.refused_until
     }
 
+    /// True if the engine has accepted a change of this model's version.
+    pub(super) fn is_changing_to(&self, model: &str) -> bool {
+        let change = self.change.as_ref();
+        change.is_some_and(|change| change.model == model)
+    }
+
     /// True if a weight order may be sent to the engine now.
     pub(super) fn may_be_ordered(&self, now: BootInstant) -> bool {
         let is_changing = self.change.is_some() || self.has_order_in_flight;
@@ -260,11 +266,7 @@
         let Some(model) = requirement.model else {
             return true;
         };
-        let is_changing = self
-            .change
-            .as_ref()
-            .is_some_and(|change| change.model == model);
-        !is_changing && self.version(model) >= requirement.oldest_version
+        !self.is_changing_to(model) && self.version(model) >= requirement.oldest_version
     }
 
     pub(super) fn is_slow(&self) -> bool {
--- a/crates/sloetrail-serving/src/owner/engines/tests.rs
+++ b/crates/sloetrail-serving/src/owner/engines/tests.rs
@@ -7,6 +7,7 @@
 mod picking;
 mod reassignment;
 mod scarce_orders;
+mod shared_engines;
 mod slow_engines;
 
 use super::{EnginePool, EnginePreference};
@@ -106,6 +107,7 @@
         ready_share: 1.0,
         newest_share: 1.0,
         slots_are_scarce: false,
+        waiting: 0,
     }
 }
 
--- a/crates/sloetrail-serving/src/owner/mod.rs
+++ b/crates/sloetrail-serving/src/owner/mod.rs
@@ -33,6 +33,7 @@
 mod scarce_move;
 mod scarce_slowness;
 mod service_owner;
+mod shared_engines;
 mod slot_demand;
 mod slot_usage;
 mod speed_match;
--- a/crates/sloetrail-serving/src/owner/service_owner/versions.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/versions.rs
@@ -127,7 +127,12 @@
                 self.usage.newest_share(&model),
             ),
         };
+        let waiting = match slots_are_scarce {
+            true => self.waiting_items(&model),
+            false => 0,
+        };
         ModelTarget {
+            waiting,
             min_usable: self.needed_version(&model, published),
             model,
             published,
@@ -137,6 +142,12 @@
         }
     }
 
+    fn waiting_items(&self, model: &str) -> usize {
+        let open = self.batches.values();
+        let of_model = open.filter(|open| open.batch.model.as_deref() == Some(model));
+        of_model.map(|open| open.batch.waiting()).sum()
+    }
+
     /// How many versions behind the newest the last batch of a model allowed.
     fn version_lag(&self, model: &str) -> u64 {
         let lag = self.version_lags.get(model).copied();
--- a/crates/sloetrail-serving/src/owner/weight_update_plan.rs
+++ b/crates/sloetrail-serving/src/owner/weight_update_plan.rs
@@ -9,12 +9,14 @@
 //!
 //! While slots are scarce, a change costs engine time that the open batches need. Each version then
 //! goes to the share of engines that keeps a model's next batch served ([`scarce_newest_share`]),
-//! and engines with the least running work change first.
+//! and engines with the least running work change first. Changes that are still allowed go to idle
+//! engines of other models ([`plan_shared`]).
 
 use super::bound_demand::BoundDemand;
 use super::engine::Engine;
 use super::engines::EnginePool;
 use super::event::PlannedOrder;
+use super::shared_engines::plan_shared;
 use sloetrail_clock::BootInstant;
 use sloetrail_types::{EngineId, WeightVersion};
 use std::cmp::Reverse;
@@ -48,6 +50,8 @@
     /// True while the model's slots are scarce: engines with the least running work change first,
     /// and slow engines do not count towards the shares, since they are not updated.
     pub(super) slots_are_scarce: bool,
+    /// Items that wait for a slot while slots are scarce; else zero.
+    pub(super) waiting: usize,
 }
 
 /// Returns the share of a model's engines that get each version while slots are scarce, if its
@@ -91,6 +95,8 @@
             .take_next()
     });
     orders.extend(others);
+    let max_shared = free - orders.len();
+    orders.extend(plan_shared(pool, targets, &orders, max_shared, now));
     orders
 }
 
