--- a/crates/sloetrail-serving/src/gateway/submit/admission.rs
+++ b/crates/sloetrail-serving/src/gateway/submit/admission.rs
@@ -12,6 +12,7 @@
 /// Minimum retry delay. Reports are at least a second apart, so that an earlier retry rarely has
 /// another outcome.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
+
 /// A batch with a run target, submitted to this node.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct SubmittedBatch {
