An overlong text does not divide a batch

Cause: a batch was divided by triage as soon as its longest expected text could not end in time, although the slots sufficed. The group of that text then came last, so that the step ended later still. At 2.2 times the load that was so from the first step on (triage_changed: one batch, 9 groups in time, 15 late).

Change: whether a batch can be complete depends on the capacity alone. In a batch that is divided for want of capacity, a group with such a text is late as before.

--- a/crates/sloetrail-serving/src/owner/capacity_plan.rs
+++ b/crates/sloetrail-serving/src/owner/capacity_plan.rs
@@ -197,10 +197,12 @@
 }
 
 /// Returns all groups of a batch as one set in time, so that its longest texts go first. None if
-/// they do not fit in the budget.
+/// they need more than the budget. A text that is too long to end in time is no reason to divide
+/// the batch: its step ends soonest if that text starts first.
 fn complete_batch(work: &OpenWork, budget: EventBudget) -> Option<TriagedGroups> {
     let one_set = EventBudget {
         slots: f64::MAX,
+        per_text: f64::MAX,
         ..budget
     };
     let triaged = triage(&work.work.groups, one_set);
--- a/crates/sloetrail-serving/src/owner/capacity_plan/tests.rs
+++ b/crates/sloetrail-serving/src/owner/capacity_plan/tests.rs
@@ -101,6 +101,17 @@
     );
 }
 
+/// Guards against a step whose longest texts start last, since they are expected to end late, while
+/// all slots are free.
+#[test]
+fn overlong_text_does_not_divide_a_batch() {
+    let mut work = open("a", 5, seconds(8), 10);
+    work.work.groups[3].longest_text = 5_000.0;
+    let plan = plan_capacity(vec![work], CAPACITY, NOW);
+    assert!(plan.fits);
+    assert_eq!(plan.batches[0].1.in_time.len(), 1);
+}
+
 /// Guards against a batch that is due later taking the capacity of one that is due earlier.
 #[test]
 fn batches_use_the_capacity_in_order_of_due_time() {
