--- a/crates/sloetrail-batch/src/required_work.rs
+++ b/crates/sloetrail-batch/src/required_work.rs
@@ -18,10 +18,10 @@
         if self.groups().is_complete() {
             return Some(0.0);
         }
-        let mut groups: BTreeMap<usize, GroupWork> = self
+        let mut groups: BTreeMap<usize, RequiredGroup> = self
             .groups()
             .incomplete()
-            .map(|(group, is_carried)| (group, GroupWork::new(is_carried)))
+            .map(|(group, is_carried)| (group, RequiredGroup::new(is_carried)))
             .collect();
         for (index, item) in self.items().iter().enumerate() {
             let Some(events) = remaining_events(index, item, lengths, &generated_events) else {
@@ -53,12 +53,12 @@
     Some(lengths.remaining_events(item.expected_length, generated))
 }
 
-struct GroupWork {
+struct RequiredGroup {
     is_carried: bool,
     events: f64,
 }
 
-impl GroupWork {
+impl RequiredGroup {
     fn new(is_carried: bool) -> Self {
         Self {
             is_carried,
@@ -69,7 +69,7 @@
 
 /// Returns the work of `required` groups: the carried ones first, then those with the least work.
 /// All carried groups count, even if they are more.
-fn least_work(mut groups: Vec<GroupWork>, required: usize) -> f64 {
+fn least_work(mut groups: Vec<RequiredGroup>, required: usize) -> f64 {
     groups.sort_by(|a, b| {
         let carried_first = b.is_carried.cmp(&a.is_carried);
         carried_first.then(a.events.total_cmp(&b.events))
--- a/crates/sloetrail-batch/src/required_work/tests.rs
+++ b/crates/sloetrail-batch/src/required_work/tests.rs
@@ -87,6 +87,8 @@
     Submission::parse(json.to_string().as_bytes()).expect("valid")
 }
 
+/// Guards against counting groups that the trainer does not wait for, so that a batch that fits
+/// is refused.
 #[test]
 fn submission_counts_the_shortest_required_groups() {
     assert_eq!(submission(Some(1)).required_units(|item| item.tokens), 50.0);
--- a/crates/sloetrail-batch/src/triage/tests.rs
+++ b/crates/sloetrail-batch/src/triage/tests.rs
@@ -163,6 +163,7 @@
     assert_eq!(order, ["c1", "c2", "b2", "b1", "d1", "a2", "a1", "d2"]);
 }
 
+/// Guards against an item that is dispatched with another class or out of its order.
 #[test]
 fn items_of_a_class_are_the_part_of_the_queue_in_its_order() {
     let mut batch = four_groups(3, &[]);
@@ -239,6 +240,7 @@
     assert_eq!(batch.next_class(), Some(DispatchClass::NotRequired));
 }
 
+/// Guards against an order that triage leaves behind once it has ended.
 #[test]
 fn order_without_triage_is_that_of_the_dispatch_order() {
     for required_first in [false, true] {
--- a/crates/sloetrail-cli/src/step_report.rs
+++ b/crates/sloetrail-cli/src/step_report.rs
@@ -38,7 +38,7 @@
     /// Lower bound of the age: decode time of the longest text on the fastest engine.
     least_ms: u64,
     /// Time in which items of the step waited while only engines of other models had free slots.
-    free_elsewhere_ms: u64,
+    waited_while_others_free_ms: u64,
     /// Item whose result was listed last.
     last_item: String,
     /// Number of runs of that item under the last owner.
@@ -68,7 +68,7 @@
     /// Sum of the lower bounds of completed steps.
     least_ms: u64,
     /// Sum over completed steps.
-    free_elsewhere_ms: u64,
+    waited_while_others_free_ms: u64,
     /// Use of slots while items waited, by model.
     slots: BTreeMap<String, SlotUse>,
 }
@@ -142,7 +142,7 @@
                     committing_ms: part("committing_ms"),
                 },
                 least_ms: part("least_ms"),
-                free_elsewhere_ms: part("free_elsewhere_ms"),
+                waited_while_others_free_ms: part("waited_while_others_free_ms"),
                 last_item: line.field("item").unwrap_or_default().to_owned(),
                 runs: part("runs"),
             });
@@ -156,7 +156,7 @@
         if let Some(completed) = &step.whole {
             self.age_ms += completed.age_ms;
             self.least_ms += completed.least_ms;
-            self.free_elsewhere_ms += completed.free_elsewhere_ms;
+            self.waited_while_others_free_ms += completed.waited_while_others_free_ms;
             self.sums.add(&completed.parts);
         }
         self.steps.push(step);
@@ -209,7 +209,7 @@
     // Writing to a `String` is infallible.
     let _ = writeln!(
         text,
-        "{:<18} {:>8} {:>6} {:>6} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>9} {:>5}",
+        "{:<18} {:>8} {:>6} {:>6} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>11} {:>5}",
         "batch",
         "at",
         "items",
@@ -222,7 +222,7 @@
         "scoring",
         "commit",
         "least",
-        "elsewhere",
+        "others_free",
         "runs"
     );
     for step in &report.steps {
@@ -242,8 +242,8 @@
         }
         let _ = writeln!(
             text,
-            "{:>7} {:>9} {:>5}",
-            completed.least_ms, completed.free_elsewhere_ms, completed.runs
+            "{:>7} {:>11} {:>5}",
+            completed.least_ms, completed.waited_while_others_free_ms, completed.runs
         );
     }
     write_summary(&mut text, report);
@@ -263,11 +263,11 @@
     let means = parts.map(|(name, sum)| format!("{name} {}", sum / completed));
     let _ = writeln!(
         text,
-        "mean age {} ms ({}), least {} ms, elsewhere {} ms",
+        "mean age {} ms ({}), least {} ms, others_free {} ms",
         report.age_ms / completed,
         means.join(", "),
         report.least_ms / completed,
-        report.free_elsewhere_ms / completed
+        report.waited_while_others_free_ms / completed
     );
 }
 
--- a/crates/sloetrail-cli/src/step_report/tests.rs
+++ b/crates/sloetrail-cli/src/step_report/tests.rs
@@ -11,7 +11,7 @@
         "opened_ms": opened_ms, "item": "i7", "wanted": true, "waiting_ms": 10,
         "running_ms": age_ms - opened_ms - 60, "between_runs_ms": 5, "scoring_ms": 30,
         "committing_ms": 15, "runs": 2, "events_made": 40, "longest_events": 50,
-        "least_ms": 1_800, "free_elsewhere_ms": 700, "epoch": 3})
+        "least_ms": 1_800, "waited_while_others_free_ms": 700, "epoch": 3})
 }
 
 fn logs() -> [String; 2] {
--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -377,7 +377,7 @@
         waiting_ms: u64,
         /// Time in which items of the batch waited while only engines of other models had free
         /// slots.
-        free_elsewhere_ms: u64,
+        waited_while_others_free_ms: u64,
         /// The time on engines.
         running_ms: u64,
         /// The time between runs.
--- a/crates/sloetrail-serving/src/gateway/submit.rs
+++ b/crates/sloetrail-serving/src/gateway/submit.rs
@@ -200,7 +200,9 @@
     };
     let open_submission = admission.unsettled.begin(id);
     let outcome = commit.run(&transactions).await;
-    if !matches!(&outcome, Err(problem) if problem.kind != Kind::NotRun) {
+    // A resubmission must not be refused as not run while this attempt may still be written.
+    let may_still_be_written = matches!(&outcome, Err(problem) if problem.kind != Kind::NotRun);
+    if !may_still_be_written {
         open_submission.settle();
     }
     let acceptance = outcome?;
--- a/crates/sloetrail-serving/src/gateway/submit/admission.rs
+++ b/crates/sloetrail-serving/src/gateway/submit/admission.rs
@@ -9,8 +9,8 @@
 use sloetrail_types::{Timestamp, Urgency};
 use std::time::Duration;
 
-/// Minimum retry delay. Reports are at least a second apart, so that an earlier retry rarely has
-/// another outcome.
+/// Retry delay of a batch that fits sooner, so that callers do not return at once: the next report
+/// may be up to a second away.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// A batch with a run target, submitted to this node.
--- a/crates/sloetrail-serving/src/gateway/submit/admission/tests.rs
+++ b/crates/sloetrail-serving/src/gateway/submit/admission/tests.rs
@@ -1,5 +1,5 @@
 use super::{Admission, RefusedBatch, SubmittedBatch, decide, retry_after};
-use crate::owner::backlog_report::{Backlog, BacklogRow, BatchBacklog, ModelBacklog};
+use crate::owner::backlog_report::{Backlog, BacklogRow, BatchBacklog, ReportedBacklog};
 use sloetrail_types::{TimeSpan, Timestamp, Urgency};
 use std::time::Duration;
 
@@ -36,7 +36,7 @@
 }
 
 fn report(batches: Vec<BatchBacklog>) -> BacklogRow {
-    let backlog = ModelBacklog {
+    let backlog = ReportedBacklog {
         units_per_second: UNITS_PER_SECOND,
         batches,
     };
@@ -98,8 +98,9 @@
     assert!(!is_refused(&batch(0.0), &at_the_end_of_time));
 }
 
+/// Guards against refusing a batch for the backlog of another model.
 #[test]
-fn models_that_are_not_reported_accept() {
+fn batch_of_a_model_without_report_is_accepted() {
     let other = SubmittedBatch {
         model: "other".to_owned(),
         ..batch(0.0)
--- a/crates/sloetrail-serving/src/gateway/submit/admission_control.rs
+++ b/crates/sloetrail-serving/src/gateway/submit/admission_control.rs
@@ -58,6 +58,8 @@
         };
         let read_deadline = acceptance_deadline(call.received, call.deadline);
         match find_accepted_batch(context, call.id, read_deadline).await {
+            // Another attempt may have begun to write the batch during the read.
+            Ok(None) if self.unsettled.contains(call.id) => Ok(None),
             Ok(None) => Err(self.record_refused(refusal)),
             Ok(accepted) => Ok(accepted),
             Err(_) => Ok(None),
--- a/crates/sloetrail-serving/src/owner/backlog_assignment.rs
+++ b/crates/sloetrail-serving/src/owner/backlog_assignment.rs
@@ -6,7 +6,7 @@
 //! is then never undone while the work stays the same.
 
 use super::engine::Engine;
-use super::model_backlog::ModelBacklog;
+use super::model_backlog::ExpectedModelWork;
 use super::weight_update_plan::is_changing;
 use sloetrail_clock::BootInstant;
 use sloetrail_types::EngineId;
@@ -91,7 +91,7 @@
 /// slow, changing or not usable are not counted and keep their model.
 pub(super) fn reassign_by_backlog(
     engines: &mut BTreeMap<EngineId, Engine>,
-    backlogs: &[ModelBacklog],
+    backlogs: &[ExpectedModelWork],
     bounds: ReassignmentBounds,
     now: BootInstant,
 ) -> Vec<Reassignment> {
@@ -146,7 +146,7 @@
 
 /// The engines of a model that count for its share.
 struct ModelEngines<'a> {
-    backlog: &'a ModelBacklog,
+    backlog: &'a ExpectedModelWork,
     count: usize,
     /// Events per second.
     capacity: f64,
@@ -157,7 +157,7 @@
 impl<'a> ModelEngines<'a> {
     fn of_models(
         engines: &BTreeMap<EngineId, Engine>,
-        backlogs: &'a [ModelBacklog],
+        backlogs: &'a [ExpectedModelWork],
         bounds: ReassignmentBounds,
         now: BootInstant,
     ) -> Vec<Self> {
--- a/crates/sloetrail-serving/src/owner/backlog_report.rs
+++ b/crates/sloetrail-serving/src/owner/backlog_report.rs
@@ -33,11 +33,11 @@
 const MAX_REPORTED_BATCHES: usize = 64;
 
 /// Backlog of the reported models; a model that is not reported has none that delays a batch.
-pub(crate) type Backlog = BTreeMap<String, ModelBacklog>;
+pub(crate) type Backlog = BTreeMap<String, ReportedBacklog>;
 
 /// The open required work of a model's batches.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct ModelBacklog {
+pub(crate) struct ReportedBacklog {
     /// Capacity of the model's engines, in units of the length hints.
     pub(crate) units_per_second: f64,
     /// The open batches, the most urgent first and then by due time.
@@ -67,7 +67,7 @@
 
 /// An open batch of a model, as the owner knows it.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct OpenWork {
+pub(super) struct OpenBatchWork {
     pub(super) urgency: Urgency,
     pub(super) due_at: Timestamp,
     /// None for a route without a run target.
@@ -76,10 +76,10 @@
     pub(super) events: f64,
 }
 
-impl ModelBacklog {
+impl ReportedBacklog {
     /// Returns the backlog to report; None if it is short or the capacity is unknown.
     pub(super) fn of_open_work(
-        mut open: Vec<OpenWork>,
+        mut open: Vec<OpenBatchWork>,
         events_per_second: f64,
         units_per_event: f64,
     ) -> Option<Self> {
@@ -88,7 +88,8 @@
         }
         let shortest_target = open.iter().filter_map(|work| work.run_target).min()?;
         open.sort_by_key(|work| (work.urgency, work.due_at));
-        let time_of = |work: &OpenWork| TimeSpan::from_secs_f64(work.events / events_per_second);
+        let time_of =
+            |work: &OpenBatchWork| TimeSpan::from_secs_f64(work.events / events_per_second);
         let batches = open.iter().filter_map(|work| {
             Some(BatchBacklog {
                 urgency: work.urgency,
@@ -113,7 +114,7 @@
     }
 
     /// Time that all engines of the model take for the work that goes before a batch of this
-    /// urgency and due time: that of more urgent batches, and of equally urgent ones due earlier.
+    /// urgency and due time: that of more urgent batches, and of equally urgent ones due no later.
     pub(crate) fn time_ahead_of(&self, urgency: Urgency, due_at: Timestamp) -> Duration {
         let batches = self.batches.iter();
         total(batches.filter(|batch| (batch.urgency, batch.due_at) <= (urgency, due_at)))
@@ -171,7 +172,7 @@
 
     /// The longest time to finish of a model, in milliseconds.
     pub(super) fn max_time_to_finish_ms(&self) -> u64 {
-        let times = self.models.values().map(ModelBacklog::time_to_finish);
+        let times = self.models.values().map(ReportedBacklog::time_to_finish);
         whole_millis(times.max().unwrap_or_default())
     }
 }
--- a/crates/sloetrail-serving/src/owner/backlog_report/tests.rs
+++ b/crates/sloetrail-serving/src/owner/backlog_report/tests.rs
@@ -1,6 +1,6 @@
 use super::{
-    Backlog, BacklogReporter, BacklogRow, ModelBacklog, OpenWork, REPORT_VALIDITY,
-    RecentCapacities, StoredBacklog,
+    Backlog, BacklogReporter, BacklogRow, OpenBatchWork, REPORT_VALIDITY, RecentCapacities,
+    ReportedBacklog, StoredBacklog,
 };
 use crate::rows;
 use sloetrail_clock::BootInstant;
@@ -14,8 +14,8 @@
 const SECOND: Duration = Duration::from_secs(1);
 
 /// Open work of this many seconds with a run target of 4 s.
-fn work(seconds: f64) -> OpenWork {
-    OpenWork {
+fn work(seconds: f64) -> OpenBatchWork {
+    OpenBatchWork {
         urgency: Urgency::new(None, 1),
         due_at: AT,
         run_target: Some(4 * SECOND),
@@ -23,8 +23,8 @@
     }
 }
 
-fn of_open_work(open: &[OpenWork]) -> Option<ModelBacklog> {
-    ModelBacklog::of_open_work(open.to_vec(), EVENTS_PER_SECOND, UNITS_PER_EVENT)
+fn of_open_work(open: &[OpenBatchWork]) -> Option<ReportedBacklog> {
+    ReportedBacklog::of_open_work(open.to_vec(), EVENTS_PER_SECOND, UNITS_PER_EVENT)
 }
 
 fn backlog() -> Backlog {
@@ -50,7 +50,7 @@
         reported.units_per_second,
         EVENTS_PER_SECOND * UNITS_PER_EVENT
     );
-    let without_target = OpenWork {
+    let without_target = OpenBatchWork {
         run_target: None,
         ..work(1e6)
     };
@@ -63,7 +63,7 @@
     for capacity in [0.0, -1.0, f64::NAN, f64::INFINITY] {
         let open = vec![work(1e6)];
         assert_eq!(
-            ModelBacklog::of_open_work(open, capacity, UNITS_PER_EVENT),
+            ReportedBacklog::of_open_work(open, capacity, UNITS_PER_EVENT),
             None
         );
     }
@@ -171,6 +171,8 @@
     }
 }
 
+/// Guards against a report that other nodes cannot read, and against a row of another kind that
+/// counts as one.
 #[test]
 fn rows_round_trip_and_unreadable_ones_are_none() {
     let row = row(backlog(), AT);
--- a/crates/sloetrail-serving/src/owner/capacity_plan.rs
+++ b/crates/sloetrail-serving/src/owner/capacity_plan.rs
@@ -21,7 +21,7 @@
 
 /// The work of an open batch.
 #[derive(Clone, Debug)]
-pub(super) struct OpenWork {
+pub(super) struct PlannedBatch {
     pub(super) id: BatchId,
     pub(super) urgency: Urgency,
     pub(super) tenant: WorkTenant,
@@ -55,7 +55,7 @@
 /// Plans which groups are in time. If not all are, the capacity for them excludes what
 /// late groups may start meanwhile.
 pub(super) fn plan_capacity(
-    mut open: Vec<OpenWork>,
+    mut open: Vec<PlannedBatch>,
     capacity: ModelCapacity,
     now: Timestamp,
 ) -> CapacityPlan {
@@ -84,7 +84,7 @@
     }
 }
 
-impl OpenWork {
+impl PlannedBatch {
     fn order(&self) -> (Urgency, Timestamp, &BatchId) {
         (self.urgency, self.ends_by, &self.id)
     }
@@ -125,7 +125,7 @@
 }
 
 impl ModelCapacity {
-    fn budget(&self, work: &OpenWork, running: &RunningTexts, now: Timestamp) -> BatchBudget {
+    fn budget(&self, work: &PlannedBatch, running: &RunningTexts, now: Timestamp) -> BatchBudget {
         BatchBudget {
             in_time: self.budget_until(work.ends_by, running, now),
             useful: self.budget_until(work.useful_until, running, now),
@@ -146,7 +146,10 @@
 }
 
 /// Classifies the groups of batches in order. `budgets` are those of the batches without others.
-fn distribute(open: &[OpenWork], budgets: impl Iterator<Item = BatchBudget>) -> Vec<TriagedGroups> {
+fn distribute(
+    open: &[PlannedBatch],
+    budgets: impl Iterator<Item = BatchBudget>,
+) -> Vec<TriagedGroups> {
     let mut groups = Vec::new();
     let mut reserved_events = 0.0;
     let mut rest = open.iter().zip(budgets).peekable();
@@ -166,7 +169,7 @@
 
 /// Classifies the groups of batches of one urgency. Each tenant can use an equal share of the
 /// capacity. What a tenant leaves goes to the batches in order.
-fn distribute_level(level: &[(&OpenWork, BatchBudget)]) -> Vec<TriagedGroups> {
+fn distribute_level(level: &[(&PlannedBatch, BatchBudget)]) -> Vec<TriagedGroups> {
     let with_work = level
         .iter()
         .filter(|(work, _)| !work.work.groups.is_empty());
@@ -199,7 +202,7 @@
 /// Returns all groups of a batch as one set in time, so that its longest texts go first. None if
 /// they need more than the budget. A text that is too long to end in time is no reason to divide
 /// the batch: its step ends soonest if that text starts first.
-fn complete_batch(work: &OpenWork, budget: EventBudget) -> Option<TriagedGroups> {
+fn complete_batch(work: &PlannedBatch, budget: EventBudget) -> Option<TriagedGroups> {
     let one_set = EventBudget {
         slots: f64::MAX,
         per_text: f64::MAX,
@@ -212,7 +215,7 @@
 /// Gives unused capacity to batches in order. What a batch takes also reduces that of all later
 /// ones, so it can take at most the least of these.
 fn distribute_unused(
-    level: &[(&OpenWork, BatchBudget)],
+    level: &[(&PlannedBatch, BatchBudget)],
     mut unused: Vec<f64>,
     tenants: f64,
     groups: &mut [TriagedGroups],
@@ -245,7 +248,7 @@
 }
 
 impl RunningTexts {
-    fn new(open: &[OpenWork]) -> Self {
+    fn new(open: &[PlannedBatch]) -> Self {
         let texts = open.iter().flat_map(|batch| &batch.work.running_texts);
         let mut remaining: Vec<f64> = texts.copied().collect();
         remaining.sort_by(f64::total_cmp);
--- a/crates/sloetrail-serving/src/owner/capacity_plan/tests.rs
+++ b/crates/sloetrail-serving/src/owner/capacity_plan/tests.rs
@@ -1,6 +1,6 @@
 mod series;
 
-use super::{ModelCapacity, OpenWork, plan_capacity};
+use super::{ModelCapacity, PlannedBatch, plan_capacity};
 use sloetrail_batch::{BatchWork, GroupWork};
 use sloetrail_types::{TenantName, Timestamp, Urgency};
 use std::time::{Duration, Instant};
@@ -14,7 +14,7 @@
 };
 
 /// A batch with `groups` waiting groups of 100 events, due some time after now.
-fn open(id: &str, priority: u8, due_in: Duration, groups: usize) -> OpenWork {
+fn open(id: &str, priority: u8, due_in: Duration, groups: usize) -> PlannedBatch {
     let groups = (0..groups).map(|group| GroupWork {
         group,
         waiting_events: 100.0,
@@ -22,7 +22,7 @@
         longest_text: 25.0,
         items: 4,
     });
-    OpenWork {
+    PlannedBatch {
         id: id.to_owned(),
         urgency: Urgency::new(None, priority),
         tenant: None,
@@ -38,7 +38,7 @@
 }
 
 /// The number of groups in time of each batch, in the order in which capacity is distributed.
-fn in_time(open: Vec<OpenWork>) -> Vec<(String, usize)> {
+fn in_time(open: Vec<PlannedBatch>) -> Vec<(String, usize)> {
     let plan = plan_capacity(open, CAPACITY, NOW);
     let batches = plan.batches.into_iter();
     batches
@@ -55,6 +55,7 @@
     expected.iter().map(owned).collect()
 }
 
+/// Guards against triage that changes the order although all work fits.
 #[test]
 fn work_that_fits_is_all_in_time() {
     let plan = plan_capacity(vec![open("a", 5, seconds(8), 80)], CAPACITY, NOW);
@@ -63,7 +64,8 @@
     assert!(!plan.fits);
 }
 
-/// The budget for groups in time excludes what late groups start meanwhile.
+/// Guards against running all groups side by side at overload, so that all end late. The budget for
+/// groups in time excludes what late groups start meanwhile.
 #[test]
 fn groups_beyond_the_capacity_are_late_at_two_and_four_times_the_load() {
     for load in [2, 4] {
@@ -76,7 +78,7 @@
 /// another one, so that its trainer waits until it gives up.
 #[test]
 fn batch_that_can_be_complete_while_it_is_of_use_is_not_divided() {
-    let useful_for = |open: OpenWork, seconds: u64| OpenWork {
+    let useful_for = |open: PlannedBatch, seconds: u64| PlannedBatch {
         useful_until: NOW.after(Duration::from_secs(seconds)),
         ..open
     };
@@ -132,6 +134,7 @@
     assert_eq!(in_time(batches), named(&[("past", 0), ("next", 70)]));
 }
 
+/// Guards against urgent work that waits for less urgent work due earlier.
 #[test]
 fn more_urgent_batch_uses_the_capacity_before_one_that_is_due_earlier() {
     let batches = vec![
@@ -151,9 +154,9 @@
     assert_eq!(in_time(batches), named(&[("earlier", 0), ("next", 60)]));
 }
 
-fn of_tenant(tenant: &str, work: OpenWork) -> OpenWork {
+fn of_tenant(tenant: &str, work: PlannedBatch) -> PlannedBatch {
     let tenant = Some(TenantName::from(tenant));
-    OpenWork { tenant, ..work }
+    PlannedBatch { tenant, ..work }
 }
 
 /// Guards against the tenant whose batch is due first having all groups in time.
@@ -206,6 +209,7 @@
     assert_eq!(fitting[0].1.in_time.len(), 1, "the longest texts go first");
 }
 
+/// Guards against groups that are late for a time that no trainer has asked for.
 #[test]
 fn batch_without_due_time_is_not_classified() {
     let mut unbounded = open("unbounded", 5, seconds(1), 1_000);
@@ -238,7 +242,7 @@
         open.work.running_texts = (0..TEXTS_PER_BATCH).map(|text| text as f64).collect();
         open
     });
-    let batches: Vec<OpenWork> = batches.collect();
+    let batches: Vec<PlannedBatch> = batches.collect();
     let started_at = Instant::now();
     let plan = plan_capacity(batches, CAPACITY, NOW);
     let elapsed = started_at.elapsed();
--- a/crates/sloetrail-serving/src/owner/capacity_plan/tests/series.rs
+++ b/crates/sloetrail-serving/src/owner/capacity_plan/tests/series.rs
@@ -1,7 +1,7 @@
 //! Series of training steps on a model's slots, in steps of one event, with and without triage.
 
 use crate::owner::batch_scheduler::{BatchScheduler, StartOutcome, StartsSinceLate, TurnRule};
-use crate::owner::capacity_plan::{ModelCapacity, OpenWork, plan_capacity};
+use crate::owner::capacity_plan::{ModelCapacity, PlannedBatch, plan_capacity};
 use serde_json::json;
 use sloetrail_balance::TenantShares;
 use sloetrail_batch::{
@@ -202,7 +202,7 @@
     }
 
     fn triage(&mut self) {
-        let open = self.steps.iter().map(|(id, step)| OpenWork {
+        let open = self.steps.iter().map(|(id, step)| PlannedBatch {
             id: id.clone(),
             urgency: step.batch.header.urgency().0,
             tenant: step.batch.header.tenant.clone(),
@@ -371,6 +371,7 @@
     total
 }
 
+/// Guards against a change of order while the work fits.
 #[test]
 fn series_that_fits_is_the_same_without_triage() {
     let without = Series::run(Load::times(1), false);
--- a/crates/sloetrail-serving/src/owner/engines.rs
+++ b/crates/sloetrail-serving/src/owner/engines.rs
@@ -6,7 +6,7 @@
 use super::backlog_assignment::{Reassignment, ReassignmentBounds, reassign_by_backlog};
 use super::engine::{Engine, ModelRequirement, SendLimits};
 use super::event_interval::EventIntervalMeter;
-use super::model_backlog::ModelBacklog;
+use super::model_backlog::ExpectedModelWork;
 use crate::back_end::BackEnd;
 use crate::directory::Directory;
 use sloetrail_clock::BootInstant;
@@ -117,7 +117,7 @@
     /// Reassigns engines from models that finish early to models that finish late.
     pub(super) fn reassign_by_backlog(
         &mut self,
-        backlogs: &[ModelBacklog],
+        backlogs: &[ExpectedModelWork],
         bounds: ReassignmentBounds,
         now: BootInstant,
     ) -> Vec<Reassignment> {
@@ -252,10 +252,13 @@
 
     /// Events per second that the usable engines assigned to a model make with all slots in use,
     /// from lasting intervals. An engine without one counts with the median; zero if none is known.
+    /// Slow engines, which get only probes, are left out.
     pub(super) fn capacity_of(&self, model: &str, now: BootInstant) -> f64 {
         let median_us = self.median_lasting_interval_us();
         let engines = self.engines.values();
-        let usable = engines.filter(|engine| engine.is_assigned(model) && engine.is_usable(now));
+        let usable = engines.filter(|engine| {
+            engine.is_assigned(model) && engine.is_usable(now) && !engine.is_slow()
+        });
         usable.filter_map(|engine| engine.capacity(median_us)).sum()
     }
 
--- a/crates/sloetrail-serving/src/owner/engines/tests/capacity.rs
+++ b/crates/sloetrail-serving/src/owner/engines/tests/capacity.rs
@@ -23,4 +23,10 @@
     pool.get_mut(&ids[2]).expect("known").record_loss();
     assert_eq!(pool.capacity_of("a", now), SLOTS * 40.0, "one is lost");
     assert_eq!(pool.capacity_of("unknown", now), 0.0);
+    for id in engines_of_model(&pool, "b") {
+        set_event_interval(&pool, &id, 50);
+    }
+    set_event_interval(&pool, &ids[1], 130);
+    assert!(pool.update_slow_engines());
+    assert_eq!(pool.capacity_of("a", now), SLOTS * 20.0, "one is slow");
 }
--- a/crates/sloetrail-serving/src/owner/engines/tests/reassignment.rs
+++ b/crates/sloetrail-serving/src/owner/engines/tests/reassignment.rs
@@ -4,7 +4,7 @@
 use super::{MODELS, engines_of_model, pool, set_event_interval, share};
 use crate::owner::backlog_assignment::{Reassignment, ReassignmentBounds};
 use crate::owner::engines::EnginePool;
-use crate::owner::model_backlog::ModelBacklog;
+use crate::owner::model_backlog::ExpectedModelWork;
 use sloetrail_clock::BootInstant;
 use sloetrail_types::{EngineId, WeightVersion};
 use std::time::Duration;
@@ -14,9 +14,9 @@
 /// Events per second of an engine of 8 slots at this interval.
 const ENGINE_CAPACITY: f64 = 200.0;
 
-fn backlogs(events: [f64; 3]) -> Vec<ModelBacklog> {
+fn backlogs(events: [f64; 3]) -> Vec<ExpectedModelWork> {
     let pairs = MODELS.iter().zip(events);
-    let backlog = |(model, events): (&&str, f64)| ModelBacklog {
+    let backlog = |(model, events): (&&str, f64)| ExpectedModelWork {
         model: (*model).to_owned(),
         events,
     };
@@ -28,7 +28,11 @@
     engines as f64 * ENGINE_CAPACITY * seconds
 }
 
-fn reassign(pool: &mut EnginePool, backlogs: &[ModelBacklog], max: usize) -> Vec<Reassignment> {
+fn reassign(
+    pool: &mut EnginePool,
+    backlogs: &[ExpectedModelWork],
+    max: usize,
+) -> Vec<Reassignment> {
     let bounds = ReassignmentBounds {
         max_engines: max,
         change: CHANGE,
--- a/crates/sloetrail-serving/src/owner/model_backlog.rs
+++ b/crates/sloetrail-serving/src/owner/model_backlog.rs
@@ -22,12 +22,12 @@
 
 /// The events that the engines of a model still have to make.
 #[derive(Clone, Debug, PartialEq)]
-pub(super) struct ModelBacklog {
+pub(super) struct ExpectedModelWork {
     pub(super) model: String,
     pub(super) events: f64,
 }
 
-impl ModelBacklog {
+impl ExpectedModelWork {
     /// Seconds until the work is done at this capacity, in events per second. Infinite if there is
     /// work and no capacity.
     pub(super) fn seconds_to_finish(&self, capacity: f64) -> f64 {
@@ -40,7 +40,7 @@
 
 /// The open work of a model and the capacity of its engines.
 #[derive(Clone, Debug, PartialEq)]
-pub(super) struct OpenWork {
+pub(super) struct ModelOpenEvents {
     pub(super) model: String,
     /// Events still to run for the required items of open batches.
     pub(super) events: f64,
@@ -50,7 +50,7 @@
 
 /// The usual batches of a model.
 #[derive(Clone, Copy, Debug)]
-struct BatchRhythm {
+struct BatchArrivals {
     /// When the newest batch was accepted, by the table's clock.
     accepted_at: Timestamp,
     /// Moving average of the time between batches; None before the second one.
@@ -61,7 +61,7 @@
     item_units: f64,
 }
 
-impl BatchRhythm {
+impl BatchArrivals {
     /// When the next batch is expected. None if it is long overdue.
     fn next_expected_at(&self, now: Timestamp) -> Option<Timestamp> {
         let interval = self.interval.unwrap_or(UNKNOWN_INTERVAL);
@@ -71,13 +71,13 @@
     }
 }
 
-/// The rhythm and size of the batches of each model.
+/// The arrivals and size of the batches of each model.
 #[derive(Debug, Default)]
-pub(super) struct BatchRhythms {
-    models: BTreeMap<String, BatchRhythm>,
+pub(super) struct ArrivalsByModel {
+    models: BTreeMap<String, BatchArrivals>,
 }
 
-impl BatchRhythms {
+impl ArrivalsByModel {
     /// Records a new batch. A batch that is older than the newest one, as when an owner loads
     /// open batches, or whose time of acceptance is unknown, does not change the interval.
     pub(super) fn record(&mut self, batch: &Batch) {
@@ -85,42 +85,46 @@
             return;
         };
         let accepted_at = batch.header.accepted_at;
+        // Trainers choose the names of models, so those that stopped are forgotten.
+        self.models.retain(|known, arrivals| {
+            known == model || arrivals.next_expected_at(accepted_at).is_some()
+        });
         let (batch_units, item_units) = sizes(batch);
-        let rhythm = self.models.entry(model.clone()).or_insert(BatchRhythm {
+        let arrivals = self.models.entry(model.clone()).or_insert(BatchArrivals {
             accepted_at,
             interval: None,
             batch_units,
             item_units,
         });
-        rhythm.batch_units += (batch_units - rhythm.batch_units) * SMOOTHING;
-        rhythm.item_units += (item_units - rhythm.item_units) * SMOOTHING;
-        let is_known = rhythm.accepted_at > Timestamp::default();
-        if is_known && accepted_at > rhythm.accepted_at {
-            let new = accepted_at.since(rhythm.accepted_at);
-            let known = rhythm.interval.unwrap_or(new);
-            rhythm.interval = Some(known.mul_f64(1.0 - SMOOTHING) + new.mul_f64(SMOOTHING));
+        arrivals.batch_units += (batch_units - arrivals.batch_units) * SMOOTHING;
+        arrivals.item_units += (item_units - arrivals.item_units) * SMOOTHING;
+        let is_known = arrivals.accepted_at > Timestamp::default();
+        if is_known && accepted_at > arrivals.accepted_at {
+            let new = accepted_at.since(arrivals.accepted_at);
+            let known = arrivals.interval.unwrap_or(new);
+            arrivals.interval = Some(known.mul_f64(1.0 - SMOOTHING) + new.mul_f64(SMOOTHING));
         }
-        rhythm.accepted_at = rhythm.accepted_at.max(accepted_at);
+        arrivals.accepted_at = arrivals.accepted_at.max(accepted_at);
     }
 
     /// Expected events of a number of items of a model of which only the number is known.
     pub(super) fn events_of_items(&self, model: &str, items: usize, lengths: &LengthModel) -> f64 {
-        let rhythm = self.models.get(model);
-        let units = rhythm.map_or(0.0, |rhythm| rhythm.item_units);
+        let arrivals = self.models.get(model);
+        let units = arrivals.map_or(0.0, |arrivals| arrivals.item_units);
         events_of(units, lengths) * items as f64
     }
 
     /// The work of each model at this time, by the table's clock.
     pub(super) fn backlogs(
         &self,
-        open: &[OpenWork],
+        open: &[ModelOpenEvents],
         lengths: &LengthModel,
         now: Timestamp,
-    ) -> Vec<ModelBacklog> {
+    ) -> Vec<ExpectedModelWork> {
         let done_at = now.after(time_to_finish_all(open));
         let models = open.iter();
         models
-            .map(|work| ModelBacklog {
+            .map(|work| ExpectedModelWork {
                 model: work.model.clone(),
                 events: self.expected_events(work, lengths, now, done_at),
             })
@@ -129,18 +133,18 @@
 
     fn expected_events(
         &self,
-        work: &OpenWork,
+        work: &ModelOpenEvents,
         lengths: &LengthModel,
         now: Timestamp,
         done_at: Timestamp,
     ) -> f64 {
-        let Some(rhythm) = self.models.get(&work.model) else {
+        let Some(arrivals) = self.models.get(&work.model) else {
             return work.events;
         };
-        let next_batch = events_of(rhythm.batch_units, lengths);
-        match rhythm.next_expected_at(now) {
+        let next_batch = events_of(arrivals.batch_units, lengths);
+        match arrivals.next_expected_at(now) {
             // Without an interval, the time of the next batch is not known well enough to count it.
-            Some(at) if rhythm.interval.is_some() && at <= done_at => work.events + next_batch,
+            Some(at) if arrivals.interval.is_some() && at <= done_at => work.events + next_batch,
             Some(_) => work.events.max(next_batch * EXPECTED_BATCH_SHARE),
             None => work.events,
         }
@@ -149,7 +153,7 @@
 
 /// Time until all models' open work is done if the engines are shared perfectly. Zero if no
 /// capacity is known.
-fn time_to_finish_all(open: &[OpenWork]) -> Duration {
+fn time_to_finish_all(open: &[ModelOpenEvents]) -> Duration {
     let events: f64 = open.iter().map(|work| work.events).sum();
     let capacity: f64 = open.iter().map(|work| work.capacity).sum();
     Duration::try_from_secs_f64(events / capacity).unwrap_or_default()
--- a/crates/sloetrail-serving/src/owner/model_backlog/tests.rs
+++ b/crates/sloetrail-serving/src/owner/model_backlog/tests.rs
@@ -1,4 +1,4 @@
-use super::{BatchRhythms, ModelBacklog, OpenWork, open_events};
+use super::{ArrivalsByModel, ExpectedModelWork, ModelOpenEvents, open_events};
 use serde_json::json;
 use sloetrail_batch::{Batch, BatchHeader, DispatchOrder, LengthModel, Submission};
 use sloetrail_types::{AllowedRegions, ServiceName, TimeSpan, Timestamp, WeightVersion};
@@ -49,17 +49,17 @@
 }
 
 /// Rhythms of model `m` after three batches, the last at 3 intervals.
-fn rhythms() -> BatchRhythms {
-    let mut rhythms = BatchRhythms::default();
+fn arrivals() -> ArrivalsByModel {
+    let mut arrivals = ArrivalsByModel::default();
     for number in 1..=3 {
-        rhythms.record(&batch(number * INTERVAL_MS, ITEMS));
+        arrivals.record(&batch(number * INTERVAL_MS, ITEMS));
     }
-    rhythms
+    arrivals
 }
 
 /// Open work of model `m`, beside another model that takes `other_seconds` for its own.
-fn open_work(events: f64, other_seconds: f64) -> Vec<OpenWork> {
-    let work = |model: &str, events: f64| OpenWork {
+fn open_work(events: f64, other_seconds: f64) -> Vec<ModelOpenEvents> {
+    let work = |model: &str, events: f64| ModelOpenEvents {
         model: model.to_owned(),
         events,
         capacity: 100.0,
@@ -68,9 +68,9 @@
 }
 
 /// The events of model `m` at a time after its last batch.
-fn events_after(rhythms: &BatchRhythms, after_ms: u64, open: &[OpenWork]) -> f64 {
+fn events_after(arrivals: &ArrivalsByModel, after_ms: u64, open: &[ModelOpenEvents]) -> f64 {
     let now = Timestamp(3 * INTERVAL_MS + after_ms);
-    rhythms.backlogs(open, &lengths(), now)[0].events
+    arrivals.backlogs(open, &lengths(), now)[0].events
 }
 
 fn assert_near(value: f64, expected: f64) {
@@ -104,28 +104,28 @@
 /// Guards against taking engines from a model just before its next batch comes.
 #[test]
 fn next_batch_counts_if_expected_before_the_open_work_ends() {
-    let rhythms = rhythms();
+    let arrivals = arrivals();
     // Both models need 2.2 s in all: the next batch, expected in 2 s, comes before the end.
     let open = open_work(40.0, 4.0);
     assert_near(
-        events_after(&rhythms, 2_000, &open),
+        events_after(&arrivals, 2_000, &open),
         40.0 + EVENTS_PER_BATCH,
     );
     // It is expected in 3.5 s, after the end.
-    assert_near(events_after(&rhythms, 500, &open), 40.0);
+    assert_near(events_after(&arrivals, 500, &open), 40.0);
 }
 
 /// Guards against a model without open batches that has no engine left for its next step, while
 /// another model has work for much longer or is nearly done.
 #[test]
 fn model_without_open_batches_counts_its_expected_batch() {
-    let rhythms = rhythms();
+    let arrivals = arrivals();
     assert_near(
-        events_after(&rhythms, 100, &open_work(0.0, 60.0)),
+        events_after(&arrivals, 100, &open_work(0.0, 60.0)),
         EVENTS_PER_BATCH,
     );
     assert_near(
-        events_after(&rhythms, 100, &open_work(0.0, 1.0)),
+        events_after(&arrivals, 100, &open_work(0.0, 1.0)),
         EVENTS_PER_BATCH * 0.5,
     );
 }
@@ -133,52 +133,52 @@
 /// Guards against keeping engines for a trainer that has stopped.
 #[test]
 fn model_whose_trainer_has_stopped_has_no_expected_work() {
-    let rhythms = rhythms();
+    let arrivals = arrivals();
     let open = open_work(0.0, 60.0);
-    assert_near(events_after(&rhythms, 4 * INTERVAL_MS, &open), 0.0);
+    assert_near(events_after(&arrivals, 4 * INTERVAL_MS, &open), 0.0);
 }
 
-/// Guards against a wrong rhythm after a new owner has loaded open batches, newest first, and after
+/// Guards against a wrong arrivals after a new owner has loaded open batches, newest first, and after
 /// batches whose time of acceptance is unknown or centuries ahead.
 #[test]
 fn odd_times_of_acceptance_do_not_break_the_rhythm() {
-    let mut rhythms = rhythms();
-    rhythms.record(&batch(2 * INTERVAL_MS, ITEMS));
-    rhythms.record(&batch(0, ITEMS));
+    let mut arrivals = arrivals();
+    arrivals.record(&batch(2 * INTERVAL_MS, ITEMS));
+    arrivals.record(&batch(0, ITEMS));
     let open = open_work(0.0, 60.0);
-    assert_near(events_after(&rhythms, 100, &open), EVENTS_PER_BATCH);
-    rhythms.record(&batch(u64::MAX, ITEMS));
-    let events = events_after(&rhythms, 100, &open);
+    assert_near(events_after(&arrivals, 100, &open), EVENTS_PER_BATCH);
+    arrivals.record(&batch(u64::MAX, ITEMS));
+    let events = events_after(&arrivals, 100, &open);
     assert!(events.is_finite() && events >= 0.0);
 }
 
 /// Guards against the same owner state giving another order of models after a change of owner: a
-/// new owner that loads the open batches knows their rhythm.
+/// new owner that loads the open batches knows their arrivals.
 #[test]
 fn new_owner_learns_the_rhythm_from_open_batches() {
-    let mut rhythms = BatchRhythms::default();
-    rhythms.record(&batch(2 * INTERVAL_MS, ITEMS));
+    let mut arrivals = ArrivalsByModel::default();
+    arrivals.record(&batch(2 * INTERVAL_MS, ITEMS));
     let open = open_work(0.0, 60.0);
-    assert_near(events_after(&rhythms, 100, &open), EVENTS_PER_BATCH * 0.5);
-    rhythms.record(&batch(3 * INTERVAL_MS, ITEMS));
-    assert_near(events_after(&rhythms, 100, &open), EVENTS_PER_BATCH);
+    assert_near(events_after(&arrivals, 100, &open), EVENTS_PER_BATCH * 0.5);
+    arrivals.record(&batch(3 * INTERVAL_MS, ITEMS));
+    assert_near(events_after(&arrivals, 100, &open), EVENTS_PER_BATCH);
 }
 
 /// Guards against a division by zero where a model has no engine.
 #[test]
 fn time_to_finish_without_capacity_is_infinite_only_with_work() {
-    let backlog = |events| ModelBacklog {
+    let backlog = |events| ExpectedModelWork {
         model: "m".to_owned(),
         events,
     };
     assert_eq!(backlog(0.0).seconds_to_finish(0.0), 0.0);
     assert_eq!(backlog(5.0).seconds_to_finish(0.0), f64::INFINITY);
     assert_eq!(backlog(5.0).seconds_to_finish(10.0), 0.5);
-    let open = [OpenWork {
+    let open = [ModelOpenEvents {
         model: "m".to_owned(),
         events: 5.0,
         capacity: 0.0,
     }];
-    let backlogs = rhythms().backlogs(&open, &lengths(), Timestamp(3 * INTERVAL_MS));
+    let backlogs = arrivals().backlogs(&open, &lengths(), Timestamp(3 * INTERVAL_MS));
     assert!(backlogs[0].events.is_finite());
 }
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -18,7 +18,7 @@
 mod triage;
 mod versions;
 
-use self::backlog::BacklogState;
+use self::backlog::ReassignmentState;
 use self::other_batches::OtherBatches;
 use self::quarantined_items::QuarantinedItems;
 use self::supply::SupplyState;
@@ -93,7 +93,7 @@
     age_at_open: Duration,
     timelines: HashMap<ItemIndex, ItemTimeline>,
     /// Time in which items waited while only engines of other models had free slots.
-    waited_with_free_engines: Duration,
+    waited_while_others_free: Duration,
 }
 
 impl OpenBatch {
@@ -158,7 +158,7 @@
     publications: Publications,
     /// By model, a moving average of the expected tokens of its batches.
     expected_tokens: BTreeMap<String, f64>,
-    backlog: BacklogState,
+    backlog: ReassignmentState,
     /// True if something that weight orders depend on has changed.
     weights_due: bool,
     window: OrderWindow,
@@ -174,6 +174,8 @@
     commits: mpsc::UnboundedSender<CommitRequest>,
     committing: JoinHandle<()>,
     checkpointed_at: BootInstant,
+    /// When the use of slots was last counted, and last logged.
+    slots_counted_at: BootInstant,
     slots_reported_at: BootInstant,
 }
 
@@ -194,6 +196,7 @@
         Self {
             committing: term.spawn("result committer", committing),
             checkpointed_at: BootInstant::now(),
+            slots_counted_at: BootInstant::now(),
             slots_reported_at: BootInstant::now(),
             engines: EnginePool::within_regions(
                 context.settings.topology.clone(),
@@ -216,7 +219,7 @@
             quarantined: QuarantinedItems::default(),
             publications: Publications::default(),
             expected_tokens: BTreeMap::new(),
-            backlog: BacklogState::default(),
+            backlog: ReassignmentState::default(),
             weights_due: true,
             window: OrderWindow::default(),
             is_opening_window: false,
--- a/crates/sloetrail-serving/src/owner/service_owner/backlog.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/backlog.rs
@@ -5,7 +5,9 @@
 use crate::owner::backlog_assignment::{
     ChangeDuration, Reassignment, ReassignmentBounds, ReassignmentLimit,
 };
-use crate::owner::model_backlog::{BatchRhythms, ModelBacklog, OpenWork, open_events};
+use crate::owner::model_backlog::{
+    ArrivalsByModel, ExpectedModelWork, ModelOpenEvents, open_events,
+};
 use crate::telemetry;
 use sloetrail_clock::BootInstant;
 use sloetrail_types::Timestamp;
@@ -14,8 +16,8 @@
 
 /// What the shares of models depend on besides the open batches.
 #[derive(Default)]
-pub(super) struct BacklogState {
-    pub(super) rhythms: BatchRhythms,
+pub(super) struct ReassignmentState {
+    pub(super) arrivals: ArrivalsByModel,
     limit: ReassignmentLimit,
     changes: ChangeDuration,
 }
@@ -57,31 +59,31 @@
     }
 
     /// The work of each model; None while engines are not shared by it.
-    fn backlogs(&self, now: BootInstant) -> Option<Vec<ModelBacklog>> {
+    fn backlogs(&self, now: BootInstant) -> Option<Vec<ExpectedModelWork>> {
         if !self.assigns_by_backlog() {
             return None;
         }
         let now_ms = self.context.table.now_ms()?;
-        let open: Option<Vec<OpenWork>> = self
+        let open: Option<Vec<ModelOpenEvents>> = self
             .models()
             .into_iter()
             .map(|model| {
-                Some(OpenWork {
+                Some(ModelOpenEvents {
                     events: self.open_events(&model, now_ms)?,
                     capacity: self.engines.capacity_of(&model, now),
                     model,
                 })
             })
             .collect();
-        let rhythms = &self.backlog.rhythms;
-        Some(rhythms.backlogs(&open?, &self.lengths, Timestamp(now_ms)))
+        let arrivals = &self.backlog.arrivals;
+        Some(arrivals.backlogs(&open?, &self.lengths, Timestamp(now_ms)))
     }
 
     /// Events still to run for the open required items of a model, those of other owners included.
     fn open_events(&self, model: &str, now_ms: u64) -> Option<f64> {
         let other_items = self.other_batches.items(model, now_ms);
-        let rhythms = &self.backlog.rhythms;
-        let mut events = rhythms.events_of_items(model, other_items, &self.lengths);
+        let arrivals = &self.backlog.arrivals;
+        let mut events = arrivals.events_of_items(model, other_items, &self.lengths);
         let open = self.batches.values();
         for open in open.filter(|open| open.batch.model.as_deref() == Some(model)) {
             let generated = |index| open.generated_events(index);
@@ -99,7 +101,7 @@
     }
 
     /// Reports the time to finish of each model; zero while engines are not shared by it.
-    fn report_times_to_finish(&self, backlogs: Option<&[ModelBacklog]>, now: BootInstant) {
+    fn report_times_to_finish(&self, backlogs: Option<&[ExpectedModelWork]>, now: BootInstant) {
         for model in self.models() {
             let mut of_model = backlogs.into_iter().flatten();
             let backlog = of_model.find(|backlog| backlog.model == model);
@@ -108,14 +110,14 @@
         }
     }
 
-    fn seconds_to_finish(&self, backlog: &ModelBacklog, now: BootInstant) -> f64 {
+    fn seconds_to_finish(&self, backlog: &ExpectedModelWork, now: BootInstant) -> f64 {
         backlog.seconds_to_finish(self.engines.capacity_of(&backlog.model, now))
     }
 
     fn report_reassignment(
         &self,
         reassignment: &Reassignment,
-        backlogs: &[ModelBacklog],
+        backlogs: &[ExpectedModelWork],
         now: BootInstant,
     ) {
         let finish_ms = |model: &str| {
--- a/crates/sloetrail-serving/src/owner/service_owner/backlog_reporting.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/backlog_reporting.rs
@@ -5,7 +5,9 @@
 use crate::context::NodeContext;
 use crate::events::{self, Event};
 use crate::leases::Term;
-use crate::owner::backlog_report::{Backlog, BacklogRow, ModelBacklog, OpenWork, StoredBacklog};
+use crate::owner::backlog_report::{
+    Backlog, BacklogRow, OpenBatchWork, ReportedBacklog, StoredBacklog,
+};
 use crate::owner::event::{OwnerEvent, ReportWriteOutcome};
 use crate::rows;
 use crate::table::Commit;
@@ -66,7 +68,7 @@
         let Some(units_per_event) = self.lengths.units_per_event() else {
             return Backlog::default();
         };
-        let mut open_work: BTreeMap<&str, Vec<OpenWork>> = BTreeMap::new();
+        let mut open_work: BTreeMap<&str, Vec<OpenBatchWork>> = BTreeMap::new();
         for open in self.batches.values() {
             let Some(model) = open.batch.model.as_deref() else {
                 continue;
@@ -79,7 +81,7 @@
         }
         let backlogs = open_work.into_iter().filter_map(|(model, open)| {
             let capacity = self.recent_capacities.highest(model);
-            let backlog = ModelBacklog::of_open_work(open, capacity, units_per_event)?;
+            let backlog = ReportedBacklog::of_open_work(open, capacity, units_per_event)?;
             Some((model.to_owned(), backlog))
         });
         backlogs.collect()
@@ -104,9 +106,7 @@
     /// Counts a batch that is past its run target when its required groups are complete, or when
     /// its trainer ends it without them.
     pub(super) fn count_if_late(&self, header: &BatchHeader, age: Duration) {
-        let target = header.run_target;
-        let is_late = !target.is_zero() && age > target.duration();
-        if is_late && self.context.settings.policies.refuse_unservable {
+        if header.has_due_time() && age > header.run_target.duration() {
             telemetry::batch_not_in_time(self.service.as_str());
         }
     }
@@ -114,11 +114,11 @@
 
 impl OpenBatch {
     /// The open work of the required groups; None while their lengths are unknown.
-    fn required_work(&self, lengths: &LengthModel) -> Option<OpenWork> {
+    fn required_work(&self, lengths: &LengthModel) -> Option<OpenBatchWork> {
         let generated = |index| self.generated_events(index);
         let header = &self.batch.header;
         let has_target = !header.run_target.is_zero();
-        Some(OpenWork {
+        Some(OpenBatchWork {
             urgency: header.urgency().0,
             due_at: header.ends_by(),
             run_target: has_target.then(|| header.run_target.duration()),
--- a/crates/sloetrail-serving/src/owner/service_owner/batches.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/batches.rs
@@ -128,7 +128,7 @@
             opened_at: BootInstant::now(),
             age_at_open: age,
             timelines: HashMap::new(),
-            waited_with_free_engines: Duration::ZERO,
+            waited_while_others_free: Duration::ZERO,
         };
         self.batches.insert(id, open);
         self.update_estimates();
--- a/crates/sloetrail-serving/src/owner/service_owner/results.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/results.rs
@@ -200,7 +200,7 @@
             item: &open.batch.item(last).submitted.id,
             wanted: open.batch.is_required(last),
             waiting_ms: milliseconds(times.waiting),
-            free_elsewhere_ms: milliseconds(open.waited_with_free_engines),
+            waited_while_others_free_ms: milliseconds(open.waited_while_others_free),
             running_ms: milliseconds(times.running),
             between_runs_ms: milliseconds(times.between_runs),
             scoring_ms: milliseconds(times.scoring),
--- a/crates/sloetrail-serving/src/owner/service_owner/slot_report.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/slot_report.rs
@@ -2,7 +2,7 @@
 //!
 //! Answers whether waiting items lack engine time altogether or only engines of their model.
 
-use super::{ServiceOwner, TICK_INTERVAL};
+use super::ServiceOwner;
 use crate::events::{self, Event};
 use sloetrail_clock::BootInstant;
 use std::collections::BTreeMap;
@@ -24,6 +24,8 @@
     /// Adds to each batch the time in which its items waited while only engines of other models
     /// had free slots, and logs the use of slots.
     pub(super) fn report_slots(&mut self, now: BootInstant) {
+        let elapsed = now.saturating_duration_since(self.slots_counted_at);
+        self.slots_counted_at = now;
         let slots = self.slots_by_model(now);
         let total_free: usize = slots.values().map(|slots| slots.free).sum();
         for open in self.batches.values_mut() {
@@ -31,7 +33,7 @@
             let own = slots.get(model).copied().unwrap_or_default();
             let waits_for_assignment = open.batch.waiting() > 0 && own.free == 0 && total_free > 0;
             if waits_for_assignment {
-                open.waited_with_free_engines += TICK_INTERVAL;
+                open.waited_while_others_free += elapsed;
             }
         }
         if now.saturating_duration_since(self.slots_reported_at) < REPORT_INTERVAL {
--- a/crates/sloetrail-serving/src/owner/service_owner/speed_matching.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/speed_matching.rs
@@ -17,11 +17,11 @@
     /// Time in which a complete batch is still of use to its trainer. None if its route has no run
     /// target.
     fn useful_time_left(&self) -> Option<Duration> {
-        let time_left = self.time_left()?;
         let header = &self.batch.header;
+        let run_target = header.run_target.duration();
         let lateness = header.useful_until().since(header.ends_by());
-        let overdue = self.age().saturating_sub(header.run_target.duration());
-        Some((time_left + lateness).saturating_sub(overdue))
+        let is_timed = !run_target.is_zero();
+        is_timed.then(|| (run_target + lateness).saturating_sub(self.age()))
     }
 
     /// The waiting texts of a class that may be dispatched instead of the next one, in dispatch
--- a/crates/sloetrail-serving/src/owner/service_owner/triage.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/triage.rs
@@ -7,7 +7,7 @@
 use super::{OpenBatch, ServiceOwner};
 use crate::events::{self, Event};
 use crate::owner::batch_scheduler::{StartsSinceLate, TurnRule};
-use crate::owner::capacity_plan::{CapacityPlan, ModelCapacity, OpenWork, plan_capacity};
+use crate::owner::capacity_plan::{CapacityPlan, ModelCapacity, PlannedBatch, plan_capacity};
 use crate::telemetry;
 use sloetrail_batch::{LengthModel, TriagedGroups};
 use sloetrail_clock::BootInstant;
@@ -132,7 +132,9 @@
         table_now: Timestamp,
         totals: &mut TriageTotals,
     ) {
-        let capacity = self.model_capacity(model, now);
+        let may_need_triage =
+            self.has_more_items_than_slots(model) || self.triage.active.contains_key(model);
+        let capacity = self.model_capacity(model, now).filter(|_| may_need_triage);
         let Some((capacity, open)) = capacity.zip(self.model_work(model)) else {
             self.apply_plan(model, None, now);
             return;
@@ -140,7 +142,7 @@
         let waiting_items: usize = open.iter().map(|open| open.work.waiting_items).sum();
         let waiting_events: f64 = open.iter().map(|open| open.work.waiting_events()).sum();
         let mut plan = plan_capacity(open, capacity, table_now);
-        plan.fits |= !self.are_slots_short(model);
+        plan.fits |= !self.has_more_items_than_slots(model);
         if self.apply_plan(model, Some(&plan), now) {
             totals.add(&plan);
             totals.waiting_items += waiting_items;
@@ -162,7 +164,7 @@
 
     /// Returns true if a model has more open items than slots. Otherwise all its items can run at
     /// once, and no order helps.
-    fn are_slots_short(&self, model: &str) -> bool {
+    fn has_more_items_than_slots(&self, model: &str) -> bool {
         let open = self.batches.values();
         let of_model = open.filter(|open| open.batch.model.as_deref() == Some(model));
         let items: usize = of_model.map(|open| open.items().all).sum();
@@ -180,7 +182,7 @@
     }
 
     /// The work of a model's open batches. None until lengths can be estimated.
-    fn model_work(&self, model: &str) -> Option<Vec<OpenWork>> {
+    fn model_work(&self, model: &str) -> Option<Vec<PlannedBatch>> {
         let open = self.batches.values();
         let of_model = open.filter(|open| open.batch.model.as_deref() == Some(model));
         of_model
@@ -224,11 +226,11 @@
     }
 }
 
-fn open_work(open: &OpenBatch, lengths: &LengthModel) -> Option<OpenWork> {
+fn open_work(open: &OpenBatch, lengths: &LengthModel) -> Option<PlannedBatch> {
     let header = &open.batch.header;
     let generated = |index| open.generated_events(index);
     let (urgency, _) = header.urgency();
-    Some(OpenWork {
+    Some(PlannedBatch {
         id: open.batch.id.clone(),
         urgency,
         tenant: header.tenant.clone(),
--- a/crates/sloetrail-serving/src/owner/service_owner/versions.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/versions.rs
@@ -219,7 +219,7 @@
         let new = (tokens as f64).max(1.0);
         let smoothed = self.expected_tokens.entry(model.clone()).or_insert(new);
         *smoothed += (new - *smoothed) * TOKENS_SMOOTHING;
-        self.backlog.rhythms.record(batch);
+        self.backlog.arrivals.record(batch);
         self.assign_models();
     }
 
--- a/crates/sloetrail-serving/src/owner/speed_match.rs
+++ b/crates/sloetrail-serving/src/owner/speed_match.rs
@@ -47,12 +47,12 @@
 }
 
 impl WaitingText {
-    /// False if the text is expected to end on the engine after `time_left`.
-    fn ends_within(&self, time_left: Option<Duration>, speed: EngineSpeed) -> bool {
+    /// False if the text is expected to end on the engine after this time.
+    fn ends_within(&self, useful_time_left: Option<Duration>, speed: EngineSpeed) -> bool {
         let needed = self
             .remaining_events
             .and_then(|events| speed.time_for(events));
-        match (needed, time_left) {
+        match (needed, useful_time_left) {
             (Some(needed), Some(time_left)) => needed <= time_left,
             _ => true,
         }
@@ -60,18 +60,19 @@
 }
 
 /// Returns the text for a free slot at an engine. `texts` are of one class, in dispatch order;
-/// `time_left` is the time until their batch is due, None if it has no due time.
+/// `useful_time_left` is the time in which a complete batch is still of use to its trainer, None
+/// without a run target.
 ///
 /// A clearly slower engine takes the shortest text. Any other takes the first in dispatch order
-/// that is expected to end in time, or the first if none is.
+/// that is expected to end within it, or the first if none is.
 pub(super) fn choose_text(
     texts: impl Iterator<Item = WaitingText>,
     speed: EngineSpeed,
-    time_left: Option<Duration>,
+    useful_time_left: Option<Duration>,
 ) -> Option<ItemIndex> {
     let chosen = match speed.is_clearly_slower() {
         true => shortest(texts),
-        false => first_in_time(texts, speed, time_left),
+        false => first_in_time(texts, speed, useful_time_left),
     };
     chosen.map(|text| text.index)
 }
@@ -83,11 +84,15 @@
 fn first_in_time(
     texts: impl Iterator<Item = WaitingText>,
     speed: EngineSpeed,
-    time_left: Option<Duration>,
+    useful_time_left: Option<Duration>,
 ) -> Option<WaitingText> {
+    let mut texts = texts;
+    if useful_time_left.is_some_and(|time_left| time_left.is_zero()) {
+        return texts.next();
+    }
     let mut first = None;
     for text in texts {
-        if text.ends_within(time_left, speed) {
+        if text.ends_within(useful_time_left, speed) {
             return Some(text);
         }
         first.get_or_insert(text);
--- a/crates/sloetrail-serving/tests/engine_speeds.rs
+++ b/crates/sloetrail-serving/tests/engine_speeds.rs
@@ -37,13 +37,27 @@
     (runs, mean)
 }
 
+/// Starts an application, without engines and nodes.
+async fn cluster_with_run_target(run_target_ms: u64) -> Cluster {
+    let mut cluster = native_cluster();
+    let mut routes = usual_routes();
+    for route in routes.as_array_mut().expect("routes") {
+        if route["name"] == "rollout" {
+            route["run_target_ms"] = run_target_ms.into();
+        }
+    }
+    cluster.configure(routes);
+    cluster.add_application("zone-a").await;
+    cluster
+}
+
 /// Load: one batch keeps all slots busy for several seconds, and one of four engines is 2.5 times
 /// slower. Guards against that engine standing idle except for a probe every 1.5 s while items
 /// wait, and against it getting the long texts.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_slower_engine_runs_short_texts_while_slots_are_scarce() {
-    let mut cluster = native_cluster();
-    cluster.add_application("zone-a").await;
+    // Long enough that no text is late: texts that are late may move.
+    let mut cluster = cluster_with_run_target(60_000).await;
     let mut fast: Vec<Arc<FakeEngine>> = Vec::new();
     for _ in 0..3 {
         fast.push(cluster.add_engine(FAST).await);
@@ -80,15 +94,7 @@
 /// which has the last texts. Returns the cluster and the slower engine.
 async fn run_batch_on_mixed_engines(run_target_ms: u64, events: u64) -> (Cluster, Arc<FakeEngine>) {
     const TEXTS: usize = 180;
-    let mut cluster = native_cluster();
-    let mut routes = usual_routes();
-    for route in routes.as_array_mut().expect("routes") {
-        if route["name"] == "rollout" {
-            route["run_target_ms"] = run_target_ms.into();
-        }
-    }
-    cluster.configure(routes);
-    cluster.add_application("zone-a").await;
+    let mut cluster = cluster_with_run_target(run_target_ms).await;
     cluster.add_engine(FAST).await;
     cluster.add_engine(FAST).await;
     let slower = cluster.add_engine(SLOWER).await;
--- a/crates/sloetrail-serving/tests/triage.rs
+++ b/crates/sloetrail-serving/tests/triage.rs
@@ -46,6 +46,7 @@
     complete.count()
 }
 
+/// Guards against an owner that runs all groups side by side at overload, so that all end late.
 #[tokio::test(flavor = "multi_thread")]
 async fn groups_are_complete_in_time_at_four_times_the_load() {
     let reader = LogReader::default();
