Texts are matched to engines by speed only where engines differ clearly

All its engines are of one kind; moves that are withheld while slots are scarce leave texts at engines that are disturbed for some seconds.

Change: the policy acts only while at least one engine in eight is clearly slower than the median by lasting intervals, which is what it was made for.

--- a/crates/sloetrail-serving/src/owner/engines/lasting_speed.rs
+++ b/crates/sloetrail-serving/src/owner/engines/lasting_speed.rs
@@ -7,7 +7,26 @@
 use sloetrail_clock::BootInstant;
 use sloetrail_types::EngineId;
 
+/// Engines are uneven if at least one in this many is clearly slower than the median. Fewer are
+/// single engines in trouble, which are better left alone than given work.
+const UNEVEN_DIVISOR: usize = 8;
+
 impl EnginePool {
+    /// True if the engines that take work differ clearly in speed.
+    pub(in crate::owner) fn are_uneven(&self) -> bool {
+        let median_us = self.median_lasting_interval_us();
+        let working = || self.engines.values().filter(|engine| engine.takes_work());
+        let slower = working().filter(|engine| {
+            let speed = EngineSpeed {
+                interval_us: engine.event_interval.lasting_microseconds(),
+                median_us,
+            };
+            speed.is_clearly_slower()
+        });
+        let slower = slower.count();
+        slower > 0 && slower * UNEVEN_DIVISOR >= working().count()
+    }
+
     /// The speed of an engine relative to the median of those that take work.
     pub(in crate::owner) fn speed(&self, id: &EngineId) -> EngineSpeed {
         let engine = self.engines.get(id);
--- a/crates/sloetrail-serving/src/owner/engines/tests/lasting_speed.rs
+++ b/crates/sloetrail-serving/src/owner/engines/tests/lasting_speed.rs
@@ -104,3 +104,24 @@
     assert!(!pool.speed(&new).is_clearly_slower());
     assert_eq!(pool.speed(&EngineId::new("gone")).interval_us, None);
 }
+
+/// Guards against matching texts by speed where all engines are of one kind, so that texts stay at
+/// an engine that other work disturbs.
+#[test]
+fn engines_of_one_kind_are_not_uneven() {
+    let (pool_with_slower, _) = pool_with_slower_engine();
+    assert!(pool_with_slower.are_uneven(), "one of four is slower");
+    let pool = pool(9);
+    assert!(!pool.are_uneven(), "no interval is known");
+    let ids: Vec<EngineId> = pool.iter().map(|(id, _)| id.clone()).collect();
+    for (index, id) in ids.iter().enumerate() {
+        record(&pool, id, if index < 3 { 52 } else { 40 }, 100);
+    }
+    assert!(
+        !pool.are_uneven(),
+        "1.3 times the median is not clearly slower"
+    );
+    pool.get(&ids[0]).expect("known").event_interval.reset();
+    record(&pool, &ids[0], 96, 100);
+    assert!(!pool.are_uneven(), "one of nine is an engine in trouble");
+}
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -177,6 +177,8 @@
     /// When the use of slots was last counted, and last logged.
     slots_counted_at: BootInstant,
     slots_reported_at: BootInstant,
+    /// True if some engines are clearly slower than the median, by lasting intervals.
+    engines_are_uneven: bool,
 }
 
 /// Sleeps until `due`; forever if it is None.
@@ -198,6 +200,7 @@
             checkpointed_at: BootInstant::now(),
             slots_counted_at: BootInstant::now(),
             slots_reported_at: BootInstant::now(),
+            engines_are_uneven: false,
             engines: EnginePool::within_regions(
                 context.settings.topology.clone(),
                 set.regions().clone(),
--- a/crates/sloetrail-serving/src/owner/service_owner/late_texts.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/late_texts.rs
@@ -17,7 +17,7 @@
     /// free slot. Acts for batches of models with scarce slots.
     pub(super) fn move_late_texts(&mut self, now: BootInstant) {
         let policies = self.context.settings.policies;
-        if !policies.move_long_texts || !policies.match_engine_speed {
+        if !policies.move_long_texts || !self.is_matching_speed() {
             return;
         }
         let service = self.service.as_str();
--- a/crates/sloetrail-serving/src/owner/service_owner/relocation.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/relocation.rs
@@ -61,7 +61,7 @@
     /// Cancels runs on slow engines while fast engines have free slots. The items continue there
     /// from the text so far.
     pub(super) fn move_from_slow_engines(&mut self, now: BootInstant) {
-        let matches_speed = self.context.settings.policies.match_engine_speed;
+        let matches_speed = self.is_matching_speed();
         let service = self.service.as_str();
         for open in self.batches.values_mut() {
             let model = open.batch.model.as_deref();
@@ -94,14 +94,14 @@
     /// Closes the runs of long texts that would complete sooner on a faster engine with a free
     /// slot.
     pub(super) fn move_long_texts(&mut self, now: BootInstant) {
-        let policies = self.context.settings.policies;
-        if !policies.move_long_texts {
+        if !self.context.settings.policies.move_long_texts {
             return;
         }
+        let matches_speed = self.is_matching_speed();
         let service = self.service.as_str();
         for (id, open) in &mut self.batches {
             let model = open.batch.model.as_deref();
-            if policies.match_engine_speed && self.usage.is_scarce(model) {
+            if matches_speed && self.usage.is_scarce(model) {
                 continue;
             }
             let requirement = ModelRequirement {
--- a/crates/sloetrail-serving/src/owner/service_owner/speed_matching.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/speed_matching.rs
@@ -48,7 +48,12 @@
 impl ServiceOwner {
     /// True if texts of a model are matched to engines by speed.
     pub(super) fn matches_speed(&self, model: Option<&str>) -> bool {
-        self.context.settings.policies.match_engine_speed && self.usage.is_scarce(model)
+        self.is_matching_speed() && self.usage.is_scarce(model)
+    }
+
+    /// True if the policy is on and the service has engines of clearly different speed.
+    pub(super) fn is_matching_speed(&self) -> bool {
+        self.context.settings.policies.match_engine_speed && self.engines_are_uneven
     }
 
     /// The waiting item of a class of a batch for a free slot at an engine: the next one unless
@@ -78,7 +83,8 @@
 
     /// Updates which engines are slow. Returns true if any became slow or recovered.
     pub(super) fn update_slow_engines(&mut self, now: BootInstant) -> bool {
-        match self.context.settings.policies.match_engine_speed {
+        self.engines_are_uneven = self.engines.are_uneven();
+        match self.is_matching_speed() {
             true => self
                 .engines
                 .update_slow_engines_by_scarcity(now, |model| self.usage.is_scarce(Some(model))),
--- a/crates/sloetrail-serving/src/policies.rs
+++ b/crates/sloetrail-serving/src/policies.rs
@@ -43,7 +43,7 @@
     /// Chooses which required groups to complete by the due time while not all of them fit, and
     /// runs the others after them, one after another.
     pub triage_groups: bool,
-    /// While slots are scarce, matches texts to engines by lasting speed: slower engines run the
+    /// While slots are scarce and engines differ clearly in speed, matches texts to engines by lasting speed: slower engines run the
     /// shortest texts, and a text is moved only if it would be late.
     pub match_engine_speed: bool,
     /// Refuses a batch at once if the open work of its model takes longer than until it is due.
