A probe does not forget the lasting interval of an engine

Cause: each probe of a slow engine reset both intervals.

Change: a probe resets the momentary interval only.

--- a/crates/sloetrail-serving/src/owner/event_interval.rs
+++ b/crates/sloetrail-serving/src/owner/event_interval.rs
@@ -27,6 +27,7 @@
     /// In nanoseconds, since a sample changes it by a small share.
     lasting_ns: AtomicU64,
     samples: AtomicU64,
+    lasting_samples: AtomicU64,
 }
 
 impl EventIntervalMeter {
@@ -42,7 +43,8 @@
             _ => smoothed(known_us, gap_us, SMOOTHING_DIVISOR),
         };
         self.interval_us.store(next_us, Ordering::Relaxed);
-        let divisor = earlier_samples
+        let lasting_samples = self.lasting_samples.fetch_add(1, Ordering::Relaxed);
+        let divisor = lasting_samples
             .saturating_add(1)
             .min(LASTING_SMOOTHING_DIVISOR);
         let gap_ns = gap_us.saturating_mul(NANOS_PER_MICRO);
@@ -53,20 +55,18 @@
 
     /// The momentary interval. None before `MIN_SAMPLES` samples.
     pub(super) fn microseconds(&self) -> Option<u64> {
-        self.has_samples()
-            .then(|| self.interval_us.load(Ordering::Relaxed))
+        let has_samples = self.samples.load(Ordering::Relaxed) >= MIN_SAMPLES;
+        has_samples.then(|| self.interval_us.load(Ordering::Relaxed))
     }
 
     /// The lasting interval. None before `MIN_SAMPLES` samples.
     pub(super) fn lasting_microseconds(&self) -> Option<u64> {
-        self.has_samples()
-            .then(|| self.lasting_ns.load(Ordering::Relaxed) / NANOS_PER_MICRO)
-    }
-
-    fn has_samples(&self) -> bool {
-        self.samples.load(Ordering::Relaxed) >= MIN_SAMPLES
+        let has_samples = self.lasting_samples.load(Ordering::Relaxed) >= MIN_SAMPLES;
+        has_samples.then(|| self.lasting_ns.load(Ordering::Relaxed) / NANOS_PER_MICRO)
     }
 
+    /// Forgets the momentary interval. The lasting one stays: a slow engine that only gets probes
+    /// would otherwise have none.
     pub(super) fn reset(&self) {
         self.samples.store(0, Ordering::Relaxed);
     }
