--- a/crates/sloetrail-batch/src/header.rs
+++ b/crates/sloetrail-batch/src/header.rs
@@ -6,8 +6,7 @@
 };
 
 const MAX_ID_BYTES: usize = 100;
-/// A complete batch is of use until this part of its run target after its due time. With a smaller
-/// part, steps that end a little late are divided, and their trainers stand still until they give up.
+/// A complete batch is of use until this part of its run target after its due time.
 const LATENESS_DIVISOR: u32 = 2;
 
 /// The id of a batch, chosen by the trainer.
