Views that are overdue are told, with what their reads wait for

Cause: the log could not tell whether a late configuration was read late, and why: a pending poll has no line, and dependency_lost comes when the poll has failed, which is after the breach. Change: view_overdue and view_confirmed, and written_within_ms in configuration_in_force. No decision changes.

--- a/crates/sloetrail-serving-testkit/src/cluster.rs
+++ b/crates/sloetrail-serving-testkit/src/cluster.rs
@@ -270,6 +270,7 @@
             batch_status_s: None,
             claims_kept_s: None,
             quarantine_s: None,
+            max_view_age_ms: None,
             concurrent_loads: None,
             body_budget_bytes: self.body_budget_bytes,
             processor_share: self.processor_share,
--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -83,11 +83,34 @@
         peer: &'a str,
         cause: &'a str,
     },
+    /// A view of a table has not been confirmed for a part of its maximum age.
+    ViewOverdue {
+        table: &'a str,
+        /// The time since the request that confirmed the view; None before the first one.
+        age_ms: Option<u64>,
+        /// The time since the pending read was sent.
+        pending_ms: u64,
+        /// How long the pending read may wait for a change.
+        long_poll_ms: u64,
+        /// How long a read may take in addition, derived from earlier latencies.
+        timeout_ms: u64,
+        /// The time since the table answered any call of this node; None before the first answer.
+        last_answer_ms: Option<u64>,
+    },
+    /// An overdue view is confirmed again.
+    ViewConfirmed {
+        table: &'a str,
+        /// The age of the view when it was confirmed; None for the first confirmation.
+        age_ms: Option<u64>,
+    },
     /// A configuration is in force.
     ConfigurationInForce {
         revision: u64,
         /// The number of routes.
         routes: usize,
+        /// The configuration was written at most this long ago, because an earlier read did not
+        /// return it; None for the first one.
+        written_within_ms: Option<u64>,
     },
     /// A route and a tenant of the configuration in force have no region in common.
     RegionsExclude {
--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -22,6 +22,8 @@
             | Event::LinesDropped { .. } => "node",
             Event::DependencyLost { .. }
             | Event::DependencyRegained { .. }
+            | Event::ViewOverdue { .. }
+            | Event::ViewConfirmed { .. }
             | Event::RelayBegan { .. }
             | Event::RelayEnded { .. } => "table",
             Event::ConfigurationInForce { .. }
--- a/crates/sloetrail-serving/src/follow.rs
+++ b/crates/sloetrail-serving/src/follow.rs
@@ -12,8 +12,9 @@
 use crate::table::{Change, Changes, KeyRange, ReadError, Row, RowAddress, Table, scan_all};
 use crate::tasks;
 use sloetrail_clock::BootInstant;
-use sloetrail_types::RowVersion;
+use sloetrail_types::{RowVersion, whole_millis};
 use std::collections::BTreeMap;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{Mutex, watch};
@@ -103,6 +104,7 @@
         timing,
         sender,
         interrupted: false,
+        overdue: None,
         immediate_polls: 0,
     };
     let state = Arc::new(Mutex::new((follower, subset)));
@@ -116,6 +118,19 @@
     receiver
 }
 
+/// A view that was not confirmed in time.
+struct OverdueView {
+    /// When the request that confirmed it last was sent.
+    requested_at: Option<BootInstant>,
+}
+
+impl OverdueView {
+    fn age_ms(&self) -> Option<u64> {
+        let requested_at = self.requested_at?;
+        Some(whole_millis(requested_at.elapsed()))
+    }
+}
+
 /// The result of one request.
 enum Progress {
     UpToDate,
@@ -130,6 +145,8 @@
     timing: PollTiming,
     sender: watch::Sender<Arc<TableView>>,
     interrupted: bool,
+    /// Set while the view is overdue.
+    overdue: Option<OverdueView>,
     /// The number of next polls that don't wait for a change, because the view may be outdated.
     immediate_polls: u32,
 }
@@ -199,13 +216,15 @@
         }
     }
 
-    async fn read_all(&self, subset: Option<&mut SubsetReader>) -> Result<Progress, ReadError> {
+    async fn read_all(&mut self, subset: Option<&mut SubsetReader>) -> Result<Progress, ReadError> {
         let requested_at = BootInstant::now();
         let (page, ranges) = match subset {
             Some(subset) => subset.read(&*self.table, &self.name).await?.into_parts(),
             None => {
+                let table = Arc::clone(&self.table);
                 let range = KeyRange::all(&self.name, &self.partition);
-                let page = scan_all(&*self.table, range).await?;
+                let read = scan_all(&*table, range);
+                let page = self.watch_read(read, Duration::ZERO).await?;
                 (page, KeyRanges::all_keys())
             }
         };
@@ -235,8 +254,10 @@
                 None => std::future::pending().await,
             }
         };
+        let (table, name) = (Arc::clone(&self.table), self.name.clone());
+        let poll = table.changes(&name, since, long_poll_timeout);
         let changes = tokio::select! {
-            changes = self.table.changes(&self.name, since, long_poll_timeout) => changes?,
+            changes = self.watch_read(poll, long_poll_timeout) => changes?,
             () = more_demanded => return Ok(Progress::NeedsMoreRows),
         };
         let partition = self.partition.clone();
@@ -244,6 +265,22 @@
         Ok(Progress::UpToDate)
     }
 
+    /// Waits for a read that was sent now, and reports the view as overdue if it takes long.
+    async fn watch_read<Answer>(
+        &mut self,
+        read: impl Future<Output = Result<Answer, ReadError>>,
+        long_poll_timeout: Duration,
+    ) -> Result<Answer, ReadError> {
+        let sent_at = BootInstant::now();
+        let overdue_at = sent_at + self.timing.overdue_after(long_poll_timeout);
+        let mut read = pin!(read);
+        if let Ok(answer) = sloetrail_clock::timeout_at(overdue_at, &mut read).await {
+            return answer;
+        }
+        self.record_overdue(sent_at, long_poll_timeout);
+        read.await
+    }
+
     /// Removes all rows outside of these ranges from the view.
     fn retain_ranges(&self, ranges: KeyRanges) {
         self.sender.send_modify(|current| {
@@ -262,7 +299,27 @@
         });
     }
 
+    fn record_overdue(&mut self, sent_at: BootInstant, long_poll_timeout: Duration) {
+        let requested_at = self.sender.borrow().requested_at;
+        let overdue = self.overdue.get_or_insert(OverdueView { requested_at });
+        let latency = self.table.read_latency();
+        events::emit(&Event::ViewOverdue {
+            table: &self.name,
+            age_ms: overdue.age_ms(),
+            pending_ms: whole_millis(sent_at.elapsed()),
+            long_poll_ms: whole_millis(long_poll_timeout),
+            timeout_ms: whole_millis(latency.timeout),
+            last_answer_ms: latency.answered_at.map(|at| whole_millis(at.elapsed())),
+        });
+    }
+
     fn record_answer(&mut self) {
+        if let Some(overdue) = self.overdue.take() {
+            events::emit(&Event::ViewConfirmed {
+                table: &self.name,
+                age_ms: overdue.age_ms(),
+            });
+        }
         if std::mem::take(&mut self.interrupted) {
             let table = &self.name;
             events::emit(&Event::DependencyRegained { dependency: table });
--- a/crates/sloetrail-serving/src/follow/poll_timing.rs
+++ b/crates/sloetrail-serving/src/follow/poll_timing.rs
@@ -21,6 +21,8 @@
 const DIRECTORY_LONG_POLL: Duration = Duration::from_secs(1);
 const MIN_LEASE_DELAY: Duration = Duration::from_millis(20);
 const LEASE_DELAY_PER_BACK_END: Duration = Duration::from_micros(400);
+/// A sound table answers within this time after the long-poll timeout.
+const SOUND_ANSWER_TIME: Duration = Duration::from_millis(250);
 /// Polls within the duration of a lease while nothing changes.
 const POLLS_PER_LEASE_DURATION: u32 = 3;
 
@@ -119,6 +121,8 @@
     pub delay: FleetScaledDuration,
     /// How long a poll may wait for a change. It also bounds the age of an unchanged view.
     pub long_poll_timeout: FleetScaledDuration,
+    /// How old the view may become while the table could confirm it.
+    pub max_age: Duration,
 }
 
 impl PollTiming {
@@ -128,12 +132,20 @@
     }
 
     /// A fixed delay with a long-poll timeout of one second.
-    pub fn with_delay(delay: Duration) -> Self {
+    pub fn with_delay(delay: Duration, max_age: Duration) -> Self {
         Self {
             delay: FleetScaledDuration::fixed(delay),
             long_poll_timeout: FleetScaledDuration::fixed(Duration::from_secs(1)),
+            max_age,
         }
     }
+
+    /// How long a read may be pending before the view is overdue: five eighths of the maximum age,
+    /// but longer than a read of a sound table that waits this long for a change.
+    pub(super) fn overdue_after(&self, long_poll_timeout: Duration) -> Duration {
+        let part_of_age = self.max_age / 8 * 5;
+        part_of_age.max(long_poll_timeout + SOUND_ANSWER_TIME)
+    }
 }
 
 /// The poll timing of each table that a node follows.
@@ -158,6 +170,7 @@
                     OPERATOR_LONG_POLL_PER_BACK_END,
                     MAX_OPERATOR_LONG_POLL,
                 ),
+                max_age: bounds.max_view_age,
             },
             directory: PollTiming {
                 delay: FleetScaledDuration::scaled(
@@ -168,6 +181,7 @@
                 )
                 .min_for_owners(),
                 long_poll_timeout: FleetScaledDuration::fixed(DIRECTORY_LONG_POLL),
+                max_age: bounds.max_view_age,
             },
             leases: PollTiming {
                 delay: FleetScaledDuration::scaled(
@@ -179,6 +193,7 @@
                 long_poll_timeout: FleetScaledDuration::fixed(
                     bounds.lease / POLLS_PER_LEASE_DURATION,
                 ),
+                max_age: bounds.max_view_age,
             },
         }
     }
--- a/crates/sloetrail-serving/src/follow/tests.rs
+++ b/crates/sloetrail-serving/src/follow/tests.rs
@@ -11,6 +11,7 @@
 
 /// How long a call waits for an unresponsive table.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+const MAX_AGE: Duration = Duration::from_secs(2);
 
 /// A table that fails all calls until it becomes available.
 struct UnavailableTable {
@@ -87,7 +88,7 @@
 
 /// The time from the table's return until a follower reads it, after this time of unavailability.
 async fn reconnect_time(table: Arc<UnavailableTable>, outage: Duration) -> Duration {
-    let timing = PollTiming::with_delay(Duration::from_millis(5));
+    let timing = PollTiming::with_delay(Duration::from_millis(5), MAX_AGE);
     let mut view = follow(Arc::clone(&table) as Arc<dyn Table>, "rows", "", timing);
     tokio::time::sleep(outage).await;
     assert!(view.borrow().confirmed_at.is_none());
@@ -121,7 +122,7 @@
 async fn a_late_answer_is_followed_by_an_immediate_poll() {
     let table = UnavailableTable::new(false);
     table.is_available.send_replace(true);
-    let timing = PollTiming::with_delay(Duration::from_millis(5));
+    let timing = PollTiming::with_delay(Duration::from_millis(5), MAX_AGE);
     let long_poll_timeout = timing.long_poll_timeout.now();
     let mut view = follow(Arc::clone(&table) as Arc<dyn Table>, "rows", "", timing);
     let is_known = view.wait_for(|view| view.confirmed_at.is_some());
@@ -143,7 +144,7 @@
 async fn a_suspension_during_the_delay_causes_an_immediate_poll() {
     let table = UnavailableTable::new(false);
     table.is_available.send_replace(true);
-    let timing = PollTiming::with_delay(Duration::from_millis(60));
+    let timing = PollTiming::with_delay(Duration::from_millis(60), MAX_AGE);
     let long_poll_timeout = timing.long_poll_timeout.now();
     let mut view = follow(Arc::clone(&table) as Arc<dyn Table>, "rows", "", timing);
     let is_known = view.wait_for(|view| view.confirmed_at.is_some());
--- a/crates/sloetrail-serving/src/operator.rs
+++ b/crates/sloetrail-serving/src/operator.rs
@@ -11,9 +11,10 @@
 use crate::telemetry;
 use sloetrail_clock::BootInstant;
 use sloetrail_routing::ServingConfiguration;
-use sloetrail_types::{RowVersion, WeightVersion, ZoneName};
+use sloetrail_types::{RowVersion, WeightVersion, ZoneName, whole_millis};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::watch;
 
 /// Region conflicts logged for one configuration; a mistake shows in the first ones.
@@ -122,8 +123,9 @@
     fn apply(&self, table: &TableView) {
         let mut next = InForce::clone(&self.sender.borrow());
         let dialect = &*self.dialect;
+        let written_within = self.applied.borrow().map(|applied| applied.elapsed());
         let configured = apply_part("configuration", || {
-            apply_configuration(&mut next, table, dialect)
+            apply_configuration(&mut next, table, dialect, written_within)
         });
         let published = apply_part("published versions", || {
             apply_versions(&mut next, table, dialect)
@@ -143,8 +145,14 @@
     tasks::catch_sync(name, apply).unwrap_or(true)
 }
 
-/// Applies a newer configuration. Returns true if there was one.
-fn apply_configuration(in_force: &mut InForce, table: &TableView, dialect: &dyn Dialect) -> bool {
+/// Applies a newer configuration. Returns true if there was one. `written_within` is the time since
+/// the read that did not return it.
+fn apply_configuration(
+    in_force: &mut InForce,
+    table: &TableView,
+    dialect: &dyn Dialect,
+    written_within: Option<Duration>,
+) -> bool {
     let address = &dialect.sources().configuration;
     let Some(row) = table.rows.get(&address.key) else {
         return false;
@@ -176,6 +184,7 @@
     events::emit(&Event::ConfigurationInForce {
         revision: configuration.revision.0,
         routes: configuration.routes.iter().count(),
+        written_within_ms: written_within.map(whole_millis),
     });
     emit_region_conflicts(&configuration);
     emit_held_numbers(&configuration);
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -305,11 +305,12 @@
 
     fn follow(&self, table: &str) -> ViewReceiver {
         let source = Arc::clone(&self.context.table);
+        let max_age = self.context.settings.bounds.max_view_age;
         follow(
             source,
             table,
             rows::CALLERS,
-            PollTiming::with_delay(VIEW_POLL_DELAY),
+            PollTiming::with_delay(VIEW_POLL_DELAY, max_age),
         )
     }
 
--- a/crates/sloetrail-serving/src/relay/peers.rs
+++ b/crates/sloetrail-serving/src/relay/peers.rs
@@ -171,6 +171,7 @@
         let poll_timing = PollTiming {
             delay: FleetScaledDuration::fixed(FOLLOW_DELAY),
             long_poll_timeout: FleetScaledDuration::fixed(FOLLOW_LONG_POLL_TIMEOUT),
+            max_age: settings.bounds.max_view_age,
         };
         Self {
             own_name: settings.node.clone(),
--- a/crates/sloetrail-serving/src/relay/table.rs
+++ b/crates/sloetrail-serving/src/relay/table.rs
@@ -3,7 +3,8 @@
 use super::message::{TableAnswer, TableCall};
 use super::peers::Peers;
 use crate::table::{
-    Changes, Commit, CommitError, KeyRange, Page, ReadError, Table, TableLimits, Transaction,
+    Changes, Commit, CommitError, KeyRange, Page, ReadError, ReadLatency, Table, TableLimits,
+    Transaction,
 };
 use async_trait::async_trait;
 use sloetrail_types::{RowVersion, whole_millis};
@@ -70,6 +71,10 @@
         self.direct.typical_latency()
     }
 
+    fn read_latency(&self) -> ReadLatency {
+        self.direct.read_latency()
+    }
+
     fn is_answering(&self) -> bool {
         self.direct.is_answering() || self.peers.has_relay()
     }
--- a/crates/sloetrail-serving/src/settings.rs
+++ b/crates/sloetrail-serving/src/settings.rs
@@ -23,6 +23,7 @@
 /// One hour: callers or back ends are seldom fixed sooner, and a request that still crashes back
 /// ends then costs three of them per hour.
 const DEFAULT_QUARANTINE_S: f64 = 3_600.0;
+const DEFAULT_MAX_VIEW_AGE_MS: u64 = 2_000;
 const DEFAULT_CONCURRENT_LOADS: usize = 2;
 const DEFAULT_BODY_BUDGET_BYTES: usize = 64 * 1024 * 1024;
 
@@ -69,6 +70,10 @@
     /// How long a crash of a back end counts against the requests that it was running, in seconds.
     #[serde(default)]
     pub quarantine_s: Option<f64>,
+    /// How old a view of the operator's rows, of the directory or of leases may become while the
+    /// table could confirm it, in milliseconds.
+    #[serde(default)]
+    pub max_view_age_ms: Option<u64>,
     /// Maximum number of engines that change their weights at a time.
     pub concurrent_loads: Option<usize>,
     /// Maximum total size of all request bodies in memory.
@@ -247,6 +252,8 @@
     pub claim_retention: Duration,
     /// How long a crash of a back end counts against the requests that it was running.
     pub quarantine: Duration,
+    /// How old a view of a followed table may become while the table could confirm it.
+    pub max_view_age: Duration,
     /// Maximum number of engines that change their weights at a time.
     pub concurrent_loads: usize,
     /// Maximum total size of all request bodies in memory.
@@ -279,6 +286,10 @@
                 "quarantine_s",
                 raw.quarantine_s.unwrap_or(DEFAULT_QUARANTINE_S),
             )?,
+            max_view_age: numbers.millis(
+                "max_view_age_ms",
+                raw.max_view_age_ms.unwrap_or(DEFAULT_MAX_VIEW_AGE_MS),
+            ),
             concurrent_loads: numbers.count("concurrent_loads", concurrent_loads, 0),
             body_budget_bytes: numbers.bytes("body_budget_bytes", body_budget_bytes),
         };
@@ -289,6 +300,8 @@
     fn validate(&self) -> Result<(), SettingsError> {
         const MIN_LEASE: Duration = Duration::from_millis(300);
         const MIN_GRACE: Duration = Duration::from_millis(500);
+        // Shorter ages would have a table with an ordinary latency asked without pause.
+        const MIN_VIEW_AGE: Duration = Duration::from_millis(500);
         // Must exceed any pause of a process and any write in flight.
         const MIN_CLAIM_RETENTION: Duration = Duration::from_secs(60);
         let too_short = |field| OutOfBoundsSnafu {
@@ -297,6 +310,10 @@
         };
         ensure!(self.lease >= MIN_LEASE, too_short("lease_ms"));
         ensure!(self.grace >= MIN_GRACE, too_short("grace_s"));
+        ensure!(
+            self.max_view_age >= MIN_VIEW_AGE,
+            too_short("max_view_age_ms")
+        );
         ensure!(
             self.claim_retention >= MIN_CLAIM_RETENTION,
             too_short("claims_kept_s")
--- a/crates/sloetrail-serving/src/table.rs
+++ b/crates/sloetrail-serving/src/table.rs
@@ -7,6 +7,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use sloetrail_clock::BootInstant;
 use sloetrail_types::RowVersion;
 use snafu::Snafu;
 use std::time::Duration;
@@ -212,6 +213,15 @@
     pub transaction_bytes: usize,
 }
 
+/// What a client knows of the latency of reads.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReadLatency {
+    /// How long the next read may take.
+    pub timeout: Duration,
+    /// When any call was last answered; None before the first answer.
+    pub answered_at: Option<BootInstant>,
+}
+
 /// Access to the table service.
 #[async_trait]
 pub trait Table: Send + Sync {
@@ -226,6 +236,11 @@
         Duration::ZERO
     }
 
+    /// Returns what is known of the latency of reads. The default implementation knows nothing.
+    fn read_latency(&self) -> ReadLatency {
+        ReadLatency::default()
+    }
+
     /// Returns whether the table is believed to be available. If false, calls are expected to
     /// fail.
     fn is_answering(&self) -> bool {
--- a/crates/sloetrail-serving/src/table_client.rs
+++ b/crates/sloetrail-serving/src/table_client.rs
@@ -17,7 +17,8 @@
 
 use crate::rows;
 use crate::table::{
-    Changes, Commit, CommitError, KeyRange, Page, ReadError, Table, TableLimits, Transaction,
+    Changes, Commit, CommitError, KeyRange, Page, ReadError, ReadLatency, Table, TableLimits,
+    Transaction,
 };
 use crate::tasks;
 use crate::telemetry;
@@ -228,6 +229,13 @@
         of(&self.writes).max(of(&self.reads))
     }
 
+    fn read_latency(&self) -> ReadLatency {
+        ReadLatency {
+            timeout: timeout_of(&self.reads),
+            answered_at: self.availability.lock().answered_at(),
+        }
+    }
+
     fn is_answering(&self) -> bool {
         let availability = self.availability.lock();
         availability.is_answering()
--- a/crates/sloetrail-serving/src/table_client/availability.rs
+++ b/crates/sloetrail-serving/src/table_client/availability.rs
@@ -44,6 +44,11 @@
         is_lost.then_some(AvailabilityChange::Lost)
     }
 
+    /// Returns when a call was last answered.
+    pub(super) fn answered_at(&self) -> Option<BootInstant> {
+        self.answered_at
+    }
+
     /// Returns false after [`MIN_FAILURES`] failures and [`OUTAGE_AFTER`] without an answer.
     pub(super) fn is_answering(&self) -> bool {
         !self.is_unavailable
