Calls that time out together raise the timeout once

Cause: all reads of a node share an adaptive timeout, which doubled with each call that timed out. In one silence of the store the polls of all followers time out one after the other, each with the timeout of its start, and 150 ms became 3 s; the next poll of the operator's rows waited for that. Change: a timeout counts only if its call had the current timeout or a longer one. Test: eight calls that time out together left 3 s before, 300 ms now. This alone does not keep the bound: a poll still takes 3 s more after a slow spell.

--- a/crates/sloetrail-serving/src/table_client.rs
+++ b/crates/sloetrail-serving/src/table_client.rs
@@ -179,7 +179,7 @@
     if was_answered {
         adaptive.record_answer(took);
     } else if took >= timeout {
-        adaptive.record_timeout();
+        adaptive.record_timeout(timeout);
     }
 }
 
--- a/crates/sloetrail-serving/src/table_client/adaptive_timeout.rs
+++ b/crates/sloetrail-serving/src/table_client/adaptive_timeout.rs
@@ -50,7 +50,11 @@
         }
     }
 
-    pub fn record_timeout(&mut self) {
-        self.timeouts = self.timeouts.saturating_add(1);
+    /// Records that a call timed out that had this timeout. Calls that time out together raise the
+    /// timeout once: those with an earlier, shorter timeout are no evidence against the current one.
+    pub fn record_timeout(&mut self, timeout: Duration) {
+        if timeout >= self.timeout() {
+            self.timeouts = self.timeouts.saturating_add(1);
+        }
     }
 }
--- a/crates/sloetrail-serving/src/table_client/tests.rs
+++ b/crates/sloetrail-serving/src/table_client/tests.rs
@@ -32,7 +32,7 @@
     let mut timeouts = Vec::new();
     while adaptive.timeout() < milliseconds(500) {
         timeouts.push(adaptive.timeout());
-        adaptive.record_timeout();
+        adaptive.record_timeout(adaptive.timeout());
     }
     assert_eq!(timeouts, [milliseconds(150), milliseconds(300)]);
     adaptive.record_answer(milliseconds(400));
@@ -75,7 +75,7 @@
 fn the_timeout_is_bounded() {
     let mut adaptive = AdaptiveTimeout::default();
     for _ in 0..100 {
-        adaptive.record_timeout();
+        adaptive.record_timeout(adaptive.timeout());
     }
     assert_eq!(adaptive.timeout(), milliseconds(3_000));
 }
@@ -262,3 +262,19 @@
     assert!(scans.iter().all(Result::is_err));
     assert!(table.is_answering(), "scans");
 }
+
+/// Guards against one silence that raises the timeout to its maximum.
+#[tokio::test(start_paused = true)]
+async fn calls_that_time_out_together_raise_the_timeout_once() {
+    const CONCURRENT_CALLS: usize = 8;
+    let transport = Arc::new(SlowTable {
+        unavailable: AtomicBool::new(true),
+        ..SlowTable::default()
+    });
+    let table = TableClient::new(transport);
+    let timeout = table.read_latency().timeout;
+    let range = KeyRange::all("t", "p");
+    let scans = join_all((0..CONCURRENT_CALLS).map(|_| table.scan(&range))).await;
+    assert!(scans.iter().all(Result::is_err));
+    assert_eq!(table.read_latency().timeout, timeout * 2);
+}
