The faulty table of the tests ends a lost call after its timeout, once

Cause: a pending call that a silence swallowed waited for its timeout twice, so that the test of short silences failed after 100 ms for a fault of the test. Change: once, but for a stall within a body, where each wait for data has the timeout, as in the client of the platform's store. The test of short silences has slow spells before them.

--- a/crates/sloetrail-serving/src/follow/tests/faulty_table.rs
+++ b/crates/sloetrail-serving/src/follow/tests/faulty_table.rs
@@ -147,9 +147,13 @@
         let answering = self.answer(answer, answer_by);
         let answered = match self.fate() {
             Fate::Answered => tokio::time::timeout(timeout, answering).await.ok(),
-            Fate::Lost => None,
+            Fate::Lost => {
+                tokio::time::sleep(timeout).await;
+                None
+            }
             Fate::StalledInBody => {
-                tokio::time::sleep(self.latency()).await;
+                let _ = tokio::time::timeout(timeout, answering).await;
+                tokio::time::sleep(timeout).await;
                 None
             }
             Fate::Refused => return Err(failure.into()),
@@ -161,7 +165,6 @@
             }
             Some(None) => Err(failure.into()),
             None => {
-                tokio::time::sleep(timeout).await;
                 self.state.lock().idle_connections = 0;
                 Err(TableCallError {
                     failure,
--- a/crates/sloetrail-serving/src/follow/tests/view_age.rs
+++ b/crates/sloetrail-serving/src/follow/tests/view_age.rs
@@ -137,6 +137,14 @@
     }
 }
 
+fn pairs_of<const A: usize, const B: usize>(
+    left: [u64; A],
+    right: [u64; B],
+) -> impl Iterator<Item = (u64, u64)> {
+    left.into_iter()
+        .flat_map(move |one| right.into_iter().map(move |other| (one, other)))
+}
+
 /// Troubles of up to 4 s, each of one or two faults.
 fn random_trouble(random: &mut StdRng) -> (Vec<Fault>, Duration) {
     let latency = milliseconds(random.random_range(50..1_500));
@@ -183,10 +191,15 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_poll_lost_in_a_short_silence_does_not_delay_the_next_configuration() {
-    for silence in [100, 400, 800, 1_200, 2_000] {
+    let silences = [100, 400, 800, 1_200, 2_000];
+    let latencies = [4, 100, 400, 800];
+    for (silence, latency) in pairs_of(silences, latencies) {
         let views = Views::start(silence, &FleetSize::default());
-        let mut writes = Writes::new(format!("silent for {silence} ms"));
+        let mut writes = Writes::new(format!("{latency} ms slow, silent for {silence} ms"));
         views.run(Duration::from_secs(3), None, &mut writes).await;
+        let slow = Fault::Slow(milliseconds(latency));
+        views.table.set_faults(&[slow]);
+        views.run(Duration::from_secs(4), None, &mut writes).await;
         views.table.set_faults(&[Fault::Silent]);
         views.run(milliseconds(silence), None, &mut writes).await;
         views.table.set_faults(&[]);
