Reads of followed tables are repeated while they are pending

What callers saw: requests handled by a configuration that had been replaced more than two seconds before, up to 6 s late, after the store had been silent for a moment: 404 on a route that had been added, or an answer of the old service. Cause: a poll that the silence swallowed was waited for as long as its own patience lasted: up to 1 s (2.5 s in large fleets) for a change, then a timeout learned from latency, up to 3 s, both once more within a body, and all of it again after an unresponsive connection. Nothing related this to the time in which a change must be in force. Other calls that were answered meanwhile did not end the wait, nor did the end of an outage that was too short to be noticed. Change: while a read is pending, the table is asked again, first after five eighths of max_view_age_ms and then each quarter of it, without a wait for a change and over connections that have responded since; the first answer counts. The pending read goes on, so that a table that takes seconds for an answer is still followed. A poll waits half of the bound for a change at most. This holds for the operator's rows, the directory, leases and crashes, batches, ends and other nodes. Why it works: after the end of any trouble the next request leaves within 1.25 s, on a connection that the trouble has not touched. In virtual time a table in trouble is called less often than a sound one.

--- a/crates/sloetrail-serving/src/follow.rs
+++ b/crates/sloetrail-serving/src/follow.rs
@@ -2,6 +2,7 @@
 
 mod poll_timing;
 mod subset;
+mod timely_read;
 
 pub use poll_timing::{FleetScaledDuration, FleetSize, OwnedServiceGuard, PollTiming, PollTimings};
 pub(crate) use subset::SubsetReader;
@@ -9,14 +10,14 @@
 use crate::directory_index::KeyRanges;
 use crate::events::{self, Event};
 use crate::retry_backoff::RetryBackoff;
-use crate::table::{Change, Changes, KeyRange, ReadError, Row, RowAddress, Table, scan_all};
+use crate::table::{Change, Changes, KeyRange, Page, ReadError, Row, RowAddress, Table, scan_all};
 use crate::tasks;
 use sloetrail_clock::BootInstant;
 use sloetrail_types::{RowVersion, whole_millis};
 use std::collections::BTreeMap;
-use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
+use timely_read::{TimedAnswer, read_timely};
 use tokio::sync::{Mutex, watch};
 
 /// A poll that ends this long after its timeout, or a delay that overruns by this much, means that
@@ -218,14 +219,15 @@
 
     async fn read_all(&mut self, subset: Option<&mut SubsetReader>) -> Result<Progress, ReadError> {
         let requested_at = BootInstant::now();
-        let (page, ranges) = match subset {
-            Some(subset) => subset.read(&*self.table, &self.name).await?.into_parts(),
+        let (requested_at, page, ranges) = match subset {
+            Some(subset) => {
+                let read = subset.read(&*self.table, &self.name).await?;
+                let (page, ranges) = read.into_parts();
+                (requested_at, page, ranges)
+            }
             None => {
-                let table = Arc::clone(&self.table);
-                let range = KeyRange::all(&self.name, &self.partition);
-                let read = scan_all(&*table, range);
-                let page = self.watch_read(read, Duration::ZERO).await?;
-                (page, KeyRanges::all_keys())
+                let read = self.read_all_rows().await?;
+                (read.requested_at, read.answer, KeyRanges::all_keys())
             }
         };
         let rows = page.rows.into_iter();
@@ -237,11 +239,19 @@
         Ok(Progress::UpToDate)
     }
 
+    async fn read_all_rows(&mut self) -> Result<TimedAnswer<Page>, ReadError> {
+        let table = Arc::clone(&self.table);
+        let range = KeyRange::all(&self.name, &self.partition);
+        let scan = || scan_all(&*table, range.clone());
+        let timing = self.timing.repeat_timing(Duration::ZERO);
+        let overdue = |sent_at| self.record_overdue(sent_at, Duration::ZERO);
+        read_timely(scan(), scan, timing, overdue).await
+    }
+
     async fn read_changes(
         &mut self,
         subset: Option<&mut SubsetReader>,
     ) -> Result<Progress, ReadError> {
-        let requested_at = BootInstant::now();
         let since = self.sender.borrow().version;
         let long_poll_timeout = match self.immediate_polls {
             0 => self.timing.long_poll_timeout.now(),
@@ -254,31 +264,29 @@
                 None => std::future::pending().await,
             }
         };
-        let (table, name) = (Arc::clone(&self.table), self.name.clone());
-        let poll = table.changes(&name, since, long_poll_timeout);
-        let changes = tokio::select! {
-            changes = self.watch_read(poll, long_poll_timeout) => changes?,
+        let read = tokio::select! {
+            read = self.poll(since, long_poll_timeout) => read?,
             () = more_demanded => return Ok(Progress::NeedsMoreRows),
         };
         let partition = self.partition.clone();
-        self.publish(requested_at, |view| apply(view, changes, &partition));
+        self.publish(read.requested_at, |view| {
+            apply(view, read.answer, &partition);
+        });
         Ok(Progress::UpToDate)
     }
 
-    /// Waits for a read that was sent now, and reports the view as overdue if it takes long.
-    async fn watch_read<Answer>(
+    /// Polls for changes. Repetitions do not wait for a change.
+    async fn poll(
         &mut self,
-        read: impl Future<Output = Result<Answer, ReadError>>,
+        since: RowVersion,
         long_poll_timeout: Duration,
-    ) -> Result<Answer, ReadError> {
-        let sent_at = BootInstant::now();
-        let overdue_at = sent_at + self.timing.overdue_after(long_poll_timeout);
-        let mut read = pin!(read);
-        if let Ok(answer) = sloetrail_clock::timeout_at(overdue_at, &mut read).await {
-            return answer;
-        }
-        self.record_overdue(sent_at, long_poll_timeout);
-        read.await
+    ) -> Result<TimedAnswer<Changes>, ReadError> {
+        let (table, name) = (Arc::clone(&self.table), self.name.clone());
+        let poll = table.changes(&name, since, long_poll_timeout);
+        let repeat = || table.changes(&name, since, Duration::ZERO);
+        let timing = self.timing.repeat_timing(long_poll_timeout);
+        let overdue = |sent_at| self.record_overdue(sent_at, long_poll_timeout);
+        read_timely(poll, repeat, timing, overdue).await
     }
 
     /// Removes all rows outside of these ranges from the view.
@@ -299,9 +307,14 @@
         });
     }
 
+    /// Records that a read is pending for long and will be repeated.
     fn record_overdue(&mut self, sent_at: BootInstant, long_poll_timeout: Duration) {
+        self.table.distrust_connections(sent_at);
+        if self.overdue.is_some() {
+            return;
+        }
         let requested_at = self.sender.borrow().requested_at;
-        let overdue = self.overdue.get_or_insert(OverdueView { requested_at });
+        let overdue = self.overdue.insert(OverdueView { requested_at });
         let latency = self.table.read_latency();
         events::emit(&Event::ViewOverdue {
             table: &self.name,
--- a/crates/sloetrail-serving/src/follow/poll_timing.rs
+++ b/crates/sloetrail-serving/src/follow/poll_timing.rs
@@ -5,6 +5,7 @@
 //! the limits on how late changes may be seen. The owner of a service always polls the directory
 //! at the minimum interval, since it waits for the weight versions of its engines.
 
+use super::timely_read::RepeatTiming;
 use crate::settings::ServingBounds;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -140,11 +141,14 @@
         }
     }
 
-    /// How long a read may be pending before the view is overdue: five eighths of the maximum age,
-    /// but longer than a read of a sound table that waits this long for a change.
-    pub(super) fn overdue_after(&self, long_poll_timeout: Duration) -> Duration {
+    /// When a read is repeated that waits this long for a change. The repetitions leave a sound
+    /// table time to answer each of them before the view reaches its maximum age.
+    pub(super) fn repeat_timing(&self, long_poll_timeout: Duration) -> RepeatTiming {
         let part_of_age = self.max_age / 8 * 5;
-        part_of_age.max(long_poll_timeout + SOUND_ANSWER_TIME)
+        RepeatTiming {
+            first_after: part_of_age.max(long_poll_timeout + SOUND_ANSWER_TIME),
+            interval: self.max_age / 4,
+        }
     }
 }
 
@@ -161,14 +165,16 @@
 
 impl PollTimings {
     pub fn new(fleet: &FleetSize, bounds: &ServingBounds) -> Self {
+        // A lost poll is repeated only after its wait for a change.
+        let max_long_poll = bounds.max_view_age / 2;
         Self {
             operator: PollTiming {
                 delay: FleetScaledDuration::fixed(OPERATOR_DELAY),
                 long_poll_timeout: FleetScaledDuration::scaled(
                     fleet,
-                    MIN_OPERATOR_LONG_POLL,
+                    MIN_OPERATOR_LONG_POLL.min(max_long_poll),
                     OPERATOR_LONG_POLL_PER_BACK_END,
-                    MAX_OPERATOR_LONG_POLL,
+                    MAX_OPERATOR_LONG_POLL.min(max_long_poll),
                 ),
                 max_age: bounds.max_view_age,
             },
@@ -180,7 +186,9 @@
                     MAX_DIRECTORY_DELAY,
                 )
                 .min_for_owners(),
-                long_poll_timeout: FleetScaledDuration::fixed(DIRECTORY_LONG_POLL),
+                long_poll_timeout: FleetScaledDuration::fixed(
+                    DIRECTORY_LONG_POLL.min(max_long_poll),
+                ),
                 max_age: bounds.max_view_age,
             },
             leases: PollTiming {
--- a/crates/sloetrail-serving/src/http/connections.rs
+++ b/crates/sloetrail-serving/src/http/connections.rs
@@ -54,6 +54,8 @@
     /// The request was cancelled before any byte of the response arrived.
     AbandonedBeforeHead,
     StalledBody,
+    /// A read that must be answered in time is pending for long.
+    OverdueRead,
     /// A long poll was pending while other connections to the address proved unresponsive.
     LongPoll,
 }
@@ -65,6 +67,7 @@
             UnresponsiveSign::NoHeadInTime => "no_head",
             UnresponsiveSign::AbandonedBeforeHead => "given_up",
             UnresponsiveSign::StalledBody => "within_answer",
+            UnresponsiveSign::OverdueRead => "overdue",
             UnresponsiveSign::LongPoll => "held_open",
         }
     }
@@ -165,6 +168,12 @@
         }
     }
 
+    /// Closes the idle connections to an address without a response since `unanswered_since`, when
+    /// a request was sent that is still pending. Does not affect that request.
+    pub fn distrust(&self, address: SocketAddr, unanswered_since: BootInstant) {
+        self.evict(address, unanswered_since, UnresponsiveSign::OverdueRead);
+    }
+
     /// Waits until other connections show that a connection in use must be unresponsive.
     pub(super) async fn wait_unresponsive(&self, address: SocketAddr, received_at: BootInstant) {
         self.unresponsive.wait(address, received_at).await;
--- a/crates/sloetrail-serving/src/relay/table.rs
+++ b/crates/sloetrail-serving/src/relay/table.rs
@@ -7,6 +7,7 @@
     Transaction,
 };
 use async_trait::async_trait;
+use sloetrail_clock::BootInstant;
 use sloetrail_types::{RowVersion, whole_millis};
 use std::sync::Arc;
 use std::time::Duration;
@@ -75,6 +76,10 @@
         self.direct.read_latency()
     }
 
+    fn distrust_connections(&self, unanswered_since: BootInstant) {
+        self.direct.distrust_connections(unanswered_since);
+    }
+
     fn is_answering(&self) -> bool {
         self.direct.is_answering() || self.peers.has_relay()
     }
--- a/crates/sloetrail-serving/src/table.rs
+++ b/crates/sloetrail-serving/src/table.rs
@@ -241,6 +241,11 @@
         ReadLatency::default()
     }
 
+    /// Closes the idle connections without a response since `unanswered_since`, when a read was
+    /// sent that is still pending. The next calls open new ones. The default implementation has
+    /// no connections.
+    fn distrust_connections(&self, _unanswered_since: BootInstant) {}
+
     /// Returns whether the table is believed to be available. If false, calls are expected to
     /// fail.
     fn is_answering(&self) -> bool {
--- a/crates/sloetrail-serving/src/table_client.rs
+++ b/crates/sloetrail-serving/src/table_client.rs
@@ -68,6 +68,10 @@
     /// before the first answer.
     fn now_ms(&self) -> Option<u64>;
 
+    /// Closes the idle connections without a response since `unanswered_since`. The default
+    /// implementation has no connections.
+    fn distrust_connections(&self, _unanswered_since: BootInstant) {}
+
     /// Applies a transaction.
     async fn commit(
         &self,
@@ -236,6 +240,10 @@
         }
     }
 
+    fn distrust_connections(&self, unanswered_since: BootInstant) {
+        self.transport.distrust_connections(unanswered_since);
+    }
+
     fn is_answering(&self) -> bool {
         let availability = self.availability.lock();
         availability.is_answering()
