Losses at a back end that do not count as a crash are told

A probe that finds no refusal left no line. Change: crash_not_confirmed, with what the last probe found. No decision changes.

--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -177,6 +177,16 @@
         state: &'a str,
         directory_version: u64,
     },
+    /// A request was lost at a back end whose address does not refuse connections, so that it does
+    /// not count as crashed.
+    CrashNotConfirmed {
+        back_end: &'a str,
+        service: &'a str,
+        /// What the last probe of the address found.
+        seen: &'a str,
+        /// The time since the first probe.
+        probed_ms: u64,
+    },
     /// A live request has its final answer.
     RequestAnswered {
         request: &'a str,
--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -40,6 +40,7 @@
             | Event::BackEndRestarted { .. }
             | Event::DirectoryRead { .. }
             | Event::BackEndCrashed { .. }
+            | Event::CrashNotConfirmed { .. }
             | Event::PaceChanged { .. }
             | Event::DemandTold { .. }
             | Event::BacklogReported { .. }
--- a/crates/sloetrail-serving/src/http/connections.rs
+++ b/crates/sloetrail-serving/src/http/connections.rs
@@ -219,6 +219,16 @@
     Unknown,
 }
 
+impl Listening {
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Listening::Yes => "listening",
+            Listening::No => "refusing",
+            Listening::Unknown => "unknown",
+        }
+    }
+}
+
 /// Probes an address by opening a connection.
 pub(crate) async fn probe_listener(address: SocketAddr) -> Listening {
     match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
--- a/crates/sloetrail-serving/src/quarantine/crash_watch.rs
+++ b/crates/sloetrail-serving/src/quarantine/crash_watch.rs
@@ -8,12 +8,13 @@
 use crate::back_end::BackEnd;
 use crate::directory::Directory;
 use crate::ended_incarnations::{EndedIncarnationsReceiver, IncarnationEnd};
+use crate::events::{self, Event};
 use crate::http::{Listening, probe_listener};
 use crate::telemetry;
 use parking_lot::Mutex;
 use sloetrail_clock::BootInstant;
 use sloetrail_quarantine::RequestDigest;
-use sloetrail_types::EngineId;
+use sloetrail_types::{EngineId, whole_millis};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -187,12 +188,19 @@
             let requests = BTreeSet::from([request]);
             return Some(Crash { requests });
         }
+        let started_at = BootInstant::now();
         let mut seen = probe_listener(back_end.address).await;
         if seen == Listening::Yes {
             tokio::time::sleep(SECOND_PROBE_DELAY).await;
             seen = probe_listener(back_end.address).await;
         }
         if seen != Listening::No {
+            events::emit(&Event::CrashNotConfirmed {
+                back_end: back_end.id.as_str(),
+                service: back_end.service.as_str(),
+                seen: seen.as_str(),
+                probed_ms: whole_millis(started_at.elapsed()),
+            });
             let mut state = self.state.lock();
             let known = state.losses.get_mut(&back_end.id);
             let probing = known.filter(|known| known.stage == Stage::Probing);
