An inconclusive probe of a lost back end is repeated

Cause: a probe that neither connected nor was refused decided against a crash at once. A port that closes while the probe connects resets it. Test: a_probe_without_a_clear_result_is_repeated failed before (Unknown in place of No).

--- a/crates/sloetrail-serving/src/quarantine/crash_watch.rs
+++ b/crates/sloetrail-serving/src/quarantine/crash_watch.rs
@@ -189,11 +189,7 @@
             return Some(Crash { requests });
         }
         let started_at = BootInstant::now();
-        let mut seen = probe_listener(back_end.address).await;
-        if seen == Listening::Yes {
-            tokio::time::sleep(SECOND_PROBE_DELAY).await;
-            seen = probe_listener(back_end.address).await;
-        }
+        let seen = probe_twice(|| probe_listener(back_end.address)).await;
         if seen != Listening::No {
             events::emit(&Event::CrashNotConfirmed {
                 back_end: back_end.id.as_str(),
@@ -251,3 +247,20 @@
         listed.is_some_and(|listed| !listed.draining)
     }
 }
+
+/// Probes an address, and once more unless it refuses connections.
+async fn probe_twice<Probe>(probe: impl Fn() -> Probe) -> Listening
+where
+    Probe: Future<Output = Listening>,
+{
+    let seen = probe().await;
+    if seen == Listening::No {
+        return seen;
+    }
+    // A port that closes during a probe may accept or reset it.
+    tokio::time::sleep(SECOND_PROBE_DELAY).await;
+    probe().await
+}
+
+#[cfg(test)]
+mod tests;
