Only views on which a promise depends have their reads repeated; draining after a silence

Cause: the repetitions also held for the rows of batches and of other nodes. Reading these takes a new owner, or nodes that start together, a second and more, and reading them twice takes longer. No promise depends on their age. Change: the operator's rows, the directory, leases with crashes, and the ends of batches have a maximum age; batches and nodes have none. Repetitions are counted (sloetrail_reads_repeated_total). The faulty table of the tests also loses its history.

--- a/crates/sloetrail-serving/src/follow.rs
+++ b/crates/sloetrail-serving/src/follow.rs
@@ -12,6 +12,7 @@
 use crate::retry_backoff::RetryBackoff;
 use crate::table::{Change, Changes, KeyRange, Page, ReadError, Row, RowAddress, Table, scan_all};
 use crate::tasks;
+use crate::telemetry;
 use sloetrail_clock::BootInstant;
 use sloetrail_types::{RowVersion, whole_millis};
 use std::collections::BTreeMap;
@@ -309,6 +310,7 @@
 
     /// Records that a read is pending for long and will be repeated.
     fn record_overdue(&mut self, sent_at: BootInstant, long_poll_timeout: Duration) {
+        telemetry::read_repeated(&self.name);
         self.table.distrust_connections(sent_at);
         if self.overdue.is_some() {
             return;
--- a/crates/sloetrail-serving/src/follow/poll_timing.rs
+++ b/crates/sloetrail-serving/src/follow/poll_timing.rs
@@ -122,8 +122,9 @@
     pub delay: FleetScaledDuration,
     /// How long a poll may wait for a change. It also bounds the age of an unchanged view.
     pub long_poll_timeout: FleetScaledDuration,
-    /// How old the view may become while the table could confirm it.
-    pub max_age: Duration,
+    /// How old the view may become while the table could confirm it. None if no promise depends on
+    /// it; pending reads are then not repeated.
+    pub max_age: Option<Duration>,
 }
 
 impl PollTiming {
@@ -133,7 +134,7 @@
     }
 
     /// A fixed delay with a long-poll timeout of one second.
-    pub fn with_delay(delay: Duration, max_age: Duration) -> Self {
+    pub fn with_delay(delay: Duration, max_age: Option<Duration>) -> Self {
         Self {
             delay: FleetScaledDuration::fixed(delay),
             long_poll_timeout: FleetScaledDuration::fixed(Duration::from_secs(1)),
@@ -143,12 +144,13 @@
 
     /// When a read is repeated that waits this long for a change. The repetitions leave a sound
     /// table time to answer each of them before the view reaches its maximum age.
-    pub(super) fn repeat_timing(&self, long_poll_timeout: Duration) -> RepeatTiming {
-        let part_of_age = self.max_age / 8 * 5;
-        RepeatTiming {
+    pub(super) fn repeat_timing(&self, long_poll_timeout: Duration) -> Option<RepeatTiming> {
+        let max_age = self.max_age?;
+        let part_of_age = max_age / 8 * 5;
+        Some(RepeatTiming {
             first_after: part_of_age.max(long_poll_timeout + SOUND_ANSWER_TIME),
-            interval: self.max_age / 4,
-        }
+            interval: max_age / 4,
+        })
     }
 }
 
@@ -176,7 +178,7 @@
                     OPERATOR_LONG_POLL_PER_BACK_END,
                     MAX_OPERATOR_LONG_POLL.min(max_long_poll),
                 ),
-                max_age: bounds.max_view_age,
+                max_age: Some(bounds.max_view_age),
             },
             directory: PollTiming {
                 delay: FleetScaledDuration::scaled(
@@ -189,7 +191,7 @@
                 long_poll_timeout: FleetScaledDuration::fixed(
                     DIRECTORY_LONG_POLL.min(max_long_poll),
                 ),
-                max_age: bounds.max_view_age,
+                max_age: Some(bounds.max_view_age),
             },
             leases: PollTiming {
                 delay: FleetScaledDuration::scaled(
@@ -201,7 +203,7 @@
                 long_poll_timeout: FleetScaledDuration::fixed(
                     bounds.lease / POLLS_PER_LEASE_DURATION,
                 ),
-                max_age: bounds.max_view_age,
+                max_age: Some(bounds.max_view_age),
             },
         }
     }
--- a/crates/sloetrail-serving/src/follow/subset/tests.rs
+++ b/crates/sloetrail-serving/src/follow/subset/tests.rs
@@ -178,7 +178,7 @@
         let demand = Arc::new(SubsetDemand::default());
         let subset = SubsetReader::new(name, Arc::clone(&demand));
         let table = Arc::clone(table) as Arc<dyn Table>;
-        let timing = PollTiming::with_delay(Duration::from_millis(60), Duration::from_secs(2));
+        let timing = PollTiming::with_delay(Duration::from_millis(60), None);
         let view = follow_directory(table, NAME, timing, subset);
         Self { demand, view }
     }
--- a/crates/sloetrail-serving/src/follow/tests.rs
+++ b/crates/sloetrail-serving/src/follow/tests.rs
@@ -14,7 +14,7 @@
 
 /// How long a call waits for an unresponsive table.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
-const MAX_AGE: Duration = Duration::from_secs(2);
+const MAX_AGE: Option<Duration> = Some(Duration::from_secs(2));
 
 /// A table that fails all calls until it becomes available.
 struct UnavailableTable {
--- a/crates/sloetrail-serving/src/follow/tests/faulty_table.rs
+++ b/crates/sloetrail-serving/src/follow/tests/faulty_table.rs
@@ -30,11 +30,14 @@
     Throttles(f64),
     /// Pending calls fail, and a part of the new ones.
     Resets(f64),
+    /// The changes so far can no longer be read.
+    ForgetsHistory,
 }
 
 #[derive(Default)]
 struct State {
     version: u64,
+    history_lost_before: u64,
     rows: Vec<Row>,
     faults: Vec<Fault>,
     /// Incremented when a silence begins; calls pending then are lost.
@@ -91,6 +94,9 @@
         let begins = |one: fn(&Fault) -> bool| faults.iter().any(one);
         state.silences += u64::from(begins(|fault| *fault == Fault::Silent));
         state.resets += u64::from(begins(|fault| matches!(fault, Fault::Resets(_))));
+        if faults.contains(&Fault::ForgetsHistory) {
+            state.history_lost_before = state.version;
+        }
         state.faults = faults.to_vec();
         drop(state);
         self.notify();
@@ -272,7 +278,12 @@
                 version: RowVersion(state.version),
             })
         };
-        self.call(wait + timeout, ReadError::Unavailable, changes, wait)
-            .await
+        let answer = self
+            .call(wait + timeout, ReadError::Unavailable, changes, wait)
+            .await?;
+        match since.0 < self.state.lock().history_lost_before {
+            true => Err(ReadError::HistoryLost.into()),
+            false => Ok(answer),
+        }
     }
 }
--- a/crates/sloetrail-serving/src/follow/tests/view_age.rs
+++ b/crates/sloetrail-serving/src/follow/tests/view_age.rs
@@ -156,6 +156,7 @@
         Fault::StallsInBody(part),
         Fault::Throttles(part),
         Fault::Resets(part),
+        Fault::ForgetsHistory,
     ];
     let count = random.random_range(1..=2);
     let chosen = faults.choose_multiple(random, count).copied().collect();
--- a/crates/sloetrail-serving/src/follow/timely_read.rs
+++ b/crates/sloetrail-serving/src/follow/timely_read.rs
@@ -27,17 +27,21 @@
     pub(super) requested_at: BootInstant,
 }
 
-/// Waits for a read that is sent now or for one of its repetitions. Calls `before_repetition` with
-/// the time of the read before each repetition. Fails when the read fails.
+/// Waits for a read that is sent now or for one of its repetitions; there are none without a
+/// timing. Calls `before_repetition` with the time of the read before each repetition. Fails when
+/// the read fails.
 pub(super) async fn read_timely<Answer, Repetition>(
     read: impl Future<Output = Result<Answer, ReadError>>,
     repeat: impl Fn() -> Repetition,
-    timing: RepeatTiming,
+    timing: Option<RepeatTiming>,
     mut before_repetition: impl FnMut(BootInstant),
 ) -> Result<TimedAnswer<Answer>, ReadError>
 where
     Repetition: Future<Output = Result<Answer, ReadError>>,
 {
+    let Some(timing) = timing else {
+        return timed(read).await;
+    };
     let sent_at = BootInstant::now();
     let mut read = pin!(timed(read));
     let mut repetitions = FuturesUnordered::new();
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -238,8 +238,9 @@
 
     /// Runs until the term ends or is released.
     pub(super) async fn run(mut self) {
-        let mut batches = self.follow(rows::BATCHES);
-        let mut ends = self.follow(rows::ENDS);
+        let mut batches = self.follow(rows::BATCHES, None);
+        let max_age = self.context.settings.bounds.max_view_age;
+        let mut ends = self.follow(rows::ENDS, Some(max_age));
         let mut directory = self.context.directory.clone();
         let mut in_force = self.context.in_force.clone();
         let mut leased_sets = self.context.leased_sets.clone();
@@ -303,9 +304,8 @@
         let _ = self.committing.await;
     }
 
-    fn follow(&self, table: &str) -> ViewReceiver {
+    fn follow(&self, table: &str, max_age: Option<Duration>) -> ViewReceiver {
         let source = Arc::clone(&self.context.table);
-        let max_age = self.context.settings.bounds.max_view_age;
         follow(
             source,
             table,
--- a/crates/sloetrail-serving/src/relay/peers.rs
+++ b/crates/sloetrail-serving/src/relay/peers.rs
@@ -171,7 +171,7 @@
         let poll_timing = PollTiming {
             delay: FleetScaledDuration::fixed(FOLLOW_DELAY),
             long_poll_timeout: FleetScaledDuration::fixed(FOLLOW_LONG_POLL_TIMEOUT),
-            max_age: settings.bounds.max_view_age,
+            max_age: None,
         };
         Self {
             own_name: settings.node.clone(),
--- a/crates/sloetrail-serving/src/telemetry.rs
+++ b/crates/sloetrail-serving/src/telemetry.rs
@@ -149,6 +149,11 @@
     histogram!("sloetrail_table_call_seconds", "call" => call).record(took);
 }
 
+/// Counts a repetition of a read of a followed table that was pending for long.
+pub(crate) fn read_repeated(table: &str) {
+    counter!("sloetrail_reads_repeated_total", "table" => table.to_owned()).increment(1);
+}
+
 /// Counts pooled connections closed because one to the same address was unresponsive.
 pub(crate) fn connections_evicted(cause: &'static str, count: u64) {
     counter!("sloetrail_connections_condemned_total", "cause" => cause).increment(count);
--- a/crates/sloetrail-serving/tests/configuration.rs
+++ b/crates/sloetrail-serving/tests/configuration.rs
@@ -53,14 +53,7 @@
         cluster.wait_ready(node).await;
     }
     for round in 0..3 {
-        for latency in [100, 500] {
-            set_answer_time(&cluster, Duration::from_millis(latency));
-            tokio::time::sleep(Duration::from_millis(1_500)).await;
-        }
-        set_answer_time(&cluster, Duration::from_millis(1));
-        set_silent(&cluster, true);
-        tokio::time::sleep(Duration::from_millis(600)).await;
-        set_silent(&cluster, false);
+        silence_after_slow_spell(&cluster).await;
         let watch = Stopwatch::start();
         cluster.configure(json!([route(&format!("/new-{round}/"))]));
         for node in 0..cluster.nodes.len() {
@@ -71,6 +64,18 @@
     }
 }
 
+/// Has the table answer slowly for a while and then not at all for a moment.
+async fn silence_after_slow_spell(cluster: &Cluster) {
+    for latency in [100, 500] {
+        set_answer_time(cluster, Duration::from_millis(latency));
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+    }
+    set_answer_time(cluster, Duration::from_millis(1));
+    set_silent(cluster, true);
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    set_silent(cluster, false);
+}
+
 fn set_answer_time(cluster: &Cluster, time: Duration) {
     for node in &cluster.nodes {
         node.link.set_answer_time(time);
@@ -147,6 +152,27 @@
     assert_eq!(draining.runs().len(), before);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn back_end_that_drains_after_a_short_silence_gets_no_requests_two_seconds_later() {
+    let mut cluster = client_cluster();
+    cluster.lease_ms = 1_500;
+    let draining = cluster.add_application("zone-a").await;
+    cluster.add_application("zone-a").await;
+    for name in ["node-1", "node-2", "node-3"] {
+        let node = cluster.add_node(name).await;
+        cluster.wait_ready(node).await;
+    }
+    silence_after_slow_spell(&cluster).await;
+    draining.set_draining();
+    cluster.list(&draining);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let before = draining.runs().len();
+    for number in 0..30 {
+        assert_eq!(status(&cluster, number % 3, "/live/x").await, 200);
+    }
+    assert_eq!(draining.runs().len(), before);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn unlisted_back_end_gets_no_new_requests() {
     let cluster = usual_cluster(EVENT_INTERVAL).await;
