--- a/crates/sloetrail-serving/src/follow/poll_timing.rs
+++ b/crates/sloetrail-serving/src/follow/poll_timing.rs
@@ -201,7 +201,7 @@
                     bounds.lease,
                 ),
                 long_poll_timeout: FleetScaledDuration::fixed(
-                    bounds.lease / POLLS_PER_LEASE_DURATION,
+                    (bounds.lease / POLLS_PER_LEASE_DURATION).min(max_long_poll),
                 ),
                 max_age: Some(bounds.max_view_age),
             },
