The test of crashing items replaces each engine that has crashed

Cause: the test. It passed over as many crashed engines as it had replaced, in the order of their start. When the second engine crashed after the third, the third was replaced twice and the second stayed in the directory, gone. Items that all crashed engines had run were quarantined with the lethal one, as they share its engines; their one try went to the engine that was listed and gone. Change: engines are told apart by their ids. No check, bound or wait is changed; the test demands more of the directory's content, not less of the node.

--- a/crates/sloetrail-serving/tests/crashing_items.rs
+++ b/crates/sloetrail-serving/tests/crashing_items.rs
@@ -6,6 +6,7 @@
 use serde_json::Value;
 use sloetrail_serving_testkit::client::{batch, item, with_reward};
 use sloetrail_serving_testkit::cluster::{Cluster, HOST, MODEL, eventually};
+use std::collections::BTreeSet;
 use std::time::Duration;
 use support::{accepted, lease_holder, native_cluster};
 
@@ -38,13 +39,20 @@
 }
 
 /// Replaces crashed back ends during `time`.
-async fn replace_crashed_for(cluster: &mut Cluster, replaced: &mut usize, time: Duration) {
+async fn replace_crashed_for(
+    cluster: &mut Cluster,
+    replaced: &mut BTreeSet<String>,
+    time: Duration,
+) {
     let until = tokio::time::Instant::now() + time;
     while tokio::time::Instant::now() < until {
         let crashed_engines = cluster.engines.iter().filter(|engine| engine.has_crashed());
         let crashed_engines: Vec<_> = crashed_engines.cloned().collect();
-        for engine in crashed_engines.iter().skip(*replaced) {
-            cluster.unlist(engine);
+        for engine in crashed_engines {
+            if !replaced.insert(engine.id.clone()) {
+                continue;
+            }
+            cluster.unlist(&engine);
             match engine.service.as_str() {
                 "application" => {
                     let application = cluster.add_application("zone-a").await;
@@ -53,7 +61,6 @@
                 _ => add_engine(cluster).await,
             }
         }
-        *replaced = crashed_engines.len();
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
@@ -71,7 +78,7 @@
 async fn a_crashing_item_crashes_few_engines_and_others_complete() {
     let mut cluster = fragile_cluster().await;
     accepted(&cluster, 0, "b1", &batch_with_lethal_item()).await;
-    let mut replaced = 0;
+    let mut replaced = BTreeSet::new();
     replace_crashed_for(&mut cluster, &mut replaced, Duration::from_secs(3)).await;
     let results = cluster.wait_results(0, "b1", 6).await;
     assert!(results.iter().all(|result| result["id"] != "lethal"));
@@ -88,7 +95,7 @@
 async fn an_item_stays_quarantined_under_a_new_owner() {
     let mut cluster = fragile_cluster().await;
     accepted(&cluster, 0, "b1", &batch_with_lethal_item()).await;
-    let mut replaced = 0;
+    let mut replaced = BTreeSet::new();
     replace_crashed_for(&mut cluster, &mut replaced, Duration::from_secs(3)).await;
     cluster.wait_results(0, "b1", 6).await;
     let crashed_engines = crash_count(&cluster);
@@ -138,7 +145,7 @@
         scored(2, "b3RoZXI="),
     ];
     accepted(&cluster, 0, "b1", &batch(&items, MODEL, 1)).await;
-    let mut replaced = 0;
+    let mut replaced = BTreeSet::new();
     replace_crashed_for(&mut cluster, &mut replaced, Duration::from_secs(5)).await;
     let results = cluster.wait_results(1, "b1", 2).await;
     assert!(results.iter().all(|result| result["id"] != "i0"));
