--- a/review/standins/moved_route.rs
+++ b/review/standins/moved_route.rs
@@ -108,8 +108,7 @@
     }
 
     fn start_nodes(&mut self) -> bool {
-        self.nodes.iter_mut().for_each(Node::start);
-        self.nodes.iter().all(Node::wait_ready)
+        self.nodes.iter_mut().all(Node::start_with_free_ports)
     }
 
     fn call(&self, node: usize, method: &str, target: &str, id: &str, body: &str) -> Option<Answer> {
--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -15,17 +15,19 @@
 /// The command of the deploy file.
 const PROGRAM: &str = "target/release/sloetrail-adapter";
 pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
-const START_TIMEOUT: Duration = Duration::from_secs(12);
+const START_TIMEOUT: Duration = Duration::from_secs(8);
+const MAX_STARTS: usize = 3;
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("bound")
+fn free_port() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a free port")
 }
 
 pub struct Node {
     pub name: String,
     pub callers: SocketAddr,
     ready: SocketAddr,
+    zone: &'static str,
+    store: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
@@ -33,12 +35,34 @@
 }
 
 impl Node {
-    /// Writes the settings file as `deploy/settings.json` does.
     pub fn new(folder: &Path, number: usize, store: SocketAddr, record: &Arc<Record>) -> Self {
-        let name = format!("front-{}-{number}", ZONES[number % ZONES.len()]);
-        let (callers, ready) = (free_address(), free_address());
-        let (peer, metrics) = (free_address(), free_address());
         let zone = ZONES[number % ZONES.len()];
+        let name = format!("front-{zone}-{number}");
+        let mut node = Self {
+            zone,
+            callers: store,
+            ready: store,
+            store,
+            settings: folder.join(format!("{name}.json")),
+            log: folder.join(format!("{name}.log")),
+            name,
+            child: None,
+            record: Arc::clone(record),
+        };
+        node.choose_ports();
+        node
+    }
+
+    /// Writes the settings file as `deploy/settings.json` does, with free ports.
+    fn choose_ports(&mut self) {
+        let held: Vec<TcpListener> = (0..4).map(|_| free_port()).collect();
+        let addresses: Vec<SocketAddr> =
+            held.iter().map(|port| port.local_addr().expect("bound")).collect();
+        let [callers, ready, peer, metrics] = addresses[..] else {
+            return;
+        };
+        (self.callers, self.ready) = (callers, ready);
+        let Self { name, zone, store, .. } = &self;
         let text = format!(
             "{{\"node\":\"{name}\",\"zone\":\"{zone}\",\
              \"regions\":{{\"zone-a\":\"north\",\"zone-b\":\"north\",\"zone-c\":\"north\"}},\
@@ -50,10 +74,21 @@
              \"reads_per_s\":2000,\"tx_ms\":3.0,\"part_writes_per_s\":300,\"row_bytes\":65536,\
              \"across\":true,\"history_s\":20}}}}"
         );
-        let settings = folder.join(format!("{name}.json"));
-        std::fs::write(&settings, text).expect("a writable folder");
-        let log = folder.join(format!("{name}.log"));
-        Self { name, callers, ready, settings, log, child: None, record: Arc::clone(record) }
+        std::fs::write(&self.settings, text).expect("a writable folder");
+    }
+
+    /// Starts the node for the first time. Another program may take one of its ports meanwhile:
+    /// it is then started with others.
+    pub fn start_with_free_ports(&mut self) -> bool {
+        for _ in 0..MAX_STARTS {
+            self.start();
+            if self.wait_ready() {
+                return true;
+            }
+            self.kill();
+            self.choose_ports();
+        }
+        false
     }
 
     pub fn start(&mut self) {
@@ -77,15 +112,20 @@
         }
     }
 
-    pub fn is_ready(&self) -> bool {
+    fn is_running(&mut self) -> bool {
+        let child = self.child.as_mut();
+        child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
+    fn is_ready(&self) -> bool {
         let timeout = Duration::from_millis(500);
         let answer = http::call(self.ready, "GET", "/v1/ready", &[], b"", timeout);
         answer.is_ok_and(|answer| answer.status == 200)
     }
 
-    pub fn wait_ready(&self) -> bool {
+    pub fn wait_ready(&mut self) -> bool {
         let until = Instant::now() + START_TIMEOUT;
-        while Instant::now() < until {
+        while Instant::now() < until && self.is_running() {
             if self.is_ready() {
                 self.record.note(&format!("{} is ready", self.name));
                 return true;
