--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -15,7 +15,9 @@
 }
 
 pub fn header<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
-    let found = headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
+    let found = headers
+        .iter()
+        .find(|(known, _)| known.eq_ignore_ascii_case(name));
     found.map(|(_, value)| value.as_str())
 }
 
@@ -26,7 +28,10 @@
 
     /// The decoded value of a query parameter.
     pub fn parameter(&self, name: &str) -> Option<String> {
-        let pairs = self.query.split('&').filter_map(|pair| pair.split_once('='));
+        let pairs = self
+            .query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='));
         let mut found = pairs.filter(|(known, _)| *known == name);
         found.next().map(|(_, value)| decoded(value))
     }
@@ -111,7 +116,12 @@
 }
 
 impl Answering<'_> {
-    pub fn whole(&mut self, status: u16, headers: &[(&str, String)], body: &[u8]) -> io::Result<()> {
+    pub fn whole(
+        &mut self,
+        status: u16,
+        headers: &[(&str, String)],
+        body: &[u8],
+    ) -> io::Result<()> {
         let mut head = format!("HTTP/1.1 {status} -\r\nContent-Length: {}\r\n", body.len());
         for (name, value) in headers {
             head.push_str(&format!("{name}: {value}\r\n"));
@@ -170,8 +180,16 @@
         let target = words.next()?;
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let (path, query) = (path.to_owned(), query.to_owned());
-        let request = Request { method, path, query, headers, body };
-        let mut answering = Answering { stream: &mut stream };
+        let request = Request {
+            method,
+            path,
+            query,
+            headers,
+            body,
+        };
+        let mut answering = Answering {
+            stream: &mut stream,
+        };
         handler(&request, &mut answering).ok()?;
     }
 }
@@ -204,7 +222,10 @@
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1).min(timeout))?;
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(timeout))?;
-    let mut head = format!("{method} {target} HTTP/1.1\r\nContent-Length: {}\r\n", body.len());
+    let mut head = format!(
+        "{method} {target} HTTP/1.1\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         head.push_str(&format!("{name}: {value}\r\n"));
     }
@@ -218,5 +239,9 @@
     let status = line.split(' ').nth(1).and_then(|code| code.parse().ok());
     let status = status.ok_or_else(|| io::Error::other("no status line"))?;
     let body = read_body(&mut reader, &headers, true)?;
-    Ok(Answer { status, headers, body })
+    Ok(Answer {
+        status,
+        headers,
+        body,
+    })
 }
--- a/review/standins/json.rs
+++ b/review/standins/json.rs
@@ -15,7 +15,10 @@
 
 impl Json {
     pub fn parse(text: &str) -> Option<Json> {
-        let mut parser = Parser { bytes: text.as_bytes(), at: 0 };
+        let mut parser = Parser {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         let value = parser.value()?;
         parser.skip_blanks();
         (parser.at == parser.bytes.len()).then_some(value)
--- a/review/standins/moved_route.rs
+++ b/review/standins/moved_route.rs
@@ -104,14 +104,26 @@
             }
         }
         let nodes = (0..3).map(|number| Node::new(scratch, number, address, record));
-        Self { record: Arc::clone(record), store, nodes: nodes.collect(), runs }
+        Self {
+            record: Arc::clone(record),
+            store,
+            nodes: nodes.collect(),
+            runs,
+        }
     }
 
     fn start_nodes(&mut self) -> bool {
         self.nodes.iter_mut().all(Node::start_with_free_ports)
     }
 
-    fn call(&self, node: usize, method: &str, target: &str, id: &str, body: &str) -> Option<Answer> {
+    fn call(
+        &self,
+        node: usize,
+        method: &str,
+        target: &str,
+        id: &str,
+        body: &str,
+    ) -> Option<Answer> {
         let headers = [
             ("Host", "train.example"),
             ("X-Attempt-Id", id),
@@ -121,8 +133,13 @@
         let address = self.nodes[node].callers;
         let timeout = Duration::from_secs(5);
         let answer = http::call(address, method, target, &headers, body.as_bytes(), timeout);
-        let seen = answer.as_ref().map_or_else(ToString::to_string, |answer| answer.status.to_string());
-        self.record.note(&format!("{method} {target} at {}: {seen}", self.nodes[node].name));
+        let seen = answer
+            .as_ref()
+            .map_or_else(ToString::to_string, |answer| answer.status.to_string());
+        self.record.note(&format!(
+            "{method} {target} at {}: {seen}",
+            self.nodes[node].name
+        ));
         answer.ok()
     }
 
@@ -188,7 +205,10 @@
     for node in 0..world.nodes.len() {
         let listed = world.listed(node, batch);
         let count = listed.map_or_else(|| "nothing".to_owned(), |listed| listed.len().to_string());
-        record.note(&format!("{} lists {count} of {ITEMS} items", world.nodes[node].name));
+        record.note(&format!(
+            "{} lists {count} of {ITEMS} items",
+            world.nodes[node].name
+        ));
     }
     record.note(&format!(
         "the step is out of time: {} items, finished or failed by no sampler, have been at no \
@@ -206,8 +226,15 @@
 fn lying_items(world: &World, due_ms: u64) -> Vec<String> {
     let runs = world.runs.lock().expect("sound");
     let is_item = |id: &str| id.starts_with("17e30001");
-    let begun: BTreeSet<&str> = runs.iter().map(|run| run.id.as_str()).filter(|id| is_item(id)).collect();
-    let running = runs.iter().filter(|run| is_item(&run.id) && run.ended_ms.is_none()).count();
+    let begun: BTreeSet<&str> = runs
+        .iter()
+        .map(|run| run.id.as_str())
+        .filter(|id| is_item(id))
+        .collect();
+    let running = runs
+        .iter()
+        .filter(|run| is_item(&run.id) && run.ended_ms.is_none())
+        .count();
     world.record.note(&format!(
         "{} of {ITEMS} items had begun, {running} run now at 2 samplers of 4 places",
         begun.len()
@@ -221,7 +248,10 @@
             !run.is_whole && ended_ms.saturating_add(LYING_MS) < due_ms
         })
     };
-    (0..ITEMS).map(|number| item_id(1, number)).filter(is_lying).collect()
+    (0..ITEMS)
+        .map(|number| item_id(1, number))
+        .filter(is_lying)
+        .collect()
 }
 
 /// Not part of the check: a later batch job runs, and the first one is still not worked on.
--- a/review/standins/sampler.rs
+++ b/review/standins/sampler.rs
@@ -62,7 +62,13 @@
 }
 
 impl Sampler {
-    pub fn start(plan: Plan, id: &str, store: &Arc<Store>, runs: &Runs, record: &Arc<Record>) -> Arc<Self> {
+    pub fn start(
+        plan: Plan,
+        id: &str,
+        store: &Arc<Store>,
+        runs: &Runs,
+        record: &Arc<Record>,
+    ) -> Arc<Self> {
         let sampler = Arc::new(Self {
             id: id.to_owned(),
             plan,
@@ -96,13 +102,21 @@
     fn models(&self) -> String {
         let version = self.version.load(Ordering::SeqCst);
         let model = self.plan.model.map(|name| {
-            format!("{{\"name\":{},\"version\":{version},\"adapters\":[]}}", quoted(name))
+            format!(
+                "{{\"name\":{},\"version\":{version},\"adapters\":[]}}",
+                quoted(name)
+            )
         });
         format!("[{}]", model.unwrap_or_default())
     }
 
     fn entry(&self, address: SocketAddr, seq: u64) -> String {
-        let Plan { service, zone, slots, .. } = &self.plan;
+        let Plan {
+            service,
+            zone,
+            slots,
+            ..
+        } = &self.plan;
         format!(
             "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\
              \"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\"cold_left_ms\":0,\
@@ -111,7 +125,11 @@
         )
     }
 
-    fn answer(self: &Arc<Self>, request: &Request, answering: &mut Answering<'_>) -> io::Result<()> {
+    fn answer(
+        self: &Arc<Self>,
+        request: &Request,
+        answering: &mut Answering<'_>,
+    ) -> io::Result<()> {
         let instance = ("X-Instance-Id", self.id.clone());
         let expected = request.header("X-Expect-Instance");
         if expected.is_some_and(|expected| expected != self.id) {
@@ -126,7 +144,10 @@
     }
 
     fn report(&self) -> String {
-        let (busy, seq) = (*self.is_loading.lock().expect("sound"), self.orders.load(Ordering::SeqCst));
+        let (busy, seq) = (
+            *self.is_loading.lock().expect("sound"),
+            self.orders.load(Ordering::SeqCst),
+        );
         let running = self.running.load(Ordering::SeqCst);
         format!(
             "{{\"stage\":\"both\",\"models\":{},\"busy\":{busy},\"seq\":{seq},\"waiting\":0,\
@@ -139,7 +160,8 @@
         let body = String::from_utf8_lossy(&request.body).into_owned();
         let order = Json::parse(&body).unwrap_or(Json::Null);
         let version = order.get("version").number() as u64;
-        self.record.note(&format!("{} gets the order {body}", self.id));
+        self.record
+            .note(&format!("{} gets the order {body}", self.id));
         if self.version.load(Ordering::SeqCst) == version {
             return answering.whole(200, &[], b"");
         }
@@ -160,7 +182,10 @@
     }
 
     fn run(&self, request: &Request, answering: &mut Answering<'_>) -> io::Result<()> {
-        let id = request.header("X-Attempt-Id").unwrap_or_default().to_owned();
+        let id = request
+            .header("X-Attempt-Id")
+            .unwrap_or_default()
+            .to_owned();
         if self.running.fetch_add(1, Ordering::SeqCst) >= self.plan.slots {
             self.running.fetch_sub(1, Ordering::SeqCst);
             let echo = ("X-Attempt-Id", id);
@@ -179,7 +204,10 @@
     fn begin(&self, id: &str, request: &Request) -> usize {
         let last = request.header("Last-Event-Id").unwrap_or("-");
         let from = format!("{} {}", request.method, request.path);
-        self.record.note(&format!("{} runs {id}: {from}, Last-Event-Id {last}", self.id));
+        self.record.note(&format!(
+            "{} runs {id}: {from}, Last-Event-Id {last}",
+            self.id
+        ));
         let mut runs = self.runs.lock().expect("sound");
         runs.push(Run {
             id: id.to_owned(),
@@ -215,8 +243,15 @@
     }
 
     /// Sends the events after `Last-Event-Id`.
-    fn send_events(&self, id: &str, request: &Request, answering: &mut Answering<'_>) -> io::Result<()> {
-        let last: Option<u64> = request.header("Last-Event-Id").and_then(|text| text.parse().ok());
+    fn send_events(
+        &self,
+        id: &str,
+        request: &Request,
+        answering: &mut Answering<'_>,
+    ) -> io::Result<()> {
+        let last: Option<u64> = request
+            .header("Last-Event-Id")
+            .and_then(|text| text.parse().ok());
         let spoils = *self.spoils.lock().expect("sound");
         let spoils = spoils.filter(|_| last.is_none());
         let mut head = self.head(id);
@@ -231,7 +266,10 @@
                 _ => format!("id: {number}"),
             };
             if id_line != format!("id: {number}") {
-                self.record.note(&format!("{} sends event {number} of {id} with `{id_line}`", self.id));
+                self.record.note(&format!(
+                    "{} sends event {number} of {id} with `{id_line}`",
+                    self.id
+                ));
             }
             held.push_str(&format!("{id_line}\ndata: {id}-{number}\n\n"));
             if !matches!(spoils, Some(Spoilt::Number(spoilt)) if spoilt == number + 1) {
--- a/review/standins/spoilt_stream.rs
+++ b/review/standins/spoilt_stream.rs
@@ -88,7 +88,9 @@
          {whole} were whole"
     ));
     if trouble != "0" {
-        samplers.iter().for_each(|sampler| sampler.spoil(Spoilt::Number(1)));
+        samplers
+            .iter()
+            .for_each(|sampler| sampler.spoil(Spoilt::Number(1)));
     }
     let Some((spoilt, sound)) = play_batch(&node, record) else {
         return Verdict::CouldNotRun("the batch job is not accepted");
@@ -131,11 +133,26 @@
 /// Returns how many items are listed as succeeded with a wrong text, and with their whole text.
 fn play_batch(node: &Node, record: &Arc<Record>) -> Option<(usize, usize)> {
     thread::sleep(PAUSE);
-    let headers = [("Host", "shop.example"), ("X-Attempt-Id", BATCH), ("X-Deadline-Ms", "12000")];
+    let headers = [
+        ("Host", "shop.example"),
+        ("X-Attempt-Id", BATCH),
+        ("X-Deadline-Ms", "12000"),
+    ];
     let timeout = Duration::from_secs(5);
     let body = submission();
-    let answer = http::call(node.callers, "POST", "/roll/3", &headers, body.as_bytes(), timeout).ok()?;
-    record.note(&format!("the batch job {BATCH} of {ITEMS} items is answered {}", answer.status));
+    let answer = http::call(
+        node.callers,
+        "POST",
+        "/roll/3",
+        &headers,
+        body.as_bytes(),
+        timeout,
+    )
+    .ok()?;
+    record.note(&format!(
+        "the batch job {BATCH} of {ITEMS} items is answered {}",
+        answer.status
+    ));
     if answer.status != 202 {
         return None;
     }
@@ -146,10 +163,16 @@
     let mut wrong = 0;
     let mut sound = 0;
     for result in page.get("results").list() {
-        let (id, state, text) =
-            (result.get("id").text(), result.get("state").text(), result.get("text").text());
+        let (id, state, text) = (
+            result.get("id").text(),
+            result.get("state").text(),
+            result.get("text").text(),
+        );
         let expected: Vec<String> = (1..=EVENTS).map(|event| format!("{id}-{event}")).collect();
-        record.note(&format!("listed: {id} {state}, text {:?}", text.replace('\n', " ")));
+        record.note(&format!(
+            "listed: {id} {state}, text {:?}",
+            text.replace('\n', " ")
+        ));
         match (state, text == expected.join("\n")) {
             ("succeeded", true) => sound += 1,
             ("succeeded", false) => wrong += 1,
@@ -173,7 +196,14 @@
     ];
     record.note(&format!("the client sends {id}"));
     let timeout = Duration::from_secs(9);
-    let answer = http::call(node.callers, "POST", "/tell/a", &headers, b"prompt", timeout);
+    let answer = http::call(
+        node.callers,
+        "POST",
+        "/tell/a",
+        &headers,
+        b"prompt",
+        timeout,
+    );
     let answer = match answer {
         Ok(answer) => answer,
         Err(error) => {
@@ -182,7 +212,10 @@
         }
     };
     let body = answer.text();
-    let data: Vec<&str> = body.lines().filter_map(|line| line.strip_prefix("data: ")).collect();
+    let data: Vec<&str> = body
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "))
+        .collect();
     let expected: Vec<String> = (1..=EVENTS).map(|event| format!("{id}-{event}")).collect();
     record.note(&format!(
         "{id}: the client gets {}, stamp {:?}, closed as complete, pieces {data:?}",
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -85,11 +85,17 @@
             body.get("put").list(),
             body.get("remove").list(),
         );
-        let is_too_large = put.iter().any(|entry| entry.get("value").text().len() > ROW_BYTES);
+        let is_too_large = put
+            .iter()
+            .any(|entry| entry.get("value").text().len() > ROW_BYTES);
         if expected.len() + put.len() + remove.len() > MAX_ENTRIES || is_too_large {
             return (400, String::new());
         }
-        if put.iter().chain(remove).any(|entry| entry.get("table").text() == "servers") {
+        if put
+            .iter()
+            .chain(remove)
+            .any(|entry| entry.get("table").text() == "servers")
+        {
             return (403, String::new());
         }
         let mut rows = self.rows.lock().expect("sound");
@@ -144,7 +150,11 @@
     }
 
     fn feed(&self, request: &Request) -> (u16, String) {
-        let number = |name: &str| request.parameter(name).and_then(|text| text.parse::<u64>().ok());
+        let number = |name: &str| {
+            request
+                .parameter(name)
+                .and_then(|text| text.parse::<u64>().ok())
+        };
         let (Some(after), Some(wait_ms)) = (number("after"), number("wait_ms")) else {
             return (400, String::new());
         };
@@ -188,7 +198,10 @@
     /// The rows of a table that changed after a version, each once, by their last change.
     fn changed_since(&self, table: &str, after: u64) -> Vec<String> {
         let mut last: BTreeMap<&Address, (u64, bool)> = BTreeMap::new();
-        for (version, changes) in self.changes.range((Bound::Excluded(after), Bound::Unbounded)) {
+        for (version, changes) in self
+            .changes
+            .range((Bound::Excluded(after), Bound::Unbounded))
+        {
             for (address, is_gone) in changes.iter().filter(|(address, _)| address.0 == table) {
                 last.insert(address, (*version, *is_gone));
             }
--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -56,13 +56,17 @@
     /// Writes the settings file as `deploy/settings.json` does, with free ports.
     fn choose_ports(&mut self) {
         let held: Vec<TcpListener> = (0..4).map(|_| free_port()).collect();
-        let addresses: Vec<SocketAddr> =
-            held.iter().map(|port| port.local_addr().expect("bound")).collect();
+        let addresses: Vec<SocketAddr> = held
+            .iter()
+            .map(|port| port.local_addr().expect("bound"))
+            .collect();
         let [callers, ready, peer, metrics] = addresses[..] else {
             return;
         };
         (self.callers, self.ready) = (callers, ready);
-        let Self { name, zone, store, .. } = &self;
+        let Self {
+            name, zone, store, ..
+        } = &self;
         let text = format!(
             "{{\"node\":\"{name}\",\"zone\":\"{zone}\",\
              \"regions\":{{\"zone-a\":\"north\",\"zone-b\":\"north\",\"zone-c\":\"north\"}},\
