A line and a gauge for the leases that a node competes for

Change: lease_manager_started (lease, cause, revision) and sloetrail_lease_managers; no logic changes.

--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -436,6 +436,15 @@
         failures: usize,
         outcome: &'a str,
     },
+    /// This node competes for a lease from now on.
+    LeaseManagerStarted {
+        /// The name of the lease.
+        service: &'a str,
+        /// Why the lease is needed: `configuration`, `lease row` or `settings`.
+        cause: &'a str,
+        /// The revision of the configuration in force; zero before the first one.
+        revision: u64,
+    },
     /// This node has become the owner of a service.
     LeaseTaken {
         service: &'a str,
--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -68,9 +68,10 @@
             | Event::ItemsWaiting { .. }
             | Event::StepWhole { .. }
             | Event::RewardFailed { .. } => "batch",
-            Event::LeaseTaken { .. } | Event::OwnerFoundGone { .. } | Event::LeaseLost { .. } => {
-                "lease"
-            }
+            Event::LeaseManagerStarted { .. }
+            | Event::LeaseTaken { .. }
+            | Event::OwnerFoundGone { .. }
+            | Event::LeaseLost { .. } => "lease",
             Event::OrderGiven { .. }
             | Event::VersionInForce { .. }
             | Event::EngineReassigned { .. } => "weights",
--- a/crates/sloetrail-serving/src/supervisor.rs
+++ b/crates/sloetrail-serving/src/supervisor.rs
@@ -5,6 +5,7 @@
 use crate::leases::{BatchSet, LeaseManager, LeaseResource, LeaseTask};
 use crate::owner::BatchOwnerTask;
 use crate::tasks;
+use crate::telemetry;
 use crate::usage::UsageReportTask;
 use sloetrail_routing::ServingConfiguration;
 use std::collections::{BTreeSet, HashMap};
@@ -37,7 +38,10 @@
     if let Some(usage) = usage {
         let resource = LeaseResource::UsageReports;
         let manager = managers.entry(resource.clone());
-        manager.or_insert_with(|| start(resource, usage));
+        manager.or_insert_with(|| {
+            report_started(&context, &resource, "settings");
+            start(resource, usage)
+        });
     }
     let mut in_force = context.in_force.clone();
     let mut leased_sets = context.leased_sets.clone();
@@ -45,10 +49,11 @@
     loop {
         let configuration = in_force.borrow_and_update().configuration.clone();
         let configured = configuration.map(|configuration| configured_sets(&configuration));
-        let configured = configured.into_iter().flatten();
+        let configured: BTreeSet<BatchSet> = configured.into_iter().flatten().collect();
         let leased = Arc::clone(&leased_sets.borrow_and_update());
         let own_region = context.settings.topology.own_region();
-        let sets: BTreeSet<BatchSet> = configured.chain(leased.iter().cloned()).collect();
+        let sets = configured.iter().chain(leased.iter()).cloned();
+        let sets: BTreeSet<BatchSet> = sets.collect();
         report_unknown_region(&context, &sets, &mut reported_sets);
         for set in sets {
             if !set.regions().allows(own_region) {
@@ -56,10 +61,18 @@
             }
             let resource = LeaseResource::Batches(set.clone());
             managers.entry(resource.clone()).or_insert_with(|| {
+                let is_configured = configured.contains(&set);
+                let cause = if is_configured {
+                    "configuration"
+                } else {
+                    "lease row"
+                };
+                report_started(&context, &resource, cause);
                 let context = Arc::clone(&context);
                 start(resource, Arc::new(BatchOwnerTask { context, set }))
             });
         }
+        telemetry::lease_managers(managers.len());
         tokio::select! {
             Ok(()) = in_force.changed() => {}
             Ok(()) = leased_sets.changed() => {}
@@ -72,6 +85,15 @@
     }
 }
 
+fn report_started(context: &NodeContext, resource: &LeaseResource, cause: &str) {
+    let configuration = context.configuration();
+    events::emit(&Event::LeaseManagerStarted {
+        service: resource.name(),
+        cause,
+        revision: configuration.map_or(0, |configuration| configuration.revision.0),
+    });
+}
+
 /// Logs that the region of this node is unknown, so that it competes for no bound batches.
 /// Repeats the event only when the number of sets has changed.
 fn report_unknown_region(context: &NodeContext, sets: &BTreeSet<BatchSet>, reported: &mut usize) {
--- a/crates/sloetrail-serving/src/telemetry.rs
+++ b/crates/sloetrail-serving/src/telemetry.rs
@@ -194,6 +194,11 @@
     gauge!("sloetrail_lease_epoch", "service" => service).set(epoch as f64);
 }
 
+/// Sets the number of leases that this node competes for or holds.
+pub(crate) fn lease_managers(managers: usize) {
+    gauge!("sloetrail_lease_managers").set(managers as f64);
+}
+
 /// Sets the numbers of waiting and running items of an owned service.
 pub(crate) fn items(service: &str, waiting: usize, running: usize) {
     let service = SERVICES.bounded(service);
