An accepted batch has an owner whatever the configuration in force names

What callers saw: once the route of an open batch had moved to another service and each node had started again since, nobody worked on the batch.

Cause: a node competes for the lease of a batch set only if the configuration in force names the set or if the set is bound to regions and has a lease row. A set without a region bound that is no longer configured was known only to nodes that had started before the change.

Change: the transaction that accepts a batch depends on a registration of its set, a row in the lease table in the partition of callers, and writes it if it is missing. Nodes compete for the leases of configured sets, of registered ones and of those with a lease row. The last covers batches that older builds accepted. Every node follows the lease table already, so that the registration costs no further poll; an acceptance carries one more condition.

Evidence: lease_manager_started showed no manager for the set in any second life. All tests of sloetrail-serving pass.

--- a/crates/sloetrail-serving-testkit/src/cluster.rs
+++ b/crates/sloetrail-serving-testkit/src/cluster.rs
@@ -77,6 +77,10 @@
     pub metrics_address: Option<SocketAddr>,
     /// Models of the engines besides [`MODEL`].
     pub other_models: Vec<&'static str>,
+    /// Model services of the configuration besides [`MODELS`].
+    pub other_services: Vec<String>,
+    /// Services that the configuration leaves out.
+    pub removed_services: Vec<String>,
     wire: Arc<dyn EngineWire>,
     dialect: Arc<dyn Dialect>,
     /// Builds the table client of a node from its link.
@@ -107,6 +111,8 @@
             policies: Policies::default(),
             metrics_address: None,
             other_models: Vec::new(),
+            other_services: Vec::new(),
+            removed_services: Vec::new(),
             wire,
             dialect,
             wrap: Box::new(|link| link),
@@ -155,10 +161,29 @@
                 configuration["services"][service]["cold_per_s"] = json!(per_second);
             }
         }
+        self.set_services(&mut configuration);
         let address = self.dialect.sources().configuration.clone();
         self.table.write(address, configuration.to_string());
     }
 
+    /// Adds the other services and leaves out the removed ones.
+    fn set_services(&self, configuration: &mut Value) {
+        let models = &configuration["services"][1];
+        let others = self.other_services.iter().map(|name| {
+            let mut service = models.clone();
+            service["name"] = json!(name);
+            service
+        });
+        let others: Vec<Value> = others.collect();
+        let services = configuration["services"].as_array_mut().expect("a list");
+        services.extend(others);
+        let is_removed = |service: &Value| {
+            let mut removed = self.removed_services.iter();
+            removed.any(|name| service["name"] == **name)
+        };
+        services.retain(|service| !is_removed(service));
+    }
+
     /// Publishes a weight version of [`MODEL`].
     pub fn publish(&self, version: u64) {
         let (key, value) = self.wire.published(MODEL, version);
@@ -198,6 +223,16 @@
         self.add(MODELS, zone, &models, event_interval).await
     }
 
+    /// Starts an engine of another service than [`MODELS`] in `zone-a`.
+    pub async fn add_engine_of(
+        &mut self,
+        service: &str,
+        event_interval: Duration,
+    ) -> Arc<FakeEngine> {
+        let models = self.models();
+        self.add(service, "zone-a", &models, event_interval).await
+    }
+
     fn models(&self) -> Vec<&'static str> {
         let others = self.other_models.iter().copied();
         std::iter::once(MODEL).chain(others).collect()
--- a/crates/sloetrail-serving/src/context.rs
+++ b/crates/sloetrail-serving/src/context.rs
@@ -7,7 +7,7 @@
 use crate::engine_supply::EngineSupply;
 use crate::follow::{FleetSize, LastApplied, PollTiming, ViewReceiver};
 use crate::gateway::claims::Claims;
-use crate::leases::LeasedSets;
+use crate::leases::RecordedSets;
 use crate::operator::InForce;
 use crate::quarantine::Quarantine;
 use crate::relay::peers::Peers;
@@ -43,7 +43,7 @@
     pub(crate) ended_incarnations: EndedIncarnationsReceiver,
     pub(crate) leases: ViewReceiver,
     /// Sets of bound batches that have or had an owner.
-    pub(crate) leased_sets: watch::Receiver<Arc<LeasedSets>>,
+    pub(crate) recorded_sets: watch::Receiver<Arc<RecordedSets>>,
     pub(crate) lease_poll_timing: PollTiming,
     pub(crate) fleet: FleetSize,
     /// The work in flight at back ends, by zone.
--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -440,7 +440,7 @@
     LeaseManagerStarted {
         /// The name of the lease.
         service: &'a str,
-        /// Why the lease is needed: `configuration`, `lease row` or `settings`.
+        /// Why the lease is needed: `configuration`, `table` or `settings`.
         cause: &'a str,
         /// The revision of the configuration in force; zero before the first one.
         revision: u64,
--- a/crates/sloetrail-serving/src/follow.rs
+++ b/crates/sloetrail-serving/src/follow.rs
@@ -32,7 +32,7 @@
 /// The rows of a table at one version.
 #[derive(Clone, Debug)]
 pub struct TableView {
-    /// Rows of the followed partition by key.
+    /// Rows of the followed partitions by key.
     pub rows: BTreeMap<String, Row>,
     /// The key ranges that the view covers.
     pub(crate) ranges: KeyRanges,
@@ -79,7 +79,18 @@
     partition: impl Into<String>,
     timing: PollTiming,
 ) -> ViewReceiver {
-    start(table, (name.into(), partition.into()), timing, None)
+    start(table, (name.into(), vec![partition.into()]), timing, None)
+}
+
+/// Follows two partitions of a table, whose keys differ, until every receiver is dropped.
+pub(crate) fn follow_both(
+    table: Arc<dyn Table>,
+    name: &str,
+    partitions: [&str; 2],
+    timing: PollTiming,
+) -> ViewReceiver {
+    let partitions = partitions.map(str::to_owned).into();
+    start(table, (name.to_owned(), partitions), timing, None)
 }
 
 /// Follows the demanded subset of the directory until every receiver is dropped.
@@ -89,12 +100,17 @@
     timing: PollTiming,
     subset: SubsetReader,
 ) -> ViewReceiver {
-    start(table, (name.into(), String::new()), timing, Some(subset))
+    start(
+        table,
+        (name.into(), vec![String::new()]),
+        timing,
+        Some(subset),
+    )
 }
 
 fn start(
     table: Arc<dyn Table>,
-    (name, partition): (String, String),
+    (name, partitions): (String, Vec<String>),
     timing: PollTiming,
     subset: Option<SubsetReader>,
 ) -> ViewReceiver {
@@ -102,7 +118,7 @@
     let follower = Follower {
         table,
         name,
-        partition,
+        partitions,
         timing,
         sender,
         interrupted: false,
@@ -143,7 +159,7 @@
 struct Follower {
     table: Arc<dyn Table>,
     name: String,
-    partition: String,
+    partitions: Vec<String>,
     timing: PollTiming,
     sender: watch::Sender<Arc<TableView>>,
     interrupted: bool,
@@ -242,8 +258,8 @@
 
     async fn read_all_rows(&mut self) -> Result<TimedAnswer<Page>, ReadError> {
         let table = Arc::clone(&self.table);
-        let range = KeyRange::all(&self.name, &self.partition);
-        let scan = || scan_all(&*table, range.clone());
+        let (name, partitions) = (self.name.clone(), self.partitions.clone());
+        let scan = || scan_partitions(&*table, &name, &partitions);
         let timing = self.timing.repeat_timing(Duration::ZERO);
         let overdue = |sent_at| self.record_overdue(sent_at, Duration::ZERO);
         read_timely(scan(), scan, timing, overdue).await
@@ -269,9 +285,9 @@
             read = self.poll(since, long_poll_timeout) => read?,
             () = more_demanded => return Ok(Progress::NeedsMoreRows),
         };
-        let partition = self.partition.clone();
+        let partitions = self.partitions.clone();
         self.publish(read.requested_at, |view| {
-            apply(view, read.answer, &partition);
+            apply(view, read.answer, &partitions);
         });
         Ok(Progress::UpToDate)
     }
@@ -352,10 +368,29 @@
     }
 }
 
-fn apply(view: &mut TableView, changes: Changes, partition: &str) {
+/// Reads all rows of these partitions. The version is that of the first read: changes since then
+/// may be in the later reads already, and are applied again.
+async fn scan_partitions(
+    table: &dyn Table,
+    name: &str,
+    partitions: &[String],
+) -> Result<Page, ReadError> {
+    let mut collected: Option<Page> = None;
+    for partition in partitions {
+        let page = scan_all(table, KeyRange::all(name, partition)).await?;
+        match &mut collected {
+            Some(collected) => collected.rows.extend(page.rows),
+            None => collected = Some(page),
+        }
+    }
+    Ok(collected.unwrap_or_default())
+}
+
+fn apply(view: &mut TableView, changes: Changes, partitions: &[String]) {
     let ranges = view.ranges.clone();
-    let is_in_view =
-        |address: &RowAddress| address.partition == partition && ranges.contains(&address.key);
+    let is_in_view = |address: &RowAddress| {
+        partitions.contains(&address.partition) && ranges.contains(&address.key)
+    };
     for change in changes.changes {
         match change {
             Change::Written(row) if is_in_view(&row.address) => {
--- a/crates/sloetrail-serving/src/gateway/submit.rs
+++ b/crates/sloetrail-serving/src/gateway/submit.rs
@@ -1,10 +1,11 @@
 //! Accepting and ending batches.
 //!
 //! A batch is accepted once its submission and its header are committed, on condition that
-//! the header row was absent. A resubmission at any node finds the header and is accepted
-//! again. A problem of kind `not_run` is returned only if the table confirms that nothing was
-//! written. If a commit got no answer, the outcome is reported as unknown, and the caller
-//! submits again.
+//! the header row was absent. The same transaction registers the batch's set, so that the batch
+//! has an owner under any later configuration ([`crate::leases`]). A resubmission at any node
+//! finds the header and is accepted again. A problem of kind `not_run` is returned only if the
+//! table confirms that nothing was written. If a commit got no answer, the outcome is reported
+//! as unknown, and the caller submits again.
 //!
 //! A submission during an outage of the table waits for the outage to end, for a share of
 //! the caller's time ([`waiting`]). It is then refused with a retry delay.
@@ -23,7 +24,7 @@
 
 use self::admission::SubmittedBatch;
 use self::admission_control::AdmissionControl;
-use self::batch_commit::BatchCommit;
+use self::batch_commit::{BatchCommit, BatchTransactions};
 use self::waiting::WaitingSubmissions;
 use super::batch_lookup::{find_header, table_unavailable};
 use super::regions;
@@ -31,6 +32,7 @@
 use crate::batch_rows::encode_header;
 use crate::context::NodeContext;
 use crate::events::{self, Event};
+use crate::leases::BatchSet;
 use crate::length_hint::hinted_length;
 use crate::rows;
 use crate::table::{CommitError, Transaction};
@@ -43,6 +45,9 @@
 use sloetrail_routing::{Route, ServingConfiguration, Tenant, WeightedService};
 use sloetrail_types::{AllowedRegions, ServiceName, Timestamp, whole_millis};
 
+/// Entries of the last transaction besides the rows of the submission: a condition and a write for
+/// each of the header and the registration of the batch's set.
+const HEADER_ENTRIES: usize = 4;
 /// Maximum retry delay as a share of the caller's remaining time. Callers ignore a delay of more
 /// than a third of it.
 const MAX_RETRY_AFTER_SHARE: f64 = 0.25;
@@ -188,7 +193,7 @@
     {
         return Ok(AcceptedBatch::repeated(&accepted));
     }
-    let transactions = transactions(context, id, &parts, &header);
+    let transactions = batch_transactions(context, id, &parts, &header);
     let commit = BatchCommit {
         context,
         waiting: &state.waiting,
@@ -199,7 +204,7 @@
         is_outcome_unknown: false,
     };
     let open_submission = admission.unsettled.begin(id);
-    let outcome = commit.run(&transactions).await;
+    let outcome = commit.run(transactions, &BatchSet::of_batch(&header)).await;
     // A resubmission must not be refused as not run while this attempt may still be written.
     let may_still_be_written = matches!(&outcome, Err(problem) if problem.kind != Kind::NotRun);
     if !may_still_be_written {
@@ -229,35 +234,34 @@
         .collect()
 }
 
-/// Builds the transactions that store a batch. The last one holds the header: parts without a
-/// header are ignored.
-fn transactions(
+fn batch_transactions(
     context: &NodeContext,
     id: &str,
     parts: &[Bytes],
     header: &BatchHeader,
-) -> Vec<Transaction> {
+) -> BatchTransactions {
     let limits = context.table.limits();
-    let mut all = Vec::new();
+    let mut submission_parts = Vec::new();
     let mut current = Transaction::new();
     let mut bytes = 0;
     for (index, part) in parts.iter().enumerate() {
         let is_full = bytes + part.len() > limits.transaction_bytes
-            || current.puts.len() + 3 > limits.transaction_entries;
+            || current.puts.len() + HEADER_ENTRIES >= limits.transaction_entries;
         if is_full {
-            all.push(std::mem::take(&mut current));
+            submission_parts.push(std::mem::take(&mut current));
             bytes = 0;
         }
         bytes += part.len();
         current = current.put(rows::submission_part(id, index), part.clone());
     }
     let head = rows::batch(id);
-    all.push(
-        current
-            .require(head.clone(), None)
-            .put(head, encode_header(header)),
-    );
-    all
+    let header = current
+        .require(head.clone(), None)
+        .put(head, encode_header(header));
+    BatchTransactions {
+        submission_parts,
+        header,
+    }
 }
 
 /// Ends a batch: items without a listed result need not run any more.
--- a/crates/sloetrail-serving/src/gateway/submit/admission_control.rs
+++ b/crates/sloetrail-serving/src/gateway/submit/admission_control.rs
@@ -74,7 +74,7 @@
         batch: &SubmittedBatch,
         deadline: BootInstant,
     ) -> Option<Refusal> {
-        let set = BatchSet::new(header.service.clone(), header.allowed_regions.clone());
+        let set = BatchSet::of_batch(header);
         let report = read_report(context, &set)?;
         let mut sets = self.sets.lock();
         let record = sets.entry(set.name().to_owned()).or_default();
@@ -114,7 +114,7 @@
 
     /// Records a batch whose header this node has committed.
     pub(super) fn record_accepted(&self, header: &BatchHeader, batch: SubmittedBatch) {
-        let set = BatchSet::new(header.service.clone(), header.allowed_regions.clone());
+        let set = BatchSet::of_batch(header);
         let mut sets = self.sets.lock();
         let record = sets.entry(set.name().to_owned()).or_default();
         push_bounded(&mut record.accepted, batch);
--- a/crates/sloetrail-serving/src/gateway/submit/batch_commit.rs
+++ b/crates/sloetrail-serving/src/gateway/submit/batch_commit.rs
@@ -5,6 +5,8 @@
 use crate::context::NodeContext;
 use crate::events::{self, Event};
 use crate::gateway::batch_lookup::RETRY_AFTER;
+use crate::leases::{BatchSet, Registration, require_registration};
+use crate::rows;
 use crate::table::{Commit, CommitError, Transaction};
 use sloetrail_clock::BootInstant;
 use sloetrail_result::{Problem, ResultCode};
@@ -17,6 +19,15 @@
 /// Delay between attempts at a failed transaction.
 const COMMIT_RETRY_INTERVAL: Duration = Duration::from_millis(25);
 
+/// The transactions that store a batch, in the order in which they are committed.
+pub(super) struct BatchTransactions {
+    /// Rows of the submission that do not fit into the last transaction. They are ignored without
+    /// a header.
+    pub(super) submission_parts: Vec<Transaction>,
+    /// Stores the header, on condition that it does not exist, and the rest of the submission.
+    pub(super) header: Transaction,
+}
+
 /// Commits the transactions of one batch, with retries.
 pub(super) struct BatchCommit<'a> {
     pub(super) context: &'a NodeContext,
@@ -30,14 +41,41 @@
 }
 
 impl BatchCommit<'_> {
-    pub(super) async fn run(mut self, transactions: &[Transaction]) -> Result<Acceptance, Problem> {
-        let mut acceptance = Acceptance::New;
-        for transaction in transactions {
-            if let Commit::Conflict(_) = self.commit(transaction).await? {
-                acceptance = Acceptance::Repeated;
+    pub(super) async fn run(
+        mut self,
+        batch: BatchTransactions,
+        set: &BatchSet,
+    ) -> Result<Acceptance, Problem> {
+        for parts in &batch.submission_parts {
+            // Has no conditions, so that it cannot conflict.
+            self.commit(parts).await?;
+        }
+        self.commit_header(&batch.header, set).await
+    }
+
+    /// Commits the header together with the registration of the batch's set. Tries again while
+    /// other nodes change the registration.
+    async fn commit_header(
+        &mut self,
+        header: &Transaction,
+        set: &BatchSet,
+    ) -> Result<Acceptance, Problem> {
+        let header_row = rows::batch(self.id);
+        let mut known = Registration::in_view(&self.context.leases.borrow(), set);
+        loop {
+            let transaction = require_registration(header.clone(), set, known);
+            let current = match self.commit(&transaction).await? {
+                Commit::Done(_) => return Ok(Acceptance::New),
+                Commit::Conflict(current) => current,
+            };
+            if current.iter().any(|row| row.address == header_row) {
+                return Ok(Acceptance::Repeated);
+            }
+            if BootInstant::now() >= self.acceptance_deadline {
+                return Err(self.refusal(AcceptanceError::NotCommitted));
             }
+            known = Registration::among(&current, set);
         }
-        Ok(acceptance)
     }
 
     /// Retries until the table commits or rejects the transaction, or the deadline has passed.
--- a/crates/sloetrail-serving/src/leases/mod.rs
+++ b/crates/sloetrail-serving/src/leases/mod.rs
@@ -7,15 +7,17 @@
 //! orders are sent only within windows committed beforehand ([`order_window`]). A few nodes
 //! probe each holder ([`owner_watch`]).
 
-mod leased_sets;
 mod manager;
 mod order_window;
 mod owner_watch;
+mod recorded_sets;
+mod registration;
 mod resource;
 mod term;
 
-pub(crate) use leased_sets::{LeasedSets, watch_leased_sets};
 pub(crate) use manager::LeaseManager;
 pub(crate) use order_window::OrderWindow;
+pub(crate) use recorded_sets::{RecordedSets, watch_recorded_sets};
+pub(crate) use registration::{Registration, require_registration};
 pub(crate) use resource::{BatchSet, LeaseResource, LeaseTask};
 pub(crate) use term::Term;
--- a/crates/sloetrail-serving/src/leases/leased_sets.rs
+++ b/crates/sloetrail-serving/src/leases/recorded_sets.rs
@@ -1,7 +1,8 @@
-//! The region-bound batch sets that have a lease row.
+//! The batch sets that the lease table records.
 //!
 //! Batches may still be open that were accepted under a configuration unknown to this node or
-//! no longer in force. Their sets are found through their leases.
+//! no longer in force. Their sets are found through their registrations, and those of older
+//! builds, which do not register them, through their leases.
 
 use super::BatchSet;
 use crate::follow::{TableView, ViewReceiver};
@@ -12,16 +13,18 @@
 use std::sync::Arc;
 use tokio::sync::watch;
 
-/// Region-bound batch sets that have, or had, an owner.
+/// Batch sets that are registered or have a lease.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(crate) struct LeasedSets(BTreeSet<BatchSet>);
+pub(crate) struct RecordedSets(BTreeSet<BatchSet>);
 
-impl LeasedSets {
-    /// Returns the sets that have a lease row in this view.
+impl RecordedSets {
+    /// Returns the sets that have a registration or a lease row in this view.
     pub(crate) fn from_view(leases: &TableView) -> Self {
-        let subjects = leases.rows.keys();
-        let subjects = subjects.filter_map(|key| rows::lease_name_of_key(key));
-        Self(subjects.filter_map(BatchSet::from_lease_name).collect())
+        let names = leases.rows.keys().filter_map(|key| {
+            let registered = rows::batch_set_name_of_key(key);
+            registered.or_else(|| rows::lease_name_of_key(key))
+        });
+        Self(names.filter_map(BatchSet::from_lease_name).collect())
     }
 
     pub(crate) fn iter(&self) -> impl Iterator<Item = &BatchSet> {
@@ -38,25 +41,25 @@
     }
 }
 
-/// Publishes the sets of the lease rows until every receiver is dropped. Receivers are notified
-/// only when the sets change, not on each renewal.
-pub(crate) fn watch_leased_sets(mut leases: ViewReceiver) -> watch::Receiver<Arc<LeasedSets>> {
-    let first = LeasedSets::from_view(&leases.borrow_and_update());
+/// Publishes the recorded sets until every receiver is dropped. Receivers are notified only when
+/// the sets change, not on each renewal of a lease.
+pub(crate) fn watch_recorded_sets(mut leases: ViewReceiver) -> watch::Receiver<Arc<RecordedSets>> {
+    let first = RecordedSets::from_view(&leases.borrow_and_update());
     let (sender, receiver) = watch::channel(Arc::new(first));
     let sender = Arc::new(sender);
-    tasks::spawn_part("leased sets", move || {
+    tasks::spawn_part("recorded sets", move || {
         publish_sets(leases.clone(), Arc::clone(&sender))
     });
     receiver
 }
 
-async fn publish_sets(mut leases: ViewReceiver, sender: Arc<watch::Sender<Arc<LeasedSets>>>) {
+async fn publish_sets(mut leases: ViewReceiver, sender: Arc<watch::Sender<Arc<RecordedSets>>>) {
     loop {
         tokio::select! {
             changed = leases.changed() => if changed.is_err() { return },
             () = sender.closed() => return,
         }
-        let sets = LeasedSets::from_view(&leases.borrow_and_update());
+        let sets = RecordedSets::from_view(&leases.borrow_and_update());
         sender.send_if_modified(|current| {
             let has_changed = **current != sets;
             if has_changed {
--- a/crates/sloetrail-serving/src/leases/resource.rs
+++ b/crates/sloetrail-serving/src/leases/resource.rs
@@ -3,7 +3,12 @@
 use super::Term;
 use futures_util::future::BoxFuture;
 use sloetrail_batch::BatchHeader;
+use sloetrail_routing::ServingConfiguration;
 use sloetrail_types::{AllowedRegions, RegionName, ServiceName};
+use std::collections::BTreeSet;
+
+/// Begins the names of leases that protect no batches. No service name starts with it.
+const NO_SERVICE_PREFIX: char = '*';
 
 /// A resource owned by one node at a time.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -14,8 +19,7 @@
 }
 
 impl LeaseResource {
-    /// Returns the name used in row keys, log lines and metrics. No service name starts with a
-    /// star.
+    /// Returns the name used in row keys, log lines and metrics.
     pub(crate) fn name(&self) -> &str {
         match self {
             LeaseResource::Batches(set) => &set.name,
@@ -56,13 +60,36 @@
         }
     }
 
-    /// Parses the name of a lease of region-bound batches. None if the name has no regions.
+    /// Parses the name of a lease. None if the lease protects something else than batches.
     pub(crate) fn from_lease_name(name: &str) -> Option<Self> {
-        let (service, regions) = name.split_once('@')?;
-        let regions = AllowedRegions::only(regions.split('+').map(RegionName::from));
+        if name.starts_with(NO_SERVICE_PREFIX) {
+            return None;
+        }
+        let (service, regions) = match name.split_once('@') {
+            Some((service, regions)) => {
+                let regions = regions.split('+').map(RegionName::from);
+                (service, AllowedRegions::only(regions))
+            }
+            None => (name, AllowedRegions::everywhere()),
+        };
         Some(Self::new(ServiceName::from(service), regions))
     }
 
+    /// Returns the set of a batch.
+    pub(crate) fn of_batch(header: &BatchHeader) -> Self {
+        Self::new(header.service.clone(), header.allowed_regions.clone())
+    }
+
+    /// Returns the sets of all batches that a configuration allows.
+    pub(crate) fn configured(configuration: &ServingConfiguration) -> BTreeSet<Self> {
+        let services = configuration.rollout_services().into_iter();
+        let sets = services.flat_map(|service| {
+            let regions = configuration.batch_regions(&service).into_iter();
+            regions.map(move |regions| Self::new(service.clone(), regions))
+        });
+        sets.collect()
+    }
+
     /// Returns whether a batch belongs to this set.
     pub(crate) fn holds(&self, header: &BatchHeader) -> bool {
         header.service == self.service && header.allowed_regions == self.regions
--- a/crates/sloetrail-serving/src/node/assembly.rs
+++ b/crates/sloetrail-serving/src/node/assembly.rs
@@ -6,9 +6,11 @@
 use crate::directory::watch_directory;
 use crate::ended_incarnations::watch_ended_incarnations;
 use crate::engine_supply::EngineSupply;
-use crate::follow::{FleetSize, PollTimings, SubsetReader, ViewReceiver, follow, follow_directory};
+use crate::follow::{
+    FleetSize, PollTimings, SubsetReader, ViewReceiver, follow, follow_both, follow_directory,
+};
 use crate::gateway::claims::Claims;
-use crate::leases::watch_leased_sets;
+use crate::leases::watch_recorded_sets;
 use crate::operator::watch_operator;
 use crate::quarantine::Quarantine;
 use crate::relay::peers::Peers;
@@ -53,10 +55,10 @@
                 timings.directory,
                 subset_reader,
             ),
-            leases: follow(
+            leases: follow_both(
                 Arc::clone(table),
                 rows::LEASES,
-                rows::OWNERS,
+                [rows::OWNERS, rows::CALLERS],
                 timings.leases,
             ),
         }
@@ -106,8 +108,8 @@
         Arc::clone(&zone_work),
         seed,
     );
-    let leased_sets = watch_leased_sets(views.leases.clone());
-    pools.follow(directory.clone(), in_force.clone(), leased_sets.clone());
+    let recorded_sets = watch_recorded_sets(views.leases.clone());
+    pools.follow(directory.clone(), in_force.clone(), recorded_sets.clone());
     let usage = usage_schedule.map(|schedule| {
         let (table, leases) = (Arc::clone(&table), views.leases.clone());
         NodeUsage::new(
@@ -141,7 +143,7 @@
         operator_applied,
         subset_demand,
         leases: views.leases,
-        leased_sets,
+        recorded_sets,
         lease_poll_timing,
         fleet,
         zone_work,
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -243,7 +243,7 @@
         let mut ends = self.follow(rows::ENDS, Some(max_age));
         let mut directory = self.context.directory.clone();
         let mut in_force = self.context.in_force.clone();
-        let mut leased_sets = self.context.leased_sets.clone();
+        let mut recorded_sets = self.context.recorded_sets.clone();
         let mut tick = tokio::time::interval(TICK_INTERVAL);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut swept_at = BootInstant::now();
@@ -264,8 +264,8 @@
                     self.refresh_send_limits();
                     self.assign_models();
                 }
-                Ok(()) = leased_sets.changed() => {
-                    leased_sets.mark_unchanged();
+                Ok(()) = recorded_sets.changed() => {
+                    recorded_sets.mark_unchanged();
                     self.refresh_send_limits();
                 }
                 Ok(()) = batches.changed() => self.apply_batches(&mut batches, &mut ends),
@@ -331,7 +331,7 @@
         let evacuations = &in_force.evacuations;
         let cold_duration = configuration.cold_bounds(&self.service).cold_duration;
         let settings = &self.context.settings;
-        let leased = self.context.leased_sets.borrow().clone();
+        let leased = self.context.recorded_sets.borrow().clone();
         let budgets = settings.cold.budgets(configuration, &leased, &self.service);
         let budget = |zone: &ZoneName| {
             let region = settings.topology.region_of(zone);
--- a/crates/sloetrail-serving/src/rows.rs
+++ b/crates/sloetrail-serving/src/rows.rs
@@ -14,7 +14,7 @@
 pub const OWNERS: &str = "sloetrail";
 /// The partition of submitted and ended batches.
 pub const CALLERS: &str = "sloetrail_callers";
-/// Leases, fences and other rows that every node follows.
+/// Leases, fences, registered batch sets and other rows that every node follows.
 pub const LEASES: &str = "sloetrail_leases";
 /// The order window of each lease, read only by a new holder.
 pub const ORDER_WINDOWS: &str = "sloetrail_order_windows";
@@ -58,6 +58,7 @@
 pub const CLAIM_PARTITIONS: u8 = 16;
 
 const LEASE_KEY_PREFIX: &str = "lease/";
+const BATCH_SET_KEY_PREFIX: &str = "set/";
 const BACKLOG_KEY_PREFIX: &str = "backlog/";
 const SLOT_DEMAND_KEY_PREFIX: &str = "demand/";
 /// Prefix of the keys of crashes and clearances.
@@ -82,6 +83,17 @@
     key.strip_prefix(LEASE_KEY_PREFIX)
 }
 
+/// The registration of a batch set. It is in the lease table, which every node follows, and in the
+/// partition of callers, as the batches that are accepted with it.
+pub fn batch_set(lease: &str) -> RowAddress {
+    RowAddress::new(LEASES, CALLERS, format!("{BATCH_SET_KEY_PREFIX}{lease}"))
+}
+
+/// Returns the lease name in the key of a registered batch set; None for other keys.
+pub fn batch_set_name_of_key(key: &str) -> Option<&str> {
+    key.strip_prefix(BATCH_SET_KEY_PREFIX)
+}
+
 /// The fence of a lease, written only when the holder changes.
 pub fn fence(resource: &str) -> RowAddress {
     RowAddress::new(LEASES, OWNERS, format!("fence/{resource}"))
--- a/crates/sloetrail-serving/src/service_pools.rs
+++ b/crates/sloetrail-serving/src/service_pools.rs
@@ -6,7 +6,7 @@
 use crate::back_end::BackEnd;
 use crate::directory::Directory;
 use crate::gateway::slot_wait::SlotWaitEstimate;
-use crate::leases::LeasedSets;
+use crate::leases::RecordedSets;
 use crate::operator::InForce;
 use crate::relay::peers::Peers;
 use crate::settings::ServingSettings;
@@ -43,7 +43,7 @@
 struct PoolChanges {
     directory: watch::Receiver<Arc<Directory>>,
     in_force: watch::Receiver<Arc<InForce>>,
-    leased_sets: watch::Receiver<Arc<LeasedSets>>,
+    recorded_sets: watch::Receiver<Arc<RecordedSets>>,
 }
 
 impl PoolChanges {
@@ -55,7 +55,7 @@
             let (changed, is_sender_check) = tokio::select! {
                 changed = self.directory.changed() => (changed, false),
                 changed = self.in_force.changed() => (changed, false),
-                changed = self.leased_sets.changed() => (changed, false),
+                changed = self.recorded_sets.changed() => (changed, false),
                 _ = sender_check.tick() => (Ok(()), true),
             };
             let (Ok(()), Some(pools)) = (changed, pools.upgrade()) else {
@@ -66,7 +66,7 @@
             }
             let listed = self.directory.borrow_and_update().clone();
             let in_force = self.in_force.borrow_and_update().clone();
-            let leased = self.leased_sets.borrow_and_update().clone();
+            let leased = self.recorded_sets.borrow_and_update().clone();
             pools.update(listed, in_force, leased);
         }
     }
@@ -93,7 +93,7 @@
                 random: StdRng::seed_from_u64(seed),
                 directory: Arc::default(),
                 in_force: Arc::default(),
-                leased_sets: Arc::default(),
+                recorded_sets: Arc::default(),
                 balancers: HashMap::new(),
                 slot_queues: HashMap::new(),
                 answer_times: HashMap::new(),
@@ -108,14 +108,14 @@
         self: &Arc<Self>,
         directory: watch::Receiver<Arc<Directory>>,
         in_force: watch::Receiver<Arc<InForce>>,
-        leased_sets: watch::Receiver<Arc<LeasedSets>>,
+        recorded_sets: watch::Receiver<Arc<RecordedSets>>,
     ) {
         let pools = Arc::downgrade(self);
         tasks::spawn_part("service pools", move || {
             let changes = PoolChanges {
                 directory: directory.clone(),
                 in_force: in_force.clone(),
-                leased_sets: leased_sets.clone(),
+                recorded_sets: recorded_sets.clone(),
             };
             changes.apply_to(Weak::clone(&pools))
         });
@@ -132,12 +132,12 @@
         &self,
         directory: Arc<Directory>,
         in_force: Arc<InForce>,
-        leased_sets: Arc<LeasedSets>,
+        recorded_sets: Arc<RecordedSets>,
     ) {
         let now = self.now();
         let mut state = self.state.lock();
         state.in_force = in_force;
-        state.leased_sets = leased_sets;
+        state.recorded_sets = recorded_sets;
         state.senders = state.current_senders();
         let mut listed: HashMap<ServiceName, Vec<&Arc<BackEnd>>> = HashMap::new();
         for back_end in directory.back_ends.values() {
--- a/crates/sloetrail-serving/src/service_pools/state.rs
+++ b/crates/sloetrail-serving/src/service_pools/state.rs
@@ -3,7 +3,7 @@
 use crate::back_end::BackEnd;
 use crate::cold_budgets::ColdBudgets;
 use crate::directory::Directory;
-use crate::leases::LeasedSets;
+use crate::leases::RecordedSets;
 use crate::loss_backoff::LossBackoff;
 use crate::operator::InForce;
 use crate::relay::peers::Peers;
@@ -37,7 +37,7 @@
     pub(super) random: StdRng,
     pub(super) directory: Arc<Directory>,
     pub(super) in_force: Arc<InForce>,
-    pub(super) leased_sets: Arc<LeasedSets>,
+    pub(super) recorded_sets: Arc<RecordedSets>,
     pub(super) balancers: HashMap<ServiceName, Balancer>,
     pub(super) slot_queues: HashMap<ServiceName, ServiceSlotQueue>,
     pub(super) answer_times: HashMap<ServiceName, LatencyQuantile>,
@@ -202,7 +202,7 @@
             cold_duration: configuration.cold_bounds(service).cold_duration,
             budgets: state
                 .cold
-                .budgets(configuration, &state.leased_sets, service),
+                .budgets(configuration, &state.recorded_sets, service),
         }
     }
 
--- a/crates/sloetrail-serving/src/settings.rs
+++ b/crates/sloetrail-serving/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of a serving node: raw as deserialized, typed after validation.
 
 use crate::cold_budgets::ColdBudgets;
-use crate::leases::LeasedSets;
+use crate::leases::RecordedSets;
 use crate::policies::Policies;
 use serde::Deserialize;
 use sloetrail_routing::ServingConfiguration;
@@ -155,7 +155,7 @@
     pub(crate) fn budgets(
         &self,
         configuration: &ServingConfiguration,
-        leased: &LeasedSets,
+        leased: &RecordedSets,
         service: &ServiceName,
     ) -> Option<ColdBudgets> {
         let sustained_per_second = configuration.cold_bounds(service).per_second?;
--- a/crates/sloetrail-serving/src/supervisor.rs
+++ b/crates/sloetrail-serving/src/supervisor.rs
@@ -7,7 +7,6 @@
 use crate::tasks;
 use crate::telemetry;
 use crate::usage::UsageReportTask;
-use sloetrail_routing::ServingConfiguration;
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use tokio::sync::Mutex;
@@ -44,15 +43,15 @@
         });
     }
     let mut in_force = context.in_force.clone();
-    let mut leased_sets = context.leased_sets.clone();
+    let mut recorded_sets = context.recorded_sets.clone();
     let mut reported_sets = 0;
     loop {
         let configuration = in_force.borrow_and_update().configuration.clone();
-        let configured = configuration.map(|configuration| configured_sets(&configuration));
-        let configured: BTreeSet<BatchSet> = configured.into_iter().flatten().collect();
-        let leased = Arc::clone(&leased_sets.borrow_and_update());
+        let configured = configuration.map(|configuration| BatchSet::configured(&configuration));
+        let configured = configured.unwrap_or_default();
+        let recorded = Arc::clone(&recorded_sets.borrow_and_update());
         let own_region = context.settings.topology.own_region();
-        let sets = configured.iter().chain(leased.iter()).cloned();
+        let sets = configured.iter().chain(recorded.iter()).cloned();
         let sets: BTreeSet<BatchSet> = sets.collect();
         report_unknown_region(&context, &sets, &mut reported_sets);
         for set in sets {
@@ -65,7 +64,7 @@
                 let cause = if is_configured {
                     "configuration"
                 } else {
-                    "lease row"
+                    "table"
                 };
                 report_started(&context, &resource, cause);
                 let context = Arc::clone(&context);
@@ -75,7 +74,7 @@
         telemetry::lease_managers(managers.len());
         tokio::select! {
             Ok(()) = in_force.changed() => {}
-            Ok(()) = leased_sets.changed() => {}
+            Ok(()) = recorded_sets.changed() => {}
             () = stopping.cancelled() => break,
         }
     }
@@ -108,13 +107,3 @@
         });
     }
 }
-
-/// Returns the sets of batches that a configuration allows.
-fn configured_sets(configuration: &ServingConfiguration) -> Vec<BatchSet> {
-    let services = configuration.rollout_services().into_iter();
-    let sets = services.flat_map(|service| {
-        let regions = configuration.batch_regions(&service).into_iter();
-        regions.map(move |regions| BatchSet::new(service.clone(), regions))
-    });
-    sets.collect()
-}
--- /dev/null
+++ b/crates/sloetrail-serving/tests/moved_routes.rs
@@ -0,0 +1,192 @@
+//! Open batches keep an owner, whatever changes first: routes, services, owners or back ends.
+
+mod support;
+
+use serde_json::{Value, json};
+use sloetrail_serving_testkit::client::batch;
+use sloetrail_serving_testkit::cluster::{Cluster, MODEL, MODELS, usual_routes};
+use std::time::Duration;
+use support::{accepted, assert_each_once, client_cluster, items, lease_holder, submit_items};
+
+const EVENT_INTERVAL: Duration = Duration::from_millis(10);
+const OTHER_MODELS: &str = "other-models";
+const ITEMS: usize = 24;
+/// Items run for 600 ms, and eight at a time, so that most are open when the changes come.
+const EVENTS: u64 = 60;
+const NODES: [&str; 3] = ["node-1", "node-2", "node-3"];
+
+/// Returns the usual routes with the rollout route to another service.
+fn routes_to(service: &str) -> Value {
+    let mut routes = usual_routes();
+    for route in routes.as_array_mut().expect("a list") {
+        if route["name"] == "rollout" {
+            route["service"] = json!(service);
+        }
+    }
+    routes
+}
+
+/// Returns the usual routes without the rollout route.
+fn routes_without_rollout() -> Value {
+    let mut routes = usual_routes();
+    let list = routes.as_array_mut().expect("a list");
+    list.retain(|route| route["name"] != "rollout");
+    routes
+}
+
+/// Starts an application, two model services with an engine each, and the nodes.
+async fn two_services() -> Cluster {
+    let mut cluster = client_cluster();
+    cluster.other_services = vec![OTHER_MODELS.to_owned()];
+    cluster.configure(usual_routes());
+    cluster.add_application("zone-a").await;
+    cluster.add_engine(EVENT_INTERVAL).await;
+    cluster.add_engine_of(OTHER_MODELS, EVENT_INTERVAL).await;
+    start_nodes(&mut cluster).await;
+    lease_holder(&cluster).await;
+    cluster
+}
+
+async fn start_nodes(cluster: &mut Cluster) {
+    for name in NODES {
+        start_node(cluster, name).await;
+    }
+}
+
+async fn start_node(cluster: &mut Cluster, name: &str) -> usize {
+    let node = cluster.add_node(name).await;
+    cluster.wait_ready(node).await;
+    node
+}
+
+/// Kills the nodes one after the other and starts each again before the next one is killed.
+async fn restart_in_turn(cluster: &mut Cluster) {
+    let first = cluster.nodes.len() - NODES.len();
+    for (number, name) in NODES.iter().enumerate() {
+        cluster.nodes[first + number].kill();
+        start_node(cluster, name).await;
+    }
+}
+
+fn kill_all(cluster: &mut Cluster) {
+    for node in &mut cluster.nodes {
+        node.kill();
+    }
+}
+
+fn last_node(cluster: &Cluster) -> usize {
+    cluster.nodes.len() - 1
+}
+
+async fn assert_completes(cluster: &Cluster, id: &str) {
+    let results = cluster.wait_results(last_node(cluster), id, ITEMS).await;
+    assert_each_once(&results, ITEMS);
+    assert!(results.iter().all(|result| result["state"] == "succeeded"));
+}
+
+/// Guards against an open batch that no node owns once its route has moved and all nodes restarted.
+#[tokio::test(flavor = "multi_thread")]
+async fn open_batch_runs_on_after_its_route_moved_and_all_nodes_restarted() {
+    let mut cluster = two_services().await;
+    submit_items(&cluster, 0, "b1", ITEMS, EVENTS).await;
+    cluster.wait_results(0, "b1", 1).await;
+    cluster.configure(routes_to(OTHER_MODELS));
+    restart_in_turn(&mut cluster).await;
+    assert_completes(&cluster, "b1").await;
+    let other = &cluster.engines[2];
+    assert!(other.runs().is_empty(), "the batch stays at its service");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn open_batch_runs_on_after_its_route_moved_while_no_node_ran() {
+    let mut cluster = two_services().await;
+    submit_items(&cluster, 0, "b1", ITEMS, EVENTS).await;
+    kill_all(&mut cluster);
+    cluster.configure(routes_to(OTHER_MODELS));
+    start_nodes(&mut cluster).await;
+    assert_completes(&cluster, "b1").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn open_batch_runs_on_after_its_route_was_removed_and_all_nodes_stopped() {
+    let mut cluster = two_services().await;
+    submit_items(&cluster, 0, "b1", ITEMS, EVENTS).await;
+    cluster.configure(routes_without_rollout());
+    for number in 0..NODES.len() {
+        cluster.nodes[number].stop();
+    }
+    start_nodes(&mut cluster).await;
+    assert_completes(&cluster, "b1").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn open_batch_runs_on_after_its_service_was_removed() {
+    let mut cluster = two_services().await;
+    submit_items(&cluster, 0, "b1", ITEMS, EVENTS).await;
+    cluster.removed_services = vec![MODELS.to_owned()];
+    cluster.configure(routes_to(OTHER_MODELS));
+    restart_in_turn(&mut cluster).await;
+    assert_completes(&cluster, "b1").await;
+}
+
+/// Guards against a batch without an owner if its set had none before its route changed.
+#[tokio::test(flavor = "multi_thread")]
+async fn batch_whose_set_never_had_an_owner_runs_after_its_route_changed() {
+    let mut cluster = client_cluster();
+    let regions = [("zone-a", "north"), ("zone-b", "south")];
+    let regions = regions.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
+    cluster.regions = regions.into();
+    let mut bound = usual_routes();
+    for route in bound.as_array_mut().expect("a list") {
+        if route["name"] == "rollout" {
+            route["allowed_regions"] = json!(["south"]);
+        }
+    }
+    cluster.configure(bound);
+    cluster.add_application("zone-b").await;
+    cluster.add_engine_in("zone-b", EVENT_INTERVAL).await;
+    start_node(&mut cluster, "node-1").await;
+    submit_items(&cluster, 0, "b1", ITEMS, 3).await;
+    cluster.configure(usual_routes());
+    kill_all(&mut cluster);
+    start_node(&mut cluster, "node-1").await;
+    let south = cluster.add_node_in("zone-b", "node-2").await;
+    cluster.wait_ready(south).await;
+    assert_completes(&cluster, "b1").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn open_batches_run_on_while_their_route_moves_back_and_forth_amid_restarts() {
+    let mut cluster = two_services().await;
+    let work = |number: usize| {
+        let item = |mut item: Value| {
+            let id = item["id"].as_str().unwrap_or_default().to_owned();
+            item["id"] = json!(format!("b{number}-{id}"));
+            item
+        };
+        let items: Vec<Value> = items(ITEMS, EVENTS).into_iter().map(item).collect();
+        batch(&items, MODEL, 1)
+    };
+    for (number, service) in [OTHER_MODELS, MODELS, OTHER_MODELS].into_iter().enumerate() {
+        let node = last_node(&cluster);
+        accepted(&cluster, node, &format!("b{number}"), &work(number)).await;
+        cluster.configure(routes_to(service));
+        restart_in_turn(&mut cluster).await;
+    }
+    for number in 0..3 {
+        assert_completes(&cluster, &format!("b{number}")).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn open_batch_runs_on_at_engines_that_return_after_its_route_moved() {
+    let mut cluster = two_services().await;
+    submit_items(&cluster, 0, "b1", ITEMS, EVENTS).await;
+    let engine = cluster.engines[1].clone();
+    cluster.unlist(&engine);
+    engine.crash();
+    cluster.configure(routes_to(OTHER_MODELS));
+    restart_in_turn(&mut cluster).await;
+    cluster.add_engine(EVENT_INTERVAL).await;
+    assert_completes(&cluster, "b1").await;
+}
