Batch sets that are no longer needed lose their leases and rows

What operators saw: nothing yet, but each service that ever had a rollout route kept a lease that its owner renewed three times in each lease duration, two followed tables at the owner, a manager on every node and up to six rows.

Cause: nothing ended a lease manager before its node stopped, and nothing deleted a lease.

Change: the owner of a set that the configuration has not named for 30 s and that has no batch in the table deletes its registration and its lease rows, and every node then stops the set's manager. A registration is marked as closing, the headers of all batches are read, and the mark is deleted under its version, so that a batch accepted meanwhile keeps its set. An order window is kept until the gap between two owners has passed. The highest epoch of any deleted lease is kept in one row, and a lease that is created again begins above it: fences of orders never fall. A manager does not create a lease that was deleted with its set.

--- a/crates/sloetrail-lease/src/record.rs
+++ b/crates/sloetrail-lease/src/record.rs
@@ -15,12 +15,11 @@
 }
 
 impl LeaseRecord {
-    /// Returns the record with which `holder` takes the lease over from `previous`.
-    pub fn taken_by(holder: &NodeId, previous: Option<&LeaseRecord>) -> Self {
-        let epoch = previous.map_or(Epoch(0), |record| record.epoch);
+    /// Returns the record with which `holder` takes the lease over after `last_epoch`.
+    pub fn taken_by(holder: &NodeId, last_epoch: Epoch) -> Self {
         Self {
             holder: Some(holder.clone()),
-            epoch: epoch.next(),
+            epoch: last_epoch.next(),
             renewal: 0,
         }
     }
--- a/crates/sloetrail-lease/src/tests.rs
+++ b/crates/sloetrail-lease/src/tests.rs
@@ -12,6 +12,8 @@
 struct LeaseRow {
     version: u64,
     record: Option<LeaseRecord>,
+    /// The highest epoch of any deleted record.
+    epoch_floor: Epoch,
 }
 
 impl LeaseRow {
@@ -31,6 +33,13 @@
         self.record = Some(action.record.clone());
         true
     }
+
+    fn delete(&mut self) {
+        if let Some(record) = self.record.take() {
+            self.version += 1;
+            self.epoch_floor = self.epoch_floor.max(record.epoch);
+        }
+    }
 }
 
 #[test]
@@ -73,6 +82,8 @@
     Read(usize),
     Act(usize),
     Release(usize),
+    /// The holder deletes the record.
+    Delete(usize),
     Advance(u64),
 }
 
@@ -92,6 +103,7 @@
             4 => (0..NODES).prop_map(Step::Read),
             4 => (0..NODES).prop_map(Step::Act),
             1 => (0..NODES).prop_map(Step::Release),
+            1 => (0..NODES).prop_map(Step::Delete),
             3 => (1u64..400).prop_map(Step::Advance),
         ]
         .boxed()
@@ -104,6 +116,8 @@
     now: u64,
     row: LeaseRow,
     watchers: Vec<LeaseWatcher>,
+    /// The epoch floor that each node has read.
+    known_floors: Vec<Epoch>,
     terms: Vec<(Epoch, NodeId)>,
 }
 
@@ -119,6 +133,7 @@
             now: 1_000,
             row: LeaseRow::default(),
             watchers,
+            known_floors: vec![Epoch(0); NODES],
             terms: Vec::new(),
         }
     }
@@ -127,12 +142,23 @@
         let now = Timestamp(state.now);
         match step {
             Step::Advance(milliseconds) => state.now += milliseconds,
-            Step::Read(index) => state.watchers[index].observe(now, state.row.read()),
+            Step::Read(index) => {
+                state.known_floors[index] = state.row.epoch_floor;
+                state.watchers[index].set_epoch_floor(state.row.epoch_floor);
+                state.watchers[index].observe(now, state.row.read());
+            }
             Step::Act(index) => {
                 if let Some(action) = state.watchers[index].next_action(now, 0) {
                     state.write(index, &action);
                 }
             }
+            Step::Delete(index) => {
+                let held = state.watchers[index].held_epoch();
+                let current = state.row.record.as_ref().map(|record| record.epoch);
+                if held.is_some() && held == current {
+                    state.row.delete();
+                }
+            }
             Step::Release(index) => {
                 if let Some(action) = state.watchers[index].release() {
                     state.write(index, &action);
@@ -152,6 +178,10 @@
 impl Leases {
     fn write(&mut self, index: usize, action: &LeaseAction) {
         let record_before = self.row.record.clone();
+        let is_floor_known = self.known_floors[index] == self.row.epoch_floor;
+        if action.expected.is_none() && !is_floor_known {
+            return;
+        }
         if !self.row.write(action) {
             return;
         }
--- a/crates/sloetrail-lease/src/watcher.rs
+++ b/crates/sloetrail-lease/src/watcher.rs
@@ -26,6 +26,7 @@
 pub struct LeaseWatcher {
     node: NodeId,
     duration: Duration,
+    epoch_floor: Epoch,
     observed: Option<ObservedLease>,
     unchanged_since: Option<Timestamp>,
     renewed_at: Timestamp,
@@ -37,6 +38,7 @@
         Self {
             node,
             duration,
+            epoch_floor: Epoch(0),
             observed: None,
             unchanged_since: None,
             renewed_at: Timestamp::default(),
@@ -49,6 +51,12 @@
         self.duration = duration;
     }
 
+    /// Sets the highest epoch of any deleted lease. This node takes leases over only under higher
+    /// epochs, since a lease that is created again has no record of its last one.
+    pub fn set_epoch_floor(&mut self, epoch_floor: Epoch) {
+        self.epoch_floor = epoch_floor;
+    }
+
     /// Returns the epoch under which this node holds the lease, according to the last
     /// observation.
     pub fn held_epoch(&self) -> Option<Epoch> {
@@ -143,9 +151,11 @@
 
     fn take_over_action(&self) -> LeaseAction {
         let previous = self.observed.as_ref();
+        let last_epoch = previous.map(|lease| lease.record.epoch);
+        let last_epoch = last_epoch.unwrap_or_default().max(self.epoch_floor);
         LeaseAction {
             expected: previous.map(|lease| lease.version),
-            record: LeaseRecord::taken_by(&self.node, previous.map(|lease| &lease.record)),
+            record: LeaseRecord::taken_by(&self.node, last_epoch),
         }
     }
 }
--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -445,6 +445,18 @@
         /// The revision of the configuration in force; zero before the first one.
         revision: u64,
     },
+    /// This node no longer competes for a lease, which is not needed.
+    LeaseManagerStopped {
+        /// The name of the lease.
+        service: &'a str,
+    },
+    /// The lease of a batch set was deleted: the set is not configured and has no batches.
+    BatchSetRetired {
+        /// The name of the lease.
+        service: &'a str,
+        /// The last epoch.
+        epoch: u64,
+    },
     /// This node has become the owner of a service.
     LeaseTaken {
         service: &'a str,
--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -69,6 +69,8 @@
             | Event::StepWhole { .. }
             | Event::RewardFailed { .. } => "batch",
             Event::LeaseManagerStarted { .. }
+            | Event::LeaseManagerStopped { .. }
+            | Event::BatchSetRetired { .. }
             | Event::LeaseTaken { .. }
             | Event::OwnerFoundGone { .. }
             | Event::LeaseLost { .. } => "lease",
--- a/crates/sloetrail-serving/src/leases/manager.rs
+++ b/crates/sloetrail-serving/src/leases/manager.rs
@@ -114,6 +114,8 @@
         let view = self.leases.borrow_and_update().clone();
         self.watcher.set_duration(self.lease_duration());
         self.observe_view(&view);
+        self.watcher
+            .set_epoch_floor(epoch_floor(&view).unwrap_or_default());
         self.check_active_term();
         let now = match self.active_term {
             Some(_) => self.timestamp(BootInstant::now()),
@@ -136,6 +138,9 @@
         let Some(action) = action else {
             return;
         };
+        if action.expected.is_none() && !self.task.needs_lease(&view) {
+            return;
+        }
         match self.active_term.is_some() {
             true => self.renew(action).await,
             false => self.take_over(action, &view).await,
@@ -226,10 +231,11 @@
         if has_failed {
             self.no_candidate_until = Some(BootInstant::now() + PANIC_BACKOFF);
         }
-        let cause = match (is_own_epoch, has_failed) {
-            (_, true) => "a task of the term panicked",
-            (true, false) => "a write was fenced off",
-            (false, false) => "another holder is in the lease row",
+        let cause = match is_own_epoch {
+            _ if has_failed => "a task of the term panicked",
+            _ if active_term.term.retired.is_cancelled() => "the batch set was retired",
+            true => "a write was fenced off",
+            false => "another holder is in the lease row",
         };
         self.end_active_term(cause);
     }
@@ -295,9 +301,15 @@
         let fence = rows::fence(self.resource.name());
         let fence_version = view.rows.get(&fence.key).map(|row| row.version);
         let epoch = action.record.epoch;
-        let transaction = write_lease(&self.resource, &action)
+        let mut transaction = write_lease(&self.resource, &action)
             .require(fence.clone(), fence_version)
             .put(fence, epoch.to_string());
+        if action.expected.is_none() {
+            // The lease may have been deleted since the view was confirmed.
+            let floor = rows::epoch_floor();
+            let floor_version = view.rows.get(&floor.key).map(|row| row.version);
+            transaction = transaction.require(floor, floor_version);
+        }
         let commit = self.context.table.commit(&transaction).await;
         match commit {
             Ok(Commit::Done(version)) => {
@@ -335,6 +347,7 @@
             releasing: CancellationToken::new(),
             ended: CancellationToken::new(),
             failed: CancellationToken::new(),
+            retired: CancellationToken::new(),
             confirmed_at,
         };
         let (task, task_term) = (Arc::clone(&self.task), term.clone());
@@ -397,6 +410,12 @@
     LeaseWatcher::new(settings.instance.clone(), settings.bounds.lease)
 }
 
+/// Returns the highest epoch of any deleted lease; None if no lease was deleted.
+fn epoch_floor(leases: &TableView) -> Option<Epoch> {
+    let row = leases.rows.get(&rows::epoch_floor().key)?;
+    rows::decode_epoch(&row.value)
+}
+
 fn write_lease(resource: &LeaseResource, action: &LeaseAction) -> Transaction {
     let address = rows::lease(resource.name());
     let record = serde_json::to_vec(&action.record).unwrap_or_default();
--- a/crates/sloetrail-serving/src/leases/mod.rs
+++ b/crates/sloetrail-serving/src/leases/mod.rs
@@ -18,6 +18,6 @@
 pub(crate) use manager::LeaseManager;
 pub(crate) use order_window::OrderWindow;
 pub(crate) use recorded_sets::{RecordedSets, watch_recorded_sets};
-pub(crate) use registration::{Registration, require_registration};
+pub(crate) use registration::{Deregistration, Registration, deregister, require_registration};
 pub(crate) use resource::{BatchSet, LeaseResource, LeaseTask};
 pub(crate) use term::Term;
--- a/crates/sloetrail-serving/src/leases/order_window.rs
+++ b/crates/sloetrail-serving/src/leases/order_window.rs
@@ -89,6 +89,17 @@
         }
     }
 
+    /// Returns whether the gap after the last window of the term's lease has passed, whichever node
+    /// opened it. False if the window cannot be read.
+    pub(crate) async fn is_past(context: &NodeContext, term: &Term) -> bool {
+        let now = context.table.now_ms().map(Timestamp);
+        let gap = context.settings.bounds.order_gap;
+        match (now, read_window(context, term).await) {
+            (Some(now), Some(window)) => window.is_none_or(|window| now >= window.until.after(gap)),
+            _ => false,
+        }
+    }
+
     async fn is_past_gap(&mut self, context: &NodeContext, term: &Term, now: Timestamp) -> bool {
         if self.not_before.is_none() {
             self.not_before = not_before(context, term).await;
@@ -100,17 +111,19 @@
 /// Returns when this term's owner may start to give orders, on the table's clock. None if the
 /// predecessor's window cannot be read.
 async fn not_before(context: &NodeContext, term: &Term) -> Option<Timestamp> {
+    let window = read_window(context, term).await?;
+    let by_other = window.filter(|window| window.node != context.settings.node);
+    let gap = context.settings.bounds.order_gap;
+    Some(by_other.map_or(Timestamp::default(), |window| window.until.after(gap)))
+}
+
+/// Returns the last window of a term's lease, or None if there is none. The outer value is None if
+/// it cannot be read.
+async fn read_window(context: &NodeContext, term: &Term) -> Option<Option<StoredWindow>> {
     let table: &dyn Table = &*context.table;
-    let row = read_row(table, &rows::order_window(term.resource.name()))
-        .await
-        .ok()?;
-    let Some(row) = row else {
-        return Some(Timestamp::default());
-    };
-    let window: StoredWindow = serde_json::from_slice(&row.value).ok()?;
-    if window.node == context.settings.node {
-        return Some(Timestamp::default());
+    let address = rows::order_window(term.resource.name());
+    match read_row(table, &address).await.ok()? {
+        Some(row) => serde_json::from_slice(&row.value).ok()?,
+        None => Some(None),
     }
-    let gap = context.settings.bounds.order_gap;
-    Some(window.until.after(gap))
 }
--- a/crates/sloetrail-serving/src/leases/resource.rs
+++ b/crates/sloetrail-serving/src/leases/resource.rs
@@ -1,6 +1,7 @@
 //! The resources that leases protect.
 
 use super::Term;
+use crate::follow::TableView;
 use futures_util::future::BoxFuture;
 use sloetrail_batch::BatchHeader;
 use sloetrail_routing::ServingConfiguration;
@@ -122,6 +123,11 @@
     /// released.
     fn run(&self, term: Term) -> BoxFuture<'static, ()>;
 
+    /// Returns whether the lease is created if it does not exist.
+    fn needs_lease(&self, _leases: &TableView) -> bool {
+        true
+    }
+
     /// Returns whether the task depends on prompt updates of back ends, so that the directory
     /// is polled at its minimum interval.
     fn uses_min_poll_interval(&self) -> bool {
--- a/crates/sloetrail-serving/src/leases/term.rs
+++ b/crates/sloetrail-serving/src/leases/term.rs
@@ -26,6 +26,8 @@
     pub(crate) ended: CancellationToken,
     /// Cancelled once a task of the term has panicked.
     pub(crate) failed: CancellationToken,
+    /// Cancelled once the lease was deleted.
+    pub(crate) retired: CancellationToken,
     pub(crate) confirmed_at: watch::Receiver<BootInstant>,
 }
 
@@ -37,6 +39,12 @@
         self.ended.cancel();
     }
 
+    /// Ends the term because its lease was deleted.
+    pub(crate) fn end_after_retirement(&self) {
+        self.retired.cancel();
+        self.ended.cancel();
+    }
+
     /// Spawns work of the term. The term ends if it panics.
     pub(crate) fn spawn<Work>(&self, name: &'static str, work: Work) -> JoinHandle<()>
     where
--- a/crates/sloetrail-serving/src/owner/event.rs
+++ b/crates/sloetrail-serving/src/owner/event.rs
@@ -1,6 +1,7 @@
 //! Events that the tasks of an owner send to its loop.
 
 use super::loading::LoadedBatch;
+use super::retirement::RetirementOutcome;
 use super::reward::RewardOutcome;
 use super::reward_queue::ScoringTask;
 use super::run::RunOutcome;
@@ -40,6 +41,7 @@
     DemandWritten(ReportWriteOutcome),
     /// A write of the set's backlog ended.
     BacklogWritten(ReportWriteOutcome),
+    RetirementEnded(RetirementOutcome),
 }
 
 pub(super) struct Committed {
--- a/crates/sloetrail-serving/src/owner/mod.rs
+++ b/crates/sloetrail-serving/src/owner/mod.rs
@@ -27,6 +27,7 @@
 mod model_backlog;
 mod order_task;
 mod publications;
+mod retirement;
 mod reward;
 mod reward_queue;
 mod run;
@@ -42,7 +43,8 @@
 
 use self::service_owner::ServiceOwner;
 use crate::context::NodeContext;
-use crate::leases::{BatchSet, LeaseTask, Term};
+use crate::follow::TableView;
+use crate::leases::{BatchSet, LeaseTask, Registration, Term};
 use futures_util::future::BoxFuture;
 use std::sync::Arc;
 
@@ -58,6 +60,14 @@
         Box::pin(owner.run())
     }
 
+    /// A lease that was deleted together with its set is not created again.
+    fn needs_lease(&self, leases: &TableView) -> bool {
+        let configuration = self.context.configuration();
+        let is_configured = configuration
+            .is_some_and(|configuration| BatchSet::configured(&configuration).contains(&self.set));
+        is_configured || Registration::in_view(leases, &self.set).is_some()
+    }
+
     fn uses_min_poll_interval(&self) -> bool {
         true
     }
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -10,6 +10,7 @@
 mod quarantined_items;
 mod relocation;
 mod results;
+mod retirement;
 mod scoring;
 mod slot_report;
 mod speed_matching;
@@ -21,6 +22,7 @@
 use self::backlog::ReassignmentState;
 use self::other_batches::OtherBatches;
 use self::quarantined_items::QuarantinedItems;
+use self::retirement::RetirementState;
 use self::supply::SupplyState;
 use self::triage::TriageState;
 use super::backlog_report::{BacklogReporter, RecentCapacities};
@@ -44,7 +46,7 @@
 use sloetrail_batch::{Batch, BatchEstimate, BatchId, ItemId, ItemIndex, LengthModel, Transcript};
 use sloetrail_clock::BootInstant;
 use sloetrail_types::{EngineId, ServiceName, ZoneName};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -144,7 +146,10 @@
     triage: TriageState,
     /// Batches that are open, loading, ended or owned by another owner.
     known_batches: HashSet<BatchId>,
+    /// Ids of all batches of the set in the table, open or ended; None until they have been read.
+    stored_batches: Option<BTreeSet<BatchId>>,
     other_batches: OtherBatches,
+    retirement: RetirementState,
     /// Partial texts of items that were unfinished when their batch ended.
     leftover_texts: BTreeMap<ItemId, Transcript>,
     /// By model, how many versions behind the newest its last batch allowed.
@@ -213,7 +218,9 @@
             shares: TenantShares::default(),
             triage: TriageState::new(BootInstant::now()),
             known_batches: HashSet::new(),
+            stored_batches: None,
             other_batches: OtherBatches::default(),
+            retirement: RetirementState::default(),
             leftover_texts: BTreeMap::new(),
             version_lags: BTreeMap::new(),
             rewards: RewardQueue::default(),
@@ -284,6 +291,7 @@
                 let (context, set) = (Arc::clone(&self.context), self.set.clone());
                 let sweep = sweeper::sweep(context, set, self.term.clone(), view);
                 tasks::spawn("batch sweeper", sweep);
+                self.retire_if_unneeded();
             }
         }
         self.cancel_runs();
@@ -381,6 +389,7 @@
             OwnerEvent::SupplyOrdersEnded(outcome) => self.supply_orders_ended(outcome),
             OwnerEvent::DemandWritten(outcome) => self.demand_written(outcome),
             OwnerEvent::BacklogWritten(outcome) => self.backlog_written(outcome),
+            OwnerEvent::RetirementEnded(outcome) => self.retirement_ended(outcome),
             OwnerEvent::OrderEnded(end) => {
                 self.weights_due = true;
                 self.order_ended(end);
--- a/crates/sloetrail-serving/src/owner/service_owner/batches.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/batches.rs
@@ -38,6 +38,8 @@
         for id in ended {
             self.close_batch(&id);
         }
+        let mut stored = self.stored_batches.take().unwrap_or_default();
+        stored.retain(|id| batches.rows.contains_key(id));
         for (id, row) in &batches.rows {
             if self.known_batches.contains(id) {
                 continue;
@@ -47,6 +49,9 @@
                 continue;
             };
             self.known_batches.insert(id.clone());
+            if self.set.holds(&header) {
+                stored.insert(id.clone());
+            }
             if ends.rows.contains_key(id) {
                 continue;
             }
@@ -63,6 +68,7 @@
                 false => self.record_other_batch(id.clone(), header),
             }
         }
+        self.stored_batches = Some(stored);
         self.other_batches
             .retain(|id| batches.rows.contains_key(id) && !ends.rows.contains_key(id));
     }
--- a/crates/sloetrail-serving/src/rows.rs
+++ b/crates/sloetrail-serving/src/rows.rs
@@ -6,7 +6,7 @@
 //! Claims of idempotency keys are spread over several partitions.
 
 use crate::table::{KeyRange, RowAddress};
-use sloetrail_types::{NodeId, ServiceName, Timestamp};
+use sloetrail_types::{Epoch, NodeId, ServiceName, Timestamp};
 use sloetrail_usage::WindowNumber;
 use std::ops::Range;
 
@@ -99,6 +99,18 @@
     RowAddress::new(LEASES, OWNERS, format!("fence/{resource}"))
 }
 
+/// The highest epoch of any lease that was deleted. It is stored with the leases, which every node
+/// follows.
+pub fn epoch_floor() -> RowAddress {
+    RowAddress::new(LEASES, OWNERS, "epoch-floor")
+}
+
+/// Decodes the value of the epoch floor or of a fence; None if it is malformed.
+pub fn decode_epoch(stored: &[u8]) -> Option<Epoch> {
+    let text = std::str::from_utf8(stored).ok()?;
+    text.parse().ok().map(Epoch)
+}
+
 /// The slot demand of a set of bound batches. It is stored with the leases, which every node
 /// follows.
 pub fn slot_demand(lease: &str) -> RowAddress {
--- a/crates/sloetrail-serving/src/suspension_tests.rs
+++ b/crates/sloetrail-serving/src/suspension_tests.rs
@@ -46,6 +46,7 @@
         releasing: CancellationToken::new(),
         ended: CancellationToken::new(),
         failed: CancellationToken::new(),
+        retired: CancellationToken::new(),
         confirmed_at,
     };
     let lease = Duration::from_millis(1_500);
--- a/crates/sloetrail-serving/tests/moved_routes.rs
+++ b/crates/sloetrail-serving/tests/moved_routes.rs
@@ -6,7 +6,10 @@
 use sloetrail_serving_testkit::client::batch;
 use sloetrail_serving_testkit::cluster::{Cluster, MODEL, MODELS, usual_routes};
 use std::time::Duration;
-use support::{accepted, assert_each_once, client_cluster, items, lease_holder, submit_items};
+use support::{
+    accepted, assert_each_once, client_cluster, items, lease_holder, routes_to,
+    routes_without_rollout, submit_items,
+};
 
 const EVENT_INTERVAL: Duration = Duration::from_millis(10);
 const OTHER_MODELS: &str = "other-models";
@@ -15,25 +18,6 @@
 const EVENTS: u64 = 60;
 const NODES: [&str; 3] = ["node-1", "node-2", "node-3"];
 
-/// Returns the usual routes with the rollout route to another service.
-fn routes_to(service: &str) -> Value {
-    let mut routes = usual_routes();
-    for route in routes.as_array_mut().expect("a list") {
-        if route["name"] == "rollout" {
-            route["service"] = json!(service);
-        }
-    }
-    routes
-}
-
-/// Returns the usual routes without the rollout route.
-fn routes_without_rollout() -> Value {
-    let mut routes = usual_routes();
-    let list = routes.as_array_mut().expect("a list");
-    list.retain(|route| route["name"] != "rollout");
-    routes
-}
-
 /// Starts an application, two model services with an engine each, and the nodes.
 async fn two_services() -> Cluster {
     let mut cluster = client_cluster();
--- /dev/null
+++ b/crates/sloetrail-serving/tests/retired_batch_sets.rs
@@ -0,0 +1,154 @@
+//! Batch sets of services that are gone cost nothing any more, and their leases may return.
+
+mod support;
+
+use serde_json::Value;
+use sloetrail_serving_testkit::client::{batch, item};
+use sloetrail_serving_testkit::cluster::{Cluster, MODEL, eventually};
+use sloetrail_serving_testkit::engine::OrderRecord;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use support::{assert_each_once, native_cluster, routes_to, routes_without_rollout};
+
+const EVENT_INTERVAL: Duration = Duration::from_millis(2);
+const ITEMS: usize = 4;
+/// Longer than batches are kept, and than sets are kept without batches.
+const LONG_TIME: Duration = Duration::from_secs(300);
+const SERVICES: usize = 6;
+
+fn service(number: usize) -> String {
+    format!("models-{number}")
+}
+
+/// A batch whose items have ids of their own.
+fn work(id: &str, min_version: u64) -> Value {
+    let items = (0..ITEMS).map(|number| item(&format!("{id}-{number}"), "g", 3));
+    batch(&items.collect::<Vec<Value>>(), MODEL, min_version)
+}
+
+async fn cluster() -> Cluster {
+    let mut cluster = native_cluster();
+    cluster.removed_services = vec!["models".to_owned()];
+    cluster.configure(routes_without_rollout());
+    cluster.add_application("zone-a").await;
+    for name in ["node-1", "node-2"] {
+        let node = cluster.add_node(name).await;
+        cluster.wait_ready(node).await;
+    }
+    cluster
+}
+
+/// Configures a service as the only one with models, and runs a batch there.
+async fn use_service(cluster: &mut Cluster, service: &str, batch_id: &str, min_version: u64) {
+    cluster.other_services = vec![service.to_owned()];
+    cluster.configure(routes_to(service));
+    let is_accepted = || async {
+        let body = work(batch_id, min_version);
+        let answer = cluster.submit(0, batch_id, &body).await?;
+        (answer.status == 202).then_some(())
+    };
+    eventually("the route is in force", is_accepted).await;
+    assert_each_once(&cluster.wait_results(1, batch_id, ITEMS).await, ITEMS);
+}
+
+fn remove_services(cluster: &mut Cluster) {
+    cluster.other_services.clear();
+    cluster.configure(routes_without_rollout());
+}
+
+/// The keys of the rows that name a service, in all tables of leases.
+fn rows_of_services(cluster: &Cluster) -> BTreeSet<String> {
+    let tables = [
+        "sloetrail_leases",
+        "sloetrail_order_windows",
+        "sloetrail_batches",
+    ];
+    let rows = tables
+        .into_iter()
+        .flat_map(|table| cluster.table.rows(table));
+    let keys = rows.map(|row| row.address.key);
+    keys.filter(|key| key.contains("models-") || key.starts_with("b-"))
+        .collect()
+}
+
+/// Advances the table's clock until the rows of all services are deleted.
+async fn wait_until_retired(cluster: &Cluster) {
+    let are_retired = || async {
+        cluster.table.advance_clock(LONG_TIME);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        rows_of_services(cluster).is_empty().then_some(())
+    };
+    eventually("the rows of the services are deleted", are_retired).await;
+}
+
+/// The commits of all nodes within three seconds.
+async fn commits_of_idle_nodes(cluster: &Cluster) -> usize {
+    let before = cluster.table.commits();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    cluster.table.commits() - before
+}
+
+/// Guards against leases, rows and renewals that grow with every service there ever was.
+#[tokio::test(flavor = "multi_thread")]
+async fn services_that_are_gone_leave_no_rows_and_no_renewals() {
+    let mut cluster = cluster().await;
+    let idle = commits_of_idle_nodes(&cluster).await;
+    for number in 0..SERVICES {
+        let name = service(number);
+        cluster.add_engine_of(&name, EVENT_INTERVAL).await;
+        use_service(&mut cluster, &name, &format!("b-{number}"), 1).await;
+    }
+    remove_services(&mut cluster);
+    let known = rows_of_services(&cluster);
+    for number in 0..SERVICES {
+        let lease = format!("lease/{}", service(number));
+        assert!(known.contains(&lease), "{known:?}");
+    }
+    wait_until_retired(&cluster).await;
+    assert_eq!(commits_of_idle_nodes(&cluster).await, idle);
+    assert_eq!(rows_of_services(&cluster), BTreeSet::new());
+}
+
+/// Guards against fences that start again from the beginning once a lease was deleted.
+#[tokio::test(flavor = "multi_thread")]
+async fn fences_of_a_service_that_returns_are_higher_than_before() {
+    let mut cluster = cluster().await;
+    let name = service(0);
+    let engine = cluster.add_engine_of(&name, EVENT_INTERVAL).await;
+    cluster.publish(2);
+    use_service(&mut cluster, &name, "b-0", 2).await;
+    let orders = engine.orders();
+    let last = orders.last().expect("an order").order.fence;
+    remove_services(&mut cluster);
+    wait_until_retired(&cluster).await;
+    let before = engine.orders().len();
+    cluster.publish(3);
+    use_service(&mut cluster, &name, "b-1", 3).await;
+    let orders = engine.orders();
+    let is_higher = |record: &OrderRecord| record.order.fence > last;
+    assert!(orders.len() > before);
+    assert!(orders[before..].iter().all(is_higher), "{orders:?}");
+}
+
+/// Guards against a set that is retired while one of its batches is open.
+#[tokio::test(flavor = "multi_thread")]
+async fn set_with_an_open_batch_is_kept_until_the_batch_is_deleted() {
+    let mut cluster = cluster().await;
+    let name = service(0);
+    cluster.other_services = vec![name.clone()];
+    cluster.configure(routes_to(&name));
+    let is_configured = || async {
+        let answer = cluster.submit(0, "b-0", &work("b-0", 1)).await?;
+        (answer.status == 202).then_some(())
+    };
+    eventually("the batch is accepted", is_configured).await;
+    remove_services(&mut cluster);
+    cluster.table.advance_clock(Duration::from_secs(20));
+    // Two sweeps.
+    tokio::time::sleep(Duration::from_secs(11)).await;
+    let key = format!("set/{name}");
+    assert!(rows_of_services(&cluster).contains(&key));
+    cluster.add_engine_of(&name, EVENT_INTERVAL).await;
+    assert_each_once(&cluster.wait_results(1, "b-0", ITEMS).await, ITEMS);
+    wait_until_retired(&cluster).await;
+}
--- a/crates/sloetrail-serving/tests/support/mod.rs
+++ b/crates/sloetrail-serving/tests/support/mod.rs
@@ -24,6 +24,27 @@
     Cluster::new(Arc::new(NativeWire), Arc::new(NativeDialect::default()))
 }
 
+/// Returns the usual routes with the rollout route to another service.
+#[allow(dead_code, reason = "not every test file needs it")]
+pub fn routes_to(service: &str) -> Value {
+    let mut routes = usual_routes();
+    for route in routes.as_array_mut().expect("routes") {
+        if route["name"] == "rollout" {
+            route["service"] = service.into();
+        }
+    }
+    routes
+}
+
+/// Returns the usual routes without the rollout route.
+#[allow(dead_code, reason = "not every test file needs it")]
+pub fn routes_without_rollout() -> Value {
+    let mut routes = usual_routes();
+    let list = routes.as_array_mut().expect("routes");
+    list.retain(|route| route["name"] != "rollout");
+    routes
+}
+
 /// Starts an application in a native cluster whose batches have this run target.
 #[allow(dead_code, reason = "not every test file needs it")]
 pub async fn cluster_with_run_target(run_target_ms: u64) -> Cluster {
