Engines of a service that left the configuration still get the versions of open batches

What callers saw: a batch is accepted that needs a version which the engines do not have yet, and a configuration removes its service. No engine is ordered to load the version, and no item is run until the retention ends and all are listed as dead.

Cause: the owner takes the models of its engines from the configuration in force alone, so that a service without an entry has none.

Change: the models of open batches count as well if an engine has them. A model that no engine has gets no share of the engines, whatever a batch names.

Evidence: open_batch_gets_the_version_that_it_needs_after_its_service_was_removed failed on the code before (no results within 20 s) and passes now, with the seven other tests of moved_routes.

--- a/crates/sloetrail-serving/src/owner/engines.rs
+++ b/crates/sloetrail-serving/src/owner/engines.rs
@@ -104,6 +104,12 @@
         }
     }
 
+    /// Returns whether an engine has a model, in any version.
+    pub(super) fn any_has_model(&self, model: &str) -> bool {
+        let mut engines = self.engines.values();
+        engines.any(|engine| engine.versions.contains_key(model))
+    }
+
     /// Assigns a model to each engine that takes work.
     pub(super) fn assign(&mut self, shares: &[ModelShare]) {
         assign_models(&mut self.engines, shares);
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -361,15 +361,6 @@
         }
     }
 
-    fn models(&self) -> Vec<String> {
-        let configuration = self.context.configuration();
-        let service = configuration
-            .as_ref()
-            .and_then(|configuration| configuration.services.get(&self.service));
-        let model = service.and_then(|service| service.model.as_ref());
-        model.map(|model| model.models.clone()).unwrap_or_default()
-    }
-
     fn handle_event(&mut self, event: OwnerEvent) {
         match event {
             OwnerEvent::BatchLoaded(id, loaded) => self.open_batch(id, *loaded),
--- a/crates/sloetrail-serving/src/owner/service_owner/other_batches.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/other_batches.rs
@@ -22,6 +22,10 @@
         self.headers.retain(|id, _| is_open(id));
     }
 
+    pub(super) fn headers(&self) -> impl Iterator<Item = &BatchHeader> {
+        self.headers.values()
+    }
+
     /// Upper bound of a model's items that may be running or waiting. Results are not read, so
     /// all items of a batch count for as long as it may be active.
     pub(super) fn items(&self, model: &str, now_ms: u64) -> usize {
--- a/crates/sloetrail-serving/src/owner/service_owner/versions.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/versions.rs
@@ -102,6 +102,30 @@
         self.weights_due = true;
     }
 
+    /// Returns the models whose versions engines are kept up to date with: those that the
+    /// configuration names, and others of open batches that an engine has.
+    pub(super) fn models(&self) -> Vec<String> {
+        let mut models = self.configured_models();
+        let own = self.batches.values().map(|open| &open.batch.header);
+        let headers = own.chain(self.other_batches.headers());
+        for model in headers.filter_map(|header| header.model.as_ref()) {
+            if !models.contains(model) && self.engines.any_has_model(model) {
+                models.push(model.clone());
+            }
+        }
+        models
+    }
+
+    /// Returns the models of the service; none if the configuration does not name the service.
+    fn configured_models(&self) -> Vec<String> {
+        let configuration = self.context.configuration();
+        let service = configuration
+            .as_ref()
+            .and_then(|configuration| configuration.services.get(&self.service));
+        let model = service.and_then(|service| service.model.as_ref());
+        model.map(|model| model.models.clone()).unwrap_or_default()
+    }
+
     fn model_targets(&mut self) -> Vec<ModelTarget> {
         let published = Arc::clone(&self.context.in_force.borrow().published);
         let models = self.models().into_iter();
--- a/crates/sloetrail-serving/tests/moved_routes.rs
+++ b/crates/sloetrail-serving/tests/moved_routes.rs
@@ -174,3 +174,18 @@
     cluster.add_engine(EVENT_INTERVAL).await;
     assert_completes(&cluster, "b1").await;
 }
+
+/// Guards against engines without weight orders while the configuration does not name their service.
+#[tokio::test(flavor = "multi_thread")]
+async fn open_batch_gets_the_version_that_it_needs_after_its_service_was_removed() {
+    let mut cluster = two_services().await;
+    let engine = cluster.engines[1].clone();
+    cluster.unlist(&engine);
+    cluster.publish(2);
+    accepted(&cluster, 0, "b1", &batch(&items(ITEMS, 3), MODEL, 2)).await;
+    cluster.removed_services = vec![MODELS.to_owned()];
+    cluster.configure(routes_to(OTHER_MODELS));
+    restart_in_turn(&mut cluster).await;
+    cluster.list(&engine);
+    assert_completes(&cluster, "b1").await;
+}
