Each model service has an owner that brings its engines to new versions

What callers saw: engines of a service that no rollout route leads to keep the weights that they started with, though the configuration names the service and its models. A step on a route that moves there finds no engine with a version that it allows, and live requests run on old weights. Nodes that had seen a rollout route to the service went on giving orders until they were started again.

Cause: which sets have an owner was asked of the rollout routes alone. The owner of the unbound set also orders the weight versions, which depend on the service and not on a route.

Change: the unbound set of each model service of the configuration has an owner. Such a lease alone does not make its holder one of the senders among whom the rate of cold back ends is divided; a registered set and a bound lease do.

Evidence: engines_of_a_service_without_a_rollout_route_get_new_versions failed on the code before (old version after 20 s) and passes now. Tests of sets, regions, cold back ends, versions, supply, usage, streams and live requests pass.

--- a/crates/sloetrail-serving/src/leases/recorded_sets.rs
+++ b/crates/sloetrail-serving/src/leases/recorded_sets.rs
@@ -15,28 +15,38 @@
 
 /// Batch sets that are registered or have a lease.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(crate) struct RecordedSets(BTreeSet<BatchSet>);
+pub(crate) struct RecordedSets {
+    registered: BTreeSet<BatchSet>,
+    leased: BTreeSet<BatchSet>,
+}
 
 impl RecordedSets {
     /// Returns the sets that have a registration or a lease row in this view.
     pub(crate) fn from_view(leases: &TableView) -> Self {
-        let names = leases.rows.keys().filter_map(|key| {
-            let registered = rows::batch_set_name_of_key(key);
-            registered.or_else(|| rows::lease_name_of_key(key))
-        });
-        Self(names.filter_map(BatchSet::from_lease_name).collect())
+        let registered = leases.rows.keys();
+        let registered = registered.filter_map(|key| rows::batch_set_name_of_key(key));
+        let leased = leases.rows.keys();
+        let leased = leased.filter_map(|key| rows::lease_name_of_key(key));
+        Self {
+            registered: registered.filter_map(BatchSet::from_lease_name).collect(),
+            leased: leased.filter_map(BatchSet::from_lease_name).collect(),
+        }
     }
 
     pub(crate) fn iter(&self) -> impl Iterator<Item = &BatchSet> {
-        self.0.iter()
+        self.registered.union(&self.leased)
     }
 
-    /// Returns the regions of the sets of a service.
-    pub(crate) fn regions_of(
+    /// Returns the regions of the sets of a service that may have batches. The lease of an unbound
+    /// set may exist only to order weight versions.
+    pub(crate) fn regions_with_batches(
         &self,
         service: &ServiceName,
     ) -> impl Iterator<Item = &AllowedRegions> {
-        let of_service = self.iter().filter(move |set| set.service() == service);
+        let may_have_batches =
+            |set: &&BatchSet| !set.controls_engine_count() || self.registered.contains(*set);
+        let sets = self.iter().filter(may_have_batches);
+        let of_service = sets.filter(move |set| set.service() == service);
         of_service.map(BatchSet::regions)
     }
 }
--- a/crates/sloetrail-serving/src/leases/resource.rs
+++ b/crates/sloetrail-serving/src/leases/resource.rs
@@ -81,14 +81,19 @@
         Self::new(header.service.clone(), header.allowed_regions.clone())
     }
 
-    /// Returns the sets of all batches that a configuration allows.
+    /// Returns the sets that need an owner under a configuration: those of all batches that it
+    /// allows, and the unbound set of each model service, whose owner orders weight versions.
     pub(crate) fn configured(configuration: &ServingConfiguration) -> BTreeSet<Self> {
         let services = configuration.rollout_services().into_iter();
-        let sets = services.flat_map(|service| {
+        let of_batches = services.flat_map(|service| {
             let regions = configuration.batch_regions(&service).into_iter();
             regions.map(move |regions| Self::new(service.clone(), regions))
         });
-        sets.collect()
+        let services = configuration.services.values();
+        let with_models = services.filter(|service| service.model.is_some());
+        let of_engines = with_models
+            .map(|service| Self::new(service.name.clone(), AllowedRegions::everywhere()));
+        of_batches.chain(of_engines).collect()
     }
 
     /// Returns whether a batch belongs to this set.
--- a/crates/sloetrail-serving/src/settings.rs
+++ b/crates/sloetrail-serving/src/settings.rs
@@ -155,12 +155,12 @@
     pub(crate) fn budgets(
         &self,
         configuration: &ServingConfiguration,
-        leased: &RecordedSets,
+        recorded: &RecordedSets,
         service: &ServiceName,
     ) -> Option<ColdBudgets> {
         let sustained_per_second = configuration.cold_bounds(service).per_second?;
         let mut owners = configuration.batch_regions(service);
-        owners.extend(leased.regions_of(service).cloned());
+        owners.extend(recorded.regions_with_batches(service).cloned());
         Some(ColdBudgets {
             sustained_per_second,
             max_per_second: sustained_per_second * self.excess + self.slack,
--- a/crates/sloetrail-serving/tests/moved_routes.rs
+++ b/crates/sloetrail-serving/tests/moved_routes.rs
@@ -4,7 +4,7 @@
 
 use serde_json::{Value, json};
 use sloetrail_serving_testkit::client::batch;
-use sloetrail_serving_testkit::cluster::{Cluster, MODEL, MODELS, usual_routes};
+use sloetrail_serving_testkit::cluster::{Cluster, MODEL, MODELS, eventually, usual_routes};
 use std::time::Duration;
 use support::{
     accepted, assert_each_once, client_cluster, items, lease_holder, routes_to,
@@ -189,3 +189,14 @@
     cluster.list(&engine);
     assert_completes(&cluster, "b1").await;
 }
+
+/// Guards against engines that keep old weights because no rollout route leads to their service.
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_of_a_service_without_a_rollout_route_get_new_versions() {
+    let cluster = two_services().await;
+    cluster.publish(2);
+    for engine in &cluster.engines[1..] {
+        let has_version = || async { (engine.version(MODEL) == 2).then_some(()) };
+        eventually("the engine has the version", has_version).await;
+    }
+}
