Version changes wait for open batches that allow one version, whatever their route says by now

What callers saw: a batch is accepted on a route that requires one version for each sample, and a configuration moves or removes the route. The next version then takes effect amid the texts that are being made; each of them is thrown away and begun anew, at every version.

Cause: whether a version change waits for running samples was asked of the routes in force alone, though the batch keeps the rule under which it was accepted.

Change: the headers of open batches are asked as well.

Evidence: version_changes_wait_for_a_single_version_batch_whose_route_was_removed failed on the code before (the order did not wait) and passes now, with the nine others of moved_routes. The engines of the testkit now record whether an order waits.

--- a/crates/sloetrail-serving-testkit/src/wire.rs
+++ b/crates/sloetrail-serving-testkit/src/wire.rs
@@ -14,6 +14,8 @@
     pub fence: u64,
     /// The order is valid only if the engine has accepted this many orders before.
     pub orders_taken: u64,
+    /// True if running items are to end first.
+    pub waits_for_runs: bool,
 }
 
 /// The engine side of a dialect.
@@ -80,6 +82,7 @@
             holder: order["holder"].as_str()?.to_owned(),
             fence: order["fence"].as_u64()?,
             orders_taken: order["orders_taken"].as_u64()?,
+            waits_for_runs: order["change"] == "wait",
         })
     }
 
--- a/crates/sloetrail-serving/src/owner/service_owner/versions.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/versions.rs
@@ -106,9 +106,10 @@
     /// configuration names, and others of open batches that an engine has.
     pub(super) fn models(&self) -> Vec<String> {
         let mut models = self.configured_models();
-        let own = self.batches.values().map(|open| &open.batch.header);
-        let headers = own.chain(self.other_batches.headers());
-        for model in headers.filter_map(|header| header.model.as_ref()) {
+        for model in self
+            .open_headers()
+            .filter_map(|header| header.model.as_ref())
+        {
             if !models.contains(model) && self.engines.any_has_model(model) {
                 models.push(model.clone());
             }
@@ -116,6 +117,12 @@
         models
     }
 
+    /// Returns the headers of the open batches of this and other owners of the service.
+    fn open_headers(&self) -> impl Iterator<Item = &BatchHeader> {
+        let own = self.batches.values().map(|open| &open.batch.header);
+        own.chain(self.other_batches.headers())
+    }
+
     /// Returns the models of the service; none if the configuration does not name the service.
     fn configured_models(&self) -> Vec<String> {
         let configuration = self.context.configuration();
@@ -247,18 +254,16 @@
         self.assign_models();
     }
 
-    /// Running samples continue under new weights, unless a route to the service requires each
-    /// sample to come from a single version.
+    /// Running samples continue under new weights, unless a route to the service or an open batch
+    /// requires each sample to come from a single version.
     fn version_change(&self) -> VersionChange {
         let configuration = self.context.configuration();
-        let requires_single_version = configuration.is_some_and(|configuration| {
-            configuration.routes.iter().any(|route| {
-                let serves =
-                    |part: &sloetrail_routing::WeightedService| part.service == self.service;
-                route.single_version && route.services.iter().any(serves)
-            })
+        let by_route = configuration.is_some_and(|configuration| {
+            let mut routes = configuration.routes.iter();
+            routes.any(|route| route.single_version && route.routes_to(&self.service))
         });
-        match requires_single_version {
+        let by_batch = self.open_headers().any(|header| header.single_version);
+        match by_route || by_batch {
             true => VersionChange::Wait,
             false => VersionChange::Continue,
         }
--- a/crates/sloetrail-serving/tests/moved_routes.rs
+++ b/crates/sloetrail-serving/tests/moved_routes.rs
@@ -200,3 +200,27 @@
         eventually("the engine has the version", has_version).await;
     }
 }
+
+/// Guards against version changes amid the texts of a batch that allows one version, once its route
+/// is gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn version_changes_wait_for_a_single_version_batch_whose_route_was_removed() {
+    let mut cluster = two_services().await;
+    let mut single = usual_routes();
+    for route in single.as_array_mut().expect("a list") {
+        route["single_version"] = json!(route["name"] == "rollout");
+    }
+    cluster.configure(single);
+    restart_in_turn(&mut cluster).await;
+    let node = last_node(&cluster);
+    submit_items(&cluster, node, "b1", ITEMS, EVENTS).await;
+    cluster.wait_results(node, "b1", 1).await;
+    cluster.configure(routes_to(OTHER_MODELS));
+    restart_in_turn(&mut cluster).await;
+    cluster.publish(2);
+    let engine = &cluster.engines[1];
+    let is_ordered = || async { engine.orders().into_iter().next() };
+    let first = eventually("the engine is ordered to load the version", is_ordered).await;
+    assert!(first.order.waits_for_runs, "{first:?}");
+    assert_completes(&cluster, "b1").await;
+}
