Sets that are retired at the same time do not wait for one another

What operators saw: nothing yet. A retirement raised the highest epoch of deleted leases in one row, under that row's version, so that of several at the same time one succeeded and the others tried again after 30 s: with many services that leave together, the last waits for as many rounds.

Cause: a value that each retirement reads and writes again.

Change: a retirement writes that row without a condition. Its version, not its value, is the floor: versions rise with every transaction, and the epoch of a lease with some of them only.

Evidence: services_that_are_gone_leave_no_rows_and_no_renewals failed once in four runs on the code before (rows of six services left after 20 s) beside other tests; it passes now. The property test of leases asserts that no deleted epoch exceeds the floor.

--- a/crates/sloetrail-lease/src/lib.rs
+++ b/crates/sloetrail-lease/src/lib.rs
@@ -6,7 +6,7 @@
 //! the next epoch. Clocks of different nodes are never compared.
 //!
 //! Invariant: each new holder has a higher epoch, also after a deletion of the record: candidates
-//! know the highest epoch of any deleted lease. The lease alone does not protect data: a
+//! know an epoch that no deleted lease exceeds. The lease alone does not protect data: a
 //! holder that was suspended may still act as the owner. Each of its writes and orders
 //! therefore carries its epoch, and stale ones are refused.
 
--- a/crates/sloetrail-lease/src/tests.rs
+++ b/crates/sloetrail-lease/src/tests.rs
@@ -12,7 +12,7 @@
 struct LeaseRow {
     version: u64,
     record: Option<LeaseRecord>,
-    /// The highest epoch of any deleted record.
+    /// The version of the last deletion, which no epoch of a deleted record exceeds.
     epoch_floor: Epoch,
 }
 
@@ -37,7 +37,8 @@
     fn delete(&mut self) {
         if let Some(record) = self.record.take() {
             self.version += 1;
-            self.epoch_floor = self.epoch_floor.max(record.epoch);
+            self.epoch_floor = Epoch(self.version);
+            assert!(record.epoch <= self.epoch_floor);
         }
     }
 }
--- a/crates/sloetrail-lease/src/watcher.rs
+++ b/crates/sloetrail-lease/src/watcher.rs
@@ -51,7 +51,7 @@
         self.duration = duration;
     }
 
-    /// Sets the highest epoch of any deleted lease. This node takes leases over only under higher
+    /// Sets an epoch that no deleted lease exceeds. This node takes leases over only under higher
     /// epochs, since a lease that is created again has no record of its last one.
     pub fn set_epoch_floor(&mut self, epoch_floor: Epoch) {
         self.epoch_floor = epoch_floor;
--- a/crates/sloetrail-serving/src/leases/manager.rs
+++ b/crates/sloetrail-serving/src/leases/manager.rs
@@ -114,8 +114,7 @@
         let view = self.leases.borrow_and_update().clone();
         self.watcher.set_duration(self.lease_duration());
         self.observe_view(&view);
-        self.watcher
-            .set_epoch_floor(epoch_floor(&view).unwrap_or_default());
+        self.watcher.set_epoch_floor(epoch_floor(&view));
         self.check_active_term();
         let now = match self.active_term {
             Some(_) => self.timestamp(BootInstant::now()),
@@ -306,9 +305,9 @@
             .put(fence, epoch.to_string());
         if action.expected.is_none() {
             // The lease may have been deleted since the view was confirmed.
-            let floor = rows::epoch_floor();
-            let floor_version = view.rows.get(&floor.key).map(|row| row.version);
-            transaction = transaction.require(floor, floor_version);
+            let deleted = rows::last_deleted_lease();
+            let deletion = view.rows.get(&deleted.key).map(|row| row.version);
+            transaction = transaction.require(deleted, deletion);
         }
         let commit = self.context.table.commit(&transaction).await;
         match commit {
@@ -410,10 +409,11 @@
     LeaseWatcher::new(settings.instance.clone(), settings.bounds.lease)
 }
 
-/// Returns the highest epoch of any deleted lease; None if no lease was deleted.
-fn epoch_floor(leases: &TableView) -> Option<Epoch> {
-    let row = leases.rows.get(&rows::epoch_floor().key)?;
-    rows::decode_epoch(&row.value)
+/// Returns an epoch that no deleted lease exceeds: the version of the last deletion. Versions rise
+/// with each transaction, and the epoch of a lease with some of them only.
+fn epoch_floor(leases: &TableView) -> Epoch {
+    let deletion = leases.rows.get(&rows::last_deleted_lease().key);
+    deletion.map_or(Epoch(0), |row| Epoch(row.version.0))
 }
 
 fn write_lease(resource: &LeaseResource, action: &LeaseAction) -> Transaction {
--- a/crates/sloetrail-serving/src/owner/retirement.rs
+++ b/crates/sloetrail-serving/src/owner/retirement.rs
@@ -5,8 +5,7 @@
 use crate::events::{self, Event};
 use crate::leases::{BatchSet, Deregistration, OrderWindow, Term, deregister};
 use crate::rows;
-use crate::table::{Commit, Table, Transaction, read_row};
-use sloetrail_types::Epoch;
+use crate::table::{Commit, Table, Transaction};
 
 /// Outcome of an attempt to retire a set.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,21 +42,11 @@
     RetirementOutcome::Done
 }
 
-/// Deletes the rows of a lease and raises the epoch floor to its epoch.
+/// Deletes the rows of a lease.
 async fn delete_lease(table: &dyn Table, term: &Term) -> bool {
-    let floor = rows::epoch_floor();
-    let Ok(row) = read_row(table, &floor).await else {
-        return false;
-    };
-    let stored = row.as_ref().map(|row| rows::decode_epoch(&row.value));
-    let Some(last) = stored.unwrap_or(Some(Epoch(0))) else {
-        return false;
-    };
     let lease = term.resource.name();
-    let deletion = term
-        .transaction()
-        .require(floor.clone(), row.map(|row| row.version))
-        .put(floor, last.max(term.epoch).to_string());
+    let deletion = term.transaction();
+    let deletion = deletion.put(rows::last_deleted_lease(), lease.to_owned());
     let rows = [
         rows::lease(lease),
         rows::fence(lease),
--- a/crates/sloetrail-serving/src/rows.rs
+++ b/crates/sloetrail-serving/src/rows.rs
@@ -6,7 +6,7 @@
 //! Claims of idempotency keys are spread over several partitions.
 
 use crate::table::{KeyRange, RowAddress};
-use sloetrail_types::{Epoch, NodeId, ServiceName, Timestamp};
+use sloetrail_types::{NodeId, ServiceName, Timestamp};
 use sloetrail_usage::WindowNumber;
 use std::ops::Range;
 
@@ -99,16 +99,10 @@
     RowAddress::new(LEASES, OWNERS, format!("fence/{resource}"))
 }
 
-/// The highest epoch of any lease that was deleted. It is stored with the leases, which every node
-/// follows.
-pub fn epoch_floor() -> RowAddress {
-    RowAddress::new(LEASES, OWNERS, "epoch-floor")
-}
-
-/// Decodes the value of the epoch floor or of a fence; None if it is malformed.
-pub fn decode_epoch(stored: &[u8]) -> Option<Epoch> {
-    let text = std::str::from_utf8(stored).ok()?;
-    text.parse().ok().map(Epoch)
+/// The name of the lease that was deleted last, written by each deletion. It is stored with the
+/// leases, which every node follows.
+pub fn last_deleted_lease() -> RowAddress {
+    RowAddress::new(LEASES, OWNERS, "last-deleted")
 }
 
 /// The slot demand of a set of bound batches. It is stored with the leases, which every node
