The unbound set of a service is kept while a bound set has batches

What callers saw: a batch that is bound to regions is open and its service leaves the configuration. 30 s later the unbound set of the service is retired, as it has no batch. Its owner was the one that orders weight versions, so that the bound batch waits for engines with its version until it expires.

Cause: whether a set is needed was asked of its own batches alone.

Change: the unbound set of a service is needed while any set of the service is registered. Every node competes for its lease then, also if it never had one.

--- a/crates/sloetrail-serving/src/leases/recorded_sets.rs
+++ b/crates/sloetrail-serving/src/leases/recorded_sets.rs
@@ -37,6 +37,27 @@
         self.registered.union(&self.leased)
     }
 
+    /// Returns whether the set was registered with a batch, or its owner orders the weight versions
+    /// for a set that was.
+    pub(crate) fn has_batches_for(&self, set: &BatchSet) -> bool {
+        self.registered.contains(set) || self.has_bound_batches_for(set)
+    }
+
+    /// Returns whether the owner of this set orders the weight versions for the batches of
+    /// another one.
+    pub(crate) fn has_bound_batches_for(&self, set: &BatchSet) -> bool {
+        let mut others = self.registered.iter();
+        set.controls_engine_count()
+            && others.any(|other| other != set && other.service() == set.service())
+    }
+
+    /// Returns the sets that need an owner because of their batches, or of those of other sets.
+    pub(crate) fn needing_an_owner(&self) -> BTreeSet<BatchSet> {
+        let registered = self.registered.iter();
+        let unbound = registered.map(|set| BatchSet::unbound(set.service().clone()));
+        unbound.chain(self.iter().cloned()).collect()
+    }
+
     /// Returns the regions of the sets of a service that may have batches. The lease of an unbound
     /// set may exist only to order weight versions.
     pub(crate) fn regions_with_batches(
--- a/crates/sloetrail-serving/src/leases/resource.rs
+++ b/crates/sloetrail-serving/src/leases/resource.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// Returns the set of the batches of a service that are not bound to regions.
+    pub(crate) fn unbound(service: ServiceName) -> Self {
+        Self::new(service, AllowedRegions::everywhere())
+    }
+
     /// Parses the name of a lease. None if the lease protects something else than batches.
     pub(crate) fn from_lease_name(name: &str) -> Option<Self> {
         if name.starts_with(NO_SERVICE_PREFIX) {
@@ -91,8 +96,7 @@
         });
         let services = configuration.services.values();
         let with_models = services.filter(|service| service.model.is_some());
-        let of_engines = with_models
-            .map(|service| Self::new(service.name.clone(), AllowedRegions::everywhere()));
+        let of_engines = with_models.map(|service| Self::unbound(service.name.clone()));
         of_batches.chain(of_engines).collect()
     }
 
--- a/crates/sloetrail-serving/src/owner/mod.rs
+++ b/crates/sloetrail-serving/src/owner/mod.rs
@@ -44,7 +44,7 @@
 use self::service_owner::ServiceOwner;
 use crate::context::NodeContext;
 use crate::follow::TableView;
-use crate::leases::{BatchSet, LeaseTask, Registration, Term};
+use crate::leases::{BatchSet, LeaseTask, RecordedSets, Term};
 use futures_util::future::BoxFuture;
 use std::sync::Arc;
 
@@ -65,7 +65,7 @@
         let configuration = self.context.configuration();
         let is_configured = configuration
             .is_some_and(|configuration| BatchSet::configured(&configuration).contains(&self.set));
-        is_configured || Registration::in_view(leases, &self.set).is_some()
+        is_configured || RecordedSets::from_view(leases).has_batches_for(&self.set)
     }
 
     fn uses_min_poll_interval(&self) -> bool {
--- a/crates/sloetrail-serving/src/owner/service_owner/retirement.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/retirement.rs
@@ -45,13 +45,16 @@
         });
     }
 
-    /// Returns whether batches of the set exist or may be accepted, or whether that is unknown.
+    /// Returns whether batches exist that need this owner or may be accepted, or whether that is
+    /// unknown.
     fn is_needed(&self) -> bool {
+        let recorded = Arc::clone(&self.context.recorded_sets.borrow());
         let has_batches = self
             .stored_batches
             .as_ref()
             .is_none_or(|ids| !ids.is_empty());
         has_batches
+            || recorded.has_bound_batches_for(&self.set)
             || self.context.configuration().is_none_or(|configuration| {
                 BatchSet::configured(&configuration).contains(&self.set)
             })
--- a/crates/sloetrail-serving/src/supervisor.rs
+++ b/crates/sloetrail-serving/src/supervisor.rs
@@ -62,8 +62,8 @@
 
 /// Returns the batch sets that need an owner, each with the reason.
 fn needed_sets(context: &NodeContext) -> BTreeMap<BatchSet, &'static str> {
-    let recorded = Arc::clone(&context.recorded_sets.borrow());
-    let recorded = recorded.iter().map(|set| (set.clone(), "table"));
+    let recorded = context.recorded_sets.borrow().needing_an_owner();
+    let recorded = recorded.into_iter().map(|set| (set, "table"));
     let mut sets: BTreeMap<BatchSet, &'static str> = recorded.collect();
     if let Some(configuration) = context.configuration() {
         let configured = BatchSet::configured(&configuration).into_iter();
--- a/crates/sloetrail-serving/tests/retired_batch_sets.rs
+++ b/crates/sloetrail-serving/tests/retired_batch_sets.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use serde_json::Value;
+use serde_json::{Value, json};
 use sloetrail_serving_testkit::client::{batch, item};
 use sloetrail_serving_testkit::cluster::{Cluster, MODEL, eventually};
 use sloetrail_serving_testkit::engine::OrderRecord;
@@ -73,12 +73,19 @@
 
 /// Advances the table's clock until the rows of all services are deleted.
 async fn wait_until_retired(cluster: &Cluster) {
-    let are_retired = || async {
+    wait_until_deleted(cluster, "").await;
+}
+
+/// Advances the table's clock until the rows of services whose keys contain this text are deleted.
+async fn wait_until_deleted(cluster: &Cluster, text: &str) {
+    let are_deleted = || async {
         cluster.table.advance_clock(LONG_TIME);
         tokio::time::sleep(Duration::from_secs(1)).await;
-        rows_of_services(cluster).is_empty().then_some(())
+        let rows = rows_of_services(cluster);
+        let is_left = rows.iter().any(|key| key.contains(text));
+        (!is_left).then_some(())
     };
-    eventually("the rows of the services are deleted", are_retired).await;
+    eventually("the rows of the services are deleted", are_deleted).await;
 }
 
 /// The commits of all nodes within three seconds.
@@ -152,3 +159,42 @@
     assert_each_once(&cluster.wait_results(1, "b-0", ITEMS).await, ITEMS);
     wait_until_retired(&cluster).await;
 }
+
+/// Guards against engines without weight orders for a bound batch, once the unbound set was retired.
+#[tokio::test(flavor = "multi_thread")]
+async fn unbound_set_is_kept_while_its_service_has_a_bound_batch() {
+    let mut cluster = cluster().await;
+    cluster.regions = [("zone-a".to_owned(), "north".to_owned())].into();
+    let name = service(0);
+    let engine = cluster.add_engine_of(&name, EVENT_INTERVAL).await;
+    cluster.unlist(&engine);
+    let mut bound = routes_to(&name);
+    for route in bound.as_array_mut().expect("a list") {
+        route["allowed_regions"] = json!(["north"]);
+        route["retain_s"] = json!(600);
+    }
+    for node in &mut cluster.nodes {
+        node.kill();
+    }
+    cluster.other_services = vec![name.clone()];
+    cluster.configure(bound);
+    let node = cluster.add_node("node-3").await;
+    cluster.wait_ready(node).await;
+    cluster.publish(2);
+    let answer = cluster.submit(node, "b-0", &work("b-0", 2)).await;
+    assert_eq!(answer.expect("an answer").status, 202);
+    remove_services(&mut cluster);
+    // Two sweeps, the second of them after the retirement delay on the table's clock.
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    cluster.table.advance_clock(Duration::from_secs(60));
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    cluster.list(&engine);
+    let is_ordered = || async { (engine.version(MODEL) == 2).then_some(()) };
+    eventually("the engine has the version", is_ordered).await;
+    // The owner of the bound batch reads the version from the row of the engine.
+    cluster.list(&engine);
+    assert_each_once(&cluster.wait_results(node, "b-0", ITEMS).await, ITEMS);
+    // The unbound set follows the bound one.
+    wait_until_deleted(&cluster, "@north").await;
+    wait_until_retired(&cluster).await;
+}
