--- a/crates/sloetrail-serving/tests/moved_routes.rs
+++ b/crates/sloetrail-serving/tests/moved_routes.rs
@@ -224,3 +224,26 @@
     assert!(first.order.waits_for_runs, "{first:?}");
     assert_completes(&cluster, "b1").await;
 }
+
+/// Guards against items that are neither run nor given up once their service is gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_of_a_service_that_is_gone_are_given_up_after_their_retention() {
+    let mut cluster = two_services().await;
+    let engine = cluster.engines[1].clone();
+    cluster.unlist(&engine);
+    engine.crash();
+    let mut short = usual_routes();
+    for route in short.as_array_mut().expect("a list") {
+        route["retain_s"] = json!(3);
+    }
+    cluster.configure(short);
+    restart_in_turn(&mut cluster).await;
+    let node = last_node(&cluster);
+    submit_items(&cluster, node, "b1", ITEMS, 3).await;
+    cluster.removed_services = vec![MODELS.to_owned()];
+    cluster.configure(routes_to(OTHER_MODELS));
+    restart_in_turn(&mut cluster).await;
+    let results = cluster.wait_results(last_node(&cluster), "b1", ITEMS).await;
+    assert_each_once(&results, ITEMS);
+    assert!(results.iter().all(|result| result["state"] == "dead"));
+}
