--- a/crates/sloetrail-serving/tests/changes_in_series.rs
+++ b/crates/sloetrail-serving/tests/changes_in_series.rs
@@ -38,26 +38,30 @@
     Kill,
     Stop,
     Start,
-    KillAll,
+    /// Kills all nodes, moves the route while none runs, and starts them.
+    MoveRouteWhileDown,
     /// The engine of a service crashes, or another one is started.
     ToggleEngine,
     Publish,
 }
 
 /// The changes to choose from; those that occur more often are more likely.
-const CHOICES: [Change; 14] = [
+const CHOICES: [Change; 17] = [
+    Change::Submit,
+    Change::Submit,
     Change::Submit,
     Change::Submit,
     Change::Submit,
     Change::MoveRoute,
     Change::MoveRoute,
+    Change::MoveRoute,
     Change::RemoveRoute,
     Change::ToggleService,
     Change::Kill,
     Change::Stop,
     Change::Start,
     Change::Start,
-    Change::KillAll,
+    Change::MoveRouteWhileDown,
     Change::ToggleEngine,
     Change::Publish,
 ];
@@ -137,14 +141,7 @@
     async fn apply(&mut self, change: Change) {
         match change {
             Change::Submit => self.submit().await,
-            Change::MoveRoute => {
-                let named: Vec<&'static str> = SERVICES
-                    .into_iter()
-                    .filter(|service| !self.removed.contains(service))
-                    .collect();
-                self.route = named.choose(&mut self.random).copied();
-                self.configure();
-            }
+            Change::MoveRoute => self.move_route(),
             Change::RemoveRoute => {
                 self.route = None;
                 self.configure();
@@ -168,10 +165,12 @@
                 }
             }
             Change::Start => self.start_nodes().await,
-            Change::KillAll => {
+            Change::MoveRouteWhileDown => {
                 for node in std::mem::take(&mut self.running).into_values() {
                     self.cluster.nodes[node].kill();
                 }
+                self.move_route();
+                self.start_nodes().await;
             }
             Change::ToggleEngine => {
                 let service = self.any_service();
@@ -190,6 +189,14 @@
         }
     }
 
+    fn move_route(&mut self) {
+        let named = SERVICES.into_iter();
+        let named = named.filter(|service| !self.removed.contains(service));
+        let named: Vec<&'static str> = named.collect();
+        self.route = named.choose(&mut self.random).copied();
+        self.configure();
+    }
+
     fn any_service(&mut self) -> &'static str {
         SERVICES.choose(&mut self.random).expect("not empty")
     }
