--- a/crates/sloetrail-serving/src/context.rs
+++ b/crates/sloetrail-serving/src/context.rs
@@ -42,7 +42,7 @@
     /// Incarnations of back ends that were followed by another one.
     pub(crate) ended_incarnations: EndedIncarnationsReceiver,
     pub(crate) leases: ViewReceiver,
-    /// Sets of bound batches that have or had an owner.
+    /// Batch sets that the lease table names, whatever the configuration in force says.
     pub(crate) recorded_sets: watch::Receiver<Arc<RecordedSets>>,
     pub(crate) lease_poll_timing: PollTiming,
     pub(crate) fleet: FleetSize,
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -339,8 +339,10 @@
         let evacuations = &in_force.evacuations;
         let cold_duration = configuration.cold_bounds(&self.service).cold_duration;
         let settings = &self.context.settings;
-        let leased = self.context.recorded_sets.borrow().clone();
-        let budgets = settings.cold.budgets(configuration, &leased, &self.service);
+        let recorded = self.context.recorded_sets.borrow().clone();
+        let budgets = settings
+            .cold
+            .budgets(configuration, &recorded, &self.service);
         let budget = |zone: &ZoneName| {
             let region = settings.topology.region_of(zone);
             budgets.as_ref().map(|budgets| budgets.for_region(region))
--- a/crates/sloetrail-serving/src/service_pools.rs
+++ b/crates/sloetrail-serving/src/service_pools.rs
@@ -66,8 +66,8 @@
             }
             let listed = self.directory.borrow_and_update().clone();
             let in_force = self.in_force.borrow_and_update().clone();
-            let leased = self.recorded_sets.borrow_and_update().clone();
-            pools.update(listed, in_force, leased);
+            let recorded = self.recorded_sets.borrow_and_update().clone();
+            pools.update(listed, in_force, recorded);
         }
     }
 }
--- a/crates/sloetrail-serving/src/supervisor.rs
+++ b/crates/sloetrail-serving/src/supervisor.rs
@@ -4,6 +4,7 @@
 
 pub(crate) use self::lease_managers::LeaseManagers;
 
+use self::lease_managers::LeaseNeed;
 use crate::context::NodeContext;
 use crate::events::{self, Event};
 use crate::leases::{BatchSet, LeaseResource};
@@ -25,7 +26,7 @@
 ) {
     let mut managers = managers.lock().await;
     if let Some(usage) = usage {
-        let lease = (LeaseResource::UsageReports, "settings");
+        let lease = (LeaseResource::UsageReports, LeaseNeed::Enabled);
         managers.ensure(&context, lease, &stopping, || usage);
     }
     let mut in_force = context.in_force.clone();
@@ -42,8 +43,8 @@
             LeaseResource::Batches(set) => sets.contains_key(set),
             LeaseResource::UsageReports => true,
         });
-        for (set, cause) in sets {
-            let lease = (LeaseResource::Batches(set.clone()), cause);
+        for (set, need) in sets {
+            let lease = (LeaseResource::Batches(set.clone()), need);
             managers.ensure(&context, lease, &stopping, || {
                 let context = Arc::clone(&context);
                 Arc::new(BatchOwnerTask { context, set })
@@ -61,13 +62,13 @@
 }
 
 /// Returns the batch sets that need an owner, each with the reason.
-fn needed_sets(context: &NodeContext) -> BTreeMap<BatchSet, &'static str> {
+fn needed_sets(context: &NodeContext) -> BTreeMap<BatchSet, LeaseNeed> {
     let recorded = context.recorded_sets.borrow().needing_an_owner();
-    let recorded = recorded.into_iter().map(|set| (set, "table"));
-    let mut sets: BTreeMap<BatchSet, &'static str> = recorded.collect();
+    let recorded = recorded.into_iter().map(|set| (set, LeaseNeed::Recorded));
+    let mut sets: BTreeMap<BatchSet, LeaseNeed> = recorded.collect();
     if let Some(configuration) = context.configuration() {
         let configured = BatchSet::configured(&configuration).into_iter();
-        sets.extend(configured.map(|set| (set, "configuration")));
+        sets.extend(configured.map(|set| (set, LeaseNeed::Configured)));
     }
     sets
 }
@@ -76,7 +77,7 @@
 /// Repeats the event only when the number of sets has changed.
 fn report_unknown_region(
     context: &NodeContext,
-    sets: &BTreeMap<BatchSet, &'static str>,
+    sets: &BTreeMap<BatchSet, LeaseNeed>,
     reported: &mut usize,
 ) {
     let topology = &context.settings.topology;
--- a/crates/sloetrail-serving/src/supervisor/lease_managers.rs
+++ b/crates/sloetrail-serving/src/supervisor/lease_managers.rs
@@ -12,6 +12,28 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
+/// Why a node competes for a lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LeaseNeed {
+    /// The configuration in force names the batch set.
+    Configured,
+    /// The table records the batch set.
+    Recorded,
+    /// The settings enable the task.
+    Enabled,
+}
+
+impl LeaseNeed {
+    /// Label in the log.
+    fn as_str(self) -> &'static str {
+        match self {
+            LeaseNeed::Configured => "configuration",
+            LeaseNeed::Recorded => "table",
+            LeaseNeed::Enabled => "settings",
+        }
+    }
+}
+
 struct RunningManager {
     task: JoinHandle<()>,
     stopping: CancellationToken,
@@ -34,11 +56,11 @@
     }
 
     /// Starts the manager of a resource, unless one runs. A manager that is ending delays it until
-    /// [`Self::next_end`] has returned. `cause` says why the lease is needed.
+    /// [`Self::next_end`] has returned.
     pub(super) fn ensure(
         &mut self,
         context: &Arc<NodeContext>,
-        (resource, cause): (LeaseResource, &str),
+        (resource, need): (LeaseResource, LeaseNeed),
         stopping: &CancellationToken,
         new_task: impl FnOnce() -> Arc<dyn LeaseTask>,
     ) {
@@ -48,7 +70,7 @@
         let configuration = context.configuration();
         events::emit(&Event::LeaseManagerStarted {
             service: resource.name(),
-            cause,
+            cause: need.as_str(),
             revision: configuration.map_or(0, |configuration| configuration.revision.0),
         });
         let manager = start(
--- a/crates/sloetrail-serving/tests/changes_in_series.rs
+++ b/crates/sloetrail-serving/tests/changes_in_series.rs
@@ -14,7 +14,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
-use support::{assert_each_once, client_cluster, routes_to, routes_without_rollout};
+use support::{assert_each_once, client_cluster, routes_with_rollout, routes_without_rollout};
 
 /// Seeds 5 and 6 find batches whose set is not registered.
 const DEFAULT_SEEDS: [u64; 3] = [0, 5, 6];
@@ -129,13 +129,12 @@
         let removed = self.removed.iter().map(|name| (*name).to_owned());
         let usual = std::iter::once("models".to_owned());
         self.cluster.removed_services = usual.chain(removed).collect();
-        let mut routes = match self.route {
-            Some(service) => routes_to(service),
+        let routes = match self.route {
+            Some(service) => {
+                routes_with_rollout(&json!({"service": service, "retain_s": RETENTION_S}))
+            }
             None => routes_without_rollout(),
         };
-        for route in routes.as_array_mut().expect("a list") {
-            route["retain_s"] = json!(RETENTION_S);
-        }
         self.cluster.configure(routes);
     }
 
--- a/crates/sloetrail-serving/tests/moved_routes.rs
+++ b/crates/sloetrail-serving/tests/moved_routes.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use support::{
     accepted, assert_each_once, client_cluster, items, lease_holder, routes_to,
-    routes_without_rollout, submit_items,
+    routes_with_rollout, routes_without_rollout, submit_items,
 };
 
 const EVENT_INTERVAL: Duration = Duration::from_millis(10);
@@ -120,13 +120,7 @@
     let regions = [("zone-a", "north"), ("zone-b", "south")];
     let regions = regions.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
     cluster.regions = regions.into();
-    let mut bound = usual_routes();
-    for route in bound.as_array_mut().expect("a list") {
-        if route["name"] == "rollout" {
-            route["allowed_regions"] = json!(["south"]);
-        }
-    }
-    cluster.configure(bound);
+    cluster.configure(routes_with_rollout(&json!({"allowed_regions": ["south"]})));
     cluster.add_application("zone-b").await;
     cluster.add_engine_in("zone-b", EVENT_INTERVAL).await;
     start_node(&mut cluster, "node-1").await;
@@ -206,11 +200,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn version_changes_wait_for_a_single_version_batch_whose_route_was_removed() {
     let mut cluster = two_services().await;
-    let mut single = usual_routes();
-    for route in single.as_array_mut().expect("a list") {
-        route["single_version"] = json!(route["name"] == "rollout");
-    }
-    cluster.configure(single);
+    cluster.configure(routes_with_rollout(&json!({"single_version": true})));
     restart_in_turn(&mut cluster).await;
     let node = last_node(&cluster);
     submit_items(&cluster, node, "b1", ITEMS, EVENTS).await;
@@ -232,11 +222,7 @@
     let engine = cluster.engines[1].clone();
     cluster.unlist(&engine);
     engine.crash();
-    let mut short = usual_routes();
-    for route in short.as_array_mut().expect("a list") {
-        route["retain_s"] = json!(3);
-    }
-    cluster.configure(short);
+    cluster.configure(routes_with_rollout(&json!({"retain_s": 3})));
     restart_in_turn(&mut cluster).await;
     let node = last_node(&cluster);
     submit_items(&cluster, node, "b1", ITEMS, 3).await;
--- a/crates/sloetrail-serving/tests/retired_batch_sets.rs
+++ b/crates/sloetrail-serving/tests/retired_batch_sets.rs
@@ -8,7 +8,9 @@
 use sloetrail_serving_testkit::engine::OrderRecord;
 use std::collections::BTreeSet;
 use std::time::Duration;
-use support::{assert_each_once, native_cluster, routes_to, routes_without_rollout};
+use support::{
+    assert_each_once, native_cluster, routes_to, routes_with_rollout, routes_without_rollout,
+};
 
 const EVENT_INTERVAL: Duration = Duration::from_millis(2);
 const ITEMS: usize = 4;
@@ -168,16 +170,12 @@
     let name = service(0);
     let engine = cluster.add_engine_of(&name, EVENT_INTERVAL).await;
     cluster.unlist(&engine);
-    let mut bound = routes_to(&name);
-    for route in bound.as_array_mut().expect("a list") {
-        route["allowed_regions"] = json!(["north"]);
-        route["retain_s"] = json!(600);
-    }
     for node in &mut cluster.nodes {
         node.kill();
     }
     cluster.other_services = vec![name.clone()];
-    cluster.configure(bound);
+    let bound = json!({"service": name, "allowed_regions": ["north"], "retain_s": 600});
+    cluster.configure(routes_with_rollout(&bound));
     let node = cluster.add_node("node-3").await;
     cluster.wait_ready(node).await;
     cluster.publish(2);
--- a/crates/sloetrail-serving/tests/support/mod.rs
+++ b/crates/sloetrail-serving/tests/support/mod.rs
@@ -8,7 +8,7 @@
 pub mod panicking;
 
 use http::Method;
-use serde_json::Value;
+use serde_json::{Value, json};
 use sloetrail_serving::native_dialect::NativeDialect;
 use sloetrail_serving::settings::RawColdSettings;
 use sloetrail_serving::table_client::TableClient;
@@ -24,18 +24,25 @@
     Cluster::new(Arc::new(NativeWire), Arc::new(NativeDialect::default()))
 }
 
-/// Returns the usual routes with the rollout route to another service.
+/// Returns the usual routes with these fields of the rollout route.
 #[allow(dead_code, reason = "not every test file needs it")]
-pub fn routes_to(service: &str) -> Value {
+pub fn routes_with_rollout(fields: &Value) -> Value {
     let mut routes = usual_routes();
-    for route in routes.as_array_mut().expect("routes") {
-        if route["name"] == "rollout" {
-            route["service"] = service.into();
-        }
+    let mut list = routes.as_array_mut().expect("routes").iter_mut();
+    let rollout = list.find(|route| route["name"] == "rollout");
+    let rollout = rollout.expect("a rollout route");
+    for (name, value) in fields.as_object().expect("an object") {
+        rollout[name] = value.clone();
     }
     routes
 }
 
+/// Returns the usual routes with the rollout route to another service.
+#[allow(dead_code, reason = "not every test file needs it")]
+pub fn routes_to(service: &str) -> Value {
+    routes_with_rollout(&json!({"service": service}))
+}
+
 /// Returns the usual routes without the rollout route.
 #[allow(dead_code, reason = "not every test file needs it")]
 pub fn routes_without_rollout() -> Value {
@@ -49,13 +56,9 @@
 #[allow(dead_code, reason = "not every test file needs it")]
 pub async fn cluster_with_run_target(run_target_ms: u64) -> Cluster {
     let mut cluster = native_cluster();
-    let mut routes = usual_routes();
-    for route in routes.as_array_mut().expect("routes") {
-        if route["name"] == "rollout" {
-            route["run_target_ms"] = run_target_ms.into();
-        }
-    }
-    cluster.configure(routes);
+    cluster.configure(routes_with_rollout(
+        &json!({"run_target_ms": run_target_ms}),
+    ));
     cluster.add_application("zone-a").await;
     cluster
 }
