--- a/crates/sloetrail-serving/tests/retired_batch_sets.rs
+++ b/crates/sloetrail-serving/tests/retired_batch_sets.rs
@@ -73,8 +73,10 @@
         .collect()
 }
 
-/// Advances the table's clock until the rows of all services are deleted.
+/// Advances the table's clock until first the batches and then the rows of all services are deleted.
+/// Each takes some sweeps of five seconds.
 async fn wait_until_retired(cluster: &Cluster) {
+    wait_until_deleted(cluster, "b-").await;
     wait_until_deleted(cluster, "").await;
 }
 
