--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -248,6 +248,8 @@
         service: &'a str,
         /// The digests of the requests. The event is repeated when more are found.
         digests: &'a [String],
+        /// For each digest, the number of the last event that the request had received.
+        last_events: &'a [Option<u64>],
     },
     /// A request is quarantined, because back ends of the service crash while running it.
     RequestHeld {
@@ -270,6 +272,16 @@
         digest: &'a str,
         service: &'a str,
     },
+    /// A quarantined request is not tried, because another trial of the service is in progress.
+    TrialRefused {
+        /// The digest of the request.
+        digest: &'a str,
+        service: &'a str,
+        /// The digest of the request on trial.
+        on_trial: &'a str,
+        /// The time until that trial ends at the latest.
+        remaining_ms: u64,
+    },
     /// The outcome of a keyed request could not be written to its claim. Repeats are answered that
     /// the outcome is unknown.
     ClaimLeft {
@@ -344,6 +356,27 @@
         events: usize,
         took_ms: u64,
     },
+    /// An item was set aside from the queue of its batch, because it is quarantined.
+    ItemHeld {
+        item: &'a str,
+        batch: &'a str,
+        /// The digest of the item.
+        digest: &'a str,
+        /// The permission of the item: `trial` if it waits for its trial, else `refused`.
+        permission: &'a str,
+        /// The time until the permission changes if nothing happens.
+        wait_ms: u64,
+    },
+    /// A quarantined item was returned to the queue of its batch.
+    ItemFreed {
+        item: &'a str,
+        batch: &'a str,
+        /// The digest of the item.
+        digest: &'a str,
+        /// `released`, or `trial` if it runs as a trial.
+        cause: &'a str,
+        held_ms: u64,
+    },
     /// The run of an item was closed to continue on a faster engine.
     ItemMoved {
         item: &'a str,
--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -51,6 +51,7 @@
             | Event::RequestHeld { .. }
             | Event::RequestReleased { .. }
             | Event::RequestTried { .. }
+            | Event::TrialRefused { .. }
             | Event::ClaimLeft { .. }
             | Event::ClaimsDeleted { .. } => "gateway",
             Event::BatchAccepted { .. }
@@ -62,6 +63,8 @@
             | Event::ItemStarted { .. }
             | Event::ItemInterrupted { .. }
             | Event::ItemMoved { .. }
+            | Event::ItemHeld { .. }
+            | Event::ItemFreed { .. }
             | Event::ItemDead { .. }
             | Event::ItemListed { .. }
             | Event::ResultsTooOld { .. }
@@ -96,6 +99,8 @@
             Event::ItemStarted { .. } => Some(&ITEMS_STARTED),
             Event::ItemListed { .. } => Some(&ITEMS_LISTED),
             Event::ItemMoved { .. } => Some(&ITEMS_MOVED),
+            // A quarantined item asks for its trial several times a second.
+            Event::TrialRefused { .. } => Some(&TRIALS_REFUSED),
             _ => None,
         }
     }
@@ -115,6 +120,7 @@
 static ITEMS_STARTED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
 static ITEMS_LISTED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
 static ITEMS_MOVED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
+static TRIALS_REFUSED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
 
 /// Returns the number of lines over their rate limit since the last call.
 pub(super) fn take_thinned() -> u64 {
@@ -124,6 +130,7 @@
         &ITEMS_STARTED,
         &ITEMS_LISTED,
         &ITEMS_MOVED,
+        &TRIALS_REFUSED,
         &ROWS_UNREADABLE,
         &TASKS_PANICKED,
     ];
--- a/crates/sloetrail-serving/src/gateway/stream.rs
+++ b/crates/sloetrail-serving/src/gateway/stream.rs
@@ -16,7 +16,7 @@
 use crate::ended_incarnations::wait_until_ended;
 use crate::event_stream::EventParser;
 use crate::http::{AnswerBody, CompleteAnswer, Exchange, Reuse, SendFailure};
-use crate::quarantine::{QuarantinePermit, RunWatch};
+use crate::quarantine::{LastEvent, QuarantinePermit, RunWatch};
 use crate::service_pools::SlotPermit;
 use crate::slot_waiter::SlotWaiter;
 use crate::usage::CountedRequest;
@@ -116,7 +116,7 @@
     /// Attempts that may have run.
     possible_runs: usize,
     sends: usize,
-    last_event: Option<u64>,
+    last_event: LastEvent,
     has_forwarded_events: bool,
     /// The request's entry in the tenant's usage, which starts with the first event.
     counted: Option<CountedRequest>,
@@ -148,7 +148,7 @@
             tried: BTreeSet::new(),
             possible_runs: 0,
             sends: 0,
-            last_event,
+            last_event: LastEvent::after(last_event),
             has_forwarded_events: false,
         }
     }
@@ -242,7 +242,8 @@
 
     async fn try_back_end(&mut self, slot: SlotPermit) -> Result<OpenResult, AttemptResult> {
         let started_at = BootInstant::now();
-        let watch = self.quarantine_permit.watch_run(slot.shared_back_end());
+        let back_end = slot.shared_back_end();
+        let watch = self.quarantine_permit.watch_run(back_end, &self.last_event);
         let result = match self.exchange(&slot).await {
             Ok(exchange) if exchange.status.is_success() => {
                 self.possible_runs += 1;
@@ -285,7 +286,7 @@
         let context = &self.call.context;
         let names = context.dialect.headers();
         let mut outgoing: OutgoingRequest = self.call.outgoing.clone();
-        if let Some(last_event) = self.last_event {
+        if let Some(last_event) = self.last_event.get() {
             headers::set_number(&mut outgoing.headers, &names.last_event_id, last_event);
         }
         let deadline = self.call.deadline;
@@ -410,14 +411,16 @@
         }
         let mut forwarded = Vec::new();
         for event in events {
-            let follows = match (self.source.last_event, event.id) {
+            let follows = match (self.source.last_event.get(), event.id) {
                 (Some(last), Some(id)) => last.checked_add(1) == Some(id),
                 _ => true,
             };
             if !follows {
                 return Err(SendFailure::Lost);
             }
-            self.source.last_event = event.id.or(self.source.last_event);
+            if let Some(id) = event.id {
+                self.source.last_event.set(id);
+            }
             self.source.has_forwarded_events = true;
             forwarded.extend_from_slice(event.raw.as_bytes());
         }
--- a/crates/sloetrail-serving/src/owner/run.rs
+++ b/crates/sloetrail-serving/src/owner/run.rs
@@ -11,7 +11,7 @@
 };
 use crate::gateway::{caller, headers};
 use crate::http::{AnswerBody, Exchange, Reuse, SendFailure};
-use crate::quarantine::QuarantinePermit;
+use crate::quarantine::{LastEvent, QuarantinePermit};
 use crate::zone_work::WorkKind;
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
@@ -54,6 +54,7 @@
 #[derive(Debug)]
 pub(super) struct RunProgress {
     state: Mutex<ProgressState>,
+    last_event: LastEvent,
 }
 
 #[derive(Debug)]
@@ -66,6 +67,7 @@
     /// Creates the progress of a run that continues `transcript`.
     pub(super) fn new(transcript: Transcript) -> Arc<Self> {
         Arc::new(Self {
+            last_event: LastEvent::after(transcript.last_number()),
             state: Mutex::new(ProgressState {
                 transcript,
                 version: None,
@@ -165,7 +167,8 @@
 impl Run {
     /// Runs the item and reports to the quarantine whether the run may have crashed its engine.
     async fn run_with_crash_watch(&mut self) -> RunOutcome {
-        let watch = self.spec.quarantine_permit.watch_run(&self.spec.back_end);
+        let (back_end, last_event) = (&self.spec.back_end, &self.spec.progress.last_event);
+        let watch = self.spec.quarantine_permit.watch_run(back_end, last_event);
         let context = Arc::clone(&self.spec.context);
         let incarnation = self.spec.back_end.id.clone();
         let outcome = tokio::select! {
@@ -358,7 +361,11 @@
             version,
             engine: self.reported_engine(),
         };
-        state.transcript.push(event).is_ok()
+        let is_next = state.transcript.push(event).is_ok();
+        if is_next {
+            self.spec.progress.last_event.set(number);
+        }
+        is_next
     }
 
     /// The instance name of the engine, if results report the engine of each segment. It is the
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -413,6 +413,7 @@
         self.expire_items();
         self.drop_unneeded_scorings();
         self.report_item_counts();
+        self.report_quarantined_items();
         self.report_slots(now);
         self.scale_engines();
         self.report_demand();
--- a/crates/sloetrail-serving/src/owner/service_owner/quarantined_items.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/quarantined_items.rs
@@ -5,10 +5,13 @@
 //! items behind it. It returns to the queue when it is released or when a trial is granted.
 
 use super::{OpenBatch, ServiceOwner};
+use crate::events::{self, Event};
 use crate::owner::event::OwnerEvent;
 use crate::quarantine::{Permission, QuarantinePermit, RequestIdentity};
+use crate::telemetry;
 use sloetrail_batch::{BatchId, DispatchClass, ItemIndex};
 use sloetrail_clock::BootInstant;
+use sloetrail_types::whole_millis;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -17,9 +20,15 @@
 
 type ItemKey = (BatchId, ItemIndex);
 
+/// An item that was set aside from the queue of its batch.
+struct HeldItem {
+    permit: QuarantinePermit,
+    since: BootInstant,
+}
+
 #[derive(Default)]
 pub(super) struct QuarantinedItems {
-    items: BTreeMap<ItemKey, QuarantinePermit>,
+    items: BTreeMap<ItemKey, HeldItem>,
     /// Items in the queue that may run once, as a trial.
     on_trial: BTreeMap<ItemKey, QuarantinePermit>,
     /// True while a request for a trial is in flight.
@@ -74,10 +83,22 @@
         if permit.is_open() {
             return false;
         }
-        self.quarantined.items.insert(key, permit);
-        if let Some(open) = self.batches.get_mut(id) {
-            open.batch.remove_from_queue(index);
-        }
+        let Some(open) = self.batches.get_mut(id) else {
+            return false;
+        };
+        open.batch.remove_from_queue(index);
+        let permission = permit.permission();
+        events::emit(&Event::ItemHeld {
+            item: &open.batch.item(index).submitted.id,
+            batch: id,
+            digest: &permit.digest().to_string(),
+            permission: permission.as_str(),
+            wait_ms: whole_millis(permission.remaining()),
+        });
+        let since = BootInstant::now();
+        self.quarantined
+            .items
+            .insert(key, HeldItem { permit, since });
         true
     }
 
@@ -88,11 +109,10 @@
             .items
             .retain(|(id, _), _| batches.contains_key(id));
         let released = self.quarantined.items.iter();
-        let released = released.filter(|(_, permit)| permit.is_open());
+        let released = released.filter(|(_, held)| held.permit.is_open());
         let released: Vec<ItemKey> = released.map(|(key, _)| key.clone()).collect();
         for key in released {
-            self.quarantined.items.remove(&key);
-            self.put_back(&key);
+            self.put_back(&key, "released");
         }
         if !self.quarantined.is_trial_pending {
             self.request_trial();
@@ -101,12 +121,12 @@
 
     fn request_trial(&mut self) {
         let mut items = self.quarantined.items.iter();
-        let to_try = items.find(|(_, permit)| permit.permission() == Permission::OnTrial);
-        let Some((key, permit)) = to_try else {
+        let to_try = items.find(|(_, held)| held.permit.permission() == Permission::OnTrial);
+        let Some((key, held)) = to_try else {
             return;
         };
         self.quarantined.is_trial_pending = true;
-        let (key, mut permit) = (key.clone(), permit.clone());
+        let (key, mut permit) = (key.clone(), held.permit.clone());
         let sender = self.sender.clone();
         self.term.spawn("trial", async move {
             permit
@@ -119,15 +139,40 @@
 
     pub(super) fn trial_decided(&mut self, key: ItemKey, permit: QuarantinePermit) {
         self.quarantined.is_trial_pending = false;
-        if permit.is_on_trial() && self.quarantined.items.remove(&key).is_some() {
-            self.quarantined.on_trial.insert(key.clone(), permit);
-            self.put_back(&key);
+        if permit.is_on_trial() && self.quarantined.items.contains_key(&key) {
+            self.put_back(&key, "trial");
+            self.quarantined.on_trial.insert(key, permit);
         }
     }
 
-    fn put_back(&mut self, (id, index): &ItemKey) {
-        if let Some(open) = self.batches.get_mut(id) {
-            open.batch.requeue(*index);
-        }
+    /// Returns an item to the queue of its batch.
+    fn put_back(&mut self, key: &ItemKey, cause: &str) {
+        let Some(held) = self.quarantined.items.remove(key) else {
+            return;
+        };
+        let (id, index) = key;
+        let Some(open) = self.batches.get_mut(id) else {
+            return;
+        };
+        open.batch.requeue(*index);
+        let held_for = held.since.elapsed();
+        telemetry::item_freed(self.service.as_str(), held_for);
+        events::emit(&Event::ItemFreed {
+            item: &open.batch.item(*index).submitted.id,
+            batch: id,
+            digest: &held.permit.digest().to_string(),
+            cause,
+            held_ms: whole_millis(held_for),
+        });
+    }
+
+    pub(super) fn report_quarantined_items(&self) {
+        let items = self.quarantined.items.values();
+        let longest = items.map(|held| held.since.elapsed()).max();
+        telemetry::items_quarantined(
+            self.term.resource.name(),
+            self.quarantined.items.len(),
+            longest.unwrap_or_default(),
+        );
     }
 }
--- a/crates/sloetrail-serving/src/quarantine/crash_watch.rs
+++ b/crates/sloetrail-serving/src/quarantine/crash_watch.rs
@@ -15,7 +15,7 @@
 use sloetrail_clock::BootInstant;
 use sloetrail_quarantine::RequestDigest;
 use sloetrail_types::{EngineId, whole_millis};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -32,10 +32,21 @@
 /// Requests reported with one crash. A back end runs a few dozen at a time.
 const MAX_REQUESTS_PER_CRASH: usize = 64;
 
+/// A run of a request that ended without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct LostRun {
+    pub(super) request: RequestDigest,
+    /// The last event that the request had received.
+    pub(super) last_event: Option<u64>,
+}
+
+/// Lost requests, each with the last event that it had received.
+type LostRequests = BTreeMap<RequestDigest, Option<u64>>;
+
 #[derive(Debug, PartialEq, Eq)]
 pub(super) struct Crash {
     /// Requests of this node that were running there and are not reported yet.
-    pub(super) requests: BTreeSet<RequestDigest>,
+    pub(super) requests: LostRequests,
 }
 
 /// How to determine whether a back end has crashed.
@@ -43,7 +54,7 @@
 pub(super) enum CrashCheck {
     ProbeAddress,
     /// It is known to have crashed while running this request.
-    AlreadyCrashed(RequestDigest),
+    AlreadyCrashed(LostRun),
 }
 
 /// The state of a back end at which requests were lost.
@@ -60,7 +71,7 @@
 struct Losses {
     back_end: BackEnd,
     stage: Stage,
-    requests: BTreeSet<RequestDigest>,
+    requests: LostRequests,
     since: BootInstant,
 }
 
@@ -68,7 +79,7 @@
 struct State {
     losses: BTreeMap<EngineId, Losses>,
     /// Abandoned requests with the time at which they were abandoned.
-    abandoned: BTreeMap<EngineId, Vec<(BootInstant, RequestDigest)>>,
+    abandoned: BTreeMap<EngineId, Vec<(BootInstant, LostRun)>>,
 }
 
 impl State {
@@ -87,7 +98,7 @@
         let probing = Losses {
             back_end: back_end.clone(),
             stage: Stage::Probing,
-            requests: BTreeSet::new(),
+            requests: LostRequests::new(),
             since: now,
         };
         self.losses.entry(back_end.id.clone()).or_insert(probing)
@@ -115,13 +126,9 @@
 
     /// Records that a request was lost that may have been running at a back end. Returns the
     /// check to run, if any.
-    pub(super) fn record_lost_run(
-        &self,
-        back_end: &BackEnd,
-        request: RequestDigest,
-    ) -> Option<CrashCheck> {
+    pub(super) fn record_lost_run(&self, back_end: &BackEnd, run: LostRun) -> Option<CrashCheck> {
         if self.ended.borrow().end_of(&back_end.id) == Some(IncarnationEnd::Crashed) {
-            return Some(CrashCheck::AlreadyCrashed(request));
+            return Some(CrashCheck::AlreadyCrashed(run));
         }
         if !self.takes_work(back_end) {
             return None;
@@ -132,32 +139,32 @@
         let before = state.losses.get(&back_end.id).map(|known| known.stage);
         let known = state.losses_of(back_end, now);
         let has_room = known.requests.len() < MAX_REQUESTS_PER_CRASH;
-        let is_new = has_room && known.requests.insert(request);
+        let is_new = has_room && known.requests.insert(run.request, run.last_event).is_none();
         match before {
             None => Some(CrashCheck::ProbeAddress),
             // Only connections were lost before, but this time it may have crashed.
             // Earlier losses are dropped once their requests can no longer be running.
             Some(Stage::Listening) => {
                 if now.saturating_duration_since(known.since) >= MAX_ABANDONED_RUN {
-                    known.requests = BTreeSet::from([request]);
+                    known.requests = LostRequests::from([(run.request, run.last_event)]);
                 }
                 known.since = now;
                 known.stage = Stage::Probing;
                 Some(CrashCheck::ProbeAddress)
             }
             Some(Stage::Probing) => None,
-            Some(Stage::Crashed) => is_new.then_some(CrashCheck::AlreadyCrashed(request)),
+            Some(Stage::Crashed) => is_new.then_some(CrashCheck::AlreadyCrashed(run)),
         }
     }
 
     /// Records that a request was abandoned that may still be running at a back end.
-    pub(super) fn record_abandoned_run(&self, back_end: &BackEnd, request: RequestDigest) {
+    pub(super) fn record_abandoned_run(&self, back_end: &BackEnd, run: LostRun) {
         let now = BootInstant::now();
         let mut state = self.state.lock();
         state.expire(now);
         let abandoned = state.abandoned.entry(back_end.id.clone()).or_default();
         if abandoned.len() < MAX_REQUESTS_PER_CRASH {
-            abandoned.push((now, request));
+            abandoned.push((now, run));
         }
     }
 
@@ -182,10 +189,10 @@
         back_end: &BackEnd,
         check: CrashCheck,
     ) -> Option<Crash> {
-        if let CrashCheck::AlreadyCrashed(request) = check {
+        if let CrashCheck::AlreadyCrashed(run) = check {
             // Requests abandoned there are reported by the check that detected the
             // crash.
-            let requests = BTreeSet::from([request]);
+            let requests = LostRequests::from([(run.request, run.last_event)]);
             return Some(Crash { requests });
         }
         let started_at = BootInstant::now();
@@ -232,7 +239,9 @@
         let abandoned = state.abandoned.remove(&back_end.id).unwrap_or_default();
         let known = state.losses_of(back_end, BootInstant::now());
         known.stage = Stage::Crashed;
-        let abandoned = abandoned.into_iter().map(|(_, request)| request);
+        let abandoned = abandoned
+            .into_iter()
+            .map(|(_, run)| (run.request, run.last_event));
         known.requests.extend(abandoned);
         Crash {
             requests: known.requests.clone(),
--- a/crates/sloetrail-serving/src/quarantine/mod.rs
+++ b/crates/sloetrail-serving/src/quarantine/mod.rs
@@ -13,6 +13,7 @@
 mod crash_registry;
 mod crash_watch;
 mod identity;
+mod last_event;
 mod operator;
 mod permission;
 mod run_watch;
@@ -21,12 +22,13 @@
 mod writer;
 
 pub(crate) use identity::RequestIdentity;
+pub(crate) use last_event::LastEvent;
 pub(crate) use permission::{Permission, QuarantinePermit};
 pub(crate) use run_watch::RunWatch;
 pub(crate) use sweep::run_row_sweeper;
 
 use self::crash_registry::{CrashRegistry, Entry};
-use self::crash_watch::{Crash, CrashWatch};
+use self::crash_watch::{Crash, CrashWatch, LostRun};
 use self::writer::Writer;
 use crate::back_end::BackEnd;
 use crate::directory::Directory;
@@ -103,33 +105,29 @@
         (quarantine, applied_at)
     }
 
-    /// Records that a request was lost that may have been running at a back end.
-    pub(crate) fn record_lost_run(self: &Arc<Self>, back_end: &BackEnd, request: RequestDigest) {
-        if let Some(check) = self.crashes.record_lost_run(back_end, request) {
+    /// Records that a run of a request was lost that may have been running at a back end.
+    fn record_lost_run(self: &Arc<Self>, back_end: &BackEnd, run: LostRun) {
+        if let Some(check) = self.crashes.record_lost_run(back_end, run) {
             self.confirm_crash(back_end, check);
         }
     }
 
     /// Records that a request was abandoned that may still be running at a back end: its
     /// caller has disconnected, or the attempt is no longer awaited.
-    pub(crate) fn record_abandoned_run(&self, back_end: &BackEnd, request: RequestDigest) {
-        self.crashes.record_abandoned_run(back_end, request);
+    fn record_abandoned_run(&self, back_end: &BackEnd, run: LostRun) {
+        self.crashes.record_abandoned_run(back_end, run);
     }
 
     /// Records a failed connection attempt. The back end may have crashed under an abandoned
     /// request.
-    pub(crate) fn record_unreached(self: &Arc<Self>, back_end: &BackEnd) {
+    fn record_unreached(self: &Arc<Self>, back_end: &BackEnd) {
         if let Some(check) = self.crashes.record_unreached(back_end) {
             self.confirm_crash(back_end, check);
         }
     }
 
     /// Records that a back end has answered a request.
-    pub(crate) fn record_answered_run(
-        &self,
-        service: &ServiceName,
-        digest: impl FnOnce() -> RequestDigest,
-    ) {
+    fn record_answered_run(&self, service: &ServiceName, digest: impl FnOnce() -> RequestDigest) {
         let assessment = self.assessment();
         if assessment.is_empty(service) {
             return;
@@ -187,11 +185,13 @@
     }
 
     fn report(&self, back_end: &BackEnd, crash: Crash) {
-        let digests: Vec<String> = crash.requests.iter().map(ToString::to_string).collect();
+        let digests: Vec<String> = crash.requests.keys().map(ToString::to_string).collect();
+        let last_events: Vec<Option<u64>> = crash.requests.values().copied().collect();
         events::emit(&Event::BackEndCrashed {
             back_end: back_end.id.as_str(),
             service: back_end.service.as_str(),
             digests: &digests,
+            last_events: &last_events,
         });
         let Some(at_ms) = self.table.now_ms() else {
             return;
@@ -201,7 +201,7 @@
             back_end: back_end.id.clone(),
             software: back_end.software.clone(),
             at_ms,
-            requests: crash.requests,
+            requests: crash.requests.into_keys().collect(),
         };
         let address = rows::crash_report(&self.instance, self.next_row());
         self.record_entry(address, Entry::Crashed(report));
--- a/crates/sloetrail-serving/src/quarantine/permission.rs
+++ b/crates/sloetrail-serving/src/quarantine/permission.rs
@@ -1,6 +1,6 @@
 //! Permission of a request to be sent to a back end, given its quarantine status.
 
-use super::{Quarantine, RequestIdentity, RunWatch};
+use super::{LastEvent, Quarantine, RequestIdentity, RunWatch};
 use crate::back_end::BackEnd;
 use crate::telemetry;
 use sloetrail_clock::BootInstant;
@@ -108,13 +108,15 @@
         Some(problem.with_retry_after_ms(whole_millis(remaining)))
     }
 
-    /// Starts to track an attempt of the request at a back end.
-    pub(crate) fn watch_run(&self, back_end: &Arc<BackEnd>) -> RunWatch {
+    /// Starts to track an attempt of the request at a back end. `last_event` follows the events
+    /// that the attempt receives.
+    pub(crate) fn watch_run(&self, back_end: &Arc<BackEnd>, last_event: &LastEvent) -> RunWatch {
         let (quarantine, identity) = (&self.quarantine, &self.identity);
         RunWatch::new(
             Arc::clone(quarantine),
             Arc::clone(back_end),
             Arc::clone(identity),
+            last_event.clone(),
         )
     }
 
@@ -123,6 +125,26 @@
     }
 }
 
+impl Permission {
+    /// Label in logs.
+    pub(crate) fn as_str(&self) -> &'static str {
+        match self {
+            Permission::Free => "free",
+            Permission::OneAtATime => "one at a time",
+            Permission::OnTrial => "trial",
+            Permission::Quarantined { .. } => "refused",
+        }
+    }
+
+    /// The time until the permission changes if nothing happens.
+    pub(crate) fn remaining(&self) -> Duration {
+        match self {
+            Permission::Quarantined { remaining, .. } => *remaining,
+            Permission::Free | Permission::OneAtATime | Permission::OnTrial => Duration::ZERO,
+        }
+    }
+}
+
 impl Quarantine {
     /// Returns whether a request may be sent to a back end of a service now.
     pub(crate) fn permission(
--- a/crates/sloetrail-serving/src/quarantine/run_watch.rs
+++ b/crates/sloetrail-serving/src/quarantine/run_watch.rs
@@ -1,6 +1,7 @@
 //! Tracking of a request while it may be running at a back end.
 
-use super::{Quarantine, RequestIdentity};
+use super::crash_watch::LostRun;
+use super::{LastEvent, Quarantine, RequestIdentity};
 use crate::back_end::BackEnd;
 use crate::gateway::attempt::AttemptResult;
 use std::sync::Arc;
@@ -11,6 +12,7 @@
     quarantine: Arc<Quarantine>,
     back_end: Arc<BackEnd>,
     identity: Arc<RequestIdentity>,
+    last_event: LastEvent,
     is_over: bool,
 }
 
@@ -20,11 +22,13 @@
         quarantine: Arc<Quarantine>,
         back_end: Arc<BackEnd>,
         identity: Arc<RequestIdentity>,
+        last_event: LastEvent,
     ) -> Self {
         Self {
             quarantine,
             back_end,
             identity,
+            last_event,
             is_over: false,
         }
     }
@@ -55,8 +59,8 @@
     /// Records that the connection broke.
     pub(crate) fn lost(mut self) {
         self.is_over = true;
-        self.quarantine
-            .record_lost_run(&self.back_end, self.identity.digest());
+        let run = self.lost_run();
+        self.quarantine.record_lost_run(&self.back_end, run);
     }
 
     /// Records that the back end could not be reached.
@@ -65,6 +69,13 @@
         self.quarantine.record_unreached(&self.back_end);
     }
 
+    fn lost_run(&self) -> LostRun {
+        LostRun {
+            request: self.identity.digest(),
+            last_event: self.last_event.get(),
+        }
+    }
+
     /// Records that the request is not running, which says nothing about the back end.
     pub(crate) fn not_running(mut self) {
         self.is_over = true;
@@ -74,8 +85,8 @@
 impl Drop for RunWatch {
     fn drop(&mut self) {
         if !self.is_over {
-            let digest = self.identity.digest();
-            self.quarantine.record_abandoned_run(&self.back_end, digest);
+            let run = self.lost_run();
+            self.quarantine.record_abandoned_run(&self.back_end, run);
         }
     }
 }
--- a/crates/sloetrail-serving/src/quarantine/trial.rs
+++ b/crates/sloetrail-serving/src/quarantine/trial.rs
@@ -34,7 +34,13 @@
         let current = known
             .as_ref()
             .and_then(|row| serde_json::from_slice::<StoredTrial>(&row.value).ok());
-        if current.is_some_and(|trial| now < trial.until) {
+        if let Some(other) = current.filter(|trial| now < trial.until) {
+            events::emit(&Event::TrialRefused {
+                digest: &suspect.digest.to_string(),
+                service: suspect.service.as_str(),
+                on_trial: &other.digest.to_string(),
+                remaining_ms: other.until.0.saturating_sub(now.0),
+            });
             return false;
         }
         let remaining = until.saturating_duration_since(BootInstant::now());
