A text that gets further between crashes is not taken for their cause

Cause: three crashes of engines that ran a request counted as caused by it. In a storm every text meets three. Change: a crash report says how far each streamed request had got (field last_events, left out by older nodes and not read by them); a request is excused of a crash whose place it has passed since, of five crashes at most.

--- a/crates/sloetrail-quarantine/src/assessment.rs
+++ b/crates/sloetrail-quarantine/src/assessment.rs
@@ -1,13 +1,16 @@
 //! Assessment of requests by the crash reports of all nodes.
 //!
 //! A crash takes down every request that the back end was running, and at most one of them caused
-//! it. Two rules find the cause. An answered request is cleared, since a request that crashes its
-//! back ends is never answered. Of the remaining requests, the one with the most crashes explains
-//! these crashes, and they no longer count against the others. If several requests explain them
-//! equally well, each is tried once, while no other one is being tried.
-
+//! it. Three rules find the cause. An answered request is cleared, since a request that crashes its
+//! back ends is never answered. A request that gets further than it had at an earlier crash is
+//! excused of that crash, since it has passed the point at which it would have caused it. Of the
+//! remaining requests, the one with the most crashes explains these crashes, and they no longer
+//! count against the others. If several requests explain them equally well, each is tried once,
+//! while no other one is being tried.
+
+use crate::crashes::{Crash, Crashes, collect, remove_excused};
 use crate::{Clearance, CrashReport, RequestDigest, Suspect};
-use sloetrail_types::{EngineId, ServiceName};
+use sloetrail_types::ServiceName;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -81,58 +84,22 @@
     }
 }
 
-/// A crash of one back end, with the running requests that are not cleared of it.
-#[derive(Clone, Debug, Default)]
-struct Crash {
-    at_ms: u64,
-    software: Option<String>,
-    requests: BTreeSet<RequestDigest>,
-}
-
-type Crashes = BTreeMap<EngineId, Crash>;
-
 /// Determines the status of requests by reports and clearances. Several nodes' reports of one
 /// crash count once.
 pub fn assess<'a>(
     reports: impl IntoIterator<Item = &'a CrashReport>,
     clearances: impl IntoIterator<Item = &'a Clearance>,
 ) -> CrashAssessment {
-    let cleared = last_clearances(clearances);
-    let mut services: BTreeMap<ServiceName, Crashes> = BTreeMap::new();
-    for report in reports {
-        let crashes = services.entry(report.service.clone()).or_default();
-        let crash = crashes.entry(report.back_end.clone()).or_default();
-        crash.at_ms = crash.at_ms.max(report.at_ms);
-        crash.software = crash.software.take().or_else(|| report.software.clone());
-        let of_service = cleared.get(&report.service);
-        let is_cleared = |digest: &RequestDigest| {
-            let since = of_service.and_then(|cleared| cleared.get(digest));
-            since.is_some_and(|since_ms| report.at_ms <= *since_ms)
-        };
-        let suspects = report.requests.iter().filter(|digest| !is_cleared(digest));
-        crash.requests.extend(suspects);
-    }
-    let statuses = services.into_iter().map(|(service, crashes)| {
-        let statuses = statuses(crashes);
-        (service, statuses)
+    let services = collect(reports, clearances).into_iter();
+    let statuses = services.map(|(service, mut crashes)| {
+        remove_excused(&mut crashes);
+        (service, statuses(crashes))
     });
     CrashAssessment {
         statuses: statuses.filter(|(_, known)| !known.is_empty()).collect(),
     }
 }
 
-fn last_clearances<'a>(
-    clearances: impl IntoIterator<Item = &'a Clearance>,
-) -> BTreeMap<ServiceName, BTreeMap<RequestDigest, u64>> {
-    let mut last: BTreeMap<ServiceName, BTreeMap<RequestDigest, u64>> = BTreeMap::new();
-    for Clearance { suspect, at_ms } in clearances {
-        let of_service = last.entry(suspect.service.clone()).or_default();
-        let since = of_service.entry(suspect.digest).or_default();
-        *since = (*since).max(*at_ms);
-    }
-    last
-}
-
 /// Assigns the crashes of a service to requests, in descending order of their crashes. A crash
 /// that one request explains does not count for the others.
 fn statuses(mut crashes: Crashes) -> BTreeMap<RequestDigest, RequestStatus> {
@@ -147,14 +114,18 @@
             let quarantined = quarantined(&crashes, *digest, is_sole_suspect);
             statuses.insert(*digest, RequestStatus::Quarantined(quarantined));
         }
-        crashes.retain(|_, crash| crash.requests.is_disjoint(&culprits));
+        crashes.retain(|_, crash| {
+            !culprits
+                .iter()
+                .any(|digest| crash.requests.contains_key(digest))
+        });
     }
     statuses
 }
 
 fn counts(crashes: &Crashes) -> BTreeMap<RequestDigest, usize> {
     let mut counts: BTreeMap<RequestDigest, usize> = BTreeMap::new();
-    for digest in crashes.values().flat_map(|crash| &crash.requests) {
+    for digest in crashes.values().flat_map(|crash| crash.requests.keys()) {
         *counts.entry(*digest).or_default() += 1;
     }
     counts
@@ -172,8 +143,8 @@
     let first = counts.keys().find(|digest| has_most(digest))?;
     let shared = crashes
         .values()
-        .filter(|crash| crash.requests.contains(first));
-    let rivals = shared.flat_map(|crash| &crash.requests);
+        .filter(|crash| crash.requests.contains_key(first));
+    let rivals = shared.flat_map(|crash| crash.requests.keys());
     Some(rivals.copied().filter(|digest| has_most(digest)).collect())
 }
 
@@ -184,7 +155,7 @@
 ) -> QuarantinedRequest {
     let crashes: Vec<&Crash> = crashes
         .values()
-        .filter(|crash| crash.requests.contains(&digest))
+        .filter(|crash| crash.requests.contains_key(&digest))
         .collect();
     QuarantinedRequest {
         crashes: crashes.len(),
--- a/crates/sloetrail-quarantine/src/lib.rs
+++ b/crates/sloetrail-quarantine/src/lib.rs
@@ -10,6 +10,7 @@
 //! crash reports expire, a back end answers it, or an operator releases it.
 
 mod assessment;
+mod crashes;
 mod digest;
 mod report;
 
@@ -17,6 +18,7 @@
     CrashAssessment, MIN_CRASHES_TO_QUARANTINE, QuarantinedRequest, RequestStatus, TRIAL_DELAY,
     assess,
 };
+pub use crashes::MAX_EXCUSED_CRASHES;
 pub use digest::{RequestDigest, RequestParts};
 pub use report::{Clearance, CrashReport, Suspect};
 
--- a/crates/sloetrail-quarantine/src/report.rs
+++ b/crates/sloetrail-quarantine/src/report.rs
@@ -3,7 +3,7 @@
 use crate::RequestDigest;
 use serde::{Deserialize, Serialize};
 use sloetrail_types::{EngineId, ServiceName};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A request at one service. A request that crashes the back ends of one service may be harmless
 /// at another.
@@ -25,6 +25,10 @@
     /// When the crash was detected, in milliseconds of the table's clock.
     pub at_ms: u64,
     pub requests: BTreeSet<RequestDigest>,
+    /// Of requests with streamed answers, the last event that each had received, by number; zero
+    /// before the first event.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub last_events: BTreeMap<RequestDigest, u64>,
 }
 
 /// A back end has answered the request, or an operator has released it. Crashes up to `at_ms` no
--- a/crates/sloetrail-quarantine/src/tests/assessment.rs
+++ b/crates/sloetrail-quarantine/src/tests/assessment.rs
@@ -5,6 +5,7 @@
     Clearance, CrashAssessment, CrashReport, RequestDigest, RequestStatus, Suspect, assess,
 };
 use sloetrail_types::{EngineId, ServiceName};
+use std::collections::BTreeMap;
 
 fn service() -> ServiceName {
     ServiceName::from("application")
@@ -17,6 +18,7 @@
         software: Some("v1".to_owned()),
         at_ms,
         requests: requests.iter().map(|name| digest(name)).collect(),
+        last_events: BTreeMap::new(),
     }
 }
 
--- a/crates/sloetrail-quarantine/src/tests/fleets.rs
+++ b/crates/sloetrail-quarantine/src/tests/fleets.rs
@@ -4,7 +4,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use sloetrail_types::{EngineId, ServiceName};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 pub(super) fn digest(name: &str) -> RequestDigest {
     RequestDigest::of(RequestParts {
@@ -104,6 +104,7 @@
                     software: None,
                     at_ms,
                     requests,
+                    last_events: BTreeMap::new(),
                 });
             } else {
                 let answered = requests.into_iter().map(|digest| Clearance {
--- a/crates/sloetrail-quarantine/src/tests/mod.rs
+++ b/crates/sloetrail-quarantine/src/tests/mod.rs
@@ -1,3 +1,4 @@
 mod assessment;
 mod digest;
 mod fleets;
+mod progress;
--- a/crates/sloetrail-serving/src/gateway/attempt.rs
+++ b/crates/sloetrail-serving/src/gateway/attempt.rs
@@ -7,7 +7,7 @@
 use crate::dialect::HeaderNames;
 use crate::ended_incarnations::wait_until_ended;
 use crate::http::{CompleteAnswer, Exchange, FullBody, Reuse, SendFailure};
-use crate::quarantine::{LastEvent, QuarantinePermit};
+use crate::quarantine::QuarantinePermit;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use sloetrail_balance::AttemptOutcome;
@@ -124,7 +124,7 @@
     reuse: Reuse,
     deadline: BootInstant,
 ) -> AttemptResult {
-    let watch = quarantine_permit.watch_run(back_end, &LastEvent::default());
+    let watch = quarantine_permit.watch_run(back_end, None);
     let exchange = send_and_read(
         context,
         outgoing,
--- a/crates/sloetrail-serving/src/gateway/stream.rs
+++ b/crates/sloetrail-serving/src/gateway/stream.rs
@@ -243,7 +243,9 @@
     async fn try_back_end(&mut self, slot: SlotPermit) -> Result<OpenResult, AttemptResult> {
         let started_at = BootInstant::now();
         let back_end = slot.shared_back_end();
-        let watch = self.quarantine_permit.watch_run(back_end, &self.last_event);
+        let watch = self
+            .quarantine_permit
+            .watch_run(back_end, Some(&self.last_event));
         let result = match self.exchange(&slot).await {
             Ok(exchange) if exchange.status.is_success() => {
                 self.possible_runs += 1;
--- a/crates/sloetrail-serving/src/owner/run.rs
+++ b/crates/sloetrail-serving/src/owner/run.rs
@@ -168,7 +168,10 @@
     /// Runs the item and reports to the quarantine whether the run may have crashed its engine.
     async fn run_with_crash_watch(&mut self) -> RunOutcome {
         let (back_end, last_event) = (&self.spec.back_end, &self.spec.progress.last_event);
-        let watch = self.spec.quarantine_permit.watch_run(back_end, last_event);
+        let watch = self
+            .spec
+            .quarantine_permit
+            .watch_run(back_end, Some(last_event));
         let context = Arc::clone(&self.spec.context);
         let incarnation = self.spec.back_end.id.clone();
         let outcome = tokio::select! {
--- a/crates/sloetrail-serving/src/quarantine/crash_watch.rs
+++ b/crates/sloetrail-serving/src/quarantine/crash_watch.rs
@@ -36,7 +36,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct LostRun {
     pub(super) request: RequestDigest,
-    /// The last event that the request had received.
+    /// The last event that the request had received; None if its answer is not a stream.
     pub(super) last_event: Option<u64>,
 }
 
--- a/crates/sloetrail-serving/src/quarantine/last_event.rs
+++ b/crates/sloetrail-serving/src/quarantine/last_event.rs
@@ -4,8 +4,7 @@
 use std::sync::Arc;
 
 /// The number of the last event of a streamed answer, shared between the run that receives the
-/// events and the watch that reports where the run was lost. None before the first event, and for
-/// requests whose answers are not streams of numbered events.
+/// events and the watch that reports where the run was lost. None before the first event.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LastEvent(Arc<Mutex<Option<u64>>>);
 
@@ -22,4 +21,9 @@
     pub(crate) fn get(&self) -> Option<u64> {
         *self.0.lock()
     }
+
+    /// The number of the last event; zero before the first one.
+    pub(super) fn number(&self) -> u64 {
+        self.get().unwrap_or_default()
+    }
 }
--- a/crates/sloetrail-serving/src/quarantine/mod.rs
+++ b/crates/sloetrail-serving/src/quarantine/mod.rs
@@ -201,7 +201,12 @@
             back_end: back_end.id.clone(),
             software: back_end.software.clone(),
             at_ms,
-            requests: crash.requests.into_keys().collect(),
+            requests: crash.requests.keys().copied().collect(),
+            last_events: crash
+                .requests
+                .into_iter()
+                .filter_map(|(request, last_event)| Some((request, last_event?)))
+                .collect(),
         };
         let address = rows::crash_report(&self.instance, self.next_row());
         self.record_entry(address, Entry::Crashed(report));
--- a/crates/sloetrail-serving/src/quarantine/permission.rs
+++ b/crates/sloetrail-serving/src/quarantine/permission.rs
@@ -109,14 +109,18 @@
     }
 
     /// Starts to track an attempt of the request at a back end. `last_event` follows the events
-    /// that the attempt receives.
-    pub(crate) fn watch_run(&self, back_end: &Arc<BackEnd>, last_event: &LastEvent) -> RunWatch {
+    /// that the attempt receives; None if its answer is not a stream.
+    pub(crate) fn watch_run(
+        &self,
+        back_end: &Arc<BackEnd>,
+        last_event: Option<&LastEvent>,
+    ) -> RunWatch {
         let (quarantine, identity) = (&self.quarantine, &self.identity);
         RunWatch::new(
             Arc::clone(quarantine),
             Arc::clone(back_end),
             Arc::clone(identity),
-            last_event.clone(),
+            last_event.cloned(),
         )
     }
 
--- a/crates/sloetrail-serving/src/quarantine/run_watch.rs
+++ b/crates/sloetrail-serving/src/quarantine/run_watch.rs
@@ -12,7 +12,8 @@
     quarantine: Arc<Quarantine>,
     back_end: Arc<BackEnd>,
     identity: Arc<RequestIdentity>,
-    last_event: LastEvent,
+    /// None if the answer is not a stream of events.
+    last_event: Option<LastEvent>,
     is_over: bool,
 }
 
@@ -22,7 +23,7 @@
         quarantine: Arc<Quarantine>,
         back_end: Arc<BackEnd>,
         identity: Arc<RequestIdentity>,
-        last_event: LastEvent,
+        last_event: Option<LastEvent>,
     ) -> Self {
         Self {
             quarantine,
@@ -72,7 +73,7 @@
     fn lost_run(&self) -> LostRun {
         LostRun {
             request: self.identity.digest(),
-            last_event: self.last_event.get(),
+            last_event: self.last_event.as_ref().map(LastEvent::number),
         }
     }
 
--- /dev/null
+++ b/crates/sloetrail-serving/tests/crash_storms.rs
@@ -0,0 +1,59 @@
+//! Engines that crash one after the other, for a reason that is no request.
+
+mod support;
+
+use serde_json::Value;
+use sloetrail_serving_testkit::client::{batch, item};
+use sloetrail_serving_testkit::cluster::{Cluster, MODEL};
+use std::time::Duration;
+use support::crash_storm::{CrashStorm, wait_after};
+use support::{accepted, assert_each_once, cluster_with_run_target};
+
+const RUN_TARGET: Duration = Duration::from_secs(10);
+/// How long an item may be at no engine after the last crash: a tenth of the time of its step.
+const MAX_WAIT: Duration = Duration::from_secs(1);
+const ENGINES: usize = 8;
+const ITEMS: usize = 48;
+const STORM: CrashStorm = CrashStorm {
+    duration: Duration::from_secs(3),
+    pause: Duration::from_millis(100),
+    down_for: Duration::from_millis(200),
+};
+
+/// Items of different lengths, since items with the same body count as one request.
+fn distinct_items() -> Vec<Value> {
+    let distinct = |number: usize| {
+        let (id, group) = (format!("i{number}"), format!("g{number}"));
+        item(&id, &group, 100 + number as u64)
+    };
+    (0..ITEMS).map(distinct).collect()
+}
+
+async fn storm_cluster(event_interval: Duration) -> Cluster {
+    let run_target_ms = RUN_TARGET.as_millis().try_into().expect("a short time");
+    let mut cluster = cluster_with_run_target(run_target_ms).await;
+    for _ in 0..ENGINES {
+        cluster.add_engine(event_interval).await;
+    }
+    for name in ["node-1", "node-2"] {
+        let node = cluster.add_node(name).await;
+        cluster.wait_ready(node).await;
+    }
+    cluster
+}
+
+/// Guards against items that no engine runs after a storm of crashes in which they were lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_of_a_crash_storm_run_again_soon_after_it() {
+    let mut cluster = storm_cluster(Duration::from_millis(30)).await;
+    accepted(&cluster, 0, "b1", &batch(&distinct_items(), MODEL, 1)).await;
+    let last_crash = STORM.play(&mut cluster, "models").await;
+    let results = cluster.wait_results(0, "b1", ITEMS).await;
+    assert_each_once(&results, ITEMS);
+    let waits = (0..ITEMS).filter_map(|number| {
+        let item = format!("i{number}");
+        Some((wait_after(&cluster, &item, last_crash)?, item))
+    });
+    let longest = waits.max().expect("items that run on after the storm");
+    assert!(longest.0 <= MAX_WAIT, "{longest:?}");
+}
--- /dev/null
+++ b/crates/sloetrail-serving/tests/support/crash_storm.rs
@@ -0,0 +1,80 @@
+//! Engines that crash one after the other and restart under their names.
+
+use sloetrail_serving_testkit::cluster::Cluster;
+use sloetrail_serving_testkit::engine::{FakeEngine, RunRecord};
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A series of crashes.
+#[derive(Clone, Copy, Debug)]
+pub struct CrashStorm {
+    pub duration: Duration,
+    /// Time between two crashes.
+    pub pause: Duration,
+    /// Time from the crash of an engine until its restart.
+    pub down_for: Duration,
+}
+
+impl CrashStorm {
+    /// Crashes the engines of a service in turn. Returns the time of the last crash, after all
+    /// engines have restarted.
+    pub async fn play(self, cluster: &mut Cluster, service: &str) -> Instant {
+        let started_at = Instant::now();
+        let mut last_crash = started_at;
+        let mut down: VecDeque<(Instant, Arc<FakeEngine>)> = VecDeque::new();
+        let mut up: VecDeque<Arc<FakeEngine>> = running_engines(cluster, service);
+        while started_at.elapsed() < self.duration || !down.is_empty() {
+            if last_crash.elapsed() >= self.pause
+                && started_at.elapsed() < self.duration
+                && let Some(engine) = up.pop_front()
+            {
+                engine.crash();
+                last_crash = Instant::now();
+                down.push_back((last_crash + self.down_for, engine));
+            }
+            let is_due = |(due, _): &(Instant, Arc<FakeEngine>)| *due <= Instant::now();
+            if down.front().is_some_and(is_due)
+                && let Some((_, engine)) = down.pop_front()
+            {
+                let restarted = engine.restart(0).await;
+                cluster.list(&restarted);
+                cluster.engines.push(Arc::clone(&restarted));
+                up.push_back(restarted);
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        last_crash
+    }
+}
+
+fn running_engines(cluster: &Cluster, service: &str) -> VecDeque<Arc<FakeEngine>> {
+    let engines = cluster.engines.iter();
+    let running = engines.filter(|engine| engine.service == service && !engine.has_crashed());
+    running.cloned().collect()
+}
+
+/// Returns how long an item was at no engine after `since`, until it ran again. None if it had
+/// been completed before.
+pub fn wait_after(cluster: &Cluster, item: &str, since: Instant) -> Option<Duration> {
+    let runs = cluster.engines.iter().flat_map(|engine| {
+        let runs = engine.runs_of(item).into_iter();
+        runs.map(move |run| (run, engine.has_crashed()))
+    });
+    let runs: Vec<(RunRecord, bool)> = runs.collect();
+    if runs
+        .iter()
+        .any(|(run, _)| run.finished && run.ended.is_some_and(|ended| ended <= since))
+    {
+        return None;
+    }
+    let runs_at = |run: &RunRecord, is_lost: bool| {
+        run.began <= since && !is_lost && run.ended.is_none_or(|ended| ended > since)
+    };
+    if runs.iter().any(|(run, is_lost)| runs_at(run, *is_lost)) {
+        return Some(Duration::ZERO);
+    }
+    let later = runs.iter().map(|(run, _)| run.began);
+    let next = later.filter(|began| *began > since).min();
+    Some(next.map_or(Duration::MAX, |next| next - since))
+}
--- a/crates/sloetrail-serving/tests/support/mod.rs
+++ b/crates/sloetrail-serving/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! Helpers shared by the integration tests.
 
+#[allow(dead_code, reason = "not every test file needs it")]
+pub mod crash_storm;
 #[allow(dead_code, reason = "not every test file needs it")]
 pub mod fragile;
 #[allow(dead_code, reason = "not every test file needs it")]
