A request that met the crashes of a storm is tried soon after it

What callers saw: an item that was the only one on three crashed engines was not sent for an hour, though some thirty engines crashed in the same seconds; a live request got 503 with an hour to wait. Cause: a sole suspect had no way out but the retention of its crashes, an operator or new software, whatever else crashed. Change: crashes for which no request is suspected, or three separate culprits at once, show another cause; such a request is tried. A crash in a trial in which it was alone, while nothing else crashed, proves its guilt; at five crashes it is not tried again. An item is tried once its service has been quiet for a twentieth of its step's time, at most two seconds after its own last crash. Held work that is the sole suspect is tried after a minute; a live request, whose caller has an answer, is not. Crash reports name the requests on trial (field on_trial, left out and not read by older nodes); request_held tells the reason.

--- a/crates/sloetrail-quarantine/src/assessment.rs
+++ b/crates/sloetrail-quarantine/src/assessment.rs
@@ -5,10 +5,15 @@
 //! back ends is never answered. A request that gets further than it had at an earlier crash is
 //! excused of that crash, since it has passed the point at which it would have caused it. Of the
 //! remaining requests, the one with the most crashes explains these crashes, and they no longer
-//! count against the others. If several requests explain them equally well, each is tried once,
-//! while no other one is being tried.
+//! count against the others ([`crate::explanation`]).
+//!
+//! What follows for a quarantined request depends on how sure its guilt is ([`HoldReason`]). It is
+//! tried if another request explains its crashes equally well, or if back ends also crash for a
+//! reason that is no request ([`crate::other_causes`]).
 
 use crate::crashes::{Crash, Crashes, collect, remove_excused};
+use crate::explanation::{count_crashes, explain};
+use crate::other_causes::OtherCauses;
 use crate::{Clearance, CrashReport, RequestDigest, Suspect};
 use sloetrail_types::ServiceName;
 use std::collections::{BTreeMap, BTreeSet};
@@ -20,10 +25,38 @@
 /// each second (tests `fleets`).
 pub const MIN_CRASHES_TO_QUARANTINE: usize = 3;
 
+/// Number of crashed back ends at which a request is not tried any more.
+pub const MAX_CRASHES: usize = 5;
+
 /// Delay between the last crash and the trial of a request that may have caused it. It gives
 /// crashed back ends time to restart and their other requests time to end.
 pub const TRIAL_DELAY: Duration = Duration::from_secs(2);
 
+/// Why a request is quarantined, which determines whether it is tried.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HoldReason {
+    /// It alone explains its crashes.
+    SoleSuspect,
+    /// Another request explains its crashes equally well.
+    SeveralSuspects,
+    /// It explains its crashes, but back ends of the service also crash for another reason.
+    OtherCause,
+    /// It has met [`MAX_CRASHES`], also in its trials.
+    TrialsExhausted,
+}
+
+impl HoldReason {
+    /// Label in logs and for operators.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            HoldReason::SoleSuspect => "sole_suspect",
+            HoldReason::SeveralSuspects => "several_suspects",
+            HoldReason::OtherCause => "other_cause",
+            HoldReason::TrialsExhausted => "trials_exhausted",
+        }
+    }
+}
+
 /// The crashes of a quarantined request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct QuarantinedRequest {
@@ -34,6 +67,7 @@
     pub last_crash_ms: u64,
     /// True if no other request explains the crashes equally well.
     pub is_sole_suspect: bool,
+    pub reason: HoldReason,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -49,27 +83,41 @@
 /// The status of each request under which back ends crashed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CrashAssessment {
-    statuses: BTreeMap<ServiceName, BTreeMap<RequestDigest, RequestStatus>>,
+    services: BTreeMap<ServiceName, ServiceAssessment>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct ServiceAssessment {
+    statuses: BTreeMap<RequestDigest, RequestStatus>,
+    /// When a back end of the service crashed last, in milliseconds of the table's clock.
+    last_crash_ms: u64,
 }
 
 impl CrashAssessment {
     /// True if no request of the service is suspected. Callers then need not compute a
     /// digest.
     pub fn is_empty(&self, service: &ServiceName) -> bool {
-        !self.statuses.contains_key(service)
+        !self.services.contains_key(service)
     }
 
     pub fn status(&self, service: &ServiceName, digest: RequestDigest) -> &RequestStatus {
-        let of_service = self.statuses.get(service);
-        let known = of_service.and_then(|known| known.get(&digest));
+        let of_service = self.services.get(service);
+        let known = of_service.and_then(|known| known.statuses.get(&digest));
         known.unwrap_or(&RequestStatus::Free)
     }
 
+    /// When a back end of the service crashed last, in milliseconds of the table's clock. Zero if
+    /// no request of the service is suspected.
+    pub fn last_crash_ms(&self, service: &ServiceName) -> u64 {
+        let of_service = self.services.get(service);
+        of_service.map_or(0, |known| known.last_crash_ms)
+    }
+
     /// Returns the quarantined requests of all services.
     pub fn quarantined(&self) -> impl Iterator<Item = (Suspect, &QuarantinedRequest)> {
-        let services = self.statuses.iter();
+        let services = self.services.iter();
         let all = services.flat_map(|(service, known)| {
-            known.iter().map(move |(digest, status)| {
+            known.statuses.iter().map(move |(digest, status)| {
                 let suspect = Suspect {
                     service: service.clone(),
                     digest: *digest,
@@ -91,83 +139,70 @@
     clearances: impl IntoIterator<Item = &'a Clearance>,
 ) -> CrashAssessment {
     let services = collect(reports, clearances).into_iter();
-    let statuses = services.map(|(service, mut crashes)| {
+    let services = services.map(|(service, mut crashes)| {
         remove_excused(&mut crashes);
-        (service, statuses(crashes))
+        let last_crash_ms = crashes.values().map(|crash| crash.at_ms).max();
+        let assessment = ServiceAssessment {
+            statuses: statuses(&crashes),
+            last_crash_ms: last_crash_ms.unwrap_or_default(),
+        };
+        (service, assessment)
     });
+    let has_suspects = |known: &ServiceAssessment| !known.statuses.is_empty();
     CrashAssessment {
-        statuses: statuses.filter(|(_, known)| !known.is_empty()).collect(),
+        services: services.filter(|(_, known)| has_suspects(known)).collect(),
     }
 }
 
-/// Assigns the crashes of a service to requests, in descending order of their crashes. A crash
-/// that one request explains does not count for the others.
-fn statuses(mut crashes: Crashes) -> BTreeMap<RequestDigest, RequestStatus> {
-    let suspected = counts(&crashes);
-    let suspected = suspected.into_iter();
-    let mut statuses: BTreeMap<RequestDigest, RequestStatus> = suspected
-        .map(|(digest, crashes)| (digest, RequestStatus::Suspected { crashes }))
+/// Determines the status of each request that a crash of the service counts against.
+fn statuses(crashes: &Crashes) -> BTreeMap<RequestDigest, RequestStatus> {
+    let counts = count_crashes(crashes.values());
+    let explanations = explain(crashes);
+    let other_causes = OtherCauses::find(crashes, &counts, &explanations);
+    let mut statuses: BTreeMap<RequestDigest, RequestStatus> = counts
+        .iter()
+        .map(|(digest, crashes)| (*digest, RequestStatus::Suspected { crashes: *crashes }))
         .collect();
-    while let Some(culprits) = most_crashes(&crashes) {
-        let is_sole_suspect = culprits.len() == 1;
-        for digest in &culprits {
-            let quarantined = quarantined(&crashes, *digest, is_sole_suspect);
+    for culprits in &explanations {
+        for digest in culprits {
+            let met = Met::of(crashes, *digest);
+            let reason = match culprits.len() {
+                _ if met.crashes.len() >= MAX_CRASHES => HoldReason::TrialsExhausted,
+                1 if !other_causes.are_likely_for(&met.crashes, *digest) => HoldReason::SoleSuspect,
+                1 => HoldReason::OtherCause,
+                _ => HoldReason::SeveralSuspects,
+            };
+            let quarantined = met.quarantined(culprits.len() == 1, reason);
             statuses.insert(*digest, RequestStatus::Quarantined(quarantined));
         }
-        crashes.retain(|_, crash| {
-            !culprits
-                .iter()
-                .any(|digest| crash.requests.contains_key(digest))
-        });
     }
     statuses
 }
 
-fn counts(crashes: &Crashes) -> BTreeMap<RequestDigest, usize> {
-    let mut counts: BTreeMap<RequestDigest, usize> = BTreeMap::new();
-    for digest in crashes.values().flat_map(|crash| crash.requests.keys()) {
-        *counts.entry(*digest).or_default() += 1;
-    }
-    counts
+/// The crashes that count against one request.
+struct Met<'a> {
+    crashes: Vec<&'a Crash>,
 }
 
-/// Returns a request with the most crashes and all requests that have as many and share a crash
-/// with it. None if the count is below [`MIN_CRASHES_TO_QUARANTINE`].
-fn most_crashes(crashes: &Crashes) -> Option<BTreeSet<RequestDigest>> {
-    let counts = counts(crashes);
-    let most = counts.values().copied().max()?;
-    if most < MIN_CRASHES_TO_QUARANTINE {
-        return None;
+impl<'a> Met<'a> {
+    fn of(crashes: &'a Crashes, digest: RequestDigest) -> Self {
+        let crashes = crashes.values();
+        let met = crashes.filter(|crash| crash.requests.contains_key(&digest));
+        Self {
+            crashes: met.collect(),
+        }
     }
-    let has_most = |digest: &RequestDigest| counts.get(digest) == Some(&most);
-    let first = counts.keys().find(|digest| has_most(digest))?;
-    let shared = crashes
-        .values()
-        .filter(|crash| crash.requests.contains_key(first));
-    let rivals = shared.flat_map(|crash| crash.requests.keys());
-    Some(rivals.copied().filter(|digest| has_most(digest)).collect())
-}
 
-fn quarantined(
-    crashes: &Crashes,
-    digest: RequestDigest,
-    is_sole_suspect: bool,
-) -> QuarantinedRequest {
-    let crashes: Vec<&Crash> = crashes
-        .values()
-        .filter(|crash| crash.requests.contains_key(&digest))
-        .collect();
-    QuarantinedRequest {
-        crashes: crashes.len(),
-        software: crashes
-            .iter()
-            .filter_map(|crash| crash.software.clone())
-            .collect(),
-        last_crash_ms: crashes
-            .iter()
-            .map(|crash| crash.at_ms)
-            .max()
-            .unwrap_or_default(),
-        is_sole_suspect,
+    fn quarantined(&self, is_sole_suspect: bool, reason: HoldReason) -> QuarantinedRequest {
+        let crashes = self.crashes.iter();
+        let software = crashes.clone().filter_map(|crash| crash.software.clone());
+        let last_crash_ms = crashes.clone().map(|crash| crash.at_ms).max();
+        QuarantinedRequest {
+            crashes: self.crashes.len(),
+            software: software.collect(),
+            last_crash_ms: last_crash_ms.unwrap_or_default(),
+            is_sole_suspect,
+            reason,
+        }
     }
 }
--- a/crates/sloetrail-quarantine/src/crashes.rs
+++ b/crates/sloetrail-quarantine/src/crashes.rs
@@ -13,8 +13,15 @@
 pub(crate) struct Crash {
     pub(crate) at_ms: u64,
     pub(crate) software: Option<String>,
-    /// Each with the last event that it had received; None if that is unknown.
-    pub(crate) requests: BTreeMap<RequestDigest, Option<u64>>,
+    pub(crate) requests: BTreeMap<RequestDigest, LostRun>,
+}
+
+/// A run that was lost in a crash.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct LostRun {
+    /// The last event that the request had received; None if that is unknown.
+    pub(crate) last_event: Option<u64>,
+    pub(crate) is_on_trial: bool,
 }
 
 /// The crashes of one service.
@@ -38,9 +45,9 @@
             since.is_some_and(|since_ms| report.at_ms <= *since_ms)
         };
         for digest in report.requests.iter().filter(|digest| !is_cleared(digest)) {
-            let last_event = report.last_events.get(digest).copied();
-            let known = crash.requests.entry(*digest).or_default();
-            *known = (*known).max(last_event);
+            let run = crash.requests.entry(*digest).or_default();
+            run.last_event = run.last_event.max(report.last_events.get(digest).copied());
+            run.is_on_trial |= report.on_trial.contains(digest);
         }
     }
     services
@@ -58,8 +65,8 @@
     last
 }
 
-/// A run of a request that was lost in a crash.
-struct LostRun {
+/// A crash from the point of view of one request.
+struct MetCrash {
     at_ms: u64,
     back_end: EngineId,
     last_event: Option<u64>,
@@ -68,8 +75,8 @@
 /// Removes requests from crashes that their progress excuses: a request that later received more
 /// events than at a crash has passed the point at which it would have caused that crash.
 pub(crate) fn remove_excused(crashes: &mut Crashes) {
-    for (digest, runs) in runs_by_request(crashes) {
-        for back_end in excused(runs) {
+    for (digest, met) in crashes_by_request(crashes) {
+        for back_end in excused(met) {
             if let Some(crash) = crashes.get_mut(&back_end) {
                 crash.requests.remove(&digest);
             }
@@ -77,30 +84,30 @@
     }
 }
 
-fn runs_by_request(crashes: &Crashes) -> BTreeMap<RequestDigest, Vec<LostRun>> {
-    let mut runs: BTreeMap<RequestDigest, Vec<LostRun>> = BTreeMap::new();
+fn crashes_by_request(crashes: &Crashes) -> BTreeMap<RequestDigest, Vec<MetCrash>> {
+    let mut met: BTreeMap<RequestDigest, Vec<MetCrash>> = BTreeMap::new();
     for (back_end, crash) in crashes {
-        for (digest, last_event) in &crash.requests {
-            runs.entry(*digest).or_default().push(LostRun {
+        for (digest, run) in &crash.requests {
+            met.entry(*digest).or_default().push(MetCrash {
                 at_ms: crash.at_ms,
                 back_end: back_end.clone(),
-                last_event: *last_event,
+                last_event: run.last_event,
             });
         }
     }
-    runs
+    met
 }
 
 /// Returns the back ends of whose crashes a request is excused, the earliest ones first.
-fn excused(mut runs: Vec<LostRun>) -> Vec<EngineId> {
-    runs.sort_by(|one, other| (one.at_ms, &one.back_end).cmp(&(other.at_ms, &other.back_end)));
+fn excused(mut met: Vec<MetCrash>) -> Vec<EngineId> {
+    met.sort_by(|one, other| (one.at_ms, &one.back_end).cmp(&(other.at_ms, &other.back_end)));
     let mut excused = Vec::new();
     let mut furthest_later: Option<u64> = None;
-    for run in runs.into_iter().rev() {
-        if run.last_event.is_some() && run.last_event < furthest_later {
-            excused.push(run.back_end);
+    for crash in met.into_iter().rev() {
+        if crash.last_event.is_some() && crash.last_event < furthest_later {
+            excused.push(crash.back_end);
         }
-        furthest_later = furthest_later.max(run.last_event);
+        furthest_later = furthest_later.max(crash.last_event);
     }
     excused.reverse();
     excused.truncate(MAX_EXCUSED_CRASHES);
--- a/crates/sloetrail-quarantine/src/lib.rs
+++ b/crates/sloetrail-quarantine/src/lib.rs
@@ -12,11 +12,13 @@
 mod assessment;
 mod crashes;
 mod digest;
+mod explanation;
+mod other_causes;
 mod report;
 
 pub use assessment::{
-    CrashAssessment, MIN_CRASHES_TO_QUARANTINE, QuarantinedRequest, RequestStatus, TRIAL_DELAY,
-    assess,
+    CrashAssessment, HoldReason, MAX_CRASHES, MIN_CRASHES_TO_QUARANTINE, QuarantinedRequest,
+    RequestStatus, TRIAL_DELAY, assess,
 };
 pub use crashes::MAX_EXCUSED_CRASHES;
 pub use digest::{RequestDigest, RequestParts};
--- a/crates/sloetrail-quarantine/src/report.rs
+++ b/crates/sloetrail-quarantine/src/report.rs
@@ -29,6 +29,9 @@
     /// before the first event.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub last_events: BTreeMap<RequestDigest, u64>,
+    /// The requests that were on trial there.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub on_trial: BTreeSet<RequestDigest>,
 }
 
 /// A back end has answered the request, or an operator has released it. Crashes up to `at_ms` no
--- a/crates/sloetrail-quarantine/src/tests/fleets.rs
+++ b/crates/sloetrail-quarantine/src/tests/fleets.rs
@@ -105,6 +105,7 @@
                     at_ms,
                     requests,
                     last_events: BTreeMap::new(),
+                    on_trial: BTreeSet::new(),
                 });
             } else {
                 let answered = requests.into_iter().map(|digest| Clearance {
--- a/crates/sloetrail-quarantine/src/tests/mod.rs
+++ b/crates/sloetrail-quarantine/src/tests/mod.rs
@@ -1,4 +1,5 @@
 mod assessment;
 mod digest;
 mod fleets;
+mod other_causes;
 mod progress;
--- a/crates/sloetrail-quarantine/src/tests/progress.rs
+++ b/crates/sloetrail-quarantine/src/tests/progress.rs
@@ -20,6 +20,7 @@
         at_ms: number,
         requests: BTreeSet::from([digest(REQUEST)]),
         last_events: events.into_iter().collect(),
+        on_trial: BTreeSet::new(),
     }
 }
 
--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -259,6 +259,9 @@
         crashes: usize,
         /// False if another request explains the crashes as well; both may then be tried.
         clear: bool,
+        /// `sole_suspect`, `several_suspects`, `other_cause` or `trials_exhausted`. The event is
+        /// repeated when it changes.
+        reason: &'a str,
     },
     /// A request is released from quarantine for a service.
     RequestReleased {
--- a/crates/sloetrail-serving/src/gateway/call_handler.rs
+++ b/crates/sloetrail-serving/src/gateway/call_handler.rs
@@ -18,6 +18,7 @@
 use super::submit::{self, SubmissionCall, SubmissionState};
 use crate::context::NodeContext;
 use crate::http::CompleteAnswer;
+use crate::quarantine::TrialDelays;
 use bytes::{Bytes, BytesMut};
 use http::request::Parts;
 use http::{HeaderMap, Request, Response};
@@ -211,6 +212,7 @@
             outgoing: self.outgoing_request(head, admitted.request_id, tenant, admitted.body),
             deadline: log.deadline,
             route: Arc::clone(route),
+            trial_delays: TrialDelays::of_refused_request(),
         };
         self.run(call, keyed, log).await
     }
--- a/crates/sloetrail-serving/src/owner/reward.rs
+++ b/crates/sloetrail-serving/src/owner/reward.rs
@@ -8,9 +8,10 @@
 use crate::gateway::headers;
 use crate::gateway::live::LiveCall;
 use crate::http::CompleteAnswer;
+use crate::quarantine::TrialDelays;
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderMap, HeaderValue, Method};
-use sloetrail_batch::RewardCall;
+use sloetrail_batch::{BatchHeader, RewardCall};
 use sloetrail_clock::BootInstant;
 use sloetrail_result::ResultCode;
 use sloetrail_routing::{Route, ServingConfiguration, WeightedChoice};
@@ -60,8 +61,6 @@
     }
 }
 
-/// Makes a reward call for an item of a batch that is bound to `regions`, with as many attempts
-/// as the route allows. `failures` counts the failed answers of earlier calls, for the log.
 impl RewardFailure {
     /// An attempt that ended without an answer, which is not counted against the call.
     pub(super) const INTERRUPTED: Self = Self {
@@ -72,14 +71,22 @@
     };
 }
 
+/// A reward call for an item of a batch.
+pub(super) struct ScoringRequest<'a> {
+    pub(super) item: &'a str,
+    pub(super) reward: &'a RewardCall,
+    pub(super) header: &'a BatchHeader,
+    /// Failed answers of earlier calls, for the log.
+    pub(super) failures: usize,
+}
+
+/// Makes a reward call, with as many attempts as its route allows.
 pub(super) async fn score(
     context: &Arc<NodeContext>,
-    item: &str,
-    (reward, regions): (&RewardCall, &AllowedRegions),
-    failures: usize,
+    request: &ScoringRequest<'_>,
     cancel: &CancellationToken,
 ) -> RewardOutcome {
-    let scoring = send_scoring_request(context, item, (reward, regions), failures);
+    let scoring = send_scoring_request(context, request);
     tokio::select! {
         outcome = scoring => outcome,
         () = cancel.cancelled() => RewardOutcome::Cancelled,
@@ -88,9 +95,7 @@
 
 async fn send_scoring_request(
     context: &Arc<NodeContext>,
-    item: &str,
-    (reward, regions): (&RewardCall, &AllowedRegions),
-    failures: usize,
+    request: &ScoringRequest<'_>,
 ) -> RewardOutcome {
     let mut failure = RewardFailure {
         failed_answers: 0,
@@ -98,7 +103,7 @@
         found_no_slot: true,
         is_withheld: false,
     };
-    let outcome_title = match prepare(context, reward, regions) {
+    let outcome_title = match prepare(context, request) {
         None => "no route".to_owned(),
         Some(call) => {
             let outcome = call.run().await;
@@ -118,9 +123,9 @@
         }
     };
     events::emit(&Event::RewardFailed {
-        item,
-        reward: &reward.id,
-        failures: failures + failure.failed_answers,
+        item: request.item,
+        reward: &request.reward.id,
+        failures: request.failures + failure.failed_answers,
         outcome: &outcome_title,
     });
     RewardOutcome::NoScore(failure)
@@ -141,23 +146,21 @@
     configuration.routes.find(&reward.host, path)
 }
 
-fn prepare(
-    context: &Arc<NodeContext>,
-    reward: &RewardCall,
-    regions: &AllowedRegions,
-) -> Option<LiveCall> {
+fn prepare(context: &Arc<NodeContext>, request: &ScoringRequest<'_>) -> Option<LiveCall> {
+    let ScoringRequest { reward, header, .. } = request;
     let configuration = context.configuration()?;
     let route = find_route(&configuration, reward)?;
     Some(LiveCall {
         context: Arc::clone(context),
         service: choose_service(route, &reward.id)?,
-        regions: scoring_regions(&route.allowed_regions, regions),
+        regions: scoring_regions(&route.allowed_regions, &header.allowed_regions),
         outgoing: outgoing(context, reward),
         tenant: None,
         urgency: route.urgency(None),
         claim: None,
         deadline: BootInstant::now() + route.timeout,
         route: Arc::clone(route),
+        trial_delays: TrialDelays::of_held_request(header.run_target.duration()),
     })
 }
 
--- a/crates/sloetrail-serving/src/owner/service_owner/quarantined_items.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/quarantined_items.rs
@@ -7,7 +7,7 @@
 use super::{OpenBatch, ServiceOwner};
 use crate::events::{self, Event};
 use crate::owner::event::OwnerEvent;
-use crate::quarantine::{Permission, QuarantinePermit, RequestIdentity};
+use crate::quarantine::{Permission, QuarantinePermit, RequestIdentity, TrialDelays};
 use crate::telemetry;
 use sloetrail_batch::{BatchId, DispatchClass, ItemIndex};
 use sloetrail_clock::BootInstant;
@@ -50,8 +50,10 @@
         let open = self.batches.get(id)?;
         let (header, item) = (&open.batch.header, &open.batch.item(index).submitted);
         let identity = RequestIdentity::of_item(header.tenant.as_ref(), &header.host, item);
+        let delays = TrialDelays::of_held_request(header.run_target.duration());
         let quarantine = &self.context.quarantine;
-        Some(QuarantinePermit::new(quarantine, &self.service, identity))
+        let permit = QuarantinePermit::new(quarantine, &self.service, identity, delays);
+        Some(permit)
     }
 
     /// Sets the quarantined items aside that are next of their class in a batch's queue.
--- a/crates/sloetrail-serving/src/owner/service_owner/scoring.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/scoring.rs
@@ -2,7 +2,7 @@
 
 use super::ServiceOwner;
 use crate::owner::event::OwnerEvent;
-use crate::owner::reward::{self, RewardFailure, RewardOutcome};
+use crate::owner::reward::{self, RewardFailure, RewardOutcome, ScoringRequest};
 use crate::owner::reward_queue::{Rank, ScoringOutcome, ScoringTarget, ScoringTask};
 use crate::tasks;
 use sloetrail_batch::{BatchId, DeathCause, ItemIndex, ItemState};
@@ -58,16 +58,20 @@
             return;
         };
         let submitted = Arc::clone(&open.batch.item(scoring.index).submitted);
-        let regions = open.batch.header.allowed_regions.clone();
+        let header = open.batch.header.clone();
         let cancel = open.cancel.child_token();
         let context = Arc::clone(&self.context);
         let sender = self.sender.clone();
         tasks::spawn("scoring", async move {
             let outcome = match &submitted.reward {
                 Some(call) => {
-                    let failures = scoring.failures;
-                    let call = (call, &regions);
-                    let score = reward::score(&context, &submitted.id, call, failures, &cancel);
+                    let request = ScoringRequest {
+                        item: &submitted.id,
+                        reward: call,
+                        header: &header,
+                        failures: scoring.failures,
+                    };
+                    let score = reward::score(&context, &request, &cancel);
                     let outcome = tasks::catch("scoring", score).await;
                     // The text is scored again; the panic says nothing about the call.
                     outcome.unwrap_or(RewardOutcome::NoScore(RewardFailure::INTERRUPTED))
--- a/crates/sloetrail-serving/src/quarantine/crash_watch.rs
+++ b/crates/sloetrail-serving/src/quarantine/crash_watch.rs
@@ -38,10 +38,11 @@
     pub(super) request: RequestDigest,
     /// The last event that the request had received; None if its answer is not a stream.
     pub(super) last_event: Option<u64>,
+    pub(super) is_on_trial: bool,
 }
 
-/// Lost requests, each with the last event that it had received.
-type LostRequests = BTreeMap<RequestDigest, Option<u64>>;
+/// Lost requests, each with the run in which it was lost.
+type LostRequests = BTreeMap<RequestDigest, LostRun>;
 
 #[derive(Debug, PartialEq, Eq)]
 pub(super) struct Crash {
@@ -139,14 +140,14 @@
         let before = state.losses.get(&back_end.id).map(|known| known.stage);
         let known = state.losses_of(back_end, now);
         let has_room = known.requests.len() < MAX_REQUESTS_PER_CRASH;
-        let is_new = has_room && known.requests.insert(run.request, run.last_event).is_none();
+        let is_new = has_room && known.requests.insert(run.request, run).is_none();
         match before {
             None => Some(CrashCheck::ProbeAddress),
             // Only connections were lost before, but this time it may have crashed.
             // Earlier losses are dropped once their requests can no longer be running.
             Some(Stage::Listening) => {
                 if now.saturating_duration_since(known.since) >= MAX_ABANDONED_RUN {
-                    known.requests = LostRequests::from([(run.request, run.last_event)]);
+                    known.requests = LostRequests::from([(run.request, run)]);
                 }
                 known.since = now;
                 known.stage = Stage::Probing;
@@ -192,7 +193,7 @@
         if let CrashCheck::AlreadyCrashed(run) = check {
             // Requests abandoned there are reported by the check that detected the
             // crash.
-            let requests = LostRequests::from([(run.request, run.last_event)]);
+            let requests = LostRequests::from([(run.request, run)]);
             return Some(Crash { requests });
         }
         let started_at = BootInstant::now();
@@ -239,9 +240,7 @@
         let abandoned = state.abandoned.remove(&back_end.id).unwrap_or_default();
         let known = state.losses_of(back_end, BootInstant::now());
         known.stage = Stage::Crashed;
-        let abandoned = abandoned
-            .into_iter()
-            .map(|(_, run)| (run.request, run.last_event));
+        let abandoned = abandoned.into_iter().map(|(_, run)| (run.request, run));
         known.requests.extend(abandoned);
         Crash {
             requests: known.requests.clone(),
--- a/crates/sloetrail-serving/src/quarantine/mod.rs
+++ b/crates/sloetrail-serving/src/quarantine/mod.rs
@@ -19,6 +19,7 @@
 mod run_watch;
 mod sweep;
 mod trial;
+mod trial_delays;
 mod writer;
 
 pub(crate) use identity::RequestIdentity;
@@ -26,6 +27,7 @@
 pub(crate) use permission::{Permission, QuarantinePermit};
 pub(crate) use run_watch::RunWatch;
 pub(crate) use sweep::run_row_sweeper;
+pub(crate) use trial_delays::TrialDelays;
 
 use self::crash_registry::{CrashRegistry, Entry};
 use self::crash_watch::{Crash, CrashWatch, LostRun};
@@ -42,10 +44,10 @@
 use parking_lot::{Mutex, RwLock};
 use sloetrail_clock::BootInstant;
 use sloetrail_quarantine::{
-    Clearance, CrashAssessment, CrashReport, RequestDigest, RequestStatus, Suspect,
+    Clearance, CrashAssessment, CrashReport, HoldReason, RequestDigest, RequestStatus, Suspect,
 };
 use sloetrail_types::{NodeId, ServiceName};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Weak};
 use std::time::Duration;
@@ -186,7 +188,8 @@
 
     fn report(&self, back_end: &BackEnd, crash: Crash) {
         let digests: Vec<String> = crash.requests.keys().map(ToString::to_string).collect();
-        let last_events: Vec<Option<u64>> = crash.requests.values().copied().collect();
+        let runs = crash.requests.values();
+        let last_events: Vec<Option<u64>> = runs.clone().map(|run| run.last_event).collect();
         events::emit(&Event::BackEndCrashed {
             back_end: back_end.id.as_str(),
             service: back_end.service.as_str(),
@@ -202,10 +205,13 @@
             software: back_end.software.clone(),
             at_ms,
             requests: crash.requests.keys().copied().collect(),
-            last_events: crash
-                .requests
-                .into_iter()
-                .filter_map(|(request, last_event)| Some((request, last_event?)))
+            last_events: runs
+                .clone()
+                .filter_map(|run| Some((run.request, run.last_event?)))
+                .collect(),
+            on_trial: runs
+                .filter(|run| run.is_on_trial)
+                .map(|run| run.request)
                 .collect(),
         };
         let address = rows::crash_report(&self.instance, self.next_row());
@@ -288,21 +294,26 @@
 }
 
 fn emit_changes(before: &CrashAssessment, after: &CrashAssessment) {
-    let quarantined_before: BTreeSet<Suspect> =
-        before.quarantined().map(|(suspect, _)| suspect).collect();
-    let quarantined_after: BTreeSet<Suspect> =
-        after.quarantined().map(|(suspect, _)| suspect).collect();
+    let reasons = |assessment: &CrashAssessment| -> BTreeMap<Suspect, HoldReason> {
+        let quarantined = assessment.quarantined();
+        quarantined
+            .map(|(suspect, quarantined)| (suspect, quarantined.reason))
+            .collect()
+    };
+    let (reasons_before, reasons_after) = (reasons(before), reasons(after));
     for (suspect, quarantined) in after.quarantined() {
-        if !quarantined_before.contains(&suspect) {
+        if reasons_before.get(&suspect) != Some(&quarantined.reason) {
             events::emit(&Event::RequestHeld {
                 digest: &suspect.digest.to_string(),
                 service: suspect.service.as_str(),
                 crashes: quarantined.crashes,
                 clear: quarantined.is_sole_suspect,
+                reason: quarantined.reason.as_str(),
             });
         }
     }
-    for suspect in quarantined_before.difference(&quarantined_after) {
+    let released = reasons_before.into_keys();
+    for suspect in released.filter(|suspect| !reasons_after.contains_key(suspect)) {
         events::emit(&Event::RequestReleased {
             digest: &suspect.digest.to_string(),
             service: suspect.service.as_str(),
--- a/crates/sloetrail-serving/src/quarantine/permission.rs
+++ b/crates/sloetrail-serving/src/quarantine/permission.rs
@@ -1,11 +1,11 @@
 //! Permission of a request to be sent to a back end, given its quarantine status.
 
-use super::{LastEvent, Quarantine, RequestIdentity, RunWatch};
+use super::{LastEvent, Quarantine, RequestIdentity, RunWatch, TrialDelays};
 use crate::back_end::BackEnd;
 use crate::telemetry;
 use sloetrail_clock::BootInstant;
 use sloetrail_quarantine::{
-    QuarantinedRequest, RequestDigest, RequestStatus, Suspect, TRIAL_DELAY,
+    HoldReason, QuarantinedRequest, RequestDigest, RequestStatus, Suspect, TRIAL_DELAY,
 };
 use sloetrail_result::{Problem, ResultCode};
 use sloetrail_types::{ServiceName, whole_millis};
@@ -35,6 +35,7 @@
     quarantine: Arc<Quarantine>,
     service: ServiceName,
     identity: Arc<RequestIdentity>,
+    delays: TrialDelays,
     is_on_trial: bool,
 }
 
@@ -44,17 +45,20 @@
         quarantine: &Arc<Quarantine>,
         service: &ServiceName,
         identity: RequestIdentity,
+        delays: TrialDelays,
     ) -> Self {
         Self {
             quarantine: Arc::clone(quarantine),
             service: service.clone(),
             identity: Arc::new(identity),
+            delays,
             is_on_trial: false,
         }
     }
 
     pub(crate) fn permission(&self) -> Permission {
-        self.quarantine.permission(&self.service, || self.digest())
+        self.quarantine
+            .permission(&self.service, || self.digest(), self.delays)
     }
 
     /// True if the request may be sent to a back end now.
@@ -121,6 +125,7 @@
             Arc::clone(back_end),
             Arc::clone(identity),
             last_event.cloned(),
+            self.is_on_trial,
         )
     }
 
@@ -155,6 +160,7 @@
         &self,
         service: &ServiceName,
         digest: impl FnOnce() -> RequestDigest,
+        delays: TrialDelays,
     ) -> Permission {
         let assessment = self.assessment();
         if assessment.is_empty(service) {
@@ -164,34 +170,44 @@
             RequestStatus::Free => Permission::Free,
             RequestStatus::Suspected { .. } => Permission::OneAtATime,
             RequestStatus::Quarantined(quarantined) => {
-                self.permission_of_quarantined(service, quarantined)
+                let last_crash_ms = assessment.last_crash_ms(service);
+                self.permission_of_quarantined((service, last_crash_ms), quarantined, delays)
             }
         }
     }
 
     fn permission_of_quarantined(
         &self,
-        service: &ServiceName,
+        (service, last_crash_ms): (&ServiceName, u64),
         quarantined: &QuarantinedRequest,
+        delays: TrialDelays,
     ) -> Permission {
         let now_ms = self.table.now_ms().unwrap_or_default();
-        let since_crash = Duration::from_millis(now_ms.saturating_sub(quarantined.last_crash_ms));
-        let remaining = self.retention.saturating_sub(since_crash);
-        if remaining.is_zero() {
+        let since = |at_ms: u64| Duration::from_millis(now_ms.saturating_sub(at_ms));
+        let since_crash = since(quarantined.last_crash_ms);
+        let until_expiry = self.retention.saturating_sub(since_crash);
+        if until_expiry.is_zero() {
             return Permission::OneAtATime;
         }
-        let delay_remaining = TRIAL_DELAY.saturating_sub(since_crash);
-        let may_be_tried =
-            !quarantined.is_sole_suspect || self.runs_other_software(service, quarantined);
-        match (may_be_tried, delay_remaining.is_zero()) {
-            (true, true) => Permission::OnTrial,
-            (true, false) => Permission::Quarantined {
-                crashes: quarantined.crashes,
-                remaining: delay_remaining,
-            },
-            (false, _) => Permission::Quarantined {
+        let until_trial = match quarantined.reason {
+            HoldReason::SeveralSuspects | HoldReason::OtherCause => {
+                Some(delays.until_trial(since(last_crash_ms), since_crash))
+            }
+            HoldReason::SoleSuspect | HoldReason::TrialsExhausted
+                if self.runs_other_software(service, quarantined) =>
+            {
+                Some(TRIAL_DELAY.saturating_sub(since_crash))
+            }
+            HoldReason::SoleSuspect => {
+                delays.until_trial_of_sole_suspect(quarantined.crashes, since_crash)
+            }
+            HoldReason::TrialsExhausted => None,
+        };
+        match until_trial {
+            Some(Duration::ZERO) => Permission::OnTrial,
+            _ => Permission::Quarantined {
                 crashes: quarantined.crashes,
-                remaining,
+                remaining: until_trial.map_or(until_expiry, |until| until.min(until_expiry)),
             },
         }
     }
--- a/crates/sloetrail-serving/src/quarantine/run_watch.rs
+++ b/crates/sloetrail-serving/src/quarantine/run_watch.rs
@@ -14,6 +14,7 @@
     identity: Arc<RequestIdentity>,
     /// None if the answer is not a stream of events.
     last_event: Option<LastEvent>,
+    is_on_trial: bool,
     is_over: bool,
 }
 
@@ -24,12 +25,14 @@
         back_end: Arc<BackEnd>,
         identity: Arc<RequestIdentity>,
         last_event: Option<LastEvent>,
+        is_on_trial: bool,
     ) -> Self {
         Self {
             quarantine,
             back_end,
             identity,
             last_event,
+            is_on_trial,
             is_over: false,
         }
     }
@@ -74,6 +77,7 @@
         LostRun {
             request: self.identity.digest(),
             last_event: self.last_event.as_ref().map(LastEvent::number),
+            is_on_trial: self.is_on_trial,
         }
     }
 
--- a/crates/sloetrail-serving/tests/crash_storms.rs
+++ b/crates/sloetrail-serving/tests/crash_storms.rs
@@ -4,14 +4,17 @@
 
 use serde_json::Value;
 use sloetrail_serving_testkit::client::{batch, item};
-use sloetrail_serving_testkit::cluster::{Cluster, MODEL};
-use std::time::Duration;
+use sloetrail_serving_testkit::cluster::{Cluster, MODEL, eventually};
+use std::time::{Duration, Instant};
 use support::crash_storm::{CrashStorm, wait_after};
+use support::fragile::{FragileCluster, REPORT_PROPAGATION_TIME};
 use support::{accepted, assert_each_once, cluster_with_run_target};
 
 const RUN_TARGET: Duration = Duration::from_secs(10);
 /// How long an item may be at no engine after the last crash: a tenth of the time of its step.
 const MAX_WAIT: Duration = Duration::from_secs(1);
+/// Time from the last crash to the trial of a live request.
+const TRIAL_DELAY: Duration = Duration::from_secs(2);
 const ENGINES: usize = 8;
 const ITEMS: usize = 48;
 const STORM: CrashStorm = CrashStorm {
@@ -57,3 +60,57 @@
     let longest = waits.max().expect("items that run on after the storm");
     assert!(longest.0 <= MAX_WAIT, "{longest:?}");
 }
+
+/// Sends a request that may not be repeated, and crashes the application that runs it.
+async fn lose_request(fragile: &mut FragileCluster, id: &str, body: &str) {
+    for engine in &fragile.cluster.engines {
+        engine.set_event_interval(Duration::from_millis(400));
+    }
+    let asking = tokio::spawn(fragile.start_request(0, "/once/x", id, body));
+    let is_running = || async {
+        let mut engines = fragile.cluster.engines.iter();
+        engines.find(|engine| !engine.runs_of(id).is_empty())
+    };
+    eventually("the request is running", is_running)
+        .await
+        .crash();
+    let answer = asking.await.expect("the request task panicked");
+    assert_eq!(answer.expect("an answer").status, 502, "{id}");
+    for engine in &fragile.cluster.engines {
+        engine.set_event_interval(Duration::from_millis(1));
+    }
+    fragile.replace_crashed().await;
+}
+
+/// Guards against refusing a request for an hour that ran on three back ends of a crash storm.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_of_a_crash_storm_is_served_soon_after_it() {
+    let mut fragile = FragileCluster::start(2).await;
+    for round in 0..3 {
+        lose_request(
+            &mut fragile,
+            &format!("other-{round}"),
+            &format!("other {round}"),
+        )
+        .await;
+        lose_request(&mut fragile, &format!("innocent-{round}"), "innocent").await;
+    }
+    let asked = fragile
+        .send_request(0, "/once/x", "asked", "innocent")
+        .await;
+    assert_eq!(asked.status, 503, "{}", asked.text());
+    let started_at = Instant::now();
+    let is_served = || async {
+        let answer = fragile
+            .send_request(1, "/once/x", "again", "innocent")
+            .await;
+        (answer.status == 200).then_some(())
+    };
+    eventually("the request is served", is_served).await;
+    assert!(started_at.elapsed() <= 2 * TRIAL_DELAY);
+    tokio::time::sleep(REPORT_PROPAGATION_TIME).await;
+    let after = fragile
+        .send_request(0, "/once/x", "after", "innocent")
+        .await;
+    assert_eq!(after.status, 200, "{}", after.text());
+}
