Requests that crash the same back ends no longer free one another

Cause: a request whose crashes another one explained better was free, also with three crashes and more of its own; two deadly items on the same engines freed each other in turn. Change: held work with three crashes is tried, not free, also if another request explains them; at six crashes nothing is sent any more, from the fifth on only after a minute. A trial waits for a time in which no more back ends crash than are usual among so many.

--- a/crates/sloetrail-quarantine/src/assessment.rs
+++ b/crates/sloetrail-quarantine/src/assessment.rs
@@ -12,7 +12,7 @@
 //! reason that is no request ([`crate::other_causes`]).
 
 use crate::crashes::{Crash, Crashes, collect, remove_excused};
-use crate::explanation::{count_crashes, explain};
+use crate::explanation::{Culprits, explain};
 use crate::other_causes::OtherCauses;
 use crate::{Clearance, CrashReport, RequestDigest, Suspect};
 use sloetrail_types::ServiceName;
@@ -25,8 +25,12 @@
 /// each second (tests `fleets`).
 pub const MIN_CRASHES_TO_QUARANTINE: usize = 3;
 
-/// Number of crashed back ends at which a request is not tried any more.
-pub const MAX_CRASHES: usize = 5;
+/// Number of crashed back ends at which a request is not tried any more. The operators' rule allows
+/// three further sends after the third crash.
+pub const MAX_CRASHES: usize = 6;
+
+/// A crash of one in so many back ends within moments does not disturb trials at the others.
+const BACK_ENDS_PER_USUAL_CRASH: usize = 16;
 
 /// Delay between the last crash and the trial of a request that may have caused it. It gives
 /// crashed back ends time to restart and their other requests time to end.
@@ -41,6 +45,8 @@
     SeveralSuspects,
     /// It explains its crashes, but back ends of the service also crash for another reason.
     OtherCause,
+    /// Another request explains its crashes better. Only work that can wait is held for this.
+    OtherSuspect,
     /// It has met [`MAX_CRASHES`], also in its trials.
     TrialsExhausted,
 }
@@ -52,6 +58,7 @@
             HoldReason::SoleSuspect => "sole_suspect",
             HoldReason::SeveralSuspects => "several_suspects",
             HoldReason::OtherCause => "other_cause",
+            HoldReason::OtherSuspect => "other_suspect",
             HoldReason::TrialsExhausted => "trials_exhausted",
         }
     }
@@ -65,6 +72,10 @@
     pub software: BTreeSet<String>,
     /// When the last back end crashed, in milliseconds of the table's clock.
     pub last_crash_ms: u64,
+    /// The last event that the request had received in a run that was lost, if it is streamed.
+    pub last_event: Option<u64>,
+    /// True if one of the back ends crashed while the request was on trial there.
+    pub has_been_tried: bool,
     /// True if no other request explains the crashes equally well.
     pub is_sole_suspect: bool,
     pub reason: HoldReason,
@@ -89,8 +100,11 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct ServiceAssessment {
     statuses: BTreeMap<RequestDigest, RequestStatus>,
-    /// When a back end of the service crashed last, in milliseconds of the table's clock.
-    last_crash_ms: u64,
+    /// The suspected requests that would be quarantined if another one did not explain their
+    /// crashes.
+    explained: BTreeMap<RequestDigest, QuarantinedRequest>,
+    /// When back ends of the service crashed, in milliseconds of the table's clock, latest first.
+    crashes_ms: Vec<u64>,
 }
 
 impl CrashAssessment {
@@ -106,11 +120,29 @@
         known.unwrap_or(&RequestStatus::Free)
     }
 
-    /// When a back end of the service crashed last, in milliseconds of the table's clock. Zero if
-    /// no request of the service is suspected.
-    pub fn last_crash_ms(&self, service: &ServiceName) -> u64 {
+    /// Returns the crashes of a request that has met enough of them to be quarantined, but for
+    /// another one that explains them.
+    pub fn explained(
+        &self,
+        service: &ServiceName,
+        digest: RequestDigest,
+    ) -> Option<&QuarantinedRequest> {
+        self.services.get(service)?.explained.get(&digest)
+    }
+
+    /// When a service with this number of back ends was last disturbed, in milliseconds of the
+    /// table's clock: the time of its last crash, but for as many as are usual among so many back
+    /// ends. Zero if it was not.
+    pub fn disturbed_ms(&self, service: &ServiceName, back_ends: usize) -> u64 {
         let of_service = self.services.get(service);
-        of_service.map_or(0, |known| known.last_crash_ms)
+        let crashes_ms = of_service.map_or(&[][..], |known| &known.crashes_ms);
+        let usual = back_ends / BACK_ENDS_PER_USUAL_CRASH;
+        crashes_ms.get(usual).copied().unwrap_or_default()
+    }
+
+    /// The services of which requests are suspected.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.services.keys()
     }
 
     /// Returns the quarantined requests of all services.
@@ -132,6 +164,25 @@
     }
 }
 
+impl ServiceAssessment {
+    fn add(
+        &mut self,
+        digest: RequestDigest,
+        crashes: usize,
+        quarantined: Option<QuarantinedRequest>,
+    ) {
+        let status = match quarantined {
+            Some(known) if known.reason == HoldReason::OtherSuspect => {
+                self.explained.insert(digest, known);
+                RequestStatus::Suspected { crashes }
+            }
+            Some(known) => RequestStatus::Quarantined(known),
+            None => RequestStatus::Suspected { crashes },
+        };
+        self.statuses.insert(digest, status);
+    }
+}
+
 /// Determines the status of requests by reports and clearances. Several nodes' reports of one
 /// crash count once.
 pub fn assess<'a>(
@@ -141,12 +192,7 @@
     let services = collect(reports, clearances).into_iter();
     let services = services.map(|(service, mut crashes)| {
         remove_excused(&mut crashes);
-        let last_crash_ms = crashes.values().map(|crash| crash.at_ms).max();
-        let assessment = ServiceAssessment {
-            statuses: statuses(&crashes),
-            last_crash_ms: last_crash_ms.unwrap_or_default(),
-        };
-        (service, assessment)
+        (service, assess_service(&crashes))
     });
     let has_suspects = |known: &ServiceAssessment| !known.statuses.is_empty();
     CrashAssessment {
@@ -154,55 +200,61 @@
     }
 }
 
-/// Determines the status of each request that a crash of the service counts against.
-fn statuses(crashes: &Crashes) -> BTreeMap<RequestDigest, RequestStatus> {
-    let counts = count_crashes(crashes.values());
+fn assess_service(crashes: &Crashes) -> ServiceAssessment {
+    let met = crashes_met(crashes);
     let explanations = explain(crashes);
-    let other_causes = OtherCauses::find(crashes, &counts, &explanations);
-    let mut statuses: BTreeMap<RequestDigest, RequestStatus> = counts
-        .iter()
-        .map(|(digest, crashes)| (*digest, RequestStatus::Suspected { crashes: *crashes }))
-        .collect();
-    for culprits in &explanations {
-        for digest in culprits {
-            let met = Met::of(crashes, *digest);
-            let reason = match culprits.len() {
-                _ if met.crashes.len() >= MAX_CRASHES => HoldReason::TrialsExhausted,
-                1 if !other_causes.are_likely_for(&met.crashes, *digest) => HoldReason::SoleSuspect,
-                1 => HoldReason::OtherCause,
-                _ => HoldReason::SeveralSuspects,
-            };
-            let quarantined = met.quarantined(culprits.len() == 1, reason);
-            statuses.insert(*digest, RequestStatus::Quarantined(quarantined));
-        }
+    let other_causes = OtherCauses::find(crashes, &explanations);
+    let mut culprits: BTreeMap<RequestDigest, &Culprits> = BTreeMap::new();
+    for explanation in &explanations {
+        culprits.extend(explanation.iter().map(|digest| (*digest, explanation)));
     }
-    statuses
-}
-
-/// The crashes that count against one request.
-struct Met<'a> {
-    crashes: Vec<&'a Crash>,
+    let mut assessment = ServiceAssessment::default();
+    for (digest, met) in met {
+        let rivals = culprits.get(&digest).map_or(0, |culprits| culprits.len());
+        let reason = match rivals {
+            _ if met.len() >= MAX_CRASHES => Some(HoldReason::TrialsExhausted),
+            0 if met.len() < MIN_CRASHES_TO_QUARANTINE => None,
+            0 => Some(HoldReason::OtherSuspect),
+            1 if other_causes.are_likely_for(&met) => Some(HoldReason::OtherCause),
+            1 => Some(HoldReason::SoleSuspect),
+            _ => Some(HoldReason::SeveralSuspects),
+        };
+        let quarantined = reason.map(|reason| QuarantinedRequest {
+            is_sole_suspect: rivals == 1,
+            reason,
+            ..quarantined(&met, digest)
+        });
+        assessment.add(digest, met.len(), quarantined);
+    }
+    assessment.crashes_ms = crashes.values().map(|crash| crash.at_ms).collect();
+    assessment
+        .crashes_ms
+        .sort_by_key(|at_ms| std::cmp::Reverse(*at_ms));
+    assessment
 }
 
-impl<'a> Met<'a> {
-    fn of(crashes: &'a Crashes, digest: RequestDigest) -> Self {
-        let crashes = crashes.values();
-        let met = crashes.filter(|crash| crash.requests.contains_key(&digest));
-        Self {
-            crashes: met.collect(),
+/// Returns the crashes that count against each request.
+fn crashes_met(crashes: &Crashes) -> BTreeMap<RequestDigest, Vec<&Crash>> {
+    let mut met: BTreeMap<RequestDigest, Vec<&Crash>> = BTreeMap::new();
+    for crash in crashes.values() {
+        for digest in crash.requests.keys() {
+            met.entry(*digest).or_default().push(crash);
         }
     }
+    met
+}
 
-    fn quarantined(&self, is_sole_suspect: bool, reason: HoldReason) -> QuarantinedRequest {
-        let crashes = self.crashes.iter();
-        let software = crashes.clone().filter_map(|crash| crash.software.clone());
-        let last_crash_ms = crashes.clone().map(|crash| crash.at_ms).max();
-        QuarantinedRequest {
-            crashes: self.crashes.len(),
-            software: software.collect(),
-            last_crash_ms: last_crash_ms.unwrap_or_default(),
-            is_sole_suspect,
-            reason,
-        }
+fn quarantined(met: &[&Crash], digest: RequestDigest) -> QuarantinedRequest {
+    let software = met.iter().filter_map(|crash| crash.software.clone());
+    let last_crash_ms = met.iter().map(|crash| crash.at_ms).max();
+    let mut runs = met.iter().filter_map(|crash| crash.requests.get(&digest));
+    QuarantinedRequest {
+        crashes: met.len(),
+        software: software.collect(),
+        last_crash_ms: last_crash_ms.unwrap_or_default(),
+        last_event: runs.clone().filter_map(|run| run.last_event).max(),
+        has_been_tried: runs.any(|run| run.is_on_trial),
+        is_sole_suspect: true,
+        reason: HoldReason::SoleSuspect,
     }
 }
--- a/crates/sloetrail-quarantine/src/crashes.rs
+++ b/crates/sloetrail-quarantine/src/crashes.rs
@@ -14,6 +14,9 @@
     pub(crate) at_ms: u64,
     pub(crate) software: Option<String>,
     pub(crate) requests: BTreeMap<RequestDigest, LostRun>,
+    /// True if any of its requests, cleared or not, had received an event. None if the answer of none
+    /// is known to be a stream.
+    pub(crate) shows_progress: Option<bool>,
 }
 
 /// A run that was lost in a crash.
@@ -22,6 +25,8 @@
     /// The last event that the request had received; None if that is unknown.
     pub(crate) last_event: Option<u64>,
     pub(crate) is_on_trial: bool,
+    /// True if the node that lost it has been answered since.
+    pub(crate) is_answered: bool,
 }
 
 /// The crashes of one service.
@@ -39,6 +44,11 @@
         let crash = crashes.entry(report.back_end.clone()).or_default();
         crash.at_ms = crash.at_ms.max(report.at_ms);
         crash.software = crash.software.take().or_else(|| report.software.clone());
+        let shows_progress = report
+            .last_events
+            .values()
+            .map(|last_event| *last_event > 0);
+        crash.shows_progress = crash.shows_progress.max(shows_progress.max());
         let of_service = cleared.get(&report.service);
         let is_cleared = |digest: &RequestDigest| {
             let since = of_service.and_then(|cleared| cleared.get(digest));
@@ -48,6 +58,7 @@
             let run = crash.requests.entry(*digest).or_default();
             run.last_event = run.last_event.max(report.last_events.get(digest).copied());
             run.is_on_trial |= report.on_trial.contains(digest);
+            run.is_answered |= report.are_answered;
         }
     }
     services
--- a/crates/sloetrail-quarantine/src/report.rs
+++ b/crates/sloetrail-quarantine/src/report.rs
@@ -32,6 +32,9 @@
     /// The requests that were on trial there.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub on_trial: BTreeSet<RequestDigest>,
+    /// True if all requests of the report have been answered since.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub are_answered: bool,
 }
 
 /// A back end has answered the request, or an operator has released it. Crashes up to `at_ms` no
--- a/crates/sloetrail-quarantine/src/tests/assessment.rs
+++ b/crates/sloetrail-quarantine/src/tests/assessment.rs
@@ -20,6 +20,7 @@
         requests: requests.iter().map(|name| digest(name)).collect(),
         last_events: BTreeMap::new(),
         on_trial: BTreeSet::new(),
+        are_answered: false,
     }
 }
 
--- a/crates/sloetrail-quarantine/src/tests/fleets.rs
+++ b/crates/sloetrail-quarantine/src/tests/fleets.rs
@@ -106,6 +106,7 @@
                     requests,
                     last_events: BTreeMap::new(),
                     on_trial: BTreeSet::new(),
+                    are_answered: false,
                 });
             } else {
                 let answered = requests.into_iter().map(|digest| Clearance {
--- a/crates/sloetrail-quarantine/src/tests/progress.rs
+++ b/crates/sloetrail-quarantine/src/tests/progress.rs
@@ -21,6 +21,7 @@
         requests: BTreeSet::from([digest(REQUEST)]),
         last_events: events.into_iter().collect(),
         on_trial: BTreeSet::new(),
+        are_answered: false,
     }
 }
 
--- a/crates/sloetrail-serving/src/owner/service_owner/quarantined_items.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/quarantined_items.rs
@@ -123,7 +123,9 @@
 
     fn request_trial(&mut self) {
         let mut items = self.quarantined.items.iter();
-        let to_try = items.find(|(_, held)| held.permit.permission() == Permission::OnTrial);
+        let is_due =
+            |permit: &QuarantinePermit| matches!(permit.permission(), Permission::OnTrial { .. });
+        let to_try = items.find(|(_, held)| is_due(&held.permit));
         let Some((key, held)) = to_try else {
             return;
         };
--- a/crates/sloetrail-serving/src/quarantine/mod.rs
+++ b/crates/sloetrail-serving/src/quarantine/mod.rs
@@ -20,6 +20,7 @@
 mod sweep;
 mod trial;
 mod trial_delays;
+mod unanswered;
 mod writer;
 
 pub(crate) use identity::RequestIdentity;
@@ -31,6 +32,7 @@
 
 use self::crash_registry::{CrashRegistry, Entry};
 use self::crash_watch::{Crash, CrashWatch, LostRun};
+use self::unanswered::UnansweredReports;
 use self::writer::Writer;
 use crate::back_end::BackEnd;
 use crate::directory::Directory;
@@ -63,7 +65,11 @@
     retention: Duration,
     crashes: CrashWatch,
     registry: Mutex<CrashRegistry>,
+    unanswered: Mutex<UnansweredReports>,
     assessment: RwLock<Arc<CrashAssessment>>,
+    /// When back ends of each service with suspected requests last crashed in unusual number, in
+    /// milliseconds of the table's clock.
+    disturbed_ms: RwLock<BTreeMap<ServiceName, u64>>,
     writer: Writer,
     /// Number that makes the row keys of this incarnation unique.
     next_row: AtomicU64,
@@ -88,7 +94,9 @@
             instance: settings.instance.clone(),
             retention: settings.bounds.quarantine,
             registry: Mutex::default(),
+            unanswered: Mutex::default(),
             assessment: RwLock::default(),
+            disturbed_ms: RwLock::default(),
             next_row: AtomicU64::new(1),
         });
         let following = Arc::downgrade(&quarantine);
@@ -135,6 +143,10 @@
             return;
         }
         let digest = digest();
+        let answered_reports = self.unanswered.lock().record_answer(service, digest);
+        for (address, report) in answered_reports {
+            self.record_entry(address, Entry::Crashed(report));
+        }
         // Most requests that met a single crash are not sent again, so a clearance row is
         // written only after several.
         let has_several_crashes = match assessment.status(service, digest) {
@@ -213,8 +225,10 @@
                 .filter(|run| run.is_on_trial)
                 .map(|run| run.request)
                 .collect(),
+            are_answered: false,
         };
         let address = rows::crash_report(&self.instance, self.next_row());
+        self.unanswered.lock().add(address.clone(), report.clone());
         self.record_entry(address, Entry::Crashed(report));
     }
 
@@ -243,6 +257,12 @@
 
     fn assess(&self, registry: &CrashRegistry) {
         let next = Arc::new(registry.assess(self.table.now_ms(), self.retention));
+        let directory = self.directory.borrow().clone();
+        let disturbed_ms = next.services().map(|service| {
+            let back_ends = directory.of_service(service).count();
+            (service.clone(), next.disturbed_ms(service, back_ends))
+        });
+        *self.disturbed_ms.write() = disturbed_ms.collect();
         let mut current = self.assessment.write();
         emit_changes(&current, &next);
         *current = next;
--- a/crates/sloetrail-serving/src/quarantine/permission.rs
+++ b/crates/sloetrail-serving/src/quarantine/permission.rs
@@ -19,8 +19,11 @@
     /// A back end has crashed while running it. It goes to one back end at a time, so that it
     /// cannot crash a second one before the first crash is known.
     OneAtATime,
-    /// It may be sent once, while no other request of the service is on trial.
-    OnTrial,
+    /// It may be sent once, as a trial.
+    OnTrial {
+        /// True if no other suspect may be on trial at the same back end.
+        is_alone: bool,
+    },
     /// It must not be sent to back ends.
     Quarantined {
         crashes: usize,
@@ -65,7 +68,7 @@
     pub(crate) fn is_open(&self) -> bool {
         match self.permission() {
             Permission::Free | Permission::OneAtATime => true,
-            Permission::OnTrial => self.is_on_trial,
+            Permission::OnTrial { .. } => self.is_on_trial,
             Permission::Quarantined { .. } => false,
         }
     }
@@ -80,10 +83,10 @@
         self.is_on_trial
     }
 
-    /// Starts a trial if the request needs one and no other request of its service is on
+    /// Starts a trial if the request needs one and no other live request of its service is on
     /// trial. The trial ends by `until`.
     pub(crate) async fn acquire_trial(&mut self, until: BootInstant) {
-        if self.permission() == Permission::OnTrial {
+        if let Permission::OnTrial { .. } = self.permission() {
             let suspect = Suspect {
                 service: self.service.clone(),
                 digest: self.digest(),
@@ -96,8 +99,8 @@
     pub(crate) fn refusal(&self) -> Option<Problem> {
         let (crashes, remaining) = match self.permission() {
             Permission::Free | Permission::OneAtATime => return None,
-            Permission::OnTrial if self.is_on_trial => return None,
-            Permission::OnTrial => (None, TRIAL_DELAY),
+            Permission::OnTrial { .. } if self.is_on_trial => return None,
+            Permission::OnTrial { .. } => (None, TRIAL_DELAY),
             Permission::Quarantined { crashes, remaining } => (Some(crashes), remaining),
         };
         telemetry::request_quarantined(self.service.as_str());
@@ -140,7 +143,7 @@
         match self {
             Permission::Free => "free",
             Permission::OneAtATime => "one at a time",
-            Permission::OnTrial => "trial",
+            Permission::OnTrial { .. } => "trial",
             Permission::Quarantined { .. } => "refused",
         }
     }
@@ -149,7 +152,9 @@
     pub(crate) fn remaining(&self) -> Duration {
         match self {
             Permission::Quarantined { remaining, .. } => *remaining,
-            Permission::Free | Permission::OneAtATime | Permission::OnTrial => Duration::ZERO,
+            Permission::Free | Permission::OneAtATime | Permission::OnTrial { .. } => {
+                Duration::ZERO
+            }
         }
     }
 }
@@ -166,19 +171,24 @@
         if assessment.is_empty(service) {
             return Permission::Free;
         }
-        match assessment.status(service, digest()) {
+        let digest = digest();
+        match assessment.status(service, digest) {
             RequestStatus::Free => Permission::Free,
-            RequestStatus::Suspected { .. } => Permission::OneAtATime,
+            RequestStatus::Suspected { .. } => match assessment.explained(service, digest) {
+                Some(explained) if delays.is_held() => {
+                    self.permission_of_quarantined(service, explained, delays)
+                }
+                _ => Permission::OneAtATime,
+            },
             RequestStatus::Quarantined(quarantined) => {
-                let last_crash_ms = assessment.last_crash_ms(service);
-                self.permission_of_quarantined((service, last_crash_ms), quarantined, delays)
+                self.permission_of_quarantined(service, quarantined, delays)
             }
         }
     }
 
     fn permission_of_quarantined(
         &self,
-        (service, last_crash_ms): (&ServiceName, u64),
+        service: &ServiceName,
         quarantined: &QuarantinedRequest,
         delays: TrialDelays,
     ) -> Permission {
@@ -190,8 +200,10 @@
             return Permission::OneAtATime;
         }
         let until_trial = match quarantined.reason {
-            HoldReason::SeveralSuspects | HoldReason::OtherCause => {
-                Some(delays.until_trial(since(last_crash_ms), since_crash))
+            HoldReason::SeveralSuspects | HoldReason::OtherCause | HoldReason::OtherSuspect => {
+                let disturbed_ms = self.disturbed_ms.read().get(service).copied();
+                let since_disturbed = since(disturbed_ms.unwrap_or_default());
+                delays.until_trial_of_doubtful(quarantined.crashes, since_disturbed, since_crash)
             }
             HoldReason::SoleSuspect | HoldReason::TrialsExhausted
                 if self.runs_other_software(service, quarantined) =>
@@ -204,7 +216,9 @@
             HoldReason::TrialsExhausted => None,
         };
         match until_trial {
-            Some(Duration::ZERO) => Permission::OnTrial,
+            Some(Duration::ZERO) => Permission::OnTrial {
+                is_alone: quarantined.has_been_tried,
+            },
             _ => Permission::Quarantined {
                 crashes: quarantined.crashes,
                 remaining: until_trial.map_or(until_expiry, |until| until.min(until_expiry)),
