Items are tried by their owner, several at a time, and only until they get on

Cause: a service had one trial at a time, by a row that stood for ten seconds whatever became of the trial: also when it had ended well, when the batch had ended, when the owner was lost and when the answer of the write was. While the store was silent there was none. Change: the owner of a batch, which alone runs its items, decides on their trials by itself. A trial ends with its run, or once the run has got further than where engines crashed, which clears the item. The row stays for live requests.

--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -275,6 +275,15 @@
         digest: &'a str,
         service: &'a str,
     },
+    /// The trial of a quarantined item ended.
+    TrialEnded {
+        /// The digest of the item.
+        digest: &'a str,
+        service: &'a str,
+        back_end: &'a str,
+        /// `passed` if the run has got further than it had when back ends crashed, else how it ended.
+        outcome: &'a str,
+    },
     /// A quarantined request is not tried, because another trial of the service is in progress.
     TrialRefused {
         /// The digest of the request.
--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -51,6 +51,7 @@
             | Event::RequestHeld { .. }
             | Event::RequestReleased { .. }
             | Event::RequestTried { .. }
+            | Event::TrialEnded { .. }
             | Event::TrialRefused { .. }
             | Event::ClaimLeft { .. }
             | Event::ClaimsDeleted { .. } => "gateway",
--- a/crates/sloetrail-serving/src/owner/event.rs
+++ b/crates/sloetrail-serving/src/owner/event.rs
@@ -7,7 +7,6 @@
 use super::run::RunOutcome;
 use crate::back_end::{EngineStatus, OrderAnswer};
 use crate::leases::OrderWindow;
-use crate::quarantine::QuarantinePermit;
 use sloetrail_batch::{BatchId, ItemIndex, ListedResult, Transcript};
 use sloetrail_types::{EngineId, WeightVersion};
 use std::time::Duration;
@@ -24,9 +23,6 @@
         transcript: Transcript,
         took: Duration,
     },
-    /// A request for a trial of a quarantined item ended. The permit is on trial if it was
-    /// granted.
-    TrialDecided((BatchId, ItemIndex), Box<QuarantinePermit>),
     RewardEnded(ScoringTask, RewardOutcome),
     Committed(Committed),
     /// An attempt to open the order window ended; the window may still be closed.
--- a/crates/sloetrail-serving/src/owner/run.rs
+++ b/crates/sloetrail-serving/src/owner/run.rs
@@ -84,6 +84,11 @@
         self.state().transcript.clone()
     }
 
+    /// The number of the last event of the text.
+    pub(super) fn last_event(&self) -> Option<u64> {
+        self.last_event.get()
+    }
+
     pub(super) fn event_count(&self) -> usize {
         self.state().transcript.len()
     }
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -279,6 +279,7 @@
                 Ok(()) = ends.changed() => self.apply_batches(&mut batches, &mut ends),
                 _ = tick.tick() => self.on_tick(),
                 () = sleep_until_due(self.rewards.next_due(BootInstant::now())) => {}
+                () = sleep_until_due(self.quarantined.next_trial_check(BootInstant::now())) => {}
             }
             self.dispatch_items();
             self.start_scorings();
@@ -374,7 +375,6 @@
                 transcript,
                 took,
             } => self.run_ended(&batch, index, &engine, (outcome, transcript), took),
-            OwnerEvent::TrialDecided(item, permit) => self.trial_decided(item, *permit),
             OwnerEvent::RewardEnded(scoring, outcome) => self.reward_ended(scoring, outcome),
             OwnerEvent::Committed(committed) => self.committed(committed),
             OwnerEvent::WindowOpenEnded(window) => self.window_open_ended(window),
@@ -409,7 +409,7 @@
         self.move_from_slow_engines(now);
         self.move_long_texts(now);
         self.move_late_texts(now);
-        self.release_quarantined_items();
+        self.update_quarantined_items();
         self.expire_items();
         self.drop_unneeded_scorings();
         self.report_item_counts();
--- a/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
@@ -26,13 +26,14 @@
 const PRIORITY_UNCONFIRMED: u8 = 9;
 
 impl ServiceOwner {
-    /// Starts items while engines have free slots: first the required items of all batches in
-    /// turn, then the other items. Under triage, the items of one urgency go by class before the
+    /// Starts items while engines have free slots: first the trials of quarantined items, then the
+    /// required items of all batches in turn, then the other items. Under triage, the items of one urgency go by class before the
     /// next urgency.
     pub(super) fn dispatch_items(&mut self) {
         if !self.context.suspension_guard.is_settled() {
             return;
         }
+        self.start_trials();
         let mut shares = std::mem::take(&mut self.shares);
         let open = self.batches.values();
         let in_flight = open.map(|open| (&open.batch.header.tenant, open.runs.len()));
--- a/crates/sloetrail-serving/src/quarantine/mod.rs
+++ b/crates/sloetrail-serving/src/quarantine/mod.rs
@@ -162,6 +162,14 @@
         }
     }
 
+    /// Records that a request on trial has passed the event at which back ends crashed.
+    pub(crate) fn record_passed_trial(&self, service: &ServiceName, digest: RequestDigest) {
+        self.clear(Suspect {
+            service: service.clone(),
+            digest,
+        });
+    }
+
     /// Clears a quarantined request of all its crashes so far. Returns false if it is not
     /// quarantined.
     pub(crate) fn release(&self, digest: RequestDigest) -> bool {
--- a/crates/sloetrail-serving/src/quarantine/permission.rs
+++ b/crates/sloetrail-serving/src/quarantine/permission.rs
@@ -2,6 +2,7 @@
 
 use super::{LastEvent, Quarantine, RequestIdentity, RunWatch, TrialDelays};
 use crate::back_end::BackEnd;
+use crate::events::{self, Event};
 use crate::telemetry;
 use sloetrail_clock::BootInstant;
 use sloetrail_quarantine::{
@@ -83,6 +84,25 @@
         self.is_on_trial
     }
 
+    /// Makes the next send a trial, without regard to trials elsewhere.
+    pub(crate) fn start_trial(&mut self) {
+        self.is_on_trial = true;
+        events::emit(&Event::RequestTried {
+            digest: &self.digest().to_string(),
+            service: self.service.as_str(),
+        });
+    }
+
+    /// The last event that the request had received when back ends crashed under it. None if that is
+    /// not known.
+    pub(crate) fn last_suspect_event(&self) -> Option<u64> {
+        let assessment = self.quarantine.assessment();
+        match assessment.status(&self.service, self.digest()) {
+            RequestStatus::Quarantined(quarantined) => quarantined.last_event,
+            RequestStatus::Free | RequestStatus::Suspected { .. } => None,
+        }
+    }
+
     /// Starts a trial if the request needs one and no other live request of its service is on
     /// trial. The trial ends by `until`.
     pub(crate) async fn acquire_trial(&mut self, until: BootInstant) {
--- a/crates/sloetrail-serving/tests/crash_storms.rs
+++ b/crates/sloetrail-serving/tests/crash_storms.rs
@@ -110,6 +110,22 @@
     assert_eq!(after.status, 200, "{}", after.text());
 }
 
+/// Longer than an engine is up during [`DENSE_STORM`]: no item receives an event.
+const LATE_FIRST_EVENT: Duration = Duration::from_millis(400);
+const SHORT_EVENT_INTERVAL: Duration = Duration::from_millis(10);
+const DENSE_STORM: CrashStorm = CrashStorm {
+    duration: Duration::from_secs(3),
+    pause: Duration::from_millis(60),
+    down_for: Duration::from_millis(200),
+};
+
+/// Lets the items complete in short time once the engines no longer crash.
+fn speed_up(cluster: &Cluster) {
+    for engine in &cluster.engines {
+        engine.set_event_interval(SHORT_EVENT_INTERVAL);
+    }
+}
+
 /// Returns the longest time that an item was at no engine after `since`.
 fn longest_wait(cluster: &Cluster, since: Instant) -> (Duration, String) {
     let waits = (0..ITEMS).filter_map(|number| {
@@ -118,3 +134,16 @@
     });
     waits.max().expect("items that run on after the storm")
 }
+
+/// Guards against trials that wait for one another: the storm leaves all items as suspects.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_lost_before_their_first_event_run_again_soon_after_a_storm() {
+    let mut cluster = storm_cluster(LATE_FIRST_EVENT).await;
+    accepted(&cluster, 0, "b1", &batch(&distinct_items(), MODEL, 1)).await;
+    let last_crash = DENSE_STORM.play(&mut cluster, "models").await;
+    speed_up(&cluster);
+    let results = cluster.wait_results(0, "b1", ITEMS).await;
+    assert_each_once(&results, ITEMS);
+    let longest = longest_wait(&cluster, last_crash);
+    assert!(longest.0 <= MAX_WAIT, "{longest:?}");
+}
