The trial of a live request keeps others away only until it has ended

What callers saw: a request that waits for its trial got 503 for as long as the one tried before it could have taken, though that had been answered in milliseconds. Cause: the row of a trial named the deadline of its request, and nothing deleted it.

--- a/crates/sloetrail-serving/src/quarantine/permission.rs
+++ b/crates/sloetrail-serving/src/quarantine/permission.rs
@@ -1,5 +1,6 @@
 //! Permission of a request to be sent to a back end, given its quarantine status.
 
+use super::trial::TrialGuard;
 use super::{LastEvent, Quarantine, RequestIdentity, RunWatch, TrialDelays};
 use crate::back_end::BackEnd;
 use crate::events::{self, Event};
@@ -41,6 +42,8 @@
     identity: Arc<RequestIdentity>,
     delays: TrialDelays,
     is_on_trial: bool,
+    /// Keeps other live requests of the service from being tried.
+    trial: Option<Arc<TrialGuard>>,
 }
 
 impl QuarantinePermit {
@@ -57,6 +60,7 @@
             identity: Arc::new(identity),
             delays,
             is_on_trial: false,
+            trial: None,
         }
     }
 
@@ -111,7 +115,11 @@
                 service: self.service.clone(),
                 digest: self.digest(),
             };
-            self.is_on_trial = self.quarantine.begin_trial(&suspect, until).await;
+            let trial = self.quarantine.begin_trial(suspect, until).await;
+            if let Some(trial) = trial {
+                self.trial = Some(Arc::new(trial));
+                self.start_trial();
+            }
         }
     }
 
@@ -142,6 +150,9 @@
         back_end: &Arc<BackEnd>,
         last_event: Option<&LastEvent>,
     ) -> RunWatch {
+        if let Some(trial) = &self.trial {
+            trial.record_send();
+        }
         let (quarantine, identity) = (&self.quarantine, &self.identity);
         RunWatch::new(
             Arc::clone(quarantine),
--- a/crates/sloetrail-serving/tests/crash_storms.rs
+++ b/crates/sloetrail-serving/tests/crash_storms.rs
@@ -110,6 +110,35 @@
     assert_eq!(after.status, 200, "{}", after.text());
 }
 
+/// Guards against a trial that keeps others away after it has ended well.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_tried_as_soon_as_the_trial_before_it_was_answered() {
+    let mut fragile = FragileCluster::start(2).await;
+    let suspects = ["innocent", "also innocent"];
+    for round in 0..3 {
+        for (number, suspect) in suspects.iter().enumerate() {
+            lose_request(&mut fragile, &format!("lost-{round}-{number}"), suspect).await;
+        }
+        let (other, again) = (format!("other-{round}"), format!("other-again-{round}"));
+        lose_request(&mut fragile, &other, &other).await;
+        let answer = fragile.send_request(0, "/once/x", &again, &other).await;
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    }
+    tokio::time::sleep(TRIAL_DELAY).await;
+    let answer = fragile
+        .send_request(0, "/once/x", "tried", suspects[0])
+        .await;
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    tokio::time::sleep(REPORT_PROPAGATION_TIME).await;
+    for node in 0..2 {
+        let answer = fragile
+            .send_request(node, "/once/x", &format!("next-{node}"), suspects[1])
+            .await;
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        tokio::time::sleep(REPORT_PROPAGATION_TIME).await;
+    }
+}
+
 /// Longer than an engine is up during [`DENSE_STORM`]: no item receives an event.
 const LATE_FIRST_EVENT: Duration = Duration::from_millis(400);
 const SHORT_EVENT_INTERVAL: Duration = Duration::from_millis(10);
