A crash counts from the loss of its requests, not from the restart that shows it

What callers saw: nothing by itself; a text that got further between two crashes was not excused when the first one was found last. Cause: a back end that is listening again when its address is probed counts as crashed only once the directory shows its restart, seconds later, and the report took that time. Change: the report takes the time at which the first request was lost.

--- a/crates/sloetrail-quarantine/src/report.rs
+++ b/crates/sloetrail-quarantine/src/report.rs
@@ -22,7 +22,7 @@
     /// The software version of the back end, if it reported one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub software: Option<String>,
-    /// When the crash was detected, in milliseconds of the table's clock.
+    /// When the first of the requests was lost, in milliseconds of the table's clock.
     pub at_ms: u64,
     pub requests: BTreeSet<RequestDigest>,
     /// Of requests with streamed answers, the last event that each had received, by number; zero
--- a/crates/sloetrail-serving/src/quarantine/crash_watch.rs
+++ b/crates/sloetrail-serving/src/quarantine/crash_watch.rs
@@ -48,6 +48,8 @@
 pub(super) struct Crash {
     /// Requests of this node that were running there and are not reported yet.
     pub(super) requests: LostRequests,
+    /// Time since the first of them was lost.
+    pub(super) lost_for: Duration,
 }
 
 /// How to determine whether a back end has crashed.
@@ -194,7 +196,8 @@
             // Requests abandoned there are reported by the check that detected the
             // crash.
             let requests = LostRequests::from([(run.request, run)]);
-            return Some(Crash { requests });
+            let lost_for = Duration::ZERO;
+            return Some(Crash { requests, lost_for });
         }
         let started_at = BootInstant::now();
         let seen = probe_twice(|| probe_listener(back_end.address)).await;
@@ -244,6 +247,7 @@
         known.requests.extend(abandoned);
         Crash {
             requests: known.requests.clone(),
+            lost_for: known.since.elapsed(),
         }
     }
 
--- a/crates/sloetrail-serving/src/quarantine/mod.rs
+++ b/crates/sloetrail-serving/src/quarantine/mod.rs
@@ -48,7 +48,7 @@
 use sloetrail_quarantine::{
     Clearance, CrashAssessment, CrashReport, HoldReason, RequestDigest, RequestStatus, Suspect,
 };
-use sloetrail_types::{NodeId, ServiceName};
+use sloetrail_types::{NodeId, ServiceName, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Weak};
@@ -216,14 +216,15 @@
             digests: &digests,
             last_events: &last_events,
         });
-        let Some(at_ms) = self.table.now_ms() else {
+        let Some(now) = self.table.now_ms().map(Timestamp) else {
             return;
         };
         let report = CrashReport {
             service: back_end.service.clone(),
             back_end: back_end.id.clone(),
             software: back_end.software.clone(),
-            at_ms,
+            // The restart of a back end may show its crash seconds later.
+            at_ms: now.before(crash.lost_for).0,
             requests: crash.requests.keys().copied().collect(),
             last_events: runs
                 .clone()
--- a/crates/sloetrail-serving/tests/crash_storms.rs
+++ b/crates/sloetrail-serving/tests/crash_storms.rs
@@ -5,6 +5,8 @@
 use serde_json::Value;
 use sloetrail_serving_testkit::client::{batch, item};
 use sloetrail_serving_testkit::cluster::{Cluster, MODEL, eventually};
+use sloetrail_serving_testkit::engine::FakeEngine;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use support::crash_storm::{CrashStorm, wait_after};
 use support::fragile::{FragileCluster, REPORT_PROPAGATION_TIME};
@@ -176,3 +178,53 @@
     let longest = longest_wait(&cluster, last_crash);
     assert!(longest.0 <= MAX_WAIT, "{longest:?}");
 }
+
+/// Returns the reported crashes of an engine, in milliseconds of the table's clock.
+fn crash_times(cluster: &Cluster, engine: &FakeEngine) -> Vec<u64> {
+    let rows = cluster.table.rows("sloetrail_leases");
+    let crashes = rows
+        .iter()
+        .filter(|row| row.address.key.starts_with("crash/"));
+    let crashes = crashes.filter_map(|row| {
+        let row: Value = serde_json::from_slice(&row.value).ok()?;
+        let back_end = row["crashed"]["back_end"].as_str()?.to_owned();
+        Some((back_end, row["crashed"]["at_ms"].as_u64()?))
+    });
+    let incarnation = format!("{}@{}", engine.id, engine.started_ms);
+    let of_engine = crashes.filter(|(back_end, _)| *back_end == incarnation);
+    of_engine.map(|(_, at_ms)| at_ms).collect()
+}
+
+/// The order of crashes tells whether a text got further between them. Guards against a crash that
+/// counts from the restart that shows it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crash_that_a_restart_shows_counts_from_the_loss() {
+    let mut fragile = FragileCluster::start(1).await;
+    for engine in &fragile.cluster.engines {
+        engine.set_event_interval(Duration::from_millis(400));
+    }
+    let asking = tokio::spawn(fragile.start_request(0, "/once/x", "first", "one"));
+    let is_running = || async {
+        let mut engines = fragile.cluster.engines.iter();
+        engines.find(|engine| !engine.runs_of("first").is_empty())
+    };
+    let first = Arc::clone(eventually("the request is running", is_running).await);
+    first.reset_connections();
+    asking.await.expect("the request task panicked");
+    lose_request(&mut fragile, "second", "two").await;
+    let mut engines = fragile.cluster.engines.iter();
+    let second = engines.rfind(|engine| engine.has_crashed());
+    let second = Arc::clone(second.expect("a crashed engine"));
+    tokio::time::sleep(REPORT_PROPAGATION_TIME).await;
+    let restarted = first.restart(0).await;
+    fragile.cluster.list(&restarted);
+    let both = || async {
+        let (first, second) = (
+            crash_times(&fragile.cluster, &first),
+            crash_times(&fragile.cluster, &second),
+        );
+        Some((*first.first()?, *second.first()?))
+    };
+    let (first, second) = eventually("both crashes are reported", both).await;
+    assert!(first < second, "{first} is not before {second}");
+}
