--- a/crates/sloetrail-serving/tests/crash_storms.rs
+++ b/crates/sloetrail-serving/tests/crash_storms.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 use support::crash_storm::{CrashStorm, wait_after};
 use support::fragile::{FragileCluster, REPORT_PROPAGATION_TIME};
-use support::{accepted, assert_each_once, cluster_with_run_target};
+use support::{accepted, assert_each_once, cluster_with_run_target, lease_holder};
 
 const RUN_TARGET: Duration = Duration::from_secs(10);
 /// How long an item may be at no engine after the last crash: a tenth of the time of its step.
@@ -179,6 +179,103 @@
     assert!(longest.0 <= MAX_WAIT, "{longest:?}");
 }
 
+/// Guards against items that stay held when the owner that was trying them is lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_of_a_crash_storm_run_again_under_a_new_owner() {
+    let mut cluster = storm_cluster(LATE_FIRST_EVENT).await;
+    accepted(&cluster, 0, "b1", &batch(&distinct_items(), MODEL, 1)).await;
+    let last_crash = DENSE_STORM.play(&mut cluster, "models").await;
+    let owner = lease_holder(&cluster).await;
+    cluster.nodes[owner].kill();
+    let other = 1 - owner;
+    let is_taken = || async { (lease_holder(&cluster).await == other).then_some(()) };
+    eventually("another node owns the service", is_taken).await;
+    let taken_after = last_crash.elapsed();
+    speed_up(&cluster);
+    let results = cluster.wait_results(other, "b1", ITEMS).await;
+    assert_each_once(&results, ITEMS);
+    let longest = longest_wait(&cluster, last_crash);
+    assert!(longest.0 <= taken_after + MAX_WAIT, "{longest:?}");
+}
+
+/// Guards against trials that wait for the table: only results need it.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_of_a_crash_storm_run_again_while_the_table_is_silent() {
+    let mut cluster = storm_cluster(LATE_FIRST_EVENT).await;
+    accepted(&cluster, 0, "b1", &batch(&distinct_items(), MODEL, 1)).await;
+    let last_crash = DENSE_STORM.play(&mut cluster, "models").await;
+    cluster.table.set_down(true);
+    speed_up(&cluster);
+    tokio::time::sleep(MAX_WAIT).await;
+    let longest = longest_wait(&cluster, last_crash);
+    assert!(longest.0 <= MAX_WAIT, "{longest:?}");
+    cluster.table.set_down(false);
+    let results = cluster.wait_results(0, "b1", ITEMS).await;
+    assert_each_once(&results, ITEMS);
+}
+
+/// Guards against items that stay held after a second storm met their trials.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_of_two_crash_storms_run_again_soon_after_the_second() {
+    let mut cluster = storm_cluster(LATE_FIRST_EVENT).await;
+    accepted(&cluster, 0, "b1", &batch(&distinct_items(), MODEL, 1)).await;
+    DENSE_STORM.play(&mut cluster, "models").await;
+    tokio::time::sleep(MAX_WAIT / 2).await;
+    let second = CrashStorm {
+        duration: DENSE_STORM.duration / 2,
+        ..DENSE_STORM
+    };
+    let last_crash = second.play(&mut cluster, "models").await;
+    speed_up(&cluster);
+    let results = cluster.wait_results(0, "b1", ITEMS).await;
+    assert_each_once(&results, ITEMS);
+    let longest = longest_wait(&cluster, last_crash);
+    assert!(longest.0 <= MAX_WAIT, "{longest:?}");
+}
+
+/// Runs of an item after its third crash: the operators' rule allows three.
+const MAX_LETHAL_RUNS: usize = 6;
+const LETHAL_EVENTS: u64 = 13;
+
+/// Guards against a storm under whose cover an item crashes engines without end.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lethal_item_amid_a_crash_storm_is_held_and_the_others_complete() {
+    let lethal_body =
+        |engine: &FakeEngine| engine.set_crash_body(format!("events={LETHAL_EVENTS}"));
+    let mut cluster = storm_cluster(Duration::from_millis(30)).await;
+    cluster
+        .engines
+        .iter()
+        .for_each(|engine| lethal_body(engine));
+    let mut items = distinct_items();
+    items.push(item("lethal", "g-lethal", LETHAL_EVENTS));
+    accepted(&cluster, 0, "b1", &batch(&items, MODEL, 1)).await;
+    STORM.play_with(&mut cluster, "models", lethal_body).await;
+    let until = Instant::now() + Duration::from_secs(5);
+    while Instant::now() < until {
+        let crashed = cluster.engines.iter().filter(|engine| {
+            let mut later = cluster.engines.iter();
+            let is_replaced =
+                later.any(|other| other.id == engine.id && other.started_ms > engine.started_ms);
+            engine.has_crashed() && !is_replaced
+        });
+        let crashed: Vec<Arc<FakeEngine>> = crashed.cloned().collect();
+        for engine in crashed {
+            let restarted = engine.restart(0).await;
+            lethal_body(&restarted);
+            cluster.list(&restarted);
+            cluster.engines.push(restarted);
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let results = cluster.wait_results(0, "b1", ITEMS).await;
+    assert_each_once(&results, ITEMS);
+    assert!(results.iter().all(|result| result["id"] != "lethal"));
+    let engines = cluster.engines.iter();
+    let runs: usize = engines.map(|engine| engine.runs_of("lethal").len()).sum();
+    assert!((3..=MAX_LETHAL_RUNS).contains(&runs), "{runs} runs");
+}
+
 /// Returns the reported crashes of an engine, in milliseconds of the table's clock.
 fn crash_times(cluster: &Cluster, engine: &FakeEngine) -> Vec<u64> {
     let rows = cluster.table.rows("sloetrail_leases");
--- a/crates/sloetrail-serving/tests/support/crash_storm.rs
+++ b/crates/sloetrail-serving/tests/support/crash_storm.rs
@@ -20,6 +20,16 @@
     /// Crashes the engines of a service in turn. Returns the time of the last crash, after all
     /// engines have restarted.
     pub async fn play(self, cluster: &mut Cluster, service: &str) -> Instant {
+        self.play_with(cluster, service, |_| ()).await
+    }
+
+    /// The same, and prepares each engine that has restarted.
+    pub async fn play_with(
+        self,
+        cluster: &mut Cluster,
+        service: &str,
+        prepare: impl Fn(&FakeEngine),
+    ) -> Instant {
         let started_at = Instant::now();
         let mut last_crash = started_at;
         let mut down: VecDeque<(Instant, Arc<FakeEngine>)> = VecDeque::new();
@@ -29,6 +39,7 @@
                 && started_at.elapsed() < self.duration
                 && let Some(engine) = up.pop_front()
             {
+                // It may have crashed for another reason.
                 engine.crash();
                 last_crash = Instant::now();
                 down.push_back((last_crash + self.down_for, engine));
@@ -38,6 +49,7 @@
                 && let Some((_, engine)) = down.pop_front()
             {
                 let restarted = engine.restart(0).await;
+                prepare(&restarted);
                 cluster.list(&restarted);
                 cluster.engines.push(Arc::clone(&restarted));
                 up.push_back(restarted);
