The trial of a live request goes on after its caller has left

What callers saw: after a storm of crashes a request whose callers leave early got 503 (code 1111) again and again: the run of each trial was cancelled with its caller, so that neither an answer nor a crash ended it. Change: the one attempt of a trial is a task of its own and ends by itself, at the latest at the deadline; a streamed request that has passed the event at which back ends crashed is cleared also if its caller leaves then.

--- a/crates/sloetrail-serving/src/gateway/live.rs
+++ b/crates/sloetrail-serving/src/gateway/live.rs
@@ -14,6 +14,7 @@
 use crate::quarantine::{QuarantinePermit, RequestIdentity, TrialDelays};
 use crate::service_pools::SlotPermit;
 use crate::slot_waiter::SlotWaiter;
+use crate::tasks;
 use crate::telemetry;
 use crate::usage::CountedRequest;
 use futures_util::StreamExt;
@@ -253,6 +254,18 @@
     }
 }
 
+/// Runs the attempt of a trial, which goes on if its caller leaves: only its end tells whether the
+/// request crashes the back end.
+async fn run_detached(
+    attempt: impl Future<Output = EndedAttempt> + Send + 'static,
+) -> EndedAttempt {
+    match tasks::spawn("trial", attempt).await {
+        Ok(Ok(ended)) => ended,
+        // The request ends at its deadline.
+        Ok(Err(_)) | Err(_) => std::future::pending().await,
+    }
+}
+
 impl Run<'_> {
     async fn run_to_end(mut self) -> LiveOutcome {
         let call = self.call;
@@ -368,6 +381,7 @@
         // While this attempt has no answer, its connection and older ones may be unresponsive.
         self.reuse = reuse.after_attempt_at(BootInstant::now());
         let deadline = self.call.deadline;
+        let is_trial = quarantine_permit.is_on_trial();
         let running = async move {
             let started_at = BootInstant::now();
             let result = run_attempt(
@@ -386,7 +400,10 @@
                 took: started_at.elapsed(),
             }
         };
-        self.pending.push(Box::pin(running));
+        self.pending.push(match is_trial {
+            true => Box::pin(run_detached(running)),
+            false => Box::pin(running),
+        });
         true
     }
 
--- a/crates/sloetrail-serving/src/quarantine/mod.rs
+++ b/crates/sloetrail-serving/src/quarantine/mod.rs
@@ -126,6 +126,22 @@
     /// caller has disconnected, or the attempt is no longer awaited.
     fn record_abandoned_run(&self, back_end: &BackEnd, run: LostRun) {
         self.crashes.record_abandoned_run(back_end, run);
+        if let Some(last_event) = run.last_event {
+            self.record_progress(&back_end.service, run.request, last_event);
+        }
+    }
+
+    /// Clears a quarantined request that has passed the event at which back ends crashed, although
+    /// its caller did not wait for the end.
+    fn record_progress(&self, service: &ServiceName, request: RequestDigest, last_event: u64) {
+        let assessment = self.assessment();
+        let last_suspect_event = match assessment.status(service, request) {
+            RequestStatus::Quarantined(quarantined) => quarantined.last_event,
+            RequestStatus::Free | RequestStatus::Suspected { .. } => None,
+        };
+        if last_suspect_event.is_some_and(|suspect| last_event > suspect) {
+            self.record_passed_trial(service, request);
+        }
     }
 
     /// Records a failed connection attempt. The back end may have crashed under an abandoned
--- a/crates/sloetrail-serving/tests/crash_storms.rs
+++ b/crates/sloetrail-serving/tests/crash_storms.rs
@@ -141,6 +141,32 @@
     }
 }
 
+/// Guards against a request that stays held because the callers of its trials leave.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_trial_goes_on_after_its_caller_has_left() {
+    let mut fragile = FragileCluster::start(2).await;
+    for round in 0..3 {
+        let (other, again) = (format!("other-{round}"), format!("other-again-{round}"));
+        lose_request(&mut fragile, &other, &other).await;
+        let answer = fragile.send_request(0, "/once/x", &again, &other).await;
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        lose_request(&mut fragile, &format!("innocent-{round}"), "innocent").await;
+    }
+    tokio::time::sleep(TRIAL_DELAY).await;
+    for engine in &fragile.cluster.engines {
+        engine.set_event_interval(Duration::from_millis(200));
+    }
+    let asking = fragile.start_request(0, "/once/x", "left", "innocent");
+    let outcome = tokio::time::timeout(Duration::from_millis(50), asking).await;
+    assert!(outcome.is_err(), "the caller got an answer");
+    tokio::time::sleep(2 * REPORT_PROPAGATION_TIME).await;
+    for node in 0..2 {
+        let id = format!("stays-{node}");
+        let answer = fragile.send_request(node, "/once/x", &id, "innocent").await;
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    }
+}
+
 /// Longer than an engine is up during [`DENSE_STORM`]: no item receives an event.
 const LATE_FIRST_EVENT: Duration = Duration::from_millis(400);
 const SHORT_EVENT_INTERVAL: Duration = Duration::from_millis(10);
