The list of held requests tells why, what each waits for and when it is tried

Cause: an operator saw the crashes of a held request, not what would free it. Change: reason, waits_for and trial_in_ms in GET /quarantine; one function says when a request is tried.

--- a/crates/sloetrail-serving/src/quarantine/operator.rs
+++ b/crates/sloetrail-serving/src/quarantine/operator.rs
@@ -1,10 +1,12 @@
 //! Operator endpoint that lists quarantined requests and releases them.
 
-use super::Quarantine;
+use super::{Quarantine, TrialDelays};
 use crate::gateway::response::{CallerResponse, empty_response, full_body};
 use http::{Method, Response, StatusCode};
 use serde::Serialize;
-use sloetrail_quarantine::RequestDigest;
+use sloetrail_quarantine::{HoldReason, RequestDigest};
+use sloetrail_types::whole_millis;
+use std::time::Duration;
 
 /// GET lists the requests. DELETE releases one by its digest.
 const PATH: &str = "/quarantine";
@@ -21,6 +23,12 @@
     /// The software versions that crashed.
     software: Vec<String>,
     since_last_ms: u64,
+    /// Why it is held.
+    reason: &'static str,
+    /// What ends it.
+    waits_for: &'static str,
+    /// Time until held work is tried with this request; None if it is not.
+    trial_in_ms: Option<u64>,
 }
 
 impl Quarantine {
@@ -40,6 +48,7 @@
     fn list(&self) -> CallerResponse {
         let now_ms = self.table.now_ms().unwrap_or_default();
         let assessment = self.assessment();
+        let delays = TrialDelays::of_held_request(Duration::ZERO);
         let quarantined = assessment.quarantined().take(MAX_LISTED);
         let quarantined: Vec<ListedRequest> = quarantined
             .map(|(suspect, quarantined)| ListedRequest {
@@ -49,6 +58,11 @@
                 clear: quarantined.is_sole_suspect,
                 software: quarantined.software.iter().cloned().collect(),
                 since_last_ms: now_ms.saturating_sub(quarantined.last_crash_ms),
+                reason: quarantined.reason.as_str(),
+                waits_for: waits_for(quarantined.reason),
+                trial_in_ms: self
+                    .until_trial(&suspect.service, quarantined, delays)
+                    .map(whole_millis),
             })
             .collect();
         Response::new(full_body(
@@ -56,3 +70,16 @@
         ))
     }
 }
+
+/// Returns what ends the quarantine of a request, besides a release and the end of its retention.
+fn waits_for(reason: HoldReason) -> &'static str {
+    match reason {
+        HoldReason::SoleSuspect => {
+            "other software at all back ends; held work also for a rare trial"
+        }
+        HoldReason::SeveralSuspects | HoldReason::OtherCause | HoldReason::OtherSuspect => {
+            "a trial, once few back ends crash"
+        }
+        HoldReason::TrialsExhausted => "other software at all back ends",
+    }
+}
--- a/crates/sloetrail-serving/src/quarantine/permission.rs
+++ b/crates/sloetrail-serving/src/quarantine/permission.rs
@@ -223,17 +223,44 @@
         quarantined: &QuarantinedRequest,
         delays: TrialDelays,
     ) -> Permission {
-        let now_ms = self.table.now_ms().unwrap_or_default();
-        let since = |at_ms: u64| Duration::from_millis(now_ms.saturating_sub(at_ms));
-        let since_crash = since(quarantined.last_crash_ms);
-        let until_expiry = self.retention.saturating_sub(since_crash);
+        let until_expiry = self.retention.saturating_sub(self.since_crash(quarantined));
         if until_expiry.is_zero() {
             return Permission::OneAtATime;
         }
-        let until_trial = match quarantined.reason {
+        let until_trial = self.until_trial(service, quarantined, delays);
+        match until_trial {
+            Some(Duration::ZERO) => Permission::OnTrial {
+                is_alone: quarantined.has_been_tried,
+            },
+            _ => Permission::Quarantined {
+                crashes: quarantined.crashes,
+                remaining: until_trial.map_or(until_expiry, |until| until.min(until_expiry)),
+            },
+        }
+    }
+
+    fn since_crash(&self, quarantined: &QuarantinedRequest) -> Duration {
+        self.since(quarantined.last_crash_ms)
+    }
+
+    /// The time since a moment of the table's clock.
+    fn since(&self, at_ms: u64) -> Duration {
+        let now_ms = self.table.now_ms().unwrap_or_default();
+        Duration::from_millis(now_ms.saturating_sub(at_ms))
+    }
+
+    /// Returns the time until a quarantined request is tried. None if it is not.
+    pub(super) fn until_trial(
+        &self,
+        service: &ServiceName,
+        quarantined: &QuarantinedRequest,
+        delays: TrialDelays,
+    ) -> Option<Duration> {
+        let since_crash = self.since_crash(quarantined);
+        match quarantined.reason {
             HoldReason::SeveralSuspects | HoldReason::OtherCause | HoldReason::OtherSuspect => {
                 let disturbed_ms = self.disturbed_ms.read().get(service).copied();
-                let since_disturbed = since(disturbed_ms.unwrap_or_default());
+                let since_disturbed = self.since(disturbed_ms.unwrap_or_default());
                 delays.until_trial_of_doubtful(quarantined.crashes, since_disturbed, since_crash)
             }
             HoldReason::SoleSuspect | HoldReason::TrialsExhausted
@@ -245,15 +272,6 @@
                 delays.until_trial_of_sole_suspect(quarantined.crashes, since_crash)
             }
             HoldReason::TrialsExhausted => None,
-        };
-        match until_trial {
-            Some(Duration::ZERO) => Permission::OnTrial {
-                is_alone: quarantined.has_been_tried,
-            },
-            _ => Permission::Quarantined {
-                crashes: quarantined.crashes,
-                remaining: until_trial.map_or(until_expiry, |until| until.min(until_expiry)),
-            },
         }
     }
 
