--- a/crates/sloetrail-quarantine/src/assessment.rs
+++ b/crates/sloetrail-quarantine/src/assessment.rs
@@ -219,11 +219,7 @@
             1 => Some(HoldReason::SoleSuspect),
             _ => Some(HoldReason::SeveralSuspects),
         };
-        let quarantined = reason.map(|reason| QuarantinedRequest {
-            is_sole_suspect: rivals == 1,
-            reason,
-            ..quarantined(&met, digest)
-        });
+        let quarantined = reason.map(|reason| quarantined(&met, digest, rivals == 1, reason));
         assessment.add(digest, met.len(), quarantined);
     }
     assessment.crashes_ms = crashes.values().map(|crash| crash.at_ms).collect();
@@ -244,7 +240,12 @@
     met
 }
 
-fn quarantined(met: &[&Crash], digest: RequestDigest) -> QuarantinedRequest {
+fn quarantined(
+    met: &[&Crash],
+    digest: RequestDigest,
+    is_sole_suspect: bool,
+    reason: HoldReason,
+) -> QuarantinedRequest {
     let software = met.iter().filter_map(|crash| crash.software.clone());
     let last_crash_ms = met.iter().map(|crash| crash.at_ms).max();
     let mut runs = met.iter().filter_map(|crash| crash.requests.get(&digest));
@@ -254,7 +255,7 @@
         last_crash_ms: last_crash_ms.unwrap_or_default(),
         last_event: runs.clone().filter_map(|run| run.last_event).max(),
         has_been_tried: runs.any(|run| run.is_on_trial),
-        is_sole_suspect: true,
-        reason: HoldReason::SoleSuspect,
+        is_sole_suspect,
+        reason,
     }
 }
--- a/crates/sloetrail-serving/src/quarantine/trial_delays.rs
+++ b/crates/sloetrail-serving/src/quarantine/trial_delays.rs
@@ -11,6 +11,7 @@
 /// Share of a step's time that a request waits after its own last crash while other back ends go on
 /// crashing.
 const DISTURBED_SHARE_OF_STEP: u32 = 2;
+const MAX_DISTURBED_DELAY: Duration = Duration::from_secs(10);
 
 /// Delay of the first trial of a sole suspect that waits. Each further delay is longer.
 const SOLE_SUSPECT_DELAY: Duration = Duration::from_secs(60);
@@ -19,8 +20,6 @@
 /// Number of crashes from which on a request is tried as rarely as a sole suspect.
 const MAX_CRASHES_TO_TRY_SOON: usize = 5;
 
-const MAX_DISTURBED_DELAY: Duration = Duration::from_secs(10);
-
 /// How long a quarantined request waits for its trial.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct TrialDelays {
