A fake back end that has crashed refuses connections at once and keeps its port

Cause: `FakeEngine::crash` closed its port in a task that waits for a thread, and the kernel then gave the port to the next listener of any test. A request to the crashed back end was answered by another test's back end ("wrong instance", "ran and failed", once 200 from a back end of the same name in another process), and a probe of its address found a listener, so its crash did not count.

Change: a crash shuts the listener down at once and binds the port without listening. `release_address` gives the port to a successor.

--- a/crates/sloetrail-serving-testkit/src/engine.rs
+++ b/crates/sloetrail-serving-testkit/src/engine.rs
@@ -11,8 +11,9 @@
 
 use crate::wire::{EngineWire, Listing, ReadOrder};
 use bytes::Bytes;
+use socket2::{Domain, SockRef, Socket, Type};
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -91,6 +92,9 @@
     /// Start of this incarnation in Unix milliseconds.
     pub started_ms: u64,
     address: SocketAddr,
+    listener: TcpListener,
+    /// Keeps listeners of other tests from the address after a crash.
+    closed_port: Mutex<Option<Socket>>,
     wire: Arc<dyn EngineWire>,
     state: Mutex<State>,
     stopped: CancellationToken,
@@ -142,8 +146,9 @@
         let incarnation = (self.id.clone(), started_ms);
         let location = (self.service.as_str(), self.zone.as_str());
         let wire = Arc::clone(&self.wire);
-        // The port is free once the tasks of the earlier incarnation have ended.
+        // The tasks of the earlier incarnation end first.
         tokio::time::sleep(Duration::from_millis(20)).await;
+        self.release_address();
         Self::begin(
             incarnation,
             self.address,
@@ -173,11 +178,13 @@
             service: service.to_owned(),
             zone: zone.to_owned(),
             address,
+            listener,
+            closed_port: Mutex::default(),
             wire,
             state: Mutex::new(State::new(address, models, event_interval)),
             stopped: CancellationToken::new(),
         });
-        tokio::spawn(Arc::clone(&engine).serve(listener));
+        tokio::spawn(Arc::clone(&engine).serve());
         engine
     }
 
@@ -244,10 +251,21 @@
         resets.cancel();
     }
 
-    /// Closes the port and every connection.
+    /// Closes the port and every connection. Once [`Self::has_crashed`] is true, new connections are
+    /// refused, even if the tasks of the back end still wait for a thread.
     pub fn crash(&self) {
+        let mut closed_port = self.closed_port.lock().expect("lock not poisoned");
+        if self.has_crashed() {
+            return;
+        }
+        let _ = SockRef::from(&self.listener).shutdown(Shutdown::Both);
+        *closed_port = bind_closed_port(self.address);
         self.stopped.cancel();
-        self.reset_connections();
+    }
+
+    /// Lets another back end listen at the address of this one, which has crashed.
+    pub fn release_address(&self) {
+        *self.closed_port.lock().expect("lock not poisoned") = None;
     }
 
     /// Makes each request with this body crash the back end one event interval after it starts.
@@ -330,3 +348,13 @@
         }
     }
 }
+
+/// Binds a port that refuses connections and that no other listener can take. None if another one
+/// has taken it.
+fn bind_closed_port(address: SocketAddr) -> Option<Socket> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None).ok()?;
+    socket.set_reuse_address(true).ok()?;
+    socket.bind(&address.into()).ok()?;
+    socket.set_reuse_address(false).ok()?;
+    Some(socket)
+}
--- a/crates/sloetrail-serving-testkit/src/engine/connection.rs
+++ b/crates/sloetrail-serving-testkit/src/engine/connection.rs
@@ -15,18 +15,18 @@
 use std::io;
 use std::sync::Arc;
 use std::time::Instant;
-use tokio::net::TcpListener;
 
 /// A response body, either complete or a stream of events.
 pub(super) type EngineBody = UnsyncBoxBody<Bytes, io::Error>;
 
 impl FakeEngine {
     /// Serves connections until the back end crashes.
-    pub(super) async fn serve(self: Arc<Self>, listener: TcpListener) {
+    pub(super) async fn serve(self: Arc<Self>) {
         loop {
             let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
+                biased;
                 () = self.stopped.cancelled() => return,
+                accepted = self.listener.accept() => accepted,
             };
             let Ok((stream, _)) = accepted else {
                 continue;
@@ -44,6 +44,7 @@
                 tokio::select! {
                     _ = connection => {}
                     () = reset.cancelled() => {}
+                    () = engine.stopped.cancelled() => {}
                 }
             });
         }
--- a/crates/sloetrail-serving/tests/live.rs
+++ b/crates/sloetrail-serving/tests/live.rs
@@ -235,6 +235,7 @@
     let crashed = preferred(&cluster, &applications).await;
     crashed.crash();
     tokio::time::sleep(Duration::from_millis(50)).await;
+    crashed.release_address();
     let successor = FakeEngine::start_at(
         crashed.address(),
         Arc::new(sloetrail_serving_testkit::wire::NativeWire),
