Log the event that ends a stream, and the events dropped with it

Change: `event_refused` names the request, the back end, the number of the refused event, the last accepted one, and how many accepted events of the same read were not passed on. No logic changes.

--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -226,6 +226,19 @@
         /// The digest of the request without its id, so that repeats match; `-` if it has not run.
         digest: &'a str,
     },
+    /// An event of a stream was refused, which ends the stream of this back end.
+    EventRefused {
+        /// The request or item.
+        request: &'a str,
+        back_end: &'a str,
+        cause: &'a str,
+        /// The number of the event; None if it has none.
+        number: Option<u64>,
+        /// The number of the last event that was accepted.
+        last_event: Option<u64>,
+        /// Events before it that were accepted but not passed on.
+        dropped: usize,
+    },
     /// The directory was read again, or a larger subset of it.
     DirectoryRead {
         /// The number of rows in memory.
--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -48,6 +48,7 @@
             Event::RequestAnswered { .. }
             | Event::RequestFailed { .. }
             | Event::AttemptFailed { .. }
+            | Event::EventRefused { .. }
             | Event::RequestHeld { .. }
             | Event::RequestReleased { .. }
             | Event::RequestTried { .. }
@@ -102,6 +103,8 @@
             Event::ItemMoved { .. } => Some(&ITEMS_MOVED),
             // A quarantined item asks for its trial several times a second.
             Event::TrialRefused { .. } => Some(&TRIALS_REFUSED),
+            // A faulty back end may spoil each of its streams.
+            Event::EventRefused { .. } => Some(&EVENTS_REFUSED),
             _ => None,
         }
     }
@@ -122,6 +125,7 @@
 static ITEMS_LISTED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
 static ITEMS_MOVED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
 static TRIALS_REFUSED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
+static EVENTS_REFUSED: RateLimiter = RateLimiter::new(ORDINARY_LINES_PER_SECOND);
 
 /// Returns the number of lines over their rate limit since the last call.
 pub(super) fn take_thinned() -> u64 {
@@ -132,6 +136,7 @@
         &ITEMS_LISTED,
         &ITEMS_MOVED,
         &TRIALS_REFUSED,
+        &EVENTS_REFUSED,
         &ROWS_UNREADABLE,
         &TASKS_PANICKED,
     ];
--- a/crates/sloetrail-serving/src/gateway/stream.rs
+++ b/crates/sloetrail-serving/src/gateway/stream.rs
@@ -15,6 +15,7 @@
 use crate::context::NodeContext;
 use crate::ended_incarnations::wait_until_ended;
 use crate::event_stream::EventParser;
+use crate::events::{self, Event};
 use crate::http::{AnswerBody, CompleteAnswer, Exchange, Reuse, SendFailure};
 use crate::quarantine::{LastEvent, QuarantinePermit, RunWatch};
 use crate::service_pools::SlotPermit;
@@ -407,17 +408,21 @@
     /// Parses a chunk and returns the events that it completes. Fails if an event's ID does not
     /// follow the previous one.
     fn parse(&mut self, chunk: &[u8]) -> Result<Bytes, SendFailure> {
-        let events = self.parser.push(chunk).map_err(|_| SendFailure::Lost)?;
+        let events = self.parser.push(chunk).map_err(|_| {
+            self.log_refused_event("malformed", None, 0);
+            SendFailure::Lost
+        })?;
         if let (false, Some(counted)) = (events.is_empty(), &mut self.source.counted) {
             counted.sent(self.source.sends);
         }
         let mut forwarded = Vec::new();
-        for event in events {
+        for (accepted, event) in events.into_iter().enumerate() {
             let follows = match (self.source.last_event.get(), event.id) {
                 (Some(last), Some(id)) => last.checked_add(1) == Some(id),
                 _ => true,
             };
             if !follows {
+                self.log_refused_event("number", event.id, accepted);
                 return Err(SendFailure::Lost);
             }
             if let Some(id) = event.id {
@@ -429,6 +434,18 @@
         Ok(Bytes::from(forwarded))
     }
 
+    fn log_refused_event(&self, cause: &str, number: Option<u64>, dropped: usize) {
+        let back_end = self.slot.as_ref().map(|slot| slot.back_end().id.as_str());
+        events::emit(&Event::EventRefused {
+            request: &self.source.call.outgoing.request_id,
+            back_end: back_end.unwrap_or_default(),
+            cause,
+            number,
+            last_event: self.source.last_event.get(),
+            dropped,
+        });
+    }
+
     /// Resumes the stream at another back end after the last forwarded event. Returns false if
     /// that is not possible.
     async fn resume(&mut self, failure: SendFailure) -> bool {
--- a/crates/sloetrail-serving/src/owner/run.rs
+++ b/crates/sloetrail-serving/src/owner/run.rs
@@ -6,6 +6,7 @@
 use crate::context::NodeContext;
 use crate::ended_incarnations::wait_until_ended;
 use crate::event_stream::{EventParser, StreamEvent};
+use crate::events::{self, Event};
 use crate::gateway::attempt::{
     AttemptResult, OutgoingRequest, build_request, classify_failure, classify_head, finish_exchange,
 };
@@ -327,6 +328,7 @@
                 };
             };
             let Ok(events) = parser.push(&chunk) else {
+                self.log_refused_event("malformed", None);
                 return RunOutcome::Lost;
             };
             for event in events {
@@ -345,9 +347,11 @@
             return Some(RunOutcome::WrongVersion);
         }
         let Some(number) = event.id else {
+            self.log_refused_event("number", None);
             return Some(RunOutcome::Lost);
         };
         if !self.append(number, event.data) {
+            self.log_refused_event("number", Some(number));
             return Some(RunOutcome::Lost);
         }
         let now = BootInstant::now();
@@ -359,6 +363,17 @@
         None
     }
 
+    fn log_refused_event(&self, cause: &str, number: Option<u64>) {
+        events::emit(&Event::EventRefused {
+            request: &self.spec.item.id,
+            back_end: self.spec.back_end.id.as_str(),
+            cause,
+            number,
+            last_event: self.spec.progress.last_event(),
+            dropped: 0,
+        });
+    }
+
     /// Returns false if the event number does not follow the last one.
     fn append(&self, number: u64, data: String) -> bool {
         let mut state = self.spec.progress.state();
