One spoilt event of a stream ends its source and nothing else

Cause: a stream noted each event of a read as forwarded before the read was returned, and a wrong number behind them dropped them all; an event without a number counted as the next one; nothing checked the first number, in streams and in texts.

Change: `SeriesReader` holds the rule for both. Events before a refused one are passed on. An event without a number after numbered ones, or the other way round, is refused. A first event that the second contradicts is dropped; if it was forwarded already, the third event tells which one is wrong, and the stream goes on after the first one or is closed. The text of an item keeps its first event once the second confirms it. Streams without numbers are not resumed from their start any more.

--- a/crates/sloetrail-serving-testkit/src/engine/connection.rs
+++ b/crates/sloetrail-serving-testkit/src/engine/connection.rs
@@ -112,11 +112,7 @@
             self.record_completion(record);
             return Ok(self.signed(StatusCode::OK, &id));
         };
-        let break_after = match fault {
-            EngineFault::BreaksOff(count) => Some(count),
-            _ => None,
-        };
-        Ok(self.series(record, &id, events, break_after))
+        Ok(self.series(record, &id, events, fault))
     }
 
     /// The result that a fault causes for a request that started to run. None if the run
@@ -137,6 +133,7 @@
             EngineFault::None
             | EngineFault::Refuses
             | EngineFault::BreaksOff(_)
+            | EngineFault::SpoilsNumber(_)
             | EngineFault::OrdersLate(_) => return None,
         };
         Some(Ok(answer))
@@ -148,7 +145,7 @@
         record: RecordGuard,
         id: &str,
         events: u64,
-        break_after: Option<usize>,
+        fault: EngineFault,
     ) -> Response<EngineBody> {
         let names = self.wire.headers();
         let version = self.current_version();
@@ -163,7 +160,14 @@
             next: first,
             last: events,
             version,
-            remaining: break_after,
+            remaining: match fault {
+                EngineFault::BreaksOff(count) => Some(count),
+                _ => None,
+            },
+            spoilt: match fault {
+                EngineFault::SpoilsNumber(spoilt) => Some(spoilt),
+                _ => None,
+            },
             field: names.weight_version.as_str().to_owned(),
         };
         let pieces = stream::unfold(source, Series::next);
--- a/crates/sloetrail-serving-testkit/src/engine/fault.rs
+++ b/crates/sloetrail-serving-testkit/src/engine/fault.rs
@@ -21,6 +21,8 @@
     Impossible,
     /// Breaks off each event stream after this many events.
     BreaksOff(usize),
+    /// Spoils the number of an event of each event stream.
+    SpoilsNumber(SpoiltNumber),
     /// Responds with the id of another request.
     WrongRequestId,
     /// Accepts the request and never responds.
@@ -28,3 +30,12 @@
     /// Leaves orders unanswered and applies them after this delay.
     OrdersLate(Duration),
 }
+
+/// An event whose number is spoilt. It leaves in one write with the event before it, the first event
+/// with the event after it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SpoiltNumber {
+    pub event: u64,
+    /// The number that the stream shows; None if it shows none.
+    pub shown: Option<u64>,
+}
--- a/crates/sloetrail-serving-testkit/src/engine/series.rs
+++ b/crates/sloetrail-serving-testkit/src/engine/series.rs
@@ -1,7 +1,7 @@
 //! The event stream of a run, generated at the event interval of the engine.
 
-use super::FakeEngine;
 use super::records::RecordGuard;
+use super::{FakeEngine, SpoiltNumber};
 use bytes::Bytes;
 use hyper::body::Frame;
 use std::io;
@@ -18,6 +18,7 @@
     pub(super) version: u64,
     /// Events until the stream breaks off; None if it does not.
     pub(super) remaining: Option<usize>,
+    pub(super) spoilt: Option<SpoiltNumber>,
     /// The name of the event field that announces a new weight version.
     pub(super) field: String,
 }
@@ -43,6 +44,21 @@
         self.remaining = self.remaining.map(|remaining| remaining - 1);
         let event_interval = self.engine.state().event_interval;
         tokio::time::sleep(event_interval).await;
+        let mut text = self.next_event();
+        while self.next <= self.last && self.leaves_with_previous(self.next) {
+            text.push_str(&self.next_event());
+        }
+        Some((Ok(Frame::data(Bytes::from(text))), self))
+    }
+
+    /// True if an event leaves in one write with the event before it.
+    fn leaves_with_previous(&self, number: u64) -> bool {
+        let spoilt = self.spoilt.map(|spoilt| spoilt.event);
+        spoilt.is_some_and(|spoilt| number == spoilt.max(2))
+    }
+
+    /// Generates and records the text of the next event.
+    fn next_event(&mut self) -> String {
         let version = self.engine.current_version();
         let mut text = String::new();
         if version != self.version {
@@ -50,9 +66,14 @@
             text.push_str(&format!("{}: {version}\n", self.field));
         }
         let (number, id) = (self.next, &self.id);
-        text.push_str(&format!("id: {number}\ndata: {id}/{number}/{version}\n\n"));
+        let spoilt = self.spoilt.filter(|spoilt| spoilt.event == number);
+        match spoilt.map_or(Some(number), |spoilt| spoilt.shown) {
+            Some(shown) => text.push_str(&format!("id: {shown}\n")),
+            None => text.push_str(&format!("ix: {number}\n")),
+        }
+        text.push_str(&format!("data: {id}/{number}/{version}\n\n"));
         self.engine.record_event(id, number, version);
         self.next += 1;
-        Some((Ok(Frame::data(Bytes::from(text))), self))
+        text
     }
 }
--- a/crates/sloetrail-serving/src/gateway/stream.rs
+++ b/crates/sloetrail-serving/src/gateway/stream.rs
@@ -14,7 +14,7 @@
 use super::slot_wait::{self, SlotWait};
 use crate::context::NodeContext;
 use crate::ended_incarnations::wait_until_ended;
-use crate::event_stream::EventParser;
+use crate::event_stream::{FirstEvent, RefusedEvent, SeriesReader};
 use crate::events::{self, Event};
 use crate::http::{AnswerBody, CompleteAnswer, Exchange, Reuse, SendFailure};
 use crate::quarantine::{LastEvent, QuarantinePermit, RunWatch};
@@ -129,10 +129,20 @@
     slot: Option<SlotPermit>,
     watch: Option<RunWatch>,
     body: AnswerBody,
-    parser: EventParser,
+    reader: SeriesReader,
+    /// True if the back end has sent an event that does not continue the stream.
+    is_refused: bool,
     is_over: bool,
 }
 
+/// What a back end has sent next.
+enum NextPart {
+    /// Complete events.
+    Events(Bytes),
+    End,
+    Failed(SendFailure),
+}
+
 impl EventSource {
     fn new(call: LiveCall) -> Self {
         let names = call.context.dialect.headers();
@@ -335,13 +345,19 @@
         body: AnswerBody,
         watch: RunWatch,
     ) -> BoxStream<'static, io::Result<Bytes>> {
-        let parser = EventParser::new(self.call.context.weight_version_field());
+        let reader = SeriesReader::new(
+            self.call.context.weight_version_field(),
+            self.last_event.get(),
+            // Callers wait for the first event.
+            FirstEvent::Immediately,
+        );
         let forwarded = ForwardedStream {
             source: self,
             slot: Some(slot),
             watch: Some(watch),
             body,
-            parser,
+            reader,
+            is_refused: false,
             is_over: false,
         };
         stream::unfold(forwarded, ForwardedStream::next).boxed()
@@ -352,28 +368,16 @@
     /// Returns the next complete events, or the error that closes the response; `None` at the end.
     async fn next(mut self) -> Option<(io::Result<Bytes>, Self)> {
         while !self.is_over {
-            let chunk_deadline = self
-                .source
-                .call
-                .deadline
-                .min(BootInstant::now() + EVENT_TIMEOUT);
-            let chunk = self.next_chunk(chunk_deadline).await;
-            let failure = match chunk {
-                Ok(Ok(Some(chunk))) => match self.parse(&chunk) {
-                    Ok(events) if events.is_empty() => continue,
-                    Ok(events) => return Some((Ok(events), self)),
-                    Err(failure) => failure,
-                },
-                Ok(Ok(None)) if !self.parser.is_within_event() => {
+            let failure = match self.next_part().await {
+                NextPart::Events(events) => return Some((Ok(events), self)),
+                NextPart::End => {
                     if let Some(watch) = self.watch.take() {
                         watch.answered();
                     }
                     self.release_slot(AttemptOutcome::Answered);
                     return None;
                 }
-                Ok(Ok(None)) => SendFailure::Lost,
-                Ok(Err(failure)) => failure,
-                Err(_) => SendFailure::TimedOut,
+                NextPart::Failed(failure) => failure,
             };
             if !self.resume(failure).await {
                 self.is_over = true;
@@ -385,6 +389,28 @@
         None
     }
 
+    async fn next_part(&mut self) -> NextPart {
+        while !self.is_refused {
+            let chunk_deadline = self
+                .source
+                .call
+                .deadline
+                .min(BootInstant::now() + EVENT_TIMEOUT);
+            let chunk = match self.next_chunk(chunk_deadline).await {
+                Ok(Ok(Some(chunk))) => chunk,
+                Ok(Ok(None)) if self.reader.may_end() => return NextPart::End,
+                Ok(Ok(None)) => return NextPart::Failed(SendFailure::Lost),
+                Ok(Err(failure)) => return NextPart::Failed(failure),
+                Err(_) => return NextPart::Failed(SendFailure::TimedOut),
+            };
+            let events = self.accept(&chunk);
+            if !events.is_empty() {
+                return NextPart::Events(events);
+            }
+        }
+        NextPart::Failed(SendFailure::Lost)
+    }
+
     /// Returns the next bytes, or `Lost` once the back end's incarnation is known to have ended.
     async fn next_chunk(
         &mut self,
@@ -405,43 +431,36 @@
         }
     }
 
-    /// Parses a chunk and returns the events that it completes. Fails if an event's ID does not
-    /// follow the previous one.
-    fn parse(&mut self, chunk: &[u8]) -> Result<Bytes, SendFailure> {
-        let events = self.parser.push(chunk).map_err(|_| {
-            self.log_refused_event("malformed", None, 0);
-            SendFailure::Lost
-        })?;
-        if let (false, Some(counted)) = (events.is_empty(), &mut self.source.counted) {
+    /// Returns the events to forward that a chunk completes. The events before a refused one are
+    /// forwarded before the stream is resumed.
+    fn accept(&mut self, chunk: &[u8]) -> Bytes {
+        let part = self.reader.push(chunk);
+        if let Some(refused) = part.refused {
+            self.is_refused = true;
+            self.log_refused_event(refused, part.accepted - part.events.len());
+        }
+        if let (false, Some(counted)) = (part.events.is_empty(), &mut self.source.counted) {
             counted.sent(self.source.sends);
         }
         let mut forwarded = Vec::new();
-        for (accepted, event) in events.into_iter().enumerate() {
-            let follows = match (self.source.last_event.get(), event.id) {
-                (Some(last), Some(id)) => last.checked_add(1) == Some(id),
-                _ => true,
-            };
-            if !follows {
-                self.log_refused_event("number", event.id, accepted);
-                return Err(SendFailure::Lost);
-            }
+        for event in part.events {
             if let Some(id) = event.id {
                 self.source.last_event.set(id);
             }
             self.source.has_forwarded_events = true;
             forwarded.extend_from_slice(event.raw.as_bytes());
         }
-        Ok(Bytes::from(forwarded))
+        Bytes::from(forwarded)
     }
 
-    fn log_refused_event(&self, cause: &str, number: Option<u64>, dropped: usize) {
+    fn log_refused_event(&self, refused: RefusedEvent, dropped: usize) {
         let back_end = self.slot.as_ref().map(|slot| slot.back_end().id.as_str());
         events::emit(&Event::EventRefused {
             request: &self.source.call.outgoing.request_id,
             back_end: back_end.unwrap_or_default(),
-            cause,
-            number,
-            last_event: self.source.last_event.get(),
+            cause: refused.cause(),
+            number: refused.number,
+            last_event: refused.last_event,
             dropped,
         });
     }
@@ -458,7 +477,7 @@
             // Other connections may have become unresponsive at the same time.
             self.source.reuse = self.source.reuse.after_attempt_at(BootInstant::now());
         }
-        if !self.source.call.route.resumable {
+        if !self.source.call.route.resumable || !self.reader.can_continue() {
             return false;
         }
         match self.source.connect().await {
@@ -466,7 +485,8 @@
                 self.slot = Some(open.slot);
                 self.watch = Some(open.watch);
                 self.body = open.body;
-                self.parser = EventParser::new(self.source.call.context.weight_version_field());
+                self.reader.start_source();
+                self.is_refused = false;
                 true
             }
             OpenResult::Refused(_) | OpenResult::Failed(_) => false,
--- a/crates/sloetrail-serving/src/owner/run.rs
+++ b/crates/sloetrail-serving/src/owner/run.rs
@@ -5,7 +5,7 @@
 use crate::back_end::BackEnd;
 use crate::context::NodeContext;
 use crate::ended_incarnations::wait_until_ended;
-use crate::event_stream::{EventParser, StreamEvent};
+use crate::event_stream::{FirstEvent, RefusedEvent, SeriesReader, StreamEvent};
 use crate::events::{self, Event};
 use crate::gateway::attempt::{
     AttemptResult, OutgoingRequest, build_request, classify_failure, classify_head, finish_exchange,
@@ -309,7 +309,11 @@
     }
 
     async fn read_events(&mut self, mut body: AnswerBody, first_due: BootInstant) -> RunOutcome {
-        let mut parser = EventParser::new(self.spec.context.weight_version_field());
+        let mut reader = SeriesReader::new(
+            self.spec.context.weight_version_field(),
+            self.spec.progress.state().transcript.last_number(),
+            FirstEvent::Confirmed,
+        );
         loop {
             let due = match self.last_event_at {
                 None => first_due,
@@ -321,21 +325,46 @@
                 Err(_) => return RunOutcome::Unresponsive,
             };
             let Some(chunk) = chunk else {
-                let is_empty = self.spec.progress.state().transcript.is_empty();
-                return match parser.is_within_event() || is_empty {
-                    true => RunOutcome::Lost,
-                    false => RunOutcome::Completed,
-                };
+                return self.end_of_events(reader);
             };
-            let Ok(events) = parser.push(&chunk) else {
-                self.log_refused_event("malformed", None);
-                return RunOutcome::Lost;
-            };
-            for event in events {
+            let part = reader.push(&chunk);
+            self.record_arrivals(part.accepted);
+            for event in part.events {
                 if let Some(outcome) = self.apply_event(event) {
                     return outcome;
                 }
             }
+            if let Some(refused) = part.refused {
+                self.log_refused_event(refused);
+                return RunOutcome::Lost;
+            }
+        }
+    }
+
+    /// Returns the outcome of a run whose answer has ended.
+    fn end_of_events(&mut self, mut reader: SeriesReader) -> RunOutcome {
+        if !reader.may_end() {
+            return RunOutcome::Lost;
+        }
+        let outcome = reader.finish().and_then(|only| self.apply_event(only));
+        if let Some(outcome) = outcome {
+            return outcome;
+        }
+        match self.spec.progress.state().transcript.is_empty() {
+            true => RunOutcome::Lost,
+            false => RunOutcome::Completed,
+        }
+    }
+
+    /// Records that events have arrived now.
+    fn record_arrivals(&mut self, events: usize) {
+        let now = BootInstant::now();
+        for _ in 0..events {
+            if let Some(previous) = self.last_event_at.replace(now) {
+                self.spec
+                    .event_interval
+                    .record(now.saturating_duration_since(previous));
+            }
         }
     }
 
@@ -346,30 +375,19 @@
         {
             return Some(RunOutcome::WrongVersion);
         }
-        let Some(number) = event.id else {
-            self.log_refused_event("number", None);
-            return Some(RunOutcome::Lost);
-        };
-        if !self.append(number, event.data) {
-            self.log_refused_event("number", Some(number));
-            return Some(RunOutcome::Lost);
-        }
-        let now = BootInstant::now();
-        if let Some(previous) = self.last_event_at.replace(now) {
-            self.spec
-                .event_interval
-                .record(now.saturating_duration_since(previous));
-        }
-        None
+        let is_appended = event
+            .id
+            .is_some_and(|number| self.append(number, event.data));
+        (!is_appended).then_some(RunOutcome::Lost)
     }
 
-    fn log_refused_event(&self, cause: &str, number: Option<u64>) {
+    fn log_refused_event(&self, refused: RefusedEvent) {
         events::emit(&Event::EventRefused {
             request: &self.spec.item.id,
             back_end: self.spec.back_end.id.as_str(),
-            cause,
-            number,
-            last_event: self.spec.progress.last_event(),
+            cause: refused.cause(),
+            number: refused.number,
+            last_event: refused.last_event,
             dropped: 0,
         });
     }
--- a/crates/sloetrail-serving/tests/batches.rs
+++ b/crates/sloetrail-serving/tests/batches.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 use sloetrail_serving_testkit::client::{batch, item, with_reward};
 use sloetrail_serving_testkit::cluster::{HOST, MODEL, eventually};
-use sloetrail_serving_testkit::engine::{EngineFault, RunRecord};
+use sloetrail_serving_testkit::engine::{EngineFault, RunRecord, SpoiltNumber};
 use sloetrail_serving_testkit::stopwatch::Stopwatch;
 use sloetrail_serving_testkit::table::CommitFault;
 use std::collections::BTreeSet;
@@ -314,6 +314,22 @@
     assert!(continued.count() >= 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn texts_keep_no_first_event_that_the_second_contradicts() {
+    let cluster = usual_cluster(EVENT_INTERVAL).await;
+    let spoilt = SpoiltNumber {
+        event: 1,
+        shown: Some(3),
+    };
+    for engine in &cluster.engines {
+        if engine.service == "models" {
+            engine.set_fault(EngineFault::SpoilsNumber(spoilt), Some(2));
+        }
+    }
+    accepted(&cluster, 0, "b1", &batch(&items(4, 10), MODEL, 1)).await;
+    assert_complete(&cluster.wait_results(0, "b1", 4).await, 4, 10);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn engines_get_items_again_after_connection_resets() {
     let cluster = usual_cluster(Duration::from_millis(15)).await;
--- a/crates/sloetrail-serving/tests/streams.rs
+++ b/crates/sloetrail-serving/tests/streams.rs
@@ -5,7 +5,7 @@
 use http::Method;
 use sloetrail_serving_testkit::client::{Answer, Call};
 use sloetrail_serving_testkit::cluster::{Cluster, HOST};
-use sloetrail_serving_testkit::engine::EngineFault;
+use sloetrail_serving_testkit::engine::{EngineFault, SpoiltNumber};
 use std::time::Duration;
 use support::native_cluster;
 
@@ -66,6 +66,42 @@
     );
 }
 
+/// Returns the events that a caller reads if a back end spoils the number of one event.
+async fn events_with_spoilt_number(event: u64, shown: Option<u64>) -> Vec<(u64, String)> {
+    let cluster = cluster().await;
+    for engine in &cluster.engines {
+        let spoilt = SpoiltNumber { event, shown };
+        engine.set_fault(EngineFault::SpoilsNumber(spoilt), Some(1));
+    }
+    let answer = events(&cluster, "/events/x", "events=9").await;
+    let answer = answer.expect("a complete answer");
+    let text = answer.text();
+    let data = text.lines().filter_map(|line| line.strip_prefix("data: "));
+    let data = data.map(str::to_owned);
+    event_ids(&answer).into_iter().zip(data).collect()
+}
+
+fn whole_series() -> Vec<(u64, String)> {
+    let event = |number: u64| (number, format!("s1/{number}/0"));
+    (1..=9).map(event).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn events_before_a_wrong_number_in_the_same_read_are_not_lost() {
+    assert_eq!(events_with_spoilt_number(5, Some(7)).await, whole_series());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_event_without_a_number_is_not_sent_twice() {
+    assert_eq!(events_with_spoilt_number(5, None).await, whole_series());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_first_event_that_the_second_contradicts_is_not_forwarded() {
+    assert_eq!(events_with_spoilt_number(1, Some(3)).await, whole_series());
+    assert_eq!(events_with_spoilt_number(1, None).await, whole_series());
+}
+
 /// The caller of a started stream can neither be refused nor retry.
 #[tokio::test(flavor = "multi_thread")]
 async fn broken_streams_wait_for_a_back_end() {
