Streams without a signature are not forwarded

Cause: the signature was checked with the body of a complete answer, and a stream has none. Ruled out: that the node drops the signature of a signed stream; such a stream arrives with it.

Change: `classify_head` refuses a success without a signature, for streams, items and complete answers alike. The request is then tried at another back end as after any lost answer.

--- a/crates/sloetrail-serving-testkit/src/engine/connection.rs
+++ b/crates/sloetrail-serving-testkit/src/engine/connection.rs
@@ -110,7 +110,7 @@
             let event_interval = self.state().event_interval;
             tokio::time::sleep(event_interval).await;
             self.record_completion(record);
-            return Ok(self.signed(StatusCode::OK, &id));
+            return Ok(self.success(&id, fault));
         };
         Ok(self.series(record, &id, events, fault))
     }
@@ -134,6 +134,7 @@
             | EngineFault::Refuses
             | EngineFault::BreaksOff(_)
             | EngineFault::SpoilsNumber(_)
+            | EngineFault::Unsigned
             | EngineFault::OrdersLate(_) => return None,
         };
         Some(Ok(answer))
@@ -150,7 +151,7 @@
         let names = self.wire.headers();
         let version = self.current_version();
         let first = record.first_event;
-        let mut response = self.signed(StatusCode::OK, id);
+        let mut response = self.success(id, fault);
         let headers = response.headers_mut();
         headers.insert(names.weight_version.clone(), HeaderValue::from(version));
         let source = Series {
@@ -195,6 +196,16 @@
         response
     }
 
+    /// A response with status 200, signed unless the fault removes the signature.
+    fn success(&self, id: &str, fault: EngineFault) -> Response<EngineBody> {
+        let mut response = self.signed(StatusCode::OK, id);
+        if fault == EngineFault::Unsigned {
+            let names = self.wire.headers();
+            response.headers_mut().remove(&names.signature);
+        }
+        response
+    }
+
     /// A response with the request id and a signature.
     fn signed(&self, status: StatusCode, id: &str) -> Response<EngineBody> {
         let names = self.wire.headers();
--- a/crates/sloetrail-serving-testkit/src/engine/fault.rs
+++ b/crates/sloetrail-serving-testkit/src/engine/fault.rs
@@ -25,6 +25,8 @@
     SpoilsNumber(SpoiltNumber),
     /// Responds with the id of another request.
     WrongRequestId,
+    /// Responds 200 without a signature.
+    Unsigned,
     /// Accepts the request and never responds.
     Silent,
     /// Leaves orders unanswered and applies them after this delay.
--- a/crates/sloetrail-serving/src/gateway/attempt.rs
+++ b/crates/sloetrail-serving/src/gateway/attempt.rs
@@ -164,7 +164,7 @@
         return finish_exchange(exchange, result);
     }
     match exchange.read_to_end(context.answer_limit(), deadline).await {
-        Ok(answer) => classify_answer(answer, names),
+        Ok(answer) => classify_answer(answer),
         Err(failure) => classify_failure(failure),
     }
 }
@@ -178,8 +178,8 @@
     result
 }
 
-/// Classifies an answer by its head: not run, another back end, or an answer to another
-/// request. Returns `None` if the body has to be read.
+/// Classifies an answer by its head: not run, another back end, an answer to another request, or
+/// a success without a signature. Returns `None` if the body has to be read.
 pub(crate) fn classify_head(
     status: StatusCode,
     head: &HeaderMap,
@@ -193,15 +193,13 @@
         return Some(AttemptResult::NotRun);
     }
     let echoed = headers::text(head, &names.request_id);
-    (echoed != Some(&outgoing.request_id)).then_some(AttemptResult::Lost)
+    let is_own = echoed == Some(&outgoing.request_id);
+    let is_signed = !status.is_success() || head.contains_key(&names.signature);
+    (!is_own || !is_signed).then_some(AttemptResult::Lost)
 }
 
-/// Classifies a complete answer. A success without a signature counts as lost.
-pub(crate) fn classify_answer(answer: CompleteAnswer, names: &HeaderNames) -> AttemptResult {
-    let is_signed = answer.headers.contains_key(&names.signature);
-    if answer.status.is_success() && !is_signed {
-        return AttemptResult::Lost;
-    }
+/// Classifies a complete answer whose head [`classify_head`] has accepted.
+pub(crate) fn classify_answer(answer: CompleteAnswer) -> AttemptResult {
     let is_failure = answer.status.is_server_error()
         || answer.status == StatusCode::TOO_MANY_REQUESTS
         || answer.status == StatusCode::REQUEST_TIMEOUT;
--- a/crates/sloetrail-serving/src/gateway/stream.rs
+++ b/crates/sloetrail-serving/src/gateway/stream.rs
@@ -290,7 +290,7 @@
         let context = &self.call.context;
         let limit = context.answer_limit();
         match exchange.read_to_end(limit, self.call.deadline).await {
-            Ok(answer) => classify_answer(answer, context.dialect.headers()),
+            Ok(answer) => classify_answer(answer),
             Err(failure) => classify_failure(failure),
         }
     }
--- a/crates/sloetrail-serving/tests/batches.rs
+++ b/crates/sloetrail-serving/tests/batches.rs
@@ -330,6 +330,23 @@
     assert_complete(&cluster.wait_results(0, "b1", 4).await, 4, 10);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn texts_of_streams_without_a_signature_are_not_kept() {
+    let cluster = usual_cluster(EVENT_INTERVAL).await;
+    let engines = cluster.engines.iter();
+    let engines: Vec<_> = engines
+        .filter(|engine| engine.service == "models")
+        .collect();
+    for engine in &engines {
+        engine.set_fault(EngineFault::Unsigned, Some(3));
+    }
+    accepted(&cluster, 0, "b1", &batch(&items(4, 5), MODEL, 1)).await;
+    assert_complete(&cluster.wait_results(0, "b1", 4).await, 4, 5);
+    let runs = engines.iter().flat_map(|engine| engine.runs());
+    let from_start = runs.filter(|run| run.last_event.is_none()).count();
+    assert_eq!(from_start, 4 + 3 * engines.len());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn engines_get_items_again_after_connection_resets() {
     let cluster = usual_cluster(Duration::from_millis(15)).await;
--- a/crates/sloetrail-serving/tests/streams.rs
+++ b/crates/sloetrail-serving/tests/streams.rs
@@ -148,6 +148,26 @@
     assert_eq!(runs, 1);
 }
 
+/// Makes each back end open `count` streams without a signature; all if None.
+async fn answer_of_unsigned_streams(count: Option<usize>) -> Answer {
+    let cluster = cluster().await;
+    for engine in &cluster.engines {
+        engine.set_fault(EngineFault::Unsigned, count);
+    }
+    let answer = events(&cluster, "/events/x", "events=9").await;
+    answer.expect("an answer")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_without_a_signature_are_not_forwarded() {
+    let refused = answer_of_unsigned_streams(None).await;
+    assert_eq!(refused.json()["code"], 1202, "{}", refused.text());
+    let signed = answer_of_unsigned_streams(Some(1)).await;
+    assert_eq!(event_ids(&signed), (1..=9).collect::<Vec<u64>>());
+    let signature = &native_cluster().names().signature;
+    assert_eq!(signed.header(signature), Some("signed s1"));
+}
+
 /// Callers take a 429 as proof that the request did not run. An overloaded back end may have run
 /// it, so its 429 must not be forwarded.
 #[tokio::test(flavor = "multi_thread")]
