Nodes of tests start at another metrics port if theirs was taken

Cause: four tests gave a free port up before their node bound it (`free_address`, three copies, and one in place). That this was the cause is believed, not traced.

Change: `Cluster::has_metrics` in place of an address. The cluster draws one, starts the node with another if that was taken, and the node tells it.

The three other tests pass.

--- a/crates/sloetrail-serving-testkit/src/cluster.rs
+++ b/crates/sloetrail-serving-testkit/src/cluster.rs
@@ -12,7 +12,6 @@
 use crate::wire::EngineWire;
 use http::Method;
 use serde_json::{Value, json};
-use sloetrail_serving::ControlServices;
 use sloetrail_serving::dialect::{Dialect, HeaderNames};
 use sloetrail_serving::engine_supply::EngineSupply;
 use sloetrail_serving::policies::Policies;
@@ -21,8 +20,9 @@
 };
 use sloetrail_serving::table::{RowAddress, Table};
 use sloetrail_serving::usage::UsageRecipient;
+use sloetrail_serving::{ControlServices, StartError};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -32,6 +32,8 @@
 pub const MODELS: &str = "models";
 pub const MODEL: &str = "m";
 
+/// Starts of a node whose address for metrics another process has taken in the meantime.
+const MAX_STARTS: usize = 5;
 /// Short, so that takeovers complete quickly.
 const LEASE_MS: u64 = 500;
 /// Longer than a lease, as in the default settings.
@@ -73,8 +75,8 @@
     /// The API key that [`Self::with_api_key`] adds to calls.
     pub api_key: Option<String>,
     pub policies: Policies,
-    /// Where the next node serves its metrics.
-    pub metrics_address: Option<SocketAddr>,
+    /// True if the next nodes serve their metrics, at [`NodeProcess::metrics`].
+    pub has_metrics: bool,
     /// Models of the engines besides [`MODEL`].
     pub other_models: Vec<&'static str>,
     /// Model services of the configuration besides [`MODELS`].
@@ -109,7 +111,7 @@
             tenants: None,
             api_key: None,
             policies: Policies::default(),
-            metrics_address: None,
+            has_metrics: false,
             other_models: Vec::new(),
             other_services: Vec::new(),
             removed_services: Vec::new(),
@@ -273,7 +275,38 @@
 
     /// Starts a node and returns its index.
     pub async fn add_node_in(&mut self, zone: &str, name: &str) -> usize {
-        let raw = self.raw_settings(zone, name);
+        let has_metrics = self.has_metrics;
+        let addresses = std::iter::repeat_with(|| has_metrics.then(free_address));
+        let addresses = addresses.take(MAX_STARTS);
+        let node = self.start_node(zone, name, addresses).await;
+        self.nodes.push(node);
+        self.nodes.len() - 1
+    }
+
+    /// Starts a node that serves its metrics at the first of the addresses that is still free.
+    async fn start_node(
+        &self,
+        zone: &str,
+        name: &str,
+        metrics_addresses: impl IntoIterator<Item = Option<SocketAddr>>,
+    ) -> NodeProcess {
+        let mut refused = None;
+        for metrics_address in metrics_addresses {
+            match self.try_start_node(zone, name, metrics_address).await {
+                Ok(node) => return node,
+                Err(error) => refused = Some(error),
+            }
+        }
+        panic!("no start of {name} succeeded: {refused:?}");
+    }
+
+    async fn try_start_node(
+        &self,
+        zone: &str,
+        name: &str,
+        metrics_address: Option<SocketAddr>,
+    ) -> Result<NodeProcess, StartError> {
+        let raw = self.raw_settings(zone, name, metrics_address);
         let incarnation = NEXT_INCARNATION.fetch_add(1, Ordering::Relaxed);
         let settings = ServingSettings::check(raw, incarnation).expect("valid settings");
         let link = TableLink::new(Arc::clone(&self.table));
@@ -283,12 +316,15 @@
             usage_recipient: self.recipient.clone(),
             engine_supply: self.engine_supply.clone(),
         };
-        let node = NodeProcess::start(settings, link, table, dialect, services).await;
-        self.nodes.push(node);
-        self.nodes.len() - 1
+        NodeProcess::start(settings, link, table, dialect, services).await
     }
 
-    fn raw_settings(&self, zone: &str, name: &str) -> RawServingSettings {
+    fn raw_settings(
+        &self,
+        zone: &str,
+        name: &str,
+        metrics_address: Option<SocketAddr>,
+    ) -> RawServingSettings {
         let any: SocketAddr = "127.0.0.1:0".parse().expect("valid socket address");
         RawServingSettings {
             node: name.to_owned(),
@@ -298,7 +334,7 @@
             callers_address: any,
             ready_address: any,
             peer_address: self.peers.then_some(any),
-            metrics_address: self.metrics_address,
+            metrics_address,
             lease_ms: Some(self.lease_ms),
             order_gap_ms: Some(ORDER_GAP_MS),
             grace_s: Some(4.0),
@@ -413,3 +449,12 @@
     }
     counts
 }
+
+/// Returns an address that was free a moment ago. Nodes bind their other ports elsewhere.
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.2:0").expect("a free port");
+    listener.local_addr().expect("bound")
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/sloetrail-serving-testkit/src/cluster/node_process.rs
+++ b/crates/sloetrail-serving-testkit/src/cluster/node_process.rs
@@ -5,7 +5,7 @@
 use sloetrail_serving::dialect::Dialect;
 use sloetrail_serving::settings::ServingSettings;
 use sloetrail_serving::table::Table;
-use sloetrail_serving::{ControlServices, ServingNode};
+use sloetrail_serving::{ControlServices, ServingNode, StartError};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -19,6 +19,8 @@
     pub callers: SocketAddr,
     /// The address of the readiness endpoint.
     pub ready: SocketAddr,
+    /// The address of the metrics and of what operators ask; None if there is none.
+    pub metrics: Option<SocketAddr>,
     pub link: Arc<TableLink>,
     runtime: Handle,
     kill: Option<oneshot::Sender<()>>,
@@ -34,7 +36,8 @@
         table: Arc<dyn Table>,
         dialect: Arc<dyn Dialect>,
         services: ControlServices,
-    ) -> Self {
+    ) -> Result<Self, StartError> {
+        let metrics = settings.metrics_address;
         let (stop, stopped) = oneshot::channel();
         let (kill, killed) = oneshot::channel();
         let (started, addresses) = oneshot::channel();
@@ -48,16 +51,18 @@
             killed,
         };
         let thread = std::thread::spawn(move || start.run());
-        let (callers, ready, runtime) = addresses.await.expect("the node reports its addresses");
-        Self {
+        let started = addresses.await.expect("the node reports its addresses");
+        let (callers, ready, runtime) = started?;
+        Ok(Self {
             callers,
             ready,
+            metrics,
             link,
             runtime,
             kill: Some(kill),
             stop: Some(stop),
             thread: Some(thread),
-        }
+        })
     }
 
     /// Ends the node abruptly and waits for its thread.
@@ -105,7 +110,7 @@
     table: Arc<dyn Table>,
     dialect: Arc<dyn Dialect>,
     services: ControlServices,
-    started: oneshot::Sender<(SocketAddr, SocketAddr, Handle)>,
+    started: oneshot::Sender<Result<(SocketAddr, SocketAddr, Handle), StartError>>,
     stopped: oneshot::Receiver<()>,
     killed: oneshot::Receiver<()>,
 }
@@ -121,10 +126,16 @@
         let serving = async move {
             let (settings, services) = (self.settings, self.services);
             let node = ServingNode::start(settings, self.table, self.dialect, services);
-            let node = node.await.expect("node starts");
+            let node = match node.await {
+                Ok(node) => node,
+                Err(error) => {
+                    self.started.send(Err(error)).expect("start is awaited");
+                    return;
+                }
+            };
             let runtime = Handle::current();
             let started = (node.callers_address(), node.ready_address(), runtime);
-            self.started.send(started).expect("start is awaited");
+            self.started.send(Ok(started)).expect("start is awaited");
             match self.stopped.await {
                 Ok(()) => node.stop().await,
                 Err(_) => std::future::pending().await,
--- a/crates/sloetrail-serving/tests/admission_counts.rs
+++ b/crates/sloetrail-serving/tests/admission_counts.rs
@@ -7,17 +7,12 @@
 use serde_json::json;
 use sloetrail_serving_testkit::client::{Call, batch};
 use sloetrail_serving_testkit::cluster::{Cluster, HOST, MODEL, eventually, usual_routes};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use support::{accepted, items, native_cluster};
 
 const RUN_TARGET: Duration = Duration::from_secs(4);
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.2:0").expect("a free port");
-    listener.local_addr().expect("bound")
-}
-
 /// Returns the value of a metric of the models service; None if it is not set.
 async fn metric(operators: SocketAddr, name: &str) -> Option<f64> {
     let answer = Call::new(Method::GET, HOST, "/").send(operators).await?;
@@ -27,9 +22,10 @@
     line.parse().ok()
 }
 
-async fn cluster(operators: SocketAddr) -> Cluster {
+/// Returns a cluster of one node, and the address of its metrics.
+async fn cluster() -> (Cluster, SocketAddr) {
     let mut cluster = native_cluster();
-    cluster.metrics_address = Some(operators);
+    cluster.has_metrics = true;
     let mut routes = usual_routes();
     routes[3]["run_target_ms"] = json!(RUN_TARGET.as_millis() as u64);
     cluster.configure(routes);
@@ -37,14 +33,14 @@
     cluster.add_engine(Duration::from_millis(20)).await;
     let node = cluster.add_node("node-1").await;
     cluster.wait_ready(node).await;
-    cluster
+    let metrics = cluster.nodes[node].metrics.expect("a metrics address");
+    (cluster, metrics)
 }
 
 /// Guards against refusals, in error or not, and late batches that no operator sees.
 #[tokio::test(flavor = "multi_thread")]
 async fn refused_and_late_batches_are_counted() {
-    let operators = free_address();
-    let cluster = cluster(operators).await;
+    let (cluster, operators) = cluster().await;
     let short = batch(&items(16, 10), MODEL, 1);
     accepted(&cluster, 0, "warm", &short).await;
     cluster.wait_results(0, "warm", 16).await;
--- a/crates/sloetrail-serving/tests/evacuation.rs
+++ b/crates/sloetrail-serving/tests/evacuation.rs
@@ -8,7 +8,7 @@
 use sloetrail_serving_testkit::cluster::{Cluster, HOST, MODEL, eventually, usual_routes};
 use sloetrail_serving_testkit::engine::{EngineFault, FakeEngine};
 use sloetrail_serving_testkit::stopwatch::Stopwatch;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use support::{
@@ -127,13 +127,9 @@
     const ITEMS: &str = "sloetrail_evacuation_running{zone=\"zone-a\",kind=\"items\"}";
     let mut cluster = native_cluster();
     let own = Zone::start(&mut cluster, OWN, Duration::from_millis(20)).await;
-    // Uses 127.0.0.2: the node binds its other ports at 127.0.0.1, where the system may
-    // reassign the port that was just released.
-    let free = TcpListener::bind("127.0.0.2:0").expect("a free port");
-    let metrics = free.local_addr().expect("an address");
-    drop(free);
-    cluster.metrics_address = Some(metrics);
+    cluster.has_metrics = true;
     add_nodes(&mut cluster, 1).await;
+    let metrics = cluster.nodes[0].metrics.expect("a metrics address");
     submit_items(&cluster, 0, "b1", 4, 150).await;
     wait_running(&own.engine, 4).await;
     assert_eq!(gauge(metrics, SECONDS).await, None, "never evacuated");
--- a/crates/sloetrail-serving/tests/panic_log.rs
+++ b/crates/sloetrail-serving/tests/panic_log.rs
@@ -11,28 +11,22 @@
 use sloetrail_serving_testkit::client::Call;
 use sloetrail_serving_testkit::cluster::{Cluster, HOST, eventually, usual_routes};
 use sloetrail_serving_testkit::wire::NativeWire;
-use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use support::log_reader::LogReader;
 use support::panicking::{PANIC_KEY, PanickingDialect};
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn panics_and_held_numbers_are_logged_and_counted() {
     let reader = LogReader::default();
     events::start_with(LevelFilter::Info, "node-1", reader.clone()).expect("starts");
     tasks::install_panic_hook();
-    let metrics = free_address();
     let dialect = Arc::new(PanickingDialect::default());
     let mut cluster = Cluster::new(Arc::new(NativeWire), dialect);
-    cluster.metrics_address = Some(metrics);
+    cluster.has_metrics = true;
     cluster.add_application("zone-a").await;
     let node = cluster.add_node("node-1").await;
     cluster.wait_ready(node).await;
+    let metrics = cluster.nodes[node].metrics.expect("a metrics address");
     let row = RowAddress::new("back_ends", "", PANIC_KEY);
     cluster.table.write(row, "a-secret-of-the-row");
     let mut routes = usual_routes();
--- a/crates/sloetrail-serving/tests/quarantine_under_failure.rs
+++ b/crates/sloetrail-serving/tests/quarantine_under_failure.rs
@@ -7,7 +7,6 @@
 use sloetrail_serving_testkit::client::Call;
 use sloetrail_serving_testkit::cluster::{HOST, eventually};
 use sloetrail_serving_testkit::table::CommitFault;
-use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 use support::client_cluster;
 use support::fragile::{
@@ -128,20 +127,13 @@
     }
 }
 
-/// Returns an address on 127.0.0.2: the node binds its other ports at 127.0.0.1, where the system
-/// may reassign a port that was just released.
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.2:0").expect("a free port");
-    listener.local_addr().expect("bound")
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn an_operator_lists_and_releases_quarantined_requests() {
     let mut cluster = client_cluster();
-    let operators = free_address();
-    cluster.metrics_address = Some(operators);
+    cluster.has_metrics = true;
     let mut fragile = FragileCluster::with_cluster(cluster, 1).await;
-    fragile.cluster.metrics_address = None;
+    let operators = fragile.cluster.nodes[0].metrics.expect("a metrics address");
+    fragile.cluster.has_metrics = false;
     fragile.add_node("node-2").await;
     fragile.crash_three("/live/x").await;
     fragile.wait_quarantined(0, "/live/x").await;
