A run that is lost after its first event is reported with that event

Cause: the text of an item holds its first event back until the second one confirms it, and the progress of the run, which a crash report carries, was taken from the text. A run that had got one event was reported with none, so that fewer crashes were excused by progress.

Change: the progress is set when an event arrives.

--- a/crates/sloetrail-serving/src/event_stream/series.rs
+++ b/crates/sloetrail-serving/src/event_stream/series.rs
@@ -50,6 +50,8 @@
     pub(crate) events: Vec<StreamEvent>,
     /// Number of accepted events, with a first one that is not passed on.
     pub(crate) accepted: usize,
+    /// The number of the last accepted event.
+    pub(crate) last_accepted: Option<u64>,
     /// The event after the accepted ones, if it ends the source.
     pub(crate) refused: Option<RefusedEvent>,
 }
@@ -184,6 +186,7 @@
         };
         self.position = position;
         part.accepted += 1;
+        part.last_accepted = event.id;
         if matches!(position, Position::First(_)) {
             self.held = Some(event);
             return Ok(());
--- a/crates/sloetrail-serving/src/owner/run.rs
+++ b/crates/sloetrail-serving/src/owner/run.rs
@@ -329,6 +329,10 @@
             };
             let part = reader.push(&chunk);
             self.record_arrivals(part.accepted);
+            if let Some(number) = part.last_accepted {
+                // Also of an event that the text does not hold yet: the run has got so far.
+                self.spec.progress.last_event.set(number);
+            }
             for event in part.events {
                 if let Some(outcome) = self.apply_event(event) {
                     return outcome;
@@ -402,11 +406,7 @@
             version,
             engine: self.reported_engine(),
         };
-        let is_next = state.transcript.push(event).is_ok();
-        if is_next {
-            self.spec.progress.last_event.set(number);
-        }
-        is_next
+        state.transcript.push(event).is_ok()
     }
 
     /// The instance name of the engine, if results report the engine of each segment. It is the
