Texts keep their first event at once, and start again if it proves wrong

Cause: held the first event of a text back until the second one confirmed it. A run cut after one event began anew, made no progress, and its item counted as the sole suspect.

Change: the first event is kept as before. The reader has one rule less.

--- a/crates/sloetrail-serving/src/event_stream.rs
+++ b/crates/sloetrail-serving/src/event_stream.rs
@@ -4,4 +4,4 @@
 mod series;
 
 pub(crate) use parser::StreamEvent;
-pub(crate) use series::{FirstEvent, RefusedEvent, SeriesReader};
+pub(crate) use series::{RefusedEvent, SeriesReader};
--- a/crates/sloetrail-serving/src/event_stream/series.rs
+++ b/crates/sloetrail-serving/src/event_stream/series.rs
@@ -7,15 +7,6 @@
 
 use super::parser::{EventParser, MalformedEvent, StreamEvent};
 
-/// When the first event of a series is passed on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum FirstEvent {
-    /// With the read that completes it.
-    Immediately,
-    /// Once the second event confirms its number, or the source has ended.
-    Confirmed,
-}
-
 /// Why an event was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RefusalCause {
@@ -48,10 +39,8 @@
 pub(crate) struct SeriesPart {
     /// The events to pass on, in order.
     pub(crate) events: Vec<StreamEvent>,
-    /// Number of accepted events, with a first one that is not passed on.
+    /// Number of accepted events, with a first one that was dropped.
     pub(crate) accepted: usize,
-    /// The number of the last accepted event.
-    pub(crate) last_accepted: Option<u64>,
     /// The event after the accepted ones, if it ends the source.
     pub(crate) refused: Option<RefusedEvent>,
 }
@@ -103,23 +92,17 @@
 #[derive(Debug)]
 pub(crate) struct SeriesReader {
     parser: EventParser,
-    first_event: FirstEvent,
     position: Position,
-    /// The first event, until it is passed on.
+    /// The first event, during the read that completes it.
     held: Option<StreamEvent>,
 }
 
 impl SeriesReader {
     /// Creates a reader of the events after number `last_event`; of all events if None. It also
     /// reads the event field `extra_field` as a number.
-    pub(crate) fn new(
-        extra_field: impl Into<String>,
-        last_event: Option<u64>,
-        first_event: FirstEvent,
-    ) -> Self {
+    pub(crate) fn new(extra_field: impl Into<String>, last_event: Option<u64>) -> Self {
         Self {
             parser: EventParser::new(extra_field),
-            first_event,
             position: last_event.map_or(Position::Start, Position::After),
             held: None,
         }
@@ -135,17 +118,10 @@
                 break;
             }
         }
-        if self.first_event == FirstEvent::Immediately {
-            part.events.extend(self.held.take());
-        }
+        part.events.extend(self.held.take());
         part
     }
 
-    /// Ends the source. Returns the event that was not passed on yet.
-    pub(crate) fn finish(&mut self) -> Option<StreamEvent> {
-        self.held.take()
-    }
-
     /// True if the source may end here. Otherwise it has broken off.
     pub(crate) fn may_end(&self) -> bool {
         let is_disputed = matches!(self.position, Position::Disputed { .. });
@@ -156,20 +132,19 @@
     pub(crate) fn can_continue(&self) -> bool {
         match self.position {
             Position::Start | Position::After(_) | Position::First(Some(_)) => true,
-            Position::First(None) => self.held.is_some(),
-            Position::Unnumbered | Position::Disputed { .. } | Position::FirstIsWrong => false,
+            Position::First(None)
+            | Position::Unnumbered
+            | Position::Disputed { .. }
+            | Position::FirstIsWrong => false,
         }
     }
 
     /// Prepares to read from another source, which continues after the events that were passed on.
     pub(crate) fn start_source(&mut self) {
         self.parser.clear();
-        self.position = match self.position {
-            Position::First(_) if self.held.is_some() => Position::Start,
-            Position::First(Some(number)) => Position::After(number),
-            position => position,
-        };
-        self.held = None;
+        if let Position::First(Some(number)) = self.position {
+            self.position = Position::After(number);
+        }
     }
 
     fn accept(
@@ -186,7 +161,6 @@
         };
         self.position = position;
         part.accepted += 1;
-        part.last_accepted = event.id;
         if matches!(position, Position::First(_)) {
             self.held = Some(event);
             return Ok(());
--- a/crates/sloetrail-serving/src/gateway/stream.rs
+++ b/crates/sloetrail-serving/src/gateway/stream.rs
@@ -14,7 +14,7 @@
 use super::slot_wait::{self, SlotWait};
 use crate::context::NodeContext;
 use crate::ended_incarnations::wait_until_ended;
-use crate::event_stream::{FirstEvent, RefusedEvent, SeriesReader};
+use crate::event_stream::{RefusedEvent, SeriesReader};
 use crate::events::{self, Event};
 use crate::http::{AnswerBody, CompleteAnswer, Exchange, Reuse, SendFailure};
 use crate::quarantine::{LastEvent, QuarantinePermit, RunWatch};
@@ -345,12 +345,8 @@
         body: AnswerBody,
         watch: RunWatch,
     ) -> BoxStream<'static, io::Result<Bytes>> {
-        let reader = SeriesReader::new(
-            self.call.context.weight_version_field(),
-            self.last_event.get(),
-            // Callers wait for the first event.
-            FirstEvent::Immediately,
-        );
+        let field = self.call.context.weight_version_field();
+        let reader = SeriesReader::new(field, self.last_event.get());
         let forwarded = ForwardedStream {
             source: self,
             slot: Some(slot),
--- a/crates/sloetrail-serving/src/owner/run.rs
+++ b/crates/sloetrail-serving/src/owner/run.rs
@@ -5,7 +5,7 @@
 use crate::back_end::BackEnd;
 use crate::context::NodeContext;
 use crate::ended_incarnations::wait_until_ended;
-use crate::event_stream::{FirstEvent, RefusedEvent, SeriesReader, StreamEvent};
+use crate::event_stream::{RefusedEvent, SeriesReader, StreamEvent};
 use crate::events::{self, Event};
 use crate::gateway::attempt::{
     AttemptResult, OutgoingRequest, build_request, classify_failure, classify_head, finish_exchange,
@@ -120,6 +120,8 @@
     NotSent,
     /// The answer broke off or was invalid.
     Lost,
+    /// The later events contradict the first one, which the text holds.
+    WrongFirstEvent,
     /// The engine sent nothing within the timeout.
     Unresponsive,
     /// The engine's weights are too old, or the text would mix versions where that is not allowed.
@@ -142,6 +144,7 @@
             RunOutcome::WrongInstance => "wrong instance",
             RunOutcome::NotSent => "not sent",
             RunOutcome::Lost => "lost",
+            RunOutcome::WrongFirstEvent => "wrong first event",
             RunOutcome::Unresponsive => "silent",
             RunOutcome::WrongVersion => "wrong version",
             RunOutcome::Withheld => "held back",
@@ -187,7 +190,7 @@
         };
         match outcome {
             RunOutcome::Completed | RunOutcome::Failed | RunOutcome::Impossible => watch.answered(),
-            RunOutcome::Lost => watch.lost(),
+            RunOutcome::Lost | RunOutcome::WrongFirstEvent => watch.lost(),
             RunOutcome::NotSent => watch.not_reached(),
             // The engine may still be running the item.
             RunOutcome::Unresponsive | RunOutcome::WrongVersion | RunOutcome::Cancelled => {
@@ -309,11 +312,9 @@
     }
 
     async fn read_events(&mut self, mut body: AnswerBody, first_due: BootInstant) -> RunOutcome {
-        let mut reader = SeriesReader::new(
-            self.spec.context.weight_version_field(),
-            self.spec.progress.state().transcript.last_number(),
-            FirstEvent::Confirmed,
-        );
+        let field = self.spec.context.weight_version_field();
+        let last_event = self.spec.progress.state().transcript.last_number();
+        let mut reader = SeriesReader::new(field, last_event);
         loop {
             let due = match self.last_event_at {
                 None => first_due,
@@ -325,14 +326,10 @@
                 Err(_) => return RunOutcome::Unresponsive,
             };
             let Some(chunk) = chunk else {
-                return self.end_of_events(reader);
+                return self.end_of_events(&reader);
             };
             let part = reader.push(&chunk);
             self.record_arrivals(part.accepted);
-            if let Some(number) = part.last_accepted {
-                // Also of an event that the text does not hold yet: the run has got so far.
-                self.spec.progress.last_event.set(number);
-            }
             for event in part.events {
                 if let Some(outcome) = self.apply_event(event) {
                     return outcome;
@@ -340,20 +337,19 @@
             }
             if let Some(refused) = part.refused {
                 self.log_refused_event(refused);
-                return RunOutcome::Lost;
+                return match reader.can_continue() {
+                    true => RunOutcome::Lost,
+                    false => RunOutcome::WrongFirstEvent,
+                };
             }
         }
     }
 
     /// Returns the outcome of a run whose answer has ended.
-    fn end_of_events(&mut self, mut reader: SeriesReader) -> RunOutcome {
+    fn end_of_events(&self, reader: &SeriesReader) -> RunOutcome {
         if !reader.may_end() {
             return RunOutcome::Lost;
         }
-        let outcome = reader.finish().and_then(|only| self.apply_event(only));
-        if let Some(outcome) = outcome {
-            return outcome;
-        }
         match self.spec.progress.state().transcript.is_empty() {
             true => RunOutcome::Lost,
             false => RunOutcome::Completed,
@@ -406,7 +402,11 @@
             version,
             engine: self.reported_engine(),
         };
-        state.transcript.push(event).is_ok()
+        let is_next = state.transcript.push(event).is_ok();
+        if is_next {
+            self.spec.progress.last_event.set(number);
+        }
+        is_next
     }
 
     /// The instance name of the engine, if results report the engine of each segment. It is the
--- a/crates/sloetrail-serving/src/owner/service_owner/results.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/results.rs
@@ -58,7 +58,9 @@
             took_ms: whole_millis(took),
         });
         open.batch.set_transcript(index, transcript);
-        if outcome == RunOutcome::WrongVersion && open.batch.header.single_version {
+        let mixes_versions =
+            outcome == RunOutcome::WrongVersion && open.batch.header.single_version;
+        if mixes_versions || outcome == RunOutcome::WrongFirstEvent {
             open.batch.restart_text(index);
         }
         let failure = match outcome {
@@ -99,6 +101,7 @@
             RunOutcome::WrongInstance
             | RunOutcome::NotSent
             | RunOutcome::Lost
+            | RunOutcome::WrongFirstEvent
             | RunOutcome::Unresponsive => engine.record_loss(),
             RunOutcome::Completed | RunOutcome::Failed | RunOutcome::Impossible => {
                 engine.record_completion()
