Log how long interrupted items are at no engine, and why

Cause: when items of a step are not placed, the log tells which ones the quarantine holds, but not how long an item has been at no engine, nor whether engines could take it.

Change: `item_started` tells how long the item was at no engine since its last run; `item_unplaced` names the item that has been so for longest, once a second, with the engines that take work, back off, are full, change or lack the version, or are able to take it; gauges and a histogram.

--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -370,6 +370,31 @@
         version: u64,
         /// Waiting items of the batch.
         waiting: usize,
+        /// How long the item was at no engine since its last run. None for the first run.
+        interrupted_ms: Option<u64>,
+    },
+    /// An interrupted item has been at no engine for a while. Logged at most once a second, for the
+    /// item that has been interrupted for longest.
+    ItemUnplaced {
+        item: &'a str,
+        batch: &'a str,
+        interrupted_ms: u64,
+        /// Its runs so far.
+        runs: usize,
+        /// Interrupted items that are at no engine.
+        items: usize,
+        /// Engines that take work.
+        engines: usize,
+        /// Those that get no item for some time after a loss or a refusal.
+        backing_off: usize,
+        /// Those without a free slot.
+        full: usize,
+        /// Those that are changing the version of the item's model.
+        changing: usize,
+        /// Those whose version of the item's model is too old.
+        outdated: usize,
+        /// Those that could take the item now.
+        able: usize,
     },
     /// A run of an item ended before its text was complete.
     ItemInterrupted {
--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -63,6 +63,7 @@
             | Event::BatchOpened { .. }
             | Event::TriageChanged { .. }
             | Event::ItemStarted { .. }
+            | Event::ItemUnplaced { .. }
             | Event::ItemInterrupted { .. }
             | Event::ItemMoved { .. }
             | Event::ItemHeld { .. }
--- a/crates/sloetrail-serving/src/owner/item_timeline.rs
+++ b/crates/sloetrail-serving/src/owner/item_timeline.rs
@@ -10,6 +10,8 @@
     running: Duration,
     /// Events that its runs generated, including repeated ones.
     pub(super) generated_events: usize,
+    /// When its last run ended without a complete text. None while it runs.
+    interrupted_at: Option<BootInstant>,
     text_completed_at: Option<BootInstant>,
     scored_at: Option<BootInstant>,
 }
@@ -28,9 +30,24 @@
 }
 
 impl ItemTimeline {
-    pub(super) fn run_started(&mut self, now: BootInstant) {
+    /// Records the start of a run. Returns how long the item has been at no engine since its last
+    /// run; None for the first run.
+    pub(super) fn run_started(&mut self, now: BootInstant) -> Option<Duration> {
         self.first_run_at.get_or_insert(now);
         self.runs += 1;
+        let interrupted_at = self.interrupted_at.take()?;
+        Some(now.saturating_duration_since(interrupted_at))
+    }
+
+    /// Records that a run ended without a complete text.
+    pub(super) fn interrupted(&mut self, now: BootInstant) {
+        self.interrupted_at = Some(now);
+    }
+
+    /// How long the item has been at no engine since its last run. None if it runs or has not run.
+    pub(super) fn interrupted_for(&self, now: BootInstant) -> Option<Duration> {
+        let interrupted_at = self.interrupted_at?;
+        Some(now.saturating_duration_since(interrupted_at))
     }
 
     /// Adds a run's duration and the number of events that it generated.
@@ -40,6 +57,7 @@
     }
 
     pub(super) fn text_completed(&mut self, now: BootInstant) {
+        self.interrupted_at = None;
         self.text_completed_at = Some(now);
     }
 
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -17,6 +17,7 @@
 mod supply;
 mod texts;
 mod triage;
+mod unplaced_items;
 mod versions;
 
 use self::backlog::ReassignmentState;
@@ -182,6 +183,8 @@
     /// When the use of slots was last counted, and last logged.
     slots_counted_at: BootInstant,
     slots_reported_at: BootInstant,
+    /// When an unplaced item was last logged.
+    unplaced_reported_at: BootInstant,
     /// True if some engines are clearly slower than the median, by lasting intervals.
     engines_are_uneven: bool,
 }
@@ -205,6 +208,7 @@
             checkpointed_at: BootInstant::now(),
             slots_counted_at: BootInstant::now(),
             slots_reported_at: BootInstant::now(),
+            unplaced_reported_at: BootInstant::now(),
             engines_are_uneven: false,
             engines: EnginePool::within_regions(
                 context.settings.topology.clone(),
@@ -415,6 +419,7 @@
         self.report_item_counts();
         self.report_quarantined_items();
         self.report_slots(now);
+        self.report_unplaced_items(now);
         self.scale_engines();
         self.report_demand();
         self.report_backlog();
--- a/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
@@ -13,7 +13,7 @@
 use sloetrail_balance::TenantShares;
 use sloetrail_batch::{BatchHeader, BatchId, DispatchClass, ItemIndex};
 use sloetrail_clock::BootInstant;
-use sloetrail_types::EngineId;
+use sloetrail_types::{EngineId, whole_millis};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -184,6 +184,11 @@
             progress: Arc::clone(&run.progress),
             cancel: run.cancel.clone(),
         };
+        let timeline = open.timelines.entry(index).or_default();
+        let interrupted_for = timeline.run_started(run.started_at);
+        if let Some(time) = interrupted_for {
+            telemetry::item_placed_again(self.service.as_str(), time);
+        }
         let model = open.batch.model.as_deref().unwrap_or_default();
         events::emit(&Event::ItemStarted {
             item: &item.submitted.id,
@@ -192,11 +197,8 @@
             last_event: item.transcript.last_number().unwrap_or_default(),
             version: engine.version(model).0,
             waiting: open.batch.waiting(),
+            interrupted_ms: interrupted_for.map(whole_millis),
         });
-        open.timelines
-            .entry(index)
-            .or_default()
-            .run_started(run.started_at);
         open.runs.insert(index, run);
         self.spawn_run(id.clone(), index, engine_id, spec);
         true
--- a/crates/sloetrail-serving/src/owner/service_owner/results.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/results.rs
@@ -57,6 +57,7 @@
             events: transcript.len(),
             took_ms: whole_millis(took),
         });
+        timeline.interrupted(BootInstant::now());
         open.batch.set_transcript(index, transcript);
         let mixes_versions =
             outcome == RunOutcome::WrongVersion && open.batch.header.single_version;
--- a/crates/sloetrail-serving/src/telemetry.rs
+++ b/crates/sloetrail-serving/src/telemetry.rs
@@ -88,6 +88,20 @@
     counter!("sloetrail_requests_kept_back_total", "service" => service).increment(1);
 }
 
+/// Records how long an interrupted item was at no engine.
+pub(crate) fn item_placed_again(service: &str, interrupted: Duration) {
+    let service = SERVICES.bounded(service);
+    histogram!("sloetrail_item_interruption_seconds", "service" => service).record(interrupted);
+}
+
+/// Sets the number of interrupted items at no engine, and how long the first of them has been there.
+pub(crate) fn items_unplaced(resource: &str, items: usize, longest: Duration) {
+    let resource = SERVICES.bounded(resource);
+    gauge!("sloetrail_items_unplaced", "service" => resource.clone()).set(items as f64);
+    gauge!("sloetrail_item_unplaced_longest_seconds", "service" => resource)
+        .set(longest.as_secs_f64());
+}
+
 /// Sets the number of quarantined items that an owner has set aside, and how long the first of them
 /// has been.
 pub(crate) fn items_quarantined(resource: &str, items: usize, longest: Duration) {
