--- a/crates/sloetrail-batch/src/batch.rs
+++ b/crates/sloetrail-batch/src/batch.rs
@@ -156,20 +156,6 @@
         is_waiting
     }
 
-    /// Removes a waiting item from the queue until [`Batch::requeue`]. Its state is unchanged.
-    pub fn remove_from_queue(&mut self, index: ItemIndex) {
-        self.queue.retain(|waiting| *waiting != index);
-    }
-
-    /// Returns a removed item to the queue if it is still waiting.
-    pub fn requeue(&mut self, index: ItemIndex) {
-        let is_waiting = self.items[index].state == ItemState::Waiting;
-        if is_waiting && !self.queue.contains(&index) {
-            self.queue.push(index);
-            self.sort_queue();
-        }
-    }
-
     /// Stores the partial text of an item.
     pub fn set_transcript(&mut self, index: ItemIndex, transcript: Transcript) {
         self.items[index].transcript = transcript;
--- a/crates/sloetrail-batch/src/triage/tests.rs
+++ b/crates/sloetrail-batch/src/triage/tests.rs
@@ -200,7 +200,7 @@
 
 /// Guards against interrupted items that go by length alone, and so before or after their class.
 #[test]
-fn interrupted_and_released_items_return_to_their_class() {
+fn interrupted_items_return_to_their_class() {
     let mut batch = four_groups(3, &[]);
     classify(&mut batch, budget(120.0, 100.0));
     let started: Vec<usize> = (0..4).filter_map(|_| batch.start_next()).collect();
@@ -210,8 +210,6 @@
             None
         );
     }
-    batch.remove_from_queue(3);
-    batch.requeue(3);
     let order = dispatch_all(&mut batch);
     assert_eq!(order, ["b2", "b1", "c1", "c2", "a2", "a1", "d2", "d1"]);
 }
--- a/crates/sloetrail-quarantine/src/assessment.rs
+++ b/crates/sloetrail-quarantine/src/assessment.rs
@@ -1,7 +1,8 @@
 //! Assessment of requests by the crash reports of all nodes.
 //!
 //! A crash takes down every request that the back end was running, and at most one of them caused
-//! it. Three rules find the cause. An answered request is cleared, since a request that crashes its
+//! it. Items of batches and their reward calls never do, so reports do not name them as suspects.
+//! Three rules find the cause. An answered request is cleared, since a request that crashes its
 //! back ends is never answered. A request that gets further than it had at an earlier crash is
 //! excused of that crash, since it has passed the point at which it would have caused it. Of the
 //! remaining requests, the one with the most crashes explains these crashes, and they no longer
@@ -29,9 +30,6 @@
 /// three further sends after the third crash.
 pub const MAX_CRASHES: usize = 6;
 
-/// A crash of one in so many back ends within moments does not disturb trials at the others.
-const BACK_ENDS_PER_USUAL_CRASH: usize = 16;
-
 /// Delay between the last crash and the trial of a request that may have caused it. It gives
 /// crashed back ends time to restart and their other requests time to end.
 pub const TRIAL_DELAY: Duration = Duration::from_secs(2);
@@ -45,8 +43,6 @@
     SeveralSuspects,
     /// It explains its crashes, but back ends of the service also crash for another reason.
     OtherCause,
-    /// Another request explains its crashes better. Only work that can wait is held for this.
-    OtherSuspect,
     /// It has met [`MAX_CRASHES`], also in its trials.
     TrialsExhausted,
 }
@@ -58,7 +54,6 @@
             HoldReason::SoleSuspect => "sole_suspect",
             HoldReason::SeveralSuspects => "several_suspects",
             HoldReason::OtherCause => "other_cause",
-            HoldReason::OtherSuspect => "other_suspect",
             HoldReason::TrialsExhausted => "trials_exhausted",
         }
     }
@@ -74,8 +69,6 @@
     pub last_crash_ms: u64,
     /// The last event that the request had received in a run that was lost, if it is streamed.
     pub last_event: Option<u64>,
-    /// True if one of the back ends crashed while the request was on trial there.
-    pub has_been_tried: bool,
     /// True if no other request explains the crashes equally well.
     pub is_sole_suspect: bool,
     pub reason: HoldReason,
@@ -100,11 +93,6 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct ServiceAssessment {
     statuses: BTreeMap<RequestDigest, RequestStatus>,
-    /// The suspected requests that would be quarantined if another one did not explain their
-    /// crashes.
-    explained: BTreeMap<RequestDigest, QuarantinedRequest>,
-    /// When back ends of the service crashed, in milliseconds of the table's clock, latest first.
-    crashes_ms: Vec<u64>,
 }
 
 impl CrashAssessment {
@@ -120,31 +108,6 @@
         known.unwrap_or(&RequestStatus::Free)
     }
 
-    /// Returns the crashes of a request that has met enough of them to be quarantined, but for
-    /// another one that explains them.
-    pub fn explained(
-        &self,
-        service: &ServiceName,
-        digest: RequestDigest,
-    ) -> Option<&QuarantinedRequest> {
-        self.services.get(service)?.explained.get(&digest)
-    }
-
-    /// When a service with this number of back ends was last disturbed, in milliseconds of the
-    /// table's clock: the time of its last crash, but for as many as are usual among so many back
-    /// ends. Zero if it was not.
-    pub fn disturbed_ms(&self, service: &ServiceName, back_ends: usize) -> u64 {
-        let of_service = self.services.get(service);
-        let crashes_ms = of_service.map_or(&[][..], |known| &known.crashes_ms);
-        let usual = back_ends / BACK_ENDS_PER_USUAL_CRASH;
-        crashes_ms.get(usual).copied().unwrap_or_default()
-    }
-
-    /// The services of which requests are suspected.
-    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
-        self.services.keys()
-    }
-
     /// Returns the quarantined requests of all services.
     pub fn quarantined(&self) -> impl Iterator<Item = (Suspect, &QuarantinedRequest)> {
         let services = self.services.iter();
@@ -164,25 +127,6 @@
     }
 }
 
-impl ServiceAssessment {
-    fn add(
-        &mut self,
-        digest: RequestDigest,
-        crashes: usize,
-        quarantined: Option<QuarantinedRequest>,
-    ) {
-        let status = match quarantined {
-            Some(known) if known.reason == HoldReason::OtherSuspect => {
-                self.explained.insert(digest, known);
-                RequestStatus::Suspected { crashes }
-            }
-            Some(known) => RequestStatus::Quarantined(known),
-            None => RequestStatus::Suspected { crashes },
-        };
-        self.statuses.insert(digest, status);
-    }
-}
-
 /// Determines the status of requests by reports and clearances. Several nodes' reports of one
 /// crash count once.
 pub fn assess<'a>(
@@ -213,19 +157,19 @@
         let rivals = culprits.get(&digest).map_or(0, |culprits| culprits.len());
         let reason = match rivals {
             _ if met.len() >= MAX_CRASHES => Some(HoldReason::TrialsExhausted),
-            0 if met.len() < MIN_CRASHES_TO_QUARANTINE => None,
-            0 => Some(HoldReason::OtherSuspect),
+            0 => None,
             1 if other_causes.are_likely_for(&met) => Some(HoldReason::OtherCause),
             1 => Some(HoldReason::SoleSuspect),
             _ => Some(HoldReason::SeveralSuspects),
         };
-        let quarantined = reason.map(|reason| quarantined(&met, digest, rivals == 1, reason));
-        assessment.add(digest, met.len(), quarantined);
+        let status = match reason {
+            Some(reason) => {
+                RequestStatus::Quarantined(quarantined(&met, digest, rivals == 1, reason))
+            }
+            None => RequestStatus::Suspected { crashes: met.len() },
+        };
+        assessment.statuses.insert(digest, status);
     }
-    assessment.crashes_ms = crashes.values().map(|crash| crash.at_ms).collect();
-    assessment
-        .crashes_ms
-        .sort_by_key(|at_ms| std::cmp::Reverse(*at_ms));
     assessment
 }
 
@@ -248,13 +192,12 @@
 ) -> QuarantinedRequest {
     let software = met.iter().filter_map(|crash| crash.software.clone());
     let last_crash_ms = met.iter().map(|crash| crash.at_ms).max();
-    let mut runs = met.iter().filter_map(|crash| crash.requests.get(&digest));
+    let runs = met.iter().filter_map(|crash| crash.requests.get(&digest));
     QuarantinedRequest {
         crashes: met.len(),
         software: software.collect(),
         last_crash_ms: last_crash_ms.unwrap_or_default(),
-        last_event: runs.clone().filter_map(|run| run.last_event).max(),
-        has_been_tried: runs.any(|run| run.is_on_trial),
+        last_event: runs.filter_map(|run| run.last_event).max(),
         is_sole_suspect,
         reason,
     }
--- a/crates/sloetrail-quarantine/src/crashes.rs
+++ b/crates/sloetrail-quarantine/src/crashes.rs
@@ -14,8 +14,8 @@
     pub(crate) at_ms: u64,
     pub(crate) software: Option<String>,
     pub(crate) requests: BTreeMap<RequestDigest, LostRun>,
-    /// True if any of its requests, cleared or not, had received an event. None if the answer of none
-    /// is known to be a stream.
+    /// True if any of its requests, cleared or not, or of its items had received an event. None if the
+    /// answer of none is known to be a stream.
     pub(crate) shows_progress: Option<bool>,
 }
 
@@ -24,7 +24,6 @@
 pub(crate) struct LostRun {
     /// The last event that the request had received; None if that is unknown.
     pub(crate) last_event: Option<u64>,
-    pub(crate) is_on_trial: bool,
     /// True if the node that lost it has been answered since.
     pub(crate) is_answered: bool,
 }
@@ -57,7 +56,6 @@
         for digest in report.requests.iter().filter(|digest| !is_cleared(digest)) {
             let run = crash.requests.entry(*digest).or_default();
             run.last_event = run.last_event.max(report.last_events.get(digest).copied());
-            run.is_on_trial |= report.on_trial.contains(digest);
             run.is_answered |= report.are_answered;
         }
     }
--- a/crates/sloetrail-quarantine/src/other_causes.rs
+++ b/crates/sloetrail-quarantine/src/other_causes.rs
@@ -2,7 +2,7 @@
 //!
 //! While back ends crash one after the other, a request that is resent meets several of these
 //! crashes. Two signs tell such a time from one in which requests are the cause: crashes whose
-//! requests have all proved innocent, and several separate culprits none of which got less far than
+//! requests have all proved innocent, or which ran only items, and several separate culprits none of which got less far than
 //! the requests beside it.
 
 use crate::RequestDigest;
--- a/crates/sloetrail-quarantine/src/report.rs
+++ b/crates/sloetrail-quarantine/src/report.rs
@@ -24,14 +24,12 @@
     pub software: Option<String>,
     /// When the first of the requests was lost, in milliseconds of the table's clock.
     pub at_ms: u64,
+    /// The requests that may have caused the crash. Items and reward calls are not among them.
     pub requests: BTreeSet<RequestDigest>,
-    /// Of requests with streamed answers, the last event that each had received, by number; zero
-    /// before the first event.
+    /// Of requests and items with streamed answers, the last event that each had received, by number;
+    /// zero before the first event.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub last_events: BTreeMap<RequestDigest, u64>,
-    /// The requests that were on trial there.
-    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
-    pub on_trial: BTreeSet<RequestDigest>,
     /// True if all requests of the report have been answered since.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub are_answered: bool,
--- a/crates/sloetrail-serving/src/back_end_connections.rs
+++ b/crates/sloetrail-serving/src/back_end_connections.rs
@@ -40,7 +40,7 @@
     }
 
     /// Sends a request if the back end accepts work and the permit is still open at the moment of
-    /// sending. The node's own requests to back ends need no permit.
+    /// sending. Items and the node's own requests to back ends need no permit.
     pub(crate) async fn send(
         &self,
         back_end: &BackEnd,
--- a/crates/sloetrail-serving/src/events.rs
+++ b/crates/sloetrail-serving/src/events.rs
@@ -263,6 +263,8 @@
         digests: &'a [String],
         /// For each digest, the number of the last event that the request had received.
         last_events: &'a [Option<u64>],
+        /// How many of them may have caused the crash. The others are those of batches.
+        suspects: usize,
     },
     /// A request is quarantined, because back ends of the service crash while running it.
     RequestHeld {
@@ -288,15 +290,6 @@
         digest: &'a str,
         service: &'a str,
     },
-    /// The trial of a quarantined item ended.
-    TrialEnded {
-        /// The digest of the item.
-        digest: &'a str,
-        service: &'a str,
-        back_end: &'a str,
-        /// `passed` if the run has got further than it had when back ends crashed, else how it ended.
-        outcome: &'a str,
-    },
     /// A quarantined request is not tried, because another trial of the service is in progress.
     TrialRefused {
         /// The digest of the request.
@@ -406,27 +399,6 @@
         events: usize,
         took_ms: u64,
     },
-    /// An item was set aside from the queue of its batch, because it is quarantined.
-    ItemHeld {
-        item: &'a str,
-        batch: &'a str,
-        /// The digest of the item.
-        digest: &'a str,
-        /// The permission of the item: `trial` if it waits for its trial, else `refused`.
-        permission: &'a str,
-        /// The time until the permission changes if nothing happens.
-        wait_ms: u64,
-    },
-    /// A quarantined item was returned to the queue of its batch.
-    ItemFreed {
-        item: &'a str,
-        batch: &'a str,
-        /// The digest of the item.
-        digest: &'a str,
-        /// `released`, or `trial` if it runs as a trial.
-        cause: &'a str,
-        held_ms: u64,
-    },
     /// The run of an item was closed to continue on a faster engine.
     ItemMoved {
         item: &'a str,
--- a/crates/sloetrail-serving/src/events/part.rs
+++ b/crates/sloetrail-serving/src/events/part.rs
@@ -52,7 +52,6 @@
             | Event::RequestHeld { .. }
             | Event::RequestReleased { .. }
             | Event::RequestTried { .. }
-            | Event::TrialEnded { .. }
             | Event::TrialRefused { .. }
             | Event::ClaimLeft { .. }
             | Event::ClaimsDeleted { .. } => "gateway",
@@ -66,8 +65,6 @@
             | Event::ItemUnplaced { .. }
             | Event::ItemInterrupted { .. }
             | Event::ItemMoved { .. }
-            | Event::ItemHeld { .. }
-            | Event::ItemFreed { .. }
             | Event::ItemDead { .. }
             | Event::ItemListed { .. }
             | Event::ResultsTooOld { .. }
@@ -102,7 +99,7 @@
             Event::ItemStarted { .. } => Some(&ITEMS_STARTED),
             Event::ItemListed { .. } => Some(&ITEMS_LISTED),
             Event::ItemMoved { .. } => Some(&ITEMS_MOVED),
-            // A quarantined item asks for its trial several times a second.
+            // Each repeat of a quarantined request may ask for a trial.
             Event::TrialRefused { .. } => Some(&TRIALS_REFUSED),
             // A faulty back end may spoil each of its streams.
             Event::EventRefused { .. } => Some(&EVENTS_REFUSED),
--- a/crates/sloetrail-serving/src/gateway/call_handler.rs
+++ b/crates/sloetrail-serving/src/gateway/call_handler.rs
@@ -18,7 +18,7 @@
 use super::submit::{self, SubmissionCall, SubmissionState};
 use crate::context::NodeContext;
 use crate::http::CompleteAnswer;
-use crate::quarantine::TrialDelays;
+use crate::quarantine::RequestOrigin;
 use bytes::{Bytes, BytesMut};
 use http::request::Parts;
 use http::{HeaderMap, Request, Response};
@@ -212,7 +212,7 @@
             outgoing: self.outgoing_request(head, admitted.request_id, tenant, admitted.body),
             deadline: log.deadline,
             route: Arc::clone(route),
-            trial_delays: TrialDelays::of_refused_request(),
+            origin: RequestOrigin::Caller,
         };
         self.run(call, keyed, log).await
     }
--- a/crates/sloetrail-serving/src/gateway/live.rs
+++ b/crates/sloetrail-serving/src/gateway/live.rs
@@ -11,7 +11,7 @@
 use crate::context::NodeContext;
 use crate::events::{self, Event};
 use crate::http::{CompleteAnswer, Reuse};
-use crate::quarantine::{QuarantinePermit, RequestIdentity, TrialDelays};
+use crate::quarantine::{QuarantinePermit, RequestIdentity, RequestOrigin};
 use crate::service_pools::SlotPermit;
 use crate::slot_waiter::SlotWaiter;
 use crate::tasks;
@@ -52,8 +52,7 @@
     /// The claim of its idempotency key, if it has one.
     pub(crate) claim: Option<Arc<Claim>>,
     pub(crate) deadline: BootInstant,
-    /// How long it waits for its trial if it is quarantined.
-    pub(crate) trial_delays: TrialDelays,
+    pub(crate) origin: RequestOrigin,
 }
 
 pub(crate) struct LiveOutcome {
@@ -161,9 +160,9 @@
 
     /// Returns the permit that the quarantine checks before each send.
     pub(crate) fn quarantine_permit(&self) -> QuarantinePermit {
-        let identity = RequestIdentity::of(&self.outgoing, self.context.dialect.headers());
-        let quarantine = &self.context.quarantine;
-        QuarantinePermit::new(quarantine, &self.service, identity, self.trial_delays)
+        let names = self.context.dialect.headers();
+        let identity = RequestIdentity::of(self.origin, &self.outgoing, names);
+        QuarantinePermit::new(&self.context.quarantine, &self.service, identity)
     }
 
     /// Waits until a hedged attempt is due, and then until back ends may be chosen: the directory
--- a/crates/sloetrail-serving/src/owner/engines.rs
+++ b/crates/sloetrail-serving/src/owner/engines.rs
@@ -295,12 +295,6 @@
         slots >= required
     }
 
-    /// True if a usable engine has a free slot.
-    pub(super) fn any_has_room(&self, now: BootInstant) -> bool {
-        let mut engines = self.engines.values();
-        engines.any(|engine| engine.is_usable(now) && engine.free_slots(now) > 0)
-    }
-
     pub(super) fn get(&self, id: &EngineId) -> Option<&Engine> {
         self.engines.get(id)
     }
--- a/crates/sloetrail-serving/src/owner/mod.rs
+++ b/crates/sloetrail-serving/src/owner/mod.rs
@@ -23,7 +23,6 @@
 mod event;
 mod event_interval;
 mod item_timeline;
-mod item_trials;
 mod loading;
 mod model_backlog;
 mod order_task;
--- a/crates/sloetrail-serving/src/owner/reward.rs
+++ b/crates/sloetrail-serving/src/owner/reward.rs
@@ -8,12 +8,11 @@
 use crate::gateway::headers;
 use crate::gateway::live::LiveCall;
 use crate::http::CompleteAnswer;
-use crate::quarantine::TrialDelays;
+use crate::quarantine::RequestOrigin;
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderMap, HeaderValue, Method};
 use sloetrail_batch::{BatchHeader, RewardCall};
 use sloetrail_clock::BootInstant;
-use sloetrail_result::ResultCode;
 use sloetrail_routing::{Route, ServingConfiguration, WeightedChoice};
 use sloetrail_types::{AllowedRegions, ServiceName};
 use std::sync::Arc;
@@ -38,8 +37,6 @@
     pub(super) max_failures: usize,
     /// True if nothing was sent because no back end had a free slot.
     pub(super) found_no_slot: bool,
-    /// True if nothing was sent because the call is quarantined.
-    pub(super) is_withheld: bool,
 }
 
 /// Returns the target of a reward call for a batch that is bound to `regions`.
@@ -67,7 +64,6 @@
         failed_answers: 0,
         max_failures: usize::MAX,
         found_no_slot: false,
-        is_withheld: false,
     };
 }
 
@@ -101,7 +97,6 @@
         failed_answers: 0,
         max_failures: usize::MAX,
         found_no_slot: true,
-        is_withheld: false,
     };
     let outcome_title = match prepare(context, request) {
         None => "no route".to_owned(),
@@ -115,10 +110,7 @@
                     Some(score) => return RewardOutcome::Scored(score),
                     None => answer.status.as_str().to_owned(),
                 },
-                Err(problem) => {
-                    failure.is_withheld = problem.is(ResultCode::RequestQuarantined);
-                    problem.title
-                }
+                Err(problem) => problem.title,
             }
         }
     };
@@ -160,7 +152,7 @@
         claim: None,
         deadline: BootInstant::now() + route.timeout,
         route: Arc::clone(route),
-        trial_delays: TrialDelays::of_held_request(header.run_target.duration()),
+        origin: RequestOrigin::Batch,
     })
 }
 
--- a/crates/sloetrail-serving/src/owner/reward_queue.rs
+++ b/crates/sloetrail-serving/src/owner/reward_queue.rs
@@ -16,10 +16,6 @@
 /// 0.1 s.
 const RETRY_DELAY: Duration = Duration::from_millis(80);
 
-/// Delay of a text whose call is quarantined. A trial or a release comes seconds later at the
-/// earliest.
-const WITHHELD_RETRY_DELAY: Duration = Duration::from_secs(1);
-
 /// The back ends that may score a text. Texts with the same target compete for the same slots.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct ScoringTarget {
@@ -73,8 +69,6 @@
     Failed,
     /// No back end had a free slot. The text keeps its position, and its target is delayed.
     NoFreeSlot,
-    /// The call is quarantined and was not sent. Other texts of its target are not delayed.
-    Withheld,
 }
 
 /// Texts are ordered by rank, then by arrival.
@@ -155,13 +149,12 @@
             target.in_flight = target.in_flight.saturating_sub(1);
             target.not_before = match outcome {
                 ScoringOutcome::NoFreeSlot => Some(now + RETRY_DELAY),
-                ScoringOutcome::Settled | ScoringOutcome::Failed | ScoringOutcome::Withheld => None,
+                ScoringOutcome::Settled | ScoringOutcome::Failed => None,
             };
         }
         match outcome {
             ScoringOutcome::Settled => {}
             ScoringOutcome::Failed => self.delay(now + RETRY_DELAY, scoring),
-            ScoringOutcome::Withheld => self.delay(now + WITHHELD_RETRY_DELAY, scoring),
             ScoringOutcome::NoFreeSlot => self.insert(scoring),
         }
         self.targets.retain(|_, target| !target.is_empty());
--- a/crates/sloetrail-serving/src/owner/run.rs
+++ b/crates/sloetrail-serving/src/owner/run.rs
@@ -12,7 +12,7 @@
 };
 use crate::gateway::{caller, headers};
 use crate::http::{AnswerBody, Exchange, Reuse, SendFailure};
-use crate::quarantine::{LastEvent, QuarantinePermit};
+use crate::quarantine::{LastEvent, RequestIdentity, RunWatch};
 use crate::zone_work::WorkKind;
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
@@ -45,7 +45,6 @@
     pub(super) priority: u8,
     pub(super) sends: Arc<EngineSends>,
     pub(super) resend_bound: Option<SendBound>,
-    pub(super) quarantine_permit: QuarantinePermit,
     pub(super) event_interval: Arc<EventIntervalMeter>,
     pub(super) progress: Arc<RunProgress>,
     pub(super) cancel: CancellationToken,
@@ -85,11 +84,6 @@
         self.state().transcript.clone()
     }
 
-    /// The number of the last event of the text.
-    pub(super) fn last_event(&self) -> Option<u64> {
-        self.last_event.get()
-    }
-
     pub(super) fn event_count(&self) -> usize {
         self.state().transcript.len()
     }
@@ -126,8 +120,8 @@
     Unresponsive,
     /// The engine's weights are too old, or the text would mix versions where that is not allowed.
     WrongVersion,
-    /// Nothing was sent: the engine no longer takes work, its state is unknown after a suspension of
-    /// the process, or the quarantine refuses the item.
+    /// Nothing was sent: the engine no longer takes work, or its state is unknown after a suspension
+    /// of the process.
     Withheld,
     /// The owner cancelled the run.
     Cancelled,
@@ -174,14 +168,12 @@
 }
 
 impl Run {
-    /// Runs the item and reports to the quarantine whether the run may have crashed its engine.
+    /// Runs the item and reports to the quarantine how far it got if its engine crashed.
     async fn run_with_crash_watch(&mut self) -> RunOutcome {
         let (back_end, last_event) = (&self.spec.back_end, &self.spec.progress.last_event);
-        let watch = self
-            .spec
-            .quarantine_permit
-            .watch_run(back_end, Some(last_event));
         let context = Arc::clone(&self.spec.context);
+        let identity = Arc::new(self.identity());
+        let watch = RunWatch::new(&context.quarantine, back_end, identity, Some(last_event));
         let incarnation = self.spec.back_end.id.clone();
         let outcome = tokio::select! {
             biased;
@@ -203,6 +195,13 @@
         outcome
     }
 
+    fn identity(&self) -> RequestIdentity {
+        let RunSpec {
+            tenant, host, item, ..
+        } = &self.spec;
+        RequestIdentity::of_item(tenant.as_ref(), host, item)
+    }
+
     async fn run_to_end(&mut self) -> RunOutcome {
         let first_event_due = BootInstant::now() + FIRST_EVENT_TIMEOUT;
         let exchange = match self.open(first_event_due).await {
@@ -265,8 +264,7 @@
         let request = build_request(outgoing, &spec.back_end, names, deadline)
             .ok_or(RunOutcome::Impossible)?;
         let connections = &spec.context.connections;
-        let permit = Some(&spec.quarantine_permit);
-        let sending = connections.send(&spec.back_end, request, permit, reuse, due);
+        let sending = connections.send(&spec.back_end, request, None, reuse, due);
         Ok(sending.await)
     }
 
--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -7,7 +7,6 @@
 mod dispatch;
 mod late_texts;
 mod other_batches;
-mod quarantined_items;
 mod relocation;
 mod results;
 mod retirement;
@@ -22,7 +21,6 @@
 
 use self::backlog::ReassignmentState;
 use self::other_batches::OtherBatches;
-use self::quarantined_items::QuarantinedItems;
 use self::retirement::RetirementState;
 use self::supply::SupplyState;
 use self::triage::TriageState;
@@ -159,8 +157,6 @@
     rewards: RewardQueue,
     usage: SlotUsage,
     lengths: LengthModel,
-    /// Items that are suspected of crashing engines.
-    quarantined: QuarantinedItems,
     publications: Publications,
     /// By model, a moving average of the expected tokens of its batches.
     expected_tokens: BTreeMap<String, f64>,
@@ -230,7 +226,6 @@
             rewards: RewardQueue::default(),
             usage: SlotUsage::default(),
             lengths: LengthModel::default(),
-            quarantined: QuarantinedItems::default(),
             publications: Publications::default(),
             expected_tokens: BTreeMap::new(),
             backlog: ReassignmentState::default(),
@@ -283,7 +278,6 @@
                 Ok(()) = ends.changed() => self.apply_batches(&mut batches, &mut ends),
                 _ = tick.tick() => self.on_tick(),
                 () = sleep_until_due(self.rewards.next_due(BootInstant::now())) => {}
-                () = sleep_until_due(self.quarantined.next_trial_check(BootInstant::now())) => {}
             }
             self.dispatch_items();
             self.start_scorings();
@@ -413,11 +407,9 @@
         self.move_from_slow_engines(now);
         self.move_long_texts(now);
         self.move_late_texts(now);
-        self.update_quarantined_items();
         self.expire_items();
         self.drop_unneeded_scorings();
         self.report_item_counts();
-        self.report_quarantined_items();
         self.report_slots(now);
         self.report_unplaced_items(now);
         self.scale_engines();
--- a/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/dispatch.rs
@@ -26,14 +26,12 @@
 const PRIORITY_UNCONFIRMED: u8 = 9;
 
 impl ServiceOwner {
-    /// Starts items while engines have free slots: first the trials of quarantined items, then the
-    /// required items of all batches in turn, then the other items. Under triage, the items of one urgency go by class before the
-    /// next urgency.
+    /// Starts items while engines have free slots: the required items of all batches in turn, then the
+    /// other items. Under triage, the items of one urgency go by class before the next urgency.
     pub(super) fn dispatch_items(&mut self) {
         if !self.context.suspension_guard.is_settled() {
             return;
         }
-        self.start_trials();
         let mut shares = std::mem::take(&mut self.shares);
         let open = self.batches.values();
         let in_flight = open.map(|open| (&open.batch.header.tenant, open.runs.len()));
@@ -84,7 +82,6 @@
     /// Starts the next item of a class of a batch.
     fn start_next_item(&mut self, id: &BatchId, class: DispatchClass) -> StartOutcome {
         let priority = self.priority(class != DispatchClass::NotRequired);
-        self.set_aside_quarantined(id, class);
         let Some(open) = self.batches.get(id) else {
             return StartOutcome::NoItem;
         };
@@ -140,9 +137,6 @@
         engine_id: EngineId,
         priority: u8,
     ) -> bool {
-        let Some(quarantine_permit) = self.quarantine_permit(id, index) else {
-            return false;
-        };
         let Some(open) = self.batches.get_mut(id) else {
             return false;
         };
@@ -179,7 +173,6 @@
             priority,
             sends: engine.sends(),
             resend_bound: engine.resend_bound(),
-            quarantine_permit,
             event_interval: Arc::clone(&engine.event_interval),
             progress: Arc::clone(&run.progress),
             cancel: run.cancel.clone(),
--- a/crates/sloetrail-serving/src/owner/service_owner/results.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/results.rs
@@ -23,7 +23,6 @@
         took: Duration,
     ) {
         telemetry::run_ended(self.service.as_str(), outcome.as_str(), took);
-        self.trial_run_ended(id, index, outcome);
         self.update_engine_after_run(engine, outcome);
         let Some(open) = self.batches.get_mut(id) else {
             return;
--- a/crates/sloetrail-serving/src/owner/service_owner/scoring.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/scoring.rs
@@ -120,7 +120,6 @@
 
 fn attempt_outcome(failure: RewardFailure) -> ScoringOutcome {
     match failure {
-        failure if failure.is_withheld => ScoringOutcome::Withheld,
         failure if failure.found_no_slot => ScoringOutcome::NoFreeSlot,
         _ => ScoringOutcome::Failed,
     }
--- a/crates/sloetrail-serving/src/owner/service_owner/speed_matching.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/speed_matching.rs
@@ -59,7 +59,7 @@
     /// The waiting item of a class of a batch for a free slot at an engine: the next one unless
     /// texts are matched to engines. None if no item waits.
     pub(super) fn item_for_engine(
-        &mut self,
+        &self,
         id: &BatchId,
         class: DispatchClass,
         engine: &EngineId,
@@ -70,15 +70,8 @@
             return next;
         }
         let speed = self.engines.speed(engine);
-        loop {
-            let open = self.batches.get(id)?;
-            let texts = open.waiting_texts(class, &self.lengths);
-            let index = choose_text(texts, speed, open.useful_time_left())?;
-            // The next item has been checked. Another one may be quarantined.
-            if Some(index) == next || !self.set_aside_if_quarantined(id, index) {
-                return Some(index);
-            }
-        }
+        let texts = open.waiting_texts(class, &self.lengths);
+        choose_text(texts, speed, open.useful_time_left())
     }
 
     /// Updates which engines are slow. Returns true if any became slow or recovered.
--- a/crates/sloetrail-serving/src/quarantine/crash_watch.rs
+++ b/crates/sloetrail-serving/src/quarantine/crash_watch.rs
@@ -29,7 +29,8 @@
 /// How long an abandoned request may continue to run. Back ends drop a request once its
 /// connection has closed.
 const MAX_ABANDONED_RUN: Duration = Duration::from_millis(1_500);
-/// Requests reported with one crash. A back end runs a few dozen at a time.
+/// Suspects reported with one crash, and as many other requests. A back end runs a few dozen at a
+/// time.
 const MAX_REQUESTS_PER_CRASH: usize = 64;
 
 /// A run of a request that ended without an answer.
@@ -38,7 +39,8 @@
     pub(super) request: RequestDigest,
     /// The last event that the request had received; None if its answer is not a stream.
     pub(super) last_event: Option<u64>,
-    pub(super) is_on_trial: bool,
+    /// False if the request can't be the cause of a crash.
+    pub(super) is_suspect: bool,
 }
 
 /// Lost requests, each with the run in which it was lost.
@@ -78,6 +80,25 @@
     since: BootInstant,
 }
 
+impl Losses {
+    /// Adds a run. Returns false if there is no room, or if its request is known.
+    fn add(&mut self, run: LostRun) -> bool {
+        let known = self.requests.get(&run.request);
+        let is_known = known.is_some_and(|known| known.is_suspect || !run.is_suspect);
+        let is_new = !is_known && has_room(self.requests.values(), run);
+        if is_new {
+            self.requests.insert(run.request, run);
+        }
+        is_new
+    }
+}
+
+/// True if one more run may be reported with a crash. Items never take the room of suspects.
+fn has_room<'a>(runs: impl Iterator<Item = &'a LostRun>, run: LostRun) -> bool {
+    let alike = runs.filter(|other| other.is_suspect == run.is_suspect);
+    alike.count() < MAX_REQUESTS_PER_CRASH
+}
+
 #[derive(Debug, Default)]
 struct State {
     losses: BTreeMap<EngineId, Losses>,
@@ -141,8 +162,7 @@
         state.expire(now);
         let before = state.losses.get(&back_end.id).map(|known| known.stage);
         let known = state.losses_of(back_end, now);
-        let has_room = known.requests.len() < MAX_REQUESTS_PER_CRASH;
-        let is_new = has_room && known.requests.insert(run.request, run).is_none();
+        let is_new = known.add(run);
         match before {
             None => Some(CrashCheck::ProbeAddress),
             // Only connections were lost before, but this time it may have crashed.
@@ -166,7 +186,7 @@
         let mut state = self.state.lock();
         state.expire(now);
         let abandoned = state.abandoned.entry(back_end.id.clone()).or_default();
-        if abandoned.len() < MAX_REQUESTS_PER_CRASH {
+        if has_room(abandoned.iter().map(|(_, run)| run), run) {
             abandoned.push((now, run));
         }
     }
@@ -243,8 +263,9 @@
         let abandoned = state.abandoned.remove(&back_end.id).unwrap_or_default();
         let known = state.losses_of(back_end, BootInstant::now());
         known.stage = Stage::Crashed;
-        let abandoned = abandoned.into_iter().map(|(_, run)| (run.request, run));
-        known.requests.extend(abandoned);
+        for (_, run) in abandoned {
+            known.add(run);
+        }
         Crash {
             requests: known.requests.clone(),
             lost_for: known.since.elapsed(),
--- a/crates/sloetrail-serving/src/quarantine/mod.rs
+++ b/crates/sloetrail-serving/src/quarantine/mod.rs
@@ -1,6 +1,7 @@
 //! Quarantine of requests under which back ends crash.
 //!
-//! Such a request returns under another id and at any node, so crashes are counted across all
+//! Only requests of callers are suspects: what an accepted batch needs is owed, and is sent whatever
+//! crashed under it. A suspect returns under another id and at any node, so crashes are counted across all
 //! nodes and outlast each of them. A node that detects a crash ([`crash_watch`]) writes a row
 //! with the digests of its requests that were running there. Every node determines from all rows
 //! which requests are quarantined ([`sloetrail_quarantine::assess`]). The rows are stored with
@@ -19,16 +20,14 @@
 mod run_watch;
 mod sweep;
 mod trial;
-mod trial_delays;
 mod unanswered;
 mod writer;
 
-pub(crate) use identity::RequestIdentity;
+pub(crate) use identity::{RequestIdentity, RequestOrigin};
 pub(crate) use last_event::LastEvent;
-pub(crate) use permission::{Permission, QuarantinePermit};
+pub(crate) use permission::QuarantinePermit;
 pub(crate) use run_watch::RunWatch;
 pub(crate) use sweep::run_row_sweeper;
-pub(crate) use trial_delays::TrialDelays;
 
 use self::crash_registry::{CrashRegistry, Entry};
 use self::crash_watch::{Crash, CrashWatch, LostRun};
@@ -67,9 +66,6 @@
     registry: Mutex<CrashRegistry>,
     unanswered: Mutex<UnansweredReports>,
     assessment: RwLock<Arc<CrashAssessment>>,
-    /// When back ends of each service with suspected requests last crashed in unusual number, in
-    /// milliseconds of the table's clock.
-    disturbed_ms: RwLock<BTreeMap<ServiceName, u64>>,
     writer: Writer,
     /// Number that makes the row keys of this incarnation unique.
     next_row: AtomicU64,
@@ -96,7 +92,6 @@
             registry: Mutex::default(),
             unanswered: Mutex::default(),
             assessment: RwLock::default(),
-            disturbed_ms: RwLock::default(),
             next_row: AtomicU64::new(1),
         });
         let following = Arc::downgrade(&quarantine);
@@ -126,7 +121,7 @@
     /// caller has disconnected, or the attempt is no longer awaited.
     fn record_abandoned_run(&self, back_end: &BackEnd, run: LostRun) {
         self.crashes.record_abandoned_run(back_end, run);
-        if let Some(last_event) = run.last_event {
+        if let Some(last_event) = run.last_event.filter(|_| run.is_suspect) {
             self.record_progress(&back_end.service, run.request, last_event);
         }
     }
@@ -140,7 +135,10 @@
             RequestStatus::Free | RequestStatus::Suspected { .. } => None,
         };
         if last_suspect_event.is_some_and(|suspect| last_event > suspect) {
-            self.record_passed_trial(service, request);
+            self.clear(Suspect {
+                service: service.clone(),
+                digest: request,
+            });
         }
     }
 
@@ -178,14 +176,6 @@
         }
     }
 
-    /// Records that a request on trial has passed the event at which back ends crashed.
-    pub(crate) fn record_passed_trial(&self, service: &ServiceName, digest: RequestDigest) {
-        self.clear(Suspect {
-            service: service.clone(),
-            digest,
-        });
-    }
-
     /// Clears a quarantined request of all its crashes so far. Returns false if it is not
     /// quarantined.
     pub(crate) fn release(&self, digest: RequestDigest) -> bool {
@@ -226,11 +216,17 @@
         let digests: Vec<String> = crash.requests.keys().map(ToString::to_string).collect();
         let runs = crash.requests.values();
         let last_events: Vec<Option<u64>> = runs.clone().map(|run| run.last_event).collect();
+        let suspects: BTreeSet<RequestDigest> = runs
+            .clone()
+            .filter(|run| run.is_suspect)
+            .map(|run| run.request)
+            .collect();
         events::emit(&Event::BackEndCrashed {
             back_end: back_end.id.as_str(),
             service: back_end.service.as_str(),
             digests: &digests,
             last_events: &last_events,
+            suspects: suspects.len(),
         });
         let Some(now) = self.table.now_ms().map(Timestamp) else {
             return;
@@ -241,19 +237,16 @@
             software: back_end.software.clone(),
             // The restart of a back end may show its crash seconds later.
             at_ms: now.before(crash.lost_for).0,
-            requests: crash.requests.keys().copied().collect(),
+            requests: suspects,
             last_events: runs
-                .clone()
                 .filter_map(|run| Some((run.request, run.last_event?)))
                 .collect(),
-            on_trial: runs
-                .filter(|run| run.is_on_trial)
-                .map(|run| run.request)
-                .collect(),
             are_answered: false,
         };
         let address = rows::crash_report(&self.instance, self.next_row());
-        self.unanswered.lock().add(address.clone(), report.clone());
+        if !report.requests.is_empty() {
+            self.unanswered.lock().add(address.clone(), report.clone());
+        }
         self.record_entry(address, Entry::Crashed(report));
     }
 
@@ -282,12 +275,6 @@
 
     fn assess(&self, registry: &CrashRegistry) {
         let next = Arc::new(registry.assess(self.table.now_ms(), self.retention));
-        let directory = self.directory.borrow().clone();
-        let disturbed_ms = next.services().map(|service| {
-            let back_ends = directory.of_service(service).count();
-            (service.clone(), next.disturbed_ms(service, back_ends))
-        });
-        *self.disturbed_ms.write() = disturbed_ms.collect();
         let mut current = self.assessment.write();
         emit_changes(&current, &next);
         *current = next;
--- a/crates/sloetrail-serving/src/quarantine/operator.rs
+++ b/crates/sloetrail-serving/src/quarantine/operator.rs
@@ -1,12 +1,11 @@
 //! Operator endpoint that lists quarantined requests and releases them.
 
-use super::{Quarantine, TrialDelays};
+use super::Quarantine;
 use crate::gateway::response::{CallerResponse, empty_response, full_body};
 use http::{Method, Response, StatusCode};
 use serde::Serialize;
 use sloetrail_quarantine::{HoldReason, RequestDigest};
 use sloetrail_types::whole_millis;
-use std::time::Duration;
 
 /// GET lists the requests. DELETE releases one by its digest.
 const PATH: &str = "/quarantine";
@@ -27,7 +26,7 @@
     reason: &'static str,
     /// What ends it.
     waits_for: &'static str,
-    /// Time until held work is tried with this request; None if it is not.
+    /// Time until the request may be tried; None if it is not.
     trial_in_ms: Option<u64>,
 }
 
@@ -48,7 +47,6 @@
     fn list(&self) -> CallerResponse {
         let now_ms = self.table.now_ms().unwrap_or_default();
         let assessment = self.assessment();
-        let delays = TrialDelays::of_held_request(Duration::ZERO);
         let quarantined = assessment.quarantined().take(MAX_LISTED);
         let quarantined: Vec<ListedRequest> = quarantined
             .map(|(suspect, quarantined)| ListedRequest {
@@ -61,7 +59,7 @@
                 reason: quarantined.reason.as_str(),
                 waits_for: waits_for(quarantined.reason),
                 trial_in_ms: self
-                    .until_trial(&suspect.service, quarantined, delays)
+                    .until_trial(&suspect.service, quarantined)
                     .map(whole_millis),
             })
             .collect();
@@ -74,12 +72,7 @@
 /// Returns what ends the quarantine of a request, besides a release and the end of its retention.
 fn waits_for(reason: HoldReason) -> &'static str {
     match reason {
-        HoldReason::SoleSuspect => {
-            "other software at all back ends; held work also for a rare trial"
-        }
-        HoldReason::SeveralSuspects | HoldReason::OtherCause | HoldReason::OtherSuspect => {
-            "a trial, once few back ends crash"
-        }
-        HoldReason::TrialsExhausted => "other software at all back ends",
+        HoldReason::SoleSuspect | HoldReason::TrialsExhausted => "other software at all back ends",
+        HoldReason::SeveralSuspects | HoldReason::OtherCause => "a trial",
     }
 }
--- a/crates/sloetrail-serving/src/quarantine/permission.rs
+++ b/crates/sloetrail-serving/src/quarantine/permission.rs
@@ -1,7 +1,7 @@
 //! Permission of a request to be sent to a back end, given its quarantine status.
 
 use super::trial::TrialGuard;
-use super::{LastEvent, Quarantine, RequestIdentity, RunWatch, TrialDelays};
+use super::{LastEvent, Quarantine, RequestIdentity, RunWatch};
 use crate::back_end::BackEnd;
 use crate::events::{self, Event};
 use crate::telemetry;
@@ -14,6 +14,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Number of crashes from which on a request is not tried any more, although it may be innocent.
+const MAX_CRASHES_TO_TRY: usize = 5;
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Permission {
     /// No crash counts against it.
@@ -22,10 +25,7 @@
     /// cannot crash a second one before the first crash is known.
     OneAtATime,
     /// It may be sent once, as a trial.
-    OnTrial {
-        /// True if no other suspect may be on trial at the same back end.
-        is_alone: bool,
-    },
+    OnTrial,
     /// It must not be sent to back ends.
     Quarantined {
         crashes: usize,
@@ -40,40 +40,40 @@
     quarantine: Arc<Quarantine>,
     service: ServiceName,
     identity: Arc<RequestIdentity>,
-    delays: TrialDelays,
     is_on_trial: bool,
     /// Keeps other live requests of the service from being tried.
     trial: Option<Arc<TrialGuard>>,
 }
 
 impl QuarantinePermit {
-    /// Creates the permit of a request for the back ends of a service.
+    /// Creates the permit of a request for the back ends of a service. That of a request of a batch
+    /// is always open.
     pub(crate) fn new(
         quarantine: &Arc<Quarantine>,
         service: &ServiceName,
         identity: RequestIdentity,
-        delays: TrialDelays,
     ) -> Self {
         Self {
             quarantine: Arc::clone(quarantine),
             service: service.clone(),
             identity: Arc::new(identity),
-            delays,
             is_on_trial: false,
             trial: None,
         }
     }
 
     pub(crate) fn permission(&self) -> Permission {
-        self.quarantine
-            .permission(&self.service, || self.digest(), self.delays)
+        match self.identity.is_suspect() {
+            true => self.quarantine.permission(&self.service, || self.digest()),
+            false => Permission::Free,
+        }
     }
 
     /// True if the request may be sent to a back end now.
     pub(crate) fn is_open(&self) -> bool {
         match self.permission() {
             Permission::Free | Permission::OneAtATime => true,
-            Permission::OnTrial { .. } => self.is_on_trial,
+            Permission::OnTrial => self.is_on_trial,
             Permission::Quarantined { .. } => false,
         }
     }
@@ -88,29 +88,10 @@
         self.is_on_trial
     }
 
-    /// Makes the next send a trial, without regard to trials elsewhere.
-    pub(crate) fn start_trial(&mut self) {
-        self.is_on_trial = true;
-        events::emit(&Event::RequestTried {
-            digest: &self.digest().to_string(),
-            service: self.service.as_str(),
-        });
-    }
-
-    /// The last event that the request had received when back ends crashed under it. None if that is
-    /// not known.
-    pub(crate) fn last_suspect_event(&self) -> Option<u64> {
-        let assessment = self.quarantine.assessment();
-        match assessment.status(&self.service, self.digest()) {
-            RequestStatus::Quarantined(quarantined) => quarantined.last_event,
-            RequestStatus::Free | RequestStatus::Suspected { .. } => None,
-        }
-    }
-
     /// Starts a trial if the request needs one and no other live request of its service is on
     /// trial. The trial ends by `until`.
     pub(crate) async fn acquire_trial(&mut self, until: BootInstant) {
-        if let Permission::OnTrial { .. } = self.permission() {
+        if let Permission::OnTrial = self.permission() {
             let suspect = Suspect {
                 service: self.service.clone(),
                 digest: self.digest(),
@@ -118,7 +99,11 @@
             let trial = self.quarantine.begin_trial(suspect, until).await;
             if let Some(trial) = trial {
                 self.trial = Some(Arc::new(trial));
-                self.start_trial();
+                self.is_on_trial = true;
+                events::emit(&Event::RequestTried {
+                    digest: &self.digest().to_string(),
+                    service: self.service.as_str(),
+                });
             }
         }
     }
@@ -127,8 +112,8 @@
     pub(crate) fn refusal(&self) -> Option<Problem> {
         let (crashes, remaining) = match self.permission() {
             Permission::Free | Permission::OneAtATime => return None,
-            Permission::OnTrial { .. } if self.is_on_trial => return None,
-            Permission::OnTrial { .. } => (None, TRIAL_DELAY),
+            Permission::OnTrial if self.is_on_trial => return None,
+            Permission::OnTrial => (None, TRIAL_DELAY),
             Permission::Quarantined { crashes, remaining } => (Some(crashes), remaining),
         };
         telemetry::request_quarantined(self.service.as_str());
@@ -153,14 +138,8 @@
         if let Some(trial) = &self.trial {
             trial.record_send();
         }
-        let (quarantine, identity) = (&self.quarantine, &self.identity);
-        RunWatch::new(
-            Arc::clone(quarantine),
-            Arc::clone(back_end),
-            Arc::clone(identity),
-            last_event.cloned(),
-            self.is_on_trial,
-        )
+        let identity = Arc::clone(&self.identity);
+        RunWatch::new(&self.quarantine, back_end, identity, last_event)
     }
 
     pub(crate) fn digest(&self) -> RequestDigest {
@@ -168,35 +147,12 @@
     }
 }
 
-impl Permission {
-    /// Label in logs.
-    pub(crate) fn as_str(&self) -> &'static str {
-        match self {
-            Permission::Free => "free",
-            Permission::OneAtATime => "one at a time",
-            Permission::OnTrial { .. } => "trial",
-            Permission::Quarantined { .. } => "refused",
-        }
-    }
-
-    /// The time until the permission changes if nothing happens.
-    pub(crate) fn remaining(&self) -> Duration {
-        match self {
-            Permission::Quarantined { remaining, .. } => *remaining,
-            Permission::Free | Permission::OneAtATime | Permission::OnTrial { .. } => {
-                Duration::ZERO
-            }
-        }
-    }
-}
-
 impl Quarantine {
     /// Returns whether a request may be sent to a back end of a service now.
     pub(crate) fn permission(
         &self,
         service: &ServiceName,
         digest: impl FnOnce() -> RequestDigest,
-        delays: TrialDelays,
     ) -> Permission {
         let assessment = self.assessment();
         if assessment.is_empty(service) {
@@ -205,14 +161,9 @@
         let digest = digest();
         match assessment.status(service, digest) {
             RequestStatus::Free => Permission::Free,
-            RequestStatus::Suspected { .. } => match assessment.explained(service, digest) {
-                Some(explained) if delays.is_held() => {
-                    self.permission_of_quarantined(service, explained, delays)
-                }
-                _ => Permission::OneAtATime,
-            },
+            RequestStatus::Suspected { .. } => Permission::OneAtATime,
             RequestStatus::Quarantined(quarantined) => {
-                self.permission_of_quarantined(service, quarantined, delays)
+                self.permission_of_quarantined(service, quarantined)
             }
         }
     }
@@ -221,17 +172,14 @@
         &self,
         service: &ServiceName,
         quarantined: &QuarantinedRequest,
-        delays: TrialDelays,
     ) -> Permission {
         let until_expiry = self.retention.saturating_sub(self.since_crash(quarantined));
         if until_expiry.is_zero() {
             return Permission::OneAtATime;
         }
-        let until_trial = self.until_trial(service, quarantined, delays);
+        let until_trial = self.until_trial(service, quarantined);
         match until_trial {
-            Some(Duration::ZERO) => Permission::OnTrial {
-                is_alone: quarantined.has_been_tried,
-            },
+            Some(Duration::ZERO) => Permission::OnTrial,
             _ => Permission::Quarantined {
                 crashes: quarantined.crashes,
                 remaining: until_trial.map_or(until_expiry, |until| until.min(until_expiry)),
@@ -240,13 +188,8 @@
     }
 
     fn since_crash(&self, quarantined: &QuarantinedRequest) -> Duration {
-        self.since(quarantined.last_crash_ms)
-    }
-
-    /// The time since a moment of the table's clock.
-    fn since(&self, at_ms: u64) -> Duration {
         let now_ms = self.table.now_ms().unwrap_or_default();
-        Duration::from_millis(now_ms.saturating_sub(at_ms))
+        Duration::from_millis(now_ms.saturating_sub(quarantined.last_crash_ms))
     }
 
     /// Returns the time until a quarantined request is tried. None if it is not.
@@ -254,25 +197,16 @@
         &self,
         service: &ServiceName,
         quarantined: &QuarantinedRequest,
-        delays: TrialDelays,
     ) -> Option<Duration> {
-        let since_crash = self.since_crash(quarantined);
-        match quarantined.reason {
-            HoldReason::SeveralSuspects | HoldReason::OtherCause | HoldReason::OtherSuspect => {
-                let disturbed_ms = self.disturbed_ms.read().get(service).copied();
-                let since_disturbed = self.since(disturbed_ms.unwrap_or_default());
-                delays.until_trial_of_doubtful(quarantined.crashes, since_disturbed, since_crash)
-            }
-            HoldReason::SoleSuspect | HoldReason::TrialsExhausted
-                if self.runs_other_software(service, quarantined) =>
-            {
-                Some(TRIAL_DELAY.saturating_sub(since_crash))
+        let is_tried = match quarantined.reason {
+            HoldReason::SeveralSuspects | HoldReason::OtherCause => {
+                quarantined.crashes < MAX_CRASHES_TO_TRY
             }
-            HoldReason::SoleSuspect => {
-                delays.until_trial_of_sole_suspect(quarantined.crashes, since_crash)
+            HoldReason::SoleSuspect | HoldReason::TrialsExhausted => {
+                self.runs_other_software(service, quarantined)
             }
-            HoldReason::TrialsExhausted => None,
-        }
+        };
+        is_tried.then(|| TRIAL_DELAY.saturating_sub(self.since_crash(quarantined)))
     }
 
     /// True if every back end that takes work runs software that has not crashed under the
--- a/crates/sloetrail-serving/src/quarantine/run_watch.rs
+++ b/crates/sloetrail-serving/src/quarantine/run_watch.rs
@@ -14,25 +14,23 @@
     identity: Arc<RequestIdentity>,
     /// None if the answer is not a stream of events.
     last_event: Option<LastEvent>,
-    is_on_trial: bool,
     is_over: bool,
 }
 
 impl RunWatch {
-    /// Tracks a request that is about to be sent.
-    pub(super) fn new(
-        quarantine: Arc<Quarantine>,
-        back_end: Arc<BackEnd>,
+    /// Tracks a request that is about to be sent. `last_event` follows the events that the attempt
+    /// receives; None if its answer is not a stream.
+    pub(crate) fn new(
+        quarantine: &Arc<Quarantine>,
+        back_end: &Arc<BackEnd>,
         identity: Arc<RequestIdentity>,
-        last_event: Option<LastEvent>,
-        is_on_trial: bool,
+        last_event: Option<&LastEvent>,
     ) -> Self {
         Self {
-            quarantine,
-            back_end,
+            quarantine: Arc::clone(quarantine),
+            back_end: Arc::clone(back_end),
             identity,
-            last_event,
-            is_on_trial,
+            last_event: last_event.cloned(),
             is_over: false,
         }
     }
@@ -55,9 +53,11 @@
     /// Records that the back end has answered the request.
     pub(crate) fn answered(mut self) {
         self.is_over = true;
-        let service = &self.back_end.service;
-        self.quarantine
-            .record_answered_run(service, || self.identity.digest());
+        if self.identity.is_suspect() {
+            let service = &self.back_end.service;
+            self.quarantine
+                .record_answered_run(service, || self.identity.digest());
+        }
     }
 
     /// Records that the connection broke.
@@ -77,7 +77,7 @@
         LostRun {
             request: self.identity.digest(),
             last_event: self.last_event.as_ref().map(LastEvent::number),
-            is_on_trial: self.is_on_trial,
+            is_suspect: self.identity.is_suspect(),
         }
     }
 
--- a/crates/sloetrail-serving/src/telemetry.rs
+++ b/crates/sloetrail-serving/src/telemetry.rs
@@ -102,20 +102,6 @@
         .set(longest.as_secs_f64());
 }
 
-/// Sets the number of quarantined items that an owner has set aside, and how long the first of them
-/// has been.
-pub(crate) fn items_quarantined(resource: &str, items: usize, longest: Duration) {
-    let resource = SERVICES.bounded(resource);
-    gauge!("sloetrail_items_held", "service" => resource.clone()).set(items as f64);
-    gauge!("sloetrail_item_held_longest_seconds", "service" => resource).set(longest.as_secs_f64());
-}
-
-/// Records how long a quarantined item was set aside.
-pub(crate) fn item_freed(service: &str, held: Duration) {
-    let service = SERVICES.bounded(service);
-    histogram!("sloetrail_item_held_seconds", "service" => service).record(held);
-}
-
 /// Counts a request that found no slot and is ranked after others, because its tenant has more
 /// than its share in flight.
 pub(crate) fn tenant_deferred(service: &str, may_wait: bool) {
--- a/crates/sloetrail-serving/tests/support/crash_storm.rs
+++ b/crates/sloetrail-serving/tests/support/crash_storm.rs
@@ -1,6 +1,6 @@
 //! Engines that crash one after the other and restart under their names.
 
-use sloetrail_serving_testkit::cluster::Cluster;
+use sloetrail_serving_testkit::cluster::{Cluster, eventually};
 use sloetrail_serving_testkit::engine::{FakeEngine, RunRecord};
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -90,3 +90,44 @@
     let next = later.filter(|began| *began > since).min();
     Some(next.map_or(Duration::MAX, |next| next - since))
 }
+
+/// Time from the start of a run until its back end crashes in [`crash_each_run`].
+const TIME_TO_CRASH: Duration = Duration::from_millis(50);
+/// Time from a crash until the back end restarts in [`crash_each_run`].
+const DOWN_FOR: Duration = Duration::from_millis(200);
+
+/// Crashes the back end that runs a request, `crashes` times in a row. Returns the time of the last
+/// crash, after all back ends have restarted.
+pub async fn crash_each_run(cluster: &mut Cluster, id: &str, crashes: usize) -> Instant {
+    let mut last_crash = Instant::now();
+    for _ in 0..crashes {
+        let is_running = || async { running_at(cluster, id) };
+        let engine = eventually("the request is running", is_running).await;
+        tokio::time::sleep(TIME_TO_CRASH).await;
+        last_crash = Instant::now();
+        engine.crash();
+        tokio::time::sleep(DOWN_FOR).await;
+        let restarted = engine.restart(0).await;
+        cluster.list(&restarted);
+        cluster.engines.push(restarted);
+    }
+    last_crash
+}
+
+/// The back end where a request is running.
+pub fn running_at(cluster: &Cluster, id: &str) -> Option<Arc<FakeEngine>> {
+    let mut engines = cluster.engines.iter();
+    let running = engines.find(|engine| {
+        let is_running = |run: &RunRecord| run.ended.is_none();
+        !engine.has_crashed() && engine.runs_of(id).iter().any(is_running)
+    });
+    running.cloned()
+}
+
+/// Sets the event interval of all back ends of a service.
+pub fn set_event_interval(cluster: &Cluster, service: &str, interval: Duration) {
+    let engines = cluster.engines.iter();
+    for engine in engines.filter(|engine| engine.service == service) {
+        engine.set_event_interval(interval);
+    }
+}
