The event parser looks at each byte once, and ends a source of comments without end

Callers and operators saw: bytes that are no answer may come without end. A read of 1,000 KiB of line feeds kept a thread of the node for seconds without a pause; 1 MiB without a line end in reads of 64 bytes for most of a minute (debug build); a source that sends comments or empty events for ever was never found malformed.

Cause: the parser drained the front of its buffer for each empty event and searched from its start at each read, and counted only the bytes of the event in progress.

Change: it remembers how far it has searched, takes events by their range, and drops them at the next read; the bytes of comments and empty events count until the next event, up to the limit of an event.

Why it works: each byte is searched once and copied once, whatever the reads.

--- a/crates/sloetrail-serving/src/event_stream/parser.rs
+++ b/crates/sloetrail-serving/src/event_stream/parser.rs
@@ -3,6 +3,8 @@
 //! A spoilt byte may hide the border of two events. An event that may be two, or a part of one, is
 //! malformed, so that the events of a stream are never joined or cut unnoticed.
 
+use std::ops::Range;
+
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct StreamEvent {
     /// The number of the event.
@@ -20,13 +22,23 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct MalformedEvent;
 
-/// Splits a byte stream into complete events.
+/// Splits a byte stream into complete events. Each byte is looked at once, however the stream is cut
+/// into reads.
 #[derive(Clone, Debug)]
 pub(crate) struct EventParser {
     extra_field: String,
     buffer: Vec<u8>,
+    /// Start of the event in progress, in the buffer.
+    event_start: usize,
+    /// Start of the line in progress.
+    line_start: usize,
+    /// Number of bytes of the buffer that were searched for the end of a line.
+    searched: usize,
+    /// Bytes of comments and empty events since the last event.
+    ignored_bytes: usize,
 }
 
+/// Bytes of one event, with the comments and empty events before it.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 impl EventParser {
@@ -35,42 +47,71 @@
         Self {
             extra_field: extra_field.into(),
             buffer: Vec::new(),
+            event_start: 0,
+            line_start: 0,
+            searched: 0,
+            ignored_bytes: 0,
         }
     }
 
     /// Appends bytes of the stream.
     pub(crate) fn push(&mut self, bytes: &[u8]) {
+        self.buffer.drain(..self.event_start);
+        self.line_start -= self.event_start;
+        self.searched -= self.event_start;
+        self.event_start = 0;
         self.buffer.extend_from_slice(bytes);
     }
 
     /// Takes the next complete event that has a number or data. None until more bytes arrive.
     pub(crate) fn next_event(&mut self) -> Option<Result<StreamEvent, MalformedEvent>> {
-        while let Some(end) = end_of_event(&self.buffer) {
-            let raw: Vec<u8> = self.buffer.drain(..end).collect();
-            match self.parse(raw) {
-                Ok(None) => {}
-                Ok(Some(event)) => return Some(Ok(event)),
+        while let Some(raw) = self.next_raw_event() {
+            match self.parse(&self.buffer[raw.clone()]) {
+                Ok(None) => self.ignored_bytes += raw.len(),
+                Ok(Some(event)) => {
+                    self.ignored_bytes = 0;
+                    return Some(Ok(event));
+                }
                 Err(malformed) => return Some(Err(malformed)),
             }
         }
-        let is_too_large = self.buffer.len() > MAX_EVENT_BYTES;
+        let incomplete_bytes = self.buffer.len() - self.event_start;
+        let is_too_large = self.ignored_bytes + incomplete_bytes > MAX_EVENT_BYTES;
         is_too_large.then_some(Err(MalformedEvent))
     }
 
     /// Drops all bytes.
     pub(crate) fn clear(&mut self) {
-        self.buffer.clear();
+        *self = Self::new(std::mem::take(&mut self.extra_field));
     }
 
     /// True if the buffer contains an incomplete event.
     pub(crate) fn is_within_event(&self) -> bool {
-        !self.buffer.is_empty()
+        self.event_start < self.buffer.len()
+    }
+
+    /// Takes the bytes up to the next empty line, which ends an event. None until more bytes arrive.
+    fn next_raw_event(&mut self) -> Option<Range<usize>> {
+        while let Some(length) = line_length(&self.buffer[self.searched..]) {
+            let line_end = self.searched + length;
+            let line = &self.buffer[self.line_start..line_end];
+            let is_empty = line == b"\n" || line == b"\r\n";
+            self.searched = line_end;
+            self.line_start = line_end;
+            if is_empty {
+                let raw = self.event_start..line_end;
+                self.event_start = line_end;
+                return Some(raw);
+            }
+        }
+        self.searched = self.buffer.len();
+        None
     }
 
     /// Returns None if the event has neither a number nor data, such as a comment.
-    fn parse(&self, raw: Vec<u8>) -> Result<Option<StreamEvent>, MalformedEvent> {
-        let raw = String::from_utf8(raw).map_err(|_| MalformedEvent)?;
-        let fields = Fields::read(&raw, &self.extra_field)?;
+    fn parse(&self, raw: &[u8]) -> Result<Option<StreamEvent>, MalformedEvent> {
+        let raw = std::str::from_utf8(raw).map_err(|_| MalformedEvent)?;
+        let fields = Fields::read(raw, &self.extra_field)?;
         if fields.id.is_none() && fields.data.is_empty() {
             return Ok(None);
         }
@@ -81,7 +122,7 @@
             id: fields.id,
             data: fields.data.join("\n"),
             extra: fields.extra,
-            raw,
+            raw: raw.to_owned(),
         }))
     }
 }
@@ -136,18 +177,11 @@
     }
 }
 
-/// Returns the position after the first empty line, which ends an event.
-fn end_of_event(buffer: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (position, byte) in buffer.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &buffer[line_start..position];
-        if line.is_empty() || line == b"\r" {
-            return Some(position + 1);
-        }
-        line_start = position + 1;
-    }
-    None
+/// Returns the length of the first line with its line feed. None if no line ends.
+fn line_length(bytes: &[u8]) -> Option<usize> {
+    let position = bytes.iter().position(|byte| *byte == b'\n')?;
+    Some(position + 1)
 }
+
+#[cfg(test)]
+mod tests;
