Close connections whose answers do not get on

Callers saw: a back end that begins a head and drips it, or sends heads, header lines or digits of a chunk's size for ever, kept an attempt, its slot and a processor until the deadline of the request or call.

Cause: the HTTP client bounds some of these and reads the others for as long as its caller waits; nothing counted bytes that are neither a head nor data. A body read with an idle time-out alone (the table) could drip for ever.

Change: reads of a connection fail after 1 MiB without a whole head or data, and 1.5 s after the first byte of a head that is not whole. A body without a deadline may come at 16 KiB a second after four idle time-outs. An answer that has not begun is waited for as before: the back end may be busy.

Why it works: the limit sits below the HTTP client, whatever the part of the answer. What a slow reader leaves in the client's buffers (400 KiB) is far below it. The table's limit has no test yet.

--- a/crates/sloetrail-serving-testkit/src/lib.rs
+++ b/crates/sloetrail-serving-testkit/src/lib.rs
@@ -6,7 +6,7 @@
 //!   through its own [`table::TableLink`].
 //! - [`engine::FakeEngine`] is a back end that runs items and live requests and records them.
 //! - [`blackhole_proxy::BlackholeProxy`] and [`congested_proxy::CongestedProxy`] inject network
-//!   faults between two of these.
+//!   faults between two of these, [`endless_back_end::EndlessBackEnd`] answers without end.
 //! - [`usage::ReportRecorder`] records usage reports, [`supply::SupplyRecorder`] orders for
 //!   engines.
 //! - [`client`] makes calls as callers and trainers do, [`keyed::IdempotentRequest`] calls with
@@ -17,6 +17,7 @@
 pub mod client;
 pub mod cluster;
 pub mod congested_proxy;
+pub mod endless_back_end;
 pub mod engine;
 pub mod keyed;
 pub mod stopwatch;
--- a/crates/sloetrail-serving/src/http/connections.rs
+++ b/crates/sloetrail-serving/src/http/connections.rs
@@ -8,6 +8,7 @@
 //! only slow keeps most of its connections.
 
 use super::FullBody;
+use super::received_bytes::{LimitedReads, ReceivedBytes};
 use super::reuse::Reuse;
 use super::socket;
 use super::unresponsive::UnresponsiveWatch;
@@ -36,6 +37,7 @@
 /// A connection that can send a request.
 pub(crate) struct Connection {
     pub(crate) sender: Sender,
+    pub(super) received: ReceivedBytes,
     opened_at: BootInstant,
     /// When the connection was opened or its last response was complete.
     pub(super) received_at: BootInstant,
@@ -247,14 +249,16 @@
         .ok()?
         .ok()?;
     socket::configure(&stream);
+    let received = ReceivedBytes::new();
     let (sender, connection) = http1::Builder::new()
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(LimitedReads::new(stream, received.clone())))
         .await
         .ok()?;
     tasks::spawn("back end connection", connection);
     let now = BootInstant::now();
     Some(Connection {
         sender,
+        received,
         opened_at: now,
         received_at: now,
     })
--- a/crates/sloetrail-serving/src/http/exchange.rs
+++ b/crates/sloetrail-serving/src/http/exchange.rs
@@ -2,6 +2,7 @@
 
 use super::FullBody;
 use super::connections::{self, Connection, ConnectionPool, Sender, UnresponsiveSign};
+use super::received_bytes::ReceivedBytes;
 use super::reuse::Reuse;
 use crate::tasks;
 use bytes::{Bytes, BytesMut};
@@ -25,6 +26,10 @@
 const MAX_DISCARD_BYTES: usize = 4 * 1024;
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// A body without a deadline may come this slowly, after a first time of several idle timeouts.
+const MIN_BYTES_PER_SECOND: usize = 16 * 1024;
+const MAX_IDLE_TIMES: u32 = 4;
+
 /// Why a request has no response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendFailure {
@@ -63,6 +68,7 @@
 pub struct AnswerBody {
     incoming: Incoming,
     peer: Peer,
+    received: ReceivedBytes,
     /// When the last part of the response arrived.
     received_at: BootInstant,
     has_ended: bool,
@@ -128,9 +134,11 @@
 
     fn new(peer: Peer, connection: Connection, response: Response<Incoming>) -> Self {
         let (head, incoming) = response.into_parts();
+        connection.received.record_progress();
         let body = AnswerBody {
             incoming,
             peer,
+            received: connection.received.clone(),
             received_at: BootInstant::now(),
             has_ended: false,
             connection: is_reusable(&head.headers).then_some(connection),
@@ -163,30 +171,41 @@
         limit: usize,
         deadline: BootInstant,
     ) -> Result<CompleteAnswer, SendFailure> {
-        self.collect(limit, || deadline).await
+        self.collect(limit, |_| deadline).await
     }
 
     /// Reads the body to its end, up to `limit` bytes. The timeout applies to the time between
-    /// two pieces of data, so that a large body may take long on a slow link.
+    /// two pieces of data, so that a large body may take long on a slow link. A body that comes
+    /// slower than [`MIN_BYTES_PER_SECOND`] is given up.
     pub async fn read_to_end_with_idle_timeout(
         self,
         limit: usize,
         idle_timeout: Duration,
     ) -> Result<CompleteAnswer, SendFailure> {
-        self.collect(limit, || BootInstant::now() + idle_timeout)
-            .await
+        let started_at = BootInstant::now();
+        self.collect(limit, |received| {
+            let expected = Duration::from_secs((received / MIN_BYTES_PER_SECOND) as u64);
+            let max_time = idle_timeout.saturating_mul(MAX_IDLE_TIMES) + expected;
+            (started_at + max_time).min(BootInstant::now() + idle_timeout)
+        })
+        .await
     }
 
-    /// Reads the body to its end. `piece_deadline` returns the deadline for the next piece.
+    /// Reads the body to its end. `piece_deadline` returns the deadline for the next piece, given the
+    /// number of bytes received so far.
     async fn collect(
         self,
         limit: usize,
-        piece_deadline: impl Fn() -> BootInstant,
+        piece_deadline: impl Fn(usize) -> BootInstant,
     ) -> Result<CompleteAnswer, SendFailure> {
         let mut collected = BytesMut::new();
         let mut body = self.body;
         loop {
-            let piece = sloetrail_clock::timeout_at(piece_deadline(), body.next_data()).await;
+            let due = piece_deadline(collected.len());
+            if BootInstant::now() >= due {
+                return Err(SendFailure::TimedOut);
+            }
+            let piece = sloetrail_clock::timeout_at(due, body.next_data()).await;
             match piece.map_err(|_| SendFailure::TimedOut)?? {
                 Some(piece) if collected.len() + piece.len() > limit => {
                     return Err(SendFailure::TooLarge);
@@ -212,6 +231,7 @@
             match frame {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
+                        self.received.record_progress();
                         return Ok(Some(data));
                     }
                 }
@@ -303,6 +323,7 @@
     deadline: BootInstant,
 ) -> Result<Response<Incoming>, (Unsent, SendFailure)> {
     let received_at = connection.received_at;
+    connection.received.record_request();
     let sending = wait_for_head(&mut connection.sender, request, deadline);
     if reuse != Reuse::UntilUnresponsive {
         return sending.await;
--- a/crates/sloetrail-serving/src/http/mod.rs
+++ b/crates/sloetrail-serving/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod connections;
 mod exchange;
 mod listener;
+mod received_bytes;
 mod reuse;
 mod socket;
 mod unresponsive;
--- /dev/null
+++ b/crates/sloetrail-serving/tests/endless_answers.rs
@@ -0,0 +1,177 @@
+//! Back ends that answer with bytes without end. The connection is closed soon and after few bytes,
+//! and the answer comes from another back end in time.
+
+mod support;
+
+use futures_util::future::join_all;
+use http::Method;
+use serde_json::Value;
+use sloetrail_serving_testkit::client::{Answer, Call, batch, with_reward};
+use sloetrail_serving_testkit::cluster::{APPLICATION, Cluster, HOST, MODEL, MODELS, eventually};
+use sloetrail_serving_testkit::endless_back_end::{EndlessBackEnd, EndlessBytes};
+use sloetrail_serving_testkit::engine::FakeEngine;
+use sloetrail_serving_testkit::wire::NativeWire;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use support::{accepted, assert_each_once, items, native_cluster};
+
+const EVENT_INTERVAL: Duration = Duration::from_millis(5);
+const EVENTS: u64 = 12;
+/// The time-out of a run's first event and that between events, and the deadline of the requests.
+const MAX_TIME_OPEN: Duration = Duration::from_millis(2_500 + 1_500);
+/// What may be read without an answer, and as much in the buffers of sockets and the HTTP client.
+const MAX_BYTES: usize = 16 * 1024 * 1024;
+/// The time in which a caller gets its answer.
+const DEADLINE: Duration = Duration::from_millis(5_000);
+
+/// A cluster of one node with a sound back end of each service.
+struct EndlessCluster {
+    cluster: Cluster,
+    bytes: EndlessBytes,
+    stand_in: Arc<EndlessBackEnd>,
+    /// The back end that is listed at the address of the stand-in.
+    _listed: Arc<FakeEngine>,
+}
+
+impl EndlessCluster {
+    /// Starts a cluster in which a second back end of a service sends bytes without end. The sound one
+    /// is listed after the stand-in has got a request.
+    async fn start(service: &str, bytes: EndlessBytes) -> Self {
+        let mut cluster = native_cluster();
+        let stand_in = EndlessBackEnd::start(bytes, cluster.names()).await;
+        let wire = Arc::new(NativeWire);
+        let models: &[&str] = if service == MODELS { &[MODEL] } else { &[] };
+        let listed = FakeEngine::start(wire, service, "zone-a", models, EVENT_INTERVAL).await;
+        listed.set_listed_address(stand_in.address);
+        cluster.list(&listed);
+        match service {
+            MODELS => cluster.add_application("zone-a").await,
+            _ => cluster.add_engine(EVENT_INTERVAL).await,
+        };
+        let node = cluster.add_node("node-1").await;
+        cluster.wait_ready(node).await;
+        Self {
+            cluster,
+            bytes,
+            stand_in,
+            _listed: listed,
+        }
+    }
+
+    /// Adds the sound back end once the stand-in has got a request.
+    async fn add_sound(&mut self, service: &str) {
+        let has_request = || async { (!self.stand_in.answers().is_empty()).then_some(()) };
+        eventually("the stand-in gets a request", has_request).await;
+        match service {
+            MODELS => self.cluster.add_engine(EVENT_INTERVAL).await,
+            _ => self.cluster.add_application("zone-a").await,
+        };
+    }
+
+    /// Asserts that each connection to the stand-in is closed in time and after few bytes.
+    async fn assert_closed(&self) {
+        let bytes = self.bytes;
+        let are_closed = || async {
+            let answers = self.stand_in.answers();
+            let are_closed = answers.iter().all(|answer| answer.closed.is_some());
+            are_closed.then_some(answers)
+        };
+        let answers = eventually("the connections are closed", are_closed).await;
+        assert!(!answers.is_empty(), "{bytes:?}: no request came");
+        for answer in answers {
+            let open = answer.closed.expect("closed") - answer.began;
+            assert!(open <= MAX_TIME_OPEN, "{bytes:?}: open for {open:?}");
+            assert!(answer.sent <= MAX_BYTES, "{bytes:?}: {} bytes", answer.sent);
+        }
+    }
+}
+
+async fn send(cluster: &Cluster, path: &str, body: &str) -> Option<Answer> {
+    let names = cluster.names();
+    let call = Call::new(Method::POST, HOST, path)
+        .header(&names.request_id, "r1")
+        .header(&names.deadline_ms, &DEADLINE.as_millis().to_string())
+        .body(body.to_owned());
+    call.send(cluster.nodes[0].callers).await
+}
+
+/// The shapes that are no answer to a request.
+fn shapes(is_answer: impl Fn(EndlessBytes) -> bool) -> impl Iterator<Item = EndlessBytes> {
+    let all = EndlessBytes::ALL.into_iter();
+    all.filter(move |bytes| !is_answer(*bytes))
+}
+
+async fn check_live(bytes: EndlessBytes) {
+    let mut endless = EndlessCluster::start(APPLICATION, bytes).await;
+    let started_at = Instant::now();
+    let asking = {
+        let names = endless.cluster.names();
+        let address = endless.cluster.nodes[0].callers;
+        let call = Call::new(Method::POST, HOST, "/live/x")
+            .header(&names.request_id, "r1")
+            .header(&names.deadline_ms, &DEADLINE.as_millis().to_string())
+            .body("question");
+        tokio::spawn(async move { call.send(address).await })
+    };
+    endless.add_sound(APPLICATION).await;
+    let answer = asking.await.expect("the request ends").expect("an answer");
+    assert_eq!(answer.status, 200, "{bytes:?}: {}", answer.text());
+    assert!(started_at.elapsed() <= DEADLINE, "{bytes:?}");
+    endless.assert_closed().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn live_requests_are_answered_elsewhere() {
+    let is_answer = |bytes| matches!(bytes, EndlessBytes::BehindAnswer);
+    join_all(shapes(is_answer).map(check_live)).await;
+}
+
+async fn check_reward_call(bytes: EndlessBytes) {
+    let mut endless = EndlessCluster::start(APPLICATION, bytes).await;
+    let scored = items(1, 2).into_iter().map(|item| with_reward(item, HOST));
+    let scored: Vec<Value> = scored.collect();
+    accepted(&endless.cluster, 0, "b1", &batch(&scored, MODEL, 1)).await;
+    endless.add_sound(APPLICATION).await;
+    let results = endless.cluster.wait_results(0, "b1", 1).await;
+    assert_each_once(&results, 1);
+    endless.assert_closed().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn reward_calls_are_made_elsewhere() {
+    let is_answer = |bytes| matches!(bytes, EndlessBytes::BehindAnswer);
+    join_all(shapes(is_answer).map(check_reward_call)).await;
+}
+
+async fn check_orders(bytes: EndlessBytes) {
+    const VERSION: u64 = 2;
+    let mut endless = EndlessCluster::start(MODELS, bytes).await;
+    let work = batch(&items(1, EVENTS), MODEL, VERSION);
+    endless.cluster.publish(VERSION);
+    accepted(&endless.cluster, 0, "b1", &work).await;
+    endless.add_sound(MODELS).await;
+    let results = endless.cluster.wait_results(0, "b1", 1).await;
+    assert_each_once(&results, 1);
+    endless.assert_closed().await;
+}
+
+/// Guards against orders that an engine answers without end and that keep the others from theirs.
+#[tokio::test(flavor = "multi_thread")]
+async fn other_engines_get_their_orders() {
+    let is_answer = |bytes| matches!(bytes, EndlessBytes::BehindAnswer);
+    join_all(shapes(is_answer).map(check_orders)).await;
+}
+
+/// Guards against a kept connection whose bytes behind an answer are read without end.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_with_bytes_behind_an_answer_is_closed_at_once() {
+    let endless = EndlessCluster::start(APPLICATION, EndlessBytes::BehindAnswer).await;
+    let answer = send(&endless.cluster, "/live/x", "question").await;
+    assert_eq!(answer.expect("an answer").status, 200);
+    endless.assert_closed().await;
+    let answers = endless.stand_in.answers();
+    let open = answers
+        .iter()
+        .map(|answer| answer.closed.expect("closed") - answer.began);
+    assert!(open.max() <= Some(Duration::from_secs(1)));
+}
