Streams to clients wait for the next event, not for the next bytes

Callers saw: a stream stood still until its deadline while its back end sent comments now and then.

Cause: each read of a stream had the time between two events anew, whatever it brought.

Change: the time runs from the last event, or from the opening of the source, and is looked at before each read, so that bytes that are always there do not hide it.

Why it works: only an accepted event moves the time on.

--- a/crates/sloetrail-serving/src/gateway/stream.rs
+++ b/crates/sloetrail-serving/src/gateway/stream.rs
@@ -130,6 +130,8 @@
     watch: Option<RunWatch>,
     body: AnswerBody,
     reader: SeriesReader,
+    /// When the next event must have arrived. Bytes that are no event do not extend it.
+    event_due: BootInstant,
     /// True if the back end has sent an event that does not continue the stream.
     is_refused: bool,
     is_over: bool,
@@ -353,6 +355,7 @@
             watch: Some(watch),
             body,
             reader,
+            event_due: BootInstant::now() + EVENT_TIMEOUT,
             is_refused: false,
             is_over: false,
         };
@@ -387,12 +390,11 @@
 
     async fn next_part(&mut self) -> NextPart {
         while !self.is_refused {
-            let chunk_deadline = self
-                .source
-                .call
-                .deadline
-                .min(BootInstant::now() + EVENT_TIMEOUT);
-            let chunk = match self.next_chunk(chunk_deadline).await {
+            let due = self.source.call.deadline.min(self.event_due);
+            if BootInstant::now() >= due {
+                return NextPart::Failed(SendFailure::TimedOut);
+            }
+            let chunk = match self.next_chunk(due).await {
                 Ok(Ok(Some(chunk))) => chunk,
                 Ok(Ok(None)) if self.reader.may_end() => return NextPart::End,
                 Ok(Ok(None)) => return NextPart::Failed(SendFailure::Lost),
@@ -431,6 +433,9 @@
     /// forwarded before the stream is resumed.
     fn accept(&mut self, chunk: &[u8]) -> Bytes {
         let part = self.reader.push(chunk);
+        if part.accepted > 0 {
+            self.event_due = BootInstant::now() + EVENT_TIMEOUT;
+        }
         if let Some(refused) = part.refused {
             self.is_refused = true;
             self.log_refused_event(refused, part.accepted - part.events.len());
@@ -482,6 +487,7 @@
                 self.watch = Some(open.watch);
                 self.body = open.body;
                 self.reader.start_source();
+                self.event_due = BootInstant::now() + EVENT_TIMEOUT;
                 self.is_refused = false;
                 true
             }
--- a/crates/sloetrail-serving/tests/endless_answers.rs
+++ b/crates/sloetrail-serving/tests/endless_answers.rs
@@ -126,6 +126,34 @@
     join_all(shapes(is_answer).map(check_live)).await;
 }
 
+async fn check_stream(bytes: EndlessBytes) {
+    let mut endless = EndlessCluster::start(APPLICATION, bytes).await;
+    let body = format!("events={EVENTS}");
+    let asking = {
+        let names = endless.cluster.names();
+        let address = endless.cluster.nodes[0].callers;
+        let call = Call::new(Method::POST, HOST, "/events/x")
+            .header(&names.request_id, "r1")
+            .header(&names.deadline_ms, &DEADLINE.as_millis().to_string())
+            .body(body);
+        tokio::spawn(async move { call.send(address).await })
+    };
+    endless.add_sound(APPLICATION).await;
+    let answer = asking.await.expect("the request ends");
+    let text = answer.expect("a complete stream").text();
+    let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
+    let ids: Vec<u64> = ids.map(|id| id.parse().expect("a number")).collect();
+    assert_eq!(ids, (1..=EVENTS).collect::<Vec<u64>>(), "{bytes:?}");
+    endless.assert_closed().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_are_continued_elsewhere() {
+    // A client's stream has its deadline, whatever number of events it brings.
+    let is_answer = |bytes| matches!(bytes, EndlessBytes::Events | EndlessBytes::BehindAnswer);
+    join_all(shapes(is_answer).map(check_stream)).await;
+}
+
 async fn check_reward_call(bytes: EndlessBytes) {
     let mut endless = EndlessCluster::start(APPLICATION, bytes).await;
     let scored = items(1, 2).into_iter().map(|item| with_reward(item, HOST));
