Texts of items end at the tokens that the item may have

Operators saw: a back end that sends sound-looking events for ever grew the owner's memory: 457 MB in a test after under three minutes.

Cause: a run ended by its answer's end, a refused event or silence; a text had no limit while an event came in time.

Change: a text with more events than the item's tokens, or over 16 MiB, is dropped, its engine backs off and the item starts again elsewhere (`too long`). The time to the next event is looked at before each read.

Why it works: an event holds at least one token, and the item says how many there may be, its prompt's included.

--- a/crates/sloetrail-batch/src/transcript.rs
+++ b/crates/sloetrail-batch/src/transcript.rs
@@ -58,6 +58,11 @@
         self.events.len()
     }
 
+    /// The bytes of the data of all events.
+    pub fn data_bytes(&self) -> usize {
+        self.events.iter().map(|event| event.data.len()).sum()
+    }
+
     pub fn is_empty(&self) -> bool {
         self.events.is_empty()
     }
--- a/crates/sloetrail-serving/src/owner/run.rs
+++ b/crates/sloetrail-serving/src/owner/run.rs
@@ -33,6 +33,8 @@
 const EVENT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The maximum size of an answer that is not an event stream.
 const MAX_REFUSAL_BYTES: usize = 64 * 1024;
+/// The maximum size of a text. Results are read in pages of at most a megabyte.
+const MAX_TEXT_BYTES: usize = 16 * 1024 * 1024;
 
 pub(super) struct RunSpec {
     pub(super) context: Arc<NodeContext>,
@@ -116,7 +118,9 @@
     Lost,
     /// The later events contradict the first one, which the text holds.
     WrongFirstEvent,
-    /// The engine sent nothing within the timeout.
+    /// The text is longer than the item allows.
+    TooLong,
+    /// The engine sent no event within the timeout.
     Unresponsive,
     /// The engine's weights are too old, or the text would mix versions where that is not allowed.
     WrongVersion,
@@ -139,6 +143,7 @@
             RunOutcome::NotSent => "not sent",
             RunOutcome::Lost => "lost",
             RunOutcome::WrongFirstEvent => "wrong first event",
+            RunOutcome::TooLong => "too long",
             RunOutcome::Unresponsive => "silent",
             RunOutcome::WrongVersion => "wrong version",
             RunOutcome::Withheld => "held back",
@@ -152,9 +157,11 @@
     let cancel = spec.cancel.clone();
     let zone_work = &spec.context.zone_work;
     let _running = zone_work.begin(&spec.back_end.zone, WorkKind::Item);
+    let text_bytes = spec.progress.state().transcript.data_bytes();
     let mut run = Run {
-        last_event_at: None,
         spec,
+        text_bytes,
+        last_event_at: None,
     };
     tokio::select! {
         outcome = run.run_with_crash_watch() => outcome,
@@ -164,6 +171,8 @@
 
 struct Run {
     spec: RunSpec,
+    /// Bytes of the text so far.
+    text_bytes: usize,
     last_event_at: Option<BootInstant>,
 }
 
@@ -182,7 +191,7 @@
         };
         match outcome {
             RunOutcome::Completed | RunOutcome::Failed | RunOutcome::Impossible => watch.answered(),
-            RunOutcome::Lost | RunOutcome::WrongFirstEvent => watch.lost(),
+            RunOutcome::Lost | RunOutcome::WrongFirstEvent | RunOutcome::TooLong => watch.lost(),
             RunOutcome::NotSent => watch.not_reached(),
             // The engine may still be running the item.
             RunOutcome::Unresponsive | RunOutcome::WrongVersion | RunOutcome::Cancelled => {
@@ -318,6 +327,9 @@
                 None => first_due,
                 Some(at) => at + EVENT_TIMEOUT,
             };
+            if BootInstant::now() >= due {
+                return RunOutcome::Unresponsive;
+            }
             let chunk = match sloetrail_clock::timeout_at(due, body.next_data()).await {
                 Ok(Ok(chunk)) => chunk,
                 Ok(Err(_)) => return RunOutcome::Lost,
@@ -373,12 +385,24 @@
         {
             return Some(RunOutcome::WrongVersion);
         }
+        if self.is_too_long(&event) {
+            return Some(RunOutcome::TooLong);
+        }
+        self.text_bytes += event.data.len();
         let is_appended = event
             .id
             .is_some_and(|number| self.append(number, event.data));
         (!is_appended).then_some(RunOutcome::Lost)
     }
 
+    /// True if the text has no room for the event. An event has at least one token, and most items say
+    /// how many there may be.
+    fn is_too_long(&self, event: &StreamEvent) -> bool {
+        let tokens = self.spec.item.tokens;
+        let has_all_events = tokens > 0 && self.spec.progress.event_count() as u64 >= tokens;
+        has_all_events || self.text_bytes + event.data.len() > MAX_TEXT_BYTES
+    }
+
     fn log_refused_event(&self, refused: RefusedEvent) {
         events::emit(&Event::EventRefused {
             request: &self.spec.item.id,
--- a/crates/sloetrail-serving/src/owner/service_owner/results.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner/results.rs
@@ -60,7 +60,8 @@
         open.batch.set_transcript(index, transcript);
         let mixes_versions =
             outcome == RunOutcome::WrongVersion && open.batch.header.single_version;
-        if mixes_versions || outcome == RunOutcome::WrongFirstEvent {
+        let is_wrong = matches!(outcome, RunOutcome::WrongFirstEvent | RunOutcome::TooLong);
+        if mixes_versions || is_wrong {
             open.batch.restart_text(index);
         }
         let failure = match outcome {
@@ -102,6 +103,7 @@
             | RunOutcome::NotSent
             | RunOutcome::Lost
             | RunOutcome::WrongFirstEvent
+            | RunOutcome::TooLong
             | RunOutcome::Unresponsive => engine.record_loss(),
             RunOutcome::Completed | RunOutcome::Failed | RunOutcome::Impossible => {
                 engine.record_completion()
--- a/crates/sloetrail-serving/tests/endless_answers.rs
+++ b/crates/sloetrail-serving/tests/endless_answers.rs
@@ -154,6 +154,27 @@
     join_all(shapes(is_answer).map(check_stream)).await;
 }
 
+async fn check_items(bytes: EndlessBytes) {
+    const ITEMS: usize = 4;
+    let mut endless = EndlessCluster::start(MODELS, bytes).await;
+    let work = batch(&items(ITEMS, EVENTS), MODEL, 1);
+    accepted(&endless.cluster, 0, "b1", &work).await;
+    endless.add_sound(MODELS).await;
+    let results = endless.cluster.wait_results(0, "b1", ITEMS).await;
+    assert_each_once(&results, ITEMS);
+    let is_whole = |result: &Value| {
+        let text = result["text"].as_str().unwrap_or_default();
+        text.lines().count() == EVENTS as usize
+    };
+    assert!(results.iter().all(is_whole), "{bytes:?}: {results:?}");
+    endless.assert_closed().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn items_are_run_elsewhere() {
+    join_all(shapes(|_| false).map(check_items)).await;
+}
+
 async fn check_reward_call(bytes: EndlessBytes) {
     let mut endless = EndlessCluster::start(APPLICATION, bytes).await;
     let scored = items(1, 2).into_iter().map(|item| with_reward(item, HOST));
