--- a/crates/sloetrail-quarantine/src/lib.rs
+++ b/crates/sloetrail-quarantine/src/lib.rs
@@ -1,8 +1,8 @@
 //! Detection of requests that crash the back ends that run them ("queries of death").
 //!
-//! Only a request of a client can be one: items of batches and reward calls are owed, whatever
-//! crashes under them. Such a request returns under a new id and at any node, so it is identified by its
-//! [`RequestDigest`]. A node writes a [`CrashReport`] for each back end that crashed while
+//! Only a request of a caller can be one: items of batches and reward calls are owed, whatever
+//! crashes under them. Such a request returns under a new id and at any node, so it is identified
+//! by its [`RequestDigest`]. A node writes a [`CrashReport`] for each back end that crashed while
 //! running requests of this node. Every node derives the [`RequestStatus`] of each request from
 //! the same rows with [`assess`].
 //!
--- a/crates/sloetrail-quarantine/src/other_causes.rs
+++ b/crates/sloetrail-quarantine/src/other_causes.rs
@@ -2,8 +2,8 @@
 //!
 //! While back ends crash one after the other, a request that is resent meets several of these
 //! crashes. Two signs tell such a time from one in which requests are the cause: crashes whose
-//! requests have all proved innocent, or which ran only items, and several separate culprits none of which got less far than
-//! the requests beside it.
+//! requests have all proved innocent, or that only items have met, and several separate culprits
+//! none of which got less far than the requests and items beside it.
 
 use crate::RequestDigest;
 use crate::crashes::{Crash, Crashes};
--- a/crates/sloetrail-serving-testkit/src/endless_back_end.rs
+++ b/crates/sloetrail-serving-testkit/src/endless_back_end.rs
@@ -74,10 +74,9 @@
             Self::ChunkSize => chunked,
             Self::ChunkExtension => format!("{chunked}1;"),
             Self::Trailers => format!("{chunked}2\r\nok\r\n0\r\n"),
-            Self::EmptyEvents | Self::Comments | Self::Body | Self::DrippedBody => {
+            Self::EmptyEvents | Self::Comments | Self::Events | Self::Body | Self::DrippedBody => {
                 format!("{head}\r\n")
             }
-            Self::Events => format!("{head}\r\n"),
             Self::DrippedComments => format!("{head}\r\nid: 1\ndata: a\n\n"),
             Self::BehindAnswer => format!("{head}content-length: 2\r\n\r\nok"),
         }
--- a/crates/sloetrail-serving/tests/endless_answers.rs
+++ b/crates/sloetrail-serving/tests/endless_answers.rs
@@ -4,8 +4,10 @@
 mod support;
 
 use futures_util::future::join_all;
-use http::Method;
+use http::{Method, Request};
 use serde_json::Value;
+use sloetrail_clock::BootInstant;
+use sloetrail_serving::http::{ConnectionPool, Exchange, FullBody, Reuse, SendFailure};
 use sloetrail_serving_testkit::client::{Answer, Call, batch, with_reward};
 use sloetrail_serving_testkit::cluster::{APPLICATION, Cluster, HOST, MODEL, MODELS, eventually};
 use sloetrail_serving_testkit::endless_back_end::{EndlessBackEnd, EndlessBytes};
@@ -16,6 +18,8 @@
 use support::{accepted, assert_each_once, items, native_cluster};
 
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
+/// Longer than between two bytes of a dripped answer.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(200);
 const EVENTS: u64 = 12;
 /// The time-out of a run's first event and that between events, and the deadline of the requests.
 const MAX_TIME_OPEN: Duration = Duration::from_millis(2_500 + 1_500);
@@ -86,13 +90,19 @@
     }
 }
 
-async fn send(cluster: &Cluster, path: &str, body: &str) -> Option<Answer> {
+/// Returns a future that sends a request. None if no answer comes.
+fn send(
+    cluster: &Cluster,
+    path: &str,
+    body: &str,
+) -> impl Future<Output = Option<Answer>> + Send + use<> {
     let names = cluster.names();
     let call = Call::new(Method::POST, HOST, path)
         .header(&names.request_id, "r1")
         .header(&names.deadline_ms, &DEADLINE.as_millis().to_string())
         .body(body.to_owned());
-    call.send(cluster.nodes[0].callers).await
+    let address = cluster.nodes[0].callers;
+    async move { call.send(address).await }
 }
 
 /// The shapes that are no answer to a request.
@@ -104,15 +114,7 @@
 async fn check_live(bytes: EndlessBytes) {
     let mut endless = EndlessCluster::start(APPLICATION, bytes).await;
     let started_at = Instant::now();
-    let asking = {
-        let names = endless.cluster.names();
-        let address = endless.cluster.nodes[0].callers;
-        let call = Call::new(Method::POST, HOST, "/live/x")
-            .header(&names.request_id, "r1")
-            .header(&names.deadline_ms, &DEADLINE.as_millis().to_string())
-            .body("question");
-        tokio::spawn(async move { call.send(address).await })
-    };
+    let asking = tokio::spawn(send(&endless.cluster, "/live/x", "question"));
     endless.add_sound(APPLICATION).await;
     let answer = asking.await.expect("the request ends").expect("an answer");
     assert_eq!(answer.status, 200, "{bytes:?}: {}", answer.text());
@@ -129,15 +131,7 @@
 async fn check_stream(bytes: EndlessBytes) {
     let mut endless = EndlessCluster::start(APPLICATION, bytes).await;
     let body = format!("events={EVENTS}");
-    let asking = {
-        let names = endless.cluster.names();
-        let address = endless.cluster.nodes[0].callers;
-        let call = Call::new(Method::POST, HOST, "/events/x")
-            .header(&names.request_id, "r1")
-            .header(&names.deadline_ms, &DEADLINE.as_millis().to_string())
-            .body(body);
-        tokio::spawn(async move { call.send(address).await })
-    };
+    let asking = tokio::spawn(send(&endless.cluster, "/events/x", &body));
     endless.add_sound(APPLICATION).await;
     let answer = asking.await.expect("the request ends");
     let text = answer.expect("a complete stream").text();
@@ -224,3 +218,23 @@
         .map(|answer| answer.closed.expect("closed") - answer.began);
     assert!(open.max() <= Some(Duration::from_secs(1)));
 }
+
+/// Guards against an answer of the table that is dripped for ever: each byte comes within the time-out.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_without_a_deadline_is_given_up_if_it_is_dripped() {
+    let names = native_cluster().names();
+    let stand_in = EndlessBackEnd::start(EndlessBytes::DrippedBody, names).await;
+    let request = Request::new(FullBody::default());
+    let (pool, deadline) = (
+        Arc::new(ConnectionPool::new()),
+        BootInstant::now() + DEADLINE,
+    );
+    let exchange = Exchange::send(&pool, stand_in.address, request, Reuse::Any, deadline).await;
+    let exchange = exchange.expect("a head");
+    let reading = exchange.read_to_end_with_idle_timeout(MAX_BYTES, IDLE_TIMEOUT);
+    let outcome = tokio::time::timeout(10 * IDLE_TIMEOUT, reading).await;
+    let failure = outcome
+        .expect("the body is given up")
+        .map(|answer| answer.status);
+    assert_eq!(failure, Err(SendFailure::TimedOut));
+}
