--- a/crates/sloetrail-serving-testkit/src/engine.rs
+++ b/crates/sloetrail-serving-testkit/src/engine.rs
@@ -6,7 +6,7 @@
 mod records;
 mod series;
 
-pub use fault::{EngineFault, SpoiltNumber};
+pub use fault::{EndlessBody, EngineFault, SpoiltNumber};
 pub use records::{EventRecord, OrderRecord, RunRecord};
 
 use crate::wire::{EngineWire, Listing, ReadOrder};
--- a/crates/sloetrail-serving-testkit/src/engine/connection.rs
+++ b/crates/sloetrail-serving-testkit/src/engine/connection.rs
@@ -2,13 +2,13 @@
 
 use super::records::RecordGuard;
 use super::series::Series;
-use super::{EngineFault, FakeEngine};
+use super::{EndlessBody, EngineFault, FakeEngine};
 use bytes::Bytes;
 use futures_util::stream;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming};
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use std::convert::Infallible;
@@ -16,6 +16,9 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+/// Number of comments or letters in a piece of a body without end.
+const ENDLESS_REPEATS: usize = 1_000;
+
 /// A response body, either complete or a stream of events.
 pub(super) type EngineBody = UnsyncBoxBody<Bytes, io::Error>;
 
@@ -103,6 +106,9 @@
             let _ = crashing.await;
             return Err(io::Error::other("the back end has crashed"));
         }
+        if let EngineFault::Endless(body) = fault {
+            return Ok(self.endless_answer(record, &id, body));
+        }
         if let Some(outcome) = self.fault_outcome(fault, &id).await {
             return outcome;
         }
@@ -135,6 +141,7 @@
             | EngineFault::BreaksOff(_)
             | EngineFault::SpoilsNumber(_)
             | EngineFault::Unsigned
+            | EngineFault::Endless(_)
             | EngineFault::OrdersLate(_) => return None,
         };
         Some(Ok(answer))
@@ -176,6 +183,33 @@
         response
     }
 
+    /// A response whose body does not end. The run lasts until its connection is closed.
+    fn endless_answer(
+        &self,
+        record: RecordGuard,
+        id: &str,
+        body: EndlessBody,
+    ) -> Response<EngineBody> {
+        let names = self.wire.headers();
+        let version = self.current_version();
+        let mut response = self.success(id, EngineFault::None);
+        let headers = response.headers_mut();
+        headers.insert(names.weight_version, HeaderValue::from(version));
+        let mut number = record.first_event;
+        let pieces = stream::repeat_with(move || {
+            let _running = &record;
+            let piece = match body {
+                EndlessBody::Comments => ": comment\n\n".repeat(ENDLESS_REPEATS),
+                EndlessBody::Events => format!("id: {number}\ndata: a\n\n"),
+                EndlessBody::Letters => "a".repeat(ENDLESS_REPEATS),
+            };
+            number += 1;
+            Ok(Frame::data(Bytes::from(piece)))
+        });
+        *response.body_mut() = StreamBody::new(pieces).boxed_unsync();
+        response
+    }
+
     /// A 503 response stating that the request was not run.
     fn refusal(&self) -> Response<EngineBody> {
         let mut refusal = self.plain(StatusCode::SERVICE_UNAVAILABLE);
--- a/crates/sloetrail-serving-testkit/src/engine/fault.rs
+++ b/crates/sloetrail-serving-testkit/src/engine/fault.rs
@@ -29,10 +29,22 @@
     Unsigned,
     /// Accepts the request and never responds.
     Silent,
+    /// Responds with a body that does not end until its connection is closed.
+    Endless(EndlessBody),
     /// Leaves orders unanswered and applies them after this delay.
     OrdersLate(Duration),
 }
 
+/// What a body without end consists of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndlessBody {
+    Comments,
+    /// Events with the right numbers.
+    Events,
+    /// Bytes that are no event.
+    Letters,
+}
+
 /// An event whose number is spoilt. It leaves in one write with the event before it, the first event
 /// with the event after it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
