A head after an interim one and a pause is no dripped head

Cause: the limit on the time of a head ran from the first byte, also if that was one of an interim head (`102 Processing`), after which a busy back end may take long. Found by reading.

Change: bytes after a pause of over a second begin a head of their own.

Measured: the unit tests of the limit, three of three; endless_answers green. Before, the second of the three is red by reading; not run.

--- a/crates/sloetrail-serving/src/http/received_bytes.rs
+++ b/crates/sloetrail-serving/src/http/received_bytes.rs
@@ -18,13 +18,18 @@
 /// Time from the first byte of a head until the head is complete. A back end that has not begun to
 /// answer may still be busy; one that has sends its head at once.
 const MAX_HEAD_TIME: Duration = Duration::from_millis(1_500);
+/// Bytes after a longer pause begin a head of their own: they follow an interim head.
+const MAX_PAUSE_WITHIN_HEAD: Duration = Duration::from_millis(1_000);
 
 /// What has been received of an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Part {
     Nothing,
-    /// A part of the head, which began to arrive at this time.
-    Head(BootInstant),
+    /// A part of the head.
+    Head {
+        began: BootInstant,
+        last_read: BootInstant,
+    },
     /// The whole head.
     Body,
 }
@@ -67,13 +72,23 @@
     fn add(&self, bytes: usize, now: BootInstant) -> bool {
         let mut state = self.0.lock();
         state.bytes += bytes;
-        if state.part == Part::Nothing {
-            state.part = Part::Head(now);
-        }
-        let is_late = match state.part {
-            Part::Head(began) => now.saturating_duration_since(began) > MAX_HEAD_TIME,
-            Part::Nothing | Part::Body => false,
+        let began = match state.part {
+            Part::Nothing => now,
+            Part::Head { began, last_read } => {
+                let pause = now.saturating_duration_since(last_read);
+                if pause > MAX_PAUSE_WITHIN_HEAD {
+                    now
+                } else {
+                    began
+                }
+            }
+            Part::Body => return state.bytes <= MAX_BYTES_WITHOUT_PROGRESS,
         };
+        state.part = Part::Head {
+            began,
+            last_read: now,
+        };
+        let is_late = now.saturating_duration_since(began) > MAX_HEAD_TIME;
         !is_late && state.bytes <= MAX_BYTES_WITHOUT_PROGRESS
     }
 }
@@ -136,3 +151,6 @@
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
+
+#[cfg(test)]
+mod tests;
