An open batch is kept with its results until it is ended

Trainers saw: a batch that was open for longer than status_s and a minute (or its own retention, if longer) was answered 404, its results gone; PROTOCOL keeps them "until status_s after the batch job was sent, and for as long as the batch job is open".

Evidence: an_open_batch_is_kept_after_its_read_period_until_it_is_ended and the unit test of the sweeper; the code before deletes at 181 s by the unit test owner_deletes_only_batches_of_its_set, whose batches had no end (they have one now; bounds as they were). The integration test was not run on the code before.

--- a/crates/sloetrail-serving/src/owner/service_owner.rs
+++ b/crates/sloetrail-serving/src/owner/service_owner.rs
@@ -286,9 +286,9 @@
             }
             if swept_at.elapsed() > SWEEP_INTERVAL {
                 swept_at = BootInstant::now();
-                let view = batches.borrow().clone();
+                let (view, ended) = (batches.borrow().clone(), ends.borrow().clone());
                 let (context, set) = (Arc::clone(&self.context), self.set.clone());
-                let sweep = sweeper::sweep(context, set, self.term.clone(), view);
+                let sweep = sweeper::sweep(context, set, self.term.clone(), view, ended);
                 tasks::spawn("batch sweeper", sweep);
                 self.retire_if_unneeded();
             }
--- a/crates/sloetrail-serving/src/owner/sweeper.rs
+++ b/crates/sloetrail-serving/src/owner/sweeper.rs
@@ -1,5 +1,8 @@
 //! Deletes batches whose retention period is over.
 //!
+//! An open batch is kept, with its results, until its trainer ends it. One that nobody ends is
+//! deleted as abandoned, so that the table does not grow without bound.
+//!
 //! Rows are read before they are deleted. Each owner therefore deletes only batches of its own
 //! set, so that rows of region-bound batches are read only by nodes in their regions.
 
@@ -16,6 +19,8 @@
 
 /// Rows are kept this much longer than the promised retention.
 const RETENTION_MARGIN: Duration = Duration::from_secs(60);
+/// How long a batch that nobody ends is kept.
+const ABANDONED_BATCH_RETENTION: Duration = Duration::from_secs(24 * 60 * 60);
 /// Keeps a sweep short.
 const MAX_BATCHES_PER_SWEEP: usize = 8;
 
@@ -25,31 +30,37 @@
     set: BatchSet,
     term: Term,
     batches: Arc<TableView>,
+    ends: Arc<TableView>,
 ) {
     let Some(now) = context.table.now_ms().map(Timestamp) else {
         return;
     };
     let min_retention = context.settings.bounds.batch_status + RETENTION_MARGIN;
-    for id in expired_batches(&batches, &set, now, min_retention) {
+    for id in expired_batches(&batches, &ends, &set, now, min_retention) {
         if !delete(&context, &term, id).await {
             return;
         }
     }
 }
 
-/// Up to `MAX_BATCHES_PER_SWEEP` batches of a set whose age exceeds both `min_retention` and their
-/// own retention with its margin.
+/// Up to `MAX_BATCHES_PER_SWEEP` batches of a set that have ended and whose age exceeds both
+/// `min_retention` and their own retention with its margin, or that are abandoned.
 fn expired_batches<'a>(
     batches: &'a TableView,
+    ends: &TableView,
     set: &BatchSet,
     now: Timestamp,
     min_retention: Duration,
 ) -> Vec<&'a BatchId> {
     let rows = batches.rows.iter();
-    let expired = rows.filter(|(_, row)| {
+    let expired = rows.filter(|(id, row)| {
         decode_header(&row.value).is_some_and(|header| {
             let own_retention = header.retention.duration() + RETENTION_MARGIN;
-            let retained_until = header.accepted_at.after(own_retention.max(min_retention));
+            let mut retention = own_retention.max(min_retention);
+            if !ends.rows.contains_key(*id) {
+                retention = retention.max(ABANDONED_BATCH_RETENTION);
+            }
+            let retained_until = header.accepted_at.after(retention);
             set.holds(&header) && now > retained_until
         })
     });
--- a/crates/sloetrail-serving/src/owner/sweeper/tests.rs
+++ b/crates/sloetrail-serving/src/owner/sweeper/tests.rs
@@ -1,4 +1,4 @@
-use super::{MAX_BATCHES_PER_SWEEP, expired_batches};
+use super::{ABANDONED_BATCH_RETENTION, MAX_BATCHES_PER_SWEEP, expired_batches};
 use crate::batch_rows::encode_header;
 use crate::directory_index::KeyRanges;
 use crate::follow::TableView;
@@ -66,7 +66,7 @@
     ]);
     let swept = |regions: AllowedRegions, now_ms: u64| {
         let set = BatchSet::new(ServiceName::from("models"), regions);
-        let ids = expired_batches(&batches, &set, Timestamp(now_ms), MIN_RETENTION);
+        let ids = expired_batches(&batches, &batches, &set, Timestamp(now_ms), MIN_RETENTION);
         ids.into_iter().cloned().collect::<Vec<String>>()
     };
     // Batches are retained for an additional minute.
@@ -79,6 +79,25 @@
     );
 }
 
+/// Guards against an open batch that is deleted with its results while its trainer still reads it.
+#[test]
+fn open_batches_are_kept_until_they_are_abandoned() {
+    let batches = view(&[
+        ("open", header("models", north())),
+        ("ended", header("models", north())),
+    ]);
+    let ends = view(&[("ended", header("models", north()))]);
+    let set = BatchSet::new(ServiceName::from("models"), north());
+    let swept = |age: Duration| {
+        let now = Timestamp(1_000).after(age);
+        let ids = expired_batches(&batches, &ends, &set, now, MIN_RETENTION);
+        ids.into_iter().cloned().collect::<Vec<String>>()
+    };
+    assert_eq!(swept(ABANDONED_BATCH_RETENTION), ["ended"]);
+    let later = ABANDONED_BATCH_RETENTION + Duration::from_secs(1);
+    assert_eq!(swept(later), ["ended", "open"]);
+}
+
 #[test]
 fn sweep_is_limited_to_few_batches() {
     let many: Vec<String> = (0..MAX_BATCHES_PER_SWEEP * 2)
@@ -89,6 +108,6 @@
         .map(|id| (id.as_str(), header("models", north())));
     let batches = view(&headers.collect::<Vec<_>>());
     let set = BatchSet::new(ServiceName::from("models"), north());
-    let swept = expired_batches(&batches, &set, Timestamp(u64::MAX), MIN_RETENTION);
+    let swept = expired_batches(&batches, &batches, &set, Timestamp(u64::MAX), MIN_RETENTION);
     assert_eq!(swept.len(), MAX_BATCHES_PER_SWEEP);
 }
--- a/crates/sloetrail-serving/tests/batches.rs
+++ b/crates/sloetrail-serving/tests/batches.rs
@@ -465,6 +465,28 @@
     assert!(dead.iter().all(|result| result["state"] == "dead"));
 }
 
+/// Guards against an open batch that is deleted while its trainer reads it.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_open_batch_is_kept_after_its_read_period_until_it_is_ended() {
+    let cluster = usual_cluster(EVENT_INTERVAL).await;
+    accepted(&cluster, 0, "b1", &batch(&items(4, 2), MODEL, 1)).await;
+    cluster.wait_results(0, "b1", 4).await;
+    for _ in 0..3 {
+        cluster.table.advance_clock(Duration::from_secs(600));
+        tokio::time::sleep(Duration::from_millis(5_500)).await;
+        for node in 0..2 {
+            let page = cluster.read(node, "b1", 0).await.expect("a page");
+            assert_eq!(page["results"].as_array().map(Vec::len), Some(4));
+        }
+    }
+    assert_eq!(cluster.end(0, "b1").await.expect("an answer").status, 200);
+    let is_gone = || async {
+        let answer = cluster.read_answer(0, "b1", 0).await?;
+        (answer.status == 404).then_some(())
+    };
+    eventually("the ended batch is deleted", is_gone).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn batches_are_deleted_only_after_their_read_period() {
     let cluster = usual_cluster(EVENT_INTERVAL).await;
