A refusal with the ID of another request proves nothing about this one

One with X-Not-Run or status 421 was believed before its ID was looked at: a request that may not repeat and may have run was reported as not run, or sent again.

Cause: classify_head looked at the ID last.

Change: an answer with the ID of another request is lost.

Evidence: a_refusal_of_another_request_proves_nothing on: red; now green, with the test of refusals that are believed.

--- a/crates/sloetrail-serving/src/gateway/attempt.rs
+++ b/crates/sloetrail-serving/src/gateway/attempt.rs
@@ -178,22 +178,25 @@
     result
 }
 
-/// Classifies an answer by its head: not run, another back end, an answer to another request, or
-/// a success without a signature. Returns `None` if the body has to be read.
+/// Classifies an answer by its head: an answer to another request, another back end, not run, or a
+/// success without a signature. Returns `None` if the body has to be read. A refusal may lack the
+/// request ID, but one with the ID of another request says nothing about this one.
 pub(crate) fn classify_head(
     status: StatusCode,
     head: &HeaderMap,
     names: &HeaderNames,
     outgoing: &OutgoingRequest,
 ) -> Option<AttemptResult> {
+    let is_own = match head.get(&names.request_id) {
+        Some(echoed) if echoed != outgoing.request_id.as_str() => return Some(AttemptResult::Lost),
+        echoed => echoed.is_some(),
+    };
     if status == StatusCode::MISDIRECTED_REQUEST {
         return Some(AttemptResult::WrongInstance);
     }
     if head.contains_key(&names.not_run) {
         return Some(AttemptResult::NotRun);
     }
-    let echoed = headers::text(head, &names.request_id);
-    let is_own = echoed == Some(&outgoing.request_id);
     let is_signed = !status.is_success() || head.contains_key(&names.signature);
     (!is_own || !is_signed).then_some(AttemptResult::Lost)
 }
@@ -218,3 +221,6 @@
         SendFailure::TooLarge => AttemptResult::TooLarge,
     }
 }
+
+#[cfg(test)]
+mod tests;
