--- a/review/standins-2/case_4.rs
+++ b/review/standins-2/case_4.rs
@@ -31,7 +31,11 @@
         let id = request.header("x-attempt-id").unwrap_or("").to_owned();
         if request.path() == "/api/report" {
             let report = r#"{"models":[{"name":"daka510000","version":1,"adapters":[]}],"busy":false,"seq":0,"waiting":0,"running":0}"#;
-            wire.answer("200 OK", "Content-Type: application/json\r\n", report.as_bytes())?;
+            wire.answer(
+                "200 OK",
+                "Content-Type: application/json\r\n",
+                report.as_bytes(),
+            )?;
             continue;
         }
         if request.method() == "GET" {
@@ -42,7 +46,9 @@
             wire.answer("421 Misdirected Request", "", b"")?;
             continue;
         }
-        let last = request.header("last-event-id").and_then(|text| text.parse().ok());
+        let last = request
+            .header("last-event-id")
+            .and_then(|text| text.parse().ok());
         wire.write(
             format!(
                 "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Sampler-Stamp: 3e1b.{id}\r\n\
@@ -71,7 +77,9 @@
         ITEMS / 4
     );
     for item in 0..ITEMS {
-        let photo: Vec<u8> = (0..ITEM_BYTES).map(|at| ((at * 7 + item * 3 + job) % 251) as u8).collect();
+        let photo: Vec<u8> = (0..ITEM_BYTES)
+            .map(|at| ((at * 7 + item * 3 + job) % 251) as u8)
+            .collect();
         if item > 0 {
             text.push(',');
         }
@@ -87,7 +95,9 @@
 
 fn call(node: &Node, first: &str, headers: &str, body: &[u8]) -> Option<common::Message> {
     let mut wire = Wire::connect(node.callers).ok()?;
-    wire.stream.set_read_timeout(Some(Duration::from_secs(10))).ok()?;
+    wire.stream
+        .set_read_timeout(Some(Duration::from_secs(10)))
+        .ok()?;
     let headers = format!("Host: {HOST}\r\nConnection: close\r\n{headers}");
     wire.send(first, &headers, body).ok()?;
     wire.read_message().ok()
@@ -104,7 +114,10 @@
         let answer = call(node, "POST /pule252/7c41e0", &headers, body.as_bytes());
         let status = answer.map(|answer| answer.status());
         let bytes = body.len();
-        record.line(&format!("job {id}, {bytes} bytes, at {}: {status:?}", node.name));
+        record.line(&format!(
+            "job {id}, {bytes} bytes, at {}: {status:?}",
+            node.name
+        ));
         if status == Some(202) {
             return true;
         }
@@ -187,7 +200,9 @@
         })
         .collect();
     thread::sleep(Duration::from_millis(3_200));
-    let accepted = (0..JOBS).filter(|job| submit(&record, &nodes, *job)).count();
+    let accepted = (0..JOBS)
+        .filter(|job| submit(&record, &nodes, *job))
+        .count();
     thread::sleep(Duration::from_millis(2_000));
     let before = kills.lock().unwrap().len();
     if has_trouble() {
@@ -195,7 +210,9 @@
         let lease = Json::parse(lease.unwrap_or_default().as_bytes()).unwrap_or(Json::Null);
         let holder = lease.get("holder").text().to_owned();
         record.line(&format!("SIGKILL to the machine that leads: {holder}"));
-        let leader = nodes.iter().find(|node| holder.starts_with(&format!("{}/", node.name)));
+        let leader = nodes
+            .iter()
+            .find(|node| holder.starts_with(&format!("{}/", node.name)));
         if let Some(leader) = leader {
             leader.signal("-KILL");
         }
@@ -219,7 +236,10 @@
     }
     for job in 0..JOBS {
         let items = known.get(&job).map_or(0, BTreeSet::len);
-        record.line(&format!("job {}: {items} of {ITEMS} items listed", job_id(job)));
+        record.line(&format!(
+            "job {}: {items} of {ITEMS} items listed",
+            job_id(job)
+        ));
     }
     record.line(&format!(
         "{accepted} jobs accepted; killed for memory: {before} times before, {} in all: {by_node:?}",
@@ -227,7 +247,15 @@
     ));
     let nodes_hit = by_node.values().filter(|times| **times >= 3).count();
     let is_broken = nodes_hit >= 2;
-    record.line(if is_broken { "a fault: two machines ended three times" } else { "no fault" });
+    record.line(if is_broken {
+        "a fault: two machines ended three times"
+    } else {
+        "no fault"
+    });
     drop(world);
-    std::process::exit(if accepted == JOBS { i32::from(is_broken) } else { 2 });
+    std::process::exit(if accepted == JOBS {
+        i32::from(is_broken)
+    } else {
+        2
+    });
 }
--- a/review/standins-2/case_5.rs
+++ b/review/standins-2/case_5.rs
@@ -50,10 +50,15 @@
                 wire.answer("421 Misdirected Request", "", b"")?;
                 continue;
             }
-            self.arrivals.lock().unwrap().push((Instant::now(), id.clone()));
+            self.arrivals
+                .lock()
+                .unwrap()
+                .push((Instant::now(), id.clone()));
             thread::sleep(WORK);
-            let headers =
-                format!("X-Attempt-Id: {id}\r\nX-Sampler-Stamp: 3e1b.{id}.{}\r\n", self.instance);
+            let headers = format!(
+                "X-Attempt-Id: {id}\r\nX-Sampler-Stamp: 3e1b.{id}.{}\r\n",
+                self.instance
+            );
             wire.answer("200 OK", &headers, format!("answer to {id}").as_bytes())?;
         }
     }
@@ -150,7 +155,10 @@
     let written = Instant::now();
     if has_trouble() {
         let foreign = entry.text("ready", 7, false);
-        record.line(&format!("another writer puts servers/{}: {foreign}", entry.id));
+        record.line(&format!(
+            "another writer puts servers/{}: {foreign}",
+            entry.id
+        ));
         world.store.put("servers", &entry.id, &foreign);
     }
     // The sampler's own entries follow, one each heartbeat.
@@ -190,13 +198,24 @@
         *path == UNSAFE && *at > written && is_soon && *status != Some(200)
     });
     for (id, (_, _, status)) in failed_at_once {
-        record.line(&format!("{id}, non_idempotent, ends with {status:?} as the entry is written"));
+        record.line(&format!(
+            "{id}, non_idempotent, ends with {status:?} as the entry is written"
+        ));
     }
     let before = arrivals.iter().filter(|(at, _)| *at < acknowledged).count();
-    record.line(&format!("{} requests in all; {before} at the sampler before it drains", outcomes.len()));
-    record.line(&format!("{late} requests later than drain_ms, {lost} of them failed when it left"));
+    record.line(&format!(
+        "{} requests in all; {before} at the sampler before it drains",
+        outcomes.len()
+    ));
+    record.line(&format!(
+        "{late} requests later than drain_ms, {lost} of them failed when it left"
+    ));
     let is_broken = late > 0;
-    record.line(if is_broken { "DRAIN is broken" } else { "DRAIN held" });
+    record.line(if is_broken {
+        "DRAIN is broken"
+    } else {
+        "DRAIN held"
+    });
     if before == 0 {
         drop(world);
         std::process::exit(2);
--- a/review/standins-2/case_6.rs
+++ b/review/standins-2/case_6.rs
@@ -57,7 +57,9 @@
             let event = format!("id: {number}\ndata: token {number} of {id}\n\n");
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if let Err(error) = wire.write(chunk.as_bytes()) {
-                record.line(&format!("{instance} at {id}: event {number} not taken: {error}"));
+                record.line(&format!(
+                    "{instance} at {id}: event {number} not taken: {error}"
+                ));
                 return Err(error);
             }
             if number == PAUSE_AFTER {
@@ -155,7 +157,11 @@
         has_trouble()
     ));
     let is_broken = has_trouble() && cut > 0;
-    record.line(if is_broken { "LOST is broken" } else { "LOST held" });
+    record.line(if is_broken {
+        "LOST is broken"
+    } else {
+        "LOST held"
+    });
     drop(world);
     std::process::exit(i32::from(is_broken));
 }
--- a/review/standins-2/case_7.rs
+++ b/review/standins-2/case_7.rs
@@ -26,7 +26,11 @@
         let id = request.header("x-attempt-id").unwrap_or("").to_owned();
         if request.path() == "/api/report" {
             let report = r#"{"models":[{"name":"daka510000","version":1,"adapters":[]}],"busy":false,"seq":0,"waiting":0,"running":0}"#;
-            wire.answer("200 OK", "Content-Type: application/json\r\n", report.as_bytes())?;
+            wire.answer(
+                "200 OK",
+                "Content-Type: application/json\r\n",
+                report.as_bytes(),
+            )?;
             continue;
         }
         if request.method() == "GET" {
@@ -42,7 +46,10 @@
         let headers = format!("X-Attempt-Id: {id}\r\nX-Sampler-Stamp: 3e1b.{id}.{instance}\r\n");
         let body = format!("answer to {id}");
         let sent = wire.answer("200 OK", &headers, body.as_bytes());
-        record.line(&format!("{instance} ends {id}, answer taken: {}", sent.is_ok()));
+        record.line(&format!(
+            "{instance} ends {id}, answer taken: {}",
+            sent.is_ok()
+        ));
         sent?;
     }
 }
@@ -103,7 +110,12 @@
     let path = std::env::args().nth(1).expect("the path of the record");
     let record = Record::create(&path);
     let mut entries = Vec::new();
-    for (number, service) in [(1, "wuno96b"), (2, "wuno96b"), (3, "wuno96b"), (4, "huvo11a")] {
+    for (number, service) in [
+        (1, "wuno96b"),
+        (2, "wuno96b"),
+        (3, "wuno96b"),
+        (4, "huvo11a"),
+    ] {
         let (id, served) = (format!("i-7f3a91c{number}"), Arc::clone(&record));
         let instance = id.clone();
         let address = serve(move |wire| {
@@ -136,7 +148,9 @@
     let lease = world.store.read("sloetrail_leases", "lease/huvo11a");
     let lease = Json::parse(lease.unwrap_or_default().as_bytes()).unwrap_or(Json::Null);
     let holder = lease.get("holder").text().to_owned();
-    record.line(&format!("the machine that last wrote under a condition: {holder}"));
+    record.line(&format!(
+        "the machine that last wrote under a condition: {holder}"
+    ));
     let mut nodes = world.nodes.0.iter();
     let node = nodes.find(|node| holder.starts_with(&format!("{}/", node.name)));
     let Some(node) = node.map(Arc::clone) else {
@@ -150,7 +164,9 @@
         .map(|number| {
             let (record, node) = (Arc::clone(&record), Arc::clone(&node));
             thread::spawn(move || {
-                thread::sleep(Duration::from_millis(WORK.as_millis() as u64 / CLIENTS * number));
+                thread::sleep(Duration::from_millis(
+                    WORK.as_millis() as u64 / CLIENTS * number,
+                ));
                 client(&record, &node, number, until)
             })
         })
@@ -172,7 +188,8 @@
             let sent = outcome.sent_at.saturating_duration_since(stopped_at);
             let ended = outcome.ended_at.saturating_duration_since(stopped_at);
             let is_late = sent > Duration::from_secs(3);
-            let is_cut = outcome.status.is_none() && is_late && ended <= GRACE + Duration::from_secs(1);
+            let is_cut =
+                outcome.status.is_none() && is_late && ended <= GRACE + Duration::from_secs(1);
             cut += usize::from(is_cut);
             if outcome.status.is_none() {
                 record.line(&format!(
@@ -188,7 +205,11 @@
     record.line(&format!("{} has ended: {}", node.name, node.has_ended()));
     record.line(&format!("{cut} requests lost"));
     let is_broken = cut > 0;
-    record.line(if is_broken { "LOST is broken" } else { "LOST held" });
+    record.line(if is_broken {
+        "LOST is broken"
+    } else {
+        "LOST held"
+    });
     drop(world);
     std::process::exit(i32::from(is_broken));
 }
--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -149,7 +149,9 @@
     fn read_line(&mut self) -> io::Result<String> {
         let mut searched = 0;
         loop {
-            let end = self.buffer[searched..].iter().position(|byte| *byte == b'\n');
+            let end = self.buffer[searched..]
+                .iter()
+                .position(|byte| *byte == b'\n');
             if let Some(end) = end {
                 let line: Vec<u8> = self.buffer.drain(..searched + end + 1).collect();
                 return Ok(String::from_utf8_lossy(&line).trim_end().to_owned());
@@ -440,7 +442,9 @@
             | u32::from(*group.get(2).unwrap_or(&0));
         for place in 0..4 {
             match place <= group.len() {
-                true => text.push(char::from(BASE64[(joined >> (18 - 6 * place)) as usize & 63])),
+                true => text.push(char::from(
+                    BASE64[(joined >> (18 - 6 * place)) as usize & 63],
+                )),
                 false => text.push('='),
             }
         }
@@ -650,12 +654,14 @@
         let limit: usize = limit.unwrap_or(500).min(500);
         let state = self.state.lock().unwrap();
         let start = (table.clone(), part.clone(), from);
-        let in_range = state.rows.range(start..).take_while(|((in_table, in_part, key), _)| {
-            let is_before = until.as_ref().is_none_or(|until| key < until);
-            *in_table == table && *in_part == part && is_before
-        });
-        let present: Vec<(&Key, &Row)> =
-            in_range.filter(|(_, row)| row.value.is_some()).collect();
+        let in_range = state
+            .rows
+            .range(start..)
+            .take_while(|((in_table, in_part, key), _)| {
+                let is_before = until.as_ref().is_none_or(|until| key < until);
+                *in_table == table && *in_part == part && is_before
+            });
+        let present: Vec<(&Key, &Row)> = in_range.filter(|(_, row)| row.value.is_some()).collect();
         let mut bytes = 0;
         let mut count = 0;
         for (_, row) in present.iter().take(limit) {
@@ -681,7 +687,10 @@
         let mut state = self.state.lock().unwrap();
         loop {
             let start = (table.clone(), String::new(), String::new());
-            let of_table = state.rows.range(start..).take_while(|((name, _, _), _)| *name == table);
+            let of_table = state
+                .rows
+                .range(start..)
+                .take_while(|((name, _, _), _)| *name == table);
             let mut changed: Vec<(&Key, &Row)> =
                 of_table.filter(|(_, row)| row.version > after).collect();
             changed.sort_by_key(|(_, row)| row.version);
@@ -786,8 +795,11 @@
     }
 
     pub fn signal(&self, name: &str) {
-        let pid = self.pid().to_string();
-        let _ = Command::new("kill").args([name, pid.as_str()]).status();
+        let command = format!("kill {name} {}", self.pid());
+        let sent = Command::new("sh").args(["-c", command.as_str()]).status();
+        if !sent.is_ok_and(|status| status.success()) {
+            eprintln!("cannot signal {}", self.name);
+        }
     }
 
     pub fn is_ready(&self) -> bool {
@@ -836,7 +848,10 @@
         let field = |name: &str| {
             let line = text.lines().find(|line| line.starts_with(name));
             let value = line.and_then(|line| line.split_whitespace().nth(1));
-            value.and_then(|value| value.parse::<u64>().ok()).unwrap_or(0) / 1024
+            value
+                .and_then(|value| value.parse::<u64>().ok())
+                .unwrap_or(0)
+                / 1024
         };
         (field("VmRSS:"), field("VmHWM:"))
     }
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -61,7 +61,9 @@
         };
         let models = match self.model {
             Some(model) => {
-                format!(r#","stage":"both","models":[{{"name":"{model}","version":1,"adapters":[]}}]"#)
+                format!(
+                    r#","stage":"both","models":[{{"name":"{model}","version":1,"adapters":[]}}]"#
+                )
             }
             None => String::new(),
         };
@@ -95,7 +97,9 @@
                     let entry = &renewed.unwrap_or_else(|| entry.clone());
                     let states = known_states.lock().unwrap();
                     match states.get(&entry.id).copied().unwrap_or(State::Ready) {
-                        State::Ready => beating.put("servers", &entry.id, &entry.text("ready", seq, true)),
+                        State::Ready => {
+                            beating.put("servers", &entry.id, &entry.text("ready", seq, true))
+                        }
                         State::Draining => {
                             beating.put("servers", &entry.id, &entry.text("draining", seq, true));
                         }
@@ -130,9 +134,12 @@
     pub fn set_state(&self, entry: &Entry, state: State) {
         self.states.lock().unwrap().insert(entry.id.clone(), state);
         match state {
-            State::Ready => self.store.put("servers", &entry.id, &entry.text("ready", 1_000, true)),
+            State::Ready => self
+                .store
+                .put("servers", &entry.id, &entry.text("ready", 1_000, true)),
             State::Draining => {
-                self.store.put("servers", &entry.id, &entry.text("draining", 1_000, true));
+                self.store
+                    .put("servers", &entry.id, &entry.text("draining", 1_000, true));
             }
             State::Gone => self.store.remove("servers", &entry.id),
         }
@@ -149,7 +156,10 @@
 
     /// Lists a sampler that has started again.
     pub fn replace_entry(&self, entry: &Entry) {
-        self.renewed.lock().unwrap().insert(entry.id.clone(), entry.clone());
+        self.renewed
+            .lock()
+            .unwrap()
+            .insert(entry.id.clone(), entry.clone());
         self.set_state(entry, State::Ready);
     }
 }
