Review case 5: the clients do not send all at once

Cause: clients in step had no request under way at the moment at which the sampler leaves in some plays. Change: review/standins-2/case_5.rs.

--- a/review/standins-2/case_5.rs
+++ b/review/standins-2/case_5.rs
@@ -137,6 +137,8 @@
                 _ => UNSAFE,
             };
             clients.push(thread::spawn(move || {
+                // Not all at once: some requests are under way at any moment.
+                thread::sleep(WORK / CLIENTS_PER_NODE as u32 * client as u32);
                 for turn in 0.. {
                     if is_over.load(Ordering::SeqCst) {
                         return;
